--- a/bin/run-tests.js
+++ b/bin/run-tests.js
@@ -1,14 +1,19 @@
 /**
  * Runs every test file and closes with one line `N passed, N failed`. Failures listed in
  * KNOWN-RED.txt are printed and passed over; a listed test that passes is printed too.
- * Arguments narrow the run to files whose path contains one of them.
+ * Words narrow the run to files whose path contains one of them. `--seed N` and `--runs R` set
+ * fast-check's seed and number of runs for every property.
  */
 
 import { readFile, readdir } from 'node:fs/promises';
 import { join } from 'node:path';
+import { parseArgs } from 'node:util';
+import fc from 'fast-check';
 import Mocha from 'mocha';
 
-const TEST_TIMEOUT_MS = 120_000;
+const TEST_TIMEOUT_MS = 600_000;
+const DEFAULT_SEED = '20261204';
+const DEFAULT_RUNS = '100';
 
 async function findTestFiles(folder) {
   const files = [];
@@ -37,9 +42,17 @@
   return titles;
 }
 
+const { values: options, positionals: filters } = parseArgs({
+  allowPositionals: true,
+  options: {
+    seed: { type: 'string', default: DEFAULT_SEED },
+    runs: { type: 'string', default: DEFAULT_RUNS },
+  },
+});
+fc.configureGlobal({ seed: Number(options.seed), numRuns: Number(options.runs) });
 const knownRed = await readKnownRed();
 const mocha = new Mocha({ reporter: 'dot', timeout: TEST_TIMEOUT_MS });
-for (const file of await findAllTestFiles(process.argv.slice(2))) mocha.addFile(file);
+for (const file of await findAllTestFiles(filters)) mocha.addFile(file);
 await mocha.loadFilesAsync();
 
 const passed = new Set();
--- a/packages/core/src/allocation/allocator.ts
+++ b/packages/core/src/allocation/allocator.ts
@@ -115,8 +115,23 @@
 const DECODE_PLACES = 20;
 const RETRY_AFTER_MS = 1_000;
 
+/** How engines are chosen. All but `ours` are baselines that decide on each VM alone. */
+export type AllocationPolicy = 'ours' | 'round-robin' | 'least-outstanding' | 'two-choices';
+/** What the operator weighs first: tail latency under stragglers, or service at the crest. */
+export type AllocationObjective = 'tail' | 'crest';
+
+/** Options of an allocator. */
+export type AllocatorOptions = {
+  readonly vmId: VmId;
+  readonly policy: AllocationPolicy;
+  readonly objective: AllocationObjective;
+  /** Seed of the allocator's random numbers. */
+  readonly seed: number;
+};
+
 /** Makes the state of an allocator on one VM. */
-export function makeAllocatorState(vmId: VmId): AllocatorState {
+export function makeAllocatorState(options: AllocatorOptions): AllocatorState {
+  const { vmId } = options;
   return { vmId, engines: new Map(), reservations: new Map(), nextReservation: 1 };
 }
 
--- a/packages/router/src/allocation/allocation-task.ts
+++ b/packages/router/src/allocation/allocation-task.ts
@@ -5,9 +5,10 @@
   makeAllocatorState,
   type AllocatorAction,
   type AllocatorEvent,
+  type AllocatorOptions,
   type RequestEvent,
 } from '@tarragonspool/core';
-import { assertNever, type AttemptId, type VmId } from '@tarragonspool/protocol';
+import { assertNever, type AttemptId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import { makeChannel, offer, receive, type Channel, type Task } from '../tasks/tasks.js';
 import type { Directory } from '../upstreams/directory.js';
@@ -66,11 +67,11 @@
 /** Runs until the inbox closes. */
 export function* runAllocation(
   inbox: AllocationInbox,
-  vmId: VmId,
+  options: AllocatorOptions,
   directory: Directory,
   logger: Logger,
 ): Task {
-  const state = makeAllocatorState(vmId);
+  const state = makeAllocatorState(options);
   const waiting: Waiting = new Map();
   for (;;) {
     const message = yield* receive(inbox);
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -115,7 +115,9 @@
   });
 
   start('directory', () => runDirectory(directory, vmList, allocation, logger));
-  start('allocation', () => runAllocation(allocation, self.vmId, directory, logger));
+  const { policy, objective } = settings;
+  const options = { vmId: self.vmId, policy, objective, seed: self.incarnation };
+  start('allocation', () => runAllocation(allocation, options, directory, logger));
   start('rules', () =>
     runRules(rulesInbox, { view, table, objects, metrics, logger, broadcast: mesh.broadcast }),
   );
--- a/packages/stand-ins/src/harness/deployment.ts
+++ b/packages/stand-ins/src/harness/deployment.ts
@@ -62,7 +62,8 @@
   readonly stop: () => Promise<string[]>;
 };
 
-const HOST = '127.0.0.1';
+/** Loopback address of every process; runs side by side take different ones. */
+const HOST = process.env.TARRAGONSPOOL_TEST_HOST ?? '127.0.0.1';
 const PEER_SECRET = 'demo-peer-secret-0123456789';
 const OPERATOR_TOKEN = 'demo-operator-token-0123456789';
 const START_TIMEOUT_MS = 20_000;
