Ask the owner of a shard for places and fall back to a private allocator

Cause: every VM handed out places from its own books, so that VMs saw the same free place. Each shard (a model service's engines in one region) now has one soft owner, named by rendezvous hashing over the live VMs. Entry VMs ask it over the peer link; it answers grant, refuse or queued. Places in use are announced to a new owner. Owners poll load, cache events and holds of their engines, and cancel the holds of daemons that are surely gone. Cancels are retried by one task until an engine confirms or the hold has lapsed. Not yet shown: death of an owner under load in separate processes.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,3 +4,8 @@
 export * from './requests/tokens.js';
 export * from './rules/rule-file.js';
 export * from './rules/rule-set.js';
+export * from './shards/asker-messages.js';
+export * from './shards/asker-state.js';
+export * from './shards/asker.js';
+export * from './shards/shards.js';
+export * from './sweep/sweep.js';
--- a/packages/core/src/requests/prefix-hashes.ts
+++ b/packages/core/src/requests/prefix-hashes.ts
@@ -1,14 +1,12 @@
 /** Hashes the prefixes of a prompt at block boundaries, so that shared prefixes compare equal. */
 
-import xxhash from 'xxhash-wasm';
 import type { PrefixHash } from '@tarragonspool/protocol';
+import { hasher } from '../hashing/hasher.js';
 
 /** Length of one prefix block, in characters. */
 export const PREFIX_BLOCK_CHARACTERS = 1_024;
 const MAX_BLOCKS = 64;
 
-const hasher = await xxhash();
-
 /** Returns one hash for each whole block; each covers all text before its end. */
 export function makePrefixHashes(prompt: string): PrefixHash[] {
   const hashes: PrefixHash[] = [];
--- /dev/null
+++ b/packages/core/src/shards/asker-messages.ts
@@ -0,0 +1,102 @@
+/** Events and actions of the part of an entry VM that asks allocators for places. */
+
+import type {
+  AttemptEnd,
+  AttemptId,
+  AttemptProgress,
+  HeldReservation,
+  Refusal,
+  ReservationAsk,
+  ReservationGrant,
+  ShardId,
+  VmId,
+} from '@tarragonspool/protocol';
+import type { ShardMap } from './shards.js';
+
+/** Who hands out places: the allocator on a VM, or this VM's private one. */
+export type Granter = { readonly kind: 'vm'; readonly vmId: VmId } | { readonly kind: 'private' };
+
+/** Where a running attempt stands. */
+export type AttemptPosition = Pick<
+  AttemptProgress,
+  'attemptId' | 'upstreamId' | 'stage' | 'tokens' | 'movedAt'
+>;
+
+/** What the asker hears. */
+export type AskerEvent =
+  | { readonly kind: 'asked'; readonly ask: ReservationAsk; readonly now: number }
+  | { readonly kind: 'withdrawn'; readonly attemptId: AttemptId; readonly now: number }
+  | { readonly kind: 'moved'; readonly position: AttemptPosition; readonly now: number }
+  | { readonly kind: 'ended'; readonly end: AttemptEnd; readonly now: number }
+  | {
+      readonly kind: 'granted';
+      readonly from: Granter;
+      readonly shardId: ShardId;
+      readonly grant: ReservationGrant;
+      readonly now: number;
+    }
+  | {
+      readonly kind: 'refused';
+      readonly from: Granter;
+      readonly attemptId: AttemptId;
+      readonly refusal: Refusal;
+      readonly now: number;
+    }
+  | {
+      readonly kind: 'queued';
+      readonly from: Granter;
+      readonly attemptId: AttemptId;
+      readonly now: number;
+    }
+  | {
+      readonly kind: 'view-changed';
+      readonly shards: ShardMap;
+      readonly liveVms: readonly VmId[];
+      readonly now: number;
+    }
+  /** A link to a VM opened anew; what was sent over the last one may be lost. */
+  | { readonly kind: 'link-opened'; readonly vmId: VmId; readonly now: number }
+  | { readonly kind: 'ticked'; readonly now: number };
+
+/** What the host must do for the asker. */
+export type AskerAction =
+  | {
+      readonly kind: 'send-ask';
+      readonly to: Granter;
+      readonly shardId: ShardId;
+      readonly ask: ReservationAsk;
+    }
+  | {
+      readonly kind: 'send-withdraw';
+      readonly to: Granter;
+      readonly shardId: ShardId;
+      readonly attemptId: AttemptId;
+    }
+  | {
+      readonly kind: 'send-held';
+      readonly to: Granter;
+      readonly shardId: ShardId;
+      readonly items: readonly HeldReservation[];
+    }
+  | {
+      readonly kind: 'send-end';
+      readonly to: Granter;
+      readonly shardId: ShardId;
+      readonly items: readonly AttemptEnd[];
+    }
+  | {
+      readonly kind: 'send-progress';
+      readonly to: Granter;
+      readonly shardId: ShardId;
+      readonly items: readonly AttemptProgress[];
+    }
+  | {
+      readonly kind: 'answer-granted';
+      readonly attemptId: AttemptId;
+      readonly grant: ReservationGrant;
+    }
+  | {
+      readonly kind: 'answer-refused';
+      readonly attemptId: AttemptId;
+      readonly refusal: Refusal;
+    };
--- /dev/null
+++ b/packages/core/src/sweep/sweep.test.ts
@@ -0,0 +1,37 @@
+import type { AttemptId, EngineHold, Incarnation, RequestId, VmId } from '@tarragonspool/protocol';
+import { expect } from 'chai';
+import { findOrphans } from './sweep.js';
+
+const hold: EngineHold = {
+  owner: {
+    requestId: 'r1' as RequestId,
+    attemptId: 'r1.1' as AttemptId,
+    vmId: 'vm-1' as VmId,
+    incarnation: 5 as Incarnation,
+    deadline: 1_000,
+  },
+  kind: 'decode',
+  pieces: 3,
+};
+
+function countOrphans(heard: number | undefined, isReplaced: boolean, now: number): number {
+  const incarnations = new Map<VmId, Incarnation>();
+  if (heard !== undefined) incarnations.set(hold.owner.vmId, heard as Incarnation);
+  const replacedVms = new Set(isReplaced ? [hold.owner.vmId] : []);
+  return findOrphans([hold], { incarnations, replacedVms }, now).length;
+}
+
+it('sweep: a hold of a silent VM stays until its deadline', () => {
+  expect(countOrphans(undefined, false, 999)).to.equal(0);
+  expect(countOrphans(undefined, false, 1_000)).to.equal(1);
+});
+
+it('sweep: a hold of an older incarnation goes at once, one of the same or a newer stays', () => {
+  expect(countOrphans(6, false, 0)).to.equal(1);
+  expect(countOrphans(5, false, 0)).to.equal(0);
+  expect(countOrphans(4, false, 0)).to.equal(0);
+});
+
+it('sweep: a hold of a replaced VM goes at once', () => {
+  expect(countOrphans(5, true, 0)).to.equal(1);
+});
--- a/packages/protocol/src/engine-messages.ts
+++ b/packages/protocol/src/engine-messages.ts
@@ -42,6 +42,8 @@
   readonly prefixes: readonly PrefixHash[];
   /** 0 to 9, greater first. */
   readonly priority: number;
+  /** Text of the answer that the caller already has; the prefill covers it too. */
+  readonly answerText?: string;
 };
 
 /** Result of a prefill. */
--- /dev/null
+++ b/packages/protocol/src/peer-codec.ts
@@ -0,0 +1,147 @@
+/** Encodes and decodes the messages between entry VMs; every frame is checked by a schema. */
+
+import { Packr } from 'msgpackr';
+import { z } from 'zod';
+import type { PeerMessage } from './peer-messages.js';
+import { RESULT_CODES, type ResultName } from './result-codes.js';
+
+const id = z.string().max(256);
+const time = z.number().finite();
+const count = z.number().int().nonnegative();
+
+const targetSchema = z.object({
+  model: id,
+  adapter: id.optional(),
+  version: id.optional(),
+});
+
+const askSchema = z.object({
+  requestId: id,
+  attemptId: id,
+  vmId: id,
+  incarnation: count,
+  callerId: id,
+  service: id,
+  target: targetSchema,
+  dataCentre: id,
+  promptTokens: count,
+  maxTokens: count,
+  prefixes: z.array(id),
+  priority: count,
+  firstTokenDeadline: time,
+  answerDeadline: time,
+  fingerprint: id,
+  excluded: z.array(id),
+  resumeFrom: id.optional(),
+});
+
+const grantSchema = z.object({
+  reservationId: id,
+  attemptId: id,
+  prefill: id,
+  decode: id,
+  prefillAt: time,
+  startDeadline: time,
+  predictedFirstTokenAt: time,
+  predictedAnswerAt: time,
+});
+
+const stageSchema = z.enum(['prefill', 'import', 'decode']);
+
+const refusalSchema = z.object({
+  name: z.enum(Object.keys(RESULT_CODES) as [ResultName, ...ResultName[]]),
+  ran: z.enum(['not-run', 'ran', 'unknown']),
+  detail: z.string(),
+  retryAt: time.optional(),
+});
+
+const peerMessageSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('hello'),
+    version: count,
+    vmId: id,
+    incarnation: count,
+    dataCentre: id,
+    nonce: id,
+  }),
+  z.object({ kind: z.literal('proof'), proof: id }),
+  z.object({
+    kind: z.literal('heartbeat'),
+    sentAt: time,
+    isLeaving: z.boolean(),
+    rulesRevision: count,
+    summaries: z.array(z.object({ shardId: id, owner: id, startAt: z.array(time) })),
+    leaving: z.array(id),
+  }),
+  z.object({ kind: z.literal('rules'), revision: count, text: z.string() }),
+  z.object({ kind: z.literal('ask'), shardId: id, ask: askSchema }),
+  z.object({ kind: z.literal('grant'), shardId: id, grant: grantSchema }),
+  z.object({
+    kind: z.literal('refuse'),
+    requestId: id,
+    attemptId: id,
+    refusal: refusalSchema,
+  }),
+  z.object({ kind: z.literal('queued'), attemptId: id }),
+  z.object({ kind: z.literal('withdraw'), shardId: id, attemptId: id }),
+  z.object({
+    kind: z.literal('progress'),
+    shardId: id,
+    items: z.array(
+      z.object({
+        reservationId: id,
+        attemptId: id,
+        upstreamId: id,
+        stage: stageSchema,
+        tokens: count,
+        movedAt: time,
+      }),
+    ),
+  }),
+  z.object({
+    kind: z.literal('end'),
+    shardId: id,
+    items: z.array(
+      z.object({
+        reservationId: id,
+        attemptId: id,
+        outcome: z.enum(['answered', 'cancelled', 'prefill-failed', 'decode-failed', 'unused']),
+        prefillMs: time.optional(),
+        cachedTokens: count.optional(),
+        importMs: time.optional(),
+        decodeMs: time.optional(),
+        tokens: count,
+      }),
+    ),
+  }),
+  z.object({
+    kind: z.literal('held'),
+    shardId: id,
+    items: z.array(
+      z.object({ grant: grantSchema, ask: askSchema, stage: stageSchema, tokens: count }),
+    ),
+  }),
+  z.object({
+    kind: z.literal('suspects'),
+    items: z.array(
+      z.object({ fingerprint: id, crashes: count, lastUpstream: id, expiresAt: time }),
+    ),
+  }),
+]);
+
+const packr = new Packr({ useRecords: false });
+
+/** Encodes a message as one frame. */
+export function encodePeerMessage(message: PeerMessage): Buffer {
+  return packr.pack(message);
+}
+
+/** Decodes one frame; undefined if it is malformed. */
+export function decodePeerMessage(frame: Buffer): PeerMessage | undefined {
+  try {
+    const parsed = peerMessageSchema.safeParse(packr.unpack(frame));
+    return parsed.success ? (parsed.data as unknown as PeerMessage) : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -3,8 +3,6 @@
  * milliseconds since the epoch.
  */
 
-import { Packr } from 'msgpackr';
-import { z } from 'zod';
 import type {
   AttemptId,
   CallerId,
@@ -21,7 +19,7 @@
   VmId,
 } from './ids.js';
 import type { ModelTarget } from './engine-messages.js';
-import { RESULT_CODES, type Refusal, type ResultName } from './result-codes.js';
+import type { Refusal } from './result-codes.js';
 
 /** Version of the protocol between entry VMs. */
 export const PEER_PROTOCOL_VERSION = 1;
@@ -136,151 +134,21 @@
     }
   | { readonly kind: 'rules'; readonly revision: RuleRevision; readonly text: string }
   | { readonly kind: 'ask'; readonly shardId: ShardId; readonly ask: ReservationAsk }
-  | { readonly kind: 'grant'; readonly requestId: RequestId; readonly grant: ReservationGrant }
+  | { readonly kind: 'grant'; readonly shardId: ShardId; readonly grant: ReservationGrant }
   | {
       readonly kind: 'refuse';
       readonly requestId: RequestId;
       readonly attemptId: AttemptId;
       readonly refusal: Refusal;
     }
-  | { readonly kind: 'progress'; readonly items: readonly AttemptProgress[] }
-  | { readonly kind: 'end'; readonly items: readonly AttemptEnd[] }
+  /** Tells an entry VM that its ask waits for a place. */
+  | { readonly kind: 'queued'; readonly attemptId: AttemptId }
+  | { readonly kind: 'withdraw'; readonly shardId: ShardId; readonly attemptId: AttemptId }
+  | {
+      readonly kind: 'progress';
+      readonly shardId: ShardId;
+      readonly items: readonly AttemptProgress[];
+    }
+  | { readonly kind: 'end'; readonly shardId: ShardId; readonly items: readonly AttemptEnd[] }
   | { readonly kind: 'held'; readonly shardId: ShardId; readonly items: readonly HeldReservation[] }
   | { readonly kind: 'suspects'; readonly items: readonly SuspectRecord[] };
-
-const id = z.string().max(256);
-const time = z.number().finite();
-const count = z.number().int().nonnegative();
-
-const targetSchema = z.object({
-  model: id,
-  adapter: id.optional(),
-  version: id.optional(),
-});
-
-const askSchema = z.object({
-  requestId: id,
-  attemptId: id,
-  vmId: id,
-  incarnation: count,
-  callerId: id,
-  service: id,
-  target: targetSchema,
-  dataCentre: id,
-  promptTokens: count,
-  maxTokens: count,
-  prefixes: z.array(id),
-  priority: count,
-  firstTokenDeadline: time,
-  answerDeadline: time,
-  fingerprint: id,
-  excluded: z.array(id),
-  resumeFrom: id.optional(),
-});
-
-const grantSchema = z.object({
-  reservationId: id,
-  attemptId: id,
-  prefill: id,
-  decode: id,
-  prefillAt: time,
-  startDeadline: time,
-  predictedFirstTokenAt: time,
-  predictedAnswerAt: time,
-});
-
-const stageSchema = z.enum(['prefill', 'import', 'decode']);
-
-const refusalSchema = z.object({
-  name: z.enum(Object.keys(RESULT_CODES) as [ResultName, ...ResultName[]]),
-  ran: z.enum(['not-run', 'ran', 'unknown']),
-  detail: z.string(),
-  retryAt: time.optional(),
-});
-
-const peerMessageSchema = z.discriminatedUnion('kind', [
-  z.object({
-    kind: z.literal('hello'),
-    version: count,
-    vmId: id,
-    incarnation: count,
-    dataCentre: id,
-    nonce: id,
-  }),
-  z.object({ kind: z.literal('proof'), proof: id }),
-  z.object({
-    kind: z.literal('heartbeat'),
-    sentAt: time,
-    isLeaving: z.boolean(),
-    rulesRevision: count,
-    summaries: z.array(z.object({ shardId: id, owner: id, startAt: z.array(time) })),
-    leaving: z.array(id),
-  }),
-  z.object({ kind: z.literal('rules'), revision: count, text: z.string() }),
-  z.object({ kind: z.literal('ask'), shardId: id, ask: askSchema }),
-  z.object({ kind: z.literal('grant'), requestId: id, grant: grantSchema }),
-  z.object({
-    kind: z.literal('refuse'),
-    requestId: id,
-    attemptId: id,
-    refusal: refusalSchema,
-  }),
-  z.object({
-    kind: z.literal('progress'),
-    items: z.array(
-      z.object({
-        reservationId: id,
-        attemptId: id,
-        upstreamId: id,
-        stage: stageSchema,
-        tokens: count,
-        movedAt: time,
-      }),
-    ),
-  }),
-  z.object({
-    kind: z.literal('end'),
-    items: z.array(
-      z.object({
-        reservationId: id,
-        attemptId: id,
-        outcome: z.enum(['answered', 'cancelled', 'prefill-failed', 'decode-failed', 'unused']),
-        prefillMs: time.optional(),
-        cachedTokens: count.optional(),
-        importMs: time.optional(),
-        decodeMs: time.optional(),
-        tokens: count,
-      }),
-    ),
-  }),
-  z.object({
-    kind: z.literal('held'),
-    shardId: id,
-    items: z.array(
-      z.object({ grant: grantSchema, ask: askSchema, stage: stageSchema, tokens: count }),
-    ),
-  }),
-  z.object({
-    kind: z.literal('suspects'),
-    items: z.array(
-      z.object({ fingerprint: id, crashes: count, lastUpstream: id, expiresAt: time }),
-    ),
-  }),
-]);
-
-const packr = new Packr({ useRecords: false });
-
-/** Encodes a message as one frame. */
-export function encodePeerMessage(message: PeerMessage): Buffer {
-  return packr.pack(message);
-}
-
-/** Decodes one frame; undefined if it is malformed. */
-export function decodePeerMessage(frame: Buffer): PeerMessage | undefined {
-  try {
-    const parsed = peerMessageSchema.safeParse(packr.unpack(frame));
-    return parsed.success ? (parsed.data as unknown as PeerMessage) : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/router/src/allocation/allocation-task.ts
+++ b/packages/router/src/allocation/allocation-task.ts
@@ -1,87 +1,309 @@
-/** Owns the allocator's state on this VM and carries its grants and refusals to requests. */
+/**
+ * Carries asks to the allocators that own the shards, runs the allocators that this VM owns, and
+ * brings grants and refusals back to the requests.
+ */
 
 import {
-  handleAllocatorEvent,
-  makeAllocatorState,
-  type AllocatorAction,
+  handleAskerEvent,
+  listOwners,
+  listShards,
+  makeAskerState,
+  type AllocationObjective,
+  type AllocationPolicy,
   type AllocatorEvent,
-  type AllocatorOptions,
+  type AskerAction,
+  type AskerEvent,
+  type Granter,
   type RequestEvent,
+  type ShardMap,
 } from '@tarragonspool/core';
-import { assertNever, type AttemptId } from '@tarragonspool/protocol';
+import {
+  assertNever,
+  type AttemptId,
+  type Incarnation,
+  type PeerMessage,
+  type ReservationAsk,
+  type ShardId,
+  type VmId,
+} from '@tarragonspool/protocol';
+import type { CancelInbox } from '../engines/cancel-task.js';
 import type { Logger } from '../logging/logger.js';
-import { makeChannel, offer, receive, type Channel, type Task } from '../tasks/tasks.js';
-import type { Directory } from '../upstreams/directory.js';
-
-/** What the allocation task receives. */
-export type AllocationMessage =
-  | AllocatorEvent
-  | {
-      /** Names the request task that waits for the answer to an ask. */
-      readonly kind: 'await-answer';
-      readonly attemptId: AttemptId;
-      readonly requestInbox: Channel<RequestEvent>;
-    };
-
-/** Inbox of the allocation task. */
-export type AllocationInbox = Channel<AllocationMessage>;
-
-const INBOX_CAPACITY = 16_384;
-const CANCEL_TIMEOUT_MS = 2_000;
-
-/** Makes the inbox of the allocation task. */
-export function makeAllocationInbox(): AllocationInbox {
-  return makeChannel<AllocationMessage>(INBOX_CAPACITY);
-}
+import { offer, receive, type Channel, type Task } from '../tasks/tasks.js';
+import type { AllocationInbox, AllocationMessage } from './allocation-messages.js';
+import { makeAllocatorEvent, makeAskerMessage } from './asker-messages.js';
+import {
+  makeAllocators,
+  type AllocatorOptionsByScope,
+  type Allocators,
+  type ScopedAction,
+} from './allocators.js';
 
-type Waiting = Map<AttemptId, Channel<RequestEvent>>;
+/** What the allocation task works with. */
+export type AllocationParts = {
+  readonly vmId: VmId;
+  readonly incarnation: Incarnation;
+  readonly policy: AllocationPolicy;
+  readonly objective: AllocationObjective;
+  /** Sends to one peer; false if no link reaches it. */
+  readonly sendTo: (vmId: VmId, message: PeerMessage) => boolean;
+  readonly cancels: CancelInbox;
+  readonly logger: Logger;
+};
 
-function answerRequest(waiting: Waiting, attemptId: AttemptId, event: RequestEvent): void {
-  const requestInbox = waiting.get(attemptId);
-  waiting.delete(attemptId);
-  if (requestInbox !== undefined) offer(requestInbox, event);
+const SWEEP_CANCEL_MS = 5_000;
+const RADIX = 36;
+
+/** Makes the options; ids of reservations start with the VM and its incarnation. */
+function makeOptions(parts: AllocationParts): AllocatorOptionsByScope {
+  const { vmId, incarnation, policy, objective } = parts;
+  const name = `${vmId}.${incarnation.toString(RADIX)}`;
+  const common = { objective, seed: incarnation };
+  const privatePolicy = policy === 'ours' ? 'two-choices' : policy;
+  return {
+    shared: { ...common, policy, vmId: `${name}.s` as VmId },
+    private: { ...common, policy: privatePolicy, vmId: `${name}.p` as VmId },
+  };
 }
 
-function performAction(action: AllocatorAction, waiting: Waiting, directory: Directory): void {
-  const now = Date.now();
-  switch (action.kind) {
-    case 'grant':
-      answerRequest(waiting, action.ask.attemptId, { kind: 'granted', grant: action.grant, now });
-      return;
-    case 'refuse': {
-      const { attemptId, refusal } = action;
-      answerRequest(waiting, attemptId, { kind: 'refused', attemptId, refusal, now });
-      return;
+/** The allocation task with the means to read which engines to poll. */
+export type Allocation = {
+  readonly run: (inbox: AllocationInbox) => Task;
+  readonly listPolled: Allocators['listPolled'];
+};
+
+/** A step that is still to be done for the message under way. */
+type Work =
+  | { readonly kind: 'asker-event'; readonly event: AskerEvent }
+  | { readonly kind: 'allocator-action'; readonly scoped: ScopedAction; readonly now: number };
+
+/** Makes the allocation task. */
+export function makeAllocation(parts: AllocationParts): Allocation {
+  const { vmId: self, sendTo } = parts;
+  const allocators = makeAllocators(makeOptions(parts));
+  const asker = makeAskerState(parts.policy === 'ours');
+  const inboxes = new Map<AttemptId, Channel<RequestEvent>>();
+  const work: Work[] = [];
+  let shards: ShardMap = new Map();
+  let liveVms: readonly VmId[] = [];
+
+  function addAskerEvent(event: AskerEvent): void {
+    work.push({ kind: 'asker-event', event });
+  }
+
+  function addActions(actions: readonly ScopedAction[], now: number): void {
+    for (const scoped of actions) work.push({ kind: 'allocator-action', scoped, now });
+  }
+
+  function answerRequest(attemptId: AttemptId, event: RequestEvent): void {
+    const requestInbox = inboxes.get(attemptId);
+    inboxes.delete(attemptId);
+    if (requestInbox !== undefined) offer(requestInbox, event);
+  }
+
+  function sendToPeer(to: VmId, message: PeerMessage): void {
+    if (!sendTo(to, message)) parts.logger.debug({ to, kind: message.kind }, 'allocation: no link');
+  }
+
+  function getGranter({ scope }: ScopedAction): Granter {
+    return scope === 'private' ? { kind: 'private' } : { kind: 'vm', vmId: self };
+  }
+
+  /** Gives back a grant that cannot reach the VM that asked. */
+  function undoGrant(scoped: ScopedAction, ask: ReservationAsk, now: number): void {
+    if (scoped.action.kind !== 'grant') return;
+    const { reservationId } = scoped.action.grant;
+    const { attemptId } = ask;
+    const items = [{ reservationId, attemptId, outcome: 'unused', tokens: 0 } as const];
+    addActions(
+      allocators.handleEvent('shared', scoped.shardId, { kind: 'attempt-ended', items, now }),
+      now,
+    );
+  }
+
+  function perform(scoped: ScopedAction, now: number): void {
+    const { action, shardId } = scoped;
+    switch (action.kind) {
+      case 'grant': {
+        const { ask, grant } = action;
+        if (ask.vmId === self) {
+          addAskerEvent({ kind: 'granted', from: getGranter(scoped), shardId, grant, now });
+          return;
+        }
+        const message = { kind: 'grant', shardId, grant } as const;
+        if (!sendTo(ask.vmId, message)) undoGrant(scoped, ask, now);
+        return;
+      }
+      case 'refuse': {
+        const { vmId, requestId, attemptId, refusal } = action;
+        if (vmId === self) {
+          addAskerEvent({ kind: 'refused', from: getGranter(scoped), attemptId, refusal, now });
+        } else sendToPeer(vmId, { kind: 'refuse', requestId, attemptId, refusal });
+        return;
+      }
+      case 'cancel-hold': {
+        const { upstreamId, attemptId } = action;
+        const deadline = now + SWEEP_CANCEL_MS;
+        offer(parts.cancels, { kind: 'cancel', order: { upstreamId, attemptId, deadline } });
+        return;
+      }
+      default:
+        assertNever(action);
     }
-    case 'cancel-hold':
-      directory.engines
-        .get(action.upstreamId)
-        ?.client.cancel(action.attemptId, now + CANCEL_TIMEOUT_MS)
-        .catch(() => undefined);
-      return;
-    default:
-      assertNever(action);
   }
-}
 
-/** Runs until the inbox closes. */
-export function* runAllocation(
-  inbox: AllocationInbox,
-  options: AllocatorOptions,
-  directory: Directory,
-  logger: Logger,
-): Task {
-  const state = makeAllocatorState(options);
-  const waiting: Waiting = new Map();
-  for (;;) {
-    const message = yield* receive(inbox);
-    if (message === undefined) return;
-    if (message.kind === 'await-answer') {
-      waiting.set(message.attemptId, message.requestInbox);
-      continue;
+  function isAnswered(actions: readonly ScopedAction[], attemptId: AttemptId): boolean {
+    for (const { action } of actions) {
+      if (action.kind === 'grant' && action.ask.attemptId === attemptId) return true;
+      if (action.kind === 'refuse' && action.attemptId === attemptId) return true;
     }
-    const actions = handleAllocatorEvent(state, message);
-    if (actions.length > 0) logger.debug({ event: message.kind }, 'allocation: event handled');
-    for (const action of actions) performAction(action, waiting, directory);
+    return false;
   }
+
+  /** Lets a shared allocator decide on an ask, and tells the VM that asked if it has to wait. */
+  function decideAsk(shardId: ShardId, ask: ReservationAsk, now: number): void {
+    const actions = allocators.handleEvent('shared', shardId, { kind: 'asked', ask, now });
+    const { attemptId, vmId } = ask;
+    if (!isAnswered(actions, attemptId)) {
+      if (vmId === self) {
+        addAskerEvent({ kind: 'queued', from: { kind: 'vm', vmId: self }, attemptId, now });
+      } else sendToPeer(vmId, { kind: 'queued', attemptId });
+    }
+    addActions(actions, now);
+  }
+
+  function runLocal(to: Granter, shardId: ShardId, event: AllocatorEvent): void {
+    const scope = to.kind === 'private' ? 'private' : 'shared';
+    addActions(allocators.handleEvent(scope, shardId, event), event.now);
+  }
+
+  function performAsker(action: AskerAction, now: number): void {
+    switch (action.kind) {
+      case 'answer-granted':
+        answerRequest(action.attemptId, { kind: 'granted', grant: action.grant, now });
+        return;
+      case 'answer-refused': {
+        const { attemptId, refusal } = action;
+        answerRequest(attemptId, { kind: 'refused', attemptId, refusal, now });
+        return;
+      }
+      default:
+        break;
+    }
+    const { to, shardId } = action;
+    if (to.kind === 'vm' && to.vmId !== self) sendToPeer(to.vmId, makeAskerMessage(action));
+    else if (action.kind === 'send-ask' && to.kind === 'vm') decideAsk(shardId, action.ask, now);
+    else runLocal(to, shardId, makeAllocatorEvent(action, now));
+  }
+
+  function handlePeer(message: Extract<AllocationMessage, { kind: 'peer-said' }>): void {
+    const { vmId, now } = message;
+    const from: Granter = { kind: 'vm', vmId };
+    const said = message.message;
+    switch (said.kind) {
+      case 'ask':
+        decideAsk(said.shardId, { ...said.ask, vmId }, now);
+        return;
+      case 'grant':
+        addAskerEvent({ kind: 'granted', from, shardId: said.shardId, grant: said.grant, now });
+        return;
+      case 'refuse':
+        addAskerEvent({ ...said, kind: 'refused', from, now });
+        return;
+      case 'queued':
+        addAskerEvent({ kind: 'queued', from, attemptId: said.attemptId, now });
+        return;
+      case 'withdraw':
+        runLocal(from, said.shardId, { kind: 'withdrawn', attemptId: said.attemptId, now });
+        return;
+      case 'progress':
+        runLocal(from, said.shardId, { kind: 'progressed', items: said.items, now });
+        return;
+      case 'end':
+        runLocal(from, said.shardId, { kind: 'attempt-ended', items: said.items, now });
+        return;
+      case 'held':
+        runLocal(from, said.shardId, { kind: 'held-announced', items: said.items, now });
+        return;
+      default:
+        assertNever(said);
+    }
+  }
+
+  function updateView(now: number): void {
+    addAskerEvent({ kind: 'view-changed', shards, liveVms, now });
+  }
+
+  function handleTick(vmIds: readonly VmId[], now: number): void {
+    if (vmIds.join() !== liveVms.join()) {
+      liveVms = vmIds;
+      updateView(now);
+    }
+    addAskerEvent({ kind: 'ticked', now });
+    addActions(allocators.handleForAll({ kind: 'ticked', now }), now);
+    allocators.removeIdle((shardId) => listOwners(shardId, liveVms)[0] === self, now);
+  }
+
+  function runWork(): void {
+    for (let item = work.shift(); item !== undefined; item = work.shift()) {
+      if (item.kind === 'allocator-action') {
+        perform(item.scoped, item.now);
+        continue;
+      }
+      const { event } = item;
+      for (const action of handleAskerEvent(asker, event)) performAsker(action, event.now);
+    }
+  }
+
+  function handleMessage(message: AllocationMessage): void {
+    switch (message.kind) {
+      case 'ask':
+        inboxes.set(message.ask.attemptId, message.requestInbox);
+        addAskerEvent({ kind: 'asked', ask: message.ask, now: message.now });
+        return;
+      case 'withdraw':
+        inboxes.delete(message.attemptId);
+        addAskerEvent({ kind: 'withdrawn', attemptId: message.attemptId, now: message.now });
+        return;
+      case 'move':
+        addAskerEvent({ kind: 'moved', position: message.position, now: message.now });
+        return;
+      case 'end':
+        addAskerEvent({ kind: 'ended', end: message.end, now: message.now });
+        return;
+      case 'peer-said':
+        handlePeer(message);
+        return;
+      case 'link-opened':
+        addAskerEvent(message);
+        return;
+      case 'vm-gone':
+        addActions(allocators.handleForAll(message), message.now);
+        return;
+      case 'engines-listed':
+        shards = listShards(message.engines);
+        addActions(allocators.updateEngines(shards, message.engines, message.now), message.now);
+        updateView(message.now);
+        return;
+      case 'engine-reported':
+        addActions(allocators.handleReport(message.report), message.report.now);
+        return;
+      case 'ticked':
+        handleTick(message.liveVms, message.now);
+        return;
+      default:
+        assertNever(message);
+    }
+  }
+
+  return {
+    listPolled: allocators.listPolled,
+    *run(inbox) {
+      for (;;) {
+        const message = yield* receive(inbox);
+        if (message === undefined) return;
+        handleMessage(message);
+        runWork();
+      }
+    },
+  };
 }
--- /dev/null
+++ b/packages/router/src/allocation/allocators.ts
@@ -0,0 +1,148 @@
+/** The allocators that run on this VM: one for each shard it owns, and private ones. */
+
+import {
+  handleAllocatorEvent,
+  makeAllocatorState,
+  type AllocatorAction,
+  type AllocatorEvent,
+  type AllocatorOptions,
+  type AllocatorState,
+  type ListedEngine,
+  type ShardEngine,
+  type ShardMap,
+} from '@tarragonspool/core';
+import type { ShardId, UpstreamId } from '@tarragonspool/protocol';
+import type { EngineReport } from './allocation-messages.js';
+
+/** Whether an allocator serves every entry VM or this one only. */
+export type AllocatorScope = 'shared' | 'private';
+
+/** An engine as the directory lists it. */
+export type AllocatedEngine = ListedEngine & ShardEngine;
+
+/** What an allocator decided, and which one it was. */
+export type ScopedAction = {
+  readonly scope: AllocatorScope;
+  readonly shardId: ShardId;
+  readonly action: AllocatorAction;
+};
+
+type RunningAllocator = {
+  readonly scope: AllocatorScope;
+  readonly shardId: ShardId;
+  readonly state: AllocatorState;
+  usedAt: number;
+};
+
+/** Runs allocators. */
+export type Allocators = {
+  /** Gives an event to one allocator; an ask or an announcement makes it if it does not run. */
+  readonly handleEvent: (
+    scope: AllocatorScope,
+    shardId: ShardId,
+    event: AllocatorEvent,
+  ) => ScopedAction[];
+  /** Gives what an engine reported to the allocators of its shard. */
+  readonly handleReport: (report: EngineReport) => ScopedAction[];
+  /** Gives an event to every running allocator. */
+  readonly handleForAll: (event: AllocatorEvent) => ScopedAction[];
+  readonly updateEngines: (
+    shards: ShardMap,
+    engines: readonly AllocatedEngine[],
+    now: number,
+  ) => ScopedAction[];
+  /** Drops shared allocators that others own now and nobody has used for a while. */
+  readonly removeIdle: (isOwned: (shardId: ShardId) => boolean, now: number) => void;
+  /** Lists the engines to poll: all about those of shared allocators, load of the others. */
+  readonly listPolled: (now: number) => ReadonlyMap<UpstreamId, AllocatorScope>;
+};
+
+const IDLE_MS = 5_000;
+
+/** Options of the allocators of each scope. */
+export type AllocatorOptionsByScope = Readonly<Record<AllocatorScope, AllocatorOptions>>;
+
+function makeKey(scope: AllocatorScope, shardId: ShardId): string {
+  return `${scope}|${shardId}`;
+}
+
+/** Makes the collection; it is empty at first. */
+export function makeAllocators(options: AllocatorOptionsByScope): Allocators {
+  const running = new Map<string, RunningAllocator>();
+  let knownShards: ShardMap = new Map();
+  let knownEngines: readonly AllocatedEngine[] = [];
+
+  function listEngines(shardId: ShardId): AllocatedEngine[] {
+    const shard = knownShards.get(shardId);
+    if (shard === undefined) return [];
+    return knownEngines.filter(({ upstreamId }) => shard.engines.has(upstreamId));
+  }
+
+  function runEvent(allocator: RunningAllocator, event: AllocatorEvent): ScopedAction[] {
+    const { scope, shardId, state } = allocator;
+    return handleAllocatorEvent(state, event).map((action) => ({ scope, shardId, action }));
+  }
+
+  function getAllocator(scope: AllocatorScope, shardId: ShardId, now: number): RunningAllocator {
+    const key = makeKey(scope, shardId);
+    const known = running.get(key);
+    if (known !== undefined) return known;
+    const state = makeAllocatorState(options[scope]);
+    handleAllocatorEvent(state, { kind: 'engines-listed', engines: listEngines(shardId), now });
+    const made = { scope, shardId, state, usedAt: now };
+    running.set(key, made);
+    return made;
+  }
+
+  return {
+    handleEvent: (scope, shardId, event) => {
+      if (event.kind !== 'asked' && event.kind !== 'held-announced') {
+        const known = running.get(makeKey(scope, shardId));
+        return known === undefined ? [] : runEvent(known, event);
+      }
+      const allocator = getAllocator(scope, shardId, event.now);
+      allocator.usedAt = event.now;
+      return runEvent(allocator, event);
+    },
+    handleReport: (report) => {
+      const actions: ScopedAction[] = [];
+      for (const allocator of running.values()) {
+        const shard = knownShards.get(allocator.shardId);
+        if (shard?.engines.has(report.upstreamId)) actions.push(...runEvent(allocator, report));
+      }
+      return actions;
+    },
+    handleForAll: (event) => {
+      const actions: ScopedAction[] = [];
+      for (const allocator of running.values()) actions.push(...runEvent(allocator, event));
+      return actions;
+    },
+    updateEngines: (shards, engines, now) => {
+      knownShards = shards;
+      knownEngines = engines;
+      const actions: ScopedAction[] = [];
+      for (const allocator of running.values()) {
+        const listed = listEngines(allocator.shardId);
+        actions.push(...runEvent(allocator, { kind: 'engines-listed', engines: listed, now }));
+      }
+      return actions;
+    },
+    removeIdle: (isOwned, now) => {
+      for (const [key, { scope, shardId, usedAt }] of running) {
+        if (scope === 'private' || isOwned(shardId)) continue;
+        if (now - usedAt >= IDLE_MS) running.delete(key);
+      }
+    },
+    listPolled: (now) => {
+      const polled = new Map<UpstreamId, AllocatorScope>();
+      for (const { scope, shardId, usedAt } of running.values()) {
+        const isIdle = scope === 'private' && now - usedAt >= IDLE_MS;
+        if (isIdle) continue;
+        for (const upstreamId of knownShards.get(shardId)?.engines ?? []) {
+          if (polled.get(upstreamId) !== 'shared') polled.set(upstreamId, scope);
+        }
+      }
+      return polled;
+    },
+  };
+}
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -9,14 +9,18 @@
 } from '@tarragonspool/platform';
 import type { DataCentre, Incarnation, PeerMessage, VmId } from '@tarragonspool/protocol';
 import {
+  isAllocationMessage,
   makeAllocationInbox,
-  runAllocation,
   type AllocationMessage,
-} from './allocation/allocation-task.js';
+} from './allocation/allocation-messages.js';
+import { makeAllocation } from './allocation/allocation-task.js';
+import { listLiveVms, listReplacedVms } from './allocation/live-vms.js';
 import { makeAuthenticateFilter } from './callers/authenticate.js';
 import { makeCallerServer } from './callers/caller-server.js';
 import { makeReadBodyFilter } from './callers/read-body-filter.js';
 import { makeClaimLedger } from './claims/claim-ledger.js';
+import { makeCancelInbox, runCancels, type CancelMessage } from './engines/cancel-task.js';
+import { runEnginePolls } from './engines/engine-poll-task.js';
 import type { Logger } from './logging/logger.js';
 import { applyHeartbeat, type PeerTable } from './membership/peer-table.js';
 import { makeMetrics } from './metrics/metrics.js';
@@ -43,7 +47,8 @@
 
 const RULES_POLL_INTERVAL_MS = 1_000;
 const DRAIN_NOTICE_MS = 2_000;
-const ALLOCATION_TICK_MS = 50;
+const ALLOCATION_TICK_MS = 25;
+const CANCEL_TICK_MS = 250;
 const HEARTBEAT_INTERVAL_MS = 250;
 
 /** Splits `IP:port`. */
@@ -72,6 +77,7 @@
   const directory = makeDirectory();
   const view = makeRulesView();
   const allocation = makeAllocationInbox();
+  const cancels = makeCancelInbox();
   const rulesInbox = makeRulesInbox();
   let isLeaving = false;
 
@@ -82,7 +88,13 @@
   const start = (name: string, body: () => Task): void => startTask(name, body, handleTaskEnd);
 
   const peers: PeerTable = new Map();
+  const incarnations = new Map([[self.vmId, self.incarnation]]);
   const handlePeerMessage = (peer: PeerIdentity, message: PeerMessage): void => {
+    if (isAllocationMessage(message)) {
+      const { vmId } = peer;
+      offer(allocation, { kind: 'peer-said', vmId, message, now: Date.now() });
+      return;
+    }
     switch (message.kind) {
       case 'rules':
         offer(rulesInbox, { kind: 'pushed', revision: message.revision, text: message.text });
@@ -103,6 +115,9 @@
     metrics,
     logger,
     onOpen: (link) => {
+      const { vmId, incarnation } = link.peer;
+      incarnations.set(vmId, incarnation);
+      offer(allocation, { kind: 'link-opened', vmId, now: Date.now() });
       if (view.revision > 0) {
         link.send({ kind: 'rules', revision: view.revision, text: view.text });
       }
@@ -116,8 +131,22 @@
 
   start('directory', () => runDirectory(directory, vmList, allocation, logger));
   const { policy, objective } = settings;
-  const options = { vmId: self.vmId, policy, objective, seed: self.incarnation };
-  start('allocation', () => runAllocation(allocation, options, directory, logger));
+  const { sendTo } = mesh;
+  const allocator = makeAllocation({ ...self, policy, objective, sendTo, cancels, logger });
+  start('allocation', () => allocator.run(allocation));
+  start('cancels', () => runCancels(cancels, { directory, metrics, logger }));
+  start('engine polls', () =>
+    runEnginePolls({
+      directory,
+      allocation,
+      cancels,
+      metrics,
+      logger,
+      listPolled: allocator.listPolled,
+      incarnations,
+      listReplacedVms: () => listReplacedVms(incarnations, directory.entryVms, mesh.links, self),
+    }),
+  );
   start('rules', () =>
     runRules(rulesInbox, { view, table, objects, metrics, logger, broadcast: mesh.broadcast }),
   );
@@ -125,8 +154,10 @@
   startTicker(rulesInbox, RULES_POLL_INTERVAL_MS, () => ({ kind: 'poll' }));
   startTicker<AllocationMessage>(allocation, ALLOCATION_TICK_MS, (now) => ({
     kind: 'ticked',
+    liveVms: listLiveVms(peers, self.vmId, isLeaving),
     now,
   }));
+  startTicker<CancelMessage>(cancels, CANCEL_TICK_MS, (now) => ({ kind: 'ticked', now }));
 
   const sendHeartbeat = (): void => {
     const rulesRevision = view.revision;
@@ -142,7 +173,7 @@
   };
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
 
-  const requestParts: ModelRequestParts = { ...self, directory, allocation, metrics };
+  const requestParts: ModelRequestParts = { ...self, directory, allocation, cancels, metrics };
   const authenticate = makeAuthenticateFilter(view);
   const readBody = makeReadBodyFilter();
   const serviceParts = { view, directory, claims: makeClaimLedger(table), metrics };
--- a/packages/router/src/engines/engine-client.ts
+++ b/packages/router/src/engines/engine-client.ts
@@ -4,6 +4,7 @@
 import {
   parseDecodeFrame,
   type AttemptId,
+  type CacheEvent,
   type DecodeFrame,
   type DecodeOrder,
   type EngineHold,
@@ -37,6 +38,8 @@
   cancel(attemptId: AttemptId, deadline: number): Promise<boolean>;
   listHolds(deadline: number): Promise<readonly EngineHold[] | undefined>;
   readLoad(deadline: number): Promise<LoadReport | undefined>;
+  /** Lists changes of the prefix cache after a sequence number; -1 for all that are known. */
+  readCacheEvents(after: number, deadline: number): Promise<readonly CacheEvent[] | undefined>;
 };
 
 const MAX_LINE_CHARACTERS = 65_536;
@@ -174,5 +177,10 @@
     async readLoad(deadline) {
       return (await callJson('GET', '/load', deadline)) as LoadReport | undefined;
     },
+
+    async readCacheEvents(after, deadline) {
+      const answer = await callJson('GET', `/cache-events?after=${after}`, deadline);
+      return answer as readonly CacheEvent[] | undefined;
+    },
   };
 }
--- /dev/null
+++ b/packages/router/src/engines/engine-poll-task.ts
@@ -0,0 +1,96 @@
+/** Polls engines for load, and those of owned shards for cache events and holds too. */
+
+import { findOrphans } from '@tarragonspool/core';
+import type { EngineHold, Incarnation, UpstreamId, VmId } from '@tarragonspool/protocol';
+import type { AllocationInbox, EngineReport } from '../allocation/allocation-messages.js';
+import type { Logger } from '../logging/logger.js';
+import type { Metrics } from '../metrics/metrics.js';
+import { offer, type Task } from '../tasks/tasks.js';
+import { waitMs } from '../tasks/timers.js';
+import type { Directory, EngineEntry } from '../upstreams/directory.js';
+import type { CancelInbox } from './cancel-task.js';
+
+/** What the polls work with. */
+export type EnginePollParts = {
+  readonly directory: Directory;
+  readonly allocation: AllocationInbox;
+  readonly cancels: CancelInbox;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  /** Engines to poll; `shared` ones for everything, the others for load. */
+  readonly listPolled: (now: number) => ReadonlyMap<UpstreamId, 'shared' | 'private'>;
+  readonly incarnations: ReadonlyMap<VmId, Incarnation>;
+  readonly listReplacedVms: () => ReadonlySet<VmId>;
+};
+
+const POLL_INTERVAL_MS = 250;
+const CALL_TIMEOUT_MS = 1_000;
+const CANCEL_MS = 5_000;
+
+/** Runs until the process ends. */
+export function* runEnginePolls(parts: EnginePollParts): Task {
+  const { directory, allocation, cancels, metrics, logger } = parts;
+  const underWay = new Set<UpstreamId>();
+  const cacheSequences = new Map<UpstreamId, number>();
+
+  const report = (item: EngineReport): void => {
+    offer(allocation, { kind: 'engine-reported', report: item });
+  };
+
+  function sweep(upstreamId: UpstreamId, holds: readonly EngineHold[], now: number): void {
+    const view = { incarnations: parts.incarnations, replacedVms: parts.listReplacedVms() };
+    for (const { owner, kind } of findOrphans(holds, view, now)) {
+      const { attemptId } = owner;
+      metrics.sweptHolds.inc();
+      logger.info({ upstreamId, attemptId, kind }, 'engines: orphan cancelled');
+      const order = { upstreamId, attemptId, deadline: now + CANCEL_MS };
+      offer(cancels, { kind: 'cancel', order });
+    }
+  }
+
+  async function pollShared(engine: EngineEntry, deadline: number): Promise<void> {
+    const { upstreamId, client } = engine;
+    const after = cacheSequences.get(upstreamId) ?? -1;
+    const [events, holds] = await Promise.all([
+      client.readCacheEvents(after, deadline),
+      client.listHolds(deadline),
+    ]);
+    const now = Date.now();
+    const last = events?.at(-1);
+    if (events !== undefined && last !== undefined) {
+      cacheSequences.set(upstreamId, last.sequence);
+      report({ kind: 'cache-changed', upstreamId, events, now });
+    }
+    if (holds === undefined) return;
+    report({ kind: 'holds-listed', upstreamId, holds, now });
+    sweep(upstreamId, holds, now);
+  }
+
+  async function pollEngine(engine: EngineEntry, scope: 'shared' | 'private'): Promise<void> {
+    const { upstreamId, client } = engine;
+    const deadline = Date.now() + CALL_TIMEOUT_MS;
+    const shared = scope === 'shared' ? pollShared(engine, deadline) : undefined;
+    const load = await client.readLoad(deadline);
+    if (load !== undefined) {
+      report({ kind: 'load-reported', upstreamId, report: load, now: Date.now() });
+    }
+    await shared;
+  }
+
+  for (;;) {
+    const polled = parts.listPolled(Date.now());
+    for (const upstreamId of cacheSequences.keys()) {
+      // A VM that no longer owns a shard misses events; it starts over when it owns it again.
+      if (polled.get(upstreamId) !== 'shared') cacheSequences.delete(upstreamId);
+    }
+    for (const [upstreamId, scope] of polled) {
+      const engine = directory.engines.get(upstreamId);
+      if (engine === undefined || underWay.has(upstreamId)) continue;
+      underWay.add(upstreamId);
+      pollEngine(engine, scope)
+        .catch((error: unknown) => logger.error({ err: error, upstreamId }, 'engines: poll failed'))
+        .finally(() => underWay.delete(upstreamId));
+    }
+    yield* waitMs(POLL_INTERVAL_MS);
+  }
+}
--- a/packages/router/src/metrics/metrics.ts
+++ b/packages/router/src/metrics/metrics.ts
@@ -48,6 +48,22 @@
       help: 'Peers with an open link.',
       registers,
     }),
+    cancels: new Counter({
+      name: 'tarragonspool_cancels_total',
+      help: 'Cancels of engine holds, by how they were settled.',
+      labelNames: ['result'],
+      registers,
+    }),
+    pendingCancels: new Gauge({
+      name: 'tarragonspool_pending_cancels',
+      help: 'Cancels that no engine has confirmed yet.',
+      registers,
+    }),
+    sweptHolds: new Counter({
+      name: 'tarragonspool_swept_holds_total',
+      help: 'Holds of daemons that are gone, found on engines and cancelled.',
+      registers,
+    }),
     invariantViolations: new Counter({
       name: 'tarragonspool_invariant_violations_total',
       help: 'Invariants found broken, by name.',
--- a/packages/router/src/requests/model-request-task.ts
+++ b/packages/router/src/requests/model-request-task.ts
@@ -21,7 +21,8 @@
   type UpstreamId,
   type VmId,
 } from '@tarragonspool/protocol';
-import type { AllocationInbox } from '../allocation/allocation-task.js';
+import type { AllocationInbox } from '../allocation/allocation-messages.js';
+import type { CancelInbox } from '../engines/cancel-task.js';
 import type { StopOrder } from '../engines/engine-client.js';
 import type { Metrics } from '../metrics/metrics.js';
 import { makeChannel, offer, receive, type Channel, type Task } from '../tasks/tasks.js';
@@ -37,6 +38,7 @@
   readonly dataCentre: DataCentre;
   readonly directory: Directory;
   readonly allocation: AllocationInbox;
+  readonly cancels: CancelInbox;
   readonly metrics: Metrics;
 };
 
@@ -56,7 +58,6 @@
 
 const INBOX_CAPACITY = 8_192;
 const TICK_INTERVAL_MS = 250;
-const CANCEL_TIMEOUT_MS = 2_000;
 const HOLD_MARGIN_MS = 5_000;
 const MS_PER_SECOND = 1_000;
 
@@ -166,8 +167,9 @@
 
 function cancelOnEngine(running: Running, upstreamId: UpstreamId, attemptId: AttemptId): void {
   running.stopOrder?.();
-  const engine = running.parts.directory.engines.get(upstreamId);
-  engine?.client.cancel(attemptId, Date.now() + CANCEL_TIMEOUT_MS).catch(() => undefined);
+  const { deadline } = makeOwner(running, attemptId);
+  const order = { upstreamId, attemptId, deadline };
+  offer(running.parts.cancels, { kind: 'cancel', order });
 }
 
 function recordEnd(running: Running, result: string): void {
@@ -188,8 +190,7 @@
     case 'ask': {
       const { attemptId } = action;
       const ask = makeAsk(running, attemptId, action.excluded);
-      offer(parts.allocation, { kind: 'await-answer', attemptId, requestInbox: inbox });
-      offer(parts.allocation, { kind: 'asked', ask, now: Date.now() });
+      offer(parts.allocation, { kind: 'ask', ask, requestInbox: inbox, now: Date.now() });
       return;
     }
     case 'start-prefill':
@@ -202,7 +203,7 @@
       cancelOnEngine(running, action.upstreamId, action.attemptId);
       return;
     case 'report-end':
-      offer(parts.allocation, { kind: 'attempt-ended', items: [action.end], now: Date.now() });
+      offer(parts.allocation, { kind: 'end', end: action.end, now: Date.now() });
       return;
     case 'write-token':
       writeToken(running, action.index, action.text);
--- a/packages/router/src/upstreams/directory-task.ts
+++ b/packages/router/src/upstreams/directory-task.ts
@@ -1,8 +1,8 @@
 /** Polls the platform's VM list and tells the allocator which engines there are. */
 
-import type { ListedEngine } from '@tarragonspool/core';
 import type { VmListClient } from '@tarragonspool/platform';
-import type { AllocationInbox } from '../allocation/allocation-task.js';
+import type { AllocationInbox } from '../allocation/allocation-messages.js';
+import type { AllocatedEngine } from '../allocation/allocators.js';
 import type { Logger } from '../logging/logger.js';
 import { awaitPromise, offer, type Task } from '../tasks/tasks.js';
 import { waitMs } from '../tasks/timers.js';
@@ -11,10 +11,11 @@
 const POLL_INTERVAL_MS = 500;
 const CALL_TIMEOUT_MS = 2_000;
 
-function listEngines(directory: Directory): ListedEngine[] {
-  const engines: ListedEngine[] = [];
-  for (const { upstreamId, role, models, isLeaving } of directory.engines.values()) {
-    engines.push({ upstreamId, role, models, isLeaving });
+function listEngines(directory: Directory): AllocatedEngine[] {
+  const engines: AllocatedEngine[] = [];
+  for (const engine of directory.engines.values()) {
+    const { upstreamId, role, models, isLeaving, service, dataCentre } = engine;
+    engines.push({ upstreamId, role, models, isLeaving, service, dataCentre });
   }
   return engines;
 }
