Keep membership and sticky leaving marks in a pure machine

Cause: the last list from the platform decided alone, so an old copy of the list brought a leaving upstream back, and a closed link freed what a paused VM still used. Before: the test 'a stale list does not bring a leaving upstream back' fails when addLeavingMark is left out of handleListed. After: 6 membership tests pass. Conclusion: marks hold for an incarnation; only a newer incarnation, or the list together with silence, ends one.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from './allocation/allocator.js';
+export * from './membership/membership.js';
 export * from './requests/prefix-hashes.js';
 export * from './requests/request-machine.js';
 export * from './requests/tokens.js';
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -113,6 +113,12 @@
   readonly tokens: number;
 };
 
+/** An upstream that is leaving; the mark holds for this incarnation and older ones. */
+export type LeavingUpstream = {
+  readonly upstreamId: UpstreamId;
+  readonly incarnation: Incarnation;
+};
+
 /** Everything that entry VMs say to each other. */
 export type PeerMessage =
   | {
@@ -132,7 +138,7 @@
       readonly rulesRevision: RuleRevision;
       readonly summaries: readonly ShardSummary[];
       /** Engines and servers that the sender knows to be leaving. */
-      readonly leaving: readonly UpstreamId[];
+      readonly leaving: readonly LeavingUpstream[];
     }
   | { readonly kind: 'rules'; readonly revision: RuleRevision; readonly text: string }
   | { readonly kind: 'ask'; readonly shardId: ShardId; readonly ask: ReservationAsk }
@@ -214,7 +220,7 @@
     isLeaving: z.boolean(),
     rulesRevision: count,
     summaries: z.array(z.object({ shardId: id, owner: id, startAt: z.array(time) })),
-    leaving: z.array(id),
+    leaving: z.array(z.object({ upstreamId: id, incarnation: count })),
   }),
   z.object({ kind: z.literal('rules'), revision: count, text: z.string() }),
   z.object({ kind: z.literal('ask'), shardId: id, ask: askSchema }),
--- a/packages/protocol/src/platform-messages.ts
+++ b/packages/protocol/src/platform-messages.ts
@@ -1,7 +1,7 @@
 /** Records of the platform's services: table, object store, VM list. */
 
 import { z } from 'zod';
-import type { DataCentre, ModelName, ServiceName, UpstreamId, VmId } from './ids.js';
+import type { DataCentre, Incarnation, ModelName, ServiceName, UpstreamId, VmId } from './ids.js';
 import type { EngineRole } from './engine-messages.js';
 
 /** A row of the table service. The version grows with each write to the row. */
@@ -49,6 +49,8 @@
   | {
       readonly kind: 'engine';
       readonly upstreamId: UpstreamId;
+      /** Grows when a new process takes the upstream's place. */
+      readonly incarnation: Incarnation;
       readonly service: ServiceName;
       readonly models: readonly ModelName[];
       readonly role: EngineRole;
@@ -61,6 +63,8 @@
   | {
       readonly kind: 'server';
       readonly upstreamId: UpstreamId;
+      /** Grows when a new process takes the upstream's place. */
+      readonly incarnation: Incarnation;
       readonly service: ServiceName;
       readonly dataCentre: DataCentre;
       readonly state: VmState;
@@ -80,6 +84,7 @@
   z.object({
     kind: z.literal('engine'),
     upstreamId: z.string(),
+    incarnation: z.number().int().nonnegative().default(0),
     service: z.string(),
     models: z.array(z.string()),
     role: z.enum(['prefill', 'decode']),
@@ -91,6 +96,7 @@
   z.object({
     kind: z.literal('server'),
     upstreamId: z.string(),
+    incarnation: z.number().int().nonnegative().default(0),
     service: z.string(),
     dataCentre: z.string(),
     state: vmStateSchema,
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -1,6 +1,7 @@
 /** Puts the daemon's parts together and starts and stops them. */
 
 import type { Server } from 'node:http';
+import { makeMembershipState } from '@tarragonspool/core';
 import {
   makeAgent,
   makeObjectClient,
@@ -18,7 +19,11 @@
 import { makeReadBodyFilter } from './callers/read-body-filter.js';
 import { makeClaimLedger } from './claims/claim-ledger.js';
 import type { Logger } from './logging/logger.js';
-import { applyHeartbeat, type PeerTable } from './membership/peer-table.js';
+import {
+  makeMembershipInbox,
+  makeMembershipView,
+  runMembership,
+} from './membership/membership-task.js';
 import { makeMetrics } from './metrics/metrics.js';
 import { makeOperatorServer } from './operators/operator-server.js';
 import type { PeerIdentity } from './peers/peer-link.js';
@@ -81,14 +86,16 @@
   };
   const start = (name: string, body: () => Task): void => startTask(name, body, handleTaskEnd);
 
-  const peers: PeerTable = new Map();
+  const membership = makeMembershipInbox();
+  const membershipState = makeMembershipState(self.vmId);
+  const members = makeMembershipView(membershipState, () => isLeaving);
   const handlePeerMessage = (peer: PeerIdentity, message: PeerMessage): void => {
     switch (message.kind) {
       case 'rules':
         offer(rulesInbox, { kind: 'pushed', revision: message.revision, text: message.text });
         return;
       case 'heartbeat':
-        applyHeartbeat(peers, peer, message, Date.now());
+        offer(membership, { ...message, ...peer, now: Date.now() });
         return;
       default:
         logger.debug({ kind: message.kind }, 'peers: message ignored');
@@ -109,12 +116,14 @@
     },
     onMessage: handlePeerMessage,
     onGone: (vmId, incarnation) => {
-      peers.delete(vmId);
-      offer(allocation, { kind: 'vm-gone', vmId, incarnation, now: Date.now() });
+      offer(membership, { kind: 'link-closed', vmId, incarnation, now: Date.now() });
     },
   });
 
-  start('directory', () => runDirectory(directory, vmList, allocation, logger));
+  start('directory', () => runDirectory(vmList, membership, logger));
+  start('membership', () =>
+    runMembership(membership, { state: membershipState, directory, allocation, logger }),
+  );
   const { policy, objective } = settings;
   const options = { vmId: self.vmId, policy, objective, seed: self.incarnation };
   start('allocation', () => runAllocation(allocation, options, directory, logger));
@@ -137,7 +146,7 @@
       isLeaving,
       rulesRevision,
       summaries: [],
-      leaving: [],
+      leaving: members.listLeaving(),
     });
   };
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
@@ -167,7 +176,7 @@
       isLeaving,
       rulesRevision: view.revision,
       entryVms: directory.entryVms.map(({ vmId }) => vmId),
-      peers: [...peers.values()],
+      peers: members.listMembers(),
       engines: [...directory.engines.values()].map(
         ({ upstreamId, role, service, isLeaving: l }) => ({
           upstreamId,
--- a/packages/router/src/upstreams/directory-task.ts
+++ b/packages/router/src/upstreams/directory-task.ts
@@ -1,39 +1,24 @@
-/** Polls the platform's VM list and tells the allocator which engines there are. */
+/** Polls the platform's VM list and hands it to membership. */
 
-import type { ListedEngine } from '@tarragonspool/core';
 import type { VmListClient } from '@tarragonspool/platform';
-import type { AllocationInbox } from '../allocation/allocation-task.js';
 import type { Logger } from '../logging/logger.js';
+import type { MembershipInbox } from '../membership/membership-task.js';
 import { awaitPromise, offer, type Task } from '../tasks/tasks.js';
 import { waitMs } from '../tasks/timers.js';
-import { applyVmList, type Directory } from './directory.js';
 
 const POLL_INTERVAL_MS = 500;
 const CALL_TIMEOUT_MS = 2_000;
 
-function listEngines(directory: Directory): ListedEngine[] {
-  const engines: ListedEngine[] = [];
-  for (const { upstreamId, role, models, isLeaving } of directory.engines.values()) {
-    engines.push({ upstreamId, role, models, isLeaving });
-  }
-  return engines;
-}
-
-/** Runs until the process ends; keeps the last list while the platform is away. */
+/** Runs until the process ends; the last list stays in use while the platform is away. */
 export function* runDirectory(
-  directory: Directory,
   vmList: VmListClient,
-  allocation: AllocationInbox,
+  membership: MembershipInbox,
   logger: Logger,
 ): Task {
   let isAvailable = true;
   for (;;) {
     const records = yield* awaitPromise(vmList.listVms(Date.now() + CALL_TIMEOUT_MS));
-    if (records !== undefined) {
-      applyVmList(directory, records);
-      const engines = listEngines(directory);
-      offer(allocation, { kind: 'engines-listed', engines, now: Date.now() });
-    }
+    if (records !== undefined) offer(membership, { kind: 'listed', records, now: Date.now() });
     if (isAvailable !== (records !== undefined)) {
       isAvailable = records !== undefined;
       logger.warn({ isAvailable }, 'upstreams: VM list changed availability');
--- a/packages/router/src/upstreams/directory.ts
+++ b/packages/router/src/upstreams/directory.ts
@@ -4,6 +4,7 @@
 import type {
   DataCentre,
   EngineRole,
+  Incarnation,
   ModelName,
   ServiceName,
   UpstreamId,
@@ -52,8 +53,12 @@
   return { agent, engines: new Map(), servers: new Map(), entryVms: [] };
 }
 
-/** Takes a new list from the platform; clients of known engines are kept. */
-export function applyVmList(directory: Directory, records: readonly VmRecord[]): void {
+/** Takes the platform's list and leaving marks; clients of known engines are kept. */
+export function applyVmList(
+  directory: Directory,
+  records: readonly VmRecord[],
+  isLeavingUpstream: (upstreamId: UpstreamId, incarnation: Incarnation) => boolean,
+): void {
   const engines = new Map<UpstreamId, EngineEntry>();
   const servers = new Map<UpstreamId, ServerEntry>();
   const entryVms: EntryVmRecord[] = [];
@@ -62,7 +67,7 @@
       entryVms.push(record);
       continue;
     }
-    const isLeaving = record.state === 'leaving';
+    const isLeaving = isLeavingUpstream(record.upstreamId, record.incarnation);
     if (record.kind === 'server') {
       servers.set(record.upstreamId, { ...record, isLeaving });
       continue;
