--- a/packages/core/src/sweep/sweep.test.ts
+++ b/packages/core/src/sweep/sweep.test.ts
@@ -14,11 +14,12 @@
   pieces: 3,
 };
 
-function countOrphans(heard: number | undefined, isReplaced: boolean, now: number): number {
+function countOrphans(heard: number | undefined, hasEnded: boolean, now: number): number {
   const incarnations = new Map<VmId, Incarnation>();
   if (heard !== undefined) incarnations.set(hold.owner.vmId, heard as Incarnation);
-  const replacedVms = new Set(isReplaced ? [hold.owner.vmId] : []);
-  return findOrphans([hold], { incarnations, replacedVms }, now).length;
+  const ended = new Map<VmId, Incarnation>();
+  if (hasEnded) ended.set(hold.owner.vmId, hold.owner.incarnation);
+  return findOrphans([hold], { incarnations, ended }, now).length;
 }
 
 it('sweep: a hold of a silent VM stays until its deadline', () => {
@@ -32,6 +33,6 @@
   expect(countOrphans(4, false, 0)).to.equal(0);
 });
 
-it('sweep: a hold of a replaced VM goes at once', () => {
+it('sweep: a hold of an incarnation that has ended goes at once', () => {
   expect(countOrphans(5, true, 0)).to.equal(1);
 });
--- a/packages/core/src/sweep/sweep.ts
+++ b/packages/core/src/sweep/sweep.ts
@@ -6,15 +6,15 @@
 export type SweepView = {
   /** Newest incarnation heard of each VM. */
   readonly incarnations: ReadonlyMap<VmId, Incarnation>;
-  /** VMs that the platform listed before and does not list now, and that no link reaches. */
-  readonly replacedVms: ReadonlySet<VmId>;
+  /** Newest incarnation of each VM that has ended for sure. */
+  readonly ended: ReadonlyMap<VmId, Incarnation>;
 };
 
 /** Whether nobody can still use a hold. A silent VM may only be paused, so silence is no proof. */
 function isOrphan(hold: EngineHold, view: SweepView, now: number): boolean {
   const { vmId, incarnation, deadline } = hold.owner;
   if (now >= deadline) return true;
-  if (view.replacedVms.has(vmId)) return true;
+  if ((view.ended.get(vmId) ?? -1) >= incarnation) return true;
   return (view.incarnations.get(vmId) ?? 0) > incarnation;
 }
 
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -71,7 +71,7 @@
     isLeaving: z.boolean(),
     rulesRevision: count,
     summaries: z.array(z.object({ shardId: id, owner: id, startAt: z.array(time) })),
-    leaving: z.array(id),
+    leaving: z.array(z.object({ upstreamId: id, incarnation: count })),
   }),
   z.object({ kind: z.literal('rules'), revision: count, text: z.string() }),
   z.object({ kind: z.literal('ask'), shardId: id, ask: askSchema }),
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -111,6 +111,12 @@
   readonly tokens: number;
 };
 
+/** An upstream that is leaving; the mark holds for this incarnation and older ones. */
+export type LeavingUpstream = {
+  readonly upstreamId: UpstreamId;
+  readonly incarnation: Incarnation;
+};
+
 /** Everything that entry VMs say to each other. */
 export type PeerMessage =
   | {
@@ -130,7 +136,7 @@
       readonly rulesRevision: RuleRevision;
       readonly summaries: readonly ShardSummary[];
       /** Engines and servers that the sender knows to be leaving. */
-      readonly leaving: readonly UpstreamId[];
+      readonly leaving: readonly LeavingUpstream[];
     }
   | { readonly kind: 'rules'; readonly revision: RuleRevision; readonly text: string }
   | { readonly kind: 'ask'; readonly shardId: ShardId; readonly ask: ReservationAsk }
--- a/packages/router/src/allocation/allocation-task.ts
+++ b/packages/router/src/allocation/allocation-task.ts
@@ -69,6 +69,8 @@
 export type Allocation = {
   readonly run: (inbox: AllocationInbox) => Task;
   readonly listPolled: Allocators['listPolled'];
+  /** Newest incarnation of each VM that has ended for sure. */
+  readonly endedIncarnations: ReadonlyMap<VmId, Incarnation>;
 };
 
 /** A step that is still to be done for the message under way. */
@@ -82,6 +84,7 @@
   const allocators = makeAllocators(makeOptions(parts));
   const asker = makeAskerState(parts.policy === 'ours');
   const inboxes = new Map<AttemptId, Channel<RequestEvent>>();
+  const endedIncarnations = new Map<VmId, Incarnation>();
   const work: Work[] = [];
   let shards: ShardMap = new Map();
   let liveVms: readonly VmId[] = [];
@@ -277,6 +280,9 @@
         addAskerEvent(message);
         return;
       case 'vm-gone':
+        if (message.incarnation > (endedIncarnations.get(message.vmId) ?? -1)) {
+          endedIncarnations.set(message.vmId, message.incarnation);
+        }
         addActions(allocators.handleForAll(message), message.now);
         return;
       case 'engines-listed':
@@ -297,6 +303,7 @@
 
   return {
     listPolled: allocators.listPolled,
+    endedIncarnations,
     *run(inbox) {
       for (;;) {
         const message = yield* receive(inbox);
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -1,6 +1,7 @@
 /** Puts the daemon's parts together and starts and stops them. */
 
 import type { Server } from 'node:http';
+import { makeMembershipState } from '@tarragonspool/core';
 import {
   makeAgent,
   makeObjectClient,
@@ -14,7 +15,6 @@
   type AllocationMessage,
 } from './allocation/allocation-messages.js';
 import { makeAllocation } from './allocation/allocation-task.js';
-import { listLiveVms, listReplacedVms } from './allocation/live-vms.js';
 import { makeAuthenticateFilter } from './callers/authenticate.js';
 import { makeCallerServer } from './callers/caller-server.js';
 import { makeReadBodyFilter } from './callers/read-body-filter.js';
@@ -22,7 +22,11 @@
 import { makeCancelInbox, runCancels, type CancelMessage } from './engines/cancel-task.js';
 import { runEnginePolls } from './engines/engine-poll-task.js';
 import type { Logger } from './logging/logger.js';
-import { applyHeartbeat, type PeerTable } from './membership/peer-table.js';
+import {
+  makeMembershipInbox,
+  makeMembershipView,
+  runMembership,
+} from './membership/membership-task.js';
 import { makeMetrics } from './metrics/metrics.js';
 import { makeOperatorServer } from './operators/operator-server.js';
 import type { PeerIdentity } from './peers/peer-link.js';
@@ -87,8 +91,9 @@
   };
   const start = (name: string, body: () => Task): void => startTask(name, body, handleTaskEnd);
 
-  const peers: PeerTable = new Map();
-  const incarnations = new Map([[self.vmId, self.incarnation]]);
+  const membership = makeMembershipInbox();
+  const membershipState = makeMembershipState(self.vmId);
+  const members = makeMembershipView(membershipState, () => isLeaving);
   const handlePeerMessage = (peer: PeerIdentity, message: PeerMessage): void => {
     if (isAllocationMessage(message)) {
       const { vmId } = peer;
@@ -100,7 +105,7 @@
         offer(rulesInbox, { kind: 'pushed', revision: message.revision, text: message.text });
         return;
       case 'heartbeat':
-        applyHeartbeat(peers, peer, message, Date.now());
+        offer(membership, { ...message, ...peer, now: Date.now() });
         return;
       default:
         logger.debug({ kind: message.kind }, 'peers: message ignored');
@@ -115,8 +120,7 @@
     metrics,
     logger,
     onOpen: (link) => {
-      const { vmId, incarnation } = link.peer;
-      incarnations.set(vmId, incarnation);
+      const { vmId } = link.peer;
       offer(allocation, { kind: 'link-opened', vmId, now: Date.now() });
       if (view.revision > 0) {
         link.send({ kind: 'rules', revision: view.revision, text: view.text });
@@ -124,12 +128,14 @@
     },
     onMessage: handlePeerMessage,
     onGone: (vmId, incarnation) => {
-      peers.delete(vmId);
-      offer(allocation, { kind: 'vm-gone', vmId, incarnation, now: Date.now() });
+      offer(membership, { kind: 'link-closed', vmId, incarnation, now: Date.now() });
     },
   });
 
-  start('directory', () => runDirectory(directory, vmList, allocation, logger));
+  start('directory', () => runDirectory(vmList, membership, logger));
+  start('membership', () =>
+    runMembership(membership, { state: membershipState, directory, allocation, logger }),
+  );
   const { policy, objective } = settings;
   const { sendTo } = mesh;
   const allocator = makeAllocation({ ...self, policy, objective, sendTo, cancels, logger });
@@ -143,8 +149,10 @@
       metrics,
       logger,
       listPolled: allocator.listPolled,
-      incarnations,
-      listReplacedVms: () => listReplacedVms(incarnations, directory.entryVms, mesh.links, self),
+      makeSweepView: () => ({
+        incarnations: members.listIncarnations(),
+        ended: allocator.endedIncarnations,
+      }),
     }),
   );
   start('rules', () =>
@@ -154,7 +162,7 @@
   startTicker(rulesInbox, RULES_POLL_INTERVAL_MS, () => ({ kind: 'poll' }));
   startTicker<AllocationMessage>(allocation, ALLOCATION_TICK_MS, (now) => ({
     kind: 'ticked',
-    liveVms: listLiveVms(peers, self.vmId, isLeaving),
+    liveVms: members.listLive(now),
     now,
   }));
   startTicker<CancelMessage>(cancels, CANCEL_TICK_MS, (now) => ({ kind: 'ticked', now }));
@@ -168,7 +176,7 @@
       isLeaving,
       rulesRevision,
       summaries: [],
-      leaving: [],
+      leaving: members.listLeaving(),
     });
   };
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
@@ -198,7 +206,7 @@
       isLeaving,
       rulesRevision: view.revision,
       entryVms: directory.entryVms.map(({ vmId }) => vmId),
-      peers: [...peers.values()],
+      peers: members.listMembers(),
       engines: [...directory.engines.values()].map(
         ({ upstreamId, role, service, isLeaving: l }) => ({
           upstreamId,
--- a/packages/router/src/engines/engine-poll-task.ts
+++ b/packages/router/src/engines/engine-poll-task.ts
@@ -1,7 +1,7 @@
 /** Polls engines for load, and those of owned shards for cache events and holds too. */
 
-import { findOrphans } from '@tarragonspool/core';
-import type { EngineHold, Incarnation, UpstreamId, VmId } from '@tarragonspool/protocol';
+import { findOrphans, type SweepView } from '@tarragonspool/core';
+import type { EngineHold, UpstreamId } from '@tarragonspool/protocol';
 import type { AllocationInbox, EngineReport } from '../allocation/allocation-messages.js';
 import type { Logger } from '../logging/logger.js';
 import type { Metrics } from '../metrics/metrics.js';
@@ -19,8 +19,7 @@
   readonly logger: Logger;
   /** Engines to poll; `shared` ones for everything, the others for load. */
   readonly listPolled: (now: number) => ReadonlyMap<UpstreamId, 'shared' | 'private'>;
-  readonly incarnations: ReadonlyMap<VmId, Incarnation>;
-  readonly listReplacedVms: () => ReadonlySet<VmId>;
+  readonly makeSweepView: () => SweepView;
 };
 
 const POLL_INTERVAL_MS = 250;
@@ -38,8 +37,7 @@
   };
 
   function sweep(upstreamId: UpstreamId, holds: readonly EngineHold[], now: number): void {
-    const view = { incarnations: parts.incarnations, replacedVms: parts.listReplacedVms() };
-    for (const { owner, kind } of findOrphans(holds, view, now)) {
+    for (const { owner, kind } of findOrphans(holds, parts.makeSweepView(), now)) {
       const { attemptId } = owner;
       metrics.sweptHolds.inc();
       logger.info({ upstreamId, attemptId, kind }, 'engines: orphan cancelled');
