Resume broken and stalled streams elsewhere, and free every hold on every path

Cause: a stream that broke after its first token was cut off at the caller, a refused import threw the prefill away, and cancels were tried once. The request machine now keeps what engines may hold for it and cancels the rest on every exit. A refused or failed import uses the KV cache elsewhere while it lives; a stream that breaks goes on at the next token index after a new prefill; a stream that stands still moves with its cache, unless it moves again first. An answer under way is no longer cut at its target. Invariants are checked in the program: one terminal answer, token order, own attempt, honest not-run. Before: with the guard removed, the fuzz test or a unit test fails: repeated token written (tokens in order), holds not cancelled (orders neither ended nor cancelled), not-run always said (not run), asks not withdrawn, events taken after the end, frames of other attempts taken, gaps let through.

--- a/packages/core/src/requests/request-machine.ts
+++ b/packages/core/src/requests/request-machine.ts
@@ -1,238 +1,298 @@
 /**
- * Life of one model request on its entry VM: ask for places, prefill, import, decode, answer.
- * Decides only; the host owns sockets and timers. Times are milliseconds since the epoch.
+ * Life of one model request on its entry VM: ask for places, prefill, import, decode, answer; retry
+ * or resume elsewhere when an engine fails or stalls. Decides only; the host owns sockets and
+ * timers.
  */
 
 import {
   assertNever,
-  type AttemptEnd,
-  type AttemptId,
   type DecodeFrame,
-  type PrefillResult,
   type Refusal,
-  type RequestId,
   type ReservationGrant,
-  type UpstreamId,
 } from '@tarragonspool/protocol';
+import {
+  askAgain,
+  failRequest,
+  isRetryable,
+  retryDecode,
+  retryPrefill,
+} from './request-recovery.js';
+import type { RequestAction, RequestEvent } from './request-messages.js';
+import {
+  cancelAllHolds,
+  cancelHold,
+  endAttempt,
+  endMoved,
+  getRanState,
+  removeHold,
+  setPhase,
+  takeAttemptId,
+  type RequestState,
+} from './request-state.js';
+import { addAnswer } from './retry-budget.js';
+import { findImportStall, findPrefillStall, findTokenStall, updateGap } from './stall-rule.js';
 
-/** What a request needs to know of itself. */
-export type RequestState = {
-  readonly requestId: RequestId;
-  readonly answerDeadline: number;
-  phase: 'asking' | 'prefilling' | 'importing' | 'decoding' | 'ended';
-  attempt: number;
-  attemptId: AttemptId;
-  grant: ReservationGrant | undefined;
-  /** Whether any byte of a work order has left for an upstream. */
-  hasDispatched: boolean;
-  nextIndex: number;
-  excluded: UpstreamId[];
-  phaseStartedAt: number;
-  prefillMs: number | undefined;
-  importMs: number | undefined;
-  cachedTokens: number | undefined;
-};
+const KV_LIFE_MS = 800;
+const MAX_LATE_GRANTS = 3;
+const MAX_RESCUES = 4;
+const RESCUE_RETRY_MS = 500;
 
-/** What happens to a request. Events of a superseded attempt are ignored. */
-export type RequestEvent =
-  | { readonly kind: 'granted'; readonly grant: ReservationGrant; readonly now: number }
-  | {
-      readonly kind: 'refused';
-      readonly attemptId: AttemptId;
-      readonly refusal: Refusal;
-      readonly now: number;
-    }
-  | {
-      readonly kind: 'prefilled';
-      readonly attemptId: AttemptId;
-      readonly result: PrefillResult;
-      readonly now: number;
-    }
-  | {
-      readonly kind: 'prefill-failed';
-      readonly attemptId: AttemptId;
-      readonly detail: string;
-      readonly now: number;
-    }
-  | { readonly kind: 'frame'; readonly frame: DecodeFrame; readonly now: number }
-  | {
-      readonly kind: 'decode-failed';
-      readonly attemptId: AttemptId;
-      readonly detail: string;
-      readonly now: number;
-    }
-  | { readonly kind: 'caller-gone'; readonly now: number }
-  | { readonly kind: 'ticked'; readonly now: number };
+/** Starts the request by asking for places. */
+export function startRequest(state: RequestState): RequestAction[] {
+  const { attemptId } = state;
+  return [{ kind: 'ask', attemptId, excluded: [], resumeFrom: undefined }];
+}
 
-/** What the host must do for a request. */
-export type RequestAction =
-  | {
-      readonly kind: 'ask';
-      readonly attemptId: AttemptId;
-      readonly excluded: readonly UpstreamId[];
-    }
-  | { readonly kind: 'start-prefill'; readonly grant: ReservationGrant }
-  | {
-      readonly kind: 'start-decode';
-      readonly grant: ReservationGrant;
-      readonly fromIndex: number;
-    }
-  | { readonly kind: 'cancel'; readonly upstreamId: UpstreamId; readonly attemptId: AttemptId }
-  | { readonly kind: 'report-end'; readonly end: AttemptEnd }
-  | { readonly kind: 'write-token'; readonly index: number; readonly text: string }
-  | { readonly kind: 'finish'; readonly finishReason: 'stop' | 'length'; readonly tokens: number }
-  | { readonly kind: 'fail'; readonly refusal: Refusal };
+function startPrefill(state: RequestState, grant: ReservationGrant, now: number): RequestAction[] {
+  state.dispatches += 1;
+  state.holds.push({ upstreamId: grant.prefill, attemptId: state.attemptId });
+  setPhase(state, 'prefilling', now, findPrefillStall(grant, now));
+  return [{ kind: 'start-prefill', grant }];
+}
 
-const MAX_ATTEMPTS = 3;
+function startDecode(state: RequestState, grant: ReservationGrant, now: number): RequestAction[] {
+  const { source } = state;
+  if (source === undefined) return askAgain(state, now);
+  state.dispatches += 1;
+  state.sourceTries += 1;
+  state.holds.push({ upstreamId: grant.decode, attemptId: state.attemptId });
+  setPhase(state, 'importing', now, findImportStall(grant, now));
+  return [{ kind: 'start-decode', grant, source, fromIndex: state.nextIndex }];
+}
 
-function makeAttemptId(requestId: RequestId, attempt: number): AttemptId {
-  return `${requestId}.${attempt}` as AttemptId;
+/** Gives back a grant that came too late and asks again, a few times. */
+function returnLateGrant(state: RequestState, now: number): RequestAction[] {
+  state.lateGrants += 1;
+  const actions = endAttempt(state, 'unused', now);
+  if (state.lateGrants < MAX_LATE_GRANTS) return [...actions, ...askAgain(state, now)];
+  const detail = 'grants came too late';
+  return [...actions, ...failRequest(state, 'reservation-lost', detail, now)];
 }
 
-/** Makes the state of a new request. */
-export function makeRequestState(
-  requestId: RequestId,
-  answerDeadline: number,
-  now: number,
-): RequestState {
-  return {
-    requestId,
-    answerDeadline,
-    phase: 'asking',
-    attempt: 1,
-    attemptId: makeAttemptId(requestId, 1),
-    grant: undefined,
-    hasDispatched: false,
-    nextIndex: 0,
-    excluded: [],
-    phaseStartedAt: now,
-    prefillMs: undefined,
-    importMs: undefined,
-    cachedTokens: undefined,
-  };
+/** Moves a stalled stream: the new engine imports from the one that stands still. */
+function startRescue(state: RequestState, grant: ReservationGrant, now: number): RequestAction[] {
+  const { grant: stalled, attemptId } = state;
+  state.rescueId = undefined;
+  if (stalled === undefined) return [];
+  state.moved = { grant: stalled, attemptId };
+  state.source = { upstreamId: stalled.decode, attemptId, expiresAt: Infinity };
+  state.sourceTries = 0;
+  state.excluded.push(stalled.decode);
+  state.attemptId = grant.attemptId;
+  state.grant = grant;
+  return startDecode(state, grant, now);
 }
 
-/** Starts the request by asking for places. */
-export function startRequest(state: RequestState): RequestAction[] {
-  return [{ kind: 'ask', attemptId: state.attemptId, excluded: [] }];
+function handleGranted(state: RequestState, grant: ReservationGrant, now: number): RequestAction[] {
+  if (grant.attemptId === state.rescueId) return startRescue(state, grant, now);
+  if (state.phase !== 'asking' || grant.attemptId !== state.attemptId) return [];
+  state.grant = grant;
+  if (now > grant.startDeadline) return returnLateGrant(state, now);
+  if (state.source !== undefined) {
+    if (now < state.source.expiresAt) return startDecode(state, grant, now);
+    return [...endAttempt(state, 'unused', now), ...retryDecode(state, 'the cache lapsed', now)];
+  }
+  if (now >= grant.prefillAt) return startPrefill(state, grant, now);
+  setPhase(state, 'holding', now);
+  return [];
 }
 
-function setPhase(state: RequestState, phase: RequestState['phase'], now: number): void {
-  state.phase = phase;
-  state.phaseStartedAt = now;
+function handleRefused(state: RequestState, refusal: Refusal, now: number): RequestAction[] {
+  if (state.source !== undefined) return retryDecode(state, 'no engine takes the cache', now);
+  if (state.nextIndex > 0) return failRequest(state, 'stream-interrupted', refusal.detail, now);
+  const actions = cancelAllHolds(state);
+  setPhase(state, 'ended', now);
+  const ran = state.dispatches === 0 ? refusal.ran : getRanState(state);
+  return [...actions, { kind: 'fail', refusal: { ...refusal, ran } }];
 }
 
-function makeEnd(
+function handlePrefilled(
   state: RequestState,
-  outcome: AttemptEnd['outcome'],
-  now: number,
+  event: Extract<RequestEvent, { kind: 'prefilled' }>,
 ): RequestAction[] {
-  const { grant } = state;
+  const { grant, attemptId } = state;
+  if (state.phase !== 'prefilling' || event.attemptId !== attemptId) return [];
   if (grant === undefined) return [];
-  const end: AttemptEnd = {
-    reservationId: grant.reservationId,
-    attemptId: state.attemptId,
-    outcome,
-    ...(state.prefillMs === undefined ? {} : { prefillMs: state.prefillMs }),
-    ...(state.cachedTokens === undefined ? {} : { cachedTokens: state.cachedTokens }),
-    ...(state.importMs === undefined ? {} : { importMs: state.importMs }),
-    ...(state.phase === 'decoding' ? { decodeMs: now - state.phaseStartedAt } : {}),
-    tokens: state.nextIndex,
-  };
-  return [{ kind: 'report-end', end }];
+  const { now, result } = event;
+  state.hasRun = true;
+  state.prefillMs = now - state.phaseStartedAt;
+  state.cachedTokens = result.cachedTokens;
+  state.openPrefillTokens = Math.max(0, result.promptTokens - result.cachedTokens);
+  state.source = { upstreamId: grant.prefill, attemptId, expiresAt: now + KV_LIFE_MS };
+  state.sourceTries = 0;
+  return startDecode(state, grant, now);
 }
 
-/** Cancels whatever the current attempt may hold on engines. */
-function cancelAttempt(state: RequestState): RequestAction[] {
-  const { grant, attemptId } = state;
-  if (grant === undefined || state.phase === 'asking') return [];
-  const cancelPrefill: RequestAction = { kind: 'cancel', upstreamId: grant.prefill, attemptId };
-  if (state.phase === 'prefilling') return [cancelPrefill];
-  return [cancelPrefill, { kind: 'cancel', upstreamId: grant.decode, attemptId }];
+/** Counts the prefill behind an import; a second one for the same request was redone work. */
+function countImportedPrefill(state: RequestState): RequestAction[] {
+  const tokens = state.openPrefillTokens;
+  state.openPrefillTokens = 0;
+  if (tokens === 0) return [];
+  const fate = state.hasUsedPrefill ? 'wasted' : 'used';
+  state.hasUsedPrefill = true;
+  return [{ kind: 'count-prefill', fate, tokens }];
 }
 
-function failRequest(state: RequestState, refusal: Refusal, now: number): RequestAction[] {
-  const outcome = refusal.name === 'caller-gone' ? 'cancelled' : 'unused';
-  const actions = [...cancelAttempt(state), ...makeEnd(state, outcome, now)];
-  setPhase(state, 'ended', now);
-  return [...actions, { kind: 'fail', refusal }];
+function handleImported(state: RequestState, now: number): RequestAction[] {
+  const { source } = state;
+  if (state.phase !== 'importing') return [];
+  state.hasRun = true;
+  state.importMs = now - state.phaseStartedAt;
+  state.source = undefined;
+  setPhase(state, 'decoding', now, findTokenStall(state.gapMs, now));
+  state.lastTokenAt = now;
+  const actions = countImportedPrefill(state);
+  if (source === undefined) return actions;
+  if (state.moved !== undefined) {
+    const { upstreamId, attemptId } = source;
+    return [...actions, ...cancelHold(state, upstreamId, attemptId), ...endMoved(state)];
+  }
+  // The export released the memory of a prefill engine.
+  removeHold(state, source.upstreamId, source.attemptId);
+  return actions;
+}
+
+function withdrawRescue(state: RequestState): RequestAction[] {
+  const { rescueId } = state;
+  if (rescueId === undefined) return [];
+  state.rescueId = undefined;
+  return [{ kind: 'withdraw', attemptId: rescueId }];
 }
 
-/** Tries again on other engines, as long as no token has reached the caller. */
-function retryAttempt(
+function handleToken(
   state: RequestState,
-  failed: UpstreamId,
-  outcome: 'prefill-failed' | 'decode-failed',
-  detail: string,
+  frame: Extract<DecodeFrame, { kind: 'token' }>,
   now: number,
 ): RequestAction[] {
-  const actions = [...cancelAttempt(state), ...makeEnd(state, outcome, now)];
-  const isRetried =
-    state.nextIndex === 0 && state.attempt < MAX_ATTEMPTS && now < state.answerDeadline;
-  if (!isRetried) {
-    setPhase(state, 'ended', now);
-    const name = state.nextIndex === 0 ? 'upstream-failed' : 'stream-interrupted';
-    return [...actions, { kind: 'fail', refusal: { name, ran: 'ran', detail } }];
+  const actions = [...handleImported(state, now), ...withdrawRescue(state)];
+  if (frame.index < state.nextIndex) return actions;
+  if (frame.index > state.nextIndex) {
+    return [...actions, ...retryDecode(state, 'a token is missing', now)];
   }
-  state.attempt += 1;
-  state.attemptId = makeAttemptId(state.requestId, state.attempt);
-  state.grant = undefined;
-  state.excluded = [...state.excluded, failed];
-  setPhase(state, 'asking', now);
-  return [...actions, { kind: 'ask', attemptId: state.attemptId, excluded: state.excluded }];
+  if (state.nextIndex > 0) state.gapMs = updateGap(state.gapMs, now - state.lastTokenAt);
+  state.lastTokenAt = now;
+  state.stallAt = findTokenStall(state.gapMs, now);
+  state.nextIndex += 1;
+  const { attemptId, index, text } = frame;
+  return [...actions, { kind: 'write-token', attemptId, index, text }];
+}
+
+function handleEnd(
+  state: RequestState,
+  frame: Extract<DecodeFrame, { kind: 'end' }>,
+  now: number,
+): RequestAction[] {
+  if (state.phase !== 'decoding') return retryDecode(state, 'the answer ended early', now);
+  if (frame.tokens !== state.nextIndex) return retryDecode(state, 'the answer is short', now);
+  const { grant, attemptId } = state;
+  if (grant !== undefined) removeHold(state, grant.decode, attemptId);
+  const actions = [
+    ...withdrawRescue(state),
+    ...cancelAllHolds(state),
+    ...endAttempt(state, 'answered', now),
+  ];
+  setPhase(state, 'ended', now);
+  addAnswer(state.budget);
+  const { finishReason, tokens } = frame;
+  return [...actions, { kind: 'finish', finishReason, tokens }];
 }
 
 function handleFrame(state: RequestState, frame: DecodeFrame, now: number): RequestAction[] {
-  const { grant } = state;
-  if (frame.attemptId !== state.attemptId || grant === undefined) return [];
+  const isStreaming = state.phase === 'importing' || state.phase === 'decoding';
+  if (frame.attemptId !== state.attemptId || !isStreaming) return [];
   switch (frame.kind) {
     case 'imported':
-      if (state.phase !== 'importing') return [];
-      state.importMs = now - state.phaseStartedAt;
-      setPhase(state, 'decoding', now);
-      return [];
+      return handleImported(state, now);
     case 'token':
-      if (frame.index < state.nextIndex) return [];
-      if (frame.index > state.nextIndex) {
-        return retryAttempt(state, grant.decode, 'decode-failed', 'a token is missing', now);
-      }
-      state.nextIndex += 1;
-      return [{ kind: 'write-token', index: frame.index, text: frame.text }];
-    case 'end': {
-      if (frame.tokens !== state.nextIndex) {
-        return retryAttempt(state, grant.decode, 'decode-failed', 'the answer is short', now);
-      }
-      const actions = makeEnd(state, 'answered', now);
-      setPhase(state, 'ended', now);
-      const { finishReason, tokens } = frame;
-      return [...actions, { kind: 'finish', finishReason, tokens }];
-    }
+      return handleToken(state, frame, now);
+    case 'end':
+      return handleEnd(state, frame, now);
     case 'error':
-      return retryAttempt(state, grant.decode, 'decode-failed', frame.error, now);
+      return retryDecode(state, frame.error, now);
     default:
       return assertNever(frame);
   }
 }
 
-function handleGranted(state: RequestState, grant: ReservationGrant, now: number): RequestAction[] {
-  if (state.phase !== 'asking' || grant.attemptId !== state.attemptId) return [];
-  state.grant = grant;
-  state.hasDispatched = true;
-  setPhase(state, 'prefilling', now);
-  return [{ kind: 'start-prefill', grant }];
+function handlePrefillFailed(
+  state: RequestState,
+  event: Extract<RequestEvent, { kind: 'prefill-failed' }>,
+): RequestAction[] {
+  const { attemptId, failure, detail, now } = event;
+  if (state.phase !== 'prefilling' || attemptId !== state.attemptId) return [];
+  if (failure === 'unsent') state.dispatches -= 1;
+  if (failure !== 'broken' && state.grant !== undefined) {
+    removeHold(state, state.grant.prefill, attemptId);
+  }
+  return retryPrefill(state, detail, now);
 }
 
-function handlePrefilled(
+function handleDecodeFailed(
   state: RequestState,
-  event: Extract<RequestEvent, { kind: 'prefilled' }>,
+  event: Extract<RequestEvent, { kind: 'decode-failed' }>,
 ): RequestAction[] {
-  const { grant } = state;
-  if (state.phase !== 'prefilling' || event.attemptId !== state.attemptId) return [];
-  if (grant === undefined) return [];
-  state.prefillMs = event.now - state.phaseStartedAt;
-  state.cachedTokens = event.result.cachedTokens;
-  setPhase(state, 'importing', event.now);
-  return [{ kind: 'start-decode', grant, fromIndex: state.nextIndex }];
+  const { attemptId, failure, detail, now } = event;
+  const isStreaming = state.phase === 'importing' || state.phase === 'decoding';
+  if (!isStreaming || attemptId !== state.attemptId) return [];
+  if (failure !== 'broken' && state.grant !== undefined) {
+    removeHold(state, state.grant.decode, attemptId);
+  }
+  return retryDecode(state, detail, now);
+}
+
+/** Asks for another decode engine while the stream stands still; it goes on if it moves again. */
+function askForRescue(state: RequestState, now: number): RequestAction[] {
+  state.stallAt = now + RESCUE_RETRY_MS;
+  if (state.rescueId !== undefined || state.attempt >= MAX_RESCUES) return [];
+  if (state.grant === undefined) return [];
+  state.rescueId = takeAttemptId(state);
+  const resumeFrom = state.grant.decode;
+  const excluded = [...state.excluded, resumeFrom];
+  return [{ kind: 'ask', attemptId: state.rescueId, excluded, resumeFrom }];
+}
+
+function handleStall(state: RequestState, now: number): RequestAction[] {
+  if (state.phase === 'decoding') return askForRescue(state, now);
+  if (!isRetryable(state, now)) {
+    state.stallAt = now + RESCUE_RETRY_MS;
+    return [];
+  }
+  switch (state.phase) {
+    case 'prefilling':
+      return retryPrefill(state, 'the prefill stalled', now);
+    case 'importing':
+      return retryDecode(state, 'the transfer stalled', now);
+    default:
+      return [];
+  }
+}
+
+function getDeadline(state: RequestState): number {
+  return state.dispatches > 0 ? state.lastDeadline : state.answerDeadline;
+}
+
+function handleTicked(state: RequestState, now: number): RequestAction[] {
+  if (now >= getDeadline(state)) {
+    const name = state.dispatches > 0 ? 'upstream-timeout' : 'deadline-unreachable';
+    return failRequest(state, name, 'the answer deadline passed', now);
+  }
+  const { grant, source } = state;
+  if (state.phase === 'holding' && grant !== undefined) {
+    if (now > grant.startDeadline) return returnLateGrant(state, now);
+    return now >= grant.prefillAt ? startPrefill(state, grant, now) : [];
+  }
+  if (state.phase === 'asking' && source !== undefined && now >= source.expiresAt) {
+    return retryDecode(state, 'the cache lapsed', now);
+  }
+  return now >= state.stallAt ? handleStall(state, now) : [];
+}
+
+/** Finds when the request wants to be ticked next. */
+export function getNextTick(state: RequestState): number {
+  const times = [getDeadline(state), state.stallAt];
+  if (state.phase === 'holding' && state.grant !== undefined) times.push(state.grant.prefillAt);
+  if (state.phase === 'asking' && state.source !== undefined) times.push(state.source.expiresAt);
+  return Math.min(...times);
 }
 
 /** Decides what to do about one event. */
@@ -243,44 +303,24 @@
     case 'granted':
       return handleGranted(state, event.grant, now);
     case 'refused':
+      if (event.attemptId === state.rescueId) {
+        state.rescueId = undefined;
+        return [];
+      }
       if (state.phase !== 'asking' || event.attemptId !== state.attemptId) return [];
-      return failRequest(
-        state,
-        { ...event.refusal, ran: state.hasDispatched ? 'ran' : event.refusal.ran },
-        now,
-      );
+      return handleRefused(state, event.refusal, now);
     case 'prefilled':
       return handlePrefilled(state, event);
     case 'prefill-failed':
-      if (state.phase !== 'prefilling' || event.attemptId !== state.attemptId) return [];
-      if (state.grant === undefined) return [];
-      return retryAttempt(state, state.grant.prefill, 'prefill-failed', event.detail, now);
+      return handlePrefillFailed(state, event);
     case 'frame':
       return handleFrame(state, event.frame, now);
     case 'decode-failed':
-      if (event.attemptId !== state.attemptId || state.grant === undefined) return [];
-      return retryAttempt(state, state.grant.decode, 'decode-failed', event.detail, now);
+      return handleDecodeFailed(state, event);
     case 'caller-gone':
-      return failRequest(
-        state,
-        {
-          name: 'caller-gone',
-          ran: state.hasDispatched ? 'unknown' : 'not-run',
-          detail: 'the caller closed the connection',
-        },
-        now,
-      );
+      return failRequest(state, 'caller-gone', 'the caller closed the connection', now);
     case 'ticked':
-      if (now < state.answerDeadline) return [];
-      return failRequest(
-        state,
-        {
-          name: state.hasDispatched ? 'upstream-timeout' : 'deadline-unreachable',
-          ran: state.hasDispatched ? 'ran' : 'not-run',
-          detail: 'the answer deadline passed',
-        },
-        now,
-      );
+      return handleTicked(state, now);
     default:
       return assertNever(event);
   }
--- a/packages/core/src/shards/asker.ts
+++ b/packages/core/src/shards/asker.ts
@@ -142,21 +142,24 @@
   return [];
 }
 
+function handleEnded(state: AskerState, end: AttemptEnd): AskerAction[] {
+  const held = state.held.get(end.attemptId);
+  if (held === undefined || held.grant.reservationId !== end.reservationId) return [];
+  state.held.delete(end.attemptId);
+  return [{ kind: 'send-end', to: held.owner, shardId: held.shardId, items: [end] }];
+}
+
 function handleWithdrawn(state: AskerState, attemptId: AttemptId): AskerAction[] {
   const waiting = state.waiting.get(attemptId);
+  // The grant crossed the withdrawal on its way to the request.
+  const held = state.held.get(attemptId);
+  if (held !== undefined) return handleEnded(state, makeUnusedEnd(held.grant));
   if (waiting === undefined) return [];
   state.waiting.delete(attemptId);
   const { to, shardId } = waiting;
   return [{ kind: 'send-withdraw', to, shardId, attemptId }];
 }
 
-function handleEnded(state: AskerState, end: AttemptEnd): AskerAction[] {
-  const held = state.held.get(end.attemptId);
-  if (held === undefined || held.grant.reservationId !== end.reservationId) return [];
-  state.held.delete(end.attemptId);
-  return [{ kind: 'send-end', to: held.owner, shardId: held.shardId, items: [end] }];
-}
-
 function makeHeldItem(held: HeldPlaces): HeldReservation {
   const { grant, ask, position } = held;
   return { grant, ask, stage: position.stage, tokens: position.tokens };
--- a/packages/protocol/src/engine-messages.ts
+++ b/packages/protocol/src/engine-messages.ts
@@ -1,6 +1,5 @@
 /** What a model engine is asked and what it answers. Times are milliseconds since the epoch. */
 
-import { z } from 'zod';
 import type {
   AttemptId,
   FencingNumber,
@@ -90,28 +89,36 @@
     }
   | { readonly kind: 'error'; readonly attemptId: AttemptId; readonly error: string };
 
-const decodeFrameSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('imported'), attemptId: z.string() }),
-  z.object({
-    kind: z.literal('token'),
-    attemptId: z.string(),
-    index: z.number().int().nonnegative(),
-    text: z.string(),
-  }),
-  z.object({
-    kind: z.literal('end'),
-    attemptId: z.string(),
-    tokens: z.number().int().nonnegative(),
-    finishReason: z.enum(['stop', 'length']),
-  }),
-  z.object({ kind: z.literal('error'), attemptId: z.string(), error: z.string() }),
-]);
+function isCount(value: unknown): value is number {
+  return Number.isInteger(value) && (value as number) >= 0;
+}
+
+/** Checks by hand what a schema would check: this runs for every token. */
+function isDecodeFrame(value: unknown): value is DecodeFrame {
+  if (typeof value !== 'object' || value === null) return false;
+  const frame = value as Record<string, unknown>;
+  if (typeof frame.attemptId !== 'string') return false;
+  switch (frame.kind) {
+    case 'imported':
+      return true;
+    case 'token':
+      return isCount(frame.index) && typeof frame.text === 'string';
+    case 'end':
+      return (
+        isCount(frame.tokens) && (frame.finishReason === 'stop' || frame.finishReason === 'length')
+      );
+    case 'error':
+      return typeof frame.error === 'string';
+    default:
+      return false;
+  }
+}
 
 /** Parses one line of a decode stream; undefined if it is malformed. */
 export function parseDecodeFrame(line: string): DecodeFrame | undefined {
   try {
-    const parsed = decodeFrameSchema.safeParse(JSON.parse(line));
-    return parsed.success ? (parsed.data as DecodeFrame) : undefined;
+    const value: unknown = JSON.parse(line);
+    return isDecodeFrame(value) ? value : undefined;
   } catch {
     return undefined;
   }
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -1,7 +1,7 @@
 /** Puts the daemon's parts together and starts and stops them. */
 
 import type { Server } from 'node:http';
-import { makeMembershipState } from '@tarragonspool/core';
+import { makeMembershipState, makeRetryBudget } from '@tarragonspool/core';
 import {
   makeAgent,
   makeObjectClient,
@@ -21,6 +21,7 @@
 import { makeClaimLedger } from './claims/claim-ledger.js';
 import { makeCancelInbox, runCancels, type CancelMessage } from './engines/cancel-task.js';
 import { runEnginePolls } from './engines/engine-poll-task.js';
+import { makeInvariants } from './invariants/invariants.js';
 import type { Logger } from './logging/logger.js';
 import {
   makeMembershipInbox,
@@ -33,7 +34,7 @@
 import { startPeerMesh } from './peers/peer-mesh.js';
 import { makeChatFilters } from './requests/chat-filters.js';
 import { makeModelListFilter } from './requests/model-list-filter.js';
-import type { ModelRequestParts } from './requests/model-request-task.js';
+import type { ModelRequestParts } from './requests/model-request.js';
 import { makeRulesInbox, runRules } from './rules/rules-task.js';
 import { makeRulesView } from './rules/rules-view.js';
 import { makeServiceFilters } from './services/service-filters.js';
@@ -181,7 +182,15 @@
   };
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
 
-  const requestParts: ModelRequestParts = { ...self, directory, allocation, cancels, metrics };
+  const requestParts: ModelRequestParts = {
+    ...self,
+    directory,
+    allocation,
+    cancels,
+    budget: makeRetryBudget(),
+    invariants: makeInvariants(metrics, logger),
+    metrics,
+  };
   const authenticate = makeAuthenticateFilter(view);
   const readBody = makeReadBodyFilter();
   const serviceParts = { view, directory, claims: makeClaimLedger(table), metrics };
--- a/packages/router/src/engines/engine-client.ts
+++ b/packages/router/src/engines/engine-client.ts
@@ -1,6 +1,13 @@
 /** Client of one model engine over `node:http`. */
 
-import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http';
+import {
+  request,
+  type Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  type RequestOptions,
+} from 'node:http';
+import type { OrderFailure } from '@tarragonspool/core';
 import {
   parseDecodeFrame,
   type AttemptId,
@@ -20,14 +27,14 @@
 export type PrefillHandler = (
   outcome:
     | { readonly kind: 'prefilled'; readonly result: PrefillResult }
-    | { readonly kind: 'failed'; readonly detail: string },
+    | { readonly kind: 'failed'; readonly failure: OrderFailure; readonly detail: string },
 ) => void;
 
 /** Hears the frames of a decode stream, then `closed` once, with the error if it broke off. */
 export type DecodeHandler = (
   event:
     | { readonly kind: 'frame'; readonly frame: DecodeFrame }
-    | { readonly kind: 'closed'; readonly detail: string },
+    | { readonly kind: 'closed'; readonly failure: OrderFailure; readonly detail: string },
 ) => void;
 
 /** Narrow interface to one engine. */
@@ -43,6 +50,9 @@
 };
 
 const MAX_LINE_CHARACTERS = 65_536;
+const STATUS_FULL = 429;
+const UNSENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
+const JSON_HEADERS = { 'content-type': 'application/json' };
 
 type TextHandler = (status: number | undefined, text: string) => void;
 
@@ -73,9 +83,19 @@
   incoming.on('error', (error) => onEnd(error.message));
 }
 
+function findFailure(error: NodeJS.ErrnoException): OrderFailure {
+  return UNSENT_CODES.has(error.code ?? '') ? 'unsent' : 'broken';
+}
+
+function getStatusFailure(status: number | undefined): OrderFailure {
+  return status === STATUS_FULL ? 'full' : 'broken';
+}
+
 function parsePrefillResult(text: string): PrefillResult | undefined {
   try {
-    return JSON.parse(text) as PrefillResult;
+    const result = JSON.parse(text) as Partial<PrefillResult>;
+    const counts = [result.promptTokens, result.cachedTokens, result.kvBytes];
+    return counts.every(Number.isFinite) ? (result as PrefillResult) : undefined;
   } catch {
     return undefined;
   }
@@ -83,16 +103,20 @@
 
 /** Makes a client of the engine at `url`, over a shared connection pool. */
 export function makeEngineClient(url: string, agent: Agent): EngineClient {
+  const { hostname, port } = new URL(url);
+  // Parsed once: a URL string is parsed again for each request.
+  const target: RequestOptions = { host: hostname, port, agent };
+
   function post(path: string, body: unknown, onAnswer: (incoming: IncomingMessage) => void) {
-    const headers = { 'content-type': 'application/json' };
-    const outgoing = request(`${url}${path}`, { method: 'POST', agent, headers }, onAnswer);
+    const options = { ...target, path, method: 'POST', headers: JSON_HEADERS };
+    const outgoing = request(options, onAnswer);
     outgoing.end(JSON.stringify(body));
     return outgoing;
   }
 
   function callJson(method: 'GET' | 'POST', path: string, deadline: number, body?: unknown) {
     return new Promise<unknown>((resolve) => {
-      const outgoing: ClientRequest = request(`${url}${path}`, { method, agent }, (incoming) => {
+      const outgoing: ClientRequest = request({ ...target, path, method }, (incoming) => {
         readText(incoming, (status, text) => {
           if (status !== 200) {
             resolve(undefined);
@@ -127,11 +151,14 @@
         readText(incoming, (status, text) => {
           const result = status === 200 ? parsePrefillResult(text) : undefined;
           if (result === undefined) {
-            finish({ kind: 'failed', detail: `prefill: ${status} ${text}` });
+            const detail = `prefill: ${status} ${text}`;
+            finish({ kind: 'failed', failure: getStatusFailure(status), detail });
           } else finish({ kind: 'prefilled', result });
         });
       });
-      outgoing.on('error', (error) => finish({ kind: 'failed', detail: error.message }));
+      outgoing.on('error', (error) => {
+        finish({ kind: 'failed', failure: findFailure(error), detail: error.message });
+      });
       return () => {
         isDone = true;
         outgoing.destroy();
@@ -140,10 +167,10 @@
 
     startDecode(order, onEvent) {
       let isDone = false;
-      const close = (detail: string): void => {
+      const close = (detail: string, failure: OrderFailure = 'broken'): void => {
         if (isDone) return;
         isDone = true;
-        onEvent({ kind: 'closed', detail });
+        onEvent({ kind: 'closed', failure, detail });
       };
       const handleLine = (line: string): void => {
         if (isDone || line === '') return;
@@ -153,12 +180,14 @@
       };
       const outgoing = post('/decode', order, (incoming) => {
         if (incoming.statusCode === 200) {
-          readLines(incoming, handleLine, close);
+          readLines(incoming, handleLine, (detail) => close(detail));
           return;
         }
-        readText(incoming, (status, text) => close(`decode: ${status} ${text}`));
+        readText(incoming, (status, text) => {
+          close(`decode: ${status} ${text}`, getStatusFailure(status));
+        });
       });
-      outgoing.on('error', (error) => close(error.message));
+      outgoing.on('error', (error) => close(error.message, findFailure(error)));
       return () => {
         isDone = true;
         outgoing.destroy();
--- a/packages/router/src/requests/chat-filters.ts
+++ b/packages/router/src/requests/chat-filters.ts
@@ -1,16 +1,19 @@
 /** Filters for chat completions. */
 
 import { findRule } from '@tarragonspool/core';
+import type { RequestId } from '@tarragonspool/protocol';
 import { refuse, type Exchange, type Filter, ANSWERED, CONTINUE } from '../callers/exchange.js';
 import type { RulesView } from '../rules/rules-view.js';
 import { findServicesOfModel } from '../upstreams/directory.js';
 import { makeAnswerWriter } from './answer-writer.js';
-import { findDeadlines, parseChatRequest, type ChatRequest } from './chat-request.js';
 import {
-  runModelRequest,
-  type ModelRequest,
-  type ModelRequestParts,
-} from './model-request-task.js';
+  findBadTarget,
+  findDeadlines,
+  parseChatRequest,
+  type ChatRequest,
+} from './chat-request.js';
+import { runModelRequest } from './model-request-task.js';
+import type { ModelRequest, ModelRequestParts } from './model-request.js';
 
 type ApprovedChat = Pick<ModelRequest, 'chat' | 'service' | 'priority' | 'deadlines'>;
 
@@ -62,7 +65,10 @@
   view: RulesView,
   readBody: Filter,
 ): readonly Filter[] {
+  const runningIds = new Set<RequestId>();
   const runChat: Filter = function* runChat(exchange) {
+    const badTarget = findBadTarget(exchange.incoming.headers);
+    if (badTarget !== undefined) return refuse('invalid-request', badTarget);
     const parsed = parseChatRequest(exchange.body ?? Buffer.alloc(0));
     if (parsed.kind === 'malformed') return refuse('malformed-json', 'send a JSON object');
     if (parsed.kind === 'invalid') return refuse('invalid-request', parsed.detail);
@@ -73,7 +79,14 @@
     }
     const request = makeModelRequest(exchange, approved);
     if (request === undefined) return CONTINUE;
-    yield* runModelRequest(parts, request);
+    const { requestId } = request;
+    if (runningIds.has(requestId)) return refuse('duplicate-request', `x-request-id ${requestId}`);
+    runningIds.add(requestId);
+    try {
+      yield* runModelRequest(parts, request);
+    } finally {
+      runningIds.delete(requestId);
+    }
     return ANSWERED;
   };
   return [readBody, runChat];
--- a/packages/router/src/requests/chat-request.ts
+++ b/packages/router/src/requests/chat-request.ts
@@ -35,6 +35,9 @@
 const DEFAULT_FIRST_TOKEN_MS = 1_100;
 const DEFAULT_ANSWER_MS = 30_000;
 const MAX_ANSWER_MS = 3_600_000;
+const FIRST_TOKEN_HEADER = 'x-first-token-target-ms';
+const ANSWER_HEADER = 'x-answer-target-ms';
+const TARGET_PATTERN = /^[1-9]\d{0,6}$/;
 
 const partSchema = z.object({ type: z.literal('text'), text: z.string() });
 const messageSchema = z.object({
@@ -104,8 +107,18 @@
 
 function readTargetMs(headers: IncomingHttpHeaders, name: string): number | undefined {
   const text = headers[name];
-  if (typeof text !== 'string' || !/^\d{1,7}$/.test(text)) return undefined;
-  return Math.min(Number(text), MAX_ANSWER_MS);
+  return text === undefined ? undefined : Math.min(Number(text), MAX_ANSWER_MS);
+}
+
+/** Finds a latency target that is not a whole number of milliseconds. */
+export function findBadTarget(headers: IncomingHttpHeaders): string | undefined {
+  for (const name of [FIRST_TOKEN_HEADER, ANSWER_HEADER]) {
+    const text = headers[name];
+    if (text === undefined) continue;
+    const isGood = typeof text === 'string' && TARGET_PATTERN.test(text);
+    if (!isGood) return `${name}: expected 1 to 9999999 milliseconds`;
+  }
+  return undefined;
 }
 
 /** Finds the deadlines: the request's own targets, else the rule's, else the defaults. */
@@ -115,9 +128,8 @@
   arrivedAt: number,
 ): ChatDeadlines {
   const firstTokenMs =
-    readTargetMs(headers, 'x-first-token-target-ms') ?? rule.firstTokenMs ?? DEFAULT_FIRST_TOKEN_MS;
-  const answerMs =
-    readTargetMs(headers, 'x-answer-target-ms') ?? rule.answerMs ?? DEFAULT_ANSWER_MS;
+    readTargetMs(headers, FIRST_TOKEN_HEADER) ?? rule.firstTokenMs ?? DEFAULT_FIRST_TOKEN_MS;
+  const answerMs = readTargetMs(headers, ANSWER_HEADER) ?? rule.answerMs ?? DEFAULT_ANSWER_MS;
   return {
     firstTokenDeadline: arrivedAt + firstTokenMs,
     answerDeadline: arrivedAt + Math.max(answerMs, firstTokenMs),
--- /dev/null
+++ b/packages/router/src/requests/engine-orders.ts
@@ -0,0 +1,154 @@
+/** Sends a request's work orders to engines and brings their outcomes back as events. */
+
+import type { KvLocation } from '@tarragonspool/core';
+import type {
+  AttemptId,
+  HoldOwner,
+  ReservationAsk,
+  ReservationGrant,
+  UpstreamId,
+} from '@tarragonspool/protocol';
+import { offer } from '../tasks/tasks.js';
+import { findHoldDeadline, type RunningRequest } from './model-request.js';
+
+function makeOwner(running: RunningRequest, attemptId: AttemptId): HoldOwner {
+  const { parts, request } = running;
+  return {
+    requestId: request.requestId,
+    attemptId,
+    vmId: parts.vmId,
+    incarnation: parts.incarnation,
+    deadline: findHoldDeadline(request),
+  };
+}
+
+function getOrderKey(upstreamId: UpstreamId, attemptId: AttemptId): string {
+  return `${upstreamId} ${attemptId}`;
+}
+
+/** Builds the ask for places for one attempt. */
+export function buildAsk(
+  running: RunningRequest,
+  wanted: Pick<ReservationAsk, 'attemptId' | 'excluded'> & {
+    readonly resumeFrom: UpstreamId | undefined;
+  },
+): ReservationAsk {
+  const { parts, request } = running;
+  const { chat, deadlines } = request;
+  const { attemptId, excluded, resumeFrom } = wanted;
+  return {
+    requestId: request.requestId,
+    attemptId,
+    vmId: parts.vmId,
+    incarnation: parts.incarnation,
+    callerId: request.callerId,
+    service: request.service,
+    target: chat.target,
+    dataCentre: parts.dataCentre,
+    promptTokens: chat.promptTokens,
+    maxTokens: chat.maxTokens,
+    prefixes: chat.prefixes,
+    priority: request.priority,
+    firstTokenDeadline: deadlines.firstTokenDeadline,
+    answerDeadline: deadlines.answerDeadline,
+    fingerprint: chat.fingerprint,
+    excluded,
+    ...(resumeFrom === undefined ? {} : { resumeFrom }),
+  };
+}
+
+/** Orders the prefill of a grant. */
+export function sendPrefill(running: RunningRequest, grant: ReservationGrant): void {
+  const { parts, request, inbox, stopOrders } = running;
+  const { attemptId } = grant;
+  const engine = parts.directory.engines.get(grant.prefill);
+  if (engine === undefined) {
+    const detail = 'the prefill engine is gone';
+    const now = Date.now();
+    offer(inbox, { kind: 'prefill-failed', attemptId, failure: 'unsent', detail, now });
+    return;
+  }
+  const { chat } = request;
+  const answerText = running.writtenTexts.join('');
+  const order = {
+    owner: makeOwner(running, attemptId),
+    target: chat.target,
+    prompt: chat.prompt,
+    promptTokens: chat.promptTokens,
+    prefixes: chat.prefixes,
+    priority: request.priority,
+    ...(answerText === '' ? {} : { answerText }),
+  };
+  running.dispatches += 1;
+  const key = getOrderKey(grant.prefill, attemptId);
+  const stop = engine.client.startPrefill(order, (outcome) => {
+    stopOrders.delete(key);
+    const now = Date.now();
+    if (outcome.kind === 'prefilled') {
+      offer(inbox, { kind: 'prefilled', attemptId, result: outcome.result, now });
+      return;
+    }
+    const { failure, detail } = outcome;
+    if (failure === 'unsent') running.dispatches -= 1;
+    offer(inbox, { kind: 'prefill-failed', attemptId, failure, detail, now });
+  });
+  stopOrders.set(key, stop);
+}
+
+/** Orders the import and decode of a grant. */
+export function sendDecode(
+  running: RunningRequest,
+  grant: ReservationGrant,
+  location: KvLocation,
+  fromIndex: number,
+): void {
+  const { parts, request, inbox, stopOrders } = running;
+  const { attemptId } = grant;
+  running.decodingAttempt = attemptId;
+  const source = parts.directory.engines.get(location.upstreamId);
+  const engine = parts.directory.engines.get(grant.decode);
+  if (engine === undefined || source === undefined) {
+    const detail = 'an engine is gone';
+    const now = Date.now();
+    offer(inbox, { kind: 'decode-failed', attemptId, failure: 'unsent', detail, now });
+    return;
+  }
+  const { chat } = request;
+  const { upstreamId } = location;
+  const order = {
+    owner: makeOwner(running, attemptId),
+    target: chat.target,
+    source: { upstreamId, url: source.url, attemptId: location.attemptId },
+    promptTokens: chat.promptTokens,
+    maxTokens: chat.maxTokens,
+    fromIndex,
+    priority: request.priority,
+    fingerprint: chat.fingerprint,
+  };
+  running.dispatches += 1;
+  const key = getOrderKey(grant.decode, attemptId);
+  const stop = engine.client.startDecode(order, (event) => {
+    const now = Date.now();
+    if (event.kind === 'frame') {
+      offer(inbox, { kind: 'frame', frame: event.frame, now });
+      return;
+    }
+    stopOrders.delete(key);
+    const { failure, detail } = event;
+    offer(inbox, { kind: 'decode-failed', attemptId, failure, detail, now });
+  });
+  stopOrders.set(key, stop);
+}
+
+/** Closes the connection of an order and has the engine free what it holds. */
+export function cancelOrder(
+  running: RunningRequest,
+  upstreamId: UpstreamId,
+  attemptId: AttemptId,
+): void {
+  const key = getOrderKey(upstreamId, attemptId);
+  running.stopOrders.get(key)?.();
+  running.stopOrders.delete(key);
+  const order = { upstreamId, attemptId, deadline: findHoldDeadline(running.request) };
+  offer(running.parts.cancels, { kind: 'cancel', order });
+}
--- a/packages/router/src/tasks/timers.ts
+++ b/packages/router/src/tasks/timers.ts
@@ -21,3 +21,31 @@
   const timer = setInterval(() => offer(channel, makeMessage(Date.now())), intervalMs);
   return () => clearInterval(timer);
 }
+
+/** Wakes a task once at a time that may be moved forward. */
+export type Alarm = {
+  /** Sets the time, in milliseconds since the epoch; a later one than is set already is ignored. */
+  readonly set: (at: number) => void;
+  readonly cancel: () => void;
+};
+
+const MAX_TIMEOUT_MS = 2_147_483_647;
+
+/** Makes an alarm that offers a message made at the time it goes off. */
+export function makeAlarm<T>(channel: Channel<T>, makeMessage: (now: number) => T): Alarm {
+  let timer: NodeJS.Timeout | undefined;
+  let dueAt = Infinity;
+  return {
+    set: (at) => {
+      if (at >= dueAt) return;
+      clearTimeout(timer);
+      dueAt = at;
+      const delayMs = Math.min(MAX_TIMEOUT_MS, Math.max(0, at - Date.now()));
+      timer = setTimeout(() => {
+        dueAt = Infinity;
+        offer(channel, makeMessage(Date.now()));
+      }, delayMs);
+    },
+    cancel: () => clearTimeout(timer),
+  };
+}
