Order rule edits in the table and spread them as deltas

Cause: an edit sent the whole file to every peer, a lost answer was settled from the current row only (a later edit hid an accepted one), a VM that was cut off went on with old rules, and a drain did not last. Ruled out: a leader for edits; the table's compare-and-set already orders them. Conclusion: the edit's own row, written in the same transaction, is what makes a retry safe.

--- a/packages/core/src/rules/rule-set.ts
+++ b/packages/core/src/rules/rule-set.ts
@@ -1,30 +1,53 @@
 /** Indexes rules so that a look-up does not grow with the number of rules. */
 
-import type { CallerId, ModelTarget, ServiceName } from '@tarragonspool/protocol';
-import type { AllowRule, Rule } from './rule-file.js';
+import {
+  assertNever,
+  type CallerId,
+  type ModelTarget,
+  type ServiceName,
+  type UpstreamId,
+} from '@tarragonspool/protocol';
+import type { AllowRule, Rule } from './rule-line.js';
 
 /** Rules in force, indexed by caller and service. */
 export type RuleSet = {
   readonly callersByDigest: ReadonlyMap<string, CallerId>;
   readonly allowed: ReadonlyMap<CallerId, ReadonlyMap<ServiceName, readonly AllowRule[]>>;
+  /** Upstreams that get no new work. */
+  readonly drained: ReadonlySet<UpstreamId>;
 };
 
+type AllowedIndex = Map<CallerId, Map<ServiceName, AllowRule[]>>;
+
+function addAllowRule(allowed: AllowedIndex, rule: AllowRule): void {
+  const services = allowed.get(rule.callerId) ?? new Map<ServiceName, AllowRule[]>();
+  allowed.set(rule.callerId, services);
+  const list = services.get(rule.service) ?? [];
+  services.set(rule.service, list);
+  list.push(rule);
+}
+
 /** Builds the index of a parsed file. */
 export function buildRuleSet(rules: readonly Rule[]): RuleSet {
   const callersByDigest = new Map<string, CallerId>();
-  const allowed = new Map<CallerId, Map<ServiceName, AllowRule[]>>();
+  const allowed: AllowedIndex = new Map();
+  const drained = new Set<UpstreamId>();
   for (const rule of rules) {
-    if (rule.kind === 'caller') {
-      callersByDigest.set(rule.keyDigest, rule.callerId);
-      continue;
+    switch (rule.kind) {
+      case 'caller':
+        callersByDigest.set(rule.keyDigest, rule.callerId);
+        break;
+      case 'allow':
+        addAllowRule(allowed, rule);
+        break;
+      case 'drain':
+        drained.add(rule.upstreamId);
+        break;
+      default:
+        assertNever(rule);
     }
-    const services = allowed.get(rule.callerId) ?? new Map<ServiceName, AllowRule[]>();
-    allowed.set(rule.callerId, services);
-    const list = services.get(rule.service) ?? [];
-    services.set(rule.service, list);
-    list.push(rule);
   }
-  return { callersByDigest, allowed };
+  return { callersByDigest, allowed, drained };
 }
 
 function countNamedParts(rule: AllowRule): number {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -4,3 +4,4 @@
 export * from './peer-messages.js';
 export * from './platform-messages.js';
 export * from './result-codes.js';
+export * from './rule-messages.js';
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -21,6 +21,7 @@
   VmId,
 } from './ids.js';
 import type { ModelTarget } from './engine-messages.js';
+import { ruleDeltaSchema, type RuleDelta } from './rule-messages.js';
 import { RESULT_CODES, type Refusal, type ResultName } from './result-codes.js';
 
 /** Version of the protocol between entry VMs. */
@@ -141,6 +142,9 @@
       readonly leaving: readonly LeavingUpstream[];
     }
   | { readonly kind: 'rules'; readonly revision: RuleRevision; readonly text: string }
+  | { readonly kind: 'rules-deltas'; readonly deltas: readonly RuleDelta[] }
+  /** Asks for every revision after the one named; zero asks for the whole file. */
+  | { readonly kind: 'rules-wanted'; readonly afterRevision: RuleRevision }
   | { readonly kind: 'ask'; readonly shardId: ShardId; readonly ask: ReservationAsk }
   | { readonly kind: 'grant'; readonly requestId: RequestId; readonly grant: ReservationGrant }
   | {
@@ -223,6 +227,8 @@
     leaving: z.array(z.object({ upstreamId: id, incarnation: count })),
   }),
   z.object({ kind: z.literal('rules'), revision: count, text: z.string() }),
+  z.object({ kind: z.literal('rules-deltas'), deltas: z.array(ruleDeltaSchema) }),
+  z.object({ kind: z.literal('rules-wanted'), afterRevision: count }),
   z.object({ kind: z.literal('ask'), shardId: id, ask: askSchema }),
   z.object({ kind: z.literal('grant'), requestId: id, grant: grantSchema }),
   z.object({
--- /dev/null
+++ b/packages/protocol/src/rule-messages.ts
@@ -0,0 +1,89 @@
+/** Revisions of the rule file, as the platform's table keeps them and as peers exchange them. */
+
+import { z } from 'zod';
+import type { EditId, RuleRevision } from './ids.js';
+
+/** Lines replaced at one place of the file. */
+export type RuleHunk = {
+  /** Index of the first replaced line in the older revision, from zero. */
+  readonly at: number;
+  readonly removed: readonly string[];
+  readonly added: readonly string[];
+};
+
+/** What an edit did: its hunks, or a whole new file that is kept as a snapshot. */
+export type RuleChange =
+  { readonly kind: 'hunks'; readonly hunks: readonly RuleHunk[] } | { readonly kind: 'snapshot' };
+
+/** One accepted edit: the step from the revision before to this one. */
+export type RuleDelta = {
+  readonly revision: RuleRevision;
+  readonly editId: EditId;
+  readonly author: string;
+  /** Milliseconds since the epoch, by the clock of the VM that took the edit. */
+  readonly acceptedAt: number;
+  /** Checksum of the whole file at this revision. */
+  readonly checksum: string;
+  readonly change: RuleChange;
+};
+
+/** A whole file kept in the object store under its edit's id. */
+export type RuleSnapshotRef = {
+  readonly revision: RuleRevision;
+  readonly editId: EditId;
+  readonly checksum: string;
+};
+
+/** The row that names the revision in force. */
+export type RulesCurrentRow = {
+  readonly revision: RuleRevision;
+  readonly editId: EditId;
+  readonly snapshot?: RuleSnapshotRef;
+};
+
+const id = z.string().max(256);
+const revision = z.number().int().nonnegative();
+
+const hunkSchema = z.object({
+  at: z.number().int().nonnegative(),
+  removed: z.array(z.string()),
+  added: z.array(z.string()),
+});
+
+/** Schema of a delta. */
+export const ruleDeltaSchema = z.object({
+  revision,
+  editId: id,
+  author: id,
+  acceptedAt: z.number().finite(),
+  checksum: id,
+  change: z.discriminatedUnion('kind', [
+    z.object({ kind: z.literal('hunks'), hunks: z.array(hunkSchema) }),
+    z.object({ kind: z.literal('snapshot') }),
+  ]),
+});
+
+const currentRowSchema = z.object({
+  revision,
+  editId: id,
+  snapshot: z.object({ revision, editId: id, checksum: id }).optional(),
+});
+
+function parseText<T>(schema: z.ZodType, text: string): T | undefined {
+  try {
+    const parsed = schema.safeParse(JSON.parse(text));
+    return parsed.success ? (parsed.data as T) : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Parses the value of a delta row; undefined if it is malformed. */
+export function parseRuleDelta(text: string): RuleDelta | undefined {
+  return parseText<RuleDelta>(ruleDeltaSchema, text);
+}
+
+/** Parses the value of the row that names the revision in force; undefined if it is malformed. */
+export function parseRulesCurrentRow(text: string): RulesCurrentRow | undefined {
+  return parseText<RulesCurrentRow>(currentRowSchema, text);
+}
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -31,8 +31,10 @@
 import { makeChatFilters } from './requests/chat-filters.js';
 import { makeModelListFilter } from './requests/model-list-filter.js';
 import type { ModelRequestParts } from './requests/model-request-task.js';
-import { makeRulesInbox, runRules } from './rules/rules-task.js';
-import { makeRulesView } from './rules/rules-view.js';
+import { makeAdmissionFilter } from './rules/admission-filter.js';
+import { readRuleHistory } from './rules/rule-history.js';
+import { makeRulesInbox, runRules, type RulesMessage } from './rules/rules-task.js';
+import { isRulesViewCurrent, makeRulesView } from './rules/rules-view.js';
 import { makeServiceFilters } from './services/service-filters.js';
 import type { Settings } from './settings/settings.js';
 import { offer, startTask, type Task } from './tasks/tasks.js';
@@ -46,7 +48,7 @@
   readonly stop: (onStopped: () => void) => void;
 };
 
-const RULES_POLL_INTERVAL_MS = 1_000;
+const RULES_TICK_MS = 100;
 const DRAIN_NOTICE_MS = 2_000;
 const ALLOCATION_TICK_MS = 50;
 const HEARTBEAT_INTERVAL_MS = 250;
@@ -92,9 +94,24 @@
   const handlePeerMessage = (peer: PeerIdentity, message: PeerMessage): void => {
     switch (message.kind) {
       case 'rules':
-        offer(rulesInbox, { kind: 'pushed', revision: message.revision, text: message.text });
+        offer(rulesInbox, { ...message, kind: 'peer-file', now: Date.now() });
         return;
+      case 'rules-deltas':
+        offer(rulesInbox, { ...message, kind: 'peer-deltas', now: Date.now() });
+        return;
+      case 'rules-wanted': {
+        const { afterRevision } = message;
+        const { vmId } = peer;
+        offer(rulesInbox, { kind: 'peer-wants', vmId, afterRevision, now: Date.now() });
+        return;
+      }
       case 'heartbeat':
+        offer(rulesInbox, {
+          kind: 'peer-revision',
+          vmId: peer.vmId,
+          revision: message.rulesRevision,
+          now: Date.now(),
+        });
         offer(membership, { ...message, ...peer, now: Date.now() });
         return;
       default:
@@ -109,11 +126,7 @@
     directory,
     metrics,
     logger,
-    onOpen: (link) => {
-      if (view.revision > 0) {
-        link.send({ kind: 'rules', revision: view.revision, text: view.text });
-      }
-    },
+    onOpen: () => undefined,
     onMessage: handlePeerMessage,
     onGone: (vmId, incarnation) => {
       offer(membership, { kind: 'link-closed', vmId, incarnation, now: Date.now() });
@@ -128,10 +141,19 @@
   const options = { vmId: self.vmId, policy, objective, seed: self.incarnation };
   start('allocation', () => runAllocation(allocation, options, directory, logger));
   start('rules', () =>
-    runRules(rulesInbox, { view, table, objects, metrics, logger, broadcast: mesh.broadcast }),
+    runRules(rulesInbox, {
+      view,
+      table,
+      objects,
+      membership,
+      metrics,
+      logger,
+      seed: self.incarnation,
+      broadcast: mesh.broadcast,
+      sendTo: mesh.sendTo,
+    }),
   );
-  offer(rulesInbox, { kind: 'poll' });
-  startTicker(rulesInbox, RULES_POLL_INTERVAL_MS, () => ({ kind: 'poll' }));
+  startTicker<RulesMessage>(rulesInbox, RULES_TICK_MS, (now) => ({ kind: 'ticked', now }));
   startTicker<AllocationMessage>(allocation, ALLOCATION_TICK_MS, (now) => ({
     kind: 'ticked',
     now,
@@ -152,16 +174,18 @@
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
 
   const requestParts: ModelRequestParts = { ...self, directory, allocation, metrics };
+  const admit = makeAdmissionFilter(view);
   const authenticate = makeAuthenticateFilter(view);
   const readBody = makeReadBodyFilter();
   const serviceParts = { view, directory, claims: makeClaimLedger(table), metrics };
   const callerServer = makeCallerServer({
     routes: {
-      chat: [authenticate, ...makeChatFilters(requestParts, view, readBody)],
-      models: [authenticate, makeModelListFilter(directory, view)],
-      service: [authenticate, ...makeServiceFilters(serviceParts, readBody)],
+      chat: [admit, authenticate, ...makeChatFilters(requestParts, view, readBody)],
+      models: [admit, authenticate, makeModelListFilter(directory, view)],
+      service: [admit, authenticate, ...makeServiceFilters(serviceParts, readBody)],
     },
-    isReady: () => view.isLoaded && directory.entryVms.length > 0 && !isLeaving,
+    isReady: () =>
+      isRulesViewCurrent(view, Date.now()) && directory.entryVms.length > 0 && !isLeaving,
     metrics,
     logger,
   });
@@ -171,6 +195,7 @@
     rulesInbox,
     metrics,
     logger,
+    readHistory: () => readRuleHistory(table, view.revision),
     getStatus: () => ({
       ...self,
       isLeaving,
--- a/packages/router/src/operators/operator-server.ts
+++ b/packages/router/src/operators/operator-server.ts
@@ -2,14 +2,15 @@
 
 import { createHash, timingSafeEqual } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { EditId, Refusal, RuleRevision } from '@tarragonspool/protocol';
+import type { EditOutcome } from '@tarragonspool/core';
+import type { EditId, Refusal, RuleDelta, RuleRevision } from '@tarragonspool/protocol';
 import { z } from 'zod';
 import { readBody } from '../http/read-body.js';
 import { sendRefusal } from '../http/refusals.js';
 import type { Logger } from '../logging/logger.js';
 import type { Metrics } from '../metrics/metrics.js';
-import type { EditOutcome, RulesInbox } from '../rules/rules-task.js';
-import type { RulesView } from '../rules/rules-view.js';
+import type { RulesInbox } from '../rules/rules-task.js';
+import { renderRules, type RulesView } from '../rules/rules-view.js';
 import { awaitPromise, makeChannel, offer, receive, startTask, type Task } from '../tasks/tasks.js';
 
 /** What the operator interface works with. */
@@ -20,14 +21,18 @@
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly getStatus: () => unknown;
+  /** Reads the latest edits, oldest first; undefined while the table is away. */
+  readonly readHistory: () => Promise<readonly RuleDelta[] | undefined>;
 };
 
-const MAX_RULES_BYTES = 16_777_216;
+const MAX_RULES_BYTES = 8_388_608;
 const BODY_TIMEOUT_MS = 15_000;
+const EDIT_TIMEOUT_MS = 12_000;
 
 const editSchema = z.object({
   editId: z.string().min(8).max(128),
   baseRevision: z.number().int().nonnegative(),
+  author: z.string().min(1).max(128).default('unknown'),
   text: z.string(),
 });
 
@@ -69,13 +74,13 @@
       return;
     }
     const outcome = makeChannel<EditOutcome>(1);
-    offer(parts.rulesInbox, {
-      kind: 'edit',
-      editId: edit.editId as EditId,
-      baseRevision: edit.baseRevision as RuleRevision,
-      text: edit.text,
-      outcome,
-    });
+    const editId = edit.editId as EditId;
+    const baseRevision = edit.baseRevision as RuleRevision;
+    const request = { ...edit, editId, baseRevision, deadline: Date.now() + EDIT_TIMEOUT_MS };
+    if (!offer(parts.rulesInbox, { kind: 'edit', edit: request, outcome })) {
+      sendError(response, 'rules-unavailable', 'the daemon is overloaded');
+      return;
+    }
     const result = yield* receive(outcome);
     if (result?.kind === 'accepted') sendJson(response, { revision: result.revision });
     else if (result?.kind === 'refused') sendRefusal(response, result.refusal, Date.now());
@@ -90,8 +95,14 @@
     const route = `${incoming.method} ${incoming.url}`;
     switch (route) {
       case 'GET /rules':
-        sendJson(response, { revision: parts.view.revision, text: parts.view.text });
+        sendJson(response, { revision: parts.view.revision, text: renderRules(parts.view) });
+        return;
+      case 'GET /rules/history': {
+        const history = yield* awaitPromise(parts.readHistory());
+        if (history === undefined) sendError(response, 'rules-unavailable', 'the table is away');
+        else sendJson(response, { history });
         return;
+      }
       case 'POST /rules':
         yield* handleEdit(incoming, response);
         return;
--- a/packages/router/src/rules/rules-task.ts
+++ b/packages/router/src/rules/rules-task.ts
@@ -1,37 +1,27 @@
-/** Reads, applies and spreads the rule file. Only a greater revision replaces the rules in force. */
+/** Hosts rule distribution: carries its calls to the platform and its messages to peers. */
 
-import { createHash } from 'node:crypto';
-import { buildRuleSet, parseRuleFile } from '@tarragonspool/core';
+import {
+  handleRulesEvent,
+  makeRulesState,
+  renderDocument,
+  type EditOutcome,
+  type RuleEdit,
+  type RulesAction,
+  type RulesEvent,
+  type RulesState,
+} from '@tarragonspool/core';
 import type { ObjectClient, TableClient } from '@tarragonspool/platform';
-import type { EditId, PeerMessage, Refusal, RuleRevision } from '@tarragonspool/protocol';
+import { assertNever, type EditId, type PeerMessage, type VmId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
+import type { MembershipInbox } from '../membership/membership-task.js';
 import type { Metrics } from '../metrics/metrics.js';
-import {
-  awaitPromise,
-  makeChannel,
-  offer,
-  receive,
-  type Channel,
-  type Task,
-} from '../tasks/tasks.js';
+import { makeChannel, offer, receive, type Channel, type Task } from '../tasks/tasks.js';
 import type { RulesView } from './rules-view.js';
 
-/** Outcome of an operator's edit. */
-export type EditOutcome =
-  | { readonly kind: 'accepted'; readonly revision: RuleRevision }
-  | { readonly kind: 'refused'; readonly refusal: Refusal };
-
 /** What the rules task receives. */
 export type RulesMessage =
-  | { readonly kind: 'poll' }
-  | { readonly kind: 'pushed'; readonly revision: RuleRevision; readonly text: string }
-  | {
-      readonly kind: 'edit';
-      readonly editId: EditId;
-      readonly baseRevision: RuleRevision;
-      readonly text: string;
-      readonly outcome: Channel<EditOutcome>;
-    };
+  | RulesEvent
+  | { readonly kind: 'edit'; readonly edit: RuleEdit; readonly outcome: Channel<EditOutcome> };
 
 /** Inbox of the rules task. */
 export type RulesInbox = Channel<RulesMessage>;
@@ -41,17 +31,22 @@
   readonly view: RulesView;
   readonly table: TableClient;
   readonly objects: ObjectClient;
+  readonly membership: MembershipInbox;
   readonly metrics: Metrics;
   readonly logger: Logger;
-  /** Sends a message to every peer. */
+  readonly seed: number;
   readonly broadcast: (message: PeerMessage) => void;
+  readonly sendTo: (vmId: VmId, message: PeerMessage) => void;
 };
 
-const INBOX_CAPACITY = 256;
-const CALL_TIMEOUT_MS = 2_000;
-const RULES_KEY = 'rules/current';
+type Running = {
+  readonly parts: RulesParts;
+  readonly inbox: RulesInbox;
+  readonly outcomes: Map<EditId, Channel<EditOutcome>[]>;
+};
 
-type RulesRow = { readonly revision: number; readonly editId: string; readonly digest: string };
+const INBOX_CAPACITY = 1_024;
+const CALL_TIMEOUT_MS = 2_000;
 
 /** Makes the inbox of the rules task. */
 export function makeRulesInbox(): RulesInbox {
@@ -62,110 +57,143 @@
   return Date.now() + CALL_TIMEOUT_MS;
 }
 
-function putInForce(parts: RulesParts, revision: RuleRevision, text: string): void {
-  const { view, metrics, logger } = parts;
-  if (view.isLoaded && revision <= view.revision) return;
-  const parsed = parseRuleFile(text);
-  if (parsed.kind === 'errors') {
-    logger.error({ revision, errors: parsed.errors }, 'rules: stored file does not parse');
-    return;
-  }
-  view.ruleSet = buildRuleSet(parsed.rules);
-  view.text = text;
-  view.revision = revision;
-  view.isLoaded = true;
-  metrics.rulesRevision.set(revision);
-  logger.info({ revision, rules: parsed.rules.length }, 'rules: revision in force');
+/** Hands the event that a call resolves with to the machine. */
+function awaitEvent(running: Running, promise: Promise<RulesEvent>): void {
+  promise
+    .then((event) => offer(running.inbox, event))
+    .catch((error: unknown) => running.parts.logger.error({ err: error }, 'rules: call failed'));
 }
 
-type CurrentRow = { readonly row: RulesRow | undefined; readonly version: number };
-
-function* readCurrentRow(parts: RulesParts): Task<CurrentRow | undefined> {
-  const result = yield* awaitPromise(parts.table.readRows([RULES_KEY], getDeadline()));
-  if (result.kind === 'unavailable') return undefined;
-  const [row] = result.rows;
-  if (row === undefined) return { row: undefined, version: 0 };
-  return { row: JSON.parse(row.value) as RulesRow, version: row.version };
+function callPlatform(running: Running, action: RulesAction): boolean {
+  const { table, objects } = running.parts;
+  switch (action.kind) {
+    case 'read-rows': {
+      const { callId, keys } = action;
+      const read = table.readRows(keys, getDeadline());
+      const toEvent = read.then((result): RulesEvent => ({
+        kind: 'rows-read',
+        callId,
+        result,
+        now: Date.now(),
+      }));
+      awaitEvent(running, toEvent);
+      return true;
+    }
+    case 'read-object': {
+      const { callId, key } = action;
+      const toEvent = objects.getObject(key, getDeadline()).then((result): RulesEvent => {
+        const text = result.kind === 'object' ? result.text : undefined;
+        return { kind: 'object-read', callId, text, now: Date.now() };
+      });
+      awaitEvent(running, toEvent);
+      return true;
+    }
+    case 'put-object': {
+      const { callId, key, text } = action;
+      const toEvent = objects.putObject(key, text, getDeadline()).then((isStored): RulesEvent => ({
+        kind: 'object-put',
+        callId,
+        isStored,
+        now: Date.now(),
+      }));
+      awaitEvent(running, toEvent);
+      return true;
+    }
+    case 'transact': {
+      const { callId, writes } = action;
+      const toEvent = table
+        .transact(writes, getDeadline())
+        .then((result): RulesEvent => ({ kind: 'transacted', callId, result, now: Date.now() }));
+      awaitEvent(running, toEvent);
+      return true;
+    }
+    default:
+      return false;
+  }
 }
 
-function* pollRules(parts: RulesParts): Task {
-  const current = yield* readCurrentRow(parts);
-  if (current === undefined) return;
-  if (current.row === undefined) {
-    parts.view.isLoaded = true;
-    return;
-  }
-  const revision = current.row.revision as RuleRevision;
-  if (parts.view.isLoaded && revision <= parts.view.revision) return;
-  const key = `rules/${current.row.digest}`;
-  const object = yield* awaitPromise(parts.objects.getObject(key, getDeadline()));
-  if (object.kind === 'object') putInForce(parts, revision, object.text);
+function putInForce(
+  parts: RulesParts,
+  action: Extract<RulesAction, { kind: 'put-in-force' }>,
+): void {
+  const { view, metrics, logger, membership } = parts;
+  const { document } = action;
+  const { revision, ruleSet } = document;
+  Object.assign(view, { document, revision, ruleSet });
+  metrics.rulesRevision.set(revision);
+  offer(membership, { kind: 'drained', upstreamIds: ruleSet.drained, now: Date.now() });
+  logger.info({ revision, lines: document.lines.length }, 'rules: revision in force');
 }
 
-function makeRefusal(name: Refusal['name'], detail: string): EditOutcome {
-  return { kind: 'refused', refusal: { name, ran: 'not-run', detail } };
+function answerEdit(running: Running, action: Extract<RulesAction, { kind: 'answer-edit' }>): void {
+  const { editId, outcome } = action;
+  running.parts.logger.info({ editId, outcome: outcome.kind }, 'rules: edit answered');
+  for (const channel of running.outcomes.get(editId) ?? []) offer(channel, outcome);
+  running.outcomes.delete(editId);
 }
 
-function* applyEdit(
-  parts: RulesParts,
-  edit: Extract<RulesMessage, { kind: 'edit' }>,
-): Task<EditOutcome> {
-  const parsed = parseRuleFile(edit.text);
-  if (parsed.kind === 'errors') {
-    const lines = parsed.errors.map(
-      (error) => `line ${error.line}: found "${error.found}"; expected ${error.expected}`,
-    );
-    return makeRefusal('rule-syntax', lines.join('\n'));
-  }
-  const current = yield* readCurrentRow(parts);
-  if (current === undefined) return makeRefusal('rules-unavailable', 'the table is away');
-  const revision = current.row?.revision ?? 0;
-  if (revision !== edit.baseRevision) {
-    return makeRefusal('stale-revision', `revision ${revision} is in force`);
-  }
-  const digest = createHash('sha256').update(edit.text).digest('hex');
-  const isStored = yield* awaitPromise(
-    parts.objects.putObject(`rules/${digest}`, edit.text, getDeadline()),
-  );
-  if (!isStored) return makeRefusal('rules-unavailable', 'the object store is away');
-  const row: RulesRow = { revision: revision + 1, editId: edit.editId, digest };
-  const value = JSON.stringify(row);
-  const write =
-    current.row === undefined
-      ? ({ kind: 'insert', key: RULES_KEY, value } as const)
-      : ({ kind: 'update', key: RULES_KEY, value, ifVersion: current.version } as const);
-  const result = yield* awaitPromise(parts.table.transact([write], getDeadline()));
-  if (result.kind === 'conflict') return makeRefusal('stale-revision', 'another edit came first');
-  if (result.kind === 'unavailable') return makeRefusal('rules-unavailable', 'the table is away');
-  if (result.kind === 'lost') {
-    const settled = yield* readCurrentRow(parts);
-    if (settled?.row?.editId !== edit.editId) {
-      return makeRefusal('edit-unsettled', 'ask for the revision in force');
+function performAction(running: Running, action: RulesAction): void {
+  if (callPlatform(running, action)) return;
+  const { parts } = running;
+  switch (action.kind) {
+    case 'put-in-force':
+      putInForce(parts, action);
+      return;
+    case 'broadcast-deltas':
+      parts.broadcast({ kind: 'rules-deltas', deltas: action.deltas });
+      return;
+    case 'broadcast-file': {
+      const { document } = action;
+      const text = renderDocument(document);
+      parts.broadcast({ kind: 'rules', revision: document.revision, text });
+      return;
+    }
+    case 'send-deltas':
+      parts.sendTo(action.vmId, { kind: 'rules-deltas', deltas: action.deltas });
+      return;
+    case 'send-file': {
+      const { document, vmId } = action;
+      const text = renderDocument(document);
+      parts.sendTo(vmId, { kind: 'rules', revision: document.revision, text });
+      return;
     }
+    case 'want-rules':
+      parts.sendTo(action.vmId, { kind: 'rules-wanted', afterRevision: action.afterRevision });
+      return;
+    case 'answer-edit':
+      answerEdit(running, action);
+      return;
+    case 'report-violation':
+      parts.metrics.invariantViolations.inc({ invariant: action.invariant });
+      parts.logger.error({ detail: action.detail }, `rules: ${action.invariant} violated`);
+      return;
+    case 'read-rows':
+    case 'read-object':
+    case 'put-object':
+    case 'transact':
+      return;
+    default:
+      assertNever(action);
   }
-  const accepted = row.revision as RuleRevision;
-  putInForce(parts, accepted, edit.text);
-  parts.broadcast({ kind: 'rules', revision: accepted, text: edit.text });
-  return { kind: 'accepted', revision: accepted };
+}
+
+function handleMessage(running: Running, state: RulesState, message: RulesMessage): RulesAction[] {
+  if (message.kind !== 'edit') return handleRulesEvent(state, message);
+  const { edit, outcome } = message;
+  const channels = running.outcomes.get(edit.editId) ?? [];
+  running.outcomes.set(edit.editId, [...channels, outcome]);
+  return handleRulesEvent(state, { kind: 'edit-requested', edit, now: Date.now() });
 }
 
 /** Runs until the inbox closes. */
 export function* runRules(inbox: RulesInbox, parts: RulesParts): Task {
+  const state = makeRulesState(parts.seed);
+  const running: Running = { parts, inbox, outcomes: new Map() };
+  const { view } = parts;
   for (;;) {
     const message = yield* receive(inbox);
     if (message === undefined) return;
-    switch (message.kind) {
-      case 'poll':
-        yield* pollRules(parts);
-        break;
-      case 'pushed':
-        putInForce(parts, message.revision, message.text);
-        break;
-      case 'edit':
-        offer(message.outcome, yield* applyEdit(parts, message));
-        break;
-      default:
-        throw new Error('unexpected rules message');
-    }
+    for (const action of handleMessage(running, state, message)) performAction(running, action);
+    view.admitUntil = state.admitUntil;
   }
 }
--- a/packages/router/src/services/service-filters.ts
+++ b/packages/router/src/services/service-filters.ts
@@ -67,7 +67,7 @@
       return refuse('invalid-request', 'Idempotency-Key: 1 to 128 visible characters');
     }
     if (key === undefined && exchange.rule.isOnce) {
-      return refuse('idempotency-key-required', `the rule on line ${exchange.rule.line} says once`);
+      return refuse('idempotency-key-required', 'a rule says once');
     }
     exchange.idempotencyKey = key as IdempotencyKey | undefined;
     return CONTINUE;
