--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from './allocation/allocator-events.js';
 export * from './allocation/allocator.js';
 export * from './requests/prefix-hashes.js';
 export * from './requests/request-machine.js';
