Make stand-in engines truthful about memory, links, caches and priorities

Cause: decisions about placement can only be measured against engines that pay for what they do. The old stand-in had an unlimited prefix cache, no cache events, tokens that followed from the request id, and slowness that did not reach work under way. After: one step loop moves prefill, transfers and decode on by the time that passed; slowness, cancels and role orders take hold in mid-work; prefix caches are limited and their events late and lossy; tokens follow from the prompt that the KV cache was made from, so that a client can check them; work is counted by attempt. The platform limits rates, lists VMs late, delays effects and serves weights one after another. Ledger effects outlast their process in a file. Ruled out: timers for each job; they drift from each other and cost more.

--- a/packages/stand-ins/src/engine/main.ts
+++ b/packages/stand-ins/src/engine/main.ts
@@ -9,7 +9,8 @@
 const engine = new Engine(settings);
 
 startJsonServer(settings.listen, ({ path, body }, response) => {
-  switch (path) {
+  const url = new URL(path, 'http://engine');
+  switch (url.pathname) {
     case '/prefill':
       engine.startPrefill(body as PrefillOrder, response);
       return;
@@ -29,9 +30,17 @@
     case '/load':
       sendJson(response, 200, engine.readLoad());
       return;
+    case '/cache-events': {
+      const after = Number(url.searchParams.get('after') ?? 0);
+      sendJson(response, 200, engine.cache.readEvents(after, Date.now()));
+      return;
+    }
     case '/orders':
       engine.takeOrder(body as EngineOrder, response);
       return;
+    case '/control/work':
+      sendJson(response, 200, Object.fromEntries(engine.work));
+      return;
     case '/control/faults':
       Object.assign(engine.faults, body);
       sendJson(response, 200, engine.faults);
--- a/packages/stand-ins/src/harness/deployment.ts
+++ b/packages/stand-ins/src/harness/deployment.ts
@@ -1,6 +1,7 @@
 /** A whole deployment of separate processes on 127.0.0.0/8. */
 
 import { createHash } from 'node:crypto';
+import { join } from 'node:path';
 import type { UpstreamId, VmRecord } from '@tarragonspool/protocol';
 import type { EngineSettings } from '../engine/engine-settings.js';
 import {
@@ -23,7 +24,11 @@
   readonly modelService: string;
   readonly ledgerService: string;
   readonly dataCentres: readonly string[];
+  /** Consecutive engines that share a server and its data centre. */
+  readonly enginesPerServer?: number;
   readonly engine?: Partial<EngineSettings>;
+  /** Folder in which the effects of plain services outlast their processes. */
+  readonly ledgerFolder?: string;
   readonly daemonEnv?: NodeJS.ProcessEnv;
   readonly isLoud?: boolean;
 };
@@ -106,7 +111,17 @@
     const role = index < plan.prefillEngines ? 'prefill' : 'decode';
     const listen = takeAddress();
     const upstreamId = `${plan.modelService}-${index + 1}` as UpstreamId;
-    const argument = JSON.stringify({ ...plan.engine, upstreamId, listen, role });
+    const isFencing = index % 2 === 0;
+    const { modelService: model } = plan;
+    const argument = JSON.stringify({
+      model,
+      weightStoreUrl: platformUrl,
+      ...plan.engine,
+      upstreamId,
+      listen,
+      role,
+      isFencing,
+    });
     const start = () => startProcess(upstreamId, getStandInPath('engine'), [argument]);
     const url = `http://${listen}`;
     engines.push({ upstreamId, url, process: start(), start });
@@ -116,10 +131,10 @@
       service: plan.modelService,
       models: [plan.modelService],
       role,
-      dataCentre: getDataCentre(index),
+      dataCentre: getDataCentre(Math.floor(index / (plan.enginesPerServer ?? 1))),
       state: 'live',
       url,
-      isFencing: index % 2 === 0,
+      isFencing,
     });
   }
 
@@ -127,7 +142,8 @@
   for (let index = 0; index < plan.ledgers; index += 1) {
     const listen = takeAddress();
     const upstreamId = `${plan.ledgerService}-${index + 1}` as UpstreamId;
-    const start = () => startProcess(upstreamId, getStandInPath('ledger'), [listen]);
+    const files = plan.ledgerFolder === undefined ? [] : [join(plan.ledgerFolder, upstreamId)];
+    const start = () => startProcess(upstreamId, getStandInPath('ledger'), [listen, ...files]);
     const url = `http://${listen}`;
     ledgers.push({ upstreamId, url, process: start(), start });
     const dataCentre = getDataCentre(index);
--- a/packages/stand-ins/src/platform/main.ts
+++ b/packages/stand-ins/src/platform/main.ts
@@ -1,5 +1,6 @@
 /**
- * Stand-in for the platform: table service, object store and VM list, with switchable faults.
+ * Stand-in for the platform: table service, object store, weight store and VM list, with
+ * switchable faults and limits.
  * Usage: node main.js IP:port
  */
 
@@ -15,13 +16,44 @@
   delayMs: number;
   /** Loses the answer to this many of the next committed transactions. */
   loseAnswers: number;
+  /** Loses the answer to this many of the next transactions and lets them take effect later. */
+  delayEffects: number;
+  effectDelayMs: number;
+  /** How late the VM list is. */
+  vmListLagMs: number;
+  /** Rows that may be written and read in one second; calls above that are refused. */
+  maxWrites: number;
+  maxReads: number;
 };
 
 const rows = new Map<string, TableRow>();
 const objects = new Map<string, string>();
-let vms: readonly VmRecord[] = [];
-const faults: PlatformFaults = { isDown: false, delayMs: 0, loseAnswers: 0 };
-const counts = { reads: 0, writes: 0 };
+const vmLists: { readonly shownAt: number; readonly vms: readonly VmRecord[] }[] = [];
+const faults: PlatformFaults = {
+  isDown: false,
+  delayMs: 0,
+  loseAnswers: 0,
+  delayEffects: 0,
+  effectDelayMs: 1_000,
+  vmListLagMs: 0,
+  maxWrites: 500,
+  maxReads: 2_000,
+};
+const counts = { reads: 0, writes: 0, refused: 0, readsThisSecond: 0, writesThisSecond: 0 };
+const SECOND_MS = 1_000;
+const WEIGHT_LOAD_MS = 1_500;
+let weightStoreFreeAt = 0;
+
+function countAccess(kind: 'reads' | 'writes', rowCount: number): boolean {
+  const limit = kind === 'reads' ? faults.maxReads : faults.maxWrites;
+  counts[`${kind}ThisSecond`] += rowCount;
+  if (counts[`${kind}ThisSecond`] > limit) {
+    counts.refused += 1;
+    return false;
+  }
+  counts[kind] += rowCount;
+  return true;
+}
 
 function findConflicts(writes: readonly TableWrite[]): TableRow[] | undefined {
   const conflicts: TableRow[] = [];
@@ -49,7 +81,18 @@
 }
 
 function transact(writes: readonly TableWrite[], response: ServerResponse): void {
-  counts.writes += writes.length;
+  if (!countAccess('writes', writes.length)) {
+    sendJson(response, 503, { error: 'too many writes' });
+    return;
+  }
+  if (faults.delayEffects > 0) {
+    faults.delayEffects -= 1;
+    response.destroy();
+    setTimeout(() => {
+      if (findConflicts(writes) === undefined) writes.forEach(applyWrite);
+    }, faults.effectDelayMs);
+    return;
+  }
   const conflicts = findConflicts(writes);
   if (conflicts !== undefined) {
     sendJson(response, 200, { kind: 'conflict', rows: conflicts });
@@ -65,7 +108,10 @@
 }
 
 function readRows(keys: readonly string[], response: ServerResponse): void {
-  counts.reads += keys.length;
+  if (!countAccess('reads', keys.length)) {
+    sendJson(response, 503, { error: 'too many reads' });
+    return;
+  }
   const found: TableRow[] = [];
   for (const key of keys) {
     const row = rows.get(key);
@@ -81,7 +127,10 @@
     const row = rows.get(key);
     if (row !== undefined && key.startsWith(prefix)) found.push(row);
   }
-  counts.reads += found.length;
+  if (!countAccess('reads', found.length)) {
+    sendJson(response, 503, { error: 'too many reads' });
+    return;
+  }
   sendJson(response, 200, { rows: found });
 }
 
@@ -114,6 +163,21 @@
   response.end(text ?? '');
 }
 
+function findVmList(): readonly VmRecord[] {
+  while (vmLists.length > 1 && (vmLists[1]?.shownAt ?? Infinity) <= Date.now()) vmLists.shift();
+  return vmLists[0]?.vms ?? [];
+}
+
+function sendWeights(response: ServerResponse): void {
+  weightStoreFreeAt = Math.max(Date.now(), weightStoreFreeAt) + WEIGHT_LOAD_MS;
+  setTimeout(() => sendJson(response, 200, {}), weightStoreFreeAt - Date.now());
+}
+
+setInterval(() => {
+  counts.readsThisSecond = 0;
+  counts.writesThisSecond = 0;
+}, SECOND_MS);
+
 startJsonServer(process.argv[2] ?? '127.0.0.1:7000', ({ method, path, body }, response) => {
   if (path === '/control/faults') {
     Object.assign(faults, body);
@@ -121,7 +185,7 @@
     return;
   }
   if (path === '/control/vms') {
-    vms = body as VmRecord[];
+    vmLists.push({ shownAt: Date.now() + faults.vmListLagMs, vms: body as VmRecord[] });
     sendJson(response, 200, {});
     return;
   }
@@ -130,7 +194,11 @@
     return;
   }
   if (path === '/vms') {
-    sendJson(response, 200, vms);
+    sendJson(response, 200, findVmList());
+    return;
+  }
+  if (path.startsWith('/weights/')) {
+    sendWeights(response);
     return;
   }
   if (faults.delayMs === 0) handleStore(method, path, body, response);
