--- a/packages/stand-ins/src/demo/main.ts
+++ b/packages/stand-ins/src/demo/main.ts
@@ -1,9 +1,6 @@
 /** Shows the whole path: rules, a streamed and a whole answer, a call made once, a refusal. */
 
 import { randomUUID } from 'node:crypto';
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { callJson, digestKey, startDeployment, type Deployment } from '../harness/deployment.js';
 
 type Step = { readonly name: string; readonly isGood: boolean; readonly detail: string };
@@ -67,20 +64,16 @@
   return count;
 }
 
-async function applyRules(deployment: Deployment): Promise<[boolean, string]> {
-  const folder = await mkdtemp(join(tmpdir(), 'tarragonspool-'));
-  const file = join(folder, 'rules.txt');
-  await writeFile(file, makeRules());
-  const { code, output } = await deployment.runCli(['rules', 'apply', file]);
-  await rm(folder, { recursive: true });
-  return [code === 0, output.trim().split('\n').at(-1) ?? ''];
-}
-
 async function runSteps(deployment: Deployment): Promise<Step[]> {
   const urls = deployment.entryVms.map((entryVm) => entryVm.callerUrl);
   const [first = '', second = '', third = ''] = urls;
   const steps: Step[] = [];
-  steps.push(await measureStep('apply rules', () => applyRules(deployment)));
+  steps.push(
+    await measureStep('apply rules', async () => {
+      const { code, output } = await deployment.applyRules(makeRules());
+      return [code === 0, output.trim().split('\n').at(-1) ?? ''];
+    }),
+  );
   steps.push(
     await measureStep('streamed answer', async () => {
       const answer = await postChat(second, CALLER_KEY, true);
--- a/packages/stand-ins/src/harness/deployment.ts
+++ b/packages/stand-ins/src/harness/deployment.ts
@@ -1,6 +1,8 @@
 /** A whole deployment of separate processes on 127.0.0.0/8. */
 
 import { createHash } from 'node:crypto';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import type { UpstreamId, VmRecord } from '@tarragonspool/protocol';
 import type { EngineSettings } from '../engine/engine-settings.js';
@@ -63,8 +65,17 @@
     args: readonly string[],
     entryVm?: EntryVm,
   ) => Promise<{ readonly code: number | null; readonly output: string }>;
+  /** Puts a rule file into force through the command line. */
+  readonly applyRules: (
+    text: string,
+    entryVm?: EntryVm,
+  ) => Promise<{ readonly code: number | null; readonly output: string }>;
   /** Stops everything; resolves with the names of processes that did not end well. */
   readonly stop: () => Promise<string[]>;
+  /** Index of the entry VM whose allocator serves the model service. */
+  readonly findAllocatorVm: () => Promise<number>;
+  /** Ends every process at once. */
+  readonly kill: () => void;
 };
 
 /** Loopback address of every process; runs side by side take different ones. */
@@ -191,6 +202,12 @@
     await waitUntil(entryVm.vmId, deadline, isAnswering(`${entryVm.callerUrl}/readyz`));
   }
 
+  const runCli: Deployment['runCli'] = (args, entryVm = entryVms[0]) =>
+    runProcess(getBinaryPath('cli'), args, {
+      TARRAGONSPOOL_OPERATOR_URL: entryVm?.operatorUrl ?? '',
+      TARRAGONSPOOL_OPERATOR_TOKEN: OPERATOR_TOKEN,
+    });
+
   return {
     platformUrl,
     platform,
@@ -198,11 +215,25 @@
     engines,
     ledgers,
     records: records as VmRecord[],
-    runCli: (args, entryVm = entryVms[0]) =>
-      runProcess(getBinaryPath('cli'), args, {
-        TARRAGONSPOOL_OPERATOR_URL: entryVm?.operatorUrl ?? '',
-        TARRAGONSPOOL_OPERATOR_TOKEN: OPERATOR_TOKEN,
-      }),
+    runCli,
+    applyRules: async (text, entryVm) => {
+      const folder = await mkdtemp(join(tmpdir(), 'tarragonspool-'));
+      const file = join(folder, 'rules.txt');
+      await writeFile(file, text);
+      const result = await runCli(['rules', 'apply', file], entryVm);
+      await rm(folder, { recursive: true });
+      return result;
+    },
+    findAllocatorVm: async () => {
+      const status = await callJson(`${entryVms[0]?.operatorUrl}/status`);
+      throw new Error(`no allocator in ${JSON.stringify(status)}`);
+    },
+    kill: () => {
+      for (const { process: running } of [...entryVms, ...engines, ...ledgers]) {
+        running.child.kill('SIGKILL');
+      }
+      platform.child.kill('SIGKILL');
+    },
     stop: async () => {
       const failed: string[] = [];
       for (const { process: running } of entryVms) running.child.kill('SIGTERM');
