--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,3 +12,8 @@
 export { parseDeltaRows } from './rules/rules-catch-up.js';
 export * from './rules/rules-state.js';
 export * from './rules/rule-set.js';
+export * from './shards/asker-messages.js';
+export * from './shards/asker-state.js';
+export * from './shards/asker.js';
+export * from './shards/shards.js';
+export * from './sweep/sweep.js';
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -10,14 +10,17 @@
 } from '@tarragonspool/platform';
 import type { DataCentre, Incarnation, PeerMessage, VmId } from '@tarragonspool/protocol';
 import {
+  isAllocationMessage,
   makeAllocationInbox,
-  runAllocation,
   type AllocationMessage,
-} from './allocation/allocation-task.js';
+} from './allocation/allocation-messages.js';
+import { makeAllocation } from './allocation/allocation-task.js';
 import { makeAuthenticateFilter } from './callers/authenticate.js';
 import { makeCallerServer } from './callers/caller-server.js';
 import { makeReadBodyFilter } from './callers/read-body-filter.js';
 import { makeClaimLedger } from './claims/claim-ledger.js';
+import { makeCancelInbox, runCancels, type CancelMessage } from './engines/cancel-task.js';
+import { runEnginePolls } from './engines/engine-poll-task.js';
 import type { Logger } from './logging/logger.js';
 import {
   makeMembershipInbox,
@@ -50,7 +53,8 @@
 
 const RULES_TICK_MS = 100;
 const DRAIN_NOTICE_MS = 2_000;
-const ALLOCATION_TICK_MS = 50;
+const ALLOCATION_TICK_MS = 25;
+const CANCEL_TICK_MS = 250;
 const HEARTBEAT_INTERVAL_MS = 250;
 
 /** Splits `IP:port`. */
@@ -79,6 +83,7 @@
   const directory = makeDirectory();
   const view = makeRulesView();
   const allocation = makeAllocationInbox();
+  const cancels = makeCancelInbox();
   const rulesInbox = makeRulesInbox();
   let isLeaving = false;
 
@@ -92,6 +97,11 @@
   const membershipState = makeMembershipState(self.vmId);
   const members = makeMembershipView(membershipState, () => isLeaving);
   const handlePeerMessage = (peer: PeerIdentity, message: PeerMessage): void => {
+    if (isAllocationMessage(message)) {
+      const { vmId } = peer;
+      offer(allocation, { kind: 'peer-said', vmId, message, now: Date.now() });
+      return;
+    }
     switch (message.kind) {
       case 'rules':
         offer(rulesInbox, { ...message, kind: 'peer-file', now: Date.now() });
@@ -126,7 +136,10 @@
     directory,
     metrics,
     logger,
-    onOpen: () => undefined,
+    onOpen: (link) => {
+      const { vmId } = link.peer;
+      offer(allocation, { kind: 'link-opened', vmId, now: Date.now() });
+    },
     onMessage: handlePeerMessage,
     onGone: (vmId, incarnation) => {
       offer(membership, { kind: 'link-closed', vmId, incarnation, now: Date.now() });
@@ -138,8 +151,24 @@
     runMembership(membership, { state: membershipState, directory, allocation, logger }),
   );
   const { policy, objective } = settings;
-  const options = { vmId: self.vmId, policy, objective, seed: self.incarnation };
-  start('allocation', () => runAllocation(allocation, options, directory, logger));
+  const { sendTo } = mesh;
+  const allocator = makeAllocation({ ...self, policy, objective, sendTo, cancels, logger });
+  start('allocation', () => allocator.run(allocation));
+  start('cancels', () => runCancels(cancels, { directory, metrics, logger }));
+  start('engine polls', () =>
+    runEnginePolls({
+      directory,
+      allocation,
+      cancels,
+      metrics,
+      logger,
+      listPolled: allocator.listPolled,
+      makeSweepView: () => ({
+        incarnations: members.listIncarnations(),
+        ended: allocator.endedIncarnations,
+      }),
+    }),
+  );
   start('rules', () =>
     runRules(rulesInbox, {
       view,
@@ -156,8 +185,10 @@
   startTicker<RulesMessage>(rulesInbox, RULES_TICK_MS, (now) => ({ kind: 'ticked', now }));
   startTicker<AllocationMessage>(allocation, ALLOCATION_TICK_MS, (now) => ({
     kind: 'ticked',
+    liveVms: members.listLive(now),
     now,
   }));
+  startTicker<CancelMessage>(cancels, CANCEL_TICK_MS, (now) => ({ kind: 'ticked', now }));
 
   const sendHeartbeat = (): void => {
     const rulesRevision = view.revision;
@@ -173,7 +204,7 @@
   };
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
 
-  const requestParts: ModelRequestParts = { ...self, directory, allocation, metrics };
+  const requestParts: ModelRequestParts = { ...self, directory, allocation, cancels, metrics };
   const admit = makeAdmissionFilter(view);
   const authenticate = makeAuthenticateFilter(view);
   const readBody = makeReadBodyFilter();
--- a/packages/router/src/membership/membership-task.ts
+++ b/packages/router/src/membership/membership-task.ts
@@ -5,14 +5,19 @@
   isUpstreamLeaving,
   listLeavingUpstreams,
   listLiveVms,
-  type ListedEngine,
   type MembershipAction,
   type MembershipEvent,
   type MembershipState,
   type VmMember,
 } from '@tarragonspool/core';
-import { assertNever, type LeavingUpstream, type VmId } from '@tarragonspool/protocol';
-import type { AllocationInbox } from '../allocation/allocation-task.js';
+import {
+  assertNever,
+  type Incarnation,
+  type LeavingUpstream,
+  type VmId,
+} from '@tarragonspool/protocol';
+import type { AllocationInbox } from '../allocation/allocation-messages.js';
+import type { AllocatedEngine } from '../allocation/allocators.js';
 import type { Logger } from '../logging/logger.js';
 import { makeChannel, offer, receive, type Channel, type Task } from '../tasks/tasks.js';
 import { applyVmList, type Directory } from '../upstreams/directory.js';
@@ -25,6 +30,8 @@
   /** VMs, this one included, that are alive and not leaving. */
   readonly listLive: (now: number) => readonly VmId[];
   readonly listMembers: () => readonly VmMember[];
+  /** Newest incarnation heard of each peer. */
+  readonly listIncarnations: () => ReadonlyMap<VmId, Incarnation>;
   readonly listLeaving: () => readonly LeavingUpstream[];
 };
 
@@ -51,14 +58,22 @@
   return {
     listLive: (now) => listLiveVms(state, isSelfLeaving(), now),
     listMembers: () => [...state.members.values()],
+    listIncarnations: () => {
+      const incarnations = new Map<VmId, Incarnation>();
+      for (const { vmId, incarnation } of state.members.values()) {
+        incarnations.set(vmId, incarnation);
+      }
+      return incarnations;
+    },
     listLeaving: () => listLeavingUpstreams(state),
   };
 }
 
-function listEngines(directory: Directory): ListedEngine[] {
-  const engines: ListedEngine[] = [];
-  for (const { upstreamId, role, models, isLeaving } of directory.engines.values()) {
-    engines.push({ upstreamId, role, models, isLeaving });
+function listEngines(directory: Directory): AllocatedEngine[] {
+  const engines: AllocatedEngine[] = [];
+  for (const engine of directory.engines.values()) {
+    const { upstreamId, role, models, isLeaving, service, dataCentre } = engine;
+    engines.push({ upstreamId, role, models, isLeaving, service, dataCentre });
   }
   return engines;
 }
