--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from './allocation/allocator-events.js';
 export * from './allocation/allocator.js';
 export * from './membership/membership.js';
 export * from './requests/prefix-hashes.js';
@@ -6,7 +7,13 @@
 export * from './requests/request-state.js';
 export * from './requests/retry-budget.js';
 export * from './requests/tokens.js';
+export * from './rules/line-diff.js';
+export * from './rules/rule-document.js';
 export * from './rules/rule-file.js';
+export * from './rules/rule-line.js';
+export * from './rules/rules-machine.js';
+export { parseDeltaRows } from './rules/rules-catch-up.js';
+export * from './rules/rules-state.js';
 export * from './rules/rule-set.js';
 export * from './shards/asker-messages.js';
 export * from './shards/asker-state.js';
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -4,6 +4,7 @@
 import { z } from 'zod';
 import type { PeerMessage } from './peer-messages.js';
 import { RESULT_CODES, type ResultName } from './result-codes.js';
+import { ruleDeltaSchema } from './rule-messages.js';
 
 const id = z.string().max(256);
 const time = z.number().finite();
@@ -74,6 +75,8 @@
     leaving: z.array(z.object({ upstreamId: id, incarnation: count })),
   }),
   z.object({ kind: z.literal('rules'), revision: count, text: z.string() }),
+  z.object({ kind: z.literal('rules-deltas'), deltas: z.array(ruleDeltaSchema) }),
+  z.object({ kind: z.literal('rules-wanted'), afterRevision: count }),
   z.object({ kind: z.literal('ask'), shardId: id, ask: askSchema }),
   z.object({ kind: z.literal('grant'), shardId: id, grant: grantSchema }),
   z.object({
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -19,6 +19,7 @@
   VmId,
 } from './ids.js';
 import type { ModelTarget } from './engine-messages.js';
+import type { RuleDelta } from './rule-messages.js';
 import type { Refusal } from './result-codes.js';
 
 /** Version of the protocol between entry VMs. */
@@ -139,6 +140,9 @@
       readonly leaving: readonly LeavingUpstream[];
     }
   | { readonly kind: 'rules'; readonly revision: RuleRevision; readonly text: string }
+  | { readonly kind: 'rules-deltas'; readonly deltas: readonly RuleDelta[] }
+  /** Asks for every revision after the one named; zero asks for the whole file. */
+  | { readonly kind: 'rules-wanted'; readonly afterRevision: RuleRevision }
   | { readonly kind: 'ask'; readonly shardId: ShardId; readonly ask: ReservationAsk }
   | { readonly kind: 'grant'; readonly shardId: ShardId; readonly grant: ReservationGrant }
   | {
--- a/packages/router/src/engines/engine-client.ts
+++ b/packages/router/src/engines/engine-client.ts
@@ -9,9 +9,13 @@
 } from 'node:http';
 import type { OrderFailure } from '@tarragonspool/core';
 import {
+  parseCacheEvents,
   parseDecodeFrame,
+  parseEngineHolds,
+  parseLoadReport,
+  parsePrefillResult,
   type AttemptId,
-  type CacheEvent,
+  type CacheEventList,
   type DecodeFrame,
   type DecodeOrder,
   type EngineHold,
@@ -46,7 +50,7 @@
   listHolds(deadline: number): Promise<readonly EngineHold[] | undefined>;
   readLoad(deadline: number): Promise<LoadReport | undefined>;
   /** Lists changes of the prefix cache after a sequence number; -1 for all that are known. */
-  readCacheEvents(after: number, deadline: number): Promise<readonly CacheEvent[] | undefined>;
+  readCacheEvents(after: number, deadline: number): Promise<CacheEventList | undefined>;
 };
 
 const MAX_LINE_CHARACTERS = 65_536;
@@ -91,11 +95,9 @@
   return status === STATUS_FULL ? 'full' : 'broken';
 }
 
-function parsePrefillResult(text: string): PrefillResult | undefined {
+function parseJson(text: string): unknown {
   try {
-    const result = JSON.parse(text) as Partial<PrefillResult>;
-    const counts = [result.promptTokens, result.cachedTokens, result.kvBytes];
-    return counts.every(Number.isFinite) ? (result as PrefillResult) : undefined;
+    return JSON.parse(text);
   } catch {
     return undefined;
   }
@@ -122,11 +124,7 @@
             resolve(undefined);
             return;
           }
-          try {
-            resolve(JSON.parse(text));
-          } catch {
-            resolve(undefined);
-          }
+          resolve(parseJson(text));
         });
       });
       const timer = setTimeout(() => outgoing.destroy(), Math.max(0, deadline - Date.now()));
@@ -149,7 +147,7 @@
       };
       const outgoing = post('/prefill', order, (incoming) => {
         readText(incoming, (status, text) => {
-          const result = status === 200 ? parsePrefillResult(text) : undefined;
+          const result = status === 200 ? parsePrefillResult(parseJson(text)) : undefined;
           if (result === undefined) {
             const detail = `prefill: ${status} ${text}`;
             finish({ kind: 'failed', failure: getStatusFailure(status), detail });
@@ -200,16 +198,15 @@
     },
 
     async listHolds(deadline) {
-      return (await callJson('GET', '/holds', deadline)) as readonly EngineHold[] | undefined;
+      return parseEngineHolds(await callJson('GET', '/holds', deadline));
     },
 
     async readLoad(deadline) {
-      return (await callJson('GET', '/load', deadline)) as LoadReport | undefined;
+      return parseLoadReport(await callJson('GET', '/load', deadline));
     },
 
     async readCacheEvents(after, deadline) {
-      const answer = await callJson('GET', `/cache-events?after=${after}`, deadline);
-      return answer as readonly CacheEvent[] | undefined;
+      return parseCacheEvents(await callJson('GET', `/cache-events?after=${after}`, deadline));
     },
   };
 }
--- a/packages/router/src/engines/engine-poll-task.ts
+++ b/packages/router/src/engines/engine-poll-task.ts
@@ -1,7 +1,7 @@
 /** Polls engines for load, and those of owned shards for cache events and holds too. */
 
 import { findOrphans, type SweepView } from '@tarragonspool/core';
-import type { EngineHold, UpstreamId } from '@tarragonspool/protocol';
+import type { CacheEventList, EngineHold, UpstreamId } from '@tarragonspool/protocol';
 import type { AllocationInbox, EngineReport } from '../allocation/allocation-messages.js';
 import type { Logger } from '../logging/logger.js';
 import type { Metrics } from '../metrics/metrics.js';
@@ -46,19 +46,30 @@
     }
   }
 
+  function handleCacheEvents(
+    upstreamId: UpstreamId,
+    after: number,
+    list: CacheEventList,
+    now: number,
+  ): void {
+    const { events, latest } = list;
+    // Numbers start again when the engine does.
+    if (latest < after) cacheSequences.delete(upstreamId);
+    const last = events.at(-1);
+    if (last === undefined) return;
+    cacheSequences.set(upstreamId, last.sequence);
+    report({ kind: 'cache-changed', upstreamId, events, now });
+  }
+
   async function pollShared(engine: EngineEntry, deadline: number): Promise<void> {
     const { upstreamId, client } = engine;
     const after = cacheSequences.get(upstreamId) ?? -1;
-    const [events, holds] = await Promise.all([
+    const [list, holds] = await Promise.all([
       client.readCacheEvents(after, deadline),
       client.listHolds(deadline),
     ]);
     const now = Date.now();
-    const last = events?.at(-1);
-    if (events !== undefined && last !== undefined) {
-      cacheSequences.set(upstreamId, last.sequence);
-      report({ kind: 'cache-changed', upstreamId, events, now });
-    }
+    if (list !== undefined) handleCacheEvents(upstreamId, after, list, now);
     if (holds === undefined) return;
     report({ kind: 'holds-listed', upstreamId, holds, now });
     sweep(upstreamId, holds, now);
