Test model requests through engines and allocator VMs that die or freeze

Cause: a stream on a frozen engine ended with 4002: its import elsewhere could not finish, and each try excluded a healthy decode engine until none was left. An import from a stalled stream is now tried once and held against the engine that stands still; if no other engine is left, one more ask goes out without exclusions. An order that an engine declines (409, 429, 503) costs no retry budget. /status names the owner of each shard.

--- a/packages/core/src/requests/request-machine.fuzz.test.ts
+++ b/packages/core/src/requests/request-machine.fuzz.test.ts
@@ -68,7 +68,7 @@
 
 function makeEvent(oracle: Oracle, attempt: number, step: Step, now: number): RequestEvent {
   const attemptId = `r.${Math.max(1, attempt - step.back)}` as AttemptId;
-  const failure = (['unsent', 'full', 'broken'] as const)[step.index] ?? 'broken';
+  const failure = (['unsent', 'declined', 'broken'] as const)[step.index] ?? 'broken';
   const detail = 'x';
   switch (step.what) {
     case 0:
--- a/packages/core/src/requests/request-machine.test.ts
+++ b/packages/core/src/requests/request-machine.test.ts
@@ -141,7 +141,7 @@
   const run = startRun();
   grant(run, 1);
   finishPrefill(run, 1);
-  failDecode(run, 1, 'full');
+  failDecode(run, 1, 'declined');
   expect(show(run)).to.deep.equal(['end r.1 decode-failed', 'ask r.2 from p1']);
   grant(run, 2, 'p1 d2');
   expect(show(run)).to.deep.equal(['decode d2 from p1 at 0']);
@@ -151,7 +151,7 @@
   const run = startRun();
   grant(run, 1);
   finishPrefill(run, 1);
-  failDecode(run, 1, 'full');
+  failDecode(run, 1, 'declined');
   send(run, { kind: 'ticked', now: 5_000 });
   expect(show(run)).to.deep.equal([
     'withdraw r.2',
@@ -202,6 +202,27 @@
   expect(show(run)).to.deep.equal(['cancel d1 r.1', 'end r.1 decode-failed']);
 });
 
+it('requests: a stalled stream that cannot be exported starts over without blame on the importer', () => {
+  const run = startDecoding();
+  sendToken(run, 1, 0);
+  send(run, { kind: 'ticked', now: getNextTick(run.state) });
+  grant(run, 2, 'd1 d2');
+  send(run, { kind: 'ticked', now: getNextTick(run.state) });
+  expect(show(run)).to.include('ask r.3 from none');
+  expect(run.state.excluded).to.deep.equal(['d1']);
+});
+
+it('requests: exclusions are dropped when no other engine is left', () => {
+  const run = startDecoding();
+  sendToken(run, 1, 0);
+  failDecode(run, 1, 'broken');
+  const refusal = { name: 'no-upstream', ran: 'not-run', detail: '' } as const;
+  send(run, { kind: 'refused', attemptId: 'r.2' as AttemptId, refusal, now: run.now });
+  expect(run.actions).to.deep.equal([
+    { kind: 'ask', attemptId: 'r.3', excluded: [], resumeFrom: undefined },
+  ]);
+});
+
 it('requests: a stalled stream that moves again stays', () => {
   const run = startDecoding();
   sendToken(run, 1, 0);
--- a/packages/core/src/requests/request-machine.ts
+++ b/packages/core/src/requests/request-machine.ts
@@ -12,6 +12,7 @@
 } from '@tarragonspool/protocol';
 import {
   askAgain,
+  askWithoutExclusions,
   failRequest,
   isRetryable,
   retryDecode,
@@ -99,6 +100,8 @@
 
 function handleRefused(state: RequestState, refusal: Refusal, now: number): RequestAction[] {
   if (state.source !== undefined) return retryDecode(state, 'no engine takes the cache', now);
+  const isAlone = refusal.name === 'no-upstream' && state.excluded.length > 0;
+  if (isAlone && !state.hasClearedExcluded) return askWithoutExclusions(state, now);
   if (state.nextIndex > 0) return failRequest(state, 'stream-interrupted', refusal.detail, now);
   const actions = cancelAllHolds(state);
   setPhase(state, 'ended', now);
@@ -224,7 +227,7 @@
   if (failure !== 'broken' && state.grant !== undefined) {
     removeHold(state, state.grant.prefill, attemptId);
   }
-  return retryPrefill(state, detail, now);
+  return retryPrefill(state, detail, now, failure !== 'broken');
 }
 
 function handleDecodeFailed(
--- a/packages/core/src/requests/request-messages.ts
+++ b/packages/core/src/requests/request-messages.ts
@@ -22,8 +22,8 @@
 export type OrderFailure =
   /** No byte of the order left. */
   | 'unsent'
-  /** The engine has no place and holds nothing for the attempt. */
-  | 'full'
+  /** The engine answered that it does not take the order; it holds nothing for the attempt. */
+  | 'declined'
   | 'broken';
 
 /** What happens to a request. Events of a superseded attempt are ignored. */
--- a/packages/core/src/requests/request-recovery.ts
+++ b/packages/core/src/requests/request-recovery.ts
@@ -79,9 +79,10 @@
 }
 
 function isSourceUsable(state: RequestState, now: number): boolean {
-  const { source } = state;
+  const { source, moved, sourceTries } = state;
   if (source === undefined || now >= source.expiresAt) return false;
-  return state.sourceTries < MAX_SOURCE_TRIES;
+  // An engine that stands still may not be able to export either.
+  return sourceTries < (moved === undefined ? MAX_SOURCE_TRIES : 1);
 }
 
 function isRetryLeft(state: RequestState, now: number): boolean {
@@ -97,9 +98,13 @@
   return state.budget.available >= 1;
 }
 
-/** Starts over with a new prefill, as far as the retry budget goes. */
-function startOver(state: RequestState, detail: string, now: number): RequestAction[] {
-  const isFree = state.dispatches === 0;
+/** Starts over with a new prefill; one that redoes work takes from the retry budget. */
+function startOver(
+  state: RequestState,
+  detail: string,
+  now: number,
+  isFree = false,
+): RequestAction[] {
   if (!isRetryLeft(state, now) || !(isFree || takeRetry(state.budget))) {
     return failUpstream(state, detail, now);
   }
@@ -109,15 +114,27 @@
 }
 
 /** Leaves the engines of an attempt whose prefill failed and starts over. */
-export function retryPrefill(state: RequestState, detail: string, now: number): RequestAction[] {
+export function retryPrefill(
+  state: RequestState,
+  detail: string,
+  now: number,
+  isUnstarted = false,
+): RequestAction[] {
   const { grant } = state;
   if (grant !== undefined) state.excluded.push(grant.prefill);
   const actions = [
-    ...countAbandoned(state),
+    ...(isUnstarted ? [] : countAbandoned(state)),
     ...cancelAllHolds(state),
     ...endAttempt(state, 'prefill-failed', now),
   ];
-  return [...actions, ...startOver(state, detail, now)];
+  return [...actions, ...startOver(state, detail, now, isUnstarted)];
+}
+
+/** Asks once more without exclusions where no other engine is left. */
+export function askWithoutExclusions(state: RequestState, now: number): RequestAction[] {
+  state.hasClearedExcluded = true;
+  state.excluded = [];
+  return askAgain(state, now);
 }
 
 /** Leaves the decode engine; uses the KV cache elsewhere while it lives, else starts over. */
@@ -125,7 +142,8 @@
   const { grant, attemptId, phase } = state;
   const actions = withdrawAsks(state);
   if (grant !== undefined) {
-    state.excluded.push(grant.decode);
+    const isSourceAtFault = phase === 'importing' && state.moved !== undefined;
+    if (!isSourceAtFault) state.excluded.push(grant.decode);
     actions.push(...cancelHold(state, grant.decode, attemptId));
     actions.push(...endAttempt(state, 'decode-failed', now));
   }
--- a/packages/core/src/requests/request-state.ts
+++ b/packages/core/src/requests/request-state.ts
@@ -46,7 +46,9 @@
   openPrefillTokens: number;
   lateGrants: number;
   nextIndex: number;
+  /** Engines that failed this request. */
   excluded: UpstreamId[];
+  hasClearedExcluded: boolean;
   phaseStartedAt: number;
   /** When the phase counts as stalled. */
   stallAt: number;
@@ -91,6 +93,7 @@
     lateGrants: 0,
     nextIndex: 0,
     excluded: [],
+    hasClearedExcluded: false,
     phaseStartedAt: now,
     stallAt: Infinity,
     lastTokenAt: now,
--- a/packages/router/src/allocation/allocation-task.ts
+++ b/packages/router/src/allocation/allocation-task.ts
@@ -65,10 +65,15 @@
   };
 }
 
+/** A shard and the VM that owns it, as this VM sees it. */
+export type ShardOwner = { readonly shardId: ShardId; readonly owner: VmId | undefined };
+
 /** The allocation task with the means to read which engines to poll. */
 export type Allocation = {
   readonly run: (inbox: AllocationInbox) => Task;
   readonly listPolled: Allocators['listPolled'];
+  /** Lists the VM that this one asks for each shard. */
+  readonly listShardOwners: () => readonly ShardOwner[];
   /** Newest incarnation of each VM that has ended for sure. */
   readonly endedIncarnations: ReadonlyMap<VmId, Incarnation>;
 };
@@ -303,6 +308,8 @@
 
   return {
     listPolled: allocators.listPolled,
+    listShardOwners: () =>
+      [...shards.keys()].map((shardId) => ({ shardId, owner: listOwners(shardId, liveVms)[0] })),
     endedIncarnations,
     *run(inbox) {
       for (;;) {
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -242,6 +242,7 @@
       rulesRevision: view.revision,
       entryVms: directory.entryVms.map(({ vmId }) => vmId),
       peers: members.listMembers(),
+      shards: allocator.listShardOwners(),
       engines: [...directory.engines.values()].map(
         ({ upstreamId, role, service, isLeaving: l }) => ({
           upstreamId,
--- a/packages/router/src/engines/engine-client.ts
+++ b/packages/router/src/engines/engine-client.ts
@@ -54,7 +54,7 @@
 };
 
 const MAX_LINE_CHARACTERS = 65_536;
-const STATUS_FULL = 429;
+const DECLINED_STATUSES = new Set([409, 429, 503]);
 const UNSENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
 const JSON_HEADERS = { 'content-type': 'application/json' };
 
@@ -92,7 +92,7 @@
 }
 
 function getStatusFailure(status: number | undefined): OrderFailure {
-  return status === STATUS_FULL ? 'full' : 'broken';
+  return status !== undefined && DECLINED_STATUSES.has(status) ? 'declined' : 'broken';
 }
 
 function parseJson(text: string): unknown {
--- a/packages/stand-ins/src/harness/deployment.ts
+++ b/packages/stand-ins/src/harness/deployment.ts
@@ -78,6 +78,10 @@
   readonly kill: () => void;
 };
 
+type StatusShards = {
+  readonly shards: readonly { readonly shardId: string; readonly owner?: string }[];
+};
+
 /** Loopback address of every process; runs side by side take different ones. */
 const HOST = process.env.TARRAGONSPOOL_TEST_HOST ?? '127.0.0.1';
 const PEER_SECRET = 'demo-peer-secret-0123456789';
@@ -225,8 +229,18 @@
       return result;
     },
     findAllocatorVm: async () => {
-      const status = await callJson(`${entryVms[0]?.operatorUrl}/status`);
-      throw new Error(`no allocator in ${JSON.stringify(status)}`);
+      for (const { operatorUrl } of entryVms) {
+        const headers = { authorization: `Bearer ${OPERATOR_TOKEN}` };
+        // eslint-disable-next-line no-await-in-loop -- the first VM that answers is enough
+        const answer = await fetch(`${operatorUrl}/status`, { headers }).catch(() => undefined);
+        if (answer === undefined || !answer.ok) continue;
+        // eslint-disable-next-line no-await-in-loop -- the first VM that answers is enough
+        const { shards } = (await answer.json()) as StatusShards;
+        const shard = shards.find(({ shardId }) => shardId.startsWith(`${plan.modelService}@`));
+        const index = entryVms.findIndex(({ vmId }) => vmId === shard?.owner);
+        if (index >= 0) return index;
+      }
+      throw new Error('no VM names an allocator');
     },
     kill: () => {
       for (const { process: running } of [...entryVms, ...engines, ...ledgers]) {
