Take every setting from one table and refuse more bad values

Cause: the pattern for addresses took octets above 255, port 0 and ports above 65535, and two listeners could share an address; flags, variables and descriptions stood in three places. Ruled out: a generated page (a test that compares the page with the table needs no generator). Before: 127.0.0.256:8080, 127.0.0.1:0, 127.0.0.1:65536 and 127.0.0.1:08080 all match the old pattern. Conclusion: settings.ts is the one place to add a setting; docs/settings.md is checked against it.

--- a/packages/router/src/callers/read-body-filter.ts
+++ b/packages/router/src/callers/read-body-filter.ts
@@ -4,21 +4,19 @@
 import { awaitPromise } from '../tasks/tasks.js';
 import { CONTINUE, refuse, type Filter } from './exchange.js';
 
-/** Largest body that a caller may send, in bytes. */
-export const MAX_BODY_BYTES = 4_194_304;
 const BODY_TIMEOUT_MS = 15_000;
 
-/** Makes the filter that reads a whole body. */
-export function makeReadBodyFilter(): Filter {
+/** Makes the filter that reads a whole body of at most `maxBytes`. */
+export function makeReadBodyFilter(maxBytes: number): Filter {
   return function* readWholeBody(exchange) {
     const deadline = exchange.arrivedAt + BODY_TIMEOUT_MS;
-    const result = yield* awaitPromise(readBody(exchange.incoming, MAX_BODY_BYTES, deadline));
+    const result = yield* awaitPromise(readBody(exchange.incoming, maxBytes, deadline));
     switch (result.kind) {
       case 'body':
         exchange.body = result.body;
         return CONTINUE;
       case 'too-large':
-        return refuse('body-too-large', `at most ${MAX_BODY_BYTES} bytes`);
+        return refuse('body-too-large', `at most ${maxBytes} bytes`);
       case 'timeout':
         return refuse('body-timeout', `within ${BODY_TIMEOUT_MS} ms`);
       default:
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -46,15 +46,8 @@
 const ALLOCATION_TICK_MS = 50;
 const HEARTBEAT_INTERVAL_MS = 250;
 
-/** Splits `IP:port`. */
-function parseAddress(address: string): { host: string; port: number } {
-  const [host = '', port = ''] = address.split(':');
-  return { host, port: Number(port) };
-}
-
-function listen(server: Server, address: string): void {
-  const { host, port } = parseAddress(address);
-  server.listen(port, host);
+function listen(server: Server, address: { readonly host: string; readonly port: number }): void {
+  server.listen(address.port, address.host);
 }
 
 /** Starts the daemon. */
@@ -97,7 +90,7 @@
 
   const mesh = startPeerMesh({
     self,
-    listen: parseAddress(settings.peerListen),
+    listen: settings.peerListen,
     secrets: settings.peerSecrets,
     directory,
     metrics,
@@ -144,7 +137,7 @@
 
   const requestParts: ModelRequestParts = { ...self, directory, allocation, metrics };
   const authenticate = makeAuthenticateFilter(view);
-  const readBody = makeReadBodyFilter();
+  const readBody = makeReadBodyFilter(settings.maxBodyBytes);
   const serviceParts = { view, directory, claims: makeClaimLedger(table), metrics };
   const callerServer = makeCallerServer({
     routes: {
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -4,56 +4,45 @@
 import { Builtins, Cli, Command, Option } from 'clipanion';
 import { startDaemon } from './daemon.js';
 import { makeLogger } from './logging/logger.js';
-import { checkSettings, type RawSettings } from './settings/settings.js';
-
+import {
+  checkSettings,
+  listSettingNames,
+  makeFlag,
+  makeVariable,
+  SETTINGS,
+  type RawSettings,
+} from './settings/settings.js';
+
+const EXIT_USAGE = 64;
 const EXIT_BAD_SETTINGS = 78;
 
 class RunCommand extends Command {
   static override paths = [Command.Default];
 
-  static override usage = Command.Usage({ description: 'Runs the router daemon.' });
-
-  vmId = Option.String('--vm-id', { env: 'TARRAGONSPOOL_VM_ID' });
-
-  dataCentre = Option.String('--data-centre', { env: 'TARRAGONSPOOL_DATA_CENTRE' });
-
-  callerListen = Option.String('--caller-listen', { env: 'TARRAGONSPOOL_CALLER_LISTEN' });
-
-  operatorListen = Option.String('--operator-listen', { env: 'TARRAGONSPOOL_OPERATOR_LISTEN' });
-
-  peerListen = Option.String('--peer-listen', { env: 'TARRAGONSPOOL_PEER_LISTEN' });
-
-  platformUrl = Option.String('--platform-url', { env: 'TARRAGONSPOOL_PLATFORM_URL' });
-
-  peerSecrets = Option.String('--peer-secrets', { env: 'TARRAGONSPOOL_PEER_SECRETS' });
-
-  operatorToken = Option.String('--operator-token', { env: 'TARRAGONSPOOL_OPERATOR_TOKEN' });
-
-  policy = Option.String('--policy', 'ours', { env: 'TARRAGONSPOOL_POLICY' });
-
-  objective = Option.String('--objective', 'tail', { env: 'TARRAGONSPOOL_OBJECTIVE' });
-
-  logLevel = Option.String('--log-level', 'info', { env: 'TARRAGONSPOOL_LOG_LEVEL' });
+  static override usage = Command.Usage({
+    description: 'Runs the router daemon.',
+    details: 'Every flag may also be given by its environment variable; the flag goes first.',
+    examples: [['Check the settings of the environment', '$0 --check-settings']],
+  });
 
   checkOnly = Option.Boolean('--check-settings', false, {
     description: 'Checks the settings and exits.',
   });
 
+  constructor() {
+    super();
+    const options: Record<string, unknown> = {};
+    for (const name of listSettingNames()) {
+      const { description, fallback } = SETTINGS[name];
+      const env = makeVariable(name);
+      const shown = fallback === undefined ? description : `${description} Default: "${fallback}".`;
+      options[name] = Option.String(makeFlag(name), { env, description: `${shown} (${env})` });
+    }
+    Object.assign(this, options);
+  }
+
   async execute(): Promise<number | undefined> {
-    const raw: RawSettings = {
-      vmId: this.vmId,
-      dataCentre: this.dataCentre,
-      callerListen: this.callerListen,
-      operatorListen: this.operatorListen,
-      peerListen: this.peerListen,
-      platformUrl: this.platformUrl,
-      peerSecrets: this.peerSecrets,
-      operatorToken: this.operatorToken,
-      policy: this.policy,
-      objective: this.objective,
-      logLevel: this.logLevel,
-    };
-    const checked = checkSettings(raw);
+    const checked = checkSettings(this as unknown as RawSettings);
     if (checked.kind === 'errors') {
       for (const error of checked.errors) this.context.stderr.write(`8001 ${error}\n`);
       return EXIT_BAD_SETTINGS;
@@ -71,7 +60,17 @@
   }
 }
 
-const cli = new Cli({ binaryName: 'tarragonspoold', binaryLabel: 'tarragonspool daemon' });
-cli.register(RunCommand);
-cli.register(Builtins.HelpCommand);
-process.exitCode = await cli.run(process.argv.slice(2));
+async function runCli(args: string[]): Promise<number> {
+  const cli = new Cli({ binaryName: 'tarragonspoold', binaryLabel: 'tarragonspool daemon' });
+  cli.register(RunCommand);
+  cli.register(Builtins.HelpCommand);
+  try {
+    return await cli.run(cli.process(args, Cli.defaultContext), Cli.defaultContext);
+  } catch (error) {
+    const [line] = (error as Error).message.split('\n');
+    process.stderr.write(`${line} Run tarragonspoold --help.\n`);
+    return EXIT_USAGE;
+  }
+}
+
+process.exitCode = await runCli(process.argv.slice(2));
