Add the operators' commands with documented exit codes

Cause: only 'rules apply' existed; errors of the parser went to standard output with code 1. Before: a dead daemon, a wrong token and a bad flag gave 3, 2 and 1. After: each failure is one line that says what to do next and a code of docs/exit-codes.md (15 tests against a local server). With the second try after a race taken out, 'upstream drain' fails its test (1 of 15). Conclusion: the daemon does not yet leave drained upstreams out; 'rules history' and 'quarantine' wait for their endpoints.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,10 +1,6 @@
 #!/usr/bin/env node
 /** Command line for operators. */
 
-import { Builtins, Cli } from 'clipanion';
-import { RulesApplyCommand } from './rules/apply-command.js';
+import { runCli } from './run-cli.js';
 
-const cli = new Cli({ binaryName: 'tarragonspool', binaryLabel: 'tarragonspool' });
-cli.register(RulesApplyCommand);
-cli.register(Builtins.HelpCommand);
-process.exitCode = await cli.run(process.argv.slice(2));
+process.exitCode = await runCli(process.argv.slice(2));
--- a/packages/cli/src/rules/apply-command.ts
+++ b/packages/cli/src/rules/apply-command.ts
@@ -1,66 +1,66 @@
 /** `tarragonspool rules apply FILE`. */
 
 import { randomUUID } from 'node:crypto';
-import { readFile } from 'node:fs/promises';
-import { setTimeout } from 'node:timers/promises';
-import { Command, Option } from 'clipanion';
-import { EXIT_NOT_IN_FORCE, OperatorCommand } from '../operators/operator-command.js';
-
-type RulesAnswer = { readonly revision: number; readonly text: string };
-
-type StatusAnswer = {
-  readonly rulesRevision: number;
-  readonly entryVms: readonly string[];
-  readonly peers: readonly { readonly vmId: string; readonly rulesRevision: number }[];
-};
-
-const FORCE_TIMEOUT_MS = 19_000;
-const POLL_INTERVAL_MS = 100;
-
-function countInForce(status: StatusAnswer, revision: number): number {
-  let count = status.rulesRevision >= revision ? 1 : 0;
-  for (const peer of status.peers) {
-    if (peer.rulesRevision >= revision) count += 1;
-  }
-  return count;
-}
+import { Command, Option, UsageError } from 'clipanion';
+import { getExitCode } from '../exit-codes.js';
+import { compareRules, renderDiff } from './rule-diff.js';
+import { readRuleFile, type RuleText } from './rule-text.js';
+import { IN_FORCE_TIMEOUT_MS, RulesCommand } from './rules-command.js';
 
 /** Replaces the rule file. */
-export class RulesApplyCommand extends OperatorCommand {
+export class RulesApplyCommand extends RulesCommand {
   static override paths = [['rules', 'apply']];
 
-  static override usage = Command.Usage({ description: 'Replaces the rules with a file.' });
+  static override usage = Command.Usage({
+    category: 'Rules',
+    description: 'Replaces the rules with a file.',
+    details: `
+      The file replaces every rule. An edit is taken only if its base is the revision in force: the
+      revision of \`--base\`, else the one that the first line of \`rules show\` names, else the
+      revision in force at the moment. Waits until every VM has the new revision in force.
+    `,
+    examples: [
+      ['Apply a file made with "rules show"', '$0 rules apply rules.txt'],
+      ['Apply a file as the edit of revision 12', '$0 rules apply rules.txt --base 12'],
+    ],
+  });
+
+  base = Option.String('--base', { description: 'Revision that the file was made from.' });
 
-  file = Option.String();
+  isWaiting = Option.Boolean('--wait', true, { description: 'Waits until in force everywhere.' });
+
+  file = Option.String({ name: 'FILE' });
 
   async execute(): Promise<number> {
-    const current = await this.call('/rules');
+    const result = await readRuleFile(this.file);
+    if (result.kind !== 'rules') return this.printBadFile(this.file, result);
+    const current = await this.getRules();
     if (current.kind !== 'value') return this.printFailure(current);
-    const { revision } = current.value as RulesAnswer;
-    const text = await readFile(this.file, 'utf8');
-    const edit = { editId: randomUUID(), baseRevision: revision, text };
-    const answer = await this.call('/rules', edit);
+    const baseRevision = this.findBase(result.file) ?? current.value.revision;
+    if (baseRevision !== current.value.revision) {
+      this.printOtherEdit(current.value, result.file.text);
+    }
+    const editId = randomUUID();
+    const answer = await this.postEdit({ editId, baseRevision, text: result.file.text });
     if (answer.kind !== 'value') return this.printFailure(answer);
-    const accepted = answer.value as RulesAnswer;
-    this.context.stdout.write(`accepted as revision ${accepted.revision}\n`);
-    return this.waitInForce(accepted.revision, Date.now() + FORCE_TIMEOUT_MS);
+    const { revision } = answer.value;
+    if (!this.json || !this.isWaiting) {
+      this.print({ revision }, `accepted as revision ${revision}\n`);
+    }
+    if (!this.isWaiting) return getExitCode('ok');
+    return this.awaitInForce(revision, Date.now() + IN_FORCE_TIMEOUT_MS);
   }
 
-  /** Waits until every listed VM has the revision in force; the deadline is in epoch ms. */
-  private async waitInForce(revision: number, deadline: number): Promise<number> {
-    for (;;) {
-      // eslint-disable-next-line no-await-in-loop -- polls one after another
-      const answer = await this.call('/status');
-      if (answer.kind !== 'value') return this.printFailure(answer);
-      const status = answer.value as StatusAnswer;
-      const count = countInForce(status, revision);
-      const total = status.entryVms.length;
-      if (count >= total || Date.now() > deadline) {
-        this.context.stdout.write(`in force on ${count} of ${total} VMs\n`);
-        return count >= total ? 0 : EXIT_NOT_IN_FORCE;
-      }
-      // eslint-disable-next-line no-await-in-loop -- polls one after another
-      await setTimeout(POLL_INTERVAL_MS);
-    }
+  private findBase(file: RuleText): number | undefined {
+    if (this.base === undefined) return file.baseRevision;
+    if (/^\d{1,15}$/.test(this.base)) return Number(this.base);
+    throw new UsageError(`--base: found ${JSON.stringify(this.base)}; expected a revision number.`);
+  }
+
+  private printOtherEdit(current: { revision: number; text: string }, text: string): void {
+    const diff = renderDiff(compareRules(current.text, text));
+    this.context.stderr.write(
+      `revision ${current.revision} is in force; the file differs:\n${diff}`,
+    );
   }
 }
--- a/packages/core/src/rules/rule-file.test.ts
+++ b/packages/core/src/rules/rule-file.test.ts
@@ -19,6 +19,14 @@
   expect(parsed.errors.map((error) => error.line)).to.deep.equal([2, 3]);
 });
 
+it('rule set: a drain line names an upstream that gets no new work', () => {
+  const parsed = parseRuleFile('drain llm-2 # Nimal\n');
+  if (parsed.kind !== 'rules') throw new Error('expected rules');
+  expect([...buildRuleSet(parsed.rules).drained]).to.deep.equal(['llm-2']);
+  expect(parseRuleFile('drain llm-2 llm-3 # Nimal\n').kind).to.equal('errors');
+  expect(parseRuleFile('drain # Nimal\n').kind).to.equal('errors');
+});
+
 it('rule set: the rule with most named parts decides', () => {
   const parsed = parseRuleFile('allow a s priority=1 # x\nallow a s model=m priority=8 # x\n');
   if (parsed.kind !== 'rules') throw new Error('expected rules');
--- a/packages/core/src/rules/rule-file.ts
+++ b/packages/core/src/rules/rule-file.ts
@@ -1,6 +1,6 @@
 /** Parses the operators' rule file: one rule a line, each with a comment naming who asked. */
 
-import type { CallerId, ServiceName } from '@tarragonspool/protocol';
+import type { CallerId, ServiceName, UpstreamId } from '@tarragonspool/protocol';
 
 /** Approves an API key, given as its SHA-256 digest in hexadecimal. */
 export type CallerRule = {
@@ -30,8 +30,16 @@
   readonly line: number;
 };
 
+/** Gives an upstream no new work. */
+export type DrainRule = {
+  readonly kind: 'drain';
+  readonly upstreamId: UpstreamId;
+  readonly askedBy: string;
+  readonly line: number;
+};
+
 /** One line of the rule file. */
-export type Rule = CallerRule | AllowRule;
+export type Rule = CallerRule | AllowRule | DrainRule;
 
 /** A line that was refused, with what was expected. */
 export type RuleSyntaxError = {
@@ -175,6 +183,16 @@
   return { kind: 'rule', rule };
 }
 
+function parseDrainRule(words: readonly string[], askedBy: string, line: number): LineResult {
+  const [upstreamId, ...rest] = words;
+  if (upstreamId === undefined || !NAME_PATTERN.test(upstreamId)) {
+    return makeError(upstreamId ?? '', 'the name of an engine or server after "drain"');
+  }
+  if (rest.length > 0) return makeError(rest[0] ?? '', 'a comment "# who asked" next');
+  const rule: Rule = { kind: 'drain', upstreamId: upstreamId as UpstreamId, askedBy, line };
+  return { kind: 'rule', rule };
+}
+
 function parseLine(text: string, line: number): LineResult {
   if (text.length > MAX_LINE_LENGTH) {
     return makeError(`${text.length} characters`, `at most ${MAX_LINE_LENGTH} characters`);
@@ -187,7 +205,8 @@
   const [keyword, ...words] = body.split(/\s+/);
   if (keyword === 'caller') return parseCallerRule(words, askedBy, line);
   if (keyword === 'allow') return parseAllowRule(words, askedBy, line);
-  return makeError(keyword ?? '', '"caller" or "allow"');
+  if (keyword === 'drain') return parseDrainRule(words, askedBy, line);
+  return makeError(keyword ?? '', '"caller", "allow" or "drain"');
 }
 
 /** Parses a whole rule file. A file with one bad line yields errors only. */
--- a/packages/core/src/rules/rule-set.ts
+++ b/packages/core/src/rules/rule-set.ts
@@ -1,19 +1,26 @@
 /** Indexes rules so that a look-up does not grow with the number of rules. */
 
-import type { CallerId, ModelTarget, ServiceName } from '@tarragonspool/protocol';
+import type { CallerId, ModelTarget, ServiceName, UpstreamId } from '@tarragonspool/protocol';
 import type { AllowRule, Rule } from './rule-file.js';
 
 /** Rules in force, indexed by caller and service. */
 export type RuleSet = {
   readonly callersByDigest: ReadonlyMap<string, CallerId>;
   readonly allowed: ReadonlyMap<CallerId, ReadonlyMap<ServiceName, readonly AllowRule[]>>;
+  /** Upstreams that get no new work. */
+  readonly drained: ReadonlySet<UpstreamId>;
 };
 
 /** Builds the index of a parsed file. */
 export function buildRuleSet(rules: readonly Rule[]): RuleSet {
   const callersByDigest = new Map<string, CallerId>();
   const allowed = new Map<CallerId, Map<ServiceName, AllowRule[]>>();
+  const drained = new Set<UpstreamId>();
   for (const rule of rules) {
+    if (rule.kind === 'drain') {
+      drained.add(rule.upstreamId);
+      continue;
+    }
     if (rule.kind === 'caller') {
       callersByDigest.set(rule.keyDigest, rule.callerId);
       continue;
@@ -24,7 +31,7 @@
     services.set(rule.service, list);
     list.push(rule);
   }
-  return { callersByDigest, allowed };
+  return { callersByDigest, allowed, drained };
 }
 
 function countNamedParts(rule: AllowRule): number {
