Leave drained upstreams out, and stop once however often the signal comes

Cause: 'drain' lines were parsed and stored but not read; a second SIGTERM during the graceful stop ended the daemon at once, because the handler was taken off after the first. Conclusion: a drain is in force with its rule revision.

--- a/packages/cli/src/run-cli.ts
+++ b/packages/cli/src/run-cli.ts
@@ -30,7 +30,9 @@
 
 /** Makes the command line. */
 export function makeCli(): Cli {
-  const cli = new Cli({ binaryName: 'tarragonspool', binaryLabel: 'tarragonspool' });
+  const enableColors = process.stdout.isTTY;
+  const binaryName = 'tarragonspool';
+  const cli = new Cli({ binaryName, binaryLabel: binaryName, enableColors });
   for (const command of COMMANDS) cli.register(command);
   cli.register(Builtins.HelpCommand);
   return cli;
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -115,7 +115,13 @@
 
   start('directory', () => runDirectory(vmList, membership, logger));
   start('membership', () =>
-    runMembership(membership, { state: membershipState, directory, allocation, logger }),
+    runMembership(membership, {
+      state: membershipState,
+      directory,
+      rules: view,
+      allocation,
+      logger,
+    }),
   );
   const { policy, objective } = settings;
   const options = { vmId: self.vmId, policy, objective, seed: self.incarnation };
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -53,15 +53,22 @@
     }
     const logger = makeLogger(checked.settings);
     const daemon = startDaemon(checked.settings, logger);
-    const stop = (): void => daemon.stop(() => process.exit(0));
-    process.once('SIGTERM', stop);
-    process.once('SIGINT', stop);
+    let isStopping = false;
+    const stop = (): void => {
+      // A repeated signal must not cut the requests that the first one waits for.
+      if (!isStopping) daemon.stop(() => process.exit(0));
+      isStopping = true;
+    };
+    process.on('SIGTERM', stop);
+    process.on('SIGINT', stop);
     return undefined;
   }
 }
 
 async function runCli(args: string[]): Promise<number> {
-  const cli = new Cli({ binaryName: 'tarragonspoold', binaryLabel: 'tarragonspool daemon' });
+  const enableColors = process.stdout.isTTY;
+  const binaryName = 'tarragonspoold';
+  const cli = new Cli({ binaryName, binaryLabel: 'tarragonspool daemon', enableColors });
   cli.register(RunCommand);
   cli.register(Builtins.HelpCommand);
   try {
--- a/packages/router/src/membership/membership-task.ts
+++ b/packages/router/src/membership/membership-task.ts
@@ -14,6 +14,7 @@
 import { assertNever, type LeavingUpstream, type VmId } from '@tarragonspool/protocol';
 import type { AllocationInbox } from '../allocation/allocation-task.js';
 import type { Logger } from '../logging/logger.js';
+import type { RulesView } from '../rules/rules-view.js';
 import { makeChannel, offer, receive, type Channel, type Task } from '../tasks/tasks.js';
 import { applyVmList, type Directory } from '../upstreams/directory.js';
 
@@ -32,6 +33,8 @@
 export type MembershipParts = {
   readonly state: MembershipState;
   readonly directory: Directory;
+  /** Names the upstreams that the rules drain. */
+  readonly rules: RulesView;
   readonly allocation: AllocationInbox;
   readonly logger: Logger;
 };
@@ -64,9 +67,12 @@
 }
 
 function publishUpstreams(parts: MembershipParts): void {
-  const { state, directory, allocation } = parts;
-  applyVmList(directory, state.records, (upstreamId, incarnation) =>
-    isUpstreamLeaving(state, upstreamId, incarnation),
+  const { state, directory, rules, allocation } = parts;
+  applyVmList(
+    directory,
+    state.records,
+    (upstreamId, incarnation) =>
+      rules.ruleSet.drained.has(upstreamId) || isUpstreamLeaving(state, upstreamId, incarnation),
   );
   offer(allocation, { kind: 'engines-listed', engines: listEngines(directory), now: Date.now() });
 }
@@ -93,9 +99,12 @@
 
 /** Runs until the inbox closes. */
 export function* runMembership(inbox: MembershipInbox, parts: MembershipParts): Task {
+  let published = parts.rules.ruleSet;
   for (;;) {
     const event = yield* receive(inbox);
     if (event === undefined) return;
     for (const action of handleMembershipEvent(parts.state, event)) performAction(parts, action);
+    if (parts.rules.ruleSet !== published) publishUpstreams(parts);
+    published = parts.rules.ruleSet;
   }
 }
