--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -57,15 +57,8 @@
 const CANCEL_TICK_MS = 250;
 const HEARTBEAT_INTERVAL_MS = 250;
 
-/** Splits `IP:port`. */
-function parseAddress(address: string): { host: string; port: number } {
-  const [host = '', port = ''] = address.split(':');
-  return { host, port: Number(port) };
-}
-
-function listen(server: Server, address: string): void {
-  const { host, port } = parseAddress(address);
-  server.listen(port, host);
+function listen(server: Server, address: { readonly host: string; readonly port: number }): void {
+  server.listen(address.port, address.host);
 }
 
 /** Starts the daemon. */
@@ -131,7 +124,7 @@
 
   const mesh = startPeerMesh({
     self,
-    listen: parseAddress(settings.peerListen),
+    listen: settings.peerListen,
     secrets: settings.peerSecrets,
     directory,
     metrics,
@@ -148,7 +141,12 @@
 
   start('directory', () => runDirectory(vmList, membership, logger));
   start('membership', () =>
-    runMembership(membership, { state: membershipState, directory, allocation, logger }),
+    runMembership(membership, {
+      state: membershipState,
+      directory,
+      allocation,
+      logger,
+    }),
   );
   const { policy, objective } = settings;
   const { sendTo } = mesh;
@@ -207,7 +205,7 @@
   const requestParts: ModelRequestParts = { ...self, directory, allocation, cancels, metrics };
   const admit = makeAdmissionFilter(view);
   const authenticate = makeAuthenticateFilter(view);
-  const readBody = makeReadBodyFilter();
+  const readBody = makeReadBodyFilter(settings.maxBodyBytes);
   const serviceParts = { view, directory, claims: makeClaimLedger(table), metrics };
   const callerServer = makeCallerServer({
     routes: {
