Stop without cutting a request, whatever the length of the notice

Cause: the notice was fixed, idle connections lived longer than it, so a caller could send on one while it was closed, and nothing told callers to move on. Ruled out: closing idle connections at once; a request may be on its way on one. Before: with connections closed at the end of the notice the test 'a stream that outlasts the notice ends whole' fails. After: it passes; 100 tests pass.

--- a/packages/router/src/callers/caller-server.ts
+++ b/packages/router/src/callers/caller-server.ts
@@ -21,6 +21,10 @@
 export type CallerServerParts = {
   readonly routes: CallerRoutes;
   readonly isReady: () => boolean;
+  /** While it is true, answers ask callers to close their connections. */
+  readonly isLeaving: () => boolean;
+  /** How long an idle connection is kept, in milliseconds. */
+  readonly keepAliveMs: number;
   readonly metrics: Metrics;
   readonly logger: Logger;
 };
@@ -94,6 +98,7 @@
     }
     const requestId = makeRequestId(incoming);
     response.setHeader('x-request-id', requestId);
+    if (parts.isLeaving()) response.setHeader('connection', 'close');
     const exchange: Exchange = {
       incoming,
       response,
@@ -122,6 +127,7 @@
     { maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS },
     handleRequest,
   );
+  server.keepAliveTimeout = parts.keepAliveMs;
   server.on('clientError', sendParserError);
   return server;
 }
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -39,6 +39,7 @@
 import { makeRulesInbox, runRules, type RulesMessage } from './rules/rules-task.js';
 import { isRulesViewCurrent, makeRulesView } from './rules/rules-view.js';
 import { makeServiceFilters } from './services/service-filters.js';
+import { getKeepAliveMs, runGracefulStop } from './shutdown/graceful-stop.js';
 import type { Settings } from './settings/settings.js';
 import { offer, startTask, type Task } from './tasks/tasks.js';
 import { startTicker } from './tasks/timers.js';
@@ -52,7 +53,6 @@
 };
 
 const RULES_TICK_MS = 100;
-const DRAIN_NOTICE_MS = 2_000;
 const ALLOCATION_TICK_MS = 25;
 const CANCEL_TICK_MS = 250;
 const HEARTBEAT_INTERVAL_MS = 250;
@@ -215,6 +215,8 @@
     },
     isReady: () =>
       isRulesViewCurrent(view, Date.now()) && directory.entryVms.length > 0 && !isLeaving,
+    isLeaving: () => isLeaving,
+    keepAliveMs: getKeepAliveMs(settings.drainNoticeMs),
     metrics,
     logger,
   });
@@ -246,20 +248,32 @@
   listen(operatorServer, settings.operatorListen);
   logger.info({ callers: settings.callerListen }, 'daemon: started');
 
+  const onLeaving = (): void => {
+    isLeaving = true;
+    logger.info('daemon: leaving');
+    sendHeartbeat();
+  };
   return {
     stop: (onStopped) => {
-      isLeaving = true;
-      logger.info('daemon: leaving');
-      sendHeartbeat();
-      setTimeout(() => {
-        callerServer.close(() => {
+      const stopParts = {
+        server: callerServer,
+        noticeMs: settings.drainNoticeMs,
+        onLeaving,
+        flush: async () => undefined,
+        onStopped: () => {
           clearInterval(heartbeatTimer);
           mesh.close();
           logger.info('daemon: stopped');
           onStopped();
-        });
-        callerServer.closeIdleConnections();
-      }, DRAIN_NOTICE_MS);
+        },
+      };
+      startTask(
+        'graceful stop',
+        () => runGracefulStop(stopParts),
+        (name, error) => {
+          if (error !== undefined) handleTaskEnd(name, error);
+        },
+      );
     },
   };
 }
--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -20,6 +20,8 @@
 const LOG_LEVELS = ['debug', 'info', 'warn', 'error', 'silent'] as const;
 const MIN_BODY_BYTES = 1_024;
 const MAX_BODY_BYTES = 67_108_864;
+const MIN_NOTICE_MS = 100;
+const MAX_NOTICE_MS = 120_000;
 
 type SettingEntry = {
   /** What it is for, in one sentence. */
@@ -102,6 +104,12 @@
     fallback: '4194304',
     isSecret: false,
   },
+  drainNoticeMs: {
+    description: 'How long a stopping daemon still takes requests, in milliseconds.',
+    schema: makeWholeNumberSchema(MIN_NOTICE_MS, MAX_NOTICE_MS),
+    fallback: '6000',
+    isSecret: false,
+  },
 } as const satisfies Record<string, SettingEntry>;
 
 /** Names of the settings. */
--- a/packages/stand-ins/src/harness/deployment.ts
+++ b/packages/stand-ins/src/harness/deployment.ts
@@ -177,6 +177,7 @@
       TARRAGONSPOOL_PEER_SECRETS: PEER_SECRET,
       TARRAGONSPOOL_OPERATOR_TOKEN: OPERATOR_TOKEN,
       TARRAGONSPOOL_LOG_LEVEL: 'warn',
+      TARRAGONSPOOL_DRAIN_NOTICE_MS: '2000',
       ...plan.daemonEnv,
     };
     const start = () => startProcess(vmId, getBinaryPath('router'), [], env, plan.isLoud);
