Reserve prefill, link and decode place together and refuse by deadline

Cause: the allocator counted outstanding work only; it started prefills without a certain decode place and let every request wait, however late it would be. Policy 'ours' keeps asks in one queue (priority, latest start, callers beyond their share later), grants a prefill only when its engine is about to be free and a decode place and the link are there by its end, and refuses at once, as not run, what the forecast shows to be late. It rebuilds after a takeover, counts holds that nobody accounts for as taken, and asserts its own promises (action report-violation, new). Ruled out: granting ahead into the engines' own queues; a request that is bound to an engine early cannot leave it when it slows down. Conclusion: the action union grew by one variant; the host must handle report-violation.

--- /dev/null
+++ b/packages/core/src/allocation/admission.ts
@@ -0,0 +1,291 @@
+/**
+ * Decides at once whether a request can meet its deadlines. One that cannot is refused before any
+ * work; one that was admitted is refused later only if work of a higher priority displaced it.
+ */
+
+import type { Refusal, ReservationAsk, ResultName } from '@tarragonspool/protocol';
+import type { AllocatorAction } from './allocator-events.js';
+import { addUsage, measureOveruse } from './caller-shares.js';
+import {
+  getRate,
+  HOP_MS,
+  MIN_SAMPLES,
+  OVERHEAD_MS,
+  predictAnswerTokens,
+  predictImportMs,
+  predictPrefillMs,
+  predictStepMs,
+} from './engine-estimates.js';
+import { isEligible, type Engine } from './engine-state.js';
+import { countCachedBlocks, predictCachedTokens } from './prefix-knowledge.js';
+import { takeFraction } from './random.js';
+import { findLargestCaller, type ShardState } from './shard-state.js';
+import { countActivePrefills, predictStarts } from './start-forecast.js';
+import {
+  addWaiting,
+  countWaitingOf,
+  findPosition,
+  MAX_WAITING,
+  removeWaiting,
+  type WaitingAsk,
+} from './waiting-queue.js';
+
+const MAX_WAITING_PER_CALLER = 1_024;
+const MIN_RETRY_MS = 200;
+const MAX_RETRY_MS = 10_000;
+const MAX_FAIR_DELAY_MS = 500;
+const ARRIVAL_HALF_LIFE_MS = 500;
+const MAX_RESERVED_SHARE = 0.9;
+/** Requests of the asker's size by which another caller must be ahead to be displaced. */
+const MIN_DISPLACED_LEAD = 3;
+
+/** Builds the refusal of an ask that has not run. */
+export function refuseAsk(
+  ask: ReservationAsk,
+  name: ResultName,
+  detail: string,
+  retryAt?: number,
+): AllocatorAction {
+  const { vmId, requestId, attemptId } = ask;
+  const refusal: Refusal = {
+    name,
+    ran: 'not-run',
+    detail,
+    ...(retryAt === undefined ? {} : { retryAt }),
+  };
+  return { kind: 'refuse', vmId, requestId, attemptId, refusal };
+}
+
+/** Chooses when to ask again: after the predicted excess has drained, spread by jitter. */
+export function chooseRetryAt(state: ShardState, excessMs: number, now: number): number {
+  const bounded = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, excessMs));
+  return Math.ceil(now + bounded * (1 + takeFraction(state.random)));
+}
+
+function hasEligible(engines: readonly Engine[], ask: ReservationAsk): boolean {
+  for (const engine of engines) {
+    if (isEligible(engine, ask)) return true;
+  }
+  return false;
+}
+
+/** Predicts the cheapest prefill of the ask on any engine. */
+function predictCheapestPrefillMs(state: ShardState, ask: ReservationAsk, now: number): number {
+  let cachedTokens = 0;
+  const blocks = countCachedBlocks(state.prefixes, ask.prefixes);
+  for (const engine of blocks.size === 0 ? [] : state.pool.prefill) {
+    const count = blocks.get(engine.index);
+    if (count === undefined || !isEligible(engine, ask)) continue;
+    const predicted = predictCachedTokens(engine, count, ask.promptTokens);
+    cachedTokens = Math.max(cachedTokens, predicted);
+  }
+  return predictPrefillMs(state.estimates, ask.promptTokens - cachedTokens, now);
+}
+
+function predictBatch(state: ShardState): number {
+  let engines = 0;
+  let streams = 0;
+  for (const engine of state.pool.decode) {
+    if (engine.isLeaving || engine.isSuspect) continue;
+    engines += 1;
+    streams += engine.streams.size;
+  }
+  return 1 + streams / Math.max(1, engines);
+}
+
+function makeWaiting(state: ShardState, ask: ReservationAsk, now: number): WaitingAsk {
+  const { estimates, objective } = state;
+  const isResume = ask.resumeFrom !== undefined;
+  const prefillMs = isResume ? 0 : predictCheapestPrefillMs(state, ask, now);
+  const importMs = predictImportMs(estimates, ask.promptTokens, now);
+  const stepMs = predictStepMs(estimates, predictBatch(state));
+  const untilFirstMs = HOP_MS + prefillMs + importMs + stepMs;
+  const untilAnswerMs = untilFirstMs + (predictAnswerTokens(estimates, ask.maxTokens) - 1) * stepMs;
+  const safety = 1 + objective.safetyShare;
+  const firstAt = isResume ? Infinity : ask.firstTokenDeadline - untilFirstMs * safety;
+  const isAnswerUnknown = isResume || estimates.answer.samples < MIN_SAMPLES;
+  const answerAt = isAnswerUnknown
+    ? ask.answerDeadline - untilFirstMs
+    : ask.answerDeadline - untilAnswerMs * safety;
+  const latestStartAt = Math.min(firstAt, answerAt);
+  const workTokens = Math.max(0, prefillMs - OVERHEAD_MS) * getRate(estimates.prefill, now);
+  const overuse = measureOveruse(state.shares, ask.callerId, now);
+  const engines = Math.max(1, countActivePrefills(state));
+  const overuseMs = Math.max(0, overuse) / getRate(estimates.prefill, now) / engines;
+  const fairDelayMs = Math.min(MAX_FAIR_DELAY_MS, overuseMs * objective.fairnessWeight);
+  const sequence = state.nextSequence;
+  state.nextSequence += 1;
+  return {
+    ask,
+    sequence,
+    arrivedAt: now,
+    rankAt: isResume ? 0 : latestStartAt + fairDelayMs,
+    latestStartAt,
+    prefillMs,
+    workTokens,
+  };
+}
+
+/** Adds arriving work to the rate of its priority. */
+function addArrival(state: ShardState, waiting: WaitingAsk, now: number): void {
+  const rate = state.arrivals[waiting.ask.priority];
+  if (rate === undefined) return;
+  const decay = 2 ** (-Math.max(0, now - rate.updatedAt) / ARRIVAL_HALF_LIFE_MS);
+  rate.workPerMs = rate.workPerMs * decay + (waiting.prefillMs * Math.LN2) / ARRIVAL_HALF_LIFE_MS;
+  rate.updatedAt = now;
+}
+
+/** Share of the prefill engines that arriving work of higher priorities will take. */
+function measureShareAbove(state: ShardState, priority: number, now: number): number {
+  let workPerMs = 0;
+  for (let above = priority + 1; above < state.arrivals.length; above += 1) {
+    const rate = state.arrivals[above];
+    if (rate === undefined) continue;
+    workPerMs += rate.workPerMs * 2 ** (-Math.max(0, now - rate.updatedAt) / ARRIVAL_HALF_LIFE_MS);
+  }
+  return Math.min(MAX_RESERVED_SHARE, workPerMs / Math.max(1, countActivePrefills(state)));
+}
+
+/** Latest start of an admitted request: its safety margin may be used up. */
+function findLastStartAt(state: ShardState, waiting: WaitingAsk): number {
+  return waiting.latestStartAt + waiting.prefillMs * state.objective.safetyShare;
+}
+
+/** How late the request, or one that it would push back, is predicted to start; at most zero if none. */
+function predictLateMs(state: ShardState, waiting: WaitingAsk, now: number): number {
+  const starts = predictStarts(state, now);
+  const position = findPosition(state.queue, waiting);
+  const own = starts[position] ?? Infinity;
+  const shareAbove = measureShareAbove(state, waiting.ask.priority, now);
+  let lateMs = now + (own - now) / (1 - shareAbove) - waiting.latestStartAt;
+  for (let behind = position + 1; behind < starts.length; behind += 1) {
+    const other = state.queue.items[behind];
+    if (other === undefined || other.ask.priority < waiting.ask.priority) break;
+    lateMs = Math.max(lateMs, (starts[behind] ?? Infinity) - findLastStartAt(state, other));
+  }
+  return lateMs;
+}
+
+/** Finds the last request, of equal priority, of a caller far beyond its share. */
+function findDisplaceable(
+  state: ShardState,
+  waiting: WaitingAsk,
+  now: number,
+): WaitingAsk | undefined {
+  const own = measureOveruse(state.shares, waiting.ask.callerId, now);
+  const limit = own + MIN_DISPLACED_LEAD * waiting.workTokens;
+  const { items } = state.queue;
+  for (let position = items.length - 1; position >= 0; position -= 1) {
+    const other = items[position];
+    if (other === undefined || other === waiting) continue;
+    if (other.ask.priority > waiting.ask.priority) return undefined;
+    if (other.ask.callerId === waiting.ask.callerId || other.ask.resumeFrom !== undefined) continue;
+    if (other.ask.priority < waiting.ask.priority) return other;
+    if (measureOveruse(state.shares, other.ask.callerId, now) > limit) return other;
+  }
+  return undefined;
+}
+
+/** Removes a waiting request and refuses it. */
+export function dropWaiting(
+  state: ShardState,
+  waiting: WaitingAsk,
+  name: ResultName,
+  detail: string,
+  excessMs: number,
+  now: number,
+): AllocatorAction[] {
+  if (!removeWaiting(state.queue, waiting)) return [];
+  addUsage(state.shares, waiting.ask.callerId, -waiting.workTokens, now);
+  return [refuseAsk(waiting.ask, name, detail, chooseRetryAt(state, excessMs, now))];
+}
+
+function makeRoom(state: ShardState, ask: ReservationAsk, now: number): AllocatorAction[] {
+  const { queue } = state;
+  const last = queue.items.at(-1);
+  if (last === undefined || last.ask.priority >= ask.priority) return [];
+  return dropWaiting(
+    state,
+    last,
+    'queue-full',
+    'work of a higher priority needs the queue',
+    0,
+    now,
+  );
+}
+
+function checkBounds(state: ShardState, ask: ReservationAsk, now: number): AllocatorAction[] {
+  const { queue } = state;
+  const own = countWaitingOf(queue, ask.callerId);
+  const isLargest = findLargestCaller(queue) === ask.callerId && queue.countByCaller.size > 1;
+  const isFull = queue.items.length >= MAX_WAITING;
+  if (own >= MAX_WAITING_PER_CALLER || (isFull && isLargest)) {
+    const detail = 'the caller has too many waiting requests';
+    return [refuseAsk(ask, 'share-exceeded', detail, chooseRetryAt(state, 0, now))];
+  }
+  if (!isFull) return [];
+  const detail = 'too many requests wait for this model';
+  return [refuseAsk(ask, 'queue-full', detail, chooseRetryAt(state, 0, now))];
+}
+
+function displaceFor(state: ShardState, waiting: WaitingAsk, now: number): AllocatorAction[] {
+  const displaced = findDisplaceable(state, waiting, now);
+  if (displaced === undefined) return [];
+  removeWaiting(state.queue, displaced);
+  if (predictLateMs(state, waiting, now) > 0) {
+    addWaiting(state.queue, displaced);
+    return [];
+  }
+  addWaiting(state.queue, displaced);
+  const isHigher = waiting.ask.priority > displaced.ask.priority;
+  const name = isHigher ? 'deadline-unreachable' : 'share-exceeded';
+  const detail = isHigher ? 'work of a higher priority came first' : 'another caller is due';
+  return dropWaiting(state, displaced, name, detail, 0, now);
+}
+
+/** Admits an ask to the queue or refuses it at once. */
+export function admitAsk(state: ShardState, ask: ReservationAsk, now: number): AllocatorAction[] {
+  const { pool, queue } = state;
+  const needsPrefill = ask.resumeFrom === undefined;
+  const isServed =
+    hasEligible(pool.decode, ask) && (!needsPrefill || hasEligible(pool.prefill, ask));
+  if (!isServed) {
+    const retryAt = chooseRetryAt(state, MIN_RETRY_MS, now);
+    return [refuseAsk(ask, 'no-upstream', 'no engine can serve the request now', retryAt)];
+  }
+  const waiting = makeWaiting(state, ask, now);
+  addArrival(state, waiting, now);
+  const actions = queue.items.length < MAX_WAITING ? [] : makeRoom(state, ask, now);
+  const outOfBounds = checkBounds(state, ask, now);
+  if (outOfBounds.length > 0) return [...actions, ...outOfBounds];
+  addWaiting(queue, waiting);
+  addUsage(state.shares, ask.callerId, waiting.workTokens, now);
+  const lateMs = predictLateMs(state, waiting, now);
+  const isMeasured = state.estimates.prefill.samples >= MIN_SAMPLES;
+  if (lateMs <= 0 || (!isMeasured && now < ask.firstTokenDeadline)) return actions;
+  const displaced = displaceFor(state, waiting, now);
+  if (displaced.length > 0) return [...actions, ...displaced];
+  const detail = 'the latency targets cannot be met now';
+  return [...actions, ...dropWaiting(state, waiting, 'deadline-unreachable', detail, lateMs, now)];
+}
+
+/** Refuses waiting requests whose deadlines cannot be met any more. */
+export function shedHopeless(state: ShardState, now: number): AllocatorAction[] {
+  const { items } = state.queue;
+  if (items.length === 0) return [];
+  const isMeasured = state.estimates.prefill.samples >= MIN_SAMPLES;
+  const measureLateMs = (waiting: WaitingAsk, startAt: number) =>
+    (isMeasured ? startAt : now) - findLastStartAt(state, waiting);
+  const starts = predictStarts(state, now, (item, startAt) => measureLateMs(item, startAt) > 0);
+  const hopeless: [WaitingAsk, number][] = [];
+  for (const [position, waiting] of items.entries()) {
+    const lateMs = measureLateMs(waiting, starts[position] ?? now);
+    if (lateMs > 0) hopeless.push([waiting, lateMs]);
+  }
+  const actions: AllocatorAction[] = [];
+  const detail = 'the latency targets cannot be met any more';
+  for (const [waiting, lateMs] of hopeless) {
+    actions.push(...dropWaiting(state, waiting, 'deadline-unreachable', detail, lateMs, now));
+  }
+  return actions;
+}
--- a/packages/core/src/allocation/allocator-events.ts
+++ b/packages/core/src/allocation/allocator-events.ts
@@ -87,8 +87,22 @@
       readonly kind: 'cancel-hold';
       readonly upstreamId: UpstreamId;
       readonly attemptId: AttemptId;
+    }
+  | {
+      /** Something that must always hold does not. */
+      readonly kind: 'report-violation';
+      readonly invariant: AllocatorInvariant;
+      readonly detail: string;
     };
 
+/** What the allocator asserts of itself. */
+export type AllocatorInvariant =
+  | 'places-within-known'
+  | 'grant-before-deadline'
+  | 'no-grant-to-leaving'
+  | 'ended-not-live'
+  | 'queue-within-bounds';
+
 /** How engines are chosen. All but `ours` are baselines that decide on each VM alone. */
 export type AllocationPolicy = 'ours' | BaselinePolicy;
 /** Baselines: the usual routers, with no queue and no admission by deadline. */
--- /dev/null
+++ b/packages/core/src/allocation/invariants.ts
@@ -0,0 +1,49 @@
+/** Asserts what must always hold of an allocator's own decisions. */
+
+import type { AllocatorAction, AllocatorInvariant } from './allocator-events.js';
+import { countTakenPlaces, type Reservation } from './engine-state.js';
+import type { ShardState } from './shard-state.js';
+import { MAX_WAITING } from './waiting-queue.js';
+
+function reportViolation(invariant: AllocatorInvariant, detail: string): AllocatorAction {
+  return { kind: 'report-violation', invariant, detail };
+}
+
+/** Checks a reservation that has just been granted. */
+export function checkGrant(
+  state: ShardState,
+  reservation: Reservation,
+  now: number,
+): AllocatorAction[] {
+  const { ask, grant, prefillEngine, decodeEngine } = reservation;
+  const actions: AllocatorAction[] = [];
+  if (now > ask.answerDeadline || (ask.resumeFrom === undefined && now > ask.firstTokenDeadline)) {
+    actions.push(reportViolation('grant-before-deadline', grant.attemptId));
+  }
+  for (const engine of [prefillEngine, decodeEngine]) {
+    if (engine?.isLeaving !== true) continue;
+    actions.push(reportViolation('no-grant-to-leaving', engine.upstreamId));
+  }
+  if (decodeEngine === undefined) return actions;
+  const limit = decodeEngine.places + state.objective.maxBorrowedPlaces;
+  const taken = countTakenPlaces(decodeEngine, now);
+  if (taken <= limit) return actions;
+  const detail = `${decodeEngine.upstreamId}: ${taken} of ${limit} places`;
+  return [...actions, reportViolation('places-within-known', detail)];
+}
+
+/** Checks that the state agrees with itself. */
+export function checkState(state: ShardState): AllocatorAction[] {
+  const actions: AllocatorAction[] = [];
+  if (state.queue.items.length > MAX_WAITING) {
+    actions.push(reportViolation('queue-within-bounds', String(state.queue.items.length)));
+  }
+  for (const engine of state.pool.byId.values()) {
+    for (const reservation of [...engine.streams.values(), ...engine.prefills]) {
+      const isLive = state.reservations.get(reservation.grant.reservationId) === reservation;
+      if (!reservation.isEnded && isLive) continue;
+      actions.push(reportViolation('ended-not-live', reservation.grant.attemptId));
+    }
+  }
+  return actions;
+}
--- /dev/null
+++ b/packages/core/src/allocation/shard-allocator.test.ts
@@ -0,0 +1,249 @@
+import { expect } from 'chai';
+import type {
+  AttemptEnd,
+  AttemptId,
+  EngineHold,
+  HeldReservation,
+  Incarnation,
+  LoadReport,
+  ReservationAsk,
+  ReservationGrant,
+  UpstreamId,
+  VmId,
+} from '@tarragonspool/protocol';
+import { handleAllocatorEvent, makeAllocatorState, type AllocatorState } from './allocator.js';
+import type { AllocatorAction, AllocatorEvent } from './allocator-events.js';
+import { makeAsk, makeEngines, makeOptions, START } from './builders.test.js';
+
+/** Events without their time. */
+type Untimed<E> = E extends AllocatorEvent ? Omit<E, 'now'> : never;
+
+function makeRunner(prefills: number, decodes: number, options = {}) {
+  const state: AllocatorState = makeAllocatorState(makeOptions(options));
+  const run = (event: Untimed<AllocatorEvent>, now: number): AllocatorAction[] =>
+    handleAllocatorEvent(state, { ...event, now });
+  run({ kind: 'engines-listed', engines: makeEngines(prefills, decodes) }, START - 10_000);
+  const ask = (name: string, now: number, parts: Partial<ReservationAsk> = {}) =>
+    run({ kind: 'asked', ask: makeAsk(name, now, parts) }, now);
+  return { state, run, ask };
+}
+
+function findGrant(actions: readonly AllocatorAction[]): ReservationGrant | undefined {
+  for (const action of actions) {
+    if (action.kind === 'grant') return action.grant;
+  }
+  return undefined;
+}
+
+function listRefusals(actions: readonly AllocatorAction[]): string[] {
+  return actions.flatMap((action) => (action.kind === 'refuse' ? [action.refusal.name] : []));
+}
+
+function makeEnd(grant: ReservationGrant, parts: Partial<AttemptEnd> = {}): AttemptEnd {
+  const { reservationId, attemptId } = grant;
+  return { reservationId, attemptId, outcome: 'answered', tokens: 40, ...parts };
+}
+
+/** Lets requests run one after the other until the estimates are used to refuse. */
+function teach({ ask, run }: ReturnType<typeof makeRunner>, prefillMs = 204): void {
+  for (let index = 0; index < 6; index += 1) {
+    const at = START - 9_000 + index * 1_000;
+    const grant = findGrant(ask(`t${index}`, at));
+    if (grant === undefined) throw new Error('no grant');
+    const end = makeEnd(grant, { prefillMs, cachedTokens: 0, importMs: 44 });
+    run({ kind: 'attempt-ended', items: [end] }, at + 900);
+  }
+}
+
+it('allocator: grants prefill and decode together when both are free', () => {
+  const grant = findGrant(makeRunner(1, 1).ask('a', START));
+  expect(grant).to.include({ prefill: 'p0', decode: 'd0', prefillAt: START });
+});
+
+it('allocator: queues while the prefill engine is busy and grants just before it is free', () => {
+  const runner = makeRunner(1, 1);
+  teach(runner);
+  const first = findGrant(runner.ask('a', START));
+  expect(first).not.to.equal(undefined);
+  expect(runner.ask('b', START + 1)).to.deep.equal([]);
+  expect(runner.run({ kind: 'ticked' }, START + 20)).to.deep.equal([]);
+  expect(findGrant(runner.run({ kind: 'ticked' }, START + 180))?.attemptId).to.equal('b.1');
+});
+
+it('allocator: starts no prefill while no decode place is free', () => {
+  const runner = makeRunner(40, 1);
+  const grants = Array.from({ length: 21 }, (_, index) =>
+    findGrant(runner.ask(`a${index}`, START)),
+  );
+  expect(grants.filter((grant) => grant !== undefined)).to.have.lengthOf(20);
+  const [first] = grants;
+  if (first === undefined) throw new Error('no grant');
+  const actions = runner.run({ kind: 'attempt-ended', items: [makeEnd(first)] }, START + 50);
+  expect(findGrant(actions)?.attemptId).to.equal('a20.1');
+});
+
+it('allocator: a full engine of one model holds up nobody who can use another', () => {
+  const runner = makeRunner(2, 2);
+  teach(runner);
+  const excluded = ['p1' as UpstreamId];
+  expect(findGrant(runner.ask('a', START, { excluded }))?.prefill).to.equal('p0');
+  expect(findGrant(runner.ask('b', START, { excluded, priority: 9 }))).to.equal(undefined);
+  expect(findGrant(runner.ask('c', START, { priority: 0 }))?.prefill).to.equal('p1');
+});
+
+it('allocator: refuses at once and as not run what cannot meet its deadline', () => {
+  const runner = makeRunner(1, 1);
+  teach(runner);
+  const [action] = runner.ask('a', START, { firstTokenDeadline: START + 150 });
+  expect(action).to.have.nested.property('refusal.name', 'deadline-unreachable');
+  expect(action).to.have.nested.property('refusal.ran', 'not-run');
+  expect(action).to.have.nested.property('refusal.retryAt').above(START);
+});
+
+it('allocator: refuses the last of a burst once the queue reaches past their deadlines', () => {
+  const runner = makeRunner(1, 1);
+  teach(runner);
+  const refused = Array.from({ length: 12 }, (_, index) => runner.ask(`a${index}`, START)).flatMap(
+    listRefusals,
+  );
+  expect(refused.length).to.be.within(6, 9);
+});
+
+it('allocator: refuses a waiting request on the tick that shows it is hopeless', () => {
+  const runner = makeRunner(1, 1);
+  teach(runner);
+  runner.ask('a', START);
+  expect(runner.ask('b', START)).to.deep.equal([]);
+  runner.run(
+    { kind: 'engines-listed', engines: makeEngines(1, 1).map((e) => ({ ...e, isLeaving: true })) },
+    START + 20,
+  );
+  expect(listRefusals(runner.run({ kind: 'ticked' }, START + 40))).to.deep.equal([
+    'deadline-unreachable',
+  ]);
+});
+
+it('allocator: a greater priority goes first', () => {
+  const runner = makeRunner(1, 1);
+  teach(runner);
+  runner.ask('a', START);
+  runner.ask('low', START, { priority: 1 });
+  runner.ask('high', START, { priority: 8 });
+  expect(findGrant(runner.run({ kind: 'ticked' }, START + 180))?.attemptId).to.equal('high.1');
+});
+
+it('allocator: one caller cannot keep the others out of the queue', () => {
+  const runner = makeRunner(1, 1);
+  teach(runner);
+  for (let index = 0; index < 20; index += 1) runner.ask(`a${index}`, START);
+  const actions = runner.ask('b', START + 1, {
+    callerId: 'caller-2' as ReservationAsk['callerId'],
+  });
+  expect(actions).to.have.lengthOf(1);
+  expect(actions[0]).to.include({ kind: 'refuse' });
+  expect(actions[0]).to.have.nested.property('refusal.name', 'share-exceeded');
+  expect(actions[0]).to.have.property('requestId').match(/^a/);
+});
+
+it('allocator: never grants to a leaving engine, and an asker hears so at once', () => {
+  const runner = makeRunner(1, 1);
+  const engines = makeEngines(1, 1).map((engine) => ({ ...engine, isLeaving: true }));
+  runner.run({ kind: 'engines-listed', engines }, START);
+  runner.run({ kind: 'engines-listed', engines: makeEngines(1, 1) }, START + 1);
+  expect(listRefusals(runner.ask('a', START + 2))).to.deep.equal(['no-upstream']);
+});
+
+it('allocator: the same ask twice gets the same grant, after its end nothing', () => {
+  const runner = makeRunner(1, 1);
+  const grant = findGrant(runner.ask('a', START));
+  if (grant === undefined) throw new Error('no grant');
+  expect(findGrant(runner.ask('a', START + 1))).to.equal(grant);
+  runner.run({ kind: 'attempt-ended', items: [makeEnd(grant), makeEnd(grant)] }, START + 9);
+  expect(runner.ask('a', START + 10)).to.deep.equal([]);
+});
+
+it('allocator: an ask that arrives after its withdrawal is dropped', () => {
+  const runner = makeRunner(1, 1);
+  runner.run({ kind: 'withdrawn', attemptId: 'a.1' as AttemptId }, START);
+  expect(runner.ask('a', START + 1)).to.deep.equal([]);
+});
+
+it('allocator: frees the places of a VM that is gone, of that incarnation only', () => {
+  const runner = makeRunner(40, 1);
+  for (let index = 0; index < 20; index += 1) {
+    const incarnation = (index < 19 ? 1 : 2) as Incarnation;
+    runner.ask(`a${index}`, START, { incarnation });
+  }
+  const vmId = 'vm-1' as VmId;
+  runner.run({ kind: 'vm-gone', vmId, incarnation: 1 as Incarnation }, START + 1);
+  if (runner.state.kind !== 'shard') throw new Error('not a shard');
+  expect(runner.state.reservations.size).to.equal(1);
+});
+
+it('allocator: frees a place whose end never arrives', () => {
+  const runner = makeRunner(1, 1);
+  runner.ask('a', START);
+  runner.run({ kind: 'ticked' }, START + 20_000);
+  if (runner.state.kind !== 'shard') throw new Error('not a shard');
+  expect(runner.state.reservations.size).to.equal(0);
+});
+
+it('allocator: a resume asks for a decode place only', () => {
+  const runner = makeRunner(1, 2);
+  const resumeFrom = 'd0' as UpstreamId;
+  const grant = findGrant(runner.ask('a', START, { resumeFrom, excluded: [resumeFrom] }));
+  expect(grant).to.include({ prefill: 'd0', decode: 'd1' });
+});
+
+it('allocator: while it rebuilds, places that nobody accounts for are taken', () => {
+  const state = makeAllocatorState(makeOptions());
+  const now = START;
+  handleAllocatorEvent(state, { kind: 'engines-listed', engines: makeEngines(1, 1), now });
+  const report = { role: 'decode', decodePlaces: 20, decodeStreams: 20, totalPieces: 1_000 };
+  handleAllocatorEvent(state, {
+    kind: 'load-reported',
+    upstreamId: 'd0' as UpstreamId,
+    report: { ...report, measuredAt: now } as LoadReport,
+    now,
+  });
+  const ask = makeAsk('a', now);
+  expect(handleAllocatorEvent(state, { kind: 'asked', ask, now })).to.deep.equal([]);
+  const actions = handleAllocatorEvent(state, {
+    kind: 'holds-listed',
+    upstreamId: 'd0' as UpstreamId,
+    holds: [],
+    now: now + 50,
+  });
+  const later = handleAllocatorEvent(state, { kind: 'ticked', now: now + 60 });
+  expect(findGrant([...actions, ...later])?.attemptId).to.equal('a.1');
+});
+
+it('allocator: holds that belong to no reservation count as taken until their deadline', () => {
+  const runner = makeRunner(40, 1);
+  const holds = Array.from({ length: 19 }, (_, index) => ({
+    owner: { attemptId: `x${index}.1`, deadline: START + 1_000 },
+    kind: 'decode',
+    pieces: 9,
+  })) as unknown as EngineHold[];
+  runner.run({ kind: 'holds-listed', upstreamId: 'd0' as UpstreamId, holds }, START);
+  expect(findGrant(runner.ask('a', START))?.decode).to.equal('d0');
+  expect(findGrant(runner.ask('b', START, { firstTokenDeadline: START + 5_000 }))).to.equal(
+    undefined,
+  );
+  expect(findGrant(runner.run({ kind: 'ticked' }, START + 4_000))?.attemptId).to.equal('b.1');
+});
+
+it('allocator: a new allocator takes over announced reservations and does not grant them again', () => {
+  const before = makeRunner(1, 1);
+  const ask = makeAsk('a', START);
+  const grant = findGrant(before.run({ kind: 'asked', ask }, START));
+  if (grant === undefined) throw new Error('no grant');
+  const after = makeRunner(1, 1);
+  const held: HeldReservation = { grant, ask, stage: 'decode', tokens: 3 };
+  after.run({ kind: 'held-announced', items: [held, held] }, START + 300);
+  if (after.state.kind !== 'shard') throw new Error('not a shard');
+  expect(after.state.reservations.size).to.equal(1);
+  after.run({ kind: 'attempt-ended', items: [makeEnd(grant)] }, START + 400);
+  after.run({ kind: 'held-announced', items: [held] }, START + 401);
+  expect(after.state.reservations.size).to.equal(0);
+});
--- a/packages/router/src/allocation/allocation-task.ts
+++ b/packages/router/src/allocation/allocation-task.ts
@@ -59,6 +59,8 @@
         ?.client.cancel(action.attemptId, now + CANCEL_TIMEOUT_MS)
         .catch(() => undefined);
       return;
+    case 'report-violation':
+      throw new Error(`${action.invariant}: ${action.detail}`);
     default:
       assertNever(action);
   }
