--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,7 +1,14 @@
 export * from './allocation/allocator-events.js';
 export * from './allocation/allocator.js';
+export * from './membership/membership.js';
 export * from './requests/prefix-hashes.js';
 export * from './requests/request-machine.js';
 export * from './requests/tokens.js';
+export * from './rules/line-diff.js';
+export * from './rules/rule-document.js';
 export * from './rules/rule-file.js';
+export * from './rules/rule-line.js';
+export * from './rules/rules-machine.js';
+export { parseDeltaRows } from './rules/rules-catch-up.js';
+export * from './rules/rules-state.js';
 export * from './rules/rule-set.js';
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -1,6 +1,7 @@
 /** Puts the daemon's parts together and starts and stops them. */
 
 import type { Server } from 'node:http';
+import { makeMembershipState } from '@tarragonspool/core';
 import {
   makeAgent,
   makeObjectClient,
@@ -18,7 +19,11 @@
 import { makeReadBodyFilter } from './callers/read-body-filter.js';
 import { makeClaimLedger } from './claims/claim-ledger.js';
 import type { Logger } from './logging/logger.js';
-import { applyHeartbeat, type PeerTable } from './membership/peer-table.js';
+import {
+  makeMembershipInbox,
+  makeMembershipView,
+  runMembership,
+} from './membership/membership-task.js';
 import { makeMetrics } from './metrics/metrics.js';
 import { makeOperatorServer } from './operators/operator-server.js';
 import type { PeerIdentity } from './peers/peer-link.js';
@@ -26,8 +31,10 @@
 import { makeChatFilters } from './requests/chat-filters.js';
 import { makeModelListFilter } from './requests/model-list-filter.js';
 import type { ModelRequestParts } from './requests/model-request-task.js';
-import { makeRulesInbox, runRules } from './rules/rules-task.js';
-import { makeRulesView } from './rules/rules-view.js';
+import { makeAdmissionFilter } from './rules/admission-filter.js';
+import { readRuleHistory } from './rules/rule-history.js';
+import { makeRulesInbox, runRules, type RulesMessage } from './rules/rules-task.js';
+import { isRulesViewCurrent, makeRulesView } from './rules/rules-view.js';
 import { makeServiceFilters } from './services/service-filters.js';
 import type { Settings } from './settings/settings.js';
 import { offer, startTask, type Task } from './tasks/tasks.js';
@@ -41,7 +48,7 @@
   readonly stop: (onStopped: () => void) => void;
 };
 
-const RULES_POLL_INTERVAL_MS = 1_000;
+const RULES_TICK_MS = 100;
 const DRAIN_NOTICE_MS = 2_000;
 const ALLOCATION_TICK_MS = 50;
 const HEARTBEAT_INTERVAL_MS = 250;
@@ -81,14 +88,31 @@
   };
   const start = (name: string, body: () => Task): void => startTask(name, body, handleTaskEnd);
 
-  const peers: PeerTable = new Map();
+  const membership = makeMembershipInbox();
+  const membershipState = makeMembershipState(self.vmId);
+  const members = makeMembershipView(membershipState, () => isLeaving);
   const handlePeerMessage = (peer: PeerIdentity, message: PeerMessage): void => {
     switch (message.kind) {
       case 'rules':
-        offer(rulesInbox, { kind: 'pushed', revision: message.revision, text: message.text });
+        offer(rulesInbox, { ...message, kind: 'peer-file', now: Date.now() });
+        return;
+      case 'rules-deltas':
+        offer(rulesInbox, { ...message, kind: 'peer-deltas', now: Date.now() });
+        return;
+      case 'rules-wanted': {
+        const { afterRevision } = message;
+        const { vmId } = peer;
+        offer(rulesInbox, { kind: 'peer-wants', vmId, afterRevision, now: Date.now() });
         return;
+      }
       case 'heartbeat':
-        applyHeartbeat(peers, peer, message, Date.now());
+        offer(rulesInbox, {
+          kind: 'peer-revision',
+          vmId: peer.vmId,
+          revision: message.rulesRevision,
+          now: Date.now(),
+        });
+        offer(membership, { ...message, ...peer, now: Date.now() });
         return;
       default:
         logger.debug({ kind: message.kind }, 'peers: message ignored');
@@ -102,27 +126,34 @@
     directory,
     metrics,
     logger,
-    onOpen: (link) => {
-      if (view.revision > 0) {
-        link.send({ kind: 'rules', revision: view.revision, text: view.text });
-      }
-    },
+    onOpen: () => undefined,
     onMessage: handlePeerMessage,
     onGone: (vmId, incarnation) => {
-      peers.delete(vmId);
-      offer(allocation, { kind: 'vm-gone', vmId, incarnation, now: Date.now() });
+      offer(membership, { kind: 'link-closed', vmId, incarnation, now: Date.now() });
     },
   });
 
-  start('directory', () => runDirectory(directory, vmList, allocation, logger));
+  start('directory', () => runDirectory(vmList, membership, logger));
+  start('membership', () =>
+    runMembership(membership, { state: membershipState, directory, allocation, logger }),
+  );
   const { policy, objective } = settings;
   const options = { vmId: self.vmId, policy, objective, seed: self.incarnation };
   start('allocation', () => runAllocation(allocation, options, directory, logger));
   start('rules', () =>
-    runRules(rulesInbox, { view, table, objects, metrics, logger, broadcast: mesh.broadcast }),
+    runRules(rulesInbox, {
+      view,
+      table,
+      objects,
+      membership,
+      metrics,
+      logger,
+      seed: self.incarnation,
+      broadcast: mesh.broadcast,
+      sendTo: mesh.sendTo,
+    }),
   );
-  offer(rulesInbox, { kind: 'poll' });
-  startTicker(rulesInbox, RULES_POLL_INTERVAL_MS, () => ({ kind: 'poll' }));
+  startTicker<RulesMessage>(rulesInbox, RULES_TICK_MS, (now) => ({ kind: 'ticked', now }));
   startTicker<AllocationMessage>(allocation, ALLOCATION_TICK_MS, (now) => ({
     kind: 'ticked',
     now,
@@ -137,22 +168,24 @@
       isLeaving,
       rulesRevision,
       summaries: [],
-      leaving: [],
+      leaving: members.listLeaving(),
     });
   };
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
 
   const requestParts: ModelRequestParts = { ...self, directory, allocation, metrics };
+  const admit = makeAdmissionFilter(view);
   const authenticate = makeAuthenticateFilter(view);
   const readBody = makeReadBodyFilter();
   const serviceParts = { view, directory, claims: makeClaimLedger(table), metrics };
   const callerServer = makeCallerServer({
     routes: {
-      chat: [authenticate, ...makeChatFilters(requestParts, view, readBody)],
-      models: [authenticate, makeModelListFilter(directory, view)],
-      service: [authenticate, ...makeServiceFilters(serviceParts, readBody)],
+      chat: [admit, authenticate, ...makeChatFilters(requestParts, view, readBody)],
+      models: [admit, authenticate, makeModelListFilter(directory, view)],
+      service: [admit, authenticate, ...makeServiceFilters(serviceParts, readBody)],
     },
-    isReady: () => view.isLoaded && directory.entryVms.length > 0 && !isLeaving,
+    isReady: () =>
+      isRulesViewCurrent(view, Date.now()) && directory.entryVms.length > 0 && !isLeaving,
     metrics,
     logger,
   });
@@ -162,12 +195,13 @@
     rulesInbox,
     metrics,
     logger,
+    readHistory: () => readRuleHistory(table, view.revision),
     getStatus: () => ({
       ...self,
       isLeaving,
       rulesRevision: view.revision,
       entryVms: directory.entryVms.map(({ vmId }) => vmId),
-      peers: [...peers.values()],
+      peers: members.listMembers(),
       engines: [...directory.engines.values()].map(
         ({ upstreamId, role, service, isLeaving: l }) => ({
           upstreamId,
