Advise when a stalled attempt should move, and let the allocator decide

Cause: a stream on a straggling engine waited it out; a granted prefill could not leave its engine. adviseRecovery tells an entry VM, from its own view of one attempt, when asking to move pays. An ask with movesFrom (new, optional) is granted or refused at once: a stream only if its engine has stopped while the pool goes on, a started prefill only within a budget of wasted work. Ruled out: moves commanded by the allocator; its view is up to a report interval older. Conclusion: the request task has to keep the first attempt until the move is granted.

--- a/packages/core/src/allocation/objectives.ts
+++ b/packages/core/src/allocation/objectives.ts
@@ -15,6 +15,8 @@
   readonly fairnessWeight: number;
   /** Decode places that may be granted before the stream that holds them has ended. */
   readonly maxBorrowedPlaces: number;
+  /** Share of granted prefill work that may be thrown away by moving started prefills. */
+  readonly maxWastedShare: number;
 };
 
 /** Returns the settings of an objective. */
@@ -27,6 +29,7 @@
         safetyShare: 0.08,
         fairnessWeight: 1,
         maxBorrowedPlaces: 0,
+        maxWastedShare: 0.02,
       };
     case 'crest':
       return {
@@ -35,6 +38,7 @@
         safetyShare: 0.03,
         fairnessWeight: 0.25,
         maxBorrowedPlaces: 4,
+        maxWastedShare: 0.005,
       };
     default:
       return assertNever(objective);
--- /dev/null
+++ b/packages/core/src/allocation/recovery.test.ts
@@ -0,0 +1,43 @@
+import { expect } from 'chai';
+import type { ReservationGrant, ReservationId, UpstreamId } from '@tarragonspool/protocol';
+import { makeAsk, START } from './builders.test.js';
+import { adviseRecovery, type AttemptView } from './recovery.js';
+
+function makeView(parts: Partial<AttemptView> = {}): AttemptView {
+  const ask = makeAsk('a', START);
+  const grant: ReservationGrant = {
+    reservationId: 'r' as ReservationId,
+    attemptId: ask.attemptId,
+    prefill: 'p0' as UpstreamId,
+    decode: 'd0' as UpstreamId,
+    prefillAt: START,
+    startDeadline: START + 500,
+    predictedFirstTokenAt: START + 200,
+    predictedAnswerAt: START + 200 + 39 * 30,
+  };
+  const { promptTokens, maxTokens } = ask;
+  const movedAt = START + 300;
+  const defaults = { grant, promptTokens, maxTokens, tokens: 5, movedAt, askedAt: 0 };
+  return { ...defaults, stage: 'decode', ...parts };
+}
+
+it('recovery: a stream that comes on is left alone', () => {
+  expect(adviseRecovery(makeView(), 'tail', START + 360)).to.equal('wait');
+});
+
+it('recovery: a stalled stream with much left resumes elsewhere, sooner for tail than for crest', () => {
+  expect(adviseRecovery(makeView(), 'tail', START + 410)).to.equal('resume');
+  expect(adviseRecovery(makeView(), 'crest', START + 410)).to.equal('wait');
+  expect(adviseRecovery(makeView(), 'crest', START + 460)).to.equal('resume');
+});
+
+it('recovery: a stream that is about to end waits, since the transfer costs more', () => {
+  expect(adviseRecovery(makeView({ tokens: 39 }), 'tail', START + 410)).to.equal('wait');
+});
+
+it('recovery: a prefill beyond its prediction asks for another place, but not all the time', () => {
+  const view = makeView({ stage: 'prefill' });
+  expect(adviseRecovery(view, 'tail', START + 250)).to.equal('wait');
+  expect(adviseRecovery(view, 'tail', START + 290)).to.equal('replace-prefill');
+  expect(adviseRecovery({ ...view, askedAt: START + 280 }, 'tail', START + 290)).to.equal('wait');
+});
--- a/packages/core/src/allocation/reservations.ts
+++ b/packages/core/src/allocation/reservations.ts
@@ -18,6 +18,7 @@
   OVERHEAD_MS,
 } from './engine-estimates.js';
 import { scheduleEngine, type Engine, type Reservation } from './engine-state.js';
+import { addGrantedWork } from './moves.js';
 import { countPieces, type Placement } from './placement.js';
 import { addCacheSample, addGrantedPrefixes } from './prefix-knowledge.js';
 import type { ShardState } from './shard-state.js';
@@ -97,6 +98,7 @@
   });
   if (prefillEngine !== undefined) {
     prefillEngine.linkFreeAt = placement.importEndAt;
+    addGrantedWork(state.moves, ask.promptTokens - placement.expectedCachedTokens);
     addGrantedPrefixes(state.prefixes, prefillEngine, ask.prefixes);
   }
   return { kind: 'grant', ask, grant };
--- a/packages/core/src/allocation/shard-allocator.test.ts
+++ b/packages/core/src/allocation/shard-allocator.test.ts
@@ -2,6 +2,7 @@
 import type {
   AttemptEnd,
   AttemptId,
+  AttemptProgress,
   EngineHold,
   HeldReservation,
   Incarnation,
@@ -247,3 +248,82 @@
   after.run({ kind: 'held-announced', items: [held] }, START + 401);
   expect(after.state.reservations.size).to.equal(0);
 });
+
+/** Makes a VM's report that a stream has reached a number of tokens. */
+function makeProgress(grant: ReservationGrant, tokens: number, movedAt: number): AttemptProgress {
+  const { reservationId, attemptId, decode } = grant;
+  return { reservationId, attemptId, upstreamId: decode, stage: 'decode', tokens, movedAt };
+}
+
+/** Runs one stream on each decode engine, with a token each 30 ms; `stalled` stop at 600 ms. */
+function runStreams(runner: ReturnType<typeof makeRunner>, stalled: readonly string[]) {
+  const grants = ['a', 'b', 'c', 'd'].flatMap((name) => findGrant(runner.ask(name, START)) ?? []);
+  for (let at = 300; at <= 900; at += 30) {
+    const items = grants.map((grant) => {
+      const stalledAt = stalled.includes(grant.decode) ? Math.min(at, 600) : at;
+      return makeProgress(grant, stalledAt / 30, START + stalledAt);
+    });
+    runner.run({ kind: 'progressed', items }, START + at);
+    runner.run({ kind: 'ticked' }, START + at);
+  }
+  return grants;
+}
+
+it('stragglers: new work moves away from a decode engine within a few token times', () => {
+  const runner = makeRunner(8, 4);
+  runStreams(runner, ['d1']);
+  const decodes = Array.from({ length: 4 }, (_, index) =>
+    findGrant(runner.ask(`n${index}`, START + 900)),
+  ).map((grant) => grant?.decode);
+  expect(decodes).to.have.lengthOf(4).and.not.include('d1').and.not.include(undefined);
+});
+
+it('stragglers: a pool that stops as a whole has none', () => {
+  const runner = makeRunner(8, 4);
+  runStreams(runner, ['d0', 'd1', 'd2', 'd3']);
+  const { state } = runner;
+  if (state.kind !== 'shard') throw new Error('not a shard');
+  expect(state.pool.decode.filter(({ isSuspect }) => isSuspect)).to.deep.equal([]);
+});
+
+it('stragglers: an engine that comes on again is trusted again', () => {
+  const runner = makeRunner(8, 4);
+  const grants = runStreams(runner, ['d1']);
+  for (let at = 930; at <= 1_400; at += 30) {
+    const items = grants.map((grant) => makeProgress(grant, at / 30, START + at));
+    runner.run({ kind: 'progressed', items }, START + at);
+    runner.run({ kind: 'ticked' }, START + at);
+  }
+  const { state } = runner;
+  if (state.kind !== 'shard') throw new Error('not a shard');
+  expect(state.pool.decode.filter(({ isSuspect }) => isSuspect)).to.deep.equal([]);
+});
+
+it('stragglers: a stalled stream may move, one that comes on may not', () => {
+  const runner = makeRunner(8, 4);
+  const grants = runStreams(runner, ['d1']);
+  const move = (decode: string) => {
+    const grant = grants.find((each) => each.decode === decode);
+    if (grant === undefined) throw new Error('no grant');
+    return runner.ask(`${decode}-move`, START + 901, {
+      movesFrom: grant.attemptId,
+      resumeFrom: grant.decode,
+      excluded: [grant.decode],
+    });
+  };
+  expect(findGrant(move('d1'))).to.include({ prefill: 'd1' });
+  expect(listRefusals(move('d2'))).to.deep.equal(['no-upstream']);
+});
+
+it('stragglers: a started prefill is moved only within the budget of thrown away work', () => {
+  const runner = makeRunner(2, 2);
+  teach(runner);
+  const grant = findGrant(runner.ask('a', START));
+  if (grant === undefined) throw new Error('no grant');
+  const move = (name: string) =>
+    runner.ask(name, START + 600, { movesFrom: grant.attemptId, excluded: [grant.prefill] });
+  expect(listRefusals(move('x'))).to.deep.equal(['no-upstream']);
+  if (runner.state.kind !== 'shard') throw new Error('not a shard');
+  runner.state.moves.grantedTokens = 400_000;
+  expect(findGrant(move('y'))?.prefill).not.to.equal(grant.prefill);
+});
--- a/packages/core/src/allocation/shard-allocator.ts
+++ b/packages/core/src/allocation/shard-allocator.ts
@@ -13,11 +13,12 @@
   type UpstreamId,
   type VmId,
 } from '@tarragonspool/protocol';
-import { admitAsk, shedHopeless } from './admission.js';
+import { admitAsk, refuseAsk, shedHopeless } from './admission.js';
 import type { AllocatorAction, AllocatorEvent } from './allocator-events.js';
 import { removeIdleCallers } from './caller-shares.js';
 import { countTakenPlaces, updateEngines, type Engine } from './engine-state.js';
 import { checkGrant, checkState } from './invariants.js';
+import { isMoveWanted, recordMove } from './moves.js';
 import { findPlacement, hasReadyPrefill } from './placement.js';
 import { applyCacheEvents, removeEnginePrefixes } from './prefix-knowledge.js';
 import {
@@ -46,19 +47,24 @@
   return false;
 }
 
-function grantWaitingAsk(state: ShardState, waiting: WaitingAsk, now: number): AllocatorAction[] {
-  const placement = findPlacement(state, waiting.ask, now);
+/** Grants the ask if it can start now. */
+function grantAsk(state: ShardState, ask: ReservationAsk, now: number): AllocatorAction[] {
+  const isPastFirstToken = ask.resumeFrom === undefined && now > ask.firstTokenDeadline;
+  if (isPastFirstToken || now > ask.answerDeadline) return [];
+  const placement = findPlacement(state, ask, now);
   if (placement === undefined) return [];
-  const isPastDeadline =
-    waiting.ask.resumeFrom === undefined && now > waiting.ask.firstTokenDeadline;
-  if (isPastDeadline || now > waiting.ask.answerDeadline) return [];
-  removeWaiting(state.queue, waiting);
-  const action = grantPlacement(state, waiting.ask, placement, now);
-  const reservation = state.reservationsByAttempt.get(waiting.ask.attemptId);
+  const action = grantPlacement(state, ask, placement, now);
+  const reservation = state.reservationsByAttempt.get(ask.attemptId);
   if (reservation === undefined) return [action];
   return [action, ...checkGrant(state, reservation, now)];
 }
 
+function grantWaitingAsk(state: ShardState, waiting: WaitingAsk, now: number): AllocatorAction[] {
+  const actions = grantAsk(state, waiting.ask, now);
+  if (actions.length > 0) removeWaiting(state.queue, waiting);
+  return actions;
+}
+
 /** Grants whatever can start now, in queue order; one that cannot holds up nobody else. */
 function grantWaiting(state: ShardState, now: number): AllocatorAction[] {
   const actions: AllocatorAction[] = [];
@@ -73,11 +79,29 @@
   return actions;
 }
 
+/** Moves an attempt at once or not at all; its first reservation lives until its end is told. */
+function handleMove(
+  state: ShardState,
+  ask: ReservationAsk,
+  movesFrom: AttemptId,
+  now: number,
+): AllocatorAction[] {
+  const live = state.reservationsByAttempt.get(movesFrom);
+  const isWanted = live !== undefined && isMoveWanted(state, ask, live, now);
+  const actions = isWanted ? grantAsk(state, ask, now) : [];
+  if (live === undefined || actions.length === 0) {
+    return [refuseAsk(ask, 'no-upstream', 'the attempt is better off where it is')];
+  }
+  recordMove(state, ask, live, now);
+  return actions;
+}
+
 function handleAsk(state: ShardState, ask: ReservationAsk, now: number): AllocatorAction[] {
   const { attemptId } = ask;
   if (state.queue.byAttempt.has(attemptId) || state.endedUntil.has(attemptId)) return [];
   const live = state.reservationsByAttempt.get(attemptId);
   if (live !== undefined) return [{ kind: 'grant', ask: live.ask, grant: live.grant }];
+  if (ask.movesFrom !== undefined) return handleMove(state, ask, ask.movesFrom, now);
   return [...admitAsk(state, ask, now), ...grantWaiting(state, now)];
 }
 
--- a/packages/core/src/allocation/shard-state.ts
+++ b/packages/core/src/allocation/shard-state.ts
@@ -6,6 +6,7 @@
 import { makePoolEstimates, type PoolEstimates } from './engine-estimates.js';
 import { makeEnginePool, type EnginePool, type Reservation } from './engine-state.js';
 import { getObjectiveSettings, type ObjectiveSettings } from './objectives.js';
+import { makeMoveBudget, type MoveBudget } from './moves.js';
 import { makePrefixKnowledge, type PrefixKnowledge } from './prefix-knowledge.js';
 import { makeRandom, type Random } from './random.js';
 import { makeWaitingQueue, type WaitingQueue } from './waiting-queue.js';
@@ -25,6 +26,7 @@
   readonly shares: CallerShares;
   readonly reservations: Map<ReservationId, Reservation>;
   readonly reservationsByAttempt: Map<AttemptId, Reservation>;
+  readonly moves: MoveBudget;
   /** VMs that report progress. */
   readonly reportingVms: Set<VmId>;
   /** Attempts that are over, until the time when no message about them can be under way. */
@@ -52,6 +54,7 @@
     shares: makeCallerShares(),
     reservations: new Map(),
     reservationsByAttempt: new Map(),
+    moves: makeMoveBudget(),
     reportingVms: new Set(),
     endedUntil: new Map(),
     arrivals: Array.from({ length: PRIORITIES }, () => ({ workPerMs: 0, updatedAt: 0 })),
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export * from './allocation/allocator-events.js';
 export * from './allocation/allocator.js';
+export * from './allocation/recovery.js';
 export * from './membership/membership.js';
 export * from './requests/prefix-hashes.js';
 export * from './requests/request-machine.js';
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -51,6 +51,8 @@
   readonly excluded: readonly UpstreamId[];
   /** Engine that holds the KV cache of a stalled stream; a resume needs no prefill. */
   readonly resumeFrom?: UpstreamId;
+  /** Attempt that goes on until this one is granted; answered at once, never queued. */
+  readonly movesFrom?: AttemptId;
 };
 
 /** Places granted to one attempt. */
@@ -186,6 +188,7 @@
   fingerprint: id,
   excluded: z.array(id),
   resumeFrom: id.optional(),
+  movesFrom: id.optional(),
 });
 
 const grantSchema = z.object({
