--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -74,6 +74,7 @@
   const objects = makeObjectClient(settings.platformUrl, platformAgent);
   const vmList = makeVmListClient(settings.platformUrl, platformAgent);
   const metrics = makeMetrics();
+  const invariants = makeInvariants(metrics, logger);
   const directory = makeDirectory();
   const view = makeRulesView();
   const allocation = makeAllocationInbox();
@@ -151,7 +152,15 @@
   );
   const { policy, objective } = settings;
   const { sendTo } = mesh;
-  const allocator = makeAllocation({ ...self, policy, objective, sendTo, cancels, logger });
+  const allocator = makeAllocation({
+    ...self,
+    policy,
+    objective,
+    sendTo,
+    cancels,
+    invariants,
+    logger,
+  });
   start('allocation', () => allocator.run(allocation));
   start('cancels', () => runCancels(cancels, { directory, metrics, logger }));
   start('engine polls', () =>
@@ -175,6 +184,7 @@
       objects,
       membership,
       metrics,
+      invariants,
       logger,
       seed: self.incarnation,
       broadcast: mesh.broadcast,
@@ -209,7 +219,7 @@
     allocation,
     cancels,
     budget: makeRetryBudget(),
-    invariants: makeInvariants(metrics, logger),
+    invariants,
     metrics,
   };
   const admit = makeAdmissionFilter(view);
--- a/packages/router/src/invariants/invariants.ts
+++ b/packages/router/src/invariants/invariants.ts
@@ -3,6 +3,7 @@
  * process where the environment says so, as tests do.
  */
 
+import type { AllocatorInvariant } from '@tarragonspool/core';
 import type { Logger } from '../logging/logger.js';
 import type { Metrics } from '../metrics/metrics.js';
 
@@ -15,7 +16,10 @@
   /** Only frames of the current attempt reach the caller. */
   | 'foreign-attempt'
   /** Nobody is told that a request was not run after a work order left for it. */
-  | 'not-run-honest';
+  | 'not-run-honest'
+  /** A greater revision of the rules is never replaced by a lesser one. */
+  | 'rules-never-revert'
+  | AllocatorInvariant;
 
 /** Checks invariants. */
 export type Invariants = {
