--- a/packages/core/src/rules/rules-state.ts
+++ b/packages/core/src/rules/rules-state.ts
@@ -154,7 +154,11 @@
   | { readonly kind: 'send-file'; readonly vmId: VmId; readonly document: RuleDocument }
   | { readonly kind: 'want-rules'; readonly vmId: VmId; readonly afterRevision: RuleRevision }
   | { readonly kind: 'answer-edit'; readonly editId: EditId; readonly outcome: EditOutcome }
-  | { readonly kind: 'report-violation'; readonly invariant: string; readonly detail: string };
+  | {
+      readonly kind: 'report-violation';
+      readonly invariant: 'rules-never-revert';
+      readonly detail: string;
+    };
 
 /** Key of the row that names the revision in force. */
 export const RULES_CURRENT_KEY = 'rules/current';
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -40,6 +40,7 @@
 import { makeRulesInbox, runRules, type RulesMessage } from './rules/rules-task.js';
 import { isRulesViewCurrent, makeRulesView } from './rules/rules-view.js';
 import { makeServiceFilters } from './services/service-filters.js';
+import { getKeepAliveMs, runGracefulStop } from './shutdown/graceful-stop.js';
 import type { Settings } from './settings/settings.js';
 import { offer, startTask, type Task } from './tasks/tasks.js';
 import { startTicker } from './tasks/timers.js';
@@ -53,20 +54,12 @@
 };
 
 const RULES_TICK_MS = 100;
-const DRAIN_NOTICE_MS = 2_000;
 const ALLOCATION_TICK_MS = 25;
 const CANCEL_TICK_MS = 250;
 const HEARTBEAT_INTERVAL_MS = 250;
 
-/** Splits `IP:port`. */
-function parseAddress(address: string): { host: string; port: number } {
-  const [host = '', port = ''] = address.split(':');
-  return { host, port: Number(port) };
-}
-
-function listen(server: Server, address: string): void {
-  const { host, port } = parseAddress(address);
-  server.listen(port, host);
+function listen(server: Server, address: { readonly host: string; readonly port: number }): void {
+  server.listen(address.port, address.host);
 }
 
 /** Starts the daemon. */
@@ -81,6 +74,7 @@
   const objects = makeObjectClient(settings.platformUrl, platformAgent);
   const vmList = makeVmListClient(settings.platformUrl, platformAgent);
   const metrics = makeMetrics();
+  const invariants = makeInvariants(metrics, logger);
   const directory = makeDirectory();
   const view = makeRulesView();
   const allocation = makeAllocationInbox();
@@ -132,7 +126,7 @@
 
   const mesh = startPeerMesh({
     self,
-    listen: parseAddress(settings.peerListen),
+    listen: settings.peerListen,
     secrets: settings.peerSecrets,
     directory,
     metrics,
@@ -149,11 +143,24 @@
 
   start('directory', () => runDirectory(vmList, membership, logger));
   start('membership', () =>
-    runMembership(membership, { state: membershipState, directory, allocation, logger }),
+    runMembership(membership, {
+      state: membershipState,
+      directory,
+      allocation,
+      logger,
+    }),
   );
   const { policy, objective } = settings;
   const { sendTo } = mesh;
-  const allocator = makeAllocation({ ...self, policy, objective, sendTo, cancels, logger });
+  const allocator = makeAllocation({
+    ...self,
+    policy,
+    objective,
+    sendTo,
+    cancels,
+    invariants,
+    logger,
+  });
   start('allocation', () => allocator.run(allocation));
   start('cancels', () => runCancels(cancels, { directory, metrics, logger }));
   start('engine polls', () =>
@@ -177,6 +184,7 @@
       objects,
       membership,
       metrics,
+      invariants,
       logger,
       seed: self.incarnation,
       broadcast: mesh.broadcast,
@@ -211,12 +219,12 @@
     allocation,
     cancels,
     budget: makeRetryBudget(),
-    invariants: makeInvariants(metrics, logger),
+    invariants,
     metrics,
   };
   const admit = makeAdmissionFilter(view);
   const authenticate = makeAuthenticateFilter(view);
-  const readBody = makeReadBodyFilter();
+  const readBody = makeReadBodyFilter(settings.maxBodyBytes);
   const serviceParts = { view, directory, claims: makeClaimLedger(table), metrics };
   const callerServer = makeCallerServer({
     routes: {
@@ -226,6 +234,8 @@
     },
     isReady: () =>
       isRulesViewCurrent(view, Date.now()) && directory.entryVms.length > 0 && !isLeaving,
+    isLeaving: () => isLeaving,
+    keepAliveMs: getKeepAliveMs(settings.drainNoticeMs),
     metrics,
     logger,
   });
@@ -258,20 +268,32 @@
   listen(operatorServer, settings.operatorListen);
   logger.info({ callers: settings.callerListen }, 'daemon: started');
 
+  const onLeaving = (): void => {
+    isLeaving = true;
+    logger.info('daemon: leaving');
+    sendHeartbeat();
+  };
   return {
     stop: (onStopped) => {
-      isLeaving = true;
-      logger.info('daemon: leaving');
-      sendHeartbeat();
-      setTimeout(() => {
-        callerServer.close(() => {
+      const stopParts = {
+        server: callerServer,
+        noticeMs: settings.drainNoticeMs,
+        onLeaving,
+        flush: async () => undefined,
+        onStopped: () => {
           clearInterval(heartbeatTimer);
           mesh.close();
           logger.info('daemon: stopped');
           onStopped();
-        });
-        callerServer.closeIdleConnections();
-      }, DRAIN_NOTICE_MS);
+        },
+      };
+      startTask(
+        'graceful stop',
+        () => runGracefulStop(stopParts),
+        (name, error) => {
+          if (error !== undefined) handleTaskEnd(name, error);
+        },
+      );
     },
   };
 }
