--- a/packages/router/src/callers/caller-server.ts
+++ b/packages/router/src/callers/caller-server.ts
@@ -3,7 +3,7 @@
 import { randomUUID } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
-import { getResultCode, type RequestId } from '@tarragonspool/protocol';
+import { getResultCode, type Refusal, type RequestId } from '@tarragonspool/protocol';
 import { buildProblem, sendRefusal } from '../http/refusals.js';
 import type { Logger } from '../logging/logger.js';
 import type { Metrics } from '../metrics/metrics.js';
@@ -31,6 +31,7 @@
 
 const MAX_HEADER_BYTES = 16_384;
 const HEADERS_TIMEOUT_MS = 10_000;
+const CONNECTION_CHECK_INTERVAL_MS = 2_000;
 const REQUEST_ID_PATTERN = /^[A-Za-z0-9._-]{8,128}$/;
 
 function makeRequestId(incoming: IncomingMessage): RequestId {
@@ -55,15 +56,24 @@
   response.end(isGood ? 'ok\n' : 'not ready\n');
 }
 
+function findParserRefusal(error: NodeJS.ErrnoException): Pick<Refusal, 'name' | 'detail'> {
+  switch (error.code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return { name: 'headers-too-large', detail: `at most ${MAX_HEADER_BYTES} bytes` };
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return { name: 'body-timeout', detail: 'the request did not arrive in time' };
+    default:
+      return { name: 'invalid-request', detail: 'not valid HTTP' };
+  }
+}
+
 function sendParserError(error: NodeJS.ErrnoException, socket: Duplex): void {
   if (!socket.writable) {
     socket.destroy();
     return;
   }
-  const isFlood = error.code === 'HPE_HEADER_OVERFLOW';
-  const name = isFlood ? 'headers-too-large' : 'invalid-request';
+  const { name, detail } = findParserRefusal(error);
   const { status } = getResultCode(name);
-  const detail = isFlood ? `at most ${MAX_HEADER_BYTES} bytes` : 'not valid HTTP';
   const body = JSON.stringify(buildProblem({ name, ran: 'not-run', detail }));
   socket.end(
     `HTTP/1.1 ${status} Refused\r\nconnection: close\r\n` +
@@ -124,7 +134,11 @@
   }
 
   const server = createServer(
-    { maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS },
+    {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+    },
     handleRequest,
   );
   server.keepAliveTimeout = parts.keepAliveMs;
--- a/packages/router/src/callers/read-body-filter.ts
+++ b/packages/router/src/callers/read-body-filter.ts
@@ -6,10 +6,10 @@
 
 const BODY_TIMEOUT_MS = 15_000;
 
-/** Makes the filter that reads a whole body of at most `maxBytes`. */
-export function makeReadBodyFilter(maxBytes: number): Filter {
+/** Makes the filter that reads a whole body of at most `maxBytes` within `timeoutMs`. */
+export function makeReadBodyFilter(maxBytes: number, timeoutMs = BODY_TIMEOUT_MS): Filter {
   return function* readWholeBody(exchange) {
-    const deadline = exchange.arrivedAt + BODY_TIMEOUT_MS;
+    const deadline = exchange.arrivedAt + timeoutMs;
     const result = yield* awaitPromise(readBody(exchange.incoming, maxBytes, deadline));
     switch (result.kind) {
       case 'body':
@@ -18,7 +18,7 @@
       case 'too-large':
         return refuse('body-too-large', `at most ${maxBytes} bytes`);
       case 'timeout':
-        return refuse('body-timeout', `within ${BODY_TIMEOUT_MS} ms`);
+        return refuse('body-timeout', `within ${timeoutMs} ms`);
       default:
         return refuse('invalid-request', 'the body broke off');
     }
--- a/packages/stand-ins/src/failures/model-requests.test.ts
+++ b/packages/stand-ins/src/failures/model-requests.test.ts
@@ -13,8 +13,9 @@
 type Answer = { readonly status: number; readonly text: string; readonly isDone: boolean };
 
 let deployment: Deployment;
+let started: Promise<void> | undefined;
 
-before(async () => {
+async function startAll(): Promise<void> {
   deployment = await startDeployment({
     basePort: BASE_PORT,
     entryVms: 3,
@@ -28,9 +29,17 @@
   });
   const rules = `caller team key-sha256=${digestKey(KEY)}  # test\nallow team ${MODEL}  # test\n`;
   expect((await deployment.applyRules(rules)).code).to.equal(0);
-});
+}
 
-after(() => deployment.kill());
+/** Starts the processes with the first test that needs them. */
+function setUp(): Promise<void> {
+  started ??= startAll();
+  return started;
+}
+
+after(() => {
+  if (started !== undefined) deployment.kill();
+});
 
 function makePrompt(name: string): string {
   return `${name}: ${'declare the catch '.repeat(200)}`;
@@ -97,6 +106,7 @@
 }
 
 it('failures: a caller that hangs up in mid-stream frees its places', async () => {
+  await setUp();
   const caller = new AbortController();
   const response = await startChat(0, 'hang-up', caller.signal);
   await response.body?.getReader().read();
@@ -106,6 +116,7 @@
 });
 
 it('failures: a stream goes on whole when its decode engine dies', async () => {
+  await setUp();
   const answer = startChat(0, 'engine-dies').then(readAnswer);
   const decoder = deployment.engines[await findDecoder()];
   await waitFor(200);
@@ -115,6 +126,7 @@
 });
 
 it('failures: a stream moves whole when its decode engine is frozen', async () => {
+  await setUp();
   const answer = startChat(1, 'engine-freezes').then(readAnswer);
   const decoder = deployment.engines[await findDecoder()];
   await waitFor(200);
@@ -129,6 +141,7 @@
 });
 
 it('failures: requests of other VMs are answered whole when the allocator VM dies', async () => {
+  await setUp();
   const owner = await deployment.findAllocatorVm();
   const others = [0, 1, 2].filter((vm) => vm !== owner);
   const early = others.map((vm) => startChat(vm, `early-${vm}`).then(readAnswer));
@@ -147,6 +160,7 @@
 });
 
 it('failures: requests are answered whole while the allocator VM is frozen', async () => {
+  await setUp();
   const prefix = 'frozen';
   await waitUntil('all VMs ready', Date.now() + WAIT_MS, async () => {
     const ready = await Promise.all(
