Make the test of a client that never reads fail without its guard

The engine is paced now and the test asks for the result caller-gone. Before: with the bound removed the test fails.

--- a/packages/router/src/callers/hostile-callers.test.ts
+++ b/packages/router/src/callers/hostile-callers.test.ts
@@ -30,12 +30,14 @@
 const KEY = 'good-key';
 const MAX_BODY_BYTES = 10_000;
 const BODY_TIMEOUT_MS = 150;
-const FLOOD_TOKENS = 200_000;
+const FLOOD_TOKENS = 30_000;
+const BATCH_TOKENS = 64;
 const HEADERS = `host: x\r\nauthorization: Bearer ${KEY}\r\n`;
 
 let callers: Server;
 let engine: Server;
 const cancelled: string[] = [];
+const metrics = makeMetrics();
 
 function startListening(server: Server): Promise<number> {
   return new Promise((resolve) => {
@@ -53,13 +55,13 @@
   response.write(`${JSON.stringify({ kind: 'imported', attemptId })}\n`);
   let index = 0;
   const writeMore = (): void => {
-    while (index < FLOOD_TOKENS && !response.destroyed) {
-      const frame = { kind: 'token', attemptId, index, text: 'x'.repeat(200) };
+    for (let count = 0; count < BATCH_TOKENS; count += 1) {
+      const frame = { kind: 'token', attemptId, index, text: 'x'.repeat(2_000) };
       index += 1;
-      if (!response.write(`${JSON.stringify(frame)}\n`)) break;
+      response.write(`${JSON.stringify(frame)}\n`);
     }
+    if (index < FLOOD_TOKENS && !response.destroyed) setTimeout(writeMore, 1);
   };
-  response.on('drain', writeMore);
   writeMore();
 }
 
@@ -127,7 +129,6 @@
   } as unknown as VmRecord;
   const directory = makeDirectory();
   applyVmList(directory, [record], () => false);
-  const metrics = makeMetrics();
   const logger = pino({ level: 'silent' });
   const view = makeView();
   const allocation = makeAllocationInbox();
@@ -267,6 +268,8 @@
   socket.write(makePost(makeChat('scribe')));
   await waitUntil(() => cancelled.length > 0);
   expect(cancelled).to.include('e1');
+  const { values } = await metrics.requests.get();
+  expect(values.map(({ labels }) => labels.result)).to.include('caller-gone');
   socket.destroy();
 });
 
