Claim keys in a pure machine with a token for each try

Cause: the token of a claim was the request id, which callers may send twice; the second call then read the first one's row as its own claim and was sent again. Lost answers were read back once, a conflict had one row to itself, and the outcome was lost if the table was away when it was recorded. Ruled out: a lease on the key that another VM takes over (a paused holder may still send); keeping keys on the entry VM (lost with it). Conclusion: the service path now claims in groups, sends on a connected socket in the same step as the deadline check, tries another server only while nothing was sent, and records in the background.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,5 @@
 export * from './assert-never.js';
+export * from './claim-records.js';
 export * from './engine-messages.js';
 export * from './ids.js';
 export * from './peer-messages.js';
--- a/packages/protocol/src/result-codes.ts
+++ b/packages/protocol/src/result-codes.ts
@@ -57,6 +57,11 @@
   'claim-in-progress': { code: 3003, status: 409, title: 'A call with this key is running.' },
   'key-reused': { code: 3004, status: 422, title: 'The key was used for another request.' },
   'duplicate-request': { code: 3005, status: 409, title: 'This request is already running.' },
+  'answer-not-kept': {
+    code: 3006,
+    status: 409,
+    title: 'The call ran; its answer was too large to keep.',
+  },
   'upstream-failed': { code: 4001, status: 502, title: 'The upstream failed.' },
   'stream-interrupted': { code: 4002, status: 502, title: 'The answer broke off.' },
   'upstream-timeout': { code: 4003, status: 504, title: 'The upstream did not answer in time.' },
--- a/packages/router/src/claims/claim-ledger.ts
+++ b/packages/router/src/claims/claim-ledger.ts
@@ -1,91 +1,191 @@
-/** Records claims and outcomes of calls that must run at most once, in the platform's table. */
+/** Owns the claim machine and carries its calls of the table. */
 
+import { createHash, randomUUID } from 'node:crypto';
+import {
+  findNextClaimTick,
+  handleClaimEvent,
+  makeClaimState,
+  type Claim,
+  type ClaimAction,
+  type ClaimEvent,
+  type ClaimVerdict,
+} from '@tarragonspool/core';
 import type { TableClient } from '@tarragonspool/platform';
-import type { CallerId, Fingerprint, IdempotencyKey, RequestId } from '@tarragonspool/protocol';
+import {
+  assertNever,
+  type CallerId,
+  type ClaimEnding,
+  type Fingerprint,
+  type IdempotencyKey,
+} from '@tarragonspool/protocol';
+import { reportViolation } from '../invariants/invariants.js';
+import type { Logger } from '../logging/logger.js';
+import type { Metrics } from '../metrics/metrics.js';
+import { makeChannel, offer, receive, type Channel, type Task } from '../tasks/tasks.js';
 
-/** A claim of one call. */
-export type Claim = {
+/** What a call brings to its claim. */
+export type ClaimAsk = {
   readonly callerId: CallerId;
   readonly key: IdempotencyKey;
   readonly fingerprint: Fingerprint;
-  /** Names this try; a claim belongs to the try whose token the row holds. */
-  readonly token: RequestId;
+  /** How long the upstream may take, in milliseconds. */
+  readonly callTimeoutMs: number;
 };
 
-/** Recorded answer of a call. */
-export type ClaimOutcome = {
-  readonly status: number;
-  readonly contentType: string;
-  readonly body: string;
-};
+/** What the ledger receives. */
+export type LedgerMessage =
+  | { readonly kind: 'event'; readonly event: ClaimEvent }
+  | {
+      readonly kind: 'claim';
+      readonly claim: Claim;
+      readonly onVerdict: (verdict: ClaimVerdict) => void;
+    };
 
-/** Result of claiming a call. */
-export type ClaimResult =
-  | { readonly kind: 'claimed' }
-  | { readonly kind: 'recorded'; readonly outcome: ClaimOutcome }
-  | { readonly kind: 'running' }
-  | { readonly kind: 'reused' }
-  | { readonly kind: 'unavailable' };
-
-/** Claims calls and records their outcomes. */
-export type ClaimLedger = {
-  claim(claim: Claim): Promise<ClaimResult>;
-  record(claim: Claim, outcome: ClaimOutcome): Promise<boolean>;
-};
+/** Inbox of the ledger, with a count of the claims that wait for a verdict. */
+export type LedgerInbox = { readonly channel: Channel<LedgerMessage>; waiting: number };
 
-type ClaimRow = {
-  readonly token: string;
-  readonly fingerprint: string;
-  readonly outcome?: ClaimOutcome;
+/** What the ledger works with. */
+export type LedgerParts = {
+  readonly table: TableClient;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
 };
 
-const CALL_TIMEOUT_MS = 2_000;
+const INBOX_CAPACITY = 8_192;
+/** Leaves room in the inbox for answers of the table and endings. */
+const MAX_WAITING = 2_048;
+const CLAIM_TIMEOUT_MS = 2_000;
+const DISPATCH_TIMEOUT_MS = 3_000;
+const RETENTION_MS = 86_400_000;
+const BUCKET_DIGITS = 3;
 
-function getRowKey(claim: Claim): string {
-  return `claims/${claim.callerId}/${claim.key}`;
-}
+/** Number of buckets that rows are spread over, so that they can be swept a bucket at a time. */
+export const CLAIM_BUCKETS = 16 ** BUCKET_DIGITS;
 
-function getDeadline(): number {
-  return Date.now() + CALL_TIMEOUT_MS;
+/** Prefix of the rows of one bucket. */
+export function getClaimBucketPrefix(bucket: number): string {
+  return `claims/${bucket.toString(16).padStart(BUCKET_DIGITS, '0')}/`;
 }
 
-/** Makes the ledger over the table service. */
-export function makeClaimLedger(table: TableClient): ClaimLedger {
-  async function readRow(claim: Claim): Promise<ClaimResult> {
-    const result = await table.readRows([getRowKey(claim)], getDeadline());
-    const [row] = result.kind === 'rows' ? result.rows : [];
-    if (row === undefined) return { kind: 'unavailable' };
-    const value = JSON.parse(row.value) as ClaimRow;
-    if (value.token === claim.token) return { kind: 'claimed' };
-    if (value.fingerprint !== claim.fingerprint) return { kind: 'reused' };
-    if (value.outcome === undefined) return { kind: 'running' };
-    return { kind: 'recorded', outcome: value.outcome };
-  }
+/** Makes the inbox of the ledger. */
+export function makeLedgerInbox(): LedgerInbox {
+  return { channel: makeChannel<LedgerMessage>(INBOX_CAPACITY), waiting: 0 };
+}
 
+/** Makes a claim with a token of its own. */
+export function makeClaim(ask: ClaimAsk, now: number): Claim {
+  const name = `${ask.callerId}/${ask.key}`;
+  const digest = createHash('sha256').update(name).digest('hex');
+  const dispatchDeadline = now + DISPATCH_TIMEOUT_MS;
   return {
-    async claim(claim) {
-      const row: ClaimRow = { token: claim.token, fingerprint: claim.fingerprint };
-      const write = { kind: 'insert', key: getRowKey(claim), value: JSON.stringify(row) } as const;
-      const result = await table.transact([write], getDeadline());
-      switch (result.kind) {
-        case 'committed':
-          return { kind: 'claimed' };
-        case 'conflict':
-        case 'lost':
-          return readRow(claim);
-        default:
-          return { kind: 'unavailable' };
-      }
-    },
-    async record(claim, outcome) {
-      const read = await table.readRows([getRowKey(claim)], getDeadline());
-      const [row] = read.kind === 'rows' ? read.rows : [];
-      if (row === undefined) return false;
-      const { token, fingerprint } = claim;
-      const value = JSON.stringify({ token, fingerprint, outcome } satisfies ClaimRow);
-      const write = { kind: 'update', key: row.key, value, ifVersion: row.version } as const;
-      const result = await table.transact([write], getDeadline());
-      return result.kind === 'committed';
-    },
+    token: randomUUID(),
+    rowKey: `claims/${digest.slice(0, BUCKET_DIGITS)}/${name}`,
+    fingerprint: ask.fingerprint,
+    claimDeadline: now + CLAIM_TIMEOUT_MS,
+    dispatchDeadline,
+    answerDeadline: dispatchDeadline + ask.callTimeoutMs,
+    expiresAt: now + RETENTION_MS,
+  };
+}
+
+/** Claims a key and waits for the verdict. */
+export function* callLedger(inbox: LedgerInbox, claim: Claim): Task<ClaimVerdict> {
+  const refused: ClaimVerdict = { kind: 'unavailable', isKeyReserved: false };
+  if (inbox.waiting >= MAX_WAITING) return refused;
+  const reply = makeChannel<ClaimVerdict>(1);
+  const onVerdict = (verdict: ClaimVerdict): void => {
+    offer(reply, verdict);
+  };
+  if (!offer(inbox.channel, { kind: 'claim', claim, onVerdict })) return refused;
+  inbox.waiting += 1;
+  const verdict = yield* receive(reply);
+  inbox.waiting -= 1;
+  return verdict ?? refused;
+}
+
+/** Tells the ledger how a claimed call ended; it is recorded in the background. */
+export function endClaim(inbox: LedgerInbox, claim: Claim, ending: ClaimEnding): boolean {
+  const event = { kind: 'ended', token: claim.token, ending, now: Date.now() } as const;
+  return offer(inbox.channel, { kind: 'event', event });
+}
+
+type Running = {
+  readonly inbox: LedgerInbox;
+  readonly parts: LedgerParts;
+  readonly waiting: Map<string, (verdict: ClaimVerdict) => void>;
+};
+
+function offerEvent(running: Running, event: ClaimEvent): void {
+  offer(running.inbox.channel, { kind: 'event', event });
+}
+
+function startCall(
+  running: Running,
+  action: Extract<ClaimAction, { kind: 'transact' | 'read' }>,
+): void {
+  const { table, logger } = running.parts;
+  const { batchId } = action;
+  const handleError = (error: unknown): void => {
+    logger.error({ err: error }, 'claims: call of the table failed');
   };
+  if (action.kind === 'read') {
+    table
+      .readRows(action.keys, action.deadline)
+      .then((result) => offerEvent(running, { kind: 'read', batchId, result, now: Date.now() }))
+      .catch(handleError);
+    return;
+  }
+  table
+    .transact(action.writes, action.deadline)
+    .then((result) => offerEvent(running, { kind: 'transacted', batchId, result, now: Date.now() }))
+    .catch(handleError);
+}
+
+function performAction(running: Running, action: ClaimAction): void {
+  const { parts, waiting } = running;
+  switch (action.kind) {
+    case 'transact':
+    case 'read':
+      startCall(running, action);
+      return;
+    case 'answer': {
+      const onVerdict = waiting.get(action.token);
+      waiting.delete(action.token);
+      parts.metrics.claims.inc({ verdict: action.verdict.kind });
+      onVerdict?.(action.verdict);
+      return;
+    }
+    case 'drop-ending':
+      parts.metrics.claimEndingsDropped.inc();
+      parts.logger.error({ token: action.token }, 'claims: outcome was not recorded');
+      return;
+    case 'report-violation':
+      reportViolation(parts, action.invariant, { token: action.token });
+      return;
+    default:
+      assertNever(action);
+  }
+}
+
+/** Runs until the inbox closes. */
+export function* runClaimLedger(inbox: LedgerInbox, parts: LedgerParts): Task {
+  const state = makeClaimState();
+  const running: Running = { inbox, parts, waiting: new Map() };
+  let timer: NodeJS.Timeout | undefined;
+  for (;;) {
+    const message = yield* receive(inbox.channel);
+    if (message === undefined) return;
+    let event: ClaimEvent;
+    if (message.kind === 'claim') {
+      running.waiting.set(message.claim.token, message.onVerdict);
+      event = { kind: 'claim-asked', claim: message.claim, now: Date.now() };
+    } else event = message.event;
+    for (const action of handleClaimEvent(state, event)) performAction(running, action);
+    clearTimeout(timer);
+    const next = findNextClaimTick(state);
+    if (next !== undefined) {
+      const delay = Math.max(1, next - Date.now());
+      timer = setTimeout(() => offerEvent(running, { kind: 'ticked', now: Date.now() }), delay);
+    }
+  }
 }
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -16,7 +16,7 @@
 import { makeAuthenticateFilter } from './callers/authenticate.js';
 import { makeCallerServer } from './callers/caller-server.js';
 import { makeReadBodyFilter } from './callers/read-body-filter.js';
-import { makeClaimLedger } from './claims/claim-ledger.js';
+import { makeLedgerInbox, runClaimLedger } from './claims/claim-ledger.js';
 import type { Logger } from './logging/logger.js';
 import { applyHeartbeat, type PeerTable } from './membership/peer-table.js';
 import { makeMetrics } from './metrics/metrics.js';
@@ -145,7 +145,9 @@
   const requestParts: ModelRequestParts = { ...self, directory, allocation, metrics };
   const authenticate = makeAuthenticateFilter(view);
   const readBody = makeReadBodyFilter();
-  const serviceParts = { view, directory, claims: makeClaimLedger(table), metrics };
+  const claims = makeLedgerInbox();
+  start('claims', () => runClaimLedger(claims, { table, metrics, logger }));
+  const serviceParts = { view, directory, claims, metrics };
   const callerServer = makeCallerServer({
     routes: {
       chat: [authenticate, ...makeChatFilters(requestParts, view, readBody)],
--- a/packages/router/src/metrics/metrics.ts
+++ b/packages/router/src/metrics/metrics.ts
@@ -48,6 +48,22 @@
       help: 'Peers with an open link.',
       registers,
     }),
+    claims: new Counter({
+      name: 'tarragonspool_claims_total',
+      help: 'Claims of idempotency keys by verdict.',
+      labelNames: ['verdict'],
+      registers,
+    }),
+    claimEndingsDropped: new Counter({
+      name: 'tarragonspool_claim_endings_dropped_total',
+      help: 'Outcomes of claimed calls that were not recorded.',
+      registers,
+    }),
+    claimsSwept: new Counter({
+      name: 'tarragonspool_claims_swept_total',
+      help: 'Expired claim rows that were deleted.',
+      registers,
+    }),
     invariantViolations: new Counter({
       name: 'tarragonspool_invariant_violations_total',
       help: 'Invariants found broken, by name.',
--- a/packages/router/src/services/service-call.ts
+++ b/packages/router/src/services/service-call.ts
@@ -1,21 +1,10 @@
-/** Passes a call through to a server of a plain service. */
+/** Passes a call to a server of a plain service. */
 
-import { request, type Agent, type IncomingMessage } from 'node:http';
+import { request, type Agent, type ClientRequest, type IncomingMessage } from 'node:http';
 import { pipeline } from 'node:stream';
 import type { Exchange } from '../callers/exchange.js';
 import type { ServerEntry } from '../upstreams/directory.js';
 
-/** A whole answer of a server. */
-export type ServiceAnswer =
-  | {
-      readonly kind: 'answer';
-      readonly status: number;
-      readonly contentType: string;
-      readonly body: string;
-    }
-  | { readonly kind: 'unsent'; readonly detail: string }
-  | { readonly kind: 'unknown'; readonly detail: string };
-
 /** Where and how a call goes. */
 export type ServiceCall = {
   readonly server: ServerEntry;
@@ -25,6 +14,28 @@
   readonly deadline: number;
 };
 
+/** A request on a connected socket; no byte of it has been sent. */
+export type OpenCall = { readonly outgoing: ClientRequest };
+
+/** Result of connecting to a server. */
+export type OpenResult =
+  | { readonly kind: 'open'; readonly call: OpenCall }
+  | { readonly kind: 'unsent'; readonly detail: string };
+
+/** A whole answer of a server, or why none came. */
+export type ServiceAnswer =
+  | {
+      readonly kind: 'answer';
+      readonly status: number;
+      readonly contentType: string;
+      readonly body: Buffer;
+    }
+  | { readonly kind: 'too-large' }
+  | { readonly kind: 'unknown'; readonly detail: string };
+
+const MAX_ANSWER_BYTES = 16_777_216;
+const CONNECT_TIMEOUT_MS = 1_000;
+
 const HOP_HEADERS = new Set([
   'connection',
   'keep-alive',
@@ -37,7 +48,6 @@
   'host',
   'authorization',
 ]);
-const UNSENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
 
 function copyHeaders(incoming: IncomingMessage): Record<string, string | string[]> {
   const headers: Record<string, string | string[]> = {};
@@ -47,71 +57,94 @@
   return headers;
 }
 
-function makeOutgoing(
-  exchange: Exchange,
-  call: ServiceCall,
-  onAnswer: (answer: IncomingMessage) => void,
-) {
+/** Connects to a server without sending anything. */
+export function createCall(exchange: Exchange, call: ServiceCall): Promise<OpenResult> {
   const headers = { ...copyHeaders(exchange.incoming), 'x-request-id': exchange.requestId };
+  const { agent, deadline } = call;
   const url = `${call.server.url}${call.path}`;
-  const { agent } = call;
-  return request(url, { method: exchange.incoming.method, headers, agent }, onAnswer);
+  const outgoing = request(url, { method: exchange.incoming.method, headers, agent });
+  const connectDeadline = Math.min(deadline, Date.now() + CONNECT_TIMEOUT_MS);
+  return new Promise((resolve) => {
+    const timer = setTimeout(
+      () => outgoing.destroy(new Error('connecting took too long')),
+      Math.max(0, connectDeadline - Date.now()),
+    );
+    const open = (): void => {
+      clearTimeout(timer);
+      resolve({ kind: 'open', call: { outgoing } });
+    };
+    outgoing.on('socket', (socket) => {
+      if (socket.connecting) socket.once('connect', open);
+      else open();
+    });
+    outgoing.on('error', (error) => {
+      clearTimeout(timer);
+      resolve({ kind: 'unsent', detail: error.message });
+    });
+  });
+}
+
+/** Destroys the request when its deadline passes. */
+function scheduleTimeout(outgoing: ClientRequest, deadline: number): void {
+  const timer = setTimeout(
+    () => outgoing.destroy(new Error('deadline passed')),
+    Math.max(0, deadline - Date.now()),
+  );
+  outgoing.on('close', () => clearTimeout(timer));
 }
 
 /** Streams a call through; resolves with a detail if it failed before the answer began. */
 export function streamServiceCall(
   exchange: Exchange,
-  call: ServiceCall,
-): Promise<ServiceAnswer | undefined> {
+  { outgoing }: OpenCall,
+  deadline: number,
+): Promise<string | undefined> {
   const { incoming, response } = exchange;
   return new Promise((resolve) => {
-    const outgoing = makeOutgoing(exchange, call, (answer) => {
+    outgoing.on('response', (answer) => {
       response.writeHead(answer.statusCode ?? 502, copyHeaders(answer));
       pipeline(answer, response, () => resolve(undefined));
     });
-    const timer = setTimeout(
-      () => outgoing.destroy(new Error('deadline passed')),
-      Math.max(0, call.deadline - Date.now()),
-    );
-    outgoing.on('error', (error: NodeJS.ErrnoException) => {
-      const kind = UNSENT_CODES.has(error.code ?? '') ? 'unsent' : 'unknown';
-      resolve({ kind, detail: error.message });
-    });
-    outgoing.on('close', () => clearTimeout(timer));
+    outgoing.on('error', (error) => resolve(error.message));
+    scheduleTimeout(outgoing, deadline);
     response.on('close', () => outgoing.destroy());
     incoming.pipe(outgoing);
   });
 }
 
-/** Sends a call whose body is already read, and waits for the whole answer. */
+function readAnswer(answer: IncomingMessage, onAnswer: (answer: ServiceAnswer) => void): void {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  answer.on('data', (chunk: Buffer) => {
+    size += chunk.length;
+    if (size <= MAX_ANSWER_BYTES) {
+      chunks.push(chunk);
+      return;
+    }
+    onAnswer({ kind: 'too-large' });
+    answer.destroy();
+  });
+  answer.on('error', (error) => onAnswer({ kind: 'unknown', detail: error.message }));
+  answer.on('end', () => {
+    onAnswer({
+      kind: 'answer',
+      status: answer.statusCode ?? 502,
+      contentType: answer.headers['content-type'] ?? 'application/octet-stream',
+      body: Buffer.concat(chunks),
+    });
+  });
+}
+
+/** Sends a whole body at once, within this step, and waits for the whole answer. */
 export function sendServiceCall(
-  exchange: Exchange,
-  call: ServiceCall,
+  { outgoing }: OpenCall,
   body: Buffer,
+  deadline: number,
 ): Promise<ServiceAnswer> {
   return new Promise((resolve) => {
-    const outgoing = makeOutgoing(exchange, call, (answer) => {
-      const chunks: Buffer[] = [];
-      answer.on('data', (chunk: Buffer) => chunks.push(chunk));
-      answer.on('error', (error) => resolve({ kind: 'unknown', detail: error.message }));
-      answer.on('end', () => {
-        resolve({
-          kind: 'answer',
-          status: answer.statusCode ?? 502,
-          contentType: answer.headers['content-type'] ?? 'application/octet-stream',
-          body: Buffer.concat(chunks).toString('utf8'),
-        });
-      });
-    });
-    const timer = setTimeout(
-      () => outgoing.destroy(new Error('deadline passed')),
-      Math.max(0, call.deadline - Date.now()),
-    );
-    outgoing.on('error', (error: NodeJS.ErrnoException) => {
-      const kind = UNSENT_CODES.has(error.code ?? '') ? 'unsent' : 'unknown';
-      resolve({ kind, detail: error.message });
-    });
-    outgoing.on('close', () => clearTimeout(timer));
+    outgoing.on('response', (answer) => readAnswer(answer, resolve));
+    outgoing.on('error', (error) => resolve({ kind: 'unknown', detail: error.message }));
+    scheduleTimeout(outgoing, deadline);
     outgoing.end(body);
   });
 }
--- a/packages/router/src/services/service-filters.ts
+++ b/packages/router/src/services/service-filters.ts
@@ -1,8 +1,8 @@
 /** Filters for calls of plain services: `/services/NAME/PATH`. */
 
-import { createHash } from 'node:crypto';
-import { findRule } from '@tarragonspool/core';
-import type { Fingerprint, IdempotencyKey, ServiceName } from '@tarragonspool/protocol';
+import { Agent } from 'node:http';
+import { findRule, isDispatchAllowed } from '@tarragonspool/core';
+import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
 import {
   ANSWERED,
   CONTINUE,
@@ -11,24 +11,45 @@
   type Filter,
   type FilterVerdict,
 } from '../callers/exchange.js';
-import type { Claim, ClaimLedger, ClaimOutcome } from '../claims/claim-ledger.js';
+import type { LedgerInbox } from '../claims/claim-ledger.js';
+import {
+  makeAnsweredEnding,
+  readIdempotencyKey,
+  refuseLateDispatch,
+  runOnce,
+  type DispatchPermit,
+  type OnceResult,
+} from '../claims/run-once.js';
 import type { Metrics } from '../metrics/metrics.js';
 import type { RulesView } from '../rules/rules-view.js';
 import { awaitPromise, type Task } from '../tasks/tasks.js';
-import { hasService, type Directory, type ServerEntry } from '../upstreams/directory.js';
-import { sendServiceCall, streamServiceCall, type ServiceCall } from './service-call.js';
+import { hasService, type Directory } from '../upstreams/directory.js';
+import { addAvoided, chooseServer, makeServerChoice, type ServerChoice } from './server-choice.js';
+import {
+  createCall,
+  sendServiceCall,
+  streamServiceCall,
+  type OpenCall,
+  type ServiceAnswer,
+} from './service-call.js';
 
 /** What the service filters work with. */
 export type ServiceParts = {
   readonly view: RulesView;
   readonly directory: Directory;
-  readonly claims: ClaimLedger;
+  readonly claims: LedgerInbox;
   readonly metrics: Metrics;
 };
 
+type Running = ServiceParts & {
+  readonly choice: ServerChoice;
+  /** Opens a connection for each call, so that no call meets one that the server has closed. */
+  readonly freshAgent: Agent;
+};
+
 const CALL_TIMEOUT_MS = 10_000;
 const RETRY_AFTER_MS = 1_000;
-const KEY_PATTERN = /^[\x21-\x7e]{1,128}$/;
+const MAX_SERVERS_TRIED = 3;
 
 /** Splits `/services/NAME/PATH` into the service and the path that its server sees. */
 export function parseServicePath(
@@ -39,17 +60,6 @@
   return { service: match[1] as ServiceName, rest: match[2] ?? '/' };
 }
 
-let nextServer = 0;
-
-function findServer(directory: Directory, service: ServiceName): ServerEntry | undefined {
-  const usable: ServerEntry[] = [];
-  for (const server of directory.servers.values()) {
-    if (server.service === service && !server.isLeaving) usable.push(server);
-  }
-  nextServer += 1;
-  return usable[nextServer % Math.max(1, usable.length)];
-}
-
 function makeRuleFilter(parts: ServiceParts): Filter {
   return function* applyServiceRule(exchange) {
     const parsed = parseServicePath(exchange.path);
@@ -62,100 +72,127 @@
       return refuse('not-approved', `no rule lets ${exchange.callerId} reach ${service}`);
     }
     if (!hasService(parts.directory, service)) return refuse('unknown-service', service);
-    const key = exchange.incoming.headers['idempotency-key'];
-    if (typeof key === 'string' && !KEY_PATTERN.test(key)) {
+    const key = readIdempotencyKey(exchange);
+    if (key === 'malformed') {
       return refuse('invalid-request', 'Idempotency-Key: 1 to 128 visible characters');
     }
     if (key === undefined && exchange.rule.isOnce) {
       return refuse('idempotency-key-required', `the rule on line ${exchange.rule.line} says once`);
     }
-    exchange.idempotencyKey = key as IdempotencyKey | undefined;
+    exchange.idempotencyKey = key;
     return CONTINUE;
   };
 }
 
-function makeCall(parts: ServiceParts, exchange: Exchange): ServiceCall | undefined {
+/** Connects to one server after another until one accepts; nothing is sent. */
+function* createOpenCall(
+  running: Running,
+  exchange: Exchange,
+  agent: Agent,
+  deadline: number,
+): Task<OpenCall | undefined> {
   const parsed = parseServicePath(exchange.path);
-  const server = parsed && findServer(parts.directory, parsed.service);
-  if (parsed === undefined || server === undefined) return undefined;
-  const deadline = Date.now() + CALL_TIMEOUT_MS;
-  return { server, agent: parts.directory.agent, path: parsed.rest, deadline };
+  if (parsed === undefined) return undefined;
+  const { choice, directory } = running;
+  const tried: UpstreamId[] = [];
+  while (tried.length < MAX_SERVERS_TRIED && Date.now() < deadline) {
+    const server = chooseServer(choice, directory, parsed.service, tried, Date.now());
+    if (server === undefined) return undefined;
+    tried.push(server.upstreamId);
+    const call = { server, agent, path: parsed.rest, deadline };
+    const opened = yield* awaitPromise(createCall(exchange, call));
+    if (opened.kind === 'open') return opened.call;
+    addAvoided(choice, server.upstreamId, Date.now());
+  }
+  return undefined;
 }
 
-function sendOutcome(exchange: Exchange, outcome: ClaimOutcome, isReplay: boolean): FilterVerdict {
-  exchange.response.writeHead(outcome.status, {
-    'content-type': outcome.contentType,
-    'content-length': Buffer.byteLength(outcome.body),
-    ...(isReplay ? { 'idempotent-replayed': 'true' } : {}),
-  });
-  exchange.response.end(outcome.body);
-  return ANSWERED;
+function refuseNoServer(): FilterVerdict {
+  return refuse('no-upstream', 'no server accepts connections', Date.now() + RETRY_AFTER_MS);
 }
 
-function makeClaim(exchange: Exchange, key: IdempotencyKey, body: Buffer): Claim | undefined {
-  if (exchange.callerId === undefined) return undefined;
-  const { method } = exchange.incoming;
-  const hash = createHash('sha256').update(`${method} ${exchange.path}\n`).update(body);
-  const fingerprint = hash.digest('hex') as Fingerprint;
-  return { callerId: exchange.callerId, key, fingerprint, token: exchange.requestId };
+function sendAnswer({ response }: Exchange, answer: ServiceAnswer): FilterVerdict {
+  switch (answer.kind) {
+    case 'answer':
+      response.writeHead(answer.status, {
+        'content-type': answer.contentType,
+        'content-length': answer.body.length,
+      });
+      response.end(answer.body);
+      return ANSWERED;
+    case 'too-large': {
+      const detail = 'the call ran; its answer is too large to pass on';
+      return { kind: 'refuse', refusal: { name: 'upstream-failed', ran: 'ran', detail } };
+    }
+    default: {
+      const { detail } = answer;
+      return { kind: 'refuse', refusal: { name: 'outcome-unknown', ran: 'unknown', detail } };
+    }
+  }
 }
 
-function* callOnce(parts: ServiceParts, exchange: Exchange, claim: Claim): Task<FilterVerdict> {
-  const call = makeCall(parts, exchange);
-  if (call === undefined) return refuse('no-upstream', 'no server is live');
-  const claimed = yield* awaitPromise(parts.claims.claim(claim));
-  switch (claimed.kind) {
-    case 'recorded':
-      return sendOutcome(exchange, claimed.outcome, true);
-    case 'running':
-      return refuse('claim-in-progress', 'ask again for its outcome', Date.now() + RETRY_AFTER_MS);
-    case 'reused':
-      return refuse('key-reused', 'choose another key');
-    case 'unavailable':
-      return refuse('claim-unavailable', 'the table is away', Date.now() + RETRY_AFTER_MS);
+function makeEnding(answer: ServiceAnswer): OnceResult['ending'] {
+  switch (answer.kind) {
+    case 'answer':
+      return makeAnsweredEnding(answer.status, answer.contentType, answer.body);
+    case 'too-large':
+      return { kind: 'answer-not-kept' };
     default:
-      break;
+      return { kind: 'unknown' };
   }
-  const answer = yield* awaitPromise(
-    sendServiceCall(exchange, call, exchange.body ?? Buffer.alloc(0)),
-  );
-  if (answer.kind !== 'answer') {
-    const refusal = { name: 'outcome-unknown', ran: 'unknown', detail: answer.detail } as const;
-    return { kind: 'refuse', refusal };
+}
+
+function* runClaimedCall(
+  running: Running,
+  exchange: Exchange,
+  permit: DispatchPermit,
+): Task<OnceResult> {
+  const deadline = permit.dispatchDeadline + CALL_TIMEOUT_MS;
+  const { freshAgent } = running;
+  const call = yield* createOpenCall(running, exchange, freshAgent, permit.dispatchDeadline);
+  if (call === undefined) return { ending: { kind: 'not-run' }, verdict: refuseNoServer() };
+  if (!isDispatchAllowed(permit, Date.now())) {
+    call.outgoing.destroy();
+    return refuseLateDispatch();
   }
-  yield* awaitPromise(parts.claims.record(claim, answer));
-  return sendOutcome(exchange, answer, false);
+  const body = exchange.body ?? Buffer.alloc(0);
+  const answer = yield* awaitPromise(sendServiceCall(call, body, deadline));
+  return { ending: makeEnding(answer), verdict: sendAnswer(exchange, answer) };
 }
 
-function makeOnceFilter(parts: ServiceParts): Filter {
-  return function* runOnce(exchange) {
-    const { idempotencyKey, body } = exchange;
-    if (idempotencyKey === undefined || body === undefined) return CONTINUE;
-    const claim = makeClaim(exchange, idempotencyKey, body);
-    return claim === undefined ? CONTINUE : yield* callOnce(parts, exchange, claim);
+function makeOnceFilter(running: Running): Filter {
+  return function* runServiceOnce(exchange) {
+    const { idempotencyKey: key, callerId } = exchange;
+    if (key === undefined || callerId === undefined) return CONTINUE;
+    return yield* runOnce(running.claims, callerId, exchange, {
+      key,
+      callTimeoutMs: CALL_TIMEOUT_MS,
+      run: (permit) => runClaimedCall(running, exchange, permit),
+    });
   };
 }
 
-function makePassFilter(parts: ServiceParts): Filter {
+function makePassFilter(running: Running): Filter {
   return function* passThrough(exchange) {
-    const call = makeCall(parts, exchange);
-    if (call === undefined) {
-      return refuse('no-upstream', 'no server is live', Date.now() + RETRY_AFTER_MS);
-    }
-    const failure = yield* awaitPromise(streamServiceCall(exchange, call));
-    if (failure === undefined || failure.kind === 'answer') {
-      parts.metrics.requests.inc({ kind: 'service', result: 'answered' });
+    const deadline = Date.now() + CALL_TIMEOUT_MS;
+    const { agent } = running.directory;
+    const call = yield* createOpenCall(running, exchange, agent, deadline);
+    if (call === undefined) return refuseNoServer();
+    const detail = yield* awaitPromise(streamServiceCall(exchange, call, deadline));
+    if (detail === undefined) {
+      running.metrics.requests.inc({ kind: 'service', result: 'answered' });
       return ANSWERED;
     }
-    const ran = failure.kind === 'unsent' ? 'not-run' : 'unknown';
-    return { kind: 'refuse', refusal: { name: 'upstream-failed', ran, detail: failure.detail } };
+    return { kind: 'refuse', refusal: { name: 'upstream-failed', ran: 'unknown', detail } };
   };
 }
 
 /** Makes the filters behind authentication, in order. `readBody` reads bodies of keyed calls. */
 export function makeServiceFilters(parts: ServiceParts, readBody: Filter): readonly Filter[] {
+  const freshAgent = new Agent({ keepAlive: false });
+  const running: Running = { ...parts, choice: makeServerChoice(), freshAgent };
   function* readKeyedBody(exchange: Exchange): Task<FilterVerdict> {
     return exchange.idempotencyKey === undefined ? CONTINUE : yield* readBody(exchange);
   }
-  return [makeRuleFilter(parts), readKeyedBody, makeOnceFilter(parts), makePassFilter(parts)];
+  return [makeRuleFilter(parts), readKeyedBody, makeOnceFilter(running), makePassFilter(running)];
 }
