--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -1,6 +1,7 @@
 /** Puts the daemon's parts together and starts and stops them. */
 
 import type { Server } from 'node:http';
+import { makeMembershipState } from '@tarragonspool/core';
 import {
   makeAgent,
   makeObjectClient,
@@ -9,16 +10,23 @@
 } from '@tarragonspool/platform';
 import type { DataCentre, Incarnation, PeerMessage, VmId } from '@tarragonspool/protocol';
 import {
+  isAllocationMessage,
   makeAllocationInbox,
-  runAllocation,
   type AllocationMessage,
-} from './allocation/allocation-task.js';
+} from './allocation/allocation-messages.js';
+import { makeAllocation } from './allocation/allocation-task.js';
 import { makeAuthenticateFilter } from './callers/authenticate.js';
 import { makeCallerServer } from './callers/caller-server.js';
 import { makeReadBodyFilter } from './callers/read-body-filter.js';
 import { makeLedgerInbox, runClaimLedger } from './claims/claim-ledger.js';
+import { makeCancelInbox, runCancels, type CancelMessage } from './engines/cancel-task.js';
+import { runEnginePolls } from './engines/engine-poll-task.js';
 import type { Logger } from './logging/logger.js';
-import { applyHeartbeat, type PeerTable } from './membership/peer-table.js';
+import {
+  makeMembershipInbox,
+  makeMembershipView,
+  runMembership,
+} from './membership/membership-task.js';
 import { makeMetrics } from './metrics/metrics.js';
 import { makeOperatorServer } from './operators/operator-server.js';
 import type { PeerIdentity } from './peers/peer-link.js';
@@ -26,8 +34,10 @@
 import { makeChatFilters } from './requests/chat-filters.js';
 import { makeModelListFilter } from './requests/model-list-filter.js';
 import type { ModelRequestParts } from './requests/model-request-task.js';
-import { makeRulesInbox, runRules } from './rules/rules-task.js';
-import { makeRulesView } from './rules/rules-view.js';
+import { makeAdmissionFilter } from './rules/admission-filter.js';
+import { readRuleHistory } from './rules/rule-history.js';
+import { makeRulesInbox, runRules, type RulesMessage } from './rules/rules-task.js';
+import { isRulesViewCurrent, makeRulesView } from './rules/rules-view.js';
 import { makeServiceFilters } from './services/service-filters.js';
 import type { Settings } from './settings/settings.js';
 import { offer, startTask, type Task } from './tasks/tasks.js';
@@ -41,9 +51,10 @@
   readonly stop: (onStopped: () => void) => void;
 };
 
-const RULES_POLL_INTERVAL_MS = 1_000;
+const RULES_TICK_MS = 100;
 const DRAIN_NOTICE_MS = 2_000;
-const ALLOCATION_TICK_MS = 50;
+const ALLOCATION_TICK_MS = 25;
+const CANCEL_TICK_MS = 250;
 const HEARTBEAT_INTERVAL_MS = 250;
 
 /** Splits `IP:port`. */
@@ -72,6 +83,7 @@
   const directory = makeDirectory();
   const view = makeRulesView();
   const allocation = makeAllocationInbox();
+  const cancels = makeCancelInbox();
   const rulesInbox = makeRulesInbox();
   let isLeaving = false;
 
@@ -81,14 +93,36 @@
   };
   const start = (name: string, body: () => Task): void => startTask(name, body, handleTaskEnd);
 
-  const peers: PeerTable = new Map();
+  const membership = makeMembershipInbox();
+  const membershipState = makeMembershipState(self.vmId);
+  const members = makeMembershipView(membershipState, () => isLeaving);
   const handlePeerMessage = (peer: PeerIdentity, message: PeerMessage): void => {
+    if (isAllocationMessage(message)) {
+      const { vmId } = peer;
+      offer(allocation, { kind: 'peer-said', vmId, message, now: Date.now() });
+      return;
+    }
     switch (message.kind) {
       case 'rules':
-        offer(rulesInbox, { kind: 'pushed', revision: message.revision, text: message.text });
+        offer(rulesInbox, { ...message, kind: 'peer-file', now: Date.now() });
+        return;
+      case 'rules-deltas':
+        offer(rulesInbox, { ...message, kind: 'peer-deltas', now: Date.now() });
         return;
+      case 'rules-wanted': {
+        const { afterRevision } = message;
+        const { vmId } = peer;
+        offer(rulesInbox, { kind: 'peer-wants', vmId, afterRevision, now: Date.now() });
+        return;
+      }
       case 'heartbeat':
-        applyHeartbeat(peers, peer, message, Date.now());
+        offer(rulesInbox, {
+          kind: 'peer-revision',
+          vmId: peer.vmId,
+          revision: message.rulesRevision,
+          now: Date.now(),
+        });
+        offer(membership, { ...message, ...peer, now: Date.now() });
         return;
       default:
         logger.debug({ kind: message.kind }, 'peers: message ignored');
@@ -103,30 +137,58 @@
     metrics,
     logger,
     onOpen: (link) => {
-      if (view.revision > 0) {
-        link.send({ kind: 'rules', revision: view.revision, text: view.text });
-      }
+      const { vmId } = link.peer;
+      offer(allocation, { kind: 'link-opened', vmId, now: Date.now() });
     },
     onMessage: handlePeerMessage,
     onGone: (vmId, incarnation) => {
-      peers.delete(vmId);
-      offer(allocation, { kind: 'vm-gone', vmId, incarnation, now: Date.now() });
+      offer(membership, { kind: 'link-closed', vmId, incarnation, now: Date.now() });
     },
   });
 
-  start('directory', () => runDirectory(directory, vmList, allocation, logger));
+  start('directory', () => runDirectory(vmList, membership, logger));
+  start('membership', () =>
+    runMembership(membership, { state: membershipState, directory, allocation, logger }),
+  );
   const { policy, objective } = settings;
-  const options = { vmId: self.vmId, policy, objective, seed: self.incarnation };
-  start('allocation', () => runAllocation(allocation, options, directory, logger));
+  const { sendTo } = mesh;
+  const allocator = makeAllocation({ ...self, policy, objective, sendTo, cancels, logger });
+  start('allocation', () => allocator.run(allocation));
+  start('cancels', () => runCancels(cancels, { directory, metrics, logger }));
+  start('engine polls', () =>
+    runEnginePolls({
+      directory,
+      allocation,
+      cancels,
+      metrics,
+      logger,
+      listPolled: allocator.listPolled,
+      makeSweepView: () => ({
+        incarnations: members.listIncarnations(),
+        ended: allocator.endedIncarnations,
+      }),
+    }),
+  );
   start('rules', () =>
-    runRules(rulesInbox, { view, table, objects, metrics, logger, broadcast: mesh.broadcast }),
+    runRules(rulesInbox, {
+      view,
+      table,
+      objects,
+      membership,
+      metrics,
+      logger,
+      seed: self.incarnation,
+      broadcast: mesh.broadcast,
+      sendTo: mesh.sendTo,
+    }),
   );
-  offer(rulesInbox, { kind: 'poll' });
-  startTicker(rulesInbox, RULES_POLL_INTERVAL_MS, () => ({ kind: 'poll' }));
+  startTicker<RulesMessage>(rulesInbox, RULES_TICK_MS, (now) => ({ kind: 'ticked', now }));
   startTicker<AllocationMessage>(allocation, ALLOCATION_TICK_MS, (now) => ({
     kind: 'ticked',
+    liveVms: members.listLive(now),
     now,
   }));
+  startTicker<CancelMessage>(cancels, CANCEL_TICK_MS, (now) => ({ kind: 'ticked', now }));
 
   const sendHeartbeat = (): void => {
     const rulesRevision = view.revision;
@@ -137,12 +199,13 @@
       isLeaving,
       rulesRevision,
       summaries: [],
-      leaving: [],
+      leaving: members.listLeaving(),
     });
   };
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
 
-  const requestParts: ModelRequestParts = { ...self, directory, allocation, metrics };
+  const requestParts: ModelRequestParts = { ...self, directory, allocation, cancels, metrics };
+  const admit = makeAdmissionFilter(view);
   const authenticate = makeAuthenticateFilter(view);
   const readBody = makeReadBodyFilter();
   const claims = makeLedgerInbox();
@@ -150,11 +213,12 @@
   const serviceParts = { view, directory, claims, metrics };
   const callerServer = makeCallerServer({
     routes: {
-      chat: [authenticate, ...makeChatFilters(requestParts, view, readBody)],
-      models: [authenticate, makeModelListFilter(directory, view)],
-      service: [authenticate, ...makeServiceFilters(serviceParts, readBody)],
+      chat: [admit, authenticate, ...makeChatFilters(requestParts, view, readBody)],
+      models: [admit, authenticate, makeModelListFilter(directory, view)],
+      service: [admit, authenticate, ...makeServiceFilters(serviceParts, readBody)],
     },
-    isReady: () => view.isLoaded && directory.entryVms.length > 0 && !isLeaving,
+    isReady: () =>
+      isRulesViewCurrent(view, Date.now()) && directory.entryVms.length > 0 && !isLeaving,
     metrics,
     logger,
   });
@@ -164,12 +228,13 @@
     rulesInbox,
     metrics,
     logger,
+    readHistory: () => readRuleHistory(table, view.revision),
     getStatus: () => ({
       ...self,
       isLeaving,
       rulesRevision: view.revision,
       entryVms: directory.entryVms.map(({ vmId }) => vmId),
-      peers: [...peers.values()],
+      peers: members.listMembers(),
       engines: [...directory.engines.values()].map(
         ({ upstreamId, role, service, isLeaving: l }) => ({
           upstreamId,
--- a/packages/router/src/metrics/metrics.ts
+++ b/packages/router/src/metrics/metrics.ts
@@ -32,6 +32,22 @@
       buckets: LATENCY_BUCKETS_S,
       registers,
     }),
+    claims: new Counter({
+      name: 'tarragonspool_claims_total',
+      help: 'Claims of idempotency keys by verdict.',
+      labelNames: ['verdict'],
+      registers,
+    }),
+    claimEndingsDropped: new Counter({
+      name: 'tarragonspool_claim_endings_dropped_total',
+      help: 'Outcomes of claimed calls that were not recorded.',
+      registers,
+    }),
+    claimsSwept: new Counter({
+      name: 'tarragonspool_claims_swept_total',
+      help: 'Expired claim rows that were deleted.',
+      registers,
+    }),
     prefillTokens: new Counter({
       name: 'tarragonspool_prefill_tokens_total',
       help: 'Prompt tokens prefilled, by what became of the result.',
@@ -48,20 +64,20 @@
       help: 'Peers with an open link.',
       registers,
     }),
-    claims: new Counter({
-      name: 'tarragonspool_claims_total',
-      help: 'Claims of idempotency keys by verdict.',
-      labelNames: ['verdict'],
+    cancels: new Counter({
+      name: 'tarragonspool_cancels_total',
+      help: 'Cancels of engine holds, by how they were settled.',
+      labelNames: ['result'],
       registers,
     }),
-    claimEndingsDropped: new Counter({
-      name: 'tarragonspool_claim_endings_dropped_total',
-      help: 'Outcomes of claimed calls that were not recorded.',
+    pendingCancels: new Gauge({
+      name: 'tarragonspool_pending_cancels',
+      help: 'Cancels that no engine has confirmed yet.',
       registers,
     }),
-    claimsSwept: new Counter({
-      name: 'tarragonspool_claims_swept_total',
-      help: 'Expired claim rows that were deleted.',
+    sweptHolds: new Counter({
+      name: 'tarragonspool_swept_holds_total',
+      help: 'Holds of daemons that are gone, found on engines and cancelled.',
       registers,
     }),
     invariantViolations: new Counter({
--- a/packages/stand-ins/src/harness/deployment.ts
+++ b/packages/stand-ins/src/harness/deployment.ts
@@ -1,6 +1,9 @@
 /** A whole deployment of separate processes on 127.0.0.0/8. */
 
 import { createHash } from 'node:crypto';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import type { UpstreamId, VmRecord } from '@tarragonspool/protocol';
 import type { EngineSettings } from '../engine/engine-settings.js';
 import {
@@ -23,7 +26,11 @@
   readonly modelService: string;
   readonly ledgerService: string;
   readonly dataCentres: readonly string[];
+  /** Consecutive engines that share a server and its data centre. */
+  readonly enginesPerServer?: number;
   readonly engine?: Partial<EngineSettings>;
+  /** Folder in which the effects of plain services outlast their processes. */
+  readonly ledgerFolder?: string;
   readonly daemonEnv?: NodeJS.ProcessEnv;
   readonly isLoud?: boolean;
 };
@@ -58,8 +65,17 @@
     args: readonly string[],
     entryVm?: EntryVm,
   ) => Promise<{ readonly code: number | null; readonly output: string }>;
+  /** Puts a rule file into force through the command line. */
+  readonly applyRules: (
+    text: string,
+    entryVm?: EntryVm,
+  ) => Promise<{ readonly code: number | null; readonly output: string }>;
   /** Stops everything; resolves with the names of processes that did not end well. */
   readonly stop: () => Promise<string[]>;
+  /** Index of the entry VM whose allocator serves the model service. */
+  readonly findAllocatorVm: () => Promise<number>;
+  /** Ends every process at once. */
+  readonly kill: () => void;
 };
 
 /** Loopback address of every process; runs side by side take different ones. */
@@ -106,7 +122,17 @@
     const role = index < plan.prefillEngines ? 'prefill' : 'decode';
     const listen = takeAddress();
     const upstreamId = `${plan.modelService}-${index + 1}` as UpstreamId;
-    const argument = JSON.stringify({ ...plan.engine, upstreamId, listen, role });
+    const isFencing = index % 2 === 0;
+    const { modelService: model } = plan;
+    const argument = JSON.stringify({
+      model,
+      weightStoreUrl: platformUrl,
+      ...plan.engine,
+      upstreamId,
+      listen,
+      role,
+      isFencing,
+    });
     const start = () => startProcess(upstreamId, getStandInPath('engine'), [argument]);
     const url = `http://${listen}`;
     engines.push({ upstreamId, url, process: start(), start });
@@ -116,10 +142,10 @@
       service: plan.modelService,
       models: [plan.modelService],
       role,
-      dataCentre: getDataCentre(index),
+      dataCentre: getDataCentre(Math.floor(index / (plan.enginesPerServer ?? 1))),
       state: 'live',
       url,
-      isFencing: index % 2 === 0,
+      isFencing,
     });
   }
 
@@ -127,7 +153,8 @@
   for (let index = 0; index < plan.ledgers; index += 1) {
     const listen = takeAddress();
     const upstreamId = `${plan.ledgerService}-${index + 1}` as UpstreamId;
-    const start = () => startProcess(upstreamId, getStandInPath('ledger'), [listen]);
+    const files = plan.ledgerFolder === undefined ? [] : [join(plan.ledgerFolder, upstreamId)];
+    const start = () => startProcess(upstreamId, getStandInPath('ledger'), [listen, ...files]);
     const url = `http://${listen}`;
     ledgers.push({ upstreamId, url, process: start(), start });
     const dataCentre = getDataCentre(index);
@@ -175,6 +202,12 @@
     await waitUntil(entryVm.vmId, deadline, isAnswering(`${entryVm.callerUrl}/readyz`));
   }
 
+  const runCli: Deployment['runCli'] = (args, entryVm = entryVms[0]) =>
+    runProcess(getBinaryPath('cli'), args, {
+      TARRAGONSPOOL_OPERATOR_URL: entryVm?.operatorUrl ?? '',
+      TARRAGONSPOOL_OPERATOR_TOKEN: OPERATOR_TOKEN,
+    });
+
   return {
     platformUrl,
     platform,
@@ -182,11 +215,25 @@
     engines,
     ledgers,
     records: records as VmRecord[],
-    runCli: (args, entryVm = entryVms[0]) =>
-      runProcess(getBinaryPath('cli'), args, {
-        TARRAGONSPOOL_OPERATOR_URL: entryVm?.operatorUrl ?? '',
-        TARRAGONSPOOL_OPERATOR_TOKEN: OPERATOR_TOKEN,
-      }),
+    runCli,
+    applyRules: async (text, entryVm) => {
+      const folder = await mkdtemp(join(tmpdir(), 'tarragonspool-'));
+      const file = join(folder, 'rules.txt');
+      await writeFile(file, text);
+      const result = await runCli(['rules', 'apply', file], entryVm);
+      await rm(folder, { recursive: true });
+      return result;
+    },
+    findAllocatorVm: async () => {
+      const status = await callJson(`${entryVms[0]?.operatorUrl}/status`);
+      throw new Error(`no allocator in ${JSON.stringify(status)}`);
+    },
+    kill: () => {
+      for (const { process: running } of [...entryVms, ...engines, ...ledgers]) {
+        running.child.kill('SIGKILL');
+      }
+      platform.child.kill('SIGKILL');
+    },
     stop: async () => {
       const failed: string[] = [];
       for (const { process: running } of entryVms) running.child.kill('SIGTERM');
