--- a/packages/router/src/claims/claim-ledger.ts
+++ b/packages/router/src/claims/claim-ledger.ts
@@ -18,7 +18,7 @@
   type Fingerprint,
   type IdempotencyKey,
 } from '@tarragonspool/protocol';
-import { reportViolation } from '../invariants/invariants.js';
+import type { Invariants } from '../invariants/invariants.js';
 import type { Logger } from '../logging/logger.js';
 import type { Metrics } from '../metrics/metrics.js';
 import { makeChannel, offer, receive, type Channel, type Task } from '../tasks/tasks.js';
@@ -28,8 +28,10 @@
   readonly callerId: CallerId;
   readonly key: IdempotencyKey;
   readonly fingerprint: Fingerprint;
-  /** How long the upstream may take, in milliseconds. */
-  readonly callTimeoutMs: number;
+  /** Nothing is sent after this, in milliseconds since the epoch. */
+  readonly dispatchDeadline: number;
+  /** The answer is waited for no longer than this, in milliseconds since the epoch. */
+  readonly answerDeadline: number;
 };
 
 /** What the ledger receives. */
@@ -47,6 +49,7 @@
 /** What the ledger works with. */
 export type LedgerParts = {
   readonly table: TableClient;
+  readonly invariants: Invariants;
   readonly metrics: Metrics;
   readonly logger: Logger;
 };
@@ -55,7 +58,6 @@
 /** Leaves room in the inbox for answers of the table and endings. */
 const MAX_WAITING = 2_048;
 const CLAIM_TIMEOUT_MS = 2_000;
-const DISPATCH_TIMEOUT_MS = 3_000;
 const RETENTION_MS = 86_400_000;
 const BUCKET_DIGITS = 3;
 
@@ -76,15 +78,15 @@
 export function makeClaim(ask: ClaimAsk, now: number): Claim {
   const name = `${ask.callerId}/${ask.key}`;
   const digest = createHash('sha256').update(name).digest('hex');
-  const dispatchDeadline = now + DISPATCH_TIMEOUT_MS;
+  const { dispatchDeadline, answerDeadline } = ask;
   return {
     token: randomUUID(),
     rowKey: `claims/${digest.slice(0, BUCKET_DIGITS)}/${name}`,
     fingerprint: ask.fingerprint,
-    claimDeadline: now + CLAIM_TIMEOUT_MS,
+    claimDeadline: Math.min(dispatchDeadline, now + CLAIM_TIMEOUT_MS),
     dispatchDeadline,
-    answerDeadline: dispatchDeadline + ask.callTimeoutMs,
-    expiresAt: now + RETENTION_MS,
+    answerDeadline,
+    expiresAt: answerDeadline + RETENTION_MS,
   };
 }
 
@@ -160,7 +162,10 @@
       parts.logger.error({ token: action.token }, 'claims: outcome was not recorded');
       return;
     case 'report-violation':
-      reportViolation(parts, action.invariant, { token: action.token });
+      parts.invariants.assert(false, 'claim-row', {
+        detail: action.invariant,
+        token: action.token,
+      });
       return;
     default:
       assertNever(action);
--- a/packages/router/src/claims/run-once.test.ts
+++ b/packages/router/src/claims/run-once.test.ts
@@ -8,6 +8,7 @@
 import { makeAuthenticateFilter } from '../callers/authenticate.js';
 import { makeCallerServer } from '../callers/caller-server.js';
 import { makeReadBodyFilter } from '../callers/read-body-filter.js';
+import { makeInvariants } from '../invariants/invariants.js';
 import { makeMetrics } from '../metrics/metrics.js';
 import { makeRulesView } from '../rules/rules-view.js';
 import { makeServiceFilters } from '../services/service-filters.js';
@@ -85,14 +86,18 @@
   view.ruleSet = buildRuleSet(parsed.rules);
   const metrics = makeMetrics();
   const logger = pino({ level: 'silent' });
+  const invariants = makeInvariants(metrics, logger, true);
   const claims = makeLedgerInbox();
   const table = makeFakeTable(faults);
   startTask(
     'claims',
-    () => runClaimLedger(claims, { table, metrics, logger }),
+    () => runClaimLedger(claims, { table, invariants, metrics, logger }),
     () => undefined,
   );
-  const filters = makeServiceFilters({ view, directory, claims, metrics }, makeReadBodyFilter());
+  const filters = makeServiceFilters(
+    { view, directory, claims, invariants, metrics },
+    makeReadBodyFilter(),
+  );
   const service = [makeAuthenticateFilter(view), ...filters];
   const routes = { chat: [], models: [], service };
   const server = makeCallerServer({ routes, isReady: () => true, metrics, logger });
--- a/packages/router/src/claims/run-once.ts
+++ b/packages/router/src/claims/run-once.ts
@@ -23,7 +23,10 @@
 /** A call that must run at most once. */
 export type OnceCall = {
   readonly key: IdempotencyKey;
-  readonly callTimeoutMs: number;
+  /** Milliseconds since the epoch. */
+  readonly dispatchDeadline: number;
+  /** Milliseconds since the epoch. */
+  readonly answerDeadline: number;
   readonly run: (permit: DispatchPermit) => Task<OnceResult>;
 };
 
@@ -116,8 +119,9 @@
   call: OnceCall,
 ): Task<FilterVerdict> {
   const fingerprint = digestCall(exchange);
-  const { key, callTimeoutMs } = call;
-  const claim = makeClaim({ callerId, key, fingerprint, callTimeoutMs }, Date.now());
+  const { key, dispatchDeadline, answerDeadline } = call;
+  const ask = { callerId, key, fingerprint, dispatchDeadline, answerDeadline };
+  const claim = makeClaim(ask, Date.now());
   const verdict = yield* callLedger(inbox, claim);
   switch (verdict.kind) {
     case 'claimed':
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -21,6 +21,8 @@
 import { makeLedgerInbox, runClaimLedger } from './claims/claim-ledger.js';
 import { makeCancelInbox, runCancels, type CancelMessage } from './engines/cancel-task.js';
 import { runEnginePolls } from './engines/engine-poll-task.js';
+import { runClaimSweep } from './claims/claim-sweep-task.js';
+import { makeInvariants } from './invariants/invariants.js';
 import type { Logger } from './logging/logger.js';
 import {
   makeMembershipInbox,
@@ -209,8 +211,10 @@
   const authenticate = makeAuthenticateFilter(view);
   const readBody = makeReadBodyFilter();
   const claims = makeLedgerInbox();
-  start('claims', () => runClaimLedger(claims, { table, metrics, logger }));
-  const serviceParts = { view, directory, claims, metrics };
+  const invariants = makeInvariants(metrics, logger);
+  start('claims', () => runClaimLedger(claims, { table, invariants, metrics, logger }));
+  start('claim sweep', () => runClaimSweep({ self: self.vmId, table, members, metrics, logger }));
+  const serviceParts = { view, directory, claims, invariants, metrics };
   const callerServer = makeCallerServer({
     routes: {
       chat: [admit, authenticate, ...makeChatFilters(requestParts, view, readBody)],
--- a/packages/router/src/invariants/invariants.ts
+++ b/packages/router/src/invariants/invariants.ts
@@ -1,21 +1,50 @@
-/** Reports invariants that the program finds broken. */
+/**
+ * Invariants of the running program. A violation is counted and logged always; it aborts the
+ * process where the environment says so, as tests do.
+ */
 
 import type { Logger } from '../logging/logger.js';
 import type { Metrics } from '../metrics/metrics.js';
 
-/** What a report needs. */
-export type InvariantParts = {
-  readonly metrics: Pick<Metrics, 'invariantViolations'>;
-  readonly logger: Pick<Logger, 'error'>;
+/** Names of the invariants, as the metric shows them. */
+export type InvariantName =
+  /** A request gets one terminal answer. */
+  | 'one-terminal-answer'
+  /** Tokens reach the caller in order, without a gap or a repeat. */
+  | 'token-order'
+  /** Only frames of the current attempt reach the caller. */
+  | 'foreign-attempt'
+  /** Nobody is told that a request was not run after a work order left for it. */
+  | 'not-run-honest'
+  /** A claim is dispatched only while confirmed and within its deadline, and ends once. */
+  | 'claim-held'
+  /** The state of a key is never overwritten but by its holder. */
+  | 'claim-row';
+
+/** Checks invariants. */
+export type Invariants = {
+  readonly assert: (
+    isHeld: boolean,
+    name: InvariantName,
+    fields: Readonly<Record<string, unknown>>,
+  ) => void;
 };
 
-/** Counts and logs a broken invariant; aborts where tests ask for it. */
-export function reportViolation(
-  parts: InvariantParts,
-  invariant: string,
-  detail: Readonly<Record<string, unknown>>,
-): void {
-  parts.metrics.invariantViolations.inc({ invariant });
-  parts.logger.error({ invariant, ...detail }, 'invariants: violated');
-  if (process.env.TARRAGONSPOOL_ABORT_ON_VIOLATION === '1') process.abort();
+/** Environment variable that makes a violation abort the process when it is `1`. */
+export const ABORT_VARIABLE = 'TARRAGONSPOOL_ABORT_ON_VIOLATION';
+
+/** Makes the checks of one daemon. */
+export function makeInvariants(
+  metrics: Metrics,
+  logger: Logger,
+  isAborting = process.env[ABORT_VARIABLE] === '1',
+): Invariants {
+  return {
+    assert: (isHeld, name, fields) => {
+      if (isHeld) return;
+      metrics.invariantViolations.inc({ invariant: name });
+      logger.error({ ...fields, invariant: name }, 'invariants: violation');
+      if (isAborting) process.abort();
+    },
+  };
 }
--- a/packages/router/src/services/service-filters.ts
+++ b/packages/router/src/services/service-filters.ts
@@ -20,6 +20,7 @@
   type DispatchPermit,
   type OnceResult,
 } from '../claims/run-once.js';
+import type { Invariants } from '../invariants/invariants.js';
 import type { Metrics } from '../metrics/metrics.js';
 import type { RulesView } from '../rules/rules-view.js';
 import { awaitPromise, type Task } from '../tasks/tasks.js';
@@ -38,6 +39,7 @@
   readonly view: RulesView;
   readonly directory: Directory;
   readonly claims: LedgerInbox;
+  readonly invariants: Invariants;
   readonly metrics: Metrics;
 };
 
@@ -47,6 +49,7 @@
   readonly freshAgent: Agent;
 };
 
+const DISPATCH_TIMEOUT_MS = 3_000;
 const CALL_TIMEOUT_MS = 10_000;
 const RETRY_AFTER_MS = 1_000;
 const MAX_SERVERS_TRIED = 3;
@@ -155,6 +158,8 @@
     call.outgoing.destroy();
     return refuseLateDispatch();
   }
+  const sentAt = Date.now();
+  running.invariants.assert(isDispatchAllowed(permit, sentAt), 'claim-held', { sentAt });
   const body = exchange.body ?? Buffer.alloc(0);
   const answer = yield* awaitPromise(sendServiceCall(call, body, deadline));
   return { ending: makeEnding(answer), verdict: sendAnswer(exchange, answer) };
@@ -164,9 +169,11 @@
   return function* runServiceOnce(exchange) {
     const { idempotencyKey: key, callerId } = exchange;
     if (key === undefined || callerId === undefined) return CONTINUE;
+    const dispatchDeadline = Date.now() + DISPATCH_TIMEOUT_MS;
     return yield* runOnce(running.claims, callerId, exchange, {
       key,
-      callTimeoutMs: CALL_TIMEOUT_MS,
+      dispatchDeadline,
+      answerDeadline: dispatchDeadline + CALL_TIMEOUT_MS,
       run: (permit) => runClaimedCall(running, exchange, permit),
     });
   };
