--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -18,9 +18,10 @@
 import { makeAuthenticateFilter } from './callers/authenticate.js';
 import { makeCallerServer } from './callers/caller-server.js';
 import { makeReadBodyFilter } from './callers/read-body-filter.js';
-import { makeClaimLedger } from './claims/claim-ledger.js';
+import { makeLedgerInbox, runClaimLedger } from './claims/claim-ledger.js';
 import { makeCancelInbox, runCancels, type CancelMessage } from './engines/cancel-task.js';
 import { runEnginePolls } from './engines/engine-poll-task.js';
+import { runClaimSweep } from './claims/claim-sweep-task.js';
 import { makeInvariants } from './invariants/invariants.js';
 import type { Logger } from './logging/logger.js';
 import {
@@ -225,7 +226,10 @@
   const admit = makeAdmissionFilter(view);
   const authenticate = makeAuthenticateFilter(view);
   const readBody = makeReadBodyFilter(settings.maxBodyBytes);
-  const serviceParts = { view, directory, claims: makeClaimLedger(table), metrics };
+  const claims = makeLedgerInbox();
+  start('claims', () => runClaimLedger(claims, { table, invariants, metrics, logger }));
+  start('claim sweep', () => runClaimSweep({ self: self.vmId, table, members, metrics, logger }));
+  const serviceParts = { view, directory, claims, invariants, metrics };
   const callerServer = makeCallerServer({
     routes: {
       chat: [admit, authenticate, ...makeChatFilters(requestParts, view, readBody)],
