Report service-level burn and explain single requests

Cause: operators could not see which caller misses its latency targets, nor why one request failed. Ruled out: an outside store; one metric for each caller and model (200,000 series a VM). Before: neither. After: each daemon counts final answers in rings of minutes and hours for at most 4,000 pairs of caller and service and keeps its latest 4,000 requests; the command line merges the VMs and shows what is not covered as missing. Conclusion: the page has not been looked at in a browser; its markup is checked by tests.

--- a/packages/cli/src/commands.test.ts
+++ b/packages/cli/src/commands.test.ts
@@ -245,3 +245,52 @@
     expect(examples, path).not.to.equal(undefined);
   }
 });
+
+const TRACE = {
+  requestId: 'request-1',
+  arrivedAt: 1_000,
+  path: '/v1/chat/completions',
+  result: 'queue-full',
+  ran: 'not-run',
+  detail: 'full',
+  attempts: [{ attemptId: 'request-1.1', askedAt: 1_005, prefill: 'llm-1', outcome: 'unused' }],
+};
+
+it('request explain: shows attempts and the refusal', async () => {
+  routes.set('GET /requests/request-1', sendValue({ vmId: 'vm-1', requests: [TRACE] }));
+  const result = await run(['request', 'explain', 'request-1']);
+  expect(result.code).to.equal(0);
+  expect(result.out).to.match(/result +queue-full, not-run: full/);
+  expect(result.out).to.match(/request-1\.1 +5 ms +- +llm-1/);
+});
+
+it('request explain: an id that nobody knows is 5, and dead daemons are named', async () => {
+  routes.set('GET /requests/request-2', sendValue({ vmId: 'vm-1', requests: [] }));
+  expectFailure(await run(['request', 'explain', 'request-2']), 'not-found', 'vm-1 does not know');
+  const dead = await findDeadUrl();
+  const result = await run(['request', 'explain', 'request-2', '--url', `${url},${dead}`]);
+  expect(result.err).to.include(`cannot reach ${dead}`);
+  expectFailure(await run(['request', 'explain', '../etc']), 'usage', 'x-request-id');
+});
+
+it('report burn: prints JSON with null for missing data, and writes a page', async () => {
+  const counts = { firstToken: { met: 0, total: 0 }, answer: { met: 1, total: 1 } };
+  const windows = { '5m': counts, '1h': counts, '6h': counts, '3d': counts };
+  const series = [{ callerId: 'desk', service: 'ledger', windows, hours: [] }];
+  const now = 1_000_000;
+  const burn = { vmId: 'vm-1', startedAt: now, now, targetPercent: 95, maxSeries: 4, series };
+  routes.set('GET /burn', sendValue(burn));
+  routes.set('GET /status', sendValue(makeStatus(3)));
+  const { out } = await run(['report', 'burn', '--json']);
+  const report = JSON.parse(out) as { vms: unknown; rows: unknown[] };
+  expect(report.vms).to.deep.equal([
+    { name: 'vm-1', startedAt: now },
+    { name: 'vm-2', startedAt: null },
+  ]);
+  expect(report.rows).to.have.length(1);
+  const page = join(folder, 'burn.html');
+  expect((await run(['report', 'burn', '--html', page])).code).to.equal(0);
+  expect(await readFile(page, 'utf8')).to.include('<!doctype html>');
+  const bad = join(folder, 'missing', 'burn.html');
+  expectFailure(await run(['report', 'burn', '--html', bad]), 'no-input', 'ENOENT');
+});
--- a/packages/cli/src/operators/operator-command.ts
+++ b/packages/cli/src/operators/operator-command.ts
@@ -107,8 +107,9 @@
     return getExitCode(name);
   }
 
-  /** Prints the value as JSON, or the text for people. */
+  /** Prints the value as JSON, with null for missing data, or the text for people. */
   protected print(value: unknown, text: string): void {
-    this.context.stdout.write(this.json ? `${JSON.stringify(value, undefined, 2)}\n` : text);
+    const json = JSON.stringify(value, (_key, item: unknown) => item ?? null, 2);
+    this.context.stdout.write(this.json ? `${json}\n` : text);
   }
 }
--- a/packages/cli/src/run-cli.ts
+++ b/packages/cli/src/run-cli.ts
@@ -4,6 +4,8 @@
 import { getExitCode } from './exit-codes.js';
 import { QuarantineListCommand } from './quarantine/list-command.js';
 import { QuarantineReleaseCommand } from './quarantine/release-command.js';
+import { ReportBurnCommand } from './reports/burn-command.js';
+import { RequestExplainCommand } from './requests/explain-command.js';
 import { RulesApplyCommand } from './rules/apply-command.js';
 import { RulesCheckCommand } from './rules/check-command.js';
 import { RulesDiffCommand } from './rules/diff-command.js';
@@ -26,11 +28,13 @@
   UpstreamUndrainCommand,
   QuarantineListCommand,
   QuarantineReleaseCommand,
+  RequestExplainCommand,
+  ReportBurnCommand,
 ];
 
 /** Makes the command line. */
 export function makeCli(): Cli {
-  const enableColors = process.stdout.isTTY;
+  const enableColors = Boolean(process.stdout.isTTY);
   const binaryName = 'tarragonspool';
   const cli = new Cli({ binaryName, binaryLabel: binaryName, enableColors });
   for (const command of COMMANDS) cli.register(command);
--- /dev/null
+++ b/packages/core/src/burn/burn.test.ts
@@ -0,0 +1,71 @@
+import { expect } from 'chai';
+import type { CallerId, ServiceName } from '@tarragonspool/protocol';
+import { countBurn, makeBurnState, measureBurnRate, recordBurnSample, OTHER } from './burn.js';
+
+const MINUTE_MS = 60_000;
+const HOUR_MS = 60 * MINUTE_MS;
+const START = Date.UTC(2026, 11, 4);
+
+function makeSample(caller: string, isMet: boolean, service = 'llm') {
+  return {
+    callerId: caller as CallerId,
+    service: service as ServiceName,
+    isFirstTokenMet: isMet,
+    isAnswerMet: isMet,
+  };
+}
+
+it('burn: a window counts its own answers only', () => {
+  const state = makeBurnState(START, 10);
+  recordBurnSample(state, makeSample('desk', false), START);
+  recordBurnSample(state, makeSample('desk', true), START + 30 * MINUTE_MS);
+  const [series] = state.series.values();
+  if (series === undefined) throw new Error('expected a series');
+  const now = START + 30 * MINUTE_MS;
+  expect(countBurn(series, 'answer', 5 * MINUTE_MS, now)).to.deep.equal({ met: 1, total: 1 });
+  expect(countBurn(series, 'answer', HOUR_MS, now)).to.deep.equal({ met: 1, total: 2 });
+  const later = START + 80 * HOUR_MS;
+  expect(countBurn(series, 'answer', 72 * HOUR_MS, later)).to.deep.equal({ met: 0, total: 0 });
+});
+
+it('burn: calls without tokens count for the answer only', () => {
+  const state = makeBurnState(START, 10);
+  recordBurnSample(state, { ...makeSample('desk', true), isFirstTokenMet: undefined }, START);
+  const [series] = state.series.values();
+  if (series === undefined) throw new Error('expected a series');
+  expect(countBurn(series, 'first-token', HOUR_MS, START).total).to.equal(0);
+  expect(countBurn(series, 'answer', HOUR_MS, START).total).to.equal(1);
+});
+
+it('burn: callers beyond the limit share one series a service', () => {
+  const state = makeBurnState(START, 2);
+  for (let index = 0; index < 500; index += 1) {
+    recordBurnSample(state, makeSample(`caller-${index}`, true), START);
+  }
+  expect([...state.series.values()].map(({ callerId }) => callerId)).to.deep.equal([
+    'caller-0',
+    'caller-1',
+    OTHER,
+  ]);
+});
+
+it('burn: services without end share the last series', () => {
+  const state = makeBurnState(START, 2);
+  for (let index = 0; index < 5_000; index += 1) {
+    recordBurnSample(state, makeSample('a', true, `service-${index}`), START);
+  }
+  expect(state.series.size).to.equal(2 + 64 + 1);
+});
+
+it('burn: a series unused for three days makes room', () => {
+  const state = makeBurnState(START, 1);
+  recordBurnSample(state, makeSample('old', true), START);
+  recordBurnSample(state, makeSample('new', true), START + 74 * HOUR_MS);
+  expect([...state.series.values()].map(({ callerId }) => callerId)).to.deep.equal(['new']);
+});
+
+it('burn: no answers is no rate, and 1 uses the budget up exactly', () => {
+  expect(measureBurnRate({ met: 0, total: 0 }, 0.95)).to.equal(undefined);
+  expect(measureBurnRate({ met: 95, total: 100 }, 0.95)).to.be.closeTo(1, 1e-9);
+  expect(measureBurnRate({ met: 0, total: 3 }, 0.95)).to.be.closeTo(20, 1e-9);
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,6 @@
 export * from './allocation/allocator.js';
+export * from './burn/bucket-ring.js';
+export * from './burn/burn.js';
 export * from './membership/membership.js';
 export * from './requests/prefix-hashes.js';
 export * from './requests/request-machine.js';
--- /dev/null
+++ b/packages/router/src/burn/burn-recorder.ts
@@ -0,0 +1,91 @@
+/** Counts final answers against their latency targets and reports the counts to operators. */
+
+import {
+  BURN_WINDOWS,
+  countBurn,
+  listBurnHours,
+  recordBurnSample,
+  type BurnCounts,
+  type BurnSeries,
+  type BurnState,
+} from '@tarragonspool/core';
+import { RESULT_CODES, type CallerId, type ResultName } from '@tarragonspool/protocol';
+import { ANSWERED_RESULT, type RequestTrace } from '../journal/request-trace.js';
+
+/** Counts of one caller and service, by window. */
+export type BurnSeriesReport = {
+  readonly callerId: string;
+  readonly service: string;
+  readonly windows: Readonly<
+    Record<string, { readonly firstToken: BurnCounts; readonly answer: BurnCounts }>
+  >;
+  /** Hours that are not empty: start, then met and total of the first token and the answer. */
+  readonly hours: readonly (readonly number[])[];
+};
+
+/** Counts of one VM. */
+export type BurnReport = {
+  readonly vmId: string;
+  readonly startedAt: number;
+  readonly now: number;
+  readonly targetPercent: number;
+  readonly maxSeries: number;
+  readonly series: readonly BurnSeriesReport[];
+};
+
+/** Results that the caller brought about; they say nothing of the service. */
+const CALLER_RESULTS = new Set<ResultName>([
+  'caller-gone',
+  'duplicate-request',
+  'claim-in-progress',
+  'key-reused',
+  'quarantined',
+]);
+const FIRST_SERVICE_CODE = 2_000;
+
+function isCallerResult(result: string): boolean {
+  const name = result as ResultName;
+  const entry = RESULT_CODES[name] as { readonly code: number } | undefined;
+  return entry === undefined || entry.code < FIRST_SERVICE_CODE || CALLER_RESULTS.has(name);
+}
+
+/** Records an ended request; those that failed by the caller's own doing are left out. */
+export function recordTrace(state: BurnState, trace: RequestTrace): void {
+  const { callerId, service, result, endedAt } = trace;
+  if (callerId === undefined || service === undefined) return;
+  if (result === undefined || endedAt === undefined) return;
+  const isAnswered = result === ANSWERED_RESULT;
+  if (!isAnswered && isCallerResult(result)) return;
+  const { firstTokenAt, firstTokenDeadline, answerDeadline } = trace;
+  const hasTokens = firstTokenDeadline !== undefined;
+  const isFirstTokenMet = hasTokens
+    ? firstTokenAt !== undefined && firstTokenAt <= firstTokenDeadline
+    : undefined;
+  const isAnswerMet = isAnswered && (answerDeadline === undefined || endedAt <= answerDeadline);
+  const sample = { callerId: callerId as CallerId, service, isFirstTokenMet, isAnswerMet };
+  recordBurnSample(state, sample, endedAt);
+}
+
+function buildSeriesReport(series: BurnSeries, now: number): BurnSeriesReport {
+  const windows: Record<string, { firstToken: BurnCounts; answer: BurnCounts }> = {};
+  for (const { name, windowMs } of BURN_WINDOWS) {
+    windows[name] = {
+      firstToken: countBurn(series, 'first-token', windowMs, now),
+      answer: countBurn(series, 'answer', windowMs, now),
+    };
+  }
+  const hours = listBurnHours(series, now).map(({ startAt, counts }) => [startAt, ...counts]);
+  return { callerId: series.callerId, service: series.service, windows, hours };
+}
+
+/** Builds the report of one VM. */
+export function buildBurnReport(
+  state: BurnState,
+  vmId: string,
+  targetPercent: number,
+  now: number,
+): BurnReport {
+  const { startedAt, maxSeries } = state;
+  const series = [...state.series.values()].map((entry) => buildSeriesReport(entry, now));
+  return { vmId, startedAt, now, targetPercent, maxSeries, series };
+}
--- a/packages/router/src/callers/caller-server.ts
+++ b/packages/router/src/callers/caller-server.ts
@@ -5,6 +5,8 @@
 import type { Duplex } from 'node:stream';
 import { getResultCode, type RequestId } from '@tarragonspool/protocol';
 import { buildProblem, sendRefusal } from '../http/refusals.js';
+import type { RequestJournal } from '../journal/request-journal.js';
+import { makeRequestTrace, recordRefused, type RequestTrace } from '../journal/request-trace.js';
 import type { Logger } from '../logging/logger.js';
 import type { Metrics } from '../metrics/metrics.js';
 import { startTask, type Task } from '../tasks/tasks.js';
@@ -21,6 +23,9 @@
 export type CallerServerParts = {
   readonly routes: CallerRoutes;
   readonly isReady: () => boolean;
+  readonly journal: RequestJournal;
+  /** Hears of each request once it has ended. */
+  readonly onEnded: (trace: RequestTrace) => void;
   readonly metrics: Metrics;
   readonly logger: Logger;
 };
@@ -75,6 +80,9 @@
     const { incoming, response, requestId } = exchange;
     const filters = findFilters(routes, incoming.method ?? 'GET', exchange.path);
     const verdict = yield* runFilters(filters, exchange);
+    exchange.trace.callerId = exchange.callerId;
+    if (verdict.kind === 'refuse') recordRefused(exchange.trace, verdict.refusal, Date.now());
+    parts.onEnded(exchange.trace);
     if (verdict.kind !== 'refuse') return;
     const { refusal } = verdict;
     metrics.requests.inc({ kind: 'refused', result: refusal.name });
@@ -94,12 +102,16 @@
     }
     const requestId = makeRequestId(incoming);
     response.setHeader('x-request-id', requestId);
+    const arrivedAt = Date.now();
+    const trace = makeRequestTrace(requestId, arrivedAt, path);
+    parts.journal.add(trace);
     const exchange: Exchange = {
       incoming,
       response,
       requestId,
-      arrivedAt: Date.now(),
+      arrivedAt,
       path,
+      trace,
       callerId: undefined,
       rule: undefined,
       body: undefined,
@@ -112,6 +124,8 @@
         if (error === undefined) return;
         logger.error({ err: error, requestId }, 'callers: request failed');
         const refusal = { name: 'internal-error', ran: 'unknown', detail: 'see the log' } as const;
+        recordRefused(trace, refusal, Date.now());
+        parts.onEnded(trace);
         sendRefusal(response, refusal, Date.now(), requestId);
         response.destroy();
       },
--- a/packages/router/src/callers/exchange.ts
+++ b/packages/router/src/callers/exchange.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AllowRule } from '@tarragonspool/core';
 import type { CallerId, IdempotencyKey, Refusal, RequestId } from '@tarragonspool/protocol';
+import type { RequestTrace } from '../journal/request-trace.js';
 import type { Task } from '../tasks/tasks.js';
 
 /** A request on its way through the filters. Filters fill in what they find. */
@@ -13,6 +14,8 @@
   /** Milliseconds since the epoch. */
   readonly arrivedAt: number;
   readonly path: string;
+  /** Filters write down what they decide, for the journal and the burn report. */
+  readonly trace: RequestTrace;
   callerId: CallerId | undefined;
   rule: AllowRule | undefined;
   body: Buffer | undefined;
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -1,7 +1,7 @@
 /** Puts the daemon's parts together and starts and stops them. */
 
 import type { Server } from 'node:http';
-import { makeMembershipState } from '@tarragonspool/core';
+import { makeBurnState, makeMembershipState } from '@tarragonspool/core';
 import {
   makeAgent,
   makeObjectClient,
@@ -14,10 +14,12 @@
   runAllocation,
   type AllocationMessage,
 } from './allocation/allocation-task.js';
+import { buildBurnReport, recordTrace } from './burn/burn-recorder.js';
 import { makeAuthenticateFilter } from './callers/authenticate.js';
 import { makeCallerServer } from './callers/caller-server.js';
 import { makeReadBodyFilter } from './callers/read-body-filter.js';
 import { makeClaimLedger } from './claims/claim-ledger.js';
+import { makeRequestJournal } from './journal/request-journal.js';
 import type { Logger } from './logging/logger.js';
 import {
   makeMembershipInbox,
@@ -151,6 +153,8 @@
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
 
   const requestParts: ModelRequestParts = { ...self, directory, allocation, metrics };
+  const journal = makeRequestJournal(settings.journalEntries);
+  const burn = makeBurnState(Date.now(), settings.burnSeries);
   const authenticate = makeAuthenticateFilter(view);
   const readBody = makeReadBodyFilter(settings.maxBodyBytes);
   const serviceParts = { view, directory, claims: makeClaimLedger(table), metrics };
@@ -160,11 +164,16 @@
       models: [authenticate, makeModelListFilter(directory, view)],
       service: [authenticate, ...makeServiceFilters(serviceParts, readBody)],
     },
+    journal,
+    onEnded: (trace) => recordTrace(burn, trace),
     isReady: () => view.isLoaded && directory.entryVms.length > 0 && !isLeaving,
     metrics,
     logger,
   });
   const operatorServer = makeOperatorServer({
+    vmId: self.vmId,
+    journal,
+    getBurn: () => buildBurnReport(burn, self.vmId, settings.burnTargetPercent, Date.now()),
     token: settings.operatorToken,
     view,
     rulesInbox,
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -66,7 +66,7 @@
 }
 
 async function runCli(args: string[]): Promise<number> {
-  const enableColors = process.stdout.isTTY;
+  const enableColors = Boolean(process.stdout.isTTY);
   const binaryName = 'tarragonspoold';
   const cli = new Cli({ binaryName, binaryLabel: 'tarragonspool daemon', enableColors });
   cli.register(RunCommand);
--- a/packages/router/src/operators/operator-server.ts
+++ b/packages/router/src/operators/operator-server.ts
@@ -2,10 +2,12 @@
 
 import { createHash, timingSafeEqual } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { EditId, Refusal, RuleRevision } from '@tarragonspool/protocol';
+import type { EditId, Refusal, RuleRevision, VmId } from '@tarragonspool/protocol';
 import { z } from 'zod';
 import { readBody } from '../http/read-body.js';
 import { sendRefusal } from '../http/refusals.js';
+import type { BurnReport } from '../burn/burn-recorder.js';
+import type { RequestJournal } from '../journal/request-journal.js';
 import type { Logger } from '../logging/logger.js';
 import type { Metrics } from '../metrics/metrics.js';
 import type { EditOutcome, RulesInbox } from '../rules/rules-task.js';
@@ -14,16 +16,20 @@
 
 /** What the operator interface works with. */
 export type OperatorServerParts = {
+  readonly vmId: VmId;
   readonly token: string;
   readonly view: RulesView;
   readonly rulesInbox: RulesInbox;
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly getStatus: () => unknown;
+  readonly journal: RequestJournal;
+  readonly getBurn: () => BurnReport;
 };
 
 const MAX_RULES_BYTES = 16_777_216;
 const BODY_TIMEOUT_MS = 15_000;
+const REQUEST_ROUTE = 'GET /requests/';
 
 const editSchema = z.object({
   editId: z.string().min(8).max(128),
@@ -88,6 +94,11 @@
       return;
     }
     const route = `${incoming.method} ${incoming.url}`;
+    if (route.startsWith(REQUEST_ROUTE)) {
+      const requestId = route.slice(REQUEST_ROUTE.length);
+      sendJson(response, { vmId: parts.vmId, requests: parts.journal.find(requestId) });
+      return;
+    }
     switch (route) {
       case 'GET /rules':
         sendJson(response, { revision: parts.view.revision, text: parts.view.text });
@@ -98,6 +109,9 @@
       case 'GET /status':
         sendJson(response, parts.getStatus());
         return;
+      case 'GET /burn':
+        sendJson(response, parts.getBurn());
+        return;
       case 'GET /metrics':
         response.setHeader('content-type', parts.metrics.registry.contentType);
         response.end(yield* awaitPromise(parts.metrics.registry.metrics()));
--- a/packages/router/src/requests/chat-filters.ts
+++ b/packages/router/src/requests/chat-filters.ts
@@ -35,7 +35,13 @@
     arrivedAt,
   });
   const onCallerGone = listenForCallerGone(exchange);
-  return { ...approved, requestId, callerId, arrivedAt, writer, onCallerGone };
+  const { trace } = exchange;
+  Object.assign(trace, approved.deadlines, {
+    callerId,
+    service: approved.service,
+    model: chat.modelText,
+  });
+  return { ...approved, requestId, callerId, arrivedAt, writer, onCallerGone, trace };
 }
 
 function findApproval(
--- a/packages/router/src/requests/model-request-task.ts
+++ b/packages/router/src/requests/model-request-task.ts
@@ -23,6 +23,7 @@
 } from '@tarragonspool/protocol';
 import type { AllocationInbox } from '../allocation/allocation-task.js';
 import type { StopOrder } from '../engines/engine-client.js';
+import { recordAction, type RequestTrace } from '../journal/request-trace.js';
 import type { Metrics } from '../metrics/metrics.js';
 import { makeChannel, offer, receive, type Channel, type Task } from '../tasks/tasks.js';
 import { startTicker } from '../tasks/timers.js';
@@ -50,6 +51,7 @@
   readonly deadlines: ChatDeadlines;
   readonly arrivedAt: number;
   readonly writer: AnswerWriter;
+  readonly trace: RequestTrace;
   /** Calls back once if the caller goes away before the answer ended. */
   readonly onCallerGone: (handler: () => void) => void;
 };
@@ -184,6 +186,7 @@
 
 function performAction(running: Running, action: RequestAction): void {
   const { parts, request, inbox } = running;
+  recordAction(request.trace, action, Date.now());
   switch (action.kind) {
     case 'ask': {
       const { attemptId } = action;
--- a/packages/router/src/services/service-filters.ts
+++ b/packages/router/src/services/service-filters.ts
@@ -12,6 +12,7 @@
   type FilterVerdict,
 } from '../callers/exchange.js';
 import type { Claim, ClaimLedger, ClaimOutcome } from '../claims/claim-ledger.js';
+import { recordAnswered } from '../journal/request-trace.js';
 import type { Metrics } from '../metrics/metrics.js';
 import type { RulesView } from '../rules/rules-view.js';
 import { awaitPromise, type Task } from '../tasks/tasks.js';
@@ -57,6 +58,7 @@
       return refuse('unknown-path', 'use /services/NAME/PATH');
     }
     const { service } = parsed;
+    exchange.trace.service = service;
     exchange.rule = findRule(parts.view.ruleSet, exchange.callerId, service);
     if (exchange.rule === undefined) {
       return refuse('not-approved', `no rule lets ${exchange.callerId} reach ${service}`);
@@ -89,6 +91,7 @@
     ...(isReplay ? { 'idempotent-replayed': 'true' } : {}),
   });
   exchange.response.end(outcome.body);
+  recordAnswered(exchange.trace, Date.now());
   return ANSWERED;
 }
 
@@ -145,6 +148,7 @@
     const failure = yield* awaitPromise(streamServiceCall(exchange, call));
     if (failure === undefined || failure.kind === 'answer') {
       parts.metrics.requests.inc({ kind: 'service', result: 'answered' });
+      recordAnswered(exchange.trace, Date.now());
       return ANSWERED;
     }
     const ran = failure.kind === 'unsent' ? 'not-run' : 'unknown';
--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -20,6 +20,11 @@
 const LOG_LEVELS = ['debug', 'info', 'warn', 'error', 'silent'] as const;
 const MIN_BODY_BYTES = 1_024;
 const MAX_BODY_BYTES = 67_108_864;
+const MIN_TARGET_PERCENT = 50;
+const MAX_TARGET_PERCENT = 99;
+const MIN_BURN_SERIES = 16;
+const MAX_BURN_SERIES = 50_000;
+const MAX_JOURNAL_ENTRIES = 100_000;
 
 type SettingEntry = {
   /** What it is for, in one sentence. */
@@ -102,6 +107,24 @@
     fallback: '4194304',
     isSecret: false,
   },
+  burnTargetPercent: {
+    description: 'Share of requests that must meet each latency target, in percent.',
+    schema: makeWholeNumberSchema(MIN_TARGET_PERCENT, MAX_TARGET_PERCENT),
+    fallback: '95',
+    isSecret: false,
+  },
+  burnSeries: {
+    description: 'Pairs of caller and service that the burn report keeps apart.',
+    schema: makeWholeNumberSchema(MIN_BURN_SERIES, MAX_BURN_SERIES),
+    fallback: '4000',
+    isSecret: false,
+  },
+  journalEntries: {
+    description: 'Recent requests kept in memory for `request explain`.',
+    schema: makeWholeNumberSchema(0, MAX_JOURNAL_ENTRIES),
+    fallback: '4000',
+    isSecret: false,
+  },
 } as const satisfies Record<string, SettingEntry>;
 
 /** Names of the settings. */
