--- a/packages/cli/src/operators/operator-command.ts
+++ b/packages/cli/src/operators/operator-command.ts
@@ -98,7 +98,9 @@
     }
     const { code, name, title, detail } = answer.problem;
     const advice = ADVICE[name as ResultName] ?? REFUSED;
-    return this.printError(advice.exit, `${code} ${title} ${detail}. ${advice.next}`.trimEnd());
+    const isShort = !detail.includes('\n');
+    const text = isShort ? `${title} ${detail}. ` : `${title}\n${detail}\n`;
+    return this.printError(advice.exit, `${code} ${text}${advice.next}`.trimEnd());
   }
 
   /** Prints a line on the error stream and returns the exit code. */
--- a/packages/cli/src/rules/apply-command.ts
+++ b/packages/cli/src/rules/apply-command.ts
@@ -1,9 +1,7 @@
 /** `tarragonspool rules apply FILE`. */
 
-import { randomUUID } from 'node:crypto';
 import { Command, Option, UsageError } from 'clipanion';
 import { getExitCode } from '../exit-codes.js';
-import { compareRules, renderDiff } from './rule-diff.js';
 import { readRuleFile, type RuleText } from './rule-text.js';
 import { IN_FORCE_TIMEOUT_MS, RulesCommand } from './rules-command.js';
 
@@ -17,7 +15,7 @@
     details: `
       The file replaces every rule. An edit is taken only if its base is the revision in force: the
       revision of \`--base\`, else the one that the first line of \`rules show\` names, else the
-      revision in force at the moment. Waits until every VM has the new revision in force.
+      revision in force at the moment. The lines of an edit that came first are shown. Waits until every VM has the new revision in force.
     `,
     examples: [
       ['Apply a file made with "rules show"', '$0 rules apply rules.txt'],
@@ -27,6 +25,11 @@
 
   base = Option.String('--base', { description: 'Revision that the file was made from.' });
 
+  author = Option.String('--by', 'unknown', {
+    env: 'USER',
+    description: 'Who made the edit, for the history.',
+  });
+
   isWaiting = Option.Boolean('--wait', true, { description: 'Waits until in force everywhere.' });
 
   file = Option.String({ name: 'FILE' });
@@ -37,13 +40,17 @@
     const current = await this.getRules();
     if (current.kind !== 'value') return this.printFailure(current);
     const baseRevision = this.findBase(result.file) ?? current.value.revision;
-    if (baseRevision !== current.value.revision) {
-      this.printOtherEdit(current.value, result.file.text);
-    }
-    const editId = randomUUID();
-    const answer = await this.postEdit({ editId, baseRevision, text: result.file.text });
+    const { text } = result.file;
+    const answer = await this.postEdit({ baseRevision, author: this.author, text });
     if (answer.kind !== 'value') return this.printFailure(answer);
     const { revision } = answer.value;
+    if (revision < current.value.revision) {
+      return this.printError(
+        'refused',
+        `this edit was accepted before, as revision ${revision}; revision ${current.value.revision} ` +
+          'replaced it. Run "tarragonspool rules diff FILE".',
+      );
+    }
     if (!this.json || !this.isWaiting) {
       this.print({ revision }, `accepted as revision ${revision}\n`);
     }
@@ -56,11 +63,4 @@
     if (/^\d{1,15}$/.test(this.base)) return Number(this.base);
     throw new UsageError(`--base: found ${JSON.stringify(this.base)}; expected a revision number.`);
   }
-
-  private printOtherEdit(current: { revision: number; text: string }, text: string): void {
-    const diff = renderDiff(compareRules(current.text, text));
-    this.context.stderr.write(
-      `revision ${current.revision} is in force; the file differs:\n${diff}`,
-    );
-  }
 }
--- a/packages/cli/src/upstreams/drain-edit-command.ts
+++ b/packages/cli/src/upstreams/drain-edit-command.ts
@@ -1,6 +1,5 @@
 /** What draining and its undoing share: an edit of the rules that is made again after a race. */
 
-import { randomUUID } from 'node:crypto';
 import { Option, UsageError } from 'clipanion';
 import { IN_FORCE_TIMEOUT_MS, RulesCommand } from '../rules/rules-command.js';
 
@@ -21,7 +20,7 @@
   }
 
   /** Applies a change to the newest rules, again after each edit that came first. */
-  protected async changeRules(change: ChangeRules): Promise<number> {
+  protected async changeRules(author: string, change: ChangeRules): Promise<number> {
     for (let tries = 1; ; tries += 1) {
       // eslint-disable-next-line no-await-in-loop -- each try needs the newest rules
       const current = await this.getRules();
@@ -32,7 +31,7 @@
         return this.awaitInForce(baseRevision, Date.now() + IN_FORCE_TIMEOUT_MS);
       }
       // eslint-disable-next-line no-await-in-loop -- each try needs the newest rules
-      const answer = await this.postEdit({ editId: randomUUID(), baseRevision, text });
+      const answer = await this.postEdit({ baseRevision, author, text });
       if (answer.kind === 'value') {
         return this.awaitInForce(answer.value.revision, Date.now() + IN_FORCE_TIMEOUT_MS);
       }
--- /dev/null
+++ b/packages/protocol/src/engine-codec.test.ts
@@ -0,0 +1,25 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import {
+  parseCacheEvents,
+  parseEngineHolds,
+  parseLoadReport,
+  parsePrefillResult,
+} from './engine-codec.js';
+
+it('engine codec: malformed answers are undefined, never an exception', () => {
+  fc.assert(
+    fc.property(fc.anything(), (value) => {
+      for (const parse of [
+        parseCacheEvents,
+        parseEngineHolds,
+        parseLoadReport,
+        parsePrefillResult,
+      ]) {
+        parse(value);
+      }
+    }),
+  );
+  expect(parseCacheEvents([])).to.equal(undefined);
+  expect(parseCacheEvents({ events: [], latest: 0 })).to.deep.equal({ events: [], latest: 0 });
+});
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -10,15 +10,18 @@
 } from '@tarragonspool/platform';
 import type { DataCentre, Incarnation, PeerMessage, VmId } from '@tarragonspool/protocol';
 import {
+  isAllocationMessage,
   makeAllocationInbox,
-  runAllocation,
   type AllocationMessage,
-} from './allocation/allocation-task.js';
+} from './allocation/allocation-messages.js';
+import { makeAllocation } from './allocation/allocation-task.js';
 import { buildBurnReport, recordTrace } from './burn/burn-recorder.js';
 import { makeAuthenticateFilter } from './callers/authenticate.js';
 import { makeCallerServer } from './callers/caller-server.js';
 import { makeReadBodyFilter } from './callers/read-body-filter.js';
 import { makeClaimLedger } from './claims/claim-ledger.js';
+import { makeCancelInbox, runCancels, type CancelMessage } from './engines/cancel-task.js';
+import { runEnginePolls } from './engines/engine-poll-task.js';
 import { makeRequestJournal } from './journal/request-journal.js';
 import type { Logger } from './logging/logger.js';
 import {
@@ -28,13 +31,16 @@
 } from './membership/membership-task.js';
 import { makeMetrics } from './metrics/metrics.js';
 import { makeOperatorServer } from './operators/operator-server.js';
+import { buildStatus } from './operators/status.js';
 import type { PeerIdentity } from './peers/peer-link.js';
 import { startPeerMesh } from './peers/peer-mesh.js';
 import { makeChatFilters } from './requests/chat-filters.js';
 import { makeModelListFilter } from './requests/model-list-filter.js';
 import type { ModelRequestParts } from './requests/model-request-task.js';
-import { makeRulesInbox, runRules } from './rules/rules-task.js';
-import { makeRulesView } from './rules/rules-view.js';
+import { makeAdmissionFilter } from './rules/admission-filter.js';
+import { readRuleHistory } from './rules/rule-history.js';
+import { makeRulesInbox, runRules, type RulesMessage } from './rules/rules-task.js';
+import { isRulesViewCurrent, makeRulesView } from './rules/rules-view.js';
 import { makeServiceFilters } from './services/service-filters.js';
 import type { Settings } from './settings/settings.js';
 import { offer, startTask, type Task } from './tasks/tasks.js';
@@ -48,9 +54,10 @@
   readonly stop: (onStopped: () => void) => void;
 };
 
-const RULES_POLL_INTERVAL_MS = 1_000;
+const RULES_TICK_MS = 100;
 const DRAIN_NOTICE_MS = 2_000;
-const ALLOCATION_TICK_MS = 50;
+const ALLOCATION_TICK_MS = 25;
+const CANCEL_TICK_MS = 250;
 const HEARTBEAT_INTERVAL_MS = 250;
 
 function listen(server: Server, address: { readonly host: string; readonly port: number }): void {
@@ -72,6 +79,7 @@
   const directory = makeDirectory();
   const view = makeRulesView();
   const allocation = makeAllocationInbox();
+  const cancels = makeCancelInbox();
   const rulesInbox = makeRulesInbox();
   let isLeaving = false;
 
@@ -85,11 +93,31 @@
   const membershipState = makeMembershipState(self.vmId);
   const members = makeMembershipView(membershipState, () => isLeaving);
   const handlePeerMessage = (peer: PeerIdentity, message: PeerMessage): void => {
+    if (isAllocationMessage(message)) {
+      const { vmId } = peer;
+      offer(allocation, { kind: 'peer-said', vmId, message, now: Date.now() });
+      return;
+    }
     switch (message.kind) {
       case 'rules':
-        offer(rulesInbox, { kind: 'pushed', revision: message.revision, text: message.text });
+        offer(rulesInbox, { ...message, kind: 'peer-file', now: Date.now() });
+        return;
+      case 'rules-deltas':
+        offer(rulesInbox, { ...message, kind: 'peer-deltas', now: Date.now() });
         return;
+      case 'rules-wanted': {
+        const { afterRevision } = message;
+        const { vmId } = peer;
+        offer(rulesInbox, { kind: 'peer-wants', vmId, afterRevision, now: Date.now() });
+        return;
+      }
       case 'heartbeat':
+        offer(rulesInbox, {
+          kind: 'peer-revision',
+          vmId: peer.vmId,
+          revision: message.rulesRevision,
+          now: Date.now(),
+        });
         offer(membership, { ...message, ...peer, now: Date.now() });
         return;
       default:
@@ -105,9 +133,8 @@
     metrics,
     logger,
     onOpen: (link) => {
-      if (view.revision > 0) {
-        link.send({ kind: 'rules', revision: view.revision, text: view.text });
-      }
+      const { vmId } = link.peer;
+      offer(allocation, { kind: 'link-opened', vmId, now: Date.now() });
     },
     onMessage: handlePeerMessage,
     onGone: (vmId, incarnation) => {
@@ -120,23 +147,49 @@
     runMembership(membership, {
       state: membershipState,
       directory,
-      rules: view,
       allocation,
       logger,
     }),
   );
   const { policy, objective } = settings;
-  const options = { vmId: self.vmId, policy, objective, seed: self.incarnation };
-  start('allocation', () => runAllocation(allocation, options, directory, logger));
+  const { sendTo } = mesh;
+  const allocator = makeAllocation({ ...self, policy, objective, sendTo, cancels, logger });
+  start('allocation', () => allocator.run(allocation));
+  start('cancels', () => runCancels(cancels, { directory, metrics, logger }));
+  start('engine polls', () =>
+    runEnginePolls({
+      directory,
+      allocation,
+      cancels,
+      metrics,
+      logger,
+      listPolled: allocator.listPolled,
+      makeSweepView: () => ({
+        incarnations: members.listIncarnations(),
+        ended: allocator.endedIncarnations,
+      }),
+    }),
+  );
   start('rules', () =>
-    runRules(rulesInbox, { view, table, objects, metrics, logger, broadcast: mesh.broadcast }),
+    runRules(rulesInbox, {
+      view,
+      table,
+      objects,
+      membership,
+      metrics,
+      logger,
+      seed: self.incarnation,
+      broadcast: mesh.broadcast,
+      sendTo: mesh.sendTo,
+    }),
   );
-  offer(rulesInbox, { kind: 'poll' });
-  startTicker(rulesInbox, RULES_POLL_INTERVAL_MS, () => ({ kind: 'poll' }));
+  startTicker<RulesMessage>(rulesInbox, RULES_TICK_MS, (now) => ({ kind: 'ticked', now }));
   startTicker<AllocationMessage>(allocation, ALLOCATION_TICK_MS, (now) => ({
     kind: 'ticked',
+    liveVms: members.listLive(now),
     now,
   }));
+  startTicker<CancelMessage>(cancels, CANCEL_TICK_MS, (now) => ({ kind: 'ticked', now }));
 
   const sendHeartbeat = (): void => {
     const rulesRevision = view.revision;
@@ -152,21 +205,23 @@
   };
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
 
-  const requestParts: ModelRequestParts = { ...self, directory, allocation, metrics };
   const journal = makeRequestJournal(settings.journalEntries);
   const burn = makeBurnState(Date.now(), settings.burnSeries);
+  const requestParts: ModelRequestParts = { ...self, directory, allocation, cancels, metrics };
+  const admit = makeAdmissionFilter(view);
   const authenticate = makeAuthenticateFilter(view);
   const readBody = makeReadBodyFilter(settings.maxBodyBytes);
   const serviceParts = { view, directory, claims: makeClaimLedger(table), metrics };
   const callerServer = makeCallerServer({
     routes: {
-      chat: [authenticate, ...makeChatFilters(requestParts, view, readBody)],
-      models: [authenticate, makeModelListFilter(directory, view)],
-      service: [authenticate, ...makeServiceFilters(serviceParts, readBody)],
+      chat: [admit, authenticate, ...makeChatFilters(requestParts, view, readBody)],
+      models: [admit, authenticate, makeModelListFilter(directory, view)],
+      service: [admit, authenticate, ...makeServiceFilters(serviceParts, readBody)],
     },
     journal,
     onEnded: (trace) => recordTrace(burn, trace),
-    isReady: () => view.isLoaded && directory.entryVms.length > 0 && !isLeaving,
+    isReady: () =>
+      isRulesViewCurrent(view, Date.now()) && directory.entryVms.length > 0 && !isLeaving,
     metrics,
     logger,
   });
@@ -179,22 +234,16 @@
     rulesInbox,
     metrics,
     logger,
-    getStatus: () => ({
-      ...self,
-      isLeaving,
-      rulesRevision: view.revision,
-      entryVms: directory.entryVms.map(({ vmId }) => vmId),
-      peers: members.listMembers(),
-      engines: [...directory.engines.values()].map(
-        ({ upstreamId, role, service, isLeaving: l }) => ({
-          upstreamId,
-          role,
-          service,
-          isLeaving: l,
-        }),
-      ),
-      servers: [...directory.servers.values()],
-    }),
+    readHistory: () => readRuleHistory(table, view.revision),
+    getStatus: () =>
+      buildStatus({
+        self,
+        isLeaving,
+        rulesRevision: view.revision,
+        directory,
+        members: members.listMembers(),
+        journal,
+      }),
   });
   listen(callerServer, settings.callerListen);
   listen(operatorServer, settings.operatorListen);
--- a/packages/router/src/engines/engine-client.ts
+++ b/packages/router/src/engines/engine-client.ts
@@ -2,8 +2,13 @@
 
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http';
 import {
+  parseCacheEvents,
   parseDecodeFrame,
+  parseEngineHolds,
+  parseLoadReport,
+  parsePrefillResult,
   type AttemptId,
+  type CacheEventList,
   type DecodeFrame,
   type DecodeOrder,
   type EngineHold,
@@ -37,6 +42,8 @@
   cancel(attemptId: AttemptId, deadline: number): Promise<boolean>;
   listHolds(deadline: number): Promise<readonly EngineHold[] | undefined>;
   readLoad(deadline: number): Promise<LoadReport | undefined>;
+  /** Lists changes of the prefix cache after a sequence number; -1 for all that are known. */
+  readCacheEvents(after: number, deadline: number): Promise<CacheEventList | undefined>;
 };
 
 const MAX_LINE_CHARACTERS = 65_536;
@@ -70,9 +77,9 @@
   incoming.on('error', (error) => onEnd(error.message));
 }
 
-function parsePrefillResult(text: string): PrefillResult | undefined {
+function parseJson(text: string): unknown {
   try {
-    return JSON.parse(text) as PrefillResult;
+    return JSON.parse(text);
   } catch {
     return undefined;
   }
@@ -95,11 +102,7 @@
             resolve(undefined);
             return;
           }
-          try {
-            resolve(JSON.parse(text));
-          } catch {
-            resolve(undefined);
-          }
+          resolve(parseJson(text));
         });
       });
       const timer = setTimeout(() => outgoing.destroy(), Math.max(0, deadline - Date.now()));
@@ -122,7 +125,7 @@
       };
       const outgoing = post('/prefill', order, (incoming) => {
         readText(incoming, (status, text) => {
-          const result = status === 200 ? parsePrefillResult(text) : undefined;
+          const result = status === 200 ? parsePrefillResult(parseJson(text)) : undefined;
           if (result === undefined) {
             finish({ kind: 'failed', detail: `prefill: ${status} ${text}` });
           } else finish({ kind: 'prefilled', result });
@@ -168,11 +171,15 @@
     },
 
     async listHolds(deadline) {
-      return (await callJson('GET', '/holds', deadline)) as readonly EngineHold[] | undefined;
+      return parseEngineHolds(await callJson('GET', '/holds', deadline));
     },
 
     async readLoad(deadline) {
-      return (await callJson('GET', '/load', deadline)) as LoadReport | undefined;
+      return parseLoadReport(await callJson('GET', '/load', deadline));
+    },
+
+    async readCacheEvents(after, deadline) {
+      return parseCacheEvents(await callJson('GET', `/cache-events?after=${after}`, deadline));
     },
   };
 }
--- a/packages/router/src/journal/request-journal.ts
+++ b/packages/router/src/journal/request-journal.ts
@@ -8,6 +8,8 @@
   readonly add: (trace: RequestTrace) => void;
   /** Finds every request that carried the id, oldest first. */
   readonly find: (requestId: string) => readonly RequestTrace[];
+  /** Lists every request kept, oldest first. */
+  readonly list: () => Iterable<RequestTrace>;
   readonly count: () => number;
 };
 
@@ -24,6 +26,7 @@
       traces.add(trace);
     },
     find: (requestId) => [...traces].filter((trace) => trace.requestId === requestId),
+    list: () => traces,
     count: () => traces.size,
   };
 }
--- a/packages/router/src/membership/membership-task.ts
+++ b/packages/router/src/membership/membership-task.ts
@@ -5,16 +5,20 @@
   isUpstreamLeaving,
   listLeavingUpstreams,
   listLiveVms,
-  type ListedEngine,
   type MembershipAction,
   type MembershipEvent,
   type MembershipState,
   type VmMember,
 } from '@tarragonspool/core';
-import { assertNever, type LeavingUpstream, type VmId } from '@tarragonspool/protocol';
-import type { AllocationInbox } from '../allocation/allocation-task.js';
+import {
+  assertNever,
+  type Incarnation,
+  type LeavingUpstream,
+  type VmId,
+} from '@tarragonspool/protocol';
+import type { AllocationInbox } from '../allocation/allocation-messages.js';
+import type { AllocatedEngine } from '../allocation/allocators.js';
 import type { Logger } from '../logging/logger.js';
-import type { RulesView } from '../rules/rules-view.js';
 import { makeChannel, offer, receive, type Channel, type Task } from '../tasks/tasks.js';
 import { applyVmList, type Directory } from '../upstreams/directory.js';
 
@@ -26,6 +30,8 @@
   /** VMs, this one included, that are alive and not leaving. */
   readonly listLive: (now: number) => readonly VmId[];
   readonly listMembers: () => readonly VmMember[];
+  /** Newest incarnation heard of each peer. */
+  readonly listIncarnations: () => ReadonlyMap<VmId, Incarnation>;
   readonly listLeaving: () => readonly LeavingUpstream[];
 };
 
@@ -33,8 +39,6 @@
 export type MembershipParts = {
   readonly state: MembershipState;
   readonly directory: Directory;
-  /** Names the upstreams that the rules drain. */
-  readonly rules: RulesView;
   readonly allocation: AllocationInbox;
   readonly logger: Logger;
 };
@@ -54,25 +58,30 @@
   return {
     listLive: (now) => listLiveVms(state, isSelfLeaving(), now),
     listMembers: () => [...state.members.values()],
+    listIncarnations: () => {
+      const incarnations = new Map<VmId, Incarnation>();
+      for (const { vmId, incarnation } of state.members.values()) {
+        incarnations.set(vmId, incarnation);
+      }
+      return incarnations;
+    },
     listLeaving: () => listLeavingUpstreams(state),
   };
 }
 
-function listEngines(directory: Directory): ListedEngine[] {
-  const engines: ListedEngine[] = [];
-  for (const { upstreamId, role, models, isLeaving } of directory.engines.values()) {
-    engines.push({ upstreamId, role, models, isLeaving });
+function listEngines(directory: Directory): AllocatedEngine[] {
+  const engines: AllocatedEngine[] = [];
+  for (const engine of directory.engines.values()) {
+    const { upstreamId, role, models, isLeaving, service, dataCentre } = engine;
+    engines.push({ upstreamId, role, models, isLeaving, service, dataCentre });
   }
   return engines;
 }
 
 function publishUpstreams(parts: MembershipParts): void {
-  const { state, directory, rules, allocation } = parts;
-  applyVmList(
-    directory,
-    state.records,
-    (upstreamId, incarnation) =>
-      rules.ruleSet.drained.has(upstreamId) || isUpstreamLeaving(state, upstreamId, incarnation),
+  const { state, directory, allocation } = parts;
+  applyVmList(directory, state.records, (upstreamId, incarnation) =>
+    isUpstreamLeaving(state, upstreamId, incarnation),
   );
   offer(allocation, { kind: 'engines-listed', engines: listEngines(directory), now: Date.now() });
 }
@@ -99,12 +108,9 @@
 
 /** Runs until the inbox closes. */
 export function* runMembership(inbox: MembershipInbox, parts: MembershipParts): Task {
-  let published = parts.rules.ruleSet;
   for (;;) {
     const event = yield* receive(inbox);
     if (event === undefined) return;
     for (const action of handleMembershipEvent(parts.state, event)) performAction(parts, action);
-    if (parts.rules.ruleSet !== published) publishUpstreams(parts);
-    published = parts.rules.ruleSet;
   }
 }
--- a/packages/router/src/operators/operator-server.ts
+++ b/packages/router/src/operators/operator-server.ts
@@ -2,7 +2,8 @@
 
 import { createHash, timingSafeEqual } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { EditId, Refusal, RuleRevision, VmId } from '@tarragonspool/protocol';
+import type { EditOutcome } from '@tarragonspool/core';
+import type { EditId, Refusal, RuleDelta, RuleRevision, VmId } from '@tarragonspool/protocol';
 import { z } from 'zod';
 import { readBody } from '../http/read-body.js';
 import { sendRefusal } from '../http/refusals.js';
@@ -10,8 +11,9 @@
 import type { RequestJournal } from '../journal/request-journal.js';
 import type { Logger } from '../logging/logger.js';
 import type { Metrics } from '../metrics/metrics.js';
-import type { EditOutcome, RulesInbox } from '../rules/rules-task.js';
-import type { RulesView } from '../rules/rules-view.js';
+import type { RulesInbox } from '../rules/rules-task.js';
+import { renderRules, type RulesView } from '../rules/rules-view.js';
+import type { DaemonStatus } from './status.js';
 import { awaitPromise, makeChannel, offer, receive, startTask, type Task } from '../tasks/tasks.js';
 
 /** What the operator interface works with. */
@@ -22,18 +24,22 @@
   readonly rulesInbox: RulesInbox;
   readonly metrics: Metrics;
   readonly logger: Logger;
-  readonly getStatus: () => unknown;
+  readonly getStatus: () => DaemonStatus;
   readonly journal: RequestJournal;
   readonly getBurn: () => BurnReport;
+  /** Reads the latest edits, oldest first; undefined while the table is away. */
+  readonly readHistory: () => Promise<readonly RuleDelta[] | undefined>;
 };
 
-const MAX_RULES_BYTES = 16_777_216;
+const MAX_RULES_BYTES = 8_388_608;
 const BODY_TIMEOUT_MS = 15_000;
 const REQUEST_ROUTE = 'GET /requests/';
+const EDIT_TIMEOUT_MS = 12_000;
 
 const editSchema = z.object({
   editId: z.string().min(8).max(128),
   baseRevision: z.number().int().nonnegative(),
+  author: z.string().min(1).max(128).default('unknown'),
   text: z.string(),
 });
 
@@ -75,13 +81,13 @@
       return;
     }
     const outcome = makeChannel<EditOutcome>(1);
-    offer(parts.rulesInbox, {
-      kind: 'edit',
-      editId: edit.editId as EditId,
-      baseRevision: edit.baseRevision as RuleRevision,
-      text: edit.text,
-      outcome,
-    });
+    const editId = edit.editId as EditId;
+    const baseRevision = edit.baseRevision as RuleRevision;
+    const request = { ...edit, editId, baseRevision, deadline: Date.now() + EDIT_TIMEOUT_MS };
+    if (!offer(parts.rulesInbox, { kind: 'edit', edit: request, outcome })) {
+      sendError(response, 'rules-unavailable', 'the daemon is overloaded');
+      return;
+    }
     const result = yield* receive(outcome);
     if (result?.kind === 'accepted') sendJson(response, { revision: result.revision });
     else if (result?.kind === 'refused') sendRefusal(response, result.refusal, Date.now());
@@ -101,8 +107,14 @@
     }
     switch (route) {
       case 'GET /rules':
-        sendJson(response, { revision: parts.view.revision, text: parts.view.text });
+        sendJson(response, { revision: parts.view.revision, text: renderRules(parts.view) });
+        return;
+      case 'GET /rules/history': {
+        const history = yield* awaitPromise(parts.readHistory());
+        if (history === undefined) sendError(response, 'rules-unavailable', 'the table is away');
+        else sendJson(response, { history });
         return;
+      }
       case 'POST /rules':
         yield* handleEdit(incoming, response);
         return;
