--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,8 @@
 export * from './claims/claim-sweep.js';
 export * from './claims/claim-types.js';
 export * from './hashing/rendezvous.js';
+export * from './burn/bucket-ring.js';
+export * from './burn/burn.js';
 export * from './membership/membership.js';
 export * from './requests/prefix-hashes.js';
 export * from './requests/request-machine.js';
--- a/packages/router/src/claims/run-once.ts
+++ b/packages/router/src/claims/run-once.ts
@@ -10,6 +10,7 @@
   type Fingerprint,
   type IdempotencyKey,
 } from '@tarragonspool/protocol';
+import { recordAnswered } from '../journal/request-trace.js';
 import { ANSWERED, refuse, type Exchange, type FilterVerdict } from '../callers/exchange.js';
 import type { Task } from '../tasks/tasks.js';
 import { callLedger, endClaim, makeClaim, type LedgerInbox } from './claim-ledger.js';
@@ -54,7 +55,7 @@
   return { kind: 'answered', outcome };
 }
 
-function sendRecorded({ response }: Exchange, outcome: ClaimOutcome): FilterVerdict {
+function sendRecorded({ response, trace }: Exchange, outcome: ClaimOutcome): FilterVerdict {
   const body = Buffer.from(outcome.body, outcome.encoding);
   response.writeHead(outcome.status, {
     'content-type': outcome.contentType,
@@ -62,6 +63,7 @@
     'idempotent-replayed': 'true',
   });
   response.end(body);
+  recordAnswered(trace, Date.now());
   return ANSWERED;
 }
 
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -1,7 +1,7 @@
 /** Puts the daemon's parts together and starts and stops them. */
 
 import type { Server } from 'node:http';
-import { makeMembershipState, makeRetryBudget } from '@tarragonspool/core';
+import { makeBurnState, makeMembershipState, makeRetryBudget } from '@tarragonspool/core';
 import {
   makeAgent,
   makeObjectClient,
@@ -15,6 +15,7 @@
   type AllocationMessage,
 } from './allocation/allocation-messages.js';
 import { makeAllocation } from './allocation/allocation-task.js';
+import { buildBurnReport, recordTrace } from './burn/burn-recorder.js';
 import { makeAuthenticateFilter } from './callers/authenticate.js';
 import { makeCallerServer } from './callers/caller-server.js';
 import { makeReadBodyFilter } from './callers/read-body-filter.js';
@@ -23,6 +24,7 @@
 import { runEnginePolls } from './engines/engine-poll-task.js';
 import { runClaimSweep } from './claims/claim-sweep-task.js';
 import { makeInvariants } from './invariants/invariants.js';
+import { makeRequestJournal } from './journal/request-journal.js';
 import type { Logger } from './logging/logger.js';
 import {
   makeMembershipInbox,
@@ -31,6 +33,7 @@
 } from './membership/membership-task.js';
 import { makeMetrics } from './metrics/metrics.js';
 import { makeOperatorServer } from './operators/operator-server.js';
+import { buildStatus } from './operators/status.js';
 import type { PeerIdentity } from './peers/peer-link.js';
 import { startPeerMesh } from './peers/peer-mesh.js';
 import { makeChatFilters } from './requests/chat-filters.js';
@@ -214,6 +217,8 @@
   };
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
 
+  const journal = makeRequestJournal(settings.journalEntries);
+  const burn = makeBurnState(Date.now(), settings.burnSeries);
   const requestParts: ModelRequestParts = {
     ...self,
     directory,
@@ -236,6 +241,8 @@
       models: [admit, authenticate, makeModelListFilter(directory, view)],
       service: [admit, authenticate, ...makeServiceFilters(serviceParts, readBody)],
     },
+    journal,
+    onEnded: (trace) => recordTrace(burn, trace),
     isReady: () =>
       isRulesViewCurrent(view, Date.now()) && directory.entryVms.length > 0 && !isLeaving,
     isLeaving: () => isLeaving,
@@ -244,28 +251,24 @@
     logger,
   });
   const operatorServer = makeOperatorServer({
+    vmId: self.vmId,
+    journal,
+    getBurn: () => buildBurnReport(burn, self.vmId, settings.burnTargetPercent, Date.now()),
     token: settings.operatorToken,
     view,
     rulesInbox,
     metrics,
     logger,
     readHistory: () => readRuleHistory(table, view.revision),
-    getStatus: () => ({
-      ...self,
-      isLeaving,
-      rulesRevision: view.revision,
-      entryVms: directory.entryVms.map(({ vmId }) => vmId),
-      peers: members.listMembers(),
-      engines: [...directory.engines.values()].map(
-        ({ upstreamId, role, service, isLeaving: l }) => ({
-          upstreamId,
-          role,
-          service,
-          isLeaving: l,
-        }),
-      ),
-      servers: [...directory.servers.values()],
-    }),
+    getStatus: () =>
+      buildStatus({
+        self,
+        isLeaving,
+        rulesRevision: view.revision,
+        directory,
+        members: members.listMembers(),
+        journal,
+      }),
   });
   listen(callerServer, settings.callerListen);
   listen(operatorServer, settings.operatorListen);
