Cut silent peer links, back off before dialling and name why a link is closed

Cause: a half-open link stayed until TCP gave it up, a VM that was down was dialled twice a second by every peer, an older incarnation could replace a newer one, and a proof did not say for whom it was made. A link whose peer says nothing for 1.5 s is cut (not right after a pause of this process). The wait before dialling doubles from 250 ms to 8 s with jitter. A proof covers both sides and their nonces. Bad frames, unknown versions, wrong proofs and handshakes that never end close the link with the result's code, frames above the limit with 1009; the mesh goes on.

--- a/packages/router/src/peers/peer-link.ts
+++ b/packages/router/src/peers/peer-link.ts
@@ -6,6 +6,7 @@
   decodePeerMessage,
   encodePeerMessage,
   getResultCode,
+  MAX_PEER_FRAME_BYTES,
   PEER_PROTOCOL_VERSION,
   type DataCentre,
   type Incarnation,
@@ -13,7 +14,7 @@
   type ResultName,
   type VmId,
 } from '@tarragonspool/protocol';
-import { isProofValid, makeProof } from './peer-proof.js';
+import { isProofValid, makeProof, type ProofSide } from './peer-proof.js';
 
 /** Who a VM says it is. */
 export type PeerIdentity = {
@@ -25,8 +26,12 @@
 /** A link whose peer has proved that it knows the secret. */
 export type PeerLink = {
   readonly peer: PeerIdentity;
+  /** When the peer was last heard, in milliseconds since the epoch. */
+  readonly getHeardAt: () => number;
   readonly send: (message: PeerMessage) => void;
   readonly close: () => void;
+  /** Closes without waiting for the peer, which may not answer any more. */
+  readonly cut: () => void;
 };
 
 /** Hears of a link. `onOpen` comes once, before any message. */
@@ -36,27 +41,39 @@
   readonly onClose: (link: PeerLink | undefined, detail: string) => void;
 };
 
+/** What a link needs besides its socket. */
+export type PeerLinkParts = {
+  readonly self: PeerIdentity;
+  /** The first signs; all are accepted. */
+  readonly secrets: readonly string[];
+  readonly handshakeTimeoutMs: number;
+};
+
 const CLOSE_CODE_BASE = 4_000;
+const CLOSE_CODE_RANGE = 1_000;
 const NONCE_BYTES = 16;
-const MAX_BUFFERED_BYTES = 16_777_216;
-const HANDSHAKE_TIMEOUT_MS = 5_000;
+const MAX_BUFFERED_BYTES = 2 * MAX_PEER_FRAME_BYTES;
+const CLOSE_TIMEOUT_MS = 1_000;
+const WS_TOO_LARGE = 'WS_ERR_UNSUPPORTED_MESSAGE_LENGTH';
 
-/** Closes a socket with the WebSocket close code of a result. */
-function closeWithResult(socket: WebSocket, name: ResultName): void {
-  const { code, title } = getResultCode(name);
-  socket.close(CLOSE_CODE_BASE + (code % 1_000), `${code} ${title}`);
+/** Returns the WebSocket close code of a result. */
+export function getCloseCode(name: ResultName): number {
+  return CLOSE_CODE_BASE + (getResultCode(name).code % CLOSE_CODE_RANGE);
 }
 
 /** Runs the link's protocol on an open socket. */
 export function startPeerLink(
   socket: WebSocket,
-  self: PeerIdentity,
-  secrets: readonly string[],
+  parts: PeerLinkParts,
   handler: PeerLinkHandler,
 ): void {
-  const nonce = randomBytes(NONCE_BYTES).toString('hex');
+  const { self, secrets } = parts;
+  const own: ProofSide = { ...self, nonce: randomBytes(NONCE_BYTES).toString('hex') };
   let peer: PeerIdentity | undefined;
+  let peerNonce = '';
   let link: PeerLink | undefined;
+  let heardAt = Date.now();
+  let closedFor: ResultName | undefined;
 
   const send = (message: PeerMessage): void => {
     if (socket.readyState !== socket.OPEN) return;
@@ -67,49 +84,89 @@
     socket.send(encodePeerMessage(message));
   };
 
+  function closeFor(name: ResultName): void {
+    if (closedFor !== undefined) return;
+    closedFor = name;
+    const { code, title } = getResultCode(name);
+    socket.close(getCloseCode(name), `${code} ${title}`);
+    setTimeout(() => socket.terminate(), CLOSE_TIMEOUT_MS).unref();
+  }
+
   const timer = setTimeout(() => {
-    if (link === undefined) socket.terminate();
-  }, HANDSHAKE_TIMEOUT_MS);
+    if (link === undefined) closeFor('proof-failed');
+  }, parts.handshakeTimeoutMs);
 
   function handleHello(message: Extract<PeerMessage, { kind: 'hello' }>): void {
     if (message.version !== PEER_PROTOCOL_VERSION) {
-      closeWithResult(socket, 'protocol-version');
+      closeFor('protocol-version');
       return;
     }
-    const { vmId, incarnation, dataCentre } = message;
+    if (peer !== undefined || message.vmId === self.vmId) {
+      closeFor('proof-failed');
+      return;
+    }
+    const { vmId, incarnation, dataCentre, nonce } = message;
     peer = { vmId, incarnation, dataCentre };
-    const subject = { nonce: message.nonce, vmId: self.vmId, incarnation: self.incarnation };
+    peerNonce = nonce;
+    const subject = { prover: own, verifier: { ...peer, nonce } };
     send({ kind: 'proof', proof: makeProof(secrets[0] ?? '', subject) });
   }
 
   function handleProof(proof: string): void {
-    if (peer === undefined || !isProofValid(secrets, { nonce, ...peer }, proof)) {
-      closeWithResult(socket, 'proof-failed');
+    const prover = peer && { ...peer, nonce: peerNonce };
+    if (
+      peer === undefined ||
+      prover === undefined ||
+      !isProofValid(secrets, { prover, verifier: own }, proof)
+    ) {
+      closeFor('proof-failed');
       return;
     }
-    link = { peer, send, close: () => socket.close() };
+    clearTimeout(timer);
+    link = {
+      peer,
+      getHeardAt: () => heardAt,
+      send,
+      close: () => {
+        socket.close();
+        setTimeout(() => socket.terminate(), CLOSE_TIMEOUT_MS).unref();
+      },
+      cut: () => socket.terminate(),
+    };
     handler.onOpen(link);
   }
 
   function handleMessage(message: PeerMessage): void {
-    if (link !== undefined) {
+    const isHandshake = message.kind === 'hello' || message.kind === 'proof';
+    if (link !== undefined && !isHandshake) {
       handler.onMessage(link, message);
       return;
     }
-    if (message.kind === 'hello') handleHello(message);
+    if (link !== undefined) closeFor('frame-malformed');
+    else if (message.kind === 'hello') handleHello(message);
     else if (message.kind === 'proof') handleProof(message.proof);
-    else closeWithResult(socket, 'proof-failed');
+    else closeFor('proof-failed');
   }
 
   socket.on('message', (data: RawData, isBinary: boolean) => {
+    if (closedFor !== undefined) return;
+    heardAt = Date.now();
     const message = isBinary ? decodePeerMessage(data as Buffer) : undefined;
-    if (message === undefined) closeWithResult(socket, 'frame-malformed');
+    if (message === undefined) closeFor('frame-malformed');
     else handleMessage(message);
   });
-  socket.on('error', () => socket.terminate());
+  socket.on('error', (error: NodeJS.ErrnoException) => {
+    // The library has already sent close code 1009.
+    if (error.code === WS_TOO_LARGE) closedFor = 'frame-too-large';
+    else socket.terminate();
+  });
   socket.on('close', (code, reason) => {
     clearTimeout(timer);
-    handler.onClose(link, `${code} ${reason.toString()}`);
+    const result = closedFor && getResultCode(closedFor);
+    const detail = result === undefined ? `${code} ${reason.toString()}` : `${result.code}`;
+    handler.onClose(link, detail);
   });
-  send({ kind: 'hello', version: PEER_PROTOCOL_VERSION, ...self, nonce });
+  const { vmId, incarnation, dataCentre } = self;
+  const hello = { vmId, incarnation, dataCentre, nonce: own.nonce };
+  send({ kind: 'hello', version: PEER_PROTOCOL_VERSION, ...hello });
 }
--- /dev/null
+++ b/packages/router/src/peers/peer-mesh.test.ts
@@ -0,0 +1,211 @@
+import type {
+  DataCentre,
+  Incarnation,
+  PeerMessage,
+  ResultName,
+  RuleRevision,
+  VmId,
+} from '@tarragonspool/protocol';
+import { encodePeerMessage, MAX_PEER_FRAME_BYTES } from '@tarragonspool/protocol';
+import { expect } from 'chai';
+import { pino } from 'pino';
+import { WebSocket } from 'ws';
+import { makeMetrics } from '../metrics/metrics.js';
+import type { EntryVmRecord } from '../upstreams/directory.js';
+import { makeDialSchedule } from './dial-schedule.js';
+import { getCloseCode, startPeerLink, type PeerIdentity, type PeerLink } from './peer-link.js';
+import { startPeerMesh, type PeerMesh } from './peer-mesh.js';
+
+const HOST = process.env.TARRAGONSPOOL_TEST_HOST ?? '127.0.0.1';
+const SECRET = 'a-secret-of-the-peers';
+const WS_TOO_LARGE_CODE = 1_009;
+const SILENCE_MS = 300;
+const HEARTBEAT: PeerMessage = {
+  kind: 'heartbeat',
+  sentAt: 1,
+  isLeaving: false,
+  rulesRevision: 0 as RuleRevision,
+  summaries: [],
+  leaving: [],
+};
+
+type TestMesh = {
+  readonly mesh: PeerMesh;
+  readonly directory: { entryVms: EntryVmRecord[] };
+  readonly opened: VmId[];
+  readonly gone: VmId[];
+  readonly heard: string[];
+};
+
+const meshes: PeerMesh[] = [];
+
+function makeIdentity(vmId: string, incarnation = 1): PeerIdentity {
+  return {
+    vmId: vmId as VmId,
+    incarnation: incarnation as Incarnation,
+    dataCentre: 'a' as DataCentre,
+  };
+}
+
+function wait(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, milliseconds);
+  });
+}
+
+async function waitUntil(check: () => boolean): Promise<void> {
+  // eslint-disable-next-line no-await-in-loop -- polls one after another
+  while (!check()) await wait(10);
+}
+
+async function startMesh(vmId: string, incarnation = 1, port = 0): Promise<TestMesh> {
+  const directory = { entryVms: [] as EntryVmRecord[] };
+  const [opened, gone, heard]: [VmId[], VmId[], string[]] = [[], [], []];
+  const mesh = startPeerMesh({
+    self: makeIdentity(vmId, incarnation),
+    listen: { host: HOST, port },
+    secrets: [SECRET],
+    directory,
+    metrics: makeMetrics(),
+    logger: pino({ level: 'silent' }),
+    times: { dialIntervalMs: 20, silenceMs: SILENCE_MS, handshakeTimeoutMs: 200 },
+    onOpen: ({ peer }) => opened.push(peer.vmId),
+    onMessage: (_peer, message) => heard.push(message.kind),
+    onGone: (gonePeer) => gone.push(gonePeer),
+  });
+  meshes.push(mesh);
+  await waitUntil(() => mesh.getPort() !== undefined);
+  return { mesh, directory, opened, gone, heard };
+}
+
+function makeRecord(vmId: string, mesh: PeerMesh): EntryVmRecord {
+  const peerAddress = `${HOST}:${mesh.getPort()}`;
+  return { kind: 'entry', vmId, dataCentre: 'a', state: 'live', peerAddress } as EntryVmRecord;
+}
+
+function dialRaw({ mesh }: TestMesh): WebSocket {
+  const socket = new WebSocket(`ws://${HOST}:${mesh.getPort()}/peer`);
+  socket.on('error', () => undefined);
+  return socket;
+}
+
+/** Opens a raw connection, sends frames and resolves with the code it is closed with. */
+function sendFrames(to: TestMesh, frames: readonly (Buffer | string)[]): Promise<number> {
+  return new Promise((resolve) => {
+    const socket = dialRaw(to);
+    socket.on('open', () => {
+      for (const frame of frames) socket.send(frame);
+    });
+    socket.on('close', resolve);
+  });
+}
+
+function openLink(to: TestMesh, self: PeerIdentity, secret = SECRET): Promise<PeerLink | string> {
+  return new Promise((resolve) => {
+    const socket = dialRaw(to);
+    socket.on('open', () => {
+      startPeerLink(
+        socket,
+        { self, secrets: [secret], handshakeTimeoutMs: 1_000 },
+        {
+          onOpen: resolve,
+          onMessage: () => undefined,
+          onClose: (_link, detail) => resolve(detail),
+        },
+      );
+    });
+  });
+}
+
+function makeHello(version: number): Buffer {
+  const hello = { kind: 'hello', version, ...makeIdentity('vm-9'), nonce: 'n' } as const;
+  return encodePeerMessage(hello);
+}
+
+after(() => {
+  for (const mesh of meshes) mesh.close();
+});
+
+const BAD_FRAMES: readonly (readonly [string, readonly (Buffer | string)[], ResultName])[] = [
+  ['random bytes', [Buffer.from([0xc1, 0xff, 0x00, 0x93])], 'frame-malformed'],
+  ['text', ['hello'], 'frame-malformed'],
+  ['an unknown version', [makeHello(99)], 'protocol-version'],
+  ['a message before the proof', [encodePeerMessage(HEARTBEAT)], 'proof-failed'],
+  [
+    'a wrong proof',
+    [makeHello(1), encodePeerMessage({ kind: 'proof', proof: 'x' })],
+    'proof-failed',
+  ],
+  ['two hellos', [makeHello(1), makeHello(1)], 'proof-failed'],
+  ['no handshake', [], 'proof-failed'],
+];
+
+for (const [what, frames, result] of BAD_FRAMES) {
+  it(`peers: ${what} closes the link with its code and not the mesh`, async () => {
+    const mesh = await startMesh('vm-1');
+    expect(await sendFrames(mesh, frames)).to.equal(getCloseCode(result));
+    expect(typeof (await openLink(mesh, makeIdentity('vm-2')))).to.equal('object');
+  });
+}
+
+it('peers: a frame above the limit closes the link and not the mesh', async () => {
+  const mesh = await startMesh('vm-1');
+  const frame = Buffer.alloc(MAX_PEER_FRAME_BYTES + 1);
+  expect(await sendFrames(mesh, [frame])).to.equal(WS_TOO_LARGE_CODE);
+  expect(typeof (await openLink(mesh, makeIdentity('vm-2')))).to.equal('object');
+});
+
+it('peers: a peer with another secret is turned away', async () => {
+  const mesh = await startMesh('vm-1');
+  expect(await openLink(mesh, makeIdentity('vm-2'), 'another-secret-entirely')).to.equal('7004');
+  expect(mesh.opened).to.deep.equal([]);
+});
+
+it('peers: a peer that claims to be this VM is turned away', async () => {
+  const mesh = await startMesh('vm-1');
+  const detail = await openLink(mesh, makeIdentity('vm-1', 7));
+  expect(detail).to.equal('7004');
+});
+
+it('peers: an older incarnation does not replace a newer one', async () => {
+  const mesh = await startMesh('vm-1');
+  await openLink(mesh, makeIdentity('vm-2', 5));
+  await waitUntil(() => mesh.opened.length === 1);
+  await openLink(mesh, makeIdentity('vm-2', 4));
+  await wait(50);
+  expect(mesh.mesh.links.get('vm-2' as VmId)?.peer.incarnation).to.equal(5);
+});
+
+it('peers: a link whose peer is silent is cut', async () => {
+  const mesh = await startMesh('vm-1');
+  await openLink(mesh, makeIdentity('vm-2'));
+  await waitUntil(() => mesh.gone.length === 1);
+  expect(mesh.mesh.links.size).to.equal(0);
+});
+
+it('peers: a link is dialled again after its peer restarts', async () => {
+  const first = await startMesh('vm-1');
+  const second = await startMesh('vm-2');
+  first.directory.entryVms.push(makeRecord('vm-2', second.mesh));
+  await waitUntil(() => first.opened.length === 1 && second.opened.length === 1);
+  second.mesh.broadcast(HEARTBEAT);
+  await waitUntil(() => first.heard.length === 1);
+  const port = second.mesh.getPort();
+  second.mesh.close();
+  await waitUntil(() => first.gone.length === 1);
+  const third = await startMesh('vm-2', 2, port);
+  await waitUntil(() => first.opened.length === 2 && third.opened.length === 1);
+});
+
+it('peers: the wait before dialling again doubles up to a bound', () => {
+  const vmId = 'vm-2' as VmId;
+  const schedule = makeDialSchedule(() => 1);
+  const waits: number[] = [];
+  for (let failure = 0; failure < 8; failure += 1) {
+    schedule.addFailure(vmId, 0);
+    let now = 0;
+    while (!schedule.isDue(vmId, now)) now += 250;
+    waits.push(now);
+  }
+  expect(waits).to.deep.equal([250, 500, 1_000, 2_000, 4_000, 8_000, 8_000, 8_000]);
+});
--- a/packages/router/src/peers/peer-mesh.ts
+++ b/packages/router/src/peers/peer-mesh.ts
@@ -1,6 +1,7 @@
 /** Keeps a link to every listed entry VM and carries messages between them. */
 
-import { createServer } from 'node:http';
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { WebSocket, WebSocketServer } from 'ws';
 import {
   MAX_PEER_FRAME_BYTES,
@@ -11,6 +12,7 @@
 import type { Logger } from '../logging/logger.js';
 import type { Metrics } from '../metrics/metrics.js';
 import type { Directory } from '../upstreams/directory.js';
+import { makeDialSchedule } from './dial-schedule.js';
 import { startPeerLink, type PeerIdentity, type PeerLink } from './peer-link.js';
 
 /** Messages to and from peers. */
@@ -19,6 +21,16 @@
   readonly broadcast: (message: PeerMessage) => void;
   readonly sendTo: (vmId: VmId, message: PeerMessage) => boolean;
   readonly close: () => void;
+  /** Port that is listened on; undefined until then. */
+  readonly getPort: () => number | undefined;
+};
+
+/** Times of the mesh, in milliseconds. */
+export type PeerTimes = {
+  readonly dialIntervalMs: number;
+  readonly handshakeTimeoutMs: number;
+  /** A link whose peer says nothing for this long is cut. */
+  readonly silenceMs: number;
 };
 
 /** What the mesh works with. */
@@ -26,65 +38,142 @@
   readonly self: PeerIdentity;
   readonly listen: { readonly host: string; readonly port: number };
   readonly secrets: readonly string[];
-  readonly directory: Directory;
+  readonly directory: Pick<Directory, 'entryVms'>;
   readonly metrics: Metrics;
   readonly logger: Logger;
+  readonly times?: Partial<PeerTimes>;
   readonly onOpen: (link: PeerLink) => void;
   readonly onMessage: (peer: PeerIdentity, message: PeerMessage) => void;
   readonly onGone: (vmId: VmId, incarnation: Incarnation) => void;
 };
 
-const DIAL_INTERVAL_MS = 500;
+const DEFAULT_TIMES: PeerTimes = {
+  dialIntervalMs: 250,
+  handshakeTimeoutMs: 3_000,
+  silenceMs: 1_500,
+};
+
+/** Keeps the newest link of each peer. */
+function makeLinkTable(parts: PeerMeshParts) {
+  const { logger, metrics } = parts;
+  const links = new Map<VmId, PeerLink>();
+  return {
+    links,
+    add: (link: PeerLink): void => {
+      const { vmId, incarnation } = link.peer;
+      const known = links.get(vmId);
+      if (known !== undefined && known.peer.incarnation > incarnation) {
+        logger.info({ peer: vmId, incarnation }, 'peers: older incarnation turned away');
+        link.close();
+        return;
+      }
+      links.set(vmId, link);
+      known?.close();
+      metrics.peers.set(links.size);
+      logger.info({ peer: vmId }, 'peers: link opened');
+      parts.onOpen(link);
+    },
+    remove: (link: PeerLink, detail: string): void => {
+      const { vmId, incarnation } = link.peer;
+      if (links.get(vmId) !== link) return;
+      links.delete(vmId);
+      metrics.peers.set(links.size);
+      logger.info({ peer: vmId, detail }, 'peers: link closed');
+      parts.onGone(vmId, incarnation);
+    },
+  };
+}
+
+/** Cuts links whose peers are silent: their connection may be open on this side only. */
+function makeSilenceCheck(links: ReadonlyMap<VmId, PeerLink>, times: PeerTimes) {
+  let checkedAt = Date.now();
+  return (now: number): void => {
+    // After a pause of this process, what peers sent meanwhile is still unread.
+    const wasPaused = now - checkedAt > times.silenceMs / 2;
+    checkedAt = now;
+    if (wasPaused) return;
+    for (const link of links.values()) {
+      if (now - link.getHeardAt() > times.silenceMs) link.cut();
+    }
+  };
+}
+
+function startServer(parts: PeerMeshParts, onSocket: (socket: WebSocket) => void): Server {
+  const httpServer = createServer((_incoming, response) => {
+    response.statusCode = 426;
+    response.end();
+  });
+  const server = new WebSocketServer({ server: httpServer, maxPayload: MAX_PEER_FRAME_BYTES });
+  server.on('connection', onSocket);
+  httpServer.listen(parts.listen.port, parts.listen.host);
+  return httpServer;
+}
 
 /** Starts listening and dialling. The VM with the lesser id dials. */
 export function startPeerMesh(parts: PeerMeshParts): PeerMesh {
-  const { self, logger, metrics, directory } = parts;
-  const links = new Map<VmId, PeerLink>();
+  const { self, directory, logger } = parts;
+  const times: PeerTimes = { ...DEFAULT_TIMES, ...parts.times };
+  const { links, add, remove } = makeLinkTable(parts);
   const dialling = new Set<VmId>();
+  const schedule = makeDialSchedule();
+  const checkSilence = makeSilenceCheck(links, times);
+  let isClosed = false;
 
-  function runLink(socket: WebSocket, onEnd: () => void): void {
-    startPeerLink(socket, self, parts.secrets, {
-      onOpen: (link) => {
-        links.get(link.peer.vmId)?.close();
-        links.set(link.peer.vmId, link);
-        metrics.peers.set(links.size);
-        logger.info({ peer: link.peer.vmId }, 'peers: link opened');
-        parts.onOpen(link);
-      },
-      onMessage: (link, message) => parts.onMessage(link.peer, message),
-      onClose: (link, detail) => {
-        onEnd();
-        if (link === undefined || links.get(link.peer.vmId) !== link) return;
-        links.delete(link.peer.vmId);
-        metrics.peers.set(links.size);
-        logger.info({ peer: link.peer.vmId, detail }, 'peers: link closed');
-        parts.onGone(link.peer.vmId, link.peer.incarnation);
+  function runLink(socket: WebSocket, onEnd: (link: PeerLink | undefined) => void): void {
+    startPeerLink(
+      socket,
+      { self, secrets: parts.secrets, handshakeTimeoutMs: times.handshakeTimeoutMs },
+      {
+        onOpen: add,
+        onMessage: (link, message) => parts.onMessage(link.peer, message),
+        onClose: (link, detail) => {
+          onEnd(link);
+          if (link !== undefined) remove(link, detail);
+          else logger.warn({ detail }, 'peers: handshake failed');
+        },
       },
-    });
+    );
   }
 
   function dial(vmId: VmId, address: string): void {
     dialling.add(vmId);
-    const socket = new WebSocket(`ws://${address}/peer`, { maxPayload: MAX_PEER_FRAME_BYTES });
-    socket.on('open', () => runLink(socket, () => dialling.delete(vmId)));
-    socket.on('error', () => dialling.delete(vmId));
+    const fail = (): void => {
+      dialling.delete(vmId);
+      schedule.addFailure(vmId, Date.now());
+    };
+    const socket = new WebSocket(`ws://${address}/peer`, {
+      maxPayload: MAX_PEER_FRAME_BYTES,
+      handshakeTimeout: times.handshakeTimeoutMs,
+    });
+    socket.once('error', fail);
+    socket.once('open', () => {
+      socket.off('error', fail);
+      runLink(socket, (link) => {
+        if (link === undefined) fail();
+        else {
+          dialling.delete(vmId);
+          schedule.addSuccess(vmId);
+        }
+      });
+    });
   }
 
-  function dialMissing(): void {
+  function dialMissing(now: number): void {
     for (const vm of directory.entryVms) {
       if (vm.vmId <= self.vmId || links.has(vm.vmId) || dialling.has(vm.vmId)) continue;
-      dial(vm.vmId, vm.peerAddress);
+      if (schedule.isDue(vm.vmId, now)) dial(vm.vmId, vm.peerAddress);
     }
   }
 
-  const httpServer = createServer((_incoming, response) => {
-    response.statusCode = 426;
-    response.end();
+  const httpServer = startServer(parts, (socket) => {
+    if (isClosed) socket.terminate();
+    else runLink(socket, () => undefined);
   });
-  const server = new WebSocketServer({ server: httpServer, maxPayload: MAX_PEER_FRAME_BYTES });
-  server.on('connection', (socket) => runLink(socket, () => undefined));
-  httpServer.listen(parts.listen.port, parts.listen.host);
-  const timer = setInterval(dialMissing, DIAL_INTERVAL_MS);
+  const timer = setInterval(() => {
+    const now = Date.now();
+    checkSilence(now);
+    dialMissing(now);
+  }, times.dialIntervalMs);
 
   return {
     links,
@@ -97,10 +186,11 @@
       return link !== undefined;
     },
     close: () => {
+      isClosed = true;
       clearInterval(timer);
       for (const link of links.values()) link.close();
-      server.close();
       httpServer.close();
     },
+    getPort: () => (httpServer.address() as AddressInfo | null)?.port,
   };
 }
--- a/packages/router/src/peers/peer-proof.ts
+++ b/packages/router/src/peers/peer-proof.ts
@@ -3,16 +3,26 @@
 import { createHmac, timingSafeEqual } from 'node:crypto';
 import type { Incarnation, VmId } from '@tarragonspool/protocol';
 
-/** What a proof covers: the verifier's nonce and the prover's identity. */
-export type ProofSubject = {
-  readonly nonce: string;
+/** What one side of a link says of itself. */
+export type ProofSide = {
   readonly vmId: VmId;
   readonly incarnation: Incarnation;
+  readonly nonce: string;
 };
 
+/** What a proof covers: who proves it to whom, with the nonces of both. */
+export type ProofSubject = { readonly prover: ProofSide; readonly verifier: ProofSide };
+
 /** Makes the proof for a subject under one secret. */
-export function makeProof(secret: string, subject: ProofSubject): string {
-  const text = JSON.stringify([subject.nonce, subject.vmId, subject.incarnation]);
+export function makeProof(secret: string, { prover, verifier }: ProofSubject): string {
+  const text = JSON.stringify([
+    prover.vmId,
+    prover.incarnation,
+    prover.nonce,
+    verifier.vmId,
+    verifier.incarnation,
+    verifier.nonce,
+  ]);
   return createHmac('sha256', secret).update(text).digest('hex');
 }
 
