--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -49,6 +49,8 @@
   readonly excluded: readonly UpstreamId[];
   /** Engine that holds the KV cache of a stalled stream; a resume needs no prefill. */
   readonly resumeFrom?: UpstreamId;
+  /** Attempt that goes on until this one is granted; answered at once, never queued. */
+  readonly movesFrom?: AttemptId;
 };
 
 /** Places granted to one attempt. */
--- a/packages/router/src/burn/burn-recorder.ts
+++ b/packages/router/src/burn/burn-recorder.ts
@@ -6,11 +6,13 @@
   listBurnHours,
   recordBurnSample,
   type BurnCounts,
+  type BurnSample,
   type BurnSeries,
   type BurnState,
 } from '@tarragonspool/core';
 import { RESULT_CODES, type CallerId, type ResultName } from '@tarragonspool/protocol';
 import { ANSWERED_RESULT, type RequestTrace } from '../journal/request-trace.js';
+import type { Metrics } from '../metrics/metrics.js';
 
 /** Counts of one caller and service, by window. */
 export type BurnSeriesReport = {
@@ -49,21 +51,34 @@
   return entry === undefined || entry.code < FIRST_SERVICE_CODE || CALLER_RESULTS.has(name);
 }
 
-/** Records an ended request; those that failed by the caller's own doing are left out. */
-export function recordTrace(state: BurnState, trace: RequestTrace): void {
+/** Makes the sample of an ended request; none where it failed by the caller's own doing. */
+export function makeBurnSample(trace: RequestTrace): BurnSample | undefined {
   const { callerId, service, result, endedAt } = trace;
-  if (callerId === undefined || service === undefined) return;
-  if (result === undefined || endedAt === undefined) return;
+  if (callerId === undefined || service === undefined) return undefined;
+  if (result === undefined || endedAt === undefined) return undefined;
   const isAnswered = result === ANSWERED_RESULT;
-  if (!isAnswered && isCallerResult(result)) return;
+  if (!isAnswered && isCallerResult(result)) return undefined;
   const { firstTokenAt, firstTokenDeadline, answerDeadline } = trace;
   const hasTokens = firstTokenDeadline !== undefined;
   const isFirstTokenMet = hasTokens
     ? firstTokenAt !== undefined && firstTokenAt <= firstTokenDeadline
     : undefined;
   const isAnswerMet = isAnswered && (answerDeadline === undefined || endedAt <= answerDeadline);
-  const sample = { callerId: callerId as CallerId, service, isFirstTokenMet, isAnswerMet };
-  recordBurnSample(state, sample, endedAt);
+  return { callerId: callerId as CallerId, service, isFirstTokenMet, isAnswerMet };
+}
+
+/** Records an ended request in the rings and in the metrics. */
+export function recordTrace(state: BurnState, metrics: Metrics, trace: RequestTrace): void {
+  const sample = makeBurnSample(trace);
+  if (sample === undefined || trace.endedAt === undefined) return;
+  recordBurnSample(state, sample, trace.endedAt);
+  const { isFirstTokenMet, isAnswerMet } = sample;
+  const getOutcome = (isMet: boolean): string => (isMet ? 'met' : 'missed');
+  if (isFirstTokenMet !== undefined) {
+    const outcome = getOutcome(isFirstTokenMet);
+    metrics.objectiveAnswers.inc({ objective: 'first-token', outcome });
+  }
+  metrics.objectiveAnswers.inc({ objective: 'answer', outcome: getOutcome(isAnswerMet) });
 }
 
 function buildSeriesReport(series: BurnSeries, now: number): BurnSeriesReport {
--- a/packages/router/src/callers/caller-server.ts
+++ b/packages/router/src/callers/caller-server.ts
@@ -26,6 +26,10 @@
   readonly journal: RequestJournal;
   /** Hears of each request once it has ended. */
   readonly onEnded: (trace: RequestTrace) => void;
+  /** While it is true, answers ask callers to close their connections. */
+  readonly isLeaving: () => boolean;
+  /** How long an idle connection is kept, in milliseconds. */
+  readonly keepAliveMs: number;
   readonly metrics: Metrics;
   readonly logger: Logger;
 };
@@ -105,6 +109,7 @@
     const arrivedAt = Date.now();
     const trace = makeRequestTrace(requestId, arrivedAt, path);
     parts.journal.add(trace);
+    if (parts.isLeaving()) response.setHeader('connection', 'close');
     const exchange: Exchange = {
       incoming,
       response,
@@ -136,6 +141,7 @@
     { maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS },
     handleRequest,
   );
+  server.keepAliveTimeout = parts.keepAliveMs;
   server.on('clientError', sendParserError);
   return server;
 }
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -1,7 +1,7 @@
 /** Puts the daemon's parts together and starts and stops them. */
 
 import type { Server } from 'node:http';
-import { makeBurnState, makeMembershipState } from '@tarragonspool/core';
+import { makeBurnState, makeMembershipState, makeRetryBudget } from '@tarragonspool/core';
 import {
   makeAgent,
   makeObjectClient,
@@ -23,6 +23,7 @@
 import { makeCancelInbox, runCancels, type CancelMessage } from './engines/cancel-task.js';
 import { runEnginePolls } from './engines/engine-poll-task.js';
 import { makeRequestJournal } from './journal/request-journal.js';
+import { makeInvariants } from './invariants/invariants.js';
 import type { Logger } from './logging/logger.js';
 import {
   makeMembershipInbox,
@@ -36,12 +37,13 @@
 import { startPeerMesh } from './peers/peer-mesh.js';
 import { makeChatFilters } from './requests/chat-filters.js';
 import { makeModelListFilter } from './requests/model-list-filter.js';
-import type { ModelRequestParts } from './requests/model-request-task.js';
+import type { ModelRequestParts } from './requests/model-request.js';
 import { makeAdmissionFilter } from './rules/admission-filter.js';
 import { readRuleHistory } from './rules/rule-history.js';
 import { makeRulesInbox, runRules, type RulesMessage } from './rules/rules-task.js';
 import { isRulesViewCurrent, makeRulesView } from './rules/rules-view.js';
 import { makeServiceFilters } from './services/service-filters.js';
+import { getKeepAliveMs, runGracefulStop } from './shutdown/graceful-stop.js';
 import type { Settings } from './settings/settings.js';
 import { offer, startTask, type Task } from './tasks/tasks.js';
 import { startTicker } from './tasks/timers.js';
@@ -55,7 +57,6 @@
 };
 
 const RULES_TICK_MS = 100;
-const DRAIN_NOTICE_MS = 2_000;
 const ALLOCATION_TICK_MS = 25;
 const CANCEL_TICK_MS = 250;
 const HEARTBEAT_INTERVAL_MS = 250;
@@ -76,6 +77,7 @@
   const objects = makeObjectClient(settings.platformUrl, platformAgent);
   const vmList = makeVmListClient(settings.platformUrl, platformAgent);
   const metrics = makeMetrics();
+  const invariants = makeInvariants(metrics, logger);
   const directory = makeDirectory();
   const view = makeRulesView();
   const allocation = makeAllocationInbox();
@@ -153,7 +155,15 @@
   );
   const { policy, objective } = settings;
   const { sendTo } = mesh;
-  const allocator = makeAllocation({ ...self, policy, objective, sendTo, cancels, logger });
+  const allocator = makeAllocation({
+    ...self,
+    policy,
+    objective,
+    sendTo,
+    cancels,
+    invariants,
+    logger,
+  });
   start('allocation', () => allocator.run(allocation));
   start('cancels', () => runCancels(cancels, { directory, metrics, logger }));
   start('engine polls', () =>
@@ -177,6 +187,7 @@
       objects,
       membership,
       metrics,
+      invariants,
       logger,
       seed: self.incarnation,
       broadcast: mesh.broadcast,
@@ -207,7 +218,15 @@
 
   const journal = makeRequestJournal(settings.journalEntries);
   const burn = makeBurnState(Date.now(), settings.burnSeries);
-  const requestParts: ModelRequestParts = { ...self, directory, allocation, cancels, metrics };
+  const requestParts: ModelRequestParts = {
+    ...self,
+    directory,
+    allocation,
+    cancels,
+    budget: makeRetryBudget(),
+    invariants,
+    metrics,
+  };
   const admit = makeAdmissionFilter(view);
   const authenticate = makeAuthenticateFilter(view);
   const readBody = makeReadBodyFilter(settings.maxBodyBytes);
@@ -219,9 +238,11 @@
       service: [admit, authenticate, ...makeServiceFilters(serviceParts, readBody)],
     },
     journal,
-    onEnded: (trace) => recordTrace(burn, trace),
+    onEnded: (trace) => recordTrace(burn, metrics, trace),
     isReady: () =>
       isRulesViewCurrent(view, Date.now()) && directory.entryVms.length > 0 && !isLeaving,
+    isLeaving: () => isLeaving,
+    keepAliveMs: getKeepAliveMs(settings.drainNoticeMs),
     metrics,
     logger,
   });
@@ -249,20 +270,32 @@
   listen(operatorServer, settings.operatorListen);
   logger.info({ callers: settings.callerListen }, 'daemon: started');
 
+  const onLeaving = (): void => {
+    isLeaving = true;
+    logger.info('daemon: leaving');
+    sendHeartbeat();
+  };
   return {
     stop: (onStopped) => {
-      isLeaving = true;
-      logger.info('daemon: leaving');
-      sendHeartbeat();
-      setTimeout(() => {
-        callerServer.close(() => {
+      const stopParts = {
+        server: callerServer,
+        noticeMs: settings.drainNoticeMs,
+        onLeaving,
+        flush: async () => undefined,
+        onStopped: () => {
           clearInterval(heartbeatTimer);
           mesh.close();
           logger.info('daemon: stopped');
           onStopped();
-        });
-        callerServer.closeIdleConnections();
-      }, DRAIN_NOTICE_MS);
+        },
+      };
+      startTask(
+        'graceful stop',
+        () => runGracefulStop(stopParts),
+        (name, error) => {
+          if (error !== undefined) handleTaskEnd(name, error);
+        },
+      );
     },
   };
 }
--- a/packages/router/src/journal/request-journal.test.ts
+++ b/packages/router/src/journal/request-journal.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import type { RequestId, ReservationGrant } from '@tarragonspool/protocol';
+import type { AttemptId, RequestId, ReservationGrant } from '@tarragonspool/protocol';
 import { makeRequestJournal } from './request-journal.js';
 import { makeRequestTrace, recordAction, recordRefused } from './request-trace.js';
 
@@ -31,7 +31,8 @@
 it('request trace: says where each attempt went and why it ended', () => {
   const trace = makeTrace('one');
   const grant = { prefill: 'llm-1', decode: 'llm-2' } as ReservationGrant;
-  recordAction(trace, { kind: 'ask', attemptId: 'one.1' as never, excluded: [] }, 1_001);
+  const ask = { kind: 'ask', attemptId: 'one.1' as AttemptId, excluded: [] } as const;
+  recordAction(trace, { ...ask, resumeFrom: undefined }, 1_001);
   recordAction(trace, { kind: 'start-prefill', grant }, 1_002);
   const end = { outcome: 'prefill-failed', tokens: 0 } as never;
   recordAction(trace, { kind: 'report-end', end }, 1_003);
--- a/packages/router/src/journal/request-trace.ts
+++ b/packages/router/src/journal/request-trace.ts
@@ -108,6 +108,8 @@
       recordRefused(trace, action.refusal, now);
       return;
     case 'cancel':
+    case 'withdraw':
+    case 'count-prefill':
       return;
     default:
       assertNever(action);
--- a/packages/router/src/metrics/metrics.ts
+++ b/packages/router/src/metrics/metrics.ts
@@ -4,13 +4,16 @@
 
 const LATENCY_BUCKETS_S = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 0.8, 1.1, 1.5, 2, 3, 5, 8, 13, 30];
 
+const PREFIX = 'tarragonspool_';
+const DEFAULT_METRICS = /^tarragonspool_(process|nodejs)_/;
+
 /** Every metric of the daemon. */
 export type Metrics = ReturnType<typeof makeMetrics>;
 
 /** Makes the metrics in a registry of their own. */
 export function makeMetrics() {
   const registry = new Registry();
-  collectDefaultMetrics({ register: registry, prefix: 'tarragonspool_' });
+  collectDefaultMetrics({ register: registry, prefix: PREFIX });
   const registers = [registry];
   return {
     registry,
@@ -38,6 +41,12 @@
       labelNames: ['fate'],
       registers,
     }),
+    objectiveAnswers: new Counter({
+      name: 'tarragonspool_objective_answers_total',
+      help: 'Final answers by latency objective and whether they met it.',
+      labelNames: ['objective', 'outcome'],
+      registers,
+    }),
     rulesRevision: new Gauge({
       name: 'tarragonspool_rules_revision',
       help: 'Revision of the rules in force.',
@@ -72,3 +81,24 @@
     }),
   };
 }
+
+/** One metric as the operators' page lists it. */
+export type MetricRow = {
+  readonly name: string;
+  readonly type: string;
+  readonly labels: readonly string[];
+  readonly help: string;
+};
+
+/** Lists the daemon's own metrics, without those of the process and of Node.js. */
+export function listMetricRows(metrics: Metrics): MetricRow[] {
+  const rows: MetricRow[] = [];
+  for (const metric of metrics.registry.getMetricsAsArray()) {
+    const { name, help, type, labelNames } = metric as unknown as MetricRow & {
+      readonly labelNames?: readonly string[];
+    };
+    if (DEFAULT_METRICS.test(name)) continue;
+    rows.push({ name, help, type: String(type), labels: labelNames ?? [] });
+  }
+  return rows;
+}
--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -25,6 +25,8 @@
 const MIN_BURN_SERIES = 16;
 const MAX_BURN_SERIES = 50_000;
 const MAX_JOURNAL_ENTRIES = 100_000;
+const MIN_NOTICE_MS = 100;
+const MAX_NOTICE_MS = 120_000;
 
 type SettingEntry = {
   /** What it is for, in one sentence. */
@@ -125,6 +127,12 @@
     fallback: '4000',
     isSecret: false,
   },
+  drainNoticeMs: {
+    description: 'How long a stopping daemon still takes requests, in milliseconds.',
+    schema: makeWholeNumberSchema(MIN_NOTICE_MS, MAX_NOTICE_MS),
+    fallback: '6000',
+    isSecret: false,
+  },
 } as const satisfies Record<string, SettingEntry>;
 
 /** Names of the settings. */
