--- a/bin/write-doc-tables.js
+++ b/bin/write-doc-tables.js
@@ -20,8 +20,13 @@
 
 const settings = listSettingNames().map((name) => {
   const { description, fallback } = SETTINGS[name];
-  const shown = fallback === undefined ? 'required' : `\`${fallback}\``;
-  return renderRow([`\`${makeFlag(name)}\``, `\`${makeVariable(name)}\``, shown, description]);
+  const shown = fallback === undefined ? 'required' : fallback && `\`${fallback}\``;
+  return renderRow([
+    `\`${makeFlag(name)}\``,
+    `\`${makeVariable(name)}\``,
+    shown || 'none',
+    description,
+  ]);
 });
 const exitCodes = Object.entries(EXIT_CODES).map(([name, { code, meaning }]) =>
   renderRow([code, `\`${name}\``, meaning]),
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -19,10 +19,11 @@
 import { makeAuthenticateFilter } from './callers/authenticate.js';
 import { makeCallerServer } from './callers/caller-server.js';
 import { makeReadBodyFilter } from './callers/read-body-filter.js';
-import { makeClaimLedger } from './claims/claim-ledger.js';
+import { makeLedgerInbox, runClaimLedger } from './claims/claim-ledger.js';
 import { makeCancelInbox, runCancels, type CancelMessage } from './engines/cancel-task.js';
 import { runEnginePolls } from './engines/engine-poll-task.js';
 import { makeRequestJournal } from './journal/request-journal.js';
+import { runClaimSweep } from './claims/claim-sweep-task.js';
 import { makeInvariants } from './invariants/invariants.js';
 import type { Logger } from './logging/logger.js';
 import {
@@ -45,6 +46,7 @@
 import { makeServiceFilters } from './services/service-filters.js';
 import { getKeepAliveMs, runGracefulStop } from './shutdown/graceful-stop.js';
 import type { Settings } from './settings/settings.js';
+import { findTlsFiles } from './settings/tls-settings.js';
 import { offer, startTask, type Task } from './tasks/tasks.js';
 import { startTicker } from './tasks/timers.js';
 import { runDirectory } from './upstreams/directory-task.js';
@@ -230,13 +232,17 @@
   const admit = makeAdmissionFilter(view);
   const authenticate = makeAuthenticateFilter(view);
   const readBody = makeReadBodyFilter(settings.maxBodyBytes);
-  const serviceParts = { view, directory, claims: makeClaimLedger(table), metrics };
+  const claims = makeLedgerInbox();
+  start('claims', () => runClaimLedger(claims, { table, invariants, metrics, logger }));
+  start('claim sweep', () => runClaimSweep({ self: self.vmId, table, members, metrics, logger }));
+  const serviceParts = { view, directory, claims, invariants, metrics };
   const callerServer = makeCallerServer({
     routes: {
       chat: [admit, authenticate, ...makeChatFilters(requestParts, view, readBody)],
       models: [admit, authenticate, makeModelListFilter(directory, view)],
       service: [admit, authenticate, ...makeServiceFilters(serviceParts, readBody)],
     },
+    tls: { files: findTlsFiles(settings, 'caller'), logger },
     journal,
     onEnded: (trace) => recordTrace(burn, metrics, trace),
     isReady: () =>
@@ -251,6 +257,7 @@
     journal,
     getBurn: () => buildBurnReport(burn, self.vmId, settings.burnTargetPercent, Date.now()),
     token: settings.operatorToken,
+    tls: { files: findTlsFiles(settings, 'operator'), logger },
     view,
     rulesInbox,
     metrics,
--- a/packages/router/src/metrics/metrics.ts
+++ b/packages/router/src/metrics/metrics.ts
@@ -35,6 +35,22 @@
       buckets: LATENCY_BUCKETS_S,
       registers,
     }),
+    claims: new Counter({
+      name: 'tarragonspool_claims_total',
+      help: 'Claims of idempotency keys by verdict.',
+      labelNames: ['verdict'],
+      registers,
+    }),
+    claimEndingsDropped: new Counter({
+      name: 'tarragonspool_claim_endings_dropped_total',
+      help: 'Outcomes of claimed calls that were not recorded.',
+      registers,
+    }),
+    claimsSwept: new Counter({
+      name: 'tarragonspool_claims_swept_total',
+      help: 'Expired claim rows that were deleted.',
+      registers,
+    }),
     prefillTokens: new Counter({
       name: 'tarragonspool_prefill_tokens_total',
       help: 'Prompt tokens prefilled, by what became of the result.',
