--- a/packages/router/src/journal/request-trace.ts
+++ b/packages/router/src/journal/request-trace.ts
@@ -90,7 +90,9 @@
       attempt.decode = action.grant.decode;
       return;
     case 'start-decode':
-      if (attempt !== undefined) attempt.prefilledAt = now;
+      if (attempt === undefined) return;
+      attempt.decode = action.grant.decode;
+      attempt.prefilledAt = now;
       return;
     case 'report-end':
       if (attempt === undefined) return;
--- a/packages/router/src/requests/model-request-task.ts
+++ b/packages/router/src/requests/model-request-task.ts
@@ -84,7 +84,7 @@
 }
 
 function performAction(running: RunningRequest, action: RequestAction): void {
-  const { parts, inbox } = running;
+  const { parts, request, inbox } = running;
   const now = Date.now();
   recordAction(running.request.trace, action, now);
   switch (action.kind) {
