--- a/packages/router/src/requests/model-request.ts
+++ b/packages/router/src/requests/model-request.ts
@@ -18,7 +18,6 @@
 import type { Metrics } from '../metrics/metrics.js';
 import type { Channel } from '../tasks/tasks.js';
 import type { Directory } from '../upstreams/directory.js';
-import type { RequestTrace } from '../journal/request-trace.js';
 import type { AnswerWriter } from './answer-writer.js';
 import type { ChatDeadlines, ChatRequest } from './chat-request.js';
 
