--- a/packages/stand-ins/src/bench/run-policy.ts
+++ b/packages/stand-ins/src/bench/run-policy.ts
@@ -43,7 +43,7 @@
   const works: AttemptWork[] = [];
   for (const { url } of deployment.engines) {
     // eslint-disable-next-line no-await-in-loop -- eight small reads
-    const work = await callJson(`${url}/control/work`).catch(() => ({}));
+    const work = await callJson(`${url}/control/work`);
     works.push(...Object.values(work as Record<string, AttemptWork>));
   }
   return works;
@@ -133,11 +133,11 @@
     await waitFor(WARM_UP_MS);
     const callerUrls = deployment.entryVms.map(({ callerUrl }) => callerUrl);
     const load = { callerUrls, model: site.modelService };
-    const calmOutcomes = await runLoad({ ...load, idPrefix: 'calm' }, plan.calmArrivals);
+    const calmOutcomes = await runLoad({ ...load, idPrefix: 'bench-calm' }, plan.calmArrivals);
     if (calmOutcomes.length > 0) await waitFor(SETTLE_MS);
     const crashedWork: AttemptWork[] = [];
     scheduleFaults(deployment, plan, callerUrls, crashedWork);
-    const outcomes = await runLoad({ ...load, idPrefix: 'run' }, plan.arrivals);
+    const outcomes = await runLoad({ ...load, idPrefix: 'bench-run' }, plan.arrivals);
     const work = [...(await collectWork(deployment)), ...crashedWork];
     return { outcomes, calmOutcomes, work };
   } finally {
--- a/packages/stand-ins/src/load/load-client.ts
+++ b/packages/stand-ins/src/load/load-client.ts
@@ -200,11 +200,11 @@
   return settled;
 }
 
-/** Whether both targets were met. */
+/** Whether both targets were met; requests of clients that hang up do not count. */
 export function isGood(outcome: Outcome): boolean {
   const { kind, arrival, firstTokenMs = Infinity, endMs } = outcome;
   const isInTime = firstTokenMs <= FIRST_TOKEN_MS && endMs <= getAnswerTargetMs(arrival);
-  return kind === 'answered' && isInTime;
+  return kind === 'answered' && arrival.cancelAt === undefined && isInTime;
 }
 
 /** Tokens of a prompt, as the engines count them. */
