--- a/packages/router/src/engines/engine-client.ts
+++ b/packages/router/src/engines/engine-client.ts
@@ -1,9 +1,21 @@
 /** Client of one model engine over `node:http`. */
 
-import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http';
 import {
+  request,
+  type Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  type RequestOptions,
+} from 'node:http';
+import type { OrderFailure } from '@tarragonspool/core';
+import {
+  parseCacheEvents,
   parseDecodeFrame,
+  parseEngineHolds,
+  parseLoadReport,
+  parsePrefillResult,
   type AttemptId,
+  type CacheEventList,
   type DecodeFrame,
   type DecodeOrder,
   type EngineHold,
@@ -19,14 +31,14 @@
 export type PrefillHandler = (
   outcome:
     | { readonly kind: 'prefilled'; readonly result: PrefillResult }
-    | { readonly kind: 'failed'; readonly detail: string },
+    | { readonly kind: 'failed'; readonly failure: OrderFailure; readonly detail: string },
 ) => void;
 
 /** Hears the frames of a decode stream, then `closed` once, with the error if it broke off. */
 export type DecodeHandler = (
   event:
     | { readonly kind: 'frame'; readonly frame: DecodeFrame }
-    | { readonly kind: 'closed'; readonly detail: string },
+    | { readonly kind: 'closed'; readonly failure: OrderFailure; readonly detail: string },
 ) => void;
 
 /** Narrow interface to one engine. */
@@ -37,9 +49,14 @@
   cancel(attemptId: AttemptId, deadline: number): Promise<boolean>;
   listHolds(deadline: number): Promise<readonly EngineHold[] | undefined>;
   readLoad(deadline: number): Promise<LoadReport | undefined>;
+  /** Lists changes of the prefix cache after a sequence number; -1 for all that are known. */
+  readCacheEvents(after: number, deadline: number): Promise<CacheEventList | undefined>;
 };
 
 const MAX_LINE_CHARACTERS = 65_536;
+const STATUS_FULL = 429;
+const UNSENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
+const JSON_HEADERS = { 'content-type': 'application/json' };
 
 type TextHandler = (status: number | undefined, text: string) => void;
 
@@ -70,9 +87,17 @@
   incoming.on('error', (error) => onEnd(error.message));
 }
 
-function parsePrefillResult(text: string): PrefillResult | undefined {
+function findFailure(error: NodeJS.ErrnoException): OrderFailure {
+  return UNSENT_CODES.has(error.code ?? '') ? 'unsent' : 'broken';
+}
+
+function getStatusFailure(status: number | undefined): OrderFailure {
+  return status === STATUS_FULL ? 'full' : 'broken';
+}
+
+function parseJson(text: string): unknown {
   try {
-    return JSON.parse(text) as PrefillResult;
+    return JSON.parse(text);
   } catch {
     return undefined;
   }
@@ -80,26 +105,26 @@
 
 /** Makes a client of the engine at `url`, over a shared connection pool. */
 export function makeEngineClient(url: string, agent: Agent): EngineClient {
+  const { hostname, port } = new URL(url);
+  // Parsed once: a URL string is parsed again for each request.
+  const target: RequestOptions = { host: hostname, port, agent };
+
   function post(path: string, body: unknown, onAnswer: (incoming: IncomingMessage) => void) {
-    const headers = { 'content-type': 'application/json' };
-    const outgoing = request(`${url}${path}`, { method: 'POST', agent, headers }, onAnswer);
+    const options = { ...target, path, method: 'POST', headers: JSON_HEADERS };
+    const outgoing = request(options, onAnswer);
     outgoing.end(JSON.stringify(body));
     return outgoing;
   }
 
   function callJson(method: 'GET' | 'POST', path: string, deadline: number, body?: unknown) {
     return new Promise<unknown>((resolve) => {
-      const outgoing: ClientRequest = request(`${url}${path}`, { method, agent }, (incoming) => {
+      const outgoing: ClientRequest = request({ ...target, path, method }, (incoming) => {
         readText(incoming, (status, text) => {
           if (status !== 200) {
             resolve(undefined);
             return;
           }
-          try {
-            resolve(JSON.parse(text));
-          } catch {
-            resolve(undefined);
-          }
+          resolve(parseJson(text));
         });
       });
       const timer = setTimeout(() => outgoing.destroy(), Math.max(0, deadline - Date.now()));
@@ -122,13 +147,16 @@
       };
       const outgoing = post('/prefill', order, (incoming) => {
         readText(incoming, (status, text) => {
-          const result = status === 200 ? parsePrefillResult(text) : undefined;
+          const result = status === 200 ? parsePrefillResult(parseJson(text)) : undefined;
           if (result === undefined) {
-            finish({ kind: 'failed', detail: `prefill: ${status} ${text}` });
+            const detail = `prefill: ${status} ${text}`;
+            finish({ kind: 'failed', failure: getStatusFailure(status), detail });
           } else finish({ kind: 'prefilled', result });
         });
       });
-      outgoing.on('error', (error) => finish({ kind: 'failed', detail: error.message }));
+      outgoing.on('error', (error) => {
+        finish({ kind: 'failed', failure: findFailure(error), detail: error.message });
+      });
       return () => {
         isDone = true;
         outgoing.destroy();
@@ -137,10 +165,10 @@
 
     startDecode(order, onEvent) {
       let isDone = false;
-      const close = (detail: string): void => {
+      const close = (detail: string, failure: OrderFailure = 'broken'): void => {
         if (isDone) return;
         isDone = true;
-        onEvent({ kind: 'closed', detail });
+        onEvent({ kind: 'closed', failure, detail });
       };
       const handleLine = (line: string): void => {
         if (isDone || line === '') return;
@@ -150,12 +178,14 @@
       };
       const outgoing = post('/decode', order, (incoming) => {
         if (incoming.statusCode === 200) {
-          readLines(incoming, handleLine, close);
+          readLines(incoming, handleLine, (detail) => close(detail));
           return;
         }
-        readText(incoming, (status, text) => close(`decode: ${status} ${text}`));
+        readText(incoming, (status, text) => {
+          close(`decode: ${status} ${text}`, getStatusFailure(status));
+        });
       });
-      outgoing.on('error', (error) => close(error.message));
+      outgoing.on('error', (error) => close(error.message, findFailure(error)));
       return () => {
         isDone = true;
         outgoing.destroy();
@@ -168,11 +198,15 @@
     },
 
     async listHolds(deadline) {
-      return (await callJson('GET', '/holds', deadline)) as readonly EngineHold[] | undefined;
+      return parseEngineHolds(await callJson('GET', '/holds', deadline));
     },
 
     async readLoad(deadline) {
-      return (await callJson('GET', '/load', deadline)) as LoadReport | undefined;
+      return parseLoadReport(await callJson('GET', '/load', deadline));
+    },
+
+    async readCacheEvents(after, deadline) {
+      return parseCacheEvents(await callJson('GET', `/cache-events?after=${after}`, deadline));
     },
   };
 }
