--- a/bin/run-tests.js
+++ b/bin/run-tests.js
@@ -50,6 +50,13 @@
   },
 });
 fc.configureGlobal({ seed: Number(options.seed), numRuns: Number(options.runs) });
+// Runs side by side must not share addresses.
+process.env.TARRAGONSPOOL_TEST_HOST ??= [
+  127,
+  100 + ((process.pid >> 14) & 63),
+  (process.pid >> 7) & 127,
+  1 + (process.pid & 127),
+].join('.');
 const knownRed = await readKnownRed();
 const mocha = new Mocha({ reporter: 'dot', timeout: TEST_TIMEOUT_MS });
 for (const file of await findAllTestFiles(filters)) mocha.addFile(file);
--- a/packages/cli/src/operators/operator-command.ts
+++ b/packages/cli/src/operators/operator-command.ts
@@ -98,7 +98,9 @@
     }
     const { code, name, title, detail } = answer.problem;
     const advice = ADVICE[name as ResultName] ?? REFUSED;
-    return this.printError(advice.exit, `${code} ${title} ${detail}. ${advice.next}`.trimEnd());
+    const isShort = !detail.includes('\n');
+    const text = isShort ? `${title} ${detail}. ` : `${title}\n${detail}\n`;
+    return this.printError(advice.exit, `${code} ${text}${advice.next}`.trimEnd());
   }
 
   /** Prints a line on the error stream and returns the exit code. */
@@ -107,8 +109,9 @@
     return getExitCode(name);
   }
 
-  /** Prints the value as JSON, or the text for people. */
+  /** Prints the value as JSON, with null for missing data, or the text for people. */
   protected print(value: unknown, text: string): void {
-    this.context.stdout.write(this.json ? `${JSON.stringify(value, undefined, 2)}\n` : text);
+    const json = JSON.stringify(value, (_key, item: unknown) => item ?? null, 2);
+    this.context.stdout.write(this.json ? `${json}\n` : text);
   }
 }
--- a/packages/cli/src/upstreams/drain-command.ts
+++ b/packages/cli/src/upstreams/drain-command.ts
@@ -32,7 +32,7 @@
     if (!upstreams.some(({ upstreamId }) => upstreamId === name)) {
       return this.printError('not-found', `no upstream ${name}. Run "tarragonspool status".`);
     }
-    return this.changeRules((text) =>
+    return this.changeRules(this.askedBy, (text) =>
       hasDrainLine(text, name) ? undefined : addDrainLine(text, name, this.askedBy),
     );
   }
--- a/packages/router/src/allocation/allocation-task.ts
+++ b/packages/router/src/allocation/allocation-task.ts
@@ -27,6 +27,7 @@
   type VmId,
 } from '@tarragonspool/protocol';
 import type { CancelInbox } from '../engines/cancel-task.js';
+import type { Invariants } from '../invariants/invariants.js';
 import type { Logger } from '../logging/logger.js';
 import { offer, receive, type Channel, type Task } from '../tasks/tasks.js';
 import type { AllocationInbox, AllocationMessage } from './allocation-messages.js';
@@ -47,6 +48,7 @@
   /** Sends to one peer; false if no link reaches it. */
   readonly sendTo: (vmId: VmId, message: PeerMessage) => boolean;
   readonly cancels: CancelInbox;
+  readonly invariants: Invariants;
   readonly logger: Logger;
 };
 
@@ -149,6 +151,9 @@
         offer(parts.cancels, { kind: 'cancel', order: { upstreamId, attemptId, deadline } });
         return;
       }
+      case 'report-violation':
+        parts.invariants.assert(false, action.invariant, { shardId, detail: action.detail });
+        return;
       default:
         assertNever(action);
     }
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -1,7 +1,7 @@
 /** Puts the daemon's parts together and starts and stops them. */
 
 import type { Server } from 'node:http';
-import { makeMembershipState, makeRetryBudget } from '@tarragonspool/core';
+import { makeBurnState, makeMembershipState, makeRetryBudget } from '@tarragonspool/core';
 import {
   makeAgent,
   makeObjectClient,
@@ -15,13 +15,16 @@
   type AllocationMessage,
 } from './allocation/allocation-messages.js';
 import { makeAllocation } from './allocation/allocation-task.js';
+import { buildBurnReport, recordTrace } from './burn/burn-recorder.js';
 import { makeAuthenticateFilter } from './callers/authenticate.js';
 import { makeCallerServer } from './callers/caller-server.js';
 import { makeReadBodyFilter } from './callers/read-body-filter.js';
-import { makeClaimLedger } from './claims/claim-ledger.js';
+import { makeLedgerInbox, runClaimLedger } from './claims/claim-ledger.js';
 import { makeCancelInbox, runCancels, type CancelMessage } from './engines/cancel-task.js';
 import { runEnginePolls } from './engines/engine-poll-task.js';
+import { runClaimSweep } from './claims/claim-sweep-task.js';
 import { makeInvariants } from './invariants/invariants.js';
+import { makeRequestJournal } from './journal/request-journal.js';
 import type { Logger } from './logging/logger.js';
 import {
   makeMembershipInbox,
@@ -30,6 +33,7 @@
 } from './membership/membership-task.js';
 import { makeMetrics } from './metrics/metrics.js';
 import { makeOperatorServer } from './operators/operator-server.js';
+import { buildStatus } from './operators/status.js';
 import type { PeerIdentity } from './peers/peer-link.js';
 import { startPeerMesh } from './peers/peer-mesh.js';
 import { makeChatFilters } from './requests/chat-filters.js';
@@ -74,6 +78,7 @@
   const objects = makeObjectClient(settings.platformUrl, platformAgent);
   const vmList = makeVmListClient(settings.platformUrl, platformAgent);
   const metrics = makeMetrics();
+  const invariants = makeInvariants(metrics, logger);
   const directory = makeDirectory();
   const view = makeRulesView();
   const allocation = makeAllocationInbox();
@@ -151,7 +156,15 @@
   );
   const { policy, objective } = settings;
   const { sendTo } = mesh;
-  const allocator = makeAllocation({ ...self, policy, objective, sendTo, cancels, logger });
+  const allocator = makeAllocation({
+    ...self,
+    policy,
+    objective,
+    sendTo,
+    cancels,
+    invariants,
+    logger,
+  });
   start('allocation', () => allocator.run(allocation));
   start('cancels', () => runCancels(cancels, { directory, metrics, logger }));
   start('engine polls', () =>
@@ -175,6 +188,7 @@
       objects,
       membership,
       metrics,
+      invariants,
       logger,
       seed: self.incarnation,
       broadcast: mesh.broadcast,
@@ -203,25 +217,32 @@
   };
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
 
+  const journal = makeRequestJournal(settings.journalEntries);
+  const burn = makeBurnState(Date.now(), settings.burnSeries);
   const requestParts: ModelRequestParts = {
     ...self,
     directory,
     allocation,
     cancels,
     budget: makeRetryBudget(),
-    invariants: makeInvariants(metrics, logger),
+    invariants,
     metrics,
   };
   const admit = makeAdmissionFilter(view);
   const authenticate = makeAuthenticateFilter(view);
   const readBody = makeReadBodyFilter(settings.maxBodyBytes);
-  const serviceParts = { view, directory, claims: makeClaimLedger(table), metrics };
+  const claims = makeLedgerInbox();
+  start('claims', () => runClaimLedger(claims, { table, invariants, metrics, logger }));
+  start('claim sweep', () => runClaimSweep({ self: self.vmId, table, members, metrics, logger }));
+  const serviceParts = { view, directory, claims, invariants, metrics };
   const callerServer = makeCallerServer({
     routes: {
       chat: [admit, authenticate, ...makeChatFilters(requestParts, view, readBody)],
       models: [admit, authenticate, makeModelListFilter(directory, view)],
       service: [admit, authenticate, ...makeServiceFilters(serviceParts, readBody)],
     },
+    journal,
+    onEnded: (trace) => recordTrace(burn, trace),
     isReady: () =>
       isRulesViewCurrent(view, Date.now()) && directory.entryVms.length > 0 && !isLeaving,
     isLeaving: () => isLeaving,
@@ -230,28 +251,24 @@
     logger,
   });
   const operatorServer = makeOperatorServer({
+    vmId: self.vmId,
+    journal,
+    getBurn: () => buildBurnReport(burn, self.vmId, settings.burnTargetPercent, Date.now()),
     token: settings.operatorToken,
     view,
     rulesInbox,
     metrics,
     logger,
     readHistory: () => readRuleHistory(table, view.revision),
-    getStatus: () => ({
-      ...self,
-      isLeaving,
-      rulesRevision: view.revision,
-      entryVms: directory.entryVms.map(({ vmId }) => vmId),
-      peers: members.listMembers(),
-      engines: [...directory.engines.values()].map(
-        ({ upstreamId, role, service, isLeaving: l }) => ({
-          upstreamId,
-          role,
-          service,
-          isLeaving: l,
-        }),
-      ),
-      servers: [...directory.servers.values()],
-    }),
+    getStatus: () =>
+      buildStatus({
+        self,
+        isLeaving,
+        rulesRevision: view.revision,
+        directory,
+        members: members.listMembers(),
+        journal,
+      }),
   });
   listen(callerServer, settings.callerListen);
   listen(operatorServer, settings.operatorListen);
--- a/packages/router/src/invariants/invariants.ts
+++ b/packages/router/src/invariants/invariants.ts
@@ -3,6 +3,7 @@
  * process where the environment says so, as tests do.
  */
 
+import type { AllocatorInvariant } from '@tarragonspool/core';
 import type { Logger } from '../logging/logger.js';
 import type { Metrics } from '../metrics/metrics.js';
 
@@ -15,7 +16,14 @@
   /** Only frames of the current attempt reach the caller. */
   | 'foreign-attempt'
   /** Nobody is told that a request was not run after a work order left for it. */
-  | 'not-run-honest';
+  | 'not-run-honest'
+  /** A greater revision of the rules is never replaced by a lesser one. */
+  | 'rules-never-revert'
+  /** A claim is dispatched only while confirmed and within its deadline, and ends once. */
+  | 'claim-held'
+  /** The state of a key is never overwritten but by its holder. */
+  | 'claim-row'
+  | AllocatorInvariant;
 
 /** Checks invariants. */
 export type Invariants = {
--- a/packages/router/src/requests/model-request-task.ts
+++ b/packages/router/src/requests/model-request-task.ts
@@ -10,6 +10,7 @@
   type RequestState,
 } from '@tarragonspool/core';
 import { assertNever, type AttemptProgress } from '@tarragonspool/protocol';
+import { recordAction } from '../journal/request-trace.js';
 import { makeChannel, offer, receive, type Task } from '../tasks/tasks.js';
 import { makeAlarm } from '../tasks/timers.js';
 import { buildAsk, cancelOrder, sendDecode, sendPrefill } from './engine-orders.js';
@@ -83,8 +84,9 @@
 }
 
 function performAction(running: RunningRequest, action: RequestAction): void {
-  const { parts, inbox } = running;
+  const { parts, request, inbox } = running;
   const now = Date.now();
+  recordAction(request.trace, action, now);
   switch (action.kind) {
     case 'ask': {
       const ask = buildAsk(running, action);
--- a/packages/router/src/requests/model-request.ts
+++ b/packages/router/src/requests/model-request.ts
@@ -17,6 +17,7 @@
 import type { Metrics } from '../metrics/metrics.js';
 import type { Channel } from '../tasks/tasks.js';
 import type { Directory } from '../upstreams/directory.js';
+import type { RequestTrace } from '../journal/request-trace.js';
 import type { AnswerWriter } from './answer-writer.js';
 import type { ChatDeadlines, ChatRequest } from './chat-request.js';
 
@@ -43,6 +44,7 @@
   readonly deadlines: ChatDeadlines;
   readonly arrivedAt: number;
   readonly writer: AnswerWriter;
+  readonly trace: RequestTrace;
   /** Calls back once if the caller goes away before the answer ended. */
   readonly onCallerGone: (handler: () => void) => void;
 };
