--- a/packages/stand-ins/src/bench/run-policy.ts
+++ b/packages/stand-ins/src/bench/run-policy.ts
@@ -69,7 +69,7 @@
 
 /** Kills the VM whose allocator serves the shard; the balancer drops it at its next check. */
 async function killAllocator(deployment: Deployment, callerUrls: string[]): Promise<void> {
-  const index = await deployment.findAllocatorVm();
+  const index = deployment.findAllocatorVm();
   deployment.entryVms[index]?.process.child.kill('SIGKILL');
   process.stderr.write(`killed the allocator's VM, number ${index + 1}\n`);
   await waitFor(BALANCER_CHECK_MS);
--- a/packages/stand-ins/src/harness/deployment.ts
+++ b/packages/stand-ins/src/harness/deployment.ts
@@ -4,7 +4,8 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import type { UpstreamId, VmRecord } from '@tarragonspool/protocol';
+import { findRegion, listOwners } from '@tarragonspool/core';
+import type { DataCentre, ShardId, UpstreamId, VmId, VmRecord } from '@tarragonspool/protocol';
 import type { EngineSettings } from '../engine/engine-settings.js';
 import {
   getBinaryPath,
@@ -72,8 +73,8 @@
   ) => Promise<{ readonly code: number | null; readonly output: string }>;
   /** Stops everything; resolves with the names of processes that did not end well. */
   readonly stop: () => Promise<string[]>;
-  /** Index of the entry VM whose allocator serves the model service. */
-  readonly findAllocatorVm: () => Promise<number>;
+  /** Index of the entry VM whose allocator serves the model service while all are live. */
+  readonly findAllocatorVm: () => number;
   /** Ends every process at once. */
   readonly kill: () => void;
 };
@@ -225,9 +226,14 @@
       await rm(folder, { recursive: true });
       return result;
     },
-    findAllocatorVm: async () => {
-      const status = await callJson(`${entryVms[0]?.operatorUrl}/status`);
-      throw new Error(`no allocator in ${JSON.stringify(status)}`);
+    findAllocatorVm: () => {
+      const region = findRegion(getDataCentre(0) as DataCentre);
+      const shardId = `${plan.modelService}@${region}` as ShardId;
+      const [owner] = listOwners(
+        shardId,
+        entryVms.map(({ vmId }) => vmId as VmId),
+      );
+      return entryVms.findIndex(({ vmId }) => vmId === owner);
     },
     kill: () => {
       for (const { process: running } of [...entryVms, ...engines, ...ledgers]) {
--- a/packages/stand-ins/src/load/load-client.ts
+++ b/packages/stand-ins/src/load/load-client.ts
@@ -34,7 +34,7 @@
 };
 
 /** Longest wait for an answer; a failure counts with this time. */
-export const CLIENT_TIMEOUT_MS = 30_000;
+export const CLIENT_TIMEOUT_MS = 8_000;
 
 type Progress = {
   texts: string[];
