Admit the cheaper requests above capacity and keep admitted ones admitted

Cause: above capacity every request that fitted was admitted in order of arrival, and admitted work of lower priorities was refused late when greater ones arrived. Demand is measured by priority; a request that would wait long is admitted only if it is among the cheaper part that fits into what greater priorities leave. Priority is a lead in the queue, so that admitted work does not starve; greater priorities still displace at arrival. Conclusion: rates are averaged as times per token; averaging rates predicted too fast.

--- a/packages/core/src/allocation/admission.ts
+++ b/packages/core/src/allocation/admission.ts
@@ -6,6 +6,7 @@
 import type { Refusal, ReservationAsk, ResultName } from '@tarragonspool/protocol';
 import type { AllocatorAction } from './allocator-events.js';
 import { addUsage, measureOveruse } from './caller-shares.js';
+import { addDemand, measureFit, measureShareAbove, rankCost } from './demand.js';
 import {
   getRate,
   HOP_MS,
@@ -34,8 +35,16 @@
 const MIN_RETRY_MS = 200;
 const MAX_RETRY_MS = 10_000;
 const MAX_FAIR_DELAY_MS = 500;
-const ARRIVAL_HALF_LIFE_MS = 500;
 const MAX_RESERVED_SHARE = 0.9;
+/** Deadlines beyond this count as equal, so that long ones don't wait for good. */
+const RANK_HORIZON_MS = 1_000;
+const MAX_DISPLACED = 4;
+/** Share of its slack that a request may wait before its cost matters, and from which it matters fully. */
+const EASY_PRESSURE = 0.2;
+const FULL_PRESSURE = 0.6;
+/** Where greater priorities are in demand, a request may be promised a start within this share of its slack. */
+const DISPLACEABLE_SLACK_SHARE = 0.6;
+const MIN_SHARE_ABOVE = 0.02;
 /** Requests of the asker's size by which another caller must be ahead to be displaced. */
 const MIN_DISPLACED_LEAD = 3;
 
@@ -93,6 +102,14 @@
   return 1 + streams / Math.max(1, engines);
 }
 
+function countPlaces(state: ShardState): number {
+  let places = 0;
+  for (const engine of state.pool.decode) {
+    if (!engine.isLeaving && !engine.isSuspect) places += engine.places;
+  }
+  return Math.max(1, places);
+}
+
 function makeWaiting(state: ShardState, ask: ReservationAsk, now: number): WaitingAsk {
   const { estimates, objective } = state;
   const isResume = ask.resumeFrom !== undefined;
@@ -108,82 +125,105 @@
     ? ask.answerDeadline - untilFirstMs
     : ask.answerDeadline - untilAnswerMs * safety;
   const latestStartAt = Math.min(firstAt, answerAt);
+  const holdMs = importMs + predictAnswerTokens(estimates, ask.maxTokens) * stepMs;
   const workTokens = Math.max(0, prefillMs - OVERHEAD_MS) * getRate(estimates.prefill, now);
   const overuse = measureOveruse(state.shares, ask.callerId, now);
   const engines = Math.max(1, countActivePrefills(state));
   const overuseMs = Math.max(0, overuse) / getRate(estimates.prefill, now) / engines;
   const fairDelayMs = Math.min(MAX_FAIR_DELAY_MS, overuseMs * objective.fairnessWeight);
+  const rankAt =
+    Math.min(latestStartAt, now + RANK_HORIZON_MS) - ask.priority * objective.priorityLeadMs;
   const sequence = state.nextSequence;
   state.nextSequence += 1;
   return {
     ask,
     sequence,
     arrivedAt: now,
-    rankAt: isResume ? 0 : latestStartAt + fairDelayMs,
+    rankAt: isResume ? 0 : rankAt + fairDelayMs,
     latestStartAt,
     prefillMs,
     workTokens,
+    cost: { prefillMs: prefillMs / engines, decodeMs: holdMs / countPlaces(state) },
   };
 }
 
-/** Adds arriving work to the rate of its priority. */
-function addArrival(state: ShardState, waiting: WaitingAsk, now: number): void {
-  const rate = state.arrivals[waiting.ask.priority];
-  if (rate === undefined) return;
-  const decay = 2 ** (-Math.max(0, now - rate.updatedAt) / ARRIVAL_HALF_LIFE_MS);
-  rate.workPerMs = rate.workPerMs * decay + (waiting.prefillMs * Math.LN2) / ARRIVAL_HALF_LIFE_MS;
-  rate.updatedAt = now;
-}
-
-/** Share of the prefill engines that arriving work of higher priorities will take. */
-function measureShareAbove(state: ShardState, priority: number, now: number): number {
-  let workPerMs = 0;
-  for (let above = priority + 1; above < state.arrivals.length; above += 1) {
-    const rate = state.arrivals[above];
-    if (rate === undefined) continue;
-    workPerMs += rate.workPerMs * 2 ** (-Math.max(0, now - rate.updatedAt) / ARRIVAL_HALF_LIFE_MS);
-  }
-  return Math.min(MAX_RESERVED_SHARE, workPerMs / Math.max(1, countActivePrefills(state)));
-}
-
 /** Latest start of an admitted request: its safety margin may be used up. */
 function findLastStartAt(state: ShardState, waiting: WaitingAsk): number {
   return waiting.latestStartAt + waiting.prefillMs * state.objective.safetyShare;
 }
 
+/**
+ * Whether a request costs too much for what is left of the pool. Only those that would wait long are
+ * judged, so that no engine idles.
+ */
+function isTooCostly(
+  state: ShardState,
+  waiting: WaitingAsk,
+  pressure: number,
+  now: number,
+): boolean {
+  const { priority } = waiting.ask;
+  const { selectivity } = state.objective;
+  const fit = measureFit(state.demand, priority, now);
+  if (selectivity === 0 || fit >= 1) return false;
+  const ramp = (pressure - EASY_PRESSURE) / (FULL_PRESSURE - EASY_PRESSURE);
+  const strictness = Math.min(1, Math.max(0, ramp)) * selectivity;
+  return rankCost(state.demand, priority, waiting.cost) > 1 - strictness * (1 - fit);
+}
+
 /** How late the request, or one that it would push back, is predicted to start; at most zero if none. */
 function predictLateMs(state: ShardState, waiting: WaitingAsk, now: number): number {
   const starts = predictStarts(state, now);
   const position = findPosition(state.queue, waiting);
   const own = starts[position] ?? Infinity;
-  const shareAbove = measureShareAbove(state, waiting.ask.priority, now);
-  let lateMs = now + (own - now) / (1 - shareAbove) - waiting.latestStartAt;
+  const shareAbove = Math.min(
+    MAX_RESERVED_SHARE,
+    measureShareAbove(state.demand, waiting.ask.priority, now),
+  );
+  const startAt = now + (own - now) / (1 - shareAbove);
+  const slackShare = shareAbove > MIN_SHARE_ABOVE ? DISPLACEABLE_SLACK_SHARE : 1;
+  const allowedMs = (waiting.latestStartAt - now) * slackShare;
+  let lateMs = startAt - now - allowedMs;
+  if (lateMs <= 0 && isTooCostly(state, waiting, (startAt - now) / allowedMs, now)) {
+    return startAt - now;
+  }
   for (let behind = position + 1; behind < starts.length; behind += 1) {
     const other = state.queue.items[behind];
-    if (other === undefined || other.ask.priority < waiting.ask.priority) break;
+    if (other === undefined || other.ask.priority < waiting.ask.priority) continue;
     lateMs = Math.max(lateMs, (starts[behind] ?? Infinity) - findLastStartAt(state, other));
   }
   return lateMs;
 }
 
-/** Finds the last request, of equal priority, of a caller far beyond its share. */
+/** Whether a waiting request may be given up for a new one. */
+function isDisplaceable(
+  state: ShardState,
+  other: WaitingAsk,
+  waiting: WaitingAsk,
+  now: number,
+): boolean {
+  if (other === waiting || other.ask.resumeFrom !== undefined) return false;
+  if (other.ask.priority !== waiting.ask.priority) {
+    return other.ask.priority < waiting.ask.priority;
+  }
+  const lead =
+    measureOveruse(state.shares, other.ask.callerId, now) -
+    measureOveruse(state.shares, waiting.ask.callerId, now);
+  return lead > MIN_DISPLACED_LEAD * waiting.workTokens;
+}
+
+/** Finds the request to give up: of the lowest priority, and of those the last. */
 function findDisplaceable(
   state: ShardState,
   waiting: WaitingAsk,
   now: number,
 ): WaitingAsk | undefined {
-  const own = measureOveruse(state.shares, waiting.ask.callerId, now);
-  const limit = own + MIN_DISPLACED_LEAD * waiting.workTokens;
-  const { items } = state.queue;
-  for (let position = items.length - 1; position >= 0; position -= 1) {
-    const other = items[position];
-    if (other === undefined || other === waiting) continue;
-    if (other.ask.priority > waiting.ask.priority) return undefined;
-    if (other.ask.callerId === waiting.ask.callerId || other.ask.resumeFrom !== undefined) continue;
-    if (other.ask.priority < waiting.ask.priority) return other;
-    if (measureOveruse(state.shares, other.ask.callerId, now) > limit) return other;
+  let found: WaitingAsk | undefined;
+  for (const other of state.queue.items) {
+    if (found !== undefined && other.ask.priority > found.ask.priority) continue;
+    if (isDisplaceable(state, other, waiting, now)) found = other;
   }
-  return undefined;
+  return found;
 }
 
 /** Removes a waiting request and refuses it. */
@@ -228,19 +268,25 @@
   return [refuseAsk(ask, 'queue-full', detail, chooseRetryAt(state, 0, now))];
 }
 
+/** Gives up others until the request can start in time; empty if that is not enough. */
 function displaceFor(state: ShardState, waiting: WaitingAsk, now: number): AllocatorAction[] {
-  const displaced = findDisplaceable(state, waiting, now);
-  if (displaced === undefined) return [];
-  removeWaiting(state.queue, displaced);
-  if (predictLateMs(state, waiting, now) > 0) {
-    addWaiting(state.queue, displaced);
-    return [];
+  const displaced: WaitingAsk[] = [];
+  let lateMs = Infinity;
+  while (lateMs > 0 && displaced.length < MAX_DISPLACED) {
+    const other = findDisplaceable(state, waiting, now);
+    if (other === undefined) break;
+    removeWaiting(state.queue, other);
+    displaced.push(other);
+    lateMs = predictLateMs(state, waiting, now);
   }
-  addWaiting(state.queue, displaced);
-  const isHigher = waiting.ask.priority > displaced.ask.priority;
-  const name = isHigher ? 'deadline-unreachable' : 'share-exceeded';
-  const detail = isHigher ? 'work of a higher priority came first' : 'another caller is due';
-  return dropWaiting(state, displaced, name, detail, 0, now);
+  for (const other of displaced) addWaiting(state.queue, other);
+  if (lateMs > 0) return [];
+  return displaced.flatMap((other) => {
+    const isLower = other.ask.priority < waiting.ask.priority;
+    const name = isLower ? 'deadline-unreachable' : 'share-exceeded';
+    const detail = isLower ? 'work of a higher priority came first' : 'another caller is due';
+    return dropWaiting(state, other, name, detail, 0, now);
+  });
 }
 
 /** Admits an ask to the queue or refuses it at once. */
@@ -254,7 +300,7 @@
     return [refuseAsk(ask, 'no-upstream', 'no engine can serve the request now', retryAt)];
   }
   const waiting = makeWaiting(state, ask, now);
-  addArrival(state, waiting, now);
+  addDemand(state.demand, ask.priority, waiting.cost, now);
   const actions = queue.items.length < MAX_WAITING ? [] : makeRoom(state, ask, now);
   const outOfBounds = checkBounds(state, ask, now);
   if (outOfBounds.length > 0) return [...actions, ...outOfBounds];
--- a/packages/core/src/allocation/engine-estimates.ts
+++ b/packages/core/src/allocation/engine-estimates.ts
@@ -104,7 +104,10 @@
         rate.tokensPerMs * MAX_SAMPLE_FACTOR,
         Math.max(rate.tokensPerMs / MAX_SAMPLE_FACTOR, tokensPerMs),
       );
-  rate.tokensPerMs += getSampleWeight(rate.samples) * (bounded - rate.tokensPerMs);
+  // The mean of times, not of rates, is what predictions need.
+  const msPerToken = 1 / rate.tokensPerMs;
+  const weight = getSampleWeight(rate.samples);
+  rate.tokensPerMs = 1 / (msPerToken + weight * (1 / bounded - msPerToken));
   const peak = isFirst ? rate.tokensPerMs : Math.max(rate.peakTokensPerMs, rate.tokensPerMs);
   rate.peakTokensPerMs = peak;
   rate.samples += 1;
--- a/packages/core/src/allocation/objectives.ts
+++ b/packages/core/src/allocation/objectives.ts
@@ -17,6 +17,10 @@
   readonly maxBorrowedPlaces: number;
   /** Share of granted prefill work that may be thrown away by moving started prefills. */
   readonly maxWastedShare: number;
+  /** By how much sooner each level of priority makes a request start. */
+  readonly priorityLeadMs: number;
+  /** From zero to one: how far the costlier requests give way above capacity. */
+  readonly selectivity: number;
 };
 
 /** Returns the settings of an objective. */
@@ -30,6 +34,8 @@
         fairnessWeight: 1,
         maxBorrowedPlaces: 0,
         maxWastedShare: 0.02,
+        priorityLeadMs: 200,
+        selectivity: 1,
       };
     case 'crest':
       return {
@@ -39,6 +45,8 @@
         fairnessWeight: 0.25,
         maxBorrowedPlaces: 4,
         maxWastedShare: 0.005,
+        priorityLeadMs: 50,
+        selectivity: 1,
       };
     default:
       return assertNever(objective);
--- a/packages/core/src/allocation/reservations.ts
+++ b/packages/core/src/allocation/reservations.ts
@@ -30,7 +30,7 @@
 /** After its answer deadline, an attempt that nobody ended is over. */
 const EXPIRY_GRACE_MS = 2_000;
 /** Waiting for the engine beyond this share of a prefill makes its time no use as a sample. */
-const MAX_QUEUED_SHARE = 0.7;
+const MAX_QUEUED_SHARE = 0.4;
 const MIN_SAMPLE_TOKENS = 16;
 
 function addReservation(state: ShardState, reservation: Reservation): void {
--- a/packages/core/src/allocation/shard-state.ts
+++ b/packages/core/src/allocation/shard-state.ts
@@ -3,6 +3,7 @@
 import type { AttemptId, CallerId, ReservationId, VmId } from '@tarragonspool/protocol';
 import type { AllocatorOptions } from './allocator-events.js';
 import { makeCallerShares, type CallerShares } from './caller-shares.js';
+import { makeDemand, type Demand } from './demand.js';
 import { makePoolEstimates, type PoolEstimates } from './engine-estimates.js';
 import { makeEnginePool, type EnginePool, type Reservation } from './engine-state.js';
 import { getObjectiveSettings, type ObjectiveSettings } from './objectives.js';
@@ -11,9 +12,6 @@
 import { makeRandom, type Random } from './random.js';
 import { makeWaitingQueue, type WaitingQueue } from './waiting-queue.js';
 
-/** Rate of work that arrives with one priority. */
-export type ArrivalRate = { workPerMs: number; updatedAt: number };
-
 /** Whole state. */
 export type ShardState = {
   readonly kind: 'shard';
@@ -31,16 +29,13 @@
   readonly reportingVms: Set<VmId>;
   /** Attempts that are over, until the time when no message about them can be under way. */
   readonly endedUntil: Map<AttemptId, number>;
-  /** Arriving prefill work by priority, 0 to 9. */
-  readonly arrivals: readonly ArrivalRate[];
+  readonly demand: Demand;
   readonly random: Random;
   nextSequence: number;
   sweptAt: number;
   tickedAt: number;
 };
 
-const PRIORITIES = 10;
-
 /** Makes the state. */
 export function makeShardState(options: AllocatorOptions): ShardState {
   return {
@@ -57,7 +52,7 @@
     moves: makeMoveBudget(),
     reportingVms: new Set(),
     endedUntil: new Map(),
-    arrivals: Array.from({ length: PRIORITIES }, () => ({ workPerMs: 0, updatedAt: 0 })),
+    demand: makeDemand(),
     random: makeRandom(options.seed),
     nextSequence: 1,
     sweptAt: 0,
--- a/packages/core/src/allocation/waiting-queue.ts
+++ b/packages/core/src/allocation/waiting-queue.ts
@@ -1,21 +1,23 @@
 /**
- * Requests that wait for places: by priority, then by latest start, later for callers beyond their
- * share. Times are milliseconds since the epoch.
+ * Requests that wait for places, by latest start: each level of priority puts a request before those
+ * that must start some time sooner. Times are milliseconds since the epoch.
  */
 
 import type { AttemptId, CallerId, ReservationAsk } from '@tarragonspool/protocol';
+import type { WorkCost } from './demand.js';
 
 /** One request that waits. */
 export type WaitingAsk = {
   readonly ask: ReservationAsk;
   readonly sequence: number;
   readonly arrivedAt: number;
-  /** Position among requests of equal priority. */
+  /** Position in the queue: latest start, sooner by priority and later beyond a caller's share. */
   readonly rankAt: number;
   /** Latest start of the prefill that meets both deadlines. */
   readonly latestStartAt: number;
   readonly prefillMs: number;
   readonly workTokens: number;
+  readonly cost: WorkCost;
 };
 
 /** All requests that wait, in order. */
@@ -35,7 +37,6 @@
 
 /** Whether `a` is served before `b`. */
 function isBefore(a: WaitingAsk, b: WaitingAsk): boolean {
-  if (a.ask.priority !== b.ask.priority) return a.ask.priority > b.ask.priority;
   if (a.rankAt !== b.rankAt) return a.rankAt < b.rankAt;
   return a.sequence < b.sequence;
 }
