--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -1,7 +1,7 @@
 /** Puts the daemon's parts together and starts and stops them. */
 
 import type { Server } from 'node:http';
-import { makeMembershipState } from '@tarragonspool/core';
+import { makeBurnState, makeMembershipState, makeRetryBudget } from '@tarragonspool/core';
 import {
   makeAgent,
   makeObjectClient,
@@ -10,14 +10,21 @@
 } from '@tarragonspool/platform';
 import type { DataCentre, Incarnation, PeerMessage, VmId } from '@tarragonspool/protocol';
 import {
+  isAllocationMessage,
   makeAllocationInbox,
-  runAllocation,
   type AllocationMessage,
-} from './allocation/allocation-task.js';
+} from './allocation/allocation-messages.js';
+import { makeAllocation } from './allocation/allocation-task.js';
+import { buildBurnReport, recordTrace } from './burn/burn-recorder.js';
 import { makeAuthenticateFilter } from './callers/authenticate.js';
 import { makeCallerServer } from './callers/caller-server.js';
 import { makeReadBodyFilter } from './callers/read-body-filter.js';
-import { makeClaimLedger } from './claims/claim-ledger.js';
+import { makeLedgerInbox, runClaimLedger } from './claims/claim-ledger.js';
+import { makeCancelInbox, runCancels, type CancelMessage } from './engines/cancel-task.js';
+import { runEnginePolls } from './engines/engine-poll-task.js';
+import { runClaimSweep } from './claims/claim-sweep-task.js';
+import { makeInvariants } from './invariants/invariants.js';
+import { makeRequestJournal } from './journal/request-journal.js';
 import type { Logger } from './logging/logger.js';
 import {
   makeMembershipInbox,
@@ -26,16 +33,18 @@
 } from './membership/membership-task.js';
 import { makeMetrics } from './metrics/metrics.js';
 import { makeOperatorServer } from './operators/operator-server.js';
+import { buildStatus } from './operators/status.js';
 import type { PeerIdentity } from './peers/peer-link.js';
 import { startPeerMesh } from './peers/peer-mesh.js';
 import { makeChatFilters } from './requests/chat-filters.js';
 import { makeModelListFilter } from './requests/model-list-filter.js';
-import type { ModelRequestParts } from './requests/model-request-task.js';
+import type { ModelRequestParts } from './requests/model-request.js';
 import { makeAdmissionFilter } from './rules/admission-filter.js';
 import { readRuleHistory } from './rules/rule-history.js';
 import { makeRulesInbox, runRules, type RulesMessage } from './rules/rules-task.js';
 import { isRulesViewCurrent, makeRulesView } from './rules/rules-view.js';
 import { makeServiceFilters } from './services/service-filters.js';
+import { getKeepAliveMs, runGracefulStop } from './shutdown/graceful-stop.js';
 import type { Settings } from './settings/settings.js';
 import { offer, startTask, type Task } from './tasks/tasks.js';
 import { startTicker } from './tasks/timers.js';
@@ -49,19 +58,12 @@
 };
 
 const RULES_TICK_MS = 100;
-const DRAIN_NOTICE_MS = 2_000;
-const ALLOCATION_TICK_MS = 50;
+const ALLOCATION_TICK_MS = 25;
+const CANCEL_TICK_MS = 250;
 const HEARTBEAT_INTERVAL_MS = 250;
 
-/** Splits `IP:port`. */
-function parseAddress(address: string): { host: string; port: number } {
-  const [host = '', port = ''] = address.split(':');
-  return { host, port: Number(port) };
-}
-
-function listen(server: Server, address: string): void {
-  const { host, port } = parseAddress(address);
-  server.listen(port, host);
+function listen(server: Server, address: { readonly host: string; readonly port: number }): void {
+  server.listen(address.port, address.host);
 }
 
 /** Starts the daemon. */
@@ -76,9 +78,11 @@
   const objects = makeObjectClient(settings.platformUrl, platformAgent);
   const vmList = makeVmListClient(settings.platformUrl, platformAgent);
   const metrics = makeMetrics();
+  const invariants = makeInvariants(metrics, logger);
   const directory = makeDirectory();
   const view = makeRulesView();
   const allocation = makeAllocationInbox();
+  const cancels = makeCancelInbox();
   const rulesInbox = makeRulesInbox();
   let isLeaving = false;
 
@@ -92,6 +96,11 @@
   const membershipState = makeMembershipState(self.vmId);
   const members = makeMembershipView(membershipState, () => isLeaving);
   const handlePeerMessage = (peer: PeerIdentity, message: PeerMessage): void => {
+    if (isAllocationMessage(message)) {
+      const { vmId } = peer;
+      offer(allocation, { kind: 'peer-said', vmId, message, now: Date.now() });
+      return;
+    }
     switch (message.kind) {
       case 'rules':
         offer(rulesInbox, { ...message, kind: 'peer-file', now: Date.now() });
@@ -121,12 +130,15 @@
 
   const mesh = startPeerMesh({
     self,
-    listen: parseAddress(settings.peerListen),
+    listen: settings.peerListen,
     secrets: settings.peerSecrets,
     directory,
     metrics,
     logger,
-    onOpen: () => undefined,
+    onOpen: (link) => {
+      const { vmId } = link.peer;
+      offer(allocation, { kind: 'link-opened', vmId, now: Date.now() });
+    },
     onMessage: handlePeerMessage,
     onGone: (vmId, incarnation) => {
       offer(membership, { kind: 'link-closed', vmId, incarnation, now: Date.now() });
@@ -135,11 +147,40 @@
 
   start('directory', () => runDirectory(vmList, membership, logger));
   start('membership', () =>
-    runMembership(membership, { state: membershipState, directory, allocation, logger }),
+    runMembership(membership, {
+      state: membershipState,
+      directory,
+      allocation,
+      logger,
+    }),
   );
   const { policy, objective } = settings;
-  const options = { vmId: self.vmId, policy, objective, seed: self.incarnation };
-  start('allocation', () => runAllocation(allocation, options, directory, logger));
+  const { sendTo } = mesh;
+  const allocator = makeAllocation({
+    ...self,
+    policy,
+    objective,
+    sendTo,
+    cancels,
+    invariants,
+    logger,
+  });
+  start('allocation', () => allocator.run(allocation));
+  start('cancels', () => runCancels(cancels, { directory, metrics, logger }));
+  start('engine polls', () =>
+    runEnginePolls({
+      directory,
+      allocation,
+      cancels,
+      metrics,
+      logger,
+      listPolled: allocator.listPolled,
+      makeSweepView: () => ({
+        incarnations: members.listIncarnations(),
+        ended: allocator.endedIncarnations,
+      }),
+    }),
+  );
   start('rules', () =>
     runRules(rulesInbox, {
       view,
@@ -147,6 +188,7 @@
       objects,
       membership,
       metrics,
+      invariants,
       logger,
       seed: self.incarnation,
       broadcast: mesh.broadcast,
@@ -156,8 +198,10 @@
   startTicker<RulesMessage>(rulesInbox, RULES_TICK_MS, (now) => ({ kind: 'ticked', now }));
   startTicker<AllocationMessage>(allocation, ALLOCATION_TICK_MS, (now) => ({
     kind: 'ticked',
+    liveVms: members.listLive(now),
     now,
   }));
+  startTicker<CancelMessage>(cancels, CANCEL_TICK_MS, (now) => ({ kind: 'ticked', now }));
 
   const sendHeartbeat = (): void => {
     const rulesRevision = view.revision;
@@ -173,64 +217,89 @@
   };
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
 
-  const requestParts: ModelRequestParts = { ...self, directory, allocation, metrics };
+  const journal = makeRequestJournal(settings.journalEntries);
+  const burn = makeBurnState(Date.now(), settings.burnSeries);
+  const requestParts: ModelRequestParts = {
+    ...self,
+    directory,
+    allocation,
+    cancels,
+    budget: makeRetryBudget(),
+    invariants,
+    metrics,
+  };
   const admit = makeAdmissionFilter(view);
   const authenticate = makeAuthenticateFilter(view);
-  const readBody = makeReadBodyFilter();
-  const serviceParts = { view, directory, claims: makeClaimLedger(table), metrics };
+  const readBody = makeReadBodyFilter(settings.maxBodyBytes);
+  const claims = makeLedgerInbox();
+  start('claims', () => runClaimLedger(claims, { table, invariants, metrics, logger }));
+  start('claim sweep', () => runClaimSweep({ self: self.vmId, table, members, metrics, logger }));
+  const serviceParts = { view, directory, claims, invariants, metrics };
   const callerServer = makeCallerServer({
     routes: {
       chat: [admit, authenticate, ...makeChatFilters(requestParts, view, readBody)],
       models: [admit, authenticate, makeModelListFilter(directory, view)],
       service: [admit, authenticate, ...makeServiceFilters(serviceParts, readBody)],
     },
+    journal,
+    onEnded: (trace) => recordTrace(burn, trace),
     isReady: () =>
       isRulesViewCurrent(view, Date.now()) && directory.entryVms.length > 0 && !isLeaving,
+    isLeaving: () => isLeaving,
+    keepAliveMs: getKeepAliveMs(settings.drainNoticeMs),
     metrics,
     logger,
   });
   const operatorServer = makeOperatorServer({
+    vmId: self.vmId,
+    journal,
+    getBurn: () => buildBurnReport(burn, self.vmId, settings.burnTargetPercent, Date.now()),
     token: settings.operatorToken,
     view,
     rulesInbox,
     metrics,
     logger,
     readHistory: () => readRuleHistory(table, view.revision),
-    getStatus: () => ({
-      ...self,
-      isLeaving,
-      rulesRevision: view.revision,
-      entryVms: directory.entryVms.map(({ vmId }) => vmId),
-      peers: members.listMembers(),
-      engines: [...directory.engines.values()].map(
-        ({ upstreamId, role, service, isLeaving: l }) => ({
-          upstreamId,
-          role,
-          service,
-          isLeaving: l,
-        }),
-      ),
-      servers: [...directory.servers.values()],
-    }),
+    getStatus: () =>
+      buildStatus({
+        self,
+        isLeaving,
+        rulesRevision: view.revision,
+        directory,
+        members: members.listMembers(),
+        journal,
+      }),
   });
   listen(callerServer, settings.callerListen);
   listen(operatorServer, settings.operatorListen);
   logger.info({ callers: settings.callerListen }, 'daemon: started');
 
+  const onLeaving = (): void => {
+    isLeaving = true;
+    logger.info('daemon: leaving');
+    sendHeartbeat();
+  };
   return {
     stop: (onStopped) => {
-      isLeaving = true;
-      logger.info('daemon: leaving');
-      sendHeartbeat();
-      setTimeout(() => {
-        callerServer.close(() => {
+      const stopParts = {
+        server: callerServer,
+        noticeMs: settings.drainNoticeMs,
+        onLeaving,
+        flush: async () => undefined,
+        onStopped: () => {
           clearInterval(heartbeatTimer);
           mesh.close();
           logger.info('daemon: stopped');
           onStopped();
-        });
-        callerServer.closeIdleConnections();
-      }, DRAIN_NOTICE_MS);
+        },
+      };
+      startTask(
+        'graceful stop',
+        () => runGracefulStop(stopParts),
+        (name, error) => {
+          if (error !== undefined) handleTaskEnd(name, error);
+        },
+      );
     },
   };
 }
--- a/packages/router/src/operators/operator-server.ts
+++ b/packages/router/src/operators/operator-server.ts
@@ -3,30 +3,37 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { EditOutcome } from '@tarragonspool/core';
-import type { EditId, Refusal, RuleDelta, RuleRevision } from '@tarragonspool/protocol';
+import type { EditId, Refusal, RuleDelta, RuleRevision, VmId } from '@tarragonspool/protocol';
 import { z } from 'zod';
 import { readBody } from '../http/read-body.js';
 import { sendRefusal } from '../http/refusals.js';
+import type { BurnReport } from '../burn/burn-recorder.js';
+import type { RequestJournal } from '../journal/request-journal.js';
 import type { Logger } from '../logging/logger.js';
 import type { Metrics } from '../metrics/metrics.js';
 import type { RulesInbox } from '../rules/rules-task.js';
 import { renderRules, type RulesView } from '../rules/rules-view.js';
+import type { DaemonStatus } from './status.js';
 import { awaitPromise, makeChannel, offer, receive, startTask, type Task } from '../tasks/tasks.js';
 
 /** What the operator interface works with. */
 export type OperatorServerParts = {
+  readonly vmId: VmId;
   readonly token: string;
   readonly view: RulesView;
   readonly rulesInbox: RulesInbox;
   readonly metrics: Metrics;
   readonly logger: Logger;
-  readonly getStatus: () => unknown;
+  readonly getStatus: () => DaemonStatus;
+  readonly journal: RequestJournal;
+  readonly getBurn: () => BurnReport;
   /** Reads the latest edits, oldest first; undefined while the table is away. */
   readonly readHistory: () => Promise<readonly RuleDelta[] | undefined>;
 };
 
 const MAX_RULES_BYTES = 8_388_608;
 const BODY_TIMEOUT_MS = 15_000;
+const REQUEST_ROUTE = 'GET /requests/';
 const EDIT_TIMEOUT_MS = 12_000;
 
 const editSchema = z.object({
@@ -93,6 +100,11 @@
       return;
     }
     const route = `${incoming.method} ${incoming.url}`;
+    if (route.startsWith(REQUEST_ROUTE)) {
+      const requestId = route.slice(REQUEST_ROUTE.length);
+      sendJson(response, { vmId: parts.vmId, requests: parts.journal.find(requestId) });
+      return;
+    }
     switch (route) {
       case 'GET /rules':
         sendJson(response, { revision: parts.view.revision, text: renderRules(parts.view) });
@@ -109,6 +121,9 @@
       case 'GET /status':
         sendJson(response, parts.getStatus());
         return;
+      case 'GET /burn':
+        sendJson(response, parts.getBurn());
+        return;
       case 'GET /metrics':
         response.setHeader('content-type', parts.metrics.registry.contentType);
         response.end(yield* awaitPromise(parts.metrics.registry.metrics()));
--- a/packages/router/src/rules/rules-task.ts
+++ b/packages/router/src/rules/rules-task.ts
@@ -12,6 +12,7 @@
 } from '@tarragonspool/core';
 import type { ObjectClient, TableClient } from '@tarragonspool/platform';
 import { assertNever, type EditId, type PeerMessage, type VmId } from '@tarragonspool/protocol';
+import type { Invariants } from '../invariants/invariants.js';
 import type { Logger } from '../logging/logger.js';
 import type { MembershipInbox } from '../membership/membership-task.js';
 import type { Metrics } from '../metrics/metrics.js';
@@ -33,6 +34,7 @@
   readonly objects: ObjectClient;
   readonly membership: MembershipInbox;
   readonly metrics: Metrics;
+  readonly invariants: Invariants;
   readonly logger: Logger;
   readonly seed: number;
   readonly broadcast: (message: PeerMessage) => void;
@@ -164,8 +166,7 @@
       answerEdit(running, action);
       return;
     case 'report-violation':
-      parts.metrics.invariantViolations.inc({ invariant: action.invariant });
-      parts.logger.error({ detail: action.detail }, `rules: ${action.invariant} violated`);
+      parts.invariants.assert(false, action.invariant, { detail: action.detail });
       return;
     case 'read-rows':
     case 'read-object':
