--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -270,6 +270,7 @@
         rulesRevision: view.revision,
         directory,
         members: members.listMembers(),
+        shards: allocator.listShardOwners(),
         journal,
       }),
   });
--- a/packages/stand-ins/src/harness/deployment.ts
+++ b/packages/stand-ins/src/harness/deployment.ts
@@ -4,8 +4,7 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { findRegion, listOwners } from '@tarragonspool/core';
-import type { DataCentre, ShardId, UpstreamId, VmId, VmRecord } from '@tarragonspool/protocol';
+import type { UpstreamId, VmRecord } from '@tarragonspool/protocol';
 import type { EngineSettings } from '../engine/engine-settings.js';
 import {
   getBinaryPath,
@@ -74,11 +73,15 @@
   /** Stops everything; resolves with the names of processes that did not end well. */
   readonly stop: () => Promise<string[]>;
   /** Index of the entry VM whose allocator serves the model service while all are live. */
-  readonly findAllocatorVm: () => number;
+  readonly findAllocatorVm: () => Promise<number>;
   /** Ends every process at once. */
   readonly kill: () => void;
 };
 
+type StatusShards = {
+  readonly shards: readonly { readonly shardId: string; readonly owner?: string }[];
+};
+
 /** Loopback address of every process; runs side by side take different ones. */
 const HOST = process.env.TARRAGONSPOOL_TEST_HOST ?? '127.0.0.1';
 const PEER_SECRET = 'demo-peer-secret-0123456789';
@@ -226,14 +229,19 @@
       await rm(folder, { recursive: true });
       return result;
     },
-    findAllocatorVm: () => {
-      const region = findRegion(getDataCentre(0) as DataCentre);
-      const shardId = `${plan.modelService}@${region}` as ShardId;
-      const [owner] = listOwners(
-        shardId,
-        entryVms.map(({ vmId }) => vmId as VmId),
-      );
-      return entryVms.findIndex(({ vmId }) => vmId === owner);
+    findAllocatorVm: async () => {
+      for (const { operatorUrl } of entryVms) {
+        const headers = { authorization: `Bearer ${OPERATOR_TOKEN}` };
+        // eslint-disable-next-line no-await-in-loop -- the first VM that answers is enough
+        const answer = await fetch(`${operatorUrl}/status`, { headers }).catch(() => undefined);
+        if (answer === undefined || !answer.ok) continue;
+        // eslint-disable-next-line no-await-in-loop -- the first VM that answers is enough
+        const { shards } = (await answer.json()) as StatusShards;
+        const shard = shards.find(({ shardId }) => shardId.startsWith(`${plan.modelService}@`));
+        const index = entryVms.findIndex(({ vmId }) => vmId === shard?.owner);
+        if (index >= 0) return index;
+      }
+      throw new Error('no VM names an allocator');
     },
     kill: () => {
       for (const { process: running } of [...entryVms, ...engines, ...ledgers]) {
