--- a/packages/router/src/burn/burn-recorder.test.ts
+++ b/packages/router/src/burn/burn-recorder.test.ts
@@ -7,6 +7,7 @@
   recordRefused,
   type RequestTrace,
 } from '../journal/request-trace.js';
+import { makeMetrics } from '../metrics/metrics.js';
 import { buildBurnReport, recordTrace } from './burn-recorder.js';
 
 const START = Date.UTC(2026, 11, 4);
@@ -23,7 +24,8 @@
 
 function listCounts(traces: readonly RequestTrace[]): unknown {
   const state = makeBurnState(START, 10);
-  for (const trace of traces) recordTrace(state, trace);
+  const metrics = makeMetrics();
+  for (const trace of traces) recordTrace(state, metrics, trace);
   return buildBurnReport(state, 'vm-1', 95, START + 3_000).series[0]?.windows['1h'];
 }
 
--- a/packages/router/src/callers/caller-server.ts
+++ b/packages/router/src/callers/caller-server.ts
@@ -1,15 +1,21 @@
 /** HTTP interface for callers and for the platform's balancer. */
 
 import { randomUUID } from 'node:crypto';
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import { getResultCode, type Refusal, type RequestId } from '@tarragonspool/protocol';
 import { buildProblem, sendRefusal } from '../http/refusals.js';
 import type { RequestJournal } from '../journal/request-journal.js';
-import { makeRequestTrace, recordRefused, type RequestTrace } from '../journal/request-trace.js';
+import {
+  makeRequestTrace,
+  recordAnswered,
+  recordRefused,
+  type RequestTrace,
+} from '../journal/request-trace.js';
 import type { Logger } from '../logging/logger.js';
 import type { Metrics } from '../metrics/metrics.js';
 import { startTask, type Task } from '../tasks/tasks.js';
+import { makeServer, type TlsSource } from '../tls/make-server.js';
 import { refuse, runFilters, type Exchange, type Filter } from './exchange.js';
 
 /** Chains of filters by kind of path. */
@@ -22,14 +28,15 @@
 /** What the caller interface works with. */
 export type CallerServerParts = {
   readonly routes: CallerRoutes;
+  readonly tls?: TlsSource;
   readonly isReady: () => boolean;
+  readonly journal?: RequestJournal;
+  /** Hears of each request once it has ended. */
+  readonly onEnded?: (trace: RequestTrace) => void;
   /** While it is true, answers ask callers to close their connections. */
   readonly isLeaving: () => boolean;
   /** How long an idle connection is kept, in milliseconds. */
   readonly keepAliveMs: number;
-  readonly journal: RequestJournal;
-  /** Hears of each request once it has ended. */
-  readonly onEnded: (trace: RequestTrace) => void;
   readonly metrics: Metrics;
   readonly logger: Logger;
 };
@@ -94,9 +101,11 @@
     const { incoming, response, requestId } = exchange;
     const filters = findFilters(routes, incoming.method ?? 'GET', exchange.path);
     const verdict = yield* runFilters(filters, exchange);
-    exchange.trace.callerId = exchange.callerId;
-    if (verdict.kind === 'refuse') recordRefused(exchange.trace, verdict.refusal, Date.now());
-    parts.onEnded(exchange.trace);
+    const { trace } = exchange;
+    if (exchange.callerId !== undefined) trace.callerId = exchange.callerId;
+    if (verdict.kind === 'refuse') recordRefused(trace, verdict.refusal, Date.now());
+    else if (trace.endedAt === undefined) recordAnswered(trace, Date.now());
+    parts.onEnded?.(trace);
     if (verdict.kind !== 'refuse') return;
     const { refusal } = verdict;
     metrics.requests.inc({ kind: 'refused', result: refusal.name });
@@ -116,10 +125,10 @@
     }
     const requestId = makeRequestId(incoming);
     response.setHeader('x-request-id', requestId);
-    if (parts.isLeaving()) response.setHeader('connection', 'close');
     const arrivedAt = Date.now();
     const trace = makeRequestTrace(requestId, arrivedAt, path);
-    parts.journal.add(trace);
+    parts.journal?.add(trace);
+    if (parts.isLeaving()) response.setHeader('connection', 'close');
     const exchange: Exchange = {
       incoming,
       response,
@@ -140,14 +149,15 @@
         logger.error({ err: error, requestId }, 'callers: request failed');
         const refusal = { name: 'internal-error', ran: 'unknown', detail: 'see the log' } as const;
         recordRefused(trace, refusal, Date.now());
-        parts.onEnded(trace);
+        parts.onEnded?.(trace);
         sendRefusal(response, refusal, Date.now(), requestId);
         response.destroy();
       },
     );
   }
 
-  const server = createServer(
+  const server = makeServer(
+    parts.tls,
     {
       maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: HEADERS_TIMEOUT_MS,
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -22,9 +22,9 @@
 import { makeLedgerInbox, runClaimLedger } from './claims/claim-ledger.js';
 import { makeCancelInbox, runCancels, type CancelMessage } from './engines/cancel-task.js';
 import { runEnginePolls } from './engines/engine-poll-task.js';
+import { makeRequestJournal } from './journal/request-journal.js';
 import { runClaimSweep } from './claims/claim-sweep-task.js';
 import { makeInvariants } from './invariants/invariants.js';
-import { makeRequestJournal } from './journal/request-journal.js';
 import type { Logger } from './logging/logger.js';
 import {
   makeMembershipInbox,
@@ -46,6 +46,7 @@
 import { makeServiceFilters } from './services/service-filters.js';
 import { getKeepAliveMs, runGracefulStop } from './shutdown/graceful-stop.js';
 import type { Settings } from './settings/settings.js';
+import { findTlsFiles } from './settings/tls-settings.js';
 import { offer, startTask, type Task } from './tasks/tasks.js';
 import { startTicker } from './tasks/timers.js';
 import { runDirectory } from './upstreams/directory-task.js';
@@ -241,8 +242,9 @@
       models: [admit, authenticate, makeModelListFilter(directory, view)],
       service: [admit, authenticate, ...makeServiceFilters(serviceParts, readBody)],
     },
+    tls: { files: findTlsFiles(settings, 'caller'), logger },
     journal,
-    onEnded: (trace) => recordTrace(burn, trace),
+    onEnded: (trace) => recordTrace(burn, metrics, trace),
     isReady: () =>
       isRulesViewCurrent(view, Date.now()) && directory.entryVms.length > 0 && !isLeaving,
     isLeaving: () => isLeaving,
@@ -255,6 +257,7 @@
     journal,
     getBurn: () => buildBurnReport(burn, self.vmId, settings.burnTargetPercent, Date.now()),
     token: settings.operatorToken,
+    tls: { files: findTlsFiles(settings, 'operator'), logger },
     view,
     rulesInbox,
     metrics,
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -4,14 +4,15 @@
 import { Builtins, Cli, Command, Option } from 'clipanion';
 import { startDaemon } from './daemon.js';
 import { makeLogger } from './logging/logger.js';
+import { checkSettings } from './settings/check-settings.js';
 import {
-  checkSettings,
   listSettingNames,
   makeFlag,
   makeVariable,
   SETTINGS,
   type RawSettings,
 } from './settings/settings.js';
+import { checkTlsFiles } from './settings/tls-settings.js';
 
 const EXIT_USAGE = 64;
 const EXIT_BAD_SETTINGS = 78;
@@ -43,8 +44,9 @@
 
   async execute(): Promise<number | undefined> {
     const checked = checkSettings(this as unknown as RawSettings);
-    if (checked.kind === 'errors') {
-      for (const error of checked.errors) this.context.stderr.write(`8001 ${error}\n`);
+    const errors = checked.kind === 'errors' ? checked.errors : checkTlsFiles(checked.settings);
+    if (checked.kind === 'errors' || errors.length > 0) {
+      for (const error of errors) this.context.stderr.write(`8001 ${error}\n`);
       return EXIT_BAD_SETTINGS;
     }
     if (this.checkOnly) {
--- a/packages/router/src/operators/status.ts
+++ b/packages/router/src/operators/status.ts
@@ -24,7 +24,7 @@
   readonly rulesRevision: RuleRevision;
   readonly entryVms: readonly string[];
   readonly peers: readonly VmMember[];
-  /** Allocator of each shard, as this VM sees it. */
+  /** VM that this one asks for places of each shard. */
   readonly shards: readonly ShardOwner[];
   readonly engines: readonly UpstreamStatus[];
   readonly servers: readonly UpstreamStatus[];
@@ -74,6 +74,5 @@
     isLeaving: server.isLeaving,
   }));
   const entryVms = directory.entryVms.map(({ vmId }) => vmId);
-  const peers = members;
-  return { ...self, isLeaving, rulesRevision, entryVms, peers, shards, engines, servers };
+  return { ...self, isLeaving, rulesRevision, entryVms, peers: members, shards, engines, servers };
 }
--- a/packages/router/src/requests/model-request.ts
+++ b/packages/router/src/requests/model-request.ts
@@ -14,10 +14,10 @@
 import type { CancelInbox } from '../engines/cancel-task.js';
 import type { StopOrder } from '../engines/engine-client.js';
 import type { Invariants } from '../invariants/invariants.js';
+import type { RequestTrace } from '../journal/request-trace.js';
 import type { Metrics } from '../metrics/metrics.js';
 import type { Channel } from '../tasks/tasks.js';
 import type { Directory } from '../upstreams/directory.js';
-import type { RequestTrace } from '../journal/request-trace.js';
 import type { AnswerWriter } from './answer-writer.js';
 import type { ChatDeadlines, ChatRequest } from './chat-request.js';
 
--- a/packages/router/src/settings/value-schemas.ts
+++ b/packages/router/src/settings/value-schemas.ts
@@ -49,6 +49,13 @@
     `${HTTP_PREFIX} with an IPv4 number and a port, such as http://127.0.0.1:9000`,
   );
 
+const MAX_PATH_LENGTH = 4_096;
+
+/** A path of a file; empty for none. */
+export const filePathSchema = z
+  .string()
+  .max(MAX_PATH_LENGTH, `at most ${MAX_PATH_LENGTH} characters`);
+
 const SECRET_EXPECTED = `${MIN_SECRET_LENGTH} to ${MAX_SECRET_LENGTH} visible characters without commas`;
 
 /** One shared secret or token. */
--- a/packages/stand-ins/src/harness/deployment.ts
+++ b/packages/stand-ins/src/harness/deployment.ts
@@ -72,7 +72,7 @@
   ) => Promise<{ readonly code: number | null; readonly output: string }>;
   /** Stops everything; resolves with the names of processes that did not end well. */
   readonly stop: () => Promise<string[]>;
-  /** Index of the entry VM whose allocator serves the model service. */
+  /** Index of the entry VM whose allocator serves the model service while all are live. */
   readonly findAllocatorVm: () => Promise<number>;
   /** Ends every process at once. */
   readonly kill: () => void;
