--- a/packages/router/src/requests/answer-writer.ts
+++ b/packages/router/src/requests/answer-writer.ts
@@ -42,30 +42,28 @@
   };
   const prefix = JSON.stringify(common).slice(0, -1);
 
-  function writeChunk(delta: string, finishReason: string): void {
-    response.write(
-      `data: ${prefix},"choices":[{"index":0,"delta":${delta},"finish_reason":${finishReason}}]}\n\n`,
-    );
+  function renderChunk(delta: string, finishReason: string): string {
+    return `data: ${prefix},"choices":[{"index":0,"delta":${delta},"finish_reason":${finishReason}}]}\n\n`;
   }
 
-  function writeHead(): void {
-    if (response.headersSent) return;
+  /** Starts the answer with its first write; each write is one system call. */
+  function renderHead(): string {
+    if (response.headersSent) return '';
     response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' });
-    writeChunk('{"role":"assistant","content":""}', 'null');
+    return renderChunk('{"role":"assistant","content":""}', 'null');
   }
 
   return {
     writeToken(text) {
-      writeHead();
-      writeChunk(`{"content":${JSON.stringify(text)}}`, 'null');
+      response.write(renderHead() + renderChunk(`{"content":${JSON.stringify(text)}}`, 'null'));
       return response.writableLength <= MAX_UNREAD_BYTES;
     },
     finish(finishReason, tokens) {
-      writeHead();
-      writeChunk('{}', JSON.stringify(finishReason));
+      const head = renderHead();
+      const last = renderChunk('{}', JSON.stringify(finishReason));
       const usage = buildUsage(heading.promptTokens, tokens);
-      response.write(`data: ${JSON.stringify({ ...common, choices: [], usage })}\n\n`);
-      response.end('data: [DONE]\n\n');
+      const total = `data: ${JSON.stringify({ ...common, choices: [], usage })}\n\n`;
+      response.end(`${head}${last}${total}data: [DONE]\n\n`);
     },
     fail(refusal) {
       if (!response.headersSent) {
--- a/packages/router/src/services/service-call.ts
+++ b/packages/router/src/services/service-call.ts
@@ -1,7 +1,6 @@
 /** Passes a call to a server of a plain service. */
 
 import { request, type Agent, type ClientRequest, type IncomingMessage } from 'node:http';
-import { pipeline } from 'node:stream';
 import type { Exchange } from '../callers/exchange.js';
 import type { ServerEntry } from '../upstreams/directory.js';
 
@@ -103,11 +102,16 @@
   return new Promise((resolve) => {
     outgoing.on('response', (answer) => {
       response.writeHead(answer.statusCode ?? 502, copyHeaders(answer));
-      pipeline(answer, response, () => resolve(undefined));
+      // Not `pipeline`: its abort signal costs as much as the rest of the call.
+      answer.pipe(response);
+      answer.on('error', () => response.destroy());
     });
     outgoing.on('error', (error) => resolve(error.message));
     scheduleTimeout(outgoing, deadline);
-    response.on('close', () => outgoing.destroy());
+    response.on('close', () => {
+      outgoing.destroy();
+      resolve(undefined);
+    });
     incoming.pipe(outgoing);
   });
 }
