--- a/packages/router/src/allocation/allocation-task.ts
+++ b/packages/router/src/allocation/allocation-task.ts
@@ -31,13 +31,14 @@
 import type { Logger } from '../logging/logger.js';
 import { offer, receive, type Channel, type Task } from '../tasks/tasks.js';
 import type { AllocationInbox, AllocationMessage } from './allocation-messages.js';
-import { makeAllocatorEvent, makeAskerMessage } from './asker-messages.js';
 import {
+  isAnswered,
+  makeAllocatorOptions,
   makeAllocators,
-  type AllocatorOptionsByScope,
   type Allocators,
   type ScopedAction,
 } from './allocators.js';
+import { makeAllocatorEvent, makeAskerMessage, parsePeerMessage } from './asker-messages.js';
 
 /** What the allocation task works with. */
 export type AllocationParts = {
@@ -53,20 +54,6 @@
 };
 
 const SWEEP_CANCEL_MS = 5_000;
-const RADIX = 36;
-
-/** Makes the options; ids of reservations start with the VM and its incarnation. */
-function makeOptions(parts: AllocationParts): AllocatorOptionsByScope {
-  const { vmId, incarnation, policy, objective } = parts;
-  const name = `${vmId}.${incarnation.toString(RADIX)}`;
-  const common = { objective, seed: incarnation };
-  const privatePolicy = policy === 'ours' ? 'two-choices' : policy;
-  return {
-    shared: { ...common, policy, vmId: `${name}.s` as VmId },
-    private: { ...common, policy: privatePolicy, vmId: `${name}.p` as VmId },
-  };
-}
-
 /** A shard and the VM that owns it, as this VM sees it. */
 export type ShardOwner = { readonly shardId: ShardId; readonly owner: VmId | undefined };
 
@@ -88,7 +75,7 @@
 /** Makes the allocation task. */
 export function makeAllocation(parts: AllocationParts): Allocation {
   const { vmId: self, sendTo } = parts;
-  const allocators = makeAllocators(makeOptions(parts));
+  const allocators = makeAllocators(makeAllocatorOptions(parts));
   const asker = makeAskerState(parts.policy === 'ours');
   const inboxes = new Map<AttemptId, Channel<RequestEvent>>();
   const endedIncarnations = new Map<VmId, Incarnation>();
@@ -164,14 +151,6 @@
     }
   }
 
-  function isAnswered(actions: readonly ScopedAction[], attemptId: AttemptId): boolean {
-    for (const { action } of actions) {
-      if (action.kind === 'grant' && action.ask.attemptId === attemptId) return true;
-      if (action.kind === 'refuse' && action.attemptId === attemptId) return true;
-    }
-    return false;
-  }
-
   /** Lets a shared allocator decide on an ask, and tells the VM that asked if it has to wait. */
   function decideAsk(shardId: ShardId, ask: ReservationAsk, now: number): void {
     const actions = allocators.handleEvent('shared', shardId, { kind: 'asked', ask, now });
@@ -211,34 +190,19 @@
   function handlePeer(message: Extract<AllocationMessage, { kind: 'peer-said' }>): void {
     const { vmId, now } = message;
     const from: Granter = { kind: 'vm', vmId };
-    const said = message.message;
-    switch (said.kind) {
+    const heard = parsePeerMessage(from, message.message, now);
+    switch (heard.kind) {
       case 'ask':
-        decideAsk(said.shardId, { ...said.ask, vmId }, now);
+        decideAsk(heard.shardId, { ...heard.ask, vmId }, now);
         return;
-      case 'grant':
-        addAskerEvent({ kind: 'granted', from, shardId: said.shardId, grant: said.grant, now });
-        return;
-      case 'refuse':
-        addAskerEvent({ ...said, kind: 'refused', from, now });
-        return;
-      case 'queued':
-        addAskerEvent({ kind: 'queued', from, attemptId: said.attemptId, now });
-        return;
-      case 'withdraw':
-        runLocal(from, said.shardId, { kind: 'withdrawn', attemptId: said.attemptId, now });
-        return;
-      case 'progress':
-        runLocal(from, said.shardId, { kind: 'progressed', items: said.items, now });
-        return;
-      case 'end':
-        runLocal(from, said.shardId, { kind: 'attempt-ended', items: said.items, now });
+      case 'asker-event':
+        addAskerEvent(heard.event);
         return;
-      case 'held':
-        runLocal(from, said.shardId, { kind: 'held-announced', items: said.items, now });
+      case 'allocator-event':
+        runLocal(from, heard.shardId, heard.event);
         return;
       default:
-        assertNever(said);
+        assertNever(heard);
     }
   }
 
--- a/packages/router/src/allocation/allocators.ts
+++ b/packages/router/src/allocation/allocators.ts
@@ -3,6 +3,8 @@
 import {
   handleAllocatorEvent,
   makeAllocatorState,
+  type AllocationObjective,
+  type AllocationPolicy,
   type AllocatorAction,
   type AllocatorEvent,
   type AllocatorOptions,
@@ -11,7 +13,7 @@
   type ShardEngine,
   type ShardMap,
 } from '@tarragonspool/core';
-import type { ShardId, UpstreamId } from '@tarragonspool/protocol';
+import type { AttemptId, Incarnation, ShardId, UpstreamId, VmId } from '@tarragonspool/protocol';
 import type { EngineReport } from './allocation-messages.js';
 
 /** Whether an allocator serves every entry VM or this one only. */
@@ -57,11 +59,41 @@
   readonly listPolled: (now: number) => ReadonlyMap<UpstreamId, AllocatorScope>;
 };
 
-const IDLE_MS = 5_000;
+/** The private allocator's engines are polled until it was unused for this long. */
+const POLL_IDLE_MS = 5_000;
+/** Longer than asks wait: an allocator that is dropped forgets those that wait. */
+const REMOVE_IDLE_MS = 60_000;
+const RADIX = 36;
 
 /** Options of the allocators of each scope. */
 export type AllocatorOptionsByScope = Readonly<Record<AllocatorScope, AllocatorOptions>>;
 
+/** Makes the options; ids of reservations start with the VM and its incarnation. */
+export function makeAllocatorOptions(parts: {
+  readonly vmId: VmId;
+  readonly incarnation: Incarnation;
+  readonly policy: AllocationPolicy;
+  readonly objective: AllocationObjective;
+}): AllocatorOptionsByScope {
+  const { vmId, incarnation, policy, objective } = parts;
+  const name = `${vmId}.${incarnation.toString(RADIX)}`;
+  const common = { objective, seed: incarnation };
+  const privatePolicy = policy === 'ours' ? 'two-choices' : policy;
+  return {
+    shared: { ...common, policy, vmId: `${name}.s` as VmId },
+    private: { ...common, policy: privatePolicy, vmId: `${name}.p` as VmId },
+  };
+}
+
+/** Whether one of the actions answers the ask of an attempt. */
+export function isAnswered(actions: readonly ScopedAction[], attemptId: AttemptId): boolean {
+  for (const { action } of actions) {
+    if (action.kind === 'grant' && action.ask.attemptId === attemptId) return true;
+    if (action.kind === 'refuse' && action.attemptId === attemptId) return true;
+  }
+  return false;
+}
+
 function makeKey(scope: AllocatorScope, shardId: ShardId): string {
   return `${scope}|${shardId}`;
 }
@@ -130,13 +162,13 @@
     removeIdle: (isOwned, now) => {
       for (const [key, { scope, shardId, usedAt }] of running) {
         if (scope === 'private' || isOwned(shardId)) continue;
-        if (now - usedAt >= IDLE_MS) running.delete(key);
+        if (now - usedAt >= REMOVE_IDLE_MS) running.delete(key);
       }
     },
     listPolled: (now) => {
       const polled = new Map<UpstreamId, AllocatorScope>();
       for (const { scope, shardId, usedAt } of running.values()) {
-        const isIdle = scope === 'private' && now - usedAt >= IDLE_MS;
+        const isIdle = scope === 'private' && now - usedAt >= POLL_IDLE_MS;
         if (isIdle) continue;
         for (const upstreamId of knownShards.get(shardId)?.engines ?? []) {
           if (polled.get(upstreamId) !== 'shared') polled.set(upstreamId, scope);
--- a/packages/router/src/allocation/asker-messages.ts
+++ b/packages/router/src/allocation/asker-messages.ts
@@ -1,7 +1,13 @@
-/** Turns what the asker sends into a message to a peer or an event of a local allocator. */
+/** Turns what askers and allocators say to each other into messages of peers and back. */
 
-import type { AllocatorEvent, AskerAction } from '@tarragonspool/core';
-import { assertNever, type PeerMessage } from '@tarragonspool/protocol';
+import type { AllocatorEvent, AskerAction, AskerEvent, Granter } from '@tarragonspool/core';
+import {
+  assertNever,
+  type PeerMessage,
+  type ReservationAsk,
+  type ShardId,
+} from '@tarragonspool/protocol';
+import type { AllocationPeerMessage } from './allocation-messages.js';
 
 /** An action that goes to an allocator. */
 export type AskerSend = Exclude<AskerAction, { kind: 'answer-granted' | 'answer-refused' }>;
@@ -42,3 +48,45 @@
       return assertNever(action);
   }
 }
+
+/** What a peer said, as it concerns this VM's asker or its allocators. */
+export type HeardMessage =
+  | { readonly kind: 'ask'; readonly shardId: ShardId; readonly ask: ReservationAsk }
+  | { readonly kind: 'asker-event'; readonly event: AskerEvent }
+  | {
+      readonly kind: 'allocator-event';
+      readonly shardId: ShardId;
+      readonly event: AllocatorEvent;
+    };
+
+function makeHeard(shardId: ShardId, event: AllocatorEvent): HeardMessage {
+  return { kind: 'allocator-event', shardId, event };
+}
+
+/** Finds out whom a peer's message concerns. */
+export function parsePeerMessage(
+  from: Granter,
+  said: AllocationPeerMessage,
+  now: number,
+): HeardMessage {
+  switch (said.kind) {
+    case 'ask':
+      return said;
+    case 'grant':
+      return { kind: 'asker-event', event: { ...said, kind: 'granted', from, now } };
+    case 'refuse':
+      return { kind: 'asker-event', event: { ...said, kind: 'refused', from, now } };
+    case 'queued':
+      return { kind: 'asker-event', event: { ...said, from, now } };
+    case 'withdraw':
+      return makeHeard(said.shardId, { kind: 'withdrawn', attemptId: said.attemptId, now });
+    case 'progress':
+      return makeHeard(said.shardId, { kind: 'progressed', items: said.items, now });
+    case 'end':
+      return makeHeard(said.shardId, { kind: 'attempt-ended', items: said.items, now });
+    case 'held':
+      return makeHeard(said.shardId, { kind: 'held-announced', items: said.items, now });
+    default:
+      return assertNever(said);
+  }
+}
