Replace late prefills and stalled streams when the allocator agrees

Cause: the request judged a stall by its own gaps only, waited at least 300 ms and never left a late prefill before a second had passed. The allocator sees the whole pool. A request now follows adviseRecovery: it asks with movesFrom, goes on meanwhile, and leaves the engine once granted. Grants are counted for the bound on tries, not asks, so refused moves cost nothing.

--- a/packages/core/src/requests/request-machine.fuzz.test.ts
+++ b/packages/core/src/requests/request-machine.fuzz.test.ts
@@ -29,7 +29,7 @@
   decoding: string;
 };
 
-const MAX_TICKS = 500;
+const MAX_TICKS = 2_000;
 const CHAOS_KINDS = 12;
 
 /** Kind of the event that each phase waits for, as `makeEvent` numbers them. */
@@ -170,6 +170,8 @@
           promptTokens: 9,
           answerDeadline: 8_000,
           lastDeadline: 38_000,
+          maxTokens: 100,
+          objective: 'tail',
           budget: makeRetryBudget(),
         },
         now,
--- a/packages/core/src/requests/request-machine.test.ts
+++ b/packages/core/src/requests/request-machine.test.ts
@@ -23,6 +23,8 @@
       promptTokens: 1_000,
       answerDeadline: 10_000,
       lastDeadline: 20_000,
+      maxTokens: 100,
+      objective: 'tail',
       budget: makeRetryBudget(),
     },
     0,
@@ -219,10 +221,38 @@
   const refusal = { name: 'no-upstream', ran: 'not-run', detail: '' } as const;
   send(run, { kind: 'refused', attemptId: 'r.2' as AttemptId, refusal, now: run.now });
   expect(run.actions).to.deep.equal([
-    { kind: 'ask', attemptId: 'r.3', excluded: [], resumeFrom: undefined },
+    { kind: 'ask', attemptId: 'r.3', excluded: [], resumeFrom: undefined, movesFrom: undefined },
   ]);
 });
 
+it('requests: a late prefill is replaced once other places are granted', () => {
+  const run = startRun();
+  grant(run, 1);
+  while (run.actions.length === 0 || run.actions[0]?.kind === 'start-prefill') {
+    send(run, { kind: 'ticked', now: getNextTick(run.state) });
+  }
+  expect(run.actions).to.deep.equal([
+    { kind: 'ask', attemptId: 'r.2', excluded: ['p1'], resumeFrom: undefined, movesFrom: 'r.1' },
+  ]);
+  grant(run, 2, 'p2 d2');
+  expect(show(run)).to.deep.equal([
+    'abandoned 1000',
+    'cancel p1 r.1',
+    'end r.1 cancelled',
+    'start-prefill',
+  ]);
+});
+
+it('requests: a late prefill that ends first is used, and the ask withdrawn', () => {
+  const run = startRun();
+  grant(run, 1);
+  while (run.state.rescueId === undefined) {
+    send(run, { kind: 'ticked', now: getNextTick(run.state) });
+  }
+  finishPrefill(run, 1);
+  expect(show(run)).to.deep.equal(['withdraw r.2', 'decode d1 from p1 at 0']);
+});
+
 it('requests: a stalled stream that moves again stays', () => {
   const run = startDecoding();
   sendToken(run, 1, 0);
--- a/packages/core/src/requests/request-machine.ts
+++ b/packages/core/src/requests/request-machine.ts
@@ -11,8 +11,9 @@
   type ReservationGrant,
 } from '@tarragonspool/protocol';
 import {
-  askAgain,
-  askWithoutExclusions,
+  retryAsk,
+  retryWithoutExclusions,
+  cancelPrefill,
   failRequest,
   isRetryable,
   retryDecode,
@@ -31,30 +32,38 @@
   type RequestState,
 } from './request-state.js';
 import { addAnswer } from './retry-budget.js';
-import { findImportStall, findPrefillStall, findTokenStall, updateGap } from './stall-rule.js';
+import {
+  findImportStall,
+  findNextCheck,
+  findPrefillCheck,
+  findPrefillStall,
+  findTokenCheck,
+} from './stall-rule.js';
+import { adviseRecovery, type AttemptView } from '../allocation/recovery.js';
 
 const KV_LIFE_MS = 800;
 const MAX_LATE_GRANTS = 3;
-const MAX_RESCUES = 4;
-const RESCUE_RETRY_MS = 500;
+const MAX_GRANTS_BEFORE_RESCUE = 4;
 
 /** Starts the request by asking for places. */
 export function startRequest(state: RequestState): RequestAction[] {
   const { attemptId } = state;
-  return [{ kind: 'ask', attemptId, excluded: [], resumeFrom: undefined }];
+  return [{ kind: 'ask', attemptId, excluded: [], resumeFrom: undefined, movesFrom: undefined }];
 }
 
 function startPrefill(state: RequestState, grant: ReservationGrant, now: number): RequestAction[] {
   state.dispatches += 1;
   state.holds.push({ upstreamId: grant.prefill, attemptId: state.attemptId });
-  setPhase(state, 'prefilling', now, findPrefillStall(grant, now));
+  state.grants += 1;
+  setPhase(state, 'prefilling', now, findPrefillCheck(grant, now));
   return [{ kind: 'start-prefill', grant }];
 }
 
 function startDecode(state: RequestState, grant: ReservationGrant, now: number): RequestAction[] {
   const { source } = state;
-  if (source === undefined) return askAgain(state, now);
+  if (source === undefined) return retryAsk(state, now);
   state.dispatches += 1;
+  if (state.phase !== 'prefilling') state.grants += 1;
   state.sourceTries += 1;
   state.holds.push({ upstreamId: grant.decode, attemptId: state.attemptId });
   setPhase(state, 'importing', now, findImportStall(grant, now));
@@ -62,18 +71,28 @@
 }
 
 /** Gives back a grant that came too late and asks again, a few times. */
-function returnLateGrant(state: RequestState, now: number): RequestAction[] {
+function releaseLateGrant(state: RequestState, now: number): RequestAction[] {
   state.lateGrants += 1;
   const actions = endAttempt(state, 'unused', now);
-  if (state.lateGrants < MAX_LATE_GRANTS) return [...actions, ...askAgain(state, now)];
+  if (state.lateGrants < MAX_LATE_GRANTS) return [...actions, ...retryAsk(state, now)];
   const detail = 'grants came too late';
   return [...actions, ...failRequest(state, 'reservation-lost', detail, now)];
 }
 
+/** Starts the prefill of a grant when it may start. */
+function usePrefillGrant(
+  state: RequestState,
+  grant: ReservationGrant,
+  now: number,
+): RequestAction[] {
+  if (now >= grant.prefillAt) return startPrefill(state, grant, now);
+  setPhase(state, 'holding', now);
+  return [];
+}
+
 /** Moves a stalled stream: the new engine imports from the one that stands still. */
-function startRescue(state: RequestState, grant: ReservationGrant, now: number): RequestAction[] {
+function moveStream(state: RequestState, grant: ReservationGrant, now: number): RequestAction[] {
   const { grant: stalled, attemptId } = state;
-  state.rescueId = undefined;
   if (stalled === undefined) return [];
   state.moved = { grant: stalled, attemptId };
   state.source = { upstreamId: stalled.decode, attemptId, expiresAt: Infinity };
@@ -84,24 +103,35 @@
   return startDecode(state, grant, now);
 }
 
+/** Replaces an attempt that does not come on. */
+function startRescue(state: RequestState, grant: ReservationGrant, now: number): RequestAction[] {
+  state.rescueId = undefined;
+  if (now > grant.startDeadline) return [{ kind: 'withdraw', attemptId: grant.attemptId }];
+  if (state.phase === 'prefilling') {
+    const actions = cancelPrefill(state, now);
+    state.attemptId = grant.attemptId;
+    state.grant = grant;
+    return [...actions, ...usePrefillGrant(state, grant, now)];
+  }
+  return moveStream(state, grant, now);
+}
+
 function handleGranted(state: RequestState, grant: ReservationGrant, now: number): RequestAction[] {
   if (grant.attemptId === state.rescueId) return startRescue(state, grant, now);
   if (state.phase !== 'asking' || grant.attemptId !== state.attemptId) return [];
   state.grant = grant;
-  if (now > grant.startDeadline) return returnLateGrant(state, now);
+  if (now > grant.startDeadline) return releaseLateGrant(state, now);
   if (state.source !== undefined) {
     if (now < state.source.expiresAt) return startDecode(state, grant, now);
     return [...endAttempt(state, 'unused', now), ...retryDecode(state, 'the cache lapsed', now)];
   }
-  if (now >= grant.prefillAt) return startPrefill(state, grant, now);
-  setPhase(state, 'holding', now);
-  return [];
+  return usePrefillGrant(state, grant, now);
 }
 
 function handleRefused(state: RequestState, refusal: Refusal, now: number): RequestAction[] {
   if (state.source !== undefined) return retryDecode(state, 'no engine takes the cache', now);
   const isAlone = refusal.name === 'no-upstream' && state.excluded.length > 0;
-  if (isAlone && !state.hasClearedExcluded) return askWithoutExclusions(state, now);
+  if (isAlone && !state.hasClearedExcluded) return retryWithoutExclusions(state, now);
   if (state.nextIndex > 0) return failRequest(state, 'stream-interrupted', refusal.detail, now);
   const actions = cancelAllHolds(state);
   setPhase(state, 'ended', now);
@@ -109,6 +139,13 @@
   return [...actions, { kind: 'fail', refusal: { ...refusal, ran } }];
 }
 
+function cancelRescue(state: RequestState): RequestAction[] {
+  const { rescueId } = state;
+  if (rescueId === undefined) return [];
+  state.rescueId = undefined;
+  return [{ kind: 'withdraw', attemptId: rescueId }];
+}
+
 function handlePrefilled(
   state: RequestState,
   event: Extract<RequestEvent, { kind: 'prefilled' }>,
@@ -123,7 +160,7 @@
   state.openPrefillTokens = Math.max(0, result.promptTokens - result.cachedTokens);
   state.source = { upstreamId: grant.prefill, attemptId, expiresAt: now + KV_LIFE_MS };
   state.sourceTries = 0;
-  return startDecode(state, grant, now);
+  return [...cancelRescue(state), ...startDecode(state, grant, now)];
 }
 
 /** Counts the prefill behind an import; a second one for the same request was redone work. */
@@ -142,7 +179,7 @@
   state.hasRun = true;
   state.importMs = now - state.phaseStartedAt;
   state.source = undefined;
-  setPhase(state, 'decoding', now, findTokenStall(state.gapMs, now));
+  setPhase(state, 'decoding', now, findTokenCheck(now));
   state.lastTokenAt = now;
   const actions = countImportedPrefill(state);
   if (source === undefined) return actions;
@@ -155,26 +192,18 @@
   return actions;
 }
 
-function withdrawRescue(state: RequestState): RequestAction[] {
-  const { rescueId } = state;
-  if (rescueId === undefined) return [];
-  state.rescueId = undefined;
-  return [{ kind: 'withdraw', attemptId: rescueId }];
-}
-
 function handleToken(
   state: RequestState,
   frame: Extract<DecodeFrame, { kind: 'token' }>,
   now: number,
 ): RequestAction[] {
-  const actions = [...handleImported(state, now), ...withdrawRescue(state)];
+  const actions = [...handleImported(state, now), ...cancelRescue(state)];
   if (frame.index < state.nextIndex) return actions;
   if (frame.index > state.nextIndex) {
     return [...actions, ...retryDecode(state, 'a token is missing', now)];
   }
-  if (state.nextIndex > 0) state.gapMs = updateGap(state.gapMs, now - state.lastTokenAt);
   state.lastTokenAt = now;
-  state.stallAt = findTokenStall(state.gapMs, now);
+  state.stallAt = findTokenCheck(now);
   state.nextIndex += 1;
   const { attemptId, index, text } = frame;
   return [...actions, { kind: 'write-token', attemptId, index, text }];
@@ -190,7 +219,7 @@
   const { grant, attemptId } = state;
   if (grant !== undefined) removeHold(state, grant.decode, attemptId);
   const actions = [
-    ...withdrawRescue(state),
+    ...cancelRescue(state),
     ...cancelAllHolds(state),
     ...endAttempt(state, 'answered', now),
   ];
@@ -243,28 +272,49 @@
   return retryDecode(state, detail, now);
 }
 
-/** Asks for another decode engine while the stream stands still; it goes on if it moves again. */
-function askForRescue(state: RequestState, now: number): RequestAction[] {
-  state.stallAt = now + RESCUE_RETRY_MS;
-  if (state.rescueId !== undefined || state.attempt >= MAX_RESCUES) return [];
-  if (state.grant === undefined) return [];
+/** Asks for other places while the attempt goes on; it stays if it comes on again first. */
+function startRescueAsk(state: RequestState, now: number): RequestAction[] {
+  const { grant, attemptId: movesFrom, phase } = state;
+  if (grant === undefined || state.rescueId !== undefined) return [];
+  if (state.grants >= MAX_GRANTS_BEFORE_RESCUE) return [];
   state.rescueId = takeAttemptId(state);
-  const resumeFrom = state.grant.decode;
-  const excluded = [...state.excluded, resumeFrom];
-  return [{ kind: 'ask', attemptId: state.rescueId, excluded, resumeFrom }];
+  state.rescueAskedAt = now;
+  const attemptId = state.rescueId;
+  const resumeFrom = phase === 'decoding' ? grant.decode : undefined;
+  const excluded = [...state.excluded, resumeFrom ?? grant.prefill];
+  return [{ kind: 'ask', attemptId, excluded, resumeFrom, movesFrom }];
+}
+
+function checkRecovery(
+  state: RequestState,
+  stage: AttemptView['stage'],
+  now: number,
+): RequestAction[] {
+  const { grant, promptTokens, maxTokens, nextIndex: tokens, rescueAskedAt: askedAt } = state;
+  if (grant === undefined) return [];
+  state.stallAt = findNextCheck(now);
+  const movedAt = stage === 'decode' ? state.lastTokenAt : state.phaseStartedAt;
+  const view = { grant, stage, promptTokens, maxTokens, tokens, movedAt, askedAt };
+  const advice = adviseRecovery(view, state.objective, now);
+  return advice === 'wait' ? [] : startRescueAsk(state, now);
 }
 
 function handleStall(state: RequestState, now: number): RequestAction[] {
-  if (state.phase === 'decoding') return askForRescue(state, now);
-  if (!isRetryable(state, now)) {
-    state.stallAt = now + RESCUE_RETRY_MS;
-    return [];
-  }
   switch (state.phase) {
-    case 'prefilling':
-      return retryPrefill(state, 'the prefill stalled', now);
+    case 'prefilling': {
+      const { grant, phaseStartedAt } = state;
+      const isDead = grant !== undefined && now >= findPrefillStall(grant, phaseStartedAt);
+      if (isDead && isRetryable(state, now)) {
+        return retryPrefill(state, 'the prefill stalled', now);
+      }
+      return checkRecovery(state, 'prefill', now);
+    }
     case 'importing':
-      return retryDecode(state, 'the transfer stalled', now);
+      if (isRetryable(state, now)) return retryDecode(state, 'the transfer stalled', now);
+      state.stallAt = findNextCheck(now);
+      return [];
+    case 'decoding':
+      return checkRecovery(state, 'decode', now);
     default:
       return [];
   }
@@ -281,7 +331,7 @@
   }
   const { grant, source } = state;
   if (state.phase === 'holding' && grant !== undefined) {
-    if (now > grant.startDeadline) return returnLateGrant(state, now);
+    if (now > grant.startDeadline) return releaseLateGrant(state, now);
     return now >= grant.prefillAt ? startPrefill(state, grant, now) : [];
   }
   if (state.phase === 'asking' && source !== undefined && now >= source.expiresAt) {
--- a/packages/core/src/requests/request-messages.ts
+++ b/packages/core/src/requests/request-messages.ts
@@ -70,6 +70,8 @@
       readonly excluded: readonly UpstreamId[];
       /** Engine whose KV cache makes a prefill needless. */
       readonly resumeFrom: UpstreamId | undefined;
+      /** Live attempt that the new one is to replace. */
+      readonly movesFrom: AttemptId | undefined;
     }
   /** Takes back an ask, or its grant where the answer is on its way. */
   | { readonly kind: 'withdraw'; readonly attemptId: AttemptId }
--- a/packages/core/src/requests/request-recovery.ts
+++ b/packages/core/src/requests/request-recovery.ts
@@ -15,7 +15,7 @@
 } from './request-state.js';
 import { takeRetry } from './retry-budget.js';
 
-const MAX_ATTEMPTS = 6;
+const MAX_GRANTS = 6;
 const MAX_SOURCE_TRIES = 3;
 
 function findOutcome(state: RequestState, name: ResultName): AttemptEnd['outcome'] {
@@ -36,7 +36,7 @@
   return [{ kind: 'count-prefill', fate: 'abandoned', tokens: state.promptTokens }];
 }
 
-function withdrawAsks(state: RequestState): RequestAction[] {
+function cancelAsks(state: RequestState): RequestAction[] {
   const actions: RequestAction[] = [];
   if (state.rescueId !== undefined) actions.push({ kind: 'withdraw', attemptId: state.rescueId });
   state.rescueId = undefined;
@@ -53,7 +53,7 @@
 ): RequestAction[] {
   const ran = getRanState(state);
   const actions = [
-    ...withdrawAsks(state),
+    ...cancelAsks(state),
     ...countAbandoned(state),
     ...countWaste(state),
     ...cancelAllHolds(state),
@@ -70,12 +70,13 @@
 }
 
 /** Asks for places under a new attempt; the KV cache in `source`, if any, is to be used. */
-export function askAgain(state: RequestState, now: number): RequestAction[] {
+export function retryAsk(state: RequestState, now: number): RequestAction[] {
   state.attemptId = takeAttemptId(state);
   setPhase(state, 'asking', now);
   const { attemptId, source } = state;
   const excluded = [...state.excluded];
-  return [{ kind: 'ask', attemptId, excluded, resumeFrom: source?.upstreamId }];
+  const resumeFrom = source?.upstreamId;
+  return [{ kind: 'ask', attemptId, excluded, resumeFrom, movesFrom: undefined }];
 }
 
 function isSourceUsable(state: RequestState, now: number): boolean {
@@ -88,7 +89,7 @@
 function isRetryLeft(state: RequestState, now: number): boolean {
   // An answer that the caller has in part is worth finishing late; one that has not begun is not.
   const deadline = state.nextIndex > 0 ? state.lastDeadline : state.answerDeadline;
-  return state.attempt < MAX_ATTEMPTS && now < deadline;
+  return state.grants < MAX_GRANTS && now < deadline;
 }
 
 /** Whether leaving a stalled engine would be followed by another try. */
@@ -110,7 +111,7 @@
   }
   const actions = [...countWaste(state), ...cancelAllHolds(state), ...endMoved(state)];
   state.source = undefined;
-  return [...actions, ...askAgain(state, now)];
+  return [...actions, ...retryAsk(state, now)];
 }
 
 /** Leaves the engines of an attempt whose prefill failed and starts over. */
@@ -123,6 +124,7 @@
   const { grant } = state;
   if (grant !== undefined) state.excluded.push(grant.prefill);
   const actions = [
+    ...cancelAsks(state),
     ...(isUnstarted ? [] : countAbandoned(state)),
     ...cancelAllHolds(state),
     ...endAttempt(state, 'prefill-failed', now),
@@ -130,17 +132,29 @@
   return [...actions, ...startOver(state, detail, now, isUnstarted)];
 }
 
+/** Leaves a prefill that does not come on for the places of another grant. */
+export function cancelPrefill(state: RequestState, now: number): RequestAction[] {
+  const { grant, attemptId } = state;
+  if (grant === undefined) return [];
+  state.excluded.push(grant.prefill);
+  return [
+    ...countAbandoned(state),
+    ...cancelHold(state, grant.prefill, attemptId),
+    ...endAttempt(state, 'cancelled', now),
+  ];
+}
+
 /** Asks once more without exclusions where no other engine is left. */
-export function askWithoutExclusions(state: RequestState, now: number): RequestAction[] {
+export function retryWithoutExclusions(state: RequestState, now: number): RequestAction[] {
   state.hasClearedExcluded = true;
   state.excluded = [];
-  return askAgain(state, now);
+  return retryAsk(state, now);
 }
 
 /** Leaves the decode engine; uses the KV cache elsewhere while it lives, else starts over. */
 export function retryDecode(state: RequestState, detail: string, now: number): RequestAction[] {
   const { grant, attemptId, phase } = state;
-  const actions = withdrawAsks(state);
+  const actions = cancelAsks(state);
   if (grant !== undefined) {
     const isSourceAtFault = phase === 'importing' && state.moved !== undefined;
     if (!isSourceAtFault) state.excluded.push(grant.decode);
@@ -148,6 +162,6 @@
     actions.push(...endAttempt(state, 'decode-failed', now));
   }
   const isReused = phase === 'importing' && isSourceUsable(state, now) && isRetryLeft(state, now);
-  if (isReused) return [...actions, ...askAgain(state, now)];
+  if (isReused) return [...actions, ...retryAsk(state, now)];
   return [...actions, ...startOver(state, detail, now)];
 }
--- a/packages/core/src/requests/request-state.ts
+++ b/packages/core/src/requests/request-state.ts
@@ -8,6 +8,7 @@
   ReservationGrant,
   UpstreamId,
 } from '@tarragonspool/protocol';
+import type { AllocationObjective } from '../allocation/allocator-events.js';
 import type { KvLocation, RequestAction } from './request-messages.js';
 import type { RetryBudget } from './retry-budget.js';
 
@@ -22,14 +23,19 @@
   readonly answerDeadline: number;
   /** When an answer under way is given up. */
   readonly lastDeadline: number;
+  readonly maxTokens: number;
+  readonly objective: AllocationObjective;
   readonly budget: RetryBudget;
   /** `holding` waits for the time at which the grant lets the prefill start. */
   phase: 'asking' | 'holding' | 'prefilling' | 'importing' | 'decoding' | 'ended';
   attempt: number;
+  /** Grants that were used. */
+  grants: number;
   attemptId: AttemptId;
   grant: ReservationGrant | undefined;
-  /** Ask for another decode engine while the stream stands still. */
+  /** Ask for other places while an engine does not come on. */
   rescueId: AttemptId | undefined;
+  rescueAskedAt: number;
   /** Attempt whose stream is being moved; its engine holds the KV cache until the import. */
   moved: { readonly grant: ReservationGrant; readonly attemptId: AttemptId } | undefined;
   /** KV cache that the decode engine imports. */
@@ -50,11 +56,9 @@
   excluded: UpstreamId[];
   hasClearedExcluded: boolean;
   phaseStartedAt: number;
-  /** When the phase counts as stalled. */
+  /** When to look whether the phase is stalled. */
   stallAt: number;
   lastTokenAt: number;
-  /** Smoothed time between tokens. */
-  gapMs: number | undefined;
   prefillMs: number | undefined;
   importMs: number | undefined;
   cachedTokens: number | undefined;
@@ -66,6 +70,8 @@
   readonly promptTokens: number;
   readonly answerDeadline: number;
   readonly lastDeadline: number;
+  readonly maxTokens: number;
+  readonly objective: AllocationObjective;
   readonly budget: RetryBudget;
 };
 
@@ -79,9 +85,11 @@
     ...options,
     phase: 'asking',
     attempt: 1,
+    grants: 0,
     attemptId: makeAttemptId(options.requestId, 1),
     grant: undefined,
     rescueId: undefined,
+    rescueAskedAt: 0,
     moved: undefined,
     source: undefined,
     sourceTries: 0,
@@ -97,7 +105,6 @@
     phaseStartedAt: now,
     stallAt: Infinity,
     lastTokenAt: now,
-    gapMs: undefined,
     prefillMs: undefined,
     importMs: undefined,
     cachedTokens: undefined,
--- a/packages/core/src/requests/stall-rule.ts
+++ b/packages/core/src/requests/stall-rule.ts
@@ -6,10 +6,8 @@
 const PREFILL_STALL_FACTOR = 4;
 const MIN_IMPORT_STALL_MS = 400;
 const IMPORT_STALL_FACTOR = 2;
-const MIN_TOKEN_STALL_MS = 300;
-const TOKEN_STALL_FACTOR = 8;
-const GAP_WEIGHT = 0.2;
-const FIRST_GAP_MS = 60;
+const RECOVERY_CHECK_MS = 40;
+const FIRST_TOKEN_CHECK_MS = 80;
 
 /** Finds when a prefill that starts now counts as stalled. */
 export function findPrefillStall(grant: ReservationGrant, now: number): number {
@@ -23,12 +21,17 @@
   return now + Math.max(MIN_IMPORT_STALL_MS, expectedMs * IMPORT_STALL_FACTOR);
 }
 
-/** Smooths the time between tokens. */
-export function updateGap(gapMs: number | undefined, sampleMs: number): number {
-  return gapMs === undefined ? sampleMs : gapMs + (sampleMs - gapMs) * GAP_WEIGHT;
+/** Finds when to look whether a prefill that goes on is late. */
+export function findPrefillCheck(grant: ReservationGrant, now: number): number {
+  return Math.max(grant.predictedFirstTokenAt, now) + RECOVERY_CHECK_MS;
 }
 
-/** Finds when a stream whose last token came now counts as stalled. */
-export function findTokenStall(gapMs: number | undefined, now: number): number {
-  return now + Math.max(MIN_TOKEN_STALL_MS, (gapMs ?? FIRST_GAP_MS) * TOKEN_STALL_FACTOR);
+/** Finds when to look whether a stream whose last token came now stands still. */
+export function findTokenCheck(now: number): number {
+  return now + FIRST_TOKEN_CHECK_MS;
+}
+
+/** Finds when to look again. */
+export function findNextCheck(now: number): number {
+  return now + RECOVERY_CHECK_MS;
 }
--- a/packages/core/src/shards/asker.ts
+++ b/packages/core/src/shards/asker.ts
@@ -176,7 +176,7 @@
 }
 
 /** Tells new owners what this VM holds of their shard, and old ones that it is off their books. */
-function moveHeld(state: AskerState, now: number): AskerAction[] {
+function notifyOwners(state: AskerState, now: number): AskerAction[] {
   const ends: AskerAction[] = [];
   const announcements: Announcements = new Map();
   for (const held of state.held.values()) {
@@ -195,7 +195,7 @@
 }
 
 /** Asks again where the VM that was asked is no longer live. */
-function moveWaiting(state: AskerState, now: number): AskerAction[] {
+function retryWaiting(state: AskerState, now: number): AskerAction[] {
   const actions: AskerAction[] = [];
   for (const waiting of state.waiting.values()) {
     const { to } = waiting;
@@ -207,7 +207,7 @@
 }
 
 /** Repeats what a VM may have missed while its link was down. */
-function repeatToVm(state: AskerState, vmId: VmId, now: number): AskerAction[] {
+function sendAgain(state: AskerState, vmId: VmId, now: number): AskerAction[] {
   const announcements: Announcements = new Map();
   for (const held of state.held.values()) {
     if (held.owner.kind === 'vm' && held.owner.vmId === vmId) addAnnouncement(announcements, held);
@@ -236,7 +236,7 @@
   }
   if (now >= state.nextProgressAt) {
     state.nextProgressAt = now + PROGRESS_INTERVAL_MS;
-    actions.push(...moveHeld(state, now), ...takeProgress(state.held.values(), now));
+    actions.push(...notifyOwners(state, now), ...takeProgress(state.held.values(), now));
   }
   return actions;
 }
@@ -264,9 +264,9 @@
     case 'view-changed':
       state.shards = event.shards;
       state.liveVms = event.liveVms;
-      return [...moveHeld(state, event.now), ...moveWaiting(state, event.now)];
+      return [...notifyOwners(state, event.now), ...retryWaiting(state, event.now)];
     case 'link-opened':
-      return repeatToVm(state, event.vmId, event.now);
+      return sendAgain(state, event.vmId, event.now);
     case 'ticked':
       return handleTick(state, event.now);
     default:
--- a/packages/router/src/allocation/allocation-task.ts
+++ b/packages/router/src/allocation/allocation-task.ts
@@ -106,7 +106,7 @@
   }
 
   /** Gives back a grant that cannot reach the VM that asked. */
-  function undoGrant(scoped: ScopedAction, ask: ReservationAsk, now: number): void {
+  function releaseGrant(scoped: ScopedAction, ask: ReservationAsk, now: number): void {
     if (scoped.action.kind !== 'grant') return;
     const { reservationId } = scoped.action.grant;
     const { attemptId } = ask;
@@ -127,7 +127,7 @@
           return;
         }
         const message = { kind: 'grant', shardId, grant } as const;
-        if (!sendTo(ask.vmId, message)) undoGrant(scoped, ask, now);
+        if (!sendTo(ask.vmId, message)) releaseGrant(scoped, ask, now);
         return;
       }
       case 'refuse': {
@@ -152,7 +152,7 @@
   }
 
   /** Lets a shared allocator decide on an ask, and tells the VM that asked if it has to wait. */
-  function decideAsk(shardId: ShardId, ask: ReservationAsk, now: number): void {
+  function handleAsk(shardId: ShardId, ask: ReservationAsk, now: number): void {
     const actions = allocators.handleEvent('shared', shardId, { kind: 'asked', ask, now });
     const { attemptId, vmId } = ask;
     if (!isAnswered(actions, attemptId)) {
@@ -183,7 +183,7 @@
     }
     const { to, shardId } = action;
     if (to.kind === 'vm' && to.vmId !== self) sendToPeer(to.vmId, makeAskerMessage(action));
-    else if (action.kind === 'send-ask' && to.kind === 'vm') decideAsk(shardId, action.ask, now);
+    else if (action.kind === 'send-ask' && to.kind === 'vm') handleAsk(shardId, action.ask, now);
     else runLocal(to, shardId, makeAllocatorEvent(action, now));
   }
 
@@ -193,7 +193,7 @@
     const heard = parsePeerMessage(from, message.message, now);
     switch (heard.kind) {
       case 'ask':
-        decideAsk(heard.shardId, { ...heard.ask, vmId }, now);
+        handleAsk(heard.shardId, { ...heard.ask, vmId }, now);
         return;
       case 'asker-event':
         addAskerEvent(heard.event);
--- a/packages/router/src/callers/hostile-callers.test.ts
+++ b/packages/router/src/callers/hostile-callers.test.ts
@@ -152,6 +152,7 @@
     directory,
     allocation,
     cancels,
+    objective: 'tail' as const,
     budget: makeRetryBudget(),
     invariants: makeInvariants(metrics, logger, true),
     metrics,
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -225,6 +225,7 @@
     directory,
     allocation,
     cancels,
+    objective,
     budget: makeRetryBudget(),
     invariants,
     metrics,
--- a/packages/router/src/journal/request-journal.test.ts
+++ b/packages/router/src/journal/request-journal.test.ts
@@ -32,7 +32,7 @@
   const trace = makeTrace('one');
   const grant = { prefill: 'llm-1', decode: 'llm-2' } as ReservationGrant;
   const ask = { kind: 'ask', attemptId: 'one.1' as AttemptId, excluded: [] } as const;
-  recordAction(trace, { ...ask, resumeFrom: undefined }, 1_001);
+  recordAction(trace, { ...ask, resumeFrom: undefined, movesFrom: undefined }, 1_001);
   recordAction(trace, { kind: 'start-prefill', grant }, 1_002);
   const end = { outcome: 'prefill-failed', tokens: 0 } as never;
   recordAction(trace, { kind: 'report-end', end }, 1_003);
--- a/packages/router/src/requests/model-request-task.ts
+++ b/packages/router/src/requests/model-request-task.ts
@@ -155,6 +155,8 @@
       promptTokens: chat.promptTokens,
       answerDeadline: deadlines.answerDeadline,
       lastDeadline: findLastDeadline(request),
+      maxTokens: chat.maxTokens,
+      objective: parts.objective,
       budget: parts.budget,
     },
     Date.now(),
--- a/packages/router/src/requests/model-request.ts
+++ b/packages/router/src/requests/model-request.ts
@@ -1,6 +1,6 @@
 /** What a model request is and what it works with. */
 
-import type { RequestEvent, RetryBudget } from '@tarragonspool/core';
+import type { AllocationObjective, RequestEvent, RetryBudget } from '@tarragonspool/core';
 import type {
   AttemptId,
   CallerId,
@@ -29,6 +29,7 @@
   readonly directory: Directory;
   readonly allocation: AllocationInbox;
   readonly cancels: CancelInbox;
+  readonly objective: AllocationObjective;
   readonly budget: RetryBudget;
   readonly invariants: Invariants;
   readonly metrics: Metrics;
