Leave a late prefill without a grant only after three seconds

Cause: in the straggler scenario requests failed with 2001 after work had run: they left a prefill that was slow for the moment after a second, and the allocator refused to start it again.

--- a/packages/core/src/requests/stall-rule.ts
+++ b/packages/core/src/requests/stall-rule.ts
@@ -2,8 +2,8 @@
 
 import type { ReservationGrant } from '@tarragonspool/protocol';
 
-const MIN_PREFILL_STALL_MS = 1_000;
-const PREFILL_STALL_FACTOR = 4;
+const MIN_PREFILL_STALL_MS = 3_000;
+const PREFILL_STALL_FACTOR = 6;
 const MIN_IMPORT_STALL_MS = 400;
 const IMPORT_STALL_FACTOR = 2;
 const RECOVERY_CHECK_MS = 40;
