--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,7 +16,7 @@
 ];
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'bin/**', 'eslint.config.js'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', '**/bin/**', 'eslint.config.js'] },
   { linterOptions: { reportUnusedDisableDirectives: 'error' } },
   plugins.stylistic,
   plugins.importX,
--- /dev/null
+++ b/packages/cli/bin/tarragonspool.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
