--- a/packages/cli/src/docs.test.ts
+++ b/packages/cli/src/docs.test.ts
@@ -37,7 +37,9 @@
   for (const [path, text] of pages) {
     for (const [, target = ''] of text.matchAll(LINK)) {
       // eslint-disable-next-line no-await-in-loop -- some hundred small reads
-      const found = await readFile(join(ROOT, path, '..', target)).catch((error: unknown) => (error as NodeJS.ErrnoException).code === 'EISDIR');
+      const found = await readFile(join(ROOT, path, '..', target)).catch(
+        (error: unknown) => (error as NodeJS.ErrnoException).code === 'EISDIR',
+      );
       if (found === false) missing.push(`${path}: ${target}`);
     }
   }
--- a/packages/router/src/requests/model-request-task.ts
+++ b/packages/router/src/requests/model-request-task.ts
@@ -86,7 +86,7 @@
 function performAction(running: RunningRequest, action: RequestAction): void {
   const { parts, inbox } = running;
   const now = Date.now();
-  recordAction(request.trace, action, now);
+  recordAction(running.request.trace, action, now);
   switch (action.kind) {
     case 'ask': {
       const ask = buildAsk(running, action);
