--- a/bin/bench-slopes.js
+++ b/bin/bench-slopes.js
@@ -9,6 +9,8 @@
 import { measurePeers } from './slopes/peers.js';
 import { measureReports } from './slopes/reports.js';
 import { measureRequests } from './slopes/requests.js';
+import { measureIdleDaemons } from './slopes/idle.js';
+import { measureUpstreams } from './slopes/upstreams.js';
 import { measureRules } from './slopes/rules.js';
 
 const PARTS = {
@@ -17,6 +19,8 @@
   rules: measureRules,
   claims: measureClaims,
   reports: measureReports,
+  upstreams: measureUpstreams,
+  idle: measureIdleDaemons,
   requests: measureRequests,
 };
 
--- a/bin/slopes/requests.js
+++ b/bin/slopes/requests.js
@@ -1,45 +1,16 @@
 /** Request path: processor time of a daemon against the tokens of an answer, over real sockets. */
 
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
-import { Agent, request } from 'node:http';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
-import { digestKey, startDeployment } from '../../packages/stand-ins/dist/index.js';
+import { Agent } from 'node:http';
+import { startDeployment } from '../../packages/stand-ins/dist/index.js';
+import { applyRules, makePlan, postChat, readUsage } from './deployment.js';
 import { waitMs } from './measure.js';
 
 const BASE_PORT = 18_500;
-const TOKEN = 'demo-operator-token-0123456789';
-const KEY = 'slopes-key';
-const REQUESTS = 160;
+const REQUESTS = 128;
 const CONCURRENCY = 16;
 const PROMPT = 'Declare the catch. ';
 const US_PER_S = 1_000_000;
 
-async function readCpuSeconds(entryVm) {
-  const headers = { authorization: `Bearer ${TOKEN}` };
-  const answer = await fetch(`${entryVm.operatorUrl}/metrics`, { headers });
-  const text = await answer.text();
-  const match = /^tarragonspool_process_cpu_seconds_total (\S+)$/m.exec(text);
-  const memory = /^tarragonspool_process_resident_memory_bytes (\S+)$/m.exec(text);
-  return { cpu: Number(match?.[1]), memory: Number(memory?.[1]) };
-}
-
-function postChat(url, agent, body) {
-  return new Promise((resolve, reject) => {
-    const outgoing = request(`${url}/v1/chat/completions`, {
-      agent,
-      method: 'POST',
-      headers: { authorization: `Bearer ${KEY}`, 'content-length': Buffer.byteLength(body) },
-    });
-    outgoing.on('error', reject);
-    outgoing.on('response', (answer) => {
-      answer.resume();
-      answer.on('end', () => resolve(answer.statusCode));
-    });
-    outgoing.end(body);
-  });
-}
-
 async function runRequests(entryVm, promptTokens, maxTokens) {
   const agent = new Agent({ keepAlive: true, maxSockets: CONCURRENCY });
   const content = PROMPT.repeat(promptTokens / 4);
@@ -56,53 +27,31 @@
       if ((await postChat(entryVm.callerUrl, agent, body)) === 200) answered += 1;
     }
   };
-  const before = await readCpuSeconds(entryVm);
+  const before = await readUsage(entryVm);
   const startedAt = Date.now();
   await Promise.all(Array.from({ length: CONCURRENCY }, runOne));
-  const after = await readCpuSeconds(entryVm);
+  const after = await readUsage(entryVm);
   agent.destroy();
   const seconds = (Date.now() - startedAt) / 1_000;
   return { answered, seconds, cpuUs: (after.cpu - before.cpu) * US_PER_S, memory: after.memory };
 }
 
-async function applyRules(deployment) {
-  const folder = await mkdtemp(join(tmpdir(), 'tarragonspool-slopes-'));
-  const file = join(folder, 'rules.txt');
-  await writeFile(
-    file,
-    `caller slopes key-sha256=${digestKey(KEY)}  # slopes\n` +
-      'allow slopes declaration-llm first-token-ms=60000 answer-ms=120000  # slopes\n',
-  );
-  const { code, output } = await deployment.runCli(['rules', 'apply', file]);
-  await rm(folder, { recursive: true });
-  if (code !== 0) throw new Error(output);
-}
-
 /** Measures the request path. */
 export async function measureRequests() {
-  const deployment = await startDeployment({
-    basePort: BASE_PORT,
-    entryVms: 1,
-    prefillEngines: 2,
-    decodeEngines: 2,
-    ledgers: 1,
-    modelService: 'declaration-llm',
-    ledgerService: 'quota-ledger',
-    dataCentres: ['negombo'],
-  });
+  const deployment = await startDeployment(makePlan(BASE_PORT));
   const [entryVm] = deployment.entryVms;
   try {
     await applyRules(deployment);
     await runRequests(entryVm, 400, 64);
     await runRequests(entryVm, 2_000, 4);
     await waitMs(500);
-    const idleBefore = await readCpuSeconds(entryVm);
-    await waitMs(5_000);
-    const idleAfter = await readCpuSeconds(entryVm);
-    const idleShare = (idleAfter.cpu - idleBefore.cpu) / 5;
+    const idleBefore = await readUsage(entryVm);
+    await waitMs(4_000);
+    const idleAfter = await readUsage(entryVm);
+    const idleShare = (idleAfter.cpu - idleBefore.cpu) / 4;
     const [tokens, prompts] = [[], []];
     let memory = 0;
-    for (const size of [8, 32, 96]) {
+    for (const size of [8, 32, 64]) {
       const run = await runRequests(entryVm, 40, size);
       if (run.answered < REQUESTS) throw new Error(`${run.answered} of ${REQUESTS} answered`);
       const idleUs = idleShare * run.seconds * US_PER_S;
