--- a/bin/slopes/allocator.js
+++ b/bin/slopes/allocator.js
@@ -101,6 +101,33 @@
   return state;
 }
 
+/** Sums the frames that one request takes between its entry VM and the owner of the shard. */
+function countRequestBytes(prefixes) {
+  const shardId = 'model-12@region-3/site-17';
+  const ask = { ...makeAsk(1, START), prefixes: Array(prefixes).fill('0123456789abcdef') };
+  const { attemptId } = ask;
+  const reservationId = 'vm-100-1796354481790-123456';
+  const grant = {
+    reservationId,
+    attemptId,
+    prefill: 'model-12-engine-100',
+    decode: 'model-12-engine-101',
+    prefillAt: 1_796_354_481_790,
+    startDeadline: 1_796_354_481_790,
+    predictedFirstTokenAt: 1_796_354_481_790,
+    predictedAnswerAt: 1_796_354_481_790,
+  };
+  const moved = { reservationId, attemptId, upstreamId: grant.decode, stage: 'decode' };
+  const end = { reservationId, attemptId, outcome: 'answered', prefillMs: 204, cachedTokens: 512 };
+  const messages = [
+    { kind: 'ask', shardId, ask },
+    { kind: 'grant', shardId, grant },
+    { kind: 'progress', shardId, items: [{ ...moved, tokens: 12, movedAt: 1_796_354_481_790 }] },
+    { kind: 'end', shardId, items: [{ ...end, importMs: 44, decodeMs: 4_700, tokens: 235 }] },
+  ];
+  return messages.reduce((sum, message) => sum + encodePeerMessage(message).length, 0);
+}
+
 /** Measures the allocator. */
 export function measureAllocator() {
   const warm = makeState(makeEngines(16));
@@ -126,14 +153,7 @@
     const { bytes } = measureKept(() => makeAsked(size), COPIES);
     waiting.push({ size, value: bytes });
   }
-  const prefixes = [0, 8, 32].map((size) => ({
-    size,
-    value: encodePeerMessage({
-      kind: 'ask',
-      shardId: 'declaration-llm/lk-west/1',
-      ask: { ...makeAsk(1, START), prefixes: Array(size).fill('0123456789abcdef') },
-    }).length,
-  }));
+  const prefixes = [0, 8, 32].map((size) => ({ size, value: countRequestBytes(size) }));
   const role = 'shard allocator';
   return [
     { role, what: 'state without requests', unit: 'bytes', per: 'engine', points: engineBytes },
@@ -153,6 +173,12 @@
       per: 'engine',
       points: reportCpu,
     },
-    { role, what: 'frame of an ask', unit: 'bytes', per: 'prefix', points: prefixes },
+    {
+      role,
+      what: 'frames of one request: ask, grant, progress, end',
+      unit: 'bytes',
+      per: 'prefix',
+      points: prefixes,
+    },
   ];
 }
