--- a/packages/stand-ins/src/engine/engine.ts
+++ b/packages/stand-ins/src/engine/engine.ts
@@ -19,6 +19,7 @@
   ModelTarget,
   PrefillOrder,
   RequestId,
+  UpstreamId,
 } from '@tarragonspool/protocol';
 import { sendJson } from '../http/json-server.js';
 import type { EngineSettings } from './engine-settings.js';
@@ -70,6 +71,9 @@
 /** Work done for one attempt. */
 export type AttemptWork = {
   readonly requestId: RequestId;
+  readonly upstreamId: UpstreamId;
+  /** Milliseconds since the epoch. */
+  readonly startedAt: number;
   prefillTokens: number;
   tokens: number;
 };
@@ -295,7 +299,11 @@
   }
 
   private findWork({ requestId, attemptId }: HoldOwner): AttemptWork {
-    const work = this.work.get(attemptId) ?? { requestId, prefillTokens: 0, tokens: 0 };
+    const known = this.work.get(attemptId);
+    if (known !== undefined) return known;
+    const { upstreamId } = this.settings;
+    const startedAt = Date.now();
+    const work = { requestId, upstreamId, startedAt, prefillTokens: 0, tokens: 0 };
     this.work.set(attemptId, work);
     return work;
   }
--- a/packages/stand-ins/src/harness/deployment.ts
+++ b/packages/stand-ins/src/harness/deployment.ts
@@ -15,6 +15,7 @@
   waitUntil,
   type RunningProcess,
 } from './processes.js';
+import { startRelay, type Relay } from './relay.js';
 
 /** Sizes of a deployment. */
 export type DeploymentPlan = {
@@ -32,6 +33,8 @@
   readonly engine?: Partial<EngineSettings>;
   /** Folder in which the effects of plain services outlast their processes. */
   readonly ledgerFolder?: string;
+  /** Puts a relay in front of every peer interface and engine. */
+  readonly isRelayed?: boolean;
   readonly daemonEnv?: NodeJS.ProcessEnv;
   readonly isLoud?: boolean;
 };
@@ -61,6 +64,7 @@
   readonly engines: readonly StandIn[];
   readonly ledgers: readonly StandIn[];
   readonly records: readonly VmRecord[];
+  readonly relays: readonly Relay[];
   /** Runs the command line against the first entry VM, or the one given. */
   readonly runCli: (
     args: readonly string[],
@@ -83,6 +87,7 @@
 const HOST = process.env.TARRAGONSPOOL_TEST_HOST ?? '127.0.0.1';
 const PEER_SECRET = 'demo-peer-secret-0123456789';
 const OPERATOR_TOKEN = 'demo-operator-token-0123456789';
+const OPERATOR_TIMEOUT_MS = 1_000;
 const START_TIMEOUT_MS = 20_000;
 
 /** Digest of an API key, as the rule file gives it. */
@@ -90,6 +95,15 @@
   return createHash('sha256').update(key).digest('hex');
 }
 
+/** Reads from a daemon's operator interface. */
+export async function readOperator(entryVm: EntryVm, path: string): Promise<string> {
+  const answer = await fetch(`${entryVm.operatorUrl}${path}`, {
+    headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
+    signal: AbortSignal.timeout(OPERATOR_TIMEOUT_MS),
+  });
+  return answer.text();
+}
+
 /** Sends JSON to a stand-in or daemon and returns what it answered. */
 export async function callJson(url: string, body?: unknown): Promise<unknown> {
   const answer = await fetch(url, {
@@ -113,6 +127,13 @@
   const getDataCentre = (index: number): string =>
     plan.dataCentres[index % plan.dataCentres.length] ?? 'dc';
   const records: unknown[] = [];
+  const relays: Relay[] = [];
+  const addRelay = (name: string, target: string): string => {
+    if (!plan.isRelayed) return target;
+    const address = takeAddress();
+    relays.push(startRelay(name, address, target));
+    return address;
+  };
 
   const platformAddress = takeAddress();
   const platformUrl = `http://${platformAddress}`;
@@ -145,7 +166,7 @@
       role,
       dataCentre: getDataCentre(Math.floor(index / (plan.enginesPerServer ?? 1))),
       state: 'live',
-      url,
+      url: `http://${addRelay(upstreamId, listen)}`,
       isFencing,
     });
   }
@@ -182,7 +203,8 @@
       ...plan.daemonEnv,
     };
     const start = () => startProcess(vmId, getBinaryPath('router'), [], env, plan.isLoud);
-    records.push({ kind: 'entry', vmId, dataCentre, state: 'live', peerAddress: peers });
+    const peerAddress = addRelay(vmId, peers);
+    records.push({ kind: 'entry', vmId, dataCentre, state: 'live', peerAddress });
     entryVms.push({
       vmId,
       callerUrl: `http://${callers}`,
@@ -217,6 +239,7 @@
     engines,
     ledgers,
     records: records as VmRecord[],
+    relays,
     runCli,
     applyRules: async (text, entryVm) => {
       const folder = await mkdtemp(join(tmpdir(), 'tarragonspool-'));
--- a/packages/stand-ins/src/load/load-client.ts
+++ b/packages/stand-ins/src/load/load-client.ts
@@ -14,6 +14,9 @@
 export type Outcome = {
   readonly arrival: Arrival;
   readonly requestId: string;
+  /** Entry VM that the request went to, and when, in milliseconds since the epoch. */
+  readonly url: string;
+  readonly sentAt: number;
   readonly kind: 'answered' | 'refused' | 'failed' | 'cancelled';
   /** Result code of a refusal or of a failure that carries one. */
   readonly code: number | undefined;
@@ -23,6 +26,8 @@
   readonly endMs: number;
   readonly gapsMs: readonly number[];
   readonly tokens: number;
+  /** Whether the text, whole or broken off, begins the right answer. */
+  readonly isTextRight: boolean;
 };
 
 /** What the client needs to know of a run. */
@@ -31,6 +36,7 @@
   readonly model: string;
   /** Begins the id of every request. */
   readonly idPrefix: string;
+  readonly isKeepAlive?: boolean;
 };
 
 /** Longest wait for an answer; a failure counts with this time. */
@@ -107,6 +113,7 @@
   agent: Agent,
 ): Promise<Outcome> {
   const scheduledAt = startedAt + arrival.at;
+  const sentAt = Date.now();
   const requestId = `${options.idPrefix}-${arrival.number}`;
   const url = options.callerUrls[arrival.vmIndex % options.callerUrls.length] ?? '';
   const progress: Progress = {
@@ -132,9 +139,13 @@
     });
     const end = (cause?: Pick<Outcome, 'kind' | 'detail'>): void => {
       const { firstTokenAt, gapsMs, texts, problem } = progress;
+      const answer = makeAnswerText(renderArrivalPrompt(arrival), arrival.maxTokens);
       resolve({
         arrival,
         requestId,
+        url,
+        sentAt,
+        isTextRight: answer.startsWith(texts.join('')),
         ...(cause ?? findKind(arrival, progress, status)),
         code: problem?.code,
         ran: problem?.ran,
@@ -182,7 +193,7 @@
   options: LoadOptions,
   arrivals: readonly Arrival[],
 ): Promise<Outcome[]> {
-  const agent = new Agent({ keepAlive: true });
+  const agent = new Agent({ keepAlive: options.isKeepAlive ?? true });
   const startedAt = performance.now();
   const outcomes: Promise<Outcome>[] = [];
   for (const arrival of arrivals) {
