--- a/packages/router/src/operators/operator-server.ts
+++ b/packages/router/src/operators/operator-server.ts
@@ -1,7 +1,7 @@
 /** HTTP interface for operators, on an address of its own. */
 
 import { createHash, timingSafeEqual } from 'node:crypto';
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { EditOutcome } from '@tarragonspool/core';
 import type { EditId, Refusal, RuleDelta, RuleRevision, VmId } from '@tarragonspool/protocol';
 import { z } from 'zod';
@@ -13,6 +13,7 @@
 import type { Metrics } from '../metrics/metrics.js';
 import type { RulesInbox } from '../rules/rules-task.js';
 import { renderRules, type RulesView } from '../rules/rules-view.js';
+import { makeServer, type TlsSource } from '../tls/make-server.js';
 import type { DaemonStatus } from './status.js';
 import { awaitPromise, makeChannel, offer, receive, startTask, type Task } from '../tasks/tasks.js';
 
@@ -20,6 +21,7 @@
 export type OperatorServerParts = {
   readonly vmId: VmId;
   readonly token: string;
+  readonly tls: TlsSource;
   readonly view: RulesView;
   readonly rulesInbox: RulesInbox;
   readonly metrics: Metrics;
@@ -133,7 +135,7 @@
     }
   }
 
-  return createServer((incoming, response) => {
+  return makeServer(parts.tls, {}, (incoming, response) => {
     startTask(
       'operator',
       () => handleRequest(incoming, response),
--- a/packages/router/src/operators/status.ts
+++ b/packages/router/src/operators/status.ts
@@ -2,6 +2,7 @@
 
 import type { VmMember } from '@tarragonspool/core';
 import type { RuleRevision, UpstreamId } from '@tarragonspool/protocol';
+import type { ShardOwner } from '../allocation/allocation-task.js';
 import type { RequestJournal } from '../journal/request-journal.js';
 import type { PeerIdentity } from '../peers/peer-link.js';
 import type { Directory } from '../upstreams/directory.js';
@@ -23,6 +24,8 @@
   readonly rulesRevision: RuleRevision;
   readonly entryVms: readonly string[];
   readonly peers: readonly VmMember[];
+  /** VM that this one asks for places of each shard. */
+  readonly shards: readonly ShardOwner[];
   readonly engines: readonly UpstreamStatus[];
   readonly servers: readonly UpstreamStatus[];
 };
@@ -34,6 +37,7 @@
   readonly rulesRevision: RuleRevision;
   readonly directory: Directory;
   readonly members: readonly VmMember[];
+  readonly shards: readonly ShardOwner[];
   readonly journal: RequestJournal;
 };
 
@@ -53,7 +57,7 @@
 
 /** Builds the status of this daemon. */
 export function buildStatus(sources: StatusSources): DaemonStatus {
-  const { self, isLeaving, rulesRevision, directory, members, journal } = sources;
+  const { self, isLeaving, rulesRevision, directory, members, shards, journal } = sources;
   const reservations = countReservations(journal);
   const engines = [...directory.engines.values()].map((engine) => ({
     upstreamId: engine.upstreamId,
@@ -70,5 +74,5 @@
     isLeaving: server.isLeaving,
   }));
   const entryVms = directory.entryVms.map(({ vmId }) => vmId);
-  return { ...self, isLeaving, rulesRevision, entryVms, peers: members, engines, servers };
+  return { ...self, isLeaving, rulesRevision, entryVms, peers: members, shards, engines, servers };
 }
--- a/packages/router/src/settings/settings.test.ts
+++ b/packages/router/src/settings/settings.test.ts
@@ -1,7 +1,7 @@
 import { readFile } from 'node:fs/promises';
 import { expect } from 'chai';
+import { checkSettings } from './check-settings.js';
 import {
-  checkSettings,
   listSettingNames,
   makeFlag,
   makeVariable,
@@ -98,6 +98,12 @@
   expect(listErrors({ peerListen: '127.0.0.2:8081' })).to.deep.equal([]);
 });
 
+it('settings: a certificate and its key come together', () => {
+  expect(listErrors({ callerTlsCert: 'cert.pem' })[0]).to.include('--caller-tls-key');
+  expect(listErrors({ operatorTlsKey: 'key.pem' })[0]).to.include('--operator-tls-cert');
+  expect(listErrors({ callerTlsCert: 'cert.pem', callerTlsKey: 'key.pem' })).to.deep.equal([]);
+});
+
 it('settings: the operator token may not be a peer secret', () => {
   const [error] = listErrors({ operatorToken: 'new-secret-0123456789' });
   expect(error).to.include('--operator-token').and.not.to.include('new-secret');
@@ -114,8 +120,8 @@
   const page = await readFile(new URL('../../../../docs/settings.md', import.meta.url), 'utf8');
   const expected = listSettingNames().map((name) => {
     const { description, fallback } = SETTINGS[name];
-    const shown = fallback === undefined ? 'required' : `\`${fallback}\``;
-    return `| \`${makeFlag(name)}\` | \`${makeVariable(name)}\` | ${shown} | ${description} |`;
+    const shown = fallback === undefined ? 'required' : fallback && `\`${fallback}\``;
+    return `| \`${makeFlag(name)}\` | \`${makeVariable(name)}\` | ${shown || 'none'} | ${description} |`;
   });
   const rows = page.split('\n').filter((line) => line.startsWith('| `--'));
   expect(rows.map((line) => line.replaceAll(/\s+/g, ' '))).to.deep.equal(expected);
