--- a/packages/stand-ins/src/bench/run-policy.ts
+++ b/packages/stand-ins/src/bench/run-policy.ts
@@ -1,7 +1,7 @@
 /** Runs a scenario under one policy on a fresh deployment. */
 
 import type { AllocationPolicy } from '@tarragonspool/core';
-import type { AttemptWork } from '../engine/engine.js';
+import type { AttemptWork } from '../engine/kv-content.js';
 import { callJson, startDeployment, type Deployment } from '../harness/deployment.js';
 import { waitFor } from '../harness/processes.js';
 import { runLoad, type Outcome } from '../load/load-client.js';
--- a/packages/stand-ins/src/bench/summary.ts
+++ b/packages/stand-ins/src/bench/summary.ts
@@ -1,7 +1,7 @@
 /** Figures of one run, from its outcomes and the engines' counts. */
 
 import { build } from 'hdr-histogram-js';
-import type { AttemptWork } from '../engine/engine.js';
+import type { AttemptWork } from '../engine/kv-content.js';
 import { CLIENT_TIMEOUT_MS, isGood, type Outcome } from '../load/load-client.js';
 
 /** Percentiles of a time, in milliseconds; null without any sample. */
--- a/packages/stand-ins/src/engine/main.ts
+++ b/packages/stand-ins/src/engine/main.ts
@@ -32,22 +32,19 @@
       return;
     case '/cache-events': {
       const after = Number(url.searchParams.get('after') ?? 0);
-      sendJson(response, 200, engine.cache.readEvents(after, Date.now()));
+      sendJson(response, 200, engine.prefills.cache.readEvents(after, Date.now()));
       return;
     }
     case '/orders':
       engine.takeOrder(body as EngineOrder, response);
       return;
     case '/control/work':
-      sendJson(response, 200, Object.fromEntries(engine.work));
+      sendJson(response, 200, Object.fromEntries(engine.work.attempts));
       return;
     case '/control/faults':
       Object.assign(engine.faults, body);
       sendJson(response, 200, engine.faults);
       return;
-    case '/control/counts':
-      sendJson(response, 200, engine.counts);
-      return;
     default:
       sendJson(response, 404, {});
   }
--- a/packages/stand-ins/src/soak/faults.ts
+++ b/packages/stand-ins/src/soak/faults.ts
@@ -1,7 +1,7 @@
 /** Injects the faults of a schedule. */
 
 import { assertNever, type VmRecord } from '@tarragonspool/protocol';
-import { CRASH_DECODE_TEXT, CRASH_PREFILL_TEXT } from '../engine/engine.js';
+import { CRASH_DECODE_TEXT, CRASH_PREFILL_TEXT } from '../engine/kv-content.js';
 import { callJson, type EntryVm, type StandIn } from '../harness/deployment.js';
 import { waitFor } from '../harness/processes.js';
 import { makeSiteRules } from '../load/workload.js';
--- a/packages/stand-ins/src/soak/soak-state.ts
+++ b/packages/stand-ins/src/soak/soak-state.ts
@@ -1,7 +1,7 @@
 /** What a soak run knows: the deployment, what was done to it, and the violations found. */
 
 import type { ChildProcess } from 'node:child_process';
-import type { AttemptWork } from '../engine/engine.js';
+import { CRASH_EXIT_CODE, type AttemptWork } from '../engine/kv-content.js';
 import { callJson, type Deployment, type EntryVm, type StandIn } from '../harness/deployment.js';
 import { waitFor } from '../harness/processes.js';
 import type { Outcome } from '../load/load-client.js';
@@ -48,7 +48,6 @@
 
 const RESTART_DELAY_MS = 500;
 const READ_TIMEOUT_MS = 500;
-const CRASH_EXIT_CODE = 134;
 
 /** Adds the work that an engine counted, so that it is known after the engine's end. */
 export async function recordWork(soak: Soak, engine: StandIn): Promise<void> {
