Check in the soak that accepted rules are in force within five seconds

Cause: the soak compared rules only at its end. After: the revision of each VM is sampled every 500 ms and compared with what was accepted more than 5 s before.

--- a/packages/stand-ins/src/soak/checks.ts
+++ b/packages/stand-ins/src/soak/checks.ts
@@ -10,6 +10,7 @@
 const QUIET_TIMEOUT_MS = 15_000;
 const POLL_MS = 500;
 const LEAVING_GRACE_MS = 5_000;
+const IN_FORCE_MS = 5_000;
 const MAX_CRASHES_PER_PROMPT = 2;
 
 type Hold = { readonly owner: { readonly requestId: string }; readonly kind: string };
@@ -134,6 +135,26 @@
   return soak.acceptedRules.size;
 }
 
+/**
+ * Every VM that was not killed or frozen has an accepted revision in force within the bound. One
+ * that has just started and has none yet must not be listed by the balancer.
+ */
+function checkRulesInTime(soak: Soak): number {
+  for (const { vmId, callerUrl, at, revision, isListed } of soak.revisionSamples) {
+    const isHurt = soak.hardStretches.some(
+      (hard) => hard.callerUrl === callerUrl && hard.from < at && hard.until > at,
+    );
+    const isStarting = revision === 0 && !isListed;
+    if (isHurt || isStarting) continue;
+    for (const [accepted, acceptedAt] of soak.acceptedAt) {
+      if (accepted <= revision || at <= acceptedAt + IN_FORCE_MS) continue;
+      const lateMs = at - acceptedAt;
+      soak.violations.push(`${vmId} had rules ${revision} ${lateMs} ms after ${accepted}`);
+    }
+  }
+  return soak.revisionSamples.length;
+}
+
 async function checkInvariants(soak: Soak): Promise<number> {
   for (const vm of soak.deployment.entryVms) {
     // eslint-disable-next-line no-await-in-loop -- eight small reads
@@ -170,6 +191,7 @@
     'duplicate requests': checkDuplicates(soak),
     'leaving engines': checkLeaving(soak),
     'accepted rule files': await checkRules(soak),
+    'revision samples': checkRulesInTime(soak),
     'daemons without violations': await checkInvariants(soak),
     'deadly prompts': checkDeadly(soak),
   };
--- a/packages/stand-ins/src/soak/faults.ts
+++ b/packages/stand-ins/src/soak/faults.ts
@@ -77,6 +77,7 @@
   const other = soak.acceptedRules.get(revision);
   if (other !== undefined) soak.violations.push(`revision ${revision} was accepted twice`);
   soak.acceptedRules.set(revision, text);
+  soak.acceptedAt.set(revision, Date.now());
 }
 
 async function raceOperators(soak: Soak, { target, at }: Fault): Promise<void> {
--- a/packages/stand-ins/src/soak/main.ts
+++ b/packages/stand-ins/src/soak/main.ts
@@ -59,6 +59,8 @@
     hardStretches: [],
     acceptedRules: new Map(),
     unsettledRules: new Set(),
+    acceptedAt: new Map(),
+    revisionSamples: [],
     leavingSince: new Map(),
     expectedExits: new Set(),
     deadlyPrompts: 0,
@@ -98,6 +100,9 @@
         soak.violations.push(`${vm.vmId} went from rules ${seen.revision} back to ${revision}`);
       }
       seen = { process: running, revision };
+      const { vmId, callerUrl } = vm;
+      const isListed = soak.callerUrls.includes(callerUrl);
+      soak.revisionSamples.push({ vmId, callerUrl, at: Date.now(), revision, isListed });
     }
     // eslint-disable-next-line no-await-in-loop -- polls one after another
     await waitFor(STATUS_POLL_MS);
@@ -151,6 +156,7 @@
 const applied = await deployment.applyRules(rules);
 if (applied.code !== 0) throw new Error(`rules not applied: ${applied.output}`);
 soak.acceptedRules.set(1, rules);
+soak.acceptedAt.set(1, Date.now());
 for (const holder of [...deployment.entryVms, ...deployment.engines, ...deployment.ledgers]) {
   superviseProcess(soak, holder);
 }
--- a/packages/stand-ins/src/soak/soak-state.ts
+++ b/packages/stand-ins/src/soak/soak-state.ts
@@ -20,6 +20,16 @@
   readonly until: number;
 };
 
+/** The revision that a VM had in force at a time, in milliseconds since the epoch. */
+export type RevisionSample = {
+  readonly vmId: string;
+  readonly callerUrl: string;
+  readonly at: number;
+  readonly revision: number;
+  /** Whether the balancer sent it requests. */
+  readonly isListed: boolean;
+};
+
 /** Whole state of a run. */
 export type Soak = {
   readonly site: Site;
@@ -37,6 +47,8 @@
   /** Rule texts by accepted revision, and texts whose edit was not settled. */
   readonly acceptedRules: Map<number, string>;
   readonly unsettledRules: Set<string>;
+  readonly acceptedAt: Map<number, number>;
+  readonly revisionSamples: RevisionSample[];
   /** Engines on the list as leaving, and since when. */
   readonly leavingSince: Map<string, number>;
   /** Children that this run ends on purpose. */
