--- a/packages/router/src/callers/hostile-callers.test.ts
+++ b/packages/router/src/callers/hostile-callers.test.ts
@@ -17,6 +17,7 @@
 import { makeAllocationInbox, type AllocationInbox } from '../allocation/allocation-messages.js';
 import { makeCancelInbox, type CancelInbox } from '../engines/cancel-task.js';
 import { makeInvariants } from '../invariants/invariants.js';
+import { makeRequestJournal } from '../journal/request-journal.js';
 import { makeMetrics } from '../metrics/metrics.js';
 import { makeChatFilters } from '../requests/chat-filters.js';
 import { makeRulesView } from '../rules/rules-view.js';
@@ -44,7 +45,7 @@
 let engine: Server;
 const cancelled: string[] = [];
 let openDecodes = 0;
-const metrics = makeMetrics();
+const ended: string[] = [];
 
 function startListening(server: Server): Promise<number> {
   return new Promise((resolve) => {
@@ -141,6 +142,7 @@
   const directory = makeDirectory();
   const prefillRecord = { ...record, upstreamId: 'p1' as UpstreamId } as VmRecord;
   applyVmList(directory, [record, prefillRecord], () => false);
+  const metrics = makeMetrics();
   const logger = pino({ level: 'silent' });
   const view = makeView();
   const allocation = makeAllocationInbox();
@@ -182,6 +184,8 @@
     isReady: () => true,
     isLeaving: () => false,
     keepAliveMs: 1_000,
+    journal: makeRequestJournal(10),
+    onEnded: (trace) => ended.push(trace.result ?? ''),
     metrics,
     logger,
   });
@@ -285,13 +289,11 @@
 it('callers: a client that never reads is cut off and its place freed', async () => {
   await setUp();
   cancelled.length = 0;
+  ended.length = 0;
   const socket = dial();
   socket.pause();
   socket.write(makePost(makeChat('scribe')));
-  await waitUntil(async () => {
-    const { values } = await metrics.requests.get();
-    return values.some(({ labels }) => labels.result === 'caller-gone');
-  });
+  await waitUntil(() => ended.includes('caller-gone'));
   await waitUntil(() => cancelled.includes('e1') && openDecodes === 0);
   socket.destroy();
 });
@@ -299,9 +301,11 @@
 it('callers: a client that hangs up in mid-stream has its place freed', async () => {
   await setUp();
   cancelled.length = 0;
+  ended.length = 0;
   const socket = dial();
   socket.write(makePost(makeChat('scribe')));
   socket.once('data', () => socket.destroy());
+  await waitUntil(() => ended.includes('caller-gone'));
   await waitUntil(() => cancelled.includes('e1'));
 });
 
