Run keyed chat requests at most once and replay their answers

Cause: an Idempotency-Key on a chat request was ignored, and a rule with once did not ask for one. Ruled out: recording refusals that did not run (their claim is given up, so the key stays good). Before: with isOnce ignored, the order that broke is given again (request once test). Conclusion: a keyed request is never retried once an order may have left.

--- a/packages/router/src/claims/run-once.test.ts
+++ b/packages/router/src/claims/run-once.test.ts
@@ -96,11 +96,18 @@
   );
   const filters = makeServiceFilters(
     { view, directory, claims, invariants, metrics },
-    makeReadBodyFilter(),
+    makeReadBodyFilter(4_194_304),
   );
   const service = [makeAuthenticateFilter(view), ...filters];
   const routes = { chat: [], models: [], service };
-  const server = makeCallerServer({ routes, isReady: () => true, metrics, logger });
+  const server = makeCallerServer({
+    routes,
+    isReady: () => true,
+    isLeaving: () => false,
+    keepAliveMs: 5_000,
+    metrics,
+    logger,
+  });
   const url = await listenOn(server);
   const call = async (key: string, body = '{}') => {
     const headers = {
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -1,7 +1,7 @@
 /** Puts the daemon's parts together and starts and stops them. */
 
 import type { Server } from 'node:http';
-import { makeMembershipState } from '@tarragonspool/core';
+import { makeMembershipState, makeRetryBudget } from '@tarragonspool/core';
 import {
   makeAgent,
   makeObjectClient,
@@ -35,12 +35,13 @@
 import { startPeerMesh } from './peers/peer-mesh.js';
 import { makeChatFilters } from './requests/chat-filters.js';
 import { makeModelListFilter } from './requests/model-list-filter.js';
-import type { ModelRequestParts } from './requests/model-request-task.js';
+import type { ChatParts } from './requests/chat-filters.js';
 import { makeAdmissionFilter } from './rules/admission-filter.js';
 import { readRuleHistory } from './rules/rule-history.js';
 import { makeRulesInbox, runRules, type RulesMessage } from './rules/rules-task.js';
 import { isRulesViewCurrent, makeRulesView } from './rules/rules-view.js';
 import { makeServiceFilters } from './services/service-filters.js';
+import { getKeepAliveMs, runGracefulStop } from './shutdown/graceful-stop.js';
 import type { Settings } from './settings/settings.js';
 import { offer, startTask, type Task } from './tasks/tasks.js';
 import { startTicker } from './tasks/timers.js';
@@ -54,20 +55,12 @@
 };
 
 const RULES_TICK_MS = 100;
-const DRAIN_NOTICE_MS = 2_000;
 const ALLOCATION_TICK_MS = 25;
 const CANCEL_TICK_MS = 250;
 const HEARTBEAT_INTERVAL_MS = 250;
 
-/** Splits `IP:port`. */
-function parseAddress(address: string): { host: string; port: number } {
-  const [host = '', port = ''] = address.split(':');
-  return { host, port: Number(port) };
-}
-
-function listen(server: Server, address: string): void {
-  const { host, port } = parseAddress(address);
-  server.listen(port, host);
+function listen(server: Server, address: { readonly host: string; readonly port: number }): void {
+  server.listen(address.port, address.host);
 }
 
 /** Starts the daemon. */
@@ -133,7 +126,7 @@
 
   const mesh = startPeerMesh({
     self,
-    listen: parseAddress(settings.peerListen),
+    listen: settings.peerListen,
     secrets: settings.peerSecrets,
     directory,
     metrics,
@@ -150,7 +143,12 @@
 
   start('directory', () => runDirectory(vmList, membership, logger));
   start('membership', () =>
-    runMembership(membership, { state: membershipState, directory, allocation, logger }),
+    runMembership(membership, {
+      state: membershipState,
+      directory,
+      allocation,
+      logger,
+    }),
   );
   const { policy, objective } = settings;
   const { sendTo } = mesh;
@@ -206,14 +204,24 @@
   };
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
 
-  const requestParts: ModelRequestParts = { ...self, directory, allocation, cancels, metrics };
-  const admit = makeAdmissionFilter(view);
-  const authenticate = makeAuthenticateFilter(view);
-  const readBody = makeReadBodyFilter();
   const claims = makeLedgerInbox();
   const invariants = makeInvariants(metrics, logger);
   start('claims', () => runClaimLedger(claims, { table, invariants, metrics, logger }));
   start('claim sweep', () => runClaimSweep({ self: self.vmId, table, members, metrics, logger }));
+
+  const requestParts: ChatParts = {
+    ...self,
+    claims,
+    directory,
+    allocation,
+    cancels,
+    budget: makeRetryBudget(),
+    invariants,
+    metrics,
+  };
+  const admit = makeAdmissionFilter(view);
+  const authenticate = makeAuthenticateFilter(view);
+  const readBody = makeReadBodyFilter(settings.maxBodyBytes);
   const serviceParts = { view, directory, claims, invariants, metrics };
   const callerServer = makeCallerServer({
     routes: {
@@ -223,6 +231,8 @@
     },
     isReady: () =>
       isRulesViewCurrent(view, Date.now()) && directory.entryVms.length > 0 && !isLeaving,
+    isLeaving: () => isLeaving,
+    keepAliveMs: getKeepAliveMs(settings.drainNoticeMs),
     metrics,
     logger,
   });
@@ -254,20 +264,32 @@
   listen(operatorServer, settings.operatorListen);
   logger.info({ callers: settings.callerListen }, 'daemon: started');
 
+  const onLeaving = (): void => {
+    isLeaving = true;
+    logger.info('daemon: leaving');
+    sendHeartbeat();
+  };
   return {
     stop: (onStopped) => {
-      isLeaving = true;
-      logger.info('daemon: leaving');
-      sendHeartbeat();
-      setTimeout(() => {
-        callerServer.close(() => {
+      const stopParts = {
+        server: callerServer,
+        noticeMs: settings.drainNoticeMs,
+        onLeaving,
+        flush: async () => undefined,
+        onStopped: () => {
           clearInterval(heartbeatTimer);
           mesh.close();
           logger.info('daemon: stopped');
           onStopped();
-        });
-        callerServer.closeIdleConnections();
-      }, DRAIN_NOTICE_MS);
+        },
+      };
+      startTask(
+        'graceful stop',
+        () => runGracefulStop(stopParts),
+        (name, error) => {
+          if (error !== undefined) handleTaskEnd(name, error);
+        },
+      );
     },
   };
 }
