Answer a request id once across VMs, without a table row for each request

Cause: each VM looked only at its own running ids; a trial with one id at three VMs at once was answered twice. Attempt ids came from the request id alone, so that a late cancel of one submission could free what the next one held. Ruled out: a table row for each request (several thousand writes a second). Conclusion: rendezvous hashing names one VM for each id; a second one is asked when it is silent.

--- /dev/null
+++ b/packages/core/src/claims/duplicate-guard.fuzz.test.ts
@@ -0,0 +1,164 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import type { Incarnation, VmId } from '@tarragonspool/protocol';
+import {
+  handleDuplicateEvent,
+  makeDuplicateState,
+  type DuplicateEvent,
+  type DuplicateMessage,
+  type DuplicateState,
+} from './duplicate-guard.js';
+
+const VMS = ['vm-1', 'vm-2', 'vm-3'] as VmId[];
+const KEY = 'k';
+
+type Mail = { readonly from: VmId; readonly to: VmId; readonly message: DuplicateMessage };
+
+/** Three VMs with links in order; a dead VM loses what is sent to it. */
+class World {
+  now = 0;
+
+  readonly dead = new Set<VmId>();
+
+  readonly states = new Map<VmId, DuplicateState>();
+
+  mail: Mail[] = [];
+
+  readonly open = new Set<VmId>();
+
+  readonly running = new Set<VmId>();
+
+  verdicts: string[] = [];
+
+  constructor() {
+    for (const vmId of VMS) {
+      this.states.set(vmId, makeDuplicateState({ vmId, incarnation: 1 as Incarnation }));
+    }
+    this.tick();
+  }
+
+  handle(vmId: VmId, event: DuplicateEvent): void {
+    const state = this.states.get(vmId);
+    if (state === undefined || this.dead.has(vmId)) return;
+    for (const action of handleDuplicateEvent(state, event)) {
+      if (action.kind === 'send') {
+        this.mail.push({ from: vmId, to: action.vmId, message: action.message });
+        continue;
+      }
+      this.verdicts.push(action.verdict);
+      this.open.delete(vmId);
+      if (action.verdict !== 'first') continue;
+      this.running.add(vmId);
+      expect(this.running.size, 'submissions running').to.equal(1);
+    }
+  }
+
+  check(vmId: VmId): void {
+    if (this.open.has(vmId) || this.running.has(vmId) || this.dead.has(vmId)) return;
+    this.open.add(vmId);
+    this.handle(vmId, { kind: 'checked', requestKey: KEY, now: this.now });
+  }
+
+  end(vmId: VmId): void {
+    if (!this.running.delete(vmId)) return;
+    this.handle(vmId, { kind: 'ended', requestKey: KEY, now: this.now });
+  }
+
+  /** Delivers the oldest message of one link. */
+  deliver(at: number): void {
+    const picked = this.mail[at % Math.max(1, this.mail.length)];
+    if (picked === undefined) return;
+    const first = this.mail.findIndex(({ from, to }) => from === picked.from && to === picked.to);
+    const [mail] = this.mail.splice(first, 1);
+    if (mail === undefined) return;
+    const from = { vmId: mail.from, incarnation: 1 as Incarnation };
+    this.handle(mail.to, { kind: 'peer-said', from, message: mail.message, now: this.now });
+  }
+
+  tick(by = 20): void {
+    this.now += by;
+    const liveVms = VMS.filter((vmId) => !this.dead.has(vmId));
+    for (const vmId of VMS) {
+      this.handle(vmId, { kind: 'ticked', liveVms, aliveVms: liveVms, now: this.now });
+    }
+  }
+
+  /** Messages arrive well within the answer timeout, as on a link that works. */
+  settle(): void {
+    while (this.mail.length > 0) this.deliver(0);
+    this.tick(200);
+    while (this.mail.length > 0) this.deliver(0);
+  }
+
+  kill(vmId: VmId): void {
+    if (this.dead.size === VMS.length - 1) return;
+    this.settle();
+    this.dead.add(vmId);
+    this.open.delete(vmId);
+    this.running.delete(vmId);
+    this.tick();
+    this.settle();
+  }
+}
+
+const step = fc.tuple(
+  fc.constantFrom('check', 'check', 'check', 'end', 'deliver', 'deliver', 'deliver', 'kill'),
+  fc.nat({ max: 2 }),
+);
+
+it('duplicates: one submission of a request id runs at a time', () => {
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 60, size: 'max' }), (steps) => {
+      const world = new World();
+      for (const [what, at] of steps) {
+        const vmId = VMS[at] as VmId;
+        if (what === 'check') world.check(vmId);
+        if (what === 'end') world.end(vmId);
+        if (what === 'deliver') world.deliver(at);
+        if (what === 'kill') world.kill(vmId);
+      }
+      world.settle();
+      expect(world.open.size, 'checks without a verdict').to.equal(0);
+    }),
+  );
+});
+
+it('duplicates: a submission after the first one ended runs', () => {
+  const world = new World();
+  world.check('vm-1' as VmId);
+  world.settle();
+  world.end('vm-1' as VmId);
+  world.settle();
+  world.check('vm-2' as VmId);
+  world.settle();
+  expect(world.verdicts).to.deep.equal(['first', 'first']);
+});
+
+it('duplicates: two silent owners leave a submission unchecked', () => {
+  const state = makeDuplicateState({ vmId: 'vm-0' as VmId, incarnation: 1 as Incarnation });
+  const liveVms = ['vm-0', ...VMS] as VmId[];
+  handleDuplicateEvent(state, { kind: 'ticked', liveVms, aliveVms: liveVms, now: 0 });
+  const key = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'].find((requestKey) => {
+    const trial = makeDuplicateState(state.self);
+    handleDuplicateEvent(trial, { kind: 'ticked', liveVms, aliveVms: liveVms, now: 0 });
+    handleDuplicateEvent(trial, { kind: 'checked', requestKey, now: 0 });
+    const later = handleDuplicateEvent(trial, {
+      kind: 'ticked',
+      liveVms,
+      aliveVms: liveVms,
+      now: 200,
+    });
+    return later.filter(({ kind }) => kind === 'send').length === 2;
+  }) as string;
+  handleDuplicateEvent(state, { kind: 'checked', requestKey: key, now: 0 });
+  handleDuplicateEvent(state, { kind: 'ticked', liveVms, aliveVms: liveVms, now: 200 });
+  const last = handleDuplicateEvent(state, {
+    kind: 'ticked',
+    liveVms,
+    aliveVms: liveVms,
+    now: 400,
+  });
+  expect(last.filter(({ kind }) => kind === 'answer')).to.deep.equal([
+    { kind: 'answer', requestKey: key, verdict: 'unchecked' },
+  ]);
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from './claims/claim-machine.js';
 export * from './claims/claim-sweep.js';
 export * from './claims/claim-types.js';
+export * from './claims/duplicate-guard.js';
 export * from './hashing/rendezvous.js';
 export * from './membership/membership.js';
 export * from './requests/prefix-hashes.js';
--- a/packages/core/src/requests/request-state.ts
+++ b/packages/core/src/requests/request-state.ts
@@ -25,6 +25,8 @@
   readonly budget: RetryBudget;
   /** Whether nothing may be ordered again once an order has been sent. */
   readonly isOnce?: boolean;
+  /** Keeps attempts of two submissions of one request id apart. */
+  readonly runId?: string;
   /** `holding` waits for the time at which the grant lets the prefill start. */
   phase: 'asking' | 'holding' | 'prefilling' | 'importing' | 'decoding' | 'ended';
   attempt: number;
@@ -68,10 +70,15 @@
   readonly lastDeadline: number;
   readonly budget: RetryBudget;
   readonly isOnce?: boolean;
+  /** Keeps attempts of two submissions of one request id apart. */
+  readonly runId?: string;
 };
 
-function makeAttemptId(requestId: RequestId, attempt: number): AttemptId {
-  return `${requestId}.${attempt}` as AttemptId;
+type AttemptNames = Pick<RequestOptions, 'requestId' | 'runId'>;
+
+function makeAttemptId({ requestId, runId }: AttemptNames, attempt: number): AttemptId {
+  const prefix = runId === undefined ? requestId : `${requestId}.${runId}`;
+  return `${prefix}.${attempt}` as AttemptId;
 }
 
 /** Makes the state of a new request. */
@@ -80,7 +87,7 @@
     ...options,
     phase: 'asking',
     attempt: 1,
-    attemptId: makeAttemptId(options.requestId, 1),
+    attemptId: makeAttemptId(options, 1),
     grant: undefined,
     rescueId: undefined,
     moved: undefined,
@@ -107,7 +114,7 @@
 /** Makes the id of one more attempt. */
 export function takeAttemptId(state: RequestState): AttemptId {
   state.attempt += 1;
-  return makeAttemptId(state.requestId, state.attempt);
+  return makeAttemptId(state, state.attempt);
 }
 
 /** Enters a phase, which counts as stalled at `stallAt`. */
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -161,4 +161,8 @@
     }
   | { readonly kind: 'end'; readonly shardId: ShardId; readonly items: readonly AttemptEnd[] }
   | { readonly kind: 'held'; readonly shardId: ShardId; readonly items: readonly HeldReservation[] }
-  | { readonly kind: 'suspects'; readonly items: readonly SuspectRecord[] };
+  | { readonly kind: 'suspects'; readonly items: readonly SuspectRecord[] }
+  /** Asks the VM that keeps a request id whether this submission is the only one. */
+  | { readonly kind: 'request-started'; readonly requestKey: string }
+  | { readonly kind: 'request-ended'; readonly requestKey: string }
+  | { readonly kind: 'request-verdict'; readonly requestKey: string; readonly isFirst: boolean };
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -21,6 +21,14 @@
 import { makeLedgerInbox, runClaimLedger } from './claims/claim-ledger.js';
 import { makeCancelInbox, runCancels, type CancelMessage } from './engines/cancel-task.js';
 import { runEnginePolls } from './engines/engine-poll-task.js';
+import {
+  isDuplicateMessage,
+  listAliveVms,
+  makeDuplicateFilter,
+  makeDuplicateInbox,
+  runDuplicateGuard,
+  type DuplicateInboxMessage,
+} from './claims/duplicate-task.js';
 import { runClaimSweep } from './claims/claim-sweep-task.js';
 import { makeInvariants } from './invariants/invariants.js';
 import type { Logger } from './logging/logger.js';
@@ -57,6 +65,7 @@
 const RULES_TICK_MS = 100;
 const ALLOCATION_TICK_MS = 25;
 const CANCEL_TICK_MS = 250;
+const DUPLICATE_TICK_MS = 50;
 const HEARTBEAT_INTERVAL_MS = 250;
 
 function listen(server: Server, address: { readonly host: string; readonly port: number }): void {
@@ -91,12 +100,17 @@
   const membership = makeMembershipInbox();
   const membershipState = makeMembershipState(self.vmId);
   const members = makeMembershipView(membershipState, () => isLeaving);
+  const duplicates = makeDuplicateInbox();
   const handlePeerMessage = (peer: PeerIdentity, message: PeerMessage): void => {
     if (isAllocationMessage(message)) {
       const { vmId } = peer;
       offer(allocation, { kind: 'peer-said', vmId, message, now: Date.now() });
       return;
     }
+    if (isDuplicateMessage(message)) {
+      offer(duplicates, { kind: 'peer-said', from: peer, message });
+      return;
+    }
     switch (message.kind) {
       case 'rules':
         offer(rulesInbox, { ...message, kind: 'peer-file', now: Date.now() });
@@ -209,6 +223,13 @@
   start('claims', () => runClaimLedger(claims, { table, invariants, metrics, logger }));
   start('claim sweep', () => runClaimSweep({ self: self.vmId, table, members, metrics, logger }));
 
+  start('duplicates', () => runDuplicateGuard(duplicates, { self, sendTo: mesh.sendTo, metrics }));
+  startTicker<DuplicateInboxMessage>(duplicates, DUPLICATE_TICK_MS, (now) => ({
+    kind: 'ticked',
+    liveVms: members.listLive(now),
+    aliveVms: listAliveVms(members.listMembers(), self.vmId, now),
+  }));
+
   const requestParts: ChatParts = {
     ...self,
     claims,
@@ -223,11 +244,13 @@
   const authenticate = makeAuthenticateFilter(view);
   const readBody = makeReadBodyFilter(settings.maxBodyBytes);
   const serviceParts = { view, directory, claims, invariants, metrics };
+  const chatFilters = makeChatFilters(requestParts, view, readBody);
+  const serviceFilters = makeServiceFilters(serviceParts, readBody);
   const callerServer = makeCallerServer({
     routes: {
-      chat: [admit, authenticate, ...makeChatFilters(requestParts, view, readBody)],
+      chat: [admit, authenticate, makeDuplicateFilter(duplicates, chatFilters)],
       models: [admit, authenticate, makeModelListFilter(directory, view)],
-      service: [admit, authenticate, ...makeServiceFilters(serviceParts, readBody)],
+      service: [admit, authenticate, makeDuplicateFilter(duplicates, serviceFilters)],
     },
     isReady: () =>
       isRulesViewCurrent(view, Date.now()) && directory.entryVms.length > 0 && !isLeaving,
--- a/packages/router/src/metrics/metrics.ts
+++ b/packages/router/src/metrics/metrics.ts
@@ -43,6 +43,12 @@
       help: 'Outcomes of claimed calls that were not recorded.',
       registers,
     }),
+    duplicateChecks: new Counter({
+      name: 'tarragonspool_duplicate_checks_total',
+      help: 'Checks of request ids that callers chose, by verdict.',
+      labelNames: ['verdict'],
+      registers,
+    }),
     claimsSwept: new Counter({
       name: 'tarragonspool_claims_swept_total',
       help: 'Expired claim rows that were deleted.',
--- a/packages/router/src/requests/chat-filters.ts
+++ b/packages/router/src/requests/chat-filters.ts
@@ -1,7 +1,6 @@
 /** Filters for chat completions. */
 
 import { findRule, type AllowRule } from '@tarragonspool/core';
-import type { RequestId } from '@tarragonspool/protocol';
 import { refuse, type Exchange, type Filter, ANSWERED, CONTINUE } from '../callers/exchange.js';
 import type { LedgerInbox } from '../claims/claim-ledger.js';
 import { KEY_FORMAT, readIdempotencyKey } from '../claims/run-once.js';
@@ -73,7 +72,6 @@
   view: RulesView,
   readBody: Filter,
 ): readonly Filter[] {
-  const runningIds = new Set<RequestId>();
   const runChat: Filter = function* runChat(exchange) {
     const badTarget = findBadTarget(exchange.incoming.headers);
     if (badTarget !== undefined) return refuse('invalid-request', badTarget);
@@ -92,15 +90,8 @@
     if (key === undefined && approved.rule.isOnce) {
       return refuse('idempotency-key-required', `the rule for ${approved.service} says once`);
     }
-    const { requestId } = request;
-    if (runningIds.has(requestId)) return refuse('duplicate-request', `x-request-id ${requestId}`);
-    runningIds.add(requestId);
-    try {
-      if (key !== undefined) return yield* runChatOnce(parts, exchange, request, key);
-      yield* runModelRequest(parts, request);
-    } finally {
-      runningIds.delete(requestId);
-    }
+    if (key !== undefined) return yield* runChatOnce(parts, exchange, request, key);
+    yield* runModelRequest(parts, request);
     return ANSWERED;
   };
   return [readBody, runChat];
--- a/packages/router/src/requests/model-request-task.ts
+++ b/packages/router/src/requests/model-request-task.ts
@@ -1,5 +1,6 @@
 /** Runs one model request: carries the request machine's decisions out. */
 
+import { randomUUID } from 'node:crypto';
 import {
   getNextTick,
   handleRequestEvent,
@@ -21,6 +22,7 @@
 } from './model-request.js';
 
 const INBOX_CAPACITY = 8_192;
+const RUN_ID_LENGTH = 8;
 const MOVE_INTERVAL_MS = 50;
 const MS_PER_SECOND = 1_000;
 
@@ -155,6 +157,7 @@
       lastDeadline: findLastDeadline(request),
       budget: parts.budget,
       isOnce: request.permit !== undefined,
+      runId: randomUUID().slice(0, RUN_ID_LENGTH),
     },
     Date.now(),
   );
