--- a/packages/cli/src/operators/answers.ts
+++ b/packages/cli/src/operators/answers.ts
@@ -35,25 +35,32 @@
   peers: z.array(peerSchema),
   engines: z.array(upstreamSchema),
   servers: z.array(upstreamSchema),
-  reservations: z.number().optional(),
 });
 
 /** What a daemon knows of its surroundings. */
 export type StatusAnswer = z.infer<typeof statusSchema>;
 
-/** Answer of `GET /rules/history`, newest first. */
-export const historySchema = z.object({
-  revisions: z.array(
-    z.object({
-      revision: z.number(),
-      editId: z.string(),
-      digest: z.string(),
-      acceptedAt: z.number().optional(),
-      vmId: z.string().optional(),
-    }),
-  ),
+const hunkSchema = z.object({ removed: z.array(z.string()), added: z.array(z.string()) });
+
+const changeSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('hunks'), hunks: z.array(hunkSchema) }),
+  z.object({ kind: z.literal('snapshot') }),
+]);
+
+const revisionSchema = z.object({
+  revision: z.number(),
+  editId: z.string(),
+  author: z.string(),
+  acceptedAt: z.number(),
+  change: changeSchema,
 });
 
+/** One accepted edit of the rules. */
+export type RevisionAnswer = z.infer<typeof revisionSchema>;
+
+/** Answer of `GET /rules/history`, oldest first. */
+export const historySchema = z.object({ history: z.array(revisionSchema) });
+
 /** Answer of `GET /quarantine`. */
 export const quarantineSchema = z.object({
   entries: z.array(
--- a/packages/cli/src/upstreams/undrain-command.ts
+++ b/packages/cli/src/upstreams/undrain-command.ts
@@ -1,6 +1,6 @@
 /** `tarragonspool upstream undrain NAME`. */
 
-import { Command } from 'clipanion';
+import { Command, Option } from 'clipanion';
 import { DrainEditCommand } from './drain-edit-command.js';
 import { hasDrainLine, removeDrainLine } from './drain-lines.js';
 
@@ -14,9 +14,14 @@
     examples: [['Undo a drain', '$0 upstream undrain declaration-llm-2']],
   });
 
+  author = Option.String('--by', 'unknown', {
+    env: 'USER',
+    description: 'Who made the edit, for the history.',
+  });
+
   async execute(): Promise<number> {
     const name = this.checkName();
-    return this.changeRules((text) =>
+    return this.changeRules(this.author, (text) =>
       hasDrainLine(text, name) ? removeDrainLine(text, name) : undefined,
     );
   }
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -34,6 +34,7 @@
   fingerprint: id,
   excluded: z.array(id),
   resumeFrom: id.optional(),
+  movesFrom: id.optional(),
 });
 
 const grantSchema = z.object({
--- a/packages/router/src/claims/run-once.test.ts
+++ b/packages/router/src/claims/run-once.test.ts
@@ -8,6 +8,7 @@
 import { makeAuthenticateFilter } from '../callers/authenticate.js';
 import { makeCallerServer } from '../callers/caller-server.js';
 import { makeReadBodyFilter } from '../callers/read-body-filter.js';
+import { makeRequestJournal } from '../journal/request-journal.js';
 import { makeInvariants } from '../invariants/invariants.js';
 import { makeMetrics } from '../metrics/metrics.js';
 import { makeRulesView } from '../rules/rules-view.js';
@@ -96,7 +97,7 @@
   );
   const filters = makeServiceFilters(
     { view, directory, claims, invariants, metrics },
-    makeReadBodyFilter(4_194_304),
+    makeReadBodyFilter(65_536),
   );
   const service = [makeAuthenticateFilter(view), ...filters];
   const routes = { chat: [], models: [], service };
@@ -105,6 +106,8 @@
     isReady: () => true,
     isLeaving: () => false,
     keepAliveMs: 5_000,
+    journal: makeRequestJournal(0),
+    onEnded: () => undefined,
     metrics,
     logger,
   });
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -1,7 +1,7 @@
 /** Puts the daemon's parts together and starts and stops them. */
 
 import type { Server } from 'node:http';
-import { makeMembershipState, makeRetryBudget } from '@tarragonspool/core';
+import { makeBurnState, makeMembershipState, makeRetryBudget } from '@tarragonspool/core';
 import {
   makeAgent,
   makeObjectClient,
@@ -15,6 +15,7 @@
   type AllocationMessage,
 } from './allocation/allocation-messages.js';
 import { makeAllocation } from './allocation/allocation-task.js';
+import { buildBurnReport, recordTrace } from './burn/burn-recorder.js';
 import { makeAuthenticateFilter } from './callers/authenticate.js';
 import { makeCallerServer } from './callers/caller-server.js';
 import { makeReadBodyFilter } from './callers/read-body-filter.js';
@@ -29,6 +30,7 @@
   runDuplicateGuard,
   type DuplicateInboxMessage,
 } from './claims/duplicate-task.js';
+import { makeRequestJournal } from './journal/request-journal.js';
 import { runClaimSweep } from './claims/claim-sweep-task.js';
 import { makeInvariants } from './invariants/invariants.js';
 import type { Logger } from './logging/logger.js';
@@ -39,6 +41,7 @@
 } from './membership/membership-task.js';
 import { makeMetrics } from './metrics/metrics.js';
 import { makeOperatorServer } from './operators/operator-server.js';
+import { buildStatus } from './operators/status.js';
 import type { PeerIdentity } from './peers/peer-link.js';
 import { startPeerMesh } from './peers/peer-mesh.js';
 import { makeChatFilters } from './requests/chat-filters.js';
@@ -51,6 +54,7 @@
 import { makeServiceFilters } from './services/service-filters.js';
 import { getKeepAliveMs, runGracefulStop } from './shutdown/graceful-stop.js';
 import type { Settings } from './settings/settings.js';
+import { findTlsFiles } from './settings/tls-settings.js';
 import { offer, startTask, type Task } from './tasks/tasks.js';
 import { startTicker } from './tasks/timers.js';
 import { runDirectory } from './upstreams/directory-task.js';
@@ -84,6 +88,7 @@
   const objects = makeObjectClient(settings.platformUrl, platformAgent);
   const vmList = makeVmListClient(settings.platformUrl, platformAgent);
   const metrics = makeMetrics();
+  const invariants = makeInvariants(metrics, logger);
   const directory = makeDirectory();
   const view = makeRulesView();
   const allocation = makeAllocationInbox();
@@ -166,7 +171,15 @@
   );
   const { policy, objective } = settings;
   const { sendTo } = mesh;
-  const allocator = makeAllocation({ ...self, policy, objective, sendTo, cancels, logger });
+  const allocator = makeAllocation({
+    ...self,
+    policy,
+    objective,
+    sendTo,
+    cancels,
+    invariants,
+    logger,
+  });
   start('allocation', () => allocator.run(allocation));
   start('cancels', () => runCancels(cancels, { directory, metrics, logger }));
   start('engine polls', () =>
@@ -190,6 +203,7 @@
       objects,
       membership,
       metrics,
+      invariants,
       logger,
       seed: self.incarnation,
       broadcast: mesh.broadcast,
@@ -218,8 +232,9 @@
   };
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
 
+  const journal = makeRequestJournal(settings.journalEntries);
+  const burn = makeBurnState(Date.now(), settings.burnSeries);
   const claims = makeLedgerInbox();
-  const invariants = makeInvariants(metrics, logger);
   start('claims', () => runClaimLedger(claims, { table, invariants, metrics, logger }));
   start('claim sweep', () => runClaimSweep({ self: self.vmId, table, members, metrics, logger }));
 
@@ -252,6 +267,9 @@
       models: [admit, authenticate, makeModelListFilter(directory, view)],
       service: [admit, authenticate, makeDuplicateFilter(duplicates, serviceFilters)],
     },
+    tls: { files: findTlsFiles(settings, 'caller'), logger },
+    journal,
+    onEnded: (trace) => recordTrace(burn, metrics, trace),
     isReady: () =>
       isRulesViewCurrent(view, Date.now()) && directory.entryVms.length > 0 && !isLeaving,
     isLeaving: () => isLeaving,
@@ -260,28 +278,25 @@
     logger,
   });
   const operatorServer = makeOperatorServer({
+    vmId: self.vmId,
+    journal,
+    getBurn: () => buildBurnReport(burn, self.vmId, settings.burnTargetPercent, Date.now()),
     token: settings.operatorToken,
+    tls: { files: findTlsFiles(settings, 'operator'), logger },
     view,
     rulesInbox,
     metrics,
     logger,
     readHistory: () => readRuleHistory(table, view.revision),
-    getStatus: () => ({
-      ...self,
-      isLeaving,
-      rulesRevision: view.revision,
-      entryVms: directory.entryVms.map(({ vmId }) => vmId),
-      peers: members.listMembers(),
-      engines: [...directory.engines.values()].map(
-        ({ upstreamId, role, service, isLeaving: l }) => ({
-          upstreamId,
-          role,
-          service,
-          isLeaving: l,
-        }),
-      ),
-      servers: [...directory.servers.values()],
-    }),
+    getStatus: () =>
+      buildStatus({
+        self,
+        isLeaving,
+        rulesRevision: view.revision,
+        directory,
+        members: members.listMembers(),
+        journal,
+      }),
   });
   listen(callerServer, settings.callerListen);
   listen(operatorServer, settings.operatorListen);
--- a/packages/router/src/requests/model-request.ts
+++ b/packages/router/src/requests/model-request.ts
@@ -15,6 +15,7 @@
 import type { CancelInbox } from '../engines/cancel-task.js';
 import type { StopOrder } from '../engines/engine-client.js';
 import type { Invariants } from '../invariants/invariants.js';
+import type { RequestTrace } from '../journal/request-trace.js';
 import type { Metrics } from '../metrics/metrics.js';
 import type { Channel } from '../tasks/tasks.js';
 import type { Directory } from '../upstreams/directory.js';
@@ -46,6 +47,7 @@
   readonly writer: AnswerWriter;
   /** Set for a request that must run at most once; nothing is ordered without it or after it. */
   readonly permit?: DispatchPermit;
+  readonly trace: RequestTrace;
   /** Calls back once if the caller goes away before the answer ended. */
   readonly onCallerGone: (handler: () => void) => void;
 };
--- a/packages/router/src/services/service-filters.ts
+++ b/packages/router/src/services/service-filters.ts
@@ -22,6 +22,7 @@
   type OnceResult,
 } from '../claims/run-once.js';
 import type { Invariants } from '../invariants/invariants.js';
+import { recordAnswered } from '../journal/request-trace.js';
 import type { Metrics } from '../metrics/metrics.js';
 import type { RulesView } from '../rules/rules-view.js';
 import { awaitPromise, type Task } from '../tasks/tasks.js';
@@ -71,6 +72,7 @@
       return refuse('unknown-path', 'use /services/NAME/PATH');
     }
     const { service } = parsed;
+    exchange.trace.service = service;
     exchange.rule = findRule(parts.view.ruleSet, exchange.callerId, service);
     if (exchange.rule === undefined) {
       return refuse('not-approved', `no rule lets ${exchange.callerId} reach ${service}`);
@@ -115,7 +117,7 @@
   return refuse('no-upstream', 'no server accepts connections', Date.now() + RETRY_AFTER_MS);
 }
 
-function sendAnswer({ response }: Exchange, answer: ServiceAnswer): FilterVerdict {
+function sendAnswer({ response, trace }: Exchange, answer: ServiceAnswer): FilterVerdict {
   switch (answer.kind) {
     case 'answer':
       response.writeHead(answer.status, {
@@ -123,6 +125,7 @@
         'content-length': answer.body.length,
       });
       response.end(answer.body);
+      recordAnswered(trace, Date.now());
       return ANSWERED;
     case 'too-large': {
       const detail = 'the call ran; its answer is too large to pass on';
@@ -189,6 +192,7 @@
     const detail = yield* awaitPromise(streamServiceCall(exchange, call, deadline));
     if (detail === undefined) {
       running.metrics.requests.inc({ kind: 'service', result: 'answered' });
+      recordAnswered(exchange.trace, Date.now());
       return ANSWERED;
     }
     return { kind: 'refuse', refusal: { name: 'upstream-failed', ran: 'unknown', detail } };
--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -3,11 +3,11 @@
 import { z } from 'zod';
 import {
   addressSchema,
+  filePathSchema,
   httpUrlSchema,
   makeChoiceSchema,
   makeWholeNumberSchema,
   nameSchema,
-  parseAddress,
   secretListSchema,
   secretSchema,
 } from './value-schemas.js';
@@ -20,10 +20,16 @@
 const LOG_LEVELS = ['debug', 'info', 'warn', 'error', 'silent'] as const;
 const MIN_BODY_BYTES = 1_024;
 const MAX_BODY_BYTES = 67_108_864;
+const MIN_TARGET_PERCENT = 50;
+const MAX_TARGET_PERCENT = 99;
+const MIN_BURN_SERIES = 16;
+const MAX_BURN_SERIES = 50_000;
+const MAX_JOURNAL_ENTRIES = 100_000;
 const MIN_NOTICE_MS = 100;
 const MAX_NOTICE_MS = 120_000;
 
-type SettingEntry = {
+/** One setting of the table. */
+export type SettingEntry = {
   /** What it is for, in one sentence. */
   readonly description: string;
   readonly schema: z.ZodType<unknown, string>;
@@ -33,6 +39,7 @@
 };
 
 const REQUIRED = { fallback: undefined, isSecret: false } as const;
+const OPTIONAL_FILE = { schema: filePathSchema, fallback: '', isSecret: false } as const;
 const REQUIRED_SECRET = { fallback: undefined, isSecret: true } as const;
 
 /**
@@ -104,12 +111,46 @@
     fallback: '4194304',
     isSecret: false,
   },
+  burnTargetPercent: {
+    description: 'Share of requests that must meet each latency target, in percent.',
+    schema: makeWholeNumberSchema(MIN_TARGET_PERCENT, MAX_TARGET_PERCENT),
+    fallback: '95',
+    isSecret: false,
+  },
+  burnSeries: {
+    description: 'Pairs of caller and service that the burn report keeps apart.',
+    schema: makeWholeNumberSchema(MIN_BURN_SERIES, MAX_BURN_SERIES),
+    fallback: '4000',
+    isSecret: false,
+  },
+  journalEntries: {
+    description: 'Recent requests kept in memory for `request explain`.',
+    schema: makeWholeNumberSchema(0, MAX_JOURNAL_ENTRIES),
+    fallback: '4000',
+    isSecret: false,
+  },
   drainNoticeMs: {
     description: 'How long a stopping daemon still takes requests, in milliseconds.',
     schema: makeWholeNumberSchema(MIN_NOTICE_MS, MAX_NOTICE_MS),
     fallback: '6000',
     isSecret: false,
   },
+  callerTlsCert: {
+    description: 'PEM file of the certificate for callers; empty for plain HTTP.',
+    ...OPTIONAL_FILE,
+  },
+  callerTlsKey: {
+    description: 'PEM file of the private key for callers; empty for plain HTTP.',
+    ...OPTIONAL_FILE,
+  },
+  operatorTlsCert: {
+    description: 'PEM file of the certificate for operators; empty for plain HTTP.',
+    ...OPTIONAL_FILE,
+  },
+  operatorTlsKey: {
+    description: 'PEM file of the private key for operators; empty for plain HTTP.',
+    ...OPTIONAL_FILE,
+  },
 } as const satisfies Record<string, SettingEntry>;
 
 /** Names of the settings. */
@@ -120,13 +161,6 @@
 };
 /** Settings as given, before checks. */
 export type RawSettings = Partial<Record<SettingName, string>>;
-/** Result of checking settings. */
-export type CheckedSettings =
-  | { readonly kind: 'settings'; readonly settings: Settings }
-  | { readonly kind: 'errors'; readonly errors: readonly string[] };
-
-const LISTENERS = ['callerListen', 'operatorListen', 'peerListen'] as const;
-const ANY_HOST = '0.0.0.0';
 
 /** Lists the names of every setting, in the order of the table. */
 export function listSettingNames(): SettingName[] {
@@ -142,54 +176,3 @@
 export function makeVariable(name: SettingName): string {
   return `TARRAGONSPOOL_${name.replaceAll(/[A-Z]/g, (letter) => `_${letter}`).toUpperCase()}`;
 }
-
-function renderError(name: SettingName, raw: RawSettings, expected: string): string {
-  const value = raw[name];
-  const shown = SETTINGS[name].isSecret ? '(secret)' : JSON.stringify(value);
-  const found = value === undefined ? 'no value' : `value ${shown}`;
-  return `${makeFlag(name)} (${makeVariable(name)}): ${found}; expected ${expected}`;
-}
-
-function isClash(one: string, other: string): boolean {
-  const [first, second] = [parseAddress(one), parseAddress(other)];
-  if (first === undefined || second === undefined || first.port !== second.port) return false;
-  return first.host === second.host || first.host === ANY_HOST || second.host === ANY_HOST;
-}
-
-function findListenClashes(raw: RawSettings): string[] {
-  const errors: string[] = [];
-  for (const [index, name] of LISTENERS.entries()) {
-    for (const earlier of LISTENERS.slice(0, index)) {
-      if (!isClash(raw[name] ?? '', raw[earlier] ?? '')) continue;
-      errors.push(renderError(name, raw, `an address that ${makeFlag(earlier)} does not use`));
-    }
-  }
-  return errors;
-}
-
-function findSharedToken(raw: RawSettings): string[] {
-  const secrets = (raw.peerSecrets ?? '').split(',');
-  if (raw.operatorToken === undefined || !secrets.includes(raw.operatorToken)) return [];
-  return [renderError('operatorToken', raw, 'a token that is no peer secret')];
-}
-
-/** Checks every setting; each error names the flag, the variable, the value and what is expected. */
-export function checkSettings(given: RawSettings): CheckedSettings {
-  const raw: RawSettings = { ...given };
-  const values: Partial<Record<SettingName, unknown>> = {};
-  const errors: string[] = [];
-  for (const name of listSettingNames()) {
-    const entry: SettingEntry = SETTINGS[name];
-    raw[name] ??= entry.fallback;
-    if (raw[name] === undefined) {
-      errors.push(renderError(name, raw, 'a value'));
-      continue;
-    }
-    const parsed = entry.schema.safeParse(raw[name]);
-    if (parsed.success) values[name] = parsed.data;
-    else errors.push(renderError(name, raw, parsed.error.issues[0]?.message ?? 'another value'));
-  }
-  errors.push(...findListenClashes(raw), ...findSharedToken(raw));
-  if (errors.length > 0) return { kind: 'errors', errors };
-  return { kind: 'settings', settings: values as Settings };
-}
