--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -125,6 +125,9 @@
       z.object({ grant: grantSchema, ask: askSchema, stage: stageSchema, tokens: count }),
     ),
   }),
+  z.object({ kind: z.literal('request-started'), requestKey: id }),
+  z.object({ kind: z.literal('request-ended'), requestKey: id }),
+  z.object({ kind: z.literal('request-verdict'), requestKey: id, isFirst: z.boolean() }),
   z.object({
     kind: z.literal('suspects'),
     items: z.array(
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -8,7 +8,13 @@
   makeTableClient,
   makeVmListClient,
 } from '@tarragonspool/platform';
-import type { DataCentre, Incarnation, PeerMessage, VmId } from '@tarragonspool/protocol';
+import type {
+  DataCentre,
+  Incarnation,
+  PeerMessage,
+  UpstreamId,
+  VmId,
+} from '@tarragonspool/protocol';
 import {
   isAllocationMessage,
   makeAllocationInbox,
@@ -49,6 +55,12 @@
 import type { ChatParts } from './requests/chat-filters.js';
 import { makeAdmissionFilter } from './rules/admission-filter.js';
 import { readRuleHistory } from './rules/rule-history.js';
+import {
+  makeQuarantine,
+  runQuarantine,
+  type QuarantineMessage,
+} from './quarantine/quarantine-task.js';
+import { makeSuspectStore, runSuspectReads } from './quarantine/suspect-store.js';
 import { makeRulesInbox, runRules, type RulesMessage } from './rules/rules-task.js';
 import { isRulesViewCurrent, makeRulesView } from './rules/rules-view.js';
 import { makeServiceFilters } from './services/service-filters.js';
@@ -69,6 +81,8 @@
 const RULES_TICK_MS = 100;
 const ALLOCATION_TICK_MS = 25;
 const CANCEL_TICK_MS = 250;
+const QUARANTINE_TICK_MS = 100;
+const ENGINE_PROBE_MS = 250;
 const DUPLICATE_TICK_MS = 50;
 const HEARTBEAT_INTERVAL_MS = 250;
 
@@ -106,6 +120,7 @@
   const membershipState = makeMembershipState(self.vmId);
   const members = makeMembershipView(membershipState, () => isLeaving);
   const duplicates = makeDuplicateInbox();
+  const quarantine = makeQuarantine();
   const handlePeerMessage = (peer: PeerIdentity, message: PeerMessage): void => {
     if (isAllocationMessage(message)) {
       const { vmId } = peer;
@@ -129,6 +144,11 @@
         offer(rulesInbox, { kind: 'peer-wants', vmId, afterRevision, now: Date.now() });
         return;
       }
+      case 'suspects': {
+        const event = { kind: 'heard', items: message.items, now: Date.now() } as const;
+        offer(quarantine.inbox, { kind: 'event', event });
+        return;
+      }
       case 'heartbeat':
         offer(rulesInbox, {
           kind: 'peer-revision',
@@ -153,6 +173,7 @@
     onOpen: (link) => {
       const { vmId } = link.peer;
       offer(allocation, { kind: 'link-opened', vmId, now: Date.now() });
+      offer(quarantine.inbox, { kind: 'link-opened', vmId });
     },
     onMessage: handlePeerMessage,
     onGone: (vmId, incarnation) => {
@@ -245,9 +266,32 @@
     aliveVms: listAliveVms(members.listMembers(), self.vmId, now),
   }));
 
+  const probe = async (upstreamId: UpstreamId): Promise<boolean> => {
+    const client = directory.engines.get(upstreamId)?.client;
+    return (await client?.readLoad(Date.now() + ENGINE_PROBE_MS)) !== undefined;
+  };
+  start('quarantine', () =>
+    runQuarantine({
+      quarantine,
+      duplicates,
+      store: makeSuspectStore(table, logger),
+      probe,
+      broadcast: mesh.broadcast,
+      sendTo: mesh.sendTo,
+      metrics,
+      logger,
+    }),
+  );
+  start('suspect reads', () => runSuspectReads(table, quarantine));
+  startTicker<QuarantineMessage>(quarantine.inbox, QUARANTINE_TICK_MS, (now) => ({
+    kind: 'event',
+    event: { kind: 'ticked', now },
+  }));
+
   const requestParts: ChatParts = {
     ...self,
     claims,
+    quarantine,
     directory,
     allocation,
     cancels,
@@ -285,6 +329,7 @@
     tls: { files: findTlsFiles(settings, 'operator'), logger },
     view,
     rulesInbox,
+    quarantine,
     metrics,
     logger,
     readHistory: () => readRuleHistory(table, view.revision),
--- a/packages/router/src/metrics/metrics.ts
+++ b/packages/router/src/metrics/metrics.ts
@@ -46,6 +46,12 @@
       help: 'Outcomes of claimed calls that were not recorded.',
       registers,
     }),
+    suspectContents: new Counter({
+      name: 'tarragonspool_suspect_contents_total',
+      help: 'Contents blamed for a crash of an engine, or cleared.',
+      labelNames: ['change'],
+      registers,
+    }),
     duplicateChecks: new Counter({
       name: 'tarragonspool_duplicate_checks_total',
       help: 'Checks of request ids that callers chose, by verdict.',
--- a/packages/router/src/operators/operator-server.ts
+++ b/packages/router/src/operators/operator-server.ts
@@ -3,7 +3,14 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 import { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { EditOutcome } from '@tarragonspool/core';
-import type { EditId, Refusal, RuleDelta, RuleRevision, VmId } from '@tarragonspool/protocol';
+import type {
+  EditId,
+  Fingerprint,
+  Refusal,
+  RuleDelta,
+  RuleRevision,
+  VmId,
+} from '@tarragonspool/protocol';
 import { z } from 'zod';
 import { readBody } from '../http/read-body.js';
 import { sendRefusal } from '../http/refusals.js';
@@ -11,6 +18,7 @@
 import type { RequestJournal } from '../journal/request-journal.js';
 import type { Logger } from '../logging/logger.js';
 import type { Metrics } from '../metrics/metrics.js';
+import { listQuarantine, releaseContent, type Quarantine } from '../quarantine/quarantine-task.js';
 import type { RulesInbox } from '../rules/rules-task.js';
 import { renderRules, type RulesView } from '../rules/rules-view.js';
 import { makeServer, type TlsSource } from '../tls/make-server.js';
@@ -24,6 +32,7 @@
   readonly tls: TlsSource;
   readonly view: RulesView;
   readonly rulesInbox: RulesInbox;
+  readonly quarantine: Quarantine;
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly getStatus: () => DaemonStatus;
@@ -35,9 +44,12 @@
 
 const MAX_RULES_BYTES = 8_388_608;
 const BODY_TIMEOUT_MS = 15_000;
+const MAX_RELEASE_BYTES = 4_096;
 const REQUEST_ROUTE = 'GET /requests/';
 const EDIT_TIMEOUT_MS = 12_000;
 
+const releaseSchema = z.object({ fingerprint: z.string().min(16).max(128) });
+
 const editSchema = z.object({
   editId: z.string().min(8).max(128),
   baseRevision: z.number().int().nonnegative(),
@@ -59,9 +71,9 @@
   return timingSafeEqual(digestText(given), digestText(`Bearer ${token}`));
 }
 
-function parseEdit(body: Buffer): z.infer<typeof editSchema> | undefined {
+function parseBody<T>(schema: z.ZodType<T>, body: Buffer): T | undefined {
   try {
-    const parsed = editSchema.safeParse(JSON.parse(body.toString('utf8')));
+    const parsed = schema.safeParse(JSON.parse(body.toString('utf8')));
     return parsed.success ? parsed.data : undefined;
   } catch {
     return undefined;
@@ -77,7 +89,7 @@
   function* handleEdit(incoming: IncomingMessage, response: ServerResponse): Task {
     const deadline = Date.now() + BODY_TIMEOUT_MS;
     const read = yield* awaitPromise(readBody(incoming, MAX_RULES_BYTES, deadline));
-    const edit = read.kind === 'body' ? parseEdit(read.body) : undefined;
+    const edit = read.kind === 'body' ? parseBody(editSchema, read.body) : undefined;
     if (edit === undefined) {
       sendError(response, 'invalid-request', 'expected editId, baseRevision and text');
       return;
@@ -96,6 +108,18 @@
     else sendError(response, 'rules-unavailable', 'the daemon is stopping');
   }
 
+  function* handleRelease(incoming: IncomingMessage, response: ServerResponse): Task {
+    const deadline = Date.now() + BODY_TIMEOUT_MS;
+    const read = yield* awaitPromise(readBody(incoming, MAX_RELEASE_BYTES, deadline));
+    const release = read.kind === 'body' ? parseBody(releaseSchema, read.body) : undefined;
+    if (release === undefined) {
+      sendError(response, 'invalid-request', 'expected fingerprint');
+      return;
+    }
+    const fingerprint = release.fingerprint as Fingerprint;
+    sendJson(response, { isReleased: releaseContent(parts.quarantine, fingerprint) });
+  }
+
   function* handleRequest(incoming: IncomingMessage, response: ServerResponse): Task {
     if (!isAuthorised(incoming, parts.token)) {
       sendError(response, 'wrong-operator-token', 'set TARRAGONSPOOL_OPERATOR_TOKEN');
@@ -120,6 +144,12 @@
       case 'POST /rules':
         yield* handleEdit(incoming, response);
         return;
+      case 'GET /quarantine':
+        sendJson(response, { entries: listQuarantine(parts.quarantine) });
+        return;
+      case 'POST /quarantine/release':
+        yield* handleRelease(incoming, response);
+        return;
       case 'GET /status':
         sendJson(response, parts.getStatus());
         return;
--- a/packages/router/src/requests/engine-orders.ts
+++ b/packages/router/src/requests/engine-orders.ts
@@ -8,6 +8,7 @@
   ReservationGrant,
   UpstreamId,
 } from '@tarragonspool/protocol';
+import { notifyBroken, notifyCancelled } from '../quarantine/quarantine-task.js';
 import { offer } from '../tasks/tasks.js';
 import { findHoldDeadline, type RunningRequest } from './model-request.js';
 
@@ -96,6 +97,9 @@
     }
     const { failure, detail } = outcome;
     if (failure === 'unsent') running.dispatches -= 1;
+    if (failure === 'broken') {
+      notifyBroken(parts.quarantine, grant.prefill, chat.fingerprint, false);
+    }
     offer(inbox, { kind: 'prefill-failed', attemptId, failure, detail, now });
   });
   stopOrders.set(key, stop);
@@ -141,6 +145,10 @@
     }
     stopOrders.delete(key);
     const { failure, detail } = event;
+    if (failure === 'broken') {
+      const hasTokens = running.writtenTexts.length > fromIndex;
+      notifyBroken(parts.quarantine, grant.decode, chat.fingerprint, hasTokens);
+    }
     offer(inbox, { kind: 'decode-failed', attemptId, failure, detail, now });
   });
   stopOrders.set(key, stop);
@@ -153,8 +161,12 @@
   attemptId: AttemptId,
 ): void {
   const key = getOrderKey(upstreamId, attemptId);
-  running.stopOrders.get(key)?.();
+  const stop = running.stopOrders.get(key);
+  stop?.();
   running.stopOrders.delete(key);
+  if (stop !== undefined) {
+    notifyCancelled(running.parts.quarantine, upstreamId, running.request.chat.fingerprint);
+  }
   const order = { upstreamId, attemptId, deadline: findHoldDeadline(running.request) };
   offer(running.parts.cancels, { kind: 'cancel', order });
 }
--- a/packages/router/src/requests/model-request-task.ts
+++ b/packages/router/src/requests/model-request-task.ts
@@ -12,6 +12,7 @@
 } from '@tarragonspool/core';
 import { assertNever, type AttemptProgress } from '@tarragonspool/protocol';
 import { recordAction } from '../journal/request-trace.js';
+import { answerContent, notifyEnded } from '../quarantine/quarantine-task.js';
 import { makeChannel, offer, receive, type Task } from '../tasks/tasks.js';
 import { makeAlarm } from '../tasks/timers.js';
 import { buildAsk, cancelOrder, sendDecode, sendPrefill } from './engine-orders.js';
@@ -73,6 +74,7 @@
   parts.invariants.assert(!running.isAnswered, 'one-terminal-answer', { requestId });
   running.isAnswered = true;
   if (action.kind === 'finish') {
+    running.hasFinished = true;
     writer.finish(action.finishReason, action.tokens);
     parts.metrics.fullAnswer.observe((Date.now() - request.arrivedAt) / MS_PER_SECOND);
     parts.metrics.requests.inc({ kind: 'model', result: 'answered' });
@@ -85,14 +87,37 @@
   parts.metrics.requests.inc({ kind: 'model', result: refusal.name });
 }
 
+/** Asks for places once the content may run. */
+function askWhenClear(
+  running: RunningRequest,
+  wanted: Extract<RequestAction, { kind: 'ask' }>,
+): void {
+  const { parts, request, inbox } = running;
+  const { attemptId } = wanted;
+  answerContent(parts.quarantine, {
+    requestId: request.requestId,
+    fingerprint: request.chat.fingerprint,
+    deadline: request.deadlines.answerDeadline,
+    onVerdict: (verdict) => {
+      if (running.isAnswered) return;
+      const now = Date.now();
+      if (verdict.kind === 'refuse') {
+        offer(inbox, { kind: 'refused', attemptId, refusal: verdict.refusal, now });
+        return;
+      }
+      const ask = buildAsk(running, wanted);
+      offer(parts.allocation, { kind: 'ask', ask, requestInbox: inbox, now });
+    },
+  });
+}
+
 function performAction(running: RunningRequest, action: RequestAction): void {
-  const { parts, inbox } = running;
+  const { parts } = running;
   const now = Date.now();
   recordAction(running.request.trace, action, now);
   switch (action.kind) {
     case 'ask': {
-      const ask = buildAsk(running, action);
-      offer(parts.allocation, { kind: 'ask', ask, requestInbox: inbox, now });
+      askWhenClear(running, action);
       return;
     }
     case 'withdraw':
@@ -141,6 +166,7 @@
     decodingAttempt: undefined,
     writtenTexts: [],
     isAnswered: false,
+    hasFinished: false,
     dispatches: 0,
     nextMoveAt: 0,
   };
@@ -177,5 +203,6 @@
   } finally {
     alarm.cancel();
     inbox.close();
+    notifyEnded(parts.quarantine, requestId, chat.fingerprint, running.hasFinished);
   }
 }
--- a/packages/router/src/requests/model-request.ts
+++ b/packages/router/src/requests/model-request.ts
@@ -17,6 +17,7 @@
 import type { Invariants } from '../invariants/invariants.js';
 import type { RequestTrace } from '../journal/request-trace.js';
 import type { Metrics } from '../metrics/metrics.js';
+import type { Quarantine } from '../quarantine/quarantine-task.js';
 import type { Channel } from '../tasks/tasks.js';
 import type { Directory } from '../upstreams/directory.js';
 import type { AnswerWriter } from './answer-writer.js';
@@ -31,6 +32,7 @@
   readonly allocation: AllocationInbox;
   readonly cancels: CancelInbox;
   readonly budget: RetryBudget;
+  readonly quarantine: Quarantine;
   readonly invariants: Invariants;
   readonly metrics: Metrics;
 };
@@ -64,6 +66,8 @@
   /** Tokens that the caller has. */
   readonly writtenTexts: string[];
   isAnswered: boolean;
+  /** Whether the whole answer was written. */
+  hasFinished: boolean;
   /** Orders of which a byte may have left. */
   dispatches: number;
   nextMoveAt: number;
