--- a/packages/core/src/requests/request-state.ts
+++ b/packages/core/src/requests/request-state.ts
@@ -23,6 +23,10 @@
   /** When an answer under way is given up. */
   readonly lastDeadline: number;
   readonly budget: RetryBudget;
+  /** Whether nothing may be ordered again once an order has been sent. */
+  readonly isOnce?: boolean;
+  /** Keeps attempts of two submissions of one request id apart. */
+  readonly runId?: string;
   /** `holding` waits for the time at which the grant lets the prefill start. */
   phase: 'asking' | 'holding' | 'prefilling' | 'importing' | 'decoding' | 'ended';
   attempt: number;
@@ -67,10 +71,16 @@
   readonly answerDeadline: number;
   readonly lastDeadline: number;
   readonly budget: RetryBudget;
+  readonly isOnce?: boolean;
+  /** Keeps attempts of two submissions of one request id apart. */
+  readonly runId?: string;
 };
 
-function makeAttemptId(requestId: RequestId, attempt: number): AttemptId {
-  return `${requestId}.${attempt}` as AttemptId;
+type AttemptNames = Pick<RequestOptions, 'requestId' | 'runId'>;
+
+function makeAttemptId({ requestId, runId }: AttemptNames, attempt: number): AttemptId {
+  const prefix = runId === undefined ? requestId : `${requestId}.${runId}`;
+  return `${prefix}.${attempt}` as AttemptId;
 }
 
 /** Makes the state of a new request. */
@@ -79,7 +89,7 @@
     ...options,
     phase: 'asking',
     attempt: 1,
-    attemptId: makeAttemptId(options.requestId, 1),
+    attemptId: makeAttemptId(options, 1),
     grant: undefined,
     rescueId: undefined,
     moved: undefined,
@@ -107,7 +117,7 @@
 /** Makes the id of one more attempt. */
 export function takeAttemptId(state: RequestState): AttemptId {
   state.attempt += 1;
-  return makeAttemptId(state.requestId, state.attempt);
+  return makeAttemptId(state, state.attempt);
 }
 
 /** Enters a phase, which counts as stalled at `stallAt`. */
--- a/packages/router/src/claims/run-once.ts
+++ b/packages/router/src/claims/run-once.ts
@@ -34,6 +34,8 @@
 const RETRY_AFTER_MS = 1_000;
 /** Largest answer that is kept for whoever asks again, in bytes. */
 const MAX_KEPT_BYTES = 16_384;
+/** What an idempotency key must look like. */
+export const KEY_FORMAT = 'Idempotency-Key: 1 to 128 visible characters';
 const KEY_PATTERN = /^[\x21-\x7e]{1,128}$/;
 
 /** Reads the Idempotency-Key header; `malformed` if it is not 1 to 128 visible characters. */
--- a/packages/router/src/requests/model-request-task.ts
+++ b/packages/router/src/requests/model-request-task.ts
@@ -1,5 +1,6 @@
 /** Runs one model request: carries the request machine's decisions out. */
 
+import { randomUUID } from 'node:crypto';
 import {
   getNextTick,
   handleRequestEvent,
@@ -11,6 +12,7 @@
 } from '@tarragonspool/core';
 import { assertNever, type AttemptProgress } from '@tarragonspool/protocol';
 import { recordAction } from '../journal/request-trace.js';
+import { answerContent, notifyEnded } from '../quarantine/quarantine-task.js';
 import { makeChannel, offer, receive, type Task } from '../tasks/tasks.js';
 import { makeAlarm } from '../tasks/timers.js';
 import { buildAsk, cancelOrder, sendDecode, sendPrefill } from './engine-orders.js';
@@ -22,6 +24,7 @@
 } from './model-request.js';
 
 const INBOX_CAPACITY = 8_192;
+const RUN_ID_LENGTH = 8;
 const MOVE_INTERVAL_MS = 50;
 const MS_PER_SECOND = 1_000;
 
@@ -71,6 +74,7 @@
   parts.invariants.assert(!running.isAnswered, 'one-terminal-answer', { requestId });
   running.isAnswered = true;
   if (action.kind === 'finish') {
+    running.hasFinished = true;
     writer.finish(action.finishReason, action.tokens);
     parts.metrics.fullAnswer.observe((Date.now() - request.arrivedAt) / MS_PER_SECOND);
     parts.metrics.requests.inc({ kind: 'model', result: 'answered' });
@@ -83,14 +87,37 @@
   parts.metrics.requests.inc({ kind: 'model', result: refusal.name });
 }
 
+/** Asks for places once the content may run. */
+function askWhenClear(
+  running: RunningRequest,
+  wanted: Extract<RequestAction, { kind: 'ask' }>,
+): void {
+  const { parts, request, inbox } = running;
+  const { attemptId } = wanted;
+  answerContent(parts.quarantine, {
+    requestId: request.requestId,
+    fingerprint: request.chat.fingerprint,
+    deadline: request.deadlines.answerDeadline,
+    onVerdict: (verdict) => {
+      if (running.isAnswered) return;
+      const now = Date.now();
+      if (verdict.kind === 'refuse') {
+        offer(inbox, { kind: 'refused', attemptId, refusal: verdict.refusal, now });
+        return;
+      }
+      const ask = buildAsk(running, wanted);
+      offer(parts.allocation, { kind: 'ask', ask, requestInbox: inbox, now });
+    },
+  });
+}
+
 function performAction(running: RunningRequest, action: RequestAction): void {
-  const { parts, inbox } = running;
+  const { parts } = running;
   const now = Date.now();
   recordAction(running.request.trace, action, now);
   switch (action.kind) {
     case 'ask': {
-      const ask = buildAsk(running, action);
-      offer(parts.allocation, { kind: 'ask', ask, requestInbox: inbox, now });
+      askWhenClear(running, action);
       return;
     }
     case 'withdraw':
@@ -139,6 +166,7 @@
     decodingAttempt: undefined,
     writtenTexts: [],
     isAnswered: false,
+    hasFinished: false,
     dispatches: 0,
     nextMoveAt: 0,
   };
@@ -156,6 +184,8 @@
       answerDeadline: deadlines.answerDeadline,
       lastDeadline: findLastDeadline(request),
       budget: parts.budget,
+      isOnce: request.permit !== undefined,
+      runId: randomUUID().slice(0, RUN_ID_LENGTH),
     },
     Date.now(),
   );
@@ -173,5 +203,6 @@
   } finally {
     alarm.cancel();
     inbox.close();
+    notifyEnded(parts.quarantine, requestId, chat.fingerprint, running.hasFinished);
   }
 }
--- a/packages/router/src/services/service-filters.ts
+++ b/packages/router/src/services/service-filters.ts
@@ -13,6 +13,7 @@
 } from '../callers/exchange.js';
 import type { LedgerInbox } from '../claims/claim-ledger.js';
 import {
+  KEY_FORMAT,
   makeAnsweredEnding,
   readIdempotencyKey,
   refuseLateDispatch,
@@ -79,7 +80,7 @@
     if (!hasService(parts.directory, service)) return refuse('unknown-service', service);
     const key = readIdempotencyKey(exchange);
     if (key === 'malformed') {
-      return refuse('invalid-request', 'Idempotency-Key: 1 to 128 visible characters');
+      return refuse('invalid-request', KEY_FORMAT);
     }
     if (key === undefined && exchange.rule.isOnce) {
       return refuse('idempotency-key-required', 'a rule says once');
--- a/packages/stand-ins/src/soak/faults.ts
+++ b/packages/stand-ins/src/soak/faults.ts
@@ -5,7 +5,7 @@
 import { callJson, type EntryVm, type StandIn } from '../harness/deployment.js';
 import { waitFor } from '../harness/processes.js';
 import { makeSiteRules } from '../load/workload.js';
-import { hangUp, sendDeadly, sendTwice } from './clients.js';
+import { cancelClients, sendDeadly, sendTwice } from './clients.js';
 import type { Fault } from './schedule.js';
 import { recordWork, setFaults, type Soak } from './soak-state.js';
 
@@ -100,7 +100,7 @@
 }
 
 /** Injects one fault; resolves once it is over. */
-export async function injectFault(soak: Soak, fault: Fault): Promise<void> {
+export async function startFault(soak: Soak, fault: Fault): Promise<void> {
   const { kind, target, durationMs } = fault;
   const { entryVms, engines, ledgers, relays } = soak.deployment;
   const vm = choose(entryVms, target);
@@ -173,7 +173,7 @@
       await raceOperators(soak, fault);
       return;
     case 'hang-ups':
-      await hangUp(soak, fault);
+      await cancelClients(soak, fault);
       return;
     default:
       assertNever(kind);
--- a/packages/stand-ins/src/soak/main.ts
+++ b/packages/stand-ins/src/soak/main.ts
@@ -11,9 +11,9 @@
 import { makeArrivals, makeSiteRules, SITES, type Site } from '../load/workload.js';
 import { runChecks, type CheckCounts } from './checks.js';
 import { runLedgerLoad } from './clients.js';
-import { injectFault } from './faults.js';
+import { startFault } from './faults.js';
 import { makeSchedule, type Fault } from './schedule.js';
-import { superviseProcess, type Soak } from './soak-state.js';
+import { listenForExit, type Soak } from './soak-state.js';
 
 const BASE_PORT = 24_000;
 const RATE_PER_S = 25;
@@ -111,7 +111,7 @@
 
 async function runFault(soak: Soak, fault: Fault): Promise<void> {
   await waitFor(soak.startedAt + fault.at - Date.now());
-  await injectFault(soak, fault).catch((error: unknown) => {
+  await startFault(soak, fault).catch((error: unknown) => {
     soak.violations.push(`fault ${fault.kind} not injected: ${String(error)}`);
   });
 }
@@ -158,7 +158,7 @@
 soak.acceptedRules.set(1, rules);
 soak.acceptedAt.set(1, Date.now());
 for (const holder of [...deployment.entryVms, ...deployment.engines, ...deployment.ledgers]) {
-  superviseProcess(soak, holder);
+  listenForExit(soak, holder);
 }
 const polls = [pollReadiness(soak), ...deployment.entryVms.map((vm) => pollRevision(soak, vm))];
 const options = { callerUrls, model: site.modelService, idPrefix: 'soak-load', isKeepAlive: false };
--- a/packages/stand-ins/src/soak/soak-state.ts
+++ b/packages/stand-ins/src/soak/soak-state.ts
@@ -80,14 +80,14 @@
 }
 
 /** Starts a process again whenever it ends, until the run is over. */
-export function superviseProcess(soak: Soak, holder: EntryVm | StandIn): void {
+export function listenForExit(soak: Soak, holder: EntryVm | StandIn): void {
   holder.process.ended
     .then(async (code) => {
       if (soak.isOver) return;
       handleExit(soak, holder, code);
       await waitFor(RESTART_DELAY_MS);
       holder.process = holder.start();
-      superviseProcess(soak, holder);
+      listenForExit(soak, holder);
     })
     .catch(() => undefined);
 }
