--- a/packages/core/src/allocation/engine-estimates.ts
+++ b/packages/core/src/allocation/engine-estimates.ts
@@ -125,15 +125,28 @@
   return Math.min(rate.peakTokensPerMs, grown);
 }
 
-/** Predicts the time of one decode step at a batch size, at the pool's usual speed. */
-export function predictStepMs({ step }: PoolEstimates, batch: number): number {
+/** Time of a decode step as a line over the batch size. */
+export type StepLine = { readonly atZeroMs: number; readonly perStreamMs: number };
+
+/** Fits the line at the pool's usual speed. */
+export function makeStepLine({ step }: PoolEstimates): StepLine {
   const mean = step.sumMs / step.weight;
   const meanBatch = step.sumBatch / step.weight;
   const variance = step.sumBatchBatch / step.weight - meanBatch * meanBatch;
-  if (variance < 1) return Math.max(MIN_STEP_MS, mean);
+  if (variance < 1) return { atZeroMs: mean, perStreamMs: 0 };
   const covariance = step.sumBatchMs / step.weight - meanBatch * mean;
-  const perStream = Math.max(0, covariance / variance);
-  return Math.max(MIN_STEP_MS, mean + perStream * (batch - meanBatch));
+  const perStreamMs = Math.max(0, covariance / variance);
+  return { atZeroMs: mean - perStreamMs * meanBatch, perStreamMs };
+}
+
+/** Reads the step time at a batch size. */
+export function getStepMs({ atZeroMs, perStreamMs }: StepLine, batch: number): number {
+  return Math.max(MIN_STEP_MS, atZeroMs + perStreamMs * batch);
+}
+
+/** Predicts the time of one decode step at a batch size, at the pool's usual speed. */
+export function predictStepMs(estimates: PoolEstimates, batch: number): number {
+  return getStepMs(makeStepLine(estimates), batch);
 }
 
 /** Predicts a prefill at the pool's usual speed. */
--- a/packages/core/src/allocation/placement.ts
+++ b/packages/core/src/allocation/placement.ts
@@ -1,7 +1,15 @@
 /** Chooses engines for one attempt. Decides only; nothing is reserved here. */
 
 import type { ReservationAsk } from '@tarragonspool/protocol';
-import { HOP_MS, predictImportMs, predictPrefillMs, predictStepMs } from './engine-estimates.js';
+import {
+  getRate,
+  getStepMs,
+  HOP_MS,
+  makeStepLine,
+  OVERHEAD_MS,
+  predictImportMs,
+  type StepLine,
+} from './engine-estimates.js';
 import { countTakenPieces, countTakenPlaces, isEligible, type Engine } from './engine-state.js';
 import { countCachedBlocks, predictCachedTokens } from './prefix-knowledge.js';
 import type { ShardState } from './shard-state.js';
@@ -21,6 +29,9 @@
   readonly pieces: number;
 };
 
+/** Why an attempt cannot start now: its best prefill engine is busy, or no decode place is free. */
+export type NoPlacement = 'no-prefill' | 'no-decode';
+
 type PrefillChoice = {
   readonly engine: Engine;
   readonly cachedTokens: number;
@@ -64,16 +75,17 @@
   now: number,
 ): PrefillChoice | undefined {
   const { estimates, prefixes, pool } = state;
-  const blocks = countCachedBlocks(prefixes, ask.prefixes);
+  const blocks = countCachedBlocks(prefixes, ask.prefixes, pool.nextIndex);
+  const tokensPerMs = getRate(estimates.prefill, now);
   let best: PrefillChoice | undefined;
   let bestEndAt = Infinity;
   for (const engine of pool.prefill) {
     if (!isEligible(engine, ask)) continue;
     if (!isTrusted(engine, now)) continue;
-    const cachedBlocks = blocks.get(engine.index) ?? 0;
+    const cachedBlocks = blocks[engine.index] ?? 0;
     const cachedTokens =
       cachedBlocks === 0 ? 0 : predictCachedTokens(engine, cachedBlocks, ask.promptTokens);
-    const usualPrefillMs = predictPrefillMs(estimates, ask.promptTokens - cachedTokens, now);
+    const usualPrefillMs = OVERHEAD_MS + (ask.promptTokens - cachedTokens) / tokensPerMs;
     const prefillMs = usualPrefillMs * Math.max(MIN_SLOWNESS, engine.slowness);
     const startAt = findFirstReadyAt(engine, prefillMs, now);
     if (startAt + prefillMs >= bestEndAt) continue;
@@ -84,14 +96,13 @@
 }
 
 /** Predicts the step time of an engine with one more stream. */
-function predictEngineStepMs(state: ShardState, engine: Engine): number {
+function predictEngineStepMs(line: StepLine, engine: Engine): number {
   const batch = engine.streams.size + engine.unaccounted.size + 1;
-  return predictStepMs(state.estimates, batch) * Math.max(MIN_SLOWNESS, engine.slowness);
+  return getStepMs(line, batch) * Math.max(MIN_SLOWNESS, engine.slowness);
 }
 
 /** Counts streams that are predicted to end in time for another to use their place. */
-function countEndingBefore(state: ShardState, engine: Engine, at: number): number {
-  const stepMs = predictEngineStepMs(state, engine);
+function countEndingBefore(stepMs: number, engine: Engine, at: number): number {
   let count = 0;
   for (const { stage, ask, tokens, movedAt } of engine.streams.values()) {
     if (stage !== 'decode') continue;
@@ -101,11 +112,17 @@
   return count;
 }
 
-function hasPlace(state: ShardState, engine: Engine, from: number, now: number): boolean {
+function hasPlace(
+  state: ShardState,
+  engine: Engine,
+  stepMs: number,
+  from: number,
+  now: number,
+): boolean {
   const beyond = countTakenPlaces(engine, now) - engine.places;
   if (beyond < 0) return true;
   if (beyond >= state.objective.maxBorrowedPlaces) return false;
-  return countEndingBefore(state, engine, from) > beyond;
+  return countEndingBefore(stepMs, engine, from) > beyond;
 }
 
 /** Counts the memory pieces of an attempt; zero while the size of a piece is unknown. */
@@ -127,25 +144,26 @@
   now: number,
 ): Engine | undefined {
   const pieces = countPieces(state, ask);
+  const line = makeStepLine(state.estimates);
   let best: Engine | undefined;
   let bestStepMs = Infinity;
   for (const engine of state.pool.decode) {
     if (!isEligible(engine, ask) || engine.upstreamId === ask.resumeFrom) continue;
     if (!isTrusted(engine, now)) continue;
-    const stepMs = predictEngineStepMs(state, engine);
+    const stepMs = predictEngineStepMs(line, engine);
     if (stepMs >= bestStepMs) continue;
-    if (!hasPlace(state, engine, from, now) || !hasPieces(engine, pieces)) continue;
+    if (!hasPlace(state, engine, stepMs, from, now) || !hasPieces(engine, pieces)) continue;
     best = engine;
     bestStepMs = stepMs;
   }
   return best;
 }
 
-function placeResume(state: ShardState, ask: ReservationAsk, now: number): Placement | undefined {
+function placeResume(state: ShardState, ask: ReservationAsk, now: number): Placement | NoPlacement {
   const decodeEngine = chooseDecode(state, ask, now, now);
-  if (decodeEngine === undefined) return undefined;
+  if (decodeEngine === undefined) return 'no-decode';
   const importEndAt = now + HOP_MS + predictImportMs(state.estimates, ask.promptTokens, now);
-  const stepMs = predictEngineStepMs(state, decodeEngine);
+  const stepMs = predictEngineStepMs(makeStepLine(state.estimates), decodeEngine);
   return {
     prefillEngine: undefined,
     decodeEngine,
@@ -169,16 +187,16 @@
   state: ShardState,
   ask: ReservationAsk,
   now: number,
-): Placement | undefined {
+): Placement | NoPlacement {
   if (ask.resumeFrom !== undefined) return placeResume(state, ask, now);
   const prefill = choosePrefill(state, ask, now);
-  if (prefill === undefined || prefill.startAt > now + LOOKAHEAD_MS) return undefined;
+  if (prefill === undefined || prefill.startAt > now + LOOKAHEAD_MS) return 'no-prefill';
   const prefillEndAt = prefill.startAt + prefill.prefillMs;
   const decodeEngine = chooseDecode(state, ask, prefillEndAt, now);
-  if (decodeEngine === undefined) return undefined;
+  if (decodeEngine === undefined) return 'no-decode';
   const linkAt = Math.max(prefillEndAt, prefill.engine.linkFreeAt);
   const importEndAt = linkAt + predictImportMs(state.estimates, ask.promptTokens, now);
-  const stepMs = predictEngineStepMs(state, decodeEngine);
+  const stepMs = predictEngineStepMs(makeStepLine(state.estimates), decodeEngine);
   return {
     prefillEngine: prefill.engine,
     decodeEngine,
--- a/packages/core/src/allocation/prefix-knowledge.ts
+++ b/packages/core/src/allocation/prefix-knowledge.ts
@@ -13,6 +13,10 @@
   readonly engines: Map<PrefixHash, Set<number>>;
   /** For each engine index, its prefixes with the least recent first. */
   readonly prefixes: Map<number, Set<PrefixHash>>;
+  /** Leading cached blocks by engine index, for one decision at a time. */
+  blocks: Uint8Array;
+  /** Share of the expected hits that came true on the whole pool. */
+  trust: number;
 };
 
 const MAX_PREFIXES_PER_ENGINE = 2_048;
@@ -21,11 +25,12 @@
 const BLOCK_TOKENS = PREFIX_BLOCK_CHARACTERS / CHARACTERS_PER_TOKEN;
 const GAP_TRUST = 0.5;
 const TRUST_WEIGHT = 0.2;
+const POOL_TRUST_WEIGHT = 0.05;
 const MIN_TRUST = 0.05;
 
 /** Makes empty knowledge. */
 export function makePrefixKnowledge(): PrefixKnowledge {
-  return { engines: new Map(), prefixes: new Map() };
+  return { engines: new Map(), prefixes: new Map(), blocks: new Uint8Array(0), trust: 1 };
 }
 
 function removePrefix(knowledge: PrefixKnowledge, index: number, prefix: PrefixHash): void {
@@ -87,32 +92,60 @@
   }
 }
 
-/** Counts for each engine index the leading blocks of a prompt that are thought to be cached. */
+/**
+ * Counts for each engine index the leading blocks of a prompt that are thought to be cached. The result
+ * is valid until the next call.
+ */
 export function countCachedBlocks(
   knowledge: PrefixKnowledge,
   prefixes: readonly PrefixHash[],
-): Map<number, number> {
-  const blocks = new Map<number, number>();
+  engineCount: number,
+): Uint8Array {
+  if (knowledge.blocks.length < engineCount) knowledge.blocks = new Uint8Array(2 * engineCount);
+  const { blocks } = knowledge;
+  blocks.fill(0);
   for (let block = prefixes.length; block > 0; block -= 1) {
     const prefix = prefixes[block - 1];
     const engines = prefix === undefined ? undefined : knowledge.engines.get(prefix);
     if (engines === undefined) continue;
     for (const index of engines) {
-      if (!blocks.has(index)) blocks.set(index, block);
+      if (blocks[index] === 0) blocks[index] = block;
     }
+    if (engines.size === knowledge.prefixes.size) break;
   }
   return blocks;
 }
 
+/** Predicts the tokens that need not be computed on the engine that caches the most. */
+export function predictBestCachedTokens(
+  knowledge: PrefixKnowledge,
+  prefixes: readonly PrefixHash[],
+  promptTokens: number,
+): number {
+  for (let block = prefixes.length; block > 0; block -= 1) {
+    const prefix = prefixes[block - 1];
+    if (prefix !== undefined && knowledge.engines.has(prefix)) {
+      return Math.min(promptTokens, block * BLOCK_TOKENS) * knowledge.trust;
+    }
+  }
+  return 0;
+}
+
 /** Predicts how many prompt tokens an engine need not compute. */
 export function predictCachedTokens(engine: Engine, blocks: number, promptTokens: number): number {
   return Math.min(promptTokens, blocks * BLOCK_TOKENS) * Math.max(MIN_TRUST, engine.cacheTrust);
 }
 
 /** Learns from a prefill how far the knowledge of an engine can be trusted. */
-export function addCacheSample(engine: Engine, expected: number, actual: number): void {
+export function addCacheSample(
+  knowledge: PrefixKnowledge,
+  engine: Engine,
+  expected: number,
+  actual: number,
+): void {
   if (expected < BLOCK_TOKENS * MIN_TRUST) return;
   const rawExpected = expected / Math.max(MIN_TRUST, engine.cacheTrust);
   const share = Math.min(1, actual / Math.max(1, rawExpected));
   engine.cacheTrust += TRUST_WEIGHT * (share - engine.cacheTrust);
+  knowledge.trust += POOL_TRUST_WEIGHT * (share - knowledge.trust);
 }
--- a/packages/core/src/allocation/reservations.ts
+++ b/packages/core/src/allocation/reservations.ts
@@ -199,7 +199,7 @@
   const { prefillEngine, ask } = reservation;
   if (prefillEngine === undefined || end.prefillMs === undefined) return;
   const cachedTokens = end.cachedTokens ?? 0;
-  addCacheSample(prefillEngine, reservation.expectedCachedTokens, cachedTokens);
+  addCacheSample(state.prefixes, prefillEngine, reservation.expectedCachedTokens, cachedTokens);
   const computed = ask.promptTokens - cachedTokens;
   const queuedMs = Math.max(0, reservation.prefillStartAt - reservation.grantedAt - HOP_MS);
   const isClear = queuedMs <= end.prefillMs * MAX_QUEUED_SHARE;
--- a/packages/core/src/allocation/shard-allocator.ts
+++ b/packages/core/src/allocation/shard-allocator.ts
@@ -13,13 +13,13 @@
   type UpstreamId,
   type VmId,
 } from '@tarragonspool/protocol';
-import { admitAsk, refuseAsk, shedHopeless } from './admission.js';
+import { admitAsk, shedHopeless } from './admission.js';
 import type { AllocatorAction, AllocatorEvent } from './allocator-events.js';
 import { removeIdleCallers } from './caller-shares.js';
 import { countTakenPlaces, updateEngines, type Engine } from './engine-state.js';
 import { checkGrant, checkState } from './invariants.js';
 import { isMoveWanted, recordMove } from './moves.js';
-import { findPlacement, hasReadyPrefill } from './placement.js';
+import { findPlacement, hasReadyPrefill, type NoPlacement } from './placement.js';
 import { applyCacheEvents, removeEnginePrefixes } from './prefix-knowledge.js';
 import {
   adoptHeld,
@@ -30,13 +30,16 @@
   recordEnded,
   sweepReservations,
 } from './reservations.js';
+import { refuseAsk } from './refusals.js';
 import type { ShardState } from './shard-state.js';
 import { judgeEngines } from './stragglers.js';
-import { removeWaiting, type WaitingAsk } from './waiting-queue.js';
+import { removeWaiting } from './waiting-queue.js';
 
 const SWEEP_INTERVAL_MS = 1_000;
-/** Placements tried after one event; the next event goes on. */
-const MAX_TRIES = 32;
+/** Waiting requests that may be passed over after one event. */
+const MAX_FAILURES = 8;
+/** One for which no decode place is free counts more: the next is hardly better off. */
+const NO_DECODE_FAILURES = 4;
 const PIECES_WEIGHT = 0.2;
 
 function hasFreePlace(state: ShardState, now: number): boolean {
@@ -47,34 +50,41 @@
   return false;
 }
 
-/** Grants the ask if it can start now. */
-function grantAsk(state: ShardState, ask: ReservationAsk, now: number): AllocatorAction[] {
+/** Grants the ask if it can start now, else says what is missing. */
+function grantAsk(
+  state: ShardState,
+  ask: ReservationAsk,
+  now: number,
+): AllocatorAction[] | NoPlacement {
   const isPastFirstToken = ask.resumeFrom === undefined && now > ask.firstTokenDeadline;
-  if (isPastFirstToken || now > ask.answerDeadline) return [];
+  if (isPastFirstToken || now > ask.answerDeadline) return 'no-prefill';
   const placement = findPlacement(state, ask, now);
-  if (placement === undefined) return [];
+  if (typeof placement === 'string') return placement;
   const action = grantPlacement(state, ask, placement, now);
   const reservation = state.reservationsByAttempt.get(ask.attemptId);
   if (reservation === undefined) return [action];
   return [action, ...checkGrant(state, reservation, now)];
 }
 
-function grantWaitingAsk(state: ShardState, waiting: WaitingAsk, now: number): AllocatorAction[] {
-  const actions = grantAsk(state, waiting.ask, now);
-  if (actions.length > 0) removeWaiting(state.queue, waiting);
-  return actions;
-}
-
 /** Grants whatever can start now, in queue order; one that cannot holds up nobody else. */
 function grantWaiting(state: ShardState, now: number): AllocatorAction[] {
   const actions: AllocatorAction[] = [];
-  let tries = 0;
-  for (const waiting of [...state.queue.items]) {
-    if (tries >= MAX_TRIES || !hasFreePlace(state, now)) break;
+  const { items } = state.queue;
+  let position = 0;
+  let failures = 0;
+  while (position < items.length && failures < MAX_FAILURES && hasFreePlace(state, now)) {
+    const waiting = items[position];
+    if (waiting === undefined) break;
     const needsPrefill = waiting.ask.resumeFrom === undefined;
     if (needsPrefill && !hasReadyPrefill(state, now)) break;
-    tries += 1;
-    actions.push(...grantWaitingAsk(state, waiting, now));
+    const granted = grantAsk(state, waiting.ask, now);
+    if (typeof granted !== 'string') {
+      removeWaiting(state.queue, waiting);
+      actions.push(...granted);
+      continue;
+    }
+    position += 1;
+    failures += granted === 'no-decode' ? NO_DECODE_FAILURES : 1;
   }
   return actions;
 }
@@ -88,8 +98,8 @@
 ): AllocatorAction[] {
   const live = state.reservationsByAttempt.get(movesFrom);
   const isWanted = live !== undefined && isMoveWanted(state, ask, live, now);
-  const actions = isWanted ? grantAsk(state, ask, now) : [];
-  if (live === undefined || actions.length === 0) {
+  const actions = isWanted ? grantAsk(state, ask, now) : 'no-decode';
+  if (live === undefined || typeof actions === 'string') {
     return [refuseAsk(ask, 'no-upstream', 'the attempt is better off where it is')];
   }
   recordMove(state, ask, live, now);
--- a/packages/core/src/allocation/shard-state.ts
+++ b/packages/core/src/allocation/shard-state.ts
@@ -7,7 +7,9 @@
 import { makePoolEstimates, type PoolEstimates } from './engine-estimates.js';
 import { makeEnginePool, type EnginePool, type Reservation } from './engine-state.js';
 import { getObjectiveSettings, type ObjectiveSettings } from './objectives.js';
+import type { QueueForecast } from './lateness.js';
 import { makeMoveBudget, type MoveBudget } from './moves.js';
+import type { PoolSummary } from './pool-summary.js';
 import { makePrefixKnowledge, type PrefixKnowledge } from './prefix-knowledge.js';
 import { makeRandom, type Random } from './random.js';
 import { makeWaitingQueue, type WaitingQueue } from './waiting-queue.js';
@@ -31,6 +33,8 @@
   readonly endedUntil: Map<AttemptId, number>;
   readonly demand: Demand;
   readonly random: Random;
+  summary: PoolSummary | undefined;
+  forecast: QueueForecast | undefined;
   nextSequence: number;
   sweptAt: number;
   tickedAt: number;
@@ -54,6 +58,8 @@
     endedUntil: new Map(),
     demand: makeDemand(),
     random: makeRandom(options.seed),
+    summary: undefined,
+    forecast: undefined,
     nextSequence: 1,
     sweptAt: 0,
     tickedAt: 0,
--- a/packages/core/src/allocation/start-forecast.ts
+++ b/packages/core/src/allocation/start-forecast.ts
@@ -4,7 +4,8 @@
  */
 
 import { HOP_MS } from './engine-estimates.js';
-import { countTakenPlaces, type Engine } from './engine-state.js';
+import type { Engine } from './engine-state.js';
+import { getPoolSummary } from './pool-summary.js';
 import type { ShardState } from './shard-state.js';
 import type { WaitingAsk } from './waiting-queue.js';
 
@@ -38,21 +39,6 @@
   return Float64Array.from(times).sort();
 }
 
-type PlaceSupply = { readonly free: number; readonly msPerPlace: number };
-
-/** Counts free places and, by Little's law, how often a place comes free. */
-function measurePlaceSupply(state: ShardState, now: number): PlaceSupply {
-  let free = 0;
-  let streams = 0;
-  for (const engine of state.pool.decode) {
-    if (engine.isLeaving || engine.isSuspect) continue;
-    const taken = countTakenPlaces(engine, now);
-    free += Math.max(0, engine.places - taken);
-    streams += taken;
-  }
-  return { free, msPerPlace: state.estimates.hold.meanMs / Math.max(1, streams) };
-}
-
 /**
  * Start times of the waiting requests, in queue order; Infinity where no engine serves one. One for
  * which `isDropped` holds takes no time from those behind it.
@@ -67,10 +53,12 @@
   const [first] = items;
   if (first === undefined) return starts;
   const heap = listFreeTimes(state.pool.prefill, first, now);
-  const places = measurePlaceSupply(state, now);
+  const { freePlaces, takenPlaces } = getPoolSummary(state, now);
+  // By Little's law, this is how often a place comes free.
+  const msPerPlace = state.estimates.hold.meanMs / Math.max(1, takenPlaces);
   let served = 0;
   for (const [position, waiting] of items.entries()) {
-    const placeAt = now + Math.max(0, served + 1 - places.free) * places.msPerPlace;
+    const placeAt = now + Math.max(0, served + 1 - freePlaces) * msPerPlace;
     const earliestAt = placeAt - waiting.prefillMs;
     if (waiting.ask.resumeFrom !== undefined) {
       starts[position] = placeAt;
@@ -90,12 +78,3 @@
   }
   return starts;
 }
-
-/** Counts prefill engines that take part in the forecast. */
-export function countActivePrefills(state: ShardState): number {
-  let count = 0;
-  for (const engine of state.pool.prefill) {
-    if (!engine.isLeaving && !engine.isSuspect) count += 1;
-  }
-  return count;
-}
