Move a delayed stream after 80 ms where the allocator finds its engine slow

Cause: a stream counted as stalled after 300 ms without a token; an engine ten times slow gives one every 240 to 280 ms, so streams stayed on it to the end. A stream without a token for three gaps (at least 80 ms) asks to move and goes on; the allocator, which sees the engine's other streams, grants or refuses at once. A refused move costs no try. Baselines refuse moves. After 300 ms and eight gaps the ask is made as before. Ruled out: moving on the entry VM's own view; its pauses look like those of the engine.

--- a/packages/core/src/allocation/baselines.ts
+++ b/packages/core/src/allocation/baselines.ts
@@ -157,7 +157,9 @@
 function handleAsk(state: BaselineState, ask: ReservationAsk, now: number): AllocatorAction[] {
   const prefill = choosePrefillEngine(state, ask);
   const decode = chooseEngine(state, 'decode', ask);
-  if (prefill === undefined || decode === undefined) {
+  // Without a view of the whole pool, a short delay is no reason to move.
+  const isMove = ask.movesFrom !== undefined;
+  if (prefill === undefined || decode === undefined || isMove) {
     const { vmId, requestId, attemptId } = ask;
     const detail = 'no engine serves the model now';
     const retryAt = now + RETRY_AFTER_MS;
--- a/packages/core/src/requests/request-machine.test.ts
+++ b/packages/core/src/requests/request-machine.test.ts
@@ -231,6 +231,23 @@
   expect(show(run)).to.deep.equal(['withdraw r.2', 'write 1']);
 });
 
+it('requests: a delayed stream asks to move, and after refusals the stalled one asks without asking leave', () => {
+  const run = startDecoding();
+  sendToken(run, 1, 0);
+  const refusal = { name: 'no-upstream', ran: 'not-run', detail: '' } as const;
+  const moves: boolean[] = [];
+  for (let attempt = 2; attempt < 12; attempt += 1) {
+    send(run, { kind: 'ticked', now: getNextTick(run.state) });
+    const [ask] = run.actions;
+    if (ask?.kind !== 'ask') throw new Error(`no ask but ${ask?.kind}`);
+    moves.push(ask.movesFrom === 'r.1');
+    if (ask.movesFrom === undefined) break;
+    send(run, { kind: 'refused', attemptId: ask.attemptId, refusal, now: run.now });
+  }
+  expect(moves.slice(0, 2)).to.deep.equal([true, true]);
+  expect(moves.at(-1)).to.equal(false);
+});
+
 it('requests: a caller that goes away frees every place', () => {
   const run = startDecoding();
   send(run, { kind: 'caller-gone', now: run.now });
--- a/packages/core/src/requests/request-machine.ts
+++ b/packages/core/src/requests/request-machine.ts
@@ -31,12 +31,21 @@
   type RequestState,
 } from './request-state.js';
 import { addAnswer } from './retry-budget.js';
-import { findImportStall, findPrefillStall, findTokenStall, updateGap } from './stall-rule.js';
+import {
+  findImportStall,
+  findPrefillStall,
+  findTokenDelay,
+  findTokenStall,
+  updateGap,
+} from './stall-rule.js';
 
 const KV_LIFE_MS = 800;
 const MAX_LATE_GRANTS = 3;
 const MAX_RESCUES = 4;
 const RESCUE_RETRY_MS = 500;
+const MAX_UNUSED_ATTEMPTS = 32;
+const MOVE_RETRY_MS = 100;
+const CONFIRM_MS = 40;
 
 /** Starts the request by asking for places. */
 export function startRequest(state: RequestState): RequestAction[] {
@@ -142,7 +151,7 @@
   state.hasRun = true;
   state.importMs = now - state.phaseStartedAt;
   state.source = undefined;
-  setPhase(state, 'decoding', now, findTokenStall(state.gapMs, now));
+  setPhase(state, 'decoding', now, findTokenDelay(state.gapMs, now));
   state.lastTokenAt = now;
   const actions = countImportedPrefill(state);
   if (source === undefined) return actions;
@@ -159,6 +168,7 @@
   const { rescueId } = state;
   if (rescueId === undefined) return [];
   state.rescueId = undefined;
+  state.unusedAttempts += 1;
   return [{ kind: 'withdraw', attemptId: rescueId }];
 }
 
@@ -174,7 +184,7 @@
   }
   if (state.nextIndex > 0) state.gapMs = updateGap(state.gapMs, now - state.lastTokenAt);
   state.lastTokenAt = now;
-  state.stallAt = findTokenStall(state.gapMs, now);
+  state.stallAt = findTokenDelay(state.gapMs, now);
   state.nextIndex += 1;
   const { attemptId, index, text } = frame;
   return [...actions, { kind: 'write-token', attemptId, index, text }];
@@ -243,15 +253,27 @@
   return retryDecode(state, detail, now);
 }
 
-/** Asks for another decode engine while the stream stands still; it goes on if it moves again. */
+/**
+ * Asks for another decode engine while the stream stands still; it goes on if it moves again. Of a
+ * short delay the allocator judges, which sees other streams of the engine.
+ */
 function askForRescue(state: RequestState, now: number): RequestAction[] {
-  state.stallAt = now + RESCUE_RETRY_MS;
-  if (state.rescueId !== undefined || state.attempt >= MAX_RESCUES) return [];
-  if (state.grant === undefined) return [];
+  const isStalled = now >= findTokenStall(state.gapMs, state.lastTokenAt);
+  if (!isStalled && state.delayedSince !== state.lastTokenAt) {
+    // A host that was busy first reads the tokens that have arrived.
+    state.delayedSince = state.lastTokenAt;
+    state.stallAt = now + CONFIRM_MS;
+    return [];
+  }
+  state.stallAt = now + (isStalled ? RESCUE_RETRY_MS : MOVE_RETRY_MS);
+  if (state.rescueId !== undefined || state.grant === undefined) return [];
+  if (state.attempt - state.unusedAttempts >= MAX_RESCUES) return [];
+  if (!isStalled && state.unusedAttempts >= MAX_UNUSED_ATTEMPTS) return [];
   state.rescueId = takeAttemptId(state);
   const resumeFrom = state.grant.decode;
   const excluded = [...state.excluded, resumeFrom];
-  return [{ kind: 'ask', attemptId: state.rescueId, excluded, resumeFrom }];
+  const ask = { kind: 'ask', attemptId: state.rescueId, excluded, resumeFrom } as const;
+  return [isStalled ? ask : { ...ask, movesFrom: state.attemptId }];
 }
 
 function handleStall(state: RequestState, now: number): RequestAction[] {
@@ -308,6 +330,7 @@
     case 'refused':
       if (event.attemptId === state.rescueId) {
         state.rescueId = undefined;
+        state.unusedAttempts += 1;
         return [];
       }
       if (state.phase !== 'asking' || event.attemptId !== state.attemptId) return [];
--- a/packages/core/src/requests/request-messages.ts
+++ b/packages/core/src/requests/request-messages.ts
@@ -70,6 +70,8 @@
       readonly excluded: readonly UpstreamId[];
       /** Engine whose KV cache makes a prefill needless. */
       readonly resumeFrom: UpstreamId | undefined;
+      /** Attempt that goes on until this one is granted. */
+      readonly movesFrom?: AttemptId;
     }
   /** Takes back an ask, or its grant where the answer is on its way. */
   | { readonly kind: 'withdraw'; readonly attemptId: AttemptId }
--- a/packages/core/src/requests/request-recovery.ts
+++ b/packages/core/src/requests/request-recovery.ts
@@ -88,7 +88,7 @@
 function isRetryLeft(state: RequestState, now: number): boolean {
   // An answer that the caller has in part is worth finishing late; one that has not begun is not.
   const deadline = state.nextIndex > 0 ? state.lastDeadline : state.answerDeadline;
-  return state.attempt < MAX_ATTEMPTS && now < deadline;
+  return state.attempt - state.unusedAttempts < MAX_ATTEMPTS && now < deadline;
 }
 
 /** Whether leaving a stalled engine would be followed by another try. */
--- a/packages/core/src/requests/request-state.ts
+++ b/packages/core/src/requests/request-state.ts
@@ -49,10 +49,14 @@
   /** Engines that failed this request. */
   excluded: UpstreamId[];
   hasClearedExcluded: boolean;
+  /** Attempts that were asked for but never took the place of another. */
+  unusedAttempts: number;
   phaseStartedAt: number;
   /** When the phase counts as stalled. */
   stallAt: number;
   lastTokenAt: number;
+  /** Time of the token after which the next one was seen to be late. */
+  delayedSince: number | undefined;
   /** Smoothed time between tokens. */
   gapMs: number | undefined;
   prefillMs: number | undefined;
@@ -94,9 +98,11 @@
     nextIndex: 0,
     excluded: [],
     hasClearedExcluded: false,
+    unusedAttempts: 0,
     phaseStartedAt: now,
     stallAt: Infinity,
     lastTokenAt: now,
+    delayedSince: undefined,
     gapMs: undefined,
     prefillMs: undefined,
     importMs: undefined,
--- a/packages/router/src/requests/engine-orders.ts
+++ b/packages/router/src/requests/engine-orders.ts
@@ -31,11 +31,12 @@
   running: RunningRequest,
   wanted: Pick<ReservationAsk, 'attemptId' | 'excluded'> & {
     readonly resumeFrom: UpstreamId | undefined;
+    readonly movesFrom?: AttemptId;
   },
 ): ReservationAsk {
   const { parts, request } = running;
   const { chat, deadlines } = request;
-  const { attemptId, excluded, resumeFrom } = wanted;
+  const { attemptId, excluded, resumeFrom, movesFrom } = wanted;
   return {
     requestId: request.requestId,
     attemptId,
@@ -54,6 +55,7 @@
     fingerprint: chat.fingerprint,
     excluded,
     ...(resumeFrom === undefined ? {} : { resumeFrom }),
+    ...(movesFrom === undefined ? {} : { movesFrom }),
   };
 }
 
