Fuzz the allocator against an oracle and mend what it found

Cause, found by the fuzz: an engine that the platform's list left out and named again lost its reservations, so its places were granted twice (3 of 2); a repeated ask got its old grant again after its deadline. Without the check for free places: fails. Without expiry: fails.

--- a/packages/core/src/allocation/admission.ts
+++ b/packages/core/src/allocation/admission.ts
@@ -15,7 +15,13 @@
 import { findLargestCaller, type ShardState } from './shard-state.js';
 import { predictStarts } from './start-forecast.js';
 import { makeWaiting } from './waiting-ask.js';
-import { addWaiting, countWaitingOf, MAX_WAITING, type WaitingAsk } from './waiting-queue.js';
+import {
+  addWaiting,
+  countWaitingOf,
+  getFirstTokenDeadline,
+  MAX_WAITING,
+  type WaitingAsk,
+} from './waiting-queue.js';
 
 const MAX_WAITING_PER_CALLER = 1_024;
 
@@ -64,7 +70,7 @@
   addUsage(state.shares, ask.callerId, waiting.workTokens, now);
   const lateMs = predictLateMs(state, waiting, now);
   const isMeasured = state.estimates.prefill.samples >= MIN_SAMPLES;
-  if (lateMs <= 0 || (!isMeasured && now < ask.firstTokenDeadline)) return actions;
+  if (lateMs <= 0 || (!isMeasured && now < getFirstTokenDeadline(ask))) return actions;
   const displaced = displaceFor(state, waiting, lateMs, now);
   if (displaced.length > 0) return [...actions, ...displaced];
   const detail = 'the latency targets cannot be met now';
--- /dev/null
+++ b/packages/core/src/allocation/allocator.fuzz.test.ts
@@ -0,0 +1,262 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import type {
+  AttemptEnd,
+  AttemptId,
+  AttemptProgress,
+  EngineHold,
+  Incarnation,
+  LoadReport,
+  ReservationAsk,
+  ReservationGrant,
+  UpstreamId,
+  VmId,
+} from '@tarragonspool/protocol';
+import { handleAllocatorEvent, makeAllocatorState, type AllocatorState } from './allocator.js';
+import type { AllocatorAction, AllocatorEvent } from './allocator-events.js';
+import { makeAsk, makeEngines, makeOptions, START } from './builders.test.js';
+
+/** One random event. `pick` chooses among what is known, `waitMs` passes before it. */
+type Step = { readonly what: number; readonly pick: number; readonly waitMs: number };
+
+/** What an outside observer knows from events and actions alone. */
+type Oracle = {
+  /** Asks that nobody has answered or taken back. */
+  readonly open: Map<AttemptId, ReservationAsk>;
+  readonly live: Map<AttemptId, { ask: ReservationAsk; grant: ReservationGrant }>;
+  readonly past: ReservationGrant[];
+  /** Attempts that were taken back or ended; a late ask for one is dropped. */
+  readonly closed: Set<AttemptId>;
+  asks: number;
+};
+
+const PLACES = 2;
+const BORROWED = { tail: 0, crest: 4 } as const;
+const EXPIRY_MS = 2_000;
+const QUIET_MS = 60_000;
+const KINDS = 14;
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.record({
+  what: fc.nat(KINDS * 2),
+  pick: fc.nat(1_000),
+  waitMs: fc.oneof(
+    { weight: 8, arbitrary: fc.nat(60) },
+    { weight: 1, arbitrary: fc.nat(3_000) },
+    { weight: 1, arbitrary: fc.constant(12_000) },
+  ),
+});
+
+function makeRandomAsk(oracle: Oracle, pick: number, now: number): ReservationAsk {
+  oracle.asks += 1;
+  const resumes = pick % 11 === 0 ? { resumeFrom: 'd0' as UpstreamId } : {};
+  const [moved] = oracle.live.keys();
+  const moves = pick % 13 === 0 && moved !== undefined ? { movesFrom: moved } : {};
+  return makeAsk(`r${oracle.asks}`, now, {
+    vmId: `vm-${pick % 3}` as VmId,
+    incarnation: (pick % 2) as Incarnation,
+    callerId: `caller-${pick % 4}` as ReservationAsk['callerId'],
+    priority: pick % 10,
+    promptTokens: 100 + pick * 10,
+    firstTokenDeadline: now + 100 + (pick % 7) * 300,
+    answerDeadline: now + 2_500 + (pick % 5) * 1_000,
+    excluded: pick % 5 === 0 ? ['d1' as UpstreamId] : [],
+    ...resumes,
+    ...moves,
+  });
+}
+
+function pickGrant(oracle: Oracle, pick: number): ReservationGrant | undefined {
+  return oracle.past[pick % Math.max(1, oracle.past.length)];
+}
+
+function makeEnd(oracle: Oracle, pick: number): AttemptEnd | undefined {
+  const grant = pickGrant(oracle, pick);
+  if (grant === undefined) return undefined;
+  const { reservationId, attemptId } = grant;
+  const outcomes = ['answered', 'cancelled', 'prefill-failed', 'decode-failed', 'unused'] as const;
+  const outcome = outcomes[pick % outcomes.length] ?? 'unused';
+  const times = pick % 2 === 0 ? { prefillMs: pick % 300, cachedTokens: 0, importMs: 9 } : {};
+  return { reservationId, attemptId, outcome, tokens: pick % 50, ...times };
+}
+
+function makeProgress(oracle: Oracle, pick: number, now: number): AttemptProgress | undefined {
+  const grant = pickGrant(oracle, pick);
+  if (grant === undefined) return undefined;
+  const { reservationId, attemptId, decode: upstreamId } = grant;
+  const stage = (['prefill', 'import', 'decode'] as const)[pick % 3] ?? 'decode';
+  return { reservationId, attemptId, upstreamId, stage, tokens: pick % 40, movedAt: now - 20 };
+}
+
+function makeReports(now: number): AllocatorEvent[] {
+  const parts = { role: 'decode', decodePlaces: PLACES, decodeStreams: 0, totalPieces: 1_000 };
+  const report = { ...parts, measuredAt: now } as LoadReport;
+  return (['d0', 'd1'] as UpstreamId[]).map((upstreamId) => ({
+    kind: 'load-reported',
+    upstreamId,
+    report,
+    now,
+  }));
+}
+
+function makeEvents(oracle: Oracle, { what, pick }: Step, now: number): AllocatorEvent[] {
+  const upstreamId = `d${pick % 2}` as UpstreamId;
+  switch (what) {
+    case 0: {
+      const end = makeEnd(oracle, pick);
+      return end === undefined ? [] : [{ kind: 'attempt-ended', items: [end, end], now }];
+    }
+    case 1: {
+      const item = makeProgress(oracle, pick, now);
+      return item === undefined ? [] : [{ kind: 'progressed', items: [item, item], now }];
+    }
+    case 2: {
+      const attemptId = `r${1 + (pick % (oracle.asks + 2))}.1` as AttemptId;
+      return [{ kind: 'withdrawn', attemptId, now }];
+    }
+    case 3: {
+      const incarnation = (pick % 2) as Incarnation;
+      return [{ kind: 'vm-gone', vmId: `vm-${pick % 3}` as VmId, incarnation, now }];
+    }
+    case 4: {
+      const engines = makeEngines(3, 2).filter((_, index) => index !== pick % 9);
+      return [{ kind: 'engines-listed', engines, now }, ...makeReports(now)];
+    }
+    case 5: {
+      const [ask] = [...oracle.open.values(), ...[...oracle.live.values()].map((each) => each.ask)];
+      return ask === undefined ? [] : [{ kind: 'asked', ask, now }];
+    }
+    case 6: {
+      const owner = { attemptId: `x${pick % 3}`, deadline: now + 500 };
+      const holds = [{ owner, kind: 'decode', pieces: 3 }] as unknown as EngineHold[];
+      return [{ kind: 'holds-listed', upstreamId, holds: pick % 2 === 0 ? holds : [], now }];
+    }
+    case 7: {
+      const prefixes = [`h${pick % 5}` as ReservationAsk['prefixes'][number]];
+      const events = [{ sequence: pick % 40, kind: 'stored', prefixes } as const];
+      return [{ kind: 'cache-changed', upstreamId: 'p0' as UpstreamId, events, now }];
+    }
+    case 8: {
+      const [live] = oracle.live.values();
+      if (live === undefined) return [];
+      const held = { ...live, stage: 'decode', tokens: 2 } as const;
+      return [{ kind: 'held-announced', items: [held, held], now }];
+    }
+    case 9:
+    case 10:
+    case 11:
+      return [{ kind: 'ticked', now }];
+    default:
+      return [{ kind: 'asked', ask: makeRandomAsk(oracle, pick, now), now }];
+  }
+}
+
+function observeEvent(oracle: Oracle, event: AllocatorEvent): void {
+  const { now } = event;
+  for (const [attemptId, { ask }] of oracle.live) {
+    if (now <= ask.answerDeadline) continue;
+    oracle.closed.add(attemptId);
+    if (now > ask.answerDeadline + EXPIRY_MS) oracle.live.delete(attemptId);
+  }
+  if (event.kind === 'attempt-ended') {
+    for (const { attemptId } of event.items) {
+      oracle.closed.add(attemptId);
+      oracle.live.delete(attemptId);
+    }
+  }
+  if (event.kind === 'withdrawn') {
+    oracle.closed.add(event.attemptId);
+    oracle.open.delete(event.attemptId);
+    oracle.live.delete(event.attemptId);
+  }
+  if (event.kind === 'vm-gone') {
+    const isGone = (ask: ReservationAsk) =>
+      ask.vmId === event.vmId && ask.incarnation <= event.incarnation;
+    for (const [id, ask] of oracle.open) if (isGone(ask)) oracle.open.delete(id);
+    for (const [id, { ask }] of oracle.live) if (isGone(ask)) oracle.live.delete(id);
+  }
+}
+
+/** An attempt that is closed may be asked for once more, long after. */
+function checkAnswer(oracle: Oracle, attemptId: AttemptId): void {
+  const isAsked = oracle.open.delete(attemptId) || oracle.closed.has(attemptId);
+  expect(isAsked, 'one answer to an ask').to.equal(true);
+}
+
+function checkAction(oracle: Oracle, action: AllocatorAction, limit: number, now: number): void {
+  expect(action.kind, JSON.stringify(action)).not.to.equal('report-violation');
+  if (action.kind === 'refuse') {
+    expect(action.refusal.ran).to.equal('not-run');
+    checkAnswer(oracle, action.attemptId);
+  }
+  if (action.kind !== 'grant') return;
+  const { ask, grant } = action;
+  if (oracle.live.has(ask.attemptId)) return;
+  checkAnswer(oracle, ask.attemptId);
+  expect(now, 'granted in time').to.be.at.most(ask.answerDeadline);
+  expect(ask.excluded, 'not excluded').not.to.include(grant.decode);
+  oracle.live.set(ask.attemptId, { ask, grant });
+  oracle.past.push(grant);
+  const taken = [...oracle.live.values()].filter((each) => each.grant.decode === grant.decode);
+  expect(taken.length, `places of ${grant.decode}`).to.be.at.most(limit);
+}
+
+function checkQuiet(state: AllocatorState, oracle: Oracle): void {
+  if (state.kind !== 'shard') throw new Error('not a shard');
+  expect(state.queue.items, 'nobody waits').to.deep.equal([]);
+  expect(state.queue.countByCaller.size).to.equal(0);
+  expect([...oracle.open.keys()], 'every ask answered').to.deep.equal([]);
+  expect(state.reservations.size + state.reservationsByAttempt.size).to.equal(0);
+  for (const engine of state.pool.byId.values()) {
+    const { streams, prefills, decoding, piecesHeld, unaccounted } = engine;
+    const held = [streams.size, prefills.length, decoding, piecesHeld, unaccounted.size];
+    expect(held, `${engine.upstreamId} is free`).to.deep.equal([0, 0, 0, 0, 0]);
+  }
+}
+
+function runSteps(objective: 'tail' | 'crest', steps: readonly Step[]): void {
+  const state = makeAllocatorState(makeOptions({ objective }));
+  const oracle: Oracle = {
+    open: new Map(),
+    live: new Map(),
+    past: [],
+    closed: new Set(),
+    asks: 0,
+  };
+  let now = START;
+  const run = (event: AllocatorEvent): void => {
+    observeEvent(oracle, event);
+    const isNew =
+      event.kind === 'asked' &&
+      !oracle.live.has(event.ask.attemptId) &&
+      !oracle.closed.has(event.ask.attemptId);
+    if (isNew) {
+      oracle.open.set(event.ask.attemptId, event.ask);
+    }
+    for (const action of handleAllocatorEvent(state, event)) {
+      checkAction(oracle, action, PLACES + BORROWED[objective], now);
+    }
+  };
+  run({ kind: 'engines-listed', engines: makeEngines(3, 2), now });
+  for (const event of makeReports(now)) run(event);
+  for (const step of steps) {
+    now += step.waitMs;
+    for (const event of makeEvents(oracle, step, now)) run(event);
+  }
+  run({ kind: 'engines-listed', engines: makeEngines(3, 2), now });
+  for (const event of makeReports(now)) run(event);
+  for (let at = 0; at < QUIET_MS; at += 500) {
+    now += 500;
+    run({ kind: 'ticked', now });
+  }
+  checkQuiet(state, oracle);
+}
+
+for (const objective of ['tail', 'crest'] as const) {
+  it(`allocator fuzz: places stay within bounds, asks get one answer, all is free at quiet (${objective})`, () => {
+    fc.assert(
+      fc.property(fc.array(stepArbitrary, { maxLength: 120 }), (steps) => {
+        runSteps(objective, steps);
+      }),
+    );
+  });
+}
--- a/packages/core/src/allocation/engine-state.ts
+++ b/packages/core/src/allocation/engine-state.ts
@@ -45,6 +45,8 @@
   role: ListedEngine['role'];
   models: readonly ModelName[];
   isLeaving: boolean;
+  /** Whether the platform lists it; one that it no longer lists is kept while attempts use it. */
+  isListed: boolean;
   report: LoadReport | undefined;
   places: number;
   /** Until this time, places that nobody accounts for count as taken. */
@@ -82,6 +84,7 @@
 function makeEngine(listed: ListedEngine, index: number, now: number): Engine {
   return {
     ...listed,
+    isListed: true,
     index,
     report: undefined,
     places: DEFAULT_PLACES,
@@ -117,7 +120,7 @@
   return { byId: new Map(), prefill: [], decode: [], nextIndex: 0 };
 }
 
-/** Takes a new list of engines; returns those that are gone. Leaving is kept for good. */
+/** Takes a new list of engines; returns those that have just gone. Leaving is kept for good. */
 export function updateEngines(
   pool: EnginePool,
   listed: readonly ListedEngine[],
@@ -135,13 +138,17 @@
     engine.role = entry.role;
     engine.models = entry.models;
     engine.isLeaving = engine.isLeaving || entry.isLeaving;
+    engine.isListed = true;
   }
   const gone: Engine[] = [];
   for (const engine of pool.byId.values()) {
-    if (!listedIds.has(engine.upstreamId)) gone.push(engine);
+    if (listedIds.has(engine.upstreamId)) continue;
+    if (engine.isListed) gone.push(engine);
+    engine.isListed = false;
+    const isUsed = engine.streams.size > 0 || engine.prefills.length > 0;
+    if (!isUsed) pool.byId.delete(engine.upstreamId);
   }
-  for (const { upstreamId } of gone) pool.byId.delete(upstreamId);
-  const engines = [...pool.byId.values()];
+  const engines = [...pool.byId.values()].filter(({ isListed }) => isListed);
   pool.prefill = engines.filter(({ role }) => role === 'prefill');
   pool.decode = engines.filter(({ role }) => role === 'decode');
   return gone;
--- a/packages/core/src/allocation/shard-allocator.ts
+++ b/packages/core/src/allocation/shard-allocator.ts
@@ -33,7 +33,7 @@
 import { refuseAsk } from './refusals.js';
 import type { ShardState } from './shard-state.js';
 import { judgeEngines } from './stragglers.js';
-import { removeWaiting } from './waiting-queue.js';
+import { getFirstTokenDeadline, removeWaiting } from './waiting-queue.js';
 
 const SWEEP_INTERVAL_MS = 1_000;
 /** Waiting requests that may be passed over after one event. */
@@ -56,8 +56,7 @@
   ask: ReservationAsk,
   now: number,
 ): AllocatorAction[] | NoPlacement {
-  const isPastFirstToken = ask.resumeFrom === undefined && now > ask.firstTokenDeadline;
-  if (isPastFirstToken || now > ask.answerDeadline) return 'no-prefill';
+  if (now > Math.min(getFirstTokenDeadline(ask), ask.answerDeadline)) return 'no-prefill';
   const placement = findPlacement(state, ask, now);
   if (typeof placement === 'string') return placement;
   const action = grantPlacement(state, ask, placement, now);
@@ -110,6 +109,7 @@
   const { attemptId } = ask;
   if (state.queue.byAttempt.has(attemptId) || state.endedUntil.has(attemptId)) return [];
   const live = state.reservationsByAttempt.get(attemptId);
+  if (live !== undefined && now > live.ask.answerDeadline) return [];
   if (live !== undefined) return [{ kind: 'grant', ask: live.ask, grant: live.grant }];
   if (ask.movesFrom !== undefined) return handleMove(state, ask, ask.movesFrom, now);
   return [...admitAsk(state, ask, now), ...grantWaiting(state, now)];
--- a/packages/core/src/allocation/waiting-ask.ts
+++ b/packages/core/src/allocation/waiting-ask.ts
@@ -15,7 +15,7 @@
 import { getPoolSummary } from './pool-summary.js';
 import { predictBestCachedTokens } from './prefix-knowledge.js';
 import type { ShardState } from './shard-state.js';
-import type { WaitingAsk } from './waiting-queue.js';
+import { getFirstTokenDeadline, type WaitingAsk } from './waiting-queue.js';
 
 /** Deadlines beyond this count as equal, so that long ones don't wait for good. */
 const RANK_HORIZON_MS = 1_000;
@@ -53,7 +53,7 @@
   // What was already spent on a stream makes it worth resuming until its last moment.
   if (ask.resumeFrom !== undefined) return ask.answerDeadline - firstTokenMs;
   const safety = 1 + state.objective.safetyShare;
-  const firstAt = ask.firstTokenDeadline - firstTokenMs * safety;
+  const firstAt = getFirstTokenDeadline(ask) - firstTokenMs * safety;
   const isAnswerKnown = state.estimates.answer.samples >= MIN_SAMPLES;
   const untilAnswerMs = isAnswerKnown ? answerMs * safety : firstTokenMs;
   return Math.min(firstAt, ask.answerDeadline - untilAnswerMs);
--- a/packages/core/src/allocation/waiting-queue.ts
+++ b/packages/core/src/allocation/waiting-queue.ts
@@ -30,6 +30,12 @@
 /** Most requests that may wait. */
 export const MAX_WAITING = 4_096;
 
+/** When the first token is due. After a failed attempt, the whole answer is what is left to save. */
+export function getFirstTokenDeadline(ask: ReservationAsk): number {
+  const isFirstAttempt = ask.resumeFrom === undefined && ask.excluded.length === 0;
+  return isFirstAttempt ? ask.firstTokenDeadline : ask.answerDeadline;
+}
+
 /** Makes an empty queue. */
 export function makeWaitingQueue(): WaitingQueue {
   return { items: [], byAttempt: new Map(), countByCaller: new Map() };
