--- /dev/null
+++ b/packages/router/src/peers/peer-proof.test.ts
@@ -0,0 +1,34 @@
+import { expect } from 'chai';
+import type { Incarnation, VmId } from '@tarragonspool/protocol';
+import { isProofValid, makeProof } from './peer-proof.js';
+
+const OLD = 'old-secret-0123456789';
+const NEW = 'new-secret-0123456789';
+const SUBJECT = { nonce: 'a1b2', vmId: 'vm-1' as VmId, incarnation: 1 as Incarnation };
+const STEPS = [[OLD], [OLD, NEW], [NEW, OLD], [NEW]] as const;
+
+function isAccepted(prover: readonly string[], verifier: readonly string[]): boolean {
+  return isProofValid(verifier, SUBJECT, makeProof(prover[0] ?? '', SUBJECT));
+}
+
+it('peer proof: neighbouring steps of a rotation accept each other', () => {
+  for (const [index, step] of STEPS.entries()) {
+    for (const other of STEPS.slice(index, index + 2)) {
+      expect(isAccepted(step, other), `${index}`).to.equal(true);
+      expect(isAccepted(other, step), `${index}`).to.equal(true);
+    }
+  }
+});
+
+it('peer proof: a rotation without its middle steps is refused', () => {
+  expect(isAccepted([OLD], [NEW])).to.equal(false);
+  expect(isAccepted([NEW, OLD], [OLD])).to.equal(false);
+});
+
+it('peer proof: holds for its nonce, VM and incarnation only', () => {
+  const proof = makeProof(OLD, SUBJECT);
+  expect(isProofValid([OLD], { ...SUBJECT, nonce: 'other' }, proof)).to.equal(false);
+  expect(isProofValid([OLD], { ...SUBJECT, vmId: 'vm-2' as VmId }, proof)).to.equal(false);
+  expect(isProofValid([OLD], { ...SUBJECT, incarnation: 2 as Incarnation }, proof)).to.equal(false);
+  expect(isProofValid([OLD], SUBJECT, '')).to.equal(false);
+});
