--- a/packages/core/src/requests/request-recovery.ts
+++ b/packages/core/src/requests/request-recovery.ts
@@ -86,6 +86,7 @@
 }
 
 function isRetryLeft(state: RequestState, now: number): boolean {
+  if (state.isOnce === true && state.dispatches > 0) return false;
   // An answer that the caller has in part is worth finishing late; one that has not begun is not.
   const deadline = state.nextIndex > 0 ? state.lastDeadline : state.answerDeadline;
   return state.attempt < MAX_ATTEMPTS && now < deadline;
