--- a/packages/stand-ins/src/bench/bound.ts
+++ b/packages/stand-ins/src/bench/bound.ts
@@ -77,7 +77,7 @@
 }
 
 /** Requests a second that the engines can serve, from their stated speeds and mean sizes. */
-export function computeCapacity({ engine, prefillEngines, decodeEngines }: Pool): number {
+export function predictCapacity({ engine, prefillEngines, decodeEngines }: Pool): number {
   const promptTokens = MEAN_PROMPT_CHARACTERS / CHARACTERS_PER_TOKEN;
   const workTokens = (MEAN_PROMPT_CHARACTERS - CACHED_CHARACTERS) / CHARACTERS_PER_TOKEN;
   const prefillMs = workTokens / engine.prefillTokensPerMs;
@@ -92,7 +92,7 @@
 }
 
 /** Counts the most arrivals that any placement could serve within both targets. */
-export function computeBound(pool: Pool, arrivals: readonly Arrival[]): number {
+export function findBound(pool: Pool, arrivals: readonly Arrival[]): number {
   const { engine, prefillEngines, decodeEngines } = pool;
   const waited = arrivals.filter(({ cancelAt }) => cancelAt === undefined);
   const promptTokens = waited.map(countPromptTokens);
--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -6,7 +6,7 @@
 import { ENGINE_DEFAULTS, type EngineSettings } from '../engine/engine-settings.js';
 import { makeRandom } from '../load/random.js';
 import { makeArrivals, SITES, type Arrival, type Site } from '../load/workload.js';
-import { computeBound, computeCapacity, type Pool } from './bound.js';
+import { findBound, predictCapacity, type Pool } from './bound.js';
 import { printRun, printTable, type PolicyFigures } from './report.js';
 import {
   BENCH_ENGINE,
@@ -16,7 +16,7 @@
   type RunPlan,
 } from './run-policy.js';
 import { makeScenario, SCENARIOS, type Scenario, type ScenarioName } from './scenarios.js';
-import { computeSummary, type Stretch } from './summary.js';
+import { buildSummary, type Stretch } from './summary.js';
 
 const POLICIES = ['ours', 'round-robin', 'least-outstanding', 'two-choices'] as const;
 const BASE_PORT = 18_000;
@@ -70,8 +70,8 @@
   lag.disable();
   let runEnd = 0;
   for (const { durationMs } of plan.scenario.phases) runEnd += durationMs;
-  const summary = computeSummary(outcomes, work, findCrest(plan.scenario), runEnd);
-  const calm = computeSummary(calmOutcomes, [], undefined, runEnd);
+  const summary = buildSummary(outcomes, work, findCrest(plan.scenario), runEnd);
+  const calm = buildSummary(calmOutcomes, [], undefined, runEnd);
   return {
     ...summary,
     calmFullAnswerP99Ms: calm.fullAnswerMs.p99,
@@ -97,11 +97,11 @@
 const objective = checkChoice('objective', values.objective ?? site.objective, ['tail', 'crest']);
 const policies = values.policy.split(',').map((name) => checkChoice('policy', name, POLICIES));
 const seed = Number(values.seed);
-const capacity = computeCapacity(POOL);
+const capacity = predictCapacity(POOL);
 const scenario = makeScenario(scenarioName, capacity, ENGINES_PER_ROLE, seed);
 const plan = makePlan(site, scenario, seed, objective, values['kill-allocator']);
 const offered = plan.arrivals.filter(({ cancelAt }) => cancelAt === undefined).length;
-const bound = computeBound(POOL, plan.arrivals);
+const bound = findBound(POOL, plan.arrivals);
 printRun(scenario, site.name, seed, objective, capacity, offered, bound);
 
 const figures: Record<string, PolicyFigures> = {};
--- a/packages/stand-ins/src/bench/run-policy.ts
+++ b/packages/stand-ins/src/bench/run-policy.ts
@@ -39,7 +39,7 @@
 const BALANCER_CHECK_MS = 500;
 const KILL_DELAY_MS = 3_000;
 
-async function collectWork(deployment: Deployment): Promise<AttemptWork[]> {
+async function readAllWork(deployment: Deployment): Promise<AttemptWork[]> {
   const works: AttemptWork[] = [];
   for (const { url } of deployment.engines) {
     // eslint-disable-next-line no-await-in-loop -- eight small reads
@@ -57,7 +57,7 @@
 }
 
 /** Crashes an engine and starts it again; returns the work that it had done. */
-async function crashEngine(deployment: Deployment, index: number): Promise<AttemptWork[]> {
+async function killEngine(deployment: Deployment, index: number): Promise<AttemptWork[]> {
   const engine = deployment.engines[index];
   if (engine === undefined) return [];
   const work = await callJson(`${engine.url}/control/work`).catch(() => ({}));
@@ -89,7 +89,7 @@
   }
   for (const { engineIndex, at } of crashes) {
     setTimeout(() => {
-      crashEngine(deployment, engineIndex)
+      killEngine(deployment, engineIndex)
         .then((work) => crashedWork.push(...work))
         .catch(() => undefined);
     }, at);
@@ -138,7 +138,7 @@
     const crashedWork: AttemptWork[] = [];
     scheduleFaults(deployment, plan, callerUrls, crashedWork);
     const outcomes = await runLoad({ ...load, idPrefix: 'bench-run' }, plan.arrivals);
-    const work = [...(await collectWork(deployment)), ...crashedWork];
+    const work = [...(await readAllWork(deployment)), ...crashedWork];
     return { outcomes, calmOutcomes, work };
   } finally {
     deployment.kill();
--- a/packages/stand-ins/src/bench/summary.ts
+++ b/packages/stand-ins/src/bench/summary.ts
@@ -33,7 +33,7 @@
 const RECOVERY_STEP_MS = 100;
 const DETAIL_CHARACTERS = 60;
 
-function computePercentiles(values: readonly number[]): Percentiles {
+function buildPercentiles(values: readonly number[]): Percentiles {
   if (values.length === 0) return { p50: null, p95: null, p99: null };
   const histogram = build({
     lowestDiscernibleValue: 1,
@@ -54,7 +54,7 @@
 }
 
 /** Prefill tokens of each request: all, and those of its longest attempt. */
-function sumWork(work: readonly AttemptWork[]): Map<string, { total: number; longest: number }> {
+function countWork(work: readonly AttemptWork[]): Map<string, { total: number; longest: number }> {
   const sums = new Map<string, { total: number; longest: number }>();
   for (const { requestId, prefillTokens } of work) {
     const sum = sums.get(requestId) ?? { total: 0, longest: 0 };
@@ -66,8 +66,8 @@
 }
 
 /** Shares of all prefill tokens: wasted, and the part that clients who hung up had asked for. */
-function computeWaste(outcomes: readonly Outcome[], work: readonly AttemptWork[]) {
-  const sums = sumWork(work);
+function countWaste(outcomes: readonly Outcome[], work: readonly AttemptWork[]) {
+  const sums = countWork(work);
   let total = 0;
   let useful = 0;
   let abandoned = 0;
@@ -87,7 +87,7 @@
  * Time from the end of a crest until 95 of 100 arrivals from then on are good. If that is never so,
  * the time until the run's end, which is a lower limit.
  */
-function computeRecovery(outcomes: readonly Outcome[], crestEnd: number, runEnd: number): number {
+function findRecovery(outcomes: readonly Outcome[], crestEnd: number, runEnd: number): number {
   for (let from = crestEnd; from < runEnd; from += RECOVERY_STEP_MS) {
     const later = outcomes.filter(({ arrival }) => arrival.at >= from);
     if (later.filter(isGood).length >= STEADY_SHARE * later.length) return from - crestEnd;
@@ -96,7 +96,7 @@
 }
 
 /** Computes the figures of one run. */
-export function computeSummary(
+export function buildSummary(
   outcomes: readonly Outcome[],
   work: readonly AttemptWork[],
   crest: Stretch | undefined,
@@ -117,12 +117,12 @@
   return {
     goodput: good.length,
     crestGoodput: crest === undefined ? null : inCrest.length,
-    ...computeWaste(outcomes, work),
-    firstTokenMs: computePercentiles(firstTokens),
-    fullAnswerMs: computePercentiles(answerTimes),
-    gapMs: computePercentiles(outcomes.flatMap(({ gapsMs }) => gapsMs)),
-    recoveryMs: crest === undefined ? null : computeRecovery(outcomes, crest.until, runEnd),
-    refusalP99Ms: computePercentiles(refused.map(({ endMs }) => endMs)).p99,
+    ...countWaste(outcomes, work),
+    firstTokenMs: buildPercentiles(firstTokens),
+    fullAnswerMs: buildPercentiles(answerTimes),
+    gapMs: buildPercentiles(outcomes.flatMap(({ gapsMs }) => gapsMs)),
+    recoveryMs: crest === undefined ? null : findRecovery(outcomes, crest.until, runEnd),
+    refusalP99Ms: buildPercentiles(refused.map(({ endMs }) => endMs)).p99,
     refused: refused.length,
     refusedByCode: countBy(refused, ({ code }) => String(code)),
     failed: failed.length,
--- a/packages/stand-ins/src/engine/decode-batch.ts
+++ b/packages/stand-ins/src/engine/decode-batch.ts
@@ -58,13 +58,13 @@
     const nextIndex = order.fromIndex;
     const stream: Stream = { order, response, pieces, importing, content: undefined, nextIndex };
     this.streams.set(attemptId, stream);
-    response.on('close', () => this.drop(stream));
+    response.on('close', () => this.remove(stream));
     response.writeHead(200, { 'content-type': 'application/x-ndjson' });
     response.flushHeaders();
     this.importKv(stream, onImported).catch((error: unknown) => {
       writeFrame(stream, { kind: 'error', attemptId, error: String(error) });
       response.end();
-      this.drop(stream);
+      this.remove(stream);
     });
     return true;
   }
@@ -73,7 +73,7 @@
   cancel(attemptId: AttemptId): void {
     const stream = this.streams.get(attemptId);
     if (stream === undefined) return;
-    this.drop(stream);
+    this.remove(stream);
     stream.response.destroy();
   }
 
@@ -123,7 +123,7 @@
     onImported();
   }
 
-  private drop(stream: Stream): void {
+  private remove(stream: Stream): void {
     stream.importing.abort();
     const { attemptId } = stream.order.owner;
     if (this.streams.get(attemptId) === stream) this.streams.delete(attemptId);
--- a/packages/stand-ins/src/engine/engine.ts
+++ b/packages/stand-ins/src/engine/engine.ts
@@ -92,7 +92,7 @@
   startPrefill(order: PrefillOrder, response: ServerResponse): void {
     if (this.isRefused('prefill', order.target, response)) return;
     this.prefills.add(order, response);
-    this.wake();
+    this.startSteps();
   }
 
   /** Sends KV cache over the link; answers once it has been sent. */
@@ -105,13 +105,13 @@
     if (this.faults.isExportStalled) return;
     const bytes = content.tokens * this.settings.kvBytesPerToken;
     this.link.start(response, bytes, content, () => this.prefills.cancel(attemptId));
-    this.wake();
+    this.startSteps();
   }
 
   /** Imports KV cache and streams tokens. */
   startDecode(order: DecodeOrder, response: ServerResponse): void {
     if (this.isRefused('decode', order.target, response)) return;
-    const hasPlace = this.streams.start(order, response, () => this.wake());
+    const hasPlace = this.streams.start(order, response, () => this.startSteps());
     if (!hasPlace) sendJson(response, 429, { error: 'no place' });
   }
 
@@ -134,15 +134,15 @@
     }
     this.fencingNumber = Math.max(this.fencingNumber, order.fencingNumber);
     if (order.kind === 'set-role') this.wantedRole = order.role;
-    if (order.kind === 'load-target') this.loadTarget(order.target).catch(() => undefined);
+    if (order.kind === 'load-target') this.addTarget(order.target).catch(() => undefined);
     if (order.kind === 'unload-target') {
       this.targets = this.targets.filter((target) => !isSameTarget(target, order.target));
     }
-    this.wake();
+    this.startSteps();
     sendJson(response, 200, { kind: 'accepted' });
   }
 
-  private async loadTarget(target: ModelTarget): Promise<void> {
+  private async addTarget(target: ModelTarget): Promise<void> {
     if (this.targets.some((loaded) => isSameTarget(loaded, target))) return;
     const name = encodeURIComponent(JSON.stringify(target));
     if (this.settings.weightStoreUrl !== '') {
@@ -178,7 +178,7 @@
     if (this.reports.length > REPORTS_KEPT) this.reports.shift();
   }
 
-  private wake(): void {
+  private startSteps(): void {
     if (this.stepTimer !== undefined) return;
     this.steppedAt = performance.now();
     this.stepTimer = setInterval(() => this.step(), STEP_INTERVAL_MS);
--- a/packages/stand-ins/src/engine/prefix-cache.ts
+++ b/packages/stand-ins/src/engine/prefix-cache.ts
@@ -49,11 +49,11 @@
       this.blocks.delete(prefix);
       evicted.push(prefix);
     }
-    this.publish('stored', stored, now);
-    this.publish('evicted', evicted, now);
+    this.addEvent('stored', stored, now);
+    this.addEvent('evicted', evicted, now);
   }
 
-  private publish(kind: CacheEvent['kind'], prefixes: readonly PrefixHash[], now: number): void {
+  private addEvent(kind: CacheEvent['kind'], prefixes: readonly PrefixHash[], now: number): void {
     if (prefixes.length === 0) return;
     this.sequence += 1;
     if (this.sequence % this.options.eventGap === 0) return;
--- a/packages/stand-ins/src/harness/relay.ts
+++ b/packages/stand-ins/src/harness/relay.ts
@@ -16,7 +16,7 @@
   let isCut = false;
   let delayMs = 0;
 
-  function forward(from: Socket, to: Socket): void {
+  function copyBytes(from: Socket, to: Socket): void {
     let nextAt = 0;
     from.on('data', (chunk) => {
       if (isCut) return;
@@ -36,8 +36,8 @@
   const [host = '', port = ''] = target.split(':');
   const server = createServer((near) => {
     const far = connect(Number(port), host);
-    forward(near, far);
-    forward(far, near);
+    copyBytes(near, far);
+    copyBytes(far, near);
   });
   const [listenHost = '', listenPort = ''] = listen.split(':');
   server.listen(Number(listenPort), listenHost);
--- a/packages/stand-ins/src/soak/clients.ts
+++ b/packages/stand-ins/src/soak/clients.ts
@@ -62,7 +62,7 @@
 }
 
 /** Sends requests whose clients hang up at various stages. */
-export async function hangUp(soak: Soak, { at, target }: Fault): Promise<void> {
+export async function sendAndCancel(soak: Soak, { at, target }: Fault): Promise<void> {
   const sent: Promise<Outcome>[] = [];
   for (let index = 0; index < HANG_UPS; index += 1) {
     const arrival = makeArrival(soak, `Hang up ${at} ${index}`, target + index);
@@ -72,7 +72,7 @@
   soak.outcomes.push(...(await Promise.all(sent)));
 }
 
-async function submit(soak: Soak, call: LedgerCall, vmIndex: number): Promise<boolean> {
+async function sendCall(soak: Soak, call: LedgerCall, vmIndex: number): Promise<boolean> {
   const { site, callerUrls } = soak;
   const url = callerUrls[vmIndex % callerUrls.length];
   const caller = site.callers[0];
@@ -97,10 +97,10 @@
   const call: LedgerCall = { effect: `entry-${number}`, answers: [] };
   soak.ledgerCalls.push(call);
   const isTwice = number % TWICE_EVERY === 0;
-  const twin = isTwice ? submit(soak, call, number + 1) : undefined;
+  const twin = isTwice ? sendCall(soak, call, number + 1) : undefined;
   for (let index = 0; index < LEDGER_SUBMISSIONS; index += 1) {
     // eslint-disable-next-line no-await-in-loop -- a caller that sends again
-    if (await submit(soak, call, number + index)) break;
+    if (await sendCall(soak, call, number + index)) break;
     // eslint-disable-next-line no-await-in-loop -- a caller that sends again
     await waitFor(RESEND_MS);
   }
--- a/packages/stand-ins/src/soak/faults.ts
+++ b/packages/stand-ins/src/soak/faults.ts
@@ -5,7 +5,7 @@
 import { callJson, type EntryVm, type StandIn } from '../harness/deployment.js';
 import { waitFor } from '../harness/processes.js';
 import { makeSiteRules } from '../load/workload.js';
-import { hangUp, sendDeadly, sendTwice } from './clients.js';
+import { sendAndCancel, sendDeadly, sendTwice } from './clients.js';
 import type { Fault } from './schedule.js';
 import { recordWork, setFaults, type Soak } from './soak-state.js';
 
@@ -53,7 +53,7 @@
   engine.process.child.kill('SIGKILL');
 }
 
-async function markLeaving(soak: Soak, engine: StandIn): Promise<void> {
+async function setLeaving(soak: Soak, engine: StandIn): Promise<void> {
   if (soak.leavingSince.has(engine.upstreamId)) return;
   soak.leavingSince.set(engine.upstreamId, Date.now());
   const { deployment, leavingSince } = soak;
@@ -80,20 +80,25 @@
   soak.acceptedAt.set(revision, Date.now());
 }
 
-async function raceOperators(soak: Soak, { target, at }: Fault): Promise<void> {
+async function applyRulesTwice(soak: Soak, { target, at }: Fault): Promise<void> {
   const { entryVms } = soak.deployment;
   const [one, two] = [choose(entryVms, target), choose(entryVms, target + 1)];
   await Promise.all([applyRules(soak, one, `one ${at}`), applyRules(soak, two, `two ${at}`)]);
 }
 
-async function slowPlatform(soak: Soak, faults: object, durationMs: number): Promise<void> {
+async function setPlatformFaultsFor(soak: Soak, faults: object, durationMs: number): Promise<void> {
   const { platformUrl } = soak.deployment;
   await setFaults(platformUrl, faults);
   await waitFor(durationMs);
   await setFaults(platformUrl, { isDown: false, delayMs: 0, loseAnswers: 0, delayEffects: 0 });
 }
 
-async function hurtFor(url: string, on: object, off: object, durationMs: number): Promise<void> {
+async function setFaultsFor(
+  url: string,
+  on: object,
+  off: object,
+  durationMs: number,
+): Promise<void> {
   await setFaults(url, on);
   await waitFor(durationMs);
   await setFaults(url, off);
@@ -131,19 +136,19 @@
       relay.setDelayMs(0);
       return;
     case 'platform-outage':
-      await slowPlatform(soak, { isDown: true }, durationMs);
+      await setPlatformFaultsFor(soak, { isDown: true }, durationMs);
       return;
     case 'platform-slow':
-      await slowPlatform(soak, { delayMs: PLATFORM_DELAY_MS }, durationMs);
+      await setPlatformFaultsFor(soak, { delayMs: PLATFORM_DELAY_MS }, durationMs);
       return;
     case 'lost-answers':
-      await slowPlatform(soak, { loseAnswers: LOST_ANSWERS }, durationMs);
+      await setPlatformFaultsFor(soak, { loseAnswers: LOST_ANSWERS }, durationMs);
       return;
     case 'delayed-effects':
-      await slowPlatform(soak, { delayEffects: LOST_ANSWERS }, durationMs);
+      await setPlatformFaultsFor(soak, { delayEffects: LOST_ANSWERS }, durationMs);
       return;
     case 'slow-engine':
-      await hurtFor(engine.url, { slowness: SLOWNESS }, { slowness: 1 }, durationMs);
+      await setFaultsFor(engine.url, { slowness: SLOWNESS }, { slowness: 1 }, durationMs);
       return;
     case 'kill-engine':
       await killEngine(soak, engine);
@@ -152,16 +157,21 @@
       await freeze(engine, durationMs);
       return;
     case 'stalled-export':
-      await hurtFor(engine.url, { isExportStalled: true }, { isExportStalled: false }, durationMs);
+      await setFaultsFor(
+        engine.url,
+        { isExportStalled: true },
+        { isExportStalled: false },
+        durationMs,
+      );
       return;
     case 'leaving-engine':
-      await markLeaving(soak, engine);
+      await setLeaving(soak, engine);
       return;
     case 'dying-ledger':
       await setFaults(ledger.url, { isDyingInCall: true });
       return;
     case 'slow-ledger':
-      await hurtFor(ledger.url, { delayMs: LEDGER_DELAY_MS }, { delayMs: 0 }, durationMs);
+      await setFaultsFor(ledger.url, { delayMs: LEDGER_DELAY_MS }, { delayMs: 0 }, durationMs);
       return;
     case 'crashing-request':
       await sendDeadly(soak, target % 2 === 0 ? CRASH_PREFILL_TEXT : CRASH_DECODE_TEXT, fault.at);
@@ -170,10 +180,10 @@
       await sendTwice(soak, fault);
       return;
     case 'racing-operators':
-      await raceOperators(soak, fault);
+      await applyRulesTwice(soak, fault);
       return;
     case 'hang-ups':
-      await hangUp(soak, fault);
+      await sendAndCancel(soak, fault);
       return;
     default:
       assertNever(kind);
--- a/packages/stand-ins/src/soak/schedule.ts
+++ b/packages/stand-ins/src/soak/schedule.ts
@@ -41,7 +41,7 @@
 const QUIET_END_MS = 5_000;
 const MAX_TARGET = 1_000_000;
 
-function shuffle(random: Random): FaultKind[] {
+function makeOrder(random: Random): FaultKind[] {
   const kinds: FaultKind[] = [...FAULT_KINDS];
   for (let at = kinds.length - 1; at > 0; at -= 1) {
     const other = random.takeInt(0, at);
@@ -59,13 +59,13 @@
     faults.push({ kind, at, durationMs: length, target: random.takeInt(0, MAX_TARGET) });
   };
   let at = START_MS;
-  for (const kind of shuffle(random)) {
+  for (const kind of makeOrder(random)) {
     if (at + ALONE_SLOT_MS > end) return faults;
     add(kind, at, ALONE_SLOT_MS);
     at += ALONE_SLOT_MS;
   }
   for (;;) {
-    const kinds = shuffle(random);
+    const kinds = makeOrder(random);
     while (kinds.length > 1) {
       if (at + PAIR_SLOT_MS > end) return faults;
       for (const kind of kinds.splice(0, 2)) add(kind, at, PAIR_SLOT_MS);
