--- a/packages/core/src/requests/request-machine.ts
+++ b/packages/core/src/requests/request-machine.ts
@@ -6,6 +6,7 @@
 
 import {
   assertNever,
+  type AttemptId,
   type DecodeFrame,
   type Refusal,
   type ReservationGrant,
@@ -44,6 +45,7 @@
 const KV_LIFE_MS = 800;
 const MAX_LATE_GRANTS = 3;
 const MAX_GRANTS_BEFORE_RESCUE = 4;
+const STUCK_MS = 600;
 
 /** Starts the request by asking for places. */
 export function startRequest(state: RequestState): RequestAction[] {
@@ -273,8 +275,12 @@
 }
 
 /** Asks for other places while the attempt goes on; it stays if it comes on again first. */
-function startRescueAsk(state: RequestState, now: number): RequestAction[] {
-  const { grant, attemptId: movesFrom, phase } = state;
+function startRescueAsk(
+  state: RequestState,
+  movesFrom: AttemptId | undefined,
+  now: number,
+): RequestAction[] {
+  const { grant, phase } = state;
   if (grant === undefined || state.rescueId !== undefined) return [];
   if (state.grants >= MAX_GRANTS_BEFORE_RESCUE) return [];
   state.rescueId = takeAttemptId(state);
@@ -296,7 +302,11 @@
   const movedAt = stage === 'decode' ? state.lastTokenAt : state.phaseStartedAt;
   const view = { grant, stage, promptTokens, maxTokens, tokens, movedAt, askedAt };
   const advice = adviseRecovery(view, state.objective, now);
-  return advice === 'wait' ? [] : startRescueAsk(state, now);
+  if (advice === 'wait') return [];
+  if (stage === 'prefill') return state.isOnce ? [] : startRescueAsk(state, state.attemptId, now);
+  // Once it must be stuck, the stream asks like any other request, whatever the allocator thinks.
+  const isStuck = now >= movedAt + STUCK_MS;
+  return startRescueAsk(state, isStuck ? undefined : state.attemptId, now);
 }
 
 function handleStall(state: RequestState, now: number): RequestAction[] {
--- a/packages/router/src/requests/model-request.ts
+++ b/packages/router/src/requests/model-request.ts
@@ -11,11 +11,13 @@
   VmId,
 } from '@tarragonspool/protocol';
 import type { AllocationInbox } from '../allocation/allocation-messages.js';
+import type { DispatchPermit } from '../claims/run-once.js';
 import type { CancelInbox } from '../engines/cancel-task.js';
 import type { StopOrder } from '../engines/engine-client.js';
 import type { Invariants } from '../invariants/invariants.js';
 import type { RequestTrace } from '../journal/request-trace.js';
 import type { Metrics } from '../metrics/metrics.js';
+import type { Quarantine } from '../quarantine/quarantine-task.js';
 import type { Channel } from '../tasks/tasks.js';
 import type { Directory } from '../upstreams/directory.js';
 import type { AnswerWriter } from './answer-writer.js';
@@ -31,6 +33,7 @@
   readonly cancels: CancelInbox;
   readonly objective: AllocationObjective;
   readonly budget: RetryBudget;
+  readonly quarantine: Quarantine;
   readonly invariants: Invariants;
   readonly metrics: Metrics;
 };
@@ -45,6 +48,8 @@
   readonly deadlines: ChatDeadlines;
   readonly arrivedAt: number;
   readonly writer: AnswerWriter;
+  /** Set for a request that must run at most once; nothing is ordered without it or after it. */
+  readonly permit?: DispatchPermit;
   readonly trace: RequestTrace;
   /** Calls back once if the caller goes away before the answer ended. */
   readonly onCallerGone: (handler: () => void) => void;
@@ -62,6 +67,8 @@
   /** Tokens that the caller has. */
   readonly writtenTexts: string[];
   isAnswered: boolean;
+  /** Whether the whole answer was written. */
+  hasFinished: boolean;
   /** Orders of which a byte may have left. */
   dispatches: number;
   nextMoveAt: number;
