--- a/packages/router/src/peers/peer-proof.test.ts
+++ b/packages/router/src/peers/peer-proof.test.ts
@@ -4,7 +4,9 @@
 
 const OLD = 'old-secret-0123456789';
 const NEW = 'new-secret-0123456789';
-const SUBJECT = { nonce: 'a1b2', vmId: 'vm-1' as VmId, incarnation: 1 as Incarnation };
+const PROVER = { nonce: 'a1b2', vmId: 'vm-1' as VmId, incarnation: 1 as Incarnation };
+const VERIFIER = { nonce: 'c3d4', vmId: 'vm-2' as VmId, incarnation: 7 as Incarnation };
+const SUBJECT = { prover: PROVER, verifier: VERIFIER };
 const STEPS = [[OLD], [OLD, NEW], [NEW, OLD], [NEW]] as const;
 
 function isAccepted(prover: readonly string[], verifier: readonly string[]): boolean {
@@ -25,10 +27,20 @@
   expect(isAccepted([NEW, OLD], [OLD])).to.equal(false);
 });
 
-it('peer proof: holds for its nonce, VM and incarnation only', () => {
+it('peer proof: holds for the nonces, VMs and incarnations of its link only', () => {
   const proof = makeProof(OLD, SUBJECT);
-  expect(isProofValid([OLD], { ...SUBJECT, nonce: 'other' }, proof)).to.equal(false);
-  expect(isProofValid([OLD], { ...SUBJECT, vmId: 'vm-2' as VmId }, proof)).to.equal(false);
-  expect(isProofValid([OLD], { ...SUBJECT, incarnation: 2 as Incarnation }, proof)).to.equal(false);
+  const changes = [
+    { nonce: 'other' },
+    { vmId: 'vm-3' as VmId },
+    { incarnation: 2 as Incarnation },
+  ] as const;
+  for (const change of changes) {
+    const prover = { ...SUBJECT, prover: { ...PROVER, ...change } };
+    const verifier = { ...SUBJECT, verifier: { ...VERIFIER, ...change } };
+    expect(isProofValid([OLD], prover, proof)).to.equal(false);
+    expect(isProofValid([OLD], verifier, proof)).to.equal(false);
+  }
+  const reflected = { prover: VERIFIER, verifier: PROVER };
+  expect(isProofValid([OLD], reflected, proof)).to.equal(false);
   expect(isProofValid([OLD], SUBJECT, '')).to.equal(false);
 });
