--- a/packages/core/src/requests/request-state.ts
+++ b/packages/core/src/requests/request-state.ts
@@ -53,6 +53,8 @@
   /** Engines that failed this request. */
   excluded: UpstreamId[];
   hasClearedExcluded: boolean;
+  /** Attempts that were asked for but never took the place of another. */
+  unusedAttempts: number;
   phaseStartedAt: number;
   /** When the phase counts as stalled. */
   stallAt: number;
@@ -104,6 +106,7 @@
     nextIndex: 0,
     excluded: [],
     hasClearedExcluded: false,
+    unusedAttempts: 0,
     phaseStartedAt: now,
     stallAt: Infinity,
     lastTokenAt: now,
