--- a/packages/router/src/callers/hostile-callers.test.ts
+++ b/packages/router/src/callers/hostile-callers.test.ts
@@ -18,18 +18,19 @@
 import { makeCancelInbox, type CancelInbox } from '../engines/cancel-task.js';
 import { makeInvariants } from '../invariants/invariants.js';
 import { makeRequestJournal } from '../journal/request-journal.js';
-import { makeMetrics } from '../metrics/metrics.js';
-import { makeChatFilters } from '../requests/chat-filters.js';
-import { makeRulesView } from '../rules/rules-view.js';
-import { offer, receive, startTask, type Task } from '../tasks/tasks.js';
-import { applyVmList, makeDirectory } from '../upstreams/directory.js';
-import { makeAuthenticateFilter } from './authenticate.js';
 import {
   makeDuplicateFilter,
   makeDuplicateInbox,
   runDuplicateGuard,
 } from '../claims/duplicate-task.js';
 import { makeLedgerInbox } from '../claims/claim-ledger.js';
+import { makeQuarantine } from '../quarantine/quarantine-task.js';
+import { makeMetrics } from '../metrics/metrics.js';
+import { makeChatFilters } from '../requests/chat-filters.js';
+import { makeRulesView } from '../rules/rules-view.js';
+import { offer, receive, startTask, type Task } from '../tasks/tasks.js';
+import { applyVmList, makeDirectory } from '../upstreams/directory.js';
+import { makeAuthenticateFilter } from './authenticate.js';
 import { makeCallerServer } from './caller-server.js';
 import { makeReadBodyFilter } from './read-body-filter.js';
 
@@ -165,16 +166,17 @@
     allocation,
     cancels,
     claims: makeLedgerInbox(),
+    quarantine: makeQuarantine(),
     budget: makeRetryBudget(),
     invariants: makeInvariants(metrics, logger, true),
     metrics,
   };
   const readBody = makeReadBodyFilter(MAX_BODY_BYTES, BODY_TIMEOUT_MS);
   const duplicates = makeDuplicateInbox();
-  const self = { vmId: parts.vmId, incarnation: parts.incarnation, dataCentre: parts.dataCentre };
+  const sendTo = (): boolean => false;
   startTask(
     'duplicates',
-    () => runDuplicateGuard(duplicates, { self, sendTo: () => false, metrics }),
+    () => runDuplicateGuard(duplicates, { self: parts, sendTo, metrics }),
     () => undefined,
   );
   const chatFilters = makeChatFilters(parts, view, readBody);
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -8,7 +8,13 @@
   makeTableClient,
   makeVmListClient,
 } from '@tarragonspool/platform';
-import type { DataCentre, Incarnation, PeerMessage, VmId } from '@tarragonspool/protocol';
+import type {
+  DataCentre,
+  Incarnation,
+  PeerMessage,
+  UpstreamId,
+  VmId,
+} from '@tarragonspool/protocol';
 import {
   isAllocationMessage,
   makeAllocationInbox,
@@ -22,6 +28,14 @@
 import { makeLedgerInbox, runClaimLedger } from './claims/claim-ledger.js';
 import { makeCancelInbox, runCancels, type CancelMessage } from './engines/cancel-task.js';
 import { runEnginePolls } from './engines/engine-poll-task.js';
+import {
+  isDuplicateMessage,
+  listAliveVms,
+  makeDuplicateFilter,
+  makeDuplicateInbox,
+  runDuplicateGuard,
+  type DuplicateInboxMessage,
+} from './claims/duplicate-task.js';
 import { makeRequestJournal } from './journal/request-journal.js';
 import { runClaimSweep } from './claims/claim-sweep-task.js';
 import { makeInvariants } from './invariants/invariants.js';
@@ -38,9 +52,15 @@
 import { startPeerMesh } from './peers/peer-mesh.js';
 import { makeChatFilters } from './requests/chat-filters.js';
 import { makeModelListFilter } from './requests/model-list-filter.js';
-import type { ModelRequestParts } from './requests/model-request.js';
+import type { ChatParts } from './requests/chat-filters.js';
 import { makeAdmissionFilter } from './rules/admission-filter.js';
 import { readRuleHistory } from './rules/rule-history.js';
+import {
+  makeQuarantine,
+  runQuarantine,
+  type QuarantineMessage,
+} from './quarantine/quarantine-task.js';
+import { makeSuspectStore, runSuspectReads } from './quarantine/suspect-store.js';
 import { makeRulesInbox, runRules, type RulesMessage } from './rules/rules-task.js';
 import { isRulesViewCurrent, makeRulesView } from './rules/rules-view.js';
 import { makeServiceFilters } from './services/service-filters.js';
@@ -61,6 +81,9 @@
 const RULES_TICK_MS = 100;
 const ALLOCATION_TICK_MS = 25;
 const CANCEL_TICK_MS = 250;
+const QUARANTINE_TICK_MS = 100;
+const ENGINE_PROBE_MS = 250;
+const DUPLICATE_TICK_MS = 50;
 const HEARTBEAT_INTERVAL_MS = 250;
 
 function listen(server: Server, address: { readonly host: string; readonly port: number }): void {
@@ -96,12 +119,18 @@
   const membership = makeMembershipInbox();
   const membershipState = makeMembershipState(self.vmId);
   const members = makeMembershipView(membershipState, () => isLeaving);
+  const duplicates = makeDuplicateInbox();
+  const quarantine = makeQuarantine();
   const handlePeerMessage = (peer: PeerIdentity, message: PeerMessage): void => {
     if (isAllocationMessage(message)) {
       const { vmId } = peer;
       offer(allocation, { kind: 'peer-said', vmId, message, now: Date.now() });
       return;
     }
+    if (isDuplicateMessage(message)) {
+      offer(duplicates, { kind: 'peer-said', from: peer, message });
+      return;
+    }
     switch (message.kind) {
       case 'rules':
         offer(rulesInbox, { ...message, kind: 'peer-file', now: Date.now() });
@@ -115,6 +144,11 @@
         offer(rulesInbox, { kind: 'peer-wants', vmId, afterRevision, now: Date.now() });
         return;
       }
+      case 'suspects': {
+        const event = { kind: 'heard', items: message.items, now: Date.now() } as const;
+        offer(quarantine.inbox, { kind: 'event', event });
+        return;
+      }
       case 'heartbeat':
         offer(rulesInbox, {
           kind: 'peer-revision',
@@ -139,6 +173,7 @@
     onOpen: (link) => {
       const { vmId } = link.peer;
       offer(allocation, { kind: 'link-opened', vmId, now: Date.now() });
+      offer(quarantine.inbox, { kind: 'link-opened', vmId });
     },
     onMessage: handlePeerMessage,
     onGone: (vmId, incarnation) => {
@@ -220,8 +255,43 @@
 
   const journal = makeRequestJournal(settings.journalEntries);
   const burn = makeBurnState(Date.now(), settings.burnSeries);
-  const requestParts: ModelRequestParts = {
+  const claims = makeLedgerInbox();
+  start('claims', () => runClaimLedger(claims, { table, invariants, metrics, logger }));
+  start('claim sweep', () => runClaimSweep({ self: self.vmId, table, members, metrics, logger }));
+
+  start('duplicates', () => runDuplicateGuard(duplicates, { self, sendTo: mesh.sendTo, metrics }));
+  startTicker<DuplicateInboxMessage>(duplicates, DUPLICATE_TICK_MS, (now) => ({
+    kind: 'ticked',
+    liveVms: members.listLive(now),
+    aliveVms: listAliveVms(members.listMembers(), self.vmId, now),
+  }));
+
+  const probe = async (upstreamId: UpstreamId): Promise<boolean> => {
+    const client = directory.engines.get(upstreamId)?.client;
+    return (await client?.readLoad(Date.now() + ENGINE_PROBE_MS)) !== undefined;
+  };
+  start('quarantine', () =>
+    runQuarantine({
+      quarantine,
+      duplicates,
+      store: makeSuspectStore(table, logger),
+      probe,
+      broadcast: mesh.broadcast,
+      sendTo: mesh.sendTo,
+      metrics,
+      logger,
+    }),
+  );
+  start('suspect reads', () => runSuspectReads(table, quarantine));
+  startTicker<QuarantineMessage>(quarantine.inbox, QUARANTINE_TICK_MS, (now) => ({
+    kind: 'event',
+    event: { kind: 'ticked', now },
+  }));
+
+  const requestParts: ChatParts = {
     ...self,
+    claims,
+    quarantine,
     directory,
     allocation,
     cancels,
@@ -232,15 +302,14 @@
   const admit = makeAdmissionFilter(view);
   const authenticate = makeAuthenticateFilter(view);
   const readBody = makeReadBodyFilter(settings.maxBodyBytes);
-  const claims = makeLedgerInbox();
-  start('claims', () => runClaimLedger(claims, { table, invariants, metrics, logger }));
-  start('claim sweep', () => runClaimSweep({ self: self.vmId, table, members, metrics, logger }));
   const serviceParts = { view, directory, claims, invariants, metrics };
+  const chatFilters = makeChatFilters(requestParts, view, readBody);
+  const serviceFilters = makeServiceFilters(serviceParts, readBody);
   const callerServer = makeCallerServer({
     routes: {
-      chat: [admit, authenticate, ...makeChatFilters(requestParts, view, readBody)],
+      chat: [admit, authenticate, makeDuplicateFilter(duplicates, chatFilters)],
       models: [admit, authenticate, makeModelListFilter(directory, view)],
-      service: [admit, authenticate, ...makeServiceFilters(serviceParts, readBody)],
+      service: [admit, authenticate, makeDuplicateFilter(duplicates, serviceFilters)],
     },
     tls: { files: findTlsFiles(settings, 'caller'), logger },
     journal,
@@ -260,6 +329,7 @@
     tls: { files: findTlsFiles(settings, 'operator'), logger },
     view,
     rulesInbox,
+    quarantine,
     metrics,
     logger,
     readHistory: () => readRuleHistory(table, view.revision),
--- a/packages/router/src/requests/chat-filters.ts
+++ b/packages/router/src/requests/chat-filters.ts
@@ -1,11 +1,13 @@
 /** Filters for chat completions. */
 
-import { findRule } from '@tarragonspool/core';
-import type { RequestId } from '@tarragonspool/protocol';
+import { findRule, type AllowRule } from '@tarragonspool/core';
 import { refuse, type Exchange, type Filter, ANSWERED, CONTINUE } from '../callers/exchange.js';
+import type { LedgerInbox } from '../claims/claim-ledger.js';
+import { KEY_FORMAT, readIdempotencyKey } from '../claims/run-once.js';
 import type { RulesView } from '../rules/rules-view.js';
 import { findServicesOfModel } from '../upstreams/directory.js';
 import { makeAnswerWriter } from './answer-writer.js';
+import { runChatOnce } from './chat-once.js';
 import {
   findBadTarget,
   findDeadlines,
@@ -15,7 +17,12 @@
 import { runModelRequest } from './model-request-task.js';
 import type { ModelRequest, ModelRequestParts } from './model-request.js';
 
-type ApprovedChat = Pick<ModelRequest, 'chat' | 'service' | 'priority' | 'deadlines'>;
+type ApprovedChat = Pick<ModelRequest, 'chat' | 'service' | 'priority' | 'deadlines'> & {
+  readonly rule: AllowRule;
+};
+
+/** What the chat filters work with. */
+export type ChatParts = ModelRequestParts & { readonly claims: LedgerInbox };
 
 function listenForCallerGone(exchange: Exchange): ModelRequest['onCallerGone'] {
   const { response } = exchange;
@@ -60,18 +67,17 @@
       exchange.callerId && findRule(view.ruleSet, exchange.callerId, service, chat.target);
     if (rule === undefined) continue;
     const deadlines = findDeadlines(exchange.incoming.headers, rule, exchange.arrivedAt);
-    return { chat, service, priority: rule.priority, deadlines };
+    return { chat, service, priority: rule.priority, deadlines, rule };
   }
   return 'not-approved';
 }
 
 /** Makes the filters behind authentication, in order. */
 export function makeChatFilters(
-  parts: ModelRequestParts,
+  parts: ChatParts,
   view: RulesView,
   readBody: Filter,
 ): readonly Filter[] {
-  const runningIds = new Set<RequestId>();
   const runChat: Filter = function* runChat(exchange) {
     const badTarget = findBadTarget(exchange.incoming.headers);
     if (badTarget !== undefined) return refuse('invalid-request', badTarget);
@@ -85,14 +91,13 @@
     }
     const request = makeModelRequest(exchange, approved);
     if (request === undefined) return CONTINUE;
-    const { requestId } = request;
-    if (runningIds.has(requestId)) return refuse('duplicate-request', `x-request-id ${requestId}`);
-    runningIds.add(requestId);
-    try {
-      yield* runModelRequest(parts, request);
-    } finally {
-      runningIds.delete(requestId);
+    const key = readIdempotencyKey(exchange);
+    if (key === 'malformed') return refuse('invalid-request', KEY_FORMAT);
+    if (key === undefined && approved.rule.isOnce) {
+      return refuse('idempotency-key-required', `the rule for ${approved.service} says once`);
     }
+    if (key !== undefined) return yield* runChatOnce(parts, exchange, request, key);
+    yield* runModelRequest(parts, request);
     return ANSWERED;
   };
   return [readBody, runChat];
--- a/packages/stand-ins/src/soak/clients.ts
+++ b/packages/stand-ins/src/soak/clients.ts
@@ -62,7 +62,7 @@
 }
 
 /** Sends requests whose clients hang up at various stages. */
-export async function sendAndCancel(soak: Soak, { at, target }: Fault): Promise<void> {
+export async function cancelClients(soak: Soak, { at, target }: Fault): Promise<void> {
   const sent: Promise<Outcome>[] = [];
   for (let index = 0; index < HANG_UPS; index += 1) {
     const arrival = makeArrival(soak, `Hang up ${at} ${index}`, target + index);
