--- a/packages/stand-ins/src/soak/faults.ts
+++ b/packages/stand-ins/src/soak/faults.ts
@@ -5,7 +5,7 @@
 import { callJson, type EntryVm, type StandIn } from '../harness/deployment.js';
 import { waitFor } from '../harness/processes.js';
 import { makeSiteRules } from '../load/workload.js';
-import { sendAndCancel, sendDeadly, sendTwice } from './clients.js';
+import { cancelClients, sendDeadly, sendTwice } from './clients.js';
 import type { Fault } from './schedule.js';
 import { recordWork, setFaults, type Soak } from './soak-state.js';
 
@@ -183,7 +183,7 @@
       await applyRulesTwice(soak, fault);
       return;
     case 'hang-ups':
-      await sendAndCancel(soak, fault);
+      await cancelClients(soak, fault);
       return;
     default:
       assertNever(kind);
