--- a/packages/core/src/allocation/admission.ts
+++ b/packages/core/src/allocation/admission.ts
@@ -7,7 +7,7 @@
 import type { AllocatorAction } from './allocator-events.js';
 import { addUsage } from './caller-shares.js';
 import { addDemand } from './demand.js';
-import { displaceFor, makeRoom } from './displacement.js';
+import { dropOthersFor, makeRoom } from './displacement.js';
 import { MIN_SAMPLES } from './engine-estimates.js';
 import { isEligible, type Engine } from './engine-state.js';
 import { findLastStartAt, predictLateMs } from './lateness.js';
@@ -71,7 +71,7 @@
   const lateMs = predictLateMs(state, waiting, now);
   const isMeasured = state.estimates.prefill.samples >= MIN_SAMPLES;
   if (lateMs <= 0 || (!isMeasured && now < getFirstTokenDeadline(ask))) return actions;
-  const displaced = displaceFor(state, waiting, lateMs, now);
+  const displaced = dropOthersFor(state, waiting, lateMs, now);
   if (displaced.length > 0) return [...actions, ...displaced];
   const detail = 'the latency targets cannot be met now';
   return [...actions, ...dropWaiting(state, waiting, 'deadline-unreachable', detail, lateMs, now)];
--- a/packages/core/src/allocation/displacement.ts
+++ b/packages/core/src/allocation/displacement.ts
@@ -51,7 +51,7 @@
 }
 
 /** Gives up others until the request can start in time; empty if that is not enough. */
-export function displaceFor(
+export function dropOthersFor(
   state: ShardState,
   waiting: WaitingAsk,
   neededMs: number,
--- a/packages/core/src/allocation/waiting-ask.ts
+++ b/packages/core/src/allocation/waiting-ask.ts
@@ -15,7 +15,7 @@
 import { getPoolSummary } from './pool-summary.js';
 import { predictBestCachedTokens } from './prefix-knowledge.js';
 import type { ShardState } from './shard-state.js';
-import { getFirstTokenDeadline, type WaitingAsk } from './waiting-queue.js';
+import type { WaitingAsk } from './waiting-queue.js';
 
 /** Deadlines beyond this count as equal, so that long ones don't wait for good. */
 const RANK_HORIZON_MS = 1_000;
@@ -50,10 +50,11 @@
 
 function findLatestStart(state: ShardState, ask: ReservationAsk, needs: Needs): number {
   const { firstTokenMs, answerMs } = needs;
-  // What was already spent on a stream makes it worth resuming until its last moment.
-  if (ask.resumeFrom !== undefined) return ask.answerDeadline - firstTokenMs;
+  // What an earlier attempt has done makes the answer worth finishing, even if it is late.
+  const isContinued = ask.resumeFrom !== undefined || ask.excluded.length > 0;
+  if (isContinued) return ask.answerDeadline - firstTokenMs;
   const safety = 1 + state.objective.safetyShare;
-  const firstAt = getFirstTokenDeadline(ask) - firstTokenMs * safety;
+  const firstAt = ask.firstTokenDeadline - firstTokenMs * safety;
   const isAnswerKnown = state.estimates.answer.samples >= MIN_SAMPLES;
   const untilAnswerMs = isAnswerKnown ? answerMs * safety : firstTokenMs;
   return Math.min(firstAt, ask.answerDeadline - untilAnswerMs);
