Keep each VM within its share of the table's budget and meet outages with few calls

Cause: nothing bounded what the VMs together ask of the table, and all returned at once after an outage. Ruled out: one VM that hands out budget (stops with it). After: npm test -- guarded circuit passes with a clock of its own. Not run: a fleet against the stand-in platform's own limits. Seen twice on the loaded machine and not eased: the test that a client that never reads is cut off failed with upstream-timeout in place of caller-gone, as it does not depend on this change; one full run hung until it was stopped after ten minutes, cause unknown.

--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -4,9 +4,11 @@
 import { makeBurnState, makeMembershipState, makeRetryBudget } from '@tarragonspool/core';
 import {
   makeAgent,
+  makeGuardedTable,
   makeObjectClient,
   makeTableClient,
   makeVmListClient,
+  type TableClient,
 } from '@tarragonspool/platform';
 import type {
   DataCentre,
@@ -26,6 +28,7 @@
 import { makeCallerServer } from './callers/caller-server.js';
 import { makeReadBodyFilter } from './callers/read-body-filter.js';
 import { makeLedgerInbox, runClaimLedger } from './claims/claim-ledger.js';
+import { makeGuardOptions } from './claims/guard-options.js';
 import { makeCancelInbox, runCancels, type CancelMessage } from './engines/cancel-task.js';
 import { runEnginePolls } from './engines/engine-poll-task.js';
 import {
@@ -81,6 +84,8 @@
 const RULES_TICK_MS = 100;
 const ALLOCATION_TICK_MS = 25;
 const CANCEL_TICK_MS = 250;
+/** Claims have a share of their own, so that a burst of calls does not hold up rules. */
+const CLAIMS_TABLE_SHARE = 0.75;
 const QUARANTINE_TICK_MS = 100;
 const ENGINE_PROBE_MS = 250;
 const DUPLICATE_TICK_MS = 50;
@@ -98,7 +103,6 @@
     dataCentre: settings.dataCentre as DataCentre,
   };
   const platformAgent = makeAgent();
-  const table = makeTableClient(settings.platformUrl, platformAgent);
   const objects = makeObjectClient(settings.platformUrl, platformAgent);
   const vmList = makeVmListClient(settings.platformUrl, platformAgent);
   const metrics = makeMetrics();
@@ -119,6 +123,12 @@
   const membership = makeMembershipInbox();
   const membershipState = makeMembershipState(self.vmId);
   const members = makeMembershipView(membershipState, () => isLeaving);
+  const plainTable = makeTableClient(settings.platformUrl, platformAgent);
+  const countLiveVms = (): number => Math.max(1, members.listLive(Date.now()).length);
+  const makeTableShare = (share: number): TableClient =>
+    makeGuardedTable(plainTable, makeGuardOptions(share, countLiveVms));
+  const table = makeTableShare(1 - CLAIMS_TABLE_SHARE);
+  const claimsTable = makeTableShare(CLAIMS_TABLE_SHARE);
   const duplicates = makeDuplicateInbox();
   const quarantine = makeQuarantine();
   const handlePeerMessage = (peer: PeerIdentity, message: PeerMessage): void => {
@@ -256,8 +266,12 @@
   const journal = makeRequestJournal(settings.journalEntries);
   const burn = makeBurnState(Date.now(), settings.burnSeries);
   const claims = makeLedgerInbox();
-  start('claims', () => runClaimLedger(claims, { table, invariants, metrics, logger }));
-  start('claim sweep', () => runClaimSweep({ self: self.vmId, table, members, metrics, logger }));
+  start('claims', () =>
+    runClaimLedger(claims, { table: claimsTable, invariants, metrics, logger }),
+  );
+  start('claim sweep', () =>
+    runClaimSweep({ self: self.vmId, table: claimsTable, members, metrics, logger }),
+  );
 
   start('duplicates', () => runDuplicateGuard(duplicates, { self, sendTo: mesh.sendTo, metrics }));
   startTicker<DuplicateInboxMessage>(duplicates, DUPLICATE_TICK_MS, (now) => ({
