--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -3,6 +3,7 @@
 import { z } from 'zod';
 import {
   addressSchema,
+  dataCentreSchema,
   filePathSchema,
   httpUrlSchema,
   makeChoiceSchema,
@@ -53,8 +54,8 @@
     ...REQUIRED,
   },
   dataCentre: {
-    description: 'Data centre of this VM.',
-    schema: nameSchema,
+    description: 'Data centre of this VM, such as `negombo` or `lk-west/negombo`.',
+    schema: dataCentreSchema,
     ...REQUIRED,
   },
   callerListen: {
--- a/packages/router/src/settings/value-schemas.ts
+++ b/packages/router/src/settings/value-schemas.ts
@@ -28,11 +28,17 @@
   return parseAddress(text.slice(HTTP_PREFIX.length)) !== undefined;
 }
 
-/** A name of a VM or data centre. */
+/** A name of a VM. */
 export const nameSchema = z
   .string()
   .regex(NAME_PATTERN, '1 to 64 letters, digits, ".", "_" or "-", the first a letter or digit');
 
+/** A data centre: a name, or a region and a name with `/` between. */
+export const dataCentreSchema = z.string().refine((text) => {
+  const parts = text.split('/');
+  return parts.length <= 2 && parts.every((part) => NAME_PATTERN.test(part));
+}, 'a name, or a region and a name with "/" between');
+
 /** An address to listen on. */
 export const addressSchema = z.string().transform((text, context) => {
   const address = parseAddress(text);
--- a/packages/stand-ins/src/load/workload.ts
+++ b/packages/stand-ins/src/load/workload.ts
@@ -66,7 +66,7 @@
     name: 'wickramasinghe',
     modelService: 'declaration-llm',
     ledgerService: 'quota-ledger',
-    dataCentres: ['lk-west.negombo', 'lk-west.colombo', 'lk-west.beruwala'],
+    dataCentres: ['lk-west/negombo', 'lk-west/colombo', 'lk-west/beruwala'],
     objective: 'tail',
     callers: makeCallers(['harbour-brokers', 'cooperatives', 'quota-desk', 'night-batch']),
     sharedTexts: [
@@ -78,7 +78,7 @@
     name: 'karachi',
     modelService: 'fairy-scribe',
     ledgerService: 'pillow-ledger',
-    dataCentres: ['sindh.saddar', 'sindh.clifton', 'sindh.korangi'],
+    dataCentres: ['sindh/saddar', 'sindh/clifton', 'sindh/korangi'],
     objective: 'crest',
     callers: makeCallers(['parents', 'school-clerks', 'libraries', 'archive']),
     sharedTexts: [makeText('Greetings to the children of Sindh', SHARED_CHARACTERS)],
