--- a/packages/core/src/rules/rules-edits.ts
+++ b/packages/core/src/rules/rules-edits.ts
@@ -4,6 +4,7 @@
  */
 
 import type {
+  EditId,
   ReadResult,
   Refusal,
   RuleDelta,
@@ -23,6 +24,7 @@
   parseDeltaRows,
   putInForce,
 } from './rules-catch-up.js';
+import { startCleanup } from './rules-cleanup.js';
 import {
   getDeltaKey,
   getEditKey,
@@ -161,9 +163,10 @@
   delta: RuleDelta,
   document: RuleDocument,
   writes: readonly TableWrite[],
+  replaced: EditId | undefined,
 ): RulesAction[] {
   const callId = takeCallId(state);
-  running.phase = { kind: 'committing', callId, delta, document };
+  running.phase = { kind: 'committing', callId, delta, document, replaced };
   return [{ kind: 'transact', callId, writes }];
 }
 
@@ -184,13 +187,15 @@
   const isSnapshotDue =
     delta.change.kind === 'snapshot' || revision - (kept?.revision ?? 0) >= SNAPSHOT_INTERVAL;
   if (!isSnapshotDue) {
-    return commitEdit(state, running, delta, document, buildWrites(delta, current, kept));
+    const writes = buildWrites(delta, current, kept);
+    return commitEdit(state, running, delta, document, writes, undefined);
   }
   const { editId } = edit;
   const snapshot = { revision, editId, checksum: document.checksum };
   const writes = buildWrites(delta, current, snapshot);
   const callId = takeCallId(state);
-  running.phase = { kind: 'storing', callId, delta, document, writes };
+  const replaced = kept?.editId;
+  running.phase = { kind: 'storing', callId, delta, document, writes, replaced };
   const text = renderDocument(document);
   return [{ kind: 'put-object', callId, key: getSnapshotKey(editId), text }];
 }
@@ -266,7 +271,13 @@
   const { phase } = running;
   if (phase.kind !== 'storing') return [];
   if (!isStored) return waitToRetry(running, now);
-  return commitEdit(state, running, phase.delta, phase.document, phase.writes);
+  const { delta, document, writes, replaced } = phase;
+  return commitEdit(state, running, delta, document, writes, replaced);
+}
+
+/** Deletes a snapshot that no row names any more; a VM that was reading it polls again. */
+function deleteSnapshot(replaced: EditId | undefined): RulesAction[] {
+  return replaced === undefined ? [] : [{ kind: 'delete-object', key: getSnapshotKey(replaced) }];
 }
 
 /** Takes the result of committing the running edit. */
@@ -278,7 +289,7 @@
 ): RulesAction[] {
   const { phase } = running;
   if (phase.kind !== 'committing') return [];
-  const { delta, document } = phase;
+  const { delta, document, replaced } = phase;
   switch (result.kind) {
     case 'committed': {
       const spread: RulesAction =
@@ -290,7 +301,13 @@
       else state.recentDeltas = [];
       const inForce = putInForce(state, document);
       const outcome = { kind: 'accepted', revision: delta.revision } as const;
-      return [...inForce, spread, ...endEdit(state, running, outcome)];
+      return [
+        ...inForce,
+        spread,
+        ...endEdit(state, running, outcome),
+        ...startCleanup(state, delta.revision),
+        ...deleteSnapshot(replaced),
+      ];
     }
     case 'conflict':
       return readForEdit(state, running);
--- a/packages/core/src/rules/rules-machine.test.ts
+++ b/packages/core/src/rules/rules-machine.test.ts
@@ -4,7 +4,8 @@
 import { applyHunks, compareLines } from './line-diff.js';
 import { applyDelta, buildDocument, buildEmptyDocument, renderDocument } from './rule-document.js';
 import { handleRulesEvent, isAdmitting, makeRulesState } from './rules-machine.js';
-import type { RulesAction, RulesState } from './rules-state.js';
+import { RETAINED_REVISIONS } from './rules-cleanup.js';
+import { getDeltaKey, type RulesAction, type RulesState } from './rules-state.js';
 
 const PEER = 'vm-2' as VmId;
 
@@ -135,3 +136,33 @@
   expect(applied && renderDocument(applied)).to.equal('allow a b # x\n');
   expect(applyDelta(buildEmptyDocument(), { ...base, checksum: '0', change })).to.equal(undefined);
 });
+
+it('rules: an accepted edit deletes what falls out of the retained revisions', () => {
+  const state = makeReadyState(1_000);
+  const base = RETAINED_REVISIONS as RuleRevision;
+  state.document = { ...buildEmptyDocument(), revision: base };
+  const text = 'allow a b # me\n';
+  const edit = { editId: 'e2' as EditId, baseRevision: base, author: 'me', text, deadline: 9_000 };
+  const snapshot = { revision: base, editId: 'kept', checksum: '' };
+  const value = JSON.stringify({ revision: base, editId: 'e1', snapshot });
+  const started = handleRulesEvent(state, { kind: 'edit-requested', edit, now: 2_000 });
+  const current = { key: 'rules/current', value, version: 7 };
+  const committing = takeAction(answerRead(state, started, [current], 2_001), 'transact');
+  const commit = { kind: 'transacted', callId: committing.callId, now: 2_002 } as const;
+  const accepted = handleRulesEvent(state, { ...commit, result: { kind: 'committed' } });
+  expect(takeAction(accepted, 'read-rows').keys).to.deep.equal([getDeltaKey(1)]);
+  const old: RuleDelta = {
+    revision: 1 as RuleRevision,
+    editId: 'old' as EditId,
+    author: 'me',
+    acceptedAt: 1,
+    checksum: '',
+    change: { kind: 'hunks', hunks: [] },
+  };
+  const row = { key: getDeltaKey(1), value: JSON.stringify(old), version: 1 };
+  const { writes } = takeAction(answerRead(state, accepted, [row], 2_003), 'transact');
+  expect(writes.map(({ kind, key }) => `${kind} ${key}`)).to.deep.equal([
+    `delete ${getDeltaKey(1)}`,
+    'delete rules/edits/old',
+  ]);
+});
--- a/packages/core/src/rules/rules-machine.ts
+++ b/packages/core/src/rules/rules-machine.ts
@@ -11,6 +11,7 @@
   handleCatchUpRows,
   startPoll,
 } from './rules-catch-up.js';
+import { handleCleanupRows } from './rules-cleanup.js';
 import {
   continueEdit,
   handleEditCommitted,
@@ -35,6 +36,7 @@
     nextWantedAt: 0,
     catchUp: undefined,
     running: undefined,
+    cleanupCallId: undefined,
     waiting: [],
     nextCallId: 0,
     random: xoroshiro128plus(seed),
@@ -89,6 +91,7 @@
 ): RulesAction[] {
   const { callId, result, now } = event;
   const { catchUp, running } = state;
+  if (state.cleanupCallId === callId) return handleCleanupRows(state, result);
   if (catchUp?.callId === callId) return handleCatchUpRows(state, catchUp, result, now);
   if (running !== undefined && running.phase.kind !== 'waiting') {
     if (running.phase.callId === callId) return handleEditRows(state, running, result, now);
--- a/packages/core/src/rules/rules-state.ts
+++ b/packages/core/src/rules/rules-state.ts
@@ -42,12 +42,15 @@
       readonly delta: RuleDelta;
       readonly document: RuleDocument;
       readonly writes: readonly TableWrite[];
+      readonly replaced: EditId | undefined;
     }
   | {
       readonly kind: 'committing';
       readonly callId: CallId;
       readonly delta: RuleDelta;
       readonly document: RuleDocument;
+      /** Edit whose snapshot this one replaces. */
+      readonly replaced: EditId | undefined;
     };
 
 /** The edit under way. */
@@ -81,6 +84,8 @@
   nextWantedAt: number;
   catchUp: CatchUp | undefined;
   running: RunningEdit | undefined;
+  /** Read that looks for a delta to delete. */
+  cleanupCallId: CallId | undefined;
   readonly waiting: RuleEdit[];
   nextCallId: CallId;
   /** Spreads polls. */
@@ -146,6 +151,7 @@
       readonly text: string;
     }
   | { readonly kind: 'transact'; readonly callId: CallId; readonly writes: readonly TableWrite[] }
+  | { readonly kind: 'delete-object'; readonly key: string }
   /** Replaces the rules in force. */
   | { readonly kind: 'put-in-force'; readonly document: RuleDocument }
   | { readonly kind: 'broadcast-deltas'; readonly deltas: readonly RuleDelta[] }
--- a/packages/core/src/rules/rules.fuzz.test.ts
+++ b/packages/core/src/rules/rules.fuzz.test.ts
@@ -166,6 +166,9 @@
       if (edit !== undefined) edit.outcome = action.outcome;
       return;
     }
+    case 'delete-object':
+      if (!world.isTableDown) world.objects.delete(action.key);
+      return;
     case 'report-violation':
       throw new Error(`${action.invariant}: ${action.detail}`);
     default:
--- a/packages/platform/src/http-json.ts
+++ b/packages/platform/src/http-json.ts
@@ -10,7 +10,7 @@
 
 /** One call of a platform service. */
 export type JsonCall = {
-  readonly method: 'GET' | 'POST' | 'PUT';
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   readonly url: string;
   readonly body?: string;
   /** When to give up, in milliseconds since the epoch. */
--- a/packages/platform/src/object-client.ts
+++ b/packages/platform/src/object-client.ts
@@ -14,6 +14,8 @@
   /** Stores a text under a key; storing the same text again is harmless. */
   putObject(key: string, text: string, deadline: number): Promise<boolean>;
   getObject(key: string, deadline: number): Promise<ObjectResult>;
+  /** Deletes an object; deleting a missing one is harmless. */
+  deleteObject(key: string, deadline: number): Promise<boolean>;
 };
 
 /** Makes a client of the object store at `baseUrl`. */
@@ -28,6 +30,10 @@
       const answer = await sendJson(agent, call);
       return answer.kind === 'answer' && answer.status === 200;
     },
+    async deleteObject(key, deadline) {
+      const answer = await sendJson(agent, { method: 'DELETE', url: getUrl(key), deadline });
+      return answer.kind === 'answer' && answer.status === 200;
+    },
     async getObject(key, deadline) {
       const answer = await sendJson(agent, { method: 'GET', url: getUrl(key), deadline });
       if (answer.kind !== 'answer') return { kind: 'unavailable' };
--- a/packages/router/src/rules/rules-task.ts
+++ b/packages/router/src/rules/rules-task.ts
@@ -90,6 +90,9 @@
       awaitEvent(running, toEvent);
       return true;
     }
+    case 'delete-object':
+      objects.deleteObject(action.key, getDeadline()).catch(() => undefined);
+      return true;
     case 'put-object': {
       const { callId, key, text } = action;
       const toEvent = objects.putObject(key, text, getDeadline()).then((isStored): RulesEvent => ({
@@ -171,6 +174,7 @@
     case 'read-rows':
     case 'read-object':
     case 'put-object':
+    case 'delete-object':
     case 'transact':
       return;
     default:
--- a/packages/stand-ins/src/platform/main.ts
+++ b/packages/stand-ins/src/platform/main.ts
@@ -158,6 +158,11 @@
     sendJson(response, 200, {});
     return;
   }
+  if (method === 'DELETE') {
+    objects.delete(key);
+    sendJson(response, 200, {});
+    return;
+  }
   const text = objects.get(key);
   response.writeHead(text === undefined ? 404 : 200, { 'content-type': 'text/plain' });
   response.end(text ?? '');
