--- a/packages/core/src/claims/claim-machine.ts
+++ b/packages/core/src/claims/claim-machine.ts
@@ -341,3 +341,10 @@
   }
   return next;
 }
+
+/** Counts work on rows that is not done yet, outcomes to record among it. */
+export function countUnfinishedJobs(state: ClaimState): number {
+  let count = state.queue.length;
+  for (const jobs of state.inFlight.values()) count += jobs.length;
+  return count;
+}
--- a/packages/router/src/claims/claim-ledger.ts
+++ b/packages/router/src/claims/claim-ledger.ts
@@ -1,7 +1,9 @@
 /** Owns the claim machine and carries its calls of the table. */
 
 import { createHash, randomUUID } from 'node:crypto';
+import { setTimeout } from 'node:timers/promises';
 import {
+  countUnfinishedJobs,
   findNextClaimTick,
   handleClaimEvent,
   makeClaimState,
@@ -43,8 +45,16 @@
       readonly onVerdict: (verdict: ClaimVerdict) => void;
     };
 
-/** Inbox of the ledger, with a count of the claims that wait for a verdict. */
-export type LedgerInbox = { readonly channel: Channel<LedgerMessage>; waiting: number };
+/** Inbox of the ledger, with what other parts may read of its progress. */
+export type LedgerInbox = {
+  readonly channel: Channel<LedgerMessage>;
+  /** Claims that wait for a verdict. */
+  waiting: number;
+  /** Endings that the ledger has not seen yet. */
+  unseenEndings: number;
+  /** Work on rows that is not done yet. */
+  unfinishedJobs: number;
+};
 
 /** What the ledger works with. */
 export type LedgerParts = {
@@ -58,6 +68,7 @@
 /** Leaves room in the inbox for answers of the table and endings. */
 const MAX_WAITING = 2_048;
 const CLAIM_TIMEOUT_MS = 2_000;
+const FLUSH_POLL_MS = 20;
 const RETENTION_MS = 86_400_000;
 const BUCKET_DIGITS = 3;
 
@@ -71,7 +82,8 @@
 
 /** Makes the inbox of the ledger. */
 export function makeLedgerInbox(): LedgerInbox {
-  return { channel: makeChannel<LedgerMessage>(INBOX_CAPACITY), waiting: 0 };
+  const channel = makeChannel<LedgerMessage>(INBOX_CAPACITY);
+  return { channel, waiting: 0, unseenEndings: 0, unfinishedJobs: 0 };
 }
 
 /** Makes a claim with a token of its own. */
@@ -108,7 +120,17 @@
 /** Tells the ledger how a claimed call ended; it is recorded in the background. */
 export function endClaim(inbox: LedgerInbox, claim: Claim, ending: ClaimEnding): boolean {
   const event = { kind: 'ended', token: claim.token, ending, now: Date.now() } as const;
-  return offer(inbox.channel, { kind: 'event', event });
+  const isTaken = offer(inbox.channel, { kind: 'event', event });
+  if (isTaken) inbox.unseenEndings += 1;
+  return isTaken;
+}
+
+/** Waits until every outcome is recorded, or until the deadline (epoch milliseconds). */
+export async function flushClaims(inbox: LedgerInbox, deadline: number): Promise<void> {
+  while (inbox.unseenEndings + inbox.unfinishedJobs > 0 && Date.now() < deadline) {
+    // eslint-disable-next-line no-await-in-loop -- polls one after another
+    await setTimeout(FLUSH_POLL_MS);
+  }
 }
 
 type Running = {
@@ -186,11 +208,16 @@
       event = { kind: 'claim-asked', claim: message.claim, now: Date.now() };
     } else event = message.event;
     for (const action of handleClaimEvent(state, event)) performAction(running, action);
+    if (event.kind === 'ended') inbox.unseenEndings -= 1;
+    inbox.unfinishedJobs = countUnfinishedJobs(state);
     clearTimeout(timer);
     const next = findNextClaimTick(state);
     if (next !== undefined) {
       const delay = Math.max(1, next - Date.now());
-      timer = setTimeout(() => offerEvent(running, { kind: 'ticked', now: Date.now() }), delay);
+      timer = globalThis.setTimeout(
+        () => offerEvent(running, { kind: 'ticked', now: Date.now() }),
+        delay,
+      );
     }
   }
 }
--- a/packages/router/src/claims/run-once.test.ts
+++ b/packages/router/src/claims/run-once.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout } from 'node:timers/promises';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { buildRuleSet, parseRuleFile } from '@tarragonspool/core';
@@ -15,7 +16,7 @@
 import { makeServiceFilters } from '../services/service-filters.js';
 import { startTask } from '../tasks/tasks.js';
 import { makeDirectory } from '../upstreams/directory.js';
-import { makeLedgerInbox, runClaimLedger } from './claim-ledger.js';
+import { flushClaims, makeLedgerInbox, runClaimLedger } from './claim-ledger.js';
 
 const HOST = process.env.TARRAGONSPOOL_TEST_HOST ?? '127.0.0.1';
 const KEY_DIGEST = '9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08';
@@ -131,7 +132,7 @@
     upstream.closeAllConnections();
     upstream.close();
   };
-  return { faults, counts, call, stop };
+  return { faults, counts, call, stop, claims };
 }
 
 it('once: a second call with the key gets the recorded answer', async () => {
@@ -190,3 +191,20 @@
   rig.stop();
   expect([first.text.length, second.ran]).to.deep.equal([20_000, 'ran']);
 });
+
+it('once: a flush waits until an outcome is recorded, through an outage of the table', async () => {
+  const rig = await startRig((_incoming, response) => {
+    rig.faults.isDown = true;
+    response.end('done');
+  });
+  await rig.call('k');
+  const isEarly = await Promise.race([
+    flushClaims(rig.claims, Date.now() + 60_000).then(() => true),
+    setTimeout(100).then(() => false),
+  ]);
+  rig.faults.isDown = false;
+  await flushClaims(rig.claims, Date.now() + 60_000);
+  const again = await rig.call('k');
+  rig.stop();
+  expect([isEarly, again.replayed, rig.counts.effects]).to.deep.equal([false, 'true', 1]);
+});
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -2,7 +2,7 @@
 /** Command line of the daemon. */
 
 import { Builtins, Cli, Command, Option } from 'clipanion';
-import { startDaemon } from './daemon.js';
+import { startDaemon } from './daemon/daemon.js';
 import { makeLogger, type Logger } from './logging/logger.js';
 import { checkSettings } from './settings/check-settings.js';
 import {
