Probe crashed engines over new connections, and poll lists and holds less often

Cause: an engine was probed only 150 ms after an order broke off, through the load report and its time limit: one that had restarted looked alive (a first crash was missed), one that was frozen looked crashed (innocents were refused). Ruled out: counting every broken connection as a crash; a cut link breaks connections too.

--- a/packages/core/src/membership/membership.test.ts
+++ b/packages/core/src/membership/membership.test.ts
@@ -118,3 +118,12 @@
   expect(list([], 2)).to.not.include('incarnation-ended');
   expect(list([], HEARTBEAT_TIMEOUT_MS + 10)).to.include('incarnation-ended');
 });
+
+it('membership: an unchanged list is not published again', () => {
+  const state = makeMembershipState('vm-1' as VmId);
+  const records = [makeServer('live', 1)];
+  const list = (now: number): string[] =>
+    handleMembershipEvent(state, { kind: 'listed', records, now }).map((action) => action.kind);
+  expect(list(1)).to.deep.equal(['upstreams-changed']);
+  expect(list(2)).to.deep.equal([]);
+});
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -149,11 +149,12 @@
     state.everListed.delete(vmId);
     actions.push({ kind: 'incarnation-ended', vmId, incarnation }, { kind: 'members-changed' });
   }
+  const isSame = state.records === records;
   state.records = records;
   for (const record of records) {
     if (isUpstream(record) && record.state === 'leaving') addLeavingMark(state, record, now);
   }
-  return [...actions, { kind: 'upstreams-changed' }];
+  return isSame ? actions : [...actions, { kind: 'upstreams-changed' }];
 }
 
 function handleHeartbeat(
--- a/packages/router/src/daemon/controllers.ts
+++ b/packages/router/src/daemon/controllers.ts
@@ -91,7 +91,7 @@
   const { broadcast, sendTo } = mesh;
   const probe = async (upstreamId: UpstreamId): Promise<boolean> => {
     const client = directory.engines.get(upstreamId)?.client;
-    return (await client?.readLoad(Date.now() + ENGINE_PROBE_MS)) !== undefined;
+    return (await client?.probe(Date.now() + ENGINE_PROBE_MS)) ?? true;
   };
   const store = makeSuspectStore(platform.table, logger);
   const links = { broadcast, sendTo, duplicates: inboxes.duplicates };
--- a/packages/router/src/engines/engine-client.ts
+++ b/packages/router/src/engines/engine-client.ts
@@ -23,6 +23,7 @@
   type PrefillOrder,
   type PrefillResult,
 } from '@tarragonspool/protocol';
+import { probeEngine } from './engine-probe.js';
 
 /** Stops an order that is under way by closing its connection. */
 export type StopOrder = () => void;
@@ -49,6 +50,8 @@
   cancel(attemptId: AttemptId, deadline: number): Promise<boolean>;
   listHolds(deadline: number): Promise<readonly EngineHold[] | undefined>;
   readLoad(deadline: number): Promise<LoadReport | undefined>;
+  /** Whether the engine's process takes connections; true while that is not known. */
+  probe(deadline: number): Promise<boolean>;
   /** Lists changes of the prefix cache after a sequence number; -1 for all that are known. */
   readCacheEvents(after: number, deadline: number): Promise<CacheEventList | undefined>;
 };
@@ -192,6 +195,8 @@
       };
     },
 
+    probe: (deadline) => probeEngine(hostname, port, deadline),
+
     async cancel(attemptId, deadline) {
       const answer = await callJson('POST', '/cancel', deadline, { attemptId });
       return answer !== undefined;
--- a/packages/router/src/engines/engine-poll-task.ts
+++ b/packages/router/src/engines/engine-poll-task.ts
@@ -23,6 +23,7 @@
 };
 
 const POLL_INTERVAL_MS = 250;
+const HOLDS_INTERVAL_MS = 1_000;
 const CALL_TIMEOUT_MS = 1_000;
 const CANCEL_MS = 5_000;
 
@@ -31,6 +32,7 @@
   const { directory, allocation, cancels, metrics, logger } = parts;
   const underWay = new Set<UpstreamId>();
   const cacheSequences = new Map<UpstreamId, number>();
+  const holdsDueAt = new Map<UpstreamId, number>();
 
   const report = (item: EngineReport): void => {
     offer(allocation, { kind: 'engine-reported', report: item });
@@ -61,20 +63,26 @@
     report({ kind: 'cache-changed', upstreamId, events, now });
   }
 
-  async function pollShared(engine: EngineEntry, deadline: number): Promise<void> {
+  async function pollHolds(engine: EngineEntry, deadline: number): Promise<void> {
     const { upstreamId, client } = engine;
-    const after = cacheSequences.get(upstreamId) ?? -1;
-    const [list, holds] = await Promise.all([
-      client.readCacheEvents(after, deadline),
-      client.listHolds(deadline),
-    ]);
-    const now = Date.now();
-    if (list !== undefined) handleCacheEvents(upstreamId, after, list, now);
+    if (Date.now() < (holdsDueAt.get(upstreamId) ?? 0)) return;
+    const holds = await client.listHolds(deadline);
     if (holds === undefined) return;
+    const now = Date.now();
+    holdsDueAt.set(upstreamId, now + HOLDS_INTERVAL_MS);
     report({ kind: 'holds-listed', upstreamId, holds, now });
     sweep(upstreamId, holds, now);
   }
 
+  async function pollShared(engine: EngineEntry, deadline: number): Promise<void> {
+    const { upstreamId, client } = engine;
+    const after = cacheSequences.get(upstreamId) ?? -1;
+    const holdsPolled = pollHolds(engine, deadline);
+    const list = await client.readCacheEvents(after, deadline);
+    if (list !== undefined) handleCacheEvents(upstreamId, after, list, Date.now());
+    await holdsPolled;
+  }
+
   async function pollEngine(engine: EngineEntry, scope: 'shared' | 'private'): Promise<void> {
     const { upstreamId, client } = engine;
     const deadline = Date.now() + CALL_TIMEOUT_MS;
@@ -88,9 +96,11 @@
 
   for (;;) {
     const polled = parts.listPolled(Date.now());
-    for (const upstreamId of cacheSequences.keys()) {
+    for (const upstreamId of [...cacheSequences.keys(), ...holdsDueAt.keys()]) {
       // A VM that no longer owns a shard misses events; it starts over when it owns it again.
-      if (polled.get(upstreamId) !== 'shared') cacheSequences.delete(upstreamId);
+      if (polled.get(upstreamId) === 'shared') continue;
+      cacheSequences.delete(upstreamId);
+      holdsDueAt.delete(upstreamId);
     }
     for (const [upstreamId, scope] of polled) {
       const engine = directory.engines.get(upstreamId);
--- a/packages/router/src/engines/engine-tasks.test.ts
+++ b/packages/router/src/engines/engine-tasks.test.ts
@@ -66,6 +66,7 @@
   let polls = 0;
   const directory = makeTestDirectory({
     readLoad: async () => undefined,
+    probe: async () => true,
     readCacheEvents: async () => undefined,
     listHolds: async () => {
       polls += 1;
--- a/packages/router/src/quarantine/quarantine-task.ts
+++ b/packages/router/src/quarantine/quarantine-task.ts
@@ -62,7 +62,7 @@
   readonly quarantine: Quarantine;
   readonly duplicates: DuplicateInbox;
   readonly store: SuspectStore;
-  /** Whether an engine answers at all. */
+  /** Whether an engine's process takes connections; true while that is not known. */
   readonly probe: (upstreamId: UpstreamId) => Promise<boolean>;
   readonly broadcast: (message: PeerMessage) => void;
   readonly sendTo: (vmId: VmId, message: PeerMessage) => boolean;
@@ -176,10 +176,11 @@
 
 function startProbe({ parts }: Running, upstreamId: UpstreamId): void {
   const { quarantine, probe, logger } = parts;
-  // An order that was cancelled may crash the engine a little later.
-  waitUntilProbe()
-    .then(() => probe(upstreamId))
-    .then((isAlive) => {
+  // An order that was cancelled may crash the engine a little later; one that broke off may have
+  // crashed an engine that is back by then.
+  Promise.all([probe(upstreamId), waitUntilProbe().then(() => probe(upstreamId))])
+    .then((probes) => {
+      const isAlive = probes.every(Boolean);
       const event = { kind: 'probed', upstreamId, isAlive, now: Date.now() } as const;
       offer(quarantine.inbox, { kind: 'event', event });
     })
--- a/packages/router/src/upstreams/directory-task.ts
+++ b/packages/router/src/upstreams/directory-task.ts
@@ -6,7 +6,7 @@
 import { awaitPromise, offer, type Task } from '../tasks/tasks.js';
 import { waitMs } from '../tasks/timers.js';
 
-const POLL_INTERVAL_MS = 500;
+const POLL_INTERVAL_MS = 1_000;
 const CALL_TIMEOUT_MS = 2_000;
 
 /** Runs until the process ends; the last list stays in use while the platform is away. */
