Wait for a peer's word before blaming streams that had tokens

Cause: each VM judged a crash by its own streams and all at the same moment, so a VM that had none without tokens blamed all of its own before a peer could name the content that had only begun. Ruled out: the probe of engines (the crashes were seen in time). Conclusion: a VM without a suspect of its own hears its peers first; streams go on meanwhile.

--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -69,6 +69,8 @@
 /** Crashes after which a content is refused. */
 export const QUARANTINE_CRASHES = 2;
 const DECIDE_AFTER_MS = 300;
+/** How long a VM whose streams all had tokens waits for a peer to name another content. */
+const EXPLAIN_WAIT_MS = 400;
 const EXPLAINED_FOR_MS = 5_000;
 const SUSPECT_MS = 600_000;
 const QUARANTINE_MS = 3_600_000;
@@ -79,6 +81,39 @@
   return { suspects: new Map(), incidents: new Map(), explained: new Map(), heardAt: new Map() };
 }
 
+function hasBegun({ victims }: Incident): boolean {
+  for (const hasTokens of victims.values()) {
+    if (!hasTokens) return true;
+  }
+  return false;
+}
+
+/** Whether a crash is known and a peer may still name the content that caused it. */
+function isAwaitingPeers(incident: Incident, now: number): boolean {
+  return incident.isAlive === false && !hasBegun(incident) && now >= incident.decideAt;
+}
+
+/**
+ * Finds until when a content is in doubt: while an incident of its is open. A stream with tokens may go
+ * on while peers are awaited, unless it was in a second incident meanwhile.
+ */
+function findDoubtEnd(
+  state: QuarantineState,
+  fingerprint: Fingerprint,
+  now: number,
+): number | undefined {
+  let count = 0;
+  let isOpen = false;
+  let until = now;
+  for (const incident of state.incidents.values()) {
+    if (!incident.victims.has(fingerprint)) continue;
+    count += 1;
+    isOpen ||= !isAwaitingPeers(incident, now);
+    until = Math.max(until, incident.decideAt);
+  }
+  return isOpen || count > 1 ? until : undefined;
+}
+
 /** Finds whether a content may run. */
 export function findStanding(
   state: QuarantineState,
@@ -90,9 +125,8 @@
   if (isBlamed && record.crashes >= QUARANTINE_CRASHES) {
     return { kind: 'quarantined', expiresAt: record.expiresAt };
   }
-  for (const { decideAt, victims } of state.incidents.values()) {
-    if (victims.has(fingerprint)) return { kind: 'in-doubt', until: decideAt };
-  }
+  const until = findDoubtEnd(state, fingerprint, now);
+  if (until !== undefined) return { kind: 'in-doubt', until };
   if (isBlamed) return { kind: 'suspect' };
   return { kind: 'clear' };
 }
@@ -129,6 +163,10 @@
   return [{ kind: 'probe', upstreamId }];
 }
 
+function isExplained(state: QuarantineState, upstreamId: UpstreamId, now: number): boolean {
+  return now < (state.explained.get(upstreamId) ?? -Infinity) + EXPLAINED_FOR_MS;
+}
+
 /**
  * Picks the contents to blame for a crash: those that the engine had only begun; if there are none
  * and no peer names one, all that ran.
@@ -142,8 +180,7 @@
   const begun: Fingerprint[] = [];
   for (const [fingerprint, hasTokens] of incident.victims) if (!hasTokens) begun.push(fingerprint);
   if (begun.length > 0) return begun;
-  const explainedAt = state.explained.get(upstreamId) ?? -Infinity;
-  if (now < explainedAt + EXPLAINED_FOR_MS) return [];
+  if (isExplained(state, upstreamId, now)) return [];
   return [...incident.victims.keys()];
 }
 
@@ -176,6 +213,8 @@
   const actions: QuarantineAction[] = [];
   for (const [upstreamId, incident] of [...state.incidents]) {
     if (now < incident.decideAt || incident.isAlive === undefined) continue;
+    const isWaiting = isAwaitingPeers(incident, now) && now < incident.decideAt + EXPLAIN_WAIT_MS;
+    if (isWaiting && !isExplained(state, upstreamId, now)) continue;
     state.incidents.delete(upstreamId);
     if (!incident.isAlive) actions.push(...blame(state, upstreamId, incident, now));
   }
