Mend the slopes after the peer link's change, and measure the polls again

Cause: bench:slopes still called startPeerLink with its old arguments and ended with a TypeError; no test runs it.

--- a/bin/slopes/peers.js
+++ b/bin/slopes/peers.js
@@ -16,6 +16,7 @@
 const COPIES = 40;
 const ROUNDS = 200;
 const ROUND_INTERVAL_MS = 5;
+const LINK_TIMEOUT_MS = 600_000;
 
 function makeHeartbeat(leaving, shards) {
   const summaries = Array.from({ length: shards }, (_, index) => ({
@@ -58,16 +59,21 @@
     },
     onClose: () => undefined,
   });
-  const identity = (name) => ({ vmId: name, incarnation: 1, dataCentre: 'negombo' });
+  const makeParts = (vmId) => ({
+    self: { vmId, incarnation: 1, dataCentre: 'negombo' },
+    secrets: SECRETS,
+    silenceTimeoutMs: LINK_TIMEOUT_MS,
+    handshakeTimeoutMs: LINK_TIMEOUT_MS,
+  });
   server.on('connection', (socket) => {
-    startPeerLink(socket, identity('vm-0'), SECRETS, makeHandler(false));
+    startPeerLink(socket, makeParts('vm-0'), makeHandler(false));
   });
   const sockets = [];
   for (let index = 1; index <= count; index += 1) {
     const socket = new WebSocket(`ws://${HOST}:${port}/peer`, { perMessageDeflate: false });
     sockets.push(socket);
     socket.on('open', () => {
-      startPeerLink(socket, identity(`vm-${index}`), SECRETS, makeHandler(true));
+      startPeerLink(socket, makeParts(`vm-${index}`), makeHandler(true));
     });
   }
   while (links.length < count) await waitMs(5);
