--- a/packages/core/src/requests/request-state.ts
+++ b/packages/core/src/requests/request-state.ts
@@ -15,8 +15,8 @@
 /** Something that an engine may hold for an attempt. */
 export type AttemptHold = { readonly upstreamId: UpstreamId; readonly attemptId: AttemptId };
 
-/** What a request needs to know of itself. */
-export type RequestState = {
+/** What a new request is made of. Times are milliseconds since the epoch. */
+export type RequestOptions = {
   readonly requestId: RequestId;
   readonly promptTokens: number;
   /** When the answer is due; no work starts for it later. */
@@ -30,6 +30,10 @@
   readonly isOnce?: boolean;
   /** Keeps attempts of two submissions of one request id apart. */
   readonly runId?: string;
+};
+
+/** What a request needs to know of itself. */
+export type RequestState = RequestOptions & {
   /** `holding` waits for the time at which the grant lets the prefill start. */
   phase: 'asking' | 'holding' | 'prefilling' | 'importing' | 'decoding' | 'ended';
   attempt: number;
@@ -68,21 +72,6 @@
   cachedTokens: number | undefined;
 };
 
-/** What a new request is made of. */
-export type RequestOptions = {
-  readonly requestId: RequestId;
-  readonly promptTokens: number;
-  readonly answerDeadline: number;
-  readonly lastDeadline: number;
-  readonly maxTokens: number;
-  readonly objective: AllocationObjective;
-  readonly budget: RetryBudget;
-  /** Whether nothing may be ordered again once an order has been sent. */
-  readonly isOnce?: boolean;
-  /** Keeps attempts of two submissions of one request id apart. */
-  readonly runId?: string;
-};
-
 type AttemptNames = Pick<RequestOptions, 'requestId' | 'runId'>;
 
 function makeAttemptId({ requestId, runId }: AttemptNames, attempt: number): AttemptId {
