--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -29,3 +29,5 @@
 export * from './shards/asker.js';
 export * from './shards/shards.js';
 export * from './sweep/sweep.js';
+export * from './pools/index.js';
+export * from './routing/index.js';
--- /dev/null
+++ b/packages/core/src/pools/placing.ts
@@ -0,0 +1,135 @@
+/** Gives places to waiting asks: those that can still be on time first, late ones in what is left. */
+
+import {
+  canPrefill,
+  countPrefillTokens,
+  hasPlace,
+  isUsable,
+  type EngineLoad,
+} from './engine-load.js';
+import {
+  countPlaces,
+  measureFreshRate,
+  measureServiceRate,
+  predictFirstEventMs,
+  predictHoldMs,
+  type PoolState,
+  type WaitingAsk,
+} from './pool-state.js';
+import type { PlaceAsk, PlaceRun, PoolAction } from './pool-types.js';
+
+/** Places kept free for arrivals that can be on time, as a share of all places. */
+const RESERVED_SHARE = 0.08;
+/** Load above which late asks wait: more arrivals are expected than places come free. */
+const BUSY_LOAD = 0.95;
+
+/** Whether the first event can still come within the target. */
+export function canBeOnTime(state: PoolState, ask: PlaceAsk, now: number): boolean {
+  return now + predictFirstEventMs(state, ask) <= ask.aimAt;
+}
+
+function makeRun(state: PoolState, ask: PlaceAsk, load: EngineLoad, now: number): PlaceRun {
+  const expectedEndAt = now + predictFirstEventMs(state, ask) + predictHoldMs(state, ask, load);
+  const decode = load.engine.upstreamId;
+  return { ask, decode, prefill: undefined, grantedAt: now, expectedEndAt };
+}
+
+/** Finds the decode engine with the least load that has a place. */
+function findDecode(state: PoolState, ask: PlaceAsk, now: number): PlaceRun | undefined {
+  let best: PlaceRun | undefined;
+  let bestCost = Infinity;
+  for (const load of state.engines.values()) {
+    if (load.engine.stage !== 'decode' || !isUsable(load, ask, now)) continue;
+    const run = makeRun(state, ask, load, now);
+    if (!hasPlace(load, run, now)) continue;
+    const cost = (load.runs.size / load.engine.slots) * load.slowness;
+    if (cost >= bestCost) continue;
+    best = run;
+    bestCost = cost;
+  }
+  return best;
+}
+
+/** Finds the prefill engine with the shortest queue; `none` where no such engine is usable. */
+function findPrefill(state: PoolState, ask: PlaceAsk, now: number): EngineLoad | 'none' | 'busy' {
+  let best: EngineLoad | 'none' | 'busy' = 'none';
+  let bestTokens = Infinity;
+  for (const load of state.engines.values()) {
+    if (load.engine.stage !== 'prefill' || !isUsable(load, ask, now)) continue;
+    if (!canPrefill(load, ask.promptTokens)) {
+      if (best === 'none') best = 'busy';
+      continue;
+    }
+    const tokens = countPrefillTokens(load);
+    if (tokens >= bestTokens) continue;
+    best = load;
+    bestTokens = tokens;
+  }
+  return best;
+}
+
+/** Places an ask if a decode place and a prefill engine are free together. */
+function placeAsk(state: PoolState, ask: PlaceAsk, now: number): PoolAction | undefined {
+  const run = findDecode(state, ask, now);
+  if (run === undefined) return undefined;
+  const prefill = ask.needsPrefill ? findPrefill(state, ask, now) : 'none';
+  if (prefill === 'busy') return undefined;
+  if (prefill !== 'none') {
+    run.prefill = prefill.engine.upstreamId;
+    prefill.prefills.set(ask.askId, run);
+  }
+  state.runs.set(ask.askId, run);
+  state.engines.get(run.decode)?.runs.set(ask.askId, run);
+  return { kind: 'grant', ask, prefill: run.prefill, decode: run.decode };
+}
+
+function countFreePlaces(state: PoolState, now: number): number {
+  let free = 0;
+  for (const load of state.engines.values()) {
+    const isOpen = load.engine.stage === 'decode' && !load.engine.isLeaving;
+    if (isOpen && load.avoidUntil <= now) free += Math.max(0, load.engine.slots - load.runs.size);
+  }
+  return free;
+}
+
+/** Whether late asks may take places now. */
+function hasPlacesLeftOver(state: PoolState, now: number): boolean {
+  const reserved = Math.ceil(RESERVED_SHARE * countPlaces(state));
+  if (countFreePlaces(state, now) <= reserved) return false;
+  return measureFreshRate(state, now) <= BUSY_LOAD * measureServiceRate(state);
+}
+
+function listWaiting(state: PoolState, isWanted: (ask: PlaceAsk) => boolean): WaitingAsk[] {
+  const list: WaitingAsk[] = [];
+  for (const waiting of state.waiting.values()) {
+    if (isWanted(waiting.ask)) list.push(waiting);
+  }
+  return list;
+}
+
+/** Places as many waiting asks as the engines can take. */
+export function placeWaiting(state: PoolState, now: number): PoolAction[] {
+  const actions: PoolAction[] = [];
+  const place = ({ ask }: WaitingAsk): boolean => {
+    const action = placeAsk(state, ask, now);
+    if (action === undefined) return false;
+    state.waiting.delete(ask.askId);
+    actions.push(action);
+    return true;
+  };
+  const onTime = listWaiting(state, (ask) => canBeOnTime(state, ask, now));
+  onTime.sort((a, b) => a.ask.aimAt - b.ask.aimAt);
+  let isBlocked = false;
+  for (const waiting of onTime) {
+    // A later ask may be smaller, or not exclude the engine that is free.
+    if (!place(waiting)) isBlocked = true;
+  }
+  if (isBlocked) return actions;
+  const late = listWaiting(state, (ask) => !canBeOnTime(state, ask, now));
+  late.sort((a, b) => a.ask.patienceEndsAt - b.ask.patienceEndsAt);
+  for (const waiting of late) {
+    if (!hasPlacesLeftOver(state, now)) break;
+    place(waiting);
+  }
+  return actions;
+}
--- /dev/null
+++ b/packages/core/src/pools/pool-machine.ts
@@ -0,0 +1,159 @@
+/** The pool as a state machine: one event in, a list of actions out. */
+
+import { assertNever, type UpstreamId, type VmId } from '@tarragonspool/protocol';
+import { buildRefusal, findRefusal, refuseOverdue } from './admission.js';
+import { makeEngineLoad } from './engine-load.js';
+import { canBeOnTime, placeWaiting } from './placing.js';
+import { countFreshArrival, recordHold, recordPrefill, type PoolState } from './pool-state.js';
+import type { AskId, PlaceAsk, PlaceRun, PoolAction, PoolEngine, PoolEvent } from './pool-types.js';
+
+/** After a refusal for want of room, the engine's own queue empties within this time. */
+const FULL_PAUSE_MS = 250;
+const BROKEN_PAUSE_MS = 1_500;
+/** A run that nobody ended is forgotten after this multiple of its forecast. */
+const FORGET_FACTOR = 3;
+const MIN_FORGET_MS = 5_000;
+
+function removeRun(state: PoolState, askId: AskId): PlaceRun | undefined {
+  const run = state.runs.get(askId);
+  if (run === undefined) return undefined;
+  state.runs.delete(askId);
+  state.engines.get(run.decode)?.runs.delete(askId);
+  if (run.prefill !== undefined) state.engines.get(run.prefill)?.prefills.delete(askId);
+  return run;
+}
+
+function dropEngine(state: PoolState, upstreamId: UpstreamId): void {
+  const load = state.engines.get(upstreamId);
+  if (load === undefined) return;
+  state.engines.delete(upstreamId);
+  for (const askId of load.runs.keys()) removeRun(state, askId);
+}
+
+function updateEngines(state: PoolState, engines: readonly PoolEngine[]): void {
+  const listed = new Set(engines.map(({ upstreamId }) => upstreamId));
+  for (const upstreamId of [...state.engines.keys()]) {
+    if (!listed.has(upstreamId)) dropEngine(state, upstreamId);
+  }
+  for (const engine of engines) {
+    const known = state.engines.get(engine.upstreamId);
+    if (known !== undefined && known.engine.incarnation === engine.incarnation) {
+      known.engine = engine;
+      continue;
+    }
+    // The same id with another start: nothing that ran before is there any more.
+    dropEngine(state, engine.upstreamId);
+    state.engines.set(engine.upstreamId, makeEngineLoad(engine));
+  }
+}
+
+function hasEngines(state: PoolState): boolean {
+  for (const { engine } of state.engines.values()) {
+    if (engine.stage === 'decode' && !engine.isLeaving) return true;
+  }
+  return false;
+}
+
+function handleAsked(state: PoolState, ask: PlaceAsk, now: number): PoolAction[] {
+  if (!hasEngines(state)) return [buildRefusal(state, ask, 'no-engine', now)];
+  if (canBeOnTime(state, ask, now)) countFreshArrival(state, now);
+  const waiting = { ask, askedAt: now };
+  state.waiting.set(ask.askId, waiting);
+  const actions = placeWaiting(state, now);
+  if (!state.waiting.has(ask.askId)) return actions;
+  const reason = findRefusal(state, waiting, now);
+  if (reason === undefined) return actions;
+  state.waiting.delete(ask.askId);
+  return [...actions, buildRefusal(state, ask, reason, now)];
+}
+
+function handlePrefilled(state: PoolState, askId: AskId, tookMs: number): void {
+  const run = state.runs.get(askId);
+  if (run?.prefill === undefined) return;
+  state.engines.get(run.prefill)?.prefills.delete(askId);
+  run.prefill = undefined;
+  recordPrefill(state, run.ask.promptTokens, tookMs);
+}
+
+function handleEnded(state: PoolState, askId: AskId, didFinish: boolean, now: number): void {
+  const run = removeRun(state, askId);
+  if (run === undefined || !didFinish) return;
+  const load = state.engines.get(run.decode);
+  if (load !== undefined) recordHold(state, run, load, now);
+}
+
+function handleEngineFailed(
+  state: PoolState,
+  upstreamId: UpstreamId,
+  failure: 'full' | 'broken',
+  now: number,
+): void {
+  const load = state.engines.get(upstreamId);
+  if (load === undefined) return;
+  const pauseMs = failure === 'full' ? FULL_PAUSE_MS : BROKEN_PAUSE_MS;
+  load.avoidUntil = Math.max(load.avoidUntil, now + pauseMs);
+}
+
+function adoptRuns(state: PoolState, runs: readonly PlaceRun[]): void {
+  for (const run of runs) {
+    const { askId } = run.ask;
+    const load = state.engines.get(run.decode);
+    if (load === undefined || state.runs.has(askId)) continue;
+    state.waiting.delete(askId);
+    state.runs.set(askId, run);
+    load.runs.set(askId, run);
+    if (run.prefill !== undefined) state.engines.get(run.prefill)?.prefills.set(askId, run);
+  }
+}
+
+function dropRunsOf(state: PoolState, vmId: VmId): void {
+  for (const [askId, run] of state.runs) {
+    if (run.ask.vmId === vmId) removeRun(state, askId);
+  }
+  for (const [askId, { ask }] of state.waiting) {
+    if (ask.vmId === vmId) state.waiting.delete(askId);
+  }
+}
+
+function forgetOldRuns(state: PoolState, now: number): void {
+  for (const [askId, run] of state.runs) {
+    const forecastMs = run.expectedEndAt - run.grantedAt;
+    const limitMs = Math.max(MIN_FORGET_MS, FORGET_FACTOR * forecastMs);
+    if (now - run.grantedAt > limitMs) removeRun(state, askId);
+  }
+}
+
+/** Handles one event and returns what the host must do. */
+export function handlePoolEvent(state: PoolState, event: PoolEvent, now: number): PoolAction[] {
+  switch (event.kind) {
+    case 'engines-listed':
+      updateEngines(state, event.engines);
+      return placeWaiting(state, now);
+    case 'asked':
+      return handleAsked(state, event.ask, now);
+    case 'withdrawn':
+      state.waiting.delete(event.askId);
+      removeRun(state, event.askId);
+      return placeWaiting(state, now);
+    case 'prefilled':
+      handlePrefilled(state, event.askId, event.tookMs);
+      return placeWaiting(state, now);
+    case 'ended':
+      handleEnded(state, event.askId, event.didFinish, now);
+      return placeWaiting(state, now);
+    case 'engine-failed':
+      handleEngineFailed(state, event.upstreamId, event.failure, now);
+      return [];
+    case 'runs-announced':
+      adoptRuns(state, event.runs);
+      return [];
+    case 'vm-restarted':
+      dropRunsOf(state, event.vmId);
+      return placeWaiting(state, now);
+    case 'ticked':
+      forgetOldRuns(state, now);
+      return [...placeWaiting(state, now), ...refuseOverdue(state, now)];
+    default:
+      return assertNever(event);
+  }
+}
--- /dev/null
+++ b/packages/core/src/pools/pool-state.ts
@@ -0,0 +1,109 @@
+/** State of one pool, and the estimates that its decisions rest on. */
+
+import type { EngineLoad, EngineLoads } from './engine-load.js';
+import type { AskId, PlaceAsk, PlaceRun } from './pool-types.js';
+
+/** An ask that has no place yet. */
+export type WaitingAsk = { readonly ask: PlaceAsk; readonly askedAt: number };
+
+/** Whole state of one pool. */
+export type PoolState = {
+  readonly engines: EngineLoads;
+  readonly runs: Map<AskId, PlaceRun>;
+  readonly waiting: Map<AskId, WaitingAsk>;
+  /** Milliseconds per expected output token that a place is held. */
+  holdMsPerToken: number;
+  /** Milliseconds per prompt token at a prefill engine. */
+  prefillMsPerToken: number;
+  /** Mean time that a place is held, in milliseconds. */
+  holdMs: number;
+  /** Arrivals a second that could still be on time, fading. */
+  freshRate: number;
+  freshRateAt: number;
+  /** Random numbers from 0 up to 1, so that refused callers do not return together. */
+  readonly takeFraction: () => number;
+};
+
+const INITIAL_HOLD_MS_PER_TOKEN = 0.6;
+const INITIAL_PREFILL_MS_PER_TOKEN = 0.018;
+const INITIAL_HOLD_MS = 3_500;
+const ESTIMATE_WEIGHT = 0.05;
+const RATE_WINDOW_MS = 2_000;
+const MS_PER_S = 1_000;
+/** Transfer of the KV cache and the first step of the answer. */
+const FIRST_EVENT_MS = 80;
+
+/** Makes the state of a pool that knows no engine. */
+export function makePoolState(takeFraction: () => number): PoolState {
+  return {
+    engines: new Map(),
+    runs: new Map(),
+    waiting: new Map(),
+    holdMsPerToken: INITIAL_HOLD_MS_PER_TOKEN,
+    prefillMsPerToken: INITIAL_PREFILL_MS_PER_TOKEN,
+    holdMs: INITIAL_HOLD_MS,
+    freshRate: 0,
+    freshRateAt: 0,
+    takeFraction,
+  };
+}
+
+/** Moves an estimate towards a sample; one sample counts for a factor of three at most. */
+function updateEstimate(estimate: number, sample: number): number {
+  const bounded = Math.min(3 * estimate, Math.max(estimate / 3, sample));
+  return estimate + ESTIMATE_WEIGHT * (bounded - estimate);
+}
+
+/** Learns from an answer that came to its end. */
+export function recordHold(state: PoolState, run: PlaceRun, load: EngineLoad, now: number): void {
+  const heldMs = now - run.grantedAt;
+  state.holdMs = updateEstimate(state.holdMs, heldMs);
+  if (run.ask.outputTokens <= 0) return;
+  const perToken = heldMs / run.ask.outputTokens;
+  load.slowness = updateEstimate(load.slowness, perToken / state.holdMsPerToken);
+  state.holdMsPerToken = updateEstimate(state.holdMsPerToken, perToken);
+}
+
+/** Learns from a prompt that was read. */
+export function recordPrefill(state: PoolState, promptTokens: number, tookMs: number): void {
+  if (promptTokens <= 0) return;
+  state.prefillMsPerToken = updateEstimate(state.prefillMsPerToken, tookMs / promptTokens);
+}
+
+/** Counts an arrival that can still be on time. */
+export function countFreshArrival(state: PoolState, now: number): void {
+  state.freshRate = measureFreshRate(state, now) + MS_PER_S / RATE_WINDOW_MS;
+  state.freshRateAt = now;
+}
+
+/** Arrivals a second over the last seconds. */
+export function measureFreshRate(state: PoolState, now: number): number {
+  return state.freshRate * Math.exp(-(now - state.freshRateAt) / RATE_WINDOW_MS);
+}
+
+/** Predicts how long it takes from the grant to the first event. */
+export function predictFirstEventMs(state: PoolState, ask: PlaceAsk): number {
+  const prefillMs = ask.needsPrefill ? ask.promptTokens * state.prefillMsPerToken : 0;
+  return prefillMs + FIRST_EVENT_MS;
+}
+
+/** Predicts how long a place is held. */
+export function predictHoldMs(state: PoolState, ask: PlaceAsk, load: EngineLoad): number {
+  if (ask.outputTokens <= 0) return state.holdMs;
+  return Math.max(50, ask.outputTokens * state.holdMsPerToken * load.slowness);
+}
+
+/** Places that decode engines of the pool have together. */
+export function countPlaces(state: PoolState): number {
+  let places = 0;
+  for (const { engine } of state.engines.values()) {
+    if (engine.stage === 'decode' && !engine.isLeaving) places += engine.slots;
+  }
+  return places;
+}
+
+/** Starts a second that the pool can give, from places and from prefill engines. */
+export function measureServiceRate(state: PoolState): number {
+  const placeRate = (MS_PER_S * countPlaces(state)) / state.holdMs;
+  return placeRate;
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -5,6 +5,7 @@
 export * from './ids.js';
 export * from './peer-codec.js';
 export * from './peer-messages.js';
+export * from './pool-messages.js';
 export * from './platform-messages.js';
 export * from './result-codes.js';
 export * from './rule-messages.js';
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -3,6 +3,7 @@
 import { Packr } from 'msgpackr';
 import { z } from 'zod';
 import type { PeerMessage } from './peer-messages.js';
+import { poolMessageSchemas } from './pool-messages.js';
 import { RESULT_CODES, type ResultName } from './result-codes.js';
 import { ruleDeltaSchema } from './rule-messages.js';
 
@@ -58,6 +59,7 @@
 });
 
 const peerMessageSchema = z.discriminatedUnion('kind', [
+  ...poolMessageSchemas,
   z.object({
     kind: z.literal('hello'),
     version: count,
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -19,6 +19,7 @@
   VmId,
 } from './ids.js';
 import type { ModelTarget } from './engine-messages.js';
+import type { PoolMessage } from './pool-messages.js';
 import type { RuleDelta } from './rule-messages.js';
 import type { Refusal } from './result-codes.js';
 
@@ -122,6 +123,7 @@
 
 /** Everything that entry VMs say to each other. */
 export type PeerMessage =
+  | PoolMessage
   | {
       readonly kind: 'hello';
       readonly version: number;
--- /dev/null
+++ b/packages/protocol/src/pool-messages.ts
@@ -0,0 +1,132 @@
+/**
+ * Messages between entry VMs about places in a pool of engines. Spans are milliseconds from the
+ * moment of sending: the clocks of two VMs do not agree.
+ */
+
+import { z } from 'zod';
+import type { ServiceName, UpstreamId } from './ids.js';
+
+const id = z.string().max(256);
+const span = z.number().finite();
+const count = z.number().int().nonnegative();
+
+/** An ask for a place. */
+export const poolAskSchema = z.object({
+  kind: z.literal('pool-ask'),
+  service: id,
+  askId: id,
+  promptTokens: z.number().nonnegative(),
+  outputTokens: z.number().nonnegative(),
+  aimInMs: span,
+  patienceInMs: span,
+  needsPrefill: z.boolean(),
+  excluded: z.array(id),
+});
+
+const runSchema = z.object({
+  askId: id,
+  promptTokens: z.number().nonnegative(),
+  outputTokens: z.number().nonnegative(),
+  decode: id,
+  prefill: id.optional(),
+  grantedAgoMs: span,
+  endsInMs: span,
+});
+
+/** Schemas of every message about places. */
+export const poolMessageSchemas = [
+  poolAskSchema,
+  z.object({ kind: z.literal('pool-queued'), askId: id }),
+  z.object({
+    kind: z.literal('pool-grant'),
+    service: id,
+    askId: id,
+    prefill: id.optional(),
+    decode: id,
+    endsInMs: span,
+  }),
+  z.object({
+    kind: z.literal('pool-refuse'),
+    askId: id,
+    reason: z.enum(['no-engine', 'overloaded', 'waited-too-long']),
+    retryAfterMs: span,
+  }),
+  z.object({ kind: z.literal('pool-withdraw'), service: id, askId: id }),
+  z.object({ kind: z.literal('pool-prefilled'), service: id, askId: id, tookMs: span }),
+  z.object({ kind: z.literal('pool-end'), service: id, askId: id, didFinish: z.boolean() }),
+  z.object({
+    kind: z.literal('pool-engine-failed'),
+    service: id,
+    upstreamId: id,
+    failure: z.enum(['full', 'broken']),
+  }),
+  z.object({ kind: z.literal('pool-runs'), service: id, runs: z.array(runSchema) }),
+  z.object({ kind: z.literal('alive'), sequence: count }),
+] as const;
+
+/** One run as a VM announces it to a VM that decides anew. */
+export type PoolRunItem = {
+  readonly askId: string;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly decode: UpstreamId;
+  readonly prefill?: UpstreamId | undefined;
+  readonly grantedAgoMs: number;
+  readonly endsInMs: number;
+};
+
+/** Everything that VMs say about places. */
+export type PoolMessage =
+  | {
+      readonly kind: 'pool-ask';
+      readonly service: ServiceName;
+      readonly askId: string;
+      readonly promptTokens: number;
+      readonly outputTokens: number;
+      readonly aimInMs: number;
+      readonly patienceInMs: number;
+      readonly needsPrefill: boolean;
+      readonly excluded: readonly UpstreamId[];
+    }
+  /** The ask was heard and waits. */
+  | { readonly kind: 'pool-queued'; readonly askId: string }
+  | {
+      readonly kind: 'pool-grant';
+      readonly service: ServiceName;
+      readonly askId: string;
+      readonly prefill?: UpstreamId | undefined;
+      readonly decode: UpstreamId;
+      readonly endsInMs: number;
+    }
+  | {
+      readonly kind: 'pool-refuse';
+      readonly askId: string;
+      readonly reason: 'no-engine' | 'overloaded' | 'waited-too-long';
+      readonly retryAfterMs: number;
+    }
+  | { readonly kind: 'pool-withdraw'; readonly service: ServiceName; readonly askId: string }
+  | {
+      readonly kind: 'pool-prefilled';
+      readonly service: ServiceName;
+      readonly askId: string;
+      readonly tookMs: number;
+    }
+  | {
+      readonly kind: 'pool-end';
+      readonly service: ServiceName;
+      readonly askId: string;
+      readonly didFinish: boolean;
+    }
+  | {
+      readonly kind: 'pool-engine-failed';
+      readonly service: ServiceName;
+      readonly upstreamId: UpstreamId;
+      readonly failure: 'full' | 'broken';
+    }
+  | {
+      readonly kind: 'pool-runs';
+      readonly service: ServiceName;
+      readonly runs: readonly PoolRunItem[];
+    }
+  /** Says that the sender is alive. */
+  | { readonly kind: 'alive'; readonly sequence: number };
--- /dev/null
+++ b/packages/router/src/gateway/call-flow.ts
@@ -0,0 +1,202 @@
+/** Serves requests of plain services: the whole answer is read before any of it is passed on. */
+
+import {
+  chooseNextStep,
+  chooseServer,
+  listUsable,
+  recordAnswerTime,
+  recordOutcome,
+  type NextStep,
+  type SendOutcome,
+  type UpstreamRecord,
+} from '@tarragonspool/core';
+import type { UpstreamId } from '@tarragonspool/protocol';
+import type { Task } from '../tasks/tasks.js';
+import { getSteadyMs } from '../time/steady-clock.js';
+import type { GatewayRequest } from './gateway-request.js';
+import { findLoad, takeRetryOf, type GatewayState } from './gateway-state.js';
+import { sendOnce, type AnswerHead, type SendResult } from './sender.js';
+
+/** A server that said it was full is passed over for this long. */
+const FULL_PAUSE_MS = 150;
+const UNREACHABLE_PAUSE_MS = 1_000;
+/** Share of the target after which a repeatable request is sent to another server. */
+const SLOW_SHARE = 0.6;
+/** Time that one more send needs at least. */
+const LEAST_LEFT_MS = 25;
+const RETRY_AFTER_MS = 400;
+const MAX_ANSWER_BYTES = 16_777_216;
+const FIRST_SERVER_ERROR = 500;
+
+type CallProgress = {
+  readonly tried: Set<UpstreamId>;
+  /** Sends that may have run. */
+  runs: number;
+};
+
+type WholeAnswer = { readonly head: AnswerHead; readonly body: Buffer };
+
+function chooseCallServer(
+  state: GatewayState,
+  request: GatewayRequest,
+  { tried }: CallProgress,
+): UpstreamRecord | undefined {
+  const servers = listUsable(state.upstreams, request.service);
+  const choice = {
+    servers,
+    loads: state.loads,
+    dataCentre: state.settings.dataCentre,
+    takeFraction: state.takeFraction,
+    now: getSteadyMs(),
+  };
+  return (
+    chooseServer({ ...choice, excluded: tried }) ?? chooseServer({ ...choice, excluded: new Set() })
+  );
+}
+
+function findHeadDue(request: GatewayRequest, progress: CallProgress, now: number): number {
+  const { route } = request;
+  const isRepeatable = route.kind === 'idempotent' && progress.runs + 1 < route.maxAttempts;
+  return isRepeatable ? now + SLOW_SHARE * route.targetLatencyMs : request.deadlineAt + 1;
+}
+
+function noteOutcome(
+  state: GatewayState,
+  server: UpstreamRecord,
+  outcome: SendOutcome,
+  sentAt: number,
+): void {
+  const now = getSteadyMs();
+  const load = findLoad(state, server.upstreamId);
+  switch (outcome.kind) {
+    case 'answered':
+      recordOutcome(load, outcome.status >= FIRST_SERVER_ERROR, now);
+      recordAnswerTime(load, now - sentAt);
+      return;
+    case 'not-run': {
+      const isFull = outcome.reason.startsWith('status');
+      load.avoidUntil = now + (isFull ? FULL_PAUSE_MS : UNREACHABLE_PAUSE_MS);
+      return;
+    }
+    case 'unknown':
+      recordOutcome(load, true, now);
+      return;
+    default:
+      outcome satisfies never;
+  }
+}
+
+function* sendCall(
+  state: GatewayState,
+  request: GatewayRequest,
+  server: UpstreamRecord,
+  progress: CallProgress,
+): Task<{ result: SendResult; answer?: WholeAnswer }> {
+  const load = findLoad(state, server.upstreamId);
+  const sentAt = getSteadyMs();
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  load.inFlight += 1;
+  const result = yield* sendOnce(state, request, {
+    server,
+    placement: {},
+    headDueAt: findHeadDue(request, progress, sentAt),
+    onHead: () => undefined,
+    onData: (chunk, exchange) => {
+      bytes += chunk.length;
+      if (bytes > MAX_ANSWER_BYTES) exchange.cancel();
+      else parts.push(chunk);
+    },
+  });
+  load.inFlight -= 1;
+  const outcome: SendOutcome =
+    result.kind === 'outcome' ? result.outcome : { kind: 'unknown', reason: result.kind };
+  if (result.kind === 'outcome' || result.kind === 'slow') {
+    noteOutcome(state, server, outcome, sentAt);
+  }
+  const { requestId } = request.fields;
+  const { upstreamId } = server;
+  const tookMs = getSteadyMs() - sentAt;
+  state.logger.debug({ requestId, upstreamId, outcome, tookMs }, 'calls: send ended');
+  state.metrics.sends.inc({ step: 'call', outcome: outcome.kind });
+  if (result.kind !== 'outcome' || result.head === undefined) return { result };
+  return { result, answer: { head: result.head, body: Buffer.concat(parts) } };
+}
+
+function endRequest(request: GatewayRequest, result: SendResult, runs: number): void {
+  if (result.kind !== 'timed-out') return;
+  request.reply.refuse(runs === 0 ? 'deadline-unreachable' : 'upstream-timeout');
+}
+
+function answerCall(
+  state: GatewayState,
+  request: GatewayRequest,
+  step: NextStep,
+  answer: WholeAnswer | undefined,
+): void {
+  const { reply } = request;
+  switch (step.kind) {
+    case 'forward': {
+      if (answer === undefined) return;
+      const { head, body } = answer;
+      reply.begin(head.status, state.ports.dialect.makeAnswerHeaders(head.rawHeaders));
+      reply.write(body);
+      reply.end();
+      return;
+    }
+    case 'refuse':
+      reply.refuse('no-upstream', RETRY_AFTER_MS);
+      return;
+    case 'fail':
+      reply.refuse('upstream-failed');
+      return;
+    case 'retry':
+      return;
+    default:
+      step satisfies never;
+  }
+}
+
+/** Serves one request of a plain service. */
+export function* runCallRequest(state: GatewayState, request: GatewayRequest): Task {
+  const { route, service, fields } = request;
+  const progress: CallProgress = { tried: new Set(), runs: 0 };
+  for (;;) {
+    const server = chooseCallServer(state, request, progress);
+    if (server === undefined) {
+      if (progress.runs === 0) request.reply.refuse('no-upstream', RETRY_AFTER_MS);
+      else request.reply.refuse('upstream-failed');
+      return;
+    }
+    progress.tried.add(server.upstreamId);
+    const { result, answer } = yield* sendCall(state, request, server, progress);
+    if (result.kind === 'caller-gone' || result.kind === 'timed-out') {
+      endRequest(request, result, progress.runs + 1);
+      return;
+    }
+    const outcome: SendOutcome =
+      result.kind === 'slow' ? { kind: 'unknown', reason: 'slow' } : result.outcome;
+    if (outcome.kind !== 'not-run') progress.runs += 1;
+    const hasTime = request.deadlineAt - getSteadyMs() > LEAST_LEFT_MS;
+    const history = {
+      kind: route.kind,
+      isResumable: route.isResumable,
+      runs: progress.runs,
+      maxAttempts: route.maxAttempts,
+      mayRetry: true,
+    };
+    let step = chooseNextStep(outcome, history);
+    const mayRetry = step.kind !== 'retry' || (hasTime && takeRetryOf(state, service));
+    if (!mayRetry) step = chooseNextStep(outcome, { ...history, mayRetry: false });
+    const { requestId } = fields;
+    const { upstreamId } = server;
+    const { runs } = progress;
+    state.logger.info(
+      { requestId, upstreamId, outcome, runs, step: step.kind, version: request.configurationVersion },
+      'calls: outcome',
+    );
+    if (step.kind === 'retry') continue;
+    answerCall(state, request, step, answer);
+    return;
+  }
+}
--- /dev/null
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -0,0 +1,182 @@
+/** Takes requests of callers: reads the body, finds the route and starts the request's task. */
+
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import {
+  chooseService,
+  countRequest,
+  findRoute,
+  measureCallerAge,
+  type Route,
+} from '@tarragonspool/core';
+import type { ServiceName } from '@tarragonspool/protocol';
+import { makeChannel, offer, startTask, type Task } from '../tasks/tasks.js';
+import { getSteadyMs } from '../time/steady-clock.js';
+import { runCallRequest } from './call-flow.js';
+import { makeCallerReply, type CallerReply } from './caller-reply.js';
+import { REQUEST_INBOX_CAPACITY, type GatewayRequest } from './gateway-request.js';
+import { findRetryWindow, getRetryLimits, type GatewayState } from './gateway-state.js';
+import { runStreamRequest } from './stream-flow.js';
+
+const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+/** Idle connections are kept a little longer than callers reuse them. */
+const IDLE_SLACK_MS = 1_000;
+const MAX_HEADER_BYTES = 65_536;
+const DEFAULT_BODY_BYTES = 4_194_304;
+const NOT_READY_RETRY_MS = 500;
+const LEAVING_RETRY_MS = 200;
+const NO_DEADLINE_MS = 60_000;
+/** The answer at the route's timeout is sent this much before it. */
+const TIMEOUT_MARGIN_MS = 15;
+
+type Arrival = {
+  readonly incoming: IncomingMessage;
+  readonly reply: CallerReply;
+  readonly arrivedAt: number;
+};
+
+function findService(state: GatewayState, route: Route): ServiceName | undefined {
+  return chooseService(route, state.takeFraction());
+}
+
+function buildRequest(
+  state: GatewayState,
+  { incoming, reply, arrivedAt }: Arrival,
+  route: Route,
+  service: ServiceName,
+  body: Buffer,
+): GatewayRequest {
+  const fields = state.ports.dialect.decodeCallerFields(incoming.headers);
+  const ageMs = measureCallerAge(state.longestWaits, route.name, fields.leftMs);
+  const leftMs = Math.min(fields.leftMs ?? NO_DEADLINE_MS, route.timeoutMs);
+  return {
+    fields,
+    route,
+    service,
+    configurationVersion: state.configuration?.version ?? 0,
+    method: incoming.method ?? 'GET',
+    path: incoming.url ?? '/',
+    rawHeaders: incoming.rawHeaders,
+    body,
+    arrivedAt,
+    deadlineAt: arrivedAt + Math.max(1, leftMs - TIMEOUT_MARGIN_MS),
+    aimAt: arrivedAt + route.targetLatencyMs - ageMs,
+    reply,
+    inbox: makeChannel(REQUEST_INBOX_CAPACITY),
+  };
+}
+
+function isEngineRoute(state: GatewayState, request: GatewayRequest): boolean {
+  const hasEngines = state.configuration?.services.get(request.service)?.engine !== undefined;
+  return hasEngines && request.route.kind === 'stream' && request.fields.promptTokens !== undefined;
+}
+
+function runRequest(state: GatewayState, request: GatewayRequest): Task {
+  return isEngineRoute(state, request)
+    ? runStreamRequest(state, request)
+    : runCallRequest(state, request);
+}
+
+function recordAnswer(state: GatewayState, request: GatewayRequest, response: ServerResponse): void {
+  const tookMs = getSteadyMs() - request.arrivedAt;
+  const { kind, name } = request.route;
+  const isWhole = response.writableFinished;
+  const outcome = isWhole ? String(response.statusCode) : 'cut';
+  const { requestId } = request.fields;
+  state.logger.info({ requestId, route: name, outcome, tookMs }, 'requests: ended');
+  state.metrics.answers.inc({ kind, outcome });
+  state.metrics.answerSeconds.observe({ kind }, tookMs / 1_000);
+}
+
+function startRequest(state: GatewayState, request: GatewayRequest, response: ServerResponse): void {
+  const { inbox, reply } = request;
+  const timer = setTimeout(
+    () => offer(inbox, { kind: 'timed-out' }),
+    Math.max(0, request.deadlineAt - getSteadyMs()),
+  );
+  state.openRequests += 1;
+  response.on('close', () => {
+    clearTimeout(timer);
+    state.openRequests -= 1;
+    recordAnswer(state, request, response);
+    if (!response.writableFinished) offer(inbox, { kind: 'caller-gone' });
+  });
+  const window = findRetryWindow(state, request.service);
+  countRequest(window, getRetryLimits(state), getSteadyMs());
+  startTask('request', () => runRequest(state, request), (_name, error) => {
+    if (error === undefined) return;
+    const { requestId } = request.fields;
+    state.logger.error({ requestId, err: error }, 'requests: task failed');
+    if (reply.getState() === 'begun') reply.breakOff();
+    else reply.refuse('outcome-unknown');
+  });
+}
+
+function routeRequest(
+  state: GatewayState,
+  arrival: Arrival,
+  body: Buffer,
+  response: ServerResponse,
+): void {
+  const { incoming, reply } = arrival;
+  if (state.configuration === undefined || !state.hasUpstreams) {
+    reply.refuse('not-ready', NOT_READY_RETRY_MS);
+    return;
+  }
+  const { host = '' } = incoming.headers;
+  const [path = ''] = (incoming.url ?? '').split('?');
+  const route = findRoute(state.routes, host, path);
+  const service = route && findService(state, route);
+  if (route === undefined || service === undefined) {
+    const requestId = incoming.headers['request-id'];
+    const { version } = state.configuration;
+    state.logger.info({ requestId, host, path, version }, 'requests: no route');
+    reply.refuse('unknown-path');
+    return;
+  }
+  if (route.kind === 'stream' && getSteadyMs() > state.refuseStreamsAt) {
+    reply.refuse('not-ready', LEAVING_RETRY_MS);
+    return;
+  }
+  startRequest(state, buildRequest(state, arrival, route, service, body), response);
+}
+
+function readBody(
+  state: GatewayState,
+  arrival: Arrival,
+  onBody: (body: Buffer) => void,
+): void {
+  const { incoming, reply } = arrival;
+  const limit = state.configuration?.limits.maxBodyBytes ?? DEFAULT_BODY_BYTES;
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  incoming.on('data', (part: Buffer) => {
+    bytes += part.length;
+    if (bytes <= limit) parts.push(part);
+    else if (reply.getState() === 'open') reply.refuse('body-too-large');
+  });
+  incoming.on('end', () => {
+    if (reply.getState() === 'open') onBody(Buffer.concat(parts));
+  });
+  incoming.on('error', (error) => state.logger.debug({ err: error }, 'requests: body not read'));
+}
+
+/** Makes the listener for callers; the caller of this function starts to listen. */
+export function makeCallerListener(state: GatewayState): Server {
+  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, (incoming, response) => {
+    const reply = makeCallerReply(response, () => state.isLeaving);
+    const arrival = { incoming, reply, arrivedAt: getSteadyMs() };
+    response.on('error', (error) => state.logger.debug({ err: error }, 'requests: answer not sent'));
+    readBody(state, arrival, (body) => routeRequest(state, arrival, body, response));
+  });
+  server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + IDLE_SLACK_MS;
+  server.requestTimeout = 0;
+  return server;
+}
+
+/** Takes the limits of the configuration for callers' connections. */
+export function applyCallerLimits(server: Server, state: GatewayState): void {
+  const limits = state.configuration?.limits;
+  if (limits === undefined) return;
+  server.headersTimeout = limits.headerTimeoutMs;
+  server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_SLACK_MS;
+}
--- /dev/null
+++ b/packages/router/src/gateway/caller-reply.ts
@@ -0,0 +1,68 @@
+/** The answer to one caller: begun once, ended once, never complete unless it is whole. */
+
+import type { ServerResponse } from 'node:http';
+import { getResultCode, type ResultName } from '@tarragonspool/protocol';
+
+/** How an answer was left. */
+export type ReplyState = 'open' | 'begun' | 'ended';
+
+/** Writes one answer. */
+export type CallerReply = {
+  readonly getState: () => ReplyState;
+  /** Answers with a result of the gateway's own. */
+  readonly refuse: (name: ResultName, retryAfterMs?: number) => void;
+  /** Sends the head of a server's answer. */
+  readonly begin: (status: number, rawHeaders: readonly string[]) => void;
+  /** False if the caller reads more slowly than the server writes. */
+  readonly write: (chunk: Buffer) => boolean;
+  readonly end: () => void;
+  /** Closes the connection so that the answer does not look complete. */
+  readonly breakOff: () => void;
+  readonly onDrain: (resume: () => void) => void;
+};
+
+const MS_PER_S = 1_000;
+
+/** Makes the answer writer; `isLeaving` closes the connection after the answer. */
+export function makeCallerReply(response: ServerResponse, isLeaving: () => boolean): CallerReply {
+  let state: ReplyState = 'open';
+
+  function refuse(name: ResultName, retryAfterMs?: number): void {
+    if (state !== 'open') return;
+    state = 'ended';
+    const { code, status, title } = getResultCode(name);
+    const body = JSON.stringify({ code, name, title });
+    response.setHeader('Content-Type', 'application/json');
+    response.setHeader('Content-Length', Buffer.byteLength(body));
+    if (retryAfterMs !== undefined) {
+      response.setHeader('Retry-After', (retryAfterMs / MS_PER_S).toFixed(2));
+    }
+    if (isLeaving()) response.setHeader('Connection', 'close');
+    response.writeHead(status);
+    response.end(body);
+  }
+
+  return {
+    getState: () => state,
+    refuse,
+    begin: (status, rawHeaders) => {
+      if (state !== 'open') return;
+      state = 'begun';
+      const headers = isLeaving() ? [...rawHeaders, 'Connection', 'close'] : [...rawHeaders];
+      response.writeHead(status, headers);
+      response.flushHeaders();
+    },
+    write: (chunk) => (state === 'begun' ? response.write(chunk) : true),
+    end: () => {
+      if (state !== 'begun') return;
+      state = 'ended';
+      response.end();
+    },
+    breakOff: () => {
+      if (state === 'ended') return;
+      state = 'ended';
+      response.destroy();
+    },
+    onDrain: (resume) => response.once('drain', resume),
+  };
+}
--- /dev/null
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -0,0 +1,49 @@
+/** Metrics of the gateway, named by Prometheus conventions. */
+
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const LATENCY_BUCKETS_S = [0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.9, 1.5, 3, 6, 14];
+const PREFIX = 'tarragonspool_gateway_';
+
+/** Every metric of the gateway. */
+export type GatewayMetrics = ReturnType<typeof makeGatewayMetrics>;
+
+/** Makes the metrics in a registry of their own. */
+export function makeGatewayMetrics() {
+  const registry = new Registry();
+  const registers = [registry];
+  return {
+    registry,
+    answers: new Counter({
+      name: `${PREFIX}answers_total`,
+      help: 'Answers by kind of route and outcome.',
+      labelNames: ['kind', 'outcome'],
+      registers,
+    }),
+    sends: new Counter({
+      name: `${PREFIX}sends_total`,
+      help: 'Requests sent to servers by step and outcome.',
+      labelNames: ['step', 'outcome'],
+      registers,
+    }),
+    answerSeconds: new Histogram({
+      name: `${PREFIX}answer_seconds`,
+      help: 'Time from arrival to the end of the answer.',
+      labelNames: ['kind'],
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    }),
+    firstEventSeconds: new Histogram({
+      name: `${PREFIX}first_event_seconds`,
+      help: 'Time from arrival to the first event of a stream.',
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    }),
+    storeAway: new Gauge({
+      name: `${PREFIX}store_away`,
+      help: 'Tables that cannot be followed at the moment.',
+      registers,
+    }),
+    peers: new Gauge({ name: `${PREFIX}peers`, help: 'Open links to peers.', registers }),
+  };
+}
--- /dev/null
+++ b/packages/router/src/gateway/gateway.ts
@@ -0,0 +1,258 @@
+/** Puts the gateway's parts together and starts and stops them. */
+
+import { createServer, type Server } from 'node:http';
+import { destination, pino } from 'pino';
+import {
+  applyUpstreamChanges,
+  expireLapsed,
+  replaceUpstreams,
+  startLapseWindow,
+  type PoolEngine,
+  type UpstreamChange,
+} from '@tarragonspool/core';
+import type { PoolMessage, ServiceName, UpstreamId, VmId } from '@tarragonspool/protocol';
+import { runTableFeed, type FeedOptions } from '../feeds/table-feed.js';
+import type { Logger } from '../logging/logger.js';
+import type { PeerMesh } from '../peers/peer-mesh.js';
+import { makePoolTask } from '../pools/pool-task.js';
+import { offer, startTask, type Task } from '../tasks/tasks.js';
+import { getSteadyMs } from '../time/steady-clock.js';
+import { applyCallerLimits, makeCallerListener } from './caller-listener.js';
+import { makeGatewayMetrics } from './gateway-metrics.js';
+import { applyConfiguration, makeGatewayState, type GatewayState } from './gateway-state.js';
+import { startPeerLinks } from './peer-links.js';
+import type { GatewayPorts, GatewaySettings, ListenAddress, RowChange } from './ports.js';
+import { decodeMembers, MEMBERS_TABLE, runRegistration } from './registry.js';
+import { startStop } from './stop.js';
+
+const EXIT_INTERNAL = 70;
+const POOL_TICK_MS = 25;
+const LAPSE_CHECK_MS = 100;
+const FEED_HOLD_MS = 1_500;
+const FEED_PAUSE_MS = 120;
+const MEMBERS_HOLD_MS = 5_000;
+const MEMBERS_PAUSE_MS = 500;
+const MAX_LOG_BUFFER_BYTES = 1_048_576;
+
+function makeGatewayLogger({ vmId }: GatewaySettings): Logger {
+  // Lines are dropped rather than kept without bound when nobody reads them.
+  const stream = destination({ dest: 1, sync: false, maxLength: MAX_LOG_BUFFER_BYTES });
+  return pino({ level: 'info', base: { vmId } }, stream);
+}
+
+function listen(server: Server, { port, host }: ListenAddress): void {
+  server.listen(port, host);
+}
+
+function applyConfigurationRow(state: GatewayState, server: Server, row: RowChange): void {
+  const { configuration } = state.ports;
+  if (row.key !== configuration.key || row.value === undefined) return;
+  const next = configuration.decode(row.value);
+  if (next === undefined) {
+    state.logger.error({ version: row.version }, 'configuration: cannot be read, kept the last one');
+    return;
+  }
+  if (!applyConfiguration(state, next)) return;
+  applyCallerLimits(server, state);
+  state.logger.info({ version: next.version, routes: next.routes.length }, 'configuration: in force');
+}
+
+function decodeUpstreamRow(state: GatewayState, row: RowChange): UpstreamChange {
+  const upstreamId = row.key as UpstreamId;
+  const { value } = row;
+  const record = value && state.ports.upstreams.decode(row.key, value);
+  if (value !== undefined && record === undefined) {
+    state.logger.warn({ upstreamId }, 'upstreams: entry cannot be read');
+  }
+  return { upstreamId, record, isRemoved: value === undefined };
+}
+
+function listPoolEngines(state: GatewayState): ReadonlyMap<ServiceName, PoolEngine[]> {
+  const pools = new Map<ServiceName, PoolEngine[]>();
+  for (const service of state.configuration?.services.values() ?? []) {
+    if (service.engine !== undefined) pools.set(service.name, []);
+  }
+  for (const record of state.upstreams.records.values()) {
+    const engines = pools.get(record.service);
+    const limits = state.configuration?.services.get(record.service)?.engine;
+    if (engines === undefined || limits === undefined || record.stage === undefined) continue;
+    const { upstreamId, stage, incarnation, isLeaving, slots } = record;
+    const { kvCapacityTokens } = limits;
+    engines.push({ upstreamId, stage, incarnation, isLeaving, slots, kvCapacityTokens });
+  }
+  return pools;
+}
+
+function publishEngines(state: GatewayState): void {
+  for (const [service, engines] of listPoolEngines(state)) {
+    offer(state.pools.inbox, { kind: 'engines', service, engines });
+  }
+}
+
+function logUpstreams(state: GatewayState, changes: readonly UpstreamChange[]): void {
+  for (const { upstreamId, record, isRemoved } of changes) {
+    const before = state.upstreams.records.get(upstreamId);
+    const isChanged =
+      before?.isLeaving !== record?.isLeaving ||
+      before?.stage !== record?.stage ||
+      before?.incarnation !== record?.incarnation;
+    if (isChanged) state.logger.info({ upstreamId, record, isRemoved }, 'upstreams: entry changed');
+  }
+}
+
+function startUpstreamFeed(state: GatewayState, base: FeedBase): void {
+  const { table } = state.ports.upstreams;
+  const apply = (rows: readonly RowChange[], isFull: boolean): void => {
+    const changes = rows.map((row) => decodeUpstreamRow(state, row));
+    logUpstreams(state, changes);
+    const now = getSteadyMs();
+    if (isFull) replaceUpstreams(state.upstreams, changes, now);
+    else applyUpstreamChanges(state.upstreams, changes, now);
+    state.hasUpstreams = true;
+    publishEngines(state);
+  };
+  const handler = {
+    onReplaced: (rows: readonly RowChange[]) => apply(rows, true),
+    onChanged: (rows: readonly RowChange[]) => apply(rows, false),
+    onAway: () => state.metrics.storeAway.inc(),
+    onBack: () => {
+      state.metrics.storeAway.dec();
+      startLapseWindow(state.upstreams, getSteadyMs());
+    },
+  };
+  base.start('upstream feed', () =>
+    runTableFeed(state.ports.store, { ...base.options, table }, handler, state.logger),
+  );
+  setInterval(() => {
+    const gone = expireLapsed(state.upstreams, getSteadyMs());
+    if (gone.length === 0) return;
+    state.logger.info({ gone }, 'upstreams: entries did not come back');
+    publishEngines(state);
+  }, LAPSE_CHECK_MS);
+}
+
+function startConfigurationFeed(state: GatewayState, server: Server, base: FeedBase): void {
+  const { table } = state.ports.configuration;
+  const apply = (rows: readonly RowChange[]): void => {
+    for (const row of rows) applyConfigurationRow(state, server, row);
+    publishEngines(state);
+  };
+  const handler = {
+    onReplaced: apply,
+    onChanged: apply,
+    onAway: () => state.metrics.storeAway.inc(),
+    onBack: () => state.metrics.storeAway.dec(),
+  };
+  base.start('configuration feed', () =>
+    runTableFeed(state.ports.store, { ...base.options, table }, handler, state.logger),
+  );
+}
+
+type StartTask = (name: string, body: () => Task) => void;
+type FeedBase = { readonly start: StartTask; readonly options: Omit<FeedOptions, 'table'> };
+
+function startMembership(state: GatewayState, base: FeedBase, links: PeerSender): void {
+  const { settings, logger, metrics, pools } = state;
+  const { host, port } = settings.peerListen;
+  const self = { vmId: settings.vmId, peerAddress: `${host}:${port}` };
+  const members: { entryVms: ReturnType<typeof decodeMembers> } = { entryVms: [] };
+  const rowsByKey = new Map<string, RowChange>();
+  const apply = (rows: readonly RowChange[]): void => {
+    for (const row of rows) rowsByKey.set(row.key, row);
+    members.entryVms = decodeMembers([...rowsByKey.values()]);
+  };
+  base.start('membership', function* run() {
+    const { store } = state.ports;
+    const registration = yield* runRegistration(store, self, state.takeFraction, logger);
+    links.mesh = startPeerLinks({ settings, registration, members, pools, metrics, logger });
+    const options = {
+      ...base.options,
+      table: MEMBERS_TABLE,
+      holdMs: MEMBERS_HOLD_MS,
+      pauseMs: MEMBERS_PAUSE_MS,
+    };
+    const handler = {
+      onReplaced: (rows: readonly RowChange[]) => {
+        rowsByKey.clear();
+        apply(rows);
+      },
+      onChanged: apply,
+      onAway: () => undefined,
+      onBack: () => undefined,
+    };
+    yield* runTableFeed(store, options, handler, logger);
+  });
+}
+
+type PeerSender = { mesh: PeerMesh | undefined };
+
+function startReadyListener(state: GatewayState): Server {
+  const { readyListen } = state.settings;
+  const server = createServer((_incoming, response) => {
+    const isReady = state.configuration !== undefined && state.hasUpstreams && !state.isLeaving;
+    response.writeHead(isReady ? 200 : 503, { 'Content-Length': 0 });
+    response.end();
+  });
+  listen(server, readyListen);
+  return server;
+}
+
+function startMetricsListener(state: GatewayState): void {
+  const { registry } = state.metrics;
+  const server = createServer((_incoming, response) => {
+    registry.metrics().then(
+      (text) => {
+        response.writeHead(200, { 'Content-Type': registry.contentType });
+        response.end(text);
+      },
+      (error: unknown) => {
+        state.logger.error({ err: error }, 'metrics: cannot be read');
+        response.writeHead(500);
+        response.end();
+      },
+    );
+  });
+  listen(server, state.settings.metricsListen);
+}
+
+function handleFatal(logger: Logger, error: unknown): void {
+  logger.fatal({ err: error }, 'gateway: unexpected error');
+  process.stderr.write(`9001 ${String(error)}\n`);
+  setTimeout(() => process.exit(EXIT_INTERNAL), POOL_TICK_MS);
+}
+
+/** Starts the gateway on a platform. */
+export function startGateway(settings: GatewaySettings, ports: GatewayPorts): void {
+  const logger = makeGatewayLogger(settings);
+  process.on('uncaughtException', (error) => handleFatal(logger, error));
+  const links: PeerSender = { mesh: undefined };
+  const takeFraction = Math.random;
+  const sendTo = (vmId: VmId, message: PoolMessage): void => {
+    links.mesh?.sendTo(vmId, message);
+  };
+  const pools = makePoolTask({ self: settings.vmId, takeFraction, sendTo, logger });
+  const metrics = makeGatewayMetrics();
+  const startName = `${settings.vmId}-${process.hrtime.bigint().toString(36)}`;
+  const parts = { settings, ports, logger, metrics, pools, takeFraction, startName };
+  const state = makeGatewayState(parts);
+  const start: StartTask = (name, body) =>
+    startTask(name, body, (ended, error) => {
+      if (error !== undefined) handleFatal(logger, error);
+      else logger.info({ name: ended }, 'gateway: task ended');
+    });
+  start('pools', pools.run);
+  setInterval(() => offer(pools.inbox, { kind: 'ticked' }), POOL_TICK_MS);
+  const server = makeCallerListener(state);
+  const base: FeedBase = {
+    start,
+    options: { holdMs: FEED_HOLD_MS, pauseMs: FEED_PAUSE_MS, takeFraction, isStopped: () => false },
+  };
+  startConfigurationFeed(state, server, base);
+  startUpstreamFeed(state, base);
+  startMembership(state, base, links);
+  listen(server, settings.callerListen);
+  startReadyListener(state);
+  startMetricsListener(state);
+  logger.info({ settings }, 'gateway: started');
+  process.on('SIGTERM', () => startStop(state, server, () => process.exit(0)));
+}
--- /dev/null
+++ b/packages/router/src/gateway/sender.ts
@@ -0,0 +1,174 @@
+/** Sends one request to one server and tells how it ended. */
+
+import type { SendOutcome, UpstreamRecord } from '@tarragonspool/core';
+import { receive, offer, type Task } from '../tasks/tasks.js';
+import { getSteadyMs } from '../time/steady-clock.js';
+import type { UpstreamExchange } from '../upstreams/upstream-client.js';
+import type { GatewayRequest, RequestMessage } from './gateway-request.js';
+import type { GatewayState } from './gateway-state.js';
+import type { PlacementFields, UpstreamHead } from './ports.js';
+
+/** Why a request's task stops waiting. */
+export type EndOfRequest = { readonly kind: 'caller-gone' } | { readonly kind: 'timed-out' };
+
+/** Head of an answer with its raw headers. */
+export type AnswerHead = UpstreamHead & { readonly rawHeaders: readonly string[] };
+
+/** How a send ended, or why it was dropped. */
+export type SendResult =
+  | { readonly kind: 'outcome'; readonly outcome: SendOutcome; readonly head?: AnswerHead }
+  /** The answer did not come within the time of this send. */
+  | { readonly kind: 'slow' }
+  | EndOfRequest;
+
+/** One send. */
+export type SendPlan = {
+  readonly server: UpstreamRecord;
+  readonly placement: Omit<PlacementFields, 'upstreamId' | 'leftMs'>;
+  /** When the send is given up unless a head has come. */
+  readonly headDueAt: number;
+  /** When a stream without a byte is given up; undefined to wait for the deadline. */
+  readonly silenceMs?: number;
+  /** Called for a usable head; false drops the answer. */
+  readonly onHead: (head: AnswerHead) => void;
+  readonly onData: (chunk: Buffer, exchange: UpstreamExchange) => void;
+};
+
+let sendCount = 0;
+
+function countSend(): number {
+  sendCount += 1;
+  return sendCount;
+}
+
+/** Finds why an answer cannot be used; undefined if it can. */
+function findHeadFault(head: AnswerHead, request: GatewayRequest): string | undefined {
+  if (head.requestId !== undefined && head.requestId !== request.fields.requestId) {
+    return 'answer to another request';
+  }
+  if (head.isEncoded) return 'encoded body';
+  return undefined;
+}
+
+/** A send under way, as its task sees it. */
+type ActiveSend = {
+  readonly number: number;
+  readonly exchange: UpstreamExchange;
+  head: AnswerHead | undefined;
+  lastByteAt: number;
+};
+
+function startSend(state: GatewayState, request: GatewayRequest, plan: SendPlan): ActiveSend {
+  const { dialect } = state.ports;
+  const number = countSend();
+  const now = getSteadyMs();
+  const leftMs = Math.max(1, Math.floor(request.deadlineAt - now));
+  const { upstreamId, address } = plan.server;
+  const placement = { ...plan.placement, upstreamId, leftMs };
+  const { body, method, path } = request;
+  const headers = dialect.makeForwardHeaders(request.rawHeaders, body.length, placement);
+  const active: { send: ActiveSend | undefined } = { send: undefined };
+  const exchange = state.client.send({ address, method, path, headers, body }, (event) => {
+    const { send } = active;
+    if (event.kind === 'data') {
+      if (send?.head === undefined) return;
+      send.lastByteAt = getSteadyMs();
+      plan.onData(event.chunk, send.exchange);
+      return;
+    }
+    if (event.kind === 'head' && send !== undefined) {
+      const head = dialect.decodeUpstreamHead(event.status, event.headers);
+      const answerHead = { ...head, rawHeaders: event.rawHeaders };
+      send.lastByteAt = getSteadyMs();
+      // Set before any data comes, so that no byte of an unusable answer is passed on.
+      if (findHeadFault(answerHead, request) === undefined) {
+        send.head = answerHead;
+        plan.onHead(answerHead);
+      }
+    }
+    offer(request.inbox, { kind: 'upstream', send: number, event });
+  });
+  active.send = { number, exchange, head: undefined, lastByteAt: now };
+  return active.send;
+}
+
+function judgeEnd(send: ActiveSend): SendOutcome {
+  const { head } = send;
+  if (head === undefined) return { kind: 'unknown', reason: 'no usable answer' };
+  if (head.isNotRun) return { kind: 'not-run', reason: `status ${head.status}` };
+  return { kind: 'answered', status: head.status, isSigned: head.isSigned };
+}
+
+function judgeMessage(
+  send: ActiveSend,
+  request: GatewayRequest,
+  message: RequestMessage,
+): SendResult | undefined {
+  switch (message.kind) {
+    case 'caller-gone':
+    case 'timed-out':
+      return message;
+    case 'alarm':
+      return message.alarm === send.number ? { kind: 'slow' } : undefined;
+    case 'place':
+      return undefined;
+    case 'upstream': {
+      if (message.send !== send.number) return undefined;
+      const { event } = message;
+      if (event.kind === 'head') {
+        if (send.head !== undefined) return undefined;
+        return { kind: 'outcome', outcome: { kind: 'unknown', reason: 'unusable answer' } };
+      }
+      if (event.kind === 'ended') {
+        const outcome = judgeEnd(send);
+        return send.head === undefined
+          ? { kind: 'outcome', outcome }
+          : { kind: 'outcome', outcome, head: send.head };
+      }
+      const { isSent, reason } = event;
+      return { kind: 'outcome', outcome: { kind: isSent ? 'unknown' : 'not-run', reason } };
+    }
+    default:
+      return message satisfies never;
+  }
+}
+
+/** Watches a send for silence: before its head, and between its bytes. */
+function startWatch(send: ActiveSend, request: GatewayRequest, plan: SendPlan): () => void {
+  let timer: NodeJS.Timeout | undefined;
+  const raise = (): void => {
+    offer(request.inbox, { kind: 'alarm', alarm: send.number });
+  };
+  const check = (): void => {
+    const now = getSteadyMs();
+    const dueAt =
+      send.head === undefined ? plan.headDueAt : send.lastByteAt + (plan.silenceMs ?? Infinity);
+    if (dueAt <= now) raise();
+    else if (Number.isFinite(dueAt)) timer = setTimeout(check, dueAt - now);
+  };
+  check();
+  return () => clearTimeout(timer);
+}
+
+/** Sends a request and waits for its end. Whatever way it ends, nothing of it goes on. */
+export function* sendOnce(
+  state: GatewayState,
+  request: GatewayRequest,
+  plan: SendPlan,
+): Task<SendResult> {
+  const send = startSend(state, request, plan);
+  const stopWatch = startWatch(send, request, plan);
+  try {
+    for (;;) {
+      const message = yield* receive(request.inbox);
+      if (message === undefined) return { kind: 'caller-gone' };
+      const result = judgeMessage(send, request, message);
+      if (result === undefined) continue;
+      const isWhole = result.kind === 'outcome' && result.head !== undefined;
+      if (!isWhole) send.exchange.cancel();
+      return result;
+    }
+  } finally {
+    stopWatch();
+  }
+}
--- a/packages/router/src/peers/peer-link.ts
+++ b/packages/router/src/peers/peer-link.ts
@@ -14,6 +14,7 @@
   type ResultName,
   type VmId,
 } from '@tarragonspool/protocol';
+import { getSteadyMs } from '../time/steady-clock.js';
 import { isProofValid, makeProof, type ProofSide } from './peer-proof.js';
 
 /** Who a VM says it is. */
@@ -26,7 +27,7 @@
 /** A link whose peer has proved that it knows the secret. */
 export type PeerLink = {
   readonly peer: PeerIdentity;
-  /** When the peer was last heard, in milliseconds since the epoch. */
+  /** When the peer was last heard, on the steady clock, in milliseconds. */
   readonly getHeardAt: () => number;
   readonly send: (message: PeerMessage) => void;
   readonly close: () => void;
@@ -72,7 +73,7 @@
   let peer: PeerIdentity | undefined;
   let peerNonce = '';
   let link: PeerLink | undefined;
-  let heardAt = Date.now();
+  let heardAt = getSteadyMs();
   let closedFor: ResultName | undefined;
 
   const send = (message: PeerMessage): void => {
@@ -150,7 +151,7 @@
 
   socket.on('message', (data: RawData, isBinary: boolean) => {
     if (closedFor !== undefined) return;
-    heardAt = Date.now();
+    heardAt = getSteadyMs();
     const message = isBinary ? decodePeerMessage(data as Buffer) : undefined;
     if (message === undefined) closeFor('frame-malformed');
     else handleMessage(message);
--- a/packages/router/src/peers/peer-mesh.ts
+++ b/packages/router/src/peers/peer-mesh.ts
@@ -10,8 +10,7 @@
   type VmId,
 } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
-import type { Metrics } from '../metrics/metrics.js';
-import type { Directory } from '../upstreams/directory.js';
+import { getSteadyMs } from '../time/steady-clock.js';
 import { makeDialSchedule } from './dial-schedule.js';
 import { startPeerLink, type PeerIdentity, type PeerLink } from './peer-link.js';
 
@@ -33,13 +32,16 @@
   readonly silenceMs: number;
 };
 
+/** A peer and where it listens. */
+export type DialledVm = { readonly vmId: VmId; readonly peerAddress: string };
+
 /** What the mesh works with. */
 export type PeerMeshParts = {
   readonly self: PeerIdentity;
   readonly listen: { readonly host: string; readonly port: number };
   readonly secrets: readonly string[];
-  readonly directory: Pick<Directory, 'entryVms'>;
-  readonly metrics: Metrics;
+  readonly directory: { readonly entryVms: readonly DialledVm[] };
+  readonly metrics: { readonly peers: { readonly set: (count: number) => void } };
   readonly logger: Logger;
   readonly times?: Partial<PeerTimes>;
   readonly onOpen: (link: PeerLink) => void;
@@ -86,7 +88,7 @@
 
 /** Cuts links whose peers are silent: their connection may be open on this side only. */
 function makeSilenceCheck(links: ReadonlyMap<VmId, PeerLink>, times: PeerTimes) {
-  let checkedAt = Date.now();
+  let checkedAt = getSteadyMs();
   return (now: number): void => {
     // After a pause of this process, what peers sent meanwhile is still unread.
     const wasPaused = now - checkedAt > times.silenceMs / 2;
@@ -139,7 +141,7 @@
     dialling.add(vmId);
     const fail = (): void => {
       dialling.delete(vmId);
-      schedule.addFailure(vmId, Date.now());
+      schedule.addFailure(vmId, getSteadyMs());
     };
     const socket = new WebSocket(`ws://${address}/peer`, {
       maxPayload: MAX_PEER_FRAME_BYTES,
@@ -170,7 +172,7 @@
     else runLink(socket, () => undefined);
   });
   const timer = setInterval(() => {
-    const now = Date.now();
+    const now = getSteadyMs();
     checkSilence(now);
     dialMissing(now);
   }, times.dialIntervalMs);
--- /dev/null
+++ b/packages/router/src/pools/place-asker.ts
@@ -0,0 +1,208 @@
+/** Asker's side: sends asks to the owner of the service, and again to the next one if it is silent. */
+
+import type { AskId, PlaceAsk, PlaceRun } from '@tarragonspool/core';
+import type { PoolMessage, PoolRunItem, ServiceName, VmId } from '@tarragonspool/protocol';
+import type { Logger } from '../logging/logger.js';
+import type { Owners } from './owners.js';
+import type { OnPlaceReply, PlaceRequestMessage } from './place-messages.js';
+
+type PendingAsk = {
+  readonly service: ServiceName;
+  readonly ask: PlaceAsk;
+  readonly onReply: OnPlaceReply;
+  owner: VmId;
+  sentAt: number;
+  isHeard: boolean;
+};
+
+type AskedRun = { readonly service: ServiceName; readonly run: PlaceRun; owner: VmId };
+
+/** Answers of an owner. */
+export type AskerMessage = Extract<
+  PoolMessage,
+  { kind: 'pool-queued' | 'pool-grant' | 'pool-refuse' }
+>;
+
+/** Asker's side of all services. */
+export type PlaceAsker = {
+  readonly handleRequest: (message: PlaceRequestMessage, now: number) => void;
+  readonly handleAnswer: (from: VmId, message: AskerMessage, now: number) => void;
+  /** Finds new owners for what silent ones were asked. */
+  readonly checkOwners: (now: number) => void;
+};
+
+/** What the asker's side works with. */
+export type PlaceAskerParts = {
+  readonly self: VmId;
+  readonly owners: Owners;
+  readonly tell: (to: VmId, message: PoolMessage) => void;
+  readonly logger: Logger;
+};
+
+/** An owner that is alive says within this time that it heard an ask. */
+const HEARD_WITHIN_MS = 120;
+
+function buildRunItem({ run }: AskedRun, now: number): PoolRunItem {
+  return {
+    askId: run.ask.askId,
+    promptTokens: run.ask.promptTokens,
+    outputTokens: run.ask.outputTokens,
+    decode: run.decode,
+    prefill: run.prefill,
+    grantedAgoMs: now - run.grantedAt,
+    endsInMs: run.expectedEndAt - now,
+  };
+}
+
+/** Makes the asker's side. */
+export function makePlaceAsker(parts: PlaceAskerParts): PlaceAsker {
+  const { owners, tell, logger } = parts;
+  const pending = new Map<AskId, PendingAsk>();
+  const runs = new Map<AskId, AskedRun>();
+  const ownerOf = new Map<ServiceName, VmId>();
+
+  function announceRuns(service: ServiceName, owner: VmId, now: number): void {
+    const items: PoolRunItem[] = [];
+    for (const asked of runs.values()) {
+      if (asked.service !== service) continue;
+      asked.owner = owner;
+      items.push(buildRunItem(asked, now));
+    }
+    if (items.length > 0) tell(owner, { kind: 'pool-runs', service, runs: items });
+  }
+
+  function chooseOwner(service: ServiceName, now: number): VmId {
+    const owner = owners.chooseOwner(service, now);
+    const known = ownerOf.get(service);
+    if (known === owner) return owner;
+    ownerOf.set(service, owner);
+    logger.info({ service, owner, before: known }, 'pools: owner chosen');
+    announceRuns(service, owner, now);
+    return owner;
+  }
+
+  function sendAsk(asked: PendingAsk, now: number): void {
+    const { service, ask } = asked;
+    asked.owner = chooseOwner(service, now);
+    asked.sentAt = now;
+    asked.isHeard = asked.owner === parts.self;
+    const { askId, promptTokens, outputTokens, needsPrefill, excluded } = ask;
+    tell(asked.owner, {
+      kind: 'pool-ask',
+      service,
+      askId,
+      promptTokens,
+      outputTokens,
+      needsPrefill,
+      excluded,
+      aimInMs: ask.aimAt - now,
+      patienceInMs: ask.patienceEndsAt - now,
+    });
+  }
+
+  function withdraw(askId: AskId): void {
+    const asked = pending.get(askId);
+    if (asked !== undefined) {
+      pending.delete(askId);
+      tell(asked.owner, { kind: 'pool-withdraw', service: asked.service, askId });
+      return;
+    }
+    const held = runs.get(askId);
+    if (held === undefined) return;
+    runs.delete(askId);
+    tell(held.owner, { kind: 'pool-end', service: held.service, askId, didFinish: false });
+  }
+
+  function handleGrant(
+    from: VmId,
+    message: Extract<AskerMessage, { kind: 'pool-grant' }>,
+    now: number,
+  ): void {
+    const askId = message.askId as AskId;
+    const asked = pending.get(askId);
+    if (asked === undefined) {
+      // The request is over, or another owner was faster.
+      tell(from, { kind: 'pool-end', service: message.service, askId, didFinish: false });
+      return;
+    }
+    pending.delete(askId);
+    const { service, ask, onReply } = asked;
+    const { prefill, decode, endsInMs } = message;
+    const run = { ask, decode, prefill, grantedAt: now, expectedEndAt: now + endsInMs };
+    runs.set(askId, { service, run, owner: from });
+    onReply({ kind: 'granted', askId, prefill, decode });
+  }
+
+  return {
+    handleRequest: (message, now) => {
+      switch (message.kind) {
+        case 'ask': {
+          const { service, ask, onReply } = message;
+          const asked = { service, ask, onReply, owner: parts.self, sentAt: now, isHeard: false };
+          pending.set(ask.askId, asked);
+          sendAsk(asked, now);
+          return;
+        }
+        case 'withdraw':
+          withdraw(message.askId);
+          return;
+        case 'prefilled': {
+          const held = runs.get(message.askId);
+          if (held === undefined) return;
+          held.run.prefill = undefined;
+          const { askId, tookMs } = message;
+          tell(held.owner, { kind: 'pool-prefilled', service: held.service, askId, tookMs });
+          return;
+        }
+        case 'end': {
+          const held = runs.get(message.askId);
+          if (held === undefined) return;
+          runs.delete(message.askId);
+          const { askId, didFinish } = message;
+          tell(held.owner, { kind: 'pool-end', service: held.service, askId, didFinish });
+          return;
+        }
+        case 'engine-failed': {
+          const { service, upstreamId, failure } = message;
+          const owner = chooseOwner(service, now);
+          tell(owner, { kind: 'pool-engine-failed', service, upstreamId, failure });
+          return;
+        }
+        default:
+          message satisfies never;
+      }
+    },
+    handleAnswer: (from, message, now) => {
+      const asked = pending.get(message.askId as AskId);
+      switch (message.kind) {
+        case 'pool-queued':
+          if (asked !== undefined) asked.isHeard = true;
+          return;
+        case 'pool-grant':
+          handleGrant(from, message, now);
+          return;
+        case 'pool-refuse': {
+          if (asked === undefined || asked.owner !== from) return;
+          const askId = message.askId as AskId;
+          pending.delete(askId);
+          const { reason, retryAfterMs } = message;
+          asked.onReply({ kind: 'refused', askId, reason, retryAfterMs });
+          return;
+        }
+        default:
+          message satisfies never;
+      }
+    },
+    checkOwners: (now) => {
+      for (const asked of pending.values()) {
+        const isUnheard = !asked.isHeard && now - asked.sentAt > HEARD_WITHIN_MS;
+        if (isUnheard) owners.recordSilent(asked.owner);
+        if (!isUnheard && owners.isAlive(asked.owner, now)) continue;
+        const { askId } = asked.ask;
+        logger.warn({ askId, owner: asked.owner }, 'pools: owner is silent, asking the next');
+        sendAsk(asked, now);
+      }
+      for (const service of ownerOf.keys()) chooseOwner(service, now);
+    },
+  };
+}
--- /dev/null
+++ b/packages/router/src/pools/place-messages.ts
@@ -0,0 +1,40 @@
+/** Messages between a request's task and the task that finds it a place. */
+
+import type { AskId, PlaceAsk, RefusalReason } from '@tarragonspool/core';
+import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
+
+/** Answer to an ask. */
+export type PlaceReply =
+  | {
+      readonly kind: 'granted';
+      readonly askId: AskId;
+      readonly prefill: UpstreamId | undefined;
+      readonly decode: UpstreamId;
+    }
+  | {
+      readonly kind: 'refused';
+      readonly askId: AskId;
+      readonly reason: RefusalReason;
+      readonly retryAfterMs: number;
+    };
+
+/** Hears the answer to an ask. */
+export type OnPlaceReply = (reply: PlaceReply) => void;
+
+/** What requests say to the place task. */
+export type PlaceRequestMessage =
+  | {
+      readonly kind: 'ask';
+      readonly service: ServiceName;
+      readonly ask: PlaceAsk;
+      readonly onReply: OnPlaceReply;
+    }
+  | { readonly kind: 'withdraw'; readonly askId: AskId }
+  | { readonly kind: 'prefilled'; readonly askId: AskId; readonly tookMs: number }
+  | { readonly kind: 'end'; readonly askId: AskId; readonly didFinish: boolean }
+  | {
+      readonly kind: 'engine-failed';
+      readonly service: ServiceName;
+      readonly upstreamId: UpstreamId;
+      readonly failure: 'full' | 'broken';
+    };
--- /dev/null
+++ b/packages/router/src/pools/pool-owner.ts
@@ -0,0 +1,175 @@
+/** Owner's side: hands out the places of the services that this VM is asked for. */
+
+import {
+  handlePoolEvent,
+  makePoolState,
+  type AskId,
+  type PlaceAsk,
+  type PlaceRun,
+  type PoolAction,
+  type PoolEngine,
+  type PoolEvent,
+  type PoolState,
+} from '@tarragonspool/core';
+import type { PoolMessage, PoolRunItem, ServiceName, VmId } from '@tarragonspool/protocol';
+import type { Logger } from '../logging/logger.js';
+
+/** Messages that a pool's owner understands. */
+export type OwnerMessage = Exclude<
+  PoolMessage,
+  { kind: 'alive' | 'pool-queued' | 'pool-grant' | 'pool-refuse' }
+>;
+
+/** Owner's side of all services. */
+export type PoolOwner = {
+  readonly handleMessage: (from: VmId, message: OwnerMessage, now: number) => void;
+  readonly updateEngines: (
+    service: ServiceName,
+    engines: readonly PoolEngine[],
+    now: number,
+  ) => void;
+  readonly tick: (now: number) => void;
+  /** Runs that others placed while this VM stood still are not known here. */
+  readonly forgetRunsOfOthers: (now: number) => void;
+  readonly handleRestart: (vmId: VmId, now: number) => void;
+  readonly isOwned: (service: ServiceName) => boolean;
+};
+
+/** What the owner's side works with. */
+export type PoolOwnerParts = {
+  readonly self: VmId;
+  readonly takeFraction: () => number;
+  readonly reply: (to: VmId, message: PoolMessage) => void;
+  readonly logger: Logger;
+};
+
+function readAsk(from: VmId, message: Extract<PoolMessage, { kind: 'pool-ask' }>, now: number): PlaceAsk {
+  return {
+    askId: message.askId as AskId,
+    vmId: from,
+    promptTokens: message.promptTokens,
+    outputTokens: message.outputTokens,
+    aimAt: now + message.aimInMs,
+    patienceEndsAt: now + message.patienceInMs,
+    needsPrefill: message.needsPrefill,
+    excluded: message.excluded,
+  };
+}
+
+function readRun(from: VmId, item: PoolRunItem, now: number): PlaceRun {
+  const ask: PlaceAsk = {
+    askId: item.askId as AskId,
+    vmId: from,
+    promptTokens: item.promptTokens,
+    outputTokens: item.outputTokens,
+    aimAt: now,
+    patienceEndsAt: now,
+    needsPrefill: false,
+    excluded: [],
+  };
+  return {
+    ask,
+    decode: item.decode,
+    prefill: item.prefill,
+    grantedAt: now - item.grantedAgoMs,
+    expectedEndAt: now + item.endsInMs,
+  };
+}
+
+/** Makes the owner's side. */
+export function makePoolOwner(parts: PoolOwnerParts): PoolOwner {
+  const { self, reply, logger } = parts;
+  const pools = new Map<ServiceName, PoolState>();
+
+  function findPool(service: ServiceName): PoolState {
+    const known = pools.get(service);
+    if (known !== undefined) return known;
+    const pool = makePoolState(parts.takeFraction);
+    pools.set(service, pool);
+    return pool;
+  }
+
+  function performAction(service: ServiceName, action: PoolAction, now: number): void {
+    const { ask } = action;
+    const { askId, vmId } = ask;
+    if (action.kind === 'refuse') {
+      const { reason, retryAfterMs } = action;
+      logger.info({ service, askId, vmId, reason, retryAfterMs }, 'pools: place refused');
+      reply(vmId, { kind: 'pool-refuse', askId, reason, retryAfterMs });
+      return;
+    }
+    const { prefill, decode } = action;
+    const run = pools.get(service)?.runs.get(askId);
+    const endsInMs = (run?.expectedEndAt ?? now) - now;
+    const slackMs = ask.aimAt - now;
+    logger.info({ service, askId, vmId, prefill, decode, slackMs, endsInMs }, 'pools: place granted');
+    reply(vmId, { kind: 'pool-grant', service, askId, prefill, decode, endsInMs });
+  }
+
+  function apply(service: ServiceName, event: PoolEvent, now: number): void {
+    for (const action of handlePoolEvent(findPool(service), event, now)) {
+      performAction(service, action, now);
+    }
+  }
+
+  function handleAsk(from: VmId, message: Extract<OwnerMessage, { kind: 'pool-ask' }>, now: number): void {
+    const ask = readAsk(from, message, now);
+    apply(message.service, { kind: 'asked', ask }, now);
+    const isWaiting = findPool(message.service).waiting.has(ask.askId);
+    if (isWaiting && from !== self) reply(from, { kind: 'pool-queued', askId: ask.askId });
+  }
+
+  return {
+    handleMessage: (from, message, now) => {
+      const { service } = message;
+      switch (message.kind) {
+        case 'pool-ask':
+          handleAsk(from, message, now);
+          return;
+        case 'pool-withdraw':
+          apply(service, { kind: 'withdrawn', askId: message.askId as AskId }, now);
+          return;
+        case 'pool-prefilled': {
+          const { tookMs } = message;
+          apply(service, { kind: 'prefilled', askId: message.askId as AskId, tookMs }, now);
+          return;
+        }
+        case 'pool-end': {
+          const { didFinish } = message;
+          apply(service, { kind: 'ended', askId: message.askId as AskId, didFinish }, now);
+          return;
+        }
+        case 'pool-engine-failed': {
+          const { upstreamId, failure } = message;
+          apply(service, { kind: 'engine-failed', upstreamId, failure }, now);
+          return;
+        }
+        case 'pool-runs': {
+          const runs = message.runs.map((item) => readRun(from, item, now));
+          logger.info({ service, from, runs: runs.length }, 'pools: runs announced');
+          apply(service, { kind: 'runs-announced', runs }, now);
+          return;
+        }
+        default:
+          message satisfies never;
+      }
+    },
+    updateEngines: (service, engines, now) => {
+      apply(service, { kind: 'engines-listed', engines }, now);
+    },
+    tick: (now) => {
+      for (const service of pools.keys()) apply(service, { kind: 'ticked' }, now);
+    },
+    forgetRunsOfOthers: (now) => {
+      for (const [service, pool] of pools) {
+        const others = new Set([...pool.runs.values()].map(({ ask }) => ask.vmId));
+        others.delete(self);
+        for (const vmId of others) apply(service, { kind: 'vm-restarted', vmId }, now);
+      }
+    },
+    handleRestart: (vmId, now) => {
+      for (const service of pools.keys()) apply(service, { kind: 'vm-restarted', vmId }, now);
+    },
+    isOwned: (service) => pools.has(service),
+  };
+}
--- /dev/null
+++ b/packages/router/src/pools/pool-task.ts
@@ -0,0 +1,152 @@
+/** The task that finds places for this VM's requests and hands out those that it owns. */
+
+import type { PoolEngine } from '@tarragonspool/core';
+import type { PoolMessage, ServiceName, VmId } from '@tarragonspool/protocol';
+import type { Logger } from '../logging/logger.js';
+import { makeChannel, offer, receive, type Channel, type Task } from '../tasks/tasks.js';
+import { getSteadyMs } from '../time/steady-clock.js';
+import { makeOwners } from './owners.js';
+import { makePlaceAsker, type PlaceAsker } from './place-asker.js';
+import type { PlaceRequestMessage } from './place-messages.js';
+import { makePoolOwner, type PoolOwner } from './pool-owner.js';
+
+/** Everything that the task receives. */
+export type PoolTaskMessage =
+  | { readonly kind: 'request'; readonly message: PlaceRequestMessage }
+  | { readonly kind: 'peer'; readonly from: VmId; readonly message: PoolMessage }
+  | { readonly kind: 'link-opened'; readonly vmId: VmId }
+  | { readonly kind: 'link-closed'; readonly vmId: VmId }
+  | { readonly kind: 'vm-restarted'; readonly vmId: VmId }
+  | {
+      readonly kind: 'engines';
+      readonly service: ServiceName;
+      readonly engines: readonly PoolEngine[];
+    }
+  | { readonly kind: 'ticked' };
+
+/** What the task works with. */
+export type PoolTaskParts = {
+  readonly self: VmId;
+  readonly takeFraction: () => number;
+  readonly sendTo: (vmId: VmId, message: PoolMessage) => void;
+  readonly logger: Logger;
+};
+
+/** The task with its inbox. */
+export type PoolTask = {
+  readonly inbox: Channel<PoolTaskMessage>;
+  readonly run: () => Task;
+  /** Live VMs as this one sees them, itself included. */
+  readonly countLiveVms: () => number;
+  readonly isOwnerOf: (service: ServiceName) => boolean;
+};
+
+/** More than the requests that a VM can have open. */
+const INBOX_CAPACITY = 8_192;
+/** A longer gap between ticks means that this process stood still. */
+const PAUSE_MS = 500;
+
+type Sides = { readonly owner: PoolOwner; readonly asker: PlaceAsker };
+
+function handlePeerMessage(
+  { owner, asker }: Sides,
+  from: VmId,
+  message: PoolMessage,
+  now: number,
+): void {
+  switch (message.kind) {
+    case 'alive':
+      return;
+    case 'pool-queued':
+    case 'pool-grant':
+    case 'pool-refuse':
+      asker.handleAnswer(from, message, now);
+      return;
+    default:
+      owner.handleMessage(from, message, now);
+  }
+}
+
+/** Makes the task. */
+export function makePoolTask(parts: PoolTaskParts): PoolTask {
+  const { self, logger } = parts;
+  const inbox = makeChannel<PoolTaskMessage>(INBOX_CAPACITY);
+  const owners = makeOwners(self);
+  // Messages between the two sides of this VM go round as a queue, never as nested calls.
+  const local: PoolMessage[] = [];
+  const tell = (to: VmId, message: PoolMessage): void => {
+    if (to === self) local.push(message);
+    else parts.sendTo(to, message);
+  };
+  const owner = makePoolOwner({ self, takeFraction: parts.takeFraction, reply: tell, logger });
+  const asker = makePlaceAsker({ self, owners, tell, logger });
+  const sides = { owner, asker };
+  let tickedAt = getSteadyMs();
+
+  function handleTick(now: number): void {
+    const pauseMs = now - tickedAt;
+    tickedAt = now;
+    if (pauseMs > PAUSE_MS) {
+      logger.warn({ pauseMs }, 'pools: this process stood still');
+      owners.forgiveSilence(now);
+      owner.forgetRunsOfOthers(now);
+    }
+    owner.tick(now);
+    asker.checkOwners(now);
+  }
+
+  function handleMessage(message: PoolTaskMessage, now: number): void {
+    switch (message.kind) {
+      case 'request':
+        asker.handleRequest(message.message, now);
+        return;
+      case 'peer':
+        owners.recordHeard(message.from, now);
+        handlePeerMessage(sides, message.from, message.message, now);
+        return;
+      case 'link-opened':
+        owners.addLink(message.vmId, now);
+        return;
+      case 'link-closed':
+        owners.removeLink(message.vmId);
+        return;
+      case 'vm-restarted':
+        owner.handleRestart(message.vmId, now);
+        return;
+      case 'engines':
+        owner.updateEngines(message.service, message.engines, now);
+        return;
+      case 'ticked':
+        handleTick(now);
+        return;
+      default:
+        message satisfies never;
+    }
+  }
+
+  function* run(): Task {
+    for (;;) {
+      const message = yield* receive(inbox);
+      if (message === undefined) return;
+      const now = getSteadyMs();
+      handleMessage(message, now);
+      for (let next = local.shift(); next !== undefined; next = local.shift()) {
+        handlePeerMessage(sides, self, next, now);
+      }
+    }
+  }
+
+  return {
+    inbox,
+    run,
+    countLiveVms: () => owners.countAlive(getSteadyMs()),
+    isOwnerOf: (service) => owners.chooseOwner(service, getSteadyMs()) === self,
+  };
+}
+
+/** Sends a request's message to the task; a full inbox is logged and the message is dropped. */
+export function requestPlace(task: PoolTask, message: PlaceRequestMessage, logger: Logger): void {
+  if (!offer(task.inbox, { kind: 'request', message })) {
+    logger.error({ kind: message.kind }, 'pools: inbox is full');
+  }
+}
--- /dev/null
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -0,0 +1,198 @@
+/**
+ * Sends requests to servers over kept connections. Tells apart a request of which no byte left from
+ * one that may have reached the server, and ends connections on which bytes come unasked.
+ */
+
+import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http';
+import type { IncomingHttpHeaders } from 'node:http';
+import type { Socket } from 'node:net';
+
+/** One request to a server. */
+export type UpstreamCall = {
+  /** IP:PORT. */
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+};
+
+/** What happens to a call. The last event is `ended` or `failed`. */
+export type UpstreamEvent =
+  | {
+      readonly kind: 'head';
+      readonly status: number;
+      readonly headers: IncomingHttpHeaders;
+      readonly rawHeaders: readonly string[];
+    }
+  | { readonly kind: 'data'; readonly chunk: Buffer }
+  | { readonly kind: 'ended' }
+  /** `isSent` is false only where no byte of the request left this VM. */
+  | { readonly kind: 'failed'; readonly isSent: boolean; readonly reason: string };
+
+/** A call under way. */
+export type UpstreamExchange = {
+  /** Drops the call and its connection; no event comes after it. */
+  readonly cancel: () => void;
+  readonly pause: () => void;
+  readonly resume: () => void;
+};
+
+/** Sends calls. */
+export type UpstreamClient = {
+  readonly send: (call: UpstreamCall, onEvent: (event: UpstreamEvent) => void) => UpstreamExchange;
+  readonly close: () => void;
+};
+
+/** A server that is reachable takes a connection within this time. */
+const CONNECT_TIMEOUT_MS = 500;
+const MAX_IDLE_MS = 8_000;
+/** A server's own idle timeout is met with this margin. */
+const IDLE_MARGIN_MS = 1_000;
+const MIN_IDLE_MS = 300;
+const MAX_IDLE_CONNECTIONS = 12;
+const MS_PER_S = 1_000;
+const KEEP_ALIVE_HINT = /timeout=(\d+)/u;
+
+/** Response of the request that used a socket last; Node keeps it there until the socket is reused. */
+type UsedSocket = Socket & { _httpMessage?: { res?: IncomingMessage } };
+
+function readIdleMs(socket: UsedSocket): number {
+  // eslint-disable-next-line no-underscore-dangle -- the only place where Node keeps it
+  const hint = socket._httpMessage?.res?.headers['keep-alive'];
+  const seconds = typeof hint === 'string' ? KEEP_ALIVE_HINT.exec(hint)?.[1] : undefined;
+  if (seconds === undefined) return MAX_IDLE_MS;
+  return Math.min(MAX_IDLE_MS, Math.max(MIN_IDLE_MS, Number(seconds) * MS_PER_S - IDLE_MARGIN_MS));
+}
+
+type KeepAliveHooks = {
+  keepSocketAlive: (socket: Socket) => boolean;
+  reuseSocket: (socket: Socket, outgoing: ClientRequest) => void;
+};
+
+/** Ends an idle connection on which anything arrives: such bytes belong to no request. */
+function destroyOnData(this: Socket): void {
+  this.destroy();
+}
+
+function makeGuardedAgent(): Agent {
+  const agent = new Agent({
+    keepAlive: true,
+    maxFreeSockets: MAX_IDLE_CONNECTIONS,
+    timeout: MAX_IDLE_MS,
+    scheduling: 'lifo',
+  });
+  const hooks = agent as unknown as KeepAliveHooks;
+  hooks.keepSocketAlive = (socket) => {
+    socket.setKeepAlive(true);
+    socket.unref();
+    socket.setTimeout(readIdleMs(socket));
+    socket.on('data', destroyOnData);
+    return true;
+  };
+  hooks.reuseSocket = (socket, outgoing) => {
+    socket.off('data', destroyOnData);
+    socket.setTimeout(0);
+    Object.assign(outgoing, { reusedSocket: true });
+    socket.ref();
+  };
+  return agent;
+}
+
+function watchConnect(outgoing: ClientRequest, onConnected: () => void): void {
+  outgoing.on('socket', (socket) => {
+    socket.setNoDelay(true);
+    if (!socket.connecting) {
+      onConnected();
+      return;
+    }
+    const timer = setTimeout(() => outgoing.destroy(new Error('connect timeout')), CONNECT_TIMEOUT_MS);
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      onConnected();
+    });
+    socket.once('close', () => clearTimeout(timer));
+  });
+}
+
+function startExchange(
+  agent: Agent,
+  call: UpstreamCall,
+  emit: (event: UpstreamEvent) => void,
+): UpstreamExchange {
+  const [host = '', port = '0'] = call.address.split(':');
+  const outgoing = request({
+    host,
+    port: Number(port),
+    agent,
+    method: call.method,
+    path: call.path,
+    headers: call.headers as string[],
+  });
+  let isSent = false;
+  let isOver = false;
+  let socketError: string | undefined;
+  let answer: IncomingMessage | undefined;
+
+  function finish(event: UpstreamEvent): void {
+    if (isOver) return;
+    isOver = true;
+    emit(event);
+  }
+
+  function fail(reason: string): void {
+    if (isOver) return;
+    finish({ kind: 'failed', isSent, reason });
+    outgoing.destroy();
+  }
+
+  watchConnect(outgoing, () => {
+    isSent = true;
+  });
+  outgoing.on('socket', (socket) => {
+    // An answer that ends with its connection is whole only if the connection was not reset.
+    const noteError = (error: Error): void => {
+      socketError = error.message;
+    };
+    socket.prependListener('error', noteError);
+    outgoing.once('close', () => socket.off('error', noteError));
+  });
+  outgoing.on('information', () => undefined);
+  outgoing.on('response', (message) => {
+    answer = message;
+    const { statusCode: status = 0, headers, rawHeaders } = message;
+    message.on('data', (chunk: Buffer) => {
+      if (!isOver) emit({ kind: 'data', chunk });
+    });
+    message.on('error', (error) => fail(error.message));
+    message.on('end', () => {
+      if (!message.complete) fail('cut off');
+      else if (socketError !== undefined) fail(socketError);
+      else finish({ kind: 'ended' });
+    });
+    message.on('close', () => fail('closed before its end'));
+    if (!isOver) emit({ kind: 'head', status, headers, rawHeaders });
+  });
+  outgoing.on('error', (error) => fail(error.message));
+  outgoing.on('close', () => fail('closed without an answer'));
+  outgoing.end(call.body.length > 0 ? call.body : undefined);
+
+  return {
+    cancel: () => {
+      isOver = true;
+      outgoing.destroy();
+    },
+    pause: () => answer?.pause(),
+    resume: () => answer?.resume(),
+  };
+}
+
+/** Makes a client with connections of its own. */
+export function makeUpstreamClient(): UpstreamClient {
+  const agent = makeGuardedAgent();
+  return {
+    send: (call, onEvent) => startExchange(agent, call, onEvent),
+    close: () => agent.destroy(),
+  };
+}
