--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -24,7 +24,8 @@
 
 /** State of one gateway; each part is changed by one task only. */
 export type GatewayState = {
-  readonly settings: GatewaySettings;
+  /** Replaced as a whole when the settings are read again. */
+  settings: GatewaySettings;
   readonly ports: GatewayPorts;
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -221,8 +221,15 @@
   setTimeout(() => process.exit(EXIT_INTERNAL), POOL_TICK_MS);
 }
 
+/** A running gateway. */
+export type Gateway = {
+  /** Takes settings that were read again; addresses stay as they were at the start. */
+  readonly updateSettings: (settings: GatewaySettings) => void;
+  readonly reportBadSettings: (errors: readonly string[]) => void;
+};
+
 /** Starts the gateway on a platform. */
-export function startGateway(settings: GatewaySettings, ports: GatewayPorts): void {
+export function startGateway(settings: GatewaySettings, ports: GatewayPorts): Gateway {
   const logger = makeGatewayLogger(settings);
   process.on('uncaughtException', (error) => handleFatal(logger, error));
   const links: PeerSender = { mesh: undefined };
@@ -255,4 +262,13 @@
   startMetricsListener(state);
   logger.info({ settings }, 'gateway: started');
   process.on('SIGTERM', () => startStop(state, server, () => process.exit(0)));
+  return {
+    updateSettings: (next) => {
+      state.settings = next;
+      logger.info({ settings: next }, 'gateway: settings read again');
+    },
+    reportBadSettings: (errors) => {
+      logger.error({ code: 8001, errors }, 'gateway: settings not valid, kept the last ones');
+    },
+  };
 }
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -115,8 +115,6 @@
   /** Whether the server says that it did not run the request. */
   readonly isNotRun: boolean;
   readonly isEncoded: boolean;
-  /** Whether the body has a length or comes in chunks. */
-  readonly isFramed: boolean;
 };
 
 /** An order that changes what an engine does. */
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -7,5 +7,5 @@
   RoutingConfiguration,
   UpstreamRecord,
 } from '@tarragonspool/core';
-export { startGateway } from './gateway/gateway.js';
+export { startGateway, type Gateway } from './gateway/gateway.js';
 export type * from './gateway/ports.js';
--- /dev/null
+++ b/packages/router/src/upstreams/upstream-client.test.ts
@@ -0,0 +1,111 @@
+import { createServer, type Server, type Socket } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { expect } from 'chai';
+import { makeUpstreamClient, type UpstreamCall, type UpstreamEvent } from './upstream-client.js';
+
+const HOST = process.env['TARRAGONSPOOL_TEST_HOST'] ?? '127.0.0.1';
+const UNFRAMED = 'HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nhello';
+const FRAMED = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello';
+
+type Answer = (socket: Socket, count: number) => void;
+
+async function startServer(answer: Answer): Promise<Server> {
+  let count = 0;
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', (data) => {
+      if (data.length < 10) return;
+      count += 1;
+      answer(socket, count);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, HOST, resolve);
+  });
+  return server;
+}
+
+function buildCall(server: Server): UpstreamCall {
+  const { port } = server.address() as AddressInfo;
+  const headers = ['Host', 'a.example'];
+  return { address: `${HOST}:${port}`, method: 'GET', path: '/', headers, body: Buffer.alloc(0) };
+}
+
+async function sendCalls(answer: Answer, calls: number, pauseMs = 0): Promise<UpstreamEvent[]> {
+  const server = await startServer(answer);
+  const client = makeUpstreamClient();
+  const ends: UpstreamEvent[] = [];
+  for (let call = 0; call < calls; call += 1) {
+    // eslint-disable-next-line no-await-in-loop -- each call reuses the connection of the one before
+    const end = await new Promise<UpstreamEvent>((resolve) => {
+      client.send(buildCall(server), (event) => {
+        if (event.kind === 'ended' || event.kind === 'failed') resolve(event);
+      });
+    });
+    ends.push(end);
+    // eslint-disable-next-line no-await-in-loop -- as above
+    await new Promise((resolve) => {
+      setTimeout(resolve, pauseMs);
+    });
+  }
+  client.close();
+  server.close();
+  return ends;
+}
+
+it('upstream client: an answer without length is whole if its connection ends', async () => {
+  const ends = await sendCalls((socket) => socket.end(UNFRAMED), 1);
+  expect(ends[0]?.kind).to.equal('ended');
+});
+
+it('upstream client: an answer without length is not whole if its connection is reset', async () => {
+  const ends = await sendCalls((socket) => {
+    socket.write(UNFRAMED);
+    socket.resetAndDestroy();
+  }, 1);
+  expect(ends[0]).to.include({ kind: 'failed', isSent: true });
+});
+
+it('upstream client: a cut answer is not whole', async () => {
+  const ends = await sendCalls((socket) => socket.end(FRAMED.slice(0, -2)), 1);
+  expect(ends[0]).to.include({ kind: 'failed', isSent: true });
+});
+
+it('upstream client: a refused connection means that nothing was sent', async () => {
+  const server = await startServer(() => undefined);
+  const call = buildCall(server);
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  const end = await new Promise<UpstreamEvent>((resolve) => {
+    makeUpstreamClient().send(call, resolve);
+  });
+  expect(end).to.include({ kind: 'failed', isSent: false });
+});
+
+it('upstream client: a second answer on an idle connection belongs to no request', async () => {
+  const connections = new Set<Socket>();
+  const ends = await sendCalls(
+    (socket, count) => {
+      connections.add(socket);
+      socket.write(FRAMED);
+      if (count === 1) setTimeout(() => socket.write(FRAMED), 10);
+    },
+    2,
+    60,
+  );
+  expect(ends.map(({ kind }) => kind)).to.deep.equal(['ended', 'ended']);
+  expect(connections.size).to.equal(2);
+});
+
+it('upstream client: connections are kept for the next request', async () => {
+  const connections = new Set<Socket>();
+  await sendCalls(
+    (socket) => {
+      connections.add(socket);
+      socket.write(FRAMED);
+    },
+    3,
+  );
+  expect(connections.size).to.equal(1);
+});
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -116,6 +116,15 @@
   });
 }
 
+/** Writes an empty line to a connection that the server ended: it fails if the server reset it. */
+const END_PROBE = '\r\n';
+
+/** Whether a body ends only with its connection. */
+function isUnframed({ headers, statusCode }: IncomingMessage): boolean {
+  if (statusCode === 204 || statusCode === 304) return false;
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
 function startExchange(
   agent: Agent,
   call: UpstreamCall,
@@ -134,6 +143,8 @@
   let isOver = false;
   let socketError: string | undefined;
   let answer: IncomingMessage | undefined;
+  let isProbing = false;
+  let hasEnded = false;
 
   function finish(event: UpstreamEvent): void {
     if (isOver) return;
@@ -147,16 +158,36 @@
     outgoing.destroy();
   }
 
+  function finishWhole(): void {
+    if (socketError === undefined) finish({ kind: 'ended' });
+    else fail(socketError);
+  }
+
+  /** An answer that ends with its connection is whole only if the connection was not reset. */
+  function probeEnd(socket: Socket): void {
+    if (isOver || answer === undefined || !isUnframed(answer)) return;
+    isProbing = true;
+    socket.write(END_PROBE, (error) => {
+      isProbing = false;
+      socketError ??= error?.message;
+      if (hasEnded) finishWhole();
+    });
+  }
+
   watchConnect(outgoing, () => {
     isSent = true;
   });
   outgoing.on('socket', (socket) => {
-    // An answer that ends with its connection is whole only if the connection was not reset.
     const noteError = (error: Error): void => {
       socketError = error.message;
     };
+    const noteEnd = (): void => probeEnd(socket);
     socket.prependListener('error', noteError);
-    outgoing.once('close', () => socket.off('error', noteError));
+    socket.prependListener('end', noteEnd);
+    outgoing.once('close', () => {
+      socket.off('error', noteError);
+      socket.off('end', noteEnd);
+    });
   });
   outgoing.on('information', () => undefined);
   outgoing.on('response', (message) => {
@@ -167,15 +198,19 @@
     });
     message.on('error', (error) => fail(error.message));
     message.on('end', () => {
+      hasEnded = message.complete;
       if (!message.complete) fail('cut off');
-      else if (socketError !== undefined) fail(socketError);
-      else finish({ kind: 'ended' });
+      else if (!isProbing) finishWhole();
+    });
+    message.on('close', () => {
+      if (!hasEnded) fail('closed before its end');
     });
-    message.on('close', () => fail('closed before its end'));
     if (!isOver) emit({ kind: 'head', status, headers, rawHeaders });
   });
   outgoing.on('error', (error) => fail(error.message));
-  outgoing.on('close', () => fail('closed without an answer'));
+  outgoing.on('close', () => {
+    if (!hasEnded) fail('closed without an answer');
+  });
   outgoing.end(call.body.length > 0 ? call.body : undefined);
 
   return {
