--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -31,3 +31,4 @@
 export * from './sweep/sweep.js';
 export * from './pools/index.js';
 export * from './routing/index.js';
+export * from './stages/index.js';
--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -1,6 +1,7 @@
 /** What the pool counts on one engine: places, memory over time, prompts being read. */
 
 import type { UpstreamId } from '@tarragonspool/protocol';
+import type { EngineStage } from '../routing/routing-types.js';
 import type { AskId, PlaceAsk, PlaceRun, PoolEngine } from './pool-types.js';
 
 /** One engine with everything that is placed on it. */
@@ -10,8 +11,12 @@
   readonly runs: Map<AskId, PlaceRun>;
   /** Prompts sent here that are not read yet. */
   readonly prefills: Map<AskId, PlaceRun>;
+  /** Since when its time counts as spent on the prompts that it is reading. */
+  prefillBusySince: number;
   /** No new work before this time. */
   avoidUntil: number;
+  /** Stage that it was told to take, and when it has surely done so. */
+  ordered: { readonly stage: EngineStage; readonly doneBy: number } | undefined;
   /** Measured time of a place per expected token, relative to the pool's mean. */
   slowness: number;
 };
@@ -30,7 +35,15 @@
 
 /** Makes the load of an engine with nothing on it. */
 export function makeEngineLoad(engine: PoolEngine): EngineLoad {
-  return { engine, runs: new Map(), prefills: new Map(), avoidUntil: 0, slowness: 1 };
+  return {
+    engine,
+    runs: new Map(),
+    prefills: new Map(),
+    prefillBusySince: 0,
+    avoidUntil: 0,
+    ordered: undefined,
+    slowness: 1,
+  };
 }
 
 function findEnd(run: PlaceRun, now: number): number {
@@ -62,9 +75,14 @@
   return peak;
 }
 
+/** Whether an engine is on its way to another stage. */
+export function isChanging({ ordered, engine }: EngineLoad, now: number): boolean {
+  return ordered !== undefined && ordered.stage !== engine.stage && now < ordered.doneBy;
+}
+
 /** Whether an engine may get new work at all. */
 export function isUsable(load: EngineLoad, ask: PlaceAsk, now: number): boolean {
-  if (load.engine.isLeaving || load.avoidUntil > now) return false;
+  if (load.engine.isLeaving || load.avoidUntil > now || isChanging(load, now)) return false;
   return !ask.excluded.includes(load.engine.upstreamId);
 }
 
@@ -82,6 +100,20 @@
   return tokens;
 }
 
+/** Starts to count a prompt that was sent to a prefill engine. */
+export function startPrefill(load: EngineLoad, run: PlaceRun, now: number): void {
+  if (load.prefills.size === 0) load.prefillBusySince = now;
+  load.prefills.set(run.ask.askId, run);
+}
+
+/** Ends the count of a prompt; returns the engine's busy time since the last end. */
+export function endPrefill(load: EngineLoad, askId: AskId, now: number): number {
+  if (!load.prefills.delete(askId)) return 0;
+  const busyMs = now - load.prefillBusySince;
+  load.prefillBusySince = now;
+  return busyMs;
+}
+
 /** Whether a prefill engine takes one more prompt without a queue that lasts. */
 export function canPrefill(load: EngineLoad, promptTokens: number): boolean {
   if (load.prefills.size < MAX_PREFILLS) return true;
--- a/packages/core/src/pools/index.ts
+++ b/packages/core/src/pools/index.ts
@@ -1,3 +1,3 @@
 export { handlePoolEvent } from './pool-machine.js';
-export { makePoolState, type PoolState } from './pool-state.js';
+export { listPlannedEngines, makePoolState, measureDemand, type PoolState } from './pool-state.js';
 export type * from './pool-types.js';
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -5,6 +5,7 @@
   countPrefillTokens,
   hasPlace,
   isUsable,
+  startPrefill,
   type EngineLoad,
 } from './engine-load.js';
 import {
@@ -76,7 +77,7 @@
   if (prefill === 'busy') return undefined;
   if (prefill !== 'none') {
     run.prefill = prefill.engine.upstreamId;
-    prefill.prefills.set(ask.askId, run);
+    startPrefill(prefill, run, now);
   }
   state.runs.set(ask.askId, run);
   state.engines.get(run.decode)?.runs.set(ask.askId, run);
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -2,9 +2,15 @@
 
 import { assertNever, type UpstreamId, type VmId } from '@tarragonspool/protocol';
 import { buildRefusal, findRefusal, refuseOverdue } from './admission.js';
-import { makeEngineLoad } from './engine-load.js';
+import { endPrefill, makeEngineLoad } from './engine-load.js';
 import { canBeOnTime, placeWaiting } from './placing.js';
-import { countFreshArrival, recordHold, recordPrefill, type PoolState } from './pool-state.js';
+import {
+  countFreshArrival,
+  recordHold,
+  recordPrefill,
+  recordSize,
+  type PoolState,
+} from './pool-state.js';
 import type { AskId, PlaceAsk, PlaceRun, PoolAction, PoolEngine, PoolEvent } from './pool-types.js';
 
 /** After a refusal for want of room, the engine's own queue empties within this time. */
@@ -57,6 +63,7 @@
 function handleAsked(state: PoolState, ask: PlaceAsk, now: number): PoolAction[] {
   if (!hasEngines(state)) return [buildRefusal(state, ask, 'no-engine', now)];
   if (canBeOnTime(state, ask, now)) countFreshArrival(state, now);
+  recordSize(state, ask);
   const waiting = { ask, askedAt: now };
   state.waiting.set(ask.askId, waiting);
   const actions = placeWaiting(state, now);
@@ -67,12 +74,12 @@
   return [...actions, buildRefusal(state, ask, reason, now)];
 }
 
-function handlePrefilled(state: PoolState, askId: AskId, tookMs: number): void {
+function handlePrefilled(state: PoolState, askId: AskId, now: number): void {
   const run = state.runs.get(askId);
   if (run?.prefill === undefined) return;
-  state.engines.get(run.prefill)?.prefills.delete(askId);
+  const load = state.engines.get(run.prefill);
   run.prefill = undefined;
-  recordPrefill(state, run.ask.promptTokens, tookMs);
+  if (load !== undefined) recordPrefill(state, run.ask.promptTokens, endPrefill(load, askId, now));
 }
 
 function handleEnded(state: PoolState, askId: AskId, didFinish: boolean, now: number): void {
@@ -136,7 +143,7 @@
       removeRun(state, event.askId);
       return placeWaiting(state, now);
     case 'prefilled':
-      handlePrefilled(state, event.askId, event.tookMs);
+      handlePrefilled(state, event.askId, now);
       return placeWaiting(state, now);
     case 'ended':
       handleEnded(state, event.askId, event.didFinish, now);
@@ -144,6 +151,12 @@
     case 'engine-failed':
       handleEngineFailed(state, event.upstreamId, event.failure, now);
       return [];
+    case 'engine-ordered': {
+      const { stage, doneBy } = event;
+      const load = state.engines.get(event.upstreamId);
+      if (load !== undefined) load.ordered = { stage, doneBy };
+      return [];
+    }
     case 'runs-announced':
       adoptRuns(state, event.runs);
       return [];
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -1,6 +1,7 @@
 /** State of one pool, and the estimates that its decisions rest on. */
 
 import type { EngineLoad, EngineLoads } from './engine-load.js';
+import type { PlannedEngine, PoolDemand } from '../stages/stage-plan.js';
 import type { AskId, PlaceAsk, PlaceRun } from './pool-types.js';
 
 /** An ask that has no place yet. */
@@ -13,10 +14,14 @@
   readonly waiting: Map<AskId, WaitingAsk>;
   /** Milliseconds per expected output token that a place is held. */
   holdMsPerToken: number;
-  /** Milliseconds per prompt token at a prefill engine. */
-  prefillMsPerToken: number;
+  /** Time that prefill engines were busy, and the prompt tokens that they read in it; both fade. */
+  prefillBusyMs: number;
+  prefillTokens: number;
   /** Mean time that a place is held, in milliseconds. */
   holdMs: number;
+  /** Mean tokens of a prompt, and of an answer at its end. */
+  promptTokens: number;
+  outputTokens: number;
   /** Arrivals a second that could still be on time, fading. */
   freshRate: number;
   freshRateAt: number;
@@ -26,7 +31,10 @@
 
 const INITIAL_HOLD_MS_PER_TOKEN = 0.6;
 const INITIAL_PREFILL_MS_PER_TOKEN = 0.018;
+const INITIAL_PREFILL_TOKENS = 50_000;
+const PREFILL_FADING = 0.95;
 const INITIAL_HOLD_MS = 3_500;
+const INITIAL_PROMPT_TOKENS = 5_000;
 const ESTIMATE_WEIGHT = 0.05;
 const RATE_WINDOW_MS = 2_000;
 const MS_PER_S = 1_000;
@@ -40,8 +48,11 @@
     runs: new Map(),
     waiting: new Map(),
     holdMsPerToken: INITIAL_HOLD_MS_PER_TOKEN,
-    prefillMsPerToken: INITIAL_PREFILL_MS_PER_TOKEN,
+    prefillBusyMs: INITIAL_PREFILL_MS_PER_TOKEN * INITIAL_PREFILL_TOKENS,
+    prefillTokens: INITIAL_PREFILL_TOKENS,
     holdMs: INITIAL_HOLD_MS,
+    promptTokens: INITIAL_PROMPT_TOKENS,
+    outputTokens: 0,
     freshRate: 0,
     freshRateAt: 0,
     takeFraction,
@@ -64,10 +75,18 @@
   state.holdMsPerToken = updateEstimate(state.holdMsPerToken, perToken);
 }
 
-/** Learns from a prompt that was read. */
-export function recordPrefill(state: PoolState, promptTokens: number, tookMs: number): void {
-  if (promptTokens <= 0) return;
-  state.prefillMsPerToken = updateEstimate(state.prefillMsPerToken, tookMs / promptTokens);
+/**
+ * Learns from a prompt that was read. Prompts that are read side by side share the engine, so its
+ * busy time is counted rather than the time of each prompt.
+ */
+export function recordPrefill(state: PoolState, promptTokens: number, busyMs: number): void {
+  state.prefillBusyMs = PREFILL_FADING * state.prefillBusyMs + busyMs;
+  state.prefillTokens = PREFILL_FADING * state.prefillTokens + promptTokens;
+}
+
+/** Milliseconds of a prefill engine for one prompt token. */
+export function measurePrefillMsPerToken(state: PoolState): number {
+  return state.prefillBusyMs / Math.max(1, state.prefillTokens);
 }
 
 /** Counts an arrival that can still be on time. */
@@ -81,9 +100,43 @@
   return state.freshRate * Math.exp(-(now - state.freshRateAt) / RATE_WINDOW_MS);
 }
 
+/** Learns the size of what is asked for. */
+export function recordSize(state: PoolState, ask: PlaceAsk): void {
+  state.promptTokens += ESTIMATE_WEIGHT * (ask.promptTokens - state.promptTokens);
+  state.outputTokens += ESTIMATE_WEIGHT * (ask.outputTokens - state.outputTokens);
+}
+
+/** Estimates what one request needs of the pool's engines. */
+export function measureDemand(state: PoolState): PoolDemand {
+  let slots = 1;
+  let capacity = Infinity;
+  for (const { engine } of state.engines.values()) {
+    slots = Math.max(slots, engine.slots);
+    capacity = Math.min(capacity, engine.kvCapacityTokens);
+  }
+  // Runs are at all stages of their answers at once: half of it is there on average.
+  const heldTokens = state.promptTokens + state.outputTokens / 2;
+  const placesPerEngine = Math.max(1, Math.min(slots, capacity / Math.max(1, heldTokens)));
+  const prefillMs = Math.max(1, state.promptTokens * measurePrefillMsPerToken(state));
+  return { prefillMs, holdMs: state.holdMs, placesPerEngine };
+}
+
+/** Lists the engines for a plan; engines that leave are not counted. */
+export function listPlannedEngines(state: PoolState, now: number): PlannedEngine[] {
+  const planned: PlannedEngine[] = [];
+  for (const load of state.engines.values()) {
+    const { upstreamId, isLeaving } = load.engine;
+    if (isLeaving) continue;
+    const ordered = load.ordered !== undefined && now < load.ordered.doneBy ? load.ordered : undefined;
+    const stage = ordered?.stage ?? load.engine.stage;
+    planned.push({ upstreamId, stage, load: load.runs.size + load.prefills.size });
+  }
+  return planned;
+}
+
 /** Predicts how long it takes from the grant to the first event. */
 export function predictFirstEventMs(state: PoolState, ask: PlaceAsk): number {
-  const prefillMs = ask.needsPrefill ? ask.promptTokens * state.prefillMsPerToken : 0;
+  const prefillMs = ask.needsPrefill ? ask.promptTokens * measurePrefillMsPerToken(state) : 0;
   return prefillMs + FIRST_EVENT_MS;
 }
 
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -56,8 +56,7 @@
   | { readonly kind: 'engines-listed'; readonly engines: readonly PoolEngine[] }
   | { readonly kind: 'asked'; readonly ask: PlaceAsk }
   | { readonly kind: 'withdrawn'; readonly askId: AskId }
-  /** The prompt has been read; `tookMs` is measured from the send. */
-  | { readonly kind: 'prefilled'; readonly askId: AskId; readonly tookMs: number }
+  | { readonly kind: 'prefilled'; readonly askId: AskId }
   /** The place is free; `didFinish` if the answer came to its end. */
   | { readonly kind: 'ended'; readonly askId: AskId; readonly didFinish: boolean }
   /** An engine refused or failed a request that this pool had placed. */
@@ -66,6 +65,13 @@
       readonly upstreamId: UpstreamId;
       readonly failure: 'full' | 'broken';
     }
+  /** An engine was told to change its stage and takes no work until it has. */
+  | {
+      readonly kind: 'engine-ordered';
+      readonly upstreamId: UpstreamId;
+      readonly stage: EngineStage;
+      readonly doneBy: number;
+    }
   /** Runs that a VM still has, told to a VM that decides anew. */
   | { readonly kind: 'runs-announced'; readonly runs: readonly PlaceRun[] }
   /** A VM has restarted; its earlier runs are over. */
--- /dev/null
+++ b/packages/core/src/stages/index.ts
@@ -0,0 +1,2 @@
+export * from './order-lease.js';
+export * from './stage-plan.js';
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -52,7 +52,7 @@
     retryAfterMs: span,
   }),
   z.object({ kind: z.literal('pool-withdraw'), service: id, askId: id }),
-  z.object({ kind: z.literal('pool-prefilled'), service: id, askId: id, tookMs: span }),
+  z.object({ kind: z.literal('pool-prefilled'), service: id, askId: id }),
   z.object({ kind: z.literal('pool-end'), service: id, askId: id, didFinish: z.boolean() }),
   z.object({
     kind: z.literal('pool-engine-failed'),
@@ -105,12 +105,7 @@
       readonly retryAfterMs: number;
     }
   | { readonly kind: 'pool-withdraw'; readonly service: ServiceName; readonly askId: string }
-  | {
-      readonly kind: 'pool-prefilled';
-      readonly service: ServiceName;
-      readonly askId: string;
-      readonly tookMs: number;
-    }
+  | { readonly kind: 'pool-prefilled'; readonly service: ServiceName; readonly askId: string }
   | {
       readonly kind: 'pool-end';
       readonly service: ServiceName;
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
 import { makePoolTask } from '../pools/pool-task.js';
 import { offer, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
+import { runStages } from '../stages/stage-task.js';
 import { applyCallerLimits, makeCallerListener } from './caller-listener.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
 import { applyConfiguration, makeGatewayState, type GatewayState } from './gateway-state.js';
@@ -257,6 +258,7 @@
   startConfigurationFeed(state, server, base);
   startUpstreamFeed(state, base);
   startMembership(state, base, links);
+  start('stages', () => runStages(state));
   listen(server, settings.callerListen);
   startReadyListener(state);
   startMetricsListener(state);
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -117,6 +117,18 @@
   readonly isEncoded: boolean;
 };
 
+/** What an engine says of itself. */
+export type EngineReport = {
+  readonly stage: EngineStage;
+  /** Whether it is carrying out an order. */
+  readonly isBusy: boolean;
+  /** Orders accepted since its start. */
+  readonly orderCount: number;
+};
+
+/** How an engine took an order. */
+export type OrderAnswer = 'accepted' | 'holds-already' | 'conflict' | 'fenced' | 'rejected';
+
 /** An order that changes what an engine does. */
 export type StageOrder = {
   readonly stage: EngineStage;
@@ -140,6 +152,9 @@
   readonly makeHandlePath: (handle: string) => string;
   readonly orderPath: string;
   readonly encodeStageOrder: (order: StageOrder) => string;
+  readonly decodeOrderAnswer: (status: number) => OrderAnswer;
+  readonly reportPath: string;
+  readonly decodeReport: (body: Buffer) => EngineReport | undefined;
   readonly makeInstanceHeaders: (upstreamId: UpstreamId) => Record<string, string>;
 };
 
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -297,7 +297,6 @@
   if (granted.prefill === undefined || progress.kvSource !== undefined) return 'ready';
   const { askId } = granted;
   const engine = findEngine(state, granted.prefill);
-  const sentAt = getSteadyMs();
   const result: SendResult =
     engine === undefined
       ? { kind: 'outcome', outcome: { kind: 'not-run', reason: 'engine is gone' } }
@@ -308,8 +307,7 @@
     return 'done';
   }
   if (progress.kvSource !== undefined) {
-    const tookMs = getSteadyMs() - sentAt;
-    requestPlace(state.pools, { kind: 'prefilled', askId, tookMs }, state.logger);
+    requestPlace(state.pools, { kind: 'prefilled', askId }, state.logger);
     return 'ready';
   }
   requestPlace(state.pools, { kind: 'end', askId, didFinish: false }, state.logger);
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -150,8 +150,8 @@
           const held = runs.get(message.askId);
           if (held === undefined) return;
           held.run.prefill = undefined;
-          const { askId, tookMs } = message;
-          tell(held.owner, { kind: 'pool-prefilled', service: held.service, askId, tookMs });
+          const { askId } = message;
+          tell(held.owner, { kind: 'pool-prefilled', service: held.service, askId });
           return;
         }
         case 'end': {
--- a/packages/router/src/pools/place-messages.ts
+++ b/packages/router/src/pools/place-messages.ts
@@ -30,7 +30,7 @@
       readonly onReply: OnPlaceReply;
     }
   | { readonly kind: 'withdraw'; readonly askId: AskId }
-  | { readonly kind: 'prefilled'; readonly askId: AskId; readonly tookMs: number }
+  | { readonly kind: 'prefilled'; readonly askId: AskId }
   | { readonly kind: 'end'; readonly askId: AskId; readonly didFinish: boolean }
   | {
       readonly kind: 'engine-failed';
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -2,16 +2,21 @@
 
 import {
   handlePoolEvent,
+  listPlannedEngines,
   makePoolState,
+  measureDemand,
   type AskId,
+  type EngineStage,
   type PlaceAsk,
+  type PlannedEngine,
   type PlaceRun,
   type PoolAction,
+  type PoolDemand,
   type PoolEngine,
   type PoolEvent,
   type PoolState,
 } from '@tarragonspool/core';
-import type { PoolMessage, PoolRunItem, ServiceName, VmId } from '@tarragonspool/protocol';
+import type { PoolMessage, PoolRunItem, ServiceName, UpstreamId, VmId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 
 /** Messages that a pool's owner understands. */
@@ -32,7 +37,19 @@
   /** Runs that others placed while this VM stood still are not known here. */
   readonly forgetRunsOfOthers: (now: number) => void;
   readonly handleRestart: (vmId: VmId, now: number) => void;
-  readonly isOwned: (service: ServiceName) => boolean;
+  readonly handleOrdered: (
+    order: {
+      readonly service: ServiceName;
+      readonly upstreamId: UpstreamId;
+      readonly stage: EngineStage;
+      readonly doneBy: number;
+    },
+    now: number,
+  ) => void;
+  readonly readPlan: (
+    service: ServiceName,
+    now: number,
+  ) => { engines: PlannedEngine[]; demand: PoolDemand } | undefined;
 };
 
 /** What the owner's side works with. */
@@ -129,11 +146,9 @@
         case 'pool-withdraw':
           apply(service, { kind: 'withdrawn', askId: message.askId as AskId }, now);
           return;
-        case 'pool-prefilled': {
-          const { tookMs } = message;
-          apply(service, { kind: 'prefilled', askId: message.askId as AskId, tookMs }, now);
+        case 'pool-prefilled':
+          apply(service, { kind: 'prefilled', askId: message.askId as AskId }, now);
           return;
-        }
         case 'pool-end': {
           const { didFinish } = message;
           apply(service, { kind: 'ended', askId: message.askId as AskId, didFinish }, now);
@@ -170,6 +185,13 @@
     handleRestart: (vmId, now) => {
       for (const service of pools.keys()) apply(service, { kind: 'vm-restarted', vmId }, now);
     },
-    isOwned: (service) => pools.has(service),
+    handleOrdered: ({ service, upstreamId, stage, doneBy }, now) => {
+      apply(service, { kind: 'engine-ordered', upstreamId, stage, doneBy }, now);
+    },
+    readPlan: (service, now) => {
+      const pool = pools.get(service);
+      if (pool === undefined) return undefined;
+      return { engines: listPlannedEngines(pool, now), demand: measureDemand(pool) };
+    },
   };
 }
--- a/packages/router/src/pools/pool-task.ts
+++ b/packages/router/src/pools/pool-task.ts
@@ -1,7 +1,7 @@
 /** The task that finds places for this VM's requests and hands out those that it owns. */
 
-import type { PoolEngine } from '@tarragonspool/core';
-import type { PoolMessage, ServiceName, VmId } from '@tarragonspool/protocol';
+import type { EngineStage, PlannedEngine, PoolDemand, PoolEngine } from '@tarragonspool/core';
+import type { PoolMessage, ServiceName, UpstreamId, VmId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import { makeChannel, offer, receive, type Channel, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
@@ -22,8 +22,21 @@
       readonly service: ServiceName;
       readonly engines: readonly PoolEngine[];
     }
+  | {
+      readonly kind: 'engine-ordered';
+      readonly service: ServiceName;
+      readonly upstreamId: UpstreamId;
+      readonly stage: EngineStage;
+      readonly doneBy: number;
+    }
   | { readonly kind: 'ticked' };
 
+/** What a plan of stages is made from. */
+export type StagePlanInput = {
+  readonly engines: readonly PlannedEngine[];
+  readonly demand: PoolDemand;
+};
+
 /** What the task works with. */
 export type PoolTaskParts = {
   readonly self: VmId;
@@ -39,6 +52,7 @@
   /** Live VMs as this one sees them, itself included. */
   readonly countLiveVms: () => number;
   readonly isOwnerOf: (service: ServiceName) => boolean;
+  readonly readPlan: (service: ServiceName, now: number) => StagePlanInput | undefined;
 };
 
 /** More than the requests that a VM can have open. */
@@ -116,6 +130,9 @@
       case 'engines':
         owner.updateEngines(message.service, message.engines, now);
         return;
+      case 'engine-ordered':
+        owner.handleOrdered(message, now);
+        return;
       case 'ticked':
         handleTick(now);
         return;
@@ -140,6 +157,7 @@
     inbox,
     run,
     countLiveVms: () => owners.countAlive(getSteadyMs()),
+    readPlan: owner.readPlan,
     isOwnerOf: (service) => owners.chooseOwner(service, getSteadyMs()) === self,
   };
 }
