--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -24,6 +24,9 @@
 /** Load above which late asks wait: more arrivals are expected than places come free. */
 const BUSY_LOAD = 0.95;
 
+/** A decode engine with more runs than this reads no prompt for a busy pool: they would pause. */
+const SPARE_RUNS = 1;
+
 /** Whether the first event can still come within the target. */
 export function canBeOnTime(state: PoolState, ask: PlaceAsk, now: number): boolean {
   return now + predictFirstEventMs(state, ask) <= ask.aimAt;
@@ -69,19 +72,34 @@
   return best;
 }
 
-/** Places an ask if a decode place and a prefill engine are free together. */
+/**
+ * Finds the engine that reads the prompt: a prefill engine, or the decode engine itself where none
+ * is usable or all are busy. A decode engine reads one prompt at a time, because its own answers
+ * pause meanwhile.
+ */
+function findReader(state: PoolState, run: PlaceRun, now: number): EngineLoad | undefined {
+  const prefill = findPrefill(state, run.ask, now);
+  if (typeof prefill === 'object') return prefill;
+  const decode = state.engines.get(run.decode);
+  if (decode === undefined || decode.prefills.size > 0) return undefined;
+  const isSpare = decode.runs.size <= SPARE_RUNS;
+  return prefill === 'none' || isSpare ? decode : undefined;
+}
+
+/** Places an ask if a decode place and an engine that reads the prompt are free together. */
 function placeAsk(state: PoolState, ask: PlaceAsk, now: number): PoolAction | undefined {
   const run = findDecode(state, ask, now);
   if (run === undefined) return undefined;
-  const prefill = ask.needsPrefill ? findPrefill(state, ask, now) : 'none';
-  if (prefill === 'busy') return undefined;
-  if (prefill !== 'none') {
-    run.prefill = prefill.engine.upstreamId;
-    startPrefill(prefill, run, now);
+  if (ask.needsPrefill) {
+    const reader = findReader(state, run, now);
+    if (reader === undefined) return undefined;
+    run.prefill = reader.engine.upstreamId;
+    startPrefill(reader, run, now);
   }
   state.runs.set(ask.askId, run);
   state.engines.get(run.decode)?.runs.set(ask.askId, run);
-  return { kind: 'grant', ask, prefill: run.prefill, decode: run.decode };
+  const prefill = run.prefill === run.decode ? undefined : run.prefill;
+  return { kind: 'grant', ask, prefill, decode: run.decode };
 }
 
 function countFreePlaces(state: PoolState, now: number): number {
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -79,7 +79,10 @@
   if (run?.prefill === undefined) return;
   const load = state.engines.get(run.prefill);
   run.prefill = undefined;
-  if (load !== undefined) recordPrefill(state, run.ask.promptTokens, endPrefill(load, askId, now));
+  if (load === undefined) return;
+  const busyMs = endPrefill(load, askId, now);
+  // A decode engine reads between its own tokens: its time says nothing of prefill engines.
+  if (load.engine.stage === 'prefill') recordPrefill(state, run.ask.promptTokens, busyMs);
 }
 
 function handleEnded(state: PoolState, askId: AskId, didFinish: boolean, now: number): void {
--- a/packages/core/src/stages/stage-plan.ts
+++ b/packages/core/src/stages/stage-plan.ts
@@ -32,6 +32,8 @@
 const PREFILL_LOAD = 0.95;
 /** A decode engine that reads prompts itself takes twice the time, between its own tokens. */
 const SELF_READ_FACTOR = 2;
+/** Part of such answers that is on time: all others of the engine pause while it reads. */
+const SELF_READ_YIELD = 0.25;
 /** Gain that is worth the time that an engine needs for the change. */
 const LEAST_GAIN = 1.2;
 
@@ -41,7 +43,7 @@
   if (decode === 0) return 0;
   if (prefill === 0) {
     const engineMs = holdMs / placesPerEngine + SELF_READ_FACTOR * prefillMs;
-    return (MS_PER_S * decode) / engineMs;
+    return (SELF_READ_YIELD * MS_PER_S * decode) / engineMs;
   }
   const readRate = (PREFILL_LOAD * MS_PER_S * prefill) / prefillMs;
   const placeRate = (MS_PER_S * decode * placesPerEngine) / holdMs;
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -169,8 +169,14 @@
 }
 
 /** Passes an answer on as it arrives, in whole events where it may be resumed. */
-function makeRelay(state: GatewayState, request: GatewayRequest, progress: StreamProgress) {
+function makeRelay(
+  state: GatewayState,
+  request: GatewayRequest,
+  progress: StreamProgress,
+  onFirstEvent: () => void,
+) {
   const { reply, route } = request;
+  let hasEvent = false;
   const splitter: EventSplitter = makeEventSplitter();
   let isPassedOn = false;
 
@@ -193,6 +199,10 @@
     onData: (chunk: Buffer, exchange: UpstreamExchange): void => {
       if (!isPassedOn) return;
       const { whole, count, lastEventId } = splitter.split(chunk);
+      if (count > 0 && !hasEvent) {
+        hasEvent = true;
+        onFirstEvent();
+      }
       if (count > 0 && progress.events === 0) {
         const waitedMs = getSteadyMs() - request.arrivedAt;
         state.metrics.firstEventSeconds.observe(waitedMs / 1_000);
@@ -226,8 +236,12 @@
   request: GatewayRequest,
   progress: StreamProgress,
   engine: UpstreamRecord,
+  askId: AskId,
 ): Task<{ end: RunEnd; result: SendResult }> {
-  const relay = makeRelay(state, request, progress);
+  // An engine that reads the prompt itself has read it when its first event comes.
+  const onFirstEvent = (): void =>
+    requestPlace(state.pools, { kind: 'prefilled', askId }, state.logger);
+  const relay = makeRelay(state, request, progress, onFirstEvent);
   const sentAt = getSteadyMs();
   const { route } = request;
   const { kvSource } = progress;
@@ -359,7 +373,7 @@
     return continueAfter(state, request, progress, 'not-run');
   }
   const runsBefore = progress.runs;
-  const { end, result } = yield* runDecode(state, request, progress, engine);
+  const { end, result } = yield* runDecode(state, request, progress, engine, askId);
   const didFinish = end === 'finished';
   requestPlace(state.pools, { kind: 'end', askId, didFinish }, state.logger);
   if (result.kind === 'caller-gone' || result.kind === 'timed-out') {
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -15,7 +15,12 @@
   isHeard: boolean;
 };
 
-type AskedRun = { readonly service: ServiceName; readonly run: PlaceRun; owner: VmId };
+type AskedRun = {
+  readonly service: ServiceName;
+  readonly run: PlaceRun;
+  owner: VmId;
+  isRead: boolean;
+};
 
 /** Answers of an owner. */
 export type AskerMessage = Extract<
@@ -129,7 +134,7 @@
     const { service, ask, onReply } = asked;
     const { prefill, decode, endsInMs } = message;
     const run = { ask, decode, prefill, grantedAt: now, expectedEndAt: now + endsInMs };
-    runs.set(askId, { service, run, owner: from });
+    runs.set(askId, { service, run, owner: from, isRead: false });
     onReply({ kind: 'granted', askId, prefill, decode });
   }
 
@@ -148,7 +153,8 @@
           return;
         case 'prefilled': {
           const held = runs.get(message.askId);
-          if (held === undefined) return;
+          if (held === undefined || held.isRead) return;
+          held.isRead = true;
           held.run.prefill = undefined;
           const { askId } = message;
           tell(held.owner, { kind: 'pool-prefilled', service: held.service, askId });
--- a/packages/router/src/stages/stage-task.ts
+++ b/packages/router/src/stages/stage-task.ts
@@ -17,6 +17,8 @@
 const CHECK_INTERVAL_MS = 250;
 /** A change must be wanted for so long before it is ordered. */
 const SETTLE_MS = 1_200;
+/** The same where no prefill engine is left. */
+const URGENT_SETTLE_MS = 200;
 /** An order without an answer may still be carried out within this time. */
 const UNKNOWN_ORDER_MS = 13_000;
 /** Time beyond the engine's own for the list to show the change. */
@@ -55,7 +57,9 @@
   const wanted = plan && findStageChange(plan.engines, plan.demand);
   if (!isSameChange(wanted, stages.wanted)) stages.wantedSince = now;
   stages.wanted = wanted;
-  return wanted !== undefined && now - stages.wantedSince >= SETTLE_MS ? wanted : undefined;
+  const hasPrefill = plan?.engines.some(({ stage }) => stage === 'prefill') ?? false;
+  const settleMs = hasPrefill ? SETTLE_MS : URGENT_SETTLE_MS;
+  return wanted !== undefined && now - stages.wantedSince >= settleMs ? wanted : undefined;
 }
 
 function tellOrdered(
--- a/packages/router/src/upstreams/upstream-client.test.ts
+++ b/packages/router/src/upstreams/upstream-client.test.ts
@@ -98,6 +98,15 @@
   expect(connections.size).to.equal(2);
 });
 
+it('upstream client: a kept connection gathers no listeners', async () => {
+  const warnings: string[] = [];
+  const onWarning = (warning: Error): number => warnings.push(warning.name);
+  process.on('warning', onWarning);
+  await sendCalls((socket) => socket.write(FRAMED), 14);
+  process.off('warning', onWarning);
+  expect(warnings).to.deep.equal([]);
+});
+
 it('upstream client: connections are kept for the next request', async () => {
   const connections = new Set<Socket>();
   await sendCalls(
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -84,9 +84,10 @@
     scheduling: 'lifo',
   });
   const hooks = agent as unknown as KeepAliveHooks;
+  const keepSocketAlive = hooks.keepSocketAlive.bind(agent);
+  const reuseSocket = hooks.reuseSocket.bind(agent);
   hooks.keepSocketAlive = (socket) => {
-    socket.setKeepAlive(true);
-    socket.unref();
+    if (!keepSocketAlive(socket)) return false;
     socket.setTimeout(readIdleMs(socket));
     socket.on('data', destroyOnData);
     return true;
@@ -94,8 +95,7 @@
   hooks.reuseSocket = (socket, outgoing) => {
     socket.off('data', destroyOnData);
     socket.setTimeout(0);
-    Object.assign(outgoing, { reusedSocket: true });
-    socket.ref();
+    reuseSocket(socket, outgoing);
   };
   return agent;
 }
