--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -13,6 +13,13 @@
   readonly prefills: Map<AskId, PlaceRun>;
   /** Since when its time counts as spent on the prompts that it is reading. */
   prefillBusySince: number;
+  /** When the prompts sent here are probably read. */
+  prefillDoneAt: number;
+  /** Busy time and the prompt tokens read in it, fading; tells this engine's own speed. */
+  prefillBusyMs: number;
+  prefillTokens: number;
+  /** Prompts read so far. */
+  prefillCount: number;
   /** No new work before this time. */
   avoidUntil: number;
   /** Stage that it was told to take, and when it has surely done so. */
@@ -30,8 +37,11 @@
 const OVERDUE_SHARE = 0.2;
 /** Prompts that one prefill engine holds at a time: one is read while the next arrives. */
 const MAX_PREFILLS = 2;
-/** Short prompts may wait in greater number, up to this many tokens. */
-const MAX_PREFILL_TOKENS = 6_000;
+/** Prompts side by side slow each other: the next is sent when the one before is nearly read. */
+const PREFILL_LEAD_MS = 30;
+const PREFILL_FADING = 0.93;
+/** Tokens for which the pool's mean speed counts in the estimate of one engine. */
+const PRIOR_TOKENS = 8_000;
 
 /** Makes the load of an engine with nothing on it. */
 export function makeEngineLoad(engine: PoolEngine): EngineLoad {
@@ -40,6 +50,10 @@
     runs: new Map(),
     prefills: new Map(),
     prefillBusySince: 0,
+    prefillDoneAt: 0,
+    prefillBusyMs: 0,
+    prefillTokens: 0,
+    prefillCount: 0,
     avoidUntil: 0,
     ordered: undefined,
     slowness: 1,
@@ -93,29 +107,45 @@
   return predictPeakTokens(load, extra, now) <= USED_MEMORY_SHARE * load.engine.kvCapacityTokens;
 }
 
-/** Tokens of prompts that an engine has been sent and has not read. */
-export function countPrefillTokens(load: EngineLoad): number {
-  let tokens = 0;
-  for (const run of load.prefills.values()) tokens += run.ask.promptTokens;
-  return tokens;
+/** Milliseconds that an engine needs for one prompt token; `poolMs` is the mean of its pool. */
+export function measureEnginePrefillMs(load: EngineLoad, poolMs: number): number {
+  const busyMs = load.prefillBusyMs + PRIOR_TOKENS * poolMs;
+  return busyMs / (load.prefillTokens + PRIOR_TOKENS);
+}
+
+/** Predicts when an engine would have read one more prompt. */
+export function predictPrefillEnd(
+  load: EngineLoad,
+  promptTokens: number,
+  poolMs: number,
+  now: number,
+): number {
+  const startAt = load.prefills.size === 0 ? now : Math.max(now, load.prefillDoneAt);
+  return startAt + promptTokens * measureEnginePrefillMs(load, poolMs);
 }
 
 /** Starts to count a prompt that was sent to a prefill engine. */
-export function startPrefill(load: EngineLoad, run: PlaceRun, now: number): void {
+export function startPrefill(load: EngineLoad, run: PlaceRun, poolMs: number, now: number): void {
+  load.prefillDoneAt = predictPrefillEnd(load, run.ask.promptTokens, poolMs, now);
   if (load.prefills.size === 0) load.prefillBusySince = now;
   load.prefills.set(run.ask.askId, run);
 }
 
 /** Ends the count of a prompt; returns the engine's busy time since the last end. */
 export function endPrefill(load: EngineLoad, askId: AskId, now: number): number {
-  if (!load.prefills.delete(askId)) return 0;
+  const run = load.prefills.get(askId);
+  if (run === undefined) return 0;
+  load.prefills.delete(askId);
   const busyMs = now - load.prefillBusySince;
   load.prefillBusySince = now;
+  load.prefillBusyMs = PREFILL_FADING * load.prefillBusyMs + busyMs;
+  load.prefillTokens = PREFILL_FADING * load.prefillTokens + run.ask.promptTokens;
+  load.prefillCount += 1;
   return busyMs;
 }
 
 /** Whether a prefill engine takes one more prompt without a queue that lasts. */
-export function canPrefill(load: EngineLoad, promptTokens: number): boolean {
-  if (load.prefills.size < MAX_PREFILLS) return true;
-  return countPrefillTokens(load) + promptTokens <= MAX_PREFILL_TOKENS;
+export function canPrefill(load: EngineLoad, now: number): boolean {
+  if (load.prefills.size === 0) return true;
+  return load.prefills.size < MAX_PREFILLS && load.prefillDoneAt - now <= PREFILL_LEAD_MS;
 }
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -2,15 +2,16 @@
 
 import {
   canPrefill,
-  countPrefillTokens,
   hasPlace,
   isUsable,
+  predictPrefillEnd,
   startPrefill,
   type EngineLoad,
 } from './engine-load.js';
 import {
   countPlaces,
   measureFreshRate,
+  measurePrefillMsPerToken,
   measureServiceRate,
   predictFirstEventMs,
   predictHoldMs,
@@ -54,20 +55,21 @@
   return best;
 }
 
-/** Finds the prefill engine with the shortest queue; `none` where no such engine is usable. */
+/** Finds the prefill engine that would have read the prompt first; `none` where no such engine is usable. */
 function findPrefill(state: PoolState, ask: PlaceAsk, now: number): EngineLoad | 'none' | 'busy' {
   let best: EngineLoad | 'none' | 'busy' = 'none';
-  let bestTokens = Infinity;
+  let bestEndAt = Infinity;
+  const poolMs = measurePrefillMsPerToken(state);
   for (const load of state.engines.values()) {
     if (load.engine.stage !== 'prefill' || !isUsable(load, ask, now)) continue;
-    if (!canPrefill(load, ask.promptTokens)) {
+    if (!canPrefill(load, now)) {
       if (best === 'none') best = 'busy';
       continue;
     }
-    const tokens = countPrefillTokens(load);
-    if (tokens >= bestTokens) continue;
+    const endAt = predictPrefillEnd(load, ask.promptTokens, poolMs, now);
+    if (endAt >= bestEndAt) continue;
     best = load;
-    bestTokens = tokens;
+    bestEndAt = endAt;
   }
   return best;
 }
@@ -94,7 +96,7 @@
     const reader = findReader(state, run, now);
     if (reader === undefined) return undefined;
     run.prefill = reader.engine.upstreamId;
-    startPrefill(reader, run, now);
+    startPrefill(reader, run, measurePrefillMsPerToken(state), now);
   }
   state.runs.set(ask.askId, run);
   state.engines.get(run.decode)?.runs.set(ask.askId, run);
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -1,6 +1,6 @@
 /** State of one pool, and the estimates that its decisions rest on. */
 
-import type { EngineLoad, EngineLoads } from './engine-load.js';
+import { measureEnginePrefillMs, type EngineLoad, type EngineLoads } from './engine-load.js';
 import type { PlannedEngine, PoolDemand } from '../stages/stage-plan.js';
 import type { AskId, PlaceAsk, PlaceRun } from './pool-types.js';
 
@@ -121,6 +121,16 @@
   return { prefillMs, holdMs: state.holdMs, placesPerEngine };
 }
 
+/** Prompts that an engine must have read before its speed is known. */
+const LEAST_PREFILLS = 6;
+
+function measureSlowness(state: PoolState, load: EngineLoad): number | undefined {
+  if (load.engine.stage === 'decode') return load.slowness;
+  if (load.prefillCount < LEAST_PREFILLS) return undefined;
+  const poolMs = measurePrefillMsPerToken(state);
+  return measureEnginePrefillMs(load, poolMs) / poolMs;
+}
+
 /** Lists the engines for a plan; engines that leave are not counted. */
 export function listPlannedEngines(state: PoolState, now: number): PlannedEngine[] {
   const planned: PlannedEngine[] = [];
@@ -129,7 +139,8 @@
     if (isLeaving) continue;
     const ordered = load.ordered !== undefined && now < load.ordered.doneBy ? load.ordered : undefined;
     const stage = ordered?.stage ?? load.engine.stage;
-    planned.push({ upstreamId, stage, load: load.runs.size + load.prefills.size });
+    const slowness = measureSlowness(state, load);
+    planned.push({ upstreamId, stage, load: load.runs.size + load.prefills.size, slowness });
   }
   return planned;
 }
--- a/packages/core/src/stages/stage-plan.ts
+++ b/packages/core/src/stages/stage-plan.ts
@@ -10,8 +10,10 @@
 export type PlannedEngine = {
   readonly upstreamId: UpstreamId;
   readonly stage: EngineStage;
-  /** Requests that it works on; the least loaded one changes. */
+  /** Requests that it works on. */
   readonly load: number;
+  /** Its time for the same work, relative to its stage's mean; undefined until it is measured. */
+  readonly slowness: number | undefined;
 };
 
 /** What the pool needs for one request, in milliseconds of one engine. */
@@ -35,12 +37,21 @@
 /** Part of such answers that is on time: all others of the engine pause while it reads. */
 const SELF_READ_YIELD = 0.25;
 /** Gain that is worth the time that an engine needs for the change. */
-const LEAST_GAIN = 1.2;
+const LEAST_GAIN = 1.15;
 
-/** Predicts how many answers a second a split can start. */
-export function predictStartRate(prefill: number, decode: number, demand: PoolDemand): number {
+function sumSpeeds(engines: readonly PlannedEngine[], stage: EngineStage): number {
+  let speed = 0;
+  for (const engine of engines) {
+    if (engine.stage === stage) speed += 1 / (engine.slowness ?? 1);
+  }
+  return speed;
+}
+
+/** Predicts how many answers a second the engines can start with their stages. */
+export function predictStartRate(engines: readonly PlannedEngine[], demand: PoolDemand): number {
   const { prefillMs, holdMs, placesPerEngine } = demand;
-  if (decode === 0) return 0;
+  const prefill = sumSpeeds(engines, 'prefill');
+  const decode = sumSpeeds(engines, 'decode');
   if (prefill === 0) {
     const engineMs = holdMs / placesPerEngine + SELF_READ_FACTOR * prefillMs;
     return (SELF_READ_YIELD * MS_PER_S * decode) / engineMs;
@@ -50,42 +61,62 @@
   return Math.min(readRate, placeRate);
 }
 
-function findBestPrefill(total: number, current: number, demand: PoolDemand): number {
-  let best = current;
-  let bestRate = predictStartRate(current, total - current, demand);
-  for (let prefill = 1; prefill < total; prefill += 1) {
-    const rate = predictStartRate(prefill, total - prefill, demand);
-    if (rate <= bestRate) continue;
-    best = prefill;
-    bestRate = rate;
-  }
-  const currentRate = predictStartRate(current, total - current, demand);
-  return bestRate >= LEAST_GAIN * currentRate ? best : current;
-}
-
-function findLeastLoaded(
+/**
+ * Finds the engine to change: the slowest prefill engine becomes a decode engine, and the fastest
+ * decode engine with the least work a prefill engine. Slow prefill holds up every request.
+ */
+function findCandidate(
   engines: readonly PlannedEngine[],
-  stage: EngineStage,
+  from: EngineStage,
 ): PlannedEngine | undefined {
-  let least: PlannedEngine | undefined;
+  let best: PlannedEngine | undefined;
+  let bestCost = Infinity;
   for (const engine of engines) {
-    if (engine.stage !== stage) continue;
-    if (least === undefined || engine.load < least.load) least = engine;
+    if (engine.stage !== from) continue;
+    const slowness = engine.slowness ?? 1;
+    const cost = from === 'prefill' ? -slowness : slowness + engine.load / 20;
+    if (cost >= bestCost) continue;
+    best = engine;
+    bestCost = cost;
   }
-  return least;
+  return best;
 }
 
-/** Finds the next change; undefined if the split is good enough. */
+function applyChange(
+  engines: readonly PlannedEngine[],
+  { upstreamId, stage }: StageChange,
+): PlannedEngine[] {
+  return engines.map((engine) =>
+    engine.upstreamId === upstreamId ? { ...engine, stage } : engine,
+  );
+}
+
+function isMeasured(engines: readonly PlannedEngine[]): boolean {
+  return engines.every(({ slowness }) => slowness !== undefined);
+}
+
+/** Finds the next change; undefined if the split is good enough, or not measured yet. */
 export function findStageChange(
   engines: readonly PlannedEngine[],
   demand: PoolDemand,
 ): StageChange | undefined {
-  const total = engines.length;
-  if (total < 2) return undefined;
-  const current = engines.filter(({ stage }) => stage === 'prefill').length;
-  const best = findBestPrefill(total, current, demand);
-  if (best === current) return undefined;
-  const [from, to] = best < current ? (['prefill', 'decode'] as const) : (['decode', 'prefill'] as const);
-  const engine = findLeastLoaded(engines, from);
-  return engine && { upstreamId: engine.upstreamId, stage: to };
+  if (engines.length < 2) return undefined;
+  const currentRate = predictStartRate(engines, demand);
+  const hasPrefill = engines.some(({ stage }) => stage === 'prefill');
+  if (hasPrefill && !isMeasured(engines)) return undefined;
+  let best: StageChange | undefined;
+  let bestRate = LEAST_GAIN * currentRate;
+  for (const [from, to] of [
+    ['prefill', 'decode'],
+    ['decode', 'prefill'],
+  ] as const) {
+    const engine = findCandidate(engines, from);
+    if (engine === undefined) continue;
+    const change = { upstreamId: engine.upstreamId, stage: to };
+    const rate = predictStartRate(applyChange(engines, change), demand);
+    if (rate <= bestRate) continue;
+    best = change;
+    bestRate = rate;
+  }
+  return best;
 }
