--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -22,6 +22,8 @@
   prefillCount: number;
   /** No new work before this time. */
   avoidUntil: number;
+  /** Refusals and failures since its last success. */
+  failures: number;
   /** Stage that it was told to take, and when it has surely done so. */
   ordered: { readonly stage: EngineStage; readonly doneBy: number } | undefined;
   /** Measured time of a place per expected token, relative to the pool's mean. */
@@ -55,6 +57,7 @@
     prefillTokens: 0,
     prefillCount: 0,
     avoidUntil: 0,
+    failures: 0,
     ordered: undefined,
     slowness: 1,
   };
@@ -141,6 +144,7 @@
   load.prefillBusyMs = PREFILL_FADING * load.prefillBusyMs + busyMs;
   load.prefillTokens = PREFILL_FADING * load.prefillTokens + run.ask.promptTokens;
   load.prefillCount += 1;
+  load.failures = 0;
   return busyMs;
 }
 
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -1,6 +1,6 @@
 /** The pool as a state machine: one event in, a list of actions out. */
 
-import { assertNever, type UpstreamId, type VmId } from '@tarragonspool/protocol';
+import { assertNever, type EngineFailure, type UpstreamId, type VmId } from '@tarragonspool/protocol';
 import { buildRefusal, findRefusal, refuseOverdue } from './admission.js';
 import { endPrefill, makeEngineLoad } from './engine-load.js';
 import { canBeOnTime, placeWaiting } from './placing.js';
@@ -16,6 +16,10 @@
 /** After a refusal for want of room, the engine's own queue empties within this time. */
 const FULL_PAUSE_MS = 250;
 const BROKEN_PAUSE_MS = 1_500;
+/** Streams tell of silence again and again while it lasts. */
+const SILENT_PAUSE_MS = 750;
+/** Pauses double with each failure in a row, up to this. */
+const MAX_PAUSE_MS = 3_000;
 /** A run that nobody ended is forgotten after this multiple of its forecast. */
 const FORGET_FACTOR = 3;
 const MIN_FORGET_MS = 5_000;
@@ -89,22 +93,43 @@
   const run = removeRun(state, askId);
   if (run === undefined || !didFinish) return;
   const load = state.engines.get(run.decode);
-  if (load !== undefined) recordHold(state, run, load, now);
+  if (load === undefined) return;
+  load.failures = 0;
+  recordHold(state, run, load, now);
+}
+
+/** How long an engine gets no new work after a failure. */
+function computePauseMs(failure: EngineFailure, earlierFailures: number): number {
+  switch (failure) {
+    case 'silent':
+      return SILENT_PAUSE_MS;
+    case 'full':
+      return Math.min(MAX_PAUSE_MS, FULL_PAUSE_MS * 2 ** earlierFailures);
+    case 'broken':
+      return Math.min(MAX_PAUSE_MS, BROKEN_PAUSE_MS * 2 ** earlierFailures);
+    default:
+      return assertNever(failure);
+  }
 }
 
 function handleEngineFailed(
   state: PoolState,
   upstreamId: UpstreamId,
-  failure: 'full' | 'broken',
+  failure: EngineFailure,
   now: number,
 ): void {
   const load = state.engines.get(upstreamId);
   if (load === undefined) return;
-  const pauseMs = failure === 'full' ? FULL_PAUSE_MS : BROKEN_PAUSE_MS;
-  load.avoidUntil = Math.max(load.avoidUntil, now + pauseMs);
+  load.avoidUntil = Math.max(load.avoidUntil, now + computePauseMs(failure, load.failures));
+  if (failure !== 'silent') load.failures += 1;
 }
 
-function adoptRuns(state: PoolState, runs: readonly PlaceRun[]): void {
+/** Takes a VM's whole list: what is not on it has ended. */
+function adoptRuns(state: PoolState, vmId: VmId, runs: readonly PlaceRun[]): void {
+  const listed = new Set(runs.map(({ ask }) => ask.askId));
+  for (const [askId, run] of state.runs) {
+    if (run.ask.vmId === vmId && !listed.has(askId)) removeRun(state, askId);
+  }
   for (const run of runs) {
     const { askId } = run.ask;
     const load = state.engines.get(run.decode);
@@ -161,8 +186,8 @@
       return [];
     }
     case 'runs-announced':
-      adoptRuns(state, event.runs);
-      return [];
+      adoptRuns(state, event.vmId, event.runs);
+      return placeWaiting(state, now);
     case 'vm-restarted':
       dropRunsOf(state, event.vmId);
       return placeWaiting(state, now);
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -1,6 +1,6 @@
 /** State of one pool, and the estimates that its decisions rest on. */
 
-import { measureEnginePrefillMs, type EngineLoad, type EngineLoads } from './engine-load.js';
+import { isChanging, measureEnginePrefillMs, type EngineLoad, type EngineLoads } from './engine-load.js';
 import type { PlannedEngine, PoolDemand } from '../stages/stage-plan.js';
 import type { AskId, PlaceAsk, PlaceRun } from './pool-types.js';
 
@@ -19,6 +19,8 @@
   prefillTokens: number;
   /** Mean time that a place is held, in milliseconds. */
   holdMs: number;
+  /** Answers that came to their end. */
+  holdCount: number;
   /** Mean tokens of a prompt, and of an answer at its end. */
   promptTokens: number;
   outputTokens: number;
@@ -51,6 +53,7 @@
     prefillBusyMs: INITIAL_PREFILL_MS_PER_TOKEN * INITIAL_PREFILL_TOKENS,
     prefillTokens: INITIAL_PREFILL_TOKENS,
     holdMs: INITIAL_HOLD_MS,
+    holdCount: 0,
     promptTokens: INITIAL_PROMPT_TOKENS,
     outputTokens: 0,
     freshRate: 0,
@@ -68,6 +71,7 @@
 /** Learns from an answer that came to its end. */
 export function recordHold(state: PoolState, run: PlaceRun, load: EngineLoad, now: number): void {
   const heldMs = now - run.grantedAt;
+  state.holdCount += 1;
   state.holdMs = updateEstimate(state.holdMs, heldMs);
   if (run.ask.outputTokens <= 0) return;
   const perToken = heldMs / run.ask.outputTokens;
@@ -123,9 +127,13 @@
 
 /** Prompts that an engine must have read before its speed is known. */
 const LEAST_PREFILLS = 6;
+/** Answers that must have ended before the time that a place is held is known. */
+const LEAST_HOLDS = 8;
 
 function measureSlowness(state: PoolState, load: EngineLoad): number | undefined {
-  if (load.engine.stage === 'decode') return load.slowness;
+  if (load.engine.stage === 'decode') {
+    return state.holdCount < LEAST_HOLDS ? undefined : load.slowness;
+  }
   if (load.prefillCount < LEAST_PREFILLS) return undefined;
   const poolMs = measurePrefillMsPerToken(state);
   return measureEnginePrefillMs(load, poolMs) / poolMs;
@@ -137,10 +145,11 @@
   for (const load of state.engines.values()) {
     const { upstreamId, isLeaving } = load.engine;
     if (isLeaving) continue;
-    const ordered = load.ordered !== undefined && now < load.ordered.doneBy ? load.ordered : undefined;
-    const stage = ordered?.stage ?? load.engine.stage;
+    const isOrdered = isChanging(load, now);
+    const stage = isOrdered && load.ordered ? load.ordered.stage : load.engine.stage;
+    const work = load.runs.size + load.prefills.size;
     const slowness = measureSlowness(state, load);
-    planned.push({ upstreamId, stage, load: load.runs.size + load.prefills.size, slowness });
+    planned.push({ upstreamId, stage, load: work, slowness, isChanging: isOrdered });
   }
   return planned;
 }
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -4,7 +4,7 @@
  * the VM that decides, in milliseconds.
  */
 
-import type { UpstreamId, VmId } from '@tarragonspool/protocol';
+import type { EngineFailure, UpstreamId, VmId } from '@tarragonspool/protocol';
 import type { EngineStage } from '../routing/routing-types.js';
 
 /** Names one ask for a place; unique over all VMs. */
@@ -63,7 +63,7 @@
   | {
       readonly kind: 'engine-failed';
       readonly upstreamId: UpstreamId;
-      readonly failure: 'full' | 'broken';
+      readonly failure: EngineFailure;
     }
   /** An engine was told to change its stage and takes no work until it has. */
   | {
@@ -72,8 +72,12 @@
       readonly stage: EngineStage;
       readonly doneBy: number;
     }
-  /** Runs that a VM still has, told to a VM that decides anew. */
-  | { readonly kind: 'runs-announced'; readonly runs: readonly PlaceRun[] }
+  /** All runs that a VM has, told to a VM that decides anew or no longer. */
+  | {
+      readonly kind: 'runs-announced';
+      readonly vmId: VmId;
+      readonly runs: readonly PlaceRun[];
+    }
   /** A VM has restarted; its earlier runs are over. */
   | { readonly kind: 'vm-restarted'; readonly vmId: VmId }
   | { readonly kind: 'ticked' };
--- a/packages/core/src/routing/upstream-list.ts
+++ b/packages/core/src/routing/upstream-list.ts
@@ -63,19 +63,6 @@
   }
 }
 
-/** Replaces the whole list by a complete reading; what is missing there is removed. */
-export function replaceUpstreams(
-  list: UpstreamList,
-  changes: readonly UpstreamChange[],
-  now: number,
-): void {
-  const listed = new Set(changes.map(({ upstreamId }) => upstreamId));
-  for (const upstreamId of [...list.records.keys()]) {
-    if (!listed.has(upstreamId)) removeRecord(list, upstreamId, now);
-  }
-  applyUpstreamChanges(list, changes, now);
-}
-
 /** Removes entries whose grace has ended; returns their ids. */
 export function expireLapsed(list: UpstreamList, now: number): UpstreamId[] {
   const gone: UpstreamId[] = [];
--- a/packages/core/src/stages/stage-plan.ts
+++ b/packages/core/src/stages/stage-plan.ts
@@ -14,6 +14,8 @@
   readonly load: number;
   /** Its time for the same work, relative to its stage's mean; undefined until it is measured. */
   readonly slowness: number | undefined;
+  /** Whether it is on its way to this stage and cannot be ordered again. */
+  readonly isChanging: boolean;
 };
 
 /** What the pool needs for one request, in milliseconds of one engine. */
@@ -72,7 +74,7 @@
   let best: PlannedEngine | undefined;
   let bestCost = Infinity;
   for (const engine of engines) {
-    if (engine.stage !== from) continue;
+    if (engine.stage !== from || engine.isChanging) continue;
     const slowness = engine.slowness ?? 1;
     const cost = from === 'prefill' ? -slowness : slowness + engine.load / 20;
     if (cost >= bestCost) continue;
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -19,7 +19,7 @@
   VmId,
 } from './ids.js';
 import type { ModelTarget } from './engine-messages.js';
-import type { PoolMessage } from './pool-messages.js';
+import type { PoolMessage, RowsMessage } from './pool-messages.js';
 import type { RuleDelta } from './rule-messages.js';
 import type { Refusal } from './result-codes.js';
 
@@ -124,6 +124,7 @@
 /** Everything that entry VMs say to each other. */
 export type PeerMessage =
   | PoolMessage
+  | RowsMessage
   | {
       readonly kind: 'hello';
       readonly version: number;
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -58,12 +58,32 @@
     kind: z.literal('pool-engine-failed'),
     service: id,
     upstreamId: id,
-    failure: z.enum(['full', 'broken']),
+    failure: z.enum(['full', 'broken', 'silent']),
   }),
   z.object({ kind: z.literal('pool-runs'), service: id, runs: z.array(runSchema) }),
-  z.object({ kind: z.literal('alive'), sequence: count }),
+  z.object({
+    kind: z.literal('pool-engine-ordered'),
+    service: id,
+    upstreamId: id,
+    stage: z.enum(['prefill', 'decode']),
+    doneInMs: span,
+  }),
+  z.object({ kind: z.literal('alive'), isStoreAway: z.boolean() }),
+  z.object({ kind: z.literal('rows-wanted'), table: id, afterVersion: count }),
+  z.object({
+    kind: z.literal('rows-copy'),
+    table: id,
+    version: count,
+    isFull: z.boolean(),
+    rows: z.array(
+      z.object({ key: id, version: count, value: z.instanceof(Uint8Array).optional() }),
+    ),
+  }),
 ] as const;
 
+/** What a VM saw of an engine: it refused for want of room, broke off, or sends nothing. */
+export type EngineFailure = 'full' | 'broken' | 'silent';
+
 /** One run as a VM announces it to a VM that decides anew. */
 export type PoolRunItem = {
   readonly askId: string;
@@ -116,12 +136,38 @@
       readonly kind: 'pool-engine-failed';
       readonly service: ServiceName;
       readonly upstreamId: UpstreamId;
-      readonly failure: 'full' | 'broken';
+      readonly failure: EngineFailure;
     }
   | {
       readonly kind: 'pool-runs';
       readonly service: ServiceName;
       readonly runs: readonly PoolRunItem[];
     }
-  /** Says that the sender is alive. */
-  | { readonly kind: 'alive'; readonly sequence: number };
+  /** An engine was told to change its stage. */
+  | {
+      readonly kind: 'pool-engine-ordered';
+      readonly service: ServiceName;
+      readonly upstreamId: UpstreamId;
+      readonly stage: 'prefill' | 'decode';
+      readonly doneInMs: number;
+    }
+  /** Says that the sender is alive, and whether the store answers it. */
+  | { readonly kind: 'alive'; readonly isStoreAway: boolean };
+
+/** Rows of the store that one VM passes to another. */
+export type RowsMessage =
+  /** Asks for rows newer than a version. */
+  | { readonly kind: 'rows-wanted'; readonly table: string; readonly afterVersion: number }
+  | {
+      readonly kind: 'rows-copy';
+      readonly table: string;
+      readonly version: number;
+      /** Whether keys that are not listed do not exist. */
+      readonly isFull: boolean;
+      readonly rows: readonly {
+        readonly key: string;
+        readonly version: number;
+        /** No value means that the row was removed. */
+        readonly value?: Uint8Array | undefined;
+      }[];
+    };
--- a/packages/router/src/feeds/table-feed.ts
+++ b/packages/router/src/feeds/table-feed.ts
@@ -4,12 +4,12 @@
 import type { RowChange, RowStore, StoreOutcome } from '../gateway/ports.js';
 import { awaitPromise, type Task } from '../tasks/tasks.js';
 import { waitMs } from '../tasks/timers.js';
+import { makeRowCache, type RowCache, type RowCopy } from './row-cache.js';
 
-/** What the feed tells. */
+/** Hears of a followed table. */
 export type FeedHandler = {
-  /** Rows of a full reading; whatever is missing does not exist. */
-  readonly onReplaced: (rows: readonly RowChange[]) => void;
-  readonly onChanged: (rows: readonly RowChange[]) => void;
+  /** Rows that are news, removals included. */
+  readonly onRows: (rows: readonly RowChange[]) => void;
   readonly onAway: () => void;
   readonly onBack: () => void;
 };
@@ -22,8 +22,16 @@
   /** Pause between calls, so that changes come in batches. */
   readonly pauseMs: number;
   readonly takeFraction: () => number;
-  /** Tells that the table should be followed no longer. */
-  readonly isStopped: () => boolean;
+};
+
+/** A table that is followed. */
+export type TableFeed = {
+  readonly table: string;
+  readonly run: () => Task;
+  readonly isAway: () => boolean;
+  readonly cache: RowCache;
+  /** Takes what a peer knows, for the time that the store does not answer this VM. */
+  readonly applyCopy: (copy: RowCopy) => void;
 };
 
 const READ_TIMEOUT_MS = 1_500;
@@ -31,80 +39,107 @@
 const MIN_BACKOFF_MS = 150;
 const MAX_BACKOFF_MS = 600;
 
-type Cursor = { version: number | undefined; isAway: boolean; failures: number };
+type Reading = { readonly rows: readonly RowChange[]; readonly version: number };
 
-function* readTable(store: RowStore, table: string): Task<StoreOutcome<RowChange[]> & { version?: number }> {
+function* readTable(store: RowStore, table: string): Task<StoreOutcome<Reading>> {
   const rows: RowChange[] = [];
   let from: string | undefined;
   for (;;) {
     const call = { table, timeoutMs: READ_TIMEOUT_MS, ...(from === undefined ? {} : { from }) };
     const outcome = yield* awaitPromise(store.readRows(call));
     if (outcome.kind !== 'ok') return outcome;
-    rows.push(...outcome.value.rows);
-    const last = outcome.value.rows.at(-1);
-    if (!outcome.value.hasMore || last === undefined) {
-      return { kind: 'ok', value: rows, version: outcome.value.version };
+    const { value } = outcome;
+    rows.push(...value.rows);
+    const last = value.rows.at(-1);
+    if (!value.hasMore || last === undefined) {
+      return { kind: 'ok', value: { rows, version: value.version } };
     }
     from = `${last.key}\0`;
   }
 }
 
-/** Follows a table until it is told to stop. */
-export function* runTableFeed(
+/** Makes a feed; it follows its table once it is run. */
+export function makeTableFeed(
   store: RowStore,
   options: FeedOptions,
   handler: FeedHandler,
   logger: Logger,
-): Task {
+): TableFeed {
   const { table, holdMs, pauseMs, takeFraction } = options;
-  const cursor: Cursor = { version: undefined, isAway: false, failures: 0 };
+  const cache = makeRowCache();
+  let isAway = false;
+  let failures = 0;
+  /** Version up to which the store's own answers were read. */
+  let cursor: number | undefined;
+
+  function tell(rows: readonly RowChange[]): void {
+    if (rows.length > 0) handler.onRows(rows);
+  }
 
   function noteAnswer(): void {
-    cursor.failures = 0;
-    if (!cursor.isAway) return;
-    cursor.isAway = false;
+    failures = 0;
+    if (!isAway) return;
+    isAway = false;
     logger.info({ table }, 'feeds: store is back');
     handler.onBack();
   }
 
   function* noteFailure(outcome: StoreOutcome<unknown>): Task {
-    cursor.failures += 1;
-    if (!cursor.isAway) {
-      cursor.isAway = true;
+    failures += 1;
+    if (!isAway) {
+      isAway = true;
       logger.warn({ table, outcome }, 'feeds: store is away');
       handler.onAway();
     }
-    const backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** (cursor.failures - 1));
+    const backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** (failures - 1));
     yield* waitMs(backoffMs * (0.5 + takeFraction()));
   }
 
-  while (!options.isStopped()) {
-    if (cursor.version === undefined) {
-      const outcome = yield* readTable(store, table);
-      if (outcome.kind !== 'ok') {
-        yield* noteFailure(outcome);
-        continue;
-      }
-      noteAnswer();
-      cursor.version = outcome.version;
-      handler.onReplaced(outcome.value);
-    } else {
-      const call = { table, afterVersion: cursor.version, waitMs: holdMs };
-      const timeoutMs = holdMs + ANSWER_SLACK_MS;
-      const outcome = yield* awaitPromise(store.readChanges({ ...call, timeoutMs }));
-      if (outcome.kind === 'history-lost') {
-        logger.info({ table, version: cursor.version }, 'feeds: history lost, reading again');
-        cursor.version = undefined;
-        continue;
-      }
-      if (outcome.kind !== 'ok') {
-        yield* noteFailure(outcome);
-        continue;
-      }
-      noteAnswer();
-      cursor.version = Math.max(cursor.version, outcome.value.version);
-      if (outcome.value.rows.length > 0) handler.onChanged(outcome.value.rows);
+  function* readAll(): Task {
+    const outcome = yield* readTable(store, table);
+    if (outcome.kind !== 'ok') {
+      yield* noteFailure(outcome);
+      return;
     }
+    noteAnswer();
+    const { rows, version } = outcome.value;
+    cursor = version;
+    // The first reading is news even if the table is empty.
+    handler.onRows(cache.replaceRows(rows, version));
     yield* waitMs(pauseMs);
   }
+
+  function* readOn(afterVersion: number): Task {
+    const call = { table, afterVersion, waitMs: holdMs, timeoutMs: holdMs + ANSWER_SLACK_MS };
+    const outcome = yield* awaitPromise(store.readChanges(call));
+    if (outcome.kind === 'history-lost') {
+      logger.info({ table, afterVersion }, 'feeds: history lost, reading again');
+      cursor = undefined;
+      return;
+    }
+    if (outcome.kind !== 'ok') {
+      yield* noteFailure(outcome);
+      return;
+    }
+    noteAnswer();
+    const { rows, version } = outcome.value;
+    cursor = Math.max(afterVersion, version);
+    tell(cache.applyRows(rows, version));
+    yield* waitMs(pauseMs);
+  }
+
+  return {
+    table,
+    cache,
+    isAway: () => isAway,
+    applyCopy: ({ rows, version, isFull }) => {
+      tell(isFull ? cache.replaceRows(rows, version) : cache.applyRows(rows, version));
+    },
+    run: function* run() {
+      for (;;) {
+        if (cursor === undefined) yield* readAll();
+        else yield* readOn(cursor);
+      }
+    },
+  };
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -5,13 +5,13 @@
 import {
   applyUpstreamChanges,
   expireLapsed,
-  replaceUpstreams,
   startLapseWindow,
   type PoolEngine,
   type UpstreamChange,
 } from '@tarragonspool/core';
 import type { PoolMessage, ServiceName, UpstreamId, VmId } from '@tarragonspool/protocol';
-import { runTableFeed, type FeedOptions } from '../feeds/table-feed.js';
+import { makeRowRelay } from '../feeds/row-relay.js';
+import { makeTableFeed, type FeedOptions, type TableFeed } from '../feeds/table-feed.js';
 import type { Logger } from '../logging/logger.js';
 import type { PeerMesh } from '../peers/peer-mesh.js';
 import { makePoolTask } from '../pools/pool-task.js';
@@ -29,6 +29,7 @@
 const EXIT_INTERNAL = 70;
 const POOL_TICK_MS = 25;
 const LAPSE_CHECK_MS = 100;
+const STORE_CHECK_MS = 100;
 const FEED_HOLD_MS = 1_500;
 const FEED_PAUSE_MS = 120;
 const MEMBERS_HOLD_MS = 5_000;
@@ -101,29 +102,27 @@
   }
 }
 
-function startUpstreamFeed(state: GatewayState, base: FeedBase): void {
-  const { table } = state.ports.upstreams;
-  const apply = (rows: readonly RowChange[], isFull: boolean): void => {
-    const changes = rows.map((row) => decodeUpstreamRow(state, row));
-    logUpstreams(state, changes);
-    const now = getSteadyMs();
-    if (isFull) replaceUpstreams(state.upstreams, changes, now);
-    else applyUpstreamChanges(state.upstreams, changes, now);
-    state.hasUpstreams = true;
-    publishEngines(state);
-  };
+function makeUpstreamFeed(state: GatewayState): TableFeed {
+  const { store, upstreams } = state.ports;
+  const options = { ...makeFeedOptions(state), table: upstreams.table };
   const handler = {
-    onReplaced: (rows: readonly RowChange[]) => apply(rows, true),
-    onChanged: (rows: readonly RowChange[]) => apply(rows, false),
+    onRows: (rows: readonly RowChange[]) => {
+      const changes = rows.map((row) => decodeUpstreamRow(state, row));
+      logUpstreams(state, changes);
+      applyUpstreamChanges(state.upstreams, changes, getSteadyMs());
+      state.hasUpstreams = true;
+      publishEngines(state);
+    },
     onAway: () => state.metrics.storeAway.inc(),
     onBack: () => {
       state.metrics.storeAway.dec();
       startLapseWindow(state.upstreams, getSteadyMs());
     },
   };
-  base.start('upstream feed', () =>
-    runTableFeed(state.ports.store, { ...base.options, table }, handler, state.logger),
-  );
+  return makeTableFeed(store, options, handler, state.logger);
+}
+
+function startLapseCheck(state: GatewayState): void {
   setInterval(() => {
     const gone = expireLapsed(state.upstreams, getSteadyMs());
     if (gone.length === 0) return;
@@ -132,61 +131,82 @@
   }, LAPSE_CHECK_MS);
 }
 
-function startConfigurationFeed(state: GatewayState, server: Server, base: FeedBase): void {
-  const { table } = state.ports.configuration;
-  const apply = (rows: readonly RowChange[]): void => {
-    for (const row of rows) applyConfigurationRow(state, server, row);
-    publishEngines(state);
-  };
+function makeConfigurationFeed(state: GatewayState, server: Server): TableFeed {
+  const { store, configuration } = state.ports;
+  const options = { ...makeFeedOptions(state), table: configuration.table };
   const handler = {
-    onReplaced: apply,
-    onChanged: apply,
+    onRows: (rows: readonly RowChange[]) => {
+      for (const row of rows) applyConfigurationRow(state, server, row);
+      publishEngines(state);
+    },
     onAway: () => state.metrics.storeAway.inc(),
     onBack: () => state.metrics.storeAway.dec(),
   };
-  base.start('configuration feed', () =>
-    runTableFeed(state.ports.store, { ...base.options, table }, handler, state.logger),
-  );
+  return makeTableFeed(store, options, handler, state.logger);
+}
+
+function makeFeedOptions({ takeFraction }: GatewayState): Omit<FeedOptions, 'table'> {
+  return { holdMs: FEED_HOLD_MS, pauseMs: FEED_PAUSE_MS, takeFraction };
 }
 
 type StartTask = (name: string, body: () => Task) => void;
-type FeedBase = { readonly start: StartTask; readonly options: Omit<FeedOptions, 'table'> };
+type PeerSender = { mesh: PeerMesh | undefined };
 
-function startMembership(state: GatewayState, base: FeedBase, links: PeerSender): void {
+function makeMemberFeed(state: GatewayState, members: MemberList): TableFeed {
+  const options = {
+    table: MEMBERS_TABLE,
+    holdMs: MEMBERS_HOLD_MS,
+    pauseMs: MEMBERS_PAUSE_MS,
+    takeFraction: state.takeFraction,
+  };
+  const handler = {
+    onRows: () => {
+      members.entryVms = decodeMembers(feed.cache.listRows());
+    },
+    onAway: () => undefined,
+    onBack: () => undefined,
+  };
+  const feed: TableFeed = makeTableFeed(state.ports.store, options, handler, state.logger);
+  return feed;
+}
+
+type MemberList = { entryVms: ReturnType<typeof decodeMembers> };
+
+function chooseInformedPeer(state: GatewayState): VmId | undefined {
+  const peers = state.pools.listInformedPeers();
+  return peers[Math.floor(state.takeFraction() * peers.length)];
+}
+
+function startMembership(
+  state: GatewayState,
+  feeds: readonly TableFeed[],
+  links: PeerSender,
+  start: StartTask,
+): void {
   const { settings, logger, metrics, pools } = state;
   const { host, port } = settings.peerListen;
   const self = { vmId: settings.vmId, peerAddress: `${host}:${port}` };
-  const members: { entryVms: ReturnType<typeof decodeMembers> } = { entryVms: [] };
-  const rowsByKey = new Map<string, RowChange>();
-  const apply = (rows: readonly RowChange[]): void => {
-    for (const row of rows) rowsByKey.set(row.key, row);
-    members.entryVms = decodeMembers([...rowsByKey.values()]);
-  };
-  base.start('membership', function* run() {
+  const members: MemberList = { entryVms: [] };
+  const relay = makeRowRelay({
+    feeds,
+    choosePeer: () => chooseInformedPeer(state),
+    sendTo: (vmId, message) => links.mesh?.sendTo(vmId, message),
+    logger,
+  });
+  const isStoreAway = (): boolean => feeds.some((feed) => feed.isAway());
+  setInterval(
+    () => offer(pools.inbox, { kind: 'store', isAway: isStoreAway() }),
+    STORE_CHECK_MS,
+  );
+  start('membership', function* run() {
     const { store } = state.ports;
     const registration = yield* runRegistration(store, self, state.takeFraction, logger);
-    links.mesh = startPeerLinks({ settings, registration, members, pools, metrics, logger });
-    const options = {
-      ...base.options,
-      table: MEMBERS_TABLE,
-      holdMs: MEMBERS_HOLD_MS,
-      pauseMs: MEMBERS_PAUSE_MS,
-    };
-    const handler = {
-      onReplaced: (rows: readonly RowChange[]) => {
-        rowsByKey.clear();
-        apply(rows);
-      },
-      onChanged: apply,
-      onAway: () => undefined,
-      onBack: () => undefined,
-    };
-    yield* runTableFeed(store, options, handler, logger);
+    const parts = { settings, registration, members, pools, relay, isStoreAway, metrics, logger };
+    links.mesh = startPeerLinks(parts);
+    yield* makeMemberFeed(state, members).run();
   });
 }
 
-type PeerSender = { mesh: PeerMesh | undefined };
-
 function startReadyListener(state: GatewayState): Server {
   const { readyListen } = state.settings;
   const server = createServer((_incoming, response) => {
@@ -238,7 +258,8 @@
   const sendTo = (vmId: VmId, message: PoolMessage): void => {
     links.mesh?.sendTo(vmId, message);
   };
-  const pools = makePoolTask({ self: settings.vmId, takeFraction, sendTo, logger });
+  const broadcast = (message: PoolMessage): void => links.mesh?.broadcast(message);
+  const pools = makePoolTask({ self: settings.vmId, takeFraction, sendTo, broadcast, logger });
   const metrics = makeGatewayMetrics();
   const startName = `${settings.vmId}-${process.hrtime.bigint().toString(36)}`;
   const parts = { settings, ports, logger, metrics, pools, takeFraction, startName };
@@ -251,13 +272,10 @@
   start('pools', pools.run);
   setInterval(() => offer(pools.inbox, { kind: 'ticked' }), POOL_TICK_MS);
   const server = makeCallerListener(state);
-  const base: FeedBase = {
-    start,
-    options: { holdMs: FEED_HOLD_MS, pauseMs: FEED_PAUSE_MS, takeFraction, isStopped: () => false },
-  };
-  startConfigurationFeed(state, server, base);
-  startUpstreamFeed(state, base);
-  startMembership(state, base, links);
+  const feeds = [makeConfigurationFeed(state, server), makeUpstreamFeed(state)];
+  for (const feed of feeds) start(`feed of ${feed.table}`, feed.run);
+  startLapseCheck(state);
+  startMembership(state, feeds, links, start);
   start('stages', () => runStages(state));
   listen(server, settings.callerListen);
   startReadyListener(state);
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -5,8 +5,10 @@
   Incarnation,
   PeerMessage,
   PoolMessage,
+  RowsMessage,
   VmId,
 } from '@tarragonspool/protocol';
+import type { RowRelay } from '../feeds/row-relay.js';
 import type { Logger } from '../logging/logger.js';
 import { startPeerMesh, type PeerMesh } from '../peers/peer-mesh.js';
 import type { PoolTask } from '../pools/pool-task.js';
@@ -21,6 +23,8 @@
   readonly registration: Registration;
   readonly members: { entryVms: readonly MemberRow[] };
   readonly pools: PoolTask;
+  readonly relay: RowRelay;
+  readonly isStoreAway: () => boolean;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
 };
@@ -37,12 +41,17 @@
   'pool-end',
   'pool-engine-failed',
   'pool-runs',
+  'pool-engine-ordered',
 ]);
 
 function isPoolMessage(message: PeerMessage): message is PoolMessage {
   return POOL_KINDS.has(message.kind);
 }
 
+function isRowsMessage(message: PeerMessage): message is RowsMessage {
+  return message.kind === 'rows-wanted' || message.kind === 'rows-copy';
+}
+
 /** Starts the links. */
 export function startPeerLinks(parts: PeerLinksParts): PeerMesh {
   const { settings, registration, pools, logger, metrics } = parts;
@@ -69,15 +78,15 @@
     },
     onMessage: ({ vmId }, message) => {
       if (isPoolMessage(message)) offer(pools.inbox, { kind: 'peer', from: vmId, message });
+      else if (isRowsMessage(message)) parts.relay.handleMessage(vmId, message);
     },
     onGone: (vmId) => {
       offer(pools.inbox, { kind: 'link-closed', vmId });
     },
   });
-  let sequence = 0;
   setInterval(() => {
-    sequence += 1;
-    mesh.broadcast({ kind: 'alive', sequence });
+    mesh.broadcast({ kind: 'alive', isStoreAway: parts.isStoreAway() });
+    parts.relay.askPeers();
   }, ALIVE_INTERVAL_MS);
   return mesh;
 }
--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -29,11 +29,16 @@
   readonly headDueAt: number;
   /** When a stream without a byte is given up; undefined to wait for the deadline. */
   readonly silenceMs?: number;
-  /** Called for a usable head; false drops the answer. */
+  /** Called each time the server has sent nothing for `SILENCE_NOTICE_MS`. */
+  readonly onSilence?: () => void;
+  /** Called for a usable head. */
   readonly onHead: (head: AnswerHead) => void;
   readonly onData: (chunk: Buffer, exchange: UpstreamExchange) => void;
 };
 
+/** An engine that makes an answer sends an event many times within this span. */
+const SILENCE_NOTICE_MS = 600;
+
 let sendCount = 0;
 
 function countSend(): number {
@@ -133,18 +138,29 @@
   }
 }
 
+function findDueAt(send: ActiveSend, plan: SendPlan): number {
+  if (send.head === undefined) return plan.headDueAt;
+  return send.lastByteAt + (plan.silenceMs ?? Infinity);
+}
+
 /** Watches a send for silence: before its head, and between its bytes. */
 function startWatch(send: ActiveSend, request: GatewayRequest, plan: SendPlan): () => void {
   let timer: NodeJS.Timeout | undefined;
-  const raise = (): void => {
-    offer(request.inbox, { kind: 'alarm', alarm: send.number });
-  };
+  let noticedAt = send.lastByteAt;
   const check = (): void => {
     const now = getSteadyMs();
-    const dueAt =
-      send.head === undefined ? plan.headDueAt : send.lastByteAt + (plan.silenceMs ?? Infinity);
-    if (dueAt <= now) raise();
-    else if (Number.isFinite(dueAt)) timer = setTimeout(check, dueAt - now);
+    const dueAt = findDueAt(send, plan);
+    if (dueAt <= now) {
+      offer(request.inbox, { kind: 'alarm', alarm: send.number });
+      return;
+    }
+    const noticeAt = Math.max(noticedAt, send.lastByteAt) + SILENCE_NOTICE_MS;
+    if (noticeAt <= now) {
+      noticedAt = now;
+      plan.onSilence?.();
+    }
+    const wakeAt = plan.onSilence === undefined ? dueAt : Math.min(dueAt, now + SILENCE_NOTICE_MS);
+    if (Number.isFinite(wakeAt)) timer = setTimeout(check, Math.max(1, wakeAt - now));
   };
   check();
   return () => clearTimeout(timer);
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -8,7 +8,7 @@
   type SendOutcome,
   type UpstreamRecord,
 } from '@tarragonspool/core';
-import type { UpstreamId } from '@tarragonspool/protocol';
+import type { EngineFailure, UpstreamId } from '@tarragonspool/protocol';
 import type { PlaceReply } from '../pools/place-messages.js';
 import { requestPlace } from '../pools/pool-task.js';
 import { offer, receive, type Task } from '../tasks/tasks.js';
@@ -115,13 +115,17 @@
   state: GatewayState,
   request: GatewayRequest,
   upstreamId: UpstreamId,
-  outcome: SendOutcome,
+  failure: EngineFailure,
 ): void {
-  const failure = outcome.kind === 'not-run' ? 'full' : 'broken';
   const { service } = request;
   requestPlace(state.pools, { kind: 'engine-failed', service, upstreamId, failure }, state.logger);
 }
 
+function classifyFailure(result: SendResult): EngineFailure {
+  const outcome = readOutcome(result);
+  return outcome.kind === 'not-run' ? 'full' : 'broken';
+}
+
 function readOutcome(result: SendResult): SendOutcome {
   if (result.kind === 'outcome') return result.outcome;
   return { kind: 'unknown', reason: result.kind };
@@ -142,6 +146,7 @@
     placement,
     headDueAt: sentAt + PREFILL_TIMEOUT_MS,
     silenceMs: SILENCE_MS,
+    onSilence: () => tellEngineFailed(state, request, engine.upstreamId, 'silent'),
     onHead: () => undefined,
     onData: (chunk) => parts.push(chunk),
   });
@@ -255,6 +260,7 @@
     placement,
     headDueAt: mayGoOn ? sentAt + HEAD_TIMEOUT_MS : request.deadlineAt + 1,
     ...(mayGoOn ? { silenceMs: SILENCE_MS } : {}),
+    onSilence: () => tellEngineFailed(state, request, engine.upstreamId, 'silent'),
     onHead: relay.onHead,
     onData: relay.onData,
   });
@@ -325,7 +331,7 @@
     return 'ready';
   }
   requestPlace(state.pools, { kind: 'end', askId, didFinish: false }, state.logger);
-  tellEngineFailed(state, request, granted.prefill, readOutcome(result));
+  tellEngineFailed(state, request, granted.prefill, classifyFailure(result));
   progress.excluded.add(granted.prefill);
   progress.failedPrefills += 1;
   if (progress.failedPrefills < MAX_FAILED_PREFILLS && takeRetryOf(state, request.service)) {
@@ -381,7 +387,7 @@
     return 'done';
   }
   if (end === 'finished' || end === 'over') return 'done';
-  tellEngineFailed(state, request, decode, readOutcome(result));
+  tellEngineFailed(state, request, decode, classifyFailure(result));
   progress.excluded.add(decode);
   // A send that may have reached the engine counts as a run even if nothing came back.
   if (end === 'broken' && progress.runs === runsBefore) progress.runs += 1;
--- a/packages/router/src/pools/owners.ts
+++ b/packages/router/src/pools/owners.ts
@@ -8,6 +8,10 @@
   readonly addLink: (vmId: VmId, now: number) => void;
   readonly removeLink: (vmId: VmId) => void;
   readonly recordHeard: (vmId: VmId, now: number) => void;
+  /** Notes whether the store answers a VM, this one included; who is turned away knows less. */
+  readonly recordStore: (vmId: VmId, isAway: boolean) => void;
+  /** Lists live peers that the store answers. */
+  readonly listInformed: (now: number) => VmId[];
   /** A peer that did not answer in time is passed over until it is heard again. */
   readonly recordSilent: (vmId: VmId) => void;
   readonly isAlive: (vmId: VmId, now: number) => boolean;
@@ -20,11 +24,12 @@
 /** A peer is passed over after three heartbeats of silence. */
 const SILENCE_MS = 650;
 
-type Peer = { heardAt: number; isSilent: boolean };
+type Peer = { heardAt: number; isSilent: boolean; isStoreAway: boolean };
 
 /** Makes the view of one VM. */
 export function makeOwners(self: VmId): Owners {
   const peers = new Map<VmId, Peer>();
+  let isStoreAway = false;
 
   function isAlive(vmId: VmId, now: number): boolean {
     if (vmId === self) return true;
@@ -36,9 +41,21 @@
     return [self, ...[...peers.keys()].filter((vmId) => isAlive(vmId, now))];
   }
 
+  function listInformed(now: number): VmId[] {
+    return [...peers]
+      .filter(([vmId, peer]) => !peer.isStoreAway && isAlive(vmId, now))
+      .map(([vmId]) => vmId);
+  }
+
   return {
+    listInformed,
+    recordStore: (vmId, isAway) => {
+      const peer = peers.get(vmId);
+      if (vmId === self) isStoreAway = isAway;
+      else if (peer !== undefined) peer.isStoreAway = isAway;
+    },
     addLink: (vmId, now) => {
-      peers.set(vmId, { heardAt: now, isSilent: false });
+      peers.set(vmId, { heardAt: now, isSilent: false, isStoreAway: false });
     },
     removeLink: (vmId) => {
       peers.delete(vmId);
@@ -54,7 +71,10 @@
       if (peer !== undefined) peer.isSilent = true;
     },
     isAlive,
-    chooseOwner: (service, now) => findOwner(listAlive(now), service) ?? self,
+    chooseOwner: (service, now) => {
+      const informed = isStoreAway ? listInformed(now) : [self, ...listInformed(now)];
+      return findOwner(informed.length > 0 ? informed : listAlive(now), service) ?? self;
+    },
     forgiveSilence: (now) => {
       for (const peer of peers.values()) peer.heardAt = now;
     },
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -66,14 +66,16 @@
   const runs = new Map<AskId, AskedRun>();
   const ownerOf = new Map<ServiceName, VmId>();
 
-  function announceRuns(service: ServiceName, owner: VmId, now: number): void {
+  /** Hands the count of this VM's runs from one owner to the next. */
+  function moveRuns(service: ServiceName, from: VmId | undefined, to: VmId, now: number): void {
     const items: PoolRunItem[] = [];
     for (const asked of runs.values()) {
       if (asked.service !== service) continue;
-      asked.owner = owner;
+      asked.owner = to;
       items.push(buildRunItem(asked, now));
     }
-    if (items.length > 0) tell(owner, { kind: 'pool-runs', service, runs: items });
+    if (from !== undefined) tell(from, { kind: 'pool-runs', service, runs: [] });
+    tell(to, { kind: 'pool-runs', service, runs: items });
   }
 
   function chooseOwner(service: ServiceName, now: number): VmId {
@@ -82,7 +84,7 @@
     if (known === owner) return owner;
     ownerOf.set(service, owner);
     logger.info({ service, owner, before: known }, 'pools: owner chosen');
-    announceRuns(service, owner, now);
+    moveRuns(service, known, owner, now);
     return owner;
   }
 
@@ -203,12 +205,15 @@
       for (const asked of pending.values()) {
         const isUnheard = !asked.isHeard && now - asked.sentAt > HEARD_WITHIN_MS;
         if (isUnheard) owners.recordSilent(asked.owner);
-        if (!isUnheard && owners.isAlive(asked.owner, now)) continue;
-        const { askId } = asked.ask;
-        logger.warn({ askId, owner: asked.owner }, 'pools: owner is silent, asking the next');
-        sendAsk(asked, now);
       }
       for (const service of ownerOf.keys()) chooseOwner(service, now);
+      for (const asked of pending.values()) {
+        const { service, owner: before, ask } = asked;
+        if (before === ownerOf.get(service)) continue;
+        logger.warn({ askId: ask.askId, before }, 'pools: asking the next owner');
+        tell(before, { kind: 'pool-withdraw', service, askId: ask.askId });
+        sendAsk(asked, now);
+      }
     },
   };
 }
--- a/packages/router/src/pools/place-messages.ts
+++ b/packages/router/src/pools/place-messages.ts
@@ -1,7 +1,7 @@
 /** Messages between a request's task and the task that finds it a place. */
 
 import type { AskId, PlaceAsk, RefusalReason } from '@tarragonspool/core';
-import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
+import type { EngineFailure, ServiceName, UpstreamId } from '@tarragonspool/protocol';
 
 /** Answer to an ask. */
 export type PlaceReply =
@@ -36,5 +36,5 @@
       readonly kind: 'engine-failed';
       readonly service: ServiceName;
       readonly upstreamId: UpstreamId;
-      readonly failure: 'full' | 'broken';
+      readonly failure: EngineFailure;
     };
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -6,7 +6,6 @@
   makePoolState,
   measureDemand,
   type AskId,
-  type EngineStage,
   type PlaceAsk,
   type PlannedEngine,
   type PlaceRun,
@@ -16,7 +15,7 @@
   type PoolEvent,
   type PoolState,
 } from '@tarragonspool/core';
-import type { PoolMessage, PoolRunItem, ServiceName, UpstreamId, VmId } from '@tarragonspool/protocol';
+import type { PoolMessage, PoolRunItem, ServiceName, VmId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 
 /** Messages that a pool's owner understands. */
@@ -37,15 +36,6 @@
   /** Runs that others placed while this VM stood still are not known here. */
   readonly forgetRunsOfOthers: (now: number) => void;
   readonly handleRestart: (vmId: VmId, now: number) => void;
-  readonly handleOrdered: (
-    order: {
-      readonly service: ServiceName;
-      readonly upstreamId: UpstreamId;
-      readonly stage: EngineStage;
-      readonly doneBy: number;
-    },
-    now: number,
-  ) => void;
   readonly readPlan: (
     service: ServiceName,
     now: number,
@@ -159,10 +149,16 @@
           apply(service, { kind: 'engine-failed', upstreamId, failure }, now);
           return;
         }
+        case 'pool-engine-ordered': {
+          const { upstreamId, stage } = message;
+          const doneBy = now + message.doneInMs;
+          apply(service, { kind: 'engine-ordered', upstreamId, stage, doneBy }, now);
+          return;
+        }
         case 'pool-runs': {
           const runs = message.runs.map((item) => readRun(from, item, now));
           logger.info({ service, from, runs: runs.length }, 'pools: runs announced');
-          apply(service, { kind: 'runs-announced', runs }, now);
+          apply(service, { kind: 'runs-announced', vmId: from, runs }, now);
           return;
         }
         default:
@@ -185,9 +181,6 @@
     handleRestart: (vmId, now) => {
       for (const service of pools.keys()) apply(service, { kind: 'vm-restarted', vmId }, now);
     },
-    handleOrdered: ({ service, upstreamId, stage, doneBy }, now) => {
-      apply(service, { kind: 'engine-ordered', upstreamId, stage, doneBy }, now);
-    },
     readPlan: (service, now) => {
       const pool = pools.get(service);
       if (pool === undefined) return undefined;
--- a/packages/router/src/pools/pool-task.ts
+++ b/packages/router/src/pools/pool-task.ts
@@ -5,7 +5,7 @@
 import type { Logger } from '../logging/logger.js';
 import { makeChannel, offer, receive, type Channel, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
-import { makeOwners } from './owners.js';
+import { makeOwners, type Owners } from './owners.js';
 import { makePlaceAsker, type PlaceAsker } from './place-asker.js';
 import type { PlaceRequestMessage } from './place-messages.js';
 import { makePoolOwner, type PoolOwner } from './pool-owner.js';
@@ -29,6 +29,8 @@
       readonly stage: EngineStage;
       readonly doneBy: number;
     }
+  /** Whether the store answers this VM. */
+  | { readonly kind: 'store'; readonly isAway: boolean }
   | { readonly kind: 'ticked' };
 
 /** What a plan of stages is made from. */
@@ -42,6 +44,7 @@
   readonly self: VmId;
   readonly takeFraction: () => number;
   readonly sendTo: (vmId: VmId, message: PoolMessage) => void;
+  readonly broadcast: (message: PoolMessage) => void;
   readonly logger: Logger;
 };
 
@@ -51,6 +54,8 @@
   readonly run: () => Task;
   /** Live VMs as this one sees them, itself included. */
   readonly countLiveVms: () => number;
+  /** Live peers that the store answers. */
+  readonly listInformedPeers: () => VmId[];
   readonly isOwnerOf: (service: ServiceName) => boolean;
   readonly readPlan: (service: ServiceName, now: number) => StagePlanInput | undefined;
 };
@@ -60,16 +65,21 @@
 /** A longer gap between ticks means that this process stood still. */
 const PAUSE_MS = 500;
 
-type Sides = { readonly owner: PoolOwner; readonly asker: PlaceAsker };
+type Sides = {
+  readonly owner: PoolOwner;
+  readonly asker: PlaceAsker;
+  readonly owners: Owners;
+};
 
 function handlePeerMessage(
-  { owner, asker }: Sides,
+  { owner, asker, owners }: Sides,
   from: VmId,
   message: PoolMessage,
   now: number,
 ): void {
   switch (message.kind) {
     case 'alive':
+      owners.recordStore(from, message.isStoreAway);
       return;
     case 'pool-queued':
     case 'pool-grant':
@@ -94,7 +104,7 @@
   };
   const owner = makePoolOwner({ self, takeFraction: parts.takeFraction, reply: tell, logger });
   const asker = makePlaceAsker({ self, owners, tell, logger });
-  const sides = { owner, asker };
+  const sides = { owner, asker, owners };
   let tickedAt = getSteadyMs();
 
   function handleTick(now: number): void {
@@ -109,6 +119,17 @@
     asker.checkOwners(now);
   }
 
+  /** All VMs must know: each may be the owner next. */
+  function handleOrdered(
+    { service, upstreamId, stage, doneBy }: Extract<PoolTaskMessage, { kind: 'engine-ordered' }>,
+    now: number,
+  ): void {
+    const doneInMs = doneBy - now;
+    const order = { kind: 'pool-engine-ordered', service, upstreamId, stage, doneInMs } as const;
+    owner.handleMessage(self, order, now);
+    parts.broadcast(order);
+  }
+
   function handleMessage(message: PoolTaskMessage, now: number): void {
     switch (message.kind) {
       case 'request':
@@ -131,7 +152,10 @@
         owner.updateEngines(message.service, message.engines, now);
         return;
       case 'engine-ordered':
-        owner.handleOrdered(message, now);
+        handleOrdered(message, now);
+        return;
+      case 'store':
+        owners.recordStore(self, message.isAway);
         return;
       case 'ticked':
         handleTick(now);
@@ -156,6 +180,7 @@
   return {
     inbox,
     run,
+    listInformedPeers: () => owners.listInformed(getSteadyMs()),
     countLiveVms: () => owners.countAlive(getSteadyMs()),
     readPlan: owner.readPlan,
     isOwnerOf: (service) => owners.chooseOwner(service, getSteadyMs()) === self,
