--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -10,6 +10,7 @@
 } from './engine-load.js';
 import {
   countPlaces,
+  LEAST_PREFILLS,
   measureFreshRate,
   measurePrefillMsPerToken,
   measureServiceRate,
@@ -25,6 +26,9 @@
 /** Load above which late asks wait: more arrivals are expected than places come free. */
 const BUSY_LOAD = 0.95;
 
+/** Engines whose speed is not known yet go first, by this much. */
+const UNMEASURED_BONUS_MS = 30;
+
 /** A decode engine with more runs than this reads no prompt for a busy pool: they would pause. */
 const SPARE_RUNS = 1;
 
@@ -66,7 +70,8 @@
       if (best === 'none') best = 'busy';
       continue;
     }
-    const endAt = predictPrefillEnd(load, ask.promptTokens, poolMs, now);
+    const bonusMs = load.prefillCount < LEAST_PREFILLS ? UNMEASURED_BONUS_MS : 0;
+    const endAt = predictPrefillEnd(load, ask.promptTokens, poolMs, now) - bonusMs;
     if (endAt >= bestEndAt) continue;
     best = load;
     bestEndAt = endAt;
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -126,7 +126,7 @@
 }
 
 /** Prompts that an engine must have read before its speed is known. */
-const LEAST_PREFILLS = 6;
+export const LEAST_PREFILLS = 6;
 /** Answers that must have ended before the time that a place is held is known. */
 const LEAST_HOLDS = 8;
 
--- a/packages/core/src/stages/stage-plan.ts
+++ b/packages/core/src/stages/stage-plan.ts
@@ -39,7 +39,7 @@
 /** Part of such answers that is on time: all others of the engine pause while it reads. */
 const SELF_READ_YIELD = 0.25;
 /** Gain that is worth the time that an engine needs for the change. */
-const LEAST_GAIN = 1.15;
+const LEAST_GAIN = { decode: 1.15, prefill: 1.3 } as const;
 
 function sumSpeeds(engines: readonly PlannedEngine[], stage: EngineStage): number {
   let speed = 0;
@@ -107,7 +107,7 @@
   const hasPrefill = engines.some(({ stage }) => stage === 'prefill');
   if (hasPrefill && !isMeasured(engines)) return undefined;
   let best: StageChange | undefined;
-  let bestRate = LEAST_GAIN * currentRate;
+  let bestRate = 0;
   for (const [from, to] of [
     ['prefill', 'decode'],
     ['decode', 'prefill'],
@@ -116,7 +116,7 @@
     if (engine === undefined) continue;
     const change = { upstreamId: engine.upstreamId, stage: to };
     const rate = predictStartRate(applyChange(engines, change), demand);
-    if (rate <= bestRate) continue;
+    if (rate <= Math.max(bestRate, LEAST_GAIN[to] * currentRate)) continue;
     best = change;
     bestRate = rate;
   }
--- a/packages/router/src/stages/stage-task.ts
+++ b/packages/router/src/stages/stage-task.ts
@@ -17,8 +17,12 @@
 const CHECK_INTERVAL_MS = 250;
 /** A change must be wanted for so long before it is ordered. */
 const SETTLE_MS = 1_200;
-/** The same where no prefill engine is left. */
+/** The same where the last prefill engine has gone. */
 const URGENT_SETTLE_MS = 200;
+/** Engines of a pool that starts are listed within this time. */
+const START_SETTLE_MS = 6_000;
+/** Least time between changes, so that each one shows its effect first. */
+const CHANGE_INTERVAL_MS = 9_000;
 /** An order without an answer may still be carried out within this time. */
 const UNKNOWN_ORDER_MS = 13_000;
 /** Time beyond the engine's own for the list to show the change. */
@@ -31,12 +35,21 @@
   readonly lease: OrderLease;
   wanted: StageChange | undefined;
   wantedSince: number;
+  hadPrefill: boolean;
+  orderedAt: number;
   /** An order that may or may not have been taken: nothing else is ordered before it is settled. */
   unsettled: { readonly change: StageChange; readonly until: number } | undefined;
 };
 
 function makeServiceStages(): ServiceStages {
-  return { lease: makeOrderLease(), wanted: undefined, wantedSince: 0, unsettled: undefined };
+  return {
+    lease: makeOrderLease(),
+    wanted: undefined,
+    wantedSince: 0,
+    hadPrefill: false,
+    orderedAt: -Infinity,
+    unsettled: undefined,
+  };
 }
 
 function isSameChange(a: StageChange | undefined, b: StageChange | undefined): boolean {
@@ -58,8 +71,14 @@
   if (!isSameChange(wanted, stages.wanted)) stages.wantedSince = now;
   stages.wanted = wanted;
   const hasPrefill = plan?.engines.some(({ stage }) => stage === 'prefill') ?? false;
-  const settleMs = hasPrefill ? SETTLE_MS : URGENT_SETTLE_MS;
-  return wanted !== undefined && now - stages.wantedSince >= settleMs ? wanted : undefined;
+  stages.hadPrefill ||= hasPrefill;
+  if (wanted === undefined) return undefined;
+  if (!hasPrefill) {
+    const settleMs = stages.hadPrefill ? URGENT_SETTLE_MS : START_SETTLE_MS;
+    return now - stages.wantedSince >= settleMs ? wanted : undefined;
+  }
+  const isSettled = now - stages.wantedSince >= SETTLE_MS;
+  return isSettled && now - stages.orderedAt >= CHANGE_INTERVAL_MS ? wanted : undefined;
 }
 
 function tellOrdered(
@@ -104,6 +123,7 @@
     case 'accepted':
     case 'holds-already':
       stages.unsettled = undefined;
+      stages.orderedAt = getSteadyMs();
       tellOrdered(state, service, change, changeMs);
       return;
     case undefined: {
