--- a/packages/router/src/stages/stage-task.ts
+++ b/packages/router/src/stages/stage-task.ts
@@ -17,8 +17,10 @@
 const CHECK_INTERVAL_MS = 250;
 /** A change must be wanted for so long before it is ordered. */
 const SETTLE_MS = 1_200;
-/** The same where the last prefill engine has gone. */
-const URGENT_SETTLE_MS = 200;
+/** The same where the last prefill engine leaves as planned. */
+const LEFT_SETTLE_MS = 200;
+/** The same where it vanished: a crashed engine is back sooner than another one has changed. */
+const LOST_SETTLE_MS = 3_000;
 /** Engines of a pool that starts are listed within this time. */
 const START_SETTLE_MS = 6_000;
 /** Least time between changes, so that each one shows its effect first. */
@@ -56,6 +58,13 @@
   return a?.stage === b?.stage;
 }
 
+function isPrefillLeaving(state: GatewayState, service: ServiceName): boolean {
+  for (const record of state.upstreams.records.values()) {
+    if (record.service === service && record.isLeaving && record.stage === 'prefill') return true;
+  }
+  return false;
+}
+
 /** Finds the change that is due: wanted for long enough, or the one that is not settled. */
 function findDueChange(
   state: GatewayState,
@@ -74,7 +83,8 @@
   stages.hadPrefill ||= hasPrefill;
   if (wanted === undefined) return undefined;
   if (!hasPrefill) {
-    const settleMs = stages.hadPrefill ? URGENT_SETTLE_MS : START_SETTLE_MS;
+    const lossMs = isPrefillLeaving(state, service) ? LEFT_SETTLE_MS : LOST_SETTLE_MS;
+    const settleMs = stages.hadPrefill ? lossMs : START_SETTLE_MS;
     return now - stages.wantedSince >= settleMs ? wanted : undefined;
   }
   const isSettled = now - stages.wantedSince >= SETTLE_MS;
