--- a/bin/run-tests.js
+++ b/bin/run-tests.js
@@ -29,6 +29,7 @@
   for (const name of await readdir('packages')) {
     files.push(...(await findTestFiles(join('packages', name, 'dist'))));
   }
+  files.push(...(await findTestFiles(join('platform', 'dist'))));
   const isWanted = (file) => filters.length === 0 || filters.some((part) => file.includes(part));
   return files.filter(isWanted).sort();
 }
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,7 +16,16 @@
 ];
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', '**/bin/**', 'eslint.config.js'] },
+  {
+    ignores: [
+      '**/dist/**',
+      '**/node_modules/**',
+      '**/bin/**',
+      '**/target/**',
+      'journal/**',
+      'eslint.config.js',
+    ],
+  },
   { linterOptions: { reportUnusedDisableDirectives: 'error' } },
   plugins.stylistic,
   plugins.importX,
@@ -44,7 +53,12 @@
       'import-x/extensions': ['error', 'always', { ignorePackages: true, checkTypeImports: true }],
       'import-x/no-extraneous-dependencies': [
         'error',
-        { devDependencies: ['**/*.test.ts'], packageDir: ['.', ...packageDirs] },
+        { devDependencies: ['**/*.test.ts'], packageDir: ['.', ...packageDirs, 'platform'] },
+      ],
+      // The product does not know the platform: the adapter imports it, never the other way.
+      'import-x/no-restricted-paths': [
+        'error',
+        { zones: [{ target: './packages', from: './platform' }], basePath: import.meta.dirname },
       ],
       curly: ['error', 'multi-line'],
       // Filters are tasks even where they wait for nothing.
--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -1,6 +1,6 @@
 /** Decides on arrival, and while an ask waits, whether it is refused now rather than later. */
 
-import { canBeOnTime } from './placing.js';
+import { isInTime } from './placing.js';
 import {
   measureFreshRate,
   measureServiceRate,
@@ -55,7 +55,7 @@
 function predictWaitMs(state: PoolState, ask: PlaceAsk, now: number): number {
   const rate = CAUTION * measureServiceRate(state);
   if (rate <= 0) return Infinity;
-  if (canBeOnTime(state, ask, now)) {
+  if (isInTime(state, ask, now)) {
     const ahead = countWaiting(state, (other) => other.aimAt <= ask.aimAt);
     return (MS_PER_S * ahead) / rate;
   }
@@ -72,7 +72,7 @@
 ): RefusalReason | undefined {
   const firstEventMs = predictFirstEventMs(state, ask);
   const waitMs = predictWaitMs(state, ask, now);
-  const isOnTime = canBeOnTime(state, ask, now);
+  const isOnTime = isInTime(state, ask, now);
   const limitAt = isOnTime ? ask.aimAt : ask.patienceEndsAt;
   return now + waitMs + firstEventMs > limitAt ? 'overloaded' : undefined;
 }
--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -149,7 +149,7 @@
 }
 
 /** Whether a prefill engine takes one more prompt without a queue that lasts. */
-export function canPrefill(load: EngineLoad, now: number): boolean {
+export function hasPrefillRoom(load: EngineLoad, now: number): boolean {
   if (load.prefills.size === 0) return true;
   return load.prefills.size < MAX_PREFILLS && load.prefillDoneAt - now <= PREFILL_LEAD_MS;
 }
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -1,7 +1,7 @@
 /** Gives places to waiting asks: those that can still be on time first, late ones in what is left. */
 
 import {
-  canPrefill,
+  hasPrefillRoom,
   hasPlace,
   isUsable,
   predictPrefillEnd,
@@ -33,7 +33,7 @@
 const SPARE_RUNS = 1;
 
 /** Whether the first event can still come within the target. */
-export function canBeOnTime(state: PoolState, ask: PlaceAsk, now: number): boolean {
+export function isInTime(state: PoolState, ask: PlaceAsk, now: number): boolean {
   return now + predictFirstEventMs(state, ask) <= ask.aimAt;
 }
 
@@ -66,7 +66,7 @@
   const poolMs = measurePrefillMsPerToken(state);
   for (const load of state.engines.values()) {
     if (load.engine.stage !== 'prefill' || !isUsable(load, ask, now)) continue;
-    if (!canPrefill(load, now)) {
+    if (!hasPrefillRoom(load, now)) {
       if (best === 'none') best = 'busy';
       continue;
     }
@@ -94,7 +94,7 @@
 }
 
 /** Places an ask if a decode place and an engine that reads the prompt are free together. */
-function placeAsk(state: PoolState, ask: PlaceAsk, now: number): PoolAction | undefined {
+function grantPlace(state: PoolState, ask: PlaceAsk, now: number): PoolAction | undefined {
   const run = findDecode(state, ask, now);
   if (run === undefined) return undefined;
   if (ask.needsPrefill) {
@@ -134,16 +134,16 @@
 }
 
 /** Places as many waiting asks as the engines can take. */
-export function placeWaiting(state: PoolState, now: number): PoolAction[] {
+export function grantWaiting(state: PoolState, now: number): PoolAction[] {
   const actions: PoolAction[] = [];
   const place = ({ ask }: WaitingAsk): boolean => {
-    const action = placeAsk(state, ask, now);
+    const action = grantPlace(state, ask, now);
     if (action === undefined) return false;
     state.waiting.delete(ask.askId);
     actions.push(action);
     return true;
   };
-  const onTime = listWaiting(state, (ask) => canBeOnTime(state, ask, now));
+  const onTime = listWaiting(state, (ask) => isInTime(state, ask, now));
   onTime.sort((a, b) => a.ask.aimAt - b.ask.aimAt);
   let isBlocked = false;
   for (const waiting of onTime) {
@@ -151,7 +151,7 @@
     if (!place(waiting)) isBlocked = true;
   }
   if (isBlocked) return actions;
-  const late = listWaiting(state, (ask) => !canBeOnTime(state, ask, now));
+  const late = listWaiting(state, (ask) => !isInTime(state, ask, now));
   late.sort((a, b) => a.ask.patienceEndsAt - b.ask.patienceEndsAt);
   for (const waiting of late) {
     if (!hasPlacesLeftOver(state, now)) break;
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -1,9 +1,14 @@
 /** The pool as a state machine: one event in, a list of actions out. */
 
-import { assertNever, type EngineFailure, type UpstreamId, type VmId } from '@tarragonspool/protocol';
+import {
+  assertNever,
+  type EngineFailure,
+  type UpstreamId,
+  type VmId,
+} from '@tarragonspool/protocol';
 import { buildRefusal, findRefusal, refuseOverdue } from './admission.js';
 import { endPrefill, makeEngineLoad } from './engine-load.js';
-import { canBeOnTime, placeWaiting } from './placing.js';
+import { isInTime, grantWaiting } from './placing.js';
 import {
   countFreshArrival,
   recordHold,
@@ -66,11 +71,11 @@
 
 function handleAsked(state: PoolState, ask: PlaceAsk, now: number): PoolAction[] {
   if (!hasEngines(state)) return [buildRefusal(state, ask, 'no-engine', now)];
-  if (canBeOnTime(state, ask, now)) countFreshArrival(state, now);
+  if (isInTime(state, ask, now)) countFreshArrival(state, now);
   recordSize(state, ask);
   const waiting = { ask, askedAt: now };
   state.waiting.set(ask.askId, waiting);
-  const actions = placeWaiting(state, now);
+  const actions = grantWaiting(state, now);
   if (!state.waiting.has(ask.askId)) return actions;
   const reason = findRefusal(state, waiting, now);
   if (reason === undefined) return actions;
@@ -163,19 +168,19 @@
   switch (event.kind) {
     case 'engines-listed':
       updateEngines(state, event.engines);
-      return placeWaiting(state, now);
+      return grantWaiting(state, now);
     case 'asked':
       return handleAsked(state, event.ask, now);
     case 'withdrawn':
       state.waiting.delete(event.askId);
       removeRun(state, event.askId);
-      return placeWaiting(state, now);
+      return grantWaiting(state, now);
     case 'prefilled':
       handlePrefilled(state, event.askId, now);
-      return placeWaiting(state, now);
+      return grantWaiting(state, now);
     case 'ended':
       handleEnded(state, event.askId, event.didFinish, now);
-      return placeWaiting(state, now);
+      return grantWaiting(state, now);
     case 'engine-failed':
       handleEngineFailed(state, event.upstreamId, event.failure, now);
       return [];
@@ -187,13 +192,13 @@
     }
     case 'runs-announced':
       adoptRuns(state, event.vmId, event.runs);
-      return placeWaiting(state, now);
+      return grantWaiting(state, now);
     case 'vm-restarted':
       dropRunsOf(state, event.vmId);
-      return placeWaiting(state, now);
+      return grantWaiting(state, now);
     case 'ticked':
       forgetOldRuns(state, now);
-      return [...placeWaiting(state, now), ...refuseOverdue(state, now)];
+      return [...grantWaiting(state, now), ...refuseOverdue(state, now)];
     default:
       return assertNever(event);
   }
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -1,6 +1,11 @@
 /** State of one pool, and the estimates that its decisions rest on. */
 
-import { isChanging, measureEnginePrefillMs, type EngineLoad, type EngineLoads } from './engine-load.js';
+import {
+  isChanging,
+  measureEnginePrefillMs,
+  type EngineLoad,
+  type EngineLoads,
+} from './engine-load.js';
 import type { PlannedEngine, PoolDemand } from '../stages/stage-plan.js';
 import type { AskId, PlaceAsk, PlaceRun } from './pool-types.js';
 
@@ -93,17 +98,17 @@
   return state.prefillBusyMs / Math.max(1, state.prefillTokens);
 }
 
+/** Arrivals a second over the last seconds. */
+export function measureFreshRate(state: PoolState, now: number): number {
+  return state.freshRate * Math.exp(-(now - state.freshRateAt) / RATE_WINDOW_MS);
+}
+
 /** Counts an arrival that can still be on time. */
 export function countFreshArrival(state: PoolState, now: number): void {
   state.freshRate = measureFreshRate(state, now) + MS_PER_S / RATE_WINDOW_MS;
   state.freshRateAt = now;
 }
 
-/** Arrivals a second over the last seconds. */
-export function measureFreshRate(state: PoolState, now: number): number {
-  return state.freshRate * Math.exp(-(now - state.freshRateAt) / RATE_WINDOW_MS);
-}
-
 /** Learns the size of what is asked for. */
 export function recordSize(state: PoolState, ask: PlaceAsk): void {
   state.promptTokens += ESTIMATE_WEIGHT * (ask.promptTokens - state.promptTokens);
--- /dev/null
+++ b/packages/core/src/pools/pools.test.ts
@@ -0,0 +1,259 @@
+import type { UpstreamId, VmId } from '@tarragonspool/protocol';
+import { expect } from 'chai';
+import {
+  handlePoolEvent,
+  makePoolState,
+  type AskId,
+  type PlaceAsk,
+  type PoolAction,
+  type PoolEngine,
+  type PoolEvent,
+  type PoolState,
+} from './index.js';
+
+const VM = 'vm-1' as VmId;
+const AIM_MS = 900;
+const PATIENCE_MS = 3_200;
+
+function buildEngine(name: string, changes: Partial<PoolEngine> = {}): PoolEngine {
+  return {
+    upstreamId: name as UpstreamId,
+    stage: 'decode',
+    incarnation: 1,
+    isLeaving: false,
+    slots: 12,
+    kvCapacityTokens: 144_611,
+    ...changes,
+  };
+}
+
+function buildPool(engines: readonly PoolEngine[]): PoolState {
+  const state = makePoolState(() => 0.5);
+  handlePoolEvent(state, { kind: 'engines-listed', engines }, 0);
+  return state;
+}
+
+let askCount = 0;
+
+function buildAsk(now: number, changes: Partial<PlaceAsk> = {}): PlaceAsk {
+  askCount += 1;
+  return {
+    askId: `ask-${askCount}` as AskId,
+    vmId: VM,
+    promptTokens: 5_000,
+    outputTokens: 6_000,
+    aimAt: now + AIM_MS,
+    patienceEndsAt: now + PATIENCE_MS,
+    needsPrefill: true,
+    excluded: [],
+    ...changes,
+  };
+}
+
+const PREFILL = buildEngine('p', { stage: 'prefill' });
+const TWO_DECODE = [PREFILL, buildEngine('d1'), buildEngine('d2')];
+
+type Simulation = { granted: number; late: number; refused: number; refusedAfterMs: number[] };
+
+/** Plays arrivals against the pool; each granted prompt is read and each answer ends in its time. */
+function playArrivals(
+  state: PoolState,
+  arrivals: readonly PlaceAsk[],
+  untilMs: number,
+): Simulation {
+  const result: Simulation = { granted: 0, late: 0, refused: 0, refusedAfterMs: [] };
+  const due: { at: number; event: PoolEvent }[] = [];
+  const askedAt = new Map(arrivals.map((ask) => [ask.askId, ask.aimAt - AIM_MS]));
+  for (const ask of arrivals) due.push({ at: ask.aimAt - AIM_MS, event: { kind: 'asked', ask } });
+  for (let at = 0; at < untilMs; at += 25) due.push({ at, event: { kind: 'ticked' } });
+
+  function take(action: PoolAction, now: number): void {
+    const { askId, aimAt } = action.ask;
+    if (action.kind === 'refuse') {
+      result.refused += 1;
+      result.refusedAfterMs.push(now - (askedAt.get(askId) ?? now));
+      return;
+    }
+    result.granted += 1;
+    const readAt = now + 95;
+    if (readAt + 50 > aimAt) result.late += 1;
+    const endAt = readAt + 0.58 * action.ask.outputTokens;
+    due.push({ at: readAt, event: { kind: 'prefilled', askId } });
+    due.push({ at: endAt, event: { kind: 'ended', askId, didFinish: true } });
+  }
+
+  while (due.length > 0) {
+    due.sort((a, b) => a.at - b.at);
+    const next = due.shift();
+    if (next === undefined || next.at > untilMs) break;
+    for (const action of handlePoolEvent(state, next.event, next.at)) take(action, next.at);
+  }
+  return result;
+}
+
+function buildArrivals(fromMs: number, toMs: number, perSecond: number): PlaceAsk[] {
+  const asks: PlaceAsk[] = [];
+  for (let at = fromMs; at < toMs; at += 1_000 / perSecond) asks.push(buildAsk(at));
+  return asks;
+}
+
+it('pools: a calm load is served on time', () => {
+  const result = playArrivals(buildPool(TWO_DECODE), buildArrivals(0, 20_000, 5), 30_000);
+  expect(result).to.include({ granted: 100, late: 0, refused: 0 });
+});
+
+it('pools: a wave with a burst on top is served up to the places, the rest refused at once', () => {
+  const arrivals = [...buildArrivals(0, 8_000, 5), ...buildArrivals(8_000, 12_000, 16)];
+  const result = playArrivals(buildPool(TWO_DECODE), arrivals, 25_000);
+  expect(result.granted + result.refused).to.equal(arrivals.length);
+  expect(result.refused).to.be.greaterThan(10);
+  const quick = result.refusedAfterMs.filter((ms) => ms <= AIM_MS / 8).length;
+  expect(quick / result.refused).to.be.greaterThan(0.9);
+});
+
+it('pools: one kind doubled, with the places of an engine lost at the peak', () => {
+  const state = buildPool(TWO_DECODE);
+  const before = playArrivals(state, buildArrivals(0, 6_000, 5), 6_000);
+  expect(before.refused).to.equal(0);
+  handlePoolEvent(state, { kind: 'engines-listed', engines: [PREFILL, buildEngine('d1')] }, 6_000);
+  const after = playArrivals(state, buildArrivals(6_001, 10_000, 10), 16_000);
+  // Two thirds of the twelve starts that the places of one engine allow in that time.
+  expect(after.granted).to.be.at.least(8);
+  expect(after.refused).to.be.greaterThan(10);
+});
+
+it('pools: callers that return after a refusal get only what is left over', () => {
+  const state = buildPool(TWO_DECODE);
+  const late = (now: number): PlaceAsk => buildAsk(now, { aimAt: now - 2_000 });
+  for (let ask = 0; ask < 22; ask += 1) {
+    const [action] = handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0);
+    if (action?.kind !== 'grant') continue;
+    const { askId } = action.ask;
+    handlePoolEvent(state, { kind: 'prefilled', askId }, 0);
+  }
+  const [refusal] = handlePoolEvent(state, { kind: 'asked', ask: late(10) }, 10);
+  expect(refusal?.kind).to.equal('refuse');
+});
+
+it('pools: no prefill engine left, so decode engines read, one prompt each at a time', () => {
+  const state = buildPool([buildEngine('d1'), buildEngine('d2')]);
+  const grants: PoolAction[] = [];
+  for (let ask = 0; ask < 3; ask += 1) {
+    grants.push(...handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0));
+  }
+  const placed = grants.filter(({ kind }) => kind === 'grant');
+  expect(placed.map((action) => action.kind === 'grant' && action.prefill)).to.deep.equal([
+    undefined,
+    undefined,
+  ]);
+  expect(state.waiting.size).to.equal(1);
+  const [first] = placed;
+  if (first === undefined) throw new Error('nothing placed');
+  const { askId } = first.ask;
+  const next = handlePoolEvent(state, { kind: 'prefilled', askId }, 200);
+  expect(next.map(({ kind }) => kind)).to.deep.equal(['grant']);
+});
+
+/** Gives every decode engine answers that would pause if it read a prompt itself. */
+function occupyEngines(state: PoolState, asks: number): number {
+  let now = 0;
+  for (let ask = 0; ask < asks; ask += 1) {
+    const actions = handlePoolEvent(state, { kind: 'asked', ask: buildAsk(now) }, now);
+    now += 90;
+    for (const action of actions) {
+      handlePoolEvent(state, { kind: 'prefilled', askId: action.ask.askId }, now);
+    }
+  }
+  return now;
+}
+
+it('pools: prompts are read one after the other', () => {
+  const state = buildPool(TWO_DECODE);
+  const now = occupyEngines(state, 6);
+  const ask = () => handlePoolEvent(state, { kind: 'asked', ask: buildAsk(now) }, now);
+  expect([ask(), ask(), ask()].flat()).to.have.length(1);
+  expect(handlePoolEvent(state, { kind: 'ticked' }, now + 20)).to.have.length(0);
+  expect(handlePoolEvent(state, { kind: 'ticked' }, now + 85)).to.have.length(1);
+});
+
+it('pools: a decode engine reads a prompt itself only while it would pause nobody', () => {
+  const state = buildPool(TWO_DECODE);
+  const grants = [0, 1, 2].flatMap(() =>
+    handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0),
+  );
+  const readers = grants.map((action) => action.kind === 'grant' && action.prefill);
+  expect(readers).to.deep.equal(['p', undefined, undefined]);
+});
+
+it('pools: memory binds before slots where prompts are long', () => {
+  const engines = [PREFILL, buildEngine('d1', { kvCapacityTokens: 72_567 })];
+  const state = buildPool(engines);
+  let grants = 0;
+  for (let ask = 0; ask < 12; ask += 1) {
+    const actions = handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0);
+    for (const action of actions) {
+      if (action.kind !== 'grant') continue;
+      grants += 1;
+      handlePoolEvent(state, { kind: 'prefilled', askId: action.ask.askId }, 0);
+    }
+  }
+  expect(grants).to.be.within(5, 8);
+});
+
+it('pools: an engine that sends nothing gets no new work while it is silent', () => {
+  const state = buildPool([PREFILL, buildEngine('d1'), buildEngine('d2')]);
+  const silent = { kind: 'engine-failed', upstreamId: 'd1', failure: 'silent' } as const;
+  handlePoolEvent(state, { ...silent, upstreamId: 'd1' as UpstreamId }, 0);
+  const [action] = handlePoolEvent(state, { kind: 'asked', ask: buildAsk(1) }, 1);
+  expect(action).to.include({ kind: 'grant', decode: 'd2' });
+});
+
+it('pools: an engine that changes its stage gets no work, whoever asks', () => {
+  const state = buildPool([PREFILL, buildEngine('d1')]);
+  const ordered = { kind: 'engine-ordered', stage: 'prefill', doneBy: 9_000 } as const;
+  handlePoolEvent(state, { ...ordered, upstreamId: 'd1' as UpstreamId }, 0);
+  const actions = handlePoolEvent(state, { kind: 'asked', ask: buildAsk(1) }, 1);
+  expect(actions.some(({ kind }) => kind === 'grant')).to.equal(false);
+});
+
+it('pools: an owner that takes over counts the runs of others, and no others', () => {
+  const first = buildPool([PREFILL, buildEngine('d1', { slots: 1 })]);
+  const [grant] = handlePoolEvent(first, { kind: 'asked', ask: buildAsk(0) }, 0);
+  if (grant?.kind !== 'grant') throw new Error('not granted');
+  const run = first.runs.get(grant.ask.askId);
+  if (run === undefined) throw new Error('no run');
+  const second = buildPool([PREFILL, buildEngine('d1', { slots: 1 })]);
+  handlePoolEvent(second, { kind: 'runs-announced', vmId: VM, runs: [run] }, 10);
+  const ask = buildAsk(20);
+  expect(
+    handlePoolEvent(second, { kind: 'asked', ask }, 20).some((a) => a.kind === 'grant'),
+  ).to.equal(false);
+  // The VM's run ended while another VM was the owner: its next list does not name it.
+  const late = buildAsk(30);
+  handlePoolEvent(second, { kind: 'asked', ask: late }, 30);
+  handlePoolEvent(second, { kind: 'runs-announced', vmId: VM, runs: [] }, 40);
+  expect(second.runs.has(run.ask.askId)).to.equal(false);
+});
+
+it('pools: a server that starts again under its id holds nothing of before', () => {
+  const state = buildPool([PREFILL, buildEngine('d1', { slots: 1 })]);
+  handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0);
+  const engines = [PREFILL, buildEngine('d1', { slots: 1, incarnation: 2 })];
+  handlePoolEvent(state, { kind: 'engines-listed', engines }, 10);
+  expect(state.runs.size).to.equal(0);
+});
+
+it('pools: a withdrawn ask frees its place', () => {
+  const state = buildPool([PREFILL, buildEngine('d1', { slots: 1 })]);
+  const ask = buildAsk(0);
+  handlePoolEvent(state, { kind: 'asked', ask }, 0);
+  handlePoolEvent(state, { kind: 'withdrawn', askId: ask.askId }, 5);
+  const [action] = handlePoolEvent(state, { kind: 'asked', ask: buildAsk(6) }, 6);
+  expect(action?.kind).to.equal('grant');
+});
+
+it('pools: without a decode engine the refusal comes at once', () => {
+  const state = buildPool([PREFILL]);
+  const [action] = handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0);
+  expect(action).to.include({ kind: 'refuse', reason: 'no-engine' });
+});
--- /dev/null
+++ b/packages/core/src/routing/routing.test.ts
@@ -0,0 +1,202 @@
+import type { DataCentre, ServiceName, UpstreamId } from '@tarragonspool/protocol';
+import { expect } from 'chai';
+import {
+  buildRouteTable,
+  chooseNextStep,
+  chooseServer,
+  chooseService,
+  countRequest,
+  findRoute,
+  findServerLoad,
+  makeEventSplitter,
+  makeRetryWindow,
+  measureCallerAge,
+  recordOutcome,
+  takeExtraArrival,
+  type Route,
+  type RoutingConfiguration,
+  type SendHistory,
+  type ServerLoads,
+  type UpstreamRecord,
+} from './index.js';
+
+function buildRoute(pathPrefix: string, changes: Partial<Route> = {}): Route {
+  return {
+    name: pathPrefix,
+    host: 'a.example',
+    pathPrefix,
+    kind: 'idempotent',
+    timeoutMs: 1_000,
+    targetLatencyMs: 200,
+    priority: 0,
+    targets: [{ service: 'one' as ServiceName, weight: 1 }],
+    maxAttempts: 2,
+    usesEngines: false,
+    isResumable: false,
+    gapTargetMs: undefined,
+    ...changes,
+  };
+}
+
+function buildConfiguration(routes: readonly Route[]): RoutingConfiguration {
+  const limits = {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  };
+  return { version: 1, routes, services: new Map(), limits };
+}
+
+function buildServer(name: string, changes: Partial<UpstreamRecord> = {}): UpstreamRecord {
+  return {
+    upstreamId: name as UpstreamId,
+    service: 'one' as ServiceName,
+    address: '10.0.0.1:80',
+    dataCentre: 'negombo' as DataCentre,
+    slots: 6,
+    isLeaving: false,
+    stage: undefined,
+    incarnation: 1,
+    orderCount: 0,
+    ...changes,
+  };
+}
+
+const HISTORY: SendHistory = {
+  kind: 'non-idempotent',
+  isResumable: false,
+  runs: 1,
+  maxAttempts: 2,
+  mayRetry: true,
+};
+
+it('routes: the longest prefix of the path wins', () => {
+  const table = buildRouteTable(buildConfiguration([buildRoute('/a/'), buildRoute('/a/b/')]));
+  expect(findRoute(table, 'a.example', '/a/b/c')?.name).to.equal('/a/b/');
+  expect(findRoute(table, 'a.example', '/a/c')?.name).to.equal('/a/');
+  expect(findRoute(table, 'a.example', '/ab')).to.equal(undefined);
+  expect(findRoute(table, 'b.example', '/a/')).to.equal(undefined);
+});
+
+it('routes: requests are split by weight', () => {
+  const targets = [
+    { service: 'one' as ServiceName, weight: 90 },
+    { service: 'two' as ServiceName, weight: 10 },
+  ];
+  const route = buildRoute('/a/', { targets });
+  expect(chooseService(route, 0)).to.equal('one');
+  expect(chooseService(route, 0.899)).to.equal('one');
+  expect(chooseService(route, 0.9)).to.equal('two');
+  expect(chooseService(route, 0.999)).to.equal('two');
+});
+
+it('retries: a VM takes its share of the slack and a ratio of its requests', () => {
+  const limits = { ratio: 0.2, windowMs: 10_000, slack: 50 };
+  const window = makeRetryWindow();
+  let taken = 0;
+  while (takeExtraArrival(window, limits, 10, 0)) taken += 1;
+  expect(taken).to.be.at.most(5);
+  for (let request = 0; request < 100; request += 1) countRequest(window, limits, 1);
+  while (takeExtraArrival(window, limits, 10, 2)) taken += 1;
+  expect(taken).to.be.at.most(25);
+  expect(taken).to.be.at.least(15);
+});
+
+it('retries: what left the window counts no more', () => {
+  const limits = { ratio: 0, windowMs: 10_000, slack: 2 };
+  const window = makeRetryWindow();
+  expect(takeExtraArrival(window, limits, 1, 0)).to.equal(true);
+  expect(takeExtraArrival(window, limits, 1, 9_999)).to.equal(false);
+  expect(takeExtraArrival(window, limits, 1, 10_001)).to.equal(true);
+});
+
+it('outcomes: a call that may have run is never repeated and never refused as not run', () => {
+  const unknown = { kind: 'unknown', reason: 'reset' } as const;
+  expect(chooseNextStep(unknown, HISTORY).kind).to.equal('fail');
+});
+
+it('outcomes: a status that promises no run is not passed on once the request ran', () => {
+  for (const status of [408, 421, 429, 503]) {
+    const outcome = { kind: 'answered', status, isSigned: true } as const;
+    expect(chooseNextStep(outcome, HISTORY).kind).to.equal('fail');
+  }
+});
+
+it('outcomes: a call that did not run goes to another server, then is refused', () => {
+  const notRun = { kind: 'not-run', reason: 'status 503' } as const;
+  expect(chooseNextStep(notRun, { ...HISTORY, runs: 0 }).kind).to.equal('retry');
+  const last = { ...HISTORY, runs: 0, mayRetry: false };
+  expect(chooseNextStep(notRun, last).kind).to.equal('refuse');
+});
+
+it('outcomes: a repeatable call that ran once may not be told not to have run', () => {
+  const notRun = { kind: 'not-run', reason: 'status 503' } as const;
+  const history: SendHistory = { ...HISTORY, kind: 'idempotent', mayRetry: false };
+  expect(chooseNextStep(notRun, history).kind).to.equal('fail');
+});
+
+it('outcomes: a server error of a repeatable call is retried within its attempts', () => {
+  const error = { kind: 'answered', status: 500, isSigned: true } as const;
+  const history: SendHistory = { ...HISTORY, kind: 'idempotent' };
+  expect(chooseNextStep(error, history).kind).to.equal('retry');
+  expect(chooseNextStep(error, { ...history, runs: 2 }).kind).to.equal('forward');
+});
+
+it('outcomes: a success without signature is no success', () => {
+  const outcome = { kind: 'answered', status: 200, isSigned: false } as const;
+  expect(chooseNextStep(outcome, HISTORY).kind).to.equal('fail');
+});
+
+it('servers: the one with the least requests in flight is chosen, failures count against it', () => {
+  const servers = [buildServer('a'), buildServer('b')];
+  const loads: ServerLoads = new Map();
+  const choice = {
+    servers,
+    loads,
+    excluded: new Set<UpstreamId>(),
+    dataCentre: 'negombo' as DataCentre,
+    takeFraction: () => 0,
+    now: 0,
+  };
+  findServerLoad(loads, 'a' as UpstreamId).inFlight = 3;
+  expect(chooseServer(choice)?.upstreamId).to.equal('b');
+  const load = findServerLoad(loads, 'b' as UpstreamId);
+  for (let failure = 0; failure < 8; failure += 1) recordOutcome(load, true, 0);
+  expect(chooseServer(choice)?.upstreamId).to.equal('a');
+  expect(chooseServer({ ...choice, now: 60_000 })?.upstreamId).to.equal('b');
+});
+
+it('servers: one that leaves is never chosen', () => {
+  const choice = {
+    servers: [buildServer('a', { isLeaving: true })],
+    loads: new Map(),
+    excluded: new Set<UpstreamId>(),
+    dataCentre: 'negombo' as DataCentre,
+    takeFraction: () => 0,
+    now: 0,
+  };
+  expect(chooseServer(choice)).to.equal(undefined);
+});
+
+it('events: whole events come out however the bytes are cut', () => {
+  const text = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c';
+  for (let cut = 1; cut < text.length; cut += 1) {
+    const splitter = makeEventSplitter();
+    const first = splitter.split(Buffer.from(text.slice(0, cut)));
+    const second = splitter.split(Buffer.from(text.slice(cut)));
+    const whole = Buffer.concat([first.whole, second.whole]).toString();
+    expect(whole).to.equal('id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n');
+    expect(first.count + second.count).to.equal(2);
+    expect(second.lastEventId ?? first.lastEventId).to.equal(2);
+    expect(splitter.takeRest().toString()).to.equal('id: 3\ndata: c');
+  }
+});
+
+it('callers: one that comes back is as old as the time it has lost', () => {
+  const longest = new Map<string, number>();
+  expect(measureCallerAge(longest, 'r', 14_000)).to.equal(0);
+  expect(measureCallerAge(longest, 'r', 13_990)).to.equal(0);
+  expect(measureCallerAge(longest, 'r', 12_000)).to.equal(2_000);
+  expect(measureCallerAge(longest, 'r', undefined)).to.equal(0);
+});
--- /dev/null
+++ b/packages/core/src/routing/upstream-list.test.ts
@@ -0,0 +1,81 @@
+import type { DataCentre, ServiceName, UpstreamId } from '@tarragonspool/protocol';
+import { expect } from 'chai';
+import {
+  applyUpstreamChanges,
+  dropLapsed,
+  LAPSE_GRACE_MS,
+  listUsable,
+  makeUpstreamList,
+  startLapseWindow,
+  type UpstreamChange,
+} from './upstream-list.js';
+
+const SERVICE = 'one' as ServiceName;
+const ID = 'a' as UpstreamId;
+
+function buildChange(isLeaving = false): UpstreamChange {
+  const record = {
+    upstreamId: ID,
+    service: SERVICE,
+    address: '10.0.0.1:80',
+    dataCentre: 'negombo' as DataCentre,
+    slots: 6,
+    isLeaving,
+    stage: undefined,
+    incarnation: 1,
+    orderCount: 0,
+  };
+  return { upstreamId: ID, record, isRemoved: false };
+}
+
+const REMOVED: UpstreamChange = { upstreamId: ID, record: undefined, isRemoved: true };
+
+it('upstream list: an entry that is removed while the store answers is gone at once', () => {
+  const list = makeUpstreamList();
+  applyUpstreamChanges(list, [buildChange()], 0);
+  applyUpstreamChanges(list, [REMOVED], 10);
+  expect(listUsable(list, SERVICE)).to.deep.equal([]);
+});
+
+it('upstream list: an entry that lapsed during an outage is kept for two seconds', () => {
+  const list = makeUpstreamList();
+  applyUpstreamChanges(list, [buildChange()], 0);
+  startLapseWindow(list, 1_000);
+  applyUpstreamChanges(list, [REMOVED], 1_010);
+  expect(listUsable(list, SERVICE)).to.have.length(1);
+  expect(dropLapsed(list, 1_000 + LAPSE_GRACE_MS - 1)).to.deep.equal([]);
+  expect(dropLapsed(list, 1_000 + LAPSE_GRACE_MS)).to.deep.equal([ID]);
+  expect(listUsable(list, SERVICE)).to.deep.equal([]);
+});
+
+it('upstream list: a server that registers again within the grace stays', () => {
+  const list = makeUpstreamList();
+  applyUpstreamChanges(list, [buildChange()], 0);
+  startLapseWindow(list, 1_000);
+  applyUpstreamChanges(list, [REMOVED], 1_010);
+  applyUpstreamChanges(list, [buildChange()], 1_500);
+  expect(dropLapsed(list, 9_000)).to.deep.equal([]);
+  expect(listUsable(list, SERVICE)).to.have.length(1);
+});
+
+it('upstream list: a server that was leaving before the outage has no grace', () => {
+  const list = makeUpstreamList();
+  applyUpstreamChanges(list, [buildChange(true)], 0);
+  startLapseWindow(list, 1_000);
+  applyUpstreamChanges(list, [REMOVED], 1_010);
+  expect(list.records.size).to.equal(0);
+});
+
+it('upstream list: an entry that cannot be read names no server', () => {
+  const list = makeUpstreamList();
+  applyUpstreamChanges(list, [buildChange()], 0);
+  applyUpstreamChanges(list, [{ upstreamId: ID, record: undefined, isRemoved: false }], 1);
+  expect(listUsable(list, SERVICE)).to.deep.equal([]);
+});
+
+it('upstream list: a server that leaves gets no new work', () => {
+  const list = makeUpstreamList();
+  applyUpstreamChanges(list, [buildChange()], 0);
+  applyUpstreamChanges(list, [buildChange(true)], 1);
+  expect(listUsable(list, SERVICE)).to.deep.equal([]);
+});
--- a/packages/core/src/routing/upstream-list.ts
+++ b/packages/core/src/routing/upstream-list.ts
@@ -64,7 +64,7 @@
 }
 
 /** Removes entries whose grace has ended; returns their ids. */
-export function expireLapsed(list: UpstreamList, now: number): UpstreamId[] {
+export function dropLapsed(list: UpstreamList, now: number): UpstreamId[] {
   const gone: UpstreamId[] = [];
   for (const [upstreamId, endsAt] of list.lapsing) {
     if (endsAt > now) continue;
--- /dev/null
+++ b/packages/core/src/stages/stages.test.ts
@@ -0,0 +1,120 @@
+import type { UpstreamId, VmId } from '@tarragonspool/protocol';
+import { expect } from 'chai';
+import {
+  applyAcquired,
+  applyLeaseRow,
+  chooseLeaseStep,
+  findStageChange,
+  makeOrderLease,
+  type PlannedEngine,
+} from './index.js';
+
+const DEMAND = { prefillMs: 95, holdMs: 3_500, placesPerEngine: 12 };
+const LEASE_MS = 3_000;
+const SELF = 'self' as VmId;
+const OTHER = 'other' as VmId;
+
+function buildEngine(name: string, changes: Partial<PlannedEngine> = {}): PlannedEngine {
+  return {
+    upstreamId: name as UpstreamId,
+    stage: 'decode',
+    load: 0,
+    slowness: 1,
+    isChanging: false,
+    ...changes,
+  };
+}
+
+const PREFILL = { stage: 'prefill' } as const;
+
+it('stages: places bind, so the slowest of two prefill engines becomes a decode engine', () => {
+  const engines = [
+    buildEngine('p1', PREFILL),
+    buildEngine('p2', { ...PREFILL, slowness: 1.3 }),
+    buildEngine('d1'),
+    buildEngine('d2'),
+  ];
+  expect(findStageChange(engines, DEMAND)).to.deep.equal({ upstreamId: 'p2', stage: 'decode' });
+});
+
+it('stages: long prompts with short answers keep both prefill engines', () => {
+  const engines = [
+    buildEngine('p1', PREFILL),
+    buildEngine('p2', PREFILL),
+    buildEngine('d1'),
+    buildEngine('d2'),
+  ];
+  const demand = { prefillMs: 300, holdMs: 1_500, placesPerEngine: 12 };
+  expect(findStageChange(engines, demand)).to.equal(undefined);
+});
+
+it('stages: nothing is ordered before every prefill engine is measured', () => {
+  const engines = [
+    buildEngine('p1', PREFILL),
+    buildEngine('p2', { ...PREFILL, slowness: undefined }),
+    buildEngine('d1'),
+    buildEngine('d2'),
+  ];
+  expect(findStageChange(engines, DEMAND)).to.equal(undefined);
+});
+
+it('stages: with no prefill engine left a decode engine changes, measured or not', () => {
+  const engines = [
+    buildEngine('d1', { slowness: undefined, load: 9 }),
+    buildEngine('d2', { slowness: undefined, load: 2 }),
+    buildEngine('d3', { slowness: undefined, load: 5 }),
+  ];
+  expect(findStageChange(engines, DEMAND)).to.deep.equal({ upstreamId: 'd2', stage: 'prefill' });
+});
+
+it('stages: an engine that is changing is not chosen again', () => {
+  const engines = [
+    buildEngine('d1', { isChanging: true }),
+    buildEngine('d2', { load: 4 }),
+    buildEngine('d3', { load: 5 }),
+  ];
+  expect(findStageChange(engines, DEMAND)?.upstreamId).to.equal('d2');
+});
+
+it('stages: a good split stays as it is', () => {
+  const engines = [
+    buildEngine('p1', PREFILL),
+    buildEngine('d1'),
+    buildEngine('d2'),
+    buildEngine('d3'),
+  ];
+  expect(findStageChange(engines, DEMAND)).to.equal(undefined);
+});
+
+it('lease: a row that nobody wrote is acquired', () => {
+  const lease = makeOrderLease();
+  expect(chooseLeaseStep(lease, SELF, LEASE_MS, false, 0).kind).to.equal('read');
+  applyLeaseRow(lease, { version: 0, holder: undefined }, 0);
+  const step = chooseLeaseStep(lease, SELF, LEASE_MS, true, 0);
+  expect(step).to.deep.equal({ kind: 'acquire', expectedVersion: 0 });
+});
+
+it('lease: the holder orders for half of its lease, counted from the send', () => {
+  const lease = makeOrderLease();
+  applyAcquired(lease, SELF, 7, LEASE_MS, 100);
+  expect(chooseLeaseStep(lease, SELF, LEASE_MS, false, 1_599)).to.deep.equal({
+    kind: 'order',
+    fence: 7,
+  });
+  expect(chooseLeaseStep(lease, SELF, LEASE_MS, false, 1_600).kind).to.equal('read');
+});
+
+it('lease: another VM waits until the last holder has surely stopped', () => {
+  const lease = makeOrderLease();
+  applyLeaseRow(lease, { version: 7, holder: OTHER }, 0);
+  expect(chooseLeaseStep(lease, SELF, LEASE_MS, true, LEASE_MS).kind).to.equal('wait');
+  applyLeaseRow(lease, { version: 7, holder: OTHER }, 5_001);
+  expect(chooseLeaseStep(lease, SELF, LEASE_MS, true, 5_001).kind).to.equal('acquire');
+});
+
+it('lease: a renewal by the holder starts the wait again', () => {
+  const lease = makeOrderLease();
+  applyLeaseRow(lease, { version: 7, holder: OTHER }, 0);
+  applyLeaseRow(lease, { version: 9, holder: OTHER }, 4_000);
+  expect(chooseLeaseStep(lease, SELF, LEASE_MS, true, 5_001).kind).to.equal('wait');
+});
--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -192,7 +192,14 @@
     const { upstreamId } = server;
     const { runs } = progress;
     state.logger.info(
-      { requestId, upstreamId, outcome, runs, step: step.kind, version: request.configurationVersion },
+      {
+        requestId,
+        upstreamId,
+        outcome,
+        runs,
+        step: step.kind,
+        version: request.configurationVersion,
+      },
       'calls: outcome',
     );
     if (step.kind === 'retry') continue;
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -76,7 +76,11 @@
     : runCallRequest(state, request);
 }
 
-function recordAnswer(state: GatewayState, request: GatewayRequest, response: ServerResponse): void {
+function recordAnswer(
+  state: GatewayState,
+  request: GatewayRequest,
+  response: ServerResponse,
+): void {
   const tookMs = getSteadyMs() - request.arrivedAt;
   const { kind, name } = request.route;
   const isWhole = response.writableFinished;
@@ -87,7 +91,11 @@
   state.metrics.answerSeconds.observe({ kind }, tookMs / 1_000);
 }
 
-function startRequest(state: GatewayState, request: GatewayRequest, response: ServerResponse): void {
+function startRequest(
+  state: GatewayState,
+  request: GatewayRequest,
+  response: ServerResponse,
+): void {
   const { inbox, reply } = request;
   const timer = setTimeout(
     () => offer(inbox, { kind: 'timed-out' }),
@@ -102,13 +110,17 @@
   });
   const window = findRetryWindow(state, request.service);
   countRequest(window, getRetryLimits(state), getSteadyMs());
-  startTask('request', () => runRequest(state, request), (_name, error) => {
-    if (error === undefined) return;
-    const { requestId } = request.fields;
-    state.logger.error({ requestId, err: error }, 'requests: task failed');
-    if (reply.getState() === 'begun') reply.breakOff();
-    else reply.refuse('outcome-unknown');
-  });
+  startTask(
+    'request',
+    () => runRequest(state, request),
+    (_name, error) => {
+      if (error === undefined) return;
+      const { requestId } = request.fields;
+      state.logger.error({ requestId, err: error }, 'requests: task failed');
+      if (reply.getState() === 'begun') reply.breakOff();
+      else reply.refuse('outcome-unknown');
+    },
+  );
 }
 
 function routeRequest(
@@ -140,11 +152,7 @@
   startRequest(state, buildRequest(state, arrival, route, service, body), response);
 }
 
-function readBody(
-  state: GatewayState,
-  arrival: Arrival,
-  onBody: (body: Buffer) => void,
-): void {
+function readBody(state: GatewayState, arrival: Arrival, onBody: (body: Buffer) => void): void {
   const { incoming, reply } = arrival;
   const limit = state.configuration?.limits.maxBodyBytes ?? DEFAULT_BODY_BYTES;
   const parts: Buffer[] = [];
@@ -165,7 +173,9 @@
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, (incoming, response) => {
     const reply = makeCallerReply(response, () => state.isLeaving);
     const arrival = { incoming, reply, arrivedAt: getSteadyMs() };
-    response.on('error', (error) => state.logger.debug({ err: error }, 'requests: answer not sent'));
+    response.on('error', (error) =>
+      state.logger.debug({ err: error }, 'requests: answer not sent'),
+    );
     readBody(state, arrival, (body) => routeRequest(state, arrival, body, response));
   });
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + IDLE_SLACK_MS;
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -1,7 +1,6 @@
 /** Links this gateway to its peers and hands their messages to the pool task. */
 
 import type {
-  DataCentre,
   Incarnation,
   PeerMessage,
   PoolMessage,
@@ -60,7 +59,7 @@
     self: {
       vmId: settings.vmId,
       incarnation: registration.incarnation,
-      dataCentre: settings.dataCentre as DataCentre,
+      dataCentre: settings.dataCentre,
     },
     listen: settings.peerListen,
     secrets: [registration.secret],
--- /dev/null
+++ b/packages/router/src/gateway/side-listeners.ts
@@ -0,0 +1,41 @@
+/** Listeners beside the one for callers: readiness and metrics. */
+
+import { createServer, type Server } from 'node:http';
+import type { GatewayState } from './gateway-state.js';
+import type { ListenAddress } from './ports.js';
+
+/** Starts to listen on an address. */
+export function listen(server: Server, { port, host }: ListenAddress): void {
+  server.listen(port, host);
+}
+
+/** Starts the answer to whether new connections may come here. */
+export function startReadyListener(state: GatewayState): Server {
+  const { readyListen } = state.settings;
+  const server = createServer((_incoming, response) => {
+    const isReady = state.configuration !== undefined && state.hasUpstreams && !state.isLeaving;
+    response.writeHead(isReady ? 200 : 503, { 'Content-Length': 0 });
+    response.end();
+  });
+  listen(server, readyListen);
+  return server;
+}
+
+/** Starts the listener for metrics. */
+export function startMetricsListener(state: GatewayState): void {
+  const { registry } = state.metrics;
+  const server = createServer((_incoming, response) => {
+    registry.metrics().then(
+      (text) => {
+        response.writeHead(200, { 'Content-Type': registry.contentType });
+        response.end(text);
+      },
+      (error: unknown) => {
+        state.logger.error({ err: error }, 'metrics: cannot be read');
+        response.writeHead(500);
+        response.end();
+      },
+    );
+  });
+  listen(server, state.settings.metricsListen);
+}
--- /dev/null
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -0,0 +1,134 @@
+/** Follows the operator's configuration and the list of servers, and keeps the gateway's state. */
+
+import type { Server } from 'node:http';
+import {
+  applyUpstreamChanges,
+  dropLapsed,
+  startLapseWindow,
+  type PoolEngine,
+  type UpstreamChange,
+} from '@tarragonspool/core';
+import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
+import { makeTableFeed, type FeedOptions, type TableFeed } from '../feeds/table-feed.js';
+import { offer } from '../tasks/tasks.js';
+import { getSteadyMs } from '../time/steady-clock.js';
+import { applyCallerLimits } from './caller-listener.js';
+import { applyConfiguration, type GatewayState } from './gateway-state.js';
+import type { RowChange } from './ports.js';
+
+const LAPSE_CHECK_MS = 100;
+/** A silent connection is noticed well within the time that a change may take. */
+const FEED_HOLD_MS = 1_500;
+const FEED_PAUSE_MS = 120;
+
+function makeFeedOptions({ takeFraction }: GatewayState): Omit<FeedOptions, 'table'> {
+  return { holdMs: FEED_HOLD_MS, pauseMs: FEED_PAUSE_MS, takeFraction };
+}
+
+function applyConfigurationRow(state: GatewayState, server: Server, row: RowChange): void {
+  const { configuration } = state.ports;
+  if (row.key !== configuration.key || row.value === undefined) return;
+  const next = configuration.decode(row.value);
+  if (next === undefined) {
+    state.logger.error(
+      { version: row.version },
+      'configuration: cannot be read, kept the last one',
+    );
+    return;
+  }
+  if (!applyConfiguration(state, next)) return;
+  applyCallerLimits(server, state);
+  state.logger.info(
+    { version: next.version, routes: next.routes.length },
+    'configuration: in force',
+  );
+}
+
+function decodeUpstreamRow(state: GatewayState, row: RowChange): UpstreamChange {
+  const upstreamId = row.key as UpstreamId;
+  const { value } = row;
+  const record = value && state.ports.upstreams.decode(row.key, value);
+  if (value !== undefined && record === undefined) {
+    state.logger.warn({ upstreamId }, 'upstreams: entry cannot be read');
+  }
+  return { upstreamId, record, isRemoved: value === undefined };
+}
+
+function listPoolEngines(state: GatewayState): ReadonlyMap<ServiceName, PoolEngine[]> {
+  const pools = new Map<ServiceName, PoolEngine[]>();
+  for (const service of state.configuration?.services.values() ?? []) {
+    if (service.engine !== undefined) pools.set(service.name, []);
+  }
+  for (const record of state.upstreams.records.values()) {
+    const engines = pools.get(record.service);
+    const limits = state.configuration?.services.get(record.service)?.engine;
+    if (engines === undefined || limits === undefined || record.stage === undefined) continue;
+    const { upstreamId, stage, incarnation, isLeaving, slots } = record;
+    const { kvCapacityTokens } = limits;
+    engines.push({ upstreamId, stage, incarnation, isLeaving, slots, kvCapacityTokens });
+  }
+  return pools;
+}
+
+function publishEngines(state: GatewayState): void {
+  for (const [service, engines] of listPoolEngines(state)) {
+    offer(state.pools.inbox, { kind: 'engines', service, engines });
+  }
+}
+
+function logUpstreams(state: GatewayState, changes: readonly UpstreamChange[]): void {
+  for (const { upstreamId, record, isRemoved } of changes) {
+    const before = state.upstreams.records.get(upstreamId);
+    const isChanged =
+      before?.isLeaving !== record?.isLeaving ||
+      before?.stage !== record?.stage ||
+      before?.incarnation !== record?.incarnation;
+    if (isChanged) state.logger.info({ upstreamId, record, isRemoved }, 'upstreams: entry changed');
+  }
+}
+
+/** Makes the feed of the servers' list. */
+export function makeUpstreamFeed(state: GatewayState): TableFeed {
+  const { store, upstreams } = state.ports;
+  const options = { ...makeFeedOptions(state), table: upstreams.table };
+  const handler = {
+    onRows: (rows: readonly RowChange[]) => {
+      const changes = rows.map((row) => decodeUpstreamRow(state, row));
+      logUpstreams(state, changes);
+      applyUpstreamChanges(state.upstreams, changes, getSteadyMs());
+      state.hasUpstreams = true;
+      publishEngines(state);
+    },
+    onAway: () => state.metrics.storeAway.inc(),
+    onBack: () => {
+      state.metrics.storeAway.dec();
+      startLapseWindow(state.upstreams, getSteadyMs());
+    },
+  };
+  return makeTableFeed(store, options, handler, state.logger);
+}
+
+/** Removes entries that lapsed during an outage and did not come back. */
+export function startLapseCheck(state: GatewayState): void {
+  setInterval(() => {
+    const gone = dropLapsed(state.upstreams, getSteadyMs());
+    if (gone.length === 0) return;
+    state.logger.info({ gone }, 'upstreams: entries did not come back');
+    publishEngines(state);
+  }, LAPSE_CHECK_MS);
+}
+
+/** Makes the feed of the operator's configuration. */
+export function makeConfigurationFeed(state: GatewayState, server: Server): TableFeed {
+  const { store, configuration } = state.ports;
+  const options = { ...makeFeedOptions(state), table: configuration.table };
+  const handler = {
+    onRows: (rows: readonly RowChange[]) => {
+      for (const row of rows) applyConfigurationRow(state, server, row);
+      publishEngines(state);
+    },
+    onAway: () => state.metrics.storeAway.inc(),
+    onBack: () => state.metrics.storeAway.dec(),
+  };
+  return makeTableFeed(store, options, handler, state.logger);
+}
--- a/packages/router/src/gateway/stop.ts
+++ b/packages/router/src/gateway/stop.ts
@@ -31,8 +31,12 @@
   state.isLeaving = true;
   state.refuseStreamsAt = getSteadyMs() + NOTICE_MS;
   state.logger.info({ openRequests: state.openRequests }, 'gateway: leaving');
-  startTask('stop', () => runStop(state, server), (_name, error) => {
-    if (error !== undefined) state.logger.error({ err: error }, 'gateway: stop failed');
-    onStopped();
-  });
+  startTask(
+    'stop',
+    () => runStop(state, server),
+    (_name, error) => {
+      if (error !== undefined) state.logger.error({ err: error }, 'gateway: stop failed');
+      onStopped();
+    },
+  );
 }
--- /dev/null
+++ b/packages/router/src/gateway/stream-prefill.ts
@@ -0,0 +1,58 @@
+/** Has an engine read the prompt of a stream. */
+
+import type { UpstreamRecord } from '@tarragonspool/core';
+import type { Task } from '../tasks/tasks.js';
+import { getSteadyMs } from '../time/steady-clock.js';
+import type { GatewayRequest } from './gateway-request.js';
+import type { GatewayState } from './gateway-state.js';
+import { sendOnce, type SendResult } from './sender.js';
+import {
+  buildResumeFields,
+  readOutcome,
+  notifyEngineFailed,
+  type SendFields,
+  type StreamProgress,
+} from './stream-progress.js';
+
+/** An engine that is alive reads any prompt within this time. */
+const PREFILL_TIMEOUT_MS = 1_500;
+const SILENCE_MS = 1_200;
+/** A KV cache is not counted on in the last part of its life. */
+const HANDLE_MARGIN_MS = 150;
+const HTTP_OK = 200;
+
+/** Has the prompt read; keeps the handle of its KV cache in `progress`. */
+export function* runPrefill(
+  state: GatewayState,
+  request: GatewayRequest,
+  progress: StreamProgress,
+  engine: UpstreamRecord,
+): Task<SendResult> {
+  const sentAt = getSteadyMs();
+  const parts: Buffer[] = [];
+  const placement: SendFields = { isPrefillOnly: true, ...buildResumeFields(progress) };
+  const result = yield* sendOnce(state, request, {
+    server: engine,
+    placement,
+    headDueAt: sentAt + PREFILL_TIMEOUT_MS,
+    silenceMs: SILENCE_MS,
+    onSilence: () => notifyEngineFailed(state, request, engine.upstreamId, 'silent'),
+    onHead: () => undefined,
+    onData: (chunk) => parts.push(chunk),
+  });
+  const outcome = readOutcome(result);
+  const isRead = outcome.kind === 'answered' && outcome.status === HTTP_OK;
+  const prefill = isRead ? state.ports.dialect.decodePrefill(Buffer.concat(parts)) : undefined;
+  if (prefill !== undefined) {
+    const now = getSteadyMs();
+    const engineLimits = state.configuration?.services.get(request.service)?.engine;
+    progress.kvSource = { address: engine.address, handle: prefill.handle };
+    progress.kvKeptUntil = now + (engineLimits?.handleTtlMs ?? 0) - HANDLE_MARGIN_MS;
+  }
+  const { requestId } = request.fields;
+  const tookMs = getSteadyMs() - sentAt;
+  const { upstreamId } = engine;
+  state.logger.info({ requestId, upstreamId, outcome, tookMs }, 'streams: prompt read');
+  state.metrics.sends.inc({ step: 'prefill', outcome: outcome.kind });
+  return result;
+}
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -50,7 +50,11 @@
   readonly logger: Logger;
 };
 
-function readAsk(from: VmId, message: Extract<PoolMessage, { kind: 'pool-ask' }>, now: number): PlaceAsk {
+function readAsk(
+  from: VmId,
+  message: Extract<PoolMessage, { kind: 'pool-ask' }>,
+  now: number,
+): PlaceAsk {
   return {
     askId: message.askId as AskId,
     vmId: from,
@@ -109,7 +113,10 @@
     const run = pools.get(service)?.runs.get(askId);
     const endsInMs = (run?.expectedEndAt ?? now) - now;
     const slackMs = ask.aimAt - now;
-    logger.info({ service, askId, vmId, prefill, decode, slackMs, endsInMs }, 'pools: place granted');
+    logger.info(
+      { service, askId, vmId, prefill, decode, slackMs, endsInMs },
+      'pools: place granted',
+    );
     reply(vmId, { kind: 'pool-grant', service, askId, prefill, decode, endsInMs });
   }
 
@@ -119,7 +126,11 @@
     }
   }
 
-  function handleAsk(from: VmId, message: Extract<OwnerMessage, { kind: 'pool-ask' }>, now: number): void {
+  function handleAsk(
+    from: VmId,
+    message: Extract<OwnerMessage, { kind: 'pool-ask' }>,
+    now: number,
+  ): void {
     const ask = readAsk(from, message, now);
     apply(message.service, { kind: 'asked', ask }, now);
     const isWaiting = findPool(message.service).waiting.has(ask.askId);
--- a/packages/router/src/upstreams/upstream-client.test.ts
+++ b/packages/router/src/upstreams/upstream-client.test.ts
@@ -1,9 +1,8 @@
-import { createServer, type Server, type Socket } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { expect } from 'chai';
 import { makeUpstreamClient, type UpstreamCall, type UpstreamEvent } from './upstream-client.js';
 
-const HOST = process.env['TARRAGONSPOOL_TEST_HOST'] ?? '127.0.0.1';
+const HOST = process.env.TARRAGONSPOOL_TEST_HOST ?? '127.0.0.1';
 const UNFRAMED = 'HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nhello';
 const FRAMED = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello';
 
@@ -109,12 +108,9 @@
 
 it('upstream client: connections are kept for the next request', async () => {
   const connections = new Set<Socket>();
-  await sendCalls(
-    (socket) => {
-      connections.add(socket);
-      socket.write(FRAMED);
-    },
-    3,
-  );
+  await sendCalls((socket) => {
+    connections.add(socket);
+    socket.write(FRAMED);
+  }, 3);
   expect(connections.size).to.equal(1);
 });
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -3,8 +3,13 @@
  * one that may have reached the server, and ends connections on which bytes come unasked.
  */
 
-import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http';
-import type { IncomingHttpHeaders } from 'node:http';
+import {
+  Agent,
+  request,
+  type ClientRequest,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+} from 'node:http';
 import type { Socket } from 'node:net';
 
 /** One request to a server. */
@@ -107,7 +112,10 @@
       onConnected();
       return;
     }
-    const timer = setTimeout(() => outgoing.destroy(new Error('connect timeout')), CONNECT_TIMEOUT_MS);
+    const timer = setTimeout(
+      () => outgoing.destroy(new Error('connect timeout')),
+      CONNECT_TIMEOUT_MS,
+    );
     socket.once('connect', () => {
       clearTimeout(timer);
       onConnected();
