--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -20,9 +20,12 @@
 
 /** After a refusal for want of room, the engine's own queue empties within this time. */
 const FULL_PAUSE_MS = 250;
-const BROKEN_PAUSE_MS = 1_500;
+/** A single lost answer says little; an engine that is down fails again and again. */
+const BROKEN_PAUSE_MS = 150;
 /** Streams tell of silence again and again while it lasts. */
 const SILENT_PAUSE_MS = 750;
+/** Each prompt that such an engine reads is read in vain. */
+const HANDLE_LOST_PAUSE_MS = 2_000;
 /** Pauses double with each failure in a row, up to this. */
 const MAX_PAUSE_MS = 3_000;
 /** A run that nobody ended is forgotten after this multiple of its forecast. */
@@ -108,6 +111,8 @@
   switch (failure) {
     case 'silent':
       return SILENT_PAUSE_MS;
+    case 'handle-lost':
+      return HANDLE_LOST_PAUSE_MS;
     case 'full':
       return Math.min(MAX_PAUSE_MS, FULL_PAUSE_MS * 2 ** earlierFailures);
     case 'broken':
@@ -126,7 +131,7 @@
   const load = state.engines.get(upstreamId);
   if (load === undefined) return;
   load.avoidUntil = Math.max(load.avoidUntil, now + computePauseMs(failure, load.failures));
-  if (failure !== 'silent') load.failures += 1;
+  if (failure === 'full' || failure === 'broken') load.failures += 1;
 }
 
 /** Takes a VM's whole list: what is not on it has ended. */
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -58,7 +58,7 @@
     kind: z.literal('pool-engine-failed'),
     service: id,
     upstreamId: id,
-    failure: z.enum(['full', 'broken', 'silent']),
+    failure: z.enum(['full', 'broken', 'silent', 'handle-lost']),
   }),
   z.object({ kind: z.literal('pool-runs'), service: id, runs: z.array(runSchema) }),
   z.object({
@@ -81,8 +81,11 @@
   }),
 ] as const;
 
-/** What a VM saw of an engine: it refused for want of room, broke off, or sends nothing. */
-export type EngineFailure = 'full' | 'broken' | 'silent';
+/**
+ * What a VM saw of an engine: it refused for want of room, broke off, sends nothing, or dropped a KV
+ * cache before its time.
+ */
+export type EngineFailure = 'full' | 'broken' | 'silent' | 'handle-lost';
 
 /** One run as a VM announces it to a VM that decides anew. */
 export type PoolRunItem = {
--- a/packages/router/src/feeds/table-feed.ts
+++ b/packages/router/src/feeds/table-feed.ts
@@ -4,6 +4,7 @@
 import type { RowChange, RowStore, StoreOutcome } from '../gateway/ports.js';
 import { awaitPromise, type Task } from '../tasks/tasks.js';
 import { waitMs } from '../tasks/timers.js';
+import { getSteadyMs } from '../time/steady-clock.js';
 import { makeRowCache, type RowCache, type RowCopy } from './row-cache.js';
 
 /** Hears of a followed table. */
@@ -38,6 +39,8 @@
 const ANSWER_SLACK_MS = 900;
 const MIN_BACKOFF_MS = 150;
 const MAX_BACKOFF_MS = 600;
+/** Single calls fail now and then; peers are told of an outage that lasts. */
+const AWAY_AFTER_MS = 500;
 
 type Reading = { readonly rows: readonly RowChange[]; readonly version: number };
 
@@ -67,7 +70,7 @@
 ): TableFeed {
   const { table, holdMs, pauseMs, takeFraction } = options;
   const cache = makeRowCache();
-  let isAway = false;
+  let awaySince = Infinity;
   let failures = 0;
   /** Version up to which the store's own answers were read. */
   let cursor: number | undefined;
@@ -78,16 +81,16 @@
 
   function noteAnswer(): void {
     failures = 0;
-    if (!isAway) return;
-    isAway = false;
+    if (awaySince === Infinity) return;
+    awaySince = Infinity;
     logger.info({ table }, 'feeds: store is back');
     handler.onBack();
   }
 
   function* noteFailure(outcome: StoreOutcome<unknown>): Task {
     failures += 1;
-    if (!isAway) {
-      isAway = true;
+    if (awaySince === Infinity) {
+      awaySince = getSteadyMs();
       logger.warn({ table, outcome }, 'feeds: store is away');
       handler.onAway();
     }
@@ -131,7 +134,7 @@
   return {
     table,
     cache,
-    isAway: () => isAway,
+    isAway: () => getSteadyMs() - awaySince > AWAY_AFTER_MS,
     applyCopy: ({ rows, version, isFull }) => {
       tell(isFull ? cache.replaceRows(rows, version) : cache.applyRows(rows, version));
     },
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -94,7 +94,11 @@
 };
 
 /** Where the KV cache of a prompt is kept. */
-export type KvSource = { readonly address: string; readonly handle: string };
+export type KvSource = {
+  readonly upstreamId: UpstreamId;
+  readonly address: string;
+  readonly handle: string;
+};
 
 /** What the gateway adds to a request that it sends to a server. */
 export type PlacementFields = {
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -21,6 +21,8 @@
 
 type Granted = Extract<PlaceReply, { kind: 'granted' }>;
 
+/** Refusals after which the KV cache of a prompt is taken for lost. */
+const MAX_HANDLE_REFUSALS = 2;
 const MAX_FAILED_PREFILLS = 3;
 /** Time that one more run needs at least. */
 const LEAST_LEFT_MS = 500;
@@ -121,7 +123,6 @@
   }
   requestPlace(state.pools, { kind: 'end', askId, didFinish: false }, state.logger);
   notifyEngineFailed(state, request, granted.prefill, judgeFailure(result));
-  progress.excluded.add(granted.prefill);
   progress.failedPrefills += 1;
   if (progress.failedPrefills < MAX_FAILED_PREFILLS && takeRetryOf(state, request.service)) {
     return 'again';
@@ -130,6 +131,21 @@
   return 'done';
 }
 
+/**
+ * An engine that refuses may be full, or may not get the KV cache. After a second refusal the cache
+ * is taken for lost, and the engine that made it for one that does not keep its word.
+ */
+function checkHandle(state: GatewayState, request: GatewayRequest, progress: StreamProgress): void {
+  const { kvSource } = progress;
+  if (kvSource === undefined) return;
+  progress.handleRefusals += 1;
+  const isKept = progress.kvKeptUntil > getSteadyMs();
+  if (isKept && progress.handleRefusals < MAX_HANDLE_REFUSALS) return;
+  progress.kvSource = undefined;
+  progress.handleRefusals = 0;
+  if (isKept) notifyEngineFailed(state, request, kvSource.upstreamId, 'handle-lost');
+}
+
 /** Decides what follows a run that did not come to its end. */
 function continueAfter(
   state: GatewayState,
@@ -140,8 +156,7 @@
   const { route, service } = request;
   const hasTime = request.deadlineAt - getSteadyMs() > LEAST_LEFT_MS;
   if (end === 'not-run') {
-    const isKept = progress.kvKeptUntil > getSteadyMs();
-    if (!isKept) progress.kvSource = undefined;
+    checkHandle(state, request, progress);
     if (hasTime && takeRetryOf(state, service)) return 'again';
     refuseStream(request, progress, RETRY_AFTER_FAILURE_MS);
     return 'done';
--- a/packages/router/src/gateway/stream-prefill.ts
+++ b/packages/router/src/gateway/stream-prefill.ts
@@ -46,7 +46,9 @@
   if (prefill !== undefined) {
     const now = getSteadyMs();
     const engineLimits = state.configuration?.services.get(request.service)?.engine;
-    progress.kvSource = { address: engine.address, handle: prefill.handle };
+    const { address, upstreamId } = engine;
+    progress.kvSource = { address, upstreamId, handle: prefill.handle };
+    progress.handleRefusals = 0;
     progress.kvKeptUntil = now + (engineLimits?.handleTtlMs ?? 0) - HANDLE_MARGIN_MS;
   }
   const { requestId } = request.fields;
--- a/packages/router/src/gateway/stream-progress.ts
+++ b/packages/router/src/gateway/stream-progress.ts
@@ -19,6 +19,8 @@
   /** KV cache of the prompt that no engine has taken yet. */
   kvSource: KvSource | undefined;
   kvKeptUntil: number;
+  /** Engines that refused the request with this KV cache. */
+  handleRefusals: number;
 };
 
 /** Callers abandon a stream after a gap of the greatest of these. */
@@ -37,6 +39,7 @@
     events: 0,
     kvSource: undefined,
     kvKeptUntil: 0,
+    handleRefusals: 0,
   };
 }
 
