Know returning callers by their prompt, not by the time that they have left

Cause: the time that a first attempt has left differs by 15 in 100 from caller to caller; most fresh streams were taken for returning ones, whose target has passed, and got only what was left over. Module caller-age dropped with its test: it measured noise.

--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -5,6 +5,7 @@
   measureFreshRate,
   measureServiceRate,
   predictFirstEventMs,
+  rememberRefused,
   type PoolState,
   type WaitingAsk,
 } from './pool-state.js';
@@ -48,6 +49,7 @@
   reason: RefusalReason,
   now: number,
 ): PoolAction {
+  rememberRefused(state, ask, now);
   return { kind: 'refuse', ask, reason, retryAfterMs: computeRetryAfterMs(state, now) };
 }
 
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -10,7 +10,9 @@
 import { endPrefill, makeEngineLoad } from './engine-load.js';
 import { isInTime, grantWaiting } from './placing.js';
 import {
+  applyEarlierAttempt,
   countFreshArrival,
+  forgetRefused,
   recordHold,
   recordPrefill,
   recordSize,
@@ -74,6 +76,7 @@
 
 function handleAsked(state: PoolState, ask: PlaceAsk, now: number): PoolAction[] {
   if (!hasEngines(state)) return [buildRefusal(state, ask, 'no-engine', now)];
+  applyEarlierAttempt(state, ask, now);
   if (isInTime(state, ask, now)) countFreshArrival(state, now);
   recordSize(state, ask);
   const waiting = { ask, askedAt: now };
@@ -203,6 +206,7 @@
       return grantWaiting(state, now);
     case 'ticked':
       forgetOldRuns(state, now);
+      forgetRefused(state, now);
       return [...grantWaiting(state, now), ...refuseOverdue(state, now)];
     default:
       return assertNever(event);
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -17,6 +17,8 @@
   readonly engines: EngineLoads;
   readonly runs: Map<AskId, PlaceRun>;
   readonly waiting: Map<AskId, WaitingAsk>;
+  /** When the first attempt at a refused request arrived, by its content. */
+  readonly firstAskedAt: Map<string, number>;
   /** Milliseconds per expected output token that a place is held. */
   holdMsPerToken: number;
   /** Time that prefill engines were busy, and the prompt tokens that they read in it; both fade. */
@@ -54,6 +56,7 @@
     engines: new Map(),
     runs: new Map(),
     waiting: new Map(),
+    firstAskedAt: new Map(),
     holdMsPerToken: INITIAL_HOLD_MS_PER_TOKEN,
     prefillBusyMs: INITIAL_PREFILL_MS_PER_TOKEN * INITIAL_PREFILL_TOKENS,
     prefillTokens: INITIAL_PREFILL_TOKENS,
@@ -73,6 +76,29 @@
   return estimate + ESTIMATE_WEIGHT * (bounded - estimate);
 }
 
+/** A caller that was refused returns within this time or never. */
+const RETURN_WITHIN_MS = 15_000;
+
+/** Remembers a refused request, so that its next attempt is known for one. */
+export function rememberRefused(state: PoolState, ask: PlaceAsk, askedAt: number): void {
+  if (!state.firstAskedAt.has(ask.contentKey)) state.firstAskedAt.set(ask.contentKey, askedAt);
+}
+
+/** The target of a caller that returns counts from its first attempt. */
+export function applyEarlierAttempt(state: PoolState, ask: PlaceAsk, now: number): void {
+  const firstAt = state.firstAskedAt.get(ask.contentKey);
+  if (firstAt !== undefined) ask.aimAt -= now - firstAt;
+}
+
+/** Forgets requests whose callers have left. */
+export function forgetRefused(state: PoolState, now: number): void {
+  for (const [key, at] of state.firstAskedAt) {
+    // Entries stand in the order of their times.
+    if (now - at <= RETURN_WITHIN_MS) return;
+    state.firstAskedAt.delete(key);
+  }
+}
+
 /** Learns from an answer that came to its end. */
 export function recordHold(state: PoolState, run: PlaceRun, load: EngineLoad, now: number): void {
   const heldMs = now - run.grantedAt;
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -28,9 +28,11 @@
   /** Tokens that the answer probably has. */
   readonly outputTokens: number;
   /** Until when the first event is on time. */
-  readonly aimAt: number;
+  aimAt: number;
   /** Until when the caller waits for the first event. */
   readonly patienceEndsAt: number;
+  /** Same for each attempt of a caller at one request. */
+  readonly contentKey: string;
   /** Whether the prompt must be read; false while its KV cache is still kept. */
   readonly needsPrefill: boolean;
   /** Engines that failed this request. */
--- a/packages/core/src/pools/pools.test.ts
+++ b/packages/core/src/pools/pools.test.ts
@@ -43,6 +43,7 @@
     promptTokens: 5_000,
     outputTokens: 6_000,
     aimAt: now + AIM_MS,
+    contentKey: `content-${askCount}`,
     patienceEndsAt: now + PATIENCE_MS,
     needsPrefill: true,
     excluded: [],
@@ -135,6 +136,20 @@
   expect(refusal?.kind).to.equal('refuse');
 });
 
+it('pools: the target of a caller that returns counts from its first attempt', () => {
+  const state = buildPool([PREFILL, buildEngine('d1', { slots: 1 })]);
+  handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0);
+  const first = buildAsk(0, { contentKey: 'same' });
+  const [refusal] = handlePoolEvent(state, { kind: 'asked', ask: first }, 0);
+  expect(refusal?.kind).to.equal('refuse');
+  const second = buildAsk(2_000, { contentKey: 'same' });
+  handlePoolEvent(state, { kind: 'asked', ask: second }, 2_000);
+  expect(second.aimAt).to.equal(AIM_MS);
+  const other = buildAsk(2_000);
+  handlePoolEvent(state, { kind: 'asked', ask: other }, 2_000);
+  expect(other.aimAt).to.equal(2_000 + AIM_MS);
+});
+
 it('pools: no prefill engine left, so decode engines read, one prompt each at a time', () => {
   const state = buildPool([buildEngine('d1'), buildEngine('d2')]);
   const grants: PoolAction[] = [];
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -1,4 +1,3 @@
-export * from './caller-age.js';
 export * from './event-splitter.js';
 export * from './retry-window.js';
 export * from './routes.js';
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -15,6 +15,7 @@
   kind: z.literal('pool-ask'),
   service: id,
   askId: id,
+  contentKey: id,
   promptTokens: z.number().nonnegative(),
   outputTokens: z.number().nonnegative(),
   aimInMs: span,
@@ -104,6 +105,7 @@
       readonly kind: 'pool-ask';
       readonly service: ServiceName;
       readonly askId: string;
+      readonly contentKey: string;
       readonly promptTokens: number;
       readonly outputTokens: number;
       readonly aimInMs: number;
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -1,13 +1,7 @@
 /** Takes requests of callers: reads the body, finds the route and starts the request's task. */
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import {
-  chooseService,
-  countRequest,
-  findRoute,
-  measureCallerAge,
-  type Route,
-} from '@tarragonspool/core';
+import { chooseService, countRequest, findRoute, type Route } from '@tarragonspool/core';
 import type { ServiceName } from '@tarragonspool/protocol';
 import { makeChannel, offer, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
@@ -46,7 +40,6 @@
   body: Buffer,
 ): GatewayRequest {
   const fields = state.ports.dialect.decodeCallerFields(incoming.headers);
-  const ageMs = measureCallerAge(state.longestWaits, route.name, fields.leftMs);
   const leftMs = Math.min(fields.leftMs ?? NO_DEADLINE_MS, route.timeoutMs);
   return {
     fields,
@@ -59,7 +52,7 @@
     body,
     arrivedAt,
     deadlineAt: arrivedAt + Math.max(1, leftMs - TIMEOUT_MARGIN_MS),
-    aimAt: arrivedAt + route.targetLatencyMs - ageMs,
+    aimAt: arrivedAt + route.targetLatencyMs,
     reply,
     inbox: makeChannel(REQUEST_INBOX_CAPACITY),
   };
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -6,7 +6,6 @@
   makeRetryWindow,
   makeUpstreamList,
   takeExtraArrival,
-  type LongestWaits,
   type RetryWindow,
   type RouteTable,
   type RoutingConfiguration,
@@ -43,7 +42,6 @@
   refuseStreamsAt: number;
   readonly loads: ServerLoads;
   readonly retries: Map<ServiceName, RetryWindow>;
-  readonly longestWaits: LongestWaits;
   openRequests: number;
   askCount: number;
 };
@@ -67,7 +65,6 @@
     refuseStreamsAt: Infinity,
     loads: new Map(),
     retries: new Map(),
-    longestWaits: new Map(),
     openRequests: 0,
     askCount: 0,
   };
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -91,6 +91,8 @@
   /** The caller's estimate of the answer's length. */
   readonly expectedOutputTokens: number | undefined;
   readonly lastEventId: number | undefined;
+  /** Names the prompt: the same for each attempt at one request, different for others. */
+  readonly promptKey: string | undefined;
 };
 
 /** Where the KV cache of a prompt is kept. */
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -10,6 +10,7 @@
 import { sendOnce, type AnswerHead, type SendResult } from './sender.js';
 import {
   buildResumeFields,
+  countEvents,
   readOutcome,
   notifyEngineFailed,
   type SendFields,
@@ -56,11 +57,11 @@
         hasEvent = true;
         onFirstEvent();
       }
-      if (count > 0 && progress.events === 0) {
+      if (count > 0) {
         const waitedMs = getSteadyMs() - request.arrivedAt;
-        state.metrics.firstEventSeconds.observe(waitedMs / MS_PER_S);
+        if (progress.events === 0) state.metrics.firstEventSeconds.observe(waitedMs / MS_PER_S);
+        countEvents(progress, count, waitedMs);
       }
-      progress.events += count;
       progress.lastEventId = lastEventId ?? progress.lastEventId;
       write(route.isResumable ? whole : chunk, exchange);
     },
@@ -117,10 +118,20 @@
   if (end === 'finished') relay.finish();
   const { requestId } = request.fields;
   const { upstreamId } = engine;
-  const { events, runs } = progress;
+  const { events, runs, firstEventMs, longestGapMs } = progress;
   const tookMs = getSteadyMs() - sentAt;
   state.logger.info(
-    { requestId, upstreamId, end, outcome: readOutcome(result), events, runs, tookMs },
+    {
+      requestId,
+      upstreamId,
+      end,
+      outcome: readOutcome(result),
+      events,
+      runs,
+      tookMs,
+      firstEventMs,
+      longestGapMs,
+    },
     'streams: run ended',
   );
   state.metrics.sends.inc({ step: 'decode', outcome: end });
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -1,5 +1,6 @@
 /** Serves streams: a place first, then the prompt is read, then the answer is passed on. */
 
+import { createHash } from 'node:crypto';
 import type { AskId, PlaceAsk } from '@tarragonspool/core';
 import type { PlaceReply } from '../pools/place-messages.js';
 import { requestPlace } from '../pools/pool-task.js';
@@ -28,6 +29,12 @@
 const LEAST_LEFT_MS = 500;
 const DEFAULT_OUTPUT_SHARE = 0.5;
 
+/** Digests what stays the same when a caller tries again. */
+function digestContent({ path, fields }: GatewayRequest): string {
+  const text = `${path} ${fields.promptKey ?? fields.requestId}`;
+  return createHash('sha256').update(text).digest('base64');
+}
+
 function buildAsk(
   state: GatewayState,
   request: GatewayRequest,
@@ -39,6 +46,7 @@
   return {
     askId: `${state.startName}/${state.askCount}` as AskId,
     vmId: state.settings.vmId,
+    contentKey: digestContent(request),
     promptTokens: fields.promptTokens ?? 0,
     outputTokens: expectedOutputTokens ?? DEFAULT_OUTPUT_SHARE * maxOutputTokens,
     aimAt: request.aimAt,
--- a/packages/router/src/gateway/stream-progress.ts
+++ b/packages/router/src/gateway/stream-progress.ts
@@ -3,6 +3,7 @@
 import type { SendOutcome, UpstreamRecord } from '@tarragonspool/core';
 import type { EngineFailure, UpstreamId } from '@tarragonspool/protocol';
 import { requestPlace } from '../pools/pool-task.js';
+import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import type { KvSource, PlacementFields } from './ports.js';
@@ -16,6 +17,11 @@
   failedPrefills: number;
   lastEventId: number | undefined;
   events: number;
+  /** From arrival to the first event, in milliseconds; undefined before it. */
+  firstEventMs: number | undefined;
+  lastEventAt: number;
+  /** Longest pause between events, in milliseconds. */
+  longestGapMs: number;
   /** KV cache of the prompt that no engine has taken yet. */
   kvSource: KvSource | undefined;
   kvKeptUntil: number;
@@ -37,6 +43,9 @@
     failedPrefills: 0,
     lastEventId: request.fields.lastEventId,
     events: 0,
+    firstEventMs: undefined,
+    lastEventAt: 0,
+    longestGapMs: 0,
     kvSource: undefined,
     kvKeptUntil: 0,
     handleRefusals: 0,
@@ -56,6 +65,15 @@
 /** What a send adds beside the server and the time that is left. */
 export type SendFields = Omit<PlacementFields, 'upstreamId' | 'leftMs'>;
 
+/** Counts events that are passed on. */
+export function countEvents(progress: StreamProgress, count: number, waitedMs: number): void {
+  const now = getSteadyMs();
+  progress.events += count;
+  if (progress.firstEventMs === undefined) progress.firstEventMs = waitedMs;
+  else progress.longestGapMs = Math.max(progress.longestGapMs, now - progress.lastEventAt);
+  progress.lastEventAt = now;
+}
+
 /** Builds the fields by which another engine goes on after the last whole event. */
 export function buildResumeFields({ lastEventId, runs }: StreamProgress): SendFields {
   return runs > 0 && lastEventId !== undefined ? { resumeAfterEvent: lastEventId } : {};
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -93,11 +93,12 @@
     asked.owner = chooseOwner(service, now);
     asked.sentAt = now;
     asked.isHeard = asked.owner === parts.self;
-    const { askId, promptTokens, outputTokens, needsPrefill, excluded } = ask;
+    const { askId, contentKey, promptTokens, outputTokens, needsPrefill, excluded } = ask;
     tell(asked.owner, {
       kind: 'pool-ask',
       service,
       askId,
+      contentKey,
       promptTokens,
       outputTokens,
       needsPrefill,
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -58,6 +58,7 @@
   return {
     askId: message.askId as AskId,
     vmId: from,
+    contentKey: message.contentKey,
     promptTokens: message.promptTokens,
     outputTokens: message.outputTokens,
     aimAt: now + message.aimInMs,
@@ -71,6 +72,7 @@
   const ask: PlaceAsk = {
     askId: item.askId as AskId,
     vmId: from,
+    contentKey: item.askId,
     promptTokens: item.promptTokens,
     outputTokens: item.outputTokens,
     aimAt: now,
