--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -1,6 +1,6 @@
 /** Decides on arrival, and while an ask waits, whether it is refused now rather than later. */
 
-import { isInTime } from './placing.js';
+import { countFreePlaces, isInTime } from './placing.js';
 import {
   measureFreshRate,
   measureServiceRate,
@@ -50,7 +50,16 @@
   now: number,
 ): PoolAction {
   rememberRefused(state, ask, now);
-  return { kind: 'refuse', ask, reason, retryAfterMs: computeRetryAfterMs(state, now) };
+  return {
+    kind: 'refuse',
+    ask,
+    reason,
+    retryAfterMs: computeRetryAfterMs(state, now),
+    freePlaces: countFreePlaces(state, now),
+    waiting: state.waiting.size,
+    freshRate: measureFreshRate(state, now),
+    serviceRate: measureServiceRate(state),
+  };
 }
 
 /** Predicts the wait of an ask behind those that go first. */
--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -40,7 +40,7 @@
 /** Prompts that one prefill engine holds at a time: one is read while the next arrives. */
 const MAX_PREFILLS = 2;
 /** Prompts side by side slow each other: the next is sent when the one before is nearly read. */
-const PREFILL_LEAD_MS = 30;
+const PREFILL_LEAD_MS = 60;
 const PREFILL_FADING = 0.93;
 /** Tokens for which the pool's mean speed counts in the estimate of one engine. */
 const PRIOR_TOKENS = 8_000;
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -109,7 +109,8 @@
   return { kind: 'grant', ask, prefill, decode: run.decode };
 }
 
-function countFreePlaces(state: PoolState, now: number): number {
+/** Places of decode engines that take new work. */
+export function countFreePlaces(state: PoolState, now: number): number {
   let free = 0;
   for (const load of state.engines.values()) {
     const isOpen = load.engine.stage === 'decode' && !load.engine.isLeaving;
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -98,4 +98,10 @@
       readonly ask: PlaceAsk;
       readonly reason: RefusalReason;
       readonly retryAfterMs: number;
+      /** What the refusal rests on. */
+      readonly freePlaces: number;
+      readonly waiting: number;
+      /** Arrivals, and answers that can start, each second. */
+      readonly freshRate: number;
+      readonly serviceRate: number;
     };
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -19,7 +19,8 @@
 const LAPSE_CHECK_MS = 100;
 /** A silent connection is noticed well within the time that a change may take. */
 const FEED_HOLD_MS = 1_500;
-const FEED_PAUSE_MS = 120;
+/** Heartbeats of servers come in batches; a change is still seen within a quarter of its bound. */
+const FEED_PAUSE_MS = 350;
 
 function makeFeedOptions({ takeFraction }: GatewayState): Omit<FeedOptions, 'table'> {
   return { holdMs: FEED_HOLD_MS, pauseMs: FEED_PAUSE_MS, takeFraction };
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -106,8 +106,23 @@
     const { ask } = action;
     const { askId, vmId } = ask;
     if (action.kind === 'refuse') {
-      const { reason, retryAfterMs } = action;
-      logger.info({ service, askId, vmId, reason, retryAfterMs }, 'pools: place refused');
+      const { reason, retryAfterMs, freePlaces, waiting, freshRate, serviceRate } = action;
+      const slackMs = ask.aimAt - now;
+      logger.info(
+        {
+          service,
+          askId,
+          vmId,
+          reason,
+          retryAfterMs,
+          slackMs,
+          freePlaces,
+          waiting,
+          freshRate,
+          serviceRate,
+        },
+        'pools: place refused',
+      );
       reply(vmId, { kind: 'pool-refuse', askId, reason, retryAfterMs });
       return;
     }
