Count every extra arrival, and share the budget by the VMs that the store lists

Ruled out: attempts over maxAttempts (runs are counted before a retry), time handed on (deadlines are of arrival).

--- a/packages/core/src/routing/retry-window.ts
+++ b/packages/core/src/routing/retry-window.ts
@@ -33,11 +33,12 @@
   window.requestsAt.push(now);
 }
 
-/** Takes one extra arrival; false if this VM's share is used up. */
-export function takeExtraArrival(
+/** Takes extra arrivals, all or none; false if this VM's share is used up. */
+export function takeExtraArrivals(
   window: RetryWindow,
   limits: RetryLimits,
   vmCount: number,
+  count: number,
   now: number,
 ): boolean {
   const start = now - limits.windowMs;
@@ -45,7 +46,7 @@
   dropBefore(window.extrasAt, start);
   const slackShare = limits.slack / Math.max(1, vmCount);
   const allowed = USED_SHARE * (limits.ratio * window.requestsAt.length + slackShare);
-  if (window.extrasAt.length + 1 > allowed) return false;
-  window.extrasAt.push(now);
+  if (window.extrasAt.length + count > allowed) return false;
+  for (let taken = 0; taken < count; taken += 1) window.extrasAt.push(now);
   return true;
 }
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -5,7 +5,7 @@
   findServerLoad,
   makeRetryWindow,
   makeUpstreamList,
-  takeExtraArrival,
+  takeExtraArrivals,
   type RetryWindow,
   type RouteTable,
   type RoutingConfiguration,
@@ -42,6 +42,8 @@
   refuseStreamsAt: number;
   readonly loads: ServerLoads;
   readonly retries: Map<ServiceName, RetryWindow>;
+  /** VMs that the store lists; undefined before the list is read. */
+  listedVms: number | undefined;
   openRequests: number;
   askCount: number;
 };
@@ -65,6 +67,7 @@
     refuseStreamsAt: Infinity,
     loads: new Map(),
     retries: new Map(),
+    listedVms: undefined,
     openRequests: 0,
     askCount: 0,
   };
@@ -98,11 +101,19 @@
   return { ratio: retryRatio, windowMs: retryWindowMs, slack: retrySlack };
 }
 
-/** Takes one extra arrival at a service from this VM's share of the budget. */
-export function takeRetryOf(state: GatewayState, service: ServiceName): boolean {
+/** A VM that does not know how many there are takes a share as small as this many would leave. */
+const ASSUMED_VMS = 50;
+
+/** Counts the VMs that share a budget; a VM that has just started sees no peer yet. */
+export function countSharingVms(state: GatewayState): number {
+  return Math.max(state.pools.countLiveVms(), state.listedVms ?? ASSUMED_VMS);
+}
+
+/** Takes extra arrivals at a service from this VM's share of the budget. */
+export function takeRetryOf(state: GatewayState, service: ServiceName, arrivals = 1): boolean {
   const window = findRetryWindow(state, service);
-  const vms = state.pools.countLiveVms();
-  return takeExtraArrival(window, getRetryLimits(state), vms, getSteadyMs());
+  const vms = countSharingVms(state);
+  return takeExtraArrivals(window, getRetryLimits(state), vms, arrivals, getSteadyMs());
 }
 
 /** Finds the load of a server as this VM sees it. */
--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -32,6 +32,7 @@
   const handler = {
     onRows: () => {
       members.entryVms = decodeMembers(followed.feed?.cache.listRows() ?? []);
+      state.listedVms = members.entryVms.length;
     },
     onAway: () => undefined,
     onBack: () => undefined,
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -154,6 +154,11 @@
   if (isKept) notifyEngineFailed(state, request, kvSource.upstreamId, 'handle-lost');
 }
 
+/** Arrivals that one more try brings: the run, and its prompt if that has been read before. */
+function countArrivals({ kvSource, prefillSends }: StreamProgress): number {
+  return kvSource === undefined && prefillSends > 0 ? 2 : 1;
+}
+
 /** Decides what follows a run that did not come to its end. */
 function continueAfter(
   state: GatewayState,
@@ -165,13 +170,13 @@
   const hasTime = request.deadlineAt - getSteadyMs() > LEAST_LEFT_MS;
   if (end === 'not-run') {
     checkHandle(state, request, progress);
-    if (hasTime && takeRetryOf(state, service)) return 'again';
+    if (hasTime && takeRetryOf(state, service, countArrivals(progress))) return 'again';
     refuseStream(request, progress, RETRY_AFTER_FAILURE_MS);
     return 'done';
   }
   progress.kvSource = undefined;
   const mayGoOn = route.isResumable && progress.runs < route.maxAttempts && hasTime;
-  if (mayGoOn && takeRetryOf(state, service)) return 'again';
+  if (mayGoOn && takeRetryOf(state, service, countArrivals(progress))) return 'again';
   failStream(request);
   return 'done';
 }
--- a/packages/router/src/gateway/stream-prefill.ts
+++ b/packages/router/src/gateway/stream-prefill.ts
@@ -29,6 +29,7 @@
   engine: UpstreamRecord,
 ): Task<SendResult> {
   const sentAt = getSteadyMs();
+  progress.prefillSends += 1;
   const parts: Buffer[] = [];
   const placement: SendFields = { isPrefillOnly: true, ...buildResumeFields(progress) };
   const result = yield* sendOnce(state, request, {
--- a/packages/router/src/gateway/stream-progress.ts
+++ b/packages/router/src/gateway/stream-progress.ts
@@ -15,6 +15,7 @@
   /** Engines on which it has begun to run. */
   runs: number;
   failedPrefills: number;
+  prefillSends: number;
   lastEventId: number | undefined;
   events: number;
   /** From arrival to the first event, in milliseconds; undefined before it. */
@@ -41,6 +42,7 @@
     excluded: new Set(),
     runs: 0,
     failedPrefills: 0,
+    prefillSends: 0,
     lastEventId: request.fields.lastEventId,
     events: 0,
     firstEventMs: undefined,
