--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -30,7 +30,7 @@
 }
 
 function measureLeftoverRate(state: PoolState, now: number): number {
-  return measureServiceRate(state) - measureFreshRate(state, now);
+  return measureServiceRate(state, now) - measureFreshRate(state, now);
 }
 
 /** Computes when a refused caller finds room: after what waits and what else is refused. */
@@ -58,13 +58,13 @@
     freePlaces: countFreePlaces(state, now),
     waiting: state.waiting.size,
     freshRate: measureFreshRate(state, now),
-    serviceRate: measureServiceRate(state),
+    serviceRate: measureServiceRate(state, now),
   };
 }
 
 /** Predicts the wait of an ask behind those that go first. */
 function predictWaitMs(state: PoolState, ask: PlaceAsk, now: number): number {
-  const rate = CAUTION * measureServiceRate(state);
+  const rate = CAUTION * measureServiceRate(state, now);
   if (rate <= 0) return Infinity;
   if (isInTime(state, ask, now)) {
     const ahead = countWaiting(state, (other) => other.aimAt <= ask.aimAt);
--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -42,6 +42,8 @@
 /** Prompts side by side slow each other: the next is sent when the one before is nearly read. */
 const PREFILL_LEAD_MS = 60;
 const PREFILL_FADING = 0.93;
+/** One prompt counts for this multiple of its forecast at most. */
+const MAX_SAMPLE_FACTOR = 3;
 /** Tokens for which the pool's mean speed counts in the estimate of one engine. */
 const PRIOR_TOKENS = 8_000;
 
@@ -134,12 +136,28 @@
   load.prefills.set(run.ask.askId, run);
 }
 
+/** Takes a prompt off that was not read: the time spent on it tells nothing of the engine's speed. */
+export function dropPrefill(load: EngineLoad, askId: AskId, now: number): void {
+  if (load.prefills.delete(askId)) load.prefillBusySince = now;
+}
+
+/** Counts the runs that can still be on time and would pause if the engine read a prompt. */
+export function countPunctualRuns(load: EngineLoad): number {
+  let count = 0;
+  for (const run of load.runs.values()) {
+    if (!run.isLate) count += 1;
+  }
+  return count;
+}
+
 /** Ends the count of a prompt; returns the engine's busy time since the last end. */
-export function endPrefill(load: EngineLoad, askId: AskId, now: number): number {
+export function endPrefill(load: EngineLoad, askId: AskId, poolMs: number, now: number): number {
   const run = load.prefills.get(askId);
   if (run === undefined) return 0;
   load.prefills.delete(askId);
-  const busyMs = now - load.prefillBusySince;
+  // A report that came late says more of the way than of the engine.
+  const mostMs = MAX_SAMPLE_FACTOR * run.ask.promptTokens * measureEnginePrefillMs(load, poolMs);
+  const busyMs = Math.min(mostMs, now - load.prefillBusySince);
   load.prefillBusySince = now;
   load.prefillBusyMs = PREFILL_FADING * load.prefillBusyMs + busyMs;
   load.prefillTokens = PREFILL_FADING * load.prefillTokens + run.ask.promptTokens;
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -1,6 +1,7 @@
 /** Gives places to waiting asks: those that can still be on time first, late ones in what is left. */
 
 import {
+  countPunctualRuns,
   hasPrefillRoom,
   hasPlace,
   isUsable,
@@ -29,8 +30,10 @@
 /** Engines whose speed is not known yet go first, by this much. */
 const UNMEASURED_BONUS_MS = 30;
 
-/** A decode engine with more runs than this reads no prompt for a busy pool: they would pause. */
+/** A decode engine with more punctual answers than this reads no prompt: they would pause. */
 const SPARE_RUNS = 1;
+/** A crashed prefill engine is back sooner, and another one has changed its stage by then. */
+const NO_PREFILL_MS = 15_000;
 
 /** Whether the first event can still come within the target. */
 export function isInTime(state: PoolState, ask: PlaceAsk, now: number): boolean {
@@ -40,7 +43,8 @@
 function makeRun(state: PoolState, ask: PlaceAsk, load: EngineLoad, now: number): PlaceRun {
   const expectedEndAt = now + predictFirstEventMs(state, ask) + predictHoldMs(state, ask, load);
   const decode = load.engine.upstreamId;
-  return { ask, decode, prefill: undefined, grantedAt: now, expectedEndAt };
+  const isLate = !isInTime(state, ask, now);
+  return { ask, decode, prefill: undefined, grantedAt: now, isLate, expectedEndAt };
 }
 
 /** Finds the decode engine with the least load that has a place. */
@@ -79,30 +83,60 @@
   return best;
 }
 
+function hasLongNoPrefill(state: PoolState, now: number): boolean {
+  return now - state.prefillSeenAt > NO_PREFILL_MS;
+}
+
 /**
- * Finds the engine that reads the prompt: a prefill engine, or the decode engine itself where none
- * is usable or all are busy. A decode engine reads one prompt at a time, because its own answers
- * pause meanwhile.
+ * Finds a decode engine that can read the prompt itself, one at a time: all its answers pause
+ * meanwhile, so it must have next to none that can still be on time. Where no engine has read
+ * prompts for long, that is the only way left.
  */
-function findReader(state: PoolState, run: PlaceRun, now: number): EngineLoad | undefined {
-  const prefill = findPrefill(state, run.ask, now);
-  if (typeof prefill === 'object') return prefill;
-  const decode = state.engines.get(run.decode);
-  if (decode === undefined || decode.prefills.size > 0) return undefined;
-  const isSpare = decode.runs.size <= SPARE_RUNS;
-  return prefill === 'none' || isSpare ? decode : undefined;
+function findSelfReader(state: PoolState, ask: PlaceAsk, now: number): PlaceRun | undefined {
+  let best: PlaceRun | undefined;
+  let leastPunctual = hasLongNoPrefill(state, now) ? Infinity : SPARE_RUNS + 1;
+  for (const load of state.engines.values()) {
+    if (load.engine.stage !== 'decode' || !isUsable(load, ask, now)) continue;
+    const run = makeRun(state, ask, load, now);
+    if (load.prefills.size > 0 || !hasPlace(load, run, now)) continue;
+    const punctual = countPunctualRuns(load);
+    if (punctual >= leastPunctual) continue;
+    best = run;
+    leastPunctual = punctual;
+  }
+  return best;
 }
 
-/** Places an ask if a decode place and an engine that reads the prompt are free together. */
-function grantPlace(state: PoolState, ask: PlaceAsk, now: number): PoolAction | undefined {
+function startSelfRead(state: PoolState, run: PlaceRun, now: number): void {
+  const load = state.engines.get(run.decode);
+  if (load === undefined) return;
+  for (const other of load.runs.values()) other.isLate = true;
+  startPrefill(load, run, measurePrefillMsPerToken(state), now);
+}
+
+/** Chooses the engines of a run; undefined if no place and reader are free together. */
+function chooseEngines(state: PoolState, ask: PlaceAsk, now: number): PlaceRun | undefined {
+  if (!ask.needsPrefill) return findDecode(state, ask, now);
+  const prefill = findPrefill(state, ask, now);
+  if (prefill !== 'none') state.prefillSeenAt = now;
+  if (typeof prefill !== 'object') {
+    const run = findSelfReader(state, ask, now);
+    if (run === undefined) return undefined;
+    run.prefill = run.decode;
+    startSelfRead(state, run, now);
+    return run;
+  }
   const run = findDecode(state, ask, now);
   if (run === undefined) return undefined;
-  if (ask.needsPrefill) {
-    const reader = findReader(state, run, now);
-    if (reader === undefined) return undefined;
-    run.prefill = reader.engine.upstreamId;
-    startPrefill(reader, run, measurePrefillMsPerToken(state), now);
-  }
+  run.prefill = prefill.engine.upstreamId;
+  startPrefill(prefill, run, measurePrefillMsPerToken(state), now);
+  return run;
+}
+
+/** Grants a place if a decode place and an engine that reads the prompt are free together. */
+function grantPlace(state: PoolState, ask: PlaceAsk, now: number): PoolAction | undefined {
+  const run = chooseEngines(state, ask, now);
+  if (run === undefined) return undefined;
   state.runs.set(ask.askId, run);
   state.engines.get(run.decode)?.runs.set(ask.askId, run);
   const prefill = run.prefill === run.decode ? undefined : run.prefill;
@@ -123,7 +157,7 @@
 function hasPlacesLeftOver(state: PoolState, now: number): boolean {
   const reserved = Math.ceil(RESERVED_SHARE * countPlaces(state));
   if (countFreePlaces(state, now) <= reserved) return false;
-  return measureFreshRate(state, now) <= BUSY_LOAD * measureServiceRate(state);
+  return measureFreshRate(state, now) <= BUSY_LOAD * measureServiceRate(state, now);
 }
 
 function listWaiting(state: PoolState, isWanted: (ask: PlaceAsk) => boolean): WaitingAsk[] {
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -7,12 +7,13 @@
   type VmId,
 } from '@tarragonspool/protocol';
 import { buildRefusal, findRefusal, refuseOverdue } from './admission.js';
-import { endPrefill, makeEngineLoad } from './engine-load.js';
+import { dropPrefill, endPrefill, makeEngineLoad } from './engine-load.js';
 import { isInTime, grantWaiting } from './placing.js';
 import {
   applyEarlierAttempt,
   countFreshArrival,
   forgetRefused,
+  measurePrefillMsPerToken,
   recordHold,
   recordPrefill,
   recordSize,
@@ -34,26 +35,27 @@
 const FORGET_FACTOR = 3;
 const MIN_FORGET_MS = 5_000;
 
-function removeRun(state: PoolState, askId: AskId): PlaceRun | undefined {
+function removeRun(state: PoolState, askId: AskId, now: number): PlaceRun | undefined {
   const run = state.runs.get(askId);
   if (run === undefined) return undefined;
   state.runs.delete(askId);
   state.engines.get(run.decode)?.runs.delete(askId);
-  if (run.prefill !== undefined) state.engines.get(run.prefill)?.prefills.delete(askId);
+  const reader = run.prefill && state.engines.get(run.prefill);
+  if (reader) dropPrefill(reader, askId, now);
   return run;
 }
 
-function dropEngine(state: PoolState, upstreamId: UpstreamId): void {
+function dropEngine(state: PoolState, upstreamId: UpstreamId, now: number): void {
   const load = state.engines.get(upstreamId);
   if (load === undefined) return;
   state.engines.delete(upstreamId);
-  for (const askId of load.runs.keys()) removeRun(state, askId);
+  for (const askId of load.runs.keys()) removeRun(state, askId, now);
 }
 
-function updateEngines(state: PoolState, engines: readonly PoolEngine[]): void {
+function updateEngines(state: PoolState, engines: readonly PoolEngine[], now: number): void {
   const listed = new Set(engines.map(({ upstreamId }) => upstreamId));
   for (const upstreamId of [...state.engines.keys()]) {
-    if (!listed.has(upstreamId)) dropEngine(state, upstreamId);
+    if (!listed.has(upstreamId)) dropEngine(state, upstreamId, now);
   }
   for (const engine of engines) {
     const known = state.engines.get(engine.upstreamId);
@@ -62,7 +64,7 @@
       continue;
     }
     // The same id with another start: nothing that ran before is there any more.
-    dropEngine(state, engine.upstreamId);
+    dropEngine(state, engine.upstreamId, now);
     state.engines.set(engine.upstreamId, makeEngineLoad(engine));
   }
 }
@@ -95,13 +97,13 @@
   const load = state.engines.get(run.prefill);
   run.prefill = undefined;
   if (load === undefined) return;
-  const busyMs = endPrefill(load, askId, now);
+  const busyMs = endPrefill(load, askId, measurePrefillMsPerToken(state), now);
   // A decode engine reads between its own tokens: its time says nothing of prefill engines.
   if (load.engine.stage === 'prefill') recordPrefill(state, run.ask.promptTokens, busyMs);
 }
 
 function handleEnded(state: PoolState, askId: AskId, didFinish: boolean, now: number): void {
-  const run = removeRun(state, askId);
+  const run = removeRun(state, askId, now);
   if (run === undefined || !didFinish) return;
   const load = state.engines.get(run.decode);
   if (load === undefined) return;
@@ -138,10 +140,10 @@
 }
 
 /** Takes a VM's whole list: what is not on it has ended. */
-function adoptRuns(state: PoolState, vmId: VmId, runs: readonly PlaceRun[]): void {
+function adoptRuns(state: PoolState, vmId: VmId, runs: readonly PlaceRun[], now: number): void {
   const listed = new Set(runs.map(({ ask }) => ask.askId));
   for (const [askId, run] of state.runs) {
-    if (run.ask.vmId === vmId && !listed.has(askId)) removeRun(state, askId);
+    if (run.ask.vmId === vmId && !listed.has(askId)) removeRun(state, askId, now);
   }
   for (const run of runs) {
     const { askId } = run.ask;
@@ -154,9 +156,9 @@
   }
 }
 
-function dropRunsOf(state: PoolState, vmId: VmId): void {
+function dropRunsOf(state: PoolState, vmId: VmId, now: number): void {
   for (const [askId, run] of state.runs) {
-    if (run.ask.vmId === vmId) removeRun(state, askId);
+    if (run.ask.vmId === vmId) removeRun(state, askId, now);
   }
   for (const [askId, { ask }] of state.waiting) {
     if (ask.vmId === vmId) state.waiting.delete(askId);
@@ -167,7 +169,7 @@
   for (const [askId, run] of state.runs) {
     const forecastMs = run.expectedEndAt - run.grantedAt;
     const limitMs = Math.max(MIN_FORGET_MS, FORGET_FACTOR * forecastMs);
-    if (now - run.grantedAt > limitMs) removeRun(state, askId);
+    if (now - run.grantedAt > limitMs) removeRun(state, askId, now);
   }
 }
 
@@ -175,13 +177,13 @@
 export function handlePoolEvent(state: PoolState, event: PoolEvent, now: number): PoolAction[] {
   switch (event.kind) {
     case 'engines-listed':
-      updateEngines(state, event.engines);
+      updateEngines(state, event.engines, now);
       return grantWaiting(state, now);
     case 'asked':
       return handleAsked(state, event.ask, now);
     case 'withdrawn':
       state.waiting.delete(event.askId);
-      removeRun(state, event.askId);
+      removeRun(state, event.askId, now);
       return grantWaiting(state, now);
     case 'prefilled':
       handlePrefilled(state, event.askId, now);
@@ -199,10 +201,10 @@
       return [];
     }
     case 'runs-announced':
-      adoptRuns(state, event.vmId, event.runs);
+      adoptRuns(state, event.vmId, event.runs, now);
       return grantWaiting(state, now);
     case 'vm-restarted':
-      dropRunsOf(state, event.vmId);
+      dropRunsOf(state, event.vmId, now);
       return grantWaiting(state, now);
     case 'ticked':
       forgetOldRuns(state, now);
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -31,6 +31,8 @@
   /** Mean tokens of a prompt, and of an answer at its end. */
   promptTokens: number;
   outputTokens: number;
+  /** When a prefill engine was usable last. */
+  prefillSeenAt: number;
   /** Arrivals a second that could still be on time, fading. */
   freshRate: number;
   freshRateAt: number;
@@ -47,6 +49,10 @@
 const ESTIMATE_WEIGHT = 0.05;
 const RATE_WINDOW_MS = 2_000;
 const MS_PER_S = 1_000;
+/** A pause up to this takes no capacity that counts. */
+const SHORT_PAUSE_MS = 400;
+/** Prompts a second that decode engines read without harm where no other engine does. */
+const LEAST_READ_RATE = 1;
 /** Transfer of the KV cache and the first step of the answer. */
 const FIRST_EVENT_MS = 80;
 
@@ -64,6 +70,7 @@
     holdCount: 0,
     promptTokens: INITIAL_PROMPT_TOKENS,
     outputTokens: 0,
+    prefillSeenAt: 0,
     freshRate: 0,
     freshRateAt: 0,
     takeFraction,
@@ -206,8 +213,20 @@
   return places;
 }
 
+/** Prompts a second that prefill engines can read; those that fail at the moment do not count. */
+function measureReadRate(state: PoolState, now: number): number {
+  const poolMs = measurePrefillMsPerToken(state);
+  let rate = 0;
+  for (const load of state.engines.values()) {
+    const { stage, isLeaving } = load.engine;
+    if (stage !== 'prefill' || isLeaving || load.avoidUntil > now + SHORT_PAUSE_MS) continue;
+    rate += MS_PER_S / (state.promptTokens * measureEnginePrefillMs(load, poolMs));
+  }
+  return rate;
+}
+
 /** Starts a second that the pool can give, from places and from prefill engines. */
-export function measureServiceRate(state: PoolState): number {
+export function measureServiceRate(state: PoolState, now: number): number {
   const placeRate = (MS_PER_S * countPlaces(state)) / state.holdMs;
-  return placeRate;
+  return Math.min(placeRate, Math.max(LEAST_READ_RATE, measureReadRate(state, now)));
 }
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -46,6 +46,8 @@
   /** Engine that still reads the prompt; undefined once it has. */
   prefill: UpstreamId | undefined;
   readonly grantedAt: number;
+  /** Whether it can no longer be on time: granted late, or paused while its engine read a prompt. */
+  isLate: boolean;
   /** When the place is probably free again. */
   expectedEndAt: number;
 };
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -136,7 +136,14 @@
     pending.delete(askId);
     const { service, ask, onReply } = asked;
     const { prefill, decode, endsInMs } = message;
-    const run = { ask, decode, prefill, grantedAt: now, expectedEndAt: now + endsInMs };
+    const run = {
+      ask,
+      decode,
+      prefill,
+      grantedAt: now,
+      isLate: false,
+      expectedEndAt: now + endsInMs,
+    };
     runs.set(askId, { service, run, owner: from, isRead: false });
     onReply({ kind: 'granted', askId, prefill, decode });
   }
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -85,6 +85,7 @@
     decode: item.decode,
     prefill: item.prefill,
     grantedAt: now - item.grantedAgoMs,
+    isLate: false,
     expectedEndAt: now + item.endsInMs,
   };
 }
