--- a/packages/core/src/stages/stage-plan.ts
+++ b/packages/core/src/stages/stage-plan.ts
@@ -31,6 +31,9 @@
 /** A change of one engine. */
 export type StageChange = { readonly upstreamId: UpstreamId; readonly stage: EngineStage };
 
+/** A change that is worth its time; an urgent one need not wait for measurements. */
+export type WantedChange = StageChange & { readonly isUrgent: boolean };
+
 const MS_PER_S = 1_000;
 /** A prefill engine is planned to be busy for this share of its time. */
 const PREFILL_LOAD = 0.95;
@@ -40,6 +43,8 @@
 const SELF_READ_YIELD = 0.25;
 /** Gain that is worth the time that an engine needs for the change. */
 const LEAST_GAIN = { decode: 1.15, prefill: 1.3 } as const;
+/** Gain that is clear whatever the measured speeds of engines turn out to be. */
+const URGENT_GAIN = 1.5;
 
 function sumSpeeds(engines: readonly PlannedEngine[], stage: EngineStage): number {
   let speed = 0;
@@ -101,12 +106,10 @@
 export function findStageChange(
   engines: readonly PlannedEngine[],
   demand: PoolDemand,
-): StageChange | undefined {
+): WantedChange | undefined {
   if (engines.length < 2) return undefined;
   const currentRate = predictStartRate(engines, demand);
-  const hasPrefill = engines.some(({ stage }) => stage === 'prefill');
-  if (hasPrefill && !isMeasured(engines)) return undefined;
-  let best: StageChange | undefined;
+  let best: WantedChange | undefined;
   let bestRate = 0;
   for (const [from, to] of [
     ['prefill', 'decode'],
@@ -117,8 +120,8 @@
     const change = { upstreamId: engine.upstreamId, stage: to };
     const rate = predictStartRate(applyChange(engines, change), demand);
     if (rate <= Math.max(bestRate, LEAST_GAIN[to] * currentRate)) continue;
-    best = change;
+    best = { ...change, isUrgent: rate >= URGENT_GAIN * currentRate };
     bestRate = rate;
   }
-  return best;
+  return best?.isUrgent === true || isMeasured(engines) ? best : undefined;
 }
--- a/packages/router/src/stages/stage-task.ts
+++ b/packages/router/src/stages/stage-task.ts
@@ -87,8 +87,9 @@
     const settleMs = stages.hadPrefill ? lossMs : START_SETTLE_MS;
     return now - stages.wantedSince >= settleMs ? wanted : undefined;
   }
-  const isSettled = now - stages.wantedSince >= SETTLE_MS;
-  return isSettled && now - stages.orderedAt >= CHANGE_INTERVAL_MS ? wanted : undefined;
+  if (now - stages.wantedSince < SETTLE_MS) return undefined;
+  const isDue = wanted.isUrgent || now - stages.orderedAt >= CHANGE_INTERVAL_MS;
+  return isDue ? wanted : undefined;
 }
 
 function tellOrdered(
