--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -86,6 +86,19 @@
   }
 }
 
+function noteContent(
+  state: GatewayState,
+  { fingerprint }: GatewayRequest,
+  upstreamId: UpstreamId,
+  result: SendResult,
+): void {
+  if (result.kind !== 'outcome') return;
+  if (result.outcome.kind === 'answered') state.contents.recordAnswered(fingerprint);
+  if (result.outcome.kind === 'unknown') {
+    state.contents.recordBroken(upstreamId, fingerprint, false);
+  }
+}
+
 function* sendCall(
   state: GatewayState,
   request: GatewayRequest,
@@ -114,6 +127,7 @@
   if (result.kind === 'outcome' || result.kind === 'slow') {
     noteOutcome(state, server, outcome, sentAt);
   }
+  noteContent(state, request, server.upstreamId, result);
   const { requestId } = request.fields;
   const { upstreamId } = server;
   const tookMs = getSteadyMs() - sentAt;
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -6,6 +6,7 @@
 import { makeChannel, offer, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
+import { digestContent } from './content-guard.js';
 import { makeCallerReply, type CallerReply } from './caller-reply.js';
 import { REQUEST_INBOX_CAPACITY, type GatewayRequest } from './gateway-request.js';
 import { findRetryWindow, getRetryLimits, type GatewayState } from './gateway-state.js';
@@ -40,16 +41,18 @@
   body: Buffer,
 ): GatewayRequest {
   const fields = state.ports.dialect.decodeCallerFields(incoming.headers);
+  const { method = 'GET', url: path = '/' } = incoming;
   const leftMs = Math.min(fields.leftMs ?? NO_DEADLINE_MS, route.timeoutMs);
   return {
     fields,
     route,
     service,
     configurationVersion: state.configuration?.version ?? 0,
-    method: incoming.method ?? 'GET',
-    path: incoming.url ?? '/',
+    method,
+    path,
     rawHeaders: incoming.rawHeaders,
     body,
+    fingerprint: digestContent(method, path, body),
     arrivedAt,
     deadlineAt: arrivedAt + Math.max(1, leftMs - TIMEOUT_MARGIN_MS),
     aimAt: arrivedAt + route.targetLatencyMs,
@@ -142,7 +145,14 @@
     reply.refuse('not-ready', LEAVING_RETRY_MS);
     return;
   }
-  startRequest(state, buildRequest(state, arrival, route, service, body), response);
+  const request = buildRequest(state, arrival, route, service, body);
+  if (state.contents.isQuarantined(request.fingerprint)) {
+    const { requestId } = request.fields;
+    state.logger.warn({ requestId, fingerprint: request.fingerprint }, 'quarantine: refused');
+    reply.refuse('quarantined');
+    return;
+  }
+  startRequest(state, request, response);
 }
 
 function readBody(state: GatewayState, arrival: Arrival, onBody: (body: Buffer) => void): void {
--- /dev/null
+++ b/packages/router/src/gateway/content-guard.ts
@@ -0,0 +1,125 @@
+/**
+ * Finds request contents that crash servers, with the quarantine machine, and refuses them on every
+ * VM. Peers tell each other; a VM that starts again learns it from them at the next crash only.
+ */
+
+import { createHash } from 'node:crypto';
+import { connect } from 'node:net';
+import {
+  findStanding,
+  handleQuarantineEvent,
+  makeQuarantineState,
+  type QuarantineEvent,
+} from '@tarragonspool/core';
+import type { Fingerprint, SuspectRecord, UpstreamId } from '@tarragonspool/protocol';
+import type { Logger } from '../logging/logger.js';
+import { getSteadyMs } from '../time/steady-clock.js';
+
+/** Guard of one VM. */
+export type ContentGuard = {
+  readonly isQuarantined: (fingerprint: Fingerprint) => boolean;
+  /** A request with this content broke off at a server. */
+  readonly recordBroken: (
+    upstreamId: UpstreamId,
+    fingerprint: Fingerprint,
+    hasEvents: boolean,
+  ) => void;
+  readonly recordAnswered: (fingerprint: Fingerprint) => void;
+  /** Takes records of a peer; their ends are counted from now. */
+  readonly takeRecords: (items: readonly SuspectRecord[]) => void;
+  readonly tick: () => void;
+};
+
+/** What the guard works with. */
+export type ContentGuardParts = {
+  /** Whether a server takes connections. */
+  readonly probe: (upstreamId: UpstreamId) => Promise<boolean>;
+  /** Tells all peers; the ends of records are spans from now. */
+  readonly broadcast: (items: readonly SuspectRecord[]) => void;
+  readonly logger: Logger;
+  readonly getNow?: () => number;
+};
+
+const PROBE_TIMEOUT_MS = 250;
+
+/** Digests what a caller sends again when it tries again. */
+export function digestContent(method: string, path: string, body: Buffer): Fingerprint {
+  const hash = createHash('sha256').update(`${method} ${path}\n`).update(body);
+  return hash.digest('base64') as Fingerprint;
+}
+
+/** Finds out whether a server takes a connection. */
+export function probeAddress(address: string): Promise<boolean> {
+  const [host = '', port = '0'] = address.split(':');
+  return new Promise((resolve) => {
+    const socket = connect({ host, port: Number(port) });
+    const finish = (isAlive: boolean): void => {
+      socket.destroy();
+      resolve(isAlive);
+    };
+    socket.setTimeout(PROBE_TIMEOUT_MS, () => finish(false));
+    socket.once('connect', () => finish(true));
+    socket.once('error', () => finish(false));
+  });
+}
+
+function moveEnds(items: readonly SuspectRecord[], byMs: number): SuspectRecord[] {
+  return items.map((item) => ({ ...item, expiresAt: item.expiresAt + byMs }));
+}
+
+/** Makes the guard. */
+export function makeContentGuard(parts: ContentGuardParts): ContentGuard {
+  const { probe, broadcast, logger } = parts;
+  const getNow = parts.getNow ?? getSteadyMs;
+  const state = makeQuarantineState();
+
+  function startProbe(upstreamId: UpstreamId, onProbed: (isAlive: boolean) => void): void {
+    probe(upstreamId).then(onProbed, (error: unknown) => {
+      logger.error({ upstreamId, err: error }, 'quarantine: probe failed');
+    });
+  }
+
+  function publish(items: readonly SuspectRecord[]): void {
+    logger.warn({ items }, 'quarantine: contents blamed for a crash');
+    broadcast(moveEnds(items, -getNow()));
+  }
+
+  function apply(event: QuarantineEvent): void {
+    for (const action of handleQuarantineEvent(state, event)) {
+      switch (action.kind) {
+        case 'probe': {
+          const { upstreamId } = action;
+          startProbe(upstreamId, (isAlive) =>
+            apply({ kind: 'probed', upstreamId, isAlive, now: getNow() }),
+          );
+          break;
+        }
+        case 'publish':
+          publish(action.items);
+          break;
+        case 'store':
+        case 'remove':
+          break;
+        default:
+          action satisfies never;
+      }
+    }
+  }
+
+  return {
+    isQuarantined: (fingerprint) =>
+      findStanding(state, fingerprint, getNow()).kind === 'quarantined',
+    recordBroken: (upstreamId, fingerprint, hasEvents) => {
+      const now = getNow();
+      apply({ kind: 'broken', upstreamId, fingerprint, hasTokens: hasEvents, now });
+    },
+    recordAnswered: (fingerprint) => {
+      if (state.suspects.has(fingerprint)) apply({ kind: 'succeeded', fingerprint, now: getNow() });
+    },
+    takeRecords: (items) => {
+      const now = getNow();
+      apply({ kind: 'heard', items: moveEnds(items, now), now });
+    },
+    tick: () => apply({ kind: 'ticked', now: getNow() }),
+  };
+}
--- a/packages/router/src/gateway/gateway-request.ts
+++ b/packages/router/src/gateway/gateway-request.ts
@@ -1,7 +1,7 @@
 /** One request of a caller while it is worked on. */
 
 import type { Route } from '@tarragonspool/core';
-import type { ServiceName } from '@tarragonspool/protocol';
+import type { Fingerprint, ServiceName } from '@tarragonspool/protocol';
 import type { PlaceReply } from '../pools/place-messages.js';
 import type { Channel } from '../tasks/tasks.js';
 import type { UpstreamEvent } from '../upstreams/upstream-client.js';
@@ -35,6 +35,8 @@
   readonly path: string;
   readonly rawHeaders: readonly string[];
   readonly body: Buffer;
+  /** Digest of what the caller sends again when it tries again. */
+  readonly fingerprint: Fingerprint;
   readonly arrivedAt: number;
   /** When the final answer is due: the caller's deadline or the route's timeout. */
   readonly deadlineAt: number;
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -18,6 +18,7 @@
 import type { PoolTask } from '../pools/pool-task.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeUpstreamClient, type UpstreamClient } from '../upstreams/upstream-client.js';
+import type { ContentGuard } from './content-guard.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
 
@@ -30,6 +31,7 @@
   readonly metrics: GatewayMetrics;
   readonly client: UpstreamClient;
   readonly pools: PoolTask;
+  readonly contents: ContentGuard;
   readonly takeFraction: () => number;
   /** Tells this start of the process apart in the names of asks. */
   readonly startName: string;
@@ -51,7 +53,7 @@
 /** What a state is made from. */
 export type GatewayStateParts = Pick<
   GatewayState,
-  'settings' | 'ports' | 'logger' | 'metrics' | 'pools' | 'takeFraction' | 'startName'
+  'settings' | 'ports' | 'logger' | 'metrics' | 'pools' | 'contents' | 'takeFraction' | 'startName'
 >;
 
 /** Makes the state of a gateway that knows nothing yet. */
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -7,8 +7,9 @@
 import { runStages } from '../stages/stage-task.js';
 import { offer, startTask } from '../tasks/tasks.js';
 import { makeCallerListener } from './caller-listener.js';
+import { makeContentGuard, probeAddress } from './content-guard.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
-import { makeGatewayState } from './gateway-state.js';
+import { makeGatewayState, type GatewayState } from './gateway-state.js';
 import { startMembership, type PeerSender, type StartTask } from './membership.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
 import { listen, startMetricsListener, startReadyListener } from './side-listeners.js';
@@ -17,6 +18,7 @@
 
 const EXIT_INTERNAL = 70;
 const POOL_TICK_MS = 25;
+const CONTENT_TICK_MS = 100;
 const MAX_LOG_BUFFER_BYTES = 1_048_576;
 
 function makeGatewayLogger({ vmId }: GatewaySettings): Logger {
@@ -43,6 +45,7 @@
   const logger = makeGatewayLogger(settings);
   process.on('uncaughtException', (error) => handleFatal(logger, error));
   const links: PeerSender = { mesh: undefined };
+  const followed: { state: GatewayState | undefined } = { state: undefined };
   const takeFraction = Math.random;
   const sendTo = (vmId: VmId, message: PoolMessage): void => {
     links.mesh?.sendTo(vmId, message);
@@ -51,8 +54,18 @@
   const pools = makePoolTask({ self: settings.vmId, takeFraction, sendTo, broadcast, logger });
   const metrics = makeGatewayMetrics();
   const startName = `${settings.vmId}-${process.hrtime.bigint().toString(36)}`;
-  const parts = { settings, ports, logger, metrics, pools, takeFraction, startName };
+  const contents = makeContentGuard({
+    probe: (upstreamId) => {
+      const address = followed.state?.upstreams.records.get(upstreamId)?.address;
+      return address === undefined ? Promise.resolve(false) : probeAddress(address);
+    },
+    broadcast: (items) => links.mesh?.broadcast({ kind: 'suspects', items }),
+    logger,
+  });
+  setInterval(contents.tick, CONTENT_TICK_MS);
+  const parts = { settings, ports, logger, metrics, pools, contents, takeFraction, startName };
   const state = makeGatewayState(parts);
+  followed.state = state;
   const start: StartTask = (name, body) =>
     startTask(name, body, (ended, error) => {
       if (error !== undefined) handleFatal(logger, error);
--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -53,7 +53,7 @@
   links: PeerSender,
   start: StartTask,
 ): void {
-  const { settings, logger, metrics, pools } = state;
+  const { settings, logger, metrics, pools, contents } = state;
   const { host, port } = settings.peerListen;
   const self = { vmId: settings.vmId, peerAddress: `${host}:${port}` };
   const members: MemberList = { entryVms: [] };
@@ -68,7 +68,17 @@
   start('membership', function* run() {
     const { store } = state.ports;
     const registration = yield* runRegistration(store, self, state.takeFraction, logger);
-    const parts = { settings, registration, members, pools, relay, isStoreAway, metrics, logger };
+    const parts = {
+      settings,
+      registration,
+      members,
+      pools,
+      relay,
+      contents,
+      isStoreAway,
+      metrics,
+      logger,
+    };
     links.mesh = startPeerLinks(parts);
     yield* makeMemberFeed(state, members).run();
   });
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -12,6 +12,7 @@
 import { startPeerMesh, type PeerMesh } from '../peers/peer-mesh.js';
 import type { PoolTask } from '../pools/pool-task.js';
 import { offer } from '../tasks/tasks.js';
+import type { ContentGuard } from './content-guard.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings } from './ports.js';
 import type { MemberRow, Registration } from './registry.js';
@@ -23,6 +24,7 @@
   readonly members: { entryVms: readonly MemberRow[] };
   readonly pools: PoolTask;
   readonly relay: RowRelay;
+  readonly contents: ContentGuard;
   readonly isStoreAway: () => boolean;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
@@ -78,6 +80,7 @@
     onMessage: ({ vmId }, message) => {
       if (isPoolMessage(message)) offer(pools.inbox, { kind: 'peer', from: vmId, message });
       else if (isRowsMessage(message)) parts.relay.handleMessage(vmId, message);
+      else if (message.kind === 'suspects') parts.contents.takeRecords(message.items);
     },
     onGone: (vmId) => {
       offer(pools.inbox, { kind: 'link-closed', vmId });
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -30,7 +30,7 @@
 const DEFAULT_OUTPUT_SHARE = 0.5;
 
 /** Digests what stays the same when a caller tries again. */
-function digestContent({ path, fields }: GatewayRequest): string {
+function digestPrompt({ path, fields }: GatewayRequest): string {
   const text = `${path} ${fields.promptKey ?? fields.requestId}`;
   return createHash('sha256').update(text).digest('base64');
 }
@@ -46,7 +46,7 @@
   return {
     askId: `${state.startName}/${state.askCount}` as AskId,
     vmId: state.settings.vmId,
-    contentKey: digestContent(request),
+    contentKey: digestPrompt(request),
     promptTokens: fields.promptTokens ?? 0,
     outputTokens: expectedOutputTokens ?? DEFAULT_OUTPUT_SHARE * maxOutputTokens,
     aimAt: request.aimAt,
@@ -203,7 +203,10 @@
     endOver(request, result, progress);
     return 'done';
   }
+  const { fingerprint } = request;
+  if (end === 'finished') state.contents.recordAnswered(fingerprint);
   if (end === 'finished' || end === 'over') return 'done';
+  if (end === 'broken') state.contents.recordBroken(decode, fingerprint, progress.events > 0);
   notifyEngineFailed(state, request, decode, judgeFailure(result));
   progress.excluded.add(decode);
   // A send that may have reached the engine counts as a run even if nothing came back.
