--- a/packages/core/src/stages/order-lease.ts
+++ b/packages/core/src/stages/order-lease.ts
@@ -8,7 +8,12 @@
 import type { VmId } from '@tarragonspool/protocol';
 
 /** The row as it was read last. */
-export type LeaseRow = { readonly version: number; readonly holder: VmId | undefined };
+export type LeaseRow = {
+  readonly version: number;
+  readonly holder: VmId | undefined;
+  /** Time on the store's clock since its holder prepared to write it, in milliseconds. */
+  readonly ageMs: number;
+};
 
 /** State of one lease on one VM. */
 export type OrderLease = {
@@ -50,7 +55,8 @@
   if (!isFresh || lease.row === undefined) return { kind: 'read' };
   const { holder, version } = lease.row;
   if (holder === undefined || holder === self) return { kind: 'acquire', expectedVersion: version };
-  const isOver = now - lease.seenSince > leaseMs + TAKEOVER_MARGIN_MS;
+  const unchangedMs = Math.max(lease.row.ageMs, now - lease.seenSince);
+  const isOver = unchangedMs > leaseMs + TAKEOVER_MARGIN_MS;
   return isOver ? { kind: 'acquire', expectedVersion: version } : { kind: 'wait' };
 }
 
@@ -68,7 +74,7 @@
   leaseMs: number,
   sentAt: number,
 ): void {
-  lease.row = { version, holder: self };
+  lease.row = { version, holder: self, ageMs: 0 };
   lease.seenSince = sentAt;
   lease.fence = version;
   lease.heldUntil = sentAt + USED_SHARE * leaseMs;
--- a/packages/core/src/stages/stages.test.ts
+++ b/packages/core/src/stages/stages.test.ts
@@ -98,7 +98,7 @@
 it('lease: a row that nobody wrote is acquired', () => {
   const lease = makeOrderLease();
   expect(chooseLeaseStep(lease, SELF, LEASE_MS, false, 0).kind).to.equal('read');
-  applyLeaseRow(lease, { version: 0, holder: undefined }, 0);
+  applyLeaseRow(lease, { version: 0, holder: undefined, ageMs: 0 }, 0);
   const step = chooseLeaseStep(lease, SELF, LEASE_MS, true, 0);
   expect(step).to.deep.equal({ kind: 'acquire', expectedVersion: 0 });
 });
@@ -115,15 +115,21 @@
 
 it('lease: another VM waits until the last holder has surely stopped', () => {
   const lease = makeOrderLease();
-  applyLeaseRow(lease, { version: 7, holder: OTHER }, 0);
+  applyLeaseRow(lease, { version: 7, holder: OTHER, ageMs: 0 }, 0);
   expect(chooseLeaseStep(lease, SELF, LEASE_MS, true, LEASE_MS).kind).to.equal('wait');
-  applyLeaseRow(lease, { version: 7, holder: OTHER }, 5_001);
+  applyLeaseRow(lease, { version: 7, holder: OTHER, ageMs: 0 }, 5_001);
   expect(chooseLeaseStep(lease, SELF, LEASE_MS, true, 5_001).kind).to.equal('acquire');
 });
 
 it('lease: a renewal by the holder starts the wait again', () => {
   const lease = makeOrderLease();
-  applyLeaseRow(lease, { version: 7, holder: OTHER }, 0);
-  applyLeaseRow(lease, { version: 9, holder: OTHER }, 4_000);
+  applyLeaseRow(lease, { version: 7, holder: OTHER, ageMs: 0 }, 0);
+  applyLeaseRow(lease, { version: 9, holder: OTHER, ageMs: 0 }, 4_000);
   expect(chooseLeaseStep(lease, SELF, LEASE_MS, true, 5_001).kind).to.equal('wait');
 });
+
+it('lease: a row that the store shows to be old is taken over without a wait', () => {
+  const lease = makeOrderLease();
+  applyLeaseRow(lease, { version: 7, holder: OTHER, ageMs: 20_000 }, 0);
+  expect(chooseLeaseStep(lease, SELF, LEASE_MS, true, 0).kind).to.equal('acquire');
+});
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -41,6 +41,8 @@
   readonly rows: readonly RowChange[];
   readonly version: number;
   readonly hasMore: boolean;
+  /** The store's own steady clock, in milliseconds. */
+  readonly storeNowMs: number;
 };
 
 /** A conditional write; version 0 expects that the row does not exist. */
--- a/packages/router/src/stages/lease-calls.ts
+++ b/packages/router/src/stages/lease-calls.ts
@@ -14,26 +14,40 @@
 
 const LEASE_TABLE = 'tarragonspool-leases';
 const CALL_TIMEOUT_MS = 800;
-const rowSchema = z.object({ holder: z.string() });
+const rowSchema = z.object({ holder: z.string(), storeNowMs: z.number() });
+/** A longer way from the reading to the write would make the row look older than it is. */
+const MAX_PREPARE_MS = 300;
 
-function decodeHolder(value: Buffer | undefined): VmId | undefined {
+type StoredLease = z.infer<typeof rowSchema>;
+/** The store's clock as it was read, and when. */
+type StoreClock = { readonly storeNowMs: number; readonly readAt: number };
+
+function decodeLease(value: Buffer | undefined): StoredLease | undefined {
   if (value === undefined) return undefined;
   try {
     const parsed = rowSchema.safeParse(JSON.parse(value.toString('utf8')));
-    return parsed.success ? (parsed.data.holder as VmId) : undefined;
+    return parsed.success ? parsed.data : undefined;
   } catch {
     return undefined;
   }
 }
 
-function* readLease(state: GatewayState, service: ServiceName, lease: OrderLease): Task<boolean> {
+function* readLease(
+  state: GatewayState,
+  service: ServiceName,
+  lease: OrderLease,
+): Task<StoreClock | undefined> {
   const call = { table: LEASE_TABLE, timeoutMs: CALL_TIMEOUT_MS };
   const outcome = yield* awaitPromise(state.ports.store.readRows(call));
-  if (outcome.kind !== 'ok') return false;
-  const row = outcome.value.rows.find(({ key }) => key === service);
-  const version = row?.version ?? 0;
-  applyLeaseRow(lease, { version, holder: decodeHolder(row?.value) }, getSteadyMs());
-  return true;
+  if (outcome.kind !== 'ok') return undefined;
+  const { rows, storeNowMs } = outcome.value;
+  const row = rows.find(({ key }) => key === service);
+  const stored = decodeLease(row?.value);
+  const holder = stored?.holder as VmId | undefined;
+  const ageMs = stored === undefined ? 0 : storeNowMs - stored.storeNowMs;
+  const readAt = getSteadyMs();
+  applyLeaseRow(lease, { version: row?.version ?? 0, holder, ageMs }, readAt);
+  return { storeNowMs, readAt };
 }
 
 function* acquireLease(
@@ -41,11 +55,14 @@
   service: ServiceName,
   lease: OrderLease,
   expectedVersion: number,
+  { storeNowMs, readAt }: StoreClock,
 ): Task {
   const { settings, ports, logger } = state;
   const { vmId: holder, leaseMs } = settings;
   const sentAt = getSteadyMs();
-  const put = [{ key: service, value: Buffer.from(JSON.stringify({ holder })) }];
+  if (sentAt - readAt > MAX_PREPARE_MS) return;
+  const stored: StoredLease = { holder, storeNowMs };
+  const put = [{ key: service, value: Buffer.from(JSON.stringify(stored)) }];
   const write = { expected: [{ key: service, version: expectedVersion }], put, remove: [] };
   const call = { table: LEASE_TABLE, write, timeoutMs: CALL_TIMEOUT_MS };
   const outcome = yield* awaitPromise(ports.store.write(call));
@@ -61,13 +78,12 @@
 ): Task<number | undefined> {
   const { vmId, leaseMs } = state.settings;
   let step = chooseLeaseStep(lease, vmId, leaseMs, false, getSteadyMs());
-  if (step.kind === 'read') {
-    const isRead = yield* readLease(state, service, lease);
-    if (!isRead) return undefined;
-    step = chooseLeaseStep(lease, vmId, leaseMs, true, getSteadyMs());
-  }
+  if (step.kind === 'order') return step.fence;
+  const clock = yield* readLease(state, service, lease);
+  if (clock === undefined) return undefined;
+  step = chooseLeaseStep(lease, vmId, leaseMs, true, getSteadyMs());
   if (step.kind === 'acquire') {
-    yield* acquireLease(state, service, lease, step.expectedVersion);
+    yield* acquireLease(state, service, lease, step.expectedVersion, clock);
     step = chooseLeaseStep(lease, vmId, leaseMs, false, getSteadyMs());
   }
   return step.kind === 'order' ? step.fence : undefined;
--- a/packages/router/src/stages/stage-task.ts
+++ b/packages/router/src/stages/stage-task.ts
@@ -21,7 +21,7 @@
 const LEFT_SETTLE_MS = 200;
 /** The same where it vanished: a crashed engine is back sooner than another one has changed. */
 const LOST_SETTLE_MS = 3_000;
-/** Engines of a pool that starts are listed within this time. */
+/** Engines of a pool are listed within this time of the process's start. */
 const START_SETTLE_MS = 6_000;
 /** Least time between changes, so that each one shows its effect first. */
 const CHANGE_INTERVAL_MS = 9_000;
@@ -37,7 +37,6 @@
   readonly lease: OrderLease;
   wanted: StageChange | undefined;
   wantedSince: number;
-  hadPrefill: boolean;
   orderedAt: number;
   /** An order that may or may not have been taken: nothing else is ordered before it is settled. */
   unsettled: { readonly change: StageChange; readonly until: number } | undefined;
@@ -48,7 +47,6 @@
     lease: makeOrderLease(),
     wanted: undefined,
     wantedSince: 0,
-    hadPrefill: false,
     orderedAt: -Infinity,
     unsettled: undefined,
   };
@@ -80,11 +78,10 @@
   if (!isSameChange(wanted, stages.wanted)) stages.wantedSince = now;
   stages.wanted = wanted;
   const hasPrefill = plan?.engines.some(({ stage }) => stage === 'prefill') ?? false;
-  stages.hadPrefill ||= hasPrefill;
   if (wanted === undefined) return undefined;
   if (!hasPrefill) {
     const lossMs = isPrefillLeaving(state, service) ? LEFT_SETTLE_MS : LOST_SETTLE_MS;
-    const settleMs = stages.hadPrefill ? lossMs : START_SETTLE_MS;
+    const settleMs = now < START_SETTLE_MS ? START_SETTLE_MS : lossMs;
     return now - stages.wantedSince >= settleMs ? wanted : undefined;
   }
   if (now - stages.wantedSince < SETTLE_MS) return undefined;
@@ -159,14 +156,14 @@
     yield* waitMs(CHECK_INTERVAL_MS);
     if (state.isLeaving) return;
     for (const { name, engine } of state.configuration?.services.values() ?? []) {
-      if (engine === undefined || !state.pools.isOwnerOf(name)) {
-        services.delete(name);
-        continue;
-      }
+      if (engine === undefined) continue;
       const stages = services.get(name) ?? makeServiceStages();
       services.set(name, stages);
+      // Every VM watches, so that the next owner knows for how long a change has been wanted.
       const change = findDueChange(state, name, stages, getSteadyMs());
-      if (change !== undefined) yield* orderChange(state, name, stages, change);
+      if (change !== undefined && state.pools.isOwnerOf(name)) {
+        yield* orderChange(state, name, stages, change);
+      }
     }
   }
 }
