--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -81,6 +81,8 @@
   { ask }: WaitingAsk,
   now: number,
 ): RefusalReason | undefined {
+  // Its prompt has been read, or it has run: a refusal now would waste that.
+  if (ask.isContinued) return undefined;
   const firstEventMs = predictFirstEventMs(state, ask);
   const waitMs = predictWaitMs(state, ask, now);
   const isOnTime = isInTime(state, ask, now);
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -178,7 +178,8 @@
     actions.push(action);
     return true;
   };
-  const onTime = listWaiting(state, (ask) => isInTime(state, ask, now));
+  const goesFirst = (ask: PlaceAsk): boolean => ask.isContinued || isInTime(state, ask, now);
+  const onTime = listWaiting(state, goesFirst);
   onTime.sort((a, b) => a.ask.aimAt - b.ask.aimAt);
   let isBlocked = false;
   for (const waiting of onTime) {
@@ -186,7 +187,7 @@
     if (!place(waiting)) isBlocked = true;
   }
   if (isBlocked) return actions;
-  const late = listWaiting(state, (ask) => !isInTime(state, ask, now));
+  const late = listWaiting(state, (ask) => !goesFirst(ask));
   late.sort((a, b) => a.ask.patienceEndsAt - b.ask.patienceEndsAt);
   for (const waiting of late) {
     if (!hasPlacesLeftOver(state, now)) break;
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -35,6 +35,8 @@
   readonly contentKey: string;
   /** Whether the prompt must be read; false while its KV cache is still kept. */
   readonly needsPrefill: boolean;
+  /** Whether work for it has been done already, so that it goes before others. */
+  readonly isContinued: boolean;
   /** Engines that failed this request. */
   readonly excluded: readonly UpstreamId[];
 };
--- a/packages/core/src/pools/pools.test.ts
+++ b/packages/core/src/pools/pools.test.ts
@@ -46,6 +46,7 @@
     contentKey: `content-${askCount}`,
     patienceEndsAt: now + PATIENCE_MS,
     needsPrefill: true,
+    isContinued: false,
     excluded: [],
     ...changes,
   };
@@ -136,6 +137,28 @@
   expect(refusal?.kind).to.equal('refuse');
 });
 
+it('pools: a stream whose prompt has been read is not refused for load, and goes first', () => {
+  const state = buildPool([PREFILL, buildEngine('d1', { slots: 2 })]);
+  const running = [buildAsk(0), buildAsk(0)];
+  for (const ask of running) {
+    handlePoolEvent(state, { kind: 'asked', ask }, 0);
+    handlePoolEvent(state, { kind: 'prefilled', askId: ask.askId }, 0);
+  }
+  const fresh = buildAsk(10);
+  const [refusal] = handlePoolEvent(state, { kind: 'asked', ask: fresh }, 10);
+  expect(refusal?.kind).to.equal('refuse');
+  const continued = buildAsk(10, { isContinued: true, needsPrefill: false, aimAt: 5 });
+  expect(handlePoolEvent(state, { kind: 'asked', ask: continued }, 10)).to.deep.equal([]);
+  const [first] = running;
+  if (first === undefined) throw new Error('nothing runs');
+  const [grant] = handlePoolEvent(
+    state,
+    { kind: 'ended', askId: first.askId, didFinish: true },
+    900,
+  );
+  expect(grant?.ask.askId).to.equal(continued.askId);
+});
+
 it('pools: the target of a caller that returns counts from its first attempt', () => {
   const state = buildPool([PREFILL, buildEngine('d1', { slots: 1 })]);
   handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0);
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -21,6 +21,7 @@
   aimInMs: span,
   patienceInMs: span,
   needsPrefill: z.boolean(),
+  isContinued: z.boolean(),
   excluded: z.array(id),
 });
 
@@ -111,6 +112,7 @@
       readonly aimInMs: number;
       readonly patienceInMs: number;
       readonly needsPrefill: boolean;
+      readonly isContinued: boolean;
       readonly excluded: readonly UpstreamId[];
     }
   /** The ask was heard and waits. */
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -52,6 +52,7 @@
     aimAt: request.aimAt,
     patienceEndsAt: findPatienceEnd(request),
     needsPrefill: progress.kvSource === undefined,
+    isContinued: progress.prefillSends > 0 || progress.runs > 0,
     excluded: [...progress.excluded],
   };
 }
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -93,7 +93,8 @@
     asked.owner = chooseOwner(service, now);
     asked.sentAt = now;
     asked.isHeard = asked.owner === parts.self;
-    const { askId, contentKey, promptTokens, outputTokens, needsPrefill, excluded } = ask;
+    const { askId, contentKey, promptTokens, outputTokens } = ask;
+    const { needsPrefill, isContinued, excluded } = ask;
     tell(asked.owner, {
       kind: 'pool-ask',
       service,
@@ -102,6 +103,7 @@
       promptTokens,
       outputTokens,
       needsPrefill,
+      isContinued,
       excluded,
       aimInMs: ask.aimAt - now,
       patienceInMs: ask.patienceEndsAt - now,
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -64,6 +64,7 @@
     aimAt: now + message.aimInMs,
     patienceEndsAt: now + message.patienceInMs,
     needsPrefill: message.needsPrefill,
+    isContinued: message.isContinued,
     excluded: message.excluded,
   };
 }
@@ -78,6 +79,7 @@
     aimAt: now,
     patienceEndsAt: now,
     needsPrefill: false,
+    isContinued: false,
     excluded: [],
   };
   return {
