--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -21,6 +21,8 @@
   readonly storeAddress: ListenAddress;
   /** Time from the stop signal until the process is killed. */
   readonly stopWithinMs: number;
+  /** Within this time a change in the store must be acted on. */
+  readonly changeWithinMs: number;
   /** Least time between orders of two holders. */
   readonly leaseMs: number;
   readonly retryRatio: number;
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -19,11 +19,15 @@
 const LAPSE_CHECK_MS = 100;
 /** A silent connection is noticed well within the time that a change may take. */
 const FEED_HOLD_MS = 1_500;
-/** Heartbeats of servers come in batches; a change is still seen within a quarter of its bound. */
-const FEED_PAUSE_MS = 350;
+/**
+ * Heartbeats of servers change the list all the time and come in batches; a change is still seen
+ * within this share of its bound.
+ */
+const FEED_PAUSE_SHARE = 0.35;
 
-function makeFeedOptions({ takeFraction }: GatewayState): Omit<FeedOptions, 'table'> {
-  return { holdMs: FEED_HOLD_MS, pauseMs: FEED_PAUSE_MS, takeFraction };
+function makeFeedOptions({ settings, takeFraction }: GatewayState): Omit<FeedOptions, 'table'> {
+  const pauseMs = FEED_PAUSE_SHARE * settings.changeWithinMs;
+  return { holdMs: FEED_HOLD_MS, pauseMs, takeFraction };
 }
 
 function applyConfigurationRow(state: GatewayState, server: Server, row: RowChange): void {
