--- a/packages/router/src/stages/stage-task.ts
+++ b/packages/router/src/stages/stage-task.ts
@@ -21,7 +21,7 @@
 const LEFT_SETTLE_MS = 200;
 /** The same where it vanished: a crashed engine is back sooner than another one has changed. */
 const LOST_SETTLE_MS = 3_000;
-/** Engines of a pool are listed within this time of the process's start. */
+/** Engines of a pool are listed within this time of the process's start; before it none is ordered. */
 const START_SETTLE_MS = 6_000;
 /** Least time between changes, so that each one shows its effect first. */
 const CHANGE_INTERVAL_MS = 9_000;
@@ -78,10 +78,9 @@
   if (!isSameChange(wanted, stages.wanted)) stages.wantedSince = now;
   stages.wanted = wanted;
   const hasPrefill = plan?.engines.some(({ stage }) => stage === 'prefill') ?? false;
-  if (wanted === undefined) return undefined;
+  if (wanted === undefined || now < START_SETTLE_MS) return undefined;
   if (!hasPrefill) {
-    const lossMs = isPrefillLeaving(state, service) ? LEFT_SETTLE_MS : LOST_SETTLE_MS;
-    const settleMs = now < START_SETTLE_MS ? START_SETTLE_MS : lossMs;
+    const settleMs = isPrefillLeaving(state, service) ? LEFT_SETTLE_MS : LOST_SETTLE_MS;
     return now - stages.wantedSince >= settleMs ? wanted : undefined;
   }
   if (now - stages.wantedSince < SETTLE_MS) return undefined;
