--- a/packages/core/src/stages/stage-plan.ts
+++ b/packages/core/src/stages/stage-plan.ts
@@ -44,7 +44,7 @@
 /** Gain that is worth the time that an engine needs for the change. */
 const LEAST_GAIN = { decode: 1.15, prefill: 1.3 } as const;
 /** Gain that is clear whatever the measured speeds of engines turn out to be. */
-const URGENT_GAIN = 1.5;
+const URGENT_GAIN = 1.7;
 
 function sumSpeeds(engines: readonly PlannedEngine[], stage: EngineStage): number {
   let speed = 0;
--- a/packages/core/src/stages/stages.test.ts
+++ b/packages/core/src/stages/stages.test.ts
@@ -58,6 +58,16 @@
   expect(findStageChange(engines, DEMAND)).to.equal(undefined);
 });
 
+it('stages: a pool with even halves is measured first, also where a third more places would gain half', () => {
+  const engines = [
+    buildEngine('p1', { ...PREFILL, slowness: undefined }),
+    buildEngine('p2', { ...PREFILL, slowness: undefined }),
+    buildEngine('d1', { slowness: undefined }),
+    buildEngine('d2', { slowness: undefined }),
+  ];
+  expect(findStageChange(engines, { ...DEMAND, prefillMs: 90 })).to.equal(undefined);
+});
+
 it('stages: with no prefill engine left a decode engine changes, measured or not', () => {
   const engines = [
     buildEngine('d1', { slowness: undefined, load: 9 }),
