--- a/packages/router/src/gateway/registry.ts
+++ b/packages/router/src/gateway/registry.ts
@@ -85,11 +85,3 @@
     yield* waitMs(RETRY_WAIT_MS * (0.5 + takeFraction()));
   }
 }
-
-/** Takes this VM off the list when it stops for good; a failure is logged only. */
-export function* runDeregistration(store: RowStore, vmId: VmId, logger: Logger): Task {
-  const write = { expected: [], put: [], remove: [`${VM_PREFIX}${vmId}`] };
-  const call = { table: MEMBERS_TABLE, write, timeoutMs: CALL_TIMEOUT_MS };
-  const outcome = yield* awaitPromise(store.write(call));
-  logger.info({ outcome }, 'registry: this VM is off the list');
-}
