--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -142,7 +142,7 @@
 
 /**
  * An engine that refuses may be full, or may not get the KV cache. After a second refusal the cache
- * is taken for lost, and the engine that made it for one that does not keep its word.
+ * is taken for lost, and the engine that made it is reported.
  */
 function checkHandle(state: GatewayState, request: GatewayRequest, progress: StreamProgress): void {
   const { kvSource } = progress;
--- a/packages/router/src/pools/owners.test.ts
+++ b/packages/router/src/pools/owners.test.ts
@@ -56,7 +56,7 @@
 it('owners: after a pause of this process its peers are not taken for lost', () => {
   const owners = buildOwners();
   const before = owners.chooseOwner(SERVICE, 0);
-  owners.forgiveSilence(9_000);
+  owners.resetSilence(9_000);
   expect(owners.countAlive(9_000)).to.equal(4);
   expect(owners.chooseOwner(SERVICE, 9_000)).to.equal(before);
 });
--- a/packages/router/src/pools/owners.ts
+++ b/packages/router/src/pools/owners.ts
@@ -17,7 +17,7 @@
   readonly isAlive: (vmId: VmId, now: number) => boolean;
   readonly chooseOwner: (service: ServiceName, now: number) => VmId;
   /** After a pause of this process: what peers sent meanwhile is still unread. */
-  readonly forgiveSilence: (now: number) => void;
+  readonly resetSilence: (now: number) => void;
   readonly countAlive: (now: number) => number;
 };
 
@@ -75,7 +75,7 @@
       const informed = isStoreAway ? listInformed(now) : [self, ...listInformed(now)];
       return findOwner(informed.length > 0 ? informed : listAlive(now), service) ?? self;
     },
-    forgiveSilence: (now) => {
+    resetSilence: (now) => {
       for (const peer of peers.values()) peer.heardAt = now;
     },
     countAlive: (now) => listAlive(now).length,
--- a/packages/router/src/pools/pool-task.ts
+++ b/packages/router/src/pools/pool-task.ts
@@ -112,7 +112,7 @@
     tickedAt = now;
     if (pauseMs > PAUSE_MS) {
       logger.warn({ pauseMs }, 'pools: this process stood still');
-      owners.forgiveSilence(now);
+      owners.resetSilence(now);
       owner.forgetRunsOfOthers(now);
     }
     owner.tick(now);
