Refuse streams that a planned stop would cut, and send their callers to another VM

Cause: a VM that was told to stop took streams for 2.6 s more, and queued ones were placed up to 3.4 s after the signal, while answers last up to 7 s and the process ends 7.6 s after it. What still ran then was cut. Now the VM tells the owner of the pool when it stops. The owner refuses asks whose answer, at twice its forecast, would end later, also those that already wait, with 0.2 s to come back; short answers are still taken. Ruled out: refusing all streams from the signal on (short ones can end); passing them to a peer (the caller's connection ends with this VM); waiting longer (the platform kills after graceS).

--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -6,6 +6,7 @@
   measureServiceRate,
   predictFirstEventMs,
   rememberRefused,
+  isLikelyCut,
   type PoolState,
   type WaitingAsk,
 } from './pool-state.js';
@@ -42,6 +43,9 @@
   return Math.min(MAX_RETRY_AFTER_MS, bounded * spread);
 }
 
+/** Another VM takes the caller at once. */
+const OTHER_VM_RETRY_MS = 200;
+
 /** Makes the refusal of an ask. */
 export function buildRefusal(
   state: PoolState,
@@ -54,7 +58,7 @@
     kind: 'refuse',
     ask,
     reason,
-    retryAfterMs: computeRetryAfterMs(state, now),
+    retryAfterMs: reason === 'vm-stops' ? OTHER_VM_RETRY_MS : computeRetryAfterMs(state, now),
     freePlaces: countFreePlaces(state, now),
     waiting: state.waiting.size,
     freshRate: measureFreshRate(state, now),
@@ -90,6 +94,17 @@
   return now + waitMs + firstEventMs > limitAt ? 'overloaded' : undefined;
 }
 
+/** Refuses the asks that can no longer end before their VM stops; their callers come back elsewhere. */
+export function refuseCut(state: PoolState, now: number): PoolAction[] {
+  const actions: PoolAction[] = [];
+  for (const { ask } of state.waiting.values()) {
+    if (!isLikelyCut(state, ask, now)) continue;
+    state.waiting.delete(ask.askId);
+    actions.push(buildRefusal(state, ask, 'vm-stops', now));
+  }
+  return actions;
+}
+
 /** Lists the asks that have waited so long that their caller is about to leave. */
 export function refuseOverdue(state: PoolState, now: number): PoolAction[] {
   const actions: PoolAction[] = [];
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -6,7 +6,7 @@
   type UpstreamId,
   type VmId,
 } from '@tarragonspool/protocol';
-import { buildRefusal, findRefusal, refuseOverdue } from './admission.js';
+import { buildRefusal, findRefusal, refuseCut, refuseOverdue } from './admission.js';
 import { dropPrefill, endPrefill, makeEngineLoad } from './engine-load.js';
 import { isInTime, grantWaiting } from './placing.js';
 import {
@@ -83,7 +83,7 @@
   recordSize(state, ask);
   const waiting = { ask, askedAt: now };
   state.waiting.set(ask.askId, waiting);
-  const actions = grantWaiting(state, now);
+  const actions = [...refuseCut(state, now), ...grantWaiting(state, now)];
   if (!state.waiting.has(ask.askId)) return actions;
   const reason = findRefusal(state, waiting, now);
   if (reason === undefined) return actions;
@@ -209,7 +209,7 @@
     case 'ticked':
       forgetOldRuns(state, now);
       forgetRefused(state, now);
-      return [...grantWaiting(state, now), ...refuseOverdue(state, now)];
+      return [...refuseCut(state, now), ...grantWaiting(state, now), ...refuseOverdue(state, now)];
     default:
       return assertNever(event);
   }
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -204,6 +204,16 @@
   return Math.max(50, ask.outputTokens * state.holdMsPerToken * load.slowness);
 }
 
+/** Answers are often this much longer than their callers expect. */
+const LONG_ANSWER_FACTOR = 2;
+
+/** Whether the answer would probably be cut, because the caller's VM stops before its end. */
+export function isLikelyCut(state: PoolState, ask: PlaceAsk, now: number): boolean {
+  const holdMs = ask.outputTokens <= 0 ? state.holdMs : ask.outputTokens * state.holdMsPerToken;
+  const endAt = now + predictFirstEventMs(state, ask) + LONG_ANSWER_FACTOR * holdMs;
+  return endAt > ask.endsBy;
+}
+
 /** Places that decode engines of the pool have together. */
 export function countPlaces(state: PoolState): number {
   let places = 0;
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -37,6 +37,8 @@
   readonly needsPrefill: boolean;
   /** Whether work for it has been done already, so that it goes before others. */
   readonly isContinued: boolean;
+  /** When the caller's VM stops and cuts what still runs; endless while it is not told to stop. */
+  readonly endsBy: number;
   /** Engines that failed this request. */
   readonly excluded: readonly UpstreamId[];
 };
@@ -55,7 +57,7 @@
 };
 
 /** Why an ask is refused. */
-export type RefusalReason = 'no-engine' | 'overloaded' | 'waited-too-long';
+export type RefusalReason = 'no-engine' | 'overloaded' | 'waited-too-long' | 'vm-stops';
 
 /** What the pool hears. */
 export type PoolEvent =
--- a/packages/core/src/pools/pools.test.ts
+++ b/packages/core/src/pools/pools.test.ts
@@ -47,6 +47,7 @@
     patienceEndsAt: now + PATIENCE_MS,
     needsPrefill: true,
     isContinued: false,
+    endsBy: Infinity,
     excluded: [],
     ...changes,
   };
@@ -334,3 +335,33 @@
   const [action] = handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0);
   expect(action).to.include({ kind: 'refuse', reason: 'no-engine' });
 });
+
+it('pools: planned stop: an ask that would outlast its VM is told at once to come back elsewhere', () => {
+  const state = buildPool(TWO_DECODE);
+  const long = buildAsk(0, { endsBy: 5_000 });
+  const [refusal] = handlePoolEvent(state, { kind: 'asked', ask: long }, 0);
+  expect(refusal).to.include({ kind: 'refuse', reason: 'vm-stops' });
+  expect(refusal?.kind === 'refuse' && refusal.retryAfterMs).to.be.within(1, 500);
+  const short = buildAsk(0, { endsBy: 5_000, outputTokens: 2_000 });
+  const [grant] = handlePoolEvent(state, { kind: 'asked', ask: short }, 0);
+  expect(grant?.kind).to.equal('grant');
+});
+
+it('pools: planned stop: an ask that waits is refused once its answer can no longer end in time', () => {
+  const engines = [PREFILL, buildEngine('d', { slots: 1 })];
+  const state = buildPool(engines);
+  handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0);
+  const ask = buildAsk(0, { endsBy: 3_000, outputTokens: 2_000, isContinued: true });
+  expect(handlePoolEvent(state, { kind: 'asked', ask }, 0)).to.deep.equal([]);
+  const [refusal] = handlePoolEvent(state, { kind: 'ticked' }, 1_000);
+  expect(refusal).to.include({ kind: 'refuse', reason: 'vm-stops', ask });
+});
+
+it('pools: planned stop: a caller that comes back elsewhere counts from its first attempt', () => {
+  const state = buildPool(TWO_DECODE);
+  const first = buildAsk(0, { endsBy: 1_000 });
+  handlePoolEvent(state, { kind: 'asked', ask: first }, 0);
+  const second = buildAsk(300, { contentKey: first.contentKey });
+  handlePoolEvent(state, { kind: 'asked', ask: second }, 300);
+  expect(second.aimAt).to.equal(AIM_MS);
+});
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -22,6 +22,7 @@
   patienceInMs: span,
   needsPrefill: z.boolean(),
   isContinued: z.boolean(),
+  endsInMs: span.optional(),
   excluded: z.array(id),
 });
 
@@ -50,7 +51,7 @@
   z.object({
     kind: z.literal('pool-refuse'),
     askId: id,
-    reason: z.enum(['no-engine', 'overloaded', 'waited-too-long']),
+    reason: z.enum(['no-engine', 'overloaded', 'waited-too-long', 'vm-stops']),
     retryAfterMs: span,
   }),
   z.object({ kind: z.literal('pool-withdraw'), service: id, askId: id }),
@@ -113,6 +114,8 @@
       readonly patienceInMs: number;
       readonly needsPrefill: boolean;
       readonly isContinued: boolean;
+      /** When the asking VM stops; absent while it goes on. */
+      readonly endsInMs?: number | undefined;
       readonly excluded: readonly UpstreamId[];
     }
   /** The ask was heard and waits. */
@@ -128,7 +131,7 @@
   | {
       readonly kind: 'pool-refuse';
       readonly askId: string;
-      readonly reason: 'no-engine' | 'overloaded' | 'waited-too-long';
+      readonly reason: 'no-engine' | 'overloaded' | 'waited-too-long' | 'vm-stops' | 'vm-stops';
       readonly retryAfterMs: number;
     }
   | { readonly kind: 'pool-withdraw'; readonly service: ServiceName; readonly askId: string }
--- a/packages/router/src/gateway/stop.ts
+++ b/packages/router/src/gateway/stop.ts
@@ -1,7 +1,7 @@
 /** Stops a gateway: not ready at once, still serving, then connections closed between requests. */
 
 import type { Server } from 'node:http';
-import { startTask, type Task } from '../tasks/tasks.js';
+import { offer, startTask, type Task } from '../tasks/tasks.js';
 import { waitMs } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayState } from './gateway-state.js';
@@ -13,8 +13,8 @@
 const KILL_MARGIN_MS = 400;
 
 function* runStop(state: GatewayState, server: Server): Task {
-  const stopAt = getSteadyMs();
-  const lastAt = stopAt + state.settings.stopWithinMs - KILL_MARGIN_MS;
+  const lastAt = getSteadyMs() + state.settings.stopWithinMs - KILL_MARGIN_MS;
+  offer(state.pools.inbox, { kind: 'stops', at: lastAt });
   yield* waitMs(NOTICE_MS);
   server.close();
   server.closeIdleConnections();
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -53,6 +53,7 @@
     patienceEndsAt: findPatienceEnd(request),
     needsPrefill: progress.kvSource === undefined,
     isContinued: progress.prefillSends > 0 || progress.runs > 0,
+    endsBy: Infinity,
     excluded: [...progress.excluded],
   };
 }
@@ -62,12 +63,13 @@
   state: GatewayState,
   request: GatewayRequest,
   ask: PlaceAsk,
+  hasRun: boolean,
 ): Task<PlaceReply | EndOfRequest> {
   const { service, inbox } = request;
   const onReply = (reply: PlaceReply): void => {
     offer(inbox, { kind: 'place', reply });
   };
-  requestPlace(state.pools, { kind: 'ask', service, ask, onReply }, state.logger);
+  requestPlace(state.pools, { kind: 'ask', service, ask, hasRun, onReply }, state.logger);
   for (;;) {
     const message = yield* receive(inbox);
     if (message?.kind === 'place' && message.reply.askId === ask.askId) return message.reply;
@@ -220,7 +222,7 @@
   const progress = makeProgress(request);
   for (;;) {
     const ask = buildAsk(state, request, progress);
-    const place = yield* awaitPlace(state, request, ask);
+    const place = yield* awaitPlace(state, request, ask, progress.runs > 0);
     const { requestId } = request.fields;
     const waitedMs = getSteadyMs() - request.arrivedAt;
     state.logger.info(
--- a/packages/router/src/pools/place-asker.test.ts
+++ b/packages/router/src/pools/place-asker.test.ts
@@ -21,6 +21,7 @@
     patienceEndsAt: 3_000,
     needsPrefill: true,
     isContinued: false,
+    endsBy: Infinity,
     excluded: [],
   };
 }
@@ -39,11 +40,12 @@
   for (let index = 0; owners.chooseOwner(service, 0) === SELF; index += 1) {
     service = `service-${index}` as ServiceName;
   }
-  const ask = (askId: string): void => {
+  const ask = (askId: string, hasRun = false): void => {
     const onReply = (reply: PlaceReply): void => {
       replies.push(reply);
     };
-    asker.handleRequest({ kind: 'ask', service, ask: buildAsk(askId), onReply }, 0);
+    const message = { kind: 'ask', service, ask: buildAsk(askId), hasRun, onReply } as const;
+    asker.handleRequest(message, 0);
   };
   const findAsks = (): VmId[] =>
     sent.filter(({ message }) => message.kind === 'pool-ask').map(({ to }) => to);
@@ -106,3 +108,17 @@
   ).to.deep.equal([0, 1]);
   expect(lists[0]?.to).to.equal(owner);
 });
+
+it('place asker: planned stop: what waits is asked for again with the time of the stop', () => {
+  const { asker, ask, sent, service } = buildSite();
+  ask('a');
+  ask('has-run', true);
+  asker.handleStop(7_000, 500);
+  const again = sent.slice(-2).map(({ message }) => message);
+  expect(again).to.deep.include({ kind: 'pool-withdraw', service, askId: 'a' });
+  const [, asked] = again;
+  expect(asked).to.include({ kind: 'pool-ask', askId: 'a', endsInMs: 6_500 });
+  ask('b');
+  const last = sent.at(-1)?.message;
+  expect(last).to.include({ kind: 'pool-ask', askId: 'b', endsInMs: 7_000 });
+});
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -9,6 +9,7 @@
 type PendingAsk = {
   readonly service: ServiceName;
   readonly ask: PlaceAsk;
+  readonly hasRun: boolean;
   readonly onReply: OnPlaceReply;
   owner: VmId;
   sentAt: number;
@@ -32,6 +33,8 @@
 export type PlaceAsker = {
   readonly handleRequest: (message: PlaceRequestMessage, now: number) => void;
   readonly handleAnswer: (from: VmId, message: AskerMessage, now: number) => void;
+  /** Asks again, now that this VM stops at a known time: owners place what can end before it. */
+  readonly handleStop: (stopAt: number, now: number) => void;
   /** Finds new owners for what silent ones were asked. */
   readonly checkOwners: (now: number) => void;
 };
@@ -65,6 +68,7 @@
   const pending = new Map<AskId, PendingAsk>();
   const runs = new Map<AskId, AskedRun>();
   const ownerOf = new Map<ServiceName, VmId>();
+  let stopAt = Infinity;
 
   /** Hands the count of this VM's runs from one owner to the next. */
   function moveRuns(service: ServiceName, from: VmId | undefined, to: VmId, now: number): void {
@@ -95,6 +99,7 @@
     asked.isHeard = asked.owner === parts.self;
     const { askId, contentKey, promptTokens, outputTokens } = ask;
     const { needsPrefill, isContinued, excluded } = ask;
+    const isCutBy = asked.hasRun ? Infinity : stopAt;
     tell(asked.owner, {
       kind: 'pool-ask',
       service,
@@ -104,12 +109,19 @@
       outputTokens,
       needsPrefill,
       isContinued,
+      ...(isCutBy === Infinity ? {} : { endsInMs: isCutBy - now }),
       excluded,
       aimInMs: ask.aimAt - now,
       patienceInMs: ask.patienceEndsAt - now,
     });
   }
 
+  function askAgain(asked: PendingAsk, now: number): void {
+    const { service, ask, owner } = asked;
+    tell(owner, { kind: 'pool-withdraw', service, askId: ask.askId });
+    sendAsk(asked, now);
+  }
+
   function withdraw(askId: AskId): void {
     const asked = pending.get(askId);
     if (asked !== undefined) {
@@ -154,8 +166,9 @@
     handleRequest: (message, now) => {
       switch (message.kind) {
         case 'ask': {
-          const { service, ask, onReply } = message;
-          const asked = { service, ask, onReply, owner: parts.self, sentAt: now, isHeard: false };
+          const { service, ask, hasRun, onReply } = message;
+          const sent = { owner: parts.self, sentAt: now, isHeard: false };
+          const asked = { service, ask, hasRun, onReply, ...sent };
           pending.set(ask.askId, asked);
           sendAsk(asked, now);
           return;
@@ -211,6 +224,12 @@
           message satisfies never;
       }
     },
+    handleStop: (at, now) => {
+      stopAt = at;
+      for (const asked of pending.values()) {
+        if (!asked.hasRun) askAgain(asked, now);
+      }
+    },
     checkOwners: (now) => {
       for (const asked of pending.values()) {
         const isUnheard = !asked.isHeard && now - asked.sentAt > HEARD_WITHIN_MS;
@@ -221,8 +240,7 @@
         const { service, owner: before, ask } = asked;
         if (before === ownerOf.get(service)) continue;
         logger.warn({ askId: ask.askId, before }, 'pools: asking the next owner');
-        tell(before, { kind: 'pool-withdraw', service, askId: ask.askId });
-        sendAsk(asked, now);
+        askAgain(asked, now);
       }
     },
   };
--- a/packages/router/src/pools/place-messages.ts
+++ b/packages/router/src/pools/place-messages.ts
@@ -27,6 +27,8 @@
       readonly kind: 'ask';
       readonly service: ServiceName;
       readonly ask: PlaceAsk;
+      /** Whether an engine has begun to run it: then it goes on even if this VM stops before its end. */
+      readonly hasRun: boolean;
       readonly onReply: OnPlaceReply;
     }
   | { readonly kind: 'withdraw'; readonly askId: AskId }
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -65,6 +65,7 @@
     patienceEndsAt: now + message.patienceInMs,
     needsPrefill: message.needsPrefill,
     isContinued: message.isContinued,
+    endsBy: message.endsInMs === undefined ? Infinity : now + message.endsInMs,
     excluded: message.excluded,
   };
 }
@@ -80,6 +81,7 @@
     patienceEndsAt: now,
     needsPrefill: false,
     isContinued: false,
+    endsBy: Infinity,
     excluded: [],
   };
   return {
--- a/packages/router/src/pools/pool-task.ts
+++ b/packages/router/src/pools/pool-task.ts
@@ -29,6 +29,8 @@
       readonly stage: EngineStage;
       readonly doneBy: number;
     }
+  /** This VM was told to stop: what runs at that time is cut. */
+  | { readonly kind: 'stops'; readonly at: number }
   /** Whether the store answers this VM. */
   | { readonly kind: 'store'; readonly isAway: boolean }
   | { readonly kind: 'ticked' };
@@ -154,6 +156,9 @@
       case 'engine-ordered':
         handleOrdered(message, now);
         return;
+      case 'stops':
+        asker.handleStop(message.at, now);
+        return;
       case 'store':
         owners.recordStore(self, message.isAway);
         return;
