A lagging report no longer keeps a pool without prefill engines

Now such a report is believed for 1.2 s, then read again; the line 'stages: order not needed by report' tells of it. Ruled out: the lease (held by the owner all the while), the interval between orders (does not hold where no prefill engine is left), a change of owner (none).

--- a/packages/router/src/stages/stage-task.ts
+++ b/packages/router/src/stages/stage-task.ts
@@ -29,6 +29,8 @@
 const UNKNOWN_ORDER_MS = 13_000;
 /** Time beyond the engine's own for the list to show the change. */
 const LIST_LAG_MS = 2_500;
+/** A report may be as old as this, so that it shows the stage or the order before. */
+const REPORT_LAG_MS = 1_200;
 /** An engine lets its running work end first. */
 const RUN_OUT_MS = 9_000;
 
@@ -115,8 +117,10 @@
   const report = yield* readReport(state, engine);
   if (report === undefined) return;
   if (report.isBusy || report.stage === change.stage) {
+    // It is on its way, or the report lags behind the list: assumed until reports are newer.
+    state.logger.info({ service, ...change, report }, 'stages: order not needed by report');
     stages.unsettled = undefined;
-    tellOrdered(state, service, change, changeMs);
+    tellOrdered(state, service, change, REPORT_LAG_MS);
     return;
   }
   const fence = yield* awaitLease(state, service, stages.lease);
