Decode engines read prompts with rests; asks wait until a started VM has linked its peers

Now it reads a prompt if the pause stays within the sheet's for all but one answer, and then goes on with its answers for as long. Asks carry the longest pause. Cause 2: after a restart of all VMs each decided alone for 0.3 s and five of them sent prompts to one engine (pause 1.27 s). Asks now wait 400 ms from the start of the process.

--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -20,6 +20,8 @@
   prefillTokens: number;
   /** Prompts read so far. */
   prefillCount: number;
+  /** A decode engine that has read a prompt itself reads no other before this time. */
+  readsAgainAt: number;
   /** No new work before this time. */
   avoidUntil: number;
   /** Refusals and failures since its last success. */
@@ -42,6 +44,11 @@
 /** Prompts side by side slow each other: the next is sent when the one before is nearly read. */
 const PREFILL_LEAD_MS = 60;
 const PREFILL_FADING = 0.93;
+/** Usual time between two events of an answer; a prompt that is read meanwhile comes on top. */
+const EVENT_INTERVAL_MS = 70;
+/** After reading a prompt itself, a decode engine goes on with its answers for this multiple of that time. */
+const REST_FACTOR = 1;
+const MIN_REST_MS = 100;
 /** One prompt counts for this multiple of its forecast at most. */
 const MAX_SAMPLE_FACTOR = 3;
 /** Tokens for which the pool's mean speed counts in the estimate of one engine. */
@@ -58,6 +65,7 @@
     prefillBusyMs: 0,
     prefillTokens: 0,
     prefillCount: 0,
+    readsAgainAt: 0,
     avoidUntil: 0,
     failures: 0,
     ordered: undefined,
@@ -141,15 +149,43 @@
   if (load.prefills.delete(askId)) load.prefillBusySince = now;
 }
 
-/** Counts the runs that can still be on time and would pause if the engine read a prompt. */
-export function countPunctualRuns(load: EngineLoad): number {
+/** Whether a run that can still be on time would pause too long if its engine read a prompt. */
+function isTurningLate(run: PlaceRun, readMs: number): boolean {
+  return !run.isLate && EVENT_INTERVAL_MS + readMs > run.ask.pauseMs;
+}
+
+/** Counts the runs that would turn late if their engine read a prompt for so long. */
+export function countRunsTurningLate(load: EngineLoad, readMs: number): number {
   let count = 0;
   for (const run of load.runs.values()) {
-    if (!run.isLate) count += 1;
+    if (isTurningLate(run, readMs)) count += 1;
   }
   return count;
 }
 
+/** Notes the runs that turn late because their engine reads a prompt. */
+export function markRunsLate(load: EngineLoad, readMs: number): void {
+  for (const run of load.runs.values()) {
+    if (isTurningLate(run, readMs)) run.isLate = true;
+  }
+}
+
+/** Lets the answers of an engine that has read a prompt itself go on before the next one. */
+export function startRest(load: EngineLoad, readMs: number, now: number): void {
+  load.readsAgainAt = now + Math.max(MIN_REST_MS, REST_FACTOR * readMs);
+}
+
+/** Time of a decode engine for one prompt that it reads itself, its rest included. */
+export function measureReadCycleMs(readMs: number): number {
+  return readMs + Math.max(MIN_REST_MS, REST_FACTOR * readMs);
+}
+
+/** Whether a decode engine may read a prompt itself now. */
+export function canReadItself(load: EngineLoad, now: number): boolean {
+  if (load.prefills.size > 0) return false;
+  return load.runs.size === 0 || load.readsAgainAt <= now;
+}
+
 /** Ends the count of a prompt; returns the engine's busy time since the last end. */
 export function endPrefill(load: EngineLoad, askId: AskId, poolMs: number, now: number): number {
   const run = load.prefills.get(askId);
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -1,10 +1,12 @@
 /** Gives places to waiting asks: those that can still be on time first, late ones in what is left. */
 
 import {
-  countPunctualRuns,
+  canReadItself,
+  countRunsTurningLate,
   hasPrefillRoom,
   hasPlace,
   isUsable,
+  markRunsLate,
   predictPrefillEnd,
   startPrefill,
   type EngineLoad,
@@ -17,6 +19,7 @@
   measureServiceRate,
   predictFirstEventMs,
   predictHoldMs,
+  predictSelfReadMs,
   type PoolState,
   type WaitingAsk,
 } from './pool-state.js';
@@ -30,8 +33,10 @@
 /** Engines whose speed is not known yet go first, by this much. */
 const UNMEASURED_BONUS_MS = 30;
 
-/** A decode engine with more punctual answers than this reads no prompt: they would pause. */
+/** A decode engine reads no prompt that would turn more of its answers late than this. */
 const SPARE_RUNS = 1;
+/** The same where no engine has read prompts for long: long prompts would never be read else. */
+const SPARE_RUNS_LONG = 3;
 /** A crashed prefill engine is back sooner, and another one has changed its stage by then. */
 const NO_PREFILL_MS = 15_000;
 
@@ -88,21 +93,27 @@
 }
 
 /**
- * Finds a decode engine that can read the prompt itself, one at a time: all its answers pause
- * meanwhile, so it must have next to none that can still be on time. Where no engine has read
- * prompts for long, that is the only way left.
+ * Finds a decode engine that can read the prompt itself: its answers pause meanwhile, so it reads
+ * one prompt at a time, rests in between, and the pause must leave them on time. Where no engine
+ * has read prompts for long, it reads long prompts too.
  */
-function findSelfReader(state: PoolState, ask: PlaceAsk, now: number): PlaceRun | undefined {
+function findSelfReader(
+  state: PoolState,
+  ask: PlaceAsk,
+  readMs: number,
+  now: number,
+): PlaceRun | undefined {
   let best: PlaceRun | undefined;
-  let leastPunctual = hasLongNoPrefill(state, now) ? Infinity : SPARE_RUNS + 1;
+  const mostHarm = hasLongNoPrefill(state, now) ? SPARE_RUNS_LONG : SPARE_RUNS;
+  let leastHarm = mostHarm + 1;
   for (const load of state.engines.values()) {
     if (load.engine.stage !== 'decode' || !isUsable(load, ask, now)) continue;
     const run = makeRun(state, ask, load, now);
-    if (load.prefills.size > 0 || !hasPlace(load, run, now)) continue;
-    const punctual = countPunctualRuns(load);
-    if (punctual >= leastPunctual) continue;
+    if (!canReadItself(load, now) || !hasPlace(load, run, now)) continue;
+    const harm = countRunsTurningLate(load, readMs) + load.runs.size / (2 * load.engine.slots);
+    if (harm >= leastHarm) continue;
     best = run;
-    leastPunctual = punctual;
+    leastHarm = harm;
   }
   return best;
 }
@@ -110,7 +121,7 @@
 function startSelfRead(state: PoolState, run: PlaceRun, now: number): void {
   const load = state.engines.get(run.decode);
   if (load === undefined) return;
-  for (const other of load.runs.values()) other.isLate = true;
+  markRunsLate(load, predictSelfReadMs(state, run.ask));
   startPrefill(load, run, measurePrefillMsPerToken(state), now);
 }
 
@@ -120,7 +131,9 @@
   const prefill = findPrefill(state, ask, now);
   if (prefill !== 'none') state.prefillSeenAt = now;
   if (typeof prefill !== 'object') {
-    const run = findSelfReader(state, ask, now);
+    // Where prefill engines are only busy, no answer may pause at all.
+    const readMs = prefill === 'busy' ? Infinity : predictSelfReadMs(state, ask);
+    const run = findSelfReader(state, ask, readMs, now);
     if (run === undefined) return undefined;
     run.prefill = run.decode;
     startSelfRead(state, run, now);
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -7,7 +7,7 @@
   type VmId,
 } from '@tarragonspool/protocol';
 import { buildRefusal, findRefusal, refuseCut, refuseOverdue } from './admission.js';
-import { dropPrefill, endPrefill, makeEngineLoad } from './engine-load.js';
+import { dropPrefill, endPrefill, makeEngineLoad, startRest } from './engine-load.js';
 import { isInTime, grantWaiting } from './placing.js';
 import {
   applyEarlierAttempt,
@@ -16,6 +16,7 @@
   measurePrefillMsPerToken,
   recordHold,
   recordPrefill,
+  recordSelfRead,
   recordSize,
   type PoolState,
 } from './pool-state.js';
@@ -98,8 +99,15 @@
   run.prefill = undefined;
   if (load === undefined) return;
   const busyMs = endPrefill(load, askId, measurePrefillMsPerToken(state), now);
+  const { promptTokens } = run.ask;
+  if (load.engine.stage === 'prefill') {
+    recordPrefill(state, promptTokens, busyMs);
+    return;
+  }
   // A decode engine reads between its own tokens: its time says nothing of prefill engines.
-  if (load.engine.stage === 'prefill') recordPrefill(state, run.ask.promptTokens, busyMs);
+  const readMs = now - run.grantedAt;
+  recordSelfRead(state, promptTokens, readMs);
+  startRest(load, readMs, now);
 }
 
 function handleEnded(state: PoolState, askId: AskId, didFinish: boolean, now: number): void {
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -3,6 +3,7 @@
 import {
   isChanging,
   measureEnginePrefillMs,
+  measureReadCycleMs,
   type EngineLoad,
   type EngineLoads,
 } from './engine-load.js';
@@ -24,6 +25,8 @@
   /** Time that prefill engines were busy, and the prompt tokens that they read in it; both fade. */
   prefillBusyMs: number;
   prefillTokens: number;
+  /** Time of a decode engine for one token of a prompt that it reads itself, in milliseconds. */
+  selfReadMsPerToken: number;
   /** Mean time that a place is held, in milliseconds. */
   holdMs: number;
   /** Answers that came to their end. */
@@ -43,6 +46,8 @@
 const INITIAL_HOLD_MS_PER_TOKEN = 0.6;
 const INITIAL_PREFILL_MS_PER_TOKEN = 0.018;
 const INITIAL_PREFILL_TOKENS = 50_000;
+/** Decode engines read at half the speed. */
+const INITIAL_SELF_READ_MS_PER_TOKEN = 2 * INITIAL_PREFILL_MS_PER_TOKEN;
 const PREFILL_FADING = 0.95;
 const INITIAL_HOLD_MS = 3_500;
 const INITIAL_PROMPT_TOKENS = 5_000;
@@ -51,8 +56,6 @@
 const MS_PER_S = 1_000;
 /** A pause up to this takes no capacity that counts. */
 const SHORT_PAUSE_MS = 400;
-/** Prompts a second that decode engines read without harm where no other engine does. */
-const LEAST_READ_RATE = 1;
 /** Transfer of the KV cache and the first step of the answer. */
 const FIRST_EVENT_MS = 80;
 
@@ -66,6 +69,7 @@
     holdMsPerToken: INITIAL_HOLD_MS_PER_TOKEN,
     prefillBusyMs: INITIAL_PREFILL_MS_PER_TOKEN * INITIAL_PREFILL_TOKENS,
     prefillTokens: INITIAL_PREFILL_TOKENS,
+    selfReadMsPerToken: INITIAL_SELF_READ_MS_PER_TOKEN,
     holdMs: INITIAL_HOLD_MS,
     holdCount: 0,
     promptTokens: INITIAL_PROMPT_TOKENS,
@@ -126,6 +130,17 @@
   state.prefillTokens = PREFILL_FADING * state.prefillTokens + promptTokens;
 }
 
+/** Learns from a prompt that a decode engine has read itself. */
+export function recordSelfRead(state: PoolState, promptTokens: number, busyMs: number): void {
+  if (promptTokens <= 0) return;
+  state.selfReadMsPerToken = updateEstimate(state.selfReadMsPerToken, busyMs / promptTokens);
+}
+
+/** Predicts how long a decode engine reads a prompt itself. */
+export function predictSelfReadMs(state: PoolState, ask: PlaceAsk): number {
+  return ask.promptTokens * state.selfReadMsPerToken;
+}
+
 /** Milliseconds of a prefill engine for one prompt token. */
 export function measurePrefillMsPerToken(state: PoolState): number {
   return state.prefillBusyMs / Math.max(1, state.prefillTokens);
@@ -235,8 +250,21 @@
   return rate;
 }
 
-/** Starts a second that the pool can give, from places and from prefill engines. */
+/** Prompts a second that decode engines can read between their answers. */
+function measureSelfReadRate(state: PoolState, now: number): number {
+  const cycleMs = measureReadCycleMs(state.promptTokens * state.selfReadMsPerToken);
+  let rate = 0;
+  for (const load of state.engines.values()) {
+    const { stage, isLeaving } = load.engine;
+    if (stage !== 'decode' || isLeaving || load.avoidUntil > now + SHORT_PAUSE_MS) continue;
+    rate += MS_PER_S / cycleMs;
+  }
+  return rate;
+}
+
+/** Starts a second that the pool can give, from places and from engines that read prompts. */
 export function measureServiceRate(state: PoolState, now: number): number {
   const placeRate = (MS_PER_S * countPlaces(state)) / state.holdMs;
-  return Math.min(placeRate, Math.max(LEAST_READ_RATE, measureReadRate(state, now)));
+  const readRate = measureReadRate(state, now);
+  return Math.min(placeRate, readRate > 0 ? readRate : measureSelfReadRate(state, now));
 }
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -29,6 +29,8 @@
   readonly outputTokens: number;
   /** Until when the first event is on time. */
   aimAt: number;
+  /** Longest pause between events that is on time, in milliseconds. */
+  readonly pauseMs: number;
   /** Until when the caller waits for the first event. */
   readonly patienceEndsAt: number;
   /** Same for each attempt of a caller at one request. */
--- a/packages/core/src/stages/stage-plan.ts
+++ b/packages/core/src/stages/stage-plan.ts
@@ -39,7 +39,7 @@
 const PREFILL_LOAD = 0.95;
 /** A decode engine that reads prompts itself takes twice the time, between its own tokens. */
 const SELF_READ_FACTOR = 2;
-/** Part of such answers that is on time: all others of the engine pause while it reads. */
+/** Part of such answers that is on time: engines slow down at times, and then pauses are too long. */
 const SELF_READ_YIELD = 0.25;
 /** Gain that is worth the time that an engine needs for the change. */
 const LEAST_GAIN = { decode: 1.15, prefill: 1.3 } as const;
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -19,6 +19,7 @@
   promptTokens: z.number().nonnegative(),
   outputTokens: z.number().nonnegative(),
   aimInMs: span,
+  pauseMs: span,
   patienceInMs: span,
   needsPrefill: z.boolean(),
   isContinued: z.boolean(),
@@ -32,6 +33,7 @@
   outputTokens: z.number().nonnegative(),
   decode: id,
   prefill: id.optional(),
+  pauseMs: span,
   grantedAgoMs: span,
   endsInMs: span,
 });
@@ -97,6 +99,7 @@
   readonly outputTokens: number;
   readonly decode: UpstreamId;
   readonly prefill?: UpstreamId | undefined;
+  readonly pauseMs: number;
   readonly grantedAgoMs: number;
   readonly endsInMs: number;
 };
@@ -111,6 +114,7 @@
       readonly promptTokens: number;
       readonly outputTokens: number;
       readonly aimInMs: number;
+      readonly pauseMs: number;
       readonly patienceInMs: number;
       readonly needsPrefill: boolean;
       readonly isContinued: boolean;
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -28,6 +28,8 @@
 /** Time that one more run needs at least. */
 const LEAST_LEFT_MS = 500;
 const DEFAULT_OUTPUT_SHARE = 0.5;
+/** Pause between events that is on time where the route names none. */
+const DEFAULT_PAUSE_MS = 1_000;
 
 /** Digests what stays the same when a caller tries again. */
 function digestPrompt({ path, fields }: GatewayRequest): string {
@@ -50,6 +52,7 @@
     promptTokens: fields.promptTokens ?? 0,
     outputTokens: expectedOutputTokens ?? DEFAULT_OUTPUT_SHARE * maxOutputTokens,
     aimAt: request.aimAt,
+    pauseMs: request.route.gapTargetMs ?? DEFAULT_PAUSE_MS,
     patienceEndsAt: findPatienceEnd(request),
     needsPrefill: progress.kvSource === undefined,
     isContinued: progress.prefillSends > 0 || progress.runs > 0,
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -11,7 +11,8 @@
   readonly ask: PlaceAsk;
   readonly hasRun: boolean;
   readonly onReply: OnPlaceReply;
-  owner: VmId;
+  /** Undefined before the first send. */
+  owner: VmId | undefined;
   sentAt: number;
   isHeard: boolean;
 };
@@ -42,6 +43,8 @@
 /** What the asker's side works with. */
 export type PlaceAskerParts = {
   readonly self: VmId;
+  /** Asks wait until then: before it the peers of this VM are not linked. */
+  readonly asksFrom: number;
   readonly owners: Owners;
   readonly tell: (to: VmId, message: PoolMessage) => void;
   readonly logger: Logger;
@@ -55,6 +58,7 @@
     askId: run.ask.askId,
     promptTokens: run.ask.promptTokens,
     outputTokens: run.ask.outputTokens,
+    pauseMs: run.ask.pauseMs,
     decode: run.decode,
     prefill: run.prefill,
     grantedAgoMs: now - run.grantedAt,
@@ -94,13 +98,14 @@
 
   function sendAsk(asked: PendingAsk, now: number): void {
     const { service, ask } = asked;
-    asked.owner = chooseOwner(service, now);
+    const owner = chooseOwner(service, now);
+    asked.owner = owner;
     asked.sentAt = now;
-    asked.isHeard = asked.owner === parts.self;
+    asked.isHeard = owner === parts.self;
     const { askId, contentKey, promptTokens, outputTokens } = ask;
     const { needsPrefill, isContinued, excluded } = ask;
     const isCutBy = asked.hasRun ? Infinity : stopAt;
-    tell(asked.owner, {
+    tell(owner, {
       kind: 'pool-ask',
       service,
       askId,
@@ -112,13 +117,14 @@
       ...(isCutBy === Infinity ? {} : { endsInMs: isCutBy - now }),
       excluded,
       aimInMs: ask.aimAt - now,
+      pauseMs: ask.pauseMs,
       patienceInMs: ask.patienceEndsAt - now,
     });
   }
 
   function askAgain(asked: PendingAsk, now: number): void {
     const { service, ask, owner } = asked;
-    tell(owner, { kind: 'pool-withdraw', service, askId: ask.askId });
+    if (owner !== undefined) tell(owner, { kind: 'pool-withdraw', service, askId: ask.askId });
     sendAsk(asked, now);
   }
 
@@ -126,7 +132,8 @@
     const asked = pending.get(askId);
     if (asked !== undefined) {
       pending.delete(askId);
-      tell(asked.owner, { kind: 'pool-withdraw', service: asked.service, askId });
+      const { owner, service } = asked;
+      if (owner !== undefined) tell(owner, { kind: 'pool-withdraw', service, askId });
       return;
     }
     const held = runs.get(askId);
@@ -167,10 +174,10 @@
       switch (message.kind) {
         case 'ask': {
           const { service, ask, hasRun, onReply } = message;
-          const sent = { owner: parts.self, sentAt: now, isHeard: false };
+          const sent = { owner: undefined, sentAt: now, isHeard: false };
           const asked = { service, ask, hasRun, onReply, ...sent };
           pending.set(ask.askId, asked);
-          sendAsk(asked, now);
+          if (now >= parts.asksFrom) sendAsk(asked, now);
           return;
         }
         case 'withdraw':
@@ -227,17 +234,23 @@
     handleStop: (at, now) => {
       stopAt = at;
       for (const asked of pending.values()) {
-        if (!asked.hasRun) askAgain(asked, now);
+        if (!asked.hasRun && now >= parts.asksFrom) askAgain(asked, now);
       }
     },
     checkOwners: (now) => {
+      if (now < parts.asksFrom) return;
       for (const asked of pending.values()) {
-        const isUnheard = !asked.isHeard && now - asked.sentAt > HEARD_WITHIN_MS;
-        if (isUnheard) owners.recordSilent(asked.owner);
+        const { owner, isHeard, sentAt } = asked;
+        const isUnheard = !isHeard && now - sentAt > HEARD_WITHIN_MS;
+        if (isUnheard && owner !== undefined) owners.recordSilent(owner);
       }
       for (const service of ownerOf.keys()) chooseOwner(service, now);
       for (const asked of pending.values()) {
         const { service, owner: before, ask } = asked;
+        if (before === undefined) {
+          sendAsk(asked, now);
+          continue;
+        }
         if (before === ownerOf.get(service)) continue;
         logger.warn({ askId: ask.askId, before }, 'pools: asking the next owner');
         askAgain(asked, now);
--- a/packages/router/src/pools/pool-task.ts
+++ b/packages/router/src/pools/pool-task.ts
@@ -64,6 +64,8 @@
 
 /** More than the requests that a VM can have open. */
 const INBOX_CAPACITY = 8_192;
+/** A VM that starts has linked its peers after this time; before it each would decide alone. */
+const LINKING_MS = 400;
 /** A longer gap between ticks means that this process stood still. */
 const PAUSE_MS = 500;
 
@@ -105,7 +107,8 @@
     else parts.sendTo(to, message);
   };
   const owner = makePoolOwner({ self, takeFraction: parts.takeFraction, reply: tell, logger });
-  const asker = makePlaceAsker({ self, owners, tell, logger });
+  const asksFrom = getSteadyMs() + LINKING_MS;
+  const asker = makePlaceAsker({ self, asksFrom, owners, tell, logger });
   const sides = { owner, asker, owners };
   let tickedAt = getSteadyMs();
 
