--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -181,7 +181,7 @@
 }
 
 /** Whether a decode engine may read a prompt itself now. */
-export function canReadItself(load: EngineLoad, now: number): boolean {
+export function isFreeToRead(load: EngineLoad, now: number): boolean {
   if (load.prefills.size > 0) return false;
   return load.runs.size === 0 || load.readsAgainAt <= now;
 }
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -1,7 +1,7 @@
 /** Gives places to waiting asks: those that can still be on time first, late ones in what is left. */
 
 import {
-  canReadItself,
+  isFreeToRead,
   countRunsTurningLate,
   hasPrefillRoom,
   hasPlace,
@@ -109,7 +109,7 @@
   for (const load of state.engines.values()) {
     if (load.engine.stage !== 'decode' || !isUsable(load, ask, now)) continue;
     const run = makeRun(state, ask, load, now);
-    if (!canReadItself(load, now) || !hasPlace(load, run, now)) continue;
+    if (!isFreeToRead(load, now) || !hasPlace(load, run, now)) continue;
     const harm = countRunsTurningLate(load, readMs) + load.runs.size / (2 * load.engine.slots);
     if (harm >= leastHarm) continue;
     best = run;
