Late callers no longer hold up punctual ones; the engine to change by rate; unlisted engines avoided

The predicted wait counted them. Now it counts only those that go first. 2. With two engines left the faster one became the prefill engine and the slow one (88 ms an event, else 55) gave all answers, though places bound. Each has a test that failed first (pools: overload; stages: two decode engines are left; streams: an owner that still lists an engine that is gone). Ruled out for 1: places (0 free, but one comes free every 0.3 s).

--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -1,6 +1,6 @@
 /** Decides on arrival, and while an ask waits, whether it is refused now rather than later. */
 
-import { countFreePlaces, isInTime } from './placing.js';
+import { countFreePlaces, isServedFirst, isInTime } from './placing.js';
 import {
   measureFreshRate,
   measureServiceRate,
@@ -71,7 +71,10 @@
   const rate = CAUTION * measureServiceRate(state, now);
   if (rate <= 0) return Infinity;
   if (isInTime(state, ask, now)) {
-    const ahead = countWaiting(state, (other) => other.aimAt <= ask.aimAt);
+    const ahead = countWaiting(
+      state,
+      (other) => isServedFirst(state, other, now) && other.aimAt <= ask.aimAt,
+    );
     return (MS_PER_S * ahead) / rate;
   }
   const leftover = CAUTION * measureLeftoverRate(state, now);
--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -164,7 +164,7 @@
 }
 
 /** Notes the runs that turn late because their engine reads a prompt. */
-export function markRunsLate(load: EngineLoad, readMs: number): void {
+export function recordLateRuns(load: EngineLoad, readMs: number): void {
   for (const run of load.runs.values()) {
     if (isTurningLate(run, readMs)) run.isLate = true;
   }
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -6,7 +6,7 @@
   hasPrefillRoom,
   hasPlace,
   isUsable,
-  markRunsLate,
+  recordLateRuns,
   predictPrefillEnd,
   startPrefill,
   type EngineLoad,
@@ -45,6 +45,11 @@
   return now + predictFirstEventMs(state, ask) <= ask.aimAt;
 }
 
+/** Whether an ask gets its place before those that are late already. */
+export function isServedFirst(state: PoolState, ask: PlaceAsk, now: number): boolean {
+  return ask.isContinued || isInTime(state, ask, now);
+}
+
 function makeRun(state: PoolState, ask: PlaceAsk, load: EngineLoad, now: number): PlaceRun {
   const expectedEndAt = now + predictFirstEventMs(state, ask) + predictHoldMs(state, ask, load);
   const decode = load.engine.upstreamId;
@@ -121,7 +126,7 @@
 function startSelfRead(state: PoolState, run: PlaceRun, now: number): void {
   const load = state.engines.get(run.decode);
   if (load === undefined) return;
-  markRunsLate(load, predictSelfReadMs(state, run.ask));
+  recordLateRuns(load, predictSelfReadMs(state, run.ask));
   startPrefill(load, run, measurePrefillMsPerToken(state), now);
 }
 
@@ -191,8 +196,8 @@
     actions.push(action);
     return true;
   };
-  const goesFirst = (ask: PlaceAsk): boolean => ask.isContinued || isInTime(state, ask, now);
-  const onTime = listWaiting(state, goesFirst);
+  const isFirst = (ask: PlaceAsk): boolean => isServedFirst(state, ask, now);
+  const onTime = listWaiting(state, isFirst);
   onTime.sort((a, b) => a.ask.aimAt - b.ask.aimAt);
   let isBlocked = false;
   for (const waiting of onTime) {
@@ -200,7 +205,7 @@
     if (!place(waiting)) isBlocked = true;
   }
   if (isBlocked) return actions;
-  const late = listWaiting(state, (ask) => !goesFirst(ask));
+  const late = listWaiting(state, (ask) => !isFirst(ask));
   late.sort((a, b) => a.ask.patienceEndsAt - b.ask.patienceEndsAt);
   for (const waiting of late) {
     if (!hasPlacesLeftOver(state, now)) break;
--- a/packages/core/src/pools/pools.test.ts
+++ b/packages/core/src/pools/pools.test.ts
@@ -385,3 +385,21 @@
   handlePoolEvent(state, { kind: 'asked', ask: second }, 300);
   expect(second.aimAt).to.equal(AIM_MS);
 });
+
+it('pools: overload: late callers that wait do not make one that can be on time look late', () => {
+  const state = buildPool([PREFILL, buildEngine('d')]);
+  const runs = Array.from({ length: 12 }, () => {
+    const ask = buildAsk(-1_000, { needsPrefill: false });
+    const times = { grantedAt: -1_000, expectedEndAt: 2_500, isLate: false };
+    return { ask, decode: 'd' as UpstreamId, prefill: undefined, ...times };
+  });
+  handlePoolEvent(state, { kind: 'runs-announced', vmId: VM, runs }, 0);
+  for (let late = 0; late < 3; late += 1) {
+    const ask = buildAsk(0, { aimAt: -500, patienceEndsAt: 60_000 });
+    handlePoolEvent(state, { kind: 'asked', ask }, 0);
+  }
+  expect(state.waiting.size).to.equal(3);
+  const fresh = buildAsk(10);
+  expect(handlePoolEvent(state, { kind: 'asked', ask: fresh }, 10)).to.deep.equal([]);
+  expect(state.waiting.has(fresh.askId)).to.equal(true);
+});
--- a/packages/core/src/stages/stage-plan.ts
+++ b/packages/core/src/stages/stage-plan.ts
@@ -45,6 +45,8 @@
 const LEAST_GAIN = { decode: 1.15, prefill: 1.3 } as const;
 /** Gain that is clear whatever the measured speeds of engines turn out to be. */
 const URGENT_GAIN = 1.7;
+/** Part of the gain that each request on an engine costs while it ends. */
+const LOAD_COST = 0.004;
 
 function sumSpeeds(engines: readonly PlannedEngine[], stage: EngineStage): number {
   let speed = 0;
@@ -68,27 +70,6 @@
   return Math.min(readRate, placeRate);
 }
 
-/**
- * Finds the engine to change: the slowest prefill engine becomes a decode engine, and the fastest
- * decode engine with the least work a prefill engine. Slow prefill holds up every request.
- */
-function findCandidate(
-  engines: readonly PlannedEngine[],
-  from: EngineStage,
-): PlannedEngine | undefined {
-  let best: PlannedEngine | undefined;
-  let bestCost = Infinity;
-  for (const engine of engines) {
-    if (engine.stage !== from || engine.isChanging) continue;
-    const slowness = engine.slowness ?? 1;
-    const cost = from === 'prefill' ? -slowness : slowness + engine.load / 20;
-    if (cost >= bestCost) continue;
-    best = engine;
-    bestCost = cost;
-  }
-  return best;
-}
-
 function applyChange(
   engines: readonly PlannedEngine[],
   { upstreamId, stage }: StageChange,
@@ -110,18 +91,17 @@
   if (engines.length < 2) return undefined;
   const currentRate = predictStartRate(engines, demand);
   let best: WantedChange | undefined;
-  let bestRate = 0;
-  for (const [from, to] of [
-    ['prefill', 'decode'],
-    ['decode', 'prefill'],
-  ] as const) {
-    const engine = findCandidate(engines, from);
-    if (engine === undefined) continue;
-    const change = { upstreamId: engine.upstreamId, stage: to };
+  let bestWorth = 0;
+  for (const engine of engines) {
+    if (engine.isChanging) continue;
+    const stage = engine.stage === 'prefill' ? 'decode' : 'prefill';
+    const change = { upstreamId: engine.upstreamId, stage } as const;
     const rate = predictStartRate(applyChange(engines, change), demand);
-    if (rate <= Math.max(bestRate, LEAST_GAIN[to] * currentRate)) continue;
+    // Its work has to end first, so among equal engines the one with the least changes.
+    const worth = rate * (1 - LOAD_COST * engine.load);
+    if (worth <= bestWorth || rate <= LEAST_GAIN[stage] * currentRate) continue;
     best = { ...change, isUrgent: rate >= URGENT_GAIN * currentRate };
-    bestRate = rate;
+    bestWorth = worth;
   }
   return best?.isUrgent === true || isMeasured(engines) ? best : undefined;
 }
--- a/packages/core/src/stages/stages.test.ts
+++ b/packages/core/src/stages/stages.test.ts
@@ -105,6 +105,23 @@
   expect(findStageChange(engines, DEMAND)).to.equal(undefined);
 });
 
+it('stages: two decode engines are left, so the slow one reads prompts and the fast one answers', () => {
+  const engines = [
+    buildEngine('fast', { slowness: 0.8, load: 2 }),
+    buildEngine('slow', { slowness: 1.3 }),
+  ];
+  expect(findStageChange(engines, DEMAND)).to.include({ upstreamId: 'slow', stage: 'prefill' });
+});
+
+it('stages: engines alike, so the one with the least work changes', () => {
+  const engines = [
+    buildEngine('d1', { load: 7 }),
+    buildEngine('d2', { load: 2 }),
+    buildEngine('d3', { load: 5 }),
+  ];
+  expect(findStageChange(engines, DEMAND)).to.include({ upstreamId: 'd2', stage: 'prefill' });
+});
+
 it('lease: a row that nobody wrote is acquired', () => {
   const lease = makeOrderLease();
   expect(chooseLeaseStep(lease, SELF, LEASE_MS, false, 0).kind).to.equal('read');
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -2,6 +2,7 @@
 
 import { createHash } from 'node:crypto';
 import type { AskId, PlaceAsk } from '@tarragonspool/core';
+import type { UpstreamId } from '@tarragonspool/protocol';
 import type { PlaceReply } from '../pools/place-messages.js';
 import { requestPlace } from '../pools/pool-task.js';
 import { offer, receive, type Task } from '../tasks/tasks.js';
@@ -187,12 +188,42 @@
   return 'done';
 }
 
+/** Finds a granted engine that this VM does not list: its list or the owner's is out of date. */
+function findMissingEngine(
+  state: GatewayState,
+  { prefill, decode }: Granted,
+): UpstreamId | undefined {
+  for (const upstreamId of [prefill, decode]) {
+    if (upstreamId !== undefined && findEngine(state, upstreamId) === undefined) return upstreamId;
+  }
+  return undefined;
+}
+
+/** Gives the place back and asks for one without this engine; nothing was sent, so nothing is retried. */
+function avoidEngine(
+  state: GatewayState,
+  request: GatewayRequest,
+  progress: StreamProgress,
+  { askId }: Granted,
+  upstreamId: UpstreamId,
+): StepEnd {
+  const { requestId } = request.fields;
+  state.logger.warn({ requestId, upstreamId }, 'streams: granted engine is not listed here');
+  progress.excluded.add(upstreamId);
+  requestPlace(state.pools, { kind: 'end', askId, didFinish: false }, state.logger);
+  return 'again';
+}
+
 function* runGranted(
   state: GatewayState,
   request: GatewayRequest,
   progress: StreamProgress,
   granted: Granted,
 ): Task<StepEnd> {
+  const missing = findMissingEngine(state, granted);
+  if (missing !== undefined && !progress.excluded.has(missing)) {
+    return avoidEngine(state, request, progress, granted, missing);
+  }
   const prepared = yield* preparePrompt(state, request, progress, granted);
   if (prepared !== 'ready') return prepared;
   const { askId, decode } = granted;
