A frozen VM no longer blocks the prefill engine; engines that leave are replaced at once

A VM had been frozen at 20.14 s; the two prompts that were granted to it were never told as read, and an engine reads two at a time at most. Now a prompt whose end is not told by its forecast and twice as long again (250 ms at least) holds up no other; if it is told later, it does not count for the engine's speed.

--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -4,13 +4,20 @@
 import type { EngineStage } from '../routing/routing-types.js';
 import type { AskId, PlaceAsk, PlaceRun, PoolEngine } from './pool-types.js';
 
+/** A prompt that was sent to an engine and is not known to be read. */
+type Reading = {
+  readonly run: PlaceRun;
+  /** From then on it holds up no other prompt: the VM that sent it may stand still. */
+  readonly overdueAt: number;
+};
+
 /** One engine with everything that is placed on it. */
 export type EngineLoad = {
   engine: PoolEngine;
   /** Runs that have a decode place here. */
   readonly runs: Map<AskId, PlaceRun>;
   /** Prompts sent here that are not read yet. */
-  readonly prefills: Map<AskId, PlaceRun>;
+  readonly prefills: Map<AskId, Reading>;
   /** Since when its time counts as spent on the prompts that it is reading. */
   prefillBusySince: number;
   /** When the prompts sent here are probably read. */
@@ -51,6 +58,9 @@
 const MIN_REST_MS = 100;
 /** One prompt counts for this multiple of its forecast at most. */
 const MAX_SAMPLE_FACTOR = 3;
+/** A prompt is overdue after its forecast and this multiple of it, but not before the least time. */
+const OVERDUE_READ_FACTOR = 2;
+const MIN_OVERDUE_READ_MS = 250;
 /** Tokens for which the pool's mean speed counts in the estimate of one engine. */
 const PRIOR_TOKENS = 8_000;
 
@@ -137,11 +147,19 @@
   return startAt + promptTokens * measureEnginePrefillMs(load, poolMs);
 }
 
+/** Counts a prompt that an engine is reading, whoever had it sent. */
+export function addReading(load: EngineLoad, run: PlaceRun, poolMs: number, now: number): void {
+  const readMs = run.ask.promptTokens * measureEnginePrefillMs(load, poolMs);
+  const graceMs = Math.max(MIN_OVERDUE_READ_MS, OVERDUE_READ_FACTOR * readMs);
+  const overdueAt = Math.max(now, load.prefillDoneAt) + graceMs;
+  load.prefills.set(run.ask.askId, { run, overdueAt });
+}
+
 /** Starts to count a prompt that was sent to a prefill engine. */
 export function startPrefill(load: EngineLoad, run: PlaceRun, poolMs: number, now: number): void {
   load.prefillDoneAt = predictPrefillEnd(load, run.ask.promptTokens, poolMs, now);
   if (load.prefills.size === 0) load.prefillBusySince = now;
-  load.prefills.set(run.ask.askId, run);
+  addReading(load, run, poolMs, now);
 }
 
 /** Takes a prompt off that was not read: the time spent on it tells nothing of the engine's speed. */
@@ -149,6 +167,13 @@
   if (load.prefills.delete(askId)) load.prefillBusySince = now;
 }
 
+/** Takes off the prompts whose end was not told in time. */
+export function dropOverduePrefills(load: EngineLoad, now: number): void {
+  for (const [askId, { overdueAt }] of load.prefills) {
+    if (overdueAt <= now) dropPrefill(load, askId, now);
+  }
+}
+
 /** Whether a run that can still be on time would pause too long if its engine read a prompt. */
 function isTurningLate(run: PlaceRun, readMs: number): boolean {
   return !run.isLate && EVENT_INTERVAL_MS + readMs > run.ask.pauseMs;
@@ -188,8 +213,9 @@
 
 /** Ends the count of a prompt; returns the engine's busy time since the last end. */
 export function endPrefill(load: EngineLoad, askId: AskId, poolMs: number, now: number): number {
-  const run = load.prefills.get(askId);
-  if (run === undefined) return 0;
+  const reading = load.prefills.get(askId);
+  if (reading === undefined) return 0;
+  const { run } = reading;
   load.prefills.delete(askId);
   // A report that came late says more of the way than of the engine.
   const mostMs = MAX_SAMPLE_FACTOR * run.ask.promptTokens * measureEnginePrefillMs(load, poolMs);
@@ -202,6 +228,13 @@
   return busyMs;
 }
 
+/** Forgets how fast an engine read prompts: another stage reads at another speed. */
+export function forgetPrefills(load: EngineLoad): void {
+  load.prefillBusyMs = 0;
+  load.prefillTokens = 0;
+  load.prefillCount = 0;
+}
+
 /** Whether a prefill engine takes one more prompt without a queue that lasts. */
 export function hasPrefillRoom(load: EngineLoad, now: number): boolean {
   if (load.prefills.size === 0) return true;
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -127,7 +127,7 @@
   const load = state.engines.get(run.decode);
   if (load === undefined) return;
   recordLateRuns(load, predictSelfReadMs(state, run.ask));
-  startPrefill(load, run, measurePrefillMsPerToken(state), now);
+  startPrefill(load, run, state.selfReadMsPerToken, now);
 }
 
 /** Chooses the engines of a run; undefined if no place and reader are free together. */
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -7,7 +7,15 @@
   type VmId,
 } from '@tarragonspool/protocol';
 import { buildRefusal, findRefusal, refuseCut, refuseOverdue } from './admission.js';
-import { dropPrefill, endPrefill, makeEngineLoad, startRest } from './engine-load.js';
+import {
+  addReading,
+  dropOverduePrefills,
+  dropPrefill,
+  endPrefill,
+  forgetPrefills,
+  makeEngineLoad,
+  startRest,
+} from './engine-load.js';
 import { isInTime, grantWaiting } from './placing.js';
 import {
   applyEarlierAttempt,
@@ -61,6 +69,7 @@
   for (const engine of engines) {
     const known = state.engines.get(engine.upstreamId);
     if (known !== undefined && known.engine.incarnation === engine.incarnation) {
+      if (known.engine.stage !== engine.stage) forgetPrefills(known);
       known.engine = engine;
       continue;
     }
@@ -97,7 +106,8 @@
   if (run?.prefill === undefined) return;
   const load = state.engines.get(run.prefill);
   run.prefill = undefined;
-  if (load === undefined) return;
+  // A prompt that was overdue has been taken off: when it was read is not known.
+  if (load === undefined || !load.prefills.has(askId)) return;
   const busyMs = endPrefill(load, askId, measurePrefillMsPerToken(state), now);
   const { promptTokens } = run.ask;
   if (load.engine.stage === 'prefill') {
@@ -160,7 +170,8 @@
     state.waiting.delete(askId);
     state.runs.set(askId, run);
     load.runs.set(askId, run);
-    if (run.prefill !== undefined) state.engines.get(run.prefill)?.prefills.set(askId, run);
+    const reader = run.prefill && state.engines.get(run.prefill);
+    if (reader) addReading(reader, run, measurePrefillMsPerToken(state), now);
   }
 }
 
@@ -215,6 +226,7 @@
       dropRunsOf(state, event.vmId, now);
       return grantWaiting(state, now);
     case 'ticked':
+      for (const load of state.engines.values()) dropOverduePrefills(load, now);
       forgetOldRuns(state, now);
       forgetRefused(state, now);
       return [...refuseCut(state, now), ...grantWaiting(state, now), ...refuseOverdue(state, now)];
--- a/packages/core/src/pools/pools.test.ts
+++ b/packages/core/src/pools/pools.test.ts
@@ -403,3 +403,48 @@
   expect(handlePoolEvent(state, { kind: 'asked', ask: fresh }, 10)).to.deep.equal([]);
   expect(state.waiting.has(fresh.askId)).to.equal(true);
 });
+
+it('pools: a VM freezes with prompts at the only prefill engine, and the other VMs go on', () => {
+  const state = buildPool(TWO_DECODE);
+  const runs = ['d1', 'd1', 'd1', 'd2', 'd2', 'd2'].map((decode) => {
+    const ask = buildAsk(0, { needsPrefill: false });
+    const times = { grantedAt: -500, expectedEndAt: 9_000, isLate: false };
+    return { ask, decode: decode as UpstreamId, prefill: undefined, ...times };
+  });
+  handlePoolEvent(state, { kind: 'runs-announced', vmId: VM, runs }, 0);
+  const frozen = 'vm-frozen' as VmId;
+  for (const now of [0, 90]) {
+    const ask = buildAsk(now, { vmId: frozen });
+    expect(handlePoolEvent(state, { kind: 'asked', ask }, now)).to.have.length(1);
+  }
+  const arrivals = buildArrivals(150, 3_150, 5);
+  const result = playArrivals(state, arrivals, 12_000);
+  expect(result.granted).to.be.at.least(arrivals.length - 3);
+});
+
+it('pools: an engine that changes its stage starts with no record of how it read before', () => {
+  const state = buildPool([buildEngine('d')]);
+  const [grant] = handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0);
+  const askId = grant?.ask.askId as AskId;
+  handlePoolEvent(state, { kind: 'prefilled', askId }, 200);
+  const engines = [buildEngine('d', { stage: 'prefill' })];
+  handlePoolEvent(state, { kind: 'engines-listed', engines }, 300);
+  expect(state.engines.get('d' as UpstreamId)).to.include({ prefillCount: 0, prefillTokens: 0 });
+});
+
+it('pools: a decode engine that is still reading a prompt itself is not given another one', () => {
+  const state = buildPool([buildEngine('d')]);
+  handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0);
+  handlePoolEvent(state, { kind: 'asked', ask: buildAsk(1) }, 1);
+  expect(handlePoolEvent(state, { kind: 'ticked' }, 420)).to.deep.equal([]);
+});
+
+it('pools: a prompt whose end is told late says nothing of the speed of its engine', () => {
+  const state = buildPool(TWO_DECODE);
+  const [grant] = handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0);
+  for (let now = 25; now < 4_000; now += 25) handlePoolEvent(state, { kind: 'ticked' }, now);
+  const before = state.prefillBusyMs / state.prefillTokens;
+  const askId = grant?.ask.askId as AskId;
+  handlePoolEvent(state, { kind: 'prefilled', askId }, 4_000);
+  expect(state.prefillBusyMs / state.prefillTokens).to.equal(before);
+});
--- a/packages/router/src/stages/stage-task.ts
+++ b/packages/router/src/stages/stage-task.ts
@@ -4,6 +4,7 @@
   findStageChange,
   makeOrderLease,
   type OrderLease,
+  type EngineStage,
   type StageChange,
 } from '@tarragonspool/core';
 import type { ServiceName } from '@tarragonspool/protocol';
@@ -17,7 +18,7 @@
 const CHECK_INTERVAL_MS = 250;
 /** A change must be wanted for so long before it is ordered. */
 const SETTLE_MS = 1_200;
-/** The same where the last prefill engine leaves as planned. */
+/** The same where an engine of the wanted stage leaves as planned. */
 const LEFT_SETTLE_MS = 200;
 /** The same where it vanished: a crashed engine is back sooner than another one has changed. */
 const LOST_SETTLE_MS = 3_000;
@@ -58,9 +59,9 @@
   return a?.stage === b?.stage;
 }
 
-function isPrefillLeaving(state: GatewayState, service: ServiceName): boolean {
+function isEngineLeaving(state: GatewayState, service: ServiceName, stage: EngineStage): boolean {
   for (const record of state.upstreams.records.values()) {
-    if (record.service === service && record.isLeaving && record.stage === 'prefill') return true;
+    if (record.service === service && record.isLeaving && record.stage === stage) return true;
   }
   return false;
 }
@@ -81,11 +82,11 @@
   stages.wanted = wanted;
   const hasPrefill = plan?.engines.some(({ stage }) => stage === 'prefill') ?? false;
   if (wanted === undefined || now < START_SETTLE_MS) return undefined;
-  if (!hasPrefill) {
-    const settleMs = isPrefillLeaving(state, service) ? LEFT_SETTLE_MS : LOST_SETTLE_MS;
-    return now - stages.wantedSince >= settleMs ? wanted : undefined;
-  }
-  if (now - stages.wantedSince < SETTLE_MS) return undefined;
+  const wantedMs = now - stages.wantedSince;
+  const isPlanned = isEngineLeaving(state, service, wanted.stage);
+  if (isPlanned && wanted.isUrgent) return wantedMs >= LEFT_SETTLE_MS ? wanted : undefined;
+  if (!hasPrefill) return wantedMs >= LOST_SETTLE_MS ? wanted : undefined;
+  if (wantedMs < SETTLE_MS) return undefined;
   const isDue = wanted.isUrgent || now - stages.orderedAt >= CHANGE_INTERVAL_MS;
   return isDue ? wanted : undefined;
 }
