--- a/packages/core/src/allocation/lateness.ts
+++ b/packages/core/src/allocation/lateness.ts
@@ -1,20 +1,12 @@
 /** Predicts whether a request would start too late. Times are milliseconds since the epoch. */
 
 import { measureFit, measureShareAbove, rankCost } from './demand.js';
+import type { QueueForecast } from './forecast-types.js';
 import { getPoolSummary } from './pool-summary.js';
 import type { ShardState } from './shard-state.js';
 import { predictStarts } from './start-forecast.js';
 import { findPosition, type WaitingAsk } from './waiting-queue.js';
 
-/** Start times of a long queue, kept for a few milliseconds. */
-export type QueueForecast = {
-  readonly madeAt: number;
-  readonly ranks: Float64Array;
-  readonly starts: Float64Array;
-  /** Least slack of a request at or behind each position. */
-  readonly slacks: Float64Array;
-};
-
 const MAX_RESERVED_SHARE = 0.9;
 /** Share of its slack that a request may wait before its cost matters, and from which it matters fully. */
 const EASY_PRESSURE = 0.2;
--- a/packages/core/src/allocation/moves.ts
+++ b/packages/core/src/allocation/moves.ts
@@ -8,27 +8,8 @@
 import type { Engine, Reservation } from './engine-state.js';
 import type { ShardState } from './shard-state.js';
 
-/** Prefill tokens that were granted, and those whose work is thrown away by a move. */
-export type MoveBudget = { grantedTokens: number; wastedTokens: number };
-
 const SILENT_STEPS = 2;
 const MIN_SILENCE_MS = 40;
-/** Tokens of the budget are halved above this, so that it follows recent load. */
-const BUDGET_WINDOW_TOKENS = 1_000_000;
-
-/** Makes an unused budget. */
-export function makeMoveBudget(): MoveBudget {
-  return { grantedTokens: 0, wastedTokens: 0 };
-}
-
-/** Adds granted work to the budget. */
-export function addGrantedWork(budget: MoveBudget, tokens: number): void {
-  budget.grantedTokens += tokens;
-  if (budget.grantedTokens < BUDGET_WINDOW_TOKENS) return;
-  budget.grantedTokens /= 2;
-  budget.wastedTokens /= 2;
-}
-
 /** Whether streams of the engine have stopped while the pool goes on. */
 function isStalled(state: ShardState, engine: Engine, now: number): boolean {
   if (engine.isSuspect) return true;
--- a/packages/core/src/allocation/pool-summary.ts
+++ b/packages/core/src/allocation/pool-summary.ts
@@ -1,18 +1,9 @@
 /** Counts over a whole pool, kept for a few milliseconds since decisions come much more often. */
 
 import { countTakenPlaces } from './engine-state.js';
+import type { PoolSummary } from './forecast-types.js';
 import type { ShardState } from './shard-state.js';
 
-/** Counts over the engines that can be given work. */
-export type PoolSummary = {
-  readonly madeAt: number;
-  readonly prefillEngines: number;
-  readonly decodeEngines: number;
-  readonly places: number;
-  readonly takenPlaces: number;
-  readonly freePlaces: number;
-};
-
 const KEPT_MS = 5;
 
 function makeSummary(state: ShardState, now: number): PoolSummary {
--- a/packages/core/src/allocation/reservations.ts
+++ b/packages/core/src/allocation/reservations.ts
@@ -18,7 +18,7 @@
   OVERHEAD_MS,
 } from './engine-estimates.js';
 import { scheduleEngine, type Engine, type Reservation } from './engine-state.js';
-import { addGrantedWork } from './moves.js';
+import { addGrantedWork } from './move-budget.js';
 import { countPieces, type Placement } from './placement.js';
 import { addCacheSample, addGrantedPrefixes } from './prefix-knowledge.js';
 import type { ShardState } from './shard-state.js';
--- a/packages/router/src/daemon/daemon-state.ts
+++ b/packages/router/src/daemon/daemon-state.ts
@@ -28,7 +28,8 @@
 } from '../membership/membership-task.js';
 import { makeMetrics, type Metrics } from '../metrics/metrics.js';
 import type { PeerIdentity } from '../peers/peer-link.js';
-import { makeQuarantine, type Quarantine } from '../quarantine/quarantine-task.js';
+import { makeQuarantine } from '../quarantine/quarantine-task.js';
+import type { Quarantine } from '../quarantine/quarantine-types.js';
 import { makeRulesInbox, type RulesInbox } from '../rules/rules-task.js';
 import { makeRulesView, type RulesView } from '../rules/rules-view.js';
 import type { Settings } from '../settings/settings.js';
--- a/packages/router/src/quarantine/quarantine-task.ts
+++ b/packages/router/src/quarantine/quarantine-task.ts
@@ -7,8 +7,6 @@
   makeQuarantineState,
   type DuplicateVerdict,
   type QuarantineAction,
-  type QuarantineEvent,
-  type QuarantineState,
 } from '@tarragonspool/core';
 import {
   assertNever,
@@ -23,39 +21,13 @@
 import type { DuplicateInbox } from '../claims/duplicate-task.js';
 import type { Logger } from '../logging/logger.js';
 import type { Metrics } from '../metrics/metrics.js';
-import { makeChannel, offer, receive, startTask, type Channel, type Task } from '../tasks/tasks.js';
-import type { SuspectStore } from './suspect-store.js';
-
-/** What a request hears: run, or a refusal. */
-export type ContentVerdict =
-  { readonly kind: 'run' } | { readonly kind: 'refuse'; readonly refusal: Refusal };
-
-/** A request whose content is not clear. */
-export type ContentAsk = {
-  readonly requestId: RequestId;
-  readonly fingerprint: Fingerprint;
-  /** When to stop waiting, in milliseconds since the epoch. */
-  readonly deadline: number;
-  readonly onVerdict: (verdict: ContentVerdict) => void;
-};
-
-/** What the quarantine task receives. */
-export type QuarantineMessage =
-  | { readonly kind: 'event'; readonly event: QuarantineEvent }
-  | { readonly kind: 'ask'; readonly ask: ContentAsk }
-  | { readonly kind: 'request-ended'; readonly requestId: RequestId }
-  | { readonly kind: 'gate-answered'; readonly verdict: DuplicateVerdict }
-  | { readonly kind: 'link-opened'; readonly vmId: VmId };
-
-/** Quarantine as requests use it. */
-export type Quarantine = {
-  readonly state: QuarantineState;
-  readonly inbox: Channel<QuarantineMessage>;
-  /** Contents of orders that broke off, until the task has heard of it. */
-  readonly doubted: Set<Fingerprint>;
-  /** Requests whose content was not clear when they asked. */
-  readonly asked: Set<RequestId>;
-};
+import { makeChannel, offer, receive, startTask, type Task } from '../tasks/tasks.js';
+import type {
+  ContentAsk,
+  Quarantine,
+  QuarantineMessage,
+  SuspectStore,
+} from './quarantine-types.js';
 
 /** What the quarantine task works with. */
 export type QuarantineParts = {
--- a/packages/router/src/quarantine/suspect-store.ts
+++ b/packages/router/src/quarantine/suspect-store.ts
@@ -12,13 +12,7 @@
 import type { Logger } from '../logging/logger.js';
 import { awaitPromise, offer, type Task } from '../tasks/tasks.js';
 import { waitMs } from '../tasks/timers.js';
-import type { Quarantine } from './quarantine-task.js';
-
-/** Writes records in the background. */
-export type SuspectStore = {
-  readonly put: (record: SuspectRecord) => void;
-  readonly remove: (fingerprint: Fingerprint) => void;
-};
+import type { Quarantine, SuspectStore } from './quarantine-types.js';
 
 const PREFIX = 'suspects/';
 const TABLE_CALL_MS = 2_000;
--- a/packages/router/src/requests/model-request.ts
+++ b/packages/router/src/requests/model-request.ts
@@ -17,7 +17,7 @@
 import type { Invariants } from '../invariants/invariants.js';
 import type { RequestTrace } from '../journal/request-trace.js';
 import type { Metrics } from '../metrics/metrics.js';
-import type { Quarantine } from '../quarantine/quarantine-task.js';
+import type { Quarantine } from '../quarantine/quarantine-types.js';
 import type { Channel } from '../tasks/tasks.js';
 import type { Directory } from '../upstreams/directory.js';
 import type { AnswerWriter } from './answer-writer.js';
