--- a/packages/core/src/pools/pools.test.ts
+++ b/packages/core/src/pools/pools.test.ts
@@ -1,114 +1,32 @@
-import type { UpstreamId, VmId } from '@tarragonspool/protocol';
+import type { UpstreamId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import {
   handlePoolEvent,
-  makePoolState,
   type AskId,
   type PlaceAsk,
   type PoolAction,
-  type PoolEngine,
-  type PoolEvent,
   type PoolState,
 } from './index.js';
-
-const VM = 'vm-1' as VmId;
-const AIM_MS = 900;
-const PATIENCE_MS = 3_200;
-
-function buildEngine(name: string, changes: Partial<PoolEngine> = {}): PoolEngine {
-  return {
-    upstreamId: name as UpstreamId,
-    stage: 'decode',
-    incarnation: 1,
-    isLeaving: false,
-    slots: 12,
-    kvCapacityTokens: 144_611,
-    ...changes,
-  };
-}
-
-function buildPool(engines: readonly PoolEngine[]): PoolState {
-  const state = makePoolState(() => 0.5);
-  handlePoolEvent(state, { kind: 'engines-listed', engines }, 0);
-  return state;
-}
-
-let askCount = 0;
-
-function buildAsk(now: number, changes: Partial<PlaceAsk> = {}): PlaceAsk {
-  askCount += 1;
-  return {
-    askId: `ask-${askCount}` as AskId,
-    vmId: VM,
-    promptTokens: 5_000,
-    outputTokens: 6_000,
-    aimAt: now + AIM_MS,
-    pauseMs: 300,
-    contentKey: `content-${askCount}`,
-    patienceEndsAt: now + PATIENCE_MS,
-    needsPrefill: true,
-    isContinued: false,
-    endsBy: Infinity,
-    excluded: [],
-    ...changes,
-  };
-}
-
-const PREFILL = buildEngine('p', { stage: 'prefill' });
-const TWO_DECODE = [PREFILL, buildEngine('d1'), buildEngine('d2')];
-
-type Simulation = { granted: number; late: number; refused: number; refusedAfterMs: number[] };
-
-/** Plays arrivals against the pool; each granted prompt is read and each answer ends in its time. */
-function playArrivals(
-  state: PoolState,
-  arrivals: readonly PlaceAsk[],
-  untilMs: number,
-): Simulation {
-  const result: Simulation = { granted: 0, late: 0, refused: 0, refusedAfterMs: [] };
-  const due: { at: number; event: PoolEvent }[] = [];
-  const askedAt = new Map(arrivals.map((ask) => [ask.askId, ask.aimAt - AIM_MS]));
-  for (const ask of arrivals) due.push({ at: ask.aimAt - AIM_MS, event: { kind: 'asked', ask } });
-  for (let at = 0; at < untilMs; at += 25) due.push({ at, event: { kind: 'ticked' } });
-
-  function take(action: PoolAction, now: number): void {
-    const { askId, aimAt } = action.ask;
-    if (action.kind === 'refuse') {
-      result.refused += 1;
-      result.refusedAfterMs.push(now - (askedAt.get(askId) ?? now));
-      return;
-    }
-    result.granted += 1;
-    const readAt = now + 95;
-    if (readAt + 50 > aimAt) result.late += 1;
-    const endAt = readAt + 0.58 * action.ask.outputTokens;
-    due.push({ at: readAt, event: { kind: 'prefilled', askId } });
-    due.push({ at: endAt, event: { kind: 'ended', askId, didFinish: true } });
-  }
-
-  while (due.length > 0) {
-    due.sort((a, b) => a.at - b.at);
-    const next = due.shift();
-    if (next === undefined || next.at > untilMs) break;
-    for (const action of handlePoolEvent(state, next.event, next.at)) take(action, next.at);
-  }
-  return result;
-}
-
-function buildArrivals(fromMs: number, toMs: number, perSecond: number): PlaceAsk[] {
-  const asks: PlaceAsk[] = [];
-  for (let at = fromMs; at < toMs; at += 1_000 / perSecond) asks.push(buildAsk(at));
-  return asks;
-}
+import {
+  AIM_MS,
+  buildArrivals,
+  buildAsk,
+  buildEngine,
+  buildPool,
+  PREFILL,
+  runArrivals,
+  TWO_DECODE,
+  VM,
+} from './pool-test-kit.js';
 
 it('pools: a calm load is served on time', () => {
-  const result = playArrivals(buildPool(TWO_DECODE), buildArrivals(0, 20_000, 5), 30_000);
+  const result = runArrivals(buildPool(TWO_DECODE), buildArrivals(0, 20_000, 5), 30_000);
   expect(result).to.include({ granted: 100, late: 0, refused: 0 });
 });
 
 it('pools: a wave with a burst on top is served up to the places, the rest refused at once', () => {
   const arrivals = [...buildArrivals(0, 8_000, 5), ...buildArrivals(8_000, 12_000, 16)];
-  const result = playArrivals(buildPool(TWO_DECODE), arrivals, 25_000);
+  const result = runArrivals(buildPool(TWO_DECODE), arrivals, 25_000);
   expect(result.granted + result.refused).to.equal(arrivals.length);
   expect(result.refused).to.be.greaterThan(10);
   const quick = result.refusedAfterMs.filter((ms) => ms <= AIM_MS / 8).length;
@@ -117,10 +35,10 @@
 
 it('pools: one kind doubled, with the places of an engine lost at the peak', () => {
   const state = buildPool(TWO_DECODE);
-  const before = playArrivals(state, buildArrivals(0, 6_000, 5), 6_000);
+  const before = runArrivals(state, buildArrivals(0, 6_000, 5), 6_000);
   expect(before.refused).to.equal(0);
   handlePoolEvent(state, { kind: 'engines-listed', engines: [PREFILL, buildEngine('d1')] }, 6_000);
-  const after = playArrivals(state, buildArrivals(6_001, 10_000, 10), 16_000);
+  const after = runArrivals(state, buildArrivals(6_001, 10_000, 10), 16_000);
   // Two thirds of the twelve starts that the places of one engine allow in that time.
   expect(after.granted).to.be.at.least(8);
   expect(after.refused).to.be.greaterThan(10);
@@ -355,96 +273,3 @@
   const [action] = handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0);
   expect(action).to.include({ kind: 'refuse', reason: 'no-engine' });
 });
-
-it('pools: planned stop: an ask that would outlast its VM is told at once to come back elsewhere', () => {
-  const state = buildPool(TWO_DECODE);
-  const long = buildAsk(0, { endsBy: 5_000 });
-  const [refusal] = handlePoolEvent(state, { kind: 'asked', ask: long }, 0);
-  expect(refusal).to.include({ kind: 'refuse', reason: 'vm-stops' });
-  expect(refusal?.kind === 'refuse' && refusal.retryAfterMs).to.be.within(1, 500);
-  const short = buildAsk(0, { endsBy: 5_000, outputTokens: 2_000 });
-  const [grant] = handlePoolEvent(state, { kind: 'asked', ask: short }, 0);
-  expect(grant?.kind).to.equal('grant');
-});
-
-it('pools: planned stop: an ask that waits is refused once its answer can no longer end in time', () => {
-  const engines = [PREFILL, buildEngine('d', { slots: 1 })];
-  const state = buildPool(engines);
-  handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0);
-  const ask = buildAsk(0, { endsBy: 3_000, outputTokens: 2_000, isContinued: true });
-  expect(handlePoolEvent(state, { kind: 'asked', ask }, 0)).to.deep.equal([]);
-  const [refusal] = handlePoolEvent(state, { kind: 'ticked' }, 1_000);
-  expect(refusal).to.include({ kind: 'refuse', reason: 'vm-stops', ask });
-});
-
-it('pools: planned stop: a caller that comes back elsewhere counts from its first attempt', () => {
-  const state = buildPool(TWO_DECODE);
-  const first = buildAsk(0, { endsBy: 1_000 });
-  handlePoolEvent(state, { kind: 'asked', ask: first }, 0);
-  const second = buildAsk(300, { contentKey: first.contentKey });
-  handlePoolEvent(state, { kind: 'asked', ask: second }, 300);
-  expect(second.aimAt).to.equal(AIM_MS);
-});
-
-it('pools: overload: late callers that wait do not make one that can be on time look late', () => {
-  const state = buildPool([PREFILL, buildEngine('d')]);
-  const runs = Array.from({ length: 12 }, () => {
-    const ask = buildAsk(-1_000, { needsPrefill: false });
-    const times = { grantedAt: -1_000, expectedEndAt: 2_500, isLate: false };
-    return { ask, decode: 'd' as UpstreamId, prefill: undefined, ...times };
-  });
-  handlePoolEvent(state, { kind: 'runs-announced', vmId: VM, runs }, 0);
-  for (let late = 0; late < 3; late += 1) {
-    const ask = buildAsk(0, { aimAt: -500, patienceEndsAt: 60_000 });
-    handlePoolEvent(state, { kind: 'asked', ask }, 0);
-  }
-  expect(state.waiting.size).to.equal(3);
-  const fresh = buildAsk(10);
-  expect(handlePoolEvent(state, { kind: 'asked', ask: fresh }, 10)).to.deep.equal([]);
-  expect(state.waiting.has(fresh.askId)).to.equal(true);
-});
-
-it('pools: a VM freezes with prompts at the only prefill engine, and the other VMs go on', () => {
-  const state = buildPool(TWO_DECODE);
-  const runs = ['d1', 'd1', 'd1', 'd2', 'd2', 'd2'].map((decode) => {
-    const ask = buildAsk(0, { needsPrefill: false });
-    const times = { grantedAt: -500, expectedEndAt: 9_000, isLate: false };
-    return { ask, decode: decode as UpstreamId, prefill: undefined, ...times };
-  });
-  handlePoolEvent(state, { kind: 'runs-announced', vmId: VM, runs }, 0);
-  const frozen = 'vm-frozen' as VmId;
-  for (const now of [0, 90]) {
-    const ask = buildAsk(now, { vmId: frozen });
-    expect(handlePoolEvent(state, { kind: 'asked', ask }, now)).to.have.length(1);
-  }
-  const arrivals = buildArrivals(150, 3_150, 5);
-  const result = playArrivals(state, arrivals, 12_000);
-  expect(result.granted).to.be.at.least(arrivals.length - 3);
-});
-
-it('pools: an engine that changes its stage starts with no record of how it read before', () => {
-  const state = buildPool([buildEngine('d')]);
-  const [grant] = handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0);
-  const askId = grant?.ask.askId as AskId;
-  handlePoolEvent(state, { kind: 'prefilled', askId }, 200);
-  const engines = [buildEngine('d', { stage: 'prefill' })];
-  handlePoolEvent(state, { kind: 'engines-listed', engines }, 300);
-  expect(state.engines.get('d' as UpstreamId)).to.include({ prefillCount: 0, prefillTokens: 0 });
-});
-
-it('pools: a decode engine that is still reading a prompt itself is not given another one', () => {
-  const state = buildPool([buildEngine('d')]);
-  handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0);
-  handlePoolEvent(state, { kind: 'asked', ask: buildAsk(1) }, 1);
-  expect(handlePoolEvent(state, { kind: 'ticked' }, 420)).to.deep.equal([]);
-});
-
-it('pools: a prompt whose end is told late says nothing of the speed of its engine', () => {
-  const state = buildPool(TWO_DECODE);
-  const [grant] = handlePoolEvent(state, { kind: 'asked', ask: buildAsk(0) }, 0);
-  for (let now = 25; now < 4_000; now += 25) handlePoolEvent(state, { kind: 'ticked' }, now);
-  const before = state.prefillBusyMs / state.prefillTokens;
-  const askId = grant?.ask.askId as AskId;
-  handlePoolEvent(state, { kind: 'prefilled', askId }, 4_000);
-  expect(state.prefillBusyMs / state.prefillTokens).to.equal(before);
-});
--- a/packages/core/src/pools/self-read.test.ts
+++ b/packages/core/src/pools/self-read.test.ts
@@ -1,16 +1,9 @@
-import type { UpstreamId, VmId } from '@tarragonspool/protocol';
+import type { UpstreamId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
-import {
-  handlePoolEvent,
-  makePoolState,
-  type AskId,
-  type PlaceAsk,
-  type PoolAction,
-  type PoolEngine,
-  type PoolState,
-} from './index.js';
+import { handlePoolEvent, type PlaceAsk, type PoolAction, type PoolState } from './index.js';
+import { AIM_MS, buildAsk, buildEngine, buildPool } from './pool-test-kit.js';
 
-const AIM_MS = 900;
+const THREE_DECODE = ['d1', 'd2', 'd3'].map((name) => buildEngine(name));
 const PAUSE_MS = 300;
 const STEP_MS = 5;
 const READ_MS_PER_TOKEN = 0.036;
@@ -19,37 +12,6 @@
 /** Speed of an engine's answers while it reads a prompt between their tokens. */
 const SPEED_WHILE_READING = 0.06;
 
-function buildEngine(name: string): PoolEngine {
-  return {
-    upstreamId: name as UpstreamId,
-    stage: 'decode',
-    incarnation: 1,
-    isLeaving: false,
-    slots: 12,
-    kvCapacityTokens: 144_611,
-  };
-}
-
-let askCount = 0;
-
-function buildAsk(now: number, promptTokens: number, outputTokens: number): PlaceAsk {
-  askCount += 1;
-  return {
-    askId: `ask-${askCount}` as AskId,
-    vmId: 'vm-1' as VmId,
-    promptTokens,
-    outputTokens,
-    aimAt: now + AIM_MS,
-    pauseMs: PAUSE_MS,
-    contentKey: `content-${askCount}`,
-    patienceEndsAt: now + 3_200,
-    needsPrefill: true,
-    isContinued: false,
-    endsBy: Infinity,
-    excluded: [],
-  };
-}
-
 type Stream = {
   readonly ask: PlaceAsk;
   readonly decode: UpstreamId;
@@ -128,7 +90,7 @@
 }
 
 /** Arrivals with short, usual and long prompts and answers in turn. */
-function buildArrivals(fromMs: number, toMs: number, perSecond: number): PlaceAsk[] {
+function buildMixedArrivals(fromMs: number, toMs: number, perSecond: number): PlaceAsk[] {
   const sizes = [
     [2_800, 3_200],
     [4_200, 5_600],
@@ -139,27 +101,21 @@
   const asks: PlaceAsk[] = [];
   for (let at = fromMs; at < toMs; at += 1_000 / perSecond) {
     const [promptTokens, outputTokens] = sizes[asks.length % sizes.length] ?? [5_000, 6_000];
-    asks.push(buildAsk(at, promptTokens, outputTokens));
+    asks.push(buildAsk(at, { promptTokens, outputTokens }));
   }
   return asks;
 }
 
-function buildPool(names: readonly string[]): PoolState {
-  const state = makePoolState(() => 0.5);
-  handlePoolEvent(state, { kind: 'engines-listed', engines: names.map(buildEngine) }, 0);
-  return state;
-}
-
 it('pools: the last prefill engine is lost, so decode engines read with rests and most are on time', () => {
-  const arrivals = buildArrivals(1_000, 11_000, 4);
-  const played = playEngines(buildPool(['d1', 'd2', 'd3']), arrivals, 25_000);
+  const arrivals = buildMixedArrivals(1_000, 11_000, 4);
+  const played = playEngines(buildPool(THREE_DECODE), arrivals, 25_000);
   expect(played.onTime).to.be.at.least(0.7 * arrivals.length);
   expect(played.open).to.equal(0);
 });
 
 it('pools: no prefill engine for long and many arrivals: what is served is served on time', () => {
-  const arrivals = buildArrivals(20_000, 30_000, 12);
-  const played = playEngines(buildPool(['d1', 'd2', 'd3']), arrivals, 50_000);
+  const arrivals = buildMixedArrivals(20_000, 30_000, 12);
+  const played = playEngines(buildPool(THREE_DECODE), arrivals, 50_000);
   expect(played.onTime).to.be.at.least(40);
   expect(played.late).to.be.at.most(0.35 * played.onTime);
   expect(played.open).to.equal(0);
