Pools: routes' ranks decide the order of service, refusals for lack of memory are learned from

Cause: the route's priority was decoded and used nowhere; the queue went by target time alone. Now: order by rank, then target; a rank that gets less than half of the common share goes first; waits, refusals and times to come back count what goes before. A refusal by an engine whose answers explain it lowers the share of its memory that is assigned (0.95 each, back by 0.002 an answer) and avoids it for 100 ms. Answers past their expected end go on growing, up to 1.5 times. Slots are counted by memory. Of equal engines the one in the prefill engine's data centre, then in the caller's, is chosen.

--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -1,8 +1,8 @@
 /** Decides which slot requests to refuse early, on arrival and while they wait. */
 
-import { countFreeSlots, isServedFirst, canMeetTarget } from './placing.js';
+import { countFreeSlots, isServedBefore, isServedFirst, canMeetTarget } from './placing.js';
+import { measureArrivalRate } from './rank-rates.js';
 import {
-  measureOnTimeArrivalRate,
   measureServiceRate,
   predictFirstEventMs,
   rememberRefused,
@@ -34,20 +34,22 @@
 }
 
 /**
- * Returns the answers per second that the pool can start beyond those for arrivals that can meet
- * their target.
+ * Returns the answers per second that the pool can start beyond those for arrivals of the given
+ * ranks that can meet their target.
  */
-function measureSpareRate(state: PoolState, now: number): number {
-  return measureServiceRate(state, now) - measureOnTimeArrivalRate(state, now);
+function measureSpareRate(state: PoolState, now: number, belowRank = Infinity): number {
+  return measureServiceRate(state, now) - measureArrivalRate(state.ranks, now, belowRank);
 }
 
 /**
- * Computes when a refused caller should retry: once the waiting requests and its own can be served,
- * in milliseconds.
+ * Computes when a refused caller should retry: once the requests of its own and higher ranks that
+ * wait, and its own, can be served; in milliseconds.
  */
-function computeRetryAfterMs(state: PoolState, now: number): number {
-  const spareRate = Math.max(MIN_SPARE_RATE, measureSpareRate(state, now));
-  const waitMs = (MS_PER_S * (state.waiting.size + 1)) / spareRate;
+function computeRetryAfterMs(state: PoolState, slotRequest: SlotRequest, now: number): number {
+  const { rank } = slotRequest;
+  const spareRate = Math.max(MIN_SPARE_RATE, measureSpareRate(state, now, rank + 1));
+  const ahead = countWaiting(state, (other) => other.rank <= rank);
+  const waitMs = (MS_PER_S * (ahead + 1)) / spareRate;
   const bounded = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs));
   const spread = 1 - RETRY_SPREAD / 2 + RETRY_SPREAD * state.takeFraction();
   return Math.min(MAX_RETRY_AFTER_MS, bounded * spread);
@@ -68,24 +70,27 @@
     kind: 'refuse',
     ask: slotRequest,
     reason,
-    retryAfterMs: reason === 'vm-stops' ? OTHER_VM_RETRY_MS : computeRetryAfterMs(state, now),
+    retryAfterMs:
+      reason === 'vm-stops' ? OTHER_VM_RETRY_MS : computeRetryAfterMs(state, slotRequest, now),
     freePlaces: countFreeSlots(state, now),
     waiting: state.waiting.size,
-    freshRate: measureOnTimeArrivalRate(state, now),
+    freshRate: measureArrivalRate(state.ranks, now),
     serviceRate: measureServiceRate(state, now),
   };
 }
 
 /** Predicts how many milliseconds a request waits behind those that are served before it. */
 function predictWaitMs(state: PoolState, slotRequest: SlotRequest, now: number): number {
-  const rate = RATE_SAFETY_FACTOR * measureServiceRate(state, now);
-  if (rate <= 0) return Infinity;
   if (canMeetTarget(state, slotRequest, now)) {
     const ahead = countWaiting(
       state,
-      (other) => isServedFirst(state, other, now) && other.aimAt <= slotRequest.aimAt,
+      (other) =>
+        isServedFirst(state, other, now) && isServedBefore(state, other, slotRequest, now),
     );
-    return (MS_PER_S * ahead) / rate;
+    if (ahead === 0) return 0;
+    // Arrivals of higher ranks during the wait are served before this request as well.
+    const rate = RATE_SAFETY_FACTOR * measureSpareRate(state, now, slotRequest.rank);
+    return rate <= 0 ? Infinity : (MS_PER_S * ahead) / rate;
   }
   const spareRate = RATE_SAFETY_FACTOR * measureSpareRate(state, now);
   if (spareRate < MIN_SPARE_RATE) return Infinity;
--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -42,13 +42,27 @@
   ordered: { readonly stage: EngineStage; readonly doneBy: number } | undefined;
   /** Measured slot occupancy per expected token, relative to the pool's mean. */
   slowness: number;
+  /**
+   * Share of the KV cache that is assigned. An engine that refuses a request for lack of memory
+   * shows that its answers use more than predicted, so the share shrinks and recovers slowly.
+   */
+  usableMemoryShare: number;
 };
 
 /** Engine loads by upstream id. */
 export type EngineLoads = Map<UpstreamId, EngineLoad>;
 
-/** Share of the KV cache that is assigned; the rest allows for answers longer than expected. */
-const USED_MEMORY_SHARE = 0.98;
+/** Answers are rarely longer than expected by more than this factor. */
+const MAX_ANSWER_GROWTH = 1.5;
+/** Limits of the share of the KV cache that is assigned. */
+const MAX_MEMORY_SHARE = 0.98;
+const MIN_MEMORY_SHARE = 0.6;
+/** Factor on the assigned share at each refusal for lack of memory. */
+const MEMORY_REFUSAL_FACTOR = 0.95;
+/** Increase of the share with each completed answer. */
+const MEMORY_RECOVERY_STEP = 0.002;
+/** Predicted share of the KV cache from which a refusal is taken as lack of memory. */
+const MEMORY_PRESSURE_SHARE = 0.55;
 /**
  * An assignment past its expected end is expected to last for this share of its forecast longer.
  */
@@ -95,6 +109,7 @@
     failures: 0,
     ordered: undefined,
     slowness: 1,
+    usableMemoryShare: MAX_MEMORY_SHARE,
   };
 }
 
@@ -103,11 +118,47 @@
   return now + OVERDUE_EXTENSION_SHARE * (assignment.expectedEndAt - assignment.grantedAt);
 }
 
-/** Predicts the KV cache tokens that an assignment uses at a time before its end. */
-function predictTokensAt(assignment: SlotAssignment, at: number, endAt: number): number {
-  const span = Math.max(1, endAt - assignment.grantedAt);
-  const progress = Math.min(1, Math.max(0, (at - assignment.grantedAt) / span));
-  return assignment.ask.promptTokens + progress * assignment.ask.outputTokens;
+/**
+ * Predicts the KV cache tokens that an assignment uses at a time before its end. An answer past its
+ * expected end goes on growing at the same rate.
+ */
+function predictTokensAt(assignment: SlotAssignment, at: number): number {
+  const span = Math.max(1, assignment.expectedEndAt - assignment.grantedAt);
+  const progress = Math.max(0, (at - assignment.grantedAt) / span);
+  const growth = Math.min(MAX_ANSWER_GROWTH, progress);
+  return assignment.ask.promptTokens + growth * assignment.ask.outputTokens;
+}
+
+/** Predicts the KV cache tokens that the assignments of an engine use now. */
+function predictUsedTokens(load: EngineLoad, now: number): number {
+  let total = 0;
+  for (const assignment of load.runs.values()) total += predictTokensAt(assignment, now);
+  return total;
+}
+
+/**
+ * Records that a decode engine refused a request as full. Returns whether its memory explains it;
+ * then its other answers proceed and it takes requests again as soon as one of them ends.
+ */
+export function recordMemoryRefusal(load: EngineLoad, now: number): boolean {
+  if (load.engine.stage !== 'decode') return false;
+  const usedShare = predictUsedTokens(load, now) / Math.max(1, load.engine.kvCapacityTokens);
+  if (usedShare < MEMORY_PRESSURE_SHARE) return false;
+  const reduced = MEMORY_REFUSAL_FACTOR * load.usableMemoryShare;
+  load.usableMemoryShare = Math.max(MIN_MEMORY_SHARE, reduced);
+  return true;
+}
+
+/** Records a completed answer, after which an engine's memory is used a little more again. */
+export function recordMemoryReleased(load: EngineLoad): void {
+  const increased = load.usableMemoryShare + MEMORY_RECOVERY_STEP;
+  load.usableMemoryShare = Math.min(MAX_MEMORY_SHARE, increased);
+}
+
+/** Returns how many answers of the given mean size a decode engine can serve at a time. */
+export function countUsableSlots({ engine, usableMemoryShare }: EngineLoad, meanTokens: number): number {
+  const byMemory = (usableMemoryShare * engine.kvCapacityTokens) / Math.max(1, meanTokens);
+  return Math.max(1, Math.min(engine.slots, Math.floor(byMemory)));
 }
 
 /**
@@ -123,7 +174,7 @@
   for (const { endAt: at } of assignments) {
     let total = 0;
     for (const { run: assignment, endAt } of assignments) {
-      if (endAt >= at) total += predictTokensAt(assignment, at, endAt);
+      if (endAt >= at) total += predictTokensAt(assignment, at);
     }
     peak = Math.max(peak, total);
   }
@@ -145,7 +196,7 @@
 export function hasFreeSlot(load: EngineLoad, extra: SlotAssignment, now: number): boolean {
   if (load.runs.size >= load.engine.slots) return false;
   if (load.runs.size === 0) return true;
-  return predictPeakTokens(load, extra, now) <= USED_MEMORY_SHARE * load.engine.kvCapacityTokens;
+  return predictPeakTokens(load, extra, now) <= load.usableMemoryShare * load.engine.kvCapacityTokens;
 }
 
 /**
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -4,6 +4,7 @@
  */
 
 import {
+  countUsableSlots,
   isReadyForLocalPrefill,
   countTargetMisses,
   hasPrefillRoom,
@@ -14,10 +15,11 @@
   startPrefill,
   type EngineLoad,
 } from './engine-load.js';
+import { countOnTimeGrant, isNeglected, measureArrivalRate } from './rank-rates.js';
 import {
   countSlots,
+  estimateAnswerTokens,
   MIN_PREFILL_SAMPLES,
-  measureOnTimeArrivalRate,
   measurePrefillMsPerToken,
   measureServiceRate,
   predictFirstEventMs,
@@ -36,6 +38,12 @@
  */
 const MAX_ON_TIME_LOAD = 0.95;
 
+/** Load shares by which a nearer decode engine may be fuller and is still chosen. */
+const TRANSFER_DISTANCE_COST = 0.1;
+const CALLER_DISTANCE_COST = 0.05;
+/** Advantage of a prefill engine in the data centre of the caller's VM. */
+const NEAR_PREFILL_BONUS_MS = 5;
+
 /** Advantage of an engine whose prefill speed is not measured yet, so that it gets samples soon. */
 const UNMEASURED_BONUS_MS = 30;
 
@@ -61,6 +69,32 @@
   return slotRequest.isContinued || canMeetTarget(state, slotRequest, now);
 }
 
+/**
+ * Whether one of two requests that are served first gets its slot before the other: continued ones,
+ * then neglected ranks, then by rank, then by the latency target.
+ */
+export function isServedBefore(
+  state: PoolState,
+  one: SlotRequest,
+  other: SlotRequest,
+  now: number,
+): boolean {
+  return compareServiceOrder(state, one, other, now) <= 0;
+}
+
+function compareServiceOrder(
+  state: PoolState,
+  one: SlotRequest,
+  other: SlotRequest,
+  now: number,
+): number {
+  if (one.isContinued !== other.isContinued) return one.isContinued ? -1 : 1;
+  if (one.rank === other.rank) return one.aimAt - other.aimAt;
+  const isOneNeglected = isNeglected(state.ranks, one.rank, now);
+  if (isOneNeglected !== isNeglected(state.ranks, other.rank, now)) return isOneNeglected ? -1 : 1;
+  return one.rank - other.rank;
+}
+
 function makeAssignment(
   state: PoolState,
   slotRequest: SlotRequest,
@@ -81,19 +115,37 @@
   };
 }
 
+/**
+ * Computes the extra cost of a decode engine in another data centre than the prefill engine, to which
+ * the KV cache is transferred, or than the caller's VM.
+ */
+function computeDistanceCost(
+  { engine }: EngineLoad,
+  slotRequest: SlotRequest,
+  prefill: EngineLoad | undefined,
+): number {
+  const isTransferLong =
+    prefill !== undefined && prefill.engine.dataCentre !== engine.dataCentre;
+  const isCallerFar = slotRequest.dataCentre !== engine.dataCentre;
+  return (isTransferLong ? TRANSFER_DISTANCE_COST : 0) + (isCallerFar ? CALLER_DISTANCE_COST : 0);
+}
+
 /** Finds a slot on the decode engine with the lowest load; undefined if none is free. */
 function findDecodeSlot(
   state: PoolState,
   slotRequest: SlotRequest,
+  prefill: EngineLoad | undefined,
   now: number,
 ): SlotAssignment | undefined {
+  const meanTokens = estimateAnswerTokens(state);
   let best: SlotAssignment | undefined;
   let bestCost = Infinity;
   for (const load of state.engines.values()) {
     if (load.engine.stage !== 'decode' || !isUsable(load, slotRequest, now)) continue;
     const assignment = makeAssignment(state, slotRequest, load, now);
     if (!hasFreeSlot(load, assignment, now)) continue;
-    const cost = (load.runs.size / load.engine.slots) * load.slowness;
+    const usage = load.runs.size / countUsableSlots(load, meanTokens);
+    const cost = usage * load.slowness + computeDistanceCost(load, slotRequest, prefill);
     if (cost >= bestCost) continue;
     best = assignment;
     bestCost = cost;
@@ -119,7 +171,9 @@
       if (best === 'none') best = 'busy';
       continue;
     }
-    const bonusMs = load.prefillCount < MIN_PREFILL_SAMPLES ? UNMEASURED_BONUS_MS : 0;
+    const sampleBonusMs = load.prefillCount < MIN_PREFILL_SAMPLES ? UNMEASURED_BONUS_MS : 0;
+    const isNear = load.engine.dataCentre === slotRequest.dataCentre;
+    const bonusMs = sampleBonusMs + (isNear ? NEAR_PREFILL_BONUS_MS : 0);
     const endAt =
       predictPrefillEnd(load, slotRequest.promptTokens, poolPrefillMsPerToken, now) - bonusMs;
     if (endAt >= bestEndAt) continue;
@@ -176,7 +230,7 @@
   slotRequest: SlotRequest,
   now: number,
 ): SlotAssignment | undefined {
-  if (!slotRequest.needsPrefill) return findDecodeSlot(state, slotRequest, now);
+  if (!slotRequest.needsPrefill) return findDecodeSlot(state, slotRequest, undefined, now);
   const prefill = findPrefillEngine(state, slotRequest, now);
   if (prefill !== 'none') state.prefillUsableAt = now;
   if (typeof prefill !== 'object') {
@@ -189,7 +243,7 @@
     startLocalPrefill(state, assignment, now);
     return assignment;
   }
-  const assignment = findDecodeSlot(state, slotRequest, now);
+  const assignment = findDecodeSlot(state, slotRequest, prefill, now);
   if (assignment === undefined) return undefined;
   assignment.prefill = prefill.engine.upstreamId;
   startPrefill(prefill, assignment, measurePrefillMsPerToken(state), now);
@@ -206,16 +260,19 @@
   if (assignment === undefined) return undefined;
   state.runs.set(slotRequest.askId, assignment);
   state.engines.get(assignment.decode)?.runs.set(slotRequest.askId, assignment);
+  if (!assignment.isLate) countOnTimeGrant(state.ranks, slotRequest.rank, now);
   const prefill = assignment.prefill === assignment.decode ? undefined : assignment.prefill;
   return { kind: 'grant', ask: slotRequest, prefill, decode: assignment.decode };
 }
 
-/** Counts the free slots of decode engines that accept new work. */
+/** Counts the free slots of decode engines that accept new work, as far as their memory allows. */
 export function countFreeSlots(state: PoolState, now: number): number {
+  const meanTokens = estimateAnswerTokens(state);
   let free = 0;
   for (const load of state.engines.values()) {
     const isOpen = load.engine.stage === 'decode' && !load.engine.isLeaving;
-    if (isOpen && load.avoidUntil <= now) free += Math.max(0, load.engine.slots - load.runs.size);
+    if (!isOpen || load.avoidUntil > now) continue;
+    free += Math.max(0, countUsableSlots(load, meanTokens) - load.runs.size);
   }
   return free;
 }
@@ -224,7 +281,9 @@
 function hasSpareSlots(state: PoolState, now: number): boolean {
   const reserved = Math.ceil(RESERVED_SLOT_SHARE * countSlots(state));
   if (countFreeSlots(state, now) <= reserved) return false;
-  return measureOnTimeArrivalRate(state, now) <= MAX_ON_TIME_LOAD * measureServiceRate(state, now);
+  return (
+    measureArrivalRate(state.ranks, now) <= MAX_ON_TIME_LOAD * measureServiceRate(state, now)
+  );
 }
 
 function listWaiting(
@@ -250,7 +309,7 @@
   };
   const isFirst = (slotRequest: SlotRequest): boolean => isServedFirst(state, slotRequest, now);
   const servedFirst = listWaiting(state, isFirst);
-  servedFirst.sort((a, b) => a.ask.aimAt - b.ask.aimAt);
+  servedFirst.sort((a, b) => compareServiceOrder(state, a.ask, b.ask, now));
   let isBlocked = false;
   for (const waiting of servedFirst) {
     // Continues after a failed grant: a later request may be smaller, or not exclude the free
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -14,12 +14,14 @@
   endPrefill,
   forgetPrefillSpeed,
   makeEngineLoad,
+  recordMemoryRefusal,
+  recordMemoryReleased,
   startLocalPrefillCooldown,
 } from './engine-load.js';
 import { canMeetTarget, grantWaiting } from './placing.js';
+import { countOnTimeArrival } from './rank-rates.js';
 import {
   applyEarlierAttempt,
-  countOnTimeArrival,
   forgetRefused,
   measurePrefillMsPerToken,
   recordOccupancy,
@@ -39,6 +41,8 @@
 
 /** How long an engine that refused a request as full is avoided, so that its queue can empty. */
 const FULL_AVOID_MS = 250;
+/** The same if the memory of its answers explains the refusal; some of them end meanwhile. */
+const MEMORY_AVOID_MS = 100;
 /**
  * How long an engine is avoided after a failed request; short, because one failure does not show
  * that it is down. An engine that is down fails repeatedly.
@@ -107,7 +111,9 @@
 function handleRequested(state: PoolState, slotRequest: SlotRequest, now: number): PoolAction[] {
   if (!hasDecodeEngine(state)) return [buildRefusal(state, slotRequest, 'no-engine', now)];
   applyEarlierAttempt(state, slotRequest, now);
-  if (canMeetTarget(state, slotRequest, now)) countOnTimeArrival(state, now);
+  if (canMeetTarget(state, slotRequest, now)) {
+    countOnTimeArrival(state.ranks, slotRequest.rank, now);
+  }
   recordRequestSize(state, slotRequest);
   const waiting = { ask: slotRequest, askedAt: now };
   state.waiting.set(slotRequest.askId, waiting);
@@ -149,6 +155,7 @@
   const load = state.engines.get(assignment.decode);
   if (load === undefined) return;
   load.failures = 0;
+  recordMemoryReleased(load);
   recordOccupancy(state, assignment, load, now);
 }
 
@@ -176,6 +183,10 @@
 ): void {
   const load = state.engines.get(upstreamId);
   if (load === undefined) return;
+  if (failure === 'full' && recordMemoryRefusal(load, now)) {
+    load.avoidUntil = Math.max(load.avoidUntil, now + MEMORY_AVOID_MS);
+    return;
+  }
   load.avoidUntil = Math.max(load.avoidUntil, now + computeAvoidMs(failure, load.failures));
   if (failure === 'full' || failure === 'broken') load.failures += 1;
 }
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -1,12 +1,14 @@
 /** State of one pool, and the estimates that its decisions are based on. */
 
 import {
+  countUsableSlots,
   isChanging,
   estimateEnginePrefillMsPerToken,
   measureLocalPrefillCycleMs,
   type EngineLoad,
   type EngineLoads,
 } from './engine-load.js';
+import { makeRankRates, type RankRates } from './rank-rates.js';
 import type { PlannedEngine, RequestNeeds } from '../stages/stage-plan.js';
 import type { SlotRequestId, SlotRequest, SlotAssignment } from './pool-types.js';
 
@@ -40,11 +42,8 @@
   outputTokens: number;
   /** When a prefill engine was last usable, even if busy. */
   prefillUsableAt: number;
-  /**
-   * Arrivals per second that could still meet their latency target, as of `freshRateAt`; decays.
-   */
-  freshRate: number;
-  freshRateAt: number;
+  /** Arrivals that could still meet their latency target, by rank. */
+  readonly ranks: RankRates;
   /** Returns a random number in [0, 1), so that refused callers do not retry all at once. */
   readonly takeFraction: () => number;
 };
@@ -60,7 +59,6 @@
 const INITIAL_PROMPT_TOKENS = 5_000;
 /** Weight of one sample in a moving average. */
 const ESTIMATE_WEIGHT = 0.05;
-const RATE_WINDOW_MS = 2_000;
 const MS_PER_S = 1_000;
 /** An engine that is avoided for no longer than this still counts as capacity. */
 const SHORT_AVOID_MS = 400;
@@ -83,8 +81,7 @@
     promptTokens: INITIAL_PROMPT_TOKENS,
     outputTokens: 0,
     prefillUsableAt: 0,
-    freshRate: 0,
-    freshRateAt: 0,
+    ranks: makeRankRates(),
     takeFraction,
   };
 }
@@ -169,23 +166,20 @@
   return state.prefillBusyMs / Math.max(1, state.prefillTokens);
 }
 
-/** Returns the recent arrivals per second that could still meet their latency target. */
-export function measureOnTimeArrivalRate(state: PoolState, now: number): number {
-  return state.freshRate * Math.exp(-(now - state.freshRateAt) / RATE_WINDOW_MS);
-}
-
-/** Counts an arrival that can still meet its latency target. */
-export function countOnTimeArrival(state: PoolState, now: number): void {
-  state.freshRate = measureOnTimeArrivalRate(state, now) + MS_PER_S / RATE_WINDOW_MS;
-  state.freshRateAt = now;
-}
-
 /** Updates the mean prompt and answer sizes with a slot request. */
 export function recordRequestSize(state: PoolState, slotRequest: SlotRequest): void {
   state.promptTokens += ESTIMATE_WEIGHT * (slotRequest.promptTokens - state.promptTokens);
   state.outputTokens += ESTIMATE_WEIGHT * (slotRequest.outputTokens - state.outputTokens);
 }
 
+/**
+ * Estimates the KV cache tokens of an answer at a random moment: on average half of it has been
+ * generated.
+ */
+export function estimateAnswerTokens(state: PoolState): number {
+  return Math.max(1, state.promptTokens + state.outputTokens / 2);
+}
+
 /** Estimates what one request needs of the pool's engines. */
 export function estimateRequestNeeds(state: PoolState): RequestNeeds {
   let slots = 1;
@@ -194,9 +188,7 @@
     slots = Math.max(slots, engine.slots);
     capacity = Math.min(capacity, engine.kvCapacityTokens);
   }
-  // Concurrent answers are at different points: on average half of an answer has been generated.
-  const usedTokens = state.promptTokens + state.outputTokens / 2;
-  const slotsPerEngine = Math.max(1, Math.min(slots, capacity / Math.max(1, usedTokens)));
+  const slotsPerEngine = Math.max(1, Math.min(slots, capacity / estimateAnswerTokens(state)));
   const prefillMs = Math.max(1, state.promptTokens * measurePrefillMsPerToken(state));
   return { prefillMs, occupancyMs: state.occupancyMs, slotsPerEngine };
 }
@@ -267,11 +259,13 @@
   return endAt > slotRequest.endsBy;
 }
 
-/** Counts the slots of the pool's decode engines, free or not. */
+/** Counts the slots of the pool's decode engines that their memory allows for, free or not. */
 export function countSlots(state: PoolState): number {
+  const meanTokens = estimateAnswerTokens(state);
   let slots = 0;
-  for (const { engine } of state.engines.values()) {
-    if (engine.stage === 'decode' && !engine.isLeaving) slots += engine.slots;
+  for (const load of state.engines.values()) {
+    const { stage, isLeaving } = load.engine;
+    if (stage === 'decode' && !isLeaving) slots += countUsableSlots(load, meanTokens);
   }
   return slots;
 }
--- a/packages/core/src/pools/pool-test-kit.ts
+++ b/packages/core/src/pools/pool-test-kit.ts
@@ -1,6 +1,6 @@
 /** Builders and a simulation for the tests of pools. */
 
-import type { UpstreamId, VmId } from '@tarragonspool/protocol';
+import type { DataCentre, UpstreamId, VmId } from '@tarragonspool/protocol';
 import {
   handlePoolEvent,
   makePoolState,
@@ -14,6 +14,8 @@
 
 /** VM that sends the slot requests. */
 export const VM = 'vm-1' as VmId;
+/** Data centre of that VM and of the engines. */
+export const DATA_CENTRE = 'dc-1' as DataCentre;
 /** Latency target for the first event, in milliseconds after arrival. */
 export const TARGET_MS = 900;
 const CALLER_TIMEOUT_MS = 3_200;
@@ -22,6 +24,7 @@
 export function buildEngine(name: string, changes: Partial<PoolEngine> = {}): PoolEngine {
   return {
     upstreamId: name as UpstreamId,
+    dataCentre: DATA_CENTRE,
     stage: 'decode',
     incarnation: 1,
     isLeaving: false,
@@ -46,6 +49,8 @@
   return {
     askId: `ask-${slotRequestCount}` as SlotRequestId,
     vmId: VM,
+    dataCentre: DATA_CENTRE,
+    rank: 0,
     promptTokens: 5_000,
     outputTokens: 6_000,
     aimAt: now + TARGET_MS,
@@ -75,12 +80,13 @@
 
 /**
  * Simulates arrivals at a pool whose engines prefill every granted prompt in the same time and
- * complete every answer at the same speed.
+ * complete every answer at the same speed; `onAction` receives each grant and refusal.
  */
 export function runArrivals(
   state: PoolState,
   arrivals: readonly SlotRequest[],
   untilMs: number,
+  onAction: (action: PoolAction) => void = () => undefined,
 ): Simulation {
   const result: Simulation = { granted: 0, missedTarget: 0, refused: 0, refusedAfterMs: [] };
   const due: { at: number; event: PoolEvent }[] = [];
@@ -92,6 +98,7 @@
 
   function handleAction(action: PoolAction, now: number): void {
     const { askId: slotRequestId, aimAt } = action.ask;
+    onAction(action);
     if (action.kind === 'refuse') {
       result.refused += 1;
       result.refusedAfterMs.push(now - (askedAt.get(slotRequestId) ?? now));
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -4,7 +4,7 @@
  * are in milliseconds on the steady clock of the owner.
  */
 
-import type { EngineFailure, UpstreamId, VmId } from '@tarragonspool/protocol';
+import type { DataCentre, EngineFailure, UpstreamId, VmId } from '@tarragonspool/protocol';
 import type { EngineStage } from '../routing/routing-types.js';
 
 /** Identifies a slot request; unique across all VMs. Messages and logs call it `askId`. */
@@ -13,6 +13,7 @@
 /** An engine as listed for the pool. */
 export type PoolEngine = {
   readonly upstreamId: UpstreamId;
+  readonly dataCentre: DataCentre;
   readonly stage: EngineStage;
   /** Increases when the engine's process restarts under the same id. */
   readonly incarnation: number;
@@ -27,6 +28,10 @@
   readonly askId: SlotRequestId;
   /** VM that sent the slot request and serves its caller. */
   readonly vmId: VmId;
+  /** Data centre of that VM. */
+  readonly dataCentre: DataCentre;
+  /** Rank of the request's route; 0 goes first. */
+  readonly rank: number;
   readonly promptTokens: number;
   /** Expected length of the answer; 0 or less if unknown. */
   readonly outputTokens: number;
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -5,7 +5,7 @@
  */
 
 import { z } from 'zod';
-import type { ServiceName, UpstreamId } from './ids.js';
+import type { DataCentre, ServiceName, UpstreamId } from './ids.js';
 
 const id = z.string().max(256);
 const milliseconds = z.number().finite();
@@ -17,6 +17,8 @@
   service: id,
   askId: id,
   contentKey: id,
+  dataCentre: id.default(''),
+  rank: count.default(0),
   promptTokens: z.number().nonnegative(),
   outputTokens: z.number().nonnegative(),
   aimInMs: milliseconds,
@@ -114,6 +116,10 @@
       readonly askId: string;
       /** Same for all attempts of a caller at one request. */
       readonly contentKey: string;
+      /** Data centre of the requesting VM. */
+      readonly dataCentre: DataCentre;
+      /** Rank of the request's route; 0 goes first. */
+      readonly rank: number;
       readonly promptTokens: number;
       readonly outputTokens: number;
       /** Time left to meet the latency target of the first event of the answer stream. */
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -70,9 +70,10 @@
     const engines = pools.get(record.service);
     const limits = state.configuration?.services.get(record.service)?.engine;
     if (engines === undefined || limits === undefined || record.stage === undefined) continue;
-    const { upstreamId, stage, incarnation, isLeaving, slots } = record;
+    const { upstreamId, dataCentre, stage, incarnation, isLeaving, slots } = record;
     const { kvCapacityTokens } = limits;
-    engines.push({ upstreamId, stage, incarnation, isLeaving, slots, kvCapacityTokens });
+    const identity = { upstreamId, dataCentre, incarnation };
+    engines.push({ ...identity, stage, isLeaving, slots, kvCapacityTokens });
   }
   return pools;
 }
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -49,6 +49,8 @@
   return {
     askId: `${state.processStartId}/${state.slotRequestCount}` as SlotRequestId,
     vmId: state.settings.vmId,
+    dataCentre: state.settings.dataCentre,
+    rank: request.route.priority,
     contentKey: digestPrompt(request),
     promptTokens: fields.promptTokens ?? 0,
     outputTokens: expectedOutputTokens ?? DEFAULT_OUTPUT_SHARE * maxOutputTokens,
--- a/packages/router/src/pools/place-asker.test.ts
+++ b/packages/router/src/pools/place-asker.test.ts
@@ -1,5 +1,5 @@
 import type { SlotRequestId, SlotRequest } from '@tarragonspool/core';
-import type { PoolMessage, ServiceName, UpstreamId, VmId } from '@tarragonspool/protocol';
+import type { DataCentre, PoolMessage, ServiceName, UpstreamId, VmId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import { pino } from 'pino';
 import { makeOwnerSelector } from './owners.js';
@@ -14,6 +14,8 @@
   return {
     askId: askId as SlotRequestId,
     vmId: SELF,
+    dataCentre: 'dc' as DataCentre,
+    rank: 0,
     contentKey: askId,
     promptTokens: 10,
     outputTokens: 10,
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -115,7 +115,7 @@
     request.owner = owner;
     request.sentAt = now;
     request.isAcknowledged = owner === parts.self;
-    const { askId, contentKey, promptTokens, outputTokens } = slotRequest;
+    const { askId, contentKey, dataCentre, rank, promptTokens, outputTokens } = slotRequest;
     const { needsPrefill, isContinued, excluded } = slotRequest;
     const interruptAt = request.hasRun ? Infinity : stopAt;
     send(owner, {
@@ -123,6 +123,8 @@
       service,
       askId,
       contentKey,
+      dataCentre,
+      rank,
       promptTokens,
       outputTokens,
       needsPrefill,
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -15,7 +15,13 @@
   type PoolEvent,
   type PoolState,
 } from '@tarragonspool/core';
-import type { PoolMessage, SlotAssignmentItem, ServiceName, VmId } from '@tarragonspool/protocol';
+import type {
+  DataCentre,
+  PoolMessage,
+  SlotAssignmentItem,
+  ServiceName,
+  VmId,
+} from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 
 /** Messages that the owner of a pool handles. */
@@ -62,6 +68,8 @@
     askId: message.askId as SlotRequestId,
     vmId: from,
     contentKey: message.contentKey,
+    dataCentre: message.dataCentre,
+    rank: message.rank,
     promptTokens: message.promptTokens,
     outputTokens: message.outputTokens,
     aimAt: now + message.aimInMs,
@@ -79,6 +87,8 @@
     askId: item.askId as SlotRequestId,
     vmId: from,
     contentKey: item.askId,
+    dataCentre: '' as DataCentre,
+    rank: 0,
     promptTokens: item.promptTokens,
     outputTokens: item.outputTokens,
     aimAt: now,
@@ -117,12 +127,14 @@
     const { askId, vmId } = slotRequest;
     if (action.kind === 'refuse') {
       const { reason, retryAfterMs, freePlaces, waiting, freshRate, serviceRate } = action;
+      const { rank } = slotRequest;
       const slackMs = slotRequest.aimAt - now;
       logger.info(
         {
           service,
           askId,
           vmId,
+          rank,
           reason,
           retryAfterMs,
           slackMs,
