--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -32,3 +32,4 @@
 export * from './pools/index.js';
 export * from './routing/index.js';
 export * from './stages/index.js';
+export * from './links/index.js';
--- /dev/null
+++ b/packages/core/src/links/index.ts
@@ -0,0 +1,1 @@
+export * from './link-plan.js';
--- /dev/null
+++ b/packages/core/src/links/link-plan.ts
@@ -0,0 +1,60 @@
+/**
+ * Plans the links between entry VMs and who reads the store. All VMs rank the listed VMs alike. The
+ * first of the ranking that are not known to be down are the hubs: every VM keeps links to them, they
+ * alone own pools, and the first hubs read the store for all.
+ */
+
+import type { VmId } from '@tarragonspool/protocol';
+import { hasher } from '../hashing/hasher.js';
+
+/** An entry VM with its processor capacity, in cores. */
+export type RankedVm = { readonly vmId: VmId; readonly capacity: number };
+
+/** Where a VM gets the rows of the store from. */
+export type FeedSource = 'store' | 'peers';
+
+/** VMs that every other VM keeps a link to. */
+export const HUB_COUNT = 4;
+/** Hubs that read the store themselves; the others take over when these fail. */
+export const READER_COUNT = 2;
+/** A peer whose knowledge of the store is older than this is not relied on, in milliseconds. */
+export const MAX_STORE_AGE_MS = 1_500;
+
+/** Orders VMs by capacity, equal ones by the hash of their id with a name. */
+export function rankVms(vms: Iterable<RankedVm>, name: string): VmId[] {
+  const hashed = [...vms].map((vm) => ({ ...vm, hash: hasher.h32(`${name}/${vm.vmId}`) }));
+  hashed.sort((a, b) => b.capacity - a.capacity || b.hash - a.hash || (a.vmId < b.vmId ? -1 : 1));
+  return hashed.map(({ vmId }) => vmId);
+}
+
+/** Lists the hubs: the first VMs of a ranking that are not down. */
+export function listHubs(ranking: readonly VmId[], isDown: (vmId: VmId) => boolean): VmId[] {
+  const hubs: VmId[] = [];
+  for (const vmId of ranking) {
+    if (hubs.length >= HUB_COUNT) break;
+    if (!isDown(vmId)) hubs.push(vmId);
+  }
+  return hubs;
+}
+
+/** What a VM knows when it chooses its feed source. */
+export type FeedView = {
+  readonly self: VmId;
+  readonly hubs: readonly VmId[];
+  /** Whether a peer is alive and reads the store itself at the moment. */
+  readonly isReading: (vmId: VmId) => boolean;
+  /** Least age of the knowledge of a live peer, in milliseconds; Infinity without one. */
+  readonly peerStoreAgeMs: number;
+};
+
+/**
+ * Chooses the feed source. A hub reads the store unless enough hubs before it do; any VM reads it
+ * while no peer has recent knowledge.
+ */
+export function chooseFeedSource({ self, hubs, isReading, peerStoreAgeMs }: FeedView): FeedSource {
+  if (peerStoreAgeMs > MAX_STORE_AGE_MS) return 'store';
+  const ownIndex = hubs.indexOf(self);
+  if (ownIndex < 0) return 'peers';
+  const readers = hubs.slice(0, ownIndex).filter(isReading);
+  return readers.length >= READER_COUNT ? 'peers' : 'store';
+}
--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -84,8 +84,7 @@
   if (canMeetTarget(state, slotRequest, now)) {
     const ahead = countWaiting(
       state,
-      (other) =>
-        isServedFirst(state, other, now) && isServedBefore(state, other, slotRequest, now),
+      (other) => isServedFirst(state, other, now) && isServedBefore(state, other, slotRequest, now),
     );
     if (ahead === 0) return 0;
     // Arrivals of higher ranks during the wait are served before this request as well.
--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -156,7 +156,10 @@
 }
 
 /** Returns how many answers of the given mean size a decode engine can serve at a time. */
-export function countUsableSlots({ engine, usableMemoryShare }: EngineLoad, meanTokens: number): number {
+export function countUsableSlots(
+  { engine, usableMemoryShare }: EngineLoad,
+  meanTokens: number,
+): number {
   const byMemory = (usableMemoryShare * engine.kvCapacityTokens) / Math.max(1, meanTokens);
   return Math.max(1, Math.min(engine.slots, Math.floor(byMemory)));
 }
@@ -196,7 +199,9 @@
 export function hasFreeSlot(load: EngineLoad, extra: SlotAssignment, now: number): boolean {
   if (load.runs.size >= load.engine.slots) return false;
   if (load.runs.size === 0) return true;
-  return predictPeakTokens(load, extra, now) <= load.usableMemoryShare * load.engine.kvCapacityTokens;
+  return (
+    predictPeakTokens(load, extra, now) <= load.usableMemoryShare * load.engine.kvCapacityTokens
+  );
 }
 
 /**
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -124,8 +124,7 @@
   slotRequest: SlotRequest,
   prefill: EngineLoad | undefined,
 ): number {
-  const isTransferLong =
-    prefill !== undefined && prefill.engine.dataCentre !== engine.dataCentre;
+  const isTransferLong = prefill !== undefined && prefill.engine.dataCentre !== engine.dataCentre;
   const isCallerFar = slotRequest.dataCentre !== engine.dataCentre;
   return (isTransferLong ? TRANSFER_DISTANCE_COST : 0) + (isCallerFar ? CALLER_DISTANCE_COST : 0);
 }
@@ -281,9 +280,7 @@
 function hasSpareSlots(state: PoolState, now: number): boolean {
   const reserved = Math.ceil(RESERVED_SLOT_SHARE * countSlots(state));
   if (countFreeSlots(state, now) <= reserved) return false;
-  return (
-    measureArrivalRate(state.ranks, now) <= MAX_ON_TIME_LOAD * measureServiceRate(state, now)
-  );
+  return measureArrivalRate(state.ranks, now) <= MAX_ON_TIME_LOAD * measureServiceRate(state, now);
 }
 
 function listWaiting(
--- a/packages/core/src/stages/stages.test.ts
+++ b/packages/core/src/stages/stages.test.ts
@@ -1,4 +1,9 @@
-import type { UpstreamId, VmId } from '@tarragonspool/protocol';
+import {
+  makeStorePosition,
+  type StorePosition,
+  type UpstreamId,
+  type VmId,
+} from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import {
   applyAcquired,
@@ -122,17 +127,22 @@
   expect(findStageChange(engines, DEMAND)).to.include({ upstreamId: 'd2', stage: 'prefill' });
 });
 
+/** A position before any restore. */
+function at(version: number): StorePosition {
+  return makeStorePosition(0, version);
+}
+
 it('lease: a VM that reads a row that has never been written acquires it', () => {
   const lease = makeOrderLease();
   expect(chooseLeaseStep(lease, SELF, LEASE_MS, false, 0).kind).to.equal('read');
-  applyLeaseRow(lease, { version: 0, holder: undefined, ageMs: 0 }, 0);
+  applyLeaseRow(lease, { position: at(0), holder: undefined, ageMs: 0 }, 0);
   const step = chooseLeaseStep(lease, SELF, LEASE_MS, true, 0);
-  expect(step).to.deep.equal({ kind: 'acquire', expectedVersion: 0 });
+  expect(step).to.deep.equal({ kind: 'acquire', expected: at(0) });
 });
 
 it('lease: the holder may give orders for half of its lease, counted from the send time', () => {
   const lease = makeOrderLease();
-  applyAcquired(lease, SELF, 7, LEASE_MS, 100);
+  applyAcquired(lease, SELF, at(7), LEASE_MS, { sentAt: 100, readEra: 0, now: 110 });
   expect(chooseLeaseStep(lease, SELF, LEASE_MS, false, 1_599)).to.deep.equal({
     kind: 'order',
     fence: 7,
@@ -142,21 +152,21 @@
 
 it('lease: another VM waits until the last holder has certainly stopped', () => {
   const lease = makeOrderLease();
-  applyLeaseRow(lease, { version: 7, holder: OTHER, ageMs: 0 }, 0);
+  applyLeaseRow(lease, { position: at(7), holder: OTHER, ageMs: 0 }, 0);
   expect(chooseLeaseStep(lease, SELF, LEASE_MS, true, LEASE_MS).kind).to.equal('wait');
-  applyLeaseRow(lease, { version: 7, holder: OTHER, ageMs: 0 }, 5_001);
+  applyLeaseRow(lease, { position: at(7), holder: OTHER, ageMs: 0 }, 5_001);
   expect(chooseLeaseStep(lease, SELF, LEASE_MS, true, 5_001).kind).to.equal('acquire');
 });
 
 it('lease: a renewal by the holder starts the wait again', () => {
   const lease = makeOrderLease();
-  applyLeaseRow(lease, { version: 7, holder: OTHER, ageMs: 0 }, 0);
-  applyLeaseRow(lease, { version: 9, holder: OTHER, ageMs: 0 }, 4_000);
+  applyLeaseRow(lease, { position: at(7), holder: OTHER, ageMs: 0 }, 0);
+  applyLeaseRow(lease, { position: at(9), holder: OTHER, ageMs: 0 }, 4_000);
   expect(chooseLeaseStep(lease, SELF, LEASE_MS, true, 5_001).kind).to.equal('wait');
 });
 
 it('lease: a VM that reads a row that the store shows to be old takes it over without a wait', () => {
   const lease = makeOrderLease();
-  applyLeaseRow(lease, { version: 7, holder: OTHER, ageMs: 20_000 }, 0);
+  applyLeaseRow(lease, { position: at(7), holder: OTHER, ageMs: 20_000 }, 0);
   expect(chooseLeaseStep(lease, SELF, LEASE_MS, true, 0).kind).to.equal('acquire');
 });
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -9,3 +9,4 @@
 export * from './platform-messages.js';
 export * from './result-codes.js';
 export * from './rule-messages.js';
+export * from './store-position.js';
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -137,6 +137,7 @@
   z.object({ kind: z.literal('request-verdict'), requestKey: id, isFirst: z.boolean() }),
   z.object({
     kind: z.literal('suspects'),
+    isRelayed: z.boolean().optional(),
     items: z.array(
       z.object({ fingerprint: id, crashes: count, lastUpstream: id, expiresAt: milliseconds }),
     ),
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -168,7 +168,12 @@
     }
   | { readonly kind: 'end'; readonly shardId: ShardId; readonly items: readonly AttemptEnd[] }
   | { readonly kind: 'held'; readonly shardId: ShardId; readonly items: readonly HeldReservation[] }
-  | { readonly kind: 'suspects'; readonly items: readonly SuspectRecord[] }
+  | {
+      readonly kind: 'suspects';
+      readonly items: readonly SuspectRecord[];
+      /** Whether a hub passed the records on; they are not passed on again. */
+      readonly isRelayed?: boolean | undefined;
+    }
   /** Asks the VM that tracks a request key whether this submission is the only one. */
   | { readonly kind: 'request-started'; readonly requestKey: string }
   | { readonly kind: 'request-ended'; readonly requestKey: string }
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -6,6 +6,7 @@
 
 import { z } from 'zod';
 import type { DataCentre, ServiceName, UpstreamId } from './ids.js';
+import type { StorePosition } from './store-position.js';
 
 const id = z.string().max(256);
 const milliseconds = z.number().finite();
@@ -76,7 +77,14 @@
     stage: z.enum(['prefill', 'decode']),
     doneInMs: milliseconds,
   }),
-  z.object({ kind: z.literal('alive'), isStoreAway: z.boolean() }),
+  z.object({
+    kind: z.literal('alive'),
+    isStoreAway: z.boolean(),
+    isReading: z.boolean().default(true),
+    isLeaving: z.boolean().default(false),
+    storeAgeMs: milliseconds.optional(),
+    positions: z.array(z.object({ table: id, position: count })).default([]),
+  }),
   z.object({ kind: z.literal('rows-wanted'), table: id, afterVersion: count }),
   z.object({
     kind: z.literal('rows-copy'),
@@ -180,22 +188,39 @@
       readonly stage: 'prefill' | 'decode';
       readonly doneInMs: number;
     }
-  /** Reports that the sender is alive, and whether it cannot reach the platform's table. */
-  | { readonly kind: 'alive'; readonly isStoreAway: boolean };
+  | AliveMessage;
+
+/** Reports that the sender is alive and what it knows of the platform's store. */
+export type AliveMessage = {
+  readonly kind: 'alive';
+  /** Whether the sender knows less of the store than it should. */
+  readonly isStoreAway: boolean;
+  /** Whether the sender reads the store itself. */
+  readonly isReading: boolean;
+  /** Whether the sender shuts down and should own nothing. */
+  readonly isLeaving: boolean;
+  /** Age of what the sender knows of the store, over all VMs that passed it on. */
+  readonly storeAgeMs?: number | undefined;
+  /** How far the sender knows each table. */
+  readonly positions: readonly TablePosition[];
+};
+
+/** Position up to which a VM knows a table. */
+export type TablePosition = { readonly table: string; readonly position: StorePosition };
 
 /** Messages by which VMs copy rows of the platform's table from each other. */
 export type RowsMessage =
-  /** Requests rows newer than a version. */
-  | { readonly kind: 'rows-wanted'; readonly table: string; readonly afterVersion: number }
+  /** Requests rows newer than a position. */
+  | { readonly kind: 'rows-wanted'; readonly table: string; readonly afterVersion: StorePosition }
   | {
       readonly kind: 'rows-copy';
       readonly table: string;
-      readonly version: number;
+      readonly version: StorePosition;
       /** Whether `rows` is the whole table, so that keys not listed do not exist. */
       readonly isFull: boolean;
       readonly rows: readonly {
         readonly key: string;
-        readonly version: number;
+        readonly version: StorePosition;
         /** Absent if the row was removed. */
         readonly value?: Uint8Array | undefined;
       }[];
--- a/packages/router/src/feeds/row-cache.ts
+++ b/packages/router/src/feeds/row-cache.ts
@@ -1,24 +1,27 @@
 /** The rows of one table as this VM knows them, with removals, so that peers can be told of them. */
 
+import { getEra, STORE_START, type StorePosition } from '@tarragonspool/protocol';
 import type { RowChange } from '../gateway/ports.js';
 
 /** Rows for a peer whose own reading is older. */
 export type RowCopy = {
-  /** The copy reflects the store up to this version. */
-  readonly version: number;
+  /** The copy reflects the store up to this position. */
+  readonly position: StorePosition;
   /** Whether keys that are not in the copy do not exist. */
   readonly isFull: boolean;
   readonly rows: readonly RowChange[];
 };
 
-/** A cache of one table. Newer versions of a row always win, wherever they come from. */
+/** A cache of one table. Newer positions of a row always win, wherever they come from. */
 export type RowCache = {
   /** Takes a full reading; returns what changed, removals included. */
-  readonly replaceRows: (rows: readonly RowChange[], version: number) => RowChange[];
+  readonly replaceRows: (rows: readonly RowChange[], position: StorePosition) => RowChange[];
   /** Takes changes; returns those that are news. */
-  readonly applyRows: (rows: readonly RowChange[], version: number) => RowChange[];
-  readonly copySince: (version: number) => RowCopy;
-  readonly getVersion: () => number;
+  readonly applyRows: (rows: readonly RowChange[], position: StorePosition) => RowChange[];
+  readonly copySince: (position: StorePosition) => RowCopy;
+  readonly getPosition: () => StorePosition;
+  /** Whether the table has been read as a whole. */
+  readonly isComplete: () => boolean;
   readonly listRows: () => RowChange[];
 };
 
@@ -28,12 +31,12 @@
 /** Makes an empty cache. */
 export function makeRowCache(): RowCache {
   const rows = new Map<string, RowChange>();
-  const removed = new Map<string, number>();
-  let version = 0;
+  const removed = new Map<string, StorePosition>();
+  let position = STORE_START;
   let completeSince = Infinity;
 
-  function findVersion(key: string): number {
-    return rows.get(key)?.version ?? removed.get(key) ?? 0;
+  function findPosition(key: string): StorePosition {
+    return rows.get(key)?.position ?? removed.get(key) ?? STORE_START;
   }
 
   function forgetOldRemovals(): void {
@@ -45,10 +48,10 @@
   }
 
   function takeRow(row: RowChange): boolean {
-    if (row.version <= findVersion(row.key)) return false;
+    if (row.position <= findPosition(row.key)) return false;
     if (row.value === undefined) {
       rows.delete(row.key);
-      removed.set(row.key, row.version);
+      removed.set(row.key, row.position);
     } else {
       rows.set(row.key, row);
       removed.delete(row.key);
@@ -56,9 +59,11 @@
     return true;
   }
 
-  function applyRows(changes: readonly RowChange[], next: number): RowChange[] {
+  function applyRows(changes: readonly RowChange[], next: StorePosition): RowChange[] {
+    // An answer from before a restore of the store arrives too late to count.
+    if (getEra(next) < getEra(position)) return [];
     const news = changes.filter(takeRow);
-    version = Math.max(version, next);
+    if (next > position) position = next;
     forgetOldRemovals();
     return news;
   }
@@ -66,29 +71,32 @@
   return {
     applyRows,
     replaceRows: (full, next) => {
+      const isRestored = getEra(next) > getEra(position);
+      if (getEra(next) < getEra(position)) return [];
       const listed = new Set(full.map(({ key }) => key));
       const missing: RowChange[] = [];
       for (const [key, row] of rows) {
-        const isGone = !listed.has(key) && row.version <= next;
-        if (isGone) missing.push({ key, version: next, value: undefined });
+        const isGone = !listed.has(key) && row.position <= next;
+        if (isGone) missing.push({ key, position: next, value: undefined });
       }
       // A row as old as the reading itself is gone as well: the reading would show it.
       for (const { key } of missing) rows.delete(key);
       for (const { key } of missing) removed.set(key, next);
       const news = applyRows(full, next);
-      completeSince = Math.min(completeSince, next);
+      completeSince = isRestored ? next : Math.min(completeSince, next);
       return [...missing, ...news];
     },
     copySince: (since) => {
       const isFull = since < completeSince;
-      const changed = [...rows.values()].filter((row) => isFull || row.version > since);
-      if (isFull) return { version, isFull, rows: changed };
+      const changed = [...rows.values()].filter((row) => isFull || row.position > since);
+      if (isFull) return { position, isFull, rows: changed };
       for (const [key, at] of removed) {
-        if (at > since) changed.push({ key, version: at, value: undefined });
+        if (at > since) changed.push({ key, position: at, value: undefined });
       }
-      return { version, isFull, rows: changed };
+      return { position, isFull, rows: changed };
     },
-    getVersion: () => version,
+    getPosition: () => position,
+    isComplete: () => completeSince !== Infinity,
     listRows: () => [...rows.values()],
   };
 }
--- a/packages/router/src/feeds/row-relay.ts
+++ b/packages/router/src/feeds/row-relay.ts
@@ -1,65 +1,82 @@
 /**
- * Asks a peer for the rows that the store does not give this VM. The store may turn some VMs away
- * while it serves others; what those know is as good as the store's own answer.
+ * Passes rows of the store between VMs: each VM tells how far it knows each table, and a VM that does
+ * not read the store itself, or cannot, asks for what it lacks.
  */
 
-import type { PeerMessage, RowsMessage, VmId } from '@tarragonspool/protocol';
+import type { PeerMessage, RowsMessage, TablePosition, VmId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
+import { getSteadyMs } from '../time/steady-clock.js';
 import type { TableFeed } from './table-feed.js';
 
 /** The relay of one VM. */
 export type RowRelay = {
-  /** Asks for what is missing, if the store is away for this VM. */
-  readonly askPeers: () => void;
+  /** Lists how far this VM knows each table. */
+  readonly listPositions: () => TablePosition[];
+  /** Asks a peer for the tables that it knows further than this VM. */
+  readonly askPeer: (from: VmId, positions: readonly TablePosition[]) => void;
   readonly handleMessage: (from: VmId, message: RowsMessage) => void;
 };
 
 /** What the relay works with. */
 export type RowRelayParts = {
   readonly feeds: readonly TableFeed[];
-  /** A live peer that the store answers; undefined if there is none. */
-  readonly choosePeer: () => VmId | undefined;
   readonly sendTo: (vmId: VmId, message: PeerMessage) => void;
   readonly logger: Logger;
 };
 
+/** A peer that has not answered within this time is not waited for. */
+const ANSWER_TIMEOUT_MS = 400;
+
 /** Makes the relay. */
 export function makeRowRelay(parts: RowRelayParts): RowRelay {
   const { feeds, sendTo, logger } = parts;
   const byTable = new Map(feeds.map((feed) => [feed.table, feed]));
+  const askedUntil = new Map<string, number>();
+
+  function answer(to: VmId, message: Extract<RowsMessage, { kind: 'rows-wanted' }>): void {
+    const { table, afterVersion } = message;
+    const feed = byTable.get(table);
+    if (feed === undefined || !feed.cache.isComplete()) return;
+    const { position, isFull, rows } = feed.cache.copySince(afterVersion);
+    const items = rows.map(({ key, position: version, value }) => ({ key, version, value }));
+    sendTo(to, { kind: 'rows-copy', table, version: position, isFull, rows: items });
+  }
 
-  function answer(to: VmId, table: string, afterVersion: number): void {
+  function takeCopy(from: VmId, message: Extract<RowsMessage, { kind: 'rows-copy' }>): void {
+    const { table, version: position, isFull } = message;
     const feed = byTable.get(table);
-    if (feed === undefined || feed.isAway()) return;
-    const { version, isFull, rows } = feed.cache.copySince(afterVersion);
-    sendTo(to, { kind: 'rows-copy', table, version, isFull, rows });
+    if (feed === undefined) return;
+    askedUntil.delete(table);
+    // Changes are complete only for a VM that has read the table before.
+    if (!isFull && !feed.cache.isComplete()) return;
+    const rows = message.rows.map(({ key, version, value }) => ({
+      key,
+      position: version,
+      value: value && Buffer.from(value),
+    }));
+    logger.debug({ table, from, position, rows: rows.length }, 'feeds: rows of a peer');
+    feed.applyCopy({ position, isFull, rows });
   }
 
   return {
-    askPeers: () => {
-      const away = feeds.filter((feed) => feed.isAway());
-      if (away.length === 0) return;
-      const peer = parts.choosePeer();
-      if (peer === undefined) return;
-      for (const { table, cache } of away) {
-        sendTo(peer, { kind: 'rows-wanted', table, afterVersion: cache.getVersion() });
+    listPositions: () => {
+      const known = feeds.filter(({ cache }) => cache.isComplete());
+      return known.map(({ table, cache }) => ({ table, position: cache.getPosition() }));
+    },
+    askPeer: (from, positions) => {
+      const now = getSteadyMs();
+      for (const { table, position } of positions) {
+        const feed = byTable.get(table);
+        const needsPeers = feed !== undefined && (feed.getSource() === 'peers' || feed.isAway());
+        if (!needsPeers || position <= feed.cache.getPosition()) continue;
+        if ((askedUntil.get(table) ?? 0) > now) continue;
+        askedUntil.set(table, now + ANSWER_TIMEOUT_MS);
+        sendTo(from, { kind: 'rows-wanted', table, afterVersion: feed.cache.getPosition() });
       }
     },
     handleMessage: (from, message) => {
-      const { table } = message;
-      if (message.kind === 'rows-wanted') {
-        answer(from, table, message.afterVersion);
-        return;
-      }
-      const feed = byTable.get(table);
-      if (feed === undefined || !feed.isAway()) return;
-      const rows = message.rows.map(({ key, version, value }) => ({
-        key,
-        version,
-        value: value && Buffer.from(value),
-      }));
-      if (rows.length > 0) logger.info({ table, from, rows: rows.length }, 'feeds: rows of a peer');
-      feed.applyCopy({ version: message.version, isFull: message.isFull, rows });
+      if (message.kind === 'rows-wanted') answer(from, message);
+      else takeCopy(from, message);
     },
   };
 }
--- a/packages/router/src/feeds/table-feed.ts
+++ b/packages/router/src/feeds/table-feed.ts
@@ -1,8 +1,13 @@
-/** Follows a table of the store: a full reading, then changes; notices when the store is away. */
+/**
+ * Follows a table of the store: a full reading, then changes; notices when the store is away or was
+ * restored from an older copy. While peers pass the rows on, the store is not called.
+ */
 
+import type { FeedSource } from '@tarragonspool/core';
+import { getEra, type StorePosition } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import type { RowChange, RowStore, StoreOutcome } from '../gateway/ports.js';
-import { awaitPromise, type Task } from '../tasks/tasks.js';
+import { awaitPromise, makeChannel, offer, receive, type Task } from '../tasks/tasks.js';
 import { waitMs } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeRowCache, type RowCache, type RowCopy } from './row-cache.js';
@@ -13,6 +18,10 @@
   readonly onRows: (rows: readonly RowChange[]) => void;
   readonly onAway: () => void;
   readonly onBack: () => void;
+  /** The era of the first reading. */
+  readonly onFirstEra: (era: number) => void;
+  /** The store was restored from an older copy; its rows of the new era come next. */
+  readonly onRestored: (era: number) => void;
 };
 
 /** How a table is followed. */
@@ -22,6 +31,8 @@
   readonly holdMs: number;
   /** Pause between calls, so that changes come in batches. */
   readonly pauseMs: number;
+  /** Longest wait after a failed call; longer on VMs that many others stand in for. */
+  readonly getMaxBackoffMs: () => number;
   readonly takeFraction: () => number;
 };
 
@@ -30,19 +41,22 @@
   readonly table: string;
   readonly run: () => Task;
   readonly isAway: () => boolean;
+  /** Whether this VM reads the table itself and the store answers. */
+  readonly isReading: () => boolean;
+  readonly setSource: (source: FeedSource) => void;
+  readonly getSource: () => FeedSource;
   readonly cache: RowCache;
-  /** Takes what a peer knows, for the time that the store does not answer this VM. */
+  /** Takes what a peer knows. */
   readonly applyCopy: (copy: RowCopy) => void;
 };
 
 const READ_TIMEOUT_MS = 1_500;
 const ANSWER_SLACK_MS = 900;
 const MIN_BACKOFF_MS = 150;
-const MAX_BACKOFF_MS = 600;
 /** Single calls fail now and then; peers are told of an outage that lasts. */
 const AWAY_AFTER_MS = 500;
 
-type Reading = { readonly rows: readonly RowChange[]; readonly version: number };
+type Reading = { readonly rows: readonly RowChange[]; readonly position: StorePosition };
 
 function* readTable(store: RowStore, table: string): Task<StoreOutcome<Reading>> {
   const rows: RowChange[] = [];
@@ -55,7 +69,7 @@
     rows.push(...value.rows);
     const last = value.rows.at(-1);
     if (!value.hasMore || last === undefined) {
-      return { kind: 'ok', value: { rows, version: value.version } };
+      return { kind: 'ok', value: { rows, position: value.position } };
     }
     from = `${last.key}\0`;
   }
@@ -70,10 +84,12 @@
 ): TableFeed {
   const { table, holdMs, pauseMs, takeFraction } = options;
   const cache = makeRowCache();
+  const wakeups = makeChannel<true>(1);
+  let source: FeedSource = 'store';
   let awaySince = Infinity;
   let failures = 0;
-  /** Version up to which the store's own answers were read. */
-  let cursor: number | undefined;
+  /** Position up to which the store's own answers were read. */
+  let cursor: StorePosition | undefined;
 
   function tell(rows: readonly RowChange[]): void {
     if (rows.length > 0) handler.onRows(rows);
@@ -83,10 +99,21 @@
     failures = 0;
     if (awaySince === Infinity) return;
     awaySince = Infinity;
-    logger.info({ table }, 'feeds: store is back');
+    logger.info({ table, source }, 'feeds: store is back');
     handler.onBack();
   }
 
+  function noteEra(position: StorePosition): void {
+    const era = getEra(position);
+    if (!cache.isComplete()) {
+      handler.onFirstEra(era);
+      return;
+    }
+    if (era <= getEra(cache.getPosition())) return;
+    logger.warn({ table, era, source }, 'feeds: store was restored from an older copy');
+    handler.onRestored(era);
+  }
+
   function* noteFailure(outcome: StoreOutcome<unknown>): Task {
     failures += 1;
     if (awaySince === Infinity) {
@@ -94,7 +121,7 @@
       logger.warn({ table, outcome }, 'feeds: store is away');
       handler.onAway();
     }
-    const backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** (failures - 1));
+    const backoffMs = Math.min(options.getMaxBackoffMs(), MIN_BACKOFF_MS * 2 ** (failures - 1));
     yield* waitMs(backoffMs * (0.5 + takeFraction()));
   }
 
@@ -105,18 +132,21 @@
       return;
     }
     noteAnswer();
-    const { rows, version } = outcome.value;
-    cursor = version;
+    const { rows, position } = outcome.value;
+    // A late answer from before a restore; the store of today is read next.
+    if (getEra(position) < getEra(cache.getPosition())) return;
+    noteEra(position);
+    cursor = position;
     // The first reading is news even if the table is empty.
-    handler.onRows(cache.replaceRows(rows, version));
+    handler.onRows(cache.replaceRows(rows, position));
     yield* waitMs(pauseMs);
   }
 
-  function* readOn(afterVersion: number): Task {
-    const call = { table, afterVersion, waitMs: holdMs, timeoutMs: holdMs + ANSWER_SLACK_MS };
+  function* readOn(after: StorePosition): Task {
+    const call = { table, after, waitMs: holdMs, timeoutMs: holdMs + ANSWER_SLACK_MS };
     const outcome = yield* awaitPromise(store.readChanges(call));
     if (outcome.kind === 'history-lost') {
-      logger.info({ table, afterVersion }, 'feeds: history lost, reading again');
+      logger.info({ table, after }, 'feeds: history lost, reading again');
       cursor = undefined;
       return;
     }
@@ -125,23 +155,51 @@
       return;
     }
     noteAnswer();
-    const { rows, version } = outcome.value;
-    cursor = Math.max(afterVersion, version);
-    tell(cache.applyRows(rows, version));
+    const { rows, position } = outcome.value;
+    // Versions of another era do not continue those of the cursor.
+    if (getEra(position) !== getEra(after)) {
+      cursor = undefined;
+      return;
+    }
+    if (position > after) cursor = position;
+    tell(cache.applyRows(rows, position));
     yield* waitMs(pauseMs);
   }
 
+  function isFed(): boolean {
+    return source === 'peers' && cache.isComplete();
+  }
+
   return {
     table,
     cache,
-    isAway: () => getSteadyMs() - awaySince > AWAY_AFTER_MS,
-    applyCopy: ({ rows, version, isFull }) => {
-      tell(isFull ? cache.replaceRows(rows, version) : cache.applyRows(rows, version));
+    isAway: () => !isFed() && getSteadyMs() - awaySince > AWAY_AFTER_MS,
+    isReading: () => !isFed() && awaySince === Infinity && cache.isComplete(),
+    getSource: () => source,
+    setSource: (next) => {
+      if (next === source) return;
+      source = next;
+      logger.info({ table, source }, 'feeds: source of rows chosen');
+      if (next === 'peers') noteAnswer();
+      else offer(wakeups, true);
+    },
+    applyCopy: ({ rows, position, isFull }) => {
+      noteEra(position);
+      tell(isFull ? cache.replaceRows(rows, position) : cache.applyRows(rows, position));
     },
     run: function* run() {
       for (;;) {
-        if (cursor === undefined) yield* readAll();
-        else yield* readOn(cursor);
+        if (isFed()) {
+          yield* receive(wakeups);
+          // Peers have told of everything up to the position of the cache.
+          cursor = cache.getPosition();
+          continue;
+        }
+        if (cursor === undefined || getEra(cursor) !== getEra(cache.getPosition())) {
+          yield* readAll();
+        } else {
+          yield* readOn(cursor);
+        }
       }
     },
   };
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -44,6 +44,16 @@
       help: 'Tables that cannot be followed at the moment.',
       registers,
     }),
+    storeEra: new Gauge({
+      name: `${PREFIX}store_era`,
+      help: 'Restores of the store from a copy, as the store counts them; 0 before the first seen.',
+      registers,
+    }),
+    rowsWrittenAgain: new Counter({
+      name: `${PREFIX}rows_written_again_total`,
+      help: 'Rows of this VM that the store had lost and that it wrote again.',
+      registers,
+    }),
     peers: new Gauge({ name: `${PREFIX}peers`, help: 'Open links to peers.', registers }),
   };
 }
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -15,6 +15,7 @@
 } from '@tarragonspool/core';
 import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
+import type { FleetView } from '../peers/fleet-view.js';
 import type { PoolTask } from '../pools/pool-task.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeUpstreamClient, type UpstreamClient } from '../upstreams/upstream-client.js';
@@ -32,6 +33,8 @@
   readonly client: UpstreamClient;
   readonly pools: PoolTask;
   readonly contentGuard: ContentGuard;
+  /** What this VM knows of the others. */
+  readonly fleet: FleetView;
   readonly takeFraction: () => number;
   /**
    * Identifies this start of the process, so that ids of slot requests stay unique across restarts.
@@ -48,6 +51,8 @@
   readonly retryWindows: Map<ServiceName, RetryWindow>;
   /** Number of VMs that the store lists; undefined before the list is read. */
   listedVmCount: number | undefined;
+  /** Era of the store and when this VM first saw it. */
+  storeEra: { readonly era: number; readonly seenAt: number };
   openRequests: number;
   slotRequestCount: number;
 };
@@ -61,6 +66,7 @@
   | 'metrics'
   | 'pools'
   | 'contentGuard'
+  | 'fleet'
   | 'takeFraction'
   | 'processStartId'
 >;
@@ -79,6 +85,7 @@
     loads: new Map(),
     retryWindows: new Map(),
     listedVmCount: undefined,
+    storeEra: { era: 0, seenAt: 0 },
     openRequests: 0,
     slotRequestCount: 0,
   };
@@ -96,6 +103,13 @@
   return true;
 }
 
+/** Records the era of an answer of the store; an older one than is known is ignored. */
+export function recordStoreEra(state: GatewayState, era: number, now: number): void {
+  if (era <= state.storeEra.era) return;
+  state.storeEra = { era, seenAt: now };
+  state.metrics.storeEra.set(era);
+}
+
 /** Finds the retry window of a service, or adds an empty one. */
 export function findRetryWindow(state: GatewayState, service: ServiceName): RetryWindow {
   const known = state.retryWindows.get(service);
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
 import { destination, pino } from 'pino';
 import type { PoolMessage, VmId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
+import { makeFleetView } from '../peers/fleet-view.js';
 import { makePoolTask } from '../pools/pool-task.js';
 import { runStages } from '../stages/stage-task.js';
 import { offer, startTask } from '../tasks/tasks.js';
@@ -71,6 +72,7 @@
     metrics,
     pools,
     contentGuard,
+    fleet: makeFleetView(settings.vmId),
     takeFraction,
     processStartId,
   };
--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -1,13 +1,21 @@
 /** Registers this VM in the store, follows the list of VMs and starts the links to them. */
 
-import type { VmId } from '@tarragonspool/protocol';
 import { makeRowRelay } from '../feeds/row-relay.js';
 import { makeTableFeed, type TableFeed } from '../feeds/table-feed.js';
+import type { FleetView } from '../peers/fleet-view.js';
 import type { PeerMesh } from '../peers/peer-mesh.js';
 import { offer, type Task } from '../tasks/tasks.js';
+import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayState } from './gateway-state.js';
 import { startPeerLinks } from './peer-links.js';
-import { decodeMembers, MEMBERS_TABLE, runRegistration, type MemberRow } from './registry.js';
+import {
+  decodeMembers,
+  findSecret,
+  MEMBERS_TABLE,
+  runRegistration,
+  type MemberRow,
+  type Registration,
+} from './registry.js';
 
 /** Starts a task that runs as long as the process. */
 export type StartTask = (name: string, body: () => Task) => void;
@@ -15,35 +23,78 @@
 /** Holds the links to peers; undefined before this VM is registered. */
 export type PeerMeshHolder = { mesh: PeerMesh | undefined };
 
-type MemberList = { entryVms: readonly MemberRow[] };
-
 const MEMBERS_LONG_POLL_MS = 5_000;
 const MEMBERS_PAUSE_MS = 500;
-const STORE_CHECK_INTERVAL_MS = 100;
+const MAX_BACKOFF_MS = 600;
+/** VMs that probe a store which is away as often as a hub does; more VMs each probe less. */
+const PROBING_VMS = 8;
+
+/** Returns the longest wait of this VM between calls to a store that is away, in milliseconds. */
+export function computeMaxBackoffMs(fleet: FleetView, now: number): number {
+  if (fleet.isHub(now)) return MAX_BACKOFF_MS;
+  return MAX_BACKOFF_MS * Math.max(1, fleet.countMembers() / PROBING_VMS);
+}
 
-function makeMemberFeed(state: GatewayState, members: MemberList): TableFeed {
+/** What the list of VMs changes besides the fleet view. */
+type MemberHandler = {
+  /** Secrets that prove membership; the first signs. */
+  readonly secrets: string[];
+  /** This VM's row or the secret was lost in a restore of the store. */
+  readonly onRowLost: () => void;
+};
+
+function makeMemberFeed(state: GatewayState, self: MemberRow, handler: MemberHandler): TableFeed {
+  const { fleet, takeFraction, pools } = state;
   const options = {
     table: MEMBERS_TABLE,
     holdMs: MEMBERS_LONG_POLL_MS,
     pauseMs: MEMBERS_PAUSE_MS,
-    takeFraction: state.takeFraction,
+    getMaxBackoffMs: () => computeMaxBackoffMs(fleet, getSteadyMs()),
+    takeFraction,
   };
   const feedHolder: { feed: TableFeed | undefined } = { feed: undefined };
-  const handler = {
-    onRows: () => {
-      members.entryVms = decodeMembers(feedHolder.feed?.cache.listRows() ?? []);
-      state.listedVmCount = members.entryVms.length;
-    },
+
+  function updateMembers(): void {
+    const rows = feedHolder.feed?.cache.listRows() ?? [];
+    const members = decodeMembers(rows);
+    state.listedVmCount = members.length;
+    fleet.setMembers(members);
+    offer(pools.inbox, { kind: 'members', members });
+    const secret = findSecret(rows);
+    if (secret !== undefined && secret !== handler.secrets[0]) handler.secrets.unshift(secret);
+    const isListed = members.some(({ vmId }) => vmId === self.vmId);
+    if (!isListed || secret === undefined) handler.onRowLost();
+  }
+
+  const feedHandler = {
+    onRows: updateMembers,
     onAway: () => undefined,
     onBack: () => undefined,
+    onFirstEra: () => undefined,
+    onRestored: () => undefined,
   };
-  feedHolder.feed = makeTableFeed(state.ports.store, options, handler, state.logger);
+  feedHolder.feed = makeTableFeed(state.ports.store, options, feedHandler, state.logger);
   return feedHolder.feed;
 }
 
-function chooseInformedPeer(state: GatewayState): VmId | undefined {
-  const peers = state.pools.listInformedPeers();
-  return peers[Math.floor(state.takeFraction() * peers.length)];
+/** Registers this VM again after the store has lost its row; one attempt at a time. */
+function makeReregistration(
+  state: GatewayState,
+  self: MemberRow,
+  getSecret: () => string | undefined,
+  start: StartTask,
+): () => void {
+  const { store } = state.ports;
+  let isRunning = false;
+  return () => {
+    if (isRunning) return;
+    isRunning = true;
+    start('registration', function* run() {
+      yield* runRegistration(store, self, state.takeFraction, state.logger, getSecret());
+      state.metrics.rowsWrittenAgain.inc();
+      isRunning = false;
+    });
+  };
 }
 
 /** Starts the task that registers this VM, links it to its peers and follows the list of VMs. */
@@ -53,36 +104,30 @@
   meshHolder: PeerMeshHolder,
   start: StartTask,
 ): void {
-  const { settings, logger, metrics, pools, contentGuard } = state;
+  const { settings, logger } = state;
   const { host, port } = settings.peerListen;
-  const self = { vmId: settings.vmId, peerAddress: `${host}:${port}` };
-  const members: MemberList = { entryVms: [] };
+  const { vmId, capacity } = settings;
+  const self = { vmId, peerAddress: `${host}:${port}`, capacity };
+  const secrets: string[] = [];
+  const onRowLost = makeReregistration(state, self, () => secrets[0], start);
+  const memberFeed = makeMemberFeed(state, self, { secrets, onRowLost });
+  const allFeeds = [...feeds, memberFeed];
   const relay = makeRowRelay({
-    feeds,
-    choosePeer: () => chooseInformedPeer(state),
-    sendTo: (vmId, message) => meshHolder.mesh?.sendTo(vmId, message),
+    feeds: allFeeds,
+    sendTo: (to, message) => meshHolder.mesh?.sendTo(to, message),
     logger,
   });
-  const isStoreAway = (): boolean => feeds.some((feed) => feed.isAway());
-  setInterval(
-    () => offer(pools.inbox, { kind: 'store', isAway: isStoreAway() }),
-    STORE_CHECK_INTERVAL_MS,
-  );
   start('membership', function* run() {
     const { store } = state.ports;
-    const registration = yield* runRegistration(store, self, state.takeFraction, logger);
-    const parts = {
-      settings,
-      registration,
-      members,
-      pools,
-      relay,
-      contentGuard,
-      isStoreAway,
-      metrics,
+    const registration: Registration = yield* runRegistration(
+      store,
+      self,
+      state.takeFraction,
       logger,
-    };
-    meshHolder.mesh = startPeerLinks(parts);
-    yield* makeMemberFeed(state, members).run();
+    );
+    secrets.push(registration.secret);
+    const { incarnation } = registration;
+    meshHolder.mesh = startPeerLinks({ state, incarnation, secrets, relay, feeds: allFeeds });
+    yield* memberFeed.run();
   });
 }
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -1,6 +1,7 @@
-/** Links this gateway to its peers and dispatches their messages. */
+/** Links this gateway to its peers, dispatches their messages and tells them what it knows. */
 
 import type {
+  AliveMessage,
   Incarnation,
   PeerMessage,
   PoolMessage,
@@ -8,29 +9,30 @@
   VmId,
 } from '@tarragonspool/protocol';
 import type { RowRelay } from '../feeds/row-relay.js';
-import type { Logger } from '../logging/logger.js';
+import type { TableFeed } from '../feeds/table-feed.js';
+import { isStoreAgeRecent } from '../peers/fleet-view.js';
 import { startPeerMesh, type PeerMesh } from '../peers/peer-mesh.js';
-import type { PoolTask } from '../pools/pool-task.js';
 import { offer } from '../tasks/tasks.js';
-import type { ContentGuard } from './content-guard.js';
-import type { GatewayMetrics } from './gateway-metrics.js';
-import type { GatewaySettings } from './ports.js';
-import type { MemberRow, Registration } from './registry.js';
+import { getSteadyMs } from '../time/steady-clock.js';
+import type { GatewayState } from './gateway-state.js';
 
 /** Dependencies of the links. */
 export type PeerLinksParts = {
-  readonly settings: GatewaySettings;
-  readonly registration: Registration;
-  readonly members: { entryVms: readonly MemberRow[] };
-  readonly pools: PoolTask;
+  readonly state: GatewayState;
+  readonly incarnation: Incarnation;
+  /** Secrets that prove membership; the first signs. The list may grow. */
+  readonly secrets: readonly string[];
   readonly relay: RowRelay;
-  readonly contentGuard: ContentGuard;
-  readonly isStoreAway: () => boolean;
-  readonly metrics: GatewayMetrics;
-  readonly logger: Logger;
+  readonly feeds: readonly TableFeed[];
 };
 
 const ALIVE_INTERVAL_MS = 200;
+/** A VM that is no hub is heard often enough to keep its links. */
+const INTERVALS_BETWEEN_ALIVE = 3;
+/** Spread, for each VM, of the time at which VMs that lost their source begin to read the store. */
+const SPREAD_MS_PER_VM = 15;
+/** Age that stands for no knowledge of the store. */
+const UNKNOWN_AGE_MS = 3_600_000;
 const POOL_MESSAGE_KINDS: ReadonlySet<string> = new Set<PoolMessage['kind']>([
   'alive',
   'pool-ask',
@@ -53,42 +55,114 @@
   return message.kind === 'rows-wanted' || message.kind === 'rows-copy';
 }
 
-/** Starts the links to peers and the regular `alive` broadcast. */
+/** Measures how old this VM's knowledge of the store is, over all VMs that passed it on. */
+function measureOwnStoreAgeMs({ state, feeds }: PeerLinksParts, now: number): number {
+  return feeds.every((feed) => feed.isReading()) ? 0 : state.fleet.measureStoreAgeMs(now);
+}
+
+function buildAliveMessage(parts: PeerLinksParts, now: number): AliveMessage {
+  const { state, feeds, relay } = parts;
+  const storeAgeMs = Math.min(UNKNOWN_AGE_MS, measureOwnStoreAgeMs(parts, now));
+  return {
+    kind: 'alive',
+    isStoreAway: !isStoreAgeRecent(storeAgeMs),
+    isReading: feeds.every((feed) => feed.isReading()),
+    isLeaving: state.isLeaving,
+    storeAgeMs,
+    positions: relay.listPositions(),
+  };
+}
+
+/**
+ * Makes the choice of the source of the feeds. A VM that is no hub and lost its source begins to
+ * read the store after a random delay, so that a large fleet does not read all at once.
+ */
+function makeSourceChoice({ state, feeds }: PeerLinksParts): (now: number) => void {
+  const { fleet, takeFraction } = state;
+  let readsFrom: number | undefined;
+
+  function isDelayed(now: number): boolean {
+    if (fleet.isHub(now)) return false;
+    readsFrom ??= now + takeFraction() * SPREAD_MS_PER_VM * fleet.countMembers();
+    return now < readsFrom;
+  }
+
+  return (now) => {
+    const source = fleet.chooseSource(now);
+    if (source === 'store' && isDelayed(now)) return;
+    if (source === 'peers') readsFrom = undefined;
+    for (const feed of feeds) feed.setSource(source);
+  };
+}
+
+/** Makes the regular step: choose the source of rows, tell peers what this VM knows. */
+function makeAliveStep(parts: PeerLinksParts, mesh: PeerMesh): () => void {
+  const { state } = parts;
+  const chooseSource = makeSourceChoice(parts);
+  let step = 0;
+  return () => {
+    const now = getSteadyMs();
+    chooseSource(now);
+    const message = buildAliveMessage(parts, now);
+    offer(state.pools.inbox, { kind: 'store', isAway: message.isStoreAway });
+    step += 1;
+    if (state.fleet.isHub(now) || step % INTERVALS_BETWEEN_ALIVE === 0) mesh.broadcast(message);
+  };
+}
+
+/** Passes records of a VM on to all others; only hubs are linked to all. */
+function relaySuspects(
+  mesh: PeerMesh,
+  from: VmId,
+  message: Extract<PeerMessage, { kind: 'suspects' }>,
+): void {
+  for (const [vmId, link] of mesh.links) {
+    if (vmId !== from) link.send({ ...message, isRelayed: true });
+  }
+}
+
+/** Starts the links to peers and the regular messages on them. */
 export function startPeerLinks(parts: PeerLinksParts): PeerMesh {
-  const { settings, registration, pools, logger, metrics } = parts;
+  const { state, relay, incarnation, secrets } = parts;
+  const { settings, pools, fleet, logger, metrics, contentGuard } = state;
+  const { vmId: self, dataCentre } = settings;
   const incarnations = new Map<VmId, Incarnation>();
   const mesh = startPeerMesh({
-    self: {
-      vmId: settings.vmId,
-      incarnation: registration.incarnation,
-      dataCentre: settings.dataCentre,
-    },
+    self: { vmId: self, incarnation, dataCentre },
     listen: settings.peerListen,
-    secrets: [registration.secret],
-    directory: parts.members,
+    secrets,
+    directory: { entryVms: [] },
+    listTargets: (now) => fleet.listTargets(now),
+    onDialFailed: (vmId) => fleet.recordUnreachable(vmId, getSteadyMs()),
     metrics,
     logger,
     onOpen: ({ peer }) => {
-      const { vmId, incarnation } = peer;
+      const { vmId } = peer;
       const known = incarnations.get(vmId);
-      incarnations.set(vmId, incarnation);
-      if (known !== undefined && known < incarnation) {
+      incarnations.set(vmId, peer.incarnation);
+      fleet.recordLinkOpened(vmId, getSteadyMs());
+      if (known !== undefined && known < peer.incarnation) {
         offer(pools.inbox, { kind: 'vm-restarted', vmId });
       }
       offer(pools.inbox, { kind: 'link-opened', vmId });
     },
     onMessage: ({ vmId }, message) => {
+      if (message.kind === 'alive') {
+        fleet.recordAlive(vmId, message, getSteadyMs());
+        relay.askPeer(vmId, message.positions);
+      }
       if (isPoolMessage(message)) offer(pools.inbox, { kind: 'peer', from: vmId, message });
-      else if (isRowsMessage(message)) parts.relay.handleMessage(vmId, message);
-      else if (message.kind === 'suspects') parts.contentGuard.mergeRecords(message.items);
+      else if (isRowsMessage(message)) relay.handleMessage(vmId, message);
+      else if (message.kind === 'suspects') {
+        contentGuard.mergeRecords(message.items);
+        if (message.isRelayed !== true) relaySuspects(mesh, vmId, message);
+      }
     },
     onGone: (vmId) => {
+      fleet.recordUnreachable(vmId, getSteadyMs());
       offer(pools.inbox, { kind: 'link-closed', vmId });
     },
   });
-  setInterval(() => {
-    mesh.broadcast({ kind: 'alive', isStoreAway: parts.isStoreAway() });
-    parts.relay.askPeers();
-  }, ALIVE_INTERVAL_MS);
+  setInterval(makeAliveStep(parts, mesh), ALIVE_INTERVAL_MS);
   return mesh;
 }
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -5,7 +5,7 @@
 
 import type { IncomingHttpHeaders } from 'node:http';
 import type { EngineStage, RoutingConfiguration, UpstreamRecord } from '@tarragonspool/core';
-import type { DataCentre, UpstreamId, VmId } from '@tarragonspool/protocol';
+import type { DataCentre, StorePosition, UpstreamId, VmId } from '@tarragonspool/protocol';
 
 /** A TCP address. */
 export type ListenAddress = { readonly host: string; readonly port: number };
@@ -21,6 +21,8 @@
   readonly peerListen: ListenAddress;
   readonly metricsListen: ListenAddress;
   readonly storeAddress: ListenAddress;
+  /** Processor capacity of this VM, in cores. */
+  readonly capacity: number;
   /** Time from the stop signal until the platform kills the process, in milliseconds. */
   readonly stopWithinMs: number;
   /** Time within which a change in the store must take effect, in milliseconds. */
@@ -36,22 +38,22 @@
 /** One row that changed; its value is undefined if it was removed. */
 export type RowChange = {
   readonly key: string;
-  readonly version: number;
+  readonly position: StorePosition;
   readonly value: Buffer | undefined;
 };
 
-/** Rows as of one version of the store. */
+/** Rows as of one position of the store. */
 export type RowPage = {
   readonly rows: readonly RowChange[];
-  readonly version: number;
+  readonly position: StorePosition;
   readonly hasMore: boolean;
   /** The store's own steady clock, in milliseconds. */
   readonly storeNowMs: number;
 };
 
-/** A conditional write; an expected version of 0 means that the row does not exist. */
+/** A conditional write; expecting `STORE_START` means that the row does not exist. */
 export type RowWrite = {
-  readonly expected: readonly { readonly key: string; readonly version: number }[];
+  readonly expected: readonly { readonly key: string; readonly position: StorePosition }[];
   readonly put: readonly { readonly key: string; readonly value: Buffer }[];
   readonly remove: readonly string[];
 };
@@ -76,7 +78,7 @@
   }) => Promise<StoreOutcome<RowPage>>;
   readonly readChanges: (call: {
     readonly table: string;
-    readonly afterVersion: number;
+    readonly after: StorePosition;
     readonly waitMs: number;
     readonly timeoutMs: number;
   }) => Promise<StoreOutcome<RowPage>>;
@@ -84,7 +86,7 @@
     readonly table: string;
     readonly write: RowWrite;
     readonly timeoutMs: number;
-  }) => Promise<StoreOutcome<number>>;
+  }) => Promise<StoreOutcome<StorePosition>>;
 };
 
 /** Fields that a caller sends with its request. */
--- a/packages/router/src/gateway/registry.ts
+++ b/packages/router/src/gateway/registry.ts
@@ -4,7 +4,7 @@
  */
 
 import { randomBytes } from 'node:crypto';
-import type { Incarnation, VmId } from '@tarragonspool/protocol';
+import { STORE_START, type Incarnation, type VmId } from '@tarragonspool/protocol';
 import { z } from 'zod';
 import type { Logger } from '../logging/logger.js';
 import { awaitPromise, type Task } from '../tasks/tasks.js';
@@ -19,31 +19,47 @@
 const CALL_TIMEOUT_MS = 1_500;
 const RETRY_WAIT_MS = 300;
 
-/** A VM as its row in the store describes it. */
-export type MemberRow = { readonly vmId: VmId; readonly peerAddress: string };
+/** A VM as its row in the store describes it; `capacity` is its processor capacity, in cores. */
+export type MemberRow = {
+  readonly vmId: VmId;
+  readonly peerAddress: string;
+  readonly capacity: number;
+};
 
 /** Result of a registration. */
 export type Registration = {
-  /** Version of this VM's row; it increases with every start of the process. */
+  /** Position of this VM's row; it increases with every start of the process. */
   readonly incarnation: Incarnation;
   readonly secret: string;
 };
 
-const memberSchema = z.object({ peerAddress: z.string().min(1) });
+const memberSchema = z.object({
+  peerAddress: z.string().min(1),
+  capacity: z.number().nonnegative().default(0),
+});
+
+function parseJson(value: Buffer): unknown {
+  try {
+    return JSON.parse(value.toString('utf8')) as unknown;
+  } catch {
+    return undefined;
+  }
+}
 
 /** Decodes the rows of VMs; skips other and invalid rows. */
 export function decodeMembers(rows: readonly RowChange[]): MemberRow[] {
   const members: MemberRow[] = [];
   for (const { key, value } of rows) {
     if (!key.startsWith(VM_KEY_PREFIX) || value === undefined) continue;
-    const parsed = memberSchema.safeParse(JSON.parse(value.toString('utf8')));
+    const parsed = memberSchema.safeParse(parseJson(value));
     if (!parsed.success) continue;
     members.push({ vmId: key.slice(VM_KEY_PREFIX.length) as VmId, ...parsed.data });
   }
   return members;
 }
 
-function findSecret(rows: readonly RowChange[]): string | undefined {
+/** Finds the secret of the links among the rows of VMs. */
+export function findSecret(rows: readonly RowChange[]): string | undefined {
   for (const { key, value } of rows) {
     if (key === LINK_SECRET_KEY && value !== undefined) return value.toString('utf8');
   }
@@ -51,45 +67,45 @@
 }
 
 function buildRegistrationWrite(
-  vmId: VmId,
-  peerAddress: string,
+  { vmId, ...row }: MemberRow,
   newSecret: string | undefined,
 ): RowWrite {
-  const own = {
-    key: `${VM_KEY_PREFIX}${vmId}`,
-    value: Buffer.from(JSON.stringify({ peerAddress })),
-  };
+  const own = { key: `${VM_KEY_PREFIX}${vmId}`, value: Buffer.from(JSON.stringify(row)) };
   if (newSecret === undefined) return { expected: [], put: [own], remove: [] };
   return {
-    expected: [{ key: LINK_SECRET_KEY, version: 0 }],
+    expected: [{ key: LINK_SECRET_KEY, position: STORE_START }],
     put: [own, { key: LINK_SECRET_KEY, value: Buffer.from(newSecret) }],
     remove: [],
   };
 }
 
-/** Registers this VM; retries until the store accepts the write. */
+/**
+ * Registers this VM; retries until the store accepts the write. `knownSecret` is stored where the
+ * store has lost the secret.
+ */
 export function* runRegistration(
   store: RowStore,
   self: MemberRow,
   takeFraction: () => number,
   logger: Logger,
+  knownSecret?: string,
 ): Task<Registration> {
   const table = MEMBERS_TABLE;
   for (;;) {
     const readOutcome = yield* awaitPromise(store.readRows({ table, timeoutMs: CALL_TIMEOUT_MS }));
     if (readOutcome.kind === 'ok') {
       const storedSecret = findSecret(readOutcome.value.rows);
-      const secret = storedSecret ?? randomBytes(SECRET_BYTES).toString('hex');
+      const secret = storedSecret ?? knownSecret ?? randomBytes(SECRET_BYTES).toString('hex');
       const newSecret = storedSecret === undefined ? secret : undefined;
-      const write = buildRegistrationWrite(self.vmId, self.peerAddress, newSecret);
+      const write = buildRegistrationWrite(self, newSecret);
       const call = { table, write, timeoutMs: CALL_TIMEOUT_MS };
       const writeOutcome = yield* awaitPromise(store.write(call));
       if (writeOutcome.kind === 'ok') {
         logger.info(
-          { version: writeOutcome.value },
+          { position: writeOutcome.value },
           'registry: this VM is registered in the store',
         );
-        return { incarnation: writeOutcome.value as Incarnation, secret };
+        return { incarnation: writeOutcome.value as number as Incarnation, secret };
       }
     }
     yield* waitMs(RETRY_WAIT_MS * (0.5 + takeFraction()));
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -8,6 +8,7 @@
   dropLapsed,
   startGracePeriod,
   type PoolEngine,
+  type RoutingConfiguration,
   type UpstreamChange,
 } from '@tarragonspool/core';
 import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
@@ -15,7 +16,8 @@
 import { offer } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { applyCallerLimits } from './caller-listener.js';
-import { applyConfiguration, type GatewayState } from './gateway-state.js';
+import { applyConfiguration, recordStoreEra, type GatewayState } from './gateway-state.js';
+import { computeMaxBackoffMs } from './membership.js';
 import type { RowChange } from './ports.js';
 
 const LAPSE_CHECK_INTERVAL_MS = 100;
@@ -27,9 +29,16 @@
  */
 const FEED_PAUSE_SHARE = 0.35;
 
-function makeFeedOptions({ settings, takeFraction }: GatewayState): Omit<FeedOptions, 'table'> {
+function makeFeedOptions(state: GatewayState): Omit<FeedOptions, 'table'> {
+  const { settings, takeFraction, fleet } = state;
   const pauseMs = FEED_PAUSE_SHARE * settings.changeWithinMs;
-  return { holdMs: FEED_LONG_POLL_MS, pauseMs, takeFraction };
+  const getMaxBackoffMs = (): number => computeMaxBackoffMs(fleet, getSteadyMs());
+  return { holdMs: FEED_LONG_POLL_MS, pauseMs, getMaxBackoffMs, takeFraction };
+}
+
+function listPoolServices({ services }: RoutingConfiguration): ServiceName[] {
+  const withEngines = [...services.values()].filter(({ engine }) => engine !== undefined);
+  return withEngines.map(({ name }) => name);
 }
 
 function applyConfigurationRow(state: GatewayState, server: Server, row: RowChange): void {
@@ -38,12 +47,13 @@
   const next = configuration.decode(row.value);
   if (next === undefined) {
     state.logger.error(
-      { version: row.version },
+      { position: row.position },
       'configuration: stored value cannot be decoded; the last valid one stays in force',
     );
     return;
   }
   if (!applyConfiguration(state, next)) return;
+  state.fleet.setServices(listPoolServices(next));
   applyCallerLimits(server, state);
   state.logger.info(
     { version: next.version, routes: next.routes.length },
@@ -112,6 +122,9 @@
       state.metrics.storeAway.dec();
       startGracePeriod(state.upstreams, getSteadyMs());
     },
+    // Servers write their entries again, as after an outage.
+    onRestored: () => startGracePeriod(state.upstreams, getSteadyMs()),
+    onFirstEra: () => undefined,
   };
   return makeTableFeed(store, options, handler, state.logger);
 }
@@ -143,6 +156,9 @@
     },
     onAway: () => state.metrics.storeAway.inc(),
     onBack: () => state.metrics.storeAway.dec(),
+    // The operator writes the configuration again; until then the last one stays in force.
+    onRestored: (era: number) => recordStoreEra(state, era, getSteadyMs()),
+    onFirstEra: (era: number) => recordStoreEra(state, era, getSteadyMs()),
   };
   return makeTableFeed(store, options, handler, state.logger);
 }
--- /dev/null
+++ b/packages/router/src/peers/fleet-view.ts
@@ -0,0 +1,135 @@
+/**
+ * What one VM knows of the others: who is listed, linked and heard, and how recent each one's
+ * knowledge of the store is. Answers whom to link and where to get the store's rows from.
+ */
+
+import {
+  chooseFeedSource,
+  listHubs,
+  MAX_STORE_AGE_MS,
+  rankVms,
+  type FeedSource,
+  type RankedVm,
+} from '@tarragonspool/core';
+import type { AliveMessage, ServiceName, VmId } from '@tarragonspool/protocol';
+
+/** A listed VM and where it listens to its peers. */
+export type FleetMember = RankedVm & { readonly peerAddress: string };
+
+/** The view of one VM. */
+export type FleetView = {
+  readonly setMembers: (members: readonly FleetMember[]) => void;
+  /** Sets the services whose pools need owners; each has a ranking of its own. */
+  readonly setServices: (services: readonly ServiceName[]) => void;
+  readonly recordLinkOpened: (vmId: VmId, now: number) => void;
+  /** Records that a link was lost or could not be opened. */
+  readonly recordUnreachable: (vmId: VmId, now: number) => void;
+  readonly recordAlive: (vmId: VmId, message: AliveMessage, now: number) => void;
+  /** Lists the VMs to keep links to. */
+  readonly listTargets: (now: number) => FleetMember[];
+  readonly isHub: (now: number) => boolean;
+  readonly chooseSource: (now: number) => FeedSource;
+  /** Least age of the store's state as live peers know it; Infinity without any. */
+  readonly measureStoreAgeMs: (now: number) => number;
+  readonly countMembers: () => number;
+};
+
+/** A peer that says nothing for this long is passed over: three messages are missing. */
+const SILENCE_TIMEOUT_MS = 650;
+/** A VM that could not be reached is tried again after this time. */
+const UNREACHABLE_MS = 4_000;
+/** Name of the ranking where no service needs an owner. */
+const DEFAULT_RANKING = 'hubs';
+
+type PeerState = { heardAt: number; message: AliveMessage | undefined };
+
+/** Makes the view of the VM `self`, which knows only itself. */
+export function makeFleetView(self: VmId): FleetView {
+  let members = new Map<VmId, FleetMember>();
+  let rankingNames: readonly string[] = [DEFAULT_RANKING];
+  let rankings: readonly (readonly VmId[])[] = [[]];
+  const peers = new Map<VmId, PeerState>();
+  const unreachableUntil = new Map<VmId, number>();
+
+  function isHeard(vmId: VmId, now: number): boolean {
+    const peer = peers.get(vmId);
+    return peer !== undefined && now - peer.heardAt <= SILENCE_TIMEOUT_MS;
+  }
+
+  function isDown(vmId: VmId, now: number): boolean {
+    if (vmId === self) return false;
+    if ((unreachableUntil.get(vmId) ?? 0) > now) return true;
+    const peer = peers.get(vmId);
+    return peer !== undefined && (!isHeard(vmId, now) || peer.message?.isLeaving === true);
+  }
+
+  function updateRankings(): void {
+    const listed = [...members.values()];
+    rankings = rankingNames.map((name) => rankVms(listed, name));
+  }
+
+  function findHubs(ranking: readonly VmId[], now: number): VmId[] {
+    return listHubs(ranking, (vmId) => isDown(vmId, now));
+  }
+
+  function findAllHubs(now: number): Set<VmId> {
+    return new Set(rankings.flatMap((ranking) => findHubs(ranking, now)));
+  }
+
+  function measureStoreAgeMs(now: number): number {
+    let least = Infinity;
+    for (const [vmId, { heardAt, message }] of peers) {
+      if (message === undefined || !isHeard(vmId, now)) continue;
+      least = Math.min(least, (message.storeAgeMs ?? Infinity) + now - heardAt);
+    }
+    return least;
+  }
+
+  return {
+    setMembers: (listed) => {
+      members = new Map(listed.map((member) => [member.vmId, member]));
+      updateRankings();
+    },
+    setServices: (services) => {
+      const names = services.length === 0 ? [DEFAULT_RANKING] : [...services].sort();
+      if (names.join() === rankingNames.join()) return;
+      rankingNames = names;
+      updateRankings();
+    },
+    recordLinkOpened: (vmId, now) => {
+      unreachableUntil.delete(vmId);
+      peers.set(vmId, { heardAt: now, message: undefined });
+    },
+    recordUnreachable: (vmId, now) => {
+      peers.delete(vmId);
+      unreachableUntil.set(vmId, now + UNREACHABLE_MS);
+    },
+    recordAlive: (vmId, message, now) => {
+      peers.set(vmId, { heardAt: now, message });
+    },
+    listTargets: (now) => {
+      const targets: FleetMember[] = [];
+      for (const vmId of findAllHubs(now)) {
+        const member = members.get(vmId);
+        if (member !== undefined && vmId !== self) targets.push(member);
+      }
+      return targets;
+    },
+    isHub: (now) => findAllHubs(now).has(self),
+    chooseSource: (now) =>
+      chooseFeedSource({
+        self,
+        // The hubs of the first service read for all.
+        hubs: findHubs(rankings[0] ?? [], now),
+        isReading: (vmId) => isHeard(vmId, now) && peers.get(vmId)?.message?.isReading === true,
+        peerStoreAgeMs: measureStoreAgeMs(now),
+      }),
+    measureStoreAgeMs,
+    countMembers: () => members.size,
+  };
+}
+
+/** Whether knowledge of the store of this age, in milliseconds, may be relied on. */
+export function isStoreAgeRecent(ageMs: number): boolean {
+  return ageMs <= MAX_STORE_AGE_MS;
+}
--- a/packages/router/src/peers/peer-mesh.ts
+++ b/packages/router/src/peers/peer-mesh.ts
@@ -1,4 +1,4 @@
-/** Keeps a link to every listed entry VM and carries messages between them. */
+/** Keeps links to entry VMs, to all listed ones or to chosen ones, and carries messages between them. */
 
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -41,6 +41,9 @@
   readonly listen: { readonly host: string; readonly port: number };
   readonly secrets: readonly string[];
   readonly directory: { readonly entryVms: readonly DialledVm[] };
+  /** VMs to keep links to; without it, links are kept to all, and the lesser id dials. */
+  readonly listTargets?: (now: number) => readonly DialledVm[];
+  readonly onDialFailed?: (vmId: VmId) => void;
   readonly metrics: { readonly peers: { readonly set: (count: number) => void } };
   readonly logger: Logger;
   readonly times?: Partial<PeerTimes>;
@@ -55,20 +58,34 @@
   silenceMs: 1_500,
 };
 
-/** Keeps the newest link of each peer. */
+/** Keeps one link of each peer: of its newest incarnation, and of two such the one that the lesser id dialled. */
 function makeLinkTable(parts: PeerMeshParts) {
-  const { logger, metrics } = parts;
+  const { logger, metrics, self } = parts;
   const links = new Map<VmId, PeerLink>();
+  const dialled = new Set<PeerLink>();
+
+  function isPreferred(link: PeerLink): boolean {
+    return dialled.has(link) === self.vmId < link.peer.vmId;
+  }
+
   return {
     links,
-    add: (link: PeerLink): void => {
+    isDialled: (link: PeerLink): boolean => dialled.has(link),
+    add: (link: PeerLink, isDialled: boolean): void => {
       const { vmId, incarnation } = link.peer;
       const known = links.get(vmId);
+      if (isDialled) dialled.add(link);
       if (known !== undefined && known.peer.incarnation > incarnation) {
         logger.info({ peer: vmId, incarnation }, 'peers: older incarnation turned away');
         link.close();
         return;
       }
+      const isSecond = known !== undefined && known.peer.incarnation === incarnation;
+      if (isSecond && isPreferred(known) && !isPreferred(link)) {
+        logger.info({ peer: vmId }, 'peers: second link turned away');
+        link.close();
+        return;
+      }
       links.set(vmId, link);
       known?.close();
       metrics.peers.set(links.size);
@@ -77,6 +94,7 @@
     },
     remove: (link: PeerLink, detail: string): void => {
       const { vmId, incarnation } = link.peer;
+      dialled.delete(link);
       if (links.get(vmId) !== link) return;
       links.delete(vmId);
       metrics.peers.set(links.size);
@@ -100,6 +118,25 @@
   };
 }
 
+/** Links that this VM dialled and no longer needs are closed after this time. */
+const UNUSED_LINK_MS = 10_000;
+
+/** Closes dialled links to VMs that are no targets for some time. */
+function makeUnusedLinkCheck(parts: PeerMeshParts, table: ReturnType<typeof makeLinkTable>) {
+  const { listTargets, logger } = parts;
+  const neededAt = new Map<VmId, number>();
+  return (now: number): void => {
+    if (listTargets === undefined) return;
+    for (const { vmId } of listTargets(now)) neededAt.set(vmId, now);
+    for (const [vmId, link] of table.links) {
+      if (!table.isDialled(link) || now - (neededAt.get(vmId) ?? now) < UNUSED_LINK_MS) continue;
+      logger.info({ peer: vmId }, 'peers: link is not needed any more');
+      link.close();
+    }
+    for (const vmId of neededAt.keys()) if (!table.links.has(vmId)) neededAt.delete(vmId);
+  };
+}
+
 function startServer(parts: PeerMeshParts, onSocket: (socket: WebSocket) => void): Server {
   const httpServer = createServer((_incoming, response) => {
     response.statusCode = 426;
@@ -111,22 +148,28 @@
   return httpServer;
 }
 
-/** Starts listening and dialling. The VM with the lesser id dials. */
+/** Starts listening and dialling. */
 export function startPeerMesh(parts: PeerMeshParts): PeerMesh {
   const { self, directory, logger } = parts;
   const times: PeerTimes = { ...DEFAULT_TIMES, ...parts.times };
-  const { links, add, remove } = makeLinkTable(parts);
+  const table = makeLinkTable(parts);
+  const { links, add, remove } = table;
   const dialling = new Set<VmId>();
   const schedule = makeDialSchedule();
   const checkSilence = makeSilenceCheck(links, times);
+  const closeUnused = makeUnusedLinkCheck(parts, table);
   let isClosed = false;
 
-  function runLink(socket: WebSocket, onEnd: (link: PeerLink | undefined) => void): void {
+  function runLink(
+    socket: WebSocket,
+    isDialled: boolean,
+    onEnd: (link: PeerLink | undefined) => void,
+  ): void {
     startPeerLink(
       socket,
       { self, secrets: parts.secrets, handshakeTimeoutMs: times.handshakeTimeoutMs },
       {
-        onOpen: add,
+        onOpen: (link) => add(link, isDialled),
         onMessage: (link, message) => parts.onMessage(link.peer, message),
         onClose: (link, detail) => {
           onEnd(link);
@@ -142,6 +185,7 @@
     const fail = (): void => {
       dialling.delete(vmId);
       schedule.addFailure(vmId, getSteadyMs());
+      parts.onDialFailed?.(vmId);
     };
     const socket = new WebSocket(`ws://${address}/peer`, {
       maxPayload: MAX_PEER_FRAME_BYTES,
@@ -150,7 +194,7 @@
     socket.once('error', fail);
     socket.once('open', () => {
       socket.off('error', fail);
-      runLink(socket, (link) => {
+      runLink(socket, true, (link) => {
         if (link === undefined) fail();
         else {
           dialling.delete(vmId);
@@ -160,20 +204,26 @@
     });
   }
 
+  function listDialled(now: number): readonly DialledVm[] {
+    if (parts.listTargets !== undefined) return parts.listTargets(now);
+    return directory.entryVms.filter(({ vmId }) => vmId > self.vmId);
+  }
+
   function dialMissing(now: number): void {
-    for (const vm of directory.entryVms) {
-      if (vm.vmId <= self.vmId || links.has(vm.vmId) || dialling.has(vm.vmId)) continue;
+    for (const vm of listDialled(now)) {
+      if (links.has(vm.vmId) || dialling.has(vm.vmId)) continue;
       if (schedule.isDue(vm.vmId, now)) dial(vm.vmId, vm.peerAddress);
     }
   }
 
   const httpServer = startServer(parts, (socket) => {
     if (isClosed) socket.terminate();
-    else runLink(socket, () => undefined);
+    else runLink(socket, false, () => undefined);
   });
   const timer = setInterval(() => {
     const now = getSteadyMs();
     checkSilence(now);
+    closeUnused(now);
     dialMissing(now);
   }, times.dialIntervalMs);
 
--- a/packages/router/src/pools/owners.ts
+++ b/packages/router/src/pools/owners.ts
@@ -1,10 +1,12 @@
 /** Chooses the VM that assigns the slots of a service, from the VMs that are alive. */
 
-import { findOwner } from '@tarragonspool/core';
+import { rankVms, type RankedVm } from '@tarragonspool/core';
 import type { ServiceName, VmId } from '@tarragonspool/protocol';
 
 /** Tracks which linked peers are alive and chooses the owner of each service from them. */
 export type OwnerSelector = {
+  /** Sets the capacities of the listed VMs; owners are chosen among the largest that are alive. */
+  readonly setMembers: (members: readonly RankedVm[]) => void;
   readonly addLink: (vmId: VmId, now: number) => void;
   readonly removeLink: (vmId: VmId) => void;
   readonly recordMessage: (vmId: VmId, now: number) => void;
@@ -13,8 +15,6 @@
    * owns no service while another VM reaches the store.
    */
   readonly recordStoreAccess: (vmId: VmId, isAway: boolean) => void;
-  /** Lists live peers that reach the store. */
-  readonly listPeersWithStore: (now: number) => VmId[];
   /** Skips a peer that did not reply in time, until a message from it arrives. */
   readonly recordTimeout: (vmId: VmId) => void;
   readonly isAlive: (vmId: VmId, now: number) => boolean;
@@ -35,8 +35,21 @@
 /** Makes the owner selector of the VM `self`. */
 export function makeOwnerSelector(self: VmId): OwnerSelector {
   const peers = new Map<VmId, Peer>();
+  const capacities = new Map<VmId, number>();
+  const rankings = new Map<ServiceName, readonly VmId[]>();
   let isStoreAway = false;
 
+  /** Ranks all VMs that are known for a service. */
+  function findRanking(service: ServiceName): readonly VmId[] {
+    const known = rankings.get(service);
+    if (known !== undefined) return known;
+    const vmIds = new Set([self, ...peers.keys()]);
+    const vms = [...vmIds].map((vmId) => ({ vmId, capacity: capacities.get(vmId) ?? 0 }));
+    const ranking = rankVms(vms, service);
+    rankings.set(service, ranking);
+    return ranking;
+  }
+
   function isAlive(vmId: VmId, now: number): boolean {
     if (vmId === self) return true;
     const peer = peers.get(vmId);
@@ -47,24 +60,23 @@
     return [self, ...[...peers.keys()].filter((vmId) => isAlive(vmId, now))];
   }
 
-  function listPeersWithStore(now: number): VmId[] {
-    return [...peers]
-      .filter(([vmId, peer]) => !peer.isStoreAway && isAlive(vmId, now))
-      .map(([vmId]) => vmId);
-  }
-
   return {
-    listPeersWithStore,
     recordStoreAccess: (vmId, isAway) => {
       const peer = peers.get(vmId);
       if (vmId === self) isStoreAway = isAway;
       else if (peer !== undefined) peer.isStoreAway = isAway;
     },
+    setMembers: (members) => {
+      capacities.clear();
+      for (const { vmId, capacity } of members) capacities.set(vmId, capacity);
+      rankings.clear();
+    },
     addLink: (vmId, now) => {
+      if (!peers.has(vmId)) rankings.clear();
       peers.set(vmId, { heardAt: now, isSilent: false, isStoreAway: false });
     },
     removeLink: (vmId) => {
-      peers.delete(vmId);
+      if (peers.delete(vmId)) rankings.clear();
     },
     recordMessage: (vmId, now) => {
       const peer = peers.get(vmId);
@@ -78,8 +90,12 @@
     },
     isAlive,
     chooseOwner: (service, now) => {
-      const candidates = isStoreAway ? listPeersWithStore(now) : [self, ...listPeersWithStore(now)];
-      return findOwner(candidates.length > 0 ? candidates : listAlive(now), service) ?? self;
+      const ranking = findRanking(service);
+      for (const vmId of ranking) {
+        const isAway = vmId === self ? isStoreAway : peers.get(vmId)?.isStoreAway === true;
+        if (!isAway && isAlive(vmId, now)) return vmId;
+      }
+      return ranking.find((vmId) => isAlive(vmId, now)) ?? self;
     },
     resetTimeouts: (now) => {
       for (const peer of peers.values()) peer.heardAt = now;
--- a/packages/router/src/pools/place-asker.test.ts
+++ b/packages/router/src/pools/place-asker.test.ts
@@ -1,5 +1,11 @@
 import type { SlotRequestId, SlotRequest } from '@tarragonspool/core';
-import type { DataCentre, PoolMessage, ServiceName, UpstreamId, VmId } from '@tarragonspool/protocol';
+import type {
+  DataCentre,
+  PoolMessage,
+  ServiceName,
+  UpstreamId,
+  VmId,
+} from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import { pino } from 'pino';
 import { makeOwnerSelector } from './owners.js';
--- a/packages/router/src/pools/pool-task.ts
+++ b/packages/router/src/pools/pool-task.ts
@@ -1,6 +1,12 @@
 /** The pool task: gets slots for the requests of this VM, and assigns slots of the services it owns. */
 
-import type { EngineStage, PlannedEngine, RequestNeeds, PoolEngine } from '@tarragonspool/core';
+import type {
+  EngineStage,
+  PlannedEngine,
+  PoolEngine,
+  RankedVm,
+  RequestNeeds,
+} from '@tarragonspool/core';
 import type { PoolMessage, ServiceName, UpstreamId, VmId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import { makeChannel, offer, receive, type Channel, type Task } from '../tasks/tasks.js';
@@ -31,8 +37,9 @@
     }
   /** This VM stops at a planned time, which interrupts the answers that are open then. */
   | { readonly kind: 'stops'; readonly at: number }
-  /** Whether this VM can reach the store. */
+  /** Whether this VM knows less of the store than it should. */
   | { readonly kind: 'store'; readonly isAway: boolean }
+  | { readonly kind: 'members'; readonly members: readonly RankedVm[] }
   | { readonly kind: 'ticked' };
 
 /** Input of the stage plan, which splits engines between prefill and decode. */
@@ -56,8 +63,6 @@
   readonly run: () => Task;
   /** Counts the VMs that this one considers alive, itself included. */
   readonly countLiveVms: () => number;
-  /** Lists live peers that reach the store. */
-  readonly listInformedPeers: () => VmId[];
   readonly isOwnerOf: (service: ServiceName) => boolean;
   readonly readPlan: (service: ServiceName, now: number) => StagePlanInput | undefined;
 };
@@ -83,7 +88,7 @@
 ): void {
   switch (message.kind) {
     case 'alive':
-      ownerSelector.recordStoreAccess(from, message.isStoreAway);
+      ownerSelector.recordStoreAccess(from, message.isStoreAway || message.isLeaving);
       return;
     case 'pool-queued':
     case 'pool-grant':
@@ -149,6 +154,7 @@
         return;
       case 'link-closed':
         ownerSelector.removeLink(message.vmId);
+        client.checkOwners(now);
         return;
       case 'vm-restarted':
         owner.handleRestart(message.vmId, now);
@@ -165,6 +171,9 @@
       case 'store':
         ownerSelector.recordStoreAccess(self, message.isAway);
         return;
+      case 'members':
+        ownerSelector.setMembers(message.members);
+        return;
       case 'ticked':
         handleTick(now);
         return;
@@ -188,7 +197,6 @@
   return {
     inbox,
     run,
-    listInformedPeers: () => ownerSelector.listPeersWithStore(getSteadyMs()),
     countLiveVms: () => ownerSelector.countAlive(getSteadyMs()),
     readPlan: owner.readPlan,
     isOwnerOf: (service) => ownerSelector.chooseOwner(service, getSteadyMs()) === self,
--- a/packages/router/src/stages/lease-calls.ts
+++ b/packages/router/src/stages/lease-calls.ts
@@ -3,12 +3,19 @@
 import {
   applyAcquired,
   applyLeaseRow,
+  applyStoreEra,
   chooseLeaseStep,
   type OrderLease,
 } from '@tarragonspool/core';
-import type { ServiceName, VmId } from '@tarragonspool/protocol';
+import {
+  getEra,
+  STORE_START,
+  type ServiceName,
+  type StorePosition,
+  type VmId,
+} from '@tarragonspool/protocol';
 import { z } from 'zod';
-import type { GatewayState } from '../gateway/gateway-state.js';
+import { recordStoreEra, type GatewayState } from '../gateway/gateway-state.js';
 import { awaitPromise, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 
@@ -19,8 +26,8 @@
 const MAX_READ_TO_WRITE_MS = 300;
 
 type StoredLease = z.infer<typeof rowSchema>;
-/** Time of the store's clock, and the steady time at which it was read. */
-type StoreTime = { readonly storeNowMs: number; readonly readAt: number };
+/** Time of the store's clock and its era, and the steady time at which they were read. */
+type StoreTime = { readonly storeNowMs: number; readonly era: number; readonly readAt: number };
 
 function decodeLease(value: Buffer | undefined): StoredLease | undefined {
   if (value === undefined) return undefined;
@@ -40,22 +47,25 @@
   const call = { table: LEASE_TABLE, timeoutMs: CALL_TIMEOUT_MS };
   const outcome = yield* awaitPromise(state.ports.store.readRows(call));
   if (outcome.kind !== 'ok') return undefined;
-  const { rows, storeNowMs } = outcome.value;
+  const { rows, storeNowMs, position } = outcome.value;
+  const era = getEra(position);
   const row = rows.find(({ key }) => key === service);
   const stored = decodeLease(row?.value);
   const holder = stored?.holder as VmId | undefined;
   const ageMs = stored === undefined ? 0 : storeNowMs - stored.storeNowMs;
   const readAt = getSteadyMs();
-  applyLeaseRow(lease, { version: row?.version ?? 0, holder, ageMs }, readAt);
-  return { storeNowMs, readAt };
+  recordStoreEra(state, era, readAt);
+  applyStoreEra(lease, era, state.storeEra.seenAt, state.settings.leaseMs);
+  applyLeaseRow(lease, { position: row?.position ?? STORE_START, holder, ageMs }, readAt);
+  return { storeNowMs, era, readAt };
 }
 
 function* acquireLease(
   state: GatewayState,
   service: ServiceName,
   lease: OrderLease,
-  expectedVersion: number,
-  { storeNowMs, readAt }: StoreTime,
+  expected: StorePosition,
+  { storeNowMs, era, readAt }: StoreTime,
 ): Task {
   const { settings, ports, logger } = state;
   const { vmId: holder, leaseMs } = settings;
@@ -63,11 +73,13 @@
   if (sentAt - readAt > MAX_READ_TO_WRITE_MS) return;
   const stored: StoredLease = { holder, storeNowMs };
   const put = [{ key: service, value: Buffer.from(JSON.stringify(stored)) }];
-  const write = { expected: [{ key: service, version: expectedVersion }], put, remove: [] };
+  const write = { expected: [{ key: service, position: expected }], put, remove: [] };
   const call = { table: LEASE_TABLE, write, timeoutMs: CALL_TIMEOUT_MS };
   const outcome = yield* awaitPromise(ports.store.write(call));
-  logger.info({ service, expectedVersion, outcome }, 'stages: lease requested');
-  if (outcome.kind === 'ok') applyAcquired(lease, holder, outcome.value, leaseMs, sentAt);
+  const times = { sentAt, readEra: era, now: getSteadyMs() };
+  const isHeld =
+    outcome.kind === 'ok' && applyAcquired(lease, holder, outcome.value, leaseMs, times);
+  logger.info({ service, expected, outcome, isHeld }, 'stages: lease requested');
 }
 
 /** Acquires or keeps the lease; returns its fencing number, or undefined if it is not held. */
@@ -83,7 +95,7 @@
   if (storeTime === undefined) return undefined;
   step = chooseLeaseStep(lease, vmId, leaseMs, true, getSteadyMs());
   if (step.kind === 'acquire') {
-    yield* acquireLease(state, service, lease, step.expectedVersion, storeTime);
+    yield* acquireLease(state, service, lease, step.expected, storeTime);
     step = chooseLeaseStep(lease, vmId, leaseMs, false, getSteadyMs());
   }
   return step.kind === 'order' ? step.fence : undefined;
