--- a/packages/cli/src/operators/answers.ts
+++ b/packages/cli/src/operators/answers.ts
@@ -1,6 +1,6 @@
 /** Shapes of what daemons answer to operators. Fields that a daemon may lack are optional. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Answer of `GET /rules`. */
 export const rulesSchema = z.object({ revision: z.number(), text: z.string() });
--- a/packages/cli/src/operators/operator-client.ts
+++ b/packages/cli/src/operators/operator-client.ts
@@ -1,6 +1,6 @@
 /** Client of a daemon's operator interface. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** A refusal as a daemon sends it. */
 export type ProblemDetails = {
--- a/packages/cli/src/reports/burn-merge.ts
+++ b/packages/cli/src/reports/burn-merge.ts
@@ -7,7 +7,7 @@
   type BurnObjective,
   type BurnWindowName,
 } from '@tarragonspool/core';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const countsSchema = z.object({ met: z.number(), total: z.number() });
 
--- a/packages/cli/src/requests/request-answer.ts
+++ b/packages/cli/src/requests/request-answer.ts
@@ -1,6 +1,6 @@
 /** Shape of a daemon's answer about a request, and its text for people. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 import { formatCell, formatTime, renderTable } from '../output/table.js';
 
 const attemptSchema = z.object({
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -70,18 +70,9 @@
 }
 
 /**
- * Whether one of two requests that are served first gets its slot before the other: continued ones,
- * then neglected ranks, then by rank, then by the latency target.
+ * Orders two requests that are served first: continued ones, then neglected ranks, then by rank,
+ * then by the latency target.
  */
-export function isServedBefore(
-  state: PoolState,
-  one: SlotRequest,
-  other: SlotRequest,
-  now: number,
-): boolean {
-  return compareServiceOrder(state, one, other, now) <= 0;
-}
-
 function compareServiceOrder(
   state: PoolState,
   one: SlotRequest,
@@ -95,6 +86,16 @@
   return one.rank - other.rank;
 }
 
+/** Whether one of two requests that are served first gets its slot before the other. */
+export function isServedBefore(
+  state: PoolState,
+  one: SlotRequest,
+  other: SlotRequest,
+  now: number,
+): boolean {
+  return compareServiceOrder(state, one, other, now) <= 0;
+}
+
 function makeAssignment(
   state: PoolState,
   slotRequest: SlotRequest,
--- a/packages/platform/src/table-client.ts
+++ b/packages/platform/src/table-client.ts
@@ -1,7 +1,7 @@
 /** Client of the platform's transactional table service. */
 
 import type { Agent } from 'node:http';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ReadResult, TableRow, TableWrite, TransactResult } from '@tarragonspool/protocol';
 import { sendJson } from './http-json.js';
 
--- a/packages/protocol/src/claim-records.ts
+++ b/packages/protocol/src/claim-records.ts
@@ -1,6 +1,6 @@
 /** Rows of the claim ledger: one per idempotency key of a call that must run at most once. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Fingerprint } from './ids.js';
 
 /** Recorded answer of a call. */
--- a/packages/protocol/src/engine-codec.ts
+++ b/packages/protocol/src/engine-codec.ts
@@ -1,6 +1,6 @@
 /** Parses responses of engines; each parser returns undefined for a malformed response. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 import type { CacheEvent, EngineHold, LoadReport, PrefillResult } from './engine-messages.js';
 
 const id = z.string().max(256);
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -1,7 +1,7 @@
 /** Encodes and decodes the messages between entry VMs; decoding validates each frame with a schema. */
 
 import { Packr } from 'msgpackr';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { PeerMessage } from './peer-messages.js';
 import { poolMessageSchemas } from './pool-messages.js';
 import { RESULT_CODES, type ResultName } from './result-codes.js';
--- a/packages/protocol/src/platform-messages.ts
+++ b/packages/protocol/src/platform-messages.ts
@@ -1,6 +1,6 @@
 /** Records of the platform's table service and of its VM list. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 import type { DataCentre, Incarnation, ModelName, ServiceName, UpstreamId, VmId } from './ids.js';
 import type { EngineRole } from './engine-messages.js';
 
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -4,7 +4,7 @@
  * two VMs do not agree.
  */
 
-import { z } from 'zod';
+import * as z from 'zod';
 import type { DataCentre, ServiceName, UpstreamId } from './ids.js';
 import type { StorePosition } from './store-position.js';
 
--- a/packages/protocol/src/rule-messages.ts
+++ b/packages/protocol/src/rule-messages.ts
@@ -1,6 +1,6 @@
 /** Revisions of the rule file, as stored in the platform's table and exchanged between peers. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 import type { EditId, RuleRevision } from './ids.js';
 
 /** Replacement of consecutive lines of the file. */
--- a/packages/router/src/feeds/row-cache.test.ts
+++ b/packages/router/src/feeds/row-cache.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
-import type { RowChange } from '../gateway/ports.js';
 import { makeStorePosition, type StorePosition } from '@tarragonspool/protocol';
+import type { RowChange } from '../gateway/ports.js';
 import { makeRowCache } from './row-cache.js';
 
 /** A position before any restore. */
--- a/packages/router/src/gateway/content-guard.ts
+++ b/packages/router/src/gateway/content-guard.ts
@@ -29,6 +29,8 @@
   /** Merges records of a peer; their expiry times are relative to now. */
   readonly mergeRecords: (items: readonly SuspectRecord[]) => void;
   readonly tick: () => void;
+  /** Whether a possible crash is being judged, which needs ticks at short intervals. */
+  readonly isBusy: () => boolean;
 };
 
 /** Dependencies of the guard. */
@@ -37,6 +39,8 @@
   readonly probe: (upstreamId: UpstreamId) => Promise<boolean>;
   /** Sends records to all peers; their expiry times are relative to now, because clocks differ. */
   readonly broadcast: (items: readonly SuspectRecord[]) => void;
+  /** Called when a possible crash begins to be judged. */
+  readonly onBusy?: () => void;
   readonly logger: Logger;
   readonly getNow?: () => number;
 };
@@ -113,6 +117,7 @@
     recordBroken: (upstreamId, fingerprint, hasEvents) => {
       const now = getNow();
       apply({ kind: 'broken', upstreamId, fingerprint, hasTokens: hasEvents, now });
+      parts.onBusy?.();
     },
     recordAnswered: (fingerprint) => {
       if (state.suspects.has(fingerprint)) apply({ kind: 'succeeded', fingerprint, now: getNow() });
@@ -122,5 +127,6 @@
       apply({ kind: 'heard', items: addToExpiries(items, now), now });
     },
     tick: () => apply({ kind: 'ticked', now: getNow() }),
+    isBusy: () => state.incidents.size > 0,
   };
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import { makePoolTask } from '../pools/pool-task.js';
 import { runStages } from '../stages/stage-task.js';
 import { offer, startTask } from '../tasks/tasks.js';
+import { startAdaptiveTicker, type AdaptiveTicker } from '../tasks/timers.js';
 import { makeCallerListener } from './caller-listener.js';
 import { makeContentGuard, probeAddress } from './content-guard.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
@@ -14,12 +15,15 @@
 import { startMembership, type PeerMeshHolder, type StartTask } from './membership.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
 import { listen, startMetricsListener, startReadyListener } from './side-listeners.js';
-import { makeConfigurationFeed, makeUpstreamFeed, startLapseCheck } from './state-feeds.js';
+import { makeConfigurationFeed, makeUpstreamFeed } from './state-feeds.js';
 import { startShutdown } from './stop.js';
 
 const EXIT_INTERNAL = 70;
 const POOL_TICK_MS = 25;
+const IDLE_POOL_TICK_MS = 250;
 const CONTENT_TICK_MS = 100;
+const IDLE_CONTENT_TICK_MS = 5_000;
+const EXIT_DELAY_MS = 25;
 const MAX_LOG_BUFFER_BYTES = 1_048_576;
 
 function makeGatewayLogger({ vmId }: GatewaySettings): Logger {
@@ -32,9 +36,12 @@
 function handleFatal(logger: Logger, error: unknown): void {
   logger.fatal({ err: error }, 'gateway: unexpected error');
   process.stderr.write(`9001 ${String(error)}\n`);
-  setTimeout(() => process.exit(EXIT_INTERNAL), POOL_TICK_MS);
+  setTimeout(() => process.exit(EXIT_INTERNAL), EXIT_DELAY_MS);
 }
 
+/** Holds a ticker that its subject wakes; undefined until it is started. */
+type TickerHolder = { ticker: AdaptiveTicker | undefined };
+
 /** A running gateway. */
 export type Gateway = {
   /** Replaces the settings after a reload; listeners keep the addresses that they started with. */
@@ -53,18 +60,28 @@
     meshHolder.mesh?.sendTo(vmId, message);
   };
   const broadcast = (message: PoolMessage): void => meshHolder.mesh?.broadcast(message);
-  const pools = makePoolTask({ self: settings.vmId, takeFraction, sendTo, broadcast, logger });
+  const poolTicker: TickerHolder = { ticker: undefined };
+  const onBusy = (): void => poolTicker.ticker?.wake();
+  const { vmId: self } = settings;
+  const pools = makePoolTask({ self, takeFraction, sendTo, broadcast, onBusy, logger });
   const metrics = makeGatewayMetrics();
   const processStartId = `${settings.vmId}-${process.hrtime.bigint().toString(36)}`;
+  const contentTicker: TickerHolder = { ticker: undefined };
   const contentGuard = makeContentGuard({
     probe: (upstreamId) => {
       const address = stateHolder.state?.upstreams.records.get(upstreamId)?.address;
       return address === undefined ? Promise.resolve(false) : probeAddress(address);
     },
     broadcast: (items) => meshHolder.mesh?.broadcast({ kind: 'suspects', items }),
+    onBusy: () => contentTicker.ticker?.wake(),
     logger,
   });
-  setInterval(contentGuard.tick, CONTENT_TICK_MS);
+  contentTicker.ticker = startAdaptiveTicker({
+    busyMs: CONTENT_TICK_MS,
+    idleMs: IDLE_CONTENT_TICK_MS,
+    isBusy: contentGuard.isBusy,
+    onTick: contentGuard.tick,
+  });
   const parts = {
     settings,
     ports,
@@ -84,11 +101,15 @@
       else logger.info({ name: ended }, 'gateway: task ended');
     });
   start('pools', pools.run);
-  setInterval(() => offer(pools.inbox, { kind: 'ticked' }), POOL_TICK_MS);
+  poolTicker.ticker = startAdaptiveTicker({
+    busyMs: POOL_TICK_MS,
+    idleMs: IDLE_POOL_TICK_MS,
+    isBusy: pools.isBusy,
+    onTick: () => offer(pools.inbox, { kind: 'ticked' }),
+  });
   const server = makeCallerListener(state);
   const feeds = [makeConfigurationFeed(state, server), makeUpstreamFeed(state)];
   for (const feed of feeds) start(`feed of ${feed.table}`, feed.run);
-  startLapseCheck(state);
   startMembership(state, feeds, meshHolder, start);
   start('stages', () => runStages(state));
   listen(server, settings.callerListen);
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -13,6 +13,7 @@
 import { isStoreAgeRecent } from '../peers/fleet-view.js';
 import { startPeerMesh, type PeerMesh } from '../peers/peer-mesh.js';
 import { offer } from '../tasks/tasks.js';
+import { startAdaptiveTicker } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayState } from './gateway-state.js';
 
@@ -27,8 +28,8 @@
 };
 
 const ALIVE_INTERVAL_MS = 200;
-/** A VM that is no hub is heard often enough to keep its links. */
-const INTERVALS_BETWEEN_ALIVE = 3;
+/** Used on VMs that are no hubs: often enough to keep their links. */
+const IDLE_ALIVE_INTERVAL_MS = 400;
 /** Spread, for each VM, of the time at which VMs that lost their source begin to read the store. */
 const SPREAD_MS_PER_VM = 15;
 /** Age that stands for no knowledge of the store. */
@@ -99,14 +100,12 @@
 function makeAliveStep(parts: PeerLinksParts, mesh: PeerMesh): () => void {
   const { state } = parts;
   const chooseSource = makeSourceChoice(parts);
-  let step = 0;
   return () => {
     const now = getSteadyMs();
     chooseSource(now);
     const message = buildAliveMessage(parts, now);
     offer(state.pools.inbox, { kind: 'store', isAway: message.isStoreAway });
-    step += 1;
-    if (state.fleet.isHub(now) || step % INTERVALS_BETWEEN_ALIVE === 0) mesh.broadcast(message);
+    mesh.broadcast(message);
   };
 }
 
@@ -163,6 +162,11 @@
       offer(pools.inbox, { kind: 'link-closed', vmId });
     },
   });
-  setInterval(makeAliveStep(parts, mesh), ALIVE_INTERVAL_MS);
+  startAdaptiveTicker({
+    busyMs: ALIVE_INTERVAL_MS,
+    idleMs: IDLE_ALIVE_INTERVAL_MS,
+    isBusy: () => fleet.isHub(getSteadyMs()),
+    onTick: makeAliveStep(parts, mesh),
+  });
   return mesh;
 }
--- a/packages/router/src/gateway/registry.ts
+++ b/packages/router/src/gateway/registry.ts
@@ -5,7 +5,7 @@
 
 import { randomBytes } from 'node:crypto';
 import { STORE_START, type Incarnation, type VmId } from '@tarragonspool/protocol';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Logger } from '../logging/logger.js';
 import { awaitPromise, type Task } from '../tasks/tasks.js';
 import { waitMs } from '../tasks/timers.js';
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -14,6 +14,7 @@
 import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
 import { makeTableFeed, type FeedOptions, type TableFeed } from '../feeds/table-feed.js';
 import { offer } from '../tasks/tasks.js';
+import { startAdaptiveTicker } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { applyCallerLimits } from './caller-listener.js';
 import { applyConfiguration, recordStoreEra, type GatewayState } from './gateway-state.js';
@@ -21,6 +22,7 @@
 import type { RowChange } from './ports.js';
 
 const LAPSE_CHECK_INTERVAL_MS = 100;
+const IDLE_LAPSE_CHECK_MS = 1_000;
 /** Short enough to detect a silent connection well before a change must take effect. */
 const FEED_LONG_POLL_MS = 1_500;
 /**
@@ -105,15 +107,36 @@
   }
 }
 
-/** Makes the feed of the list of servers. */
+function removeLapsed(state: GatewayState): void {
+  const droppedIds = dropLapsed(state.upstreams, getSteadyMs());
+  if (droppedIds.length === 0) return;
+  state.logger.info(
+    { gone: droppedIds },
+    'upstreams: lapsed entries were not renewed and are removed',
+  );
+  publishEngines(state);
+}
+
+/**
+ * Makes the feed of the list of servers. Entries that lapsed during an outage of the store and were
+ * not renewed after it are removed.
+ */
 export function makeUpstreamFeed(state: GatewayState): TableFeed {
   const { store, upstreams } = state.ports;
+  const isBusy = (): boolean => state.upstreams.lapsedUntil.size > 0;
+  const lapseCheck = startAdaptiveTicker({
+    busyMs: LAPSE_CHECK_INTERVAL_MS,
+    idleMs: IDLE_LAPSE_CHECK_MS,
+    isBusy,
+    onTick: () => removeLapsed(state),
+  });
   const options = { ...makeFeedOptions(state), table: upstreams.table };
   const handler = {
     onRows: (rows: readonly RowChange[]) => {
       const changes = rows.map((row) => decodeUpstreamRow(state, row));
       logUpstreams(state, changes);
       applyUpstreamChanges(state.upstreams, changes, getSteadyMs());
+      if (isBusy()) lapseCheck.wake();
       state.hasUpstreams = true;
       publishEngines(state);
     },
@@ -129,22 +152,6 @@
   return makeTableFeed(store, options, handler, state.logger);
 }
 
-/**
- * Regularly removes entries that lapsed during an outage of the store and were not renewed after
- * it.
- */
-export function startLapseCheck(state: GatewayState): void {
-  setInterval(() => {
-    const droppedIds = dropLapsed(state.upstreams, getSteadyMs());
-    if (droppedIds.length === 0) return;
-    state.logger.info(
-      { gone: droppedIds },
-      'upstreams: lapsed entries were not renewed and are removed',
-    );
-    publishEngines(state);
-  }, LAPSE_CHECK_INTERVAL_MS);
-}
-
 /** Makes the feed of the operator's configuration. */
 export function makeConfigurationFeed(state: GatewayState, server: Server): TableFeed {
   const { store, configuration } = state.ports;
--- a/packages/router/src/operators/operator-server.ts
+++ b/packages/router/src/operators/operator-server.ts
@@ -11,7 +11,7 @@
   RuleRevision,
   VmId,
 } from '@tarragonspool/protocol';
-import { z } from 'zod';
+import * as z from 'zod';
 import { readBody } from '../http/read-body.js';
 import { sendRefusal } from '../http/refusals.js';
 import type { BurnReport } from '../burn/burn-recorder.js';
--- a/packages/router/src/peers/peer-mesh.ts
+++ b/packages/router/src/peers/peer-mesh.ts
@@ -220,12 +220,14 @@
     if (isClosed) socket.terminate();
     else runLink(socket, false, () => undefined);
   });
-  const timer = setInterval(() => {
+  const runChecks = (): void => {
     const now = getSteadyMs();
     checkSilence(now);
     closeUnused(now);
     dialMissing(now);
-  }, times.dialIntervalMs);
+  };
+  const timer = setInterval(runChecks, times.dialIntervalMs);
+  dialMissing(getSteadyMs());
 
   return {
     links,
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -44,6 +44,8 @@
    * those that can end before it.
    */
   readonly handleStop: (stopAt: number, now: number) => void;
+  /** Whether slot requests are neither granted nor refused yet. */
+  readonly hasPending: () => boolean;
   /** Sends requests whose owner is silent or gone to the new owner. */
   readonly checkOwners: (now: number) => void;
 };
@@ -185,6 +187,7 @@
   }
 
   return {
+    hasPending: () => pending.size > 0,
     handleRequest: (message, now) => {
       switch (message.kind) {
         case 'ask': {
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -39,6 +39,8 @@
     now: number,
   ) => void;
   readonly tick: (now: number) => void;
+  /** Whether slot requests wait in any pool. */
+  readonly hasWaiting: () => boolean;
   /**
    * Drops the slot assignments of other VMs. Called after a pause of this process, when another
    * owner may have assigned slots that are unknown here.
@@ -221,6 +223,10 @@
     updateEngines: (service, engines, now) => {
       apply(service, { kind: 'engines-listed', engines }, now);
     },
+    hasWaiting: () => {
+      for (const { waiting } of pools.values()) if (waiting.size > 0) return true;
+      return false;
+    },
     tick: (now) => {
       for (const service of pools.keys()) apply(service, { kind: 'ticked' }, now);
     },
--- a/packages/router/src/pools/pool-task.ts
+++ b/packages/router/src/pools/pool-task.ts
@@ -54,6 +54,8 @@
   readonly takeFraction: () => number;
   readonly sendTo: (vmId: VmId, message: PoolMessage) => void;
   readonly broadcast: (message: PoolMessage) => void;
+  /** Called when slot requests begin to wait, so that ticks come at short intervals. */
+  readonly onBusy: () => void;
   readonly logger: Logger;
 };
 
@@ -61,6 +63,8 @@
 export type PoolTask = {
   readonly inbox: Channel<PoolTaskMessage>;
   readonly run: () => Task;
+  /** Whether slot requests of this VM or of its pools wait. */
+  readonly isBusy: () => boolean;
   /** Counts the VMs that this one considers alive, itself included. */
   readonly countLiveVms: () => number;
   readonly isOwnerOf: (service: ServiceName) => boolean;
@@ -182,6 +186,10 @@
     }
   }
 
+  function isBusy(): boolean {
+    return client.hasPending() || owner.hasWaiting();
+  }
+
   function* run(): Task {
     for (;;) {
       const message = yield* receive(inbox);
@@ -191,12 +199,14 @@
       for (let next = localMessages.shift(); next !== undefined; next = localMessages.shift()) {
         handlePeerMessage(sides, self, next, now);
       }
+      if (isBusy()) parts.onBusy();
     }
   }
 
   return {
     inbox,
     run,
+    isBusy,
     countLiveVms: () => ownerSelector.countAlive(getSteadyMs()),
     readPlan: owner.readPlan,
     isOwnerOf: (service) => ownerSelector.chooseOwner(service, getSteadyMs()) === self,
--- a/packages/router/src/quarantine/suspect-store.ts
+++ b/packages/router/src/quarantine/suspect-store.ts
@@ -10,7 +10,7 @@
   TableWrite,
   UpstreamId,
 } from '@tarragonspool/protocol';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Logger } from '../logging/logger.js';
 import { awaitPromise, offer, type Task } from '../tasks/tasks.js';
 import { waitMs } from '../tasks/timers.js';
--- a/packages/router/src/requests/chat-request.ts
+++ b/packages/router/src/requests/chat-request.ts
@@ -4,7 +4,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { estimateTokens, makePrefixHashes, type AllowRule } from '@tarragonspool/core';
 import type { Fingerprint, ModelName, ModelTarget, PrefixHash } from '@tarragonspool/protocol';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** A valid chat request. */
 export type ChatRequest = {
--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -1,6 +1,6 @@
 /** Settings of the daemon: checked once at start, immutable afterwards. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   addressSchema,
   dataCentreSchema,
--- a/packages/router/src/settings/value-schemas.ts
+++ b/packages/router/src/settings/value-schemas.ts
@@ -1,7 +1,7 @@
 /** Schemas of the kinds of values that settings take. Each message says what was expected. */
 
 import { isIPv4 } from 'node:net';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MAX_PORT = 65_535;
 const MIN_SECRET_LENGTH = 16;
--- a/packages/router/src/stages/lease-calls.ts
+++ b/packages/router/src/stages/lease-calls.ts
@@ -14,7 +14,7 @@
   type StorePosition,
   type VmId,
 } from '@tarragonspool/protocol';
-import { z } from 'zod';
+import * as z from 'zod';
 import { recordStoreEra, type GatewayState } from '../gateway/gateway-state.js';
 import { awaitPromise, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
--- a/packages/router/src/stages/stage-task.ts
+++ b/packages/router/src/stages/stage-task.ts
@@ -16,6 +16,8 @@
 import { awaitLease } from './lease-calls.js';
 
 const CHECK_INTERVAL_MS = 250;
+/** Used on VMs that do not become owners soon. */
+const IDLE_CHECK_INTERVAL_MS = 1_000;
 /** A change is ordered only after it was wanted for this long without a break. */
 const SETTLE_TIME_MS = 1_200;
 /** Used for an urgent change instead if an engine of the wanted stage leaves as planned. */
@@ -166,7 +168,8 @@
 export function* runStages(state: GatewayState): Task {
   const services = new Map<ServiceName, ServiceStages>();
   for (;;) {
-    yield* waitMs(CHECK_INTERVAL_MS);
+    const isHub = state.fleet.isHub(getSteadyMs());
+    yield* waitMs(isHub ? CHECK_INTERVAL_MS : IDLE_CHECK_INTERVAL_MS);
     if (state.isLeaving) return;
     for (const { name, engine } of state.configuration?.services.values() ?? []) {
       if (engine === undefined) continue;
--- a/packages/router/src/tasks/timers.ts
+++ b/packages/router/src/tasks/timers.ts
@@ -49,3 +49,46 @@
     cancel: () => clearTimeout(timer),
   };
 }
+
+/** How often an adaptive ticker ticks. */
+export type AdaptiveTickerParts = {
+  readonly busyMs: number;
+  readonly idleMs: number;
+  readonly isBusy: () => boolean;
+  readonly onTick: () => void;
+};
+
+/** A ticker that ticks rarely while nothing is under way. */
+export type AdaptiveTicker = {
+  /** Ends an idle wait; the next tick comes after the busy interval. */
+  readonly wake: () => void;
+};
+
+/** Starts a ticker that runs as long as the process. */
+export function startAdaptiveTicker(parts: AdaptiveTickerParts): AdaptiveTicker {
+  const { busyMs, idleMs, isBusy, onTick } = parts;
+  const state: { timer: NodeJS.Timeout | undefined; isFast: boolean } = {
+    timer: undefined,
+    isFast: false,
+  };
+
+  function schedule(isFast: boolean): void {
+    state.isFast = isFast;
+    state.timer = setTimeout(
+      () => {
+        onTick();
+        schedule(isBusy());
+      },
+      isFast ? busyMs : idleMs,
+    );
+  }
+
+  schedule(isBusy());
+  return {
+    wake: () => {
+      if (state.isFast) return;
+      clearTimeout(state.timer);
+      schedule(true);
+    },
+  };
+}
