Answers without an end are closed, streams that drip bytes go on elsewhere, orders use fresh connections

Cause, shown by tests that fail on the code before: a call whose answer never ends was kept until the caller's deadline and up to 16 MiB of it; a stream that sends bytes but no event counted as alive; the answer to an engine order carries no id, so a late copy of an earlier answer on a kept connection could be taken for it. Now: bounds on the answers to calls (4 MiB each, 32 MiB for all), prefills (64 KiB), refusals and single events; progress of a stream is whole events; a prefill's answer is due as a whole; a caller that sends on after its refusal is cut off. Passed at once, kept as guards: a late second copy of an answer on a kept connection reaches no other caller.

--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -25,7 +25,9 @@
 /** Least time before the deadline for which one more send is worth starting. */
 const MIN_REMAINING_MS = 25;
 const RETRY_AFTER_MS = 400;
-const MAX_ANSWER_BYTES = 16_777_216;
+const MAX_ANSWER_BYTES = 4_194_304;
+/** Bytes of answers that this VM holds at a time, for all calls together. */
+const MAX_HELD_BYTES = 33_554_432;
 const FIRST_SERVER_ERROR = 500;
 
 type CallProgress = {
@@ -117,10 +119,14 @@
     onHead: () => undefined,
     onData: (chunk, exchange) => {
       bytes += chunk.length;
-      if (bytes > MAX_ANSWER_BYTES) exchange.cancel();
-      else parts.push(chunk);
+      state.heldAnswerBytes += chunk.length;
+      parts.push(chunk);
+      const isTooLarge = bytes > MAX_ANSWER_BYTES || state.heldAnswerBytes > MAX_HELD_BYTES;
+      if (isTooLarge) exchange.abort('answer too large');
+      return true;
     },
   });
+  state.heldAnswerBytes -= bytes;
   load.inFlight -= 1;
   const outcome: SendOutcome =
     result.kind === 'outcome' ? result.outcome : { kind: 'unknown', reason: result.kind };
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -17,6 +17,8 @@
 const IDLE_TIMEOUT_SLACK_MS = 1_000;
 const MAX_HEADER_BYTES = 65_536;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
+/** A caller that sends on after its refusal by more than this is cut off. */
+const MAX_IGNORED_BODY_BYTES = 1_048_576;
 const NOT_READY_RETRY_AFTER_MS = 500;
 const LEAVING_RETRY_AFTER_MS = 200;
 const DEFAULT_DEADLINE_MS = 60_000;
@@ -168,8 +170,14 @@
   let bytes = 0;
   incoming.on('data', (part: Buffer) => {
     bytes += part.length;
-    if (bytes <= limit) parts.push(part);
-    else if (reply.getState() === 'open') reply.refuse('body-too-large');
+    if (bytes <= limit) {
+      parts.push(part);
+      return;
+    }
+    if (reply.getState() === 'open') reply.refuse('body-too-large');
+    parts.length = 0;
+    // The rest of the body may be without end.
+    if (bytes > limit + MAX_IGNORED_BODY_BYTES) incoming.destroy();
   });
   incoming.on('end', () => {
     if (reply.getState() === 'open') onBody(Buffer.concat(parts));
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -31,6 +31,8 @@
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
   readonly client: UpstreamClient;
+  /** Client of engine orders and reports, whose answers carry no id. */
+  readonly engineClient: UpstreamClient;
   readonly pools: PoolTask;
   readonly contentGuard: ContentGuard;
   /** What this VM knows of the others. */
@@ -54,6 +56,8 @@
   /** Era of the store and when this VM first saw it. */
   storeEra: { readonly era: number; readonly seenAt: number };
   openRequests: number;
+  /** Bytes of answers that are held until they are whole. */
+  heldAnswerBytes: number;
   slotRequestCount: number;
 };
 
@@ -76,6 +80,7 @@
   return {
     ...parts,
     client: makeUpstreamClient(),
+    engineClient: makeUpstreamClient({ keepsConnections: false }),
     configuration: undefined,
     routes: new Map(),
     upstreams: makeUpstreamList(),
@@ -87,6 +92,7 @@
     listedVmCount: undefined,
     storeEra: { era: 0, seenAt: 0 },
     openRequests: 0,
+    heldAnswerBytes: 0,
     slotRequestCount: 0,
   };
 }
--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -28,15 +28,18 @@
   /** When the send is cancelled unless a head has arrived. */
   readonly headDueAt: number;
   /**
-   * A send is cancelled after this long without a byte; undefined to wait for the request's
+   * A send is cancelled after this long without progress; undefined to wait for the request's
    * deadline.
    */
   readonly silenceMs?: number;
-  /** Called each time the server has sent nothing for `SILENCE_NOTICE_MS`. */
+  /** When the send is cancelled unless the whole answer has arrived; undefined for no such limit. */
+  readonly wholeDueAt?: number;
+  /** Called each time the server has made no progress for `SILENCE_NOTICE_MS`. */
   readonly onSilence?: () => void;
   /** Called when a usable head arrives. */
   readonly onHead: (head: AnswerHead) => void;
-  readonly onData: (chunk: Buffer, exchange: UpstreamExchange) => void;
+  /** Called with each part of the body; returns whether it is progress, and not only bytes. */
+  readonly onData: (chunk: Buffer, exchange: UpstreamExchange) => boolean;
 };
 
 /** An engine that generates an answer sends many events within this time. */
@@ -63,7 +66,8 @@
   readonly number: number;
   readonly exchange: UpstreamExchange;
   head: AnswerHead | undefined;
-  lastByteAt: number;
+  /** When the answer last made progress. */
+  progressAt: number;
 };
 
 function startSend(state: GatewayState, request: GatewayRequest, plan: SendPlan): ActiveSend {
@@ -80,14 +84,13 @@
     const { send } = active;
     if (event.kind === 'data') {
       if (send?.head === undefined) return;
-      send.lastByteAt = getSteadyMs();
-      plan.onData(event.chunk, send.exchange);
+      if (plan.onData(event.chunk, send.exchange)) send.progressAt = getSteadyMs();
       return;
     }
     if (event.kind === 'head' && send !== undefined) {
       const head = dialect.decodeUpstreamHead(event.status, event.headers);
       const answerHead = { ...head, rawHeaders: event.rawHeaders };
-      send.lastByteAt = getSteadyMs();
+      send.progressAt = getSteadyMs();
       // Set before any data arrives, so that no byte of an unusable answer is forwarded.
       if (findUnusableReason(answerHead, request) === undefined) {
         send.head = answerHead;
@@ -96,7 +99,7 @@
     }
     offer(request.inbox, { kind: 'upstream', send: number, event });
   });
-  active.send = { number, exchange, head: undefined, lastByteAt: now };
+  active.send = { number, exchange, head: undefined, progressAt: now };
   return active.send;
 }
 
@@ -142,8 +145,9 @@
 }
 
 function findSilenceDeadline(send: ActiveSend, plan: SendPlan): number {
-  if (send.head === undefined) return plan.headDueAt;
-  return send.lastByteAt + (plan.silenceMs ?? Infinity);
+  const wholeDueAt = plan.wholeDueAt ?? Infinity;
+  if (send.head === undefined) return Math.min(plan.headDueAt, wholeDueAt);
+  return Math.min(send.progressAt + (plan.silenceMs ?? Infinity), wholeDueAt);
 }
 
 /**
@@ -152,7 +156,7 @@
  */
 function startSilenceWatch(send: ActiveSend, request: GatewayRequest, plan: SendPlan): () => void {
   let timer: NodeJS.Timeout | undefined;
-  let lastNoticeAt = send.lastByteAt;
+  let lastNoticeAt = send.progressAt;
   const check = (): void => {
     const now = getSteadyMs();
     const deadlineAt = findSilenceDeadline(send, plan);
@@ -160,7 +164,7 @@
       offer(request.inbox, { kind: 'alarm', alarm: send.number });
       return;
     }
-    const noticeAt = Math.max(lastNoticeAt, send.lastByteAt) + SILENCE_NOTICE_MS;
+    const noticeAt = Math.max(lastNoticeAt, send.progressAt) + SILENCE_NOTICE_MS;
     if (noticeAt <= now) {
       lastNoticeAt = now;
       plan.onSilence?.();
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -20,6 +20,9 @@
 const HEAD_TIMEOUT_MS = 1_500;
 const SILENCE_MS = 1_200;
 const HTTP_OK = 200;
+const MAX_UNUSED_BYTES = 65_536;
+/** A longer event is no event: the engine is in trouble. */
+const MAX_EVENT_BYTES = 1_048_576;
 const MS_PER_S = 1_000;
 
 /** Forwards an answer as it arrives, in whole events if the route is resumable. */
@@ -33,6 +36,9 @@
   let hasEvent = false;
   const splitter = makeEventSplitter();
   let isForwarding = false;
+  let unusedBytes = 0;
+  /** Bytes since the last whole event. */
+  let pendingBytes = 0;
 
   function write(bytes: Buffer, exchange: UpstreamExchange): void {
     if (bytes.length === 0 || reply.write(bytes)) return;
@@ -50,8 +56,13 @@
         reply.begin(head.status, state.ports.dialect.makeAnswerHeaders(head.rawHeaders));
       }
     },
-    onData: (chunk: Buffer, exchange: UpstreamExchange): void => {
-      if (!isForwarding) return;
+    onData: (chunk: Buffer, exchange: UpstreamExchange): boolean => {
+      // The body of a refusal is not used; it may be without end.
+      if (!isForwarding) {
+        unusedBytes += chunk.length;
+        if (unusedBytes > MAX_UNUSED_BYTES) exchange.abort('answer too large');
+        return false;
+      }
       const { whole, count, lastEventId } = splitter.split(chunk);
       if (count > 0 && !hasEvent) {
         hasEvent = true;
@@ -64,6 +75,9 @@
       }
       progress.lastEventId = lastEventId ?? progress.lastEventId;
       write(route.isResumable ? whole : chunk, exchange);
+      pendingBytes = count > 0 ? 0 : pendingBytes + chunk.length;
+      if (pendingBytes > MAX_EVENT_BYTES) exchange.abort('event too large');
+      return count > 0;
     },
     finish: (): void => {
       const rest = splitter.takeRest();
--- a/packages/router/src/gateway/stream-prefill.ts
+++ b/packages/router/src/gateway/stream-prefill.ts
@@ -20,6 +20,8 @@
 /** A KV cache is not used in this last part of its lifetime. */
 const KV_EXPIRY_MARGIN_MS = 150;
 const HTTP_OK = 200;
+/** The answer to a prefill names a handle; more bytes are no such answer. */
+const MAX_ANSWER_BYTES = 65_536;
 
 /** Prefills the prompt on an engine; stores the handle of its KV cache in `progress`. */
 export function* runPrefill(
@@ -31,6 +33,7 @@
   const sentAt = getSteadyMs();
   progress.prefillSends += 1;
   const parts: Buffer[] = [];
+  let bytes = 0;
   const placement: SendFields = { isPrefillOnly: true, ...buildResumeFields(progress) };
   const result = yield* sendOnce(state, request, {
     server: engine,
@@ -39,7 +42,13 @@
     silenceMs: SILENCE_MS,
     onSilence: () => notifyEngineFailed(state, request, engine.upstreamId, 'silent'),
     onHead: () => undefined,
-    onData: (chunk) => parts.push(chunk),
+    wholeDueAt: sentAt + PREFILL_TIMEOUT_MS,
+    onData: (chunk, exchange) => {
+      bytes += chunk.length;
+      if (bytes > MAX_ANSWER_BYTES) exchange.abort('answer too large');
+      else parts.push(chunk);
+      return true;
+    },
   });
   const outcome = getSendOutcome(result);
   const isPrefilled = outcome.kind === 'answered' && outcome.status === HTTP_OK;
--- a/packages/router/src/stages/engine-calls.ts
+++ b/packages/router/src/stages/engine-calls.ts
@@ -7,6 +7,7 @@
 import type { UpstreamCall } from '../upstreams/upstream-client.js';
 
 const CALL_TIMEOUT_MS = 500;
+const MAX_ANSWER_BYTES = 1_048_576;
 
 type CallAnswer = { readonly status: number; readonly body: Buffer };
 
@@ -15,9 +16,12 @@
   const outcome = makeChannel<CallAnswer | 'failed'>(1);
   const chunks: Buffer[] = [];
   let status = 0;
-  const exchange = state.client.send(call, (event) => {
-    if (event.kind === 'data') chunks.push(event.chunk);
-    else if (event.kind === 'head') status = event.status;
+  let bytes = 0;
+  const exchange = state.engineClient.send(call, (event) => {
+    if (event.kind === 'data') {
+      bytes += event.chunk.length;
+      if (bytes <= MAX_ANSWER_BYTES) chunks.push(event.chunk);
+    } else if (event.kind === 'head') status = event.status;
     else if (event.kind === 'ended') offer(outcome, { status, body: Buffer.concat(chunks) });
     else offer(outcome, 'failed');
   });
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -40,6 +40,8 @@
 export type UpstreamExchange = {
   /** Drops the call and its connection; no event comes after it. */
   readonly cancel: () => void;
+  /** Drops the call and its connection and reports it as failed. */
+  readonly abort: (reason: string) => void;
   readonly pause: () => void;
   readonly resume: () => void;
 };
@@ -226,14 +228,20 @@
       isOver = true;
       outgoing.destroy();
     },
+    abort: fail,
     pause: () => answer?.pause(),
     resume: () => answer?.resume(),
   };
 }
 
-/** Makes a client with connections of its own. */
-export function makeUpstreamClient(): UpstreamClient {
-  const agent = makeGuardedAgent();
+/**
+ * Makes a client with connections of its own. Without `keepsConnections` each call has a new one, so
+ * that no late answer to an earlier call can be taken for its own.
+ */
+export function makeUpstreamClient(
+  { keepsConnections } = { keepsConnections: true },
+): UpstreamClient {
+  const agent = keepsConnections ? makeGuardedAgent() : new Agent({ keepAlive: false });
   return {
     send: (call, onEvent) => startExchange(agent, call, onEvent),
     close: () => agent.destroy(),
