--- a/packages/router/src/feeds/row-cache.ts
+++ b/packages/router/src/feeds/row-cache.ts
@@ -39,6 +39,15 @@
     return rows.get(key)?.position ?? removed.get(key) ?? STORE_START;
   }
 
+  /**
+   * Whether an answer of the store tells nothing new: it is from before a restore, or the whole table
+   * is known up to a later position. Its rows may have been removed since.
+   */
+  function isOutdated(next: StorePosition): boolean {
+    if (getEra(next) < getEra(position)) return true;
+    return completeSince !== Infinity && next < position;
+  }
+
   function forgetOldRemovals(): void {
     for (const [key, at] of removed) {
       if (removed.size <= MAX_REMOVED) return;
@@ -60,8 +69,7 @@
   }
 
   function applyRows(changes: readonly RowChange[], next: StorePosition): RowChange[] {
-    // An answer from before a restore of the store arrives too late to count.
-    if (getEra(next) < getEra(position)) return [];
+    if (isOutdated(next)) return [];
     const news = changes.filter(takeRow);
     if (next > position) position = next;
     forgetOldRemovals();
@@ -71,8 +79,7 @@
   return {
     applyRows,
     replaceRows: (full, next) => {
-      const isRestored = getEra(next) > getEra(position);
-      if (getEra(next) < getEra(position)) return [];
+      if (isOutdated(next)) return [];
       const listed = new Set(full.map(({ key }) => key));
       const missing: RowChange[] = [];
       for (const [key, row] of rows) {
@@ -83,7 +90,8 @@
       for (const { key } of missing) rows.delete(key);
       for (const { key } of missing) removed.set(key, next);
       const news = applyRows(full, next);
-      completeSince = isRestored ? next : Math.min(completeSince, next);
+      // What came and went between two full readings is not known.
+      completeSince = next;
       return [...missing, ...news];
     },
     copySince: (since) => {
--- a/packages/router/src/peers/fleet-view.ts
+++ b/packages/router/src/peers/fleet-view.ts
@@ -36,8 +36,8 @@
 
 /** A peer that says nothing for this long is passed over: three messages are missing. */
 const SILENCE_TIMEOUT_MS = 650;
-/** A VM that could not be reached is tried again after this time. */
-const UNREACHABLE_MS = 4_000;
+/** A VM that could not be reached is dialled again after this time; it is down until it is linked. */
+const RETRY_MS = 4_000;
 /** Name of the ranking where no service needs an owner. */
 const DEFAULT_RANKING = 'hubs';
 
@@ -49,7 +49,8 @@
   let rankingNames: readonly string[] = [DEFAULT_RANKING];
   let rankings: readonly (readonly VmId[])[] = [[]];
   const peers = new Map<VmId, PeerState>();
-  const unreachableUntil = new Map<VmId, number>();
+  /** When to dial each VM again that could not be reached. */
+  const retryAt = new Map<VmId, number>();
 
   function isHeard(vmId: VmId, now: number): boolean {
     const peer = peers.get(vmId);
@@ -58,7 +59,7 @@
 
   function isDown(vmId: VmId, now: number): boolean {
     if (vmId === self) return false;
-    if ((unreachableUntil.get(vmId) ?? 0) > now) return true;
+    if (retryAt.has(vmId)) return true;
     const peer = peers.get(vmId);
     return peer !== undefined && (!isHeard(vmId, now) || peer.message?.isLeaving === true);
   }
@@ -76,6 +77,19 @@
     return new Set(rankings.flatMap((ranking) => findHubs(ranking, now)));
   }
 
+  /** Lists the VMs ranked before a hub that are down and to be dialled again. */
+  function listRetries(hubs: ReadonlySet<VmId>, now: number): VmId[] {
+    const due: VmId[] = [];
+    for (const ranking of rankings) {
+      const lastHub = ranking.findLastIndex((vmId) => hubs.has(vmId));
+      for (const vmId of ranking.slice(0, lastHub)) {
+        const at = retryAt.get(vmId);
+        if (at !== undefined && at <= now) due.push(vmId);
+      }
+    }
+    return due;
+  }
+
   function measureStoreAgeMs(now: number): number {
     let least = Infinity;
     for (const [vmId, { heardAt, message }] of peers) {
@@ -97,19 +111,20 @@
       updateRankings();
     },
     recordLinkOpened: (vmId, now) => {
-      unreachableUntil.delete(vmId);
+      retryAt.delete(vmId);
       peers.set(vmId, { heardAt: now, message: undefined });
     },
     recordUnreachable: (vmId, now) => {
       peers.delete(vmId);
-      unreachableUntil.set(vmId, now + UNREACHABLE_MS);
+      retryAt.set(vmId, now + RETRY_MS);
     },
     recordAlive: (vmId, message, now) => {
       peers.set(vmId, { heardAt: now, message });
     },
     listTargets: (now) => {
       const targets: FleetMember[] = [];
-      for (const vmId of findAllHubs(now)) {
+      const hubs = findAllHubs(now);
+      for (const vmId of new Set([...hubs, ...listRetries(hubs, now)])) {
         const member = members.get(vmId);
         if (member !== undefined && vmId !== self) targets.push(member);
       }
