--- a/packages/router/src/feeds/row-relay.ts
+++ b/packages/router/src/feeds/row-relay.ts
@@ -55,7 +55,7 @@
       value: value && Buffer.from(value),
     }));
     logger.debug({ table, from, position, rows: rows.length }, 'feeds: rows of a peer');
-    feed.applyCopy({ position, isFull, rows });
+    feed.applyCopy({ position, isFull, rows }, from);
   }
 
   return {
--- a/packages/router/src/feeds/table-feed.ts
+++ b/packages/router/src/feeds/table-feed.ts
@@ -4,7 +4,7 @@
  */
 
 import type { FeedSource } from '@tarragonspool/core';
-import { getEra, type StorePosition } from '@tarragonspool/protocol';
+import { getEra, type StorePosition, type VmId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import type { RowChange, RowStore, StoreOutcome } from '../gateway/ports.js';
 import { awaitPromise, makeChannel, offer, receive, type Task } from '../tasks/tasks.js';
@@ -12,10 +12,13 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeRowCache, type RowCache, type RowCopy } from './row-cache.js';
 
+/** Where rows came from: the store's own answer, or the VM that passed them on. */
+export type RowOrigin = 'store' | VmId;
+
 /** Hears of a followed table. */
 export type FeedHandler = {
   /** Rows that are news, removals included. */
-  readonly onRows: (rows: readonly RowChange[]) => void;
+  readonly onRows: (rows: readonly RowChange[], origin: RowOrigin) => void;
   readonly onAway: () => void;
   readonly onBack: () => void;
   /** The era of the first reading. */
@@ -47,7 +50,7 @@
   readonly getSource: () => FeedSource;
   readonly cache: RowCache;
   /** Takes what a peer knows. */
-  readonly applyCopy: (copy: RowCopy) => void;
+  readonly applyCopy: (copy: RowCopy, from: VmId) => void;
 };
 
 const READ_TIMEOUT_MS = 1_500;
@@ -91,8 +94,8 @@
   /** Position up to which the store's own answers were read. */
   let cursor: StorePosition | undefined;
 
-  function tell(rows: readonly RowChange[]): void {
-    if (rows.length > 0) handler.onRows(rows);
+  function tell(rows: readonly RowChange[], origin: RowOrigin): void {
+    if (rows.length > 0) handler.onRows(rows, origin);
   }
 
   function noteAnswer(): void {
@@ -138,7 +141,7 @@
     noteEra(position);
     cursor = position;
     // The first reading is news even if the table is empty.
-    handler.onRows(cache.replaceRows(rows, position));
+    handler.onRows(cache.replaceRows(rows, position), 'store');
     yield* waitMs(pauseMs);
   }
 
@@ -162,7 +165,7 @@
       return;
     }
     if (position > after) cursor = position;
-    tell(cache.applyRows(rows, position));
+    tell(cache.applyRows(rows, position), 'store');
     yield* waitMs(pauseMs);
   }
 
@@ -183,9 +186,9 @@
       if (next === 'peers') noteAnswer();
       else offer(wakeups, true);
     },
-    applyCopy: ({ rows, position, isFull }) => {
+    applyCopy: ({ rows, position, isFull }, from) => {
       noteEra(position);
-      tell(isFull ? cache.replaceRows(rows, position) : cache.applyRows(rows, position));
+      tell(isFull ? cache.replaceRows(rows, position) : cache.applyRows(rows, position), from);
     },
     run: function* run() {
       for (;;) {
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -26,6 +26,12 @@
       labelNames: ['step', 'outcome'],
       registers,
     }),
+    slotReplies: new Counter({
+      name: `${PREFIX}slot_replies_total`,
+      help: 'Replies to slot requests by rank of the route and outcome: granted, or why refused.',
+      labelNames: ['rank', 'outcome'],
+      registers,
+    }),
     answerSeconds: new Histogram({
       name: `${PREFIX}answer_seconds`,
       help: 'Time from arrival to the end of the answer.',
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -12,7 +12,12 @@
   type UpstreamChange,
 } from '@tarragonspool/core';
 import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
-import { makeTableFeed, type FeedOptions, type TableFeed } from '../feeds/table-feed.js';
+import {
+  makeTableFeed,
+  type FeedOptions,
+  type RowOrigin,
+  type TableFeed,
+} from '../feeds/table-feed.js';
 import { offer } from '../tasks/tasks.js';
 import { startAdaptiveTicker } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
@@ -43,7 +48,12 @@
   return withEngines.map(({ name }) => name);
 }
 
-function applyConfigurationRow(state: GatewayState, server: Server, row: RowChange): void {
+function applyConfigurationRow(
+  state: GatewayState,
+  server: Server,
+  row: RowChange,
+  origin: RowOrigin,
+): void {
   const { configuration } = state.ports;
   if (row.key !== configuration.key || row.value === undefined) return;
   const next = configuration.decode(row.value);
@@ -58,7 +68,7 @@
   state.fleet.setServices(listPoolServices(next));
   applyCallerLimits(server, state);
   state.logger.info(
-    { version: next.version, routes: next.routes.length },
+    { version: next.version, routes: next.routes.length, position: row.position, origin },
     'configuration: new version in force',
   );
 }
@@ -96,14 +106,19 @@
   }
 }
 
-function logUpstreams(state: GatewayState, changes: readonly UpstreamChange[]): void {
+function logUpstreams(
+  state: GatewayState,
+  changes: readonly UpstreamChange[],
+  origin: RowOrigin,
+): void {
   for (const { upstreamId, record, isRemoved } of changes) {
     const before = state.upstreams.records.get(upstreamId);
     const isChanged =
       before?.isLeaving !== record?.isLeaving ||
       before?.stage !== record?.stage ||
       before?.incarnation !== record?.incarnation;
-    if (isChanged) state.logger.info({ upstreamId, record, isRemoved }, 'upstreams: entry changed');
+    if (!isChanged) continue;
+    state.logger.info({ upstreamId, record, isRemoved, origin }, 'upstreams: entry changed');
   }
 }
 
@@ -132,9 +147,9 @@
   });
   const options = { ...makeFeedOptions(state), table: upstreams.table };
   const handler = {
-    onRows: (rows: readonly RowChange[]) => {
+    onRows: (rows: readonly RowChange[], origin: RowOrigin) => {
       const changes = rows.map((row) => decodeUpstreamRow(state, row));
-      logUpstreams(state, changes);
+      logUpstreams(state, changes, origin);
       applyUpstreamChanges(state.upstreams, changes, getSteadyMs());
       if (isBusy()) lapseCheck.wake();
       state.hasUpstreams = true;
@@ -157,8 +172,8 @@
   const { store, configuration } = state.ports;
   const options = { ...makeFeedOptions(state), table: configuration.table };
   const handler = {
-    onRows: (rows: readonly RowChange[]) => {
-      for (const row of rows) applyConfigurationRow(state, server, row);
+    onRows: (rows: readonly RowChange[], origin: RowOrigin) => {
+      for (const row of rows) applyConfigurationRow(state, server, row, origin);
       publishEngines(state);
     },
     onAway: () => state.metrics.storeAway.inc(),
--- a/packages/router/src/gateway/stream-flow.test.ts
+++ b/packages/router/src/gateway/stream-flow.test.ts
@@ -6,6 +6,7 @@
 import type { PoolTaskMessage } from '../pools/pool-task.js';
 import { makeChannel, receive, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
+import { makeGatewayMetrics } from './gateway-metrics.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import { runStreamRequest } from './stream-flow.js';
@@ -44,6 +45,7 @@
     pools: { inbox, countLiveVms: () => 1 },
     logger: pino({ level: 'silent' }),
     upstreams: makeUpstreamList(),
+    metrics: makeGatewayMetrics(),
     settings: { vmId: 'vm-1', retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 0 },
     retryWindows: new Map(),
     listedVmCount: 1,
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -289,6 +289,8 @@
       },
       'streams: slot request answered',
     );
+    const outcome = slotReply.kind === 'refused' ? slotReply.reason : slotReply.kind;
+    state.metrics.slotReplies.inc({ rank: slotRequest.rank, outcome });
     if (slotReply.kind === 'caller-gone' || slotReply.kind === 'timed-out') {
       endUnfinished(request, slotReply, progress);
       return;
