A reader whose store calls hang is passed over by age; a VM that reads goes on until a peer does

Age is now the time since the last answer, relied on up to the pause of a reader and 0.6 s (1.3 s where changes are due in 2 s). The fleet model with silent stores then found a sawtooth: a VM that read for all hubs stopped as soon as they knew what it had told them, and read again only when that was old; a VM that reads now goes on until a peer reads.

--- a/packages/core/src/links/link-plan.test.ts
+++ b/packages/core/src/links/link-plan.test.ts
@@ -1,6 +1,13 @@
 import type { VmId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
-import { chooseFeedSource, HUB_COUNT, listHubs, rankVms, type RankedVm } from './index.js';
+import {
+  chooseFeedSource,
+  computeMaxStoreAgeMs,
+  HUB_COUNT,
+  listHubs,
+  rankVms,
+  type RankedVm,
+} from './index.js';
 
 function buildVms(count: number, capacity = 1): RankedVm[] {
   return Array.from({ length: count }, (_unused, index) => ({
@@ -39,12 +46,25 @@
   expect(after).to.have.length(HUB_COUNT);
 });
 
+const maxStoreAgeMs = computeMaxStoreAgeMs(2_000);
 const HUBS = ['a', 'b', 'c', 'd'] as VmId[];
 
+const VIEW = {
+  hubs: HUBS,
+  isSelfReading: false,
+  hasReadingPeer: true,
+  peerStoreAgeMs: 100,
+  maxStoreAgeMs,
+};
+
 it('links: two hubs read the store, the others and all other VMs get rows from peers', () => {
   const isReading = (vmId: VmId): boolean => vmId === 'a' || vmId === 'b';
   const choose = (self: string) =>
-    chooseFeedSource({ self: self as VmId, hubs: HUBS, isReading, peerStoreAgeMs: 100 });
+    chooseFeedSource({
+      ...VIEW,
+      self: self as VmId,
+      isReading,
+    });
   expect(['a', 'b', 'c', 'd', 'e'].map(choose)).to.deep.equal([
     'store',
     'store',
@@ -56,12 +76,18 @@
 
 it('links: the next hub reads the store when one that did is cut off from it', () => {
   const isReading = (vmId: VmId): boolean => vmId === 'b';
-  const view = { hubs: HUBS, isReading, peerStoreAgeMs: 100 };
+  const view = { ...VIEW, isReading };
   expect(chooseFeedSource({ ...view, self: 'c' as VmId })).to.equal('store');
   expect(chooseFeedSource({ ...view, self: 'e' as VmId })).to.equal('peers');
 });
 
 it('links: a VM whose peers know nothing recent of the store reads it itself', () => {
-  const view = { hubs: HUBS, isReading: NONE_DOWN, peerStoreAgeMs: 1_600 };
+  const view = { ...VIEW, isReading: NONE_DOWN, hasReadingPeer: false, peerStoreAgeMs: 1_600 };
   expect(chooseFeedSource({ ...view, self: 'e' as VmId })).to.equal('store');
 });
+
+it('links: a VM that reads the store goes on while what its peers know may come from it', () => {
+  const view = { ...VIEW, self: 'e' as VmId, isSelfReading: true, isReading: NONE_DOWN };
+  expect(chooseFeedSource({ ...view, hasReadingPeer: false })).to.equal('store');
+  expect(chooseFeedSource({ ...view, hasReadingPeer: true })).to.equal('peers');
+});
--- a/packages/core/src/links/link-plan.ts
+++ b/packages/core/src/links/link-plan.ts
@@ -17,8 +17,18 @@
 export const HUB_COUNT = 4;
 /** Hubs that read the store themselves; the others take over when these fail. */
 export const READER_COUNT = 2;
-/** A peer whose knowledge of the store is older than this is not relied on, in milliseconds. */
-export const MAX_STORE_AGE_MS = 1_500;
+/** Pause of a reader between two calls, as a share of the time within which a change must take effect. */
+export const READER_PAUSE_SHARE = 0.35;
+/** Time, beyond the pause, for a change of the list to come and for its way to a peer. */
+const AGE_SLACK_MS = 600;
+
+/**
+ * Computes the age, in milliseconds, up to which a peer's knowledge of the store is relied on. A reader
+ * whose calls get no answer, without an error, is passed over once its last answer is older.
+ */
+export function computeMaxStoreAgeMs(changeWithinMs: number): number {
+  return READER_PAUSE_SHARE * changeWithinMs + AGE_SLACK_MS;
+}
 
 /** Orders VMs by capacity, equal ones by the hash of their id with a name. */
 export function rankVms(vms: Iterable<RankedVm>, name: string): VmId[] {
@@ -41,18 +51,27 @@
 export type FeedView = {
   readonly self: VmId;
   readonly hubs: readonly VmId[];
-  /** Whether a peer is alive and reads the store itself at the moment. */
+  /** Whether this VM reads the store now, and is answered. */
+  readonly isSelfReading: boolean;
+  /** Whether any peer reads the store and has a recent answer. */
+  readonly hasReadingPeer: boolean;
+  /** Whether a peer is alive and has a recent answer of the store. */
   readonly isReading: (vmId: VmId) => boolean;
   /** Least age of the knowledge of a live peer, in milliseconds; Infinity without one. */
   readonly peerStoreAgeMs: number;
+  /** Age up to which that knowledge is relied on. */
+  readonly maxStoreAgeMs: number;
 };
 
 /**
- * Chooses the feed source. A hub reads the store unless enough hubs before it do; any VM reads it
- * while no peer has recent knowledge.
+ * Chooses the feed source. A hub reads the store unless enough hubs before it do. Any VM begins to read
+ * it while no peer has recent knowledge, and goes on until a peer reads: what peers know may come from
+ * this VM.
  */
-export function chooseFeedSource({ self, hubs, isReading, peerStoreAgeMs }: FeedView): FeedSource {
-  if (peerStoreAgeMs > MAX_STORE_AGE_MS) return 'store';
+export function chooseFeedSource(view: FeedView): FeedSource {
+  const { self, hubs, isReading } = view;
+  if (view.peerStoreAgeMs > view.maxStoreAgeMs) return 'store';
+  if (view.isSelfReading && !view.hasReadingPeer) return 'store';
   const ownIndex = hubs.indexOf(self);
   if (ownIndex < 0) return 'peers';
   const readers = hubs.slice(0, ownIndex).filter(isReading);
--- a/packages/router/src/feeds/table-feed.ts
+++ b/packages/router/src/feeds/table-feed.ts
@@ -46,6 +46,8 @@
   readonly isAway: () => boolean;
   /** Whether this VM reads the table itself and the store answers. */
   readonly isReading: () => boolean;
+  /** When the store last answered a call of this feed, on the steady clock; 0 before. */
+  readonly getAnsweredAt: () => number;
   readonly setSource: (source: FeedSource) => void;
   readonly getSource: () => FeedSource;
   readonly cache: RowCache;
@@ -90,6 +92,7 @@
   const wakeups = makeChannel<true>(1);
   let source: FeedSource = 'store';
   let awaySince = Infinity;
+  let answeredAt = 0;
   let failures = 0;
   /** Position up to which the store's own answers were read. */
   let cursor: StorePosition | undefined;
@@ -135,6 +138,7 @@
       return;
     }
     noteAnswer();
+    answeredAt = getSteadyMs();
     const { rows, position } = outcome.value;
     // A late answer from before a restore; the store of today is read next.
     if (getEra(position) < getEra(cache.getPosition())) return;
@@ -158,6 +162,7 @@
       return;
     }
     noteAnswer();
+    answeredAt = getSteadyMs();
     const { rows, position } = outcome.value;
     // Versions of another era do not continue those of the cursor.
     if (getEra(position) !== getEra(after)) {
@@ -178,6 +183,7 @@
     cache,
     isAway: () => !isFed() && getSteadyMs() - awaySince > AWAY_AFTER_MS,
     isReading: () => !isFed() && awaySince === Infinity && cache.isComplete(),
+    getAnsweredAt: () => answeredAt,
     getSource: () => source,
     setSource: (next) => {
       if (next === source) return;
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -1,6 +1,7 @@
 /** Creates the gateway's parts, connects them and starts and stops them. */
 
 import { destination, pino } from 'pino';
+import { computeMaxStoreAgeMs } from '@tarragonspool/core';
 import type { PoolMessage, VmId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import { makeFleetView } from '../peers/fleet-view.js';
@@ -89,7 +90,7 @@
     metrics,
     pools,
     contentGuard,
-    fleet: makeFleetView(settings.vmId),
+    fleet: makeFleetView(settings.vmId, computeMaxStoreAgeMs(settings.changeWithinMs)),
     takeFraction,
     processStartId,
   };
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -10,7 +10,6 @@
 } from '@tarragonspool/protocol';
 import type { RowRelay } from '../feeds/row-relay.js';
 import type { TableFeed } from '../feeds/table-feed.js';
-import { isStoreAgeRecent } from '../peers/fleet-view.js';
 import { startPeerMesh, type PeerMesh } from '../peers/peer-mesh.js';
 import { offer } from '../tasks/tasks.js';
 import { startAdaptiveTicker } from '../tasks/timers.js';
@@ -31,7 +30,7 @@
 /** Used on VMs that are no hubs: often enough to keep their links. */
 const IDLE_ALIVE_INTERVAL_MS = 400;
 /** Spread, for each VM, of the time at which VMs that lost their source begin to read the store. */
-const SPREAD_MS_PER_VM = 15;
+const SPREAD_MS_PER_VM = 8;
 /** Age that stands for no knowledge of the store. */
 const UNKNOWN_AGE_MS = 3_600_000;
 const POOL_MESSAGE_KINDS: ReadonlySet<string> = new Set<PoolMessage['kind']>([
@@ -58,7 +57,10 @@
 
 /** Measures how old this VM's knowledge of the store is, over all VMs that passed it on. */
 function measureOwnStoreAgeMs({ state, feeds }: PeerLinksParts, now: number): number {
-  return feeds.every((feed) => feed.isReading()) ? 0 : state.fleet.measureStoreAgeMs(now);
+  const peerAgeMs = state.fleet.measureStoreAgeMs(now);
+  if (!feeds.every((feed) => feed.isReading())) return peerAgeMs;
+  // The last answer to any call shows that the store could be reached then.
+  return Math.min(peerAgeMs, ...feeds.map((feed) => now - feed.getAnsweredAt()));
 }
 
 function buildAliveMessage(parts: PeerLinksParts, now: number): AliveMessage {
@@ -66,7 +68,7 @@
   const storeAgeMs = Math.min(UNKNOWN_AGE_MS, measureOwnStoreAgeMs(parts, now));
   return {
     kind: 'alive',
-    isStoreAway: !isStoreAgeRecent(storeAgeMs),
+    isStoreAway: !state.fleet.isRecent(storeAgeMs),
     isReading: feeds.every((feed) => feed.isReading()),
     isLeaving: state.isLeaving,
     storeAgeMs,
@@ -89,7 +91,8 @@
   }
 
   return (now) => {
-    const source = fleet.chooseSource(now);
+    const isSelfReading = feeds.every((feed) => feed.isReading());
+    const source = fleet.chooseSource(isSelfReading, now);
     if (source === 'store' && isDelayed(now)) return;
     if (source === 'peers') readsFrom = undefined;
     for (const feed of feeds) feed.setSource(source);
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -6,6 +6,7 @@
 import {
   applyUpstreamChanges,
   dropLapsed,
+  READER_PAUSE_SHARE,
   startGracePeriod,
   type PoolEngine,
   type RoutingConfiguration,
@@ -30,15 +31,10 @@
 const IDLE_LAPSE_CHECK_MS = 1_000;
 /** Short enough to detect a silent connection well before a change must take effect. */
 const FEED_LONG_POLL_MS = 1_500;
-/**
- * Pause between reads, as a share of the time within which a change must take effect. It batches the
- * heartbeats of servers, which change the list all the time.
- */
-const FEED_PAUSE_SHARE = 0.35;
-
 function makeFeedOptions(state: GatewayState): Omit<FeedOptions, 'table'> {
   const { settings, takeFraction, fleet } = state;
-  const pauseMs = FEED_PAUSE_SHARE * settings.changeWithinMs;
+  // The pause batches the heartbeats of servers, which change the list all the time.
+  const pauseMs = READER_PAUSE_SHARE * settings.changeWithinMs;
   const getMaxBackoffMs = (): number => computeMaxBackoffMs(fleet, getSteadyMs());
   return { holdMs: FEED_LONG_POLL_MS, pauseMs, getMaxBackoffMs, takeFraction };
 }
--- a/packages/router/src/peers/fleet-view.fuzz.test.ts
+++ b/packages/router/src/peers/fleet-view.fuzz.test.ts
@@ -1,10 +1,13 @@
-import { MAX_STORE_AGE_MS, READER_COUNT } from '@tarragonspool/core';
+import { computeMaxStoreAgeMs, READER_COUNT } from '@tarragonspool/core';
 import type { AliveMessage, ServiceName, VmId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { makeFleetView, type FleetMember, type FleetView } from './fleet-view.js';
 
 const VM_COUNT = 12;
+const MAX_STORE_AGE_MS = computeMaxStoreAgeMs(2_000);
+/** A call of the store that gets no answer is given up after this time. */
+const CALL_TIMEOUT_MS = 2_900;
 const STEP_MS = 200;
 /** Steps after the last change within which the views must agree. */
 const SETTLE_STEPS = 30;
@@ -17,6 +20,8 @@
   isUp: boolean;
   canRead: boolean;
   isReading: boolean;
+  /** Since when its calls get no answer and no error. */
+  silentSince: number | undefined;
   readonly links: Set<VmId>;
 };
 
@@ -24,6 +29,7 @@
   | { readonly kind: 'down'; readonly vm: number }
   | { readonly kind: 'up'; readonly vm: number }
   | { readonly kind: 'cut-from-store'; readonly vm: number }
+  | { readonly kind: 'silent-store'; readonly vm: number }
   | { readonly kind: 'reach-store'; readonly vm: number }
   | { readonly kind: 'wait'; readonly steps: number };
 
@@ -37,10 +43,11 @@
   }));
   const vms = members.map(({ vmId }) => ({
     vmId,
-    view: makeFleetView(vmId),
+    view: makeFleetView(vmId, MAX_STORE_AGE_MS),
     isUp: true,
     canRead: true,
     isReading: false,
+    silentSince: undefined,
     links: new Set<VmId>(),
   }));
   for (const { view } of vms) {
@@ -71,8 +78,15 @@
   }
 }
 
-function buildAlive({ view, isReading }: ModelVm, now: number): AliveMessage {
-  const storeAgeMs = isReading ? 0 : Math.min(60_000, view.measureStoreAgeMs(now));
+/** Returns how old a VM's knowledge of the store is, read or told by peers. */
+function measureAgeMs({ view, isReading, silentSince }: ModelVm, now: number): number {
+  const peerAgeMs = Math.min(60_000, view.measureStoreAgeMs(now));
+  return isReading ? Math.min(peerAgeMs, now - (silentSince ?? now)) : peerAgeMs;
+}
+
+function buildAlive(vm: ModelVm, now: number): AliveMessage {
+  const { isReading } = vm;
+  const storeAgeMs = measureAgeMs(vm, now);
   const isStoreAway = storeAgeMs > MAX_STORE_AGE_MS;
   return { kind: 'alive', isStoreAway, isReading, isLeaving: false, storeAgeMs, positions: [] };
 }
@@ -82,7 +96,9 @@
   const live = world.vms.filter(({ isUp }) => isUp);
   for (const vm of live) openLinks(world, vm);
   for (const vm of live) {
-    vm.isReading = vm.canRead && vm.view.chooseSource(world.now) === 'store';
+    const isGivenUp = world.now - (vm.silentSince ?? Infinity) > CALL_TIMEOUT_MS;
+    const canRead = vm.canRead && !isGivenUp;
+    vm.isReading = canRead && vm.view.chooseSource(vm.isReading, world.now) === 'store';
   }
   const messages = live.map((vm) => ({ vm, message: buildAlive(vm, world.now) }));
   for (const { vm, message } of messages) {
@@ -114,7 +130,10 @@
   if (change.kind === 'down' && vm.isUp) loseVm(world, vm);
   if (change.kind === 'up') vm.isUp = true;
   if (change.kind === 'cut-from-store') vm.canRead = false;
-  if (change.kind === 'reach-store') vm.canRead = true;
+  if (change.kind === 'silent-store') vm.silentSince ??= world.now;
+  if (change.kind !== 'reach-store') return;
+  vm.canRead = true;
+  vm.silentSince = undefined;
 }
 
 const vmIndex = fc.nat({ max: VM_COUNT - 1 });
@@ -122,6 +141,7 @@
   fc.record({ kind: fc.constant('down'), vm: vmIndex }),
   fc.record({ kind: fc.constant('up'), vm: vmIndex }),
   fc.record({ kind: fc.constant('cut-from-store'), vm: vmIndex }),
+  fc.record({ kind: fc.constant('silent-store'), vm: vmIndex }),
   fc.record({ kind: fc.constant('reach-store'), vm: vmIndex }),
   fc.record({ kind: fc.constant('wait'), steps: fc.integer({ min: 1, max: 20 }) }),
 );
@@ -133,12 +153,12 @@
       for (const change of changes) applyChange(world, change);
       for (let step = 0; step < SETTLE_STEPS; step += 1) runStep(world);
       const live = world.vms.filter(({ isUp }) => isUp);
-      if (!live.some(({ canRead }) => canRead)) return;
+      const hasPath = (vm: ModelVm): boolean => vm.canRead && vm.silentSince === undefined;
+      if (!live.some(hasPath)) return;
       for (const vm of live) {
-        const ageMs = vm.isReading ? 0 : vm.view.measureStoreAgeMs(world.now);
-        expect(ageMs, vm.vmId).to.be.at.most(MAX_STORE_AGE_MS);
+        expect(measureAgeMs(vm, world.now), vm.vmId).to.be.at.most(MAX_STORE_AGE_MS);
       }
-      if (live.every(({ canRead }) => canRead)) {
+      if (live.every(hasPath)) {
         const readers = live.filter(({ isReading }) => isReading);
         expect(readers).to.have.length(Math.min(READER_COUNT, live.length));
       }
--- a/packages/router/src/peers/fleet-view.ts
+++ b/packages/router/src/peers/fleet-view.ts
@@ -6,7 +6,6 @@
 import {
   chooseFeedSource,
   listHubs,
-  MAX_STORE_AGE_MS,
   rankVms,
   type FeedSource,
   type RankedVm,
@@ -28,9 +27,11 @@
   /** Lists the VMs to keep links to. */
   readonly listTargets: (now: number) => FleetMember[];
   readonly isHub: (now: number) => boolean;
-  readonly chooseSource: (now: number) => FeedSource;
+  readonly chooseSource: (isSelfReading: boolean, now: number) => FeedSource;
   /** Least age of the store's state as live peers know it; Infinity without any. */
   readonly measureStoreAgeMs: (now: number) => number;
+  /** Whether knowledge of the store of this age, in milliseconds, may be relied on. */
+  readonly isRecent: (storeAgeMs: number) => boolean;
   readonly countMembers: () => number;
 };
 
@@ -43,8 +44,11 @@
 
 type PeerState = { heardAt: number; message: AliveMessage | undefined };
 
-/** Makes the view of the VM `self`, which knows only itself. */
-export function makeFleetView(self: VmId): FleetView {
+/**
+ * Makes the view of the VM `self`, which knows only itself. Knowledge of the store older than
+ * `maxStoreAgeMs` is not relied on.
+ */
+export function makeFleetView(self: VmId, maxStoreAgeMs: number): FleetView {
   let members = new Map<VmId, FleetMember>();
   let rankingNames: readonly string[] = [DEFAULT_RANKING];
   let rankings: readonly (readonly VmId[])[] = [[]];
@@ -90,15 +94,24 @@
     return due;
   }
 
+  /** Returns the age of the store's state as a peer knows it; Infinity unless the peer is alive. */
+  function measurePeerAgeMs(vmId: VmId, now: number): number {
+    const peer = peers.get(vmId);
+    if (peer?.message === undefined || !isHeard(vmId, now)) return Infinity;
+    return (peer.message.storeAgeMs ?? Infinity) + now - peer.heardAt;
+  }
+
   function measureStoreAgeMs(now: number): number {
     let least = Infinity;
-    for (const [vmId, { heardAt, message }] of peers) {
-      if (message === undefined || !isHeard(vmId, now)) continue;
-      least = Math.min(least, (message.storeAgeMs ?? Infinity) + now - heardAt);
-    }
+    for (const vmId of peers.keys()) least = Math.min(least, measurePeerAgeMs(vmId, now));
     return least;
   }
 
+  function isReading(vmId: VmId, now: number): boolean {
+    if (peers.get(vmId)?.message?.isReading !== true) return false;
+    return measurePeerAgeMs(vmId, now) <= maxStoreAgeMs;
+  }
+
   return {
     setMembers: (listed) => {
       members = new Map(listed.map((member) => [member.vmId, member]));
@@ -131,20 +144,19 @@
       return targets;
     },
     isHub: (now) => findAllHubs(now).has(self),
-    chooseSource: (now) =>
+    chooseSource: (isSelfReading, now) =>
       chooseFeedSource({
         self,
+        isSelfReading,
+        hasReadingPeer: [...peers.keys()].some((vmId) => isReading(vmId, now)),
         // The hubs of the first service read for all.
         hubs: findHubs(rankings[0] ?? [], now),
-        isReading: (vmId) => isHeard(vmId, now) && peers.get(vmId)?.message?.isReading === true,
+        isReading: (vmId) => isReading(vmId, now),
         peerStoreAgeMs: measureStoreAgeMs(now),
+        maxStoreAgeMs,
       }),
     measureStoreAgeMs,
+    isRecent: (storeAgeMs) => storeAgeMs <= maxStoreAgeMs,
     countMembers: () => members.size,
   };
 }
-
-/** Whether knowledge of the store of this age, in milliseconds, may be relied on. */
-export function isStoreAgeRecent(ageMs: number): boolean {
-  return ageMs <= MAX_STORE_AGE_MS;
-}
