A store table that is rarely answered moves no ownership of pools

A VM that reads the store and gets no error is not away, whatever the age of its last answer: on a list without changes that age passes the bound between two answers, and owners would have changed back and forth. The age decides only from whom rows are taken.

--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -66,10 +66,12 @@
 function buildAliveMessage(parts: PeerLinksParts, now: number): AliveMessage {
   const { state, feeds, relay } = parts;
   const storeAgeMs = Math.min(UNKNOWN_AGE_MS, measureOwnStoreAgeMs(parts, now));
+  const isReading = feeds.every((feed) => feed.isReading());
   return {
     kind: 'alive',
-    isStoreAway: !state.fleet.isRecent(storeAgeMs),
-    isReading: feeds.every((feed) => feed.isReading()),
+    // A table in which nothing changes is answered rarely; that alone moves no ownership.
+    isStoreAway: !isReading && !state.fleet.isRecent(storeAgeMs),
+    isReading,
     isLeaving: state.isLeaving,
     storeAgeMs,
     positions: relay.listPositions(),
