Streams: the log tells how an answer's end was framed and what came after its last event

'streams: decode run ended' now has framing and restBytes. The count of bytes without an event is now the splitter's own (one copy).

--- a/packages/core/src/routing/event-splitter.ts
+++ b/packages/core/src/routing/event-splitter.ts
@@ -12,6 +12,8 @@
 /** Splits one stream. */
 export type EventSplitter = {
   readonly split: (chunk: Buffer) => SplitEvents;
+  /** Bytes after the last whole event. */
+  readonly countRest: () => number;
   /** Returns and clears the bytes after the last whole event. */
   readonly takeRest: () => Buffer;
 };
@@ -51,6 +53,7 @@
       rest = bytes.subarray(start);
       return { whole: bytes.subarray(0, start), count, lastEventId };
     },
+    countRest: () => rest.length,
     takeRest: () => {
       const taken = rest;
       rest = Buffer.alloc(0);
--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -3,7 +3,7 @@
 import type { SendOutcome, UpstreamRecord } from '@tarragonspool/core';
 import { receive, offer, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
-import type { UpstreamExchange } from '../upstreams/upstream-client.js';
+import type { AnswerFraming, UpstreamExchange } from '../upstreams/upstream-client.js';
 import type { GatewayRequest, RequestMessage } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import type { PlacementFields, UpstreamHead } from './ports.js';
@@ -12,7 +12,10 @@
 export type RequestEnd = { readonly kind: 'caller-gone' } | { readonly kind: 'timed-out' };
 
 /** Decoded head of an answer with its raw headers. */
-export type AnswerHead = UpstreamHead & { readonly rawHeaders: readonly string[] };
+export type AnswerHead = UpstreamHead & {
+  readonly rawHeaders: readonly string[];
+  readonly framing: AnswerFraming;
+};
 
 /** How a send ended, or why it was cancelled. */
 export type SendResult =
@@ -89,7 +92,7 @@
     }
     if (event.kind === 'head' && send !== undefined) {
       const head = dialect.decodeUpstreamHead(event.status, event.headers);
-      const answerHead = { ...head, rawHeaders: event.rawHeaders };
+      const answerHead = { ...head, rawHeaders: event.rawHeaders, framing: event.framing };
       send.progressAt = getSteadyMs();
       // Set before any data arrives, so that no byte of an unusable answer is forwarded.
       if (findUnusableReason(answerHead, request) === undefined) {
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -4,7 +4,7 @@
 import { sendPoolMessage } from '../pools/pool-task.js';
 import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
-import type { UpstreamExchange } from '../upstreams/upstream-client.js';
+import type { AnswerFraming, UpstreamExchange } from '../upstreams/upstream-client.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import { sendOnce, type AnswerHead, type SendResult } from './sender.js';
@@ -37,8 +37,7 @@
   const splitter = makeEventSplitter();
   let isForwarding = false;
   let unusedBytes = 0;
-  /** Bytes since the last whole event. */
-  let pendingBytes = 0;
+  let framing: AnswerFraming | undefined;
 
   function write(bytes: Buffer, exchange: UpstreamExchange): void {
     if (bytes.length === 0 || reply.write(bytes)) return;
@@ -48,6 +47,7 @@
 
   return {
     onHead: (head: AnswerHead): void => {
+      framing = head.framing;
       isForwarding = head.status === HTTP_OK && head.isSigned && !head.isNotRun;
       if (!isForwarding) return;
       progress.runs += 1;
@@ -75,8 +75,7 @@
       }
       progress.lastEventId = lastEventId ?? progress.lastEventId;
       write(route.isResumable ? whole : chunk, exchange);
-      pendingBytes = count > 0 ? 0 : pendingBytes + chunk.length;
-      if (pendingBytes > MAX_EVENT_BYTES) exchange.abort('event too large');
+      if (splitter.countRest() > MAX_EVENT_BYTES) exchange.abort('event too large');
       return count > 0;
     },
     finish: (): void => {
@@ -85,6 +84,8 @@
       reply.end();
     },
     isForwarding: () => isForwarding,
+    /** How the answer's end is told, and the bytes after its last whole event. */
+    getEnd: () => ({ framing, restBytes: splitter.countRest() }),
   };
 }
 
@@ -129,6 +130,7 @@
     onData: relay.onData,
   });
   const end = findDecodeEnd(result, relay.isForwarding());
+  const { framing, restBytes } = relay.getEnd();
   if (end === 'finished') relay.finish();
   const { requestId } = request.fields;
   const { upstreamId } = engine;
@@ -140,6 +142,8 @@
       upstreamId,
       end,
       outcome: getSendOutcome(result),
+      framing,
+      restBytes,
       events,
       runs,
       tookMs,
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -23,11 +23,15 @@
   readonly body: Buffer;
 };
 
+/** What tells the end of an answer: its length, its chunks, or only the end of its connection. */
+export type AnswerFraming = 'length' | 'chunks' | 'connection';
+
 /** What happens to a call. The last event is `ended` or `failed`. */
 export type UpstreamEvent =
   | {
       readonly kind: 'head';
       readonly status: number;
+      readonly framing: AnswerFraming;
       readonly headers: IncomingHttpHeaders;
       readonly rawHeaders: readonly string[];
     }
@@ -129,10 +133,10 @@
 /** Writes an empty line to a connection that the server ended: it fails if the server reset it. */
 const END_PROBE = '\r\n';
 
-/** Whether a body ends only with its connection. */
-function isUnframed({ headers, statusCode }: IncomingMessage): boolean {
-  if (statusCode === 204 || statusCode === 304) return false;
-  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+function findFraming({ headers, statusCode }: IncomingMessage): AnswerFraming {
+  if (headers['transfer-encoding'] !== undefined) return 'chunks';
+  const hasNoBody = statusCode === 204 || statusCode === 304;
+  return hasNoBody || headers['content-length'] !== undefined ? 'length' : 'connection';
 }
 
 function startExchange(
@@ -175,7 +179,7 @@
 
   /** An answer that ends with its connection is whole only if the connection was not reset. */
   function probeEnd(socket: Socket): void {
-    if (isOver || answer === undefined || !isUnframed(answer)) return;
+    if (isOver || answer === undefined || findFraming(answer) !== 'connection') return;
     isProbing = true;
     socket.write(END_PROBE, (error) => {
       isProbing = false;
@@ -203,6 +207,7 @@
   outgoing.on('response', (message) => {
     answer = message;
     const { statusCode: status = 0, headers, rawHeaders } = message;
+    const framing = findFraming(message);
     message.on('data', (chunk: Buffer) => {
       if (!isOver) emit({ kind: 'data', chunk });
     });
@@ -215,7 +220,7 @@
     message.on('close', () => {
       if (!hasEnded) fail('closed before its end');
     });
-    if (!isOver) emit({ kind: 'head', status, headers, rawHeaders });
+    if (!isOver) emit({ kind: 'head', status, framing, headers, rawHeaders });
   });
   outgoing.on('error', (error) => fail(error.message));
   outgoing.on('close', () => {
