Streams: an answer that ends inside an event has been broken off, whatever its framing says

Cause: whether an answer is whole was judged by its framing alone. An answer with neither a length nor chunks was whole unless its connection was reset; an engine that dies closes the connection without a reset. Class: the end of a message is taken from a layer below the one that defines it. Why it works: events are what a stream is made of. The sender asks the reader of the body for its judgement when framing says that the answer is over. The broken answer then takes the path of any other: a resumable stream goes on after its last whole event, others are cut, the engine is probed, its content suspected.

--- a/packages/core/src/routing/event-splitter.ts
+++ b/packages/core/src/routing/event-splitter.ts
@@ -12,6 +12,8 @@
 /** Splits one stream. */
 export type EventSplitter = {
   readonly split: (chunk: Buffer) => SplitEvents;
+  /** Whether bytes of an event have come whose end has not. */
+  readonly isInsideEvent: () => boolean;
   /** Bytes after the last whole event. */
   readonly countRest: () => number;
   /** Returns and clears the bytes after the last whole event. */
@@ -31,6 +33,11 @@
   return -1;
 }
 
+/** Whether a line belongs to an event: blank lines and comments do not. */
+function isEventLine(line: string): boolean {
+  return line !== '' && line !== '\r' && !line.startsWith(':');
+}
+
 function parseEventId(event: Buffer): number | undefined {
   const id = EVENT_ID.exec(event.toString('latin1'))?.[1];
   return id === undefined ? undefined : Number(id);
@@ -53,6 +60,7 @@
       rest = bytes.subarray(start);
       return { whole: bytes.subarray(0, start), count, lastEventId };
     },
+    isInsideEvent: () => rest.toString('latin1').split('\n').some(isEventLine),
     countRest: () => rest.length,
     takeRest: () => {
       const taken = rest;
--- a/packages/core/src/routing/routing.test.ts
+++ b/packages/core/src/routing/routing.test.ts
@@ -199,3 +199,21 @@
     expect(splitter.takeRest().toString()).to.equal('id: 3\ndata: c');
   }
 });
+
+// Guards against an answer that is taken for whole though its last event is not.
+it('event splitter: a stream is inside an event from its first line to the blank line', () => {
+  const splitter = makeEventSplitter();
+  const parts = [
+    [': comment\n\n', false],
+    ['id: 1\n', true],
+    ['data: a\n', true],
+    ['\n', false],
+    ['\r\n: comm', false],
+    ['ent\nda', true],
+    ['ta: b\r\n\r\n', false],
+  ] as const;
+  for (const [text, isInside] of parts) {
+    splitter.split(Buffer.from(text));
+    expect(splitter.isInsideEvent(), text).to.equal(isInside);
+  }
+});
--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -43,6 +43,8 @@
   readonly onHead: (head: AnswerHead) => void;
   /** Called with each part of the body; returns whether it is progress, and not only bytes. */
   readonly onData: (chunk: Buffer, exchange: UpstreamExchange) => boolean;
+  /** Called at the end of an answer that its framing says is whole; returns why it is not. */
+  readonly findCut?: () => string | undefined;
 };
 
 /** An engine that generates an answer sends many events within this time. */
@@ -106,16 +108,17 @@
   return active.send;
 }
 
-function findCompletedOutcome(send: ActiveSend): SendOutcome {
-  const { head } = send;
+function findCompletedOutcome({ head }: ActiveSend, plan: SendPlan): SendOutcome {
   if (head === undefined) return { kind: 'unknown', reason: 'no usable answer' };
   if (head.isNotRun) return { kind: 'not-run', reason: `status ${head.status}` };
+  const cut = plan.findCut?.();
+  if (cut !== undefined) return { kind: 'unknown', reason: cut };
   return { kind: 'answered', status: head.status, isSigned: head.isSigned };
 }
 
 function findSendResult(
   send: ActiveSend,
-  request: GatewayRequest,
+  plan: SendPlan,
   message: RequestMessage,
 ): SendResult | undefined {
   switch (message.kind) {
@@ -134,7 +137,7 @@
         return { kind: 'outcome', outcome: { kind: 'unknown', reason: 'unusable answer' } };
       }
       if (event.kind === 'ended') {
-        const outcome = findCompletedOutcome(send);
+        const outcome = findCompletedOutcome(send, plan);
         return send.head === undefined
           ? { kind: 'outcome', outcome }
           : { kind: 'outcome', outcome, head: send.head };
@@ -194,7 +197,7 @@
     for (;;) {
       const message = yield* receive(request.inbox);
       if (message === undefined) return { kind: 'caller-gone' };
-      const result = findSendResult(send, request, message);
+      const result = findSendResult(send, plan, message);
       if (result === undefined) continue;
       const isComplete = result.kind === 'outcome' && result.head !== undefined;
       if (!isComplete) send.exchange.cancel();
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -84,6 +84,8 @@
       reply.end();
     },
     isForwarding: () => isForwarding,
+    findCut: () =>
+      isForwarding && splitter.isInsideEvent() ? 'answer ended inside an event' : undefined,
     /** How the answer's end is told, and the bytes after its last whole event. */
     getEnd: () => ({ framing, restBytes: splitter.countRest() }),
   };
@@ -128,6 +130,7 @@
     onSilence: () => notifyEngineFailed(state, request, engine.upstreamId, 'silent'),
     onHead: relay.onHead,
     onData: relay.onData,
+    findCut: relay.findCut,
   });
   const end = findDecodeEnd(result, relay.isForwarding());
   const { framing, restBytes } = relay.getEnd();
