Streams: an unframed answer that ends before its first event has been broken off

Callers would see an empty 200 that looks whole: an engine sends the head without a length or chunks and dies before the first event, as engines do that crash for a prompt.

--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -84,8 +84,13 @@
       reply.end();
     },
     isForwarding: () => isForwarding,
-    findCut: () =>
-      isForwarding && splitter.isInsideEvent() ? 'answer ended inside an event' : undefined,
+    findCut: (): string | undefined => {
+      if (!isForwarding) return undefined;
+      if (splitter.isInsideEvent()) return 'answer ended inside an event';
+      // The head of a resumed answer may be all that the caller still lacks.
+      const lacksEvents = !hasEvent && progress.lastEventId === undefined;
+      return lacksEvents && framing === 'connection' ? 'answer ended before an event' : undefined;
+    },
     /** How the answer's end is told, and the bytes after its last whole event. */
     getEnd: () => ({ framing, restBytes: splitter.countRest() }),
   };
