Callers: a broken answer without a length or chunks resets its connection

Callers of HTTP/1.0 would take a broken stream for whole: their answers end with the connection, and a broken one was closed like a whole one. Framed answers are still closed, not reset, since a reset may drop events that are on their way.

--- a/packages/router/src/gateway/caller-reply.ts
+++ b/packages/router/src/gateway/caller-reply.ts
@@ -19,16 +19,18 @@
   /** Returns false if the caller reads more slowly than the server writes; wait for `onDrain`. */
   readonly write: (chunk: Buffer) => boolean;
   readonly end: () => void;
-  /** Closes the connection so that the answer does not look complete. */
+  /** Ends the connection so that the answer does not look complete. */
   readonly breakOff: () => void;
   readonly onDrain: (resume: () => void) => void;
 };
 
 const MS_PER_S = 1_000;
+const LENGTH = /^content-length$/iu;
 
 /** Makes the answer writer; `isLeaving` closes the connection after the answer. */
 export function makeCallerReply(response: ServerResponse, isLeaving: () => boolean): CallerReply {
   let state: ReplyState = 'open';
+  let hasLength = false;
 
   function refuse(name: ResultName, retryAfterMs?: number): void {
     if (state !== 'open') return;
@@ -51,6 +53,7 @@
     begin: (status, rawHeaders) => {
       if (state !== 'open') return;
       state = 'begun';
+      hasLength = rawHeaders.some((name, index) => index % 2 === 0 && LENGTH.test(name));
       const headers = isLeaving() ? [...rawHeaders, 'Connection', 'close'] : [...rawHeaders];
       response.writeHead(status, headers);
       response.flushHeaders();
@@ -64,7 +67,9 @@
     breakOff: () => {
       if (state === 'ended') return;
       state = 'ended';
-      response.destroy();
+      const isUnframed = response.headersSent && !hasLength && !response.chunkedEncoding;
+      if (isUnframed) response.socket?.resetAndDestroy();
+      else response.destroy();
     },
     onDrain: (resume) => response.once('drain', resume),
   };
