Streams: the log names the parts of the prompt of a stream that broke off

The incident of engines that crash one after the other (docs/incidents) has hypotheses that the log could not distinguish: a part that many prompts share, contents that come again, or engines that end by themselves.

--- a/packages/protocol/src/ids.ts
+++ b/packages/protocol/src/ids.ts
@@ -36,3 +36,5 @@
 export type Fingerprint = Brand<string, 'Fingerprint'>;
 /** Hash of one prompt prefix that ends on a block boundary. */
 export type PrefixHash = Brand<string, 'PrefixHash'>;
+/** Identifies the content of one part of a prompt; prompts share parts. */
+export type PromptPartId = Brand<string, 'PromptPartId'>;
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -5,7 +5,13 @@
 
 import type { IncomingHttpHeaders } from 'node:http';
 import type { EngineStage, RoutingConfiguration, UpstreamRecord } from '@tarragonspool/core';
-import type { DataCentre, StorePosition, UpstreamId, VmId } from '@tarragonspool/protocol';
+import type {
+  DataCentre,
+  PromptPartId,
+  StorePosition,
+  UpstreamId,
+  VmId,
+} from '@tarragonspool/protocol';
 
 /** A TCP address. */
 export type ListenAddress = { readonly host: string; readonly port: number };
@@ -103,6 +109,8 @@
    * Identifies the prompt: the same for every attempt at one request, different for other requests.
    */
   readonly promptKey: string | undefined;
+  /** Ids of the prompt's parts in order; the last one belongs to this request alone. */
+  readonly promptParts: readonly PromptPartId[];
 };
 
 /** Engine and handle from which the KV cache of a prompt can be fetched. */
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -24,6 +24,8 @@
 /** A longer event is no event: the engine is in trouble. */
 const MAX_EVENT_BYTES = 1_048_576;
 const MS_PER_S = 1_000;
+/** A log line names at most this many parts of a prompt. */
+const MAX_LOGGED_PARTS = 16;
 
 /** Forwards an answer as it arrives, in whole events if the route is resumable. */
 function makeEventRelay(
@@ -140,7 +142,7 @@
   const end = findDecodeEnd(result, relay.isForwarding());
   const { framing, restBytes } = relay.getEnd();
   if (end === 'finished') relay.finish();
-  const { requestId } = request.fields;
+  const { requestId, promptParts } = request.fields;
   const { upstreamId } = engine;
   const { events, runs, firstEventMs, longestGapMs } = progress;
   const tookMs = getSteadyMs() - sentAt;
@@ -157,6 +159,8 @@
       tookMs,
       firstEventMs,
       longestGapMs,
+      // What streams that broke off had in common shows only from their prompts.
+      ...(end === 'broken' ? { promptParts: promptParts.slice(0, MAX_LOGGED_PARTS) } : {}),
     },
     'streams: decode run ended',
   );
