--- a/packages/router/src/gateway/stream-flow.test.ts
+++ b/packages/router/src/gateway/stream-flow.test.ts
@@ -1,4 +1,9 @@
-import { makeUpstreamList, type SlotRequest, type Route } from '@tarragonspool/core';
+import {
+  makeUpstreamList,
+  type SlotRequest,
+  type Route,
+  type UpstreamRecord,
+} from '@tarragonspool/core';
 import type { UpstreamId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import { pino } from 'pino';
@@ -15,16 +20,20 @@
   readonly slotRequests: SlotRequest[];
   readonly notifications: string[];
   readonly refusals: string[];
+  /** Engines that something was sent to. */
+  readonly sends: string[];
 };
 
 function buildRequest(refusals: string[]): GatewayRequest {
   const now = getSteadyMs();
   const route = { maxAttempts: 1, isResumable: false, gapTargetMs: 300, targetLatencyMs: 900 };
   return {
-    fields: { requestId: 'r1', promptTokens: 5_000, maxOutputTokens: 9_000 },
+    fields: { requestId: 'r1', promptTokens: 5_000, maxOutputTokens: 9_000, promptParts: [] },
     route: route as unknown as Route,
     service: 'llm',
     path: '/a/',
+    body: Buffer.alloc(0),
+    rawHeaders: [],
     arrivedAt: now,
     deadlineAt: now + 10_000,
     aimAt: now + 900,
@@ -37,14 +46,35 @@
   | Omit<Extract<SlotReply, { kind: 'granted' }>, 'askId'>
   | Omit<Extract<SlotReply, { kind: 'refused' }>, 'askId'>;
 
-/** Plays one stream against an owner that answers each slot request with the next reply. */
-async function playStream(replies: readonly OwnerReply[]): Promise<StreamTrace> {
-  const trace: StreamTrace = { slotRequests: [], notifications: [], refusals: [] };
+const LISTED = { upstreamId: 'listed', address: '127.0.0.1:1', isLeaving: false };
+
+/**
+ * Plays one stream against an owner that answers each slot request with the next reply. The
+ * content is in quarantine once `quarantinedAfter` slot requests have been answered.
+ */
+async function playStream(
+  replies: readonly OwnerReply[],
+  quarantinedAfter = Infinity,
+): Promise<StreamTrace> {
+  const trace: StreamTrace = { slotRequests: [], notifications: [], refusals: [], sends: [] };
   const inbox = makeChannel<PoolTaskMessage>(64);
+  const upstreams = makeUpstreamList();
+  upstreams.records.set(LISTED.upstreamId as UpstreamId, LISTED as unknown as UpstreamRecord);
   const state = {
     pools: { inbox, countLiveVms: () => 1 },
     logger: pino({ level: 'silent' }),
-    upstreams: makeUpstreamList(),
+    upstreams,
+    client: {
+      send: ({ address }: { address: string }, onEvent: (event: object) => void) => {
+        trace.sends.push(address);
+        setImmediate(() => onEvent({ kind: 'failed', isSent: false, reason: 'not connected' }));
+        return { cancel: () => undefined };
+      },
+    },
+    ports: { dialect: { makeForwardHeaders: () => [] } },
+    contentGuard: {
+      isQuarantined: () => trace.slotRequests.length >= quarantinedAfter,
+    },
     metrics: makeGatewayMetrics(),
     settings: { vmId: 'vm-1', retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 0 },
     retryWindows: new Map(),
@@ -109,3 +139,12 @@
   ]);
   expect(slotRequests).to.have.length(2);
 });
+
+// Guards against a content that reaches a server because its request waited when it became known.
+it('streams: a content that comes into quarantine while its request waits is refused and not sent', async () => {
+  const grant = { kind: 'granted', prefill: undefined, decode: LISTED.upstreamId as UpstreamId };
+  const trace = await playStream([grant as OwnerReply, REFUSED], 1);
+  expect(trace.sends).to.deep.equal([]);
+  expect(trace.refusals).to.deep.equal(['quarantined']);
+  expect(trace.notifications).to.deep.equal(['end']);
+});
