Streams: a content that came into quarantine while its request waited is not sent

Cause: quarantine was asked on arrival only. Class: a decision that is taken once and used later. Now it is asked before the prefill and before the decode, each time, also where a stream goes on at another engine. The test failed before (sent to the engine), green now.

--- a/packages/router/src/gateway/stream-flow.test.ts
+++ b/packages/router/src/gateway/stream-flow.test.ts
@@ -9,7 +9,7 @@
 import { pino } from 'pino';
 import type { SlotReply, PoolRequestMessage } from '../pools/place-messages.js';
 import type { PoolTaskMessage } from '../pools/pool-task.js';
-import { makeChannel, receive, startTask, type Task } from '../tasks/tasks.js';
+import { makeChannel, offer, receive, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
 import type { GatewayRequest } from './gateway-request.js';
@@ -93,11 +93,14 @@
     if (reply !== undefined) message.onReply({ ...reply, askId: message.ask.askId });
   }
 
+  let onTicked = (): void => undefined;
+
   function* runOwner(): Task {
     for (;;) {
       const message = yield* receive(inbox);
       if (message === undefined) return;
       if (message.kind === 'request') answerRequest(message.message);
+      else if (message.kind === 'ticked') onTicked();
     }
   }
 
@@ -109,6 +112,11 @@
       () => resolve(),
     );
   });
+  // The owner has read all messages once it has read this one.
+  await new Promise<void>((resolve) => {
+    onTicked = resolve;
+    offer(inbox, { kind: 'ticked' });
+  });
   inbox.close();
   return trace;
 }
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -234,6 +234,24 @@
   return 'again';
 }
 
+/**
+ * Ends a request whose content has come into quarantine since it arrived, and frees its slot; returns
+ * whether it did. Asked before each send.
+ */
+function endQuarantined(
+  state: GatewayState,
+  request: GatewayRequest,
+  { askId }: SlotGrant,
+): boolean {
+  if (!state.contentGuard.isQuarantined(request.fingerprint)) return false;
+  sendPoolMessage(state.pools, { kind: 'end', askId, didFinish: false }, state.logger);
+  const { reply, fields, fingerprint } = request;
+  state.logger.warn({ requestId: fields.requestId, fingerprint }, 'quarantine: request ended');
+  if (reply.getState() === 'begun') reply.breakOff();
+  else reply.refuse('quarantined');
+  return true;
+}
+
 function* runGrantedStream(
   state: GatewayState,
   request: GatewayRequest,
@@ -244,8 +262,10 @@
   if (unlisted !== undefined && !progress.excluded.has(unlisted)) {
     return excludeEngine(state, request, progress, grant, unlisted);
   }
+  if (endQuarantined(state, request, grant)) return 'done';
   const prepared = yield* ensurePrefilled(state, request, progress, grant);
   if (prepared !== 'ready') return prepared;
+  if (endQuarantined(state, request, grant)) return 'done';
   const { askId, decode } = grant;
   const engine = findEngine(state, decode);
   if (engine === undefined) {
