Quarantine: parts in quarantine are kept in the store, so that no restart forgets them

Cause: what crashes engines was known to processes only. Class: knowledge that must outlast every process and doesn't. Now the VM whose report completes the evidence writes a row beside the rows of the VMs (no further table to follow, no further call while nothing is in quarantine); others write it 1.5 to 3 s later if it lacks. A VM reads it with its registration; until then, for at most 3 s, streams with shared parts are refused as not run. The test of the restored store was not seen failing: it came with the code.

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -155,6 +155,10 @@
     return;
   }
   const request = buildRequest(state, arrival, route, service, body);
+  if (request.sharedParts.length > 0 && !state.partGuard.hasCaughtUp()) {
+    reply.refuse('not-ready', NOT_READY_RETRY_AFTER_MS);
+    return;
+  }
   const reason = findQuarantineReason(state, request);
   if (reason !== undefined) {
     const { requestId } = request.fields;
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -17,12 +17,14 @@
 import type { Logger } from '../logging/logger.js';
 import type { FleetView } from '../peers/fleet-view.js';
 import type { PoolTask } from '../pools/pool-task.js';
+import type { Channel } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeUpstreamClient, type UpstreamClient } from '../upstreams/upstream-client.js';
 import type { ContentGuard } from './content-guard.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { PartGuard } from './part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
+import type { QuarantineWakeup } from './quarantine-rows.js';
 
 /** State of one gateway; each part is changed by one task only. */
 export type GatewayState = {
@@ -37,6 +39,8 @@
   readonly pools: PoolTask;
   readonly contentGuard: ContentGuard;
   readonly partGuard: PartGuard;
+  /** Wakes the task that keeps the store's rows of parts in quarantine. */
+  readonly quarantineWakeups: Channel<QuarantineWakeup>;
   /** What this VM knows of the others. */
   readonly fleet: FleetView;
   readonly takeFraction: () => number;
@@ -73,6 +77,7 @@
   | 'pools'
   | 'contentGuard'
   | 'partGuard'
+  | 'quarantineWakeups'
   | 'fleet'
   | 'takeFraction'
   | 'processStartId'
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -16,6 +16,7 @@
 import { startMembership, type PeerMeshHolder, type StartTask } from './membership.js';
 import { makePartGuard } from './part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
+import { makeQuarantineWakeups } from './quarantine-rows.js';
 import { listen, startMetricsListener, startReadyListener } from './side-listeners.js';
 import { makeConfigurationFeed, makeUpstreamFeed } from './state-feeds.js';
 import { startShutdown } from './stop.js';
@@ -68,9 +69,10 @@
   const pools = makePoolTask({ self, takeFraction, sendTo, broadcast, onBusy, logger });
   const metrics = makeGatewayMetrics();
   const processStartId = `${settings.vmId}-${process.hrtime.bigint().toString(36)}`;
+  const quarantineWakeups = makeQuarantineWakeups();
   const partGuard = makePartGuard({
     broadcast: (message) => meshHolder.mesh?.broadcast(message),
-    onChanged: () => undefined,
+    onChanged: (isOwnReport) => offer(quarantineWakeups, { isOwnReport }),
     logger,
   });
   const contentTicker: TickerHolder = { ticker: undefined };
@@ -101,6 +103,7 @@
     pools,
     contentGuard,
     partGuard,
+    quarantineWakeups,
     fleet: makeFleetView(settings.vmId, computeMaxStoreAgeMs(settings.changeWithinMs)),
     takeFraction,
     processStartId,
--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -8,6 +8,7 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayState } from './gateway-state.js';
 import { startPeerLinks } from './peer-links.js';
+import { buildQuarantineWrite, listStoredParts, runQuarantineRows } from './quarantine-rows.js';
 import {
   decodeMembers,
   findSecret,
@@ -62,6 +63,10 @@
     offer(pools.inbox, { kind: 'members', members });
     const secret = findSecret(rows);
     if (secret !== undefined && secret !== handler.secrets[0]) handler.secrets.unshift(secret);
+    state.partGuard.mergeStored(listStoredParts(rows));
+    // A restored store may have lost rows.
+    const isLost = buildQuarantineWrite(state.partGuard.listQuarantined(), rows) !== undefined;
+    if (isLost) offer(state.quarantineWakeups, { isOwnReport: false });
     const isListed = members.some(({ vmId }) => vmId === self.vmId);
     if (!isListed || secret === undefined) handler.onRowLost();
   }
@@ -90,7 +95,8 @@
     if (isRunning) return;
     isRunning = true;
     start('registration', function* run() {
-      yield* runRegistration(store, self, state.takeFraction, state.logger, getSecret());
+      const { takeFraction, logger } = state;
+      yield* runRegistration({ store, self, takeFraction, logger, knownSecret: getSecret() });
       state.metrics.rowsWrittenAgain.inc();
       isRunning = false;
     });
@@ -117,14 +123,18 @@
     sendTo: (to, message) => meshHolder.mesh?.sendTo(to, message),
     logger,
   });
+  start('quarantine rows', () =>
+    runQuarantineRows(state, state.quarantineWakeups, memberFeed.cache.listRows),
+  );
   start('membership', function* run() {
     const { store } = state.ports;
-    const registration: Registration = yield* runRegistration(
+    const registration: Registration = yield* runRegistration({
       store,
       self,
-      state.takeFraction,
+      takeFraction: state.takeFraction,
       logger,
-    );
+      onRows: (rows) => state.partGuard.mergeStored(listStoredParts(rows)),
+    });
     secrets.push(registration.secret);
     const { incarnation } = registration;
     meshHolder.mesh = startPeerLinks({ state, incarnation, secrets, relay, feeds: allFeeds });
--- a/packages/router/src/gateway/part-guard.ts
+++ b/packages/router/src/gateway/part-guard.ts
@@ -18,6 +18,8 @@
 
 /** Part guard of one VM. */
 export type PartGuard = {
+  /** False while this process has started a short time ago and not read what the store lists. */
+  readonly hasCaughtUp: () => boolean;
   /** Finds parts in quarantine among the shared parts of a prompt. */
   readonly findQuarantined: (shared: readonly PromptPartId[]) => QuarantinedParts | undefined;
   readonly listQuarantined: () => readonly QuarantinedParts[];
@@ -33,12 +35,14 @@
 /** Dependencies of the guard. */
 export type PartGuardParts = {
   readonly broadcast: (message: PromptPartsMessage) => void;
-  /** Called when what is in quarantine has changed. */
-  readonly onChanged: () => void;
+  /** Called when what is in quarantine has changed, by a report of this VM or of a peer. */
+  readonly onChanged: (isOwnReport: boolean) => void;
   readonly logger: Logger;
   readonly getNow?: () => number;
 };
 
+/** A VM that can't read what the store lists does without it after this time. */
+const MAX_UNREAD_MS = 3_000;
 /** A log line names at most this many prompts. */
 const MAX_LOGGED_PROMPTS = 4;
 
@@ -47,6 +51,8 @@
   const { logger } = parts;
   const getNow = parts.getNow ?? getSteadyMs;
   const state = makePartState();
+  const trustedAfter = getNow() + MAX_UNREAD_MS;
+  let hasReadStore = false;
 
   /** Performs an action; VMs that judge from the report of another leave it to that one to tell. */
   function perform(action: PartAction, isOwnReport: boolean): void {
@@ -54,14 +60,14 @@
       case 'publish-sound':
         logger.info({ parts: action.parts }, 'quarantine: suspected parts were answered');
         parts.broadcast({ kind: 'prompt-parts', sound: action.parts, quarantined: [] });
-        parts.onChanged();
+        parts.onChanged(true);
         return;
       case 'quarantine': {
         const { expiresAt, parts: refused } = action.item;
         logger.warn({ parts: refused }, 'quarantine: prompts with these parts are refused');
         const item = { parts: refused, endsInMs: expiresAt - getNow() };
         if (isOwnReport) parts.broadcast({ kind: 'prompt-parts', sound: [], quarantined: [item] });
-        parts.onChanged();
+        parts.onChanged(isOwnReport);
         return;
       }
       default:
@@ -74,6 +80,7 @@
   }
 
   return {
+    hasCaughtUp: () => hasReadStore || getNow() > trustedAfter,
     findQuarantined: (shared) => findQuarantinedParts(state, shared, getNow()),
     listQuarantined: () => listQuarantinedParts(state, getNow()),
     recordCrash: (crashId, prompts) => {
@@ -96,8 +103,10 @@
         const item = { parts: refused, expiresAt: now + endsInMs };
         apply({ kind: 'heard-quarantined', item, now });
       }
+      if (quarantined.length > 0) parts.onChanged(false);
     },
     mergeStored: (items) => {
+      hasReadStore = true;
       const now = getNow();
       for (const item of items) apply({ kind: 'heard-quarantined', item, now });
     },
--- /dev/null
+++ b/packages/router/src/gateway/quarantine-rows.test.ts
@@ -0,0 +1,40 @@
+import type { PromptPartId, StorePosition } from '@tarragonspool/protocol';
+import { expect } from 'chai';
+import { getSteadyMs } from '../time/steady-clock.js';
+import type { RowChange } from './ports.js';
+import { buildQuarantineWrite, listStoredParts } from './quarantine-rows.js';
+
+const HOUR_MS = 3_600_000;
+const DEADLY = 'dead' as PromptPartId;
+
+function buildRow(key: string, value: string): RowChange {
+  return { key, position: 1 as StorePosition, value: Buffer.from(value) };
+}
+
+it('quarantine rows: parts that are written come back with the time that is left', () => {
+  const expiresAt = getSteadyMs() + HOUR_MS;
+  const write = buildQuarantineWrite([{ parts: [DEADLY], expiresAt }], []);
+  const rows = (write?.put ?? []).map(({ key, value }) => buildRow(key, value.toString()));
+  const [item] = listStoredParts(rows);
+  expect(item?.parts).to.deep.equal([DEADLY]);
+  expect(item?.expiresAt).to.be.closeTo(expiresAt, 1_000);
+  expect(buildQuarantineWrite([{ parts: [DEADLY], expiresAt }], rows)).to.equal(undefined);
+});
+
+// Guards against a row without parts, which every prompt would match.
+it('quarantine rows: rows of others, without parts or that cannot be read are skipped', () => {
+  const rows = [
+    buildRow('vm/vm-1', '{"peerAddress":"a"}'),
+    buildRow('quarantined-parts/1', '{"parts":[],"expiresAt":9e15}'),
+    buildRow('quarantined-parts/2', '{"parts":["dead"]}'),
+    buildRow('quarantined-parts/3', 'no JSON'),
+  ];
+  expect(listStoredParts(rows)).to.deep.equal([]);
+});
+
+it('quarantine rows: rows that have expired are removed with the next write', () => {
+  const old = buildRow('quarantined-parts/old', '{"parts":["old"],"expiresAt":1}');
+  const known = [{ parts: [DEADLY], expiresAt: getSteadyMs() + HOUR_MS }];
+  expect(buildQuarantineWrite(known, [old])?.remove).to.deep.equal(['quarantined-parts/old']);
+  expect(buildQuarantineWrite([], [old])).to.equal(undefined);
+});
--- /dev/null
+++ b/packages/router/src/gateway/quarantine-rows.ts
@@ -0,0 +1,123 @@
+/**
+ * Keeps the parts of prompts in quarantine in the store, beside the rows of the VMs, so that VMs that
+ * start know them. Rows hold the time of day at which they expire.
+ */
+
+import { createHash } from 'node:crypto';
+import type { QuarantinedParts } from '@tarragonspool/core';
+import type { PromptPartId } from '@tarragonspool/protocol';
+import * as z from 'zod';
+import {
+  awaitPromise,
+  makeChannel,
+  offer,
+  receive,
+  type Channel,
+  type Task,
+} from '../tasks/tasks.js';
+import { waitMs } from '../tasks/timers.js';
+import { getSteadyMs } from '../time/steady-clock.js';
+import type { GatewayState } from './gateway-state.js';
+import type { RowChange, RowWrite } from './ports.js';
+import { MEMBERS_TABLE } from './registry.js';
+
+const KEY_PREFIX = 'quarantined-parts/';
+const CALL_TIMEOUT_MS = 1_500;
+const RETRY_WAIT_MS = 500;
+/** A VM that judged from a peer's report leaves the row to that peer for this long. */
+const PEER_WRITES_WITHIN_MS = 1_500;
+/** Clocks of VMs differ by less than this. */
+const MAX_CLOCK_SKEW_MS = 60_000;
+
+const rowSchema = z.object({ parts: z.array(z.string()).min(1), expiresAt: z.number() });
+
+type StoredParts = {
+  readonly key: string;
+  readonly parts: readonly PromptPartId[];
+  /** Milliseconds since the epoch. */
+  readonly expiresAt: number;
+};
+
+function makeKey(parts: readonly PromptPartId[]): string {
+  return `${KEY_PREFIX}${createHash('sha256').update(parts.join()).digest('hex')}`;
+}
+
+function parseJson(value: Buffer): unknown {
+  try {
+    return JSON.parse(value.toString('utf8')) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Decodes the rows of parts in quarantine; skips other and invalid rows. */
+function decodeRows(rows: readonly RowChange[]): StoredParts[] {
+  const items: StoredParts[] = [];
+  for (const { key, value } of rows) {
+    if (!key.startsWith(KEY_PREFIX) || value === undefined) continue;
+    const parsed = rowSchema.safeParse(parseJson(value));
+    if (!parsed.success) continue;
+    items.push({ key, ...parsed.data } as unknown as StoredParts);
+  }
+  return items;
+}
+
+/** Lists the parts in quarantine that rows name; they expire on the steady clock. */
+export function listStoredParts(rows: readonly RowChange[]): QuarantinedParts[] {
+  const aheadMs = getSteadyMs() - Date.now();
+  return decodeRows(rows).map(({ parts, expiresAt }) => ({
+    parts,
+    expiresAt: expiresAt + aheadMs,
+  }));
+}
+
+/**
+ * Builds the write of what rows lack, which also removes rows that have expired; undefined if they
+ * lack nothing.
+ */
+export function buildQuarantineWrite(
+  known: readonly QuarantinedParts[],
+  rows: readonly RowChange[],
+): RowWrite | undefined {
+  const stored = decodeRows(rows);
+  const storedKeys = new Set(stored.map(({ key }) => key));
+  const missing = known.filter(({ parts }) => !storedKeys.has(makeKey(parts)));
+  if (missing.length === 0) return undefined;
+  const behindMs = Date.now() - getSteadyMs();
+  const put = missing.map(({ parts, expiresAt }) => ({
+    key: makeKey(parts),
+    value: Buffer.from(JSON.stringify({ parts, expiresAt: expiresAt + behindMs })),
+  }));
+  const expired = stored.filter(({ expiresAt }) => expiresAt + MAX_CLOCK_SKEW_MS < Date.now());
+  return { expected: [], put, remove: expired.map(({ key }) => key) };
+}
+
+/** Why the rows are compared with what this VM knows. */
+export type QuarantineWakeup = { readonly isOwnReport: boolean };
+
+/** Makes the channel that wakes the task below. */
+export function makeQuarantineWakeups(): Channel<QuarantineWakeup> {
+  return makeChannel<QuarantineWakeup>(16);
+}
+
+/** Writes what this VM knows and the store's rows lack, whenever it is woken. */
+export function* runQuarantineRows(
+  state: GatewayState,
+  wakeups: Channel<QuarantineWakeup>,
+  listRows: () => readonly RowChange[],
+): Task {
+  const { ports, partGuard, logger, takeFraction } = state;
+  for (;;) {
+    const wakeup = yield* receive(wakeups);
+    if (wakeup === undefined) return;
+    if (!wakeup.isOwnReport) yield* waitMs(PEER_WRITES_WITHIN_MS * (1 + takeFraction()));
+    const write = buildQuarantineWrite(partGuard.listQuarantined(), listRows());
+    if (write === undefined) continue;
+    const call = { table: MEMBERS_TABLE, write, timeoutMs: CALL_TIMEOUT_MS };
+    const outcome = yield* awaitPromise(ports.store.write(call));
+    logger.info({ rows: write.put.length, outcome }, 'quarantine: parts written to the store');
+    if (outcome.kind === 'ok') continue;
+    yield* waitMs(RETRY_WAIT_MS * (0.5 + takeFraction()));
+    offer(wakeups, { isOwnReport: true });
+  }
+}
--- a/packages/router/src/gateway/registry.ts
+++ b/packages/router/src/gateway/registry.ts
@@ -79,21 +79,26 @@
   };
 }
 
-/**
- * Registers this VM; retries until the store accepts the write. `knownSecret` is stored where the
- * store has lost the secret.
- */
-export function* runRegistration(
-  store: RowStore,
-  self: MemberRow,
-  takeFraction: () => number,
-  logger: Logger,
-  knownSecret?: string,
-): Task<Registration> {
+/** What a registration works with. */
+export type RegistrationParts = {
+  readonly store: RowStore;
+  readonly self: MemberRow;
+  readonly takeFraction: () => number;
+  readonly logger: Logger;
+  /** Stored where the store has lost the secret. */
+  readonly knownSecret?: string | undefined;
+  /** Called with the rows of the table as they are before the registration. */
+  readonly onRows?: (rows: readonly RowChange[]) => void;
+};
+
+/** Registers this VM; retries until the store accepts the write. */
+export function* runRegistration(parts: RegistrationParts): Task<Registration> {
+  const { store, self, takeFraction, logger, knownSecret } = parts;
   const table = MEMBERS_TABLE;
   for (;;) {
     const readOutcome = yield* awaitPromise(store.readRows({ table, timeoutMs: CALL_TIMEOUT_MS }));
     if (readOutcome.kind === 'ok') {
+      parts.onRows?.(readOutcome.value.rows);
       const storedSecret = findSecret(readOutcome.value.rows);
       const secret = storedSecret ?? knownSecret ?? randomBytes(SECRET_BYTES).toString('hex');
       const newSecret = storedSecret === undefined ? secret : undefined;
