Quarantine: a crash under a stream that began at another engine is counted

Cause: whether an engine had sent events for a content was taken from the whole request, not from that engine; a resumable stream with events of an earlier engine was thought innocent at the next.

--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -91,13 +91,16 @@
       return count > 0;
     },
     finish: (): void => {
-      const hasEvents = firstEventAt !== undefined;
-      if (hasEvents && !isKnownSound) state.partGuard.recordAnswered(request.sharedParts);
+      if (firstEventAt !== undefined && !isKnownSound) {
+        state.partGuard.recordAnswered(request.sharedParts);
+      }
       const rest = splitter.takeRest();
       if (route.isResumable && rest.length > 0) reply.write(rest);
       reply.end();
     },
     isForwarding: () => isForwarding,
+    /** Whether this engine has sent events. */
+    hasEvents: () => firstEventAt !== undefined,
     findCut: (): string | undefined => {
       if (!isForwarding) return undefined;
       if (splitter.isInsideEvent()) return 'answer ended inside an event';
@@ -121,14 +124,14 @@
   return outcome.kind === 'answered' && isForwarded ? 'finished' : 'broken';
 }
 
-/** Runs a stream on one decode engine. */
+/** Runs a stream on one decode engine; `hasEvents` says whether that engine sent any. */
 export function* runDecode(
   state: GatewayState,
   request: GatewayRequest,
   progress: StreamProgress,
   engine: UpstreamRecord,
   slotRequestId: SlotRequestId,
-): Task<{ end: DecodeEnd; result: SendResult }> {
+): Task<{ end: DecodeEnd; result: SendResult; hasEvents: boolean }> {
   // An engine that does a local prefill has finished it when its first event arrives.
   const onFirstEvent = (): void =>
     sendPoolMessage(state.pools, { kind: 'prefilled', askId: slotRequestId }, state.logger);
@@ -177,5 +180,5 @@
     'streams: decode run ended',
   );
   state.metrics.sends.inc({ step: 'decode', outcome: end });
-  return { end, result };
+  return { end, result, hasEvents: relay.hasEvents() };
 }
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -276,7 +276,7 @@
     return continueAfter(state, request, progress, 'not-run');
   }
   const runsBefore = progress.runs;
-  const { end, result } = yield* runDecode(state, request, progress, engine, askId);
+  const { end, result, hasEvents } = yield* runDecode(state, request, progress, engine, askId);
   const didFinish = end === 'finished';
   sendPoolMessage(state.pools, { kind: 'end', askId, didFinish }, state.logger);
   if (result.kind === 'caller-gone' || result.kind === 'timed-out') {
@@ -286,10 +286,8 @@
   const { fingerprint, sharedParts: promptParts } = request;
   if (end === 'finished') state.contentGuard.recordAnswered(fingerprint);
   if (end === 'finished' || end === 'over') return 'done';
-  if (end === 'broken') {
-    const hasEvents = progress.events > 0;
-    state.contentGuard.recordBroken(decode, { fingerprint, hasEvents, promptParts });
-  }
+  const content = { fingerprint, hasEvents, promptParts };
+  if (end === 'broken') state.contentGuard.recordBroken(decode, content);
   notifyEngineFailed(state, request, decode, findEngineFailure(result));
   progress.excluded.add(decode);
   // A send that may have reached the engine counts as executed even if no answer arrived.
