--- a/packages/core/src/routing/upstream-list.test.ts
+++ b/packages/core/src/routing/upstream-list.test.ts
@@ -34,7 +34,7 @@
   const list = makeUpstreamList();
   applyUpstreamChanges(list, [buildChange()], 0);
   applyUpstreamChanges(list, [REMOVED], 10);
-  expect(listUsableUpstreams(list, SERVICE)).to.deep.equal([]);
+  expect(listUsableUpstreams(list, SERVICE, 0)).to.deep.equal([]);
 });
 
 it('upstream list: an entry that lapsed during an outage is retained for two seconds', () => {
@@ -42,10 +42,10 @@
   applyUpstreamChanges(list, [buildChange()], 0);
   startGracePeriod(list, 1_000);
   applyUpstreamChanges(list, [REMOVED], 1_010);
-  expect(listUsableUpstreams(list, SERVICE)).to.have.length(1);
+  expect(listUsableUpstreams(list, SERVICE, 0)).to.have.length(1);
   expect(dropLapsed(list, 1_000 + GRACE_PERIOD_MS - 1)).to.deep.equal([]);
   expect(dropLapsed(list, 1_000 + GRACE_PERIOD_MS)).to.deep.equal([ID]);
-  expect(listUsableUpstreams(list, SERVICE)).to.deep.equal([]);
+  expect(listUsableUpstreams(list, SERVICE, 0)).to.deep.equal([]);
 });
 
 it('upstream list: a server that registers again within the grace period keeps its place in the list', () => {
@@ -55,7 +55,7 @@
   applyUpstreamChanges(list, [REMOVED], 1_010);
   applyUpstreamChanges(list, [buildChange()], 1_500);
   expect(dropLapsed(list, 9_000)).to.deep.equal([]);
-  expect(listUsableUpstreams(list, SERVICE)).to.have.length(1);
+  expect(listUsableUpstreams(list, SERVICE, 0)).to.have.length(1);
 });
 
 it('upstream list: a server that was leaving before the outage gets no grace period', () => {
@@ -70,12 +70,21 @@
   const list = makeUpstreamList();
   applyUpstreamChanges(list, [buildChange()], 0);
   applyUpstreamChanges(list, [{ upstreamId: ID, record: undefined, isRemoved: false }], 1);
-  expect(listUsableUpstreams(list, SERVICE)).to.deep.equal([]);
+  expect(listUsableUpstreams(list, SERVICE, 0)).to.deep.equal([]);
 });
 
 it('upstream list: a server that is leaving gets no new work', () => {
   const list = makeUpstreamList();
   applyUpstreamChanges(list, [buildChange()], 0);
   applyUpstreamChanges(list, [buildChange(true)], 1);
-  expect(listUsableUpstreams(list, SERVICE)).to.deep.equal([]);
+  expect(listUsableUpstreams(list, SERVICE, 0)).to.deep.equal([]);
+});
+
+// Guards against new work for a leaving server whose row was unreadable for a moment.
+it('upstream list: a leaving server whose entry could not be read does not come back', () => {
+  const list = makeUpstreamList();
+  applyUpstreamChanges(list, [buildChange(true)], 0);
+  applyUpstreamChanges(list, [{ upstreamId: ID, record: undefined, isRemoved: false }], 1);
+  applyUpstreamChanges(list, [buildChange()], 2);
+  expect(listUsableUpstreams(list, SERVICE, 2)).to.deep.equal([]);
 });
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -139,6 +139,11 @@
     sound: z.array(id),
     quarantined: z.array(z.object({ parts: z.array(id).min(1), endsInMs: milliseconds })),
   }),
+  z.object({
+    kind: z.literal('upstreams-leaving'),
+    isRelayed: z.boolean().optional(),
+    items: z.array(z.object({ upstreamId: id, incarnation: z.number().int() })),
+  }),
   z.object({ kind: z.literal('request-started'), requestKey: id }),
   z.object({ kind: z.literal('request-ended'), requestKey: id }),
   z.object({ kind: z.literal('request-verdict'), requestKey: id, isFirst: z.boolean() }),
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -197,6 +197,13 @@
       readonly isRelayed?: boolean | undefined;
     }
   | PromptPartsMessage
+  /** Incarnations of servers that said in an answer that they leave. */
+  | {
+      readonly kind: 'upstreams-leaving';
+      /** Whether a hub passed the message on; it is not passed on again. */
+      readonly isRelayed?: boolean | undefined;
+      readonly items: readonly { readonly upstreamId: UpstreamId; readonly incarnation: number }[];
+    }
   /** Asks the VM that tracks a request key whether this submission is the only one. */
   | { readonly kind: 'request-started'; readonly requestKey: string }
   | { readonly kind: 'request-ended'; readonly requestKey: string }
--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -3,6 +3,7 @@
 import {
   chooseNextStep,
   chooseServer,
+  listUnusableUpstreams,
   listUsableUpstreams,
   recordAnswerTime,
   recordOutcome,
@@ -10,12 +11,13 @@
   type SendOutcome,
   type UpstreamRecord,
 } from '@tarragonspool/core';
-import type { UpstreamId } from '@tarragonspool/protocol';
+import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
 import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayRequest } from './gateway-request.js';
 import { findLoad, takeServiceRetries, type GatewayState } from './gateway-state.js';
 import { sendOnce, type AnswerHead, type SendResult } from './sender.js';
+import { findRetryAfterMs } from './upstream-notices.js';
 
 /** A server that reported that it is full gets no requests for this long. */
 const FULL_AVOID_MS = 150;
@@ -43,13 +45,13 @@
   request: GatewayRequest,
   { tried }: CallProgress,
 ): UpstreamRecord | undefined {
-  const servers = listUsableUpstreams(state.upstreams, request.service);
+  const now = getSteadyMs();
   const choice = {
-    servers,
+    servers: listUsableUpstreams(state.upstreams, request.service, now),
     loads: state.loads,
     dataCentre: state.settings.dataCentre,
     takeFraction: state.takeFraction,
-    now: getSteadyMs(),
+    now,
   };
   return (
     chooseServer({ ...choice, excluded: tried }) ?? chooseServer({ ...choice, excluded: new Set() })
@@ -178,6 +180,22 @@
   }
 }
 
+/** Refuses a call that no server may get; reports it as not executed only if none has started it. */
+function refuseWithoutServer(
+  state: GatewayState,
+  { reply, service, fields: { requestId } }: GatewayRequest,
+  { runs }: CallProgress,
+): void {
+  const { leaving, paused } = listUnusableUpstreams(state.upstreams, service, getSteadyMs());
+  state.logger.info({ requestId, service, leaving, paused }, 'calls: no server may be used');
+  if (runs === 0) reply.refuse('no-upstream', findRetryAfterMs(state, service));
+  else reply.refuse('upstream-failed');
+}
+
+function hasUsableServer({ upstreams }: GatewayState, service: ServiceName): boolean {
+  return listUsableUpstreams(upstreams, service, getSteadyMs()).length > 0;
+}
+
 /** Serves one request of a plain service, with retries within the retry budget. */
 export function* runCallRequest(state: GatewayState, request: GatewayRequest): Task {
   const { route, service, fields } = request;
@@ -185,8 +203,7 @@
   for (;;) {
     const server = chooseCallServer(state, request, progress);
     if (server === undefined) {
-      if (progress.runs === 0) request.reply.refuse('no-upstream', RETRY_AFTER_MS);
-      else request.reply.refuse('upstream-failed');
+      refuseWithoutServer(state, request, progress);
       return;
     }
     progress.tried.add(server.upstreamId);
@@ -207,7 +224,9 @@
       mayRetry: true,
     };
     let step = chooseNextStep(outcome, history);
-    const mayRetry = step.kind !== 'retry' || (hasTime && takeServiceRetries(state, service));
+    // A service whose servers all pause takes nothing from the budget.
+    const canRetry = hasTime && hasUsableServer(state, service);
+    const mayRetry = step.kind !== 'retry' || (canRetry && takeServiceRetries(state, service));
     if (!mayRetry) step = chooseNextStep(outcome, { ...history, mayRetry: false });
     const { requestId } = fields;
     const { upstreamId } = server;
@@ -224,7 +243,8 @@
       'calls: outcome of the send',
     );
     if (step.kind === 'retry') continue;
-    answerCall(state, request, step, answer);
+    if (step.kind === 'refuse' && !canRetry) refuseWithoutServer(state, request, progress);
+    else answerCall(state, request, step, answer);
     return;
   }
 }
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -66,6 +66,18 @@
       labelNames: ['reason'],
       registers,
     }),
+    notices: new Counter({
+      name: `${PREFIX}upstream_notices_total`,
+      help: 'What servers said of themselves in answers: leaving, pause, or invalid.',
+      labelNames: ['kind'],
+      registers,
+    }),
+    upstreams: new Gauge({
+      name: `${PREFIX}upstreams`,
+      help: 'Listed servers by state: usable, leaving, or paused for this VM.',
+      labelNames: ['state'],
+      registers,
+    }),
     peers: new Gauge({ name: `${PREFIX}peers`, help: 'Open links to peers.', registers }),
   };
 }
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -13,7 +13,7 @@
   type ServerLoads,
   type UpstreamList,
 } from '@tarragonspool/core';
-import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
+import type { PeerMessage, ServiceName, UpstreamId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import type { FleetView } from '../peers/fleet-view.js';
 import type { PoolTask } from '../pools/pool-task.js';
@@ -41,6 +41,8 @@
   readonly partGuard: PartGuard;
   /** Wakes the task that keeps the store's rows of parts in quarantine. */
   readonly quarantineWakeups: Channel<QuarantineWakeup>;
+  /** Sends a message to all linked peers. */
+  readonly broadcast: (message: PeerMessage) => void;
   /** What this VM knows of the others. */
   readonly fleet: FleetView;
   readonly takeFraction: () => number;
@@ -78,6 +80,7 @@
   | 'contentGuard'
   | 'partGuard'
   | 'quarantineWakeups'
+  | 'broadcast'
   | 'fleet'
   | 'takeFraction'
   | 'processStartId'
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -2,7 +2,7 @@
 
 import { destination, pino } from 'pino';
 import { computeMaxStoreAgeMs } from '@tarragonspool/core';
-import type { PoolMessage, VmId } from '@tarragonspool/protocol';
+import type { PeerMessage, PoolMessage, VmId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import { makeFleetView } from '../peers/fleet-view.js';
 import { makePoolTask } from '../pools/pool-task.js';
@@ -62,7 +62,7 @@
   const sendTo = (vmId: VmId, message: PoolMessage): void => {
     meshHolder.mesh?.sendTo(vmId, message);
   };
-  const broadcast = (message: PoolMessage): void => meshHolder.mesh?.broadcast(message);
+  const broadcast = (message: PeerMessage): void => meshHolder.mesh?.broadcast(message);
   const poolTicker: TickerHolder = { ticker: undefined };
   const onBusy = (): void => poolTicker.ticker?.wake();
   const { vmId: self } = settings;
@@ -71,7 +71,7 @@
   const processStartId = `${settings.vmId}-${process.hrtime.bigint().toString(36)}`;
   const quarantineWakeups = makeQuarantineWakeups();
   const partGuard = makePartGuard({
-    broadcast: (message) => meshHolder.mesh?.broadcast(message),
+    broadcast,
     onChanged: (isOwnReport) => offer(quarantineWakeups, { isOwnReport }),
     logger,
   });
@@ -81,7 +81,7 @@
       const address = stateHolder.state?.upstreams.records.get(upstreamId)?.address;
       return address === undefined ? Promise.resolve(false) : probeAddress(address);
     },
-    broadcast: (items) => meshHolder.mesh?.broadcast({ kind: 'suspects', items }),
+    broadcast: (items) => broadcast({ kind: 'suspects', items }),
     onCrash: (upstreamId, prompts) => {
       const incarnation = stateHolder.state?.upstreams.records.get(upstreamId)?.incarnation;
       partGuard.recordCrash(`${upstreamId}/${incarnation ?? ''}`, prompts);
@@ -104,6 +104,7 @@
     contentGuard,
     partGuard,
     quarantineWakeups,
+    broadcast,
     fleet: makeFleetView(settings.vmId, computeMaxStoreAgeMs(settings.changeWithinMs)),
     takeFraction,
     processStartId,
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -15,6 +15,7 @@
 import { startAdaptiveTicker } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayState } from './gateway-state.js';
+import { applyLeavingMessage, listToldLeaving } from './upstream-notices.js';
 
 /** Dependencies of the links. */
 export type PeerLinksParts = {
@@ -115,10 +116,10 @@
 }
 
 /** Passes what a VM has learned on to all others; only hubs are linked to all. */
-function relaySuspects(
+function broadcastAgain(
   mesh: PeerMesh,
   from: VmId,
-  message: Extract<PeerMessage, { kind: 'suspects' | 'prompt-parts' }>,
+  message: Extract<PeerMessage, { kind: 'suspects' | 'prompt-parts' | 'upstreams-leaving' }>,
 ): void {
   for (const [vmId, link] of mesh.links) {
     if (vmId !== from) link.send({ ...message, isRelayed: true });
@@ -140,8 +141,12 @@
     onDialFailed: (vmId) => fleet.recordUnreachable(vmId, getSteadyMs()),
     metrics,
     logger,
-    onOpen: ({ peer }) => {
+    onOpen: ({ peer, send }) => {
       const { vmId } = peer;
+      const leaving = listToldLeaving(state);
+      if (leaving.length > 0) {
+        send({ kind: 'upstreams-leaving', isRelayed: true, items: leaving });
+      }
       const known = incarnations.get(vmId);
       incarnations.set(vmId, peer.incarnation);
       fleet.recordLinkOpened(vmId, getSteadyMs());
@@ -159,10 +164,13 @@
       else if (isRowsMessage(message)) relay.handleMessage(vmId, message);
       else if (message.kind === 'suspects') {
         contentGuard.mergeRecords(message.items);
-        if (message.isRelayed !== true) relaySuspects(mesh, vmId, message);
+        if (message.isRelayed !== true) broadcastAgain(mesh, vmId, message);
       } else if (message.kind === 'prompt-parts') {
         partGuard.handleMessage(message);
-        if (message.isRelayed !== true) relaySuspects(mesh, vmId, message);
+        if (message.isRelayed !== true) broadcastAgain(mesh, vmId, message);
+      } else if (message.kind === 'upstreams-leaving') {
+        applyLeavingMessage(state, message);
+        if (message.isRelayed !== true) broadcastAgain(mesh, vmId, message);
       }
     },
     onGone: (vmId) => {
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -130,6 +130,15 @@
   readonly resumeAfterEvent?: number;
 };
 
+/** What a server says of itself in an answer. */
+export type UpstreamNotice = {
+  readonly isLeaving: boolean;
+  /** How long it wants no requests of this VM, in milliseconds; undefined if it says nothing. */
+  readonly pauseMs: number | undefined;
+  /** Names of fields whose values are not valid; they were left out or bounded. */
+  readonly invalid: readonly string[];
+};
+
 /** Head of a server's answer, decoded. */
 export type UpstreamHead = {
   readonly status: number;
@@ -139,6 +148,7 @@
   /** Whether the server reports that it did not execute the request. */
   readonly isNotRun: boolean;
   readonly isEncoded: boolean;
+  readonly notice: UpstreamNotice;
 };
 
 /** An engine's report of its own state. */
--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -7,6 +7,7 @@
 import type { GatewayRequest, RequestMessage } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import type { PlacementFields, UpstreamHead } from './ports.js';
+import { recordNotice } from './upstream-notices.js';
 
 /** Why a request ends before its answer: the caller disconnected or its deadline passed. */
 export type RequestEnd = { readonly kind: 'caller-gone' } | { readonly kind: 'timed-out' };
@@ -98,6 +99,7 @@
       send.progressAt = getSteadyMs();
       // Set before any data arrives, so that no byte of an unusable answer is forwarded.
       if (findUnusableReason(answerHead, request) === undefined) {
+        recordNotice(state, request.fields.requestId, plan.server, head.notice);
         send.head = answerHead;
         plan.onHead(answerHead);
       }
--- a/packages/router/src/gateway/side-listeners.ts
+++ b/packages/router/src/gateway/side-listeners.ts
@@ -3,6 +3,7 @@
 import { createServer, type Server } from 'node:http';
 import type { GatewayState } from './gateway-state.js';
 import type { ListenAddress } from './ports.js';
+import { updateUpstreamGauge } from './upstream-notices.js';
 
 /** Makes a server listen on an address. */
 export function listen(server: Server, { port, host }: ListenAddress): void {
@@ -25,6 +26,7 @@
 export function startMetricsListener(state: GatewayState): void {
   const { registry } = state.metrics;
   const server = createServer((_incoming, response) => {
+    updateUpstreamGauge(state);
     registry.metrics().then(
       (text) => {
         response.writeHead(200, { 'Content-Type': registry.contentType });
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -8,7 +8,6 @@
   dropLapsed,
   READER_PAUSE_SHARE,
   startGracePeriod,
-  type PoolEngine,
   type RoutingConfiguration,
   type UpstreamChange,
 } from '@tarragonspool/core';
@@ -19,12 +18,12 @@
   type RowOrigin,
   type TableFeed,
 } from '../feeds/table-feed.js';
-import { offer } from '../tasks/tasks.js';
 import { startAdaptiveTicker } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { applyCallerLimits } from './caller-listener.js';
 import { applyConfiguration, recordStoreEra, type GatewayState } from './gateway-state.js';
 import { computeMaxBackoffMs } from './membership.js';
+import { notifyPoolsOfEngines } from './pool-engines.js';
 import type { RowChange } from './ports.js';
 
 const LAPSE_CHECK_INTERVAL_MS = 100;
@@ -79,29 +78,6 @@
   return { upstreamId, record, isRemoved: value === undefined };
 }
 
-function listPoolEngines(state: GatewayState): ReadonlyMap<ServiceName, PoolEngine[]> {
-  const pools = new Map<ServiceName, PoolEngine[]>();
-  for (const service of state.configuration?.services.values() ?? []) {
-    if (service.engine !== undefined) pools.set(service.name, []);
-  }
-  for (const record of state.upstreams.records.values()) {
-    const engines = pools.get(record.service);
-    const limits = state.configuration?.services.get(record.service)?.engine;
-    if (engines === undefined || limits === undefined || record.stage === undefined) continue;
-    const { upstreamId, dataCentre, stage, incarnation, isLeaving, slots } = record;
-    const { kvCapacityTokens } = limits;
-    const identity = { upstreamId, dataCentre, incarnation };
-    engines.push({ ...identity, stage, isLeaving, slots, kvCapacityTokens });
-  }
-  return pools;
-}
-
-function publishEngines(state: GatewayState): void {
-  for (const [service, engines] of listPoolEngines(state)) {
-    offer(state.pools.inbox, { kind: 'engines', service, engines });
-  }
-}
-
 function logUpstreams(
   state: GatewayState,
   changes: readonly UpstreamChange[],
@@ -125,7 +101,7 @@
     { gone: droppedIds },
     'upstreams: lapsed entries were not renewed and are removed',
   );
-  publishEngines(state);
+  notifyPoolsOfEngines(state);
 }
 
 /**
@@ -149,7 +125,7 @@
       applyUpstreamChanges(state.upstreams, changes, getSteadyMs());
       if (isBusy()) lapseCheck.wake();
       state.hasUpstreams = true;
-      publishEngines(state);
+      notifyPoolsOfEngines(state);
     },
     onAway: () => state.metrics.storeAway.inc(),
     onBack: () => {
@@ -170,7 +146,7 @@
   const handler = {
     onRows: (rows: readonly RowChange[], origin: RowOrigin) => {
       for (const row of rows) applyConfigurationRow(state, server, row, origin);
-      publishEngines(state);
+      notifyPoolsOfEngines(state);
     },
     onAway: () => state.metrics.storeAway.inc(),
     onBack: () => state.metrics.storeAway.dec(),
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -1,7 +1,12 @@
 /** Serves streams: requests a slot, prefills the prompt, then forwards the answer. */
 
 import { createHash } from 'node:crypto';
-import type { SlotRequestId, SlotRequest } from '@tarragonspool/core';
+import {
+  listUnusableUpstreams,
+  listUsableUpstreams,
+  type SlotRequestId,
+  type SlotRequest,
+} from '@tarragonspool/core';
 import type { UpstreamId } from '@tarragonspool/protocol';
 import type { SlotReply } from '../pools/place-messages.js';
 import { sendPoolMessage } from '../pools/pool-task.js';
@@ -21,6 +26,7 @@
   notifyEngineFailed,
   type StreamProgress,
 } from './stream-progress.js';
+import { findRetryAfterMs } from './upstream-notices.js';
 
 type SlotGrant = Extract<SlotReply, { kind: 'granted' }>;
 
@@ -47,6 +53,8 @@
   const { fields } = request;
   state.slotRequestCount += 1;
   const { maxOutputTokens = 0, expectedOutputTokens } = fields;
+  const unusable = listUnusableUpstreams(state.upstreams, request.service, getSteadyMs());
+  const { leaving, paused } = unusable;
   return {
     askId: `${state.processStartId}/${state.slotRequestCount}` as SlotRequestId,
     vmId: state.settings.vmId,
@@ -61,7 +69,7 @@
     needsPrefill: progress.kvSource === undefined,
     isContinued: progress.prefillSends > 0 || progress.runs > 0,
     endsBy: Infinity,
-    excluded: [...progress.excluded],
+    excluded: [...new Set([...progress.excluded, ...leaving, ...paused])],
   };
 }
 
@@ -202,10 +210,10 @@
 }
 
 /**
- * Finds a granted engine that this VM does not list, because its list or the owner's is out of
- * date.
+ * Finds a granted engine that this VM may not use: it is leaving or paused, or not listed because one
+ * of the two lists is out of date.
  */
-function findUnlistedEngine(
+function findUnusableEngine(
   state: GatewayState,
   { prefill, decode }: SlotGrant,
 ): UpstreamId | undefined {
@@ -228,7 +236,7 @@
   const { requestId } = request.fields;
   state.logger.warn(
     { requestId, upstreamId },
-    'streams: granted engine is not in the list of this VM',
+    'streams: granted engine is not listed by this VM, leaving or paused',
   );
   progress.excluded.add(upstreamId);
   sendPoolMessage(state.pools, { kind: 'end', askId, didFinish: false }, state.logger);
@@ -261,7 +269,7 @@
   progress: StreamProgress,
   grant: SlotGrant,
 ): Task<NextAction> {
-  const unlisted = findUnlistedEngine(state, grant);
+  const unlisted = findUnusableEngine(state, grant);
   if (unlisted !== undefined && !progress.excluded.has(unlisted)) {
     return excludeEngine(state, request, progress, grant, unlisted);
   }
@@ -295,10 +303,30 @@
   return continueAfter(state, request, progress, end);
 }
 
+/**
+ * Refuses a stream for which nothing was done yet if all decode engines leave or pause; returns
+ * whether it did.
+ */
+function refuseWithoutEngine(
+  state: GatewayState,
+  { reply, service, fields: { requestId } }: GatewayRequest,
+  { runs, prefillSends }: StreamProgress,
+): boolean {
+  const now = getSteadyMs();
+  const { leaving, paused } = listUnusableUpstreams(state.upstreams, service, now);
+  if (runs + prefillSends > 0 || leaving.length + paused.length === 0) return false;
+  const usable = listUsableUpstreams(state.upstreams, service, now);
+  if (usable.some(({ stage }) => stage === 'decode')) return false;
+  state.logger.info({ requestId, service, leaving, paused }, 'streams: no engine may be used');
+  reply.refuse('no-upstream', findRetryAfterMs(state, service));
+  return true;
+}
+
 /** Serves one stream, on further engines if one fails and the retry budget allows it. */
 export function* runStreamRequest(state: GatewayState, request: GatewayRequest): Task {
   const progress = makeStreamProgress(request);
   for (;;) {
+    if (refuseWithoutEngine(state, request, progress)) return;
     const slotRequest = buildSlotRequest(state, request, progress);
     const slotReply = yield* awaitSlotReply(state, request, slotRequest, progress.runs > 0);
     const { requestId } = request.fields;
--- a/packages/router/src/gateway/stream-progress.ts
+++ b/packages/router/src/gateway/stream-progress.ts
@@ -1,6 +1,6 @@
 /** Progress of a stream, and functions that its prefill and decode steps share. */
 
-import type { SendOutcome, UpstreamRecord } from '@tarragonspool/core';
+import { canTakeRequests, type SendOutcome, type UpstreamRecord } from '@tarragonspool/core';
 import type { EngineFailure, UpstreamId } from '@tarragonspool/protocol';
 import { sendPoolMessage } from '../pools/pool-task.js';
 import { getSteadyMs } from '../time/steady-clock.js';
@@ -81,13 +81,14 @@
   return runs > 0 && lastEventId !== undefined ? { resumeAfterEvent: lastEventId } : {};
 }
 
-/** Finds an engine that is listed and not leaving. */
+/** Finds an engine that is listed and may get requests of this VM. */
 export function findEngine(
   state: GatewayState,
   upstreamId: UpstreamId,
 ): UpstreamRecord | undefined {
   const record = state.upstreams.records.get(upstreamId);
-  return record === undefined || record.isLeaving ? undefined : record;
+  if (record === undefined) return undefined;
+  return canTakeRequests(state.upstreams, record, getSteadyMs()) ? record : undefined;
 }
 
 /**
--- /dev/null
+++ b/packages/router/src/gateway/upstream-notices.ts
@@ -0,0 +1,88 @@
+/** Takes what servers say of themselves, in answers to this VM or to a peer. */
+
+import {
+  listLeaving,
+  listUnusableUpstreams,
+  recordLeaving,
+  recordPause,
+  type LeavingUpstream,
+  type UpstreamRecord,
+} from '@tarragonspool/core';
+import type { PeerMessage, ServiceName } from '@tarragonspool/protocol';
+import { getSteadyMs } from '../time/steady-clock.js';
+import type { GatewayState } from './gateway-state.js';
+import { notifyPoolsOfEngines } from './pool-engines.js';
+import type { UpstreamNotice } from './ports.js';
+
+type LeavingMessage = Extract<PeerMessage, { kind: 'upstreams-leaving' }>;
+
+/** A peer that has just been linked hears of at most this many. */
+const MAX_TOLD = 200;
+/** Callers of a service whose servers all leave come back after this time. */
+const RETRY_AFTER_LEAVING_MS = 500;
+/** Random share of a pause, and least random time, that callers wait beyond its end. */
+const PAUSE_SPREAD = 0.5;
+const MIN_PAUSE_SPREAD_MS = 300;
+
+/** Records a notice of a server to this VM; `requestId` names the answer that brought it. */
+export function recordNotice(
+  state: GatewayState,
+  requestId: string | undefined,
+  { upstreamId, incarnation }: UpstreamRecord,
+  { isLeaving, pauseMs, invalid }: UpstreamNotice,
+): void {
+  const { upstreams, logger, metrics } = state;
+  if (invalid.length > 0) {
+    metrics.notices.inc({ kind: 'invalid' });
+    logger.warn({ requestId, upstreamId, invalid }, 'upstreams: notice of a server is not valid');
+  }
+  if (pauseMs !== undefined && pauseMs > 0) {
+    const now = getSteadyMs();
+    const until = now + pauseMs;
+    recordPause(upstreams, upstreamId, { incarnation, until }, now);
+    metrics.notices.inc({ kind: 'pause' });
+    logger.info({ requestId, upstreamId, pauseMs }, 'upstreams: server asks for a pause');
+  }
+  if (!isLeaving || !recordLeaving(upstreams, { upstreamId, incarnation })) return;
+  metrics.notices.inc({ kind: 'leaving' });
+  logger.info({ requestId, upstreamId, incarnation }, 'upstreams: server says that it leaves');
+  notifyPoolsOfEngines(state);
+  state.broadcast({ kind: 'upstreams-leaving', items: [{ upstreamId, incarnation }] });
+}
+
+/** Takes what a peer knows of servers that leave. */
+export function applyLeavingMessage(state: GatewayState, { items }: LeavingMessage): void {
+  const news = items.filter((item) => recordLeaving(state.upstreams, item));
+  if (news.length === 0) return;
+  state.logger.info({ servers: news }, 'upstreams: a peer says that servers leave');
+  notifyPoolsOfEngines(state);
+}
+
+/** Lists the servers that leave, for a peer that has just been linked. */
+export function listToldLeaving({ upstreams }: GatewayState): LeavingUpstream[] {
+  return listLeaving(upstreams).slice(-MAX_TOLD);
+}
+
+/** Returns when callers of a service should come back whose servers leave or pause, in milliseconds. */
+export function findRetryAfterMs(state: GatewayState, service: ServiceName): number {
+  const now = getSteadyMs();
+  const { firstPauseEndsAt } = listUnusableUpstreams(state.upstreams, service, now);
+  const leastMs = firstPauseEndsAt === undefined ? RETRY_AFTER_LEAVING_MS : firstPauseEndsAt - now;
+  const spreadMs = Math.max(MIN_PAUSE_SPREAD_MS, PAUSE_SPREAD * leastMs);
+  return leastMs + state.takeFraction() * spreadMs;
+}
+
+/** Sets the gauge of servers by whether this VM may use them. */
+export function updateUpstreamGauge({ upstreams, metrics }: GatewayState): void {
+  const now = getSteadyMs();
+  let leaving = 0;
+  let paused = 0;
+  for (const service of new Set([...upstreams.records.values()].map((record) => record.service))) {
+    const unusable = listUnusableUpstreams(upstreams, service, now);
+    leaving += unusable.leaving.length;
+    paused += unusable.paused.length;
+  }
+  metrics.upstreams.set({ state: 'leaving' }, leaving);
+  metrics.upstreams.set({ state: 'paused' }, paused);
+  metrics.upstreams.set({ state: 'usable' }, upstreams.records.size - leaving - paused);
+}
--- a/packages/router/src/stages/engine-calls.ts
+++ b/packages/router/src/stages/engine-calls.ts
@@ -3,6 +3,7 @@
 import type { UpstreamRecord } from '@tarragonspool/core';
 import type { GatewayState } from '../gateway/gateway-state.js';
 import type { EngineReport, OrderAnswer, StageOrder } from '../gateway/ports.js';
+import { recordNotice } from '../gateway/upstream-notices.js';
 import { makeChannel, offer, receive, type Task } from '../tasks/tasks.js';
 import type { UpstreamCall } from '../upstreams/upstream-client.js';
 
@@ -12,17 +13,25 @@
 type CallAnswer = { readonly status: number; readonly body: Buffer };
 
 /** Calls an engine once; returns undefined if no complete answer arrives before the timeout. */
-function* callEngine(state: GatewayState, call: UpstreamCall): Task<CallAnswer | undefined> {
+function* callEngine(
+  state: GatewayState,
+  engine: UpstreamRecord,
+  call: Omit<UpstreamCall, 'address'>,
+): Task<CallAnswer | undefined> {
   const outcome = makeChannel<CallAnswer | 'failed'>(1);
   const chunks: Buffer[] = [];
   let status = 0;
   let bytes = 0;
-  const exchange = state.engineClient.send(call, (event) => {
+  const { address } = engine;
+  const exchange = state.engineClient.send({ ...call, address }, (event) => {
     if (event.kind === 'data') {
       bytes += event.chunk.length;
       if (bytes <= MAX_ANSWER_BYTES) chunks.push(event.chunk);
-    } else if (event.kind === 'head') status = event.status;
-    else if (event.kind === 'ended') offer(outcome, { status, body: Buffer.concat(chunks) });
+    } else if (event.kind === 'head') {
+      status = event.status;
+      const { notice } = state.ports.dialect.decodeUpstreamHead(status, event.headers);
+      recordNotice(state, undefined, engine, notice);
+    } else if (event.kind === 'ended') offer(outcome, { status, body: Buffer.concat(chunks) });
     else offer(outcome, 'failed');
   });
   const timer = setTimeout(() => {
@@ -52,8 +61,7 @@
   const { reportPath: path, decodeReport } = state.ports.dialect;
   const body = Buffer.alloc(0);
   const headers = buildHeaders(state, engine, body);
-  const { address } = engine;
-  const answer = yield* callEngine(state, { address, method: 'GET', path, headers, body });
+  const answer = yield* callEngine(state, engine, { method: 'GET', path, headers, body });
   return answer && decodeReport(answer.body);
 }
 
@@ -66,7 +74,6 @@
   const { orderPath: path, encodeStageOrder, decodeOrderAnswer } = state.ports.dialect;
   const body = Buffer.from(encodeStageOrder(order));
   const headers = buildHeaders(state, engine, body);
-  const { address } = engine;
-  const answer = yield* callEngine(state, { address, method: 'POST', path, headers, body });
+  const answer = yield* callEngine(state, engine, { method: 'POST', path, headers, body });
   return answer && decodeOrderAnswer(answer.status);
 }
--- a/packages/router/src/stages/stage-task.ts
+++ b/packages/router/src/stages/stage-task.ts
@@ -134,6 +134,7 @@
   }
   const fence = yield* awaitLease(state, service, stages.lease);
   if (fence === undefined || !state.pools.isOwnerOf(service)) return;
+  if (state.upstreams.records.get(change.upstreamId)?.isLeaving !== false) return;
   const { stage, upstreamId } = change;
   const { vmId: holder } = state.settings;
   const { orderCount } = report;
