Calls look for usable servers only where a retry or refusal follows; a read prompt waits for no paused pool

The look at the list ran for every answered call. A refusal for lack of time was logged as a lack of servers. A stream whose prompt was read, and whose decode engines all pause, waited for a slot; it has not run and is refused at once now. Streams refused while the stored quarantine is not read have a log line.

--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -225,9 +225,11 @@
     };
     let step = chooseNextStep(outcome, history);
     // A service whose servers all pause takes nothing from the budget.
-    const canRetry = hasTime && hasUsableServer(state, service);
-    const mayRetry = step.kind !== 'retry' || (canRetry && takeServiceRetries(state, service));
-    if (!mayRetry) step = chooseNextStep(outcome, { ...history, mayRetry: false });
+    const canRetry = (): boolean =>
+      hasTime && hasUsableServer(state, service) && takeServiceRetries(state, service);
+    if (step.kind === 'retry' && !canRetry()) {
+      step = chooseNextStep(outcome, { ...history, mayRetry: false });
+    }
     const { requestId } = fields;
     const { upstreamId } = server;
     const { runs } = progress;
@@ -243,7 +245,8 @@
       'calls: outcome of the send',
     );
     if (step.kind === 'retry') continue;
-    if (step.kind === 'refuse' && !canRetry) refuseWithoutServer(state, request, progress);
+    const lacksServers = step.kind === 'refuse' && !hasUsableServer(state, service);
+    if (lacksServers) refuseWithoutServer(state, request, progress);
     else answerCall(state, request, step, answer);
     return;
   }
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -156,6 +156,11 @@
   }
   const request = buildRequest(state, arrival, route, service, body);
   if (request.sharedParts.length > 0 && !state.partGuard.hasCaughtUp()) {
+    const { requestId } = request.fields;
+    state.logger.info(
+      { requestId },
+      'quarantine: stream refused, the stored parts are not read yet',
+    );
     reply.refuse('not-ready', NOT_READY_RETRY_AFTER_MS);
     return;
   }
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -304,17 +304,17 @@
 }
 
 /**
- * Refuses a stream for which nothing was done yet if all decode engines leave or pause; returns
- * whether it did.
+ * Refuses a stream that no engine has begun if all decode engines leave or pause; returns whether it
+ * did.
  */
 function refuseWithoutEngine(
   state: GatewayState,
   { reply, service, fields: { requestId } }: GatewayRequest,
-  { runs, prefillSends }: StreamProgress,
+  { runs }: StreamProgress,
 ): boolean {
   const now = getSteadyMs();
   const { leaving, paused } = listUnusableUpstreams(state.upstreams, service, now);
-  if (runs + prefillSends > 0 || leaving.length + paused.length === 0) return false;
+  if (runs > 0 || leaving.length + paused.length === 0) return false;
   const usable = listUsableUpstreams(state.upstreams, service, now);
   if (usable.some(({ stage }) => stage === 'decode')) return false;
   state.logger.info({ requestId, service, leaving, paused }, 'streams: no engine may be used');
