--- a/packages/router/src/engines/engine-client.ts
+++ b/packages/router/src/engines/engine-client.ts
@@ -23,6 +23,7 @@
   type PrefillOrder,
   type PrefillResult,
 } from '@tarragonspool/protocol';
+import { parseJson } from '../json/parse-json.js';
 import { probeEngine } from './engine-probe.js';
 
 /** Stops an order that is in flight by closing its connection. */
@@ -98,14 +99,6 @@
   return status !== undefined && DECLINED_STATUSES.has(status) ? 'declined' : 'broken';
 }
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 /** Makes a client of the engine at `url` that uses a shared connection pool. */
 export function makeEngineClient(url: string, agent: Agent): EngineClient {
   const { hostname, port } = new URL(url);
--- a/packages/router/src/gateway/quarantine-rows.ts
+++ b/packages/router/src/gateway/quarantine-rows.ts
@@ -7,6 +7,7 @@
 import type { QuarantinedParts } from '@tarragonspool/core';
 import type { PromptPartId } from '@tarragonspool/protocol';
 import * as z from 'zod';
+import { parseJson } from '../json/parse-json.js';
 import {
   awaitPromise,
   makeChannel,
@@ -42,14 +43,6 @@
   return `${KEY_PREFIX}${createHash('sha256').update(parts.join()).digest('hex')}`;
 }
 
-function parseJson(value: Buffer): unknown {
-  try {
-    return JSON.parse(value.toString('utf8')) as unknown;
-  } catch {
-    return undefined;
-  }
-}
-
 /** Decodes the rows of parts in quarantine; skips other and invalid rows. */
 function decodeRows(rows: readonly RowChange[]): StoredParts[] {
   const items: StoredParts[] = [];
--- a/packages/router/src/gateway/registry.ts
+++ b/packages/router/src/gateway/registry.ts
@@ -6,6 +6,7 @@
 import { randomBytes } from 'node:crypto';
 import { STORE_START, type Incarnation, type VmId } from '@tarragonspool/protocol';
 import * as z from 'zod';
+import { parseJson } from '../json/parse-json.js';
 import type { Logger } from '../logging/logger.js';
 import { awaitPromise, type Task } from '../tasks/tasks.js';
 import { waitMs } from '../tasks/timers.js';
@@ -38,14 +39,6 @@
   capacity: z.number().nonnegative().default(0),
 });
 
-function parseJson(value: Buffer): unknown {
-  try {
-    return JSON.parse(value.toString('utf8')) as unknown;
-  } catch {
-    return undefined;
-  }
-}
-
 /** Decodes the rows of VMs; skips other and invalid rows. */
 export function decodeMembers(rows: readonly RowChange[]): MemberRow[] {
   const members: MemberRow[] = [];
