--- a/packages/router/src/gateway/stream-flow.test.ts
+++ b/packages/router/src/gateway/stream-flow.test.ts
@@ -1,5 +1,7 @@
 import {
   makeUpstreamList,
+  recordLeaving,
+  recordPause,
   type SlotRequest,
   type Route,
   type UpstreamRecord,
@@ -47,20 +49,27 @@
   | Omit<Extract<SlotReply, { kind: 'granted' }>, 'askId'>
   | Omit<Extract<SlotReply, { kind: 'refused' }>, 'askId'>;
 
-const LISTED = { upstreamId: 'listed', address: '127.0.0.1:1', isLeaving: false };
+const LISTED = {
+  upstreamId: 'listed' as UpstreamId,
+  service: 'llm',
+  address: '127.0.0.1:1',
+  stage: 'decode',
+  incarnation: 1,
+  isLeaving: false,
+};
+
+/** What changes while the stream waits for the reply to its first slot request. */
+type ChangeWhileWaiting = 'none' | 'quarantine' | 'pause' | 'leaving';
 
-/**
- * Plays one stream against an owner that answers each slot request with the next reply. The
- * content is in quarantine once `quarantinedAfter` slot requests have been answered.
- */
+/** Plays one stream against an owner that answers each slot request with the next reply. */
 async function playStream(
   replies: readonly OwnerReply[],
-  quarantinedAfter = Infinity,
+  change: ChangeWhileWaiting = 'none',
 ): Promise<StreamTrace> {
   const trace: StreamTrace = { slotRequests: [], notifications: [], refusals: [], sends: [] };
   const inbox = makeChannel<PoolTaskMessage>(64);
   const upstreams = makeUpstreamList();
-  upstreams.records.set(LISTED.upstreamId as UpstreamId, LISTED as unknown as UpstreamRecord);
+  upstreams.records.set(LISTED.upstreamId, LISTED as unknown as UpstreamRecord);
   const state = {
     pools: { inbox, countLiveVms: () => 1 },
     logger: pino({ level: 'silent' }),
@@ -75,11 +84,12 @@
     ports: { dialect: { makeForwardHeaders: () => [] } },
     partGuard: { findQuarantined: () => undefined },
     contentGuard: {
-      isQuarantined: () => trace.slotRequests.length >= quarantinedAfter,
+      isQuarantined: () => change === 'quarantine' && trace.slotRequests.length > 0,
     },
     metrics: makeGatewayMetrics(),
     settings: { vmId: 'vm-1', retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 0 },
     retryWindows: new Map(),
+    takeFraction: () => 0.5,
     listedVmCount: 1,
     processStartId: 'vm-1-x',
     slotRequestCount: 0,
@@ -91,6 +101,11 @@
       return;
     }
     const reply = replies[trace.slotRequests.length];
+    const leaving = { upstreamId: LISTED.upstreamId, incarnation: LISTED.incarnation };
+    const now = getSteadyMs();
+    const paused = { incarnation: LISTED.incarnation, until: now + 10_000 };
+    if (change === 'pause') recordPause(upstreams, LISTED.upstreamId, paused, now);
+    if (change === 'leaving') recordLeaving(upstreams, leaving);
     trace.slotRequests.push(message.ask);
     if (reply !== undefined) message.onReply({ ...reply, askId: message.ask.askId });
   }
@@ -152,9 +167,20 @@
 
 // Guards against a content that reaches a server because its request waited when it became known.
 it('streams: a content that comes into quarantine while its request waits is refused and not sent', async () => {
-  const grant = { kind: 'granted', prefill: undefined, decode: LISTED.upstreamId as UpstreamId };
-  const trace = await playStream([grant as OwnerReply, REFUSED], 1);
+  const grant = { kind: 'granted', prefill: undefined, decode: LISTED.upstreamId };
+  const trace = await playStream([grant as OwnerReply, REFUSED], 'quarantine');
   expect(trace.sends).to.deep.equal([]);
   expect(trace.refusals).to.deep.equal(['quarantined']);
   expect(trace.notifications).to.deep.equal(['end']);
 });
+
+// Guards against a server that is sent what waited for a slot there when it asked to be left alone.
+for (const change of ['pause', 'leaving'] as const) {
+  it(`streams: an engine that asks to be left alone while a stream waits for a slot gets nothing (${change})`, async () => {
+    const grant = { kind: 'granted', prefill: undefined, decode: LISTED.upstreamId };
+    const trace = await playStream([grant as OwnerReply], change);
+    expect(trace.sends).to.deep.equal([]);
+    expect(trace.refusals).to.deep.equal(['no-upstream']);
+    expect(trace.notifications).to.deep.equal(['end']);
+  });
+}
