Observability: limits that servers name are read, remembered and logged

No decision changes. What a server says of the requests that it takes from all VMs together is decoded once, remembered for its incarnation, and logged when it changes with the request whose answer brought it; a gauge counts servers with a limit. A limit ends only by an identified answer to a request that was sent after it had been named.

--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -68,7 +68,7 @@
     }),
     notices: new Counter({
       name: `${PREFIX}upstream_notices_total`,
-      help: 'What servers said of themselves in answers: leaving, pause, or invalid.',
+      help: 'What servers said of themselves: leaving, pause, limit, limit-ended, or invalid.',
       labelNames: ['kind'],
       registers,
     }),
@@ -78,6 +78,11 @@
       labelNames: ['state'],
       registers,
     }),
+    limitedUpstreams: new Gauge({
+      name: `${PREFIX}limited_upstreams`,
+      help: 'Listed servers that name a limit of the requests that they take from all VMs.',
+      registers,
+    }),
     peers: new Gauge({ name: `${PREFIX}peers`, help: 'Open links to peers.', registers }),
   };
 }
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -11,6 +11,7 @@
   type RoutingConfiguration,
   type ServerLoad,
   type ServerLoads,
+  type UpstreamLimits,
   type UpstreamList,
 } from '@tarragonspool/core';
 import type { PeerMessage, ServiceName, UpstreamId } from '@tarragonspool/protocol';
@@ -53,6 +54,8 @@
   configuration: RoutingConfiguration | undefined;
   routes: RouteTable;
   readonly upstreams: UpstreamList;
+  /** What servers said of the requests that they take from all VMs together. */
+  readonly limits: UpstreamLimits;
   hasUpstreams: boolean;
   isLeaving: boolean;
   /** From this time on new streams are refused because this VM shuts down. */
@@ -95,6 +98,7 @@
     configuration: undefined,
     routes: new Map(),
     upstreams: makeUpstreamList(),
+    limits: new Map(),
     hasUpstreams: false,
     isLeaving: false,
     refuseStreamsAfter: Infinity,
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -130,11 +130,20 @@
   readonly resumeAfterEvent?: number;
 };
 
+/** What an answer says of the requests that its server takes from all VMs together. */
+export type LimitNotice =
+  | { readonly kind: 'named'; readonly requestsPerSecond: number }
+  /** The answer names no limit, so an earlier one has ended. */
+  | { readonly kind: 'none' }
+  /** Nothing can be concluded: the value is not valid, or another server answered. */
+  | { readonly kind: 'unreadable' };
+
 /** What a server says of itself in an answer. */
 export type UpstreamNotice = {
   readonly isLeaving: boolean;
   /** How long it wants no requests of this VM, in milliseconds; undefined if it says nothing. */
   readonly pauseMs: number | undefined;
+  readonly limit: LimitNotice;
   /** Names of fields whose values are not valid; they were left out or bounded. */
   readonly invalid: readonly string[];
 };
--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -99,7 +99,9 @@
       send.progressAt = getSteadyMs();
       // Set before any data arrives, so that no byte of an unusable answer is forwarded.
       if (findUnusableReason(answerHead, request) === undefined) {
-        recordNotice(state, request.fields.requestId, plan.server, head.notice);
+        const { requestId } = request.fields;
+        const isIdentified = head.requestId === requestId;
+        recordNotice(state, { requestId, sentAt: now, isIdentified }, plan.server, head.notice);
         send.head = answerHead;
         plan.onHead(answerHead);
       }
--- a/packages/router/src/gateway/upstream-notices.ts
+++ b/packages/router/src/gateway/upstream-notices.ts
@@ -1,9 +1,11 @@
 /** Takes what servers say of themselves, in answers to this VM or to a peer. */
 
 import {
+  findLimit,
   listLeaving,
   listUnusableUpstreams,
   recordLeaving,
+  recordLimit,
   recordPause,
   type LeavingUpstream,
   type UpstreamRecord,
@@ -12,7 +14,7 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayState } from './gateway-state.js';
 import { notifyPoolsOfEngines } from './pool-engines.js';
-import type { UpstreamNotice } from './ports.js';
+import type { LimitNotice, UpstreamNotice } from './ports.js';
 
 type LeavingMessage = Extract<PeerMessage, { kind: 'upstreams-leaving' }>;
 
@@ -24,18 +26,49 @@
 const PAUSE_SPREAD = 0.5;
 const MIN_PAUSE_SPREAD_MS = 300;
 
-/** Records a notice of a server to this VM; `requestId` names the answer that brought it. */
+/** What a notice came with. */
+export type AnswerOrigin = {
+  /** Undefined for calls that belong to no request of a caller. */
+  readonly requestId: string | undefined;
+  readonly sentAt: number;
+  /** Whether the answer names the request, so that what it leaves out counts too. */
+  readonly isIdentified: boolean;
+};
+
+/** Records what an answer says of the limit of its server. */
+function recordLimitNotice(
+  { limits, logger, metrics }: GatewayState,
+  { requestId, sentAt, isIdentified }: AnswerOrigin,
+  { upstreamId, incarnation }: UpstreamRecord,
+  limit: LimitNotice,
+): void {
+  if (limit.kind === 'unreadable' || (limit.kind === 'none' && !isIdentified)) return;
+  const requestsPerSecond = limit.kind === 'named' ? limit.requestsPerSecond : undefined;
+  const heardAt = getSteadyMs();
+  const statement = { upstreamId, incarnation, requestsPerSecond, sentAt, heardAt };
+  if (!recordLimit(limits, statement)) return;
+  metrics.notices.inc({ kind: limit.kind === 'named' ? 'limit' : 'limit-ended' });
+  logger.info(
+    { requestId, upstreamId, incarnation, requestsPerSecond },
+    'upstreams: limit of a server changed',
+  );
+}
+
+/** Records a notice of a server to this VM. */
 export function recordNotice(
   state: GatewayState,
-  requestId: string | undefined,
-  { upstreamId, incarnation }: UpstreamRecord,
-  { isLeaving, pauseMs, invalid }: UpstreamNotice,
+  origin: AnswerOrigin,
+  server: UpstreamRecord,
+  { isLeaving, pauseMs, limit, invalid }: UpstreamNotice,
 ): void {
+  const { requestId } = origin;
+  const { upstreamId, incarnation } = server;
   const { upstreams, logger, metrics } = state;
   if (invalid.length > 0) {
     metrics.notices.inc({ kind: 'invalid' });
     logger.warn({ requestId, upstreamId, invalid }, 'upstreams: notice of a server is not valid');
   }
+  recordLimitNotice(state, origin, server, limit);
   if (pauseMs !== undefined && pauseMs > 0) {
     const now = getSteadyMs();
     const until = now + pauseMs;
@@ -73,7 +106,7 @@
 }
 
 /** Sets the gauge of servers by whether this VM may use them. */
-export function updateUpstreamGauge({ upstreams, metrics }: GatewayState): void {
+export function updateUpstreamGauge({ upstreams, limits, metrics }: GatewayState): void {
   const now = getSteadyMs();
   let leaving = 0;
   let paused = 0;
@@ -84,5 +117,9 @@
   }
   metrics.upstreams.set({ state: 'leaving' }, leaving);
   metrics.upstreams.set({ state: 'paused' }, paused);
+  const isLimited = ({ upstreamId, incarnation }: UpstreamRecord): boolean =>
+    findLimit(limits, upstreamId, incarnation) !== undefined;
+  const limited = [...upstreams.records.values()].filter(isLimited);
+  metrics.limitedUpstreams.set(limited.length);
   metrics.upstreams.set({ state: 'usable' }, upstreams.records.size - leaving - paused);
 }
--- a/packages/router/src/stages/engine-calls.ts
+++ b/packages/router/src/stages/engine-calls.ts
@@ -5,6 +5,7 @@
 import type { EngineReport, OrderAnswer, StageOrder } from '../gateway/ports.js';
 import { recordNotice } from '../gateway/upstream-notices.js';
 import { makeChannel, offer, receive, type Task } from '../tasks/tasks.js';
+import { getSteadyMs } from '../time/steady-clock.js';
 import type { UpstreamCall } from '../upstreams/upstream-client.js';
 
 const CALL_TIMEOUT_MS = 500;
@@ -23,6 +24,7 @@
   let status = 0;
   let bytes = 0;
   const { address } = engine;
+  const origin = { requestId: undefined, sentAt: getSteadyMs(), isIdentified: false };
   const exchange = state.engineClient.send({ ...call, address }, (event) => {
     if (event.kind === 'data') {
       bytes += event.chunk.length;
@@ -30,7 +32,7 @@
     } else if (event.kind === 'head') {
       status = event.status;
       const { notice } = state.ports.dialect.decodeUpstreamHead(status, event.headers);
-      recordNotice(state, undefined, engine, notice);
+      recordNotice(state, origin, engine, notice);
     } else if (event.kind === 'ended') offer(outcome, { status, body: Buffer.concat(chunks) });
     else offer(outcome, 'failed');
   });
