--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -3,6 +3,8 @@
  * spare slots to the others.
  */
 
+import type { UpstreamId } from '@tarragonspool/protocol';
+import { findPermitTime, takePermit } from '../routing/request-permits.js';
 import {
   countUsableSlots,
   isReadyForLocalPrefill,
@@ -96,6 +98,39 @@
   return compareServiceOrder(state, one, other, now) <= 0;
 }
 
+/** Whether the limit that an engine may have named allows one more request now. */
+function hasPermit(
+  { permits, keepsPermits }: PoolState,
+  { engine }: EngineLoad,
+  now: number,
+): boolean {
+  if (engine.requestsPerSecond === undefined) return true;
+  return keepsPermits && findPermitTime(permits, engine, now) <= now;
+}
+
+/** Whether an engine may get a request now, whatever its free capacity. */
+function isOpen(
+  state: PoolState,
+  load: EngineLoad,
+  slotRequest: SlotRequest,
+  now: number,
+): boolean {
+  return isUsable(load, slotRequest, now) && hasPermit(state, load, now);
+}
+
+/** Takes the permit of a granted engine; returns the engine if it limits its requests. */
+function takeEnginePermit(
+  state: PoolState,
+  upstreamId: UpstreamId | undefined,
+  now: number,
+): UpstreamId[] {
+  const engine = upstreamId === undefined ? undefined : state.engines.get(upstreamId)?.engine;
+  if (engine?.requestsPerSecond === undefined) return [];
+  const { incarnation, requestsPerSecond } = engine;
+  const server = { upstreamId: engine.upstreamId, incarnation, requestsPerSecond };
+  return takePermit(state.permits, server, now, now) === undefined ? [] : [server.upstreamId];
+}
+
 function makeAssignment(
   state: PoolState,
   slotRequest: SlotRequest,
@@ -141,7 +176,7 @@
   let best: SlotAssignment | undefined;
   let bestCost = Infinity;
   for (const load of state.engines.values()) {
-    if (load.engine.stage !== 'decode' || !isUsable(load, slotRequest, now)) continue;
+    if (load.engine.stage !== 'decode' || !isOpen(state, load, slotRequest, now)) continue;
     const assignment = makeAssignment(state, slotRequest, load, now);
     if (!hasFreeSlot(load, assignment, now)) continue;
     const usage = load.runs.size / countUsableSlots(load, meanTokens);
@@ -166,7 +201,7 @@
   let bestEndAt = Infinity;
   const poolPrefillMsPerToken = measurePrefillMsPerToken(state);
   for (const load of state.engines.values()) {
-    if (load.engine.stage !== 'prefill' || !isUsable(load, slotRequest, now)) continue;
+    if (load.engine.stage !== 'prefill' || !isOpen(state, load, slotRequest, now)) continue;
     if (!hasPrefillRoom(load, now)) {
       if (best === 'none') best = 'busy';
       continue;
@@ -204,7 +239,7 @@
     : MAX_DELAYED_ANSWERS;
   let leastCost = maxDelayed + 1;
   for (const load of state.engines.values()) {
-    if (load.engine.stage !== 'decode' || !isUsable(load, slotRequest, now)) continue;
+    if (load.engine.stage !== 'decode' || !isOpen(state, load, slotRequest, now)) continue;
     const assignment = makeAssignment(state, slotRequest, load, now);
     if (!isReadyForLocalPrefill(load, now) || !hasFreeSlot(load, assignment, now)) continue;
     const cost = countTargetMisses(load, prefillMs) + load.runs.size / (2 * load.engine.slots);
@@ -261,8 +296,13 @@
   state.runs.set(slotRequest.askId, assignment);
   state.engines.get(assignment.decode)?.runs.set(slotRequest.askId, assignment);
   if (!assignment.isLate) countOnTimeGrant(state.ranks, slotRequest.rank, now);
-  const prefill = assignment.prefill === assignment.decode ? undefined : assignment.prefill;
-  return { kind: 'grant', ask: slotRequest, prefill, decode: assignment.decode };
+  const { decode } = assignment;
+  const prefill = assignment.prefill === decode ? undefined : assignment.prefill;
+  const permits = [
+    ...takeEnginePermit(state, prefill, now),
+    ...takeEnginePermit(state, decode, now),
+  ];
+  return { kind: 'grant', ask: slotRequest, prefill, decode, permits };
 }
 
 /** Counts the free slots of decode engines that accept new work, as far as their memory allows. */
@@ -270,8 +310,9 @@
   const meanTokens = estimateAnswerTokens(state);
   let free = 0;
   for (const load of state.engines.values()) {
-    const isOpen = load.engine.stage === 'decode' && !load.engine.isLeaving;
-    if (!isOpen || load.avoidUntil > now) continue;
+    const { stage, isLeaving } = load.engine;
+    if (stage !== 'decode' || isLeaving || load.avoidUntil > now) continue;
+    if (!hasPermit(state, load, now)) continue;
     free += Math.max(0, countUsableSlots(load, meanTokens) - load.runs.size);
   }
   return free;
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -10,6 +10,7 @@
 } from './engine-load.js';
 import { makeRankRates, type RankRates } from './rank-rates.js';
 import type { PlannedEngine, RequestNeeds } from '../stages/stage-plan.js';
+import { makePermitSchedules, type PermitSchedules } from '../routing/request-permits.js';
 import type { SlotRequestId, SlotRequest, SlotAssignment } from './pool-types.js';
 
 /** A request that waits for a slot. */
@@ -46,6 +47,10 @@
   readonly ranks: RankRates;
   /** Returns a random number in [0, 1), so that refused callers do not retry all at once. */
   readonly takeFraction: () => number;
+  /** Permits of engines that limit their requests. */
+  readonly permits: PermitSchedules;
+  /** Whether this VM gives these permits out; otherwise limited engines get nothing from here. */
+  keepsPermits: boolean;
 };
 
 const INITIAL_OCCUPANCY_MS_PER_TOKEN = 0.6;
@@ -66,7 +71,10 @@
 const FIRST_EVENT_MS = 80;
 
 /** Makes the state of a pool without engines. */
-export function makePoolState(takeFraction: () => number): PoolState {
+export function makePoolState(
+  takeFraction: () => number,
+  permits: PermitSchedules = makePermitSchedules(),
+): PoolState {
   return {
     engines: new Map(),
     runs: new Map(),
@@ -83,6 +91,8 @@
     prefillUsableAt: 0,
     ranks: makeRankRates(),
     takeFraction,
+    permits,
+    keepsPermits: true,
   };
 }
 
@@ -270,6 +280,24 @@
   return slots;
 }
 
+/** Bounds a rate by the requests per second that an engine takes. */
+function boundByLimit({ engine }: EngineLoad, rate: number): number {
+  return Math.min(rate, engine.requestsPerSecond ?? Infinity);
+}
+
+/** Returns the answers per second that the pool's decode engines can start. */
+function measureSlotRate(state: PoolState): number {
+  const meanTokens = estimateAnswerTokens(state);
+  let rate = 0;
+  for (const load of state.engines.values()) {
+    const { stage, isLeaving } = load.engine;
+    if (stage !== 'decode' || isLeaving) continue;
+    const slots = countUsableSlots(load, meanTokens);
+    rate += boundByLimit(load, (MS_PER_S * slots) / state.occupancyMs);
+  }
+  return rate;
+}
+
 /**
  * Returns the prompts per second that prefill engines can process, without engines that are failing
  * now.
@@ -280,9 +308,9 @@
   for (const load of state.engines.values()) {
     const { stage, isLeaving } = load.engine;
     if (stage !== 'prefill' || isLeaving || load.avoidUntil > now + SHORT_AVOID_MS) continue;
-    rate +=
-      MS_PER_S /
-      (state.promptTokens * estimateEnginePrefillMsPerToken(load, poolPrefillMsPerToken));
+    const prefillMs =
+      state.promptTokens * estimateEnginePrefillMsPerToken(load, poolPrefillMsPerToken);
+    rate += boundByLimit(load, MS_PER_S / prefillMs);
   }
   return rate;
 }
@@ -294,17 +322,28 @@
   for (const load of state.engines.values()) {
     const { stage, isLeaving } = load.engine;
     if (stage !== 'decode' || isLeaving || load.avoidUntil > now + SHORT_AVOID_MS) continue;
-    rate += MS_PER_S / cycleMs;
+    rate += boundByLimit(load, MS_PER_S / cycleMs);
   }
   return rate;
 }
 
+function hasLimitedPrefill(state: PoolState): boolean {
+  for (const { engine } of state.engines.values()) {
+    const { stage, isLeaving, requestsPerSecond } = engine;
+    if (stage === 'prefill' && !isLeaving && requestsPerSecond !== undefined) return true;
+  }
+  return false;
+}
+
 /**
  * Returns how many answers per second the pool can start, limited by its slots and its prefill
  * speed.
  */
 export function measureServiceRate(state: PoolState, now: number): number {
-  const slotRate = (MS_PER_S * countSlots(state)) / state.occupancyMs;
+  const slotRate = measureSlotRate(state);
   const prefillRate = measurePrefillRate(state, now);
-  return Math.min(slotRate, prefillRate > 0 ? prefillRate : measureLocalPrefillRate(state, now));
+  // Decode engines also prefill what the limits of prefill engines leave over.
+  const usesLocal = prefillRate === 0 || hasLimitedPrefill(state);
+  const localRate = usesLocal ? measureLocalPrefillRate(state, now) : 0;
+  return Math.min(slotRate, prefillRate + localRate);
 }
--- a/packages/core/src/pools/pool-test-kit.ts
+++ b/packages/core/src/pools/pool-test-kit.ts
@@ -29,6 +29,7 @@
     incarnation: 1,
     isLeaving: false,
     slots: 12,
+    requestsPerSecond: undefined,
     kvCapacityTokens: 144_611,
     ...changes,
   };
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -21,6 +21,8 @@
   /** Requests that a decode engine can serve at a time. */
   readonly slots: number;
   readonly kvCapacityTokens: number;
+  /** Requests that it takes from all VMs together; undefined if it names no limit. */
+  readonly requestsPerSecond: number | undefined;
 };
 
 /** A request for a slot, with what the request needs of the engines. */
@@ -117,6 +119,8 @@
       /** Undefined if no prefill is needed or if the decode engine prefills locally. */
       readonly prefill: UpstreamId | undefined;
       readonly decode: UpstreamId;
+      /** Engines that limit their requests and whose permits were taken. */
+      readonly permits: readonly UpstreamId[];
     }
   | {
       readonly kind: 'refuse';
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -1,4 +1,5 @@
 export * from './event-splitter.js';
+export * from './request-permits.js';
 export * from './retry-window.js';
 export * from './routes.js';
 export * from './routing-types.js';
--- a/packages/core/src/routing/server-choice.ts
+++ b/packages/core/src/routing/server-choice.ts
@@ -14,6 +14,8 @@
   failureSeenAt: number;
   /** Until when the server is avoided; 0 if it never was. */
   avoidUntil: number;
+  /** Until when the VM that keeps the server's limit has no permit; 0 if it was never asked. */
+  noPermitBefore: number;
   /** Mean time of recent answers in milliseconds; 0 before the first. */
   answerMs: number;
 };
@@ -44,7 +46,14 @@
 export function getOrAddServerLoad(loads: ServerLoads, upstreamId: UpstreamId): ServerLoad {
   const known = loads.get(upstreamId);
   if (known !== undefined) return known;
-  const load = { inFlight: 0, failureShare: 0, failureSeenAt: 0, avoidUntil: 0, answerMs: 0 };
+  const load = {
+    inFlight: 0,
+    failureShare: 0,
+    failureSeenAt: 0,
+    avoidUntil: 0,
+    noPermitBefore: 0,
+    answerMs: 0,
+  };
   loads.set(upstreamId, load);
   return load;
 }
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -144,6 +144,19 @@
     isRelayed: z.boolean().optional(),
     items: z.array(z.object({ upstreamId: id, incarnation: z.number().int() })),
   }),
+  z.object({
+    kind: z.literal('upstream-limits'),
+    isRelayed: z.boolean().optional(),
+    items: z.array(
+      z.object({
+        upstreamId: id,
+        incarnation: z.number().int(),
+        requestsPerSecond: z.number().nonnegative().optional(),
+        sentAgoMs: milliseconds,
+        heardAgoMs: milliseconds,
+      }),
+    ),
+  }),
   z.object({ kind: z.literal('request-started'), requestKey: id }),
   z.object({ kind: z.literal('request-ended'), requestKey: id }),
   z.object({ kind: z.literal('request-verdict'), requestKey: id, isFirst: z.boolean() }),
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -22,7 +22,7 @@
   VmId,
 } from './ids.js';
 import type { ModelTarget } from './engine-messages.js';
-import type { PoolMessage, RowsMessage } from './pool-messages.js';
+import type { PermitMessage, PoolMessage, RowsMessage } from './pool-messages.js';
 import type { RuleDelta } from './rule-messages.js';
 import type { Refusal } from './result-codes.js';
 
@@ -145,9 +145,21 @@
   readonly incarnation: Incarnation;
 };
 
+/** What one answer said of the limit of its server. */
+export type UpstreamLimitItem = {
+  readonly upstreamId: UpstreamId;
+  readonly incarnation: number;
+  /** Absent if the limit has ended. */
+  readonly requestsPerSecond?: number | undefined;
+  /** How long ago the request was sent, and the head of its answer arrived. */
+  readonly sentAgoMs: number;
+  readonly heardAgoMs: number;
+};
+
 /** Any message between entry VMs. */
 export type PeerMessage =
   | PoolMessage
+  | PermitMessage
   | RowsMessage
   | {
       readonly kind: 'hello';
@@ -204,6 +216,13 @@
       readonly isRelayed?: boolean | undefined;
       readonly items: readonly { readonly upstreamId: UpstreamId; readonly incarnation: number }[];
     }
+  /** What servers said in answers of the requests that they take from all VMs together. */
+  | {
+      readonly kind: 'upstream-limits';
+      /** Whether a hub passed the message on; it is not passed on again. */
+      readonly isRelayed?: boolean | undefined;
+      readonly items: readonly UpstreamLimitItem[];
+    }
   /** Asks the VM that tracks a request key whether this submission is the only one. */
   | { readonly kind: 'request-started'; readonly requestKey: string }
   | { readonly kind: 'request-ended'; readonly requestKey: string }
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -53,6 +53,7 @@
     prefill: id.optional(),
     decode: id,
     endsInMs: milliseconds,
+    permits: z.array(id).default([]),
   }),
   z.object({
     kind: z.literal('pool-refuse'),
@@ -85,6 +86,25 @@
     storeAgeMs: milliseconds.optional(),
     positions: z.array(z.object({ table: id, position: count })).default([]),
   }),
+  z.object({
+    kind: z.literal('permit-request'),
+    ranking: id,
+    requestId: id,
+    servers: z.array(
+      z.object({
+        upstreamId: id,
+        incarnation: z.number().int(),
+        requestsPerSecond: z.number().nonnegative(),
+      }),
+    ),
+    latestInMs: milliseconds,
+  }),
+  z.object({
+    kind: z.literal('permit-answer'),
+    requestId: id,
+    upstreamId: id.optional(),
+    inMs: milliseconds,
+  }),
   z.object({ kind: z.literal('rows-wanted'), table: id, afterVersion: count }),
   z.object({
     kind: z.literal('rows-copy'),
@@ -153,6 +173,8 @@
       readonly decode: UpstreamId;
       /** Expected time until the slot is free again. */
       readonly endsInMs: number;
+      /** Engines that limit their requests and whose permits this grant includes. */
+      readonly permits: readonly UpstreamId[];
     }
   | {
       readonly kind: 'pool-refuse';
@@ -190,6 +212,29 @@
     }
   | AliveMessage;
 
+/** Messages about permits to send to servers that limit their requests. */
+export type PermitMessage =
+  /** Asks the VM that leads a ranking for a permit to send to one of some servers. */
+  | {
+      readonly kind: 'permit-request';
+      readonly ranking: ServiceName;
+      readonly requestId: string;
+      readonly servers: readonly {
+        readonly upstreamId: UpstreamId;
+        readonly incarnation: number;
+        readonly requestsPerSecond: number;
+      }[];
+      /** Time until which the request can wait for its permit. */
+      readonly latestInMs: number;
+    }
+  /** Permits a request to be sent to a server after some time; without one, refuses until then. */
+  | {
+      readonly kind: 'permit-answer';
+      readonly requestId: string;
+      readonly upstreamId?: UpstreamId | undefined;
+      readonly inMs: number;
+    };
+
 /** Reports that the sender is alive and what it knows of the platform's store. */
 export type AliveMessage = {
   readonly kind: 'alive';
--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -2,7 +2,6 @@
 
 import {
   chooseNextStep,
-  chooseServer,
   listUnusableUpstreams,
   listUsableUpstreams,
   recordAnswerTime,
@@ -14,10 +13,11 @@
 import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
 import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
+import { chooseCallServer } from './call-server.js';
 import type { GatewayRequest } from './gateway-request.js';
 import { findLoad, takeServiceRetries, type GatewayState } from './gateway-state.js';
 import { sendOnce, type AnswerHead, type SendResult } from './sender.js';
-import { findRetryAfterMs } from './upstream-notices.js';
+import { findRetryAfterMs, listWithoutPermit } from './upstream-notices.js';
 
 /** A server that reported that it is full gets no requests for this long. */
 const FULL_AVOID_MS = 150;
@@ -40,24 +40,6 @@
 
 type WholeAnswer = { readonly head: AnswerHead; readonly body: Buffer };
 
-function chooseCallServer(
-  state: GatewayState,
-  request: GatewayRequest,
-  { tried }: CallProgress,
-): UpstreamRecord | undefined {
-  const now = getSteadyMs();
-  const choice = {
-    servers: listUsableUpstreams(state.upstreams, request.service, now),
-    loads: state.loads,
-    dataCentre: state.settings.dataCentre,
-    takeFraction: state.takeFraction,
-    now,
-  };
-  return (
-    chooseServer({ ...choice, excluded: tried }) ?? chooseServer({ ...choice, excluded: new Set() })
-  );
-}
-
 function findHeadDueAt(request: GatewayRequest, progress: CallProgress, now: number): number {
   const { route } = request;
   const canResend = route.kind === 'idempotent' && progress.runs + 1 < route.maxAttempts;
@@ -187,7 +169,11 @@
   { runs }: CallProgress,
 ): void {
   const { leaving, paused } = listUnusableUpstreams(state.upstreams, service, getSteadyMs());
-  state.logger.info({ requestId, service, leaving, paused }, 'calls: no server may be used');
+  const limited = listWithoutPermit(state, service).map(({ upstreamId }) => upstreamId);
+  state.logger.info(
+    { requestId, service, leaving, paused, limited },
+    'calls: no server may be used',
+  );
   if (runs === 0) reply.refuse('no-upstream', findRetryAfterMs(state, service));
   else reply.refuse('upstream-failed');
 }
@@ -201,11 +187,16 @@
   const { route, service, fields } = request;
   const progress: CallProgress = { tried: new Set(), runs: 0 };
   for (;;) {
-    const server = chooseCallServer(state, request, progress);
-    if (server === undefined) {
+    const choice = yield* chooseCallServer(state, request, progress.tried);
+    if (choice.kind === 'caller-gone' || choice.kind === 'timed-out') {
+      refuseAfterTimeout(request, choice, progress.runs);
+      return;
+    }
+    if (choice.kind === 'none') {
       refuseWithoutServer(state, request, progress);
       return;
     }
+    const { server } = choice;
     progress.tried.add(server.upstreamId);
     const { result, answer } = yield* sendCall(state, request, server, progress);
     if (result.kind === 'caller-gone' || result.kind === 'timed-out') {
--- /dev/null
+++ b/packages/router/src/gateway/call-server.ts
@@ -0,0 +1,159 @@
+/** Chooses the server of a call, and gets a permit where it limits its requests. */
+
+import {
+  chooseServer,
+  findLimit,
+  listUsableUpstreams,
+  type LimitedUpstream,
+  type UpstreamRecord,
+} from '@tarragonspool/core';
+import type { UpstreamId } from '@tarragonspool/protocol';
+import type { PermitReply, PermitRequestId } from '../pools/permit-messages.js';
+import { requestPermit } from '../pools/pool-task.js';
+import { offer, receive, type Task } from '../tasks/tasks.js';
+import { getSteadyMs } from '../time/steady-clock.js';
+import type { GatewayRequest } from './gateway-request.js';
+import { findLoad, type GatewayState } from './gateway-state.js';
+import type { RequestEnd } from './sender.js';
+
+/** Result of the choice: a server that the call may be sent to now, or none. */
+export type CallServer =
+  | { readonly kind: 'chosen'; readonly server: UpstreamRecord }
+  | { readonly kind: 'none' }
+  | RequestEnd;
+
+function findServerLimit(
+  { limits }: GatewayState,
+  { upstreamId, incarnation }: UpstreamRecord,
+): LimitedUpstream | undefined {
+  const requestsPerSecond = findLimit(limits, upstreamId, incarnation);
+  return requestsPerSecond === undefined
+    ? undefined
+    : { upstreamId, incarnation, requestsPerSecond };
+}
+
+/** Lists the servers that may get the call, without those whose limit is known to be used up. */
+function listCandidates(state: GatewayState, { service }: GatewayRequest): UpstreamRecord[] {
+  const now = getSteadyMs();
+  const usable = listUsableUpstreams(state.upstreams, service, now);
+  return usable.filter((server) => {
+    if (findServerLimit(state, server) === undefined) return true;
+    return findLoad(state, server.upstreamId).noPermitBefore <= now;
+  });
+}
+
+/** Only an answer ends a limit, so a server that was not heard for this long gets the next call. */
+const LIMIT_CHECK_MS = 2_000;
+
+/** Finds a server of which it is not known any more whether its limit still holds. */
+function findUnheardServer(
+  { limits }: GatewayState,
+  servers: readonly UpstreamRecord[],
+  tried: ReadonlySet<UpstreamId>,
+): UpstreamRecord | undefined {
+  const heardBefore = getSteadyMs() - LIMIT_CHECK_MS;
+  return servers.find(({ upstreamId, incarnation }) => {
+    if (tried.has(upstreamId) || findLimit(limits, upstreamId, incarnation) === undefined) {
+      return false;
+    }
+    return (limits.get(upstreamId)?.heardAt ?? Infinity) < heardBefore;
+  });
+}
+
+function chooseCandidate(
+  state: GatewayState,
+  servers: readonly UpstreamRecord[],
+  tried: ReadonlySet<UpstreamId>,
+): UpstreamRecord | undefined {
+  const unheard = findUnheardServer(state, servers, tried);
+  if (unheard !== undefined) return unheard;
+  const { loads, settings, takeFraction } = state;
+  const { dataCentre } = settings;
+  const choice = { servers, loads, dataCentre, takeFraction, now: getSteadyMs() };
+  return (
+    chooseServer({ ...choice, excluded: tried }) ?? chooseServer({ ...choice, excluded: new Set() })
+  );
+}
+
+/**
+ * Finds how long a call may wait for its permit: as long as its answer can still meet the latency
+ * target, where no other server takes it at once.
+ */
+function findLatestPermit(
+  state: GatewayState,
+  { aimAt }: GatewayRequest,
+  candidates: readonly UpstreamRecord[],
+  { upstreamId }: UpstreamRecord,
+): number {
+  const now = getSteadyMs();
+  const hasOpen = candidates.some((server) => findServerLimit(state, server) === undefined);
+  return hasOpen ? now : Math.max(now, aimAt - findLoad(state, upstreamId).answerMs);
+}
+
+function* awaitPermit(
+  state: GatewayState,
+  request: GatewayRequest,
+  servers: readonly LimitedUpstream[],
+  latestAt: number,
+): Task<PermitReply | RequestEnd> {
+  const { inbox, service } = request;
+  state.permitRequestCount += 1;
+  const permitRequestId = `${state.processStartId}/${state.permitRequestCount}` as PermitRequestId;
+  const ranking = state.fleet.findRankingName(service);
+  const onReply = (reply: PermitReply): void => {
+    offer(inbox, { kind: 'permit', reply });
+  };
+  requestPermit(state.pools, { permitRequestId, ranking, servers, latestAt, onReply });
+  for (;;) {
+    const message = yield* receive(inbox);
+    if (message === undefined) return { kind: 'caller-gone' };
+    if (message.kind === 'caller-gone' || message.kind === 'timed-out') return message;
+    const isReply = message.kind === 'permit' && message.reply.permitRequestId === permitRequestId;
+    if (isReply) return message.reply;
+  }
+}
+
+function recordPermit(
+  state: GatewayState,
+  { fields: { requestId } }: GatewayRequest,
+  servers: readonly LimitedUpstream[],
+  reply: PermitReply,
+): void {
+  state.metrics.permits.inc({ outcome: reply.kind });
+  state.logger.debug({ requestId, servers, reply }, 'permits: request for a permit answered');
+  if (reply.kind === 'permitted') return;
+  for (const { upstreamId } of servers) {
+    findLoad(state, upstreamId).noPermitBefore = reply.retryAt;
+  }
+}
+
+/**
+ * Chooses a server that may get the call now. Waits for a permit if a server with a limit is the
+ * best one.
+ */
+export function* chooseCallServer(
+  state: GatewayState,
+  request: GatewayRequest,
+  tried: ReadonlySet<UpstreamId>,
+): Task<CallServer> {
+  for (;;) {
+    const candidates = listCandidates(state, request);
+    const server = chooseCandidate(state, candidates, tried);
+    if (server === undefined) return { kind: 'none' };
+    if (findServerLimit(state, server) === undefined) return { kind: 'chosen', server };
+    const untried = candidates.filter(({ upstreamId }) => !tried.has(upstreamId));
+    const limited = (untried.length > 0 ? untried : candidates)
+      .map((candidate) => findServerLimit(state, candidate))
+      .filter((limit) => limit !== undefined);
+    const latestAt = findLatestPermit(state, request, candidates, server);
+    const reply = yield* awaitPermit(state, request, limited, latestAt);
+    if (reply.kind === 'caller-gone' || reply.kind === 'timed-out') return reply;
+    recordPermit(state, request, limited, reply);
+    if (reply.kind === 'not-permitted') continue;
+    const permitted = state.upstreams.records.get(reply.upstreamId);
+    const isUsable =
+      permitted !== undefined &&
+      listUsableUpstreams(state.upstreams, request.service, getSteadyMs()).includes(permitted);
+    if (isUsable) return { kind: 'chosen', server: permitted };
+  }
+}
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -83,6 +83,12 @@
       help: 'Listed servers that name a limit of the requests that they take from all VMs.',
       registers,
     }),
+    permits: new Counter({
+      name: `${PREFIX}permits_total`,
+      help: 'Requests for permits of servers with limits, for calls: permitted or not-permitted.',
+      labelNames: ['outcome'],
+      registers,
+    }),
     peers: new Gauge({ name: `${PREFIX}peers`, help: 'Open links to peers.', registers }),
   };
 }
--- a/packages/router/src/gateway/gateway-request.ts
+++ b/packages/router/src/gateway/gateway-request.ts
@@ -2,6 +2,7 @@
 
 import type { Route } from '@tarragonspool/core';
 import type { Fingerprint, PromptPartId, ServiceName } from '@tarragonspool/protocol';
+import type { PermitReply } from '../pools/permit-messages.js';
 import type { SlotReply } from '../pools/place-messages.js';
 import type { Channel } from '../tasks/tasks.js';
 import type { UpstreamEvent } from '../upstreams/upstream-client.js';
@@ -17,6 +18,7 @@
       readonly event: Exclude<UpstreamEvent, { kind: 'data' }>;
     }
   | { readonly kind: 'place'; readonly reply: SlotReply }
+  | { readonly kind: 'permit'; readonly reply: PermitReply }
   | { readonly kind: 'caller-gone' }
   | { readonly kind: 'timed-out' }
   /** A send got no bytes by its deadline; `alarm` is the number of the send. */
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -70,6 +70,7 @@
   /** Bytes of answers that are held until they are whole. */
   heldAnswerBytes: number;
   slotRequestCount: number;
+  permitRequestCount: number;
 };
 
 /** Dependencies of a gateway's state. */
@@ -109,6 +110,7 @@
     openRequests: 0,
     heldAnswerBytes: 0,
     slotRequestCount: 0,
+    permitRequestCount: 0,
   };
 }
 
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -2,7 +2,7 @@
 
 import { destination, pino } from 'pino';
 import { computeMaxStoreAgeMs } from '@tarragonspool/core';
-import type { PeerMessage, PoolMessage, VmId } from '@tarragonspool/protocol';
+import type { PeerMessage, PermitMessage, PoolMessage, VmId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import { makeFleetView } from '../peers/fleet-view.js';
 import { makePoolTask } from '../pools/pool-task.js';
@@ -59,7 +59,7 @@
   const meshHolder: PeerMeshHolder = { mesh: undefined };
   const stateHolder: { state: GatewayState | undefined } = { state: undefined };
   const takeFraction = Math.random;
-  const sendTo = (vmId: VmId, message: PoolMessage): void => {
+  const sendTo = (vmId: VmId, message: PoolMessage | PermitMessage): void => {
     meshHolder.mesh?.sendTo(vmId, message);
   };
   const broadcast = (message: PeerMessage): void => meshHolder.mesh?.broadcast(message);
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -4,6 +4,7 @@
   AliveMessage,
   Incarnation,
   PeerMessage,
+  PermitMessage,
   PoolMessage,
   RowsMessage,
   VmId,
@@ -15,7 +16,12 @@
 import { startAdaptiveTicker } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayState } from './gateway-state.js';
-import { applyLeavingMessage, listToldLeaving } from './upstream-notices.js';
+import {
+  applyLeavingMessage,
+  applyLimitsMessage,
+  listToldLeaving,
+  listToldLimits,
+} from './upstream-notices.js';
 
 /** Dependencies of the links. */
 export type PeerLinksParts = {
@@ -34,7 +40,7 @@
 const SPREAD_MS_PER_VM = 8;
 /** Age that stands for no knowledge of the store. */
 const UNKNOWN_AGE_MS = 3_600_000;
-const POOL_MESSAGE_KINDS: ReadonlySet<string> = new Set<PoolMessage['kind']>([
+const POOL_MESSAGE_KINDS: ReadonlySet<string> = new Set<(PoolMessage | PermitMessage)['kind']>([
   'alive',
   'pool-ask',
   'pool-queued',
@@ -46,9 +52,11 @@
   'pool-engine-failed',
   'pool-runs',
   'pool-engine-ordered',
+  'permit-request',
+  'permit-answer',
 ]);
 
-function isPoolMessage(message: PeerMessage): message is PoolMessage {
+function isPoolMessage(message: PeerMessage): message is PoolMessage | PermitMessage {
   return POOL_MESSAGE_KINDS.has(message.kind);
 }
 
@@ -115,11 +123,14 @@
   };
 }
 
+/** Messages that hubs pass on. */
+type RelayedKind = 'suspects' | 'prompt-parts' | 'upstreams-leaving' | 'upstream-limits';
+
 /** Passes what a VM has learned on to all others; only hubs are linked to all. */
 function broadcastAgain(
   mesh: PeerMesh,
   from: VmId,
-  message: Extract<PeerMessage, { kind: 'suspects' | 'prompt-parts' | 'upstreams-leaving' }>,
+  message: Extract<PeerMessage, { kind: RelayedKind }>,
 ): void {
   for (const [vmId, link] of mesh.links) {
     if (vmId !== from) link.send({ ...message, isRelayed: true });
@@ -147,6 +158,8 @@
       if (leaving.length > 0) {
         send({ kind: 'upstreams-leaving', isRelayed: true, items: leaving });
       }
+      const limits = listToldLimits(state);
+      if (limits.length > 0) send({ kind: 'upstream-limits', isRelayed: true, items: limits });
       const known = incarnations.get(vmId);
       incarnations.set(vmId, peer.incarnation);
       fleet.recordLinkOpened(vmId, getSteadyMs());
@@ -171,6 +184,9 @@
       } else if (message.kind === 'upstreams-leaving') {
         applyLeavingMessage(state, message);
         if (message.isRelayed !== true) broadcastAgain(mesh, vmId, message);
+      } else if (message.kind === 'upstream-limits') {
+        applyLimitsMessage(state, message);
+        if (message.isRelayed !== true) broadcastAgain(mesh, vmId, message);
       }
     },
     onGone: (vmId) => {
--- a/packages/router/src/gateway/pool-engines.ts
+++ b/packages/router/src/gateway/pool-engines.ts
@@ -1,6 +1,6 @@
 /** Tells the pools of the engines that this VM lists. */
 
-import type { PoolEngine } from '@tarragonspool/core';
+import { findLimit, type PoolEngine } from '@tarragonspool/core';
 import type { ServiceName } from '@tarragonspool/protocol';
 import { offer } from '../tasks/tasks.js';
 import type { GatewayState } from './gateway-state.js';
@@ -17,7 +17,8 @@
     const { upstreamId, dataCentre, stage, incarnation, isLeaving, slots } = record;
     const { kvCapacityTokens } = limits;
     const identity = { upstreamId, dataCentre, incarnation };
-    engines.push({ ...identity, stage, isLeaving, slots, kvCapacityTokens });
+    const requestsPerSecond = findLimit(state.limits, upstreamId, incarnation);
+    engines.push({ ...identity, stage, isLeaving, slots, kvCapacityTokens, requestsPerSecond });
   }
   return pools;
 }
--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -132,6 +132,7 @@
     case 'alarm':
       return message.alarm === send.number ? { kind: 'slow' } : undefined;
     case 'place':
+    case 'permit':
       return undefined;
     case 'upstream': {
       if (message.send !== send.number) return undefined;
--- a/packages/router/src/gateway/stream-flow.test.ts
+++ b/packages/router/src/gateway/stream-flow.test.ts
@@ -1,9 +1,11 @@
 import {
   makeUpstreamList,
   recordLeaving,
+  recordLimit,
   recordPause,
   type SlotRequest,
   type Route,
+  type UpstreamLimits,
   type UpstreamRecord,
 } from '@tarragonspool/core';
 import type { UpstreamId } from '@tarragonspool/protocol';
@@ -59,7 +61,7 @@
 };
 
 /** What changes while the stream waits for the reply to its first slot request. */
-type ChangeWhileWaiting = 'none' | 'quarantine' | 'pause' | 'leaving';
+type ChangeWhileWaiting = 'none' | 'quarantine' | 'pause' | 'leaving' | 'limit';
 
 /** Plays one stream against an owner that answers each slot request with the next reply. */
 async function playStream(
@@ -70,7 +72,9 @@
   const inbox = makeChannel<PoolTaskMessage>(64);
   const upstreams = makeUpstreamList();
   upstreams.records.set(LISTED.upstreamId, LISTED as unknown as UpstreamRecord);
+  const limits: UpstreamLimits = new Map();
   const state = {
+    limits,
     pools: { inbox, countLiveVms: () => 1 },
     logger: pino({ level: 'silent' }),
     upstreams,
@@ -106,6 +110,9 @@
     const paused = { incarnation: LISTED.incarnation, until: now + 10_000 };
     if (change === 'pause') recordPause(upstreams, LISTED.upstreamId, paused, now);
     if (change === 'leaving') recordLeaving(upstreams, leaving);
+    if (change === 'limit') {
+      recordLimit(limits, { ...leaving, requestsPerSecond: 4, sentAt: now, heardAt: now });
+    }
     trace.slotRequests.push(message.ask);
     if (reply !== undefined) message.onReply({ ...reply, askId: message.ask.askId });
   }
@@ -144,8 +151,8 @@
 
 it('streams: a slot is requested again without an engine that is gone but that the owner still lists', async () => {
   const grants = [
-    { kind: 'granted', prefill: undefined, decode: GONE },
-    { kind: 'granted', prefill: NEVER_SEEN, decode: GONE },
+    { kind: 'granted', prefill: undefined, decode: GONE, permits: [] },
+    { kind: 'granted', prefill: NEVER_SEEN, decode: GONE, permits: [] },
   ] as const;
   const { slotRequests, refusals, notifications } = await playStream([...grants, REFUSED]);
   expect(slotRequests.map(({ excluded }) => [...excluded])).to.deep.equal([
@@ -159,7 +166,7 @@
 
 it('streams: an engine that only the list of this VM lacks takes no retry from the budget', async () => {
   const { slotRequests } = await playStream([
-    { kind: 'granted', prefill: undefined, decode: GONE } as const,
+    { kind: 'granted', prefill: undefined, decode: GONE, permits: [] } as const,
     REFUSED,
   ]);
   expect(slotRequests).to.have.length(2);
@@ -167,17 +174,27 @@
 
 // Guards against a content that reaches a server because its request waited when it became known.
 it('streams: a content that comes into quarantine while its request waits is refused and not sent', async () => {
-  const grant = { kind: 'granted', prefill: undefined, decode: LISTED.upstreamId };
+  const grant = { kind: 'granted', prefill: undefined, decode: LISTED.upstreamId, permits: [] };
   const trace = await playStream([grant as OwnerReply, REFUSED], 'quarantine');
   expect(trace.sends).to.deep.equal([]);
   expect(trace.refusals).to.deep.equal(['quarantined']);
   expect(trace.notifications).to.deep.equal(['end']);
 });
 
+// Guards against a request beyond the limit that an engine names while the request waits for its slot.
+it('streams: an engine that names a limit while a stream waits for a slot gets nothing without a permit', async () => {
+  const grant = { kind: 'granted', prefill: undefined, decode: LISTED.upstreamId } as const;
+  const without = await playStream([{ ...grant, permits: [] }, REFUSED], 'limit');
+  expect(without.sends).to.deep.equal([]);
+  expect(without.slotRequests[1]?.excluded).to.deep.equal([LISTED.upstreamId]);
+  const permitted = await playStream([{ ...grant, permits: [LISTED.upstreamId] }], 'limit');
+  expect(permitted.sends).to.deep.equal([LISTED.address]);
+});
+
 // Guards against a server that is sent what waited for a slot there when it asked to be left alone.
 for (const change of ['pause', 'leaving'] as const) {
   it(`streams: an engine that asks to be left alone while a stream waits for a slot gets nothing (${change})`, async () => {
-    const grant = { kind: 'granted', prefill: undefined, decode: LISTED.upstreamId };
+    const grant = { kind: 'granted', prefill: undefined, decode: LISTED.upstreamId, permits: [] };
     const trace = await playStream([grant as OwnerReply], change);
     expect(trace.sends).to.deep.equal([]);
     expect(trace.refusals).to.deep.equal(['no-upstream']);
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -2,10 +2,12 @@
 
 import { createHash } from 'node:crypto';
 import {
+  findLimit,
   listUnusableUpstreams,
   listUsableUpstreams,
   type SlotRequestId,
   type SlotRequest,
+  type UpstreamRecord,
 } from '@tarragonspool/core';
 import type { UpstreamId } from '@tarragonspool/protocol';
 import type { SlotReply } from '../pools/place-messages.js';
@@ -130,6 +132,21 @@
 
 type NextAction = 'again' | 'done';
 
+/**
+ * Finds an engine of a grant that may get the request now. It may not if it is leaving, paused or not
+ * listed by this VM, or if it has named a limit and the grant includes no permit.
+ */
+function findGrantedEngine(
+  state: GatewayState,
+  { permits }: SlotGrant,
+  upstreamId: UpstreamId,
+): UpstreamRecord | undefined {
+  const engine = findEngine(state, upstreamId);
+  if (engine === undefined) return undefined;
+  const isLimited = findLimit(state.limits, upstreamId, engine.incarnation) !== undefined;
+  return isLimited && !permits.includes(upstreamId) ? undefined : engine;
+}
+
 /** Prefills the prompt for a granted slot if needed; `ready` if decoding may start. */
 function* ensurePrefilled(
   state: GatewayState,
@@ -139,7 +156,7 @@
 ): Task<'ready' | NextAction> {
   if (grant.prefill === undefined || progress.kvSource !== undefined) return 'ready';
   const { askId } = grant;
-  const engine = findEngine(state, grant.prefill);
+  const engine = findGrantedEngine(state, grant, grant.prefill);
   const result: SendResult =
     engine === undefined
       ? { kind: 'outcome', outcome: { kind: 'not-run', reason: 'engine is gone' } }
@@ -209,16 +226,11 @@
   return 'done';
 }
 
-/**
- * Finds a granted engine that this VM may not use: it is leaving or paused, or not listed because one
- * of the two lists is out of date.
- */
-function findUnusableEngine(
-  state: GatewayState,
-  { prefill, decode }: SlotGrant,
-): UpstreamId | undefined {
-  for (const upstreamId of [prefill, decode]) {
-    if (upstreamId !== undefined && findEngine(state, upstreamId) === undefined) return upstreamId;
+/** Finds an engine of a grant that this VM may not use. */
+function findUnusableEngine(state: GatewayState, grant: SlotGrant): UpstreamId | undefined {
+  for (const upstreamId of [grant.prefill, grant.decode]) {
+    if (upstreamId === undefined) continue;
+    if (findGrantedEngine(state, grant, upstreamId) === undefined) return upstreamId;
   }
   return undefined;
 }
@@ -236,7 +248,7 @@
   const { requestId } = request.fields;
   state.logger.warn(
     { requestId, upstreamId },
-    'streams: granted engine is not listed by this VM, leaving or paused',
+    'streams: granted engine is not listed by this VM, leaving, paused or limited',
   );
   progress.excluded.add(upstreamId);
   sendPoolMessage(state.pools, { kind: 'end', askId, didFinish: false }, state.logger);
@@ -278,7 +290,7 @@
   if (prepared !== 'ready') return prepared;
   if (endQuarantined(state, request, grant)) return 'done';
   const { askId, decode } = grant;
-  const engine = findEngine(state, decode);
+  const engine = findGrantedEngine(state, grant, decode);
   if (engine === undefined) {
     sendPoolMessage(state.pools, { kind: 'end', askId, didFinish: false }, state.logger);
     return continueAfter(state, request, progress, 'not-run');
--- a/packages/router/src/gateway/upstream-notices.ts
+++ b/packages/router/src/gateway/upstream-notices.ts
@@ -2,21 +2,25 @@
 
 import {
   findLimit,
+  getOrAddServerLoad,
   listLeaving,
   listUnusableUpstreams,
+  listUsableUpstreams,
   recordLeaving,
   recordLimit,
   recordPause,
   type LeavingUpstream,
+  type LimitStatement,
   type UpstreamRecord,
 } from '@tarragonspool/core';
-import type { PeerMessage, ServiceName } from '@tarragonspool/protocol';
+import type { PeerMessage, ServiceName, UpstreamLimitItem } from '@tarragonspool/protocol';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayState } from './gateway-state.js';
 import { notifyPoolsOfEngines } from './pool-engines.js';
 import type { LimitNotice, UpstreamNotice } from './ports.js';
 
 type LeavingMessage = Extract<PeerMessage, { kind: 'upstreams-leaving' }>;
+type LimitsMessage = Extract<PeerMessage, { kind: 'upstream-limits' }>;
 
 /** A peer that has just been linked hears of at most this many. */
 const MAX_TOLD = 200;
@@ -26,6 +30,35 @@
 const PAUSE_SPREAD = 0.5;
 const MIN_PAUSE_SPREAD_MS = 300;
 
+function encodeStatement(statement: LimitStatement, now: number): UpstreamLimitItem {
+  const { upstreamId, incarnation, requestsPerSecond, sentAt, heardAt } = statement;
+  const ages = { sentAgoMs: now - sentAt, heardAgoMs: now - heardAt };
+  return { upstreamId, incarnation, requestsPerSecond, ...ages };
+}
+
+/** Takes what a peer knows of the limits of servers. */
+export function applyLimitsMessage(state: GatewayState, { items }: LimitsMessage): void {
+  const now = getSteadyMs();
+  const news = items.filter(({ sentAgoMs, heardAgoMs, ...statement }) =>
+    recordLimit(state.limits, {
+      ...statement,
+      requestsPerSecond: statement.requestsPerSecond,
+      sentAt: now - sentAgoMs,
+      heardAt: now - heardAgoMs,
+    }),
+  );
+  if (news.length === 0) return;
+  state.logger.info({ servers: news }, 'upstreams: a peer tells of limits of servers');
+  notifyPoolsOfEngines(state);
+}
+
+/** Lists what servers said of their limits, for a peer that has just been linked. */
+export function listToldLimits({ limits }: GatewayState): UpstreamLimitItem[] {
+  const now = getSteadyMs();
+  const items = [...limits.values()].map((statement) => encodeStatement(statement, now));
+  return items.slice(-MAX_TOLD);
+}
+
 /** What a notice came with. */
 export type AnswerOrigin = {
   /** Undefined for calls that belong to no request of a caller. */
@@ -37,11 +70,12 @@
 
 /** Records what an answer says of the limit of its server. */
 function recordLimitNotice(
-  { limits, logger, metrics }: GatewayState,
+  state: GatewayState,
   { requestId, sentAt, isIdentified }: AnswerOrigin,
   { upstreamId, incarnation }: UpstreamRecord,
   limit: LimitNotice,
 ): void {
+  const { limits, logger, metrics } = state;
   if (limit.kind === 'unreadable' || (limit.kind === 'none' && !isIdentified)) return;
   const requestsPerSecond = limit.kind === 'named' ? limit.requestsPerSecond : undefined;
   const heardAt = getSteadyMs();
@@ -52,6 +86,8 @@
     { requestId, upstreamId, incarnation, requestsPerSecond },
     'upstreams: limit of a server changed',
   );
+  notifyPoolsOfEngines(state);
+  state.broadcast({ kind: 'upstream-limits', items: [encodeStatement(statement, heardAt)] });
 }
 
 /** Records a notice of a server to this VM. */
@@ -96,11 +132,35 @@
   return listLeaving(upstreams).slice(-MAX_TOLD);
 }
 
-/** Returns when callers of a service should come back whose servers leave or pause, in milliseconds. */
+/** Lists the usable servers of a service whose limits allow no further request now. */
+export function listWithoutPermit(
+  { upstreams, limits, loads }: GatewayState,
+  service: ServiceName,
+): UpstreamRecord[] {
+  const now = getSteadyMs();
+  return listUsableUpstreams(upstreams, service, now).filter(({ upstreamId, incarnation }) => {
+    const isLimited = findLimit(limits, upstreamId, incarnation) !== undefined;
+    return isLimited && getOrAddServerLoad(loads, upstreamId).noPermitBefore > now;
+  });
+}
+
+/** Finds when the first server that pauses, or has no permit left, may get a request again. */
+function findFirstUsableAt(state: GatewayState, service: ServiceName, now: number): number {
+  const { firstPauseEndsAt = Infinity } = listUnusableUpstreams(state.upstreams, service, now);
+  const permitTimes = listWithoutPermit(state, service).map(
+    ({ upstreamId }) => getOrAddServerLoad(state.loads, upstreamId).noPermitBefore,
+  );
+  return Math.min(firstPauseEndsAt, ...permitTimes);
+}
+
+/**
+ * Returns when callers of a service should come back whose servers leave, pause or have used up
+ * their limits, in milliseconds.
+ */
 export function findRetryAfterMs(state: GatewayState, service: ServiceName): number {
   const now = getSteadyMs();
-  const { firstPauseEndsAt } = listUnusableUpstreams(state.upstreams, service, now);
-  const leastMs = firstPauseEndsAt === undefined ? RETRY_AFTER_LEAVING_MS : firstPauseEndsAt - now;
+  const firstUsableAt = findFirstUsableAt(state, service, now);
+  const leastMs = Number.isFinite(firstUsableAt) ? firstUsableAt - now : RETRY_AFTER_LEAVING_MS;
   const spreadMs = Math.max(MIN_PAUSE_SPREAD_MS, PAUSE_SPREAD * leastMs);
   return leastMs + state.takeFraction() * spreadMs;
 }
--- a/packages/router/src/peers/fleet-view.ts
+++ b/packages/router/src/peers/fleet-view.ts
@@ -33,6 +33,8 @@
   /** Whether knowledge of the store of this age, in milliseconds, may be relied on. */
   readonly isRecent: (storeAgeMs: number) => boolean;
   readonly countMembers: () => number;
+  /** Returns the name of the ranking whose first VM decides about a service. */
+  readonly findRankingName: (service: ServiceName) => ServiceName;
 };
 
 /** A peer that says nothing for this long is passed over: three messages are missing. */
@@ -158,5 +160,9 @@
     measureStoreAgeMs,
     isRecent: (storeAgeMs) => storeAgeMs <= maxStoreAgeMs,
     countMembers: () => members.size,
+    findRankingName: (service) => {
+      const name = rankingNames.includes(service) ? service : rankingNames[0];
+      return (name ?? DEFAULT_RANKING) as ServiceName;
+    },
   };
 }
--- a/packages/router/src/pools/place-asker.test.ts
+++ b/packages/router/src/pools/place-asker.test.ts
@@ -71,7 +71,7 @@
   service: ServiceName,
   askId: string,
 ): Extract<PoolMessage, { kind: 'pool-grant' }> {
-  return { kind: 'pool-grant', service, askId, decode: DECODE, endsInMs: 1_000 };
+  return { kind: 'pool-grant', service, askId, decode: DECODE, endsInMs: 1_000, permits: [] };
 }
 
 it('pool client: the next VM takes over in place of an owner that does not acknowledge a request', () => {
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -173,7 +173,7 @@
     }
     pending.delete(askId);
     const { service, ask: slotRequest, onReply } = request;
-    const { prefill, decode, endsInMs } = message;
+    const { prefill, decode, endsInMs, permits } = message;
     const assignment = {
       ask: slotRequest,
       decode,
@@ -183,7 +183,7 @@
       expectedEndAt: now + endsInMs,
     };
     activeSlots.set(askId, { service, run: assignment, owner: from, isPrefilled: false });
-    onReply({ kind: 'granted', askId, prefill, decode });
+    onReply({ kind: 'granted', askId, prefill, decode, permits });
   }
 
   return {
--- a/packages/router/src/pools/place-messages.ts
+++ b/packages/router/src/pools/place-messages.ts
@@ -10,6 +10,8 @@
       readonly askId: SlotRequestId;
       readonly prefill: UpstreamId | undefined;
       readonly decode: UpstreamId;
+      /** Engines that limit their requests and whose permits the grant includes. */
+      readonly permits: readonly UpstreamId[];
     }
   | {
       readonly kind: 'refused';
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -7,6 +7,7 @@
   measureDemand,
   type SlotRequestId,
   type SlotRequest,
+  type PermitSchedules,
   type PlannedEngine,
   type SlotAssignment,
   type PoolAction,
@@ -58,6 +59,10 @@
   readonly self: VmId;
   readonly takeFraction: () => number;
   readonly reply: (to: VmId, message: PoolMessage) => void;
+  /** Permits of servers that limit their requests. */
+  readonly permits: PermitSchedules;
+  /** Whether this VM considers itself the owner of a service, and so the keeper of its permits. */
+  readonly isOwner: (service: ServiceName, now: number) => boolean;
   readonly logger: Logger;
 };
 
@@ -119,7 +124,7 @@
   function findPool(service: ServiceName): PoolState {
     const existing = pools.get(service);
     if (existing !== undefined) return existing;
-    const pool = makePoolState(parts.takeFraction);
+    const pool = makePoolState(parts.takeFraction, parts.permits);
     pools.set(service, pool);
     return pool;
   }
@@ -150,19 +155,21 @@
       reply(vmId, { kind: 'pool-refuse', askId, reason, retryAfterMs });
       return;
     }
-    const { prefill, decode } = action;
+    const { prefill, decode, permits } = action;
     const assignment = pools.get(service)?.runs.get(askId);
     const endsInMs = (assignment?.expectedEndAt ?? now) - now;
     const slackMs = slotRequest.aimAt - now;
     logger.info(
-      { service, askId, vmId, prefill, decode, slackMs, endsInMs },
+      { service, askId, vmId, prefill, decode, permits, slackMs, endsInMs },
       'pools: slot granted',
     );
-    reply(vmId, { kind: 'pool-grant', service, askId, prefill, decode, endsInMs });
+    reply(vmId, { kind: 'pool-grant', service, askId, prefill, decode, endsInMs, permits });
   }
 
   function apply(service: ServiceName, event: PoolEvent, now: number): void {
-    for (const action of handlePoolEvent(findPool(service), event, now)) {
+    const pool = findPool(service);
+    pool.keepsPermits = parts.isOwner(service, now);
+    for (const action of handlePoolEvent(pool, event, now)) {
       performAction(service, action, now);
     }
   }
--- a/packages/router/src/pools/pool-task.ts
+++ b/packages/router/src/pools/pool-task.ts
@@ -1,17 +1,27 @@
 /** The pool task: gets slots for the requests of this VM, and assigns slots of the services it owns. */
 
-import type {
-  EngineStage,
-  PlannedEngine,
-  PoolEngine,
-  RankedVm,
-  RequestNeeds,
+import {
+  makePermitSchedules,
+  type EngineStage,
+  type PlannedEngine,
+  type PoolEngine,
+  type RankedVm,
+  type RequestNeeds,
 } from '@tarragonspool/core';
-import type { PoolMessage, ServiceName, UpstreamId, VmId } from '@tarragonspool/protocol';
+import type {
+  PermitMessage,
+  PoolMessage,
+  ServiceName,
+  UpstreamId,
+  VmId,
+} from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import { makeChannel, offer, receive, type Channel, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeOwnerSelector, type OwnerSelector } from './owners.js';
+import { makePermitClient, type PermitClient } from './permit-client.js';
+import { makePermitKeeper } from './permit-keeper.js';
+import type { PermitRequest } from './permit-messages.js';
 import { makePoolClient, type PoolClient } from './place-asker.js';
 import type { PoolRequestMessage } from './place-messages.js';
 import { makePoolOwner, type PoolOwner } from './pool-owner.js';
@@ -19,7 +29,8 @@
 /** Everything that the task receives. */
 export type PoolTaskMessage =
   | { readonly kind: 'request'; readonly message: PoolRequestMessage }
-  | { readonly kind: 'peer'; readonly from: VmId; readonly message: PoolMessage }
+  | { readonly kind: 'permit-wanted'; readonly request: PermitRequest }
+  | { readonly kind: 'peer'; readonly from: VmId; readonly message: PoolMessage | PermitMessage }
   | { readonly kind: 'link-opened'; readonly vmId: VmId }
   | { readonly kind: 'link-closed'; readonly vmId: VmId }
   | { readonly kind: 'vm-restarted'; readonly vmId: VmId }
@@ -52,7 +63,7 @@
 export type PoolTaskParts = {
   readonly self: VmId;
   readonly takeFraction: () => number;
-  readonly sendTo: (vmId: VmId, message: PoolMessage) => void;
+  readonly sendTo: (vmId: VmId, message: PoolMessage | PermitMessage) => void;
   readonly broadcast: (message: PoolMessage) => void;
   /** Called when slot requests begin to wait, so that ticks come at short intervals. */
   readonly onBusy: () => void;
@@ -75,22 +86,32 @@
 const INBOX_CAPACITY = 8_192;
 /** Time in which a starting VM links its peers; before, each VM would consider itself the owner. */
 const LINK_TIME_MS = 400;
+/** A request for a permit that found the inbox full is worth repeating after this time. */
+const RETRY_AFTER_FULL_INBOX_MS = 300;
 /** A longer gap between ticks means that this process was paused. */
 const PAUSE_THRESHOLD_MS = 500;
 
 type Sides = {
   readonly owner: PoolOwner;
   readonly client: PoolClient;
+  readonly permitClient: PermitClient;
+  readonly keepPermits: ReturnType<typeof makePermitKeeper>;
   readonly ownerSelector: OwnerSelector;
 };
 
 function handlePeerMessage(
-  { owner, client, ownerSelector }: Sides,
+  { owner, client, permitClient, keepPermits, ownerSelector }: Sides,
   from: VmId,
-  message: PoolMessage,
+  message: PoolMessage | PermitMessage,
   now: number,
 ): void {
   switch (message.kind) {
+    case 'permit-request':
+      keepPermits(from, message, now);
+      return;
+    case 'permit-answer':
+      permitClient.handleAnswer(from, message, now);
+      return;
     case 'alive':
       ownerSelector.recordStoreAccess(from, message.isStoreAway || message.isLeaving);
       return;
@@ -110,15 +131,21 @@
   const inbox = makeChannel<PoolTaskMessage>(INBOX_CAPACITY);
   const ownerSelector = makeOwnerSelector(self);
   // Messages between this VM's own pool client and owner are queued, which avoids nested calls.
-  const localMessages: PoolMessage[] = [];
-  const send = (to: VmId, message: PoolMessage): void => {
+  const localMessages: (PoolMessage | PermitMessage)[] = [];
+  const send = (to: VmId, message: PoolMessage | PermitMessage): void => {
     if (to === self) localMessages.push(message);
     else parts.sendTo(to, message);
   };
-  const owner = makePoolOwner({ self, takeFraction: parts.takeFraction, reply: send, logger });
+  const permits = makePermitSchedules();
+  const isOwner = (service: ServiceName, now: number): boolean =>
+    ownerSelector.chooseOwner(service, now) === self;
+  const { takeFraction } = parts;
+  const owner = makePoolOwner({ self, takeFraction, reply: send, permits, isOwner, logger });
   const linkedBy = getSteadyMs() + LINK_TIME_MS;
   const client = makePoolClient({ self, linkedBy, ownerSelector, send, logger });
-  const sides = { owner, client, ownerSelector };
+  const permitClient = makePermitClient({ self, ownerSelector, send, logger });
+  const keepPermits = makePermitKeeper({ self, ownerSelector, schedules: permits, send });
+  const sides = { owner, client, permitClient, keepPermits, ownerSelector };
   let tickedAt = getSteadyMs();
 
   function handleTick(now: number): void {
@@ -131,6 +158,7 @@
     }
     owner.tick(now);
     client.checkOwners(now);
+    permitClient.checkKeepers(now);
   }
 
   /** Reports an ordered stage change to all VMs, because each may be the next owner. */
@@ -149,6 +177,9 @@
       case 'request':
         client.handleRequest(message.message, now);
         return;
+      case 'permit-wanted':
+        permitClient.handleRequest(message.request, now);
+        return;
       case 'peer':
         ownerSelector.recordMessage(message.from, now);
         handlePeerMessage(sides, message.from, message.message, now);
@@ -187,7 +218,7 @@
   }
 
   function isBusy(): boolean {
-    return client.hasPending() || owner.hasWaiting();
+    return client.hasPending() || permitClient.hasPending() || owner.hasWaiting();
   }
 
   function* run(): Task {
@@ -209,10 +240,18 @@
     isBusy,
     countLiveVms: () => ownerSelector.countAlive(getSteadyMs()),
     readPlan: owner.readPlan,
-    isOwnerOf: (service) => ownerSelector.chooseOwner(service, getSteadyMs()) === self,
+    isOwnerOf: (service) => isOwner(service, getSteadyMs()),
   };
 }
 
+/** Asks the pool task for a permit; if its inbox is full, none is given. */
+export function requestPermit(task: PoolTask, request: PermitRequest): void {
+  if (offer(task.inbox, { kind: 'permit-wanted', request })) return;
+  const { permitRequestId, onReply } = request;
+  const retryAt = getSteadyMs() + RETRY_AFTER_FULL_INBOX_MS;
+  onReply({ kind: 'not-permitted', permitRequestId, retryAt });
+}
+
 /** Sends a message of a request to the pool task; if the inbox is full, logs and drops it. */
 export function sendPoolMessage(task: PoolTask, message: PoolRequestMessage, logger: Logger): void {
   if (!offer(task.inbox, { kind: 'request', message })) {
