Observability: software versions of servers, and which stream a caller resumes

No decision changes. The list of servers holds the version of their software, and the log names it with the end of each decode and each changed entry; the answer to a slot request names the event and the stream that a caller goes on with.

--- a/packages/core/src/routing/routing-types.ts
+++ b/packages/core/src/routing/routing-types.ts
@@ -2,7 +2,7 @@
  * Routes, services and upstreams in the router's own terms, independent of the names on the wire.
  */
 
-import type { DataCentre, ServiceName, UpstreamId } from '@tarragonspool/protocol';
+import type { DataCentre, ServiceName, SoftwareVersion, UpstreamId } from '@tarragonspool/protocol';
 
 /** Whether requests may be repeated; a stream counts as non-idempotent unless it can be resumed. */
 export type RouteKind = 'idempotent' | 'non-idempotent' | 'stream';
@@ -90,4 +90,6 @@
   readonly incarnation: number;
   /** Orders accepted since the process started. */
   readonly orderCount: number;
+  /** Version of its software, not of the weights; versions have no order. */
+  readonly softwareVersion: SoftwareVersion;
 };
--- a/packages/core/src/routing/routing.test.ts
+++ b/packages/core/src/routing/routing.test.ts
@@ -1,4 +1,4 @@
-import type { DataCentre, ServiceName, UpstreamId } from '@tarragonspool/protocol';
+import type { DataCentre, ServiceName, SoftwareVersion, UpstreamId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import {
   buildRouteTable,
@@ -58,6 +58,7 @@
     stage: undefined,
     incarnation: 1,
     orderCount: 0,
+    softwareVersion: 'v1' as SoftwareVersion,
     ...changes,
   };
 }
--- a/packages/core/src/routing/upstream-list.test.ts
+++ b/packages/core/src/routing/upstream-list.test.ts
@@ -1,4 +1,4 @@
-import type { DataCentre, ServiceName, UpstreamId } from '@tarragonspool/protocol';
+import type { DataCentre, ServiceName, SoftwareVersion, UpstreamId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import {
   applyUpstreamChanges,
@@ -24,6 +24,7 @@
     stage: undefined,
     incarnation: 1,
     orderCount: 0,
+    softwareVersion: 'v1' as SoftwareVersion,
   };
   return { upstreamId: ID, record, isRemoved: false };
 }
--- a/packages/core/src/routing/upstream-notices.fuzz.test.ts
+++ b/packages/core/src/routing/upstream-notices.fuzz.test.ts
@@ -1,4 +1,4 @@
-import type { DataCentre, ServiceName, UpstreamId } from '@tarragonspool/protocol';
+import type { DataCentre, ServiceName, SoftwareVersion, UpstreamId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import type { UpstreamRecord } from './routing-types.js';
@@ -14,6 +14,7 @@
 } from './upstream-list.js';
 
 const SERVICE = 'llm' as ServiceName;
+const VERSION = 'v1' as SoftwareVersion;
 const IDS = ['a', 'b'] as UpstreamId[];
 const STEP_MS = 100;
 const PAUSE_MS = 350;
@@ -24,7 +25,13 @@
   isLeaving: boolean,
 ): UpstreamRecord {
   const place = { address: '10.0.0.1:80', dataCentre: 'saddar' as DataCentre };
-  const fields = { service: SERVICE, slots: 1, stage: undefined, orderCount: 0 };
+  const fields = {
+    service: SERVICE,
+    slots: 1,
+    stage: undefined,
+    orderCount: 0,
+    softwareVersion: VERSION,
+  };
   return { upstreamId, incarnation, isLeaving, ...place, ...fields };
 }
 
--- a/packages/protocol/src/ids.ts
+++ b/packages/protocol/src/ids.ts
@@ -38,3 +38,7 @@
 export type PrefixHash = Brand<string, 'PrefixHash'>;
 /** Identifies the content of one part of a prompt; prompts share parts. */
 export type PromptPartId = Brand<string, 'PromptPartId'>;
+/** Version of a server's software, as the server names it. */
+export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
+/** Identifies a stream over all attempts of its caller: the request that brought its first event. */
+export type StreamId = Brand<string, 'StreamId'>;
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -9,6 +9,7 @@
   DataCentre,
   PromptPartId,
   StorePosition,
+  StreamId,
   UpstreamId,
   VmId,
 } from '@tarragonspool/protocol';
@@ -105,6 +106,8 @@
   /** The caller's estimate of the answer's length. */
   readonly expectedOutputTokens: number | undefined;
   readonly lastEventId: number | undefined;
+  /** The attempt that brought the first event of a stream which the caller resumes. */
+  readonly resumedStream: StreamId | undefined;
   /**
    * Identifies the prompt: the same for every attempt at one request, different for other requests.
    */
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -88,6 +88,7 @@
     const isChanged =
       before?.isLeaving !== record?.isLeaving ||
       before?.stage !== record?.stage ||
+      before?.softwareVersion !== record?.softwareVersion ||
       before?.incarnation !== record?.incarnation;
     if (!isChanged) continue;
     state.logger.info({ upstreamId, record, isRemoved, origin }, 'upstreams: entry changed');
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -158,13 +158,14 @@
   const { framing, restBytes } = relay.getEnd();
   if (end === 'finished') relay.finish();
   const { requestId, promptParts } = request.fields;
-  const { upstreamId } = engine;
+  const { upstreamId, softwareVersion } = engine;
   const { events, runs, firstEventMs, longestGapMs } = progress;
   const tookMs = getSteadyMs() - sentAt;
   state.logger.info(
     {
       requestId,
       upstreamId,
+      softwareVersion,
       end,
       outcome: getSendOutcome(result),
       framing,
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -350,6 +350,8 @@
         place: slotReply,
         waitedMs,
         version: request.configurationVersion,
+        lastEventId: progress.lastEventId,
+        resumedStream: request.fields.resumedStream,
       },
       'streams: slot request answered',
     );
