Streams go on only at the software version that began them, at any VM

Cause: the list of servers held no version, so that a stream went on at any engine; and only the VM that began a stream could have known its version. Ruled out: a server that came back under its id with another version (each had a new id). Fix: the first event decides. Before it is passed on the VM records the engine's version and tells three homes; slot requests, pools and sends keep to it. A VM that does not know asks the homes; where nobody knows, and where no engine has the version any more, the request is refused as not run. A VM that has followed the list without a gap for longer than any stream lasts, and saw one version, needs no telling. Streams that go on get slots first.

--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -111,6 +111,26 @@
   return now + waitMs + firstEventMs > limitAt ? 'overloaded' : undefined;
 }
 
+/** Whether an engine of the pool may decode a request, as far as its version goes. */
+export function hasDecodeEngine(state: PoolState, { softwareVersion }: SlotRequest): boolean {
+  for (const { engine } of state.engines.values()) {
+    if (engine.stage !== 'decode' || engine.isLeaving) continue;
+    if ((softwareVersion ?? engine.softwareVersion) === engine.softwareVersion) return true;
+  }
+  return false;
+}
+
+/** Refuses the waiting requests that no engine of the pool may decode any more. */
+export function refuseWithoutEngine(state: PoolState, now: number): PoolAction[] {
+  const actions: PoolAction[] = [];
+  for (const { ask: slotRequest } of state.waiting.values()) {
+    if (hasDecodeEngine(state, slotRequest)) continue;
+    state.waiting.delete(slotRequest.askId);
+    actions.push(buildRefusal(state, slotRequest, 'no-engine', now));
+  }
+  return actions;
+}
+
 /**
  * Refuses the waiting requests whose answers would not end before their VM stops; callers retry at
  * another VM.
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -131,6 +131,18 @@
   return takePermit(state.permits, server, now, now) === undefined ? [] : [server.upstreamId];
 }
 
+/** Whether an engine may decode a request: one that began elsewhere goes on at its version only. */
+function canDecode(
+  state: PoolState,
+  load: EngineLoad,
+  slotRequest: SlotRequest,
+  now: number,
+): boolean {
+  const { stage, softwareVersion } = load.engine;
+  if (stage !== 'decode' || !isOpen(state, load, slotRequest, now)) return false;
+  return (slotRequest.softwareVersion ?? softwareVersion) === softwareVersion;
+}
+
 function makeAssignment(
   state: PoolState,
   slotRequest: SlotRequest,
@@ -176,7 +188,7 @@
   let best: SlotAssignment | undefined;
   let bestCost = Infinity;
   for (const load of state.engines.values()) {
-    if (load.engine.stage !== 'decode' || !isOpen(state, load, slotRequest, now)) continue;
+    if (!canDecode(state, load, slotRequest, now)) continue;
     const assignment = makeAssignment(state, slotRequest, load, now);
     if (!hasFreeSlot(load, assignment, now)) continue;
     const usage = load.runs.size / countUsableSlots(load, meanTokens);
@@ -239,7 +251,7 @@
     : MAX_DELAYED_ANSWERS;
   let leastCost = maxDelayed + 1;
   for (const load of state.engines.values()) {
-    if (load.engine.stage !== 'decode' || !isOpen(state, load, slotRequest, now)) continue;
+    if (!canDecode(state, load, slotRequest, now)) continue;
     const assignment = makeAssignment(state, slotRequest, load, now);
     if (!isReadyForLocalPrefill(load, now) || !hasFreeSlot(load, assignment, now)) continue;
     const cost = countTargetMisses(load, prefillMs) + load.runs.size / (2 * load.engine.slots);
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -6,7 +6,14 @@
   type UpstreamId,
   type VmId,
 } from '@tarragonspool/protocol';
-import { buildRefusal, findRefusal, refuseInterrupted, refuseExpired } from './admission.js';
+import {
+  buildRefusal,
+  findRefusal,
+  hasDecodeEngine,
+  refuseExpired,
+  refuseInterrupted,
+  refuseWithoutEngine,
+} from './admission.js';
 import {
   addPrefill,
   dropOverduePrefills,
@@ -101,15 +108,10 @@
   }
 }
 
-function hasDecodeEngine(state: PoolState): boolean {
-  for (const { engine } of state.engines.values()) {
-    if (engine.stage === 'decode' && !engine.isLeaving) return true;
-  }
-  return false;
-}
-
 function handleRequested(state: PoolState, slotRequest: SlotRequest, now: number): PoolAction[] {
-  if (!hasDecodeEngine(state)) return [buildRefusal(state, slotRequest, 'no-engine', now)];
+  if (!hasDecodeEngine(state, slotRequest)) {
+    return [buildRefusal(state, slotRequest, 'no-engine', now)];
+  }
   applyEarlierAttempt(state, slotRequest, now);
   if (canMeetTarget(state, slotRequest, now)) {
     countOnTimeArrival(state.ranks, slotRequest.rank, now);
@@ -236,7 +238,7 @@
   switch (event.kind) {
     case 'engines-listed':
       updateEngines(state, event.engines, now);
-      return grantWaiting(state, now);
+      return [...refuseWithoutEngine(state, now), ...grantWaiting(state, now)];
     case 'asked':
       return handleRequested(state, event.ask, now);
     case 'withdrawn':
--- a/packages/core/src/pools/pool-test-kit.ts
+++ b/packages/core/src/pools/pool-test-kit.ts
@@ -1,6 +1,6 @@
 /** Builders and a simulation for the tests of pools. */
 
-import type { DataCentre, UpstreamId, VmId } from '@tarragonspool/protocol';
+import type { DataCentre, SoftwareVersion, UpstreamId, VmId } from '@tarragonspool/protocol';
 import {
   handlePoolEvent,
   makePoolState,
@@ -30,6 +30,7 @@
     isLeaving: false,
     slots: 12,
     requestsPerSecond: undefined,
+    softwareVersion: 'v1' as SoftwareVersion,
     kvCapacityTokens: 144_611,
     ...changes,
   };
@@ -62,6 +63,7 @@
     isContinued: false,
     endsBy: Infinity,
     excluded: [],
+    softwareVersion: undefined,
     ...changes,
   };
 }
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -4,7 +4,13 @@
  * are in milliseconds on the steady clock of the owner.
  */
 
-import type { DataCentre, EngineFailure, UpstreamId, VmId } from '@tarragonspool/protocol';
+import type {
+  DataCentre,
+  EngineFailure,
+  SoftwareVersion,
+  UpstreamId,
+  VmId,
+} from '@tarragonspool/protocol';
 import type { EngineStage } from '../routing/routing-types.js';
 
 /** Identifies a slot request; unique across all VMs. Messages and logs call it `askId`. */
@@ -23,6 +29,7 @@
   readonly kvCapacityTokens: number;
   /** Requests that it takes from all VMs together; undefined if it names no limit. */
   readonly requestsPerSecond: number | undefined;
+  readonly softwareVersion: SoftwareVersion;
 };
 
 /** A request for a slot, with what the request needs of the engines. */
@@ -53,6 +60,8 @@
   readonly endsBy: number;
   /** Engines that have failed this request and must not get it again. */
   readonly excluded: readonly UpstreamId[];
+  /** Version that began the stream and must decode it; undefined for a new one. */
+  readonly softwareVersion: SoftwareVersion | undefined;
 };
 
 /** A slot that is assigned to a request. */
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -5,5 +5,7 @@
 export * from './routing-types.js';
 export * from './sender-outcome.js';
 export * from './server-choice.js';
+export * from './stream-origins.js';
 export * from './upstream-limits.js';
 export * from './upstream-list.js';
+export * from './version-history.js';
--- a/packages/protocol/src/ids.ts
+++ b/packages/protocol/src/ids.ts
@@ -42,3 +42,5 @@
 export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
 /** Identifies a stream over all attempts of its caller: the request that brought its first event. */
 export type StreamId = Brand<string, 'StreamId'>;
+/** Digest of what stays the same when a caller retries a stream. */
+export type ContentKey = Brand<string, 'ContentKey'>;
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -157,6 +157,30 @@
       }),
     ),
   }),
+  z.object({
+    kind: z.literal('stream-origins'),
+    items: z.array(
+      z.object({
+        streamId: id,
+        contentKey: id,
+        service: id,
+        softwareVersion: id,
+        endsInMs: milliseconds,
+      }),
+    ),
+  }),
+  z.object({
+    kind: z.literal('stream-origin-request'),
+    number: id,
+    streamId: id.optional(),
+    contentKey: id,
+    services: z.array(id),
+  }),
+  z.object({
+    kind: z.literal('stream-origin-answer'),
+    number: id,
+    origin: z.object({ service: id, softwareVersion: id }).optional(),
+  }),
   z.object({ kind: z.literal('request-started'), requestKey: id }),
   z.object({ kind: z.literal('request-ended'), requestKey: id }),
   z.object({ kind: z.literal('request-verdict'), requestKey: id, isFirst: z.boolean() }),
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -8,6 +8,7 @@
 import type {
   AttemptId,
   CallerId,
+  ContentKey,
   DataCentre,
   Fingerprint,
   Incarnation,
@@ -18,6 +19,8 @@
   RuleRevision,
   ServiceName,
   ShardId,
+  SoftwareVersion,
+  StreamId,
   UpstreamId,
   VmId,
 } from './ids.js';
@@ -145,6 +148,37 @@
   readonly incarnation: Incarnation;
 };
 
+/** Messages about where streams began, so that they go on at the same software version only. */
+export type OriginMessage =
+  /** Tells a home of streams that have events. */
+  | {
+      readonly kind: 'stream-origins';
+      readonly items: readonly {
+        readonly streamId: StreamId;
+        readonly contentKey: ContentKey;
+        readonly service: ServiceName;
+        readonly softwareVersion: SoftwareVersion;
+        /** Time until the caller can no longer resume the stream. */
+        readonly endsInMs: number;
+      }[];
+    }
+  /** Asks a home where a stream began that belongs to one of these services. */
+  | {
+      readonly kind: 'stream-origin-request';
+      readonly number: string;
+      /** Absent if the caller does not name the stream. */
+      readonly streamId?: StreamId | undefined;
+      readonly contentKey: ContentKey;
+      readonly services: readonly ServiceName[];
+    }
+  | {
+      readonly kind: 'stream-origin-answer';
+      readonly number: string;
+      /** Absent if the home does not know. */
+      readonly origin?:
+        { readonly service: ServiceName; readonly softwareVersion: SoftwareVersion } | undefined;
+    };
+
 /** What one answer said of the limit of its server. */
 export type UpstreamLimitItem = {
   readonly upstreamId: UpstreamId;
@@ -160,6 +194,7 @@
 export type PeerMessage =
   | PoolMessage
   | PermitMessage
+  | OriginMessage
   | RowsMessage
   | {
       readonly kind: 'hello';
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -5,7 +5,7 @@
  */
 
 import * as z from 'zod';
-import type { DataCentre, ServiceName, UpstreamId } from './ids.js';
+import type { DataCentre, ServiceName, SoftwareVersion, UpstreamId } from './ids.js';
 import type { StorePosition } from './store-position.js';
 
 const id = z.string().max(256);
@@ -29,6 +29,7 @@
   isContinued: z.boolean(),
   endsInMs: milliseconds.optional(),
   excluded: z.array(id),
+  softwareVersion: id.optional(),
 });
 
 const slotAssignmentSchema = z.object({
@@ -162,6 +163,8 @@
       /** Time until the requesting VM stops; absent unless it is stopping. */
       readonly endsInMs?: number | undefined;
       readonly excluded: readonly UpstreamId[];
+      /** Version that began the stream and must decode it; absent for a new one. */
+      readonly softwareVersion?: SoftwareVersion | undefined;
     }
   /** Confirms that the owner received the request and queued it. */
   | { readonly kind: 'pool-queued'; readonly askId: string }
--- a/packages/protocol/src/result-codes.ts
+++ b/packages/protocol/src/result-codes.ts
@@ -48,6 +48,16 @@
   },
   'cut-off': { code: 2006, status: 503, title: 'This VM cannot confirm its rules.' },
   'reservation-lost': { code: 2007, status: 503, title: 'The reservation lapsed.' },
+  'stream-unknown': {
+    code: 2008,
+    status: 503,
+    title: 'It is not known which software version began the stream.',
+  },
+  'version-gone': {
+    code: 2009,
+    status: 503,
+    title: 'No engine of the software version that began the stream is left.',
+  },
   'claim-unavailable': {
     code: 3001,
     status: 503,
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -1,8 +1,9 @@
 /** Accepts requests of callers: reads the body, finds the route and starts the request's task. */
 
+import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { chooseService, countRequest, findRoute, type Route } from '@tarragonspool/core';
-import type { ServiceName } from '@tarragonspool/protocol';
+import type { ContentKey, ServiceName } from '@tarragonspool/protocol';
 import { makeChannel, offer, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
@@ -10,6 +11,7 @@
 import { makeCallerReply, type CallerReply } from './caller-reply.js';
 import { REQUEST_INBOX_CAPACITY, type GatewayRequest } from './gateway-request.js';
 import { findRetryWindow, getRetryLimits, type GatewayState } from './gateway-state.js';
+import type { CallerFields } from './ports.js';
 import { findQuarantineReason } from './quarantine-check.js';
 import { runStreamRequest } from './stream-flow.js';
 
@@ -38,6 +40,14 @@
   return chooseService(route, state.takeFraction());
 }
 
+/** Characters of a digest, six bits each, that are kept. */
+const CONTENT_KEY_LENGTH = 24;
+
+function digestPrompt(path: string, { promptKey, requestId }: CallerFields): ContentKey {
+  const digest = createHash('sha256').update(`${path} ${promptKey ?? requestId}`);
+  return digest.digest('base64').slice(0, CONTENT_KEY_LENGTH) as ContentKey;
+}
+
 function buildRequest(
   state: GatewayState,
   { incoming, reply, arrivedAt }: Arrival,
@@ -58,6 +68,7 @@
     rawHeaders: incoming.rawHeaders,
     body,
     fingerprint: digestContent(method, path, body),
+    contentKey: digestPrompt(path, fields),
     sharedParts: fields.promptParts.slice(0, -1).slice(0, MAX_SHARED_PARTS),
     arrivedAt,
     deadlineAt: arrivedAt + Math.max(1, remainingMs - TIMEOUT_MARGIN_MS),
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -83,6 +83,12 @@
       help: 'Listed servers that name a limit of the requests that they take from all VMs.',
       registers,
     }),
+    resumes: new Counter({
+      name: `${PREFIX}resumes_total`,
+      help: 'Streams that callers go on with, by what is known of where they began.',
+      labelNames: ['origin'],
+      registers,
+    }),
     permits: new Counter({
       name: `${PREFIX}permits_total`,
       help: 'Requests for permits of servers with limits, for calls: permitted or not-permitted.',
--- a/packages/router/src/gateway/gateway-request.ts
+++ b/packages/router/src/gateway/gateway-request.ts
@@ -1,7 +1,7 @@
 /** One request of a caller while it is being served. */
 
-import type { Route } from '@tarragonspool/core';
-import type { Fingerprint, PromptPartId, ServiceName } from '@tarragonspool/protocol';
+import type { Route, StreamOrigin } from '@tarragonspool/core';
+import type { ContentKey, Fingerprint, PromptPartId, ServiceName } from '@tarragonspool/protocol';
 import type { PermitReply } from '../pools/permit-messages.js';
 import type { SlotReply } from '../pools/place-messages.js';
 import type { Channel } from '../tasks/tasks.js';
@@ -19,6 +19,8 @@
     }
   | { readonly kind: 'place'; readonly reply: SlotReply }
   | { readonly kind: 'permit'; readonly reply: PermitReply }
+  /** Where the stream that the caller resumes began; undefined if no VM knows. */
+  | { readonly kind: 'origin'; readonly origin: StreamOrigin | undefined }
   | { readonly kind: 'caller-gone' }
   | { readonly kind: 'timed-out' }
   /** A send got no bytes by its deadline; `alarm` is the number of the send. */
@@ -39,6 +41,8 @@
   readonly body: Buffer;
   /** Digest of the parts that stay the same when the caller retries. */
   readonly fingerprint: Fingerprint;
+  /** Digest of what stays the same when the caller retries or goes on with a stream. */
+  readonly contentKey: ContentKey;
   /** Parts of the prompt that other requests may have too: all but the last. */
   readonly sharedParts: readonly PromptPartId[];
   readonly arrivedAt: number;
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -13,6 +13,7 @@
   type ServerLoads,
   type UpstreamLimits,
   type UpstreamList,
+  type VersionHistory,
 } from '@tarragonspool/core';
 import type { PeerMessage, ServiceName, UpstreamId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
@@ -25,7 +26,9 @@
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { PartGuard } from './part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
+import type { StreamOriginBook } from './stream-origins.js';
 import type { QuarantineWakeup } from './quarantine-rows.js';
+import { makeSuspensionCheck } from './service-versions.js';
 
 /** State of one gateway; each part is changed by one task only. */
 export type GatewayState = {
@@ -40,6 +43,7 @@
   readonly pools: PoolTask;
   readonly contentGuard: ContentGuard;
   readonly partGuard: PartGuard;
+  readonly streamOrigins: StreamOriginBook;
   /** Wakes the task that keeps the store's rows of parts in quarantine. */
   readonly quarantineWakeups: Channel<QuarantineWakeup>;
   /** Sends a message to all linked peers. */
@@ -56,6 +60,10 @@
   readonly upstreams: UpstreamList;
   /** What servers said of the requests that they take from all VMs together. */
   readonly limits: UpstreamLimits;
+  /** Software versions that this VM has seen in the list of servers. */
+  readonly versions: VersionHistory;
+  /** Whether this machine may have been suspended since the last call. */
+  readonly hasBeenSuspended: () => boolean;
   hasUpstreams: boolean;
   isLeaving: boolean;
   /** From this time on new streams are refused because this VM shuts down. */
@@ -66,6 +74,8 @@
   listedVmCount: number | undefined;
   /** Era of the store and when this VM first saw it. */
   storeEra: { readonly era: number; readonly seenAt: number };
+  /** Whether this VM knew the recent state of the store, and when that was judged. */
+  storeKnown: { readonly isRecent: boolean; readonly judgedAt: number };
   openRequests: number;
   /** Bytes of answers that are held until they are whole. */
   heldAnswerBytes: number;
@@ -83,6 +93,8 @@
   | 'pools'
   | 'contentGuard'
   | 'partGuard'
+  | 'streamOrigins'
+  | 'versions'
   | 'quarantineWakeups'
   | 'broadcast'
   | 'fleet'
@@ -100,6 +112,7 @@
     routes: new Map(),
     upstreams: makeUpstreamList(),
     limits: new Map(),
+    hasBeenSuspended: makeSuspensionCheck(),
     hasUpstreams: false,
     isLeaving: false,
     refuseStreamsAfter: Infinity,
@@ -107,6 +120,7 @@
     retryWindows: new Map(),
     listedVmCount: undefined,
     storeEra: { era: 0, seenAt: 0 },
+    storeKnown: { isRecent: false, judgedAt: 0 },
     openRequests: 0,
     heldAnswerBytes: 0,
     slotRequestCount: 0,
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -1,7 +1,7 @@
 /** Creates the gateway's parts, connects them and starts and stops them. */
 
 import { destination, pino } from 'pino';
-import { computeMaxStoreAgeMs } from '@tarragonspool/core';
+import { computeMaxStoreAgeMs, makeVersionHistory } from '@tarragonspool/core';
 import type { PeerMessage, PermitMessage, PoolMessage, VmId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import { makeFleetView } from '../peers/fleet-view.js';
@@ -9,6 +9,7 @@
 import { runStages } from '../stages/stage-task.js';
 import { offer, startTask } from '../tasks/tasks.js';
 import { startAdaptiveTicker, type AdaptiveTicker } from '../tasks/timers.js';
+import { getSteadyMs } from '../time/steady-clock.js';
 import { makeCallerListener } from './caller-listener.js';
 import { makeContentGuard, probeAddress } from './content-guard.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
@@ -20,6 +21,8 @@
 import { listen, startMetricsListener, startReadyListener } from './side-listeners.js';
 import { makeConfigurationFeed, makeUpstreamFeed } from './state-feeds.js';
 import { startShutdown } from './stop.js';
+import { findOnlyServiceVersion } from './service-versions.js';
+import { makeStreamOriginBook } from './stream-origins.js';
 
 const EXIT_INTERNAL = 70;
 const POOL_TICK_MS = 25;
@@ -27,6 +30,9 @@
 const CONTENT_TICK_MS = 100;
 const IDLE_CONTENT_TICK_MS = 5_000;
 const EXIT_DELAY_MS = 25;
+/** VMs that are told where the streams of a service began. */
+const ORIGIN_HOMES = 3;
+const ORIGIN_TICK_MS = 500;
 const MAX_LOG_BUFFER_BYTES = 1_048_576;
 
 function makeGatewayLogger({ vmId }: GatewaySettings): Logger {
@@ -95,6 +101,22 @@
     isBusy: contentGuard.isBusy,
     onTick: contentGuard.tick,
   });
+  const fleet = makeFleetView(settings.vmId, computeMaxStoreAgeMs(settings.changeWithinMs));
+  const versions = makeVersionHistory();
+  const streamOrigins = makeStreamOriginBook({
+    self,
+    listHomes: (service) => fleet.listHubsOf(service, getSteadyMs()).slice(0, ORIGIN_HOMES),
+    sendTo: (vmId, message) => meshHolder.mesh?.sendTo(vmId, message) ?? false,
+    findOnlyVersion: (service) =>
+      stateHolder.state && findOnlyServiceVersion(stateHolder.state, service),
+    logger,
+  });
+  startAdaptiveTicker({
+    busyMs: ORIGIN_TICK_MS,
+    idleMs: ORIGIN_TICK_MS,
+    isBusy: () => false,
+    onTick: streamOrigins.tick,
+  });
   const parts = {
     settings,
     ports,
@@ -105,7 +127,9 @@
     partGuard,
     quarantineWakeups,
     broadcast,
-    fleet: makeFleetView(settings.vmId, computeMaxStoreAgeMs(settings.changeWithinMs)),
+    fleet,
+    versions,
+    streamOrigins,
     takeFraction,
     processStartId,
   };
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -3,6 +3,7 @@
 import type {
   AliveMessage,
   Incarnation,
+  OriginMessage,
   PeerMessage,
   PermitMessage,
   PoolMessage,
@@ -60,6 +61,14 @@
   return POOL_MESSAGE_KINDS.has(message.kind);
 }
 
+function isOriginMessage(message: PeerMessage): message is OriginMessage {
+  return (
+    message.kind === 'stream-origins' ||
+    message.kind === 'stream-origin-request' ||
+    message.kind === 'stream-origin-answer'
+  );
+}
+
 function isRowsMessage(message: PeerMessage): message is RowsMessage {
   return message.kind === 'rows-wanted' || message.kind === 'rows-copy';
 }
@@ -118,6 +127,7 @@
     const now = getSteadyMs();
     chooseSource(now);
     const message = buildAliveMessage(parts, now);
+    state.storeKnown = { isRecent: !message.isStoreAway, judgedAt: now };
     offer(state.pools.inbox, { kind: 'store', isAway: message.isStoreAway });
     mesh.broadcast(message);
   };
@@ -163,6 +173,7 @@
       const known = incarnations.get(vmId);
       incarnations.set(vmId, peer.incarnation);
       fleet.recordLinkOpened(vmId, getSteadyMs());
+      state.streamOrigins.handleLinkOpened(vmId);
       if (known !== undefined && known < peer.incarnation) {
         offer(pools.inbox, { kind: 'vm-restarted', vmId });
       }
@@ -175,6 +186,7 @@
       }
       if (isPoolMessage(message)) offer(pools.inbox, { kind: 'peer', from: vmId, message });
       else if (isRowsMessage(message)) relay.handleMessage(vmId, message);
+      else if (isOriginMessage(message)) state.streamOrigins.handleMessage(vmId, message);
       else if (message.kind === 'suspects') {
         contentGuard.mergeRecords(message.items);
         if (message.isRelayed !== true) broadcastAgain(mesh, vmId, message);
--- a/packages/router/src/gateway/pool-engines.ts
+++ b/packages/router/src/gateway/pool-engines.ts
@@ -15,8 +15,9 @@
     const limits = state.configuration?.services.get(record.service)?.engine;
     if (engines === undefined || limits === undefined || record.stage === undefined) continue;
     const { upstreamId, dataCentre, stage, incarnation, isLeaving, slots } = record;
+    const { softwareVersion } = record;
     const { kvCapacityTokens } = limits;
-    const identity = { upstreamId, dataCentre, incarnation };
+    const identity = { upstreamId, dataCentre, incarnation, softwareVersion };
     const requestsPerSecond = findLimit(state.limits, upstreamId, incarnation);
     engines.push({ ...identity, stage, isLeaving, slots, kvCapacityTokens, requestsPerSecond });
   }
--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -133,6 +133,7 @@
       return message.alarm === send.number ? { kind: 'slow' } : undefined;
     case 'place':
     case 'permit':
+    case 'origin':
       return undefined;
     case 'upstream': {
       if (message.send !== send.number) return undefined;
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -7,6 +7,8 @@
   applyUpstreamChanges,
   dropLapsed,
   READER_PAUSE_SHARE,
+  recordVersions,
+  forgetObservation,
   startGracePeriod,
   type RoutingConfiguration,
   type UpstreamChange,
@@ -123,7 +125,10 @@
     onRows: (rows: readonly RowChange[], origin: RowOrigin) => {
       const changes = rows.map((row) => decodeUpstreamRow(state, row));
       logUpstreams(state, changes, origin);
-      applyUpstreamChanges(state.upstreams, changes, getSteadyMs());
+      const now = getSteadyMs();
+      recordVersions(state.versions, state.upstreams.records.values(), now);
+      applyUpstreamChanges(state.upstreams, changes, now);
+      recordVersions(state.versions, state.upstreams.records.values(), now);
       if (isBusy()) lapseCheck.wake();
       state.hasUpstreams = true;
       notifyPoolsOfEngines(state);
@@ -132,9 +137,13 @@
     onBack: () => {
       state.metrics.storeAway.dec();
       startGracePeriod(state.upstreams, getSteadyMs());
+      forgetObservation(state.versions, getSteadyMs());
     },
     // Servers write their entries again, as after an outage.
-    onRestored: () => startGracePeriod(state.upstreams, getSteadyMs()),
+    onRestored: () => {
+      startGracePeriod(state.upstreams, getSteadyMs());
+      forgetObservation(state.versions, getSteadyMs());
+    },
     onFirstEra: () => undefined,
   };
   return makeTableFeed(store, options, handler, state.logger);
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -13,6 +13,7 @@
   countEvents,
   getSendOutcome,
   notifyEngineFailed,
+  recordStreamOrigin,
   type SendFields,
   type StreamProgress,
 } from './stream-progress.js';
@@ -133,8 +134,10 @@
   slotRequestId: SlotRequestId,
 ): Task<{ end: DecodeEnd; result: SendResult; hasEvents: boolean }> {
   // An engine that does a local prefill has finished it when its first event arrives.
-  const onFirstEvent = (): void =>
+  const onFirstEvent = (): void => {
+    recordStreamOrigin(state, request, progress, engine);
     sendPoolMessage(state.pools, { kind: 'prefilled', askId: slotRequestId }, state.logger);
+  };
   const relay = makeEventRelay(state, request, progress, onFirstEvent);
   const sentAt = getSteadyMs();
   const { route } = request;
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -1,12 +1,12 @@
 /** Serves streams: requests a slot, prefills the prompt, then forwards the answer. */
 
-import { createHash } from 'node:crypto';
 import {
   findLimit,
   listUnusableUpstreams,
   listUsableUpstreams,
   type SlotRequestId,
   type SlotRequest,
+  type StreamOrigin,
   type UpstreamRecord,
 } from '@tarragonspool/core';
 import type { UpstreamId } from '@tarragonspool/protocol';
@@ -28,6 +28,7 @@
   notifyEngineFailed,
   type StreamProgress,
 } from './stream-progress.js';
+import { findStreamOrigin } from './stream-resume.js';
 import { findRetryAfterMs } from './upstream-notices.js';
 
 type SlotGrant = Extract<SlotReply, { kind: 'granted' }>;
@@ -41,12 +42,6 @@
 /** Target for the gap between events if the route has none. */
 const DEFAULT_GAP_TARGET_MS = 1_000;
 
-/** Digests what stays the same when a caller retries. */
-function digestPrompt({ path, fields }: GatewayRequest): string {
-  const text = `${path} ${fields.promptKey ?? fields.requestId}`;
-  return createHash('sha256').update(text).digest('base64');
-}
-
 function buildSlotRequest(
   state: GatewayState,
   request: GatewayRequest,
@@ -62,16 +57,17 @@
     vmId: state.settings.vmId,
     dataCentre: state.settings.dataCentre,
     rank: request.route.priority,
-    contentKey: digestPrompt(request),
+    contentKey: request.contentKey,
     promptTokens: fields.promptTokens ?? 0,
     outputTokens: expectedOutputTokens ?? DEFAULT_OUTPUT_SHARE * maxOutputTokens,
     aimAt: request.aimAt,
     pauseMs: request.route.gapTargetMs ?? DEFAULT_GAP_TARGET_MS,
     patienceEndsAt: findFirstEventDeadline(request),
     needsPrefill: progress.kvSource === undefined,
-    isContinued: progress.prefillSends > 0 || progress.runs > 0,
+    isContinued: progress.prefillSends > 0 || progress.runs > 0 || progress.origin !== undefined,
     endsBy: Infinity,
     excluded: [...new Set([...progress.excluded, ...leaving, ...paused])],
+    softwareVersion: progress.origin?.softwareVersion,
   };
 }
 
@@ -226,13 +222,22 @@
   return 'done';
 }
 
+/** Whether an engine may go on with a stream: only those of the version that began it may. */
+function isOfOrigin({ softwareVersion }: UpstreamRecord, { origin }: StreamProgress): boolean {
+  return (origin?.softwareVersion ?? softwareVersion) === softwareVersion;
+}
+
 /** Finds an engine of a grant that this VM may not use. */
-function findUnusableEngine(state: GatewayState, grant: SlotGrant): UpstreamId | undefined {
-  for (const upstreamId of [grant.prefill, grant.decode]) {
-    if (upstreamId === undefined) continue;
-    if (findGrantedEngine(state, grant, upstreamId) === undefined) return upstreamId;
-  }
-  return undefined;
+function findUnusableEngine(
+  state: GatewayState,
+  progress: StreamProgress,
+  grant: SlotGrant,
+): UpstreamId | undefined {
+  const { prefill, decode } = grant;
+  const canPrefill = prefill === undefined || findGrantedEngine(state, grant, prefill);
+  if (!canPrefill) return prefill;
+  const engine = findGrantedEngine(state, grant, decode);
+  return engine !== undefined && isOfOrigin(engine, progress) ? undefined : decode;
 }
 
 /**
@@ -281,9 +286,9 @@
   progress: StreamProgress,
   grant: SlotGrant,
 ): Task<NextAction> {
-  const unlisted = findUnusableEngine(state, grant);
-  if (unlisted !== undefined && !progress.excluded.has(unlisted)) {
-    return excludeEngine(state, request, progress, grant, unlisted);
+  const unusable = findUnusableEngine(state, progress, grant);
+  if (unusable !== undefined && !progress.excluded.has(unusable)) {
+    return excludeEngine(state, request, progress, grant, unusable);
   }
   if (endQuarantined(state, request, grant)) return 'done';
   const prepared = yield* ensurePrefilled(state, request, progress, grant);
@@ -291,7 +296,7 @@
   if (endQuarantined(state, request, grant)) return 'done';
   const { askId, decode } = grant;
   const engine = findGrantedEngine(state, grant, decode);
-  if (engine === undefined) {
+  if (engine === undefined || !isOfOrigin(engine, progress)) {
     sendPoolMessage(state.pools, { kind: 'end', askId, didFinish: false }, state.logger);
     return continueAfter(state, request, progress, 'not-run');
   }
@@ -315,30 +320,60 @@
   return continueAfter(state, request, progress, end);
 }
 
+/** Finds why no engine may get a stream, as far as this VM's list tells; undefined if one may. */
+function findNoEngineReason(
+  state: GatewayState,
+  { service }: GatewayRequest,
+  progress: StreamProgress,
+): 'version-gone' | 'no-upstream' | undefined {
+  const now = getSteadyMs();
+  const isDecoder = (engine: UpstreamRecord): boolean =>
+    engine.stage === 'decode' && isOfOrigin(engine, progress);
+  if (listUsableUpstreams(state.upstreams, service, now).some(isDecoder)) return undefined;
+  const listed = [...state.upstreams.records.values()].filter(
+    (engine) => engine.service === service && isDecoder(engine),
+  );
+  if (progress.origin !== undefined && listed.every(({ isLeaving }) => isLeaving)) {
+    return 'version-gone';
+  }
+  const { leaving, paused } = listUnusableUpstreams(state.upstreams, service, now);
+  return progress.runs > 0 || leaving.length + paused.length === 0 ? undefined : 'no-upstream';
+}
+
 /**
- * Refuses a stream that no engine has begun if all decode engines leave or pause; returns whether it
- * did.
+ * Ends a stream that no engine may get: all leave or pause, or none is left of the version that
+ * began it. Returns whether it did.
  */
-function refuseWithoutEngine(
+function endWithoutEngine(
   state: GatewayState,
-  { reply, service, fields: { requestId } }: GatewayRequest,
-  { runs }: StreamProgress,
+  request: GatewayRequest,
+  progress: StreamProgress,
 ): boolean {
-  const now = getSteadyMs();
-  const { leaving, paused } = listUnusableUpstreams(state.upstreams, service, now);
-  if (runs > 0 || leaving.length + paused.length === 0) return false;
-  const usable = listUsableUpstreams(state.upstreams, service, now);
-  if (usable.some(({ stage }) => stage === 'decode')) return false;
-  state.logger.info({ requestId, service, leaving, paused }, 'streams: no engine may be used');
-  reply.refuse('no-upstream', findRetryAfterMs(state, service));
+  const reason = findNoEngineReason(state, request, progress);
+  if (reason === undefined) return false;
+  const { reply, service, fields } = request;
+  const { requestId } = fields;
+  const { origin, runs } = progress;
+  const { leaving, paused } = listUnusableUpstreams(state.upstreams, service, getSteadyMs());
+  state.logger.info(
+    { requestId, service, reason, origin, leaving, paused },
+    'streams: no engine may be used',
+  );
+  if (runs > 0 || reply.getState() === 'begun') failStream(request);
+  else if (reason === 'version-gone') reply.refuse(reason);
+  else reply.refuse(reason, findRetryAfterMs(state, service));
   return true;
 }
 
-/** Serves one stream, on further engines if one fails and the retry budget allows it. */
-export function* runStreamRequest(state: GatewayState, request: GatewayRequest): Task {
-  const progress = makeStreamProgress(request);
+/** Serves a stream that begins, or that goes on where it began. */
+function* runStream(
+  state: GatewayState,
+  request: GatewayRequest,
+  origin: StreamOrigin | undefined,
+): Task {
+  const progress = makeStreamProgress(request, origin);
   for (;;) {
-    if (refuseWithoutEngine(state, request, progress)) return;
+    if (endWithoutEngine(state, request, progress)) return;
     const slotRequest = buildSlotRequest(state, request, progress);
     const slotReply = yield* awaitSlotReply(state, request, slotRequest, progress.runs > 0);
     const { requestId } = request.fields;
@@ -369,3 +404,34 @@
     if (end === 'done') return;
   }
 }
+
+/** A home of the stream's service that did not answer may do so after this time. */
+const RETRY_AFTER_UNKNOWN_MS = 500;
+
+/** Serves one stream, on further engines if one fails and the retry budget allows it. */
+export function* runStreamRequest(state: GatewayState, request: GatewayRequest): Task {
+  const result = yield* findStreamOrigin(state, request);
+  switch (result.kind) {
+    case 'new':
+      yield* runStream(state, request, undefined);
+      return;
+    case 'known': {
+      const { origin } = result;
+      const { service } = origin;
+      const isTarget = request.route.targets.some((target) => target.service === service);
+      if (isTarget) yield* runStream(state, { ...request, service }, origin);
+      else request.reply.refuse('version-gone');
+      return;
+    }
+    case 'unknown':
+      request.reply.refuse('stream-unknown', RETRY_AFTER_UNKNOWN_MS);
+      return;
+    case 'caller-gone':
+      return;
+    case 'timed-out':
+      request.reply.refuse('upstream-timeout');
+      return;
+    default:
+      result satisfies never;
+  }
+}
--- a/packages/router/src/gateway/stream-progress.ts
+++ b/packages/router/src/gateway/stream-progress.ts
@@ -1,7 +1,12 @@
 /** Progress of a stream, and functions that its prefill and decode steps share. */
 
-import { canTakeRequests, type SendOutcome, type UpstreamRecord } from '@tarragonspool/core';
-import type { EngineFailure, UpstreamId } from '@tarragonspool/protocol';
+import {
+  canTakeRequests,
+  type SendOutcome,
+  type StreamOrigin,
+  type UpstreamRecord,
+} from '@tarragonspool/core';
+import type { EngineFailure, StreamId, UpstreamId } from '@tarragonspool/protocol';
 import { sendPoolMessage } from '../pools/pool-task.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayRequest } from './gateway-request.js';
@@ -17,6 +22,8 @@
   failedPrefills: number;
   prefillSends: number;
   lastEventId: number | undefined;
+  /** Where the stream began, at this VM or another; undefined before its first event. */
+  origin: StreamOrigin | undefined;
   events: number;
   /** Time from arrival to the first event, in milliseconds; undefined before it. */
   firstEventMs: number | undefined;
@@ -37,13 +44,17 @@
 const ABANDON_MARGIN_MS = 350;
 
 /** Makes the progress of a stream that has just arrived. */
-export function makeStreamProgress(request: GatewayRequest): StreamProgress {
+export function makeStreamProgress(
+  request: GatewayRequest,
+  origin: StreamOrigin | undefined,
+): StreamProgress {
   return {
     excluded: new Set(),
     runs: 0,
     failedPrefills: 0,
     prefillSends: 0,
     lastEventId: request.fields.lastEventId,
+    origin,
     events: 0,
     firstEventMs: undefined,
     lastEventAt: 0,
@@ -76,6 +87,27 @@
   progress.lastEventAt = now;
 }
 
+/** After its deadline a caller may resume a stream for this long at most. */
+const RESUME_MARGIN_MS = 5_000;
+
+/** Records which engine began a stream, once its first event has arrived. */
+export function recordStreamOrigin(
+  state: GatewayState,
+  request: GatewayRequest,
+  progress: StreamProgress,
+  { service, softwareVersion }: UpstreamRecord,
+): void {
+  progress.origin ??= { service, softwareVersion };
+  const { requestId, resumedStream, leftMs = 0 } = request.fields;
+  const deadlineAt = Math.max(request.deadlineAt, request.arrivedAt + leftMs);
+  state.streamOrigins.recordOwn({
+    streamId: resumedStream ?? (requestId as StreamId),
+    contentKey: request.contentKey,
+    origin: progress.origin,
+    expiresAt: deadlineAt + RESUME_MARGIN_MS,
+  });
+}
+
 /** Builds the fields with which another engine continues after the last whole event. */
 export function buildResumeFields({ lastEventId, runs }: StreamProgress): SendFields {
   return runs > 0 && lastEventId !== undefined ? { resumeAfterEvent: lastEventId } : {};
--- a/packages/router/src/peers/fleet-view.ts
+++ b/packages/router/src/peers/fleet-view.ts
@@ -33,6 +33,8 @@
   /** Whether knowledge of the store of this age, in milliseconds, may be relied on. */
   readonly isRecent: (storeAgeMs: number) => boolean;
   readonly countMembers: () => number;
+  /** Lists the live VMs that come first in the ranking of a service; all VMs are linked to them. */
+  readonly listHubsOf: (service: ServiceName, now: number) => VmId[];
   /** Returns the name of the ranking whose first VM decides about a service. */
   readonly findRankingName: (service: ServiceName) => ServiceName;
 };
@@ -160,6 +162,10 @@
     measureStoreAgeMs,
     isRecent: (storeAgeMs) => storeAgeMs <= maxStoreAgeMs,
     countMembers: () => members.size,
+    listHubsOf: (service, now) => {
+      const index = rankingNames.indexOf(service);
+      return findHubs(rankings[Math.max(0, index)] ?? [], now);
+    },
     findRankingName: (service) => {
       const name = rankingNames.includes(service) ? service : rankingNames[0];
       return (name ?? DEFAULT_RANKING) as ServiceName;
--- a/packages/router/src/pools/place-asker.test.ts
+++ b/packages/router/src/pools/place-asker.test.ts
@@ -32,6 +32,7 @@
     isContinued: false,
     endsBy: Infinity,
     excluded: [],
+    softwareVersion: undefined,
   };
 }
 
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -118,7 +118,7 @@
     request.sentAt = now;
     request.isAcknowledged = owner === parts.self;
     const { askId, contentKey, dataCentre, rank, promptTokens, outputTokens } = slotRequest;
-    const { needsPrefill, isContinued, excluded } = slotRequest;
+    const { needsPrefill, isContinued, excluded, softwareVersion } = slotRequest;
     const interruptAt = request.hasRun ? Infinity : stopAt;
     send(owner, {
       kind: 'pool-ask',
@@ -133,6 +133,7 @@
       isContinued,
       ...(interruptAt === Infinity ? {} : { endsInMs: interruptAt - now }),
       excluded,
+      softwareVersion,
       aimInMs: slotRequest.aimAt - now,
       pauseMs: slotRequest.pauseMs,
       patienceInMs: slotRequest.patienceEndsAt - now,
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -86,6 +86,7 @@
     isContinued: message.isContinued,
     endsBy: message.endsInMs === undefined ? Infinity : now + message.endsInMs,
     excluded: message.excluded,
+    softwareVersion: message.softwareVersion,
   };
 }
 
@@ -105,6 +106,7 @@
     isContinued: false,
     endsBy: Infinity,
     excluded: [],
+    softwareVersion: undefined,
   };
   return {
     ask: slotRequest,
--- a/packages/router/src/time/steady-clock.ts
+++ b/packages/router/src/time/steady-clock.ts
@@ -4,3 +4,11 @@
 export function getSteadyMs(): number {
   return performance.now();
 }
+
+/**
+ * Returns the difference between the time of day and the steady clock, in milliseconds. It changes when
+ * the time of day is set, and by the time for which a machine was suspended.
+ */
+export function measureClockOffsetMs(): number {
+  return Date.now() - performance.now();
+}
