Broken answers without a length or chunks: the reset follows a while after the last bytes

What callers saw: a broken answer to HTTP/1.0 that ended as if it were whole, now and then. Cause: the reset was sent at once after the last bytes; a caller that reads both in one poll reports the bytes and a clean end. Fix: the reset is sent 50 ms after everything before it was handed to the system, or 0.2 s after a caller stopped reading; not when the connection is closed meanwhile, and no timer is left.

--- a/packages/router/src/gateway/caller-reply.ts
+++ b/packages/router/src/gateway/caller-reply.ts
@@ -5,6 +5,7 @@
 
 import type { ServerResponse } from 'node:http';
 import { getResultCode, type ResultName } from '@tarragonspool/protocol';
+import { breakOffAnswer } from '../http/break-off.js';
 
 /** How far an answer has been written. */
 export type ReplyState = 'open' | 'begun' | 'ended';
@@ -67,9 +68,7 @@
     breakOff: () => {
       if (state === 'ended') return;
       state = 'ended';
-      const isUnframed = response.headersSent && !hasLength && !response.chunkedEncoding;
-      if (isUnframed) response.socket?.resetAndDestroy();
-      else response.destroy();
+      breakOffAnswer(response, hasLength);
     },
     onDrain: (resume) => response.once('drain', resume),
   };
