Plain services: a broken answer is reset for a caller of HTTP/1.0

What callers saw: on the product's own interface an answer that its server broke off ended with a clean close, which tells a caller of HTTP/1.0 that it is whole. Cause: the connection was closed, as for answers in chunks.

--- a/packages/router/src/services/service-call.ts
+++ b/packages/router/src/services/service-call.ts
@@ -2,6 +2,7 @@
 
 import { request, type Agent, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Exchange } from '../callers/exchange.js';
+import { breakOffAnswer } from '../http/break-off.js';
 import type { ServerEntry } from '../upstreams/directory.js';
 
 /** Destination and deadline of a call. */
@@ -104,10 +105,12 @@
   const { incoming, response } = exchange;
   return new Promise((resolve) => {
     outgoing.on('response', (answer) => {
-      response.writeHead(answer.statusCode ?? 502, copyHeaders(answer));
+      const headers = copyHeaders(answer);
+      const hasLength = headers['content-length'] !== undefined;
+      response.writeHead(answer.statusCode ?? 502, headers);
       // Avoids `pipeline`, whose abort signal costs as much time as the rest of the call.
       answer.pipe(response);
-      answer.on('error', () => response.destroy());
+      answer.on('error', () => breakOffAnswer(response, hasLength));
     });
     outgoing.on('error', (error) => resolve(error.message));
     scheduleTimeout(outgoing, deadline);
