Stop: answers that outlast it are broken off before the process ends

What callers saw: a stream to a caller of HTTP/1.0 that was still open when a planned stop ran out of time ended as if it were whole. Cause: the process ended with the answer open, and the system closes its connections. New test with a caller in a process of its own: failed before ('closed'), holds after: open answers are broken off, and the process waits up to 0.3 s of its margin for it.

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -115,9 +115,11 @@
     Math.max(0, request.deadlineAt - getSteadyMs()),
   );
   state.openRequests += 1;
+  state.openReplies.add(reply);
   response.on('close', () => {
     clearTimeout(timer);
     state.openRequests -= 1;
+    state.openReplies.delete(reply);
     recordAnswer(state, request, response);
     if (!response.writableFinished) offer(inbox, { kind: 'caller-gone' });
   });
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -22,6 +22,7 @@
 import type { Channel } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeUpstreamClient, type UpstreamClient } from '../upstreams/upstream-client.js';
+import type { CallerReply } from './caller-reply.js';
 import type { ContentGuard } from './content-guard.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { PartGuard } from './part-guard.js';
@@ -77,6 +78,8 @@
   /** Whether this VM knew the recent state of the store, and when that was judged. */
   storeKnown: { readonly isRecent: boolean; readonly judgedAt: number };
   openRequests: number;
+  /** Answers that have not ended. */
+  readonly openReplies: Set<CallerReply>;
   /** Bytes of answers that are held until they are whole. */
   heldAnswerBytes: number;
   slotRequestCount: number;
@@ -122,6 +125,7 @@
     storeEra: { era: 0, seenAt: 0 },
     storeKnown: { isRecent: false, judgedAt: 0 },
     openRequests: 0,
+    openReplies: new Set(),
     heldAnswerBytes: 0,
     slotRequestCount: 0,
     permitRequestCount: 0,
--- a/packages/router/src/gateway/stop.ts
+++ b/packages/router/src/gateway/stop.ts
@@ -14,6 +14,8 @@
 const CHECK_INTERVAL_MS = 50;
 /** Requests that are still open this long before the process is killed are abandoned. */
 const KILL_MARGIN_MS = 400;
+/** Time for answers that are broken off to tell their callers. */
+const BREAK_OFF_MS = 300;
 
 function* runShutdown(state: GatewayState, server: Server): Task {
   const closeAt = getSteadyMs() + state.settings.stopWithinMs - KILL_MARGIN_MS;
@@ -25,7 +27,12 @@
     yield* waitMs(CHECK_INTERVAL_MS);
     server.closeIdleConnections();
   }
-  state.logger.info({ openRequests: state.openRequests }, 'gateway: stopped');
+  const { openRequests } = state;
+  // The end of the process would close the connections, and some answers would look complete.
+  for (const reply of state.openReplies) reply.breakOff();
+  const brokenOffBy = getSteadyMs() + BREAK_OFF_MS;
+  while (state.openRequests > 0 && getSteadyMs() < brokenOffBy) yield* waitMs(CHECK_INTERVAL_MS);
+  state.logger.info({ openRequests }, 'gateway: stopped');
 }
 
 /** Starts the shutdown; calls `onStopped` when no request is open or the time is up. */
