--- a/packages/router/src/services/service-call.test.ts
+++ b/packages/router/src/services/service-call.test.ts
@@ -31,15 +31,17 @@
   const agent = new Agent();
   const entry = { url: `http://${HOST}:${service.port}`, isLeaving: false };
   const server = { ...entry, upstreamId: 'a' as UpstreamId, service: 'ledger' as ServiceName };
+  const deadline = Date.now() + 5_000;
+  type Call = Parameters<typeof createCall>[1];
+  const call = { server, agent, deadline, path: '/' } as unknown as Call;
+  const forward = async (exchange: Exchange): Promise<void> => {
+    const opened = await createCall(exchange, call);
+    if (opened.kind === 'open') await streamServiceCall(exchange, opened.call, deadline);
+  };
   const gateway = await listen((incoming, response) => {
-    const exchange = { incoming, response, requestId: 'r' } as unknown as Exchange;
-    const deadline = Date.now() + 5_000;
-    const call = { server, agent, deadline, path: '/' } as unknown as Parameters<
-      typeof createCall
-    >[1];
-    void createCall(exchange, call).then((opened) => {
-      if (opened.kind === 'open') void streamServiceCall(exchange, opened.call, deadline);
-    });
+    forward({ incoming, response, requestId: 'r' } as unknown as Exchange).catch(() =>
+      response.destroy(),
+    );
   });
   const socket = connect({ host: HOST, port: gateway.port });
   socket.write('GET / HTTP/1.0\r\n\r\n');
