--- a/packages/core/src/routing/routing-types.ts
+++ b/packages/core/src/routing/routing-types.ts
@@ -39,8 +39,6 @@
 export type EngineLimits = {
   readonly slots: number;
   readonly kvCapacityTokens: number;
-  /** Most tokens in one event. */
-  readonly tokensPerEvent: number;
   readonly handleTtlMs: number;
   readonly stageSwitchMs: number;
 };
@@ -48,9 +46,6 @@
 /** One service of the configuration. */
 export type ServiceDefinition = {
   readonly name: ServiceName;
-  readonly healthPath: string;
-  /** Connections that one server accepts in total. */
-  readonly maxConnections: number;
   readonly engine: EngineLimits | undefined;
 };
 
