--- a/packages/router/src/gateway/caller-reply.ts
+++ b/packages/router/src/gateway/caller-reply.ts
@@ -5,7 +5,7 @@
 
 import type { ServerResponse } from 'node:http';
 import { getResultCode, type ResultName } from '@tarragonspool/protocol';
-import { breakOffAnswer } from '../http/break-off.js';
+import { endBrokenAnswer } from '../http/broken-answers.js';
 
 /** How far an answer has been written. */
 export type ReplyState = 'open' | 'begun' | 'ended';
@@ -68,7 +68,7 @@
     breakOff: () => {
       if (state === 'ended') return;
       state = 'ended';
-      breakOffAnswer(response, hasLength);
+      endBrokenAnswer(response, hasLength);
     },
     onDrain: (resume) => response.once('drain', resume),
   };
--- a/packages/router/src/http/break-off.ts
+++ b/packages/router/src/http/broken-answers.ts
@@ -12,7 +12,7 @@
 const FLUSH_TIMEOUT_MS = 200;
 
 /** Resets a connection a short while after everything that was written to it has been sent. */
-export function resetAfterWrites(socket: Socket): void {
+export function closeByReset(socket: Socket): void {
   if (socket.destroyed) return;
   const reset = (): void => {
     socket.resetAndDestroy();
@@ -30,8 +30,8 @@
  * Ends an answer in the middle. Where neither a length nor chunks tell its end, the connection is
  * reset, as its close would tell that the answer is complete.
  */
-export function breakOffAnswer(response: ServerResponse, hasLength: boolean): void {
+export function endBrokenAnswer(response: ServerResponse, hasLength: boolean): void {
   const isUnframed = response.headersSent && !hasLength && !response.chunkedEncoding;
-  if (isUnframed && response.socket !== null) resetAfterWrites(response.socket);
+  if (isUnframed && response.socket !== null) closeByReset(response.socket);
   else response.destroy();
 }
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -9,4 +9,4 @@
 } from '@tarragonspool/core';
 export { startGateway, type Gateway } from './gateway/gateway.js';
 export type * from './gateway/ports.js';
-export { resetAfterWrites } from './http/break-off.js';
+export { closeByReset } from './http/broken-answers.js';
--- a/packages/router/src/services/service-call.ts
+++ b/packages/router/src/services/service-call.ts
@@ -2,7 +2,7 @@
 
 import { request, type Agent, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Exchange } from '../callers/exchange.js';
-import { breakOffAnswer } from '../http/break-off.js';
+import { endBrokenAnswer } from '../http/broken-answers.js';
 import type { ServerEntry } from '../upstreams/directory.js';
 
 /** Destination and deadline of a call. */
@@ -110,7 +110,7 @@
       response.writeHead(answer.statusCode ?? 502, headers);
       // Avoids `pipeline`, whose abort signal costs as much time as the rest of the call.
       answer.pipe(response);
-      answer.on('error', () => breakOffAnswer(response, hasLength));
+      answer.on('error', () => endBrokenAnswer(response, hasLength));
     });
     outgoing.on('error', (error) => resolve(error.message));
     scheduleTimeout(outgoing, deadline);
