List of servers: a row of an earlier start does not replace that of a later one

What callers could see: after a restore of the store from an older copy, streams that go on at another software version than the one that began them (ORDER), and orders to a server that knows nothing of them. Cause: a server may start again under its id, with another version. The copy held the row of its earlier start; the list took it as it came, so that its version was taken for that of the running server until it registered again. Rows of servers that leave were guarded, others not. New test: failed before ('v1' where 'v2' runs), holds after. Fix: a row of an earlier incarnation than the listed one is ignored while that one is listed; once it has gone, any row counts.

--- a/packages/core/src/routing/upstream-list.test.ts
+++ b/packages/core/src/routing/upstream-list.test.ts
@@ -13,7 +13,7 @@
 const SERVICE = 'one' as ServiceName;
 const ID = 'a' as UpstreamId;
 
-function buildChange(isLeaving = false): UpstreamChange {
+function buildChange(isLeaving = false, incarnation = 1): UpstreamChange {
   const record = {
     upstreamId: ID,
     service: SERVICE,
@@ -22,9 +22,9 @@
     slots: 6,
     isLeaving,
     stage: undefined,
-    incarnation: 1,
+    incarnation,
     orderCount: 0,
-    softwareVersion: 'v1' as SoftwareVersion,
+    softwareVersion: `v${incarnation}` as SoftwareVersion,
   };
   return { upstreamId: ID, record, isRemoved: false };
 }
@@ -89,3 +89,14 @@
   applyUpstreamChanges(list, [buildChange()], 2);
   expect(listUsableUpstreams(list, SERVICE, 2)).to.deep.equal([]);
 });
+
+// Guards against a stream that goes on at another software version after a restore of the store.
+it('upstream list: a row of an earlier start does not replace that of a later one', () => {
+  const list = makeUpstreamList();
+  applyUpstreamChanges(list, [buildChange(false, 1), buildChange(false, 2)], 0);
+  applyUpstreamChanges(list, [buildChange(false, 1)], 10);
+  expect(list.records.get(ID)?.softwareVersion).to.equal('v2');
+  // Once the later one has gone, the earlier one may be all there is.
+  applyUpstreamChanges(list, [REMOVED, buildChange(false, 1)], 20);
+  expect(list.records.get(ID)?.softwareVersion).to.equal('v1');
+});
--- a/packages/core/src/routing/upstream-list.ts
+++ b/packages/core/src/routing/upstream-list.ts
@@ -68,13 +68,16 @@
 }
 
 /**
- * Sets a record. A server that said that it leaves goes on leaving, and one that has left stays
+ * Sets a record, unless it is of an earlier incarnation than the one that is listed: a restored store
+ * may hold such rows. A server that said that it leaves goes on leaving, and one that has left stays
  * away, until a later incarnation of it registers.
  */
 function setRecord(list: UpstreamList, record: UpstreamRecord): void {
   const { upstreamId, incarnation } = record;
   if (incarnation <= (list.departed.get(upstreamId) ?? -Infinity)) return;
   const known = list.records.get(upstreamId);
+  const isEarlier = incarnation < (known?.incarnation ?? -Infinity);
+  if (isEarlier && known?.isLeaving === false) return;
   list.lapsedUntil.delete(upstreamId);
   if (known?.isLeaving === true && incarnation <= known.incarnation) {
     list.records.set(upstreamId, { ...record, incarnation: known.incarnation, isLeaving: true });
