--- a/packages/core/src/routing/server-choice.ts
+++ b/packages/core/src/routing/server-choice.ts
@@ -14,8 +14,6 @@
   failureSeenAt: number;
   /** Until when the server is avoided; 0 if it never was. */
   avoidUntil: number;
-  /** Until when the VM that keeps the server's limit has no permit; 0 if it was never asked. */
-  noPermitBefore: number;
   /** Mean time of recent answers in milliseconds; 0 before the first. */
   answerMs: number;
 };
@@ -51,7 +49,6 @@
     failureShare: 0,
     failureSeenAt: 0,
     avoidUntil: 0,
-    noPermitBefore: 0,
     answerMs: 0,
   };
   loads.set(upstreamId, load);
--- a/packages/core/src/routing/upstream-limits.test.ts
+++ b/packages/core/src/routing/upstream-limits.test.ts
@@ -1,6 +1,6 @@
 import type { UpstreamId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
-import { findLimit, recordLimit, type LimitStatement } from './upstream-limits.js';
+import { findLimit, recordLimit, type LimitStatement } from './upstream-beliefs.js';
 
 const SERVER = 'a' as UpstreamId;
 
@@ -12,46 +12,46 @@
 const ENDED = { requestsPerSecond: undefined };
 
 it('upstream limits: a limit that is lowered or raised is the one in force', () => {
-  const limits = new Map();
-  expect(recordLimit(limits, buildStatement({}))).to.equal(true);
-  expect(recordLimit(limits, buildStatement({ heardAt: 120 }))).to.equal(false);
-  expect(recordLimit(limits, buildStatement({ heardAt: 130, requestsPerSecond: 2 }))).to.equal(
+  const beliefs = new Map();
+  expect(recordLimit(beliefs, buildStatement({}))).to.equal(true);
+  expect(recordLimit(beliefs, buildStatement({ heardAt: 120 }))).to.equal(false);
+  expect(recordLimit(beliefs, buildStatement({ heardAt: 130, requestsPerSecond: 2 }))).to.equal(
     true,
   );
-  expect(findLimit(limits, SERVER, 1)).to.equal(2);
-  expect(recordLimit(limits, buildStatement({ heardAt: 140, requestsPerSecond: 9 }))).to.equal(
+  expect(findLimit(beliefs, { upstreamId: SERVER, incarnation: 1 })).to.equal(2);
+  expect(recordLimit(beliefs, buildStatement({ heardAt: 140, requestsPerSecond: 9 }))).to.equal(
     true,
   );
-  expect(findLimit(limits, SERVER, 1)).to.equal(9);
+  expect(findLimit(beliefs, { upstreamId: SERVER, incarnation: 1 })).to.equal(9);
 });
 
 // Guards against an answer that overtakes another one ending a limit that still holds.
 it('upstream limits: only the answer to a request sent after it was named ends a limit', () => {
-  const limits = new Map();
-  recordLimit(limits, buildStatement({}));
-  expect(recordLimit(limits, buildStatement({ ...ENDED, sentAt: 105, heardAt: 150 }))).to.equal(
+  const beliefs = new Map();
+  recordLimit(beliefs, buildStatement({}));
+  expect(recordLimit(beliefs, buildStatement({ ...ENDED, sentAt: 105, heardAt: 150 }))).to.equal(
     false,
   );
-  expect(findLimit(limits, SERVER, 1)).to.equal(4);
-  expect(recordLimit(limits, buildStatement({ ...ENDED, sentAt: 111, heardAt: 150 }))).to.equal(
+  expect(findLimit(beliefs, { upstreamId: SERVER, incarnation: 1 })).to.equal(4);
+  expect(recordLimit(beliefs, buildStatement({ ...ENDED, sentAt: 111, heardAt: 150 }))).to.equal(
     true,
   );
-  expect(findLimit(limits, SERVER, 1)).to.equal(undefined);
+  expect(findLimit(beliefs, { upstreamId: SERVER, incarnation: 1 })).to.equal(undefined);
 });
 
 it('upstream limits: a limit that was named before it ended does not come back', () => {
-  const limits = new Map();
-  recordLimit(limits, buildStatement({}));
-  recordLimit(limits, buildStatement({ ...ENDED, sentAt: 120, heardAt: 150 }));
-  expect(recordLimit(limits, buildStatement({ sentAt: 115, heardAt: 125 }))).to.equal(false);
-  expect(findLimit(limits, SERVER, 1)).to.equal(undefined);
+  const beliefs = new Map();
+  recordLimit(beliefs, buildStatement({}));
+  recordLimit(beliefs, buildStatement({ ...ENDED, sentAt: 120, heardAt: 150 }));
+  expect(recordLimit(beliefs, buildStatement({ sentAt: 115, heardAt: 125 }))).to.equal(false);
+  expect(findLimit(beliefs, { upstreamId: SERVER, incarnation: 1 })).to.equal(undefined);
 });
 
 it('upstream limits: a limit holds for the incarnation that named it', () => {
-  const limits = new Map();
-  recordLimit(limits, buildStatement({}));
-  expect(findLimit(limits, SERVER, 2)).to.equal(undefined);
-  recordLimit(limits, buildStatement({ incarnation: 2, requestsPerSecond: 7 }));
-  expect(recordLimit(limits, buildStatement({ heardAt: 200 }))).to.equal(false);
-  expect(findLimit(limits, SERVER, 2)).to.equal(7);
+  const beliefs = new Map();
+  recordLimit(beliefs, buildStatement({}));
+  expect(findLimit(beliefs, { upstreamId: SERVER, incarnation: 2 })).to.equal(undefined);
+  recordLimit(beliefs, buildStatement({ incarnation: 2, requestsPerSecond: 7 }));
+  expect(recordLimit(beliefs, buildStatement({ heardAt: 200 }))).to.equal(false);
+  expect(findLimit(beliefs, { upstreamId: SERVER, incarnation: 2 })).to.equal(7);
 });
--- a/packages/core/src/routing/upstream-list.test.ts
+++ b/packages/core/src/routing/upstream-list.test.ts
@@ -1,10 +1,10 @@
 import type { DataCentre, ServiceName, SoftwareVersion, UpstreamId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
+import { listUsableUpstreams } from './send-clearance.js';
 import {
   applyUpstreamChanges,
   dropLapsed,
   GRACE_PERIOD_MS,
-  listUsableUpstreams,
   makeUpstreamList,
   startGracePeriod,
   type UpstreamChange,
--- a/packages/core/src/routing/upstream-list.ts
+++ b/packages/core/src/routing/upstream-list.ts
@@ -1,36 +1,27 @@
 /**
- * One VM's list of servers, with what servers said of themselves in their answers: that they leave,
- * or that they want no requests of this VM for a while. Entries that lapsed during an outage of the
- * store are retained for a grace period after it recovers, in which servers that are alive register
- * again. Times are milliseconds on the caller's steady clock.
+ * One VM's list of servers, with what this VM believes of each beyond its entry. Entries that lapsed
+ * during an outage of the store are retained for a grace period after it recovers, in which servers
+ * that are alive register again. Times are milliseconds on the caller's steady clock.
  */
 
-import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
+import type { UpstreamId } from '@tarragonspool/protocol';
 import type { UpstreamRecord } from './routing-types.js';
+import {
+  findLeavingIncarnation,
+  rememberLeaving,
+  type LeavingUpstream,
+  type UpstreamBeliefs,
+} from './upstream-beliefs.js';
 
 /** How long entries that lapsed during an outage stay usable after the store recovers. */
 export const GRACE_PERIOD_MS = 2_000;
 
-/** Servers that have left and are remembered. */
-const MAX_DEPARTED = 1_000;
-
-/** A pause that one incarnation of a server asked this VM for. */
-type UpstreamPause = { readonly incarnation: number; readonly until: number };
-
-/** Incarnation of a server that leaves. */
-export type LeavingUpstream = { readonly upstreamId: UpstreamId; readonly incarnation: number };
-
-/** The list of servers and its lapsed entries. */
+/** The list of servers, its lapsed entries, and what servers said of themselves. */
 export type UpstreamList = {
   readonly records: Map<UpstreamId, UpstreamRecord>;
   /** Until when each entry that lapsed during an outage stays usable. */
   readonly lapsedUntil: Map<UpstreamId, number>;
-  /**
-   * Incarnations that leave and are not listed; an older copy may list them, or ones before them,
-   * again.
-   */
-  readonly departed: Map<UpstreamId, number>;
-  readonly pauses: Map<UpstreamId, UpstreamPause>;
+  readonly beliefs: UpstreamBeliefs;
   /** End of the grace period in which a removal counts as a lapse due to an outage. */
   gracePeriodEndsAt: number;
 };
@@ -47,8 +38,7 @@
   return {
     records: new Map(),
     lapsedUntil: new Map(),
-    departed: new Map(),
-    pauses: new Map(),
+    beliefs: new Map(),
     gracePeriodEndsAt: 0,
   };
 }
@@ -58,38 +48,31 @@
   list.gracePeriodEndsAt = now + GRACE_PERIOD_MS;
 }
 
-function rememberDeparted(list: UpstreamList, { upstreamId, incarnation }: LeavingUpstream): void {
-  const known = list.departed.get(upstreamId) ?? -Infinity;
-  list.departed.delete(upstreamId);
-  list.departed.set(upstreamId, Math.max(known, incarnation));
-  if (list.departed.size <= MAX_DEPARTED) return;
-  const [oldest] = list.departed.keys();
-  if (oldest !== undefined) list.departed.delete(oldest);
-}
-
 /**
  * Sets a record, unless it is of an earlier incarnation than the one that is listed: a restored store
  * may hold such rows. A server that said that it leaves goes on leaving, and one that has left stays
  * away, until a later incarnation of it registers.
  */
 function setRecord(list: UpstreamList, record: UpstreamRecord): void {
+  const { records, lapsedUntil, beliefs } = list;
   const { upstreamId, incarnation } = record;
-  if (incarnation <= (list.departed.get(upstreamId) ?? -Infinity)) return;
-  const known = list.records.get(upstreamId);
-  const isEarlier = incarnation < (known?.incarnation ?? -Infinity);
-  if (isEarlier && known?.isLeaving === false) return;
-  list.lapsedUntil.delete(upstreamId);
+  const known = records.get(upstreamId);
   if (known?.isLeaving === true && incarnation <= known.incarnation) {
-    list.records.set(upstreamId, { ...record, incarnation: known.incarnation, isLeaving: true });
+    lapsedUntil.delete(upstreamId);
+    records.set(upstreamId, { ...record, incarnation: known.incarnation, isLeaving: true });
     return;
   }
-  list.records.set(upstreamId, record);
+  const latest = known?.incarnation ?? -Infinity;
+  if (incarnation < latest || incarnation <= findLeavingIncarnation(beliefs, upstreamId)) return;
+  lapsedUntil.delete(upstreamId);
+  records.set(upstreamId, record);
+  if (record.isLeaving) rememberLeaving(beliefs, record);
 }
 
 function removeRecord(list: UpstreamList, upstreamId: UpstreamId, now: number): void {
   const record = list.records.get(upstreamId);
   if (record === undefined) return;
-  if (record.isLeaving) rememberDeparted(list, record);
+  if (record.isLeaving) rememberLeaving(list.beliefs, record);
   const isLapse = now < list.gracePeriodEndsAt && !record.isLeaving;
   if (isLapse) list.lapsedUntil.set(upstreamId, list.gracePeriodEndsAt);
   else list.records.delete(upstreamId);
@@ -109,7 +92,7 @@
     } else {
       // An entry that cannot be decoded is removed immediately, without a grace period.
       const known = list.records.get(upstreamId);
-      if (known?.isLeaving === true) rememberDeparted(list, known);
+      if (known?.isLeaving === true) rememberLeaving(list.beliefs, known);
       list.records.delete(upstreamId);
       list.lapsedUntil.delete(upstreamId);
     }
@@ -137,94 +120,21 @@
   const record = list.records.get(upstreamId);
   if (record !== undefined && record.incarnation > incarnation) return false;
   if (record?.isLeaving === true && record.incarnation === incarnation) return false;
-  if (record === undefined) {
-    if (incarnation <= (list.departed.get(upstreamId) ?? -Infinity)) return false;
-    rememberDeparted(list, leaving);
-    return true;
+  if (incarnation <= findLeavingIncarnation(list.beliefs, upstreamId)) return false;
+  rememberLeaving(list.beliefs, leaving);
+  if (record !== undefined) {
+    list.records.set(upstreamId, { ...record, incarnation, isLeaving: true });
   }
-  list.records.set(upstreamId, { ...record, incarnation, isLeaving: true });
   return true;
 }
 
-/** Records that an incarnation of a server wants no requests of this VM before a time. */
-export function recordPause(
-  list: UpstreamList,
-  upstreamId: UpstreamId,
-  pause: UpstreamPause,
-  now: number,
-): void {
-  for (const [id, { until }] of list.pauses) if (until <= now) list.pauses.delete(id);
-  const known = list.pauses.get(upstreamId);
-  const isNewer = known === undefined || known.incarnation <= pause.incarnation;
-  if (isNewer) list.pauses.set(upstreamId, pause);
-}
-
-/** Finds until when a server wants no requests of this VM; undefined if it takes them. */
-export function findPauseEnd(
-  list: UpstreamList,
-  { upstreamId, incarnation }: UpstreamRecord,
-  now: number,
-): number | undefined {
-  const pause = list.pauses.get(upstreamId);
-  if (pause === undefined || pause.incarnation < incarnation || pause.until <= now) {
-    return undefined;
-  }
-  return pause.until;
-}
-
-/** Whether a listed server may get new requests of this VM. Asked before each send. */
-export function canTakeRequests(list: UpstreamList, record: UpstreamRecord, now: number): boolean {
-  return !record.isLeaving && findPauseEnd(list, record, now) === undefined;
-}
-
-function listService(list: UpstreamList, service: ServiceName): UpstreamRecord[] {
-  return [...list.records.values()].filter((record) => record.service === service);
-}
-
-/** Lists the servers of a service that may get new requests. */
-export function listUsableUpstreams(
-  list: UpstreamList,
-  service: ServiceName,
-  now: number,
-): UpstreamRecord[] {
-  return listService(list, service).filter((record) => canTakeRequests(list, record, now));
-}
-
-/** Servers of a service that are listed and may get no new requests. */
-export type UnusableUpstreams = {
-  readonly leaving: readonly UpstreamId[];
-  readonly paused: readonly UpstreamId[];
-  /** When the first pause ends; undefined if none is paused. */
-  readonly firstPauseEndsAt: number | undefined;
-};
-
-/** Lists the servers of a service that may get no new requests, and why. */
-export function listUnusableUpstreams(
-  list: UpstreamList,
-  service: ServiceName,
-  now: number,
-): UnusableUpstreams {
-  const leaving: UpstreamId[] = [];
-  const paused: UpstreamId[] = [];
-  let firstPauseEndsAt: number | undefined;
-  for (const record of listService(list, service)) {
-    if (record.isLeaving) {
-      leaving.push(record.upstreamId);
-      continue;
-    }
-    const pauseEndsAt = findPauseEnd(list, record, now);
-    if (pauseEndsAt === undefined) continue;
-    paused.push(record.upstreamId);
-    firstPauseEndsAt = Math.min(firstPauseEndsAt ?? Infinity, pauseEndsAt);
-  }
-  return { leaving, paused, firstPauseEndsAt };
-}
-
 /** Lists the incarnations that are known to leave, listed or not. */
-export function listLeaving(list: UpstreamList): LeavingUpstream[] {
-  const leaving = new Map(list.departed);
-  for (const { upstreamId, incarnation, isLeaving } of list.records.values()) {
-    if (isLeaving) leaving.set(upstreamId, incarnation);
+export function listLeaving({ beliefs }: UpstreamList): LeavingUpstream[] {
+  const leaving: LeavingUpstream[] = [];
+  for (const [upstreamId, { leavingIncarnation }] of beliefs) {
+    if (leavingIncarnation !== undefined) {
+      leaving.push({ upstreamId, incarnation: leavingIncarnation });
+    }
   }
-  return [...leaving].map(([upstreamId, incarnation]) => ({ upstreamId, incarnation }));
+  return leaving;
 }
--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -2,13 +2,13 @@
 
 import {
   chooseNextStep,
-  listUnusableUpstreams,
+  listRefusedUpstreams,
   listUsableUpstreams,
   recordAnswerTime,
   recordOutcome,
+  type ClearedUpstream,
   type NextStep,
   type SendOutcome,
-  type UpstreamRecord,
 } from '@tarragonspool/core';
 import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
 import type { Task } from '../tasks/tasks.js';
@@ -16,8 +16,9 @@
 import { chooseCallServer } from './call-server.js';
 import type { GatewayRequest } from './gateway-request.js';
 import { findLoad, takeServiceRetries, type GatewayState } from './gateway-state.js';
+import { endQuarantined } from './quarantine-check.js';
 import { sendOnce, type AnswerHead, type SendResult } from './sender.js';
-import { findRetryAfterMs, listWithoutPermit } from './upstream-notices.js';
+import { findRetryAfterMs } from './upstream-notices.js';
 
 /** A server that reported that it is full gets no requests for this long. */
 const FULL_AVOID_MS = 150;
@@ -48,7 +49,7 @@
 
 function recordSendOutcome(
   state: GatewayState,
-  server: UpstreamRecord,
+  server: ClearedUpstream,
   outcome: SendOutcome,
   sentAt: number,
 ): void {
@@ -89,7 +90,7 @@
 function* sendCall(
   state: GatewayState,
   request: GatewayRequest,
-  server: UpstreamRecord,
+  server: ClearedUpstream,
   progress: CallProgress,
 ): Task<{ result: SendResult; answer?: WholeAnswer }> {
   const load = findLoad(state, server.upstreamId);
@@ -168,12 +169,8 @@
   { reply, service, fields: { requestId } }: GatewayRequest,
   { runs }: CallProgress,
 ): void {
-  const { leaving, paused } = listUnusableUpstreams(state.upstreams, service, getSteadyMs());
-  const limited = listWithoutPermit(state, service).map(({ upstreamId }) => upstreamId);
-  state.logger.info(
-    { requestId, service, leaving, paused, limited },
-    'calls: no server may be used',
-  );
+  const refused = listRefusedUpstreams(state.upstreams, service, getSteadyMs());
+  state.logger.info({ requestId, service, refused }, 'calls: no server may be used');
   if (runs === 0) reply.refuse('no-upstream', findRetryAfterMs(state, service));
   else reply.refuse('upstream-failed');
 }
@@ -196,6 +193,10 @@
       refuseWithoutServer(state, request, progress);
       return;
     }
+    if (choice.kind === 'quarantined') {
+      endQuarantined(state, request);
+      return;
+    }
     const { server } = choice;
     progress.tried.add(server.upstreamId);
     const { result, answer } = yield* sendCall(state, request, server, progress);
--- a/packages/router/src/gateway/call-server.ts
+++ b/packages/router/src/gateway/call-server.ts
@@ -3,7 +3,10 @@
 import {
   chooseServer,
   findLimit,
+  findPermitWaitEnd,
   listUsableUpstreams,
+  recordPermitWait,
+  type ClearedUpstream,
   type LimitedUpstream,
   type UpstreamRecord,
 } from '@tarragonspool/core';
@@ -14,19 +17,23 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayRequest } from './gateway-request.js';
 import { findLoad, type GatewayState } from './gateway-state.js';
+import { askRequestSend } from './send-question.js';
 import type { RequestEnd } from './sender.js';
 
 /** Result of the choice: a server that the call may be sent to now, or none. */
 export type CallServer =
-  | { readonly kind: 'chosen'; readonly server: UpstreamRecord }
+  | { readonly kind: 'chosen'; readonly server: ClearedUpstream }
   | { readonly kind: 'none' }
+  /** The content of the call has come into quarantine. */
+  | { readonly kind: 'quarantined' }
   | RequestEnd;
 
 function findServerLimit(
-  { limits }: GatewayState,
-  { upstreamId, incarnation }: UpstreamRecord,
+  { upstreams }: GatewayState,
+  server: UpstreamRecord,
 ): LimitedUpstream | undefined {
-  const requestsPerSecond = findLimit(limits, upstreamId, incarnation);
+  const { upstreamId, incarnation } = server;
+  const requestsPerSecond = findLimit(upstreams.beliefs, server);
   return requestsPerSecond === undefined
     ? undefined
     : { upstreamId, incarnation, requestsPerSecond };
@@ -38,7 +45,7 @@
   const usable = listUsableUpstreams(state.upstreams, service, now);
   return usable.filter((server) => {
     if (findServerLimit(state, server) === undefined) return true;
-    return findLoad(state, server.upstreamId).noPermitBefore <= now;
+    return findPermitWaitEnd(state.upstreams.beliefs, server, now) === undefined;
   });
 }
 
@@ -47,16 +54,15 @@
 
 /** Finds a server of which it is not known any more whether its limit still holds. */
 function findUnheardServer(
-  { limits }: GatewayState,
+  { upstreams: { beliefs } }: GatewayState,
   servers: readonly UpstreamRecord[],
   tried: ReadonlySet<UpstreamId>,
 ): UpstreamRecord | undefined {
   const heardBefore = getSteadyMs() - LIMIT_CHECK_MS;
-  return servers.find(({ upstreamId, incarnation }) => {
-    if (tried.has(upstreamId) || findLimit(limits, upstreamId, incarnation) === undefined) {
-      return false;
-    }
-    return (limits.get(upstreamId)?.heardAt ?? Infinity) < heardBefore;
+  return servers.find((server) => {
+    const { upstreamId } = server;
+    if (tried.has(upstreamId) || findLimit(beliefs, server) === undefined) return false;
+    return (beliefs.get(upstreamId)?.limit?.heardAt ?? Infinity) < heardBefore;
   });
 }
 
@@ -122,11 +128,24 @@
   state.metrics.permits.inc({ outcome: reply.kind });
   state.logger.debug({ requestId, servers, reply }, 'permits: request for a permit answered');
   if (reply.kind === 'permitted') return;
-  for (const { upstreamId } of servers) {
-    findLoad(state, upstreamId).noPermitBefore = reply.retryAt;
+  const until = reply.retryAt;
+  for (const { upstreamId, incarnation } of servers) {
+    recordPermitWait(state.upstreams.beliefs, upstreamId, { incarnation, until });
   }
 }
 
+/** Asks whether a chosen server may get the call now; undefined if another one is to be chosen. */
+function askCallSend(
+  state: GatewayState,
+  request: GatewayRequest,
+  upstreamId: UpstreamId,
+  hasPermit: boolean,
+): CallServer | undefined {
+  const clearance = askRequestSend(state, request, { upstreamId, hasPermit });
+  if (clearance.kind === 'cleared') return { kind: 'chosen', server: clearance.server };
+  return clearance.refusal.reason === 'quarantined' ? { kind: 'quarantined' } : undefined;
+}
+
 /**
  * Chooses a server that may get the call now. Waits for a permit if a server with a limit is the
  * best one.
@@ -140,7 +159,11 @@
     const candidates = listCandidates(state, request);
     const server = chooseCandidate(state, candidates, tried);
     if (server === undefined) return { kind: 'none' };
-    if (findServerLimit(state, server) === undefined) return { kind: 'chosen', server };
+    if (findServerLimit(state, server) === undefined) {
+      const asked = askCallSend(state, request, server.upstreamId, false);
+      if (asked !== undefined) return asked;
+      continue;
+    }
     const untried = candidates.filter(({ upstreamId }) => !tried.has(upstreamId));
     const limited = (untried.length > 0 ? untried : candidates)
       .map((candidate) => findServerLimit(state, candidate))
@@ -150,10 +173,7 @@
     if (reply.kind === 'caller-gone' || reply.kind === 'timed-out') return reply;
     recordPermit(state, request, limited, reply);
     if (reply.kind === 'not-permitted') continue;
-    const permitted = state.upstreams.records.get(reply.upstreamId);
-    const isUsable =
-      permitted !== undefined &&
-      listUsableUpstreams(state.upstreams, request.service, getSteadyMs()).includes(permitted);
-    if (isUsable) return { kind: 'chosen', server: permitted };
+    const asked = askCallSend(state, request, reply.upstreamId, true);
+    if (asked !== undefined) return asked;
   }
 }
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -66,6 +66,12 @@
       labelNames: ['reason'],
       registers,
     }),
+    sendsRefused: new Counter({
+      name: `${PREFIX}sends_refused_total`,
+      help: 'Sends that were not made, by why the server may not get them.',
+      labelNames: ['reason'],
+      registers,
+    }),
     notices: new Counter({
       name: `${PREFIX}upstream_notices_total`,
       help: 'What servers said of themselves: leaving, pause, limit, limit-ended, or invalid.',
@@ -74,7 +80,7 @@
     }),
     upstreams: new Gauge({
       name: `${PREFIX}upstreams`,
-      help: 'Listed servers by state: usable, leaving, or paused for this VM.',
+      help: 'Listed servers by state: usable, or why not: leaving, paused for this VM, no-permit.',
       labelNames: ['state'],
       registers,
     }),
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -11,7 +11,6 @@
   type RoutingConfiguration,
   type ServerLoad,
   type ServerLoads,
-  type UpstreamLimits,
   type UpstreamList,
   type VersionHistory,
 } from '@tarragonspool/core';
@@ -59,8 +58,6 @@
   configuration: RoutingConfiguration | undefined;
   routes: RouteTable;
   readonly upstreams: UpstreamList;
-  /** What servers said of the requests that they take from all VMs together. */
-  readonly limits: UpstreamLimits;
   /** Software versions that this VM has seen in the list of servers. */
   readonly versions: VersionHistory;
   /** Whether this machine may have been suspended since the last call. */
@@ -114,7 +111,6 @@
     configuration: undefined,
     routes: new Map(),
     upstreams: makeUpstreamList(),
-    limits: new Map(),
     hasBeenSuspended: makeSuspensionCheck(),
     hasUpstreams: false,
     isLeaving: false,
--- a/packages/router/src/gateway/pool-engines.ts
+++ b/packages/router/src/gateway/pool-engines.ts
@@ -18,7 +18,7 @@
     const { softwareVersion } = record;
     const { kvCapacityTokens } = limits;
     const identity = { upstreamId, dataCentre, incarnation, softwareVersion };
-    const requestsPerSecond = findLimit(state.limits, upstreamId, incarnation);
+    const requestsPerSecond = findLimit(state.upstreams.beliefs, record);
     engines.push({ ...identity, stage, isLeaving, slots, kvCapacityTokens, requestsPerSecond });
   }
   return pools;
--- a/packages/router/src/gateway/quarantine-check.ts
+++ b/packages/router/src/gateway/quarantine-check.ts
@@ -18,3 +18,13 @@
   const found = partGuard.findQuarantined(sharedParts);
   return found && { kind: 'parts', parts: found.parts };
 }
+
+/** Ends a request whose content has come into quarantine since it arrived. */
+export function endQuarantined(state: GatewayState, request: GatewayRequest): void {
+  const { reply, fields } = request;
+  const reason = findQuarantineReason(state, request);
+  state.logger.warn({ requestId: fields.requestId, reason }, 'quarantine: request ended');
+  if (reason !== undefined) state.metrics.quarantined.inc({ reason: reason.kind });
+  if (reply.getState() === 'begun') reply.breakOff();
+  else reply.refuse('quarantined');
+}
--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -1,6 +1,6 @@
 /** Sends one request to one server and returns the outcome. */
 
-import type { SendOutcome, UpstreamRecord } from '@tarragonspool/core';
+import type { ClearedUpstream, SendOutcome } from '@tarragonspool/core';
 import { receive, offer, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { AnswerFraming, UpstreamExchange } from '../upstreams/upstream-client.js';
@@ -27,7 +27,7 @@
 
 /** Server, deadlines and callbacks of one send. */
 export type SendPlan = {
-  readonly server: UpstreamRecord;
+  readonly server: ClearedUpstream;
   readonly placement: Omit<PlacementFields, 'upstreamId' | 'leftMs'>;
   /** When the send is cancelled unless a head has arrived. */
   readonly headDueAt: number;
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -1,6 +1,6 @@
 /** Runs a stream on a decode engine and forwards its events as they arrive. */
 
-import { makeEventSplitter, type SlotRequestId, type UpstreamRecord } from '@tarragonspool/core';
+import { makeEventSplitter, type SlotRequestId, type ClearedUpstream } from '@tarragonspool/core';
 import { sendPoolMessage } from '../pools/pool-task.js';
 import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
@@ -130,7 +130,7 @@
   state: GatewayState,
   request: GatewayRequest,
   progress: StreamProgress,
-  engine: UpstreamRecord,
+  engine: ClearedUpstream,
   slotRequestId: SlotRequestId,
 ): Task<{ end: DecodeEnd; result: SendResult; hasEvents: boolean }> {
   // An engine that does a local prefill has finished it when its first event arrives.
--- a/packages/router/src/gateway/stream-flow.test.ts
+++ b/packages/router/src/gateway/stream-flow.test.ts
@@ -5,7 +5,6 @@
   recordPause,
   type SlotRequest,
   type Route,
-  type UpstreamLimits,
   type UpstreamRecord,
 } from '@tarragonspool/core';
 import type { UpstreamId } from '@tarragonspool/protocol';
@@ -72,9 +71,7 @@
   const inbox = makeChannel<PoolTaskMessage>(64);
   const upstreams = makeUpstreamList();
   upstreams.records.set(LISTED.upstreamId, LISTED as unknown as UpstreamRecord);
-  const limits: UpstreamLimits = new Map();
   const state = {
-    limits,
     pools: { inbox, countLiveVms: () => 1 },
     logger: pino({ level: 'silent' }),
     upstreams,
@@ -108,10 +105,15 @@
     const leaving = { upstreamId: LISTED.upstreamId, incarnation: LISTED.incarnation };
     const now = getSteadyMs();
     const paused = { incarnation: LISTED.incarnation, until: now + 10_000 };
-    if (change === 'pause') recordPause(upstreams, LISTED.upstreamId, paused, now);
+    if (change === 'pause') recordPause(upstreams.beliefs, LISTED.upstreamId, paused);
     if (change === 'leaving') recordLeaving(upstreams, leaving);
     if (change === 'limit') {
-      recordLimit(limits, { ...leaving, requestsPerSecond: 4, sentAt: now, heardAt: now });
+      recordLimit(upstreams.beliefs, {
+        ...leaving,
+        requestsPerSecond: 4,
+        sentAt: now,
+        heardAt: now,
+      });
     }
     trace.slotRequests.push(message.ask);
     if (reply !== undefined) message.onReply({ ...reply, askId: message.ask.askId });
--- a/packages/router/src/gateway/stream-prefill.ts
+++ b/packages/router/src/gateway/stream-prefill.ts
@@ -1,6 +1,6 @@
 /** Has an engine prefill the prompt of a stream. */
 
-import type { UpstreamRecord } from '@tarragonspool/core';
+import type { ClearedUpstream } from '@tarragonspool/core';
 import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayRequest } from './gateway-request.js';
@@ -28,7 +28,7 @@
   state: GatewayState,
   request: GatewayRequest,
   progress: StreamProgress,
-  engine: UpstreamRecord,
+  engine: ClearedUpstream,
 ): Task<SendResult> {
   const sentAt = getSteadyMs();
   progress.prefillSends += 1;
--- a/packages/router/src/gateway/stream-progress.ts
+++ b/packages/router/src/gateway/stream-progress.ts
@@ -1,11 +1,6 @@
 /** Progress of a stream, and functions that its prefill and decode steps share. */
 
-import {
-  canTakeRequests,
-  type SendOutcome,
-  type StreamOrigin,
-  type UpstreamRecord,
-} from '@tarragonspool/core';
+import type { SendOutcome, StreamOrigin, UpstreamRecord } from '@tarragonspool/core';
 import type { EngineFailure, StreamId, UpstreamId } from '@tarragonspool/protocol';
 import { sendPoolMessage } from '../pools/pool-task.js';
 import { getSteadyMs } from '../time/steady-clock.js';
@@ -113,16 +108,6 @@
   return runs > 0 && lastEventId !== undefined ? { resumeAfterEvent: lastEventId } : {};
 }
 
-/** Finds an engine that is listed and may get requests of this VM. */
-export function findEngine(
-  state: GatewayState,
-  upstreamId: UpstreamId,
-): UpstreamRecord | undefined {
-  const record = state.upstreams.records.get(upstreamId);
-  if (record === undefined) return undefined;
-  return canTakeRequests(state.upstreams, record, getSteadyMs()) ? record : undefined;
-}
-
 /**
  * Returns the outcome of a send; it is unknown for a cancelled send, which may have been executed.
  */
--- a/packages/router/src/gateway/upstream-notices.ts
+++ b/packages/router/src/gateway/upstream-notices.ts
@@ -2,15 +2,15 @@
 
 import {
   findLimit,
-  getOrAddServerLoad,
   listLeaving,
-  listUnusableUpstreams,
-  listUsableUpstreams,
+  listLimitStatements,
+  listRefusedUpstreams,
   recordLeaving,
   recordLimit,
   recordPause,
   type LeavingUpstream,
   type LimitStatement,
+  type RefusedUpstream,
   type UpstreamRecord,
 } from '@tarragonspool/core';
 import type { PeerMessage, ServiceName, UpstreamLimitItem } from '@tarragonspool/protocol';
@@ -40,7 +40,7 @@
 export function applyLimitsMessage(state: GatewayState, { items }: LimitsMessage): void {
   const now = getSteadyMs();
   const news = items.filter(({ sentAgoMs, heardAgoMs, ...statement }) =>
-    recordLimit(state.limits, {
+    recordLimit(state.upstreams.beliefs, {
       ...statement,
       requestsPerSecond: statement.requestsPerSecond,
       sentAt: now - sentAgoMs,
@@ -53,9 +53,11 @@
 }
 
 /** Lists what servers said of their limits, for a peer that has just been linked. */
-export function listToldLimits({ limits }: GatewayState): UpstreamLimitItem[] {
+export function listToldLimits({ upstreams }: GatewayState): UpstreamLimitItem[] {
   const now = getSteadyMs();
-  const items = [...limits.values()].map((statement) => encodeStatement(statement, now));
+  const items = listLimitStatements(upstreams.beliefs).map((statement) =>
+    encodeStatement(statement, now),
+  );
   return items.slice(-MAX_TOLD);
 }
 
@@ -75,12 +77,12 @@
   { upstreamId, incarnation }: UpstreamRecord,
   limit: LimitNotice,
 ): void {
-  const { limits, logger, metrics } = state;
+  const { upstreams, logger, metrics } = state;
   if (limit.kind === 'unreadable' || (limit.kind === 'none' && !isIdentified)) return;
   const requestsPerSecond = limit.kind === 'named' ? limit.requestsPerSecond : undefined;
   const heardAt = getSteadyMs();
   const statement = { upstreamId, incarnation, requestsPerSecond, sentAt, heardAt };
-  if (!recordLimit(limits, statement)) return;
+  if (!recordLimit(upstreams.beliefs, statement)) return;
   metrics.notices.inc({ kind: limit.kind === 'named' ? 'limit' : 'limit-ended' });
   logger.info(
     { requestId, upstreamId, incarnation, requestsPerSecond },
@@ -106,9 +108,8 @@
   }
   recordLimitNotice(state, origin, server, limit);
   if (pauseMs !== undefined && pauseMs > 0) {
-    const now = getSteadyMs();
-    const until = now + pauseMs;
-    recordPause(upstreams, upstreamId, { incarnation, until }, now);
+    const until = getSteadyMs() + pauseMs;
+    recordPause(upstreams.beliefs, upstreamId, { incarnation, until });
     metrics.notices.inc({ kind: 'pause' });
     logger.info({ requestId, upstreamId, pauseMs }, 'upstreams: server asks for a pause');
   }
@@ -132,25 +133,13 @@
   return listLeaving(upstreams).slice(-MAX_TOLD);
 }
 
-/** Lists the usable servers of a service whose limits allow no further request now. */
-export function listWithoutPermit(
-  { upstreams, limits, loads }: GatewayState,
-  service: ServiceName,
-): UpstreamRecord[] {
-  const now = getSteadyMs();
-  return listUsableUpstreams(upstreams, service, now).filter(({ upstreamId, incarnation }) => {
-    const isLimited = findLimit(limits, upstreamId, incarnation) !== undefined;
-    return isLimited && getOrAddServerLoad(loads, upstreamId).noPermitBefore > now;
-  });
-}
-
 /** Finds when the first server that pauses, or has no permit left, may get a request again. */
-function findFirstUsableAt(state: GatewayState, service: ServiceName, now: number): number {
-  const { firstPauseEndsAt = Infinity } = listUnusableUpstreams(state.upstreams, service, now);
-  const permitTimes = listWithoutPermit(state, service).map(
-    ({ upstreamId }) => getOrAddServerLoad(state.loads, upstreamId).noPermitBefore,
-  );
-  return Math.min(firstPauseEndsAt, ...permitTimes);
+function findFirstUsableAt(refused: readonly RefusedUpstream[]): number {
+  let firstAt = Infinity;
+  for (const refusal of refused) {
+    if (refusal.reason !== 'leaving') firstAt = Math.min(firstAt, refusal.until);
+  }
+  return firstAt;
 }
 
 /**
@@ -159,27 +148,24 @@
  */
 export function findRetryAfterMs(state: GatewayState, service: ServiceName): number {
   const now = getSteadyMs();
-  const firstUsableAt = findFirstUsableAt(state, service, now);
+  const firstUsableAt = findFirstUsableAt(listRefusedUpstreams(state.upstreams, service, now));
   const leastMs = Number.isFinite(firstUsableAt) ? firstUsableAt - now : RETRY_AFTER_LEAVING_MS;
   const spreadMs = Math.max(MIN_PAUSE_SPREAD_MS, PAUSE_SPREAD * leastMs);
   return leastMs + state.takeFraction() * spreadMs;
 }
 
-/** Sets the gauge of servers by whether this VM may use them. */
-export function updateUpstreamGauge({ upstreams, limits, metrics }: GatewayState): void {
+/** Sets the gauges of servers by whether this VM may use them. */
+export function updateUpstreamGauge({ upstreams, metrics }: GatewayState): void {
   const now = getSteadyMs();
-  let leaving = 0;
-  let paused = 0;
-  for (const service of new Set([...upstreams.records.values()].map((record) => record.service))) {
-    const unusable = listUnusableUpstreams(upstreams, service, now);
-    leaving += unusable.leaving.length;
-    paused += unusable.paused.length;
+  const records = [...upstreams.records.values()];
+  const counts = { usable: records.length, leaving: 0, paused: 0, 'no-permit': 0 };
+  for (const service of new Set(records.map((record) => record.service))) {
+    for (const { reason } of listRefusedUpstreams(upstreams, service, now)) {
+      counts[reason] += 1;
+      counts.usable -= 1;
+    }
   }
-  metrics.upstreams.set({ state: 'leaving' }, leaving);
-  metrics.upstreams.set({ state: 'paused' }, paused);
-  const isLimited = ({ upstreamId, incarnation }: UpstreamRecord): boolean =>
-    findLimit(limits, upstreamId, incarnation) !== undefined;
-  const limited = [...upstreams.records.values()].filter(isLimited);
+  for (const [name, count] of Object.entries(counts)) metrics.upstreams.set({ state: name }, count);
+  const limited = records.filter((record) => findLimit(upstreams.beliefs, record) !== undefined);
   metrics.limitedUpstreams.set(limited.length);
-  metrics.upstreams.set({ state: 'usable' }, upstreams.records.size - leaving - paused);
 }
--- a/packages/router/src/stages/engine-calls.ts
+++ b/packages/router/src/stages/engine-calls.ts
@@ -1,6 +1,7 @@
 /** Calls to an engine outside of requests: reading its report, and ordering it to change its stage. */
 
-import type { UpstreamRecord } from '@tarragonspool/core';
+import { askSend, type ClearedUpstream } from '@tarragonspool/core';
+import type { UpstreamId } from '@tarragonspool/protocol';
 import type { GatewayState } from '../gateway/gateway-state.js';
 import type { EngineReport, OrderAnswer, StageOrder } from '../gateway/ports.js';
 import { recordNotice } from '../gateway/upstream-notices.js';
@@ -16,7 +17,7 @@
 /** Calls an engine once; returns undefined if no complete answer arrives before the timeout. */
 function* callEngine(
   state: GatewayState,
-  engine: UpstreamRecord,
+  engine: ClearedUpstream,
   call: Omit<UpstreamCall, 'address'>,
 ): Task<CallAnswer | undefined> {
   const outcome = makeChannel<CallAnswer | 'failed'>(1);
@@ -45,7 +46,7 @@
   return answer === 'failed' ? undefined : answer;
 }
 
-function buildHeaders(state: GatewayState, engine: UpstreamRecord, body: Buffer): string[] {
+function buildHeaders(state: GatewayState, engine: ClearedUpstream, body: Buffer): string[] {
   const headers = ['Host', engine.address];
   const instance = state.ports.dialect.makeInstanceHeaders(engine.upstreamId);
   for (const [name, value] of Object.entries(instance)) headers.push(name, value);
@@ -55,11 +56,14 @@
   return headers;
 }
 
-/** Reads the report of an engine; returns undefined if the call fails. */
+/** Reads the report of an engine; returns undefined if it is not listed or the call fails. */
 export function* readReport(
   state: GatewayState,
-  engine: UpstreamRecord,
+  upstreamId: UpstreamId,
 ): Task<EngineReport | undefined> {
+  const clearance = askSend(state.upstreams, upstreamId, { kind: 'report' }, getSteadyMs());
+  if (clearance.kind === 'refused') return undefined;
+  const engine = clearance.server;
   const { reportPath: path, decodeReport } = state.ports.dialect;
   const body = Buffer.alloc(0);
   const headers = buildHeaders(state, engine, body);
@@ -70,7 +74,7 @@
 /** Sends an order to change the stage; returns undefined if the engine may or may not have taken it. */
 export function* sendStageOrder(
   state: GatewayState,
-  engine: UpstreamRecord,
+  engine: ClearedUpstream,
   order: StageOrder,
 ): Task<OrderAnswer | undefined> {
   const { orderPath: path, encodeStageOrder, decodeOrderAnswer } = state.ports.dialect;
--- a/packages/router/src/stages/stage-task.ts
+++ b/packages/router/src/stages/stage-task.ts
@@ -1,6 +1,7 @@
 /** The stage task: changes the split of a pool between prefill and decode, on the VM that owns the pool. */
 
 import {
+  askSend,
   findStageChange,
   makeOrderLease,
   type OrderLease,
@@ -113,14 +114,16 @@
   stages: ServiceStages,
   change: StageChange,
 ): Task {
-  const engine = state.upstreams.records.get(change.upstreamId);
+  const { upstreamId, stage } = change;
+  const engine = state.upstreams.records.get(upstreamId);
   if (engine === undefined || engine.isLeaving) {
     stages.unsettled = undefined;
     return;
   }
+  const { incarnation } = engine;
   const switchMs = state.configuration?.services.get(service)?.engine?.stageSwitchMs ?? 0;
   const changeMs = switchMs + FINISH_REQUESTS_MS + LIST_LAG_MS;
-  const report = yield* readReport(state, engine);
+  const report = yield* readReport(state, upstreamId);
   if (report === undefined) return;
   if (report.isBusy || report.stage === change.stage) {
     // The change is under way, or the report is older than the list: assumed until reports are newer.
@@ -134,11 +137,18 @@
   }
   const fence = yield* awaitLease(state, service, stages.lease);
   if (fence === undefined || !state.pools.isOwnerOf(service)) return;
-  if (state.upstreams.records.get(change.upstreamId)?.isLeaving !== false) return;
-  const { stage, upstreamId } = change;
+  const question = { kind: 'order', incarnation } as const;
+  const clearance = askSend(state.upstreams, upstreamId, question, getSteadyMs());
+  if (clearance.kind === 'refused') {
+    const { refusal } = clearance;
+    state.logger.info({ service, upstreamId, ...refusal }, 'stages: engine may not get the order');
+    state.metrics.sendsRefused.inc({ reason: refusal.reason });
+    return;
+  }
   const { vmId: holder } = state.settings;
   const { orderCount } = report;
-  const answer = yield* sendStageOrder(state, engine, { stage, holder, fence, orderCount });
+  const order = { stage, holder, fence, orderCount };
+  const answer = yield* sendStageOrder(state, clearance.server, order);
   state.logger.info(
     { service, upstreamId, stage, fence, orderCount, answer },
     'stages: change ordered',
--- a/packages/router/src/upstreams/upstream-client.test.ts
+++ b/packages/router/src/upstreams/upstream-client.test.ts
@@ -1,4 +1,5 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import type { ClearedAddress } from '@tarragonspool/core';
 import { expect } from 'chai';
 import { makeUpstreamClient, type UpstreamCall, type UpstreamEvent } from './upstream-client.js';
 
@@ -27,7 +28,8 @@
 function buildCall(server: Server): UpstreamCall {
   const { port } = server.address() as AddressInfo;
   const headers = ['Host', 'a.example'];
-  return { address: `${HOST}:${port}`, method: 'GET', path: '/', headers, body: Buffer.alloc(0) };
+  const address = `${HOST}:${port}` as ClearedAddress;
+  return { address, method: 'GET', path: '/', headers, body: Buffer.alloc(0) };
 }
 
 async function sendCalls(answer: Answer, calls: number, pauseMs = 0): Promise<UpstreamEvent[]> {
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -11,11 +11,11 @@
   type IncomingMessage,
 } from 'node:http';
 import type { Socket } from 'node:net';
+import type { ClearedAddress } from '@tarragonspool/core';
 
 /** One request to a server. */
 export type UpstreamCall = {
-  /** IP:PORT. */
-  readonly address: string;
+  readonly address: ClearedAddress;
   readonly method: string;
   readonly path: string;
   /** Names and values in turn. */
