--- a/packages/core/src/routing/routing-types.ts
+++ b/packages/core/src/routing/routing-types.ts
@@ -68,6 +68,9 @@
 /** Stage of inference that an engine currently serves. */
 export type EngineStage = 'prefill' | 'decode';
 
+/** Incarnation of a server whose entry does not say when it started. */
+export const UNKNOWN_INCARNATION = 0;
+
 /** An upstream, which comments also call a server, as listed in the store. */
 export type UpstreamRecord = {
   readonly upstreamId: UpstreamId;
--- a/packages/core/src/routing/upstream-list.test.ts
+++ b/packages/core/src/routing/upstream-list.test.ts
@@ -100,3 +100,10 @@
   applyUpstreamChanges(list, [REMOVED, buildChange(false, 1)], 20);
   expect(list.records.get(ID)?.softwareVersion).to.equal('v1');
 });
+
+// Guards against a server that drains and is used on, as its entry does not say when it started.
+it('upstream list: a row that does not name its start replaces that of a known one', () => {
+  const list = makeUpstreamList();
+  applyUpstreamChanges(list, [buildChange(false, 2), buildChange(true, 0)], 0);
+  expect(listUsableUpstreams(list, SERVICE, 0)).to.deep.equal([]);
+});
--- a/packages/core/src/routing/upstream-list.ts
+++ b/packages/core/src/routing/upstream-list.ts
@@ -5,7 +5,7 @@
  */
 
 import type { UpstreamId } from '@tarragonspool/protocol';
-import type { UpstreamRecord } from './routing-types.js';
+import { UNKNOWN_INCARNATION, type UpstreamRecord } from './routing-types.js';
 import {
   findLeavingIncarnation,
   rememberLeaving,
@@ -62,8 +62,9 @@
     records.set(upstreamId, { ...record, incarnation: known.incarnation, isLeaving: true });
     return;
   }
-  const latest = known?.incarnation ?? -Infinity;
-  if (incarnation < latest || incarnation <= findLeavingIncarnation(beliefs, upstreamId)) return;
+  const isEarlier = incarnation < (known?.incarnation ?? -Infinity);
+  if (isEarlier && incarnation !== UNKNOWN_INCARNATION) return;
+  if (incarnation <= findLeavingIncarnation(beliefs, upstreamId)) return;
   lapsedUntil.delete(upstreamId);
   records.set(upstreamId, record);
   if (record.isLeaving) rememberLeaving(beliefs, record);
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,5 +1,6 @@
 /** Public API of the router for platform adapters. */
 
+export { UNKNOWN_INCARNATION } from '@tarragonspool/core';
 export type {
   EngineLimits,
   EngineStage,
