Broken answers without a length or chunks: the reset follows 200 ms after the last bytes

Cause: the reset came 50 ms after the last bytes; a caller that did not run for so long reads both at once and reports a clean end. Evidence: the same test with a caller that is busy for 100 ms after each part failed before at its first broken stream, and held after; so did one of 150 ms with this delay. Ruled out: the program's own order (the reset waits until the last bytes are written). Fix: 200 ms, which a stop's time for broken answers (0.3 s) still covers. A caller that does not run for longer still reads a clean end; nothing else tells it.

--- a/packages/router/src/http/broken-answers.ts
+++ b/packages/router/src/http/broken-answers.ts
@@ -7,7 +7,7 @@
  * Time between the last bytes and the reset. A peer that reads both at once reports the bytes and a
  * clean end.
  */
-const RESET_DELAY_MS = 50;
+const RESET_DELAY_MS = 200;
 /** A peer that reads nothing for this long does not get the bytes before the reset. */
 const FLUSH_TIMEOUT_MS = 200;
 
