Answers of servers: a whole answer is given although bytes follow it at once

What callers saw: 502 for a call whose server had answered it in full, where the server sent further bytes that are no answer right behind it ('bytes may follow a complete response, and belong to no request'). Cause: the parser reports such bytes as an error of the request before the end of the answer is told; the client took it for a failure. Where the bytes came later, on the idle connection, the answer was given already; a second whole answer behind it made no error. New test of the client: failed before for answers with a length and in chunks, holds after; connections are not kept. Ruled out: answers without a length, whose end is their connection's (their tests hold, also that of a reset). Fix: an error after the answer is complete ends nothing; the end of the answer, which is still to come, does.

--- a/packages/router/src/upstreams/upstream-client.test.ts
+++ b/packages/router/src/upstreams/upstream-client.test.ts
@@ -72,6 +72,25 @@
   expect(ends[0]).to.include({ kind: 'failed', isSent: true });
 });
 
+const CHUNKED = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n';
+const FURTHER_BYTES = { 'bytes that are no answer': 'xx', 'a second answer': FRAMED };
+
+// Guards against a whole answer that is given as a failure because bytes came right behind it.
+for (const [what, bytes] of Object.entries(FURTHER_BYTES)) {
+  it(`upstream client: an answer is whole although it comes together with ${what}, and its connection is not kept`, async () => {
+    for (const answer of [FRAMED, CHUNKED]) {
+      const connections = new Set<Socket>();
+      // eslint-disable-next-line no-await-in-loop -- one kind of answer after the other
+      const ends = await sendCalls((socket) => {
+        connections.add(socket);
+        socket.write(`${answer}${bytes}`);
+      }, 2);
+      expect(ends.map(({ kind }) => kind)).to.deep.equal(['ended', 'ended']);
+      expect(connections.size).to.equal(2);
+    }
+  });
+}
+
 it('upstream client: a refused connection means that nothing was sent', async () => {
   const server = await startServer(() => undefined);
   const call = buildCall(server);
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -222,9 +222,12 @@
     });
     if (!isOver) emit({ kind: 'head', status, framing, headers, rawHeaders });
   });
-  outgoing.on('error', (error) => fail(error.message));
+  // Of an answer that is whole its own end is still to come; what follows it belongs to no request.
+  outgoing.on('error', (error) => {
+    if (answer?.complete !== true) fail(error.message);
+  });
   outgoing.on('close', () => {
-    if (!hasEnded) fail('closed without an answer');
+    if (!hasEnded && answer?.complete !== true) fail('closed without an answer');
   });
   outgoing.end(call.body.length > 0 ? call.body : undefined);
 
