Sends: a VM that stood still reads what came meanwhile before it takes its servers for silent

What callers saw: after a VM had stood still for over 1.2 s, its streams were broken off or begun anew at another engine, though their engines had gone on all the time; a stream that had all its events but one was lost with the retry, and the engine was reported as broken. Cause: at its wake the timers of silence fire before the sockets are read, so that the VM's own pause counted as its servers'. Ruled out: the other VMs (the test of VMs that do not hear each other held before too). Fix: a timer that fires 250 ms late or more shows that the process stood still; its servers have 250 ms more before they count as silent.

--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -50,6 +50,10 @@
 
 /** An engine that generates an answer sends many events within this time. */
 const SILENCE_NOTICE_MS = 600;
+/** A timer that fires this late shows that the process stood still, and not its server. */
+const STOOD_STILL_MS = 250;
+/** What arrived meanwhile is read within this time. */
+const CATCH_UP_MS = 250;
 
 let sendCount = 0;
 
@@ -169,9 +173,15 @@
 function startSilenceWatch(send: ActiveSend, request: GatewayRequest, plan: SendPlan): () => void {
   let timer: NodeJS.Timeout | undefined;
   let lastNoticeAt = send.progressAt;
+  let checkDueAt = getSteadyMs();
+  let caughtUpAt = 0;
   const check = (): void => {
     const now = getSteadyMs();
-    const deadlineAt = findSilenceDeadline(send, plan);
+    if (now - checkDueAt > STOOD_STILL_MS) {
+      caughtUpAt = now + CATCH_UP_MS;
+      lastNoticeAt = now;
+    }
+    const deadlineAt = Math.max(findSilenceDeadline(send, plan), caughtUpAt);
     if (deadlineAt <= now) {
       offer(request.inbox, { kind: 'alarm', alarm: send.number });
       return;
@@ -183,7 +193,9 @@
     }
     const wakeAt =
       plan.onSilence === undefined ? deadlineAt : Math.min(deadlineAt, now + SILENCE_NOTICE_MS);
-    if (Number.isFinite(wakeAt)) timer = setTimeout(check, Math.max(1, wakeAt - now));
+    if (!Number.isFinite(wakeAt)) return;
+    checkDueAt = wakeAt;
+    timer = setTimeout(check, Math.max(1, wakeAt - now));
   };
   check();
   return () => clearTimeout(timer);
