--- a/packages/core/src/requests/request-machine.ts
+++ b/packages/core/src/requests/request-machine.ts
@@ -6,7 +6,6 @@
 
 import {
   assertNever,
-  type AttemptId,
   type DecodeFrame,
   type Refusal,
   type ReservationGrant,
@@ -16,7 +15,6 @@
   retryWithoutExclusions,
   cancelPrefill,
   failRequest,
-  isRetryable,
   retryDecode,
   retryPrefill,
 } from './request-recovery.js';
@@ -29,23 +27,14 @@
   getExecutionStatus,
   removeHold,
   setPhase,
-  makeNextAttemptId,
   type RequestState,
 } from './request-state.js';
+import { handleStallCheck } from './request-stalls.js';
 import { addRetryCredit } from './retry-budget.js';
-import {
-  findImportStallTime,
-  findNextCheckTime,
-  findPrefillCheckTime,
-  findPrefillStallTime,
-  findTokenCheckTime,
-} from './stall-rule.js';
-import { adviseRecovery, type AttemptView } from '../allocation/recovery.js';
+import { findImportStallTime, findPrefillCheckTime, findTokenCheckTime } from './stall-rule.js';
 
 const KV_LIFETIME_MS = 800;
 const MAX_EXPIRED = 3;
-const MAX_USED_GRANTS_FOR_STANDBY = 4;
-const STUCK_STREAM_MS = 600;
 
 /** Starts the request by requesting a reservation. */
 export function startRequest(state: RequestState): RequestAction[] {
@@ -282,67 +271,6 @@
   return retryDecode(state, detail, now);
 }
 
-/**
- * Requests a reservation for a standby attempt while the stalled one continues; the request is
- * withdrawn if the stalled one makes progress first.
- */
-function requestStandby(
-  state: RequestState,
-  movesFrom: AttemptId | undefined,
-  now: number,
-): RequestAction[] {
-  const { grant, phase } = state;
-  if (grant === undefined || state.standbyId !== undefined) return [];
-  if (state.usedGrants >= MAX_USED_GRANTS_FOR_STANDBY) return [];
-  state.standbyId = makeNextAttemptId(state);
-  state.standbyRequestedAt = now;
-  const attemptId = state.standbyId;
-  const resumeFrom = phase === 'decoding' ? grant.decode : undefined;
-  const excluded = [...state.excluded, resumeFrom ?? grant.prefill];
-  return [{ kind: 'ask', attemptId, excluded, resumeFrom, movesFrom }];
-}
-
-function checkRecovery(
-  state: RequestState,
-  stage: AttemptView['stage'],
-  now: number,
-): RequestAction[] {
-  const { grant, promptTokens, maxTokens, nextIndex: tokens, standbyRequestedAt: askedAt } = state;
-  if (grant === undefined) return [];
-  state.stallCheckAt = findNextCheckTime(now);
-  const movedAt = stage === 'decode' ? state.lastTokenAt : state.phaseStartedAt;
-  const view = { grant, stage, promptTokens, maxTokens, tokens, movedAt, askedAt };
-  const advice = adviseRecovery(view, state.objective, now);
-  if (advice === 'wait') return [];
-  if (stage === 'prefill') return state.isOnce ? [] : requestStandby(state, state.attemptId, now);
-  // A stream that is certainly stuck requests a reservation like any other request: without
-  // `movesFrom`, the allocator does not judge whether the move is worthwhile.
-  const isStuck = now >= movedAt + STUCK_STREAM_MS;
-  return requestStandby(state, isStuck ? undefined : state.attemptId, now);
-}
-
-function handleStallCheck(state: RequestState, now: number): RequestAction[] {
-  switch (state.phase) {
-    case 'prefilling': {
-      const { grant, phaseStartedAt } = state;
-      const isStalled = grant !== undefined && now >= findPrefillStallTime(grant, phaseStartedAt);
-      if (isStalled && isRetryable(state, now)) {
-        return retryPrefill(state, 'the prefill stalled', now);
-      }
-      return checkRecovery(state, 'prefill', now);
-    }
-    case 'importing':
-      // The first check of an import is at the time when it counts as stalled.
-      if (isRetryable(state, now)) return retryDecode(state, 'the KV import stalled', now);
-      state.stallCheckAt = findNextCheckTime(now);
-      return [];
-    case 'decoding':
-      return checkRecovery(state, 'decode', now);
-    default:
-      return [];
-  }
-}
-
 function getDeadline(state: RequestState): number {
   return state.dispatches > 0 ? state.lastDeadline : state.answerDeadline;
 }
