--- a/packages/core/src/routing/upstream-beliefs.ts
+++ b/packages/core/src/routing/upstream-beliefs.ts
@@ -7,8 +7,11 @@
 
 import type { UpstreamId } from '@tarragonspool/protocol';
 
-/** Incarnation of a server that leaves. */
-export type LeavingUpstream = { readonly upstreamId: UpstreamId; readonly incarnation: number };
+/** One incarnation of a server. */
+export type UpstreamIncarnation = {
+  readonly upstreamId: UpstreamId;
+  readonly incarnation: number;
+};
 
 /** A time until which one incarnation of a server is left alone. */
 export type UpstreamWait = { readonly incarnation: number; readonly until: number };
@@ -59,7 +62,7 @@
 /** Remembers that an incarnation leaves. */
 export function rememberLeaving(
   beliefs: UpstreamBeliefs,
-  { upstreamId, incarnation }: LeavingUpstream,
+  { upstreamId, incarnation }: UpstreamIncarnation,
 ): void {
   const known = findLeavingIncarnation(beliefs, upstreamId);
   remember(beliefs, upstreamId, { leavingIncarnation: Math.max(known, incarnation) });
@@ -97,7 +100,7 @@
 /** Finds until when a server wants no requests of this VM; undefined if it takes them. */
 export function findPauseEnd(
   beliefs: UpstreamBeliefs,
-  { upstreamId, incarnation }: LeavingUpstream,
+  { upstreamId, incarnation }: UpstreamIncarnation,
   now: number,
 ): number | undefined {
   return findWaitEnd(beliefs.get(upstreamId)?.pause, incarnation, now);
@@ -106,7 +109,7 @@
 /** Finds until when a server's limit has no permit, as far as its keeper said; undefined if it may. */
 export function findPermitWaitEnd(
   beliefs: UpstreamBeliefs,
-  { upstreamId, incarnation }: LeavingUpstream,
+  { upstreamId, incarnation }: UpstreamIncarnation,
   now: number,
 ): number | undefined {
   return findWaitEnd(beliefs.get(upstreamId)?.permitWait, incarnation, now);
@@ -138,7 +141,7 @@
 /** Finds the requests a second that an incarnation of a server takes; undefined without a limit. */
 export function findLimit(
   beliefs: UpstreamBeliefs,
-  { upstreamId, incarnation }: LeavingUpstream,
+  { upstreamId, incarnation }: UpstreamIncarnation,
 ): number | undefined {
   const known = beliefs.get(upstreamId)?.limit;
   if (known === undefined || known.incarnation < incarnation) return undefined;
--- a/packages/core/src/routing/upstream-list.ts
+++ b/packages/core/src/routing/upstream-list.ts
@@ -9,7 +9,7 @@
 import {
   findLeavingIncarnation,
   rememberLeaving,
-  type LeavingUpstream,
+  type UpstreamIncarnation,
   type UpstreamBeliefs,
 } from './upstream-beliefs.js';
 
@@ -116,7 +116,7 @@
  * Records that an incarnation of a server leaves; returns whether that is news. It holds until a later
  * incarnation registers.
  */
-export function recordLeaving(list: UpstreamList, leaving: LeavingUpstream): boolean {
+export function recordLeaving(list: UpstreamList, leaving: UpstreamIncarnation): boolean {
   const { upstreamId, incarnation } = leaving;
   const record = list.records.get(upstreamId);
   if (record !== undefined && record.incarnation > incarnation) return false;
@@ -130,8 +130,8 @@
 }
 
 /** Lists the incarnations that are known to leave, listed or not. */
-export function listLeaving({ beliefs }: UpstreamList): LeavingUpstream[] {
-  const leaving: LeavingUpstream[] = [];
+export function listLeaving({ beliefs }: UpstreamList): UpstreamIncarnation[] {
+  const leaving: UpstreamIncarnation[] = [];
   for (const [upstreamId, { leavingIncarnation }] of beliefs) {
     if (leavingIncarnation !== undefined) {
       leaving.push({ upstreamId, incarnation: leavingIncarnation });
--- a/packages/router/src/gateway/upstream-notices.ts
+++ b/packages/router/src/gateway/upstream-notices.ts
@@ -8,7 +8,7 @@
   recordLeaving,
   recordLimit,
   recordPause,
-  type LeavingUpstream,
+  type UpstreamIncarnation,
   type LimitStatement,
   type RefusedUpstream,
   type UpstreamRecord,
@@ -129,7 +129,7 @@
 }
 
 /** Lists the servers that leave, for a peer that has just been linked. */
-export function listToldLeaving({ upstreams }: GatewayState): LeavingUpstream[] {
+export function listToldLeaving({ upstreams }: GatewayState): UpstreamIncarnation[] {
   return listLeaving(upstreams).slice(-MAX_TOLD);
 }
 
