Answers that this VM breaks off are told from those that callers leave, with the reason

After: outcome `broken-off` with `breakReason`; `cut` is left for callers and their connections. Nothing else changes.

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -97,9 +97,14 @@
   const tookMs = getSteadyMs() - request.arrivedAt;
   const { kind, name } = request.route;
   const isComplete = response.writableFinished;
-  const outcome = isComplete ? String(response.statusCode) : 'cut';
+  const breakReason = request.reply.getBreakReason();
+  const cutBy = breakReason === undefined ? 'cut' : 'broken-off';
+  const outcome = isComplete ? String(response.statusCode) : cutBy;
   const { requestId } = request.fields;
-  state.logger.info({ requestId, route: name, outcome, tookMs }, 'requests: answer ended');
+  state.logger.info(
+    { requestId, route: name, outcome, breakReason, tookMs },
+    'requests: answer ended',
+  );
   state.metrics.answers.inc({ kind, outcome });
   state.metrics.answerSeconds.observe({ kind }, tookMs / 1_000);
 }
@@ -132,7 +137,7 @@
       if (error === undefined) return;
       const { requestId } = request.fields;
       state.logger.error({ requestId, err: error }, 'requests: request task failed');
-      if (reply.getState() === 'begun') reply.breakOff();
+      if (reply.getState() === 'begun') reply.breakOff('task-failed');
       else reply.refuse('outcome-unknown');
     },
   );
--- a/packages/router/src/gateway/caller-reply.ts
+++ b/packages/router/src/gateway/caller-reply.ts
@@ -7,6 +7,18 @@
 import { getResultCode, type ResultName } from '@tarragonspool/protocol';
 import { endBrokenAnswer } from '../http/broken-answers.js';
 
+/** Why a VM ends an answer in the middle. */
+export type BreakReason =
+  | 'deadline'
+  | 'engine-failed'
+  | 'no-engine'
+  | 'slot-refused'
+  | 'not-run'
+  | 'prefill-failed'
+  | 'quarantined'
+  | 'stopped'
+  | 'task-failed';
+
 /** How far an answer has been written. */
 export type ReplyState = 'open' | 'begun' | 'ended';
 
@@ -21,7 +33,9 @@
   readonly write: (chunk: Buffer) => boolean;
   readonly end: () => void;
   /** Ends the connection so that the answer does not look complete. */
-  readonly breakOff: () => void;
+  readonly breakOff: (reason: BreakReason) => void;
+  /** Why this VM broke the answer off; undefined if it did not. */
+  readonly getBreakReason: () => BreakReason | undefined;
   readonly onDrain: (resume: () => void) => void;
 };
 
@@ -32,6 +46,7 @@
 export function makeCallerReply(response: ServerResponse, isLeaving: () => boolean): CallerReply {
   let state: ReplyState = 'open';
   let hasLength = false;
+  let breakReason: BreakReason | undefined;
 
   function refuse(name: ResultName, retryAfterMs?: number): void {
     if (state !== 'open') return;
@@ -65,11 +80,13 @@
       state = 'ended';
       response.end();
     },
-    breakOff: () => {
+    breakOff: (reason) => {
       if (state === 'ended') return;
       state = 'ended';
+      breakReason = reason;
       endBrokenAnswer(response, hasLength);
     },
+    getBreakReason: () => breakReason,
     onDrain: (resume) => response.once('drain', resume),
   };
 }
--- a/packages/router/src/gateway/quarantine-check.ts
+++ b/packages/router/src/gateway/quarantine-check.ts
@@ -25,6 +25,6 @@
   const reason = findQuarantineReason(state, request);
   state.logger.warn({ requestId: fields.requestId, reason }, 'quarantine: request ended');
   if (reason !== undefined) state.metrics.quarantined.inc({ reason: reason.kind });
-  if (reply.getState() === 'begun') reply.breakOff();
+  if (reply.getState() === 'begun') reply.breakOff('quarantined');
   else reply.refuse('quarantined');
 }
--- a/packages/router/src/gateway/stop.ts
+++ b/packages/router/src/gateway/stop.ts
@@ -29,7 +29,7 @@
   }
   const { openRequests } = state;
   // The end of the process would close the connections, and some answers would look complete.
-  for (const reply of state.openReplies) reply.breakOff();
+  for (const reply of state.openReplies) reply.breakOff('stopped');
   const brokenOffBy = getSteadyMs() + BREAK_OFF_MS;
   while (state.openRequests > 0 && getSteadyMs() < brokenOffBy) yield* waitMs(CHECK_INTERVAL_MS);
   state.logger.info({ openRequests }, 'gateway: stopped');
--- a/packages/router/src/gateway/stream-ends.ts
+++ b/packages/router/src/gateway/stream-ends.ts
@@ -1,5 +1,6 @@
 /** Ends streams that have no whole answer. */
 
+import type { BreakReason } from './caller-reply.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { RequestEnd } from './sender.js';
 import type { StreamProgress } from './stream-progress.js';
@@ -12,14 +13,14 @@
 ): void {
   if (end.kind === 'caller-gone') return;
   const { reply } = request;
-  if (reply.getState() === 'begun') reply.breakOff();
+  if (reply.getState() === 'begun') reply.breakOff('deadline');
   else reply.refuse(progress.runs === 0 ? 'upstream-timeout' : 'outcome-unknown');
 }
 
 /** Ends a stream that may have run and cannot go on. */
-export function failStream(request: GatewayRequest): void {
+export function failStream(request: GatewayRequest, reason: BreakReason): void {
   const { reply } = request;
-  if (reply.getState() === 'begun') reply.breakOff();
+  if (reply.getState() === 'begun') reply.breakOff(reason);
   else reply.refuse('upstream-failed');
 }
 
@@ -27,10 +28,10 @@
 export function refuseStream(
   request: GatewayRequest,
   progress: StreamProgress,
-  retryAfterMs: number,
+  { reason, retryAfterMs }: { readonly reason: BreakReason; readonly retryAfterMs: number },
 ): void {
   const { reply } = request;
-  if (reply.getState() === 'begun') reply.breakOff();
+  if (reply.getState() === 'begun') reply.breakOff(reason);
   else if (progress.runs > 0) reply.refuse('upstream-failed');
   else reply.refuse('deadline-unreachable', retryAfterMs);
 }
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -56,7 +56,7 @@
     { requestId, service, reason, origin, refused },
     'streams: no engine may be used',
   );
-  if (runs > 0 || reply.getState() === 'begun') failStream(request);
+  if (runs > 0 || reply.getState() === 'begun') failStream(request, 'no-engine');
   else if (reason === 'version-gone') reply.refuse(reason);
   else reply.refuse(reason, findRetryAfterMs(state, service));
   return true;
@@ -94,7 +94,8 @@
       return;
     }
     if (slotReply.kind === 'refused') {
-      refuseStream(request, progress, slotReply.retryAfterMs);
+      const { retryAfterMs } = slotReply;
+      refuseStream(request, progress, { reason: 'slot-refused', retryAfterMs });
       return;
     }
     const end = yield* runGrantedStream(state, request, progress, slotReply);
--- a/packages/router/src/gateway/stream-grant.ts
+++ b/packages/router/src/gateway/stream-grant.ts
@@ -99,7 +99,10 @@
   if (progress.failedPrefills < MAX_FAILED_PREFILLS && takeServiceRetries(state, request.service)) {
     return 'again';
   }
-  refuseStream(request, progress, RETRY_AFTER_FAILURE_MS);
+  refuseStream(request, progress, {
+    reason: 'prefill-failed',
+    retryAfterMs: RETRY_AFTER_FAILURE_MS,
+  });
   return 'done';
 }
 
@@ -139,13 +142,13 @@
   if (end === 'not-run') {
     checkKvHandle(state, request, progress);
     if (hasTime && takeServiceRetries(state, service, countRetries(progress))) return 'again';
-    refuseStream(request, progress, RETRY_AFTER_FAILURE_MS);
+    refuseStream(request, progress, { reason: 'not-run', retryAfterMs: RETRY_AFTER_FAILURE_MS });
     return 'done';
   }
   progress.kvSource = undefined;
   const canContinue = route.isResumable && progress.runs < route.maxAttempts && hasTime;
   if (canContinue && takeServiceRetries(state, service, countRetries(progress))) return 'again';
-  failStream(request);
+  failStream(request, 'engine-failed');
   return 'done';
 }
 
