Cut VMs: a request whose server this VM does not reach is sent by a peer that does

Cause: a VM had one way to a server, its own connection. Besides, what a cut VM saw was told as failures of servers: engines were avoided by their pool, and contents blamed for crashes, at VMs that reached them. Ruled out: readiness of the cut VMs (where most VMs of a data centre say that they are not ready, all of them are used). Fix: ways to servers are known by connections that open or do not; a send of which no byte left goes by way of a peer, which uses its own connections and adds what it knows of the server. The VM that took the request decides on. A VM that is cut off owns no pool while another is fit; crashes and failures of engines need a second opinion.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -34,3 +34,4 @@
 export * from './routing/index.js';
 export * from './stages/index.js';
 export * from './links/index.js';
+export * from './paths/index.js';
--- /dev/null
+++ b/packages/core/src/paths/index.ts
@@ -0,0 +1,1 @@
+export * from './server-paths.js';
--- a/packages/core/src/routing/send-clearance.ts
+++ b/packages/core/src/routing/send-clearance.ts
@@ -30,6 +30,8 @@
     }
   /** An order to a known incarnation; orders are few and need no permit. */
   | { readonly kind: 'order'; readonly incarnation: number }
+  /** A send of a peer, which has asked for everything that this VM does not know. */
+  | { readonly kind: 'relayed'; readonly incarnation: number }
   /** A reading of the server's report, which it gives while it pauses or leaves too. */
   | { readonly kind: 'report' };
 
@@ -87,7 +89,8 @@
       const until = hasPermit ? undefined : findPermitTime(list, record, now);
       return until === undefined ? undefined : { reason: 'no-permit', until };
     }
-    case 'order': {
+    case 'order':
+    case 'relayed': {
       if (record.incarnation !== question.incarnation) return { reason: 'not-listed' };
       return findServerRefusal(list, record, now);
     }
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -4,6 +4,7 @@
 import * as z from 'zod';
 import type { PeerMessage } from './peer-messages.js';
 import { poolMessageSchemas } from './pool-messages.js';
+import { relayMessageSchemas } from './relay-messages.js';
 import { RESULT_CODES, type ResultName } from './result-codes.js';
 import { ruleDeltaSchema } from './rule-messages.js';
 
@@ -60,6 +61,7 @@
 
 const peerMessageSchema = z.discriminatedUnion('kind', [
   ...poolMessageSchemas,
+  ...relayMessageSchemas,
   z.object({
     kind: z.literal('hello'),
     version: count,
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -84,6 +84,8 @@
     isStoreAway: z.boolean(),
     isReading: z.boolean().default(true),
     isLeaving: z.boolean().default(false),
+    isCutOff: z.boolean().default(false),
+    lostServers: z.array(id).default([]),
     storeAgeMs: milliseconds.optional(),
     positions: z.array(z.object({ table: id, position: count })).default([]),
   }),
@@ -247,6 +249,10 @@
   readonly isReading: boolean;
   /** Whether the sender shuts down and should own nothing. */
   readonly isLeaving: boolean;
+  /** Whether the sender reaches no server itself, and should own nothing and relay nothing. */
+  readonly isCutOff: boolean;
+  /** Servers to which no connection of the sender opens. */
+  readonly lostServers: readonly UpstreamId[];
   /** Age of what the sender knows of the store, over all VMs that passed it on. */
   readonly storeAgeMs?: number | undefined;
   /** How far the sender knows each table. */
--- /dev/null
+++ b/packages/protocol/src/relay-messages.ts
@@ -0,0 +1,89 @@
+/**
+ * Messages by which a VM sends to a server by way of a peer, because its own connections to that server do
+ * not open. The VM that took the request decides and the peer carries bytes. Each send has a number of the
+ * VM that asks for it.
+ */
+
+import * as z from 'zod';
+import type { UpstreamId } from './ids.js';
+
+const id = z.string().max(256);
+const count = z.number().int().nonnegative();
+const bytes = z.instanceof(Uint8Array).transform((part) => Buffer.from(part));
+
+const relayedEventSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('head'),
+    status: count,
+    framing: z.enum(['length', 'chunks', 'connection']),
+    headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])),
+    rawHeaders: z.array(z.string()),
+  }),
+  z.object({ kind: z.literal('data'), chunk: bytes }),
+  z.object({ kind: z.literal('ended') }),
+  z.object({ kind: z.literal('failed'), isSent: z.boolean(), reason: z.string() }),
+]);
+
+/** Schemas of the messages of relayed sends. */
+export const relayMessageSchemas = [
+  z.object({
+    kind: z.literal('relay-send'),
+    number: count,
+    requestId: id,
+    upstreamId: id,
+    incarnation: z.number(),
+    method: id,
+    path: z.string(),
+    headers: z.array(z.string()),
+    body: bytes,
+  }),
+  z.object({ kind: z.literal('relay-event'), number: count, event: relayedEventSchema }),
+  z.object({ kind: z.literal('relay-cancel'), number: count }),
+  z.object({ kind: z.literal('relay-flow'), number: count, isPaused: z.boolean() }),
+  z.object({ kind: z.literal('path-question'), number: count, upstreamId: id }),
+  z.object({
+    kind: z.literal('path-answer'),
+    number: count,
+    answer: z.enum(['opened', 'not-opened', 'unknown']),
+  }),
+] as const;
+
+/** What happens to a relayed send; the last event is `ended` or `failed`. */
+export type RelayedEvent =
+  | {
+      readonly kind: 'head';
+      readonly status: number;
+      readonly framing: 'length' | 'chunks' | 'connection';
+      readonly headers: Readonly<Record<string, string | string[]>>;
+      readonly rawHeaders: readonly string[];
+    }
+  | { readonly kind: 'data'; readonly chunk: Buffer }
+  | { readonly kind: 'ended' }
+  /** `isSent` is false only where no byte of the request left the peer. */
+  | { readonly kind: 'failed'; readonly isSent: boolean; readonly reason: string };
+
+/** Whether a connection to a server opened; `unknown` from a VM that may be cut off itself. */
+export type PathAnswer = 'opened' | 'not-opened' | 'unknown';
+
+/** Messages of relayed sends, and questions whether a peer reaches a server. */
+export type RelayMessage =
+  /** Asks a peer to send a request to this start of a server; the peer has its own address for it. */
+  | {
+      readonly kind: 'relay-send';
+      readonly number: number;
+      readonly requestId: string;
+      readonly upstreamId: UpstreamId;
+      readonly incarnation: number;
+      readonly method: string;
+      readonly path: string;
+      /** Names and values in turn. */
+      readonly headers: readonly string[];
+      readonly body: Buffer;
+    }
+  | { readonly kind: 'relay-event'; readonly number: number; readonly event: RelayedEvent }
+  /** Drops a send and its connection. */
+  | { readonly kind: 'relay-cancel'; readonly number: number }
+  /** Pauses or resumes the reading of an answer. */
+  | { readonly kind: 'relay-flow'; readonly number: number; readonly isPaused: boolean }
+  | { readonly kind: 'path-question'; readonly number: number; readonly upstreamId: UpstreamId }
+  | { readonly kind: 'path-answer'; readonly number: number; readonly answer: PathAnswer };
--- a/packages/router/src/gateway/content-guard.ts
+++ b/packages/router/src/gateway/content-guard.ts
@@ -5,7 +5,6 @@
  */
 
 import { createHash } from 'node:crypto';
-import { connect } from 'node:net';
 import {
   findContentStatus,
   handleQuarantineEvent,
@@ -52,29 +51,12 @@
   readonly getNow?: () => number;
 };
 
-const PROBE_TIMEOUT_MS = 250;
-
 /** Digests the parts of a request that stay the same when a caller retries it. */
 export function digestContent(method: string, path: string, body: Buffer): Fingerprint {
   const hash = createHash('sha256').update(`${method} ${path}\n`).update(body);
   return hash.digest('base64') as Fingerprint;
 }
 
-/** Returns whether a server accepts a TCP connection within the probe timeout. */
-export function probeAddress(address: string): Promise<boolean> {
-  const [host = '', port = '0'] = address.split(':');
-  return new Promise((resolve) => {
-    const socket = connect({ host, port: Number(port) });
-    const finish = (isAlive: boolean): void => {
-      socket.destroy();
-      resolve(isAlive);
-    };
-    socket.setTimeout(PROBE_TIMEOUT_MS, () => finish(false));
-    socket.once('connect', () => finish(true));
-    socket.once('error', () => finish(false));
-  });
-}
-
 function addToExpiries(items: readonly SuspectRecord[], offsetMs: number): SuspectRecord[] {
   return items.map((item) => ({ ...item, expiresAt: item.expiresAt + offsetMs }));
 }
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -101,6 +101,17 @@
       labelNames: ['outcome'],
       registers,
     }),
+    relayedSends: new Counter({
+      name: `${PREFIX}relayed_sends_total`,
+      help: 'Sends by way of peers: asked by this VM, or made for peers by outcome.',
+      labelNames: ['side', 'outcome'],
+      registers,
+    }),
+    cutOff: new Gauge({
+      name: `${PREFIX}cut_off`,
+      help: 'Whether this VM seems to be cut off from all servers.',
+      registers,
+    }),
     peers: new Gauge({ name: `${PREFIX}peers`, help: 'Open links to peers.', registers }),
   };
 }
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -4,7 +4,6 @@
   buildRouteTable,
   getOrAddServerLoad,
   makeRetryWindow,
-  makeUpstreamList,
   takeRetries,
   type RetryWindow,
   type RouteTable,
@@ -28,6 +27,7 @@
 import type { GatewayPorts, GatewaySettings } from './ports.js';
 import type { StreamOriginBook } from './stream-origins.js';
 import type { QuarantineWakeup } from './quarantine-rows.js';
+import type { ServerAccess } from './server-access.js';
 import { makeSuspensionCheck } from './service-versions.js';
 
 /** State of one gateway; each part is changed by one task only. */
@@ -37,7 +37,7 @@
   readonly ports: GatewayPorts;
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
-  readonly client: UpstreamClient;
+  readonly access: ServerAccess;
   /** Client of engine orders and reports, whose answers carry no id. */
   readonly engineClient: UpstreamClient;
   readonly pools: PoolTask;
@@ -86,6 +86,8 @@
 /** Dependencies of a gateway's state. */
 export type GatewayStateParts = Pick<
   GatewayState,
+  | 'access'
+  | 'upstreams'
   | 'settings'
   | 'ports'
   | 'logger'
@@ -106,11 +108,9 @@
 export function makeGatewayState(parts: GatewayStateParts): GatewayState {
   return {
     ...parts,
-    client: makeUpstreamClient(),
     engineClient: makeUpstreamClient({ keepsConnections: false }),
     configuration: undefined,
     routes: new Map(),
-    upstreams: makeUpstreamList(),
     hasBeenSuspended: makeSuspensionCheck(),
     hasUpstreams: false,
     isLeaving: false,
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -1,7 +1,7 @@
 /** Creates the gateway's parts, connects them and starts and stops them. */
 
 import { destination, pino } from 'pino';
-import { computeMaxStoreAgeMs, makeVersionHistory } from '@tarragonspool/core';
+import { computeMaxStoreAgeMs, makeUpstreamList, makeVersionHistory } from '@tarragonspool/core';
 import type { PeerMessage, PermitMessage, PoolMessage, VmId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import { makeFleetView } from '../peers/fleet-view.js';
@@ -11,13 +11,14 @@
 import { startAdaptiveTicker, type AdaptiveTicker } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeCallerListener } from './caller-listener.js';
-import { makeContentGuard, probeAddress } from './content-guard.js';
+import { makeContentGuard } from './content-guard.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
 import { makeGatewayState, type GatewayState } from './gateway-state.js';
 import { startMembership, type PeerMeshHolder, type StartTask } from './membership.js';
 import { makePartGuard } from './part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
 import { makeQuarantineWakeups } from './quarantine-rows.js';
+import { startServerAccess } from './server-access.js';
 import { listen, startMetricsListener, startReadyListener } from './side-listeners.js';
 import { makeConfigurationFeed, makeUpstreamFeed } from './state-feeds.js';
 import { startShutdown } from './stop.js';
@@ -81,15 +82,26 @@
     onChanged: (isOwnReport) => offer(quarantineWakeups, { isOwnReport }),
     logger,
   });
+  const upstreams = makeUpstreamList();
+  const fleet = makeFleetView(settings.vmId, computeMaxStoreAgeMs(settings.changeWithinMs));
+  const access = startServerAccess({
+    settings,
+    upstreams,
+    fleet,
+    meshHolder,
+    takeFraction,
+    onRelayedCount: (change) => {
+      if (stateHolder.state !== undefined) stateHolder.state.openRequests += change;
+    },
+    metrics,
+    logger,
+  });
   const contentTicker: TickerHolder = { ticker: undefined };
   const contentGuard = makeContentGuard({
-    probe: (upstreamId) => {
-      const address = stateHolder.state?.upstreams.records.get(upstreamId)?.address;
-      return address === undefined ? Promise.resolve(false) : probeAddress(address);
-    },
+    probe: access.isAlive,
     broadcast: (items) => broadcast({ kind: 'suspects', items }),
     onCrash: (upstreamId, prompts) => {
-      const incarnation = stateHolder.state?.upstreams.records.get(upstreamId)?.incarnation;
+      const incarnation = upstreams.records.get(upstreamId)?.incarnation;
       partGuard.recordCrash(`${upstreamId}/${incarnation ?? ''}`, prompts);
     },
     onBusy: () => contentTicker.ticker?.wake(),
@@ -101,7 +113,6 @@
     isBusy: contentGuard.isBusy,
     onTick: contentGuard.tick,
   });
-  const fleet = makeFleetView(settings.vmId, computeMaxStoreAgeMs(settings.changeWithinMs));
   const versions = makeVersionHistory();
   const streamOrigins = makeStreamOriginBook({
     self,
@@ -120,6 +131,8 @@
   const parts = {
     settings,
     ports,
+    access,
+    upstreams,
     logger,
     metrics,
     pools,
--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -22,7 +22,11 @@
 export type StartTask = (name: string, body: () => Task) => void;
 
 /** Holds the links to peers; undefined before this VM is registered. */
-export type PeerMeshHolder = { mesh: PeerMesh | undefined };
+export type PeerMeshHolder = {
+  mesh: PeerMesh | undefined;
+  /** Tells peers at once what the regular messages say. */
+  tellAlive?: () => void;
+};
 
 const MEMBERS_LONG_POLL_MS = 5_000;
 const MEMBERS_PAUSE_MS = 500;
@@ -137,7 +141,9 @@
     });
     secrets.push(registration.secret);
     const { incarnation } = registration;
-    meshHolder.mesh = startPeerLinks({ state, incarnation, secrets, relay, feeds: allFeeds });
+    const links = startPeerLinks({ state, incarnation, secrets, relay, feeds: allFeeds });
+    meshHolder.mesh = links.mesh;
+    meshHolder.tellAlive = links.tellAlive;
     yield* memberFeed.run();
   });
 }
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -17,6 +17,7 @@
 import { startAdaptiveTicker } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayState } from './gateway-state.js';
+import { isRelayMessage } from './server-access.js';
 import {
   applyLeavingMessage,
   applyLimitsMessage,
@@ -91,6 +92,8 @@
     isStoreAway: !isReading && !state.fleet.isRecent(storeAgeMs),
     isReading,
     isLeaving: state.isLeaving,
+    isCutOff: state.access.paths.isCutOff(),
+    lostServers: state.access.paths.listLost(),
     storeAgeMs,
     positions: relay.listPositions(),
   };
@@ -128,7 +131,8 @@
     chooseSource(now);
     const message = buildAliveMessage(parts, now);
     state.storeKnown = { isRecent: !message.isStoreAway, judgedAt: now };
-    offer(state.pools.inbox, { kind: 'store', isAway: message.isStoreAway });
+    const isUnfit = message.isStoreAway || message.isCutOff;
+    offer(state.pools.inbox, { kind: 'unfit', isUnfit });
     mesh.broadcast(message);
   };
 }
@@ -147,8 +151,15 @@
   }
 }
 
+/** The links of this VM. */
+export type PeerLinks = {
+  readonly mesh: PeerMesh;
+  /** Sends the regular message now. */
+  readonly tellAlive: () => void;
+};
+
 /** Starts the links to peers and the regular messages on them. */
-export function startPeerLinks(parts: PeerLinksParts): PeerMesh {
+export function startPeerLinks(parts: PeerLinksParts): PeerLinks {
   const { state, relay, incarnation, secrets } = parts;
   const { settings, pools, fleet, logger, metrics, contentGuard, partGuard } = state;
   const { vmId: self, dataCentre } = settings;
@@ -173,6 +184,7 @@
       const known = incarnations.get(vmId);
       incarnations.set(vmId, peer.incarnation);
       fleet.recordLinkOpened(vmId, getSteadyMs());
+      state.access.handleLinkEnded(vmId);
       state.streamOrigins.handleLinkOpened(vmId);
       if (known !== undefined && known < peer.incarnation) {
         offer(pools.inbox, { kind: 'vm-restarted', vmId });
@@ -186,6 +198,7 @@
       }
       if (isPoolMessage(message)) offer(pools.inbox, { kind: 'peer', from: vmId, message });
       else if (isRowsMessage(message)) relay.handleMessage(vmId, message);
+      else if (isRelayMessage(message)) state.access.handleMessage(vmId, message);
       else if (isOriginMessage(message)) state.streamOrigins.handleMessage(vmId, message);
       else if (message.kind === 'suspects') {
         contentGuard.mergeRecords(message.items);
@@ -203,14 +216,16 @@
     },
     onGone: (vmId) => {
       fleet.recordUnreachable(vmId, getSteadyMs());
+      state.access.handleLinkEnded(vmId);
       offer(pools.inbox, { kind: 'link-closed', vmId });
     },
   });
+  const tellAlive = makeAliveStep(parts, mesh);
   startAdaptiveTicker({
     busyMs: ALIVE_INTERVAL_MS,
     idleMs: IDLE_ALIVE_INTERVAL_MS,
     isBusy: () => fleet.isHub(getSteadyMs()),
-    onTick: makeAliveStep(parts, mesh),
+    onTick: tellAlive,
   });
-  return mesh;
+  return { mesh, tellAlive };
 }
--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -85,12 +85,15 @@
   const number = countSend();
   const now = getSteadyMs();
   const leftMs = Math.max(1, Math.floor(request.deadlineAt - now));
-  const { upstreamId, address } = plan.server;
+  const { server } = plan;
+  const { upstreamId } = server;
+  const { requestId } = request.fields;
   const placement = { ...plan.placement, upstreamId, leftMs };
   const { body, method, path } = request;
   const headers = dialect.makeForwardHeaders(request.rawHeaders, body.length, placement);
   const active: { send: ActiveSend | undefined } = { send: undefined };
-  const exchange = state.client.send({ address, method, path, headers, body }, (event) => {
+  const call = { server, requestId, method, path, headers, body };
+  const exchange = state.access.client.send(call, (event) => {
     const { send } = active;
     if (event.kind === 'data') {
       if (send?.head === undefined) return;
@@ -103,9 +106,8 @@
       send.progressAt = getSteadyMs();
       // Set before any data arrives, so that no byte of an unusable answer is forwarded.
       if (findUnusableReason(answerHead, request) === undefined) {
-        const { requestId } = request.fields;
         const isIdentified = head.requestId === requestId;
-        recordNotice(state, { requestId, sentAt: now, isIdentified }, plan.server, head.notice);
+        recordNotice(state, { requestId, sentAt: now, isIdentified }, server, head.notice);
         send.head = answerHead;
         plan.onHead(answerHead);
       }
--- /dev/null
+++ b/packages/router/src/gateway/server-access.ts
@@ -0,0 +1,159 @@
+/**
+ * This VM's ways to servers: its own connections, and peers that send for it where these do not open. Also
+ * sends for peers itself.
+ */
+
+import { askSend, type UpstreamList } from '@tarragonspool/core';
+import type { PeerMessage, RelayMessage, UpstreamId, VmId } from '@tarragonspool/protocol';
+import type { Logger } from '../logging/logger.js';
+import type { FleetView } from '../peers/fleet-view.js';
+import { startPathWatch, type PathWatch } from '../relays/path-watch.js';
+import { makeRelayClient, type RelayPeer } from '../relays/relay-client.js';
+import { makeRelayServer, startStandstillCheck } from '../relays/relay-server.js';
+import { makeServerClient, type ServerClient } from '../relays/server-client.js';
+import { getSteadyMs } from '../time/steady-clock.js';
+import { makeUpstreamClient } from '../upstreams/upstream-client.js';
+import type { GatewayMetrics } from './gateway-metrics.js';
+import type { PeerMeshHolder } from './membership.js';
+import type { GatewaySettings } from './ports.js';
+import { probeAddress } from './probe-address.js';
+import { makeSuspensionCheck } from './service-versions.js';
+
+/** Dependencies of the access to servers. */
+export type ServerAccessParts = {
+  readonly settings: GatewaySettings;
+  readonly upstreams: UpstreamList;
+  readonly fleet: FleetView;
+  readonly meshHolder: PeerMeshHolder;
+  readonly takeFraction: () => number;
+  /** Called as sends for peers begin and end. */
+  readonly onRelayedCount: (change: 1 | -1) => void;
+  readonly metrics: GatewayMetrics;
+  readonly logger: Logger;
+};
+
+/** Access to servers. */
+export type ServerAccess = {
+  readonly client: ServerClient;
+  readonly paths: PathWatch;
+  /**
+   * Whether a server takes connections, of this VM or of a peer; a server is taken for alive where nobody who
+   * reaches another one could try.
+   */
+  readonly isAlive: (upstreamId: UpstreamId) => Promise<boolean>;
+  readonly handleMessage: (from: VmId, message: RelayMessage) => void;
+  /** Ends what was sent over an earlier link to a peer, in both directions. */
+  readonly handleLinkEnded: (vmId: VmId) => void;
+};
+
+const RELAY_MESSAGE_KINDS: ReadonlySet<string> = new Set<RelayMessage['kind']>([
+  'relay-send',
+  'relay-event',
+  'relay-cancel',
+  'relay-flow',
+  'path-question',
+  'path-answer',
+]);
+
+/** Whether a message belongs to the access to servers. */
+export function isRelayMessage(message: PeerMessage): message is RelayMessage {
+  return RELAY_MESSAGE_KINDS.has(message.kind);
+}
+
+function listRelayPeers(
+  { fleet, meshHolder }: ServerAccessParts,
+  upstreamId: UpstreamId,
+  now: number,
+): RelayPeer[] {
+  const peers: RelayPeer[] = [];
+  for (const vmId of fleet.listRelays(upstreamId, now)) {
+    const peer = meshHolder.mesh?.links.get(vmId)?.peer;
+    if (peer !== undefined) peers.push(peer);
+  }
+  return peers;
+}
+
+/** Starts the watch of this VM's ways to servers, and makes what sends over them. */
+export function startServerAccess(parts: ServerAccessParts): ServerAccess {
+  const { settings, upstreams, fleet, meshHolder, takeFraction, metrics, logger } = parts;
+  const direct = makeUpstreamClient();
+  const sendTo = (vmId: VmId, message: RelayMessage): boolean =>
+    meshHolder.mesh?.sendTo(vmId, message) ?? false;
+  const paths = startPathWatch({
+    records: upstreams.records,
+    probe: probeAddress,
+    onLost: ({ address }) => {
+      // Idle connections may have lost their way too, and would be silent.
+      direct.dropIdle(address);
+      meshHolder.tellAlive?.();
+    },
+    onCutOffChanged: (isCutOffNow) => {
+      metrics.cutOff.set(isCutOffNow ? 1 : 0);
+      fleet.setCutOff(isCutOffNow);
+      meshHolder.tellAlive?.();
+    },
+    logger,
+  });
+  const relayClient = makeRelayClient({
+    dataCentre: settings.dataCentre,
+    listPeers: (upstreamId, now) => listRelayPeers(parts, upstreamId, now),
+    sendTo,
+    takeFraction,
+    onSent: () => metrics.relayedSends.inc({ side: 'asked', outcome: 'sent' }),
+    logger,
+  });
+  const client = makeServerClient({ direct, paths, relays: relayClient });
+  const relayServer = makeRelayServer({
+    ask: (upstreamId, incarnation) =>
+      askSend(upstreams, upstreamId, { kind: 'relayed', incarnation }, getSteadyMs()),
+    isLost: paths.isLost,
+    sendDirect: client.sendDirect,
+    tryPath: paths.tryPath,
+    sendTo,
+    countQueuedBytes: (vmId) => meshHolder.mesh?.links.get(vmId)?.countQueuedBytes() ?? 0,
+    hasStoodStill: startStandstillCheck(makeSuspensionCheck()),
+    onCount: parts.onRelayedCount,
+    recordRelayed: (outcome) => metrics.relayedSends.inc({ side: 'made', outcome }),
+    logger,
+  });
+
+  return {
+    client,
+    paths,
+    isAlive: async (upstreamId) => {
+      if (!upstreams.records.has(upstreamId)) return false;
+      const own = await paths.tryPath(upstreamId);
+      if (own === 'opened') return true;
+      const told = await relayClient.askPath(upstreamId);
+      return told === 'opened' || (own === 'unknown' && told === 'unknown');
+    },
+    handleMessage: (from, message) => {
+      switch (message.kind) {
+        case 'relay-send':
+          relayServer.handleSend(from, message);
+          return;
+        case 'relay-event':
+          relayClient.handleEvent(from, message.number, message.event);
+          return;
+        case 'relay-cancel':
+          relayServer.handleCancel(from, message.number);
+          return;
+        case 'relay-flow':
+          relayServer.handleFlow(from, message.number, message.isPaused);
+          return;
+        case 'path-question':
+          relayServer.handleQuestion(from, message.number, message.upstreamId);
+          return;
+        case 'path-answer':
+          relayClient.handleAnswer(from, message.number, message.answer);
+          return;
+        default:
+          message satisfies never;
+      }
+    },
+    handleLinkEnded: (vmId) => {
+      relayClient.handleLinkEnded(vmId);
+      relayServer.handleLinkEnded(vmId);
+    },
+  };
+}
--- a/packages/router/src/gateway/stream-progress.ts
+++ b/packages/router/src/gateway/stream-progress.ts
@@ -122,7 +122,12 @@
   return outcome.kind === 'not-run' ? 'full' : 'broken';
 }
 
-/** Notifies the pool of a failed engine. */
+/** Whether others may not see the failure: this VM may only have lost its own way to the engine. */
+function isDoubtful(failure: EngineFailure): boolean {
+  return failure === 'broken' || failure === 'silent';
+}
+
+/** Notifies the pool of a failed engine, unless this VM seems to be cut off itself. */
 export function notifyEngineFailed(
   state: GatewayState,
   request: GatewayRequest,
@@ -130,9 +135,19 @@
   failure: EngineFailure,
 ): void {
   const { service } = request;
-  sendPoolMessage(
-    state.pools,
-    { kind: 'engine-failed', service, upstreamId, failure },
-    state.logger,
+  const { pools, logger, access } = state;
+  const notify = (): void =>
+    sendPoolMessage(pools, { kind: 'engine-failed', service, upstreamId, failure }, logger);
+  if (!isDoubtful(failure)) {
+    notify();
+    return;
+  }
+  access.paths.tryPath(upstreamId).then(
+    (answer) => {
+      if (answer !== 'unknown') notify();
+      else logger.info({ upstreamId, failure }, 'paths: failure of an engine not told to its pool');
+    },
+    (error: unknown) =>
+      logger.error({ upstreamId, err: error }, 'paths: way to an engine not tried'),
   );
 }
--- a/packages/router/src/peers/fleet-view.fuzz.test.ts
+++ b/packages/router/src/peers/fleet-view.fuzz.test.ts
@@ -88,7 +88,16 @@
   const { isReading } = vm;
   const storeAgeMs = measureAgeMs(vm, now);
   const isStoreAway = storeAgeMs > MAX_STORE_AGE_MS;
-  return { kind: 'alive', isStoreAway, isReading, isLeaving: false, storeAgeMs, positions: [] };
+  return {
+    kind: 'alive',
+    isStoreAway,
+    isReading,
+    isLeaving: false,
+    isCutOff: false,
+    lostServers: [],
+    storeAgeMs,
+    positions: [],
+  };
 }
 
 function runStep(world: World): void {
--- a/packages/router/src/peers/fleet-view.ts
+++ b/packages/router/src/peers/fleet-view.ts
@@ -10,7 +10,7 @@
   type FeedSource,
   type RankedVm,
 } from '@tarragonspool/core';
-import type { AliveMessage, ServiceName, VmId } from '@tarragonspool/protocol';
+import type { AliveMessage, ServiceName, UpstreamId, VmId } from '@tarragonspool/protocol';
 
 /** A listed VM and where it listens to its peers. */
 export type FleetMember = RankedVm & { readonly peerAddress: string };
@@ -35,6 +35,10 @@
   readonly countMembers: () => number;
   /** Lists the live VMs that come first in the ranking of a service; all VMs are linked to them. */
   readonly listHubsOf: (service: ServiceName, now: number) => VmId[];
+  /** Records whether this VM reaches no server itself, and so needs peers that do. */
+  readonly setCutOff: (isCutOffNow: boolean) => void;
+  /** Lists the linked VMs that are alive, stay, and do not say that they fail to reach a server. */
+  readonly listRelays: (upstreamId: UpstreamId, now: number) => VmId[];
   /** Returns the name of the ranking whose first VM decides about a service. */
   readonly findRankingName: (service: ServiceName) => ServiceName;
 };
@@ -43,6 +47,8 @@
 const SILENCE_TIMEOUT_MS = 650;
 /** A VM that could not be reached is dialled again after this time; it is down until it is linked. */
 const RETRY_MS = 4_000;
+/** VMs that reach servers which a VM that is cut off keeps links to. */
+const RELAY_LINKS = 3;
 /** Name of the ranking where no service needs an owner. */
 const DEFAULT_RANKING = 'hubs';
 
@@ -59,6 +65,7 @@
   const peers = new Map<VmId, PeerState>();
   /** When to dial each VM again that could not be reached. */
   const retryAt = new Map<VmId, number>();
+  let isSelfCutOff = false;
 
   function isHeard(vmId: VmId, now: number): boolean {
     const peer = peers.get(vmId);
@@ -116,6 +123,22 @@
     return measurePeerAgeMs(vmId, now) <= maxStoreAgeMs;
   }
 
+  function isRelay(vmId: VmId, now: number): boolean {
+    const message = peers.get(vmId)?.message;
+    return message !== undefined && !message.isCutOff && !isDown(vmId, now);
+  }
+
+  /** Lists the VMs to link because too few of the linked ones reach servers; empty unless cut off. */
+  function listRelayTargets(now: number): VmId[] {
+    if (!isSelfCutOff) return [];
+    const relays = [...peers.keys()].filter((vmId) => isRelay(vmId, now));
+    const missing = Math.max(0, RELAY_LINKS - relays.length);
+    const unknown = rankVms(members.values(), self).filter(
+      (vmId) => vmId !== self && !isDown(vmId, now) && peers.get(vmId)?.message === undefined,
+    );
+    return [...relays, ...unknown.slice(0, missing)];
+  }
+
   return {
     setMembers: (listed) => {
       members = new Map(listed.map((member) => [member.vmId, member]));
@@ -141,12 +164,23 @@
     listTargets: (now) => {
       const targets: FleetMember[] = [];
       const hubs = findAllHubs(now);
-      for (const vmId of new Set([...hubs, ...listRetries(hubs, now)])) {
+      for (const vmId of new Set([...hubs, ...listRetries(hubs, now), ...listRelayTargets(now)])) {
         const member = members.get(vmId);
         if (member !== undefined && vmId !== self) targets.push(member);
       }
       return targets;
     },
+    setCutOff: (isCutOffNow) => {
+      isSelfCutOff = isCutOffNow;
+    },
+    listRelays: (upstreamId, now) => {
+      const relays: VmId[] = [];
+      for (const [vmId, { message }] of peers) {
+        const hasLost = message?.lostServers.includes(upstreamId) ?? true;
+        if (!hasLost && isRelay(vmId, now)) relays.push(vmId);
+      }
+      return relays;
+    },
     isHub: (now) => findAllHubs(now).has(self),
     chooseSource: (isSelfReading, now) =>
       chooseFeedSource({
--- a/packages/router/src/peers/peer-link.ts
+++ b/packages/router/src/peers/peer-link.ts
@@ -30,6 +30,8 @@
   /** When the peer was last heard, on the steady clock, in milliseconds. */
   readonly getHeardAt: () => number;
   readonly send: (message: PeerMessage) => void;
+  /** Bytes that wait to be sent. */
+  readonly countQueuedBytes: () => number;
   readonly close: () => void;
   /** Closes without waiting for the peer, which may not answer any more. */
   readonly cut: () => void;
@@ -128,6 +130,7 @@
       peer,
       getHeardAt: () => heardAt,
       send,
+      countQueuedBytes: () => socket.bufferedAmount,
       close: () => {
         socket.close();
         setTimeout(() => socket.terminate(), CLOSE_TIMEOUT_MS).unref();
--- a/packages/router/src/pools/owners.test.ts
+++ b/packages/router/src/pools/owners.test.ts
@@ -47,9 +47,9 @@
   const selector = buildSelector();
   const service = findServiceOfPeer(selector);
   const cutOff = selector.chooseOwner(service, 0);
-  selector.recordStoreAccess(cutOff, true);
+  selector.recordUnfit(cutOff, true);
   expect(selector.chooseOwner(service, 0)).not.to.equal(cutOff);
-  for (const vmId of [SELF, ...PEERS]) selector.recordStoreAccess(vmId, true);
+  for (const vmId of [SELF, ...PEERS]) selector.recordUnfit(vmId, true);
   expect(selector.chooseOwner(service, 0)).to.equal(cutOff);
 });
 
--- a/packages/router/src/pools/owners.ts
+++ b/packages/router/src/pools/owners.ts
@@ -11,10 +11,10 @@
   readonly removeLink: (vmId: VmId) => void;
   readonly recordMessage: (vmId: VmId, now: number) => void;
   /**
-   * Records whether a VM, this one included, cannot reach the store. Such a VM has older data and
-   * owns no service while another VM reaches the store.
+   * Records whether a VM, this one included, is unfit to decide for others: it cannot reach the store and
+   * has older data, reaches no server, or leaves. It owns no service while another VM is fit.
    */
-  readonly recordStoreAccess: (vmId: VmId, isAway: boolean) => void;
+  readonly recordUnfit: (vmId: VmId, isUnfit: boolean) => void;
   /** Skips a peer that did not reply in time, until a message from it arrives. */
   readonly recordTimeout: (vmId: VmId) => void;
   readonly isAlive: (vmId: VmId, now: number) => boolean;
@@ -30,14 +30,14 @@
 /** A peer is skipped after three heartbeats of silence. */
 const SILENCE_TIMEOUT_MS = 650;
 
-type Peer = { heardAt: number; isSilent: boolean; isStoreAway: boolean };
+type Peer = { heardAt: number; isSilent: boolean; isUnfit: boolean };
 
 /** Makes the owner selector of the VM `self`. */
 export function makeOwnerSelector(self: VmId): OwnerSelector {
   const peers = new Map<VmId, Peer>();
   const capacities = new Map<VmId, number>();
   const rankings = new Map<ServiceName, readonly VmId[]>();
-  let isStoreAway = false;
+  let isSelfUnfit = false;
 
   /** Ranks all VMs that are known for a service. */
   function findRanking(service: ServiceName): readonly VmId[] {
@@ -61,10 +61,10 @@
   }
 
   return {
-    recordStoreAccess: (vmId, isAway) => {
+    recordUnfit: (vmId, isUnfit) => {
       const peer = peers.get(vmId);
-      if (vmId === self) isStoreAway = isAway;
-      else if (peer !== undefined) peer.isStoreAway = isAway;
+      if (vmId === self) isSelfUnfit = isUnfit;
+      else if (peer !== undefined) peer.isUnfit = isUnfit;
     },
     setMembers: (members) => {
       capacities.clear();
@@ -73,7 +73,7 @@
     },
     addLink: (vmId, now) => {
       if (!peers.has(vmId)) rankings.clear();
-      peers.set(vmId, { heardAt: now, isSilent: false, isStoreAway: false });
+      peers.set(vmId, { heardAt: now, isSilent: false, isUnfit: false });
     },
     removeLink: (vmId) => {
       if (peers.delete(vmId)) rankings.clear();
@@ -92,8 +92,8 @@
     chooseOwner: (service, now) => {
       const ranking = findRanking(service);
       for (const vmId of ranking) {
-        const isAway = vmId === self ? isStoreAway : peers.get(vmId)?.isStoreAway === true;
-        if (!isAway && isAlive(vmId, now)) return vmId;
+        const isUnfit = vmId === self ? isSelfUnfit : peers.get(vmId)?.isUnfit === true;
+        if (!isUnfit && isAlive(vmId, now)) return vmId;
       }
       return ranking.find((vmId) => isAlive(vmId, now)) ?? self;
     },
--- a/packages/router/src/pools/pool-task.ts
+++ b/packages/router/src/pools/pool-task.ts
@@ -48,8 +48,8 @@
     }
   /** This VM stops at a planned time, which interrupts the answers that are open then. */
   | { readonly kind: 'stops'; readonly at: number }
-  /** Whether this VM knows less of the store than it should. */
-  | { readonly kind: 'store'; readonly isAway: boolean }
+  /** Whether this VM knows less of the store than it should, or reaches no server. */
+  | { readonly kind: 'unfit'; readonly isUnfit: boolean }
   | { readonly kind: 'members'; readonly members: readonly RankedVm[] }
   | { readonly kind: 'ticked' };
 
@@ -112,9 +112,11 @@
     case 'permit-answer':
       permitClient.handleAnswer(from, message, now);
       return;
-    case 'alive':
-      ownerSelector.recordStoreAccess(from, message.isStoreAway || message.isLeaving);
+    case 'alive': {
+      const { isStoreAway, isLeaving, isCutOff } = message;
+      ownerSelector.recordUnfit(from, isStoreAway || isLeaving || isCutOff);
       return;
+    }
     case 'pool-queued':
     case 'pool-grant':
     case 'pool-refuse':
@@ -203,8 +205,8 @@
       case 'stops':
         client.handleStop(message.at, now);
         return;
-      case 'store':
-        ownerSelector.recordStoreAccess(self, message.isAway);
+      case 'unfit':
+        ownerSelector.recordUnfit(self, message.isUnfit);
         return;
       case 'members':
         ownerSelector.setMembers(message.members);
--- /dev/null
+++ b/packages/router/src/relays/relay-server.test.ts
@@ -0,0 +1,126 @@
+import type { ClearedUpstream, SendClearance } from '@tarragonspool/core';
+import type { RelayMessage, UpstreamId, VmId } from '@tarragonspool/protocol';
+import { expect } from 'chai';
+import { pino } from 'pino';
+import type { UpstreamEvent } from '../upstreams/upstream-client.js';
+import { makeRelayServer } from './relay-server.js';
+
+const PEER = 'vm-1' as VmId;
+const SERVER = { upstreamId: 'a', incarnation: 1 } as unknown as ClearedUpstream;
+const CLEARED: SendClearance = { kind: 'cleared', server: SERVER };
+const LEAVING: SendClearance = { kind: 'refused', refusal: { reason: 'leaving' } };
+
+type Options = {
+  readonly clearance: SendClearance;
+  readonly hasStoodStill: boolean;
+  readonly isLost: boolean;
+};
+
+function buildRelay(options: Partial<Options> = {}) {
+  const { clearance = CLEARED, hasStoodStill = false, isLost = false } = options;
+  const told: RelayMessage[] = [];
+  const calls: string[] = [];
+  const held: { emit?: (event: UpstreamEvent) => void; queuedBytes: number; open: number } = {
+    queuedBytes: 0,
+    open: 0,
+  };
+  const relay = makeRelayServer({
+    ask: () => clearance,
+    isLost: () => isLost,
+    sendDirect: (_call, emit) => {
+      calls.push('send');
+      held.emit = emit;
+      return {
+        cancel: () => calls.push('cancel'),
+        abort: () => calls.push('abort'),
+        pause: () => calls.push('pause'),
+        resume: () => calls.push('resume'),
+      };
+    },
+    tryPath: () => Promise.resolve('opened'),
+    sendTo: (_vmId, message) => {
+      told.push(message);
+      return true;
+    },
+    countQueuedBytes: () => held.queuedBytes,
+    hasStoodStill: () => hasStoodStill,
+    onCount: (change) => {
+      held.open += change;
+    },
+    recordRelayed: () => undefined,
+    logger: pino({ level: 'silent' }),
+  });
+  const send = (): void =>
+    relay.handleSend(PEER, {
+      kind: 'relay-send',
+      number: 1,
+      requestId: 'r',
+      upstreamId: 'a' as UpstreamId,
+      incarnation: 1,
+      method: 'GET',
+      path: '/',
+      headers: [],
+      body: Buffer.alloc(0),
+    });
+  return { relay, send, told, calls, held };
+}
+
+function listUnsentReasons(told: readonly RelayMessage[]): string[] {
+  const reasons: string[] = [];
+  for (const message of told) {
+    if (message.kind !== 'relay-event' || message.event.kind !== 'failed') continue;
+    if (!message.event.isSent) reasons.push(message.event.reason);
+  }
+  return reasons;
+}
+
+// Guards against a server that leaves getting requests on the second way.
+it('relay: a server that leaves by what this VM knows gets nothing for a peer', () => {
+  const { send, told, calls } = buildRelay({ clearance: LEAVING });
+  send();
+  expect(calls).to.deep.equal([]);
+  expect(listUnsentReasons(told)).to.deep.equal(['leaving']);
+});
+
+// Guards against requests being sent after their VM gave them up, while this one stood still.
+it('relay: what was read after this process stood still is not sent', () => {
+  const { send, told, calls } = buildRelay({ hasStoodStill: true });
+  send();
+  expect(calls).to.deep.equal([]);
+  expect(listUnsentReasons(told)).to.deep.equal(['relay stood still']);
+});
+
+// Guards against a send waiting at a peer that reaches the server no better.
+it('relay: a server whose way is lost here too is refused at once', () => {
+  const { send, told, calls } = buildRelay({ isLost: true });
+  send();
+  expect(calls).to.deep.equal([]);
+  expect(listUnsentReasons(told)).to.have.length(1);
+});
+
+// Guards against servers working on for callers that have left, or for a VM that is gone.
+it('relay: sends of a peer are dropped as it cancels them or its link ends', () => {
+  const { relay, send, calls, held } = buildRelay();
+  send();
+  relay.handleCancel(PEER, 1);
+  relay.handleCancel(PEER, 1);
+  expect(calls).to.deep.equal(['send', 'cancel']);
+  send();
+  relay.handleLinkEnded(PEER);
+  expect(calls).to.deep.equal(['send', 'cancel', 'send', 'cancel']);
+  expect(held.open).to.equal(0);
+});
+
+// Guards against an answer filling the memory of this VM while its peer does not read.
+it('relay: an answer is read on only while its peer takes it', () => {
+  const { relay, send, calls, held } = buildRelay();
+  send();
+  held.queuedBytes = 2_000_000;
+  held.emit?.({ kind: 'data', chunk: Buffer.from('x') });
+  expect(calls).to.deep.equal(['send', 'pause']);
+  held.queuedBytes = 0;
+  relay.handleFlow(PEER, 1, true);
+  relay.handleFlow(PEER, 1, false);
+  relay.handleCancel(PEER, 1);
+  expect(calls).to.deep.equal(['send', 'pause', 'pause', 'pause', 'cancel']);
+});
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -21,6 +21,10 @@
   /** Names and values in turn. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Time for a new connection to open, in milliseconds; `CONNECT_TIMEOUT_MS` if absent. */
+  readonly connectTimeoutMs?: number;
+  /** Called when a new connection has opened for the call. */
+  readonly onOpened?: () => void;
 };
 
 /** What tells the end of an answer: its length, its chunks, or only the end of its connection. */
@@ -53,6 +57,8 @@
 /** Sends calls. */
 export type UpstreamClient = {
   readonly send: (call: UpstreamCall, onEvent: (event: UpstreamEvent) => void) => UpstreamExchange;
+  /** Ends the idle connections to an address. */
+  readonly dropIdle: (address: string) => void;
   readonly close: () => void;
 };
 
@@ -111,7 +117,11 @@
   return agent;
 }
 
-function watchConnect(outgoing: ClientRequest, onConnected: () => void): void {
+function watchConnect(
+  outgoing: ClientRequest,
+  { connectTimeoutMs = CONNECT_TIMEOUT_MS, onOpened }: UpstreamCall,
+  onConnected: () => void,
+): void {
   outgoing.on('socket', (socket) => {
     socket.setNoDelay(true);
     if (!socket.connecting) {
@@ -120,10 +130,11 @@
     }
     const timer = setTimeout(
       () => outgoing.destroy(new Error('connect timeout')),
-      CONNECT_TIMEOUT_MS,
+      connectTimeoutMs,
     );
     socket.once('connect', () => {
       clearTimeout(timer);
+      onOpened?.();
       onConnected();
     });
     socket.once('close', () => clearTimeout(timer));
@@ -188,7 +199,7 @@
     });
   }
 
-  watchConnect(outgoing, () => {
+  watchConnect(outgoing, call, () => {
     isSent = true;
   });
   outgoing.on('socket', (socket) => {
@@ -252,6 +263,11 @@
   const agent = keepsConnections ? makeGuardedAgent() : new Agent({ keepAlive: false });
   return {
     send: (call, onEvent) => startExchange(agent, call, onEvent),
+    dropIdle: (address) => {
+      const [host = '', port = '0'] = address.split(':');
+      const name = agent.getName({ host, port: Number(port) });
+      for (const socket of agent.freeSockets[name] ?? []) socket.destroy();
+    },
     close: () => agent.destroy(),
   };
 }
