Cut VMs: a stream to whose engines no way is known is refused at once

Cause: where all VMs were cut, a stream asked for slots again until its patience ended: 503 after 1,980 of 2,500 ms.

--- a/packages/router/src/gateway/server-access.ts
+++ b/packages/router/src/gateway/server-access.ts
@@ -3,7 +3,7 @@
  * sends for peers itself.
  */
 
-import { askSend, type UpstreamList } from '@tarragonspool/core';
+import { askSend, type UpstreamList, type UpstreamRecord } from '@tarragonspool/core';
 import type { PeerMessage, RelayMessage, UpstreamId, VmId } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import type { FleetView } from '../peers/fleet-view.js';
@@ -36,6 +36,8 @@
 export type ServerAccess = {
   readonly client: ServerClient;
   readonly paths: PathWatch;
+  /** Whether a request may reach a server, over a connection of this VM or by way of a peer. */
+  readonly hasWay: (server: UpstreamRecord) => boolean;
   /**
    * Whether a server takes connections, of this VM or of a peer; a server is taken for alive where nobody who
    * reaches another one could try.
@@ -120,6 +122,7 @@
   return {
     client,
     paths,
+    hasWay: (server) => !paths.isLost(server) || relayClient.hasPeer(server.upstreamId),
     isAlive: async (upstreamId) => {
       if (!upstreams.records.has(upstreamId)) return false;
       const own = await paths.tryPath(upstreamId);
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -26,7 +26,8 @@
   const now = getSteadyMs();
   const isDecoder = ({ stage, softwareVersion }: UpstreamRecord): boolean =>
     stage === 'decode' && softwareVersion === (progress.origin?.softwareVersion ?? softwareVersion);
-  if (listUsableUpstreams(state.upstreams, service, now).some(isDecoder)) return undefined;
+  const usable = listUsableUpstreams(state.upstreams, service, now).filter(isDecoder);
+  if (usable.some(state.access.hasWay)) return undefined;
   const listed = [...state.upstreams.records.values()].filter(
     (engine) => engine.service === service && isDecoder(engine),
   );
@@ -34,7 +35,8 @@
     return 'version-gone';
   }
   const refused = listRefusedUpstreams(state.upstreams, service, now);
-  return progress.runs > 0 || refused.length === 0 ? undefined : 'no-upstream';
+  const isWithout = refused.length > 0 || usable.length > 0;
+  return progress.runs > 0 || !isWithout ? undefined : 'no-upstream';
 }
 
 /**
--- a/packages/router/src/relays/relay-client.ts
+++ b/packages/router/src/relays/relay-client.ts
@@ -40,6 +40,8 @@
     tried: Set<VmId>,
     onEvent: (event: UpstreamEvent) => void,
   ) => UpstreamExchange | undefined;
+  /** Whether any peer may reach a server. */
+  readonly hasPeer: (upstreamId: UpstreamId) => boolean;
   /** Asks peers whether a connection to a server opens there; `opened` if one of them says so. */
   readonly askPath: (upstreamId: UpstreamId) => Promise<PathAnswer>;
   readonly handleEvent: (from: VmId, number: number, event: RelayedEvent) => void;
@@ -139,6 +141,7 @@
       logger.info({ requestId, upstreamId, peer: vmId }, 'relays: sent by way of a peer');
       return makeExchange(number, vmId);
     },
+    hasPeer: (upstreamId) => parts.listPeers(upstreamId, getSteadyMs()).length > 0,
     askPath: (upstreamId) => {
       const asked = listCandidates(upstreamId, new Set()).slice(0, MAX_ASKED_PEERS);
       if (asked.length === 0) return Promise.resolve('unknown');
