Repeated refusals: a connection carries a request once, and a kept one only answers with an id

Cause: an answer was taken for a request's unless it named another one. A request that is sent again has the same id, also on the same connection, and an answer without an id passed always. So a refusal that a server wrote again on a kept connection was believed again: callers heard 'not run' of a request that ran, or it ran at a second server.

The check now lies where the connection is, in the client: a connection carries a request id once at most and remembers all ids (it is not kept after 256), on a kept one an answer has to have the request's id, and an answer without an id is used only as the first one of its connection, which is then not kept. It holds for successes and failures as well.

Ruled out: the refusal of another request that names it (failed the send before, too); calls to engines (new connections).

The tests of upstream-client.test.ts have answers with ids now, as without one no connection is kept; what they ask is the same.

--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -104,10 +104,11 @@
 
 /** Makes the state of a gateway that has no configuration and no upstreams yet. */
 export function makeGatewayState(parts: GatewayStateParts): GatewayState {
+  const { decodeRequestId } = parts.ports.dialect;
   return {
     ...parts,
-    client: makeUpstreamClient(),
-    engineClient: makeUpstreamClient({ keepsConnections: false }),
+    client: makeUpstreamClient({ keepsConnections: true, decodeRequestId }),
+    engineClient: makeUpstreamClient({ keepsConnections: false, decodeRequestId }),
     configuration: undefined,
     routes: new Map(),
     upstreams: makeUpstreamList(),
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -192,6 +192,8 @@
     bodyBytes: number,
     placement: PlacementFields,
   ) => string[];
+  /** Finds the id of the request that an answer names. */
+  readonly decodeRequestId: (headers: IncomingHttpHeaders) => string | undefined;
   readonly decodeUpstreamHead: (status: number, headers: IncomingHttpHeaders) => UpstreamHead;
   readonly makeAnswerHeaders: (rawHeaders: readonly string[]) => string[];
   readonly decodePrefill: (body: Buffer) => { handle: string; tokens: number } | undefined;
--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -62,15 +62,6 @@
   return sendCount;
 }
 
-/** Finds the reason why an answer cannot be used; undefined if it can. */
-function findUnusableReason(head: AnswerHead, request: GatewayRequest): string | undefined {
-  if (head.requestId !== undefined && head.requestId !== request.fields.requestId) {
-    return 'answer to another request';
-  }
-  if (head.isEncoded) return 'encoded body';
-  return undefined;
-}
-
 /** State of a send that has not ended. */
 type ActiveSend = {
   readonly number: number;
@@ -90,7 +81,10 @@
   const { body, method, path } = request;
   const headers = dialect.makeForwardHeaders(request.rawHeaders, body.length, placement);
   const active: { send: ActiveSend | undefined } = { send: undefined };
-  const exchange = state.client.send({ address, method, path, headers, body }, (event) => {
+  const { requestId } = request.fields;
+  const sentId = requestId === '' ? undefined : requestId;
+  const call = { address, requestId: sentId, method, path, headers, body };
+  const exchange = state.client.send(call, (event) => {
     const { send } = active;
     if (event.kind === 'data') {
       if (send?.head === undefined) return;
@@ -101,9 +95,8 @@
       const head = dialect.decodeUpstreamHead(event.status, event.headers);
       const answerHead = { ...head, rawHeaders: event.rawHeaders, framing: event.framing };
       send.progressAt = getSteadyMs();
-      // Set before any data arrives, so that no byte of an unusable answer is forwarded.
-      if (findUnusableReason(answerHead, request) === undefined) {
-        const { requestId } = request.fields;
+      // Set before any data arrives, so that no byte of an encoded answer is forwarded.
+      if (!head.isEncoded) {
         const isIdentified = head.requestId === requestId;
         recordNotice(state, { requestId, sentAt: now, isIdentified }, plan.server, head.notice);
         send.head = answerHead;
--- a/packages/router/src/stages/engine-calls.ts
+++ b/packages/router/src/stages/engine-calls.ts
@@ -18,7 +18,7 @@
 function* callEngine(
   state: GatewayState,
   engine: ClearedUpstream,
-  call: Omit<UpstreamCall, 'address'>,
+  call: Omit<UpstreamCall, 'address' | 'requestId'>,
 ): Task<CallAnswer | undefined> {
   const outcome = makeChannel<CallAnswer | 'failed'>(1);
   const chunks: Buffer[] = [];
@@ -26,7 +26,7 @@
   let bytes = 0;
   const { address } = engine;
   const origin = { requestId: undefined, sentAt: getSteadyMs(), isIdentified: false };
-  const exchange = state.engineClient.send({ ...call, address }, (event) => {
+  const exchange = state.engineClient.send({ ...call, address, requestId: undefined }, (event) => {
     if (event.kind === 'data') {
       bytes += event.chunk.length;
       if (bytes <= MAX_ANSWER_BYTES) chunks.push(event.chunk);
--- a/packages/router/src/upstreams/upstream-client.test.ts
+++ b/packages/router/src/upstreams/upstream-client.test.ts
@@ -1,13 +1,21 @@
+import type { IncomingHttpHeaders } from 'node:http';
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import type { ClearedAddress } from '@tarragonspool/core';
 import { expect } from 'chai';
 import { makeUpstreamClient, type UpstreamCall, type UpstreamEvent } from './upstream-client.js';
 
 const HOST = process.env.TARRAGONSPOOL_TEST_HOST ?? '127.0.0.1';
-const UNFRAMED = 'HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nhello';
-const FRAMED = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello';
+const CLIENT_OPTIONS = {
+  keepsConnections: true,
+  decodeRequestId: (headers: IncomingHttpHeaders) => headers['request-id'] as string | undefined,
+};
 
-type Answer = (socket: Socket, count: number) => void;
+const buildUnframed = (id: string): string => `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\n\r\nhello`;
+const buildFramed = (id: string): string =>
+  `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nContent-Length: 5\r\n\r\nhello`;
+
+/** Answers a request by its number from 1, and its id. */
+type Answer = (socket: Socket, count: number, requestId: string) => void;
 
 async function startServer(answer: Answer): Promise<Server> {
   let count = 0;
@@ -16,7 +24,7 @@
     socket.on('data', (data) => {
       if (data.length < 10) return;
       count += 1;
-      answer(socket, count);
+      answer(socket, count, /^request-id: (.+)\r$/imu.exec(data.toString())?.[1] ?? '');
     });
   });
   await new Promise<void>((resolve) => {
@@ -25,21 +33,21 @@
   return server;
 }
 
-function buildCall(server: Server): UpstreamCall {
+function buildCall(server: Server, requestId: string): UpstreamCall {
   const { port } = server.address() as AddressInfo;
-  const headers = ['Host', 'a.example'];
+  const headers = ['Host', 'a.example', 'Request-Id', requestId];
   const address = `${HOST}:${port}` as ClearedAddress;
-  return { address, method: 'GET', path: '/', headers, body: Buffer.alloc(0) };
+  return { address, requestId, method: 'GET', path: '/', headers, body: Buffer.alloc(0) };
 }
 
 async function sendCalls(answer: Answer, calls: number, pauseMs = 0): Promise<UpstreamEvent[]> {
   const server = await startServer(answer);
-  const client = makeUpstreamClient();
+  const client = makeUpstreamClient(CLIENT_OPTIONS);
   const ends: UpstreamEvent[] = [];
   for (let call = 0; call < calls; call += 1) {
     // eslint-disable-next-line no-await-in-loop -- each call reuses the connection of the one before
     const end = await new Promise<UpstreamEvent>((resolve) => {
-      client.send(buildCall(server), (event) => {
+      client.send(buildCall(server, `r${call}`), (event) => {
         if (event.kind === 'ended' || event.kind === 'failed') resolve(event);
       });
     });
@@ -55,35 +63,36 @@
 }
 
 it('upstream client: an answer without length is whole if its connection ends', async () => {
-  const ends = await sendCalls((socket) => socket.end(UNFRAMED), 1);
+  const ends = await sendCalls((socket, _count, id) => socket.end(buildUnframed(id)), 1);
   expect(ends[0]?.kind).to.equal('ended');
 });
 
 it('upstream client: an answer without length is not whole if its connection is reset', async () => {
-  const ends = await sendCalls((socket) => {
-    socket.write(UNFRAMED);
+  const ends = await sendCalls((socket, _count, id) => {
+    socket.write(buildUnframed(id));
     socket.resetAndDestroy();
   }, 1);
   expect(ends[0]).to.include({ kind: 'failed', isSent: true });
 });
 
 it('upstream client: a cut answer is not whole', async () => {
-  const ends = await sendCalls((socket) => socket.end(FRAMED.slice(0, -2)), 1);
+  const ends = await sendCalls((socket, _count, id) => socket.end(buildFramed(id).slice(0, -2)), 1);
   expect(ends[0]).to.include({ kind: 'failed', isSent: true });
 });
 
-const CHUNKED = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n';
-const FURTHER_BYTES = { 'bytes that are no answer': 'xx', 'a second answer': FRAMED };
+const buildChunked = (id: string): string =>
+  `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n`;
+const FURTHER_BYTES = { 'bytes that are no answer': () => 'xx', 'a second answer': buildFramed };
 
 // Guards against a whole answer that is given as a failure because bytes came right behind it.
-for (const [what, bytes] of Object.entries(FURTHER_BYTES)) {
+for (const [what, buildBytes] of Object.entries(FURTHER_BYTES)) {
   it(`upstream client: an answer is whole although it comes together with ${what}, and its connection is not kept`, async () => {
-    for (const answer of [FRAMED, CHUNKED]) {
+    for (const buildAnswer of [buildFramed, buildChunked]) {
       const connections = new Set<Socket>();
       // eslint-disable-next-line no-await-in-loop -- one kind of answer after the other
-      const ends = await sendCalls((socket) => {
+      const ends = await sendCalls((socket, _count, id) => {
         connections.add(socket);
-        socket.write(`${answer}${bytes}`);
+        socket.write(`${buildAnswer(id)}${buildBytes(id)}`);
       }, 2);
       expect(ends.map(({ kind }) => kind)).to.deep.equal(['ended', 'ended']);
       expect(connections.size).to.equal(2);
@@ -93,12 +102,12 @@
 
 it('upstream client: a refused connection means that nothing was sent', async () => {
   const server = await startServer(() => undefined);
-  const call = buildCall(server);
+  const call = buildCall(server, 'r');
   await new Promise((resolve) => {
     server.close(resolve);
   });
   const end = await new Promise<UpstreamEvent>((resolve) => {
-    makeUpstreamClient().send(call, resolve);
+    makeUpstreamClient(CLIENT_OPTIONS).send(call, resolve);
   });
   expect(end).to.include({ kind: 'failed', isSent: false });
 });
@@ -106,10 +115,10 @@
 it('upstream client: a second answer on an idle connection belongs to no request', async () => {
   const connections = new Set<Socket>();
   const ends = await sendCalls(
-    (socket, count) => {
+    (socket, count, id) => {
       connections.add(socket);
-      socket.write(FRAMED);
-      if (count === 1) setTimeout(() => socket.write(FRAMED), 10);
+      socket.write(buildFramed(id));
+      if (count === 1) setTimeout(() => socket.write(buildFramed(id)), 10);
     },
     2,
     60,
@@ -122,16 +131,16 @@
   const warnings: string[] = [];
   const onWarning = (warning: Error): number => warnings.push(warning.name);
   process.on('warning', onWarning);
-  await sendCalls((socket) => socket.write(FRAMED), 14);
+  await sendCalls((socket, _count, id) => socket.write(buildFramed(id)), 14);
   process.off('warning', onWarning);
   expect(warnings).to.deep.equal([]);
 });
 
 it('upstream client: connections are kept for the next request', async () => {
   const connections = new Set<Socket>();
-  await sendCalls((socket) => {
+  await sendCalls((socket, _count, id) => {
     connections.add(socket);
-    socket.write(FRAMED);
+    socket.write(buildFramed(id));
   }, 3);
   expect(connections.size).to.equal(1);
 });
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -1,6 +1,7 @@
 /**
  * Sends requests to servers over kept connections. Tells apart a request of which no byte left from
- * one that may have reached the server, and ends connections on which bytes come unasked.
+ * one that may have reached the server, and ends connections on which bytes come unasked, or an
+ * answer that may belong to another request.
  */
 
 import {
@@ -12,10 +13,13 @@
 } from 'node:http';
 import type { Socket } from 'node:net';
 import type { ClearedAddress } from '@tarragonspool/core';
+import { canCarryMore, chooseAgent, findForeignReason, recordCarried } from './carried-requests.js';
 
 /** One request to a server. */
 export type UpstreamCall = {
   readonly address: ClearedAddress;
+  /** The id that its answer bears; undefined if the call has none. It is the same when sent again. */
+  readonly requestId: string | undefined;
   readonly method: string;
   readonly path: string;
   /** Names and values in turn. */
@@ -98,7 +102,7 @@
   const keepSocketAlive = hooks.keepSocketAlive.bind(agent);
   const reuseSocket = hooks.reuseSocket.bind(agent);
   hooks.keepSocketAlive = (socket) => {
-    if (!keepSocketAlive(socket)) return false;
+    if (!keepSocketAlive(socket) || !canCarryMore(socket)) return false;
     socket.setTimeout(readIdleMs(socket));
     socket.on('data', destroyOnData);
     return true;
@@ -139,16 +143,26 @@
   return hasNoBody || headers['content-length'] !== undefined ? 'length' : 'connection';
 }
 
+/** How a client treats its connections and answers. */
+export type UpstreamClientOptions = {
+  readonly keepsConnections: boolean;
+  /** Finds the id of the request that an answer names. */
+  readonly decodeRequestId: (headers: IncomingHttpHeaders) => string | undefined;
+};
+
 function startExchange(
   agent: Agent,
+  decodeRequestId: UpstreamClientOptions['decodeRequestId'],
   call: UpstreamCall,
   emit: (event: UpstreamEvent) => void,
 ): UpstreamExchange {
-  const [host = '', port = '0'] = call.address.split(':');
+  const [host = '', portText = '0'] = call.address.split(':');
+  const { requestId } = call;
+  const port = Number(portText);
   const outgoing = request({
     host,
-    port: Number(port),
-    agent,
+    port,
+    agent: chooseAgent(agent, { host, port }, requestId),
     method: call.method,
     path: call.path,
     headers: call.headers as string[],
@@ -192,6 +206,7 @@
     isSent = true;
   });
   outgoing.on('socket', (socket) => {
+    if (requestId !== undefined) recordCarried(socket, requestId);
     const noteError = (error: Error): void => {
       socketError = error.message;
     };
@@ -220,6 +235,12 @@
     message.on('close', () => {
       if (!hasEnded) fail('closed before its end');
     });
+    const answerId = decodeRequestId(headers);
+    // It could be written again as the answer to a later request.
+    if (answerId === undefined) outgoing.shouldKeepAlive = false;
+    const isReused = outgoing.reusedSocket;
+    const foreignReason = findForeignReason({ requestId, answerId, isReused });
+    if (foreignReason !== undefined) fail(foreignReason);
     if (!isOver) emit({ kind: 'head', status, framing, headers, rawHeaders });
   });
   // Of an answer that is whole its own end is still to come; what follows it belongs to no request.
@@ -246,12 +267,10 @@
  * Makes a client with connections of its own. Without `keepsConnections` each call has a new one, so
  * that no late answer to an earlier call can be taken for its own.
  */
-export function makeUpstreamClient(
-  { keepsConnections } = { keepsConnections: true },
-): UpstreamClient {
-  const agent = keepsConnections ? makeGuardedAgent() : new Agent({ keepAlive: false });
+export function makeUpstreamClient(options: UpstreamClientOptions): UpstreamClient {
+  const agent = options.keepsConnections ? makeGuardedAgent() : new Agent({ keepAlive: false });
   return {
-    send: (call, onEvent) => startExchange(agent, call, onEvent),
+    send: (call, onEvent) => startExchange(agent, options.decodeRequestId, call, onEvent),
     close: () => agent.destroy(),
   };
 }
