--- a/packages/protocol/src/relay-messages.ts
+++ b/packages/protocol/src/relay-messages.ts
@@ -29,10 +29,10 @@
   z.object({
     kind: z.literal('relay-send'),
     number: count,
-    requestId: id,
+    requestId: z.string().optional(),
     upstreamId: id,
     incarnation: z.number(),
-    method: id,
+    method: z.string(),
     path: z.string(),
     headers: z.array(z.string()),
     body: bytes,
@@ -71,7 +71,8 @@
   | {
       readonly kind: 'relay-send';
       readonly number: number;
-      readonly requestId: string;
+      /** Absent if the request has no id. */
+      readonly requestId?: string | undefined;
       readonly upstreamId: UpstreamId;
       readonly incarnation: number;
       readonly method: string;
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -106,9 +106,10 @@
 
 /** Makes the state of a gateway that has no configuration and no upstreams yet. */
 export function makeGatewayState(parts: GatewayStateParts): GatewayState {
+  const { decodeRequestId } = parts.ports.dialect;
   return {
     ...parts,
-    engineClient: makeUpstreamClient({ keepsConnections: false }),
+    engineClient: makeUpstreamClient({ keepsConnections: false, decodeRequestId }),
     configuration: undefined,
     routes: new Map(),
     hasBeenSuspended: makeSuspensionCheck(),
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -90,6 +90,7 @@
     fleet,
     meshHolder,
     takeFraction,
+    decodeRequestId: ports.dialect.decodeRequestId,
     onRelayedCount: (change) => {
       if (stateHolder.state !== undefined) stateHolder.state.openRequests += change;
     },
--- a/packages/router/src/gateway/server-access.ts
+++ b/packages/router/src/gateway/server-access.ts
@@ -15,7 +15,7 @@
 import { makeUpstreamClient } from '../upstreams/upstream-client.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { PeerMeshHolder } from './membership.js';
-import type { GatewaySettings } from './ports.js';
+import type { GatewaySettings, HttpDialect } from './ports.js';
 import { probeAddress } from './probe-address.js';
 import { makeSuspensionCheck } from './service-versions.js';
 
@@ -26,6 +26,7 @@
   readonly fleet: FleetView;
   readonly meshHolder: PeerMeshHolder;
   readonly takeFraction: () => number;
+  readonly decodeRequestId: HttpDialect['decodeRequestId'];
   /** Called as sends for peers begin and end. */
   readonly onRelayedCount: (change: 1 | -1) => void;
   readonly metrics: GatewayMetrics;
@@ -78,7 +79,8 @@
 /** Starts the watch of this VM's ways to servers, and makes what sends over them. */
 export function startServerAccess(parts: ServerAccessParts): ServerAccess {
   const { settings, upstreams, fleet, meshHolder, takeFraction, metrics, logger } = parts;
-  const direct = makeUpstreamClient();
+  const { decodeRequestId } = parts;
+  const direct = makeUpstreamClient({ keepsConnections: true, decodeRequestId });
   const sendTo = (vmId: VmId, message: RelayMessage): boolean =>
     meshHolder.mesh?.sendTo(vmId, message) ?? false;
   const paths = startPathWatch({
--- a/packages/router/src/relays/server-client.ts
+++ b/packages/router/src/relays/server-client.ts
@@ -19,8 +19,8 @@
 /** One request to a server. */
 export type ServerCall = Pick<UpstreamCall, 'method' | 'path' | 'headers' | 'body'> & {
   readonly server: ClearedUpstream;
-  /** The caller's id of the request, for logs. */
-  readonly requestId: string;
+  /** The caller's id of the request, which its answer bears; undefined if it has none. */
+  readonly requestId: string | undefined;
 };
 
 /** Sends requests to servers by the way that works. */
@@ -77,13 +77,14 @@
   }
 
   function sendDirect(call: ServerCall, onEvent: (event: UpstreamEvent) => void): UpstreamExchange {
-    const { server, method, path, headers, body } = call;
+    const { server, requestId, method, path, headers, body } = call;
     const underWay: DirectSend = { server, startedAt: getSteadyMs() };
     open.add(underWay);
     ticker.wake();
     const exchange = direct.send(
       {
         address: server.address,
+        requestId,
         method,
         path,
         headers,
