An entry of a server to which nothing can be sent names no server

Cause: the decoder of entries took ports above 65535 and 0, dotted numbers that are no IPv4 address, ids that no header can hold and numbers without bound. Such a server got its share of the calls, and the send threw: at a call its caller heard 502, at the stage task (report, order) the process ended, and again after each start where the entry lay at the head of its pool. Ruled out: nesting (JSON.parse takes 65,536 bytes of it without recursion), numbers beyond a double (they were refused before). Also: rows are parsed by one function, which names the reason; each version of a row is told once, ten a second at most, and counted (tarragonspool_gateway_unusable_rows_total); IP:PORT is parsed by one function, in the settings file too, which so refuses ports that nothing can listen on. Conclusion: fixed where entries are decoded.

--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -60,6 +60,12 @@
       help: 'Rows of this VM that the store had lost and that it wrote again.',
       registers,
     }),
+    unusableRows: new Counter({
+      name: `${PREFIX}unusable_rows_total`,
+      help: 'Versions of rows that cannot be used, by table.',
+      labelNames: ['table'],
+      registers,
+    }),
     quarantined: new Counter({
       name: `${PREFIX}quarantined_total`,
       help: 'Requests not sent because they crash servers, by what does: content or parts.',
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -13,6 +13,7 @@
   UpstreamId,
   VmId,
 } from '@tarragonspool/protocol';
+import type { ParsedRow } from '../json/parse-row.js';
 
 /** A TCP address. */
 export type ListenAddress = { readonly host: string; readonly port: number };
@@ -215,6 +216,6 @@
   };
   readonly upstreams: {
     readonly table: string;
-    readonly decode: (key: string, bytes: Buffer) => UpstreamRecord | undefined;
+    readonly decode: (key: string, bytes: Buffer) => ParsedRow<UpstreamRecord>;
   };
 };
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -20,6 +20,7 @@
   type RowOrigin,
   type TableFeed,
 } from '../feeds/table-feed.js';
+import { makeUnusableRowRecorder, type RecordUnusableRow } from '../feeds/unusable-rows.js';
 import { startAdaptiveTicker } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { applyCallerLimits } from './caller-listener.js';
@@ -70,14 +71,18 @@
   );
 }
 
-function decodeUpstreamRow(state: GatewayState, row: RowChange): UpstreamChange {
+/** Decodes one row of the list; one that names no usable server takes nothing from the others. */
+function decodeUpstreamRow(
+  { ports: { upstreams } }: GatewayState,
+  row: RowChange,
+  recordUnusable: RecordUnusableRow,
+): UpstreamChange {
   const upstreamId = row.key as UpstreamId;
-  const { value } = row;
-  const record = value && state.ports.upstreams.decode(row.key, value);
-  if (value !== undefined && record === undefined) {
-    state.logger.warn({ upstreamId }, 'upstreams: entry cannot be decoded');
-  }
-  return { upstreamId, record, isRemoved: value === undefined };
+  if (row.value === undefined) return { upstreamId, record: undefined, isRemoved: true };
+  const decoded = upstreams.decode(row.key, row.value);
+  if (decoded.kind === 'usable') return { upstreamId, record: decoded.value, isRemoved: false };
+  recordUnusable(row, decoded.reason);
+  return { upstreamId, record: undefined, isRemoved: false };
 }
 
 function logUpstreams(
@@ -120,10 +125,12 @@
     isBusy,
     onTick: () => removeLapsed(state),
   });
-  const options = { ...makeFeedOptions(state), table: upstreams.table };
+  const { table } = upstreams;
+  const options = { ...makeFeedOptions(state), table };
+  const recordUnusable = makeUnusableRowRecorder({ ...state, table });
   const handler = {
     onRows: (rows: readonly RowChange[], origin: RowOrigin) => {
-      const changes = rows.map((row) => decodeUpstreamRow(state, row));
+      const changes = rows.map((row) => decodeUpstreamRow(state, row, recordUnusable));
       logUpstreams(state, changes, origin);
       const now = getSteadyMs();
       recordVersions(state.versions, state.upstreams.records.values(), now);
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -11,3 +11,5 @@
 export { startGateway, type Gateway } from './gateway/gateway.js';
 export type * from './gateway/ports.js';
 export { closeByReset } from './http/broken-answers.js';
+export { isHeaderToken, parseAddress, type HostAndPort } from './http/parse-address.js';
+export { parseRow, refuseRow, type ParsedRow } from './json/parse-row.js';
--- /dev/null
+++ b/packages/router/src/json/parse-row.ts
@@ -0,0 +1,40 @@
+/** Parses rows of the store. Anybody may have written a row, so each is checked as a whole. */
+
+import { isUtf8 } from 'node:buffer';
+import type * as z from 'zod';
+
+/** What a row says, or why it can't be used. */
+export type ParsedRow<T> =
+  | { readonly kind: 'usable'; readonly value: T }
+  | { readonly kind: 'unusable'; readonly reason: string };
+
+/** Longest row that is parsed, in bytes; the store takes no longer ones. */
+export const MAX_ROW_BYTES = 8_388_608;
+/** Reasons come from the row and end in logs. */
+const MAX_REASON_LENGTH = 200;
+
+/** Builds the answer for a row that can't be used. */
+export function refuseRow(reason: string): ParsedRow<never> {
+  return { kind: 'unusable', reason: reason.slice(0, MAX_REASON_LENGTH) };
+}
+
+function findReason({ issues: [issue] }: z.ZodError): string {
+  return issue === undefined ? 'not valid' : `${issue.path.join('.')}: ${issue.message}`;
+}
+
+/** Parses a row as JSON of a schema; whatever the bytes are, it does not throw. */
+export function parseRow<T>(
+  schema: z.ZodType<T>,
+  bytes: Buffer,
+  maxBytes = MAX_ROW_BYTES,
+): ParsedRow<T> {
+  if (bytes.length > maxBytes) return refuseRow(`longer than ${maxBytes} bytes`);
+  if (!isUtf8(bytes)) return refuseRow('no text in UTF-8');
+  try {
+    const parsed = schema.safeParse(JSON.parse(bytes.toString('utf8')));
+    if (parsed.success) return { kind: 'usable', value: parsed.data };
+    return refuseRow(findReason(parsed.error));
+  } catch (error) {
+    return refuseRow(String(error));
+  }
+}
--- a/packages/router/src/settings/check-settings.ts
+++ b/packages/router/src/settings/check-settings.ts
@@ -10,7 +10,7 @@
   type SettingName,
   type Settings,
 } from './settings.js';
-import { parseAddress } from './value-schemas.js';
+import { parseAddress } from '../http/parse-address.js';
 
 /** Result of checking settings. */
 export type CheckedSettings =
--- a/packages/router/src/settings/value-schemas.ts
+++ b/packages/router/src/settings/value-schemas.ts
@@ -1,9 +1,8 @@
 /** Schemas of the kinds of values that settings take. Each message says what was expected. */
 
-import { isIPv4 } from 'node:net';
 import * as z from 'zod';
+import { MAX_PORT, parseAddress } from '../http/parse-address.js';
 
-const MAX_PORT = 65_535;
 const MIN_SECRET_LENGTH = 16;
 const MAX_SECRET_LENGTH = 256;
 const MAX_PEER_SECRETS = 8;
@@ -11,18 +10,6 @@
 const SECRET_PATTERN = /^[\x21-\x2b\x2d-\x7e]+$/;
 const HTTP_PREFIX = 'http://';
 
-/** Splits `IP:port`; undefined if an octet or the port is out of range. */
-export function parseAddress(
-  text: string,
-): { readonly host: string; readonly port: number } | undefined {
-  const split = text.lastIndexOf(':');
-  const host = text.slice(0, Math.max(0, split));
-  const portText = text.slice(split + 1);
-  if (!isIPv4(host) || !/^[1-9]\d{0,4}$/.test(portText)) return undefined;
-  const port = Number(portText);
-  return port <= MAX_PORT ? { host, port } : undefined;
-}
-
 function isHttpUrl(text: string): boolean {
   if (!text.startsWith(HTTP_PREFIX)) return false;
   return parseAddress(text.slice(HTTP_PREFIX.length)) !== undefined;
