Failing test: a call that cannot be begun throws at its caller

A call with a port out of range, a header that holds a line break or more than Latin-1, or a path with a blank throws out of `send` (ERR_SOCKET_BAD_PORT, ERR_INVALID_CHAR, ERR_UNESCAPED_CHARACTERS). The task that sends ends by it: a request is answered 502 though nothing was sent, its place at the engine stays taken, and the stage task takes the process with it.

--- a/packages/router/src/upstreams/upstream-client.test.ts
+++ b/packages/router/src/upstreams/upstream-client.test.ts
@@ -103,6 +103,37 @@
   expect(end).to.include({ kind: 'failed', isSent: false });
 });
 
+const UNSENDABLE: Readonly<Record<string, Partial<UpstreamCall>>> = {
+  'a port out of range': { address: '127.0.0.1:99999' as ClearedAddress },
+  'port 0': { address: '127.0.0.1:0' as ClearedAddress },
+  'no IP address': { address: '10.0.0.999:80' as ClearedAddress },
+  'a header with a line break': { headers: ['Expect-Instance', 'a\nb'] },
+  'a header beyond Latin-1': { headers: ['Expect-Instance', '\u043a'] },
+  'a path with a blank': { path: '/a b' },
+};
+
+// Guards against a send that throws at its caller, which then neither ends the request nor frees its place.
+for (const [what, part] of Object.entries(UNSENDABLE)) {
+  it(`upstream client: a call with ${what} fails later as one of which nothing was sent`, async () => {
+    const server = await startServer(() => undefined);
+    const client = makeUpstreamClient();
+    const events: UpstreamEvent[] = [];
+    await new Promise<void>((resolve) => {
+      client.send({ ...buildCall(server), ...part }, (event) => {
+        events.push(event);
+        resolve();
+      });
+      expect(events).to.deep.equal([]);
+    });
+    client.send({ ...buildCall(server), ...part }, (event) => events.push(event)).cancel();
+    await new Promise(setImmediate);
+    server.close();
+    client.close();
+    expect(events.length).to.equal(1);
+    expect(events[0]).to.include({ kind: 'failed', isSent: false });
+  });
+}
+
 it('upstream client: a second answer on an idle connection belongs to no request', async () => {
   const connections = new Set<Socket>();
   const ends = await sendCalls(
