A call that cannot be begun fails as one of which nothing was sent

Cause: Node throws out of `request` for what no request can hold (port, header, path), and `send` passed that on to the task that sends. A failed call of the stage task is logged with its reason. The probe of a suspected server parses addresses by the same function. Conclusion: a second net under the checks where wire values are decoded; no listed server should need it.

--- a/packages/router/src/gateway/content-guard.ts
+++ b/packages/router/src/gateway/content-guard.ts
@@ -13,6 +13,7 @@
   type QuarantineEvent,
 } from '@tarragonspool/core';
 import type { Fingerprint, PromptPartId, SuspectRecord, UpstreamId } from '@tarragonspool/protocol';
+import { parseAddress } from '../http/parse-address.js';
 import type { Logger } from '../logging/logger.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 
@@ -62,9 +63,10 @@
 
 /** Returns whether a server accepts a TCP connection within the probe timeout. */
 export function probeAddress(address: string): Promise<boolean> {
-  const [host = '', port = '0'] = address.split(':');
+  const target = parseAddress(address);
+  if (target === undefined) return Promise.reject(new Error('address is not IP:PORT'));
   return new Promise((resolve) => {
-    const socket = connect({ host, port: Number(port) });
+    const socket = connect(target);
     const finish = (isAlive: boolean): void => {
       socket.destroy();
       resolve(isAlive);
--- a/packages/router/src/stages/engine-calls.ts
+++ b/packages/router/src/stages/engine-calls.ts
@@ -35,7 +35,12 @@
       const { notice } = state.ports.dialect.decodeUpstreamHead(status, event.headers);
       recordNotice(state, origin, engine, notice);
     } else if (event.kind === 'ended') offer(outcome, { status, body: Buffer.concat(chunks) });
-    else offer(outcome, 'failed');
+    else {
+      const { isSent, reason } = event;
+      const { upstreamId } = engine;
+      state.logger.info({ upstreamId, path: call.path, isSent, reason }, 'stages: call failed');
+      offer(outcome, 'failed');
+    }
   });
   const timer = setTimeout(() => {
     exchange.cancel();
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -12,6 +12,7 @@
 } from 'node:http';
 import type { Socket } from 'node:net';
 import type { ClearedAddress } from '@tarragonspool/core';
+import { parseAddress } from '../http/parse-address.js';
 
 /** One request to a server. */
 export type UpstreamCall = {
@@ -139,20 +140,42 @@
   return hasNoBody || headers['content-length'] !== undefined ? 'length' : 'connection';
 }
 
+/** Begins a request; what cannot be put into one makes Node throw, and nothing is sent. */
+function openRequest(agent: Agent, call: UpstreamCall): ClientRequest | Error {
+  const { method, path } = call;
+  const address = parseAddress(call.address);
+  if (address === undefined) return new Error('address is not IP:PORT');
+  try {
+    return request({ ...address, agent, method, path, headers: call.headers as string[] });
+  } catch (error) {
+    return error as Error;
+  }
+}
+
+/** Reports a call that could not be begun; like all events this one comes after `send` has returned. */
+function failUnsent({ message }: Error, emit: (event: UpstreamEvent) => void): UpstreamExchange {
+  let isOver = false;
+  const fail = (reason: string): void => {
+    if (isOver) return;
+    isOver = true;
+    emit({ kind: 'failed', isSent: false, reason });
+  };
+  process.nextTick(fail, message);
+  const ignore = (): void => undefined;
+  const cancel = (): void => {
+    isOver = true;
+  };
+  return { cancel, abort: fail, pause: ignore, resume: ignore };
+}
+
 function startExchange(
   agent: Agent,
   call: UpstreamCall,
   emit: (event: UpstreamEvent) => void,
 ): UpstreamExchange {
-  const [host = '', port = '0'] = call.address.split(':');
-  const outgoing = request({
-    host,
-    port: Number(port),
-    agent,
-    method: call.method,
-    path: call.path,
-    headers: call.headers as string[],
-  });
+  const opened = openRequest(agent, call);
+  if (opened instanceof Error) return failUnsent(opened, emit);
+  const outgoing: ClientRequest = opened;
   let isSent = false;
   let isOver = false;
   let socketError: string | undefined;
