A row of a VM that nobody can dial names no VM

Cause: the address in a row of the VM table was any text, and the WebSocket library throws for what is no URL; the timer that dials passed the throw on, and the process ended, at every VM and again after each start. Before: the test failed with 9001 SyntaxError (Invalid URL). After: it holds, also where the rows are there at the start, and the VMs are linked. Fuzz with 1,000 runs a property holds. 29 tests of links, membership and odd entries held. Also: such rows are told and counted like those of servers, and the mesh itself dials nothing but IP:PORT.

--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -2,16 +2,19 @@
 
 import { makeRowRelay } from '../feeds/row-relay.js';
 import { makeTableFeed, type TableFeed } from '../feeds/table-feed.js';
+import { makeUnusableRowRecorder } from '../feeds/unusable-rows.js';
 import type { FleetView } from '../peers/fleet-view.js';
 import type { PeerMesh } from '../peers/peer-mesh.js';
 import { offer, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayState } from './gateway-state.js';
 import { startPeerLinks } from './peer-links.js';
+import type { RowChange } from './ports.js';
 import { buildQuarantineWrite, listStoredParts, runQuarantineRows } from './quarantine-rows.js';
 import {
-  decodeMembers,
+  decodeMember,
   findSecret,
+  listMembers,
   MEMBERS_TABLE,
   runRegistration,
   type MemberRow,
@@ -53,11 +56,12 @@
     getMaxBackoffMs: () => computeMaxBackoffMs(fleet, getSteadyMs()),
     takeFraction,
   };
+  const recordUnusable = makeUnusableRowRecorder({ ...state, table: MEMBERS_TABLE });
   const feedHolder: { feed: TableFeed | undefined } = { feed: undefined };
 
   function updateMembers(): void {
     const rows = feedHolder.feed?.cache.listRows() ?? [];
-    const members = decodeMembers(rows);
+    const members = listMembers(rows);
     state.listedVmCount = members.length;
     fleet.setMembers(members);
     offer(pools.inbox, { kind: 'members', members });
@@ -72,7 +76,13 @@
   }
 
   const feedHandler = {
-    onRows: updateMembers,
+    onRows: (news: readonly RowChange[]) => {
+      for (const row of news) {
+        const decoded = decodeMember(row);
+        if (decoded?.kind === 'unusable') recordUnusable(row, decoded.reason);
+      }
+      updateMembers();
+    },
     onAway: () => undefined,
     onBack: () => undefined,
     onFirstEra: () => undefined,
--- a/packages/router/src/gateway/registry.ts
+++ b/packages/router/src/gateway/registry.ts
@@ -6,7 +6,8 @@
 import { randomBytes } from 'node:crypto';
 import { STORE_START, type Incarnation, type VmId } from '@tarragonspool/protocol';
 import * as z from 'zod';
-import { parseJson } from '../json/parse-json.js';
+import { parseAddress } from '../http/parse-address.js';
+import { parseRow, refuseRow, type ParsedRow } from '../json/parse-row.js';
 import type { Logger } from '../logging/logger.js';
 import { awaitPromise, type Task } from '../tasks/tasks.js';
 import { waitMs } from '../tasks/timers.js';
@@ -34,19 +35,30 @@
   readonly secret: string;
 };
 
+/** More cores than any VM has. */
+const MAX_CAPACITY = 65_536;
+
 const memberSchema = z.object({
-  peerAddress: z.string().min(1),
-  capacity: z.number().nonnegative().default(0),
+  peerAddress: z.string().refine((text) => parseAddress(text) !== undefined, 'expected IP:PORT'),
+  capacity: z.number().nonnegative().max(MAX_CAPACITY).default(0),
 });
 
-/** Decodes the rows of VMs; skips other and invalid rows. */
-export function decodeMembers(rows: readonly RowChange[]): MemberRow[] {
+/** Decodes a row of a VM; undefined if it is a row of another kind or removed. */
+export function decodeMember({ key, value }: RowChange): ParsedRow<MemberRow> | undefined {
+  if (!key.startsWith(VM_KEY_PREFIX) || value === undefined) return undefined;
+  const vmId = key.slice(VM_KEY_PREFIX.length) as VmId;
+  if (vmId === '') return refuseRow('no name of a VM');
+  const parsed = parseRow(memberSchema, value);
+  if (parsed.kind === 'unusable') return parsed;
+  return { kind: 'usable', value: { vmId, ...parsed.value } };
+}
+
+/** Lists the VMs that rows name; skips rows of other kinds and those that can't be used. */
+export function listMembers(rows: readonly RowChange[]): MemberRow[] {
   const members: MemberRow[] = [];
-  for (const { key, value } of rows) {
-    if (!key.startsWith(VM_KEY_PREFIX) || value === undefined) continue;
-    const parsed = memberSchema.safeParse(parseJson(value));
-    if (!parsed.success) continue;
-    members.push({ vmId: key.slice(VM_KEY_PREFIX.length) as VmId, ...parsed.data });
+  for (const row of rows) {
+    const decoded = decodeMember(row);
+    if (decoded?.kind === 'usable') members.push(decoded.value);
   }
   return members;
 }
--- a/packages/router/src/peers/peer-mesh.ts
+++ b/packages/router/src/peers/peer-mesh.ts
@@ -9,6 +9,7 @@
   type PeerMessage,
   type VmId,
 } from '@tarragonspool/protocol';
+import { parseAddress } from '../http/parse-address.js';
 import type { Logger } from '../logging/logger.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeDialSchedule } from './dial-schedule.js';
@@ -187,6 +188,12 @@
       schedule.addFailure(vmId, getSteadyMs());
       parts.onDialFailed?.(vmId);
     };
+    // The library throws for what is no URL.
+    if (parseAddress(address) === undefined) {
+      logger.warn({ peer: vmId, address }, 'peers: address is not IP:PORT');
+      fail();
+      return;
+    }
     const socket = new WebSocket(`ws://${address}/peer`, {
       maxPayload: MAX_PEER_FRAME_BYTES,
       handshakeTimeout: times.handshakeTimeoutMs,
