--- a/packages/router/src/gateway/stream-progress.ts
+++ b/packages/router/src/gateway/stream-progress.ts
@@ -8,6 +8,7 @@
 import type { GatewayState } from './gateway-state.js';
 import type { KvSource, PlacementFields } from './ports.js';
 import type { SendResult } from './sender.js';
+import { digestLongId } from './short-id.js';
 
 /** Progress of one stream over all its attempts. */
 export type StreamProgress = {
@@ -96,7 +97,7 @@
   const { requestId, resumedStream, leftMs = 0 } = request.fields;
   const deadlineAt = Math.max(request.deadlineAt, request.arrivedAt + leftMs);
   state.streamOrigins.recordOwn({
-    streamId: resumedStream ?? (requestId as StreamId),
+    streamId: resumedStream ?? (digestLongId(requestId) as StreamId),
     contentKey: request.contentKey,
     origin: progress.origin,
     expiresAt: deadlineAt + RESUME_MARGIN_MS,
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -10,6 +10,7 @@
 } from '@tarragonspool/core';
 export { startGateway, type Gateway } from './gateway/gateway.js';
 export type * from './gateway/ports.js';
+export { digestLongId } from './gateway/short-id.js';
 export { closeByReset } from './http/broken-answers.js';
 export { isHeaderToken, parseAddress, type HostAndPort } from './http/parse-address.js';
 export { parseRow, refuseRow, type ParsedRow } from './json/parse-row.js';
