Tokens that a request claims count up to the memory of an engine

Cause: the owner of a pool takes the tokens of slot requests into the means from which it estimates places and rates, as claimed. Before: the test failed, 503 "overloaded" with 0.001 answers a second estimated. Conclusion: no engine holds more than its memory, so a claim above it says nothing more.

--- a/packages/router/src/gateway/stream-slot.ts
+++ b/packages/router/src/gateway/stream-slot.ts
@@ -34,15 +34,19 @@
 ): SlotRequest {
   const { fields } = request;
   state.slotRequestCount += 1;
-  const { maxOutputTokens = 0, expectedOutputTokens } = fields;
+  const { promptTokens = 0, maxOutputTokens = 0, expectedOutputTokens } = fields;
+  const outputTokens = expectedOutputTokens ?? DEFAULT_OUTPUT_SHARE * maxOutputTokens;
+  // No engine generates more than it holds; a claim of more would count in the pool's estimates.
+  const maxTokens =
+    state.configuration?.services.get(request.service)?.engine?.kvCapacityTokens ?? Infinity;
   return {
     askId: `${state.processStartId}/${state.slotRequestCount}` as SlotRequestId,
     vmId: state.settings.vmId,
     dataCentre: state.settings.dataCentre,
     rank: request.route.priority,
     contentKey: request.contentKey,
-    promptTokens: fields.promptTokens ?? 0,
-    outputTokens: expectedOutputTokens ?? DEFAULT_OUTPUT_SHARE * maxOutputTokens,
+    promptTokens: Math.min(promptTokens, maxTokens),
+    outputTokens: Math.min(outputTokens, maxTokens),
     aimAt: request.aimAt,
     pauseMs: request.route.gapTargetMs ?? DEFAULT_GAP_TARGET_MS,
     patienceEndsAt: findFirstEventDeadline(request),
