Numbers of the configuration are bounded where it is decoded

Cause: times, ranks and sizes of the operator's configuration were taken as any number. A time-out above 24 days makes a timer of Node fire at once, a negative idle time-out makes it throw, a rank that is no whole number makes a frame that peers refuse. Numbers are bounded one by one, so that an odd one keeps no change of the others back; a row that can't be read is logged with its reason.

--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -212,7 +212,7 @@
   readonly configuration: {
     readonly table: string;
     readonly key: string;
-    readonly decode: (bytes: Buffer) => RoutingConfiguration | undefined;
+    readonly decode: (bytes: Buffer) => ParsedRow<RoutingConfiguration>;
   };
   readonly upstreams: {
     readonly table: string;
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -54,14 +54,16 @@
 ): void {
   const { configuration } = state.ports;
   if (row.key !== configuration.key || row.value === undefined) return;
-  const next = configuration.decode(row.value);
-  if (next === undefined) {
+  const decoded = configuration.decode(row.value);
+  if (decoded.kind === 'unusable') {
+    state.metrics.unusableRows.inc({ table: configuration.table });
     state.logger.error(
-      { position: row.position },
+      { position: row.position, reason: decoded.reason },
       'configuration: stored value cannot be decoded; the last valid one stays in force',
     );
     return;
   }
+  const next = decoded.value;
   if (!applyConfiguration(state, next)) return;
   state.fleet.setServices(listPoolServices(next));
   applyCallerLimits(server, state);
