A row of parts in quarantine that outlasts every quarantine is skipped

Cause: the time at which a row of the store ends the quarantine of its parts was any number, and so were the length and count of parts. A row of another writer with 1e300 had prompts refused for ever, again after each start. Before: the new test failed (1e300 accepted). After: it holds, 24 of 24 tests of quarantine and parts held, run once. Such rows are told and counted like the others. A VM whose clock is behind by more than a minute may skip a sound row of another VM until it is an hour old by its own clock; VMs tell each other of crashes by messages too.

--- a/packages/core/src/quarantine/part-suspects.ts
+++ b/packages/core/src/quarantine/part-suspects.ts
@@ -62,7 +62,8 @@
 /** Engines that end at about the same time have one cause, such as the loss of power. */
 const SAME_CAUSE_MS = 300;
 const SUSPICION_TTL_MS = 600_000;
-const QUARANTINE_TTL_MS = 3_600_000;
+/** How long prompts with a part in quarantine are refused, in milliseconds. */
+export const PART_QUARANTINE_MS = 3_600_000;
 const MAX_SUSPICIONS = 10_000;
 const MAX_SOUND = 10_000;
 const MAX_QUARANTINED = 200;
@@ -214,7 +215,7 @@
   if (findQuarantinedParts(state, prompt, now) !== undefined) return [];
   const parts = choosePartsToBlame(state, prompt);
   if (parts.length === 0) return [];
-  const item = { parts: [...parts].sort(), expiresAt: now + QUARANTINE_TTL_MS };
+  const item = { parts: [...parts].sort(), expiresAt: now + PART_QUARANTINE_MS };
   setQuarantined(state, item);
   // What is blamed explains the crashes that were counted for the others.
   for (const part of prompt) if (!parts.includes(part)) state.suspicions.delete(part);
--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -10,7 +10,12 @@
 import type { GatewayState } from './gateway-state.js';
 import { startPeerLinks } from './peer-links.js';
 import type { RowChange } from './ports.js';
-import { buildQuarantineWrite, listStoredParts, runQuarantineRows } from './quarantine-rows.js';
+import {
+  buildQuarantineWrite,
+  findRowFault,
+  listStoredParts,
+  runQuarantineRows,
+} from './quarantine-rows.js';
 import {
   decodeMember,
   findSecret,
@@ -79,7 +84,8 @@
     onRows: (news: readonly RowChange[]) => {
       for (const row of news) {
         const decoded = decodeMember(row);
-        if (decoded?.kind === 'unusable') recordUnusable(row, decoded.reason);
+        const fault = decoded?.kind === 'unusable' ? decoded.reason : findRowFault(row);
+        if (fault !== undefined) recordUnusable(row, fault);
       }
       updateMembers();
     },
--- a/packages/router/src/gateway/quarantine-rows.test.ts
+++ b/packages/router/src/gateway/quarantine-rows.test.ts
@@ -32,6 +32,22 @@
   expect(listStoredParts(rows)).to.deep.equal([]);
 });
 
+// Guards against prompts that are refused for ever, again after each start, by a row that another writer left.
+it('quarantine rows: a row that outlasts every quarantine, or holds more parts than a prompt shares, is skipped', () => {
+  const now = Date.now();
+  const build = (value: object): RowChange =>
+    buildRow('quarantined-parts/odd', JSON.stringify(value));
+  const odd = [
+    { parts: ['a'], expiresAt: 1e300 },
+    { parts: ['a'], expiresAt: now + 2 * HOUR_MS },
+    { parts: ['a'.repeat(300)], expiresAt: now + 1_000 },
+    { parts: [''], expiresAt: now + 1_000 },
+    { parts: Array.from({ length: 2_000 }, String), expiresAt: now + 1_000 },
+  ];
+  for (const value of odd) expect(listStoredParts([build(value)])).to.deep.equal([]);
+  expect(listStoredParts([build({ parts: ['a'], expiresAt: now + HOUR_MS })]).length).to.equal(1);
+});
+
 it('quarantine rows: rows that have expired are removed with the next write', () => {
   const old = buildRow('quarantined-parts/old', '{"parts":["old"],"expiresAt":1}');
   const known = [{ parts: [DEADLY], expiresAt: getSteadyMs() + HOUR_MS }];
--- a/packages/router/src/gateway/quarantine-rows.ts
+++ b/packages/router/src/gateway/quarantine-rows.ts
@@ -4,10 +4,10 @@
  */
 
 import { createHash } from 'node:crypto';
-import type { QuarantinedParts } from '@tarragonspool/core';
+import { PART_QUARANTINE_MS, type QuarantinedParts } from '@tarragonspool/core';
 import type { PromptPartId } from '@tarragonspool/protocol';
 import * as z from 'zod';
-import { parseJson } from '../json/parse-json.js';
+import { parseRow } from '../json/parse-row.js';
 import {
   awaitPromise,
   makeChannel,
@@ -30,7 +30,16 @@
 /** Clocks of VMs differ by less than this. */
 const MAX_CLOCK_SKEW_MS = 60_000;
 
-const rowSchema = z.object({ parts: z.array(z.string()).min(1), expiresAt: z.number() });
+/** Longest id of a part, in characters, and the most parts of a row. */
+const MAX_PART_LENGTH = 256;
+const MAX_PARTS = 128;
+
+const rowSchema = z.object({
+  parts: z.array(z.string().min(1).max(MAX_PART_LENGTH)).min(1).max(MAX_PARTS),
+  expiresAt: z
+    .number()
+    .refine((at) => at <= Date.now() + PART_QUARANTINE_MS + MAX_CLOCK_SKEW_MS, 'too late'),
+});
 
 type StoredParts = {
   readonly key: string;
@@ -43,14 +52,21 @@
   return `${KEY_PREFIX}${createHash('sha256').update(parts.join()).digest('hex')}`;
 }
 
+/** Finds why a row of parts in quarantine can't be used; undefined if it can, or is another row. */
+export function findRowFault({ key, value }: RowChange): string | undefined {
+  if (!key.startsWith(KEY_PREFIX) || value === undefined) return undefined;
+  const parsed = parseRow(rowSchema, value);
+  return parsed.kind === 'unusable' ? parsed.reason : undefined;
+}
+
 /** Decodes the rows of parts in quarantine; skips other and invalid rows. */
 function decodeRows(rows: readonly RowChange[]): StoredParts[] {
   const items: StoredParts[] = [];
   for (const { key, value } of rows) {
     if (!key.startsWith(KEY_PREFIX) || value === undefined) continue;
-    const parsed = rowSchema.safeParse(parseJson(value));
-    if (!parsed.success) continue;
-    items.push({ key, ...parsed.data } as unknown as StoredParts);
+    const parsed = parseRow(rowSchema, value);
+    if (parsed.kind === 'unusable') continue;
+    items.push({ key, ...parsed.value } as unknown as StoredParts);
   }
   return items;
 }
