A lease row that can't be read counts as just taken by somebody

Cause: an unreadable row in the table of leases counted as one without a holder, and one with a time far back as long over, so the next VM took the lease at once although the VM whose row lay there before may still give orders; two VMs order at the same time. Conclusion: after the lease's time and the margin it is taken, as from a VM that died.

--- a/packages/router/src/stages/lease-calls.ts
+++ b/packages/router/src/stages/lease-calls.ts
@@ -5,6 +5,7 @@
   applyLeaseRow,
   applyStoreEra,
   chooseLeaseStep,
+  type LeaseRow,
   type OrderLease,
 } from '@tarragonspool/core';
 import {
@@ -16,12 +17,14 @@
 } from '@tarragonspool/protocol';
 import * as z from 'zod';
 import { recordStoreEra, type GatewayState } from '../gateway/gateway-state.js';
+import type { RowChange } from '../gateway/ports.js';
+import { parseRow } from '../json/parse-row.js';
 import { awaitPromise, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 
 const LEASE_TABLE = 'tarragonspool-leases';
 const CALL_TIMEOUT_MS = 800;
-const rowSchema = z.object({ holder: z.string(), storeNowMs: z.number() });
+const rowSchema = z.object({ holder: z.string().min(1), storeNowMs: z.number().nonnegative() });
 /** Longest time from reading the row to writing it; more would make the row look older than it is. */
 const MAX_READ_TO_WRITE_MS = 300;
 
@@ -29,14 +32,20 @@
 /** Time of the store's clock and its era, and the steady time at which they were read. */
 type StoreTime = { readonly storeNowMs: number; readonly era: number; readonly readAt: number };
 
-function decodeLease(value: Buffer | undefined): StoredLease | undefined {
-  if (value === undefined) return undefined;
-  try {
-    const parsed = rowSchema.safeParse(JSON.parse(value.toString('utf8')));
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    return undefined;
-  }
+/** Stands for a holder that is not known. */
+const UNKNOWN_HOLDER = '' as VmId;
+
+/**
+ * Decodes the row of a lease as read at a time of the store's clock. A row that can't be used may lie
+ * where that of a holder was, who still relies on it, so it counts as just taken by somebody.
+ */
+export function decodeLeaseRow(row: RowChange | undefined, storeNowMs: number): LeaseRow {
+  if (row?.value === undefined) return { position: STORE_START, holder: undefined, ageMs: 0 };
+  const { position, value } = row;
+  const parsed = parseRow(rowSchema, value);
+  if (parsed.kind === 'unusable') return { position, holder: UNKNOWN_HOLDER, ageMs: 0 };
+  const { holder, storeNowMs: takenAt } = parsed.value;
+  return { position, holder: holder as VmId, ageMs: Math.max(0, storeNowMs - takenAt) };
 }
 
 function* readLease(
@@ -50,13 +59,10 @@
   const { rows, storeNowMs, position } = outcome.value;
   const era = getEra(position);
   const row = rows.find(({ key }) => key === service);
-  const stored = decodeLease(row?.value);
-  const holder = stored?.holder as VmId | undefined;
-  const ageMs = stored === undefined ? 0 : storeNowMs - stored.storeNowMs;
   const readAt = getSteadyMs();
   recordStoreEra(state, era, readAt);
   applyStoreEra(lease, era, state.storeEra.seenAt, state.settings.leaseMs);
-  applyLeaseRow(lease, { position: row?.position ?? STORE_START, holder, ageMs }, readAt);
+  applyLeaseRow(lease, decodeLeaseRow(row, storeNowMs), readAt);
   return { storeNowMs, era, readAt };
 }
 
