An event id that no number holds exactly is no id

Cause: the digits of an event's id were taken as a number of any size; one too large is another number, or Infinity, and is sent to the next engine as the event after which to go on. Before: the new test failed. After: it holds, with six others.

--- a/packages/core/src/routing/event-splitter.ts
+++ b/packages/core/src/routing/event-splitter.ts
@@ -39,8 +39,8 @@
 }
 
 function parseEventId(event: Buffer): number | undefined {
-  const id = EVENT_ID.exec(event.toString('latin1'))?.[1];
-  return id === undefined ? undefined : Number(id);
+  const id = Number(EVENT_ID.exec(event.toString('latin1'))?.[1]);
+  return Number.isSafeInteger(id) ? id : undefined;
 }
 
 /** Makes a splitter for one stream. */
