--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -13,4 +13,5 @@
 export { digestLongId } from './gateway/short-id.js';
 export { closeByReset } from './http/broken-answers.js';
 export { isHeaderToken, parseAddress, type HostAndPort } from './http/parse-address.js';
+export { parseJson } from './json/parse-json.js';
 export { parseRow, refuseRow, type ParsedRow } from './json/parse-row.js';
