--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -2,16 +2,24 @@
 
 import { makeRowRelay } from '../feeds/row-relay.js';
 import { makeTableFeed, type TableFeed } from '../feeds/table-feed.js';
+import { makeUnusableRowRecorder } from '../feeds/unusable-rows.js';
 import type { FleetView } from '../peers/fleet-view.js';
 import type { PeerMesh } from '../peers/peer-mesh.js';
 import { offer, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayState } from './gateway-state.js';
 import { startPeerLinks } from './peer-links.js';
-import { buildQuarantineWrite, listStoredParts, runQuarantineRows } from './quarantine-rows.js';
+import type { RowChange } from './ports.js';
 import {
-  decodeMembers,
+  buildQuarantineWrite,
+  findRowFault,
+  listStoredParts,
+  runQuarantineRows,
+} from './quarantine-rows.js';
+import {
+  decodeMember,
   findSecret,
+  listMembers,
   MEMBERS_TABLE,
   runRegistration,
   type MemberRow,
@@ -57,11 +65,12 @@
     getMaxBackoffMs: () => computeMaxBackoffMs(fleet, getSteadyMs()),
     takeFraction,
   };
+  const recordUnusable = makeUnusableRowRecorder({ ...state, table: MEMBERS_TABLE });
   const feedHolder: { feed: TableFeed | undefined } = { feed: undefined };
 
   function updateMembers(): void {
     const rows = feedHolder.feed?.cache.listRows() ?? [];
-    const members = decodeMembers(rows);
+    const members = listMembers(rows);
     state.listedVmCount = members.length;
     fleet.setMembers(members);
     offer(pools.inbox, { kind: 'members', members });
@@ -76,7 +85,14 @@
   }
 
   const feedHandler = {
-    onRows: updateMembers,
+    onRows: (news: readonly RowChange[]) => {
+      for (const row of news) {
+        const decoded = decodeMember(row);
+        const fault = decoded?.kind === 'unusable' ? decoded.reason : findRowFault(row);
+        if (fault !== undefined) recordUnusable(row, fault);
+      }
+      updateMembers();
+    },
     onAway: () => undefined,
     onBack: () => undefined,
     onFirstEra: () => undefined,
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -13,6 +13,7 @@
   UpstreamId,
   VmId,
 } from '@tarragonspool/protocol';
+import type { ParsedRow } from '../json/parse-row.js';
 
 /** A TCP address. */
 export type ListenAddress = { readonly host: string; readonly port: number };
@@ -213,10 +214,10 @@
   readonly configuration: {
     readonly table: string;
     readonly key: string;
-    readonly decode: (bytes: Buffer) => RoutingConfiguration | undefined;
+    readonly decode: (bytes: Buffer) => ParsedRow<RoutingConfiguration>;
   };
   readonly upstreams: {
     readonly table: string;
-    readonly decode: (key: string, bytes: Buffer) => UpstreamRecord | undefined;
+    readonly decode: (key: string, bytes: Buffer) => ParsedRow<UpstreamRecord>;
   };
 };
--- a/packages/router/src/gateway/probe-address.ts
+++ b/packages/router/src/gateway/probe-address.ts
@@ -1,14 +1,16 @@
 /** Finds out whether a server takes connections. */
 
 import { connect } from 'node:net';
+import { parseAddress } from '../http/parse-address.js';
 
 const PROBE_TIMEOUT_MS = 400;
 
 /** Returns whether a server accepts a TCP connection within the probe timeout. */
 export function probeAddress(address: string): Promise<boolean> {
-  const [host = '', port = '0'] = address.split(':');
+  const target = parseAddress(address);
+  if (target === undefined) return Promise.reject(new Error('address is not IP:PORT'));
   return new Promise((resolve) => {
-    const socket = connect({ host, port: Number(port) });
+    const socket = connect(target);
     const finish = (isAlive: boolean): void => {
       socket.destroy();
       resolve(isAlive);
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -20,6 +20,7 @@
   type RowOrigin,
   type TableFeed,
 } from '../feeds/table-feed.js';
+import { makeUnusableRowRecorder, type RecordUnusableRow } from '../feeds/unusable-rows.js';
 import { startAdaptiveTicker } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { applyCallerLimits } from './caller-listener.js';
@@ -53,14 +54,16 @@
 ): void {
   const { configuration } = state.ports;
   if (row.key !== configuration.key || row.value === undefined) return;
-  const next = configuration.decode(row.value);
-  if (next === undefined) {
+  const decoded = configuration.decode(row.value);
+  if (decoded.kind === 'unusable') {
+    state.metrics.unusableRows.inc({ table: configuration.table });
     state.logger.error(
-      { position: row.position },
+      { position: row.position, reason: decoded.reason },
       'configuration: stored value cannot be decoded; the last valid one stays in force',
     );
     return;
   }
+  const next = decoded.value;
   if (!applyConfiguration(state, next)) return;
   state.fleet.setServices(listPoolServices(next));
   applyCallerLimits(server, state);
@@ -70,14 +73,18 @@
   );
 }
 
-function decodeUpstreamRow(state: GatewayState, row: RowChange): UpstreamChange {
+/** Decodes one row of the list; one that names no usable server takes nothing from the others. */
+function decodeUpstreamRow(
+  { ports: { upstreams } }: GatewayState,
+  row: RowChange,
+  recordUnusable: RecordUnusableRow,
+): UpstreamChange {
   const upstreamId = row.key as UpstreamId;
-  const { value } = row;
-  const record = value && state.ports.upstreams.decode(row.key, value);
-  if (value !== undefined && record === undefined) {
-    state.logger.warn({ upstreamId }, 'upstreams: entry cannot be decoded');
-  }
-  return { upstreamId, record, isRemoved: value === undefined };
+  if (row.value === undefined) return { upstreamId, record: undefined, isRemoved: true };
+  const decoded = upstreams.decode(row.key, row.value);
+  if (decoded.kind === 'usable') return { upstreamId, record: decoded.value, isRemoved: false };
+  recordUnusable(row, decoded.reason);
+  return { upstreamId, record: undefined, isRemoved: false };
 }
 
 function logUpstreams(
@@ -120,10 +127,12 @@
     isBusy,
     onTick: () => removeLapsed(state),
   });
-  const options = { ...makeFeedOptions(state), table: upstreams.table };
+  const { table } = upstreams;
+  const options = { ...makeFeedOptions(state), table };
+  const recordUnusable = makeUnusableRowRecorder({ ...state, table });
   const handler = {
     onRows: (rows: readonly RowChange[], origin: RowOrigin) => {
-      const changes = rows.map((row) => decodeUpstreamRow(state, row));
+      const changes = rows.map((row) => decodeUpstreamRow(state, row, recordUnusable));
       logUpstreams(state, changes, origin);
       const now = getSteadyMs();
       recordVersions(state.versions, state.upstreams.records.values(), now);
--- a/packages/router/src/relays/server-client.ts
+++ b/packages/router/src/relays/server-client.ts
@@ -71,11 +71,6 @@
     onTick: checkSilent,
   });
 
-  function handleFailed(server: ClearedUpstream, isSent: boolean): void {
-    if (isSent) paths.checkSilent(server);
-    else paths.recordNotOpened(server);
-  }
-
   function sendDirect(call: ServerCall, onEvent: (event: UpstreamEvent) => void): UpstreamExchange {
     const { server, requestId, method, path, headers, body } = call;
     const underWay: DirectSend = { server, startedAt: getSteadyMs() };
@@ -91,10 +86,11 @@
         body,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         onOpened: () => paths.recordOpened(server),
+        onNotOpened: () => paths.recordNotOpened(server),
       },
       (event) => {
         if (event.kind === 'failed' || event.kind === 'ended') open.delete(underWay);
-        if (event.kind === 'failed') handleFailed(server, event.isSent);
+        if (event.kind === 'failed' && event.isSent) paths.checkSilent(server);
         if (event.kind === 'head' || event.kind === 'data') {
           heardAt.set(server.upstreamId, getSteadyMs());
           paths.recordHeard();
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -13,6 +13,7 @@
 } from 'node:http';
 import type { Socket } from 'node:net';
 import type { ClearedAddress } from '@tarragonspool/core';
+import { parseAddress } from '../http/parse-address.js';
 import { canCarryMore, chooseAgent, findForeignReason, recordCarried } from './carried-requests.js';
 
 /** One request to a server. */
@@ -29,6 +30,8 @@
   readonly connectTimeoutMs?: number;
   /** Called when a new connection has opened for the call. */
   readonly onOpened?: () => void;
+  /** Called when the new connection for the call did not open. */
+  readonly onNotOpened?: () => void;
 };
 
 /** What tells the end of an answer: its length, its chunks, or only the end of its connection. */
@@ -161,24 +164,47 @@
   readonly decodeRequestId: (headers: IncomingHttpHeaders) => string | undefined;
 };
 
+/** Begins a request; what cannot be put into one makes Node throw, and nothing is sent. */
+function openRequest(agent: Agent, call: UpstreamCall): ClientRequest | Error {
+  const { method, path, requestId } = call;
+  const address = parseAddress(call.address);
+  if (address === undefined) return new Error('address is not IP:PORT');
+  try {
+    const chosen = chooseAgent(agent, address, requestId);
+    return request({ ...address, agent: chosen, method, path, headers: call.headers as string[] });
+  } catch (error) {
+    return error as Error;
+  }
+}
+
+/** Reports a call that could not be begun; like all events this one comes after `send` has returned. */
+function failUnsent({ message }: Error, emit: (event: UpstreamEvent) => void): UpstreamExchange {
+  let isOver = false;
+  const fail = (reason: string): void => {
+    if (isOver) return;
+    isOver = true;
+    emit({ kind: 'failed', isSent: false, reason });
+  };
+  process.nextTick(fail, message);
+  const ignore = (): void => undefined;
+  const cancel = (): void => {
+    isOver = true;
+  };
+  return { cancel, abort: fail, pause: ignore, resume: ignore };
+}
+
 function startExchange(
   agent: Agent,
   decodeRequestId: UpstreamClientOptions['decodeRequestId'],
   call: UpstreamCall,
   emit: (event: UpstreamEvent) => void,
 ): UpstreamExchange {
-  const [host = '', portText = '0'] = call.address.split(':');
   const { requestId } = call;
-  const port = Number(portText);
-  const outgoing = request({
-    host,
-    port,
-    agent: chooseAgent(agent, { host, port }, requestId),
-    method: call.method,
-    path: call.path,
-    headers: call.headers as string[],
-  });
+  const opened = openRequest(agent, call);
+  if (opened instanceof Error) return failUnsent(opened, emit);
+  const outgoing: ClientRequest = opened;
   let isSent = false;
+  let isOpening = false;
   let isOver = false;
   let socketError: string | undefined;
   let answer: IncomingMessage | undefined;
@@ -193,6 +219,7 @@
 
   function fail(reason: string): void {
     if (isOver) return;
+    if (isOpening && !isSent) call.onNotOpened?.();
     finish({ kind: 'failed', isSent, reason });
     outgoing.destroy();
   }
@@ -217,6 +244,7 @@
     isSent = true;
   });
   outgoing.on('socket', (socket) => {
+    isOpening = socket.connecting;
     if (requestId !== undefined) recordCarried(socket, requestId);
     const noteError = (error: Error): void => {
       socketError = error.message;
@@ -283,8 +311,9 @@
   return {
     send: (call, onEvent) => startExchange(agent, options.decodeRequestId, call, onEvent),
     dropIdle: (address) => {
-      const [host = '', port = '0'] = address.split(':');
-      const name = agent.getName({ host, port: Number(port) });
+      const target = parseAddress(address);
+      if (target === undefined) return;
+      const name = agent.getName(target);
       for (const socket of agent.freeSockets[name] ?? []) socket.destroy();
     },
     close: () => agent.destroy(),
