Red: a stream is joined from two versions where another stream of its content began after a kill of all VMs

A caller that names no stream is recognised by its prompt. After a kill of all VMs nobody knows where the first stream with that prompt began; a fresh one at another version is known, and the caller of the first goes on there, with 200 and a whole end.

--- a/packages/router/src/gateway/stream-origins.fuzz.test.ts
+++ b/packages/router/src/gateway/stream-origins.fuzz.test.ts
@@ -23,7 +23,7 @@
 const logger = pino({ level: 'silent' });
 
 type Step = {
-  readonly kind: 'begins' | 'resumes' | 'restarts' | 'cut' | 'healed' | 'waits';
+  readonly kind: 'begins' | 'resumes' | 'restarts' | 'all-restart' | 'cut' | 'healed' | 'waits';
   readonly vm: VmId;
   readonly version: SoftwareVersion;
 };
@@ -34,6 +34,7 @@
     'resumes' as const,
     'resumes' as const,
     'restarts' as const,
+    'all-restart' as const,
     'cut' as const,
     'healed' as const,
     'waits' as const,
@@ -110,6 +111,12 @@
       books.set(vm, makeBook(vm));
       openLinks(vm);
     },
+    restartAll: () => {
+      messages = [];
+      timers = [];
+      for (const vm of VMS) books.set(vm, makeBook(vm));
+      for (const vm of VMS) openLinks(vm);
+    },
     /** Lets time pass; due timers run in order, and messages arrive at once. */
     pass: (milliseconds: number) => {
       const until = now + milliseconds;
@@ -176,6 +183,10 @@
             faultAt.set(vm, fleet.getNow());
             fleet.restart(vm);
             break;
+          case 'all-restart':
+            for (const other of VMS) faultAt.set(other, fleet.getNow());
+            fleet.restartAll();
+            break;
           case 'cut':
             faultAt.set(vm, fleet.getNow());
             cut.add(vm);
@@ -196,6 +207,90 @@
   );
 });
 
+const CONTENTS = ['c0', 'c1'] as ContentKey[];
+const LONG_WAIT_MS = 4_000;
+
+type ContentStep = {
+  readonly kind: 'begins' | 'resumes' | 'restarts' | 'all-restart' | 'waits';
+  readonly vm: VmId;
+  readonly version: SoftwareVersion;
+  readonly content: ContentKey;
+};
+
+const CONTENT_STEP = fc.record({
+  kind: fc.constantFrom(
+    'begins' as const,
+    'begins' as const,
+    'resumes' as const,
+    'resumes' as const,
+    'restarts' as const,
+    'all-restart' as const,
+    'waits' as const,
+  ),
+  vm: fc.constantFrom(...VMS),
+  version: fc.constantFrom(...VERSIONS),
+  content: fc.constantFrom(...CONTENTS),
+});
+
+/** Resumes a stream at a VM; undefined if it is refused. */
+function findAt(
+  fleet: ReturnType<typeof makeFleet>,
+  vm: VmId,
+  key: { readonly streamId: StreamId | undefined; readonly contentKey: ContentKey },
+): StreamOrigin | undefined {
+  const book = fleet.books.get(vm);
+  const answers = [book?.find(key)];
+  if (answers[0] !== undefined) return answers[0];
+  book?.ask(key, [SERVICE], (origin) => answers.push(origin));
+  fleet.pass(2_000);
+  expect(answers).to.have.length(2);
+  return answers[1];
+}
+
+// Guards against a caller that names no stream and goes on with another one of the same content.
+it('stream origins: a stream that is found by its content goes on at its version, over restarts of one VM or all', () => {
+  fc.assert(
+    fc.property(fc.array(CONTENT_STEP, { maxLength: 30 }), (steps: readonly ContentStep[]) => {
+      const fleet = makeFleet();
+      const begun: (Begun & { content: ContentKey })[] = [];
+      for (const { kind, vm, version, content } of steps) {
+        const at = fleet.getNow();
+        switch (kind) {
+          case 'begins': {
+            const streamId = `s${begun.length}` as StreamId;
+            const origin = { service: SERVICE, softwareVersion: version };
+            const record = { streamId, contentKey: content, origin, expiresAt: at + LIFETIME_MS };
+            fleet.books.get(vm)?.recordOwn(record);
+            begun.push({ streamId, version, vm, at, content });
+            break;
+          }
+          case 'resumes': {
+            const stream = begun.find(
+              (known) => known.content === content && at + LONG_WAIT_MS < known.at + LIFETIME_MS,
+            );
+            if (stream === undefined) break;
+            const origin = findAt(fleet, vm, { streamId: undefined, contentKey: content });
+            if (origin !== undefined) expect(origin.softwareVersion).to.equal(stream.version);
+            break;
+          }
+          case 'restarts':
+            fleet.restart(vm);
+            break;
+          case 'all-restart':
+            fleet.restartAll();
+            break;
+          case 'waits':
+            fleet.pass(LONG_WAIT_MS);
+            break;
+          default:
+            kind satisfies never;
+        }
+        fleet.pass(STEP_MS);
+      }
+    }),
+  );
+});
+
 it('stream origins: homes that restart one after the other know the streams of a VM that is then lost', () => {
   const fleet = makeFleet();
   const origin = { service: SERVICE, softwareVersion: 'v1' as SoftwareVersion };
