Streams that are found by their content go on only where no VM can miss another one with that content

Cause: where a caller names no stream, any record with its prompt counted: the VM's own, or the first answer of a home. Neither says that there was no other stream with that prompt. After a kill of all VMs the first one is forgotten, and a fresh one at another version is taken for it. The model shows the same without a kill: a VM that is no home knows its own stream only. Further: a home that knew several versions answered like one that knows nothing, so that the answer of a newer home counted. Class: a lack of knowledge that cannot be told from knowledge that there is nothing.

Now a VM says three things: where the streams that it knows began, where those may have begun that it was not told of (before it was a home, of a VM that was lost as a version came, forgotten for want of room), and where any may have begun. The VM that asks judges by the answers of all homes. A home tells a new one what it knows and what it was not told, so that restarts one after the other lose nothing. A list of servers that does not change for the whole horizon no longer empties the history of versions.

--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -1,4 +1,5 @@
 export * from './event-splitter.js';
+export * from './origin-votes.js';
 export * from './request-permits.js';
 export * from './retry-window.js';
 export * from './routes.js';
@@ -7,6 +8,7 @@
 export * from './sender-outcome.js';
 export * from './server-choice.js';
 export * from './stream-origins.js';
+export * from './untold-versions.js';
 export * from './upstream-beliefs.js';
 export * from './upstream-list.js';
 export * from './version-history.js';
--- a/packages/core/src/routing/stream-origins.ts
+++ b/packages/core/src/routing/stream-origins.ts
@@ -25,16 +25,13 @@
   readonly expiresAt: number;
 };
 
-/** The origin of a content; undefined if streams with it began at several versions. */
-type ContentOrigin = {
-  readonly origin: StreamOrigin | undefined;
-  readonly expiresAt: number;
-};
+/** An origin of streams with one content, the last of which is resumed no later than `expiresAt`. */
+type ContentOrigin = { readonly origin: StreamOrigin; readonly expiresAt: number };
 
 /** Origins of streams; the ones that were recorded last are at the end. */
 export type StreamOrigins = {
   readonly byId: Map<StreamId, OriginRecord>;
-  readonly byContent: Map<ContentKey, ContentOrigin>;
+  readonly byContent: Map<ContentKey, readonly ContentOrigin[]>;
 };
 
 /** Streams that are remembered; the oldest are forgotten first. */
@@ -45,44 +42,71 @@
   return { byId: new Map(), byContent: new Map() };
 }
 
-function setLast<K, V>(map: Map<K, V>, key: K, value: V): void {
+/** Sets the newest entry of a map; returns the oldest one if there is no room for it. */
+function setLast<K, V>(map: Map<K, V>, key: K, value: V): V | undefined {
   map.delete(key);
   map.set(key, value);
-  if (map.size <= MAX_REMEMBERED) return;
-  const [oldest] = map.keys();
-  if (oldest !== undefined) map.delete(oldest);
+  if (map.size <= MAX_REMEMBERED) return undefined;
+  const [oldest] = map;
+  if (oldest === undefined) return undefined;
+  map.delete(oldest[0]);
+  return oldest[1];
 }
 
-function isSameOrigin(one: StreamOrigin | undefined, other: StreamOrigin): boolean {
-  return one?.service === other.service && one.softwareVersion === other.softwareVersion;
+/** Whether two streams began at the same service and version. */
+export function isSameOrigin(one: StreamOrigin, other: StreamOrigin): boolean {
+  return one.service === other.service && one.softwareVersion === other.softwareVersion;
 }
 
-/** Records where a stream began; the first record of a stream holds, later ones only extend it. */
-export function recordOrigin({ byId, byContent }: StreamOrigins, record: OriginRecord): void {
-  const { streamId, contentKey, origin, expiresAt } = record;
+function addContentOrigin(
+  known: readonly ContentOrigin[],
+  { origin, expiresAt }: ContentOrigin,
+): ContentOrigin[] {
+  const same = known.find((other) => isSameOrigin(other.origin, origin));
+  const latest = Math.max(expiresAt, same?.expiresAt ?? -Infinity);
+  return [...known.filter((other) => other !== same), { origin, expiresAt: latest }];
+}
+
+/**
+ * Records where a stream began; the first record of a stream holds, later ones only extend it. Returns
+ * what had to be forgotten instead.
+ */
+export function recordOrigin(
+  { byId, byContent }: StreamOrigins,
+  record: OriginRecord,
+): readonly ContentOrigin[] {
+  const { streamId, contentKey, expiresAt } = record;
   const known = byId.get(streamId);
+  const origin = known?.origin ?? record.origin;
   const isLonger = known === undefined || known.expiresAt < expiresAt;
   setLast(byId, streamId, { ...(known ?? record), ...(isLonger ? { expiresAt } : {}) });
-  const content = byContent.get(contentKey);
-  const isSame = content === undefined || isSameOrigin(content.origin, origin);
-  setLast(byContent, contentKey, {
-    origin: isSame ? origin : undefined,
-    expiresAt: Math.max(expiresAt, content?.expiresAt ?? 0),
-  });
+  const content = addContentOrigin(byContent.get(contentKey) ?? [], { origin, expiresAt });
+  return setLast(byContent, contentKey, content) ?? [];
 }
 
-/** Finds where a stream began; undefined if it is not known. */
-export function findOrigin(
+/**
+ * Lists where the streams of a key began that are known: one stream if the key names it, all with the
+ * content otherwise.
+ */
+export function listOrigins(
   { byId, byContent }: StreamOrigins,
   { streamId, contentKey }: StreamKey,
   now: number,
-): StreamOrigin | undefined {
-  const known = streamId === undefined ? byContent.get(contentKey) : byId.get(streamId);
-  return known === undefined || known.expiresAt <= now ? undefined : known.origin;
+): readonly StreamOrigin[] {
+  if (streamId === undefined) {
+    const content = byContent.get(contentKey) ?? [];
+    return content.filter(({ expiresAt }) => expiresAt > now).map(({ origin }) => origin);
+  }
+  const known = byId.get(streamId);
+  return known === undefined || known.expiresAt <= now ? [] : [known.origin];
 }
 
 /** Forgets the streams that nobody resumes any more. */
 export function dropExpiredOrigins({ byId, byContent }: StreamOrigins, now: number): void {
   for (const [streamId, { expiresAt }] of byId) if (expiresAt <= now) byId.delete(streamId);
-  for (const [key, { expiresAt }] of byContent) if (expiresAt <= now) byContent.delete(key);
+  for (const [key, content] of byContent) {
+    const kept = content.filter(({ expiresAt }) => expiresAt > now);
+    if (kept.length === 0) byContent.delete(key);
+    else if (kept.length < content.length) byContent.set(key, kept);
+  }
 }
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -10,6 +10,7 @@
 const id = z.string().max(256);
 const milliseconds = z.number().finite();
 const count = z.number().int().nonnegative();
+const originSchema = z.object({ service: id, softwareVersion: id });
 
 const targetSchema = z.object({
   model: id,
@@ -176,10 +177,18 @@
     contentKey: id,
     services: z.array(id),
   }),
+  z.object({
+    kind: z.literal('stream-origins-untold'),
+    service: id,
+    anyEndsInMs: milliseconds.optional(),
+    items: z.array(z.object({ softwareVersion: id, endsInMs: milliseconds })),
+  }),
   z.object({
     kind: z.literal('stream-origin-answer'),
     number: id,
-    origin: z.object({ service: id, softwareVersion: id }).optional(),
+    known: z.array(originSchema).default([]),
+    untold: z.array(originSchema).optional(),
+    used: z.array(originSchema).optional(),
   }),
   z.object({ kind: z.literal('request-started'), requestKey: id }),
   z.object({ kind: z.literal('request-ended'), requestKey: id }),
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -148,6 +148,12 @@
   readonly incarnation: Incarnation;
 };
 
+/** Where a stream began. */
+export type MessageOrigin = {
+  readonly service: ServiceName;
+  readonly softwareVersion: SoftwareVersion;
+};
+
 /** Messages about where streams began, so that they go on at the same software version only. */
 export type OriginMessage =
   /** Tells a home of streams that have events. */
@@ -171,12 +177,26 @@
       readonly contentKey: ContentKey;
       readonly services: readonly ServiceName[];
     }
+  /** Tells a home what another one was not told of, after all that it knows. */
+  | {
+      readonly kind: 'stream-origins-untold';
+      readonly service: ServiceName;
+      /** Time for which streams of any version may be missing; absent if none are. */
+      readonly anyEndsInMs?: number | undefined;
+      readonly items: readonly {
+        readonly softwareVersion: SoftwareVersion;
+        readonly endsInMs: number;
+      }[];
+    }
   | {
       readonly kind: 'stream-origin-answer';
       readonly number: string;
-      /** Absent if the home does not know. */
-      readonly origin?:
-        { readonly service: ServiceName; readonly softwareVersion: SoftwareVersion } | undefined;
+      /** Where the streams that the home knows began: several if the caller names none. */
+      readonly known: readonly MessageOrigin[];
+      /** Where those may have begun that it was not told of; absent if that may be anywhere. */
+      readonly untold?: readonly MessageOrigin[] | undefined;
+      /** Where any stream may have begun; absent if that may be anywhere. */
+      readonly used?: readonly MessageOrigin[] | undefined;
     };
 
 /** What one answer said of the limit of its server. */
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -19,9 +19,9 @@
 import type { GatewayPorts, GatewaySettings } from './ports.js';
 import { makeQuarantineWakeups } from './quarantine-rows.js';
 import { listen, startMetricsListener, startReadyListener } from './side-listeners.js';
-import { makeConfigurationFeed, makeUpstreamFeed } from './state-feeds.js';
+import { listPoolServices, makeConfigurationFeed, makeUpstreamFeed } from './state-feeds.js';
 import { startShutdown } from './stop.js';
-import { findOnlyServiceVersion } from './service-versions.js';
+import { computeHorizonMs, listUsedVersions, recordListedVersions } from './service-versions.js';
 import { makeStreamOriginBook } from './stream-origins.js';
 
 const EXIT_INTERNAL = 70;
@@ -107,15 +107,23 @@
     self,
     listHomes: (service) => fleet.listHubsOf(service, getSteadyMs()).slice(0, ORIGIN_HOMES),
     sendTo: (vmId, message) => meshHolder.mesh?.sendTo(vmId, message) ?? false,
-    findOnlyVersion: (service) =>
-      stateHolder.state && findOnlyServiceVersion(stateHolder.state, service),
+    listServices: () => {
+      const configuration = stateHolder.state?.configuration;
+      return configuration === undefined ? [] : listPoolServices(configuration);
+    },
+    listUsedVersions: (service) =>
+      stateHolder.state && listUsedVersions(stateHolder.state, service),
+    getHorizonMs: () => computeHorizonMs(stateHolder.state),
     logger,
   });
   startAdaptiveTicker({
     busyMs: ORIGIN_TICK_MS,
     idleMs: ORIGIN_TICK_MS,
     isBusy: () => false,
-    onTick: streamOrigins.tick,
+    onTick: () => {
+      if (stateHolder.state !== undefined) recordListedVersions(stateHolder.state);
+      streamOrigins.tick();
+    },
   });
   const parts = {
     settings,
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -64,6 +64,7 @@
 function isOriginMessage(message: PeerMessage): message is OriginMessage {
   return (
     message.kind === 'stream-origins' ||
+    message.kind === 'stream-origins-untold' ||
     message.kind === 'stream-origin-request' ||
     message.kind === 'stream-origin-answer'
   );
@@ -203,6 +204,7 @@
     },
     onGone: (vmId) => {
       fleet.recordUnreachable(vmId, getSteadyMs());
+      state.streamOrigins.handleLinkClosed();
       offer(pools.inbox, { kind: 'link-closed', vmId });
     },
   });
--- a/packages/router/src/gateway/service-versions.ts
+++ b/packages/router/src/gateway/service-versions.ts
@@ -1,6 +1,6 @@
-/** Whether a service certainly had one software version for as long as any stream lasts. */
+/** Which software versions a service had for as long as any stream lasts. */
 
-import { findOnlyVersion, forgetObservation } from '@tarragonspool/core';
+import { forgetObservation, listVersions, recordVersions } from '@tarragonspool/core';
 import type { ServiceName, SoftwareVersion } from '@tarragonspool/protocol';
 import { getSteadyMs, measureClockOffsetMs } from '../time/steady-clock.js';
 import type { GatewayState } from './gateway-state.js';
@@ -11,8 +11,9 @@
 /** What this VM knows of the store is judged at intervals; an older judgement does not count. */
 const MAX_JUDGEMENT_AGE_MS = 1_000;
 
-function computeHorizonMs({ configuration }: GatewayState): number {
-  const routes = configuration?.routes ?? [];
+/** Computes the longest time from a stream's beginning to its last resumption, in milliseconds. */
+export function computeHorizonMs(state: GatewayState | undefined): number {
+  const routes = state?.configuration?.routes ?? [];
   const streams = routes.filter(({ kind }) => kind === 'stream');
   const timeouts = streams.map(({ timeoutMs }) => HORIZON_TIMEOUTS * timeoutMs);
   return Math.max(MIN_HORIZON_MS, ...timeouts);
@@ -31,17 +32,23 @@
   };
 }
 
+/** Records which versions are listed now; called at intervals that are short against the horizon. */
+export function recordListedVersions({ versions, upstreams, hasUpstreams }: GatewayState): void {
+  if (hasUpstreams) recordVersions(versions, upstreams.records.values(), getSteadyMs());
+}
+
 /**
- * Finds the only software version that servers of a service had; undefined if there were several, or
+ * Lists the software versions at which streams of a service began that may still be resumed; undefined
  * if this VM may not have seen all.
  */
-export function findOnlyServiceVersion(
+export function listUsedVersions(
   state: GatewayState,
   service: ServiceName,
-): SoftwareVersion | undefined {
+): readonly SoftwareVersion[] | undefined {
   const now = getSteadyMs();
   const { versions, storeKnown } = state;
   if (state.hasBeenSuspended()) forgetObservation(versions, now);
   if (!storeKnown.isRecent || now - storeKnown.judgedAt > MAX_JUDGEMENT_AGE_MS) return undefined;
-  return findOnlyVersion(versions, service, computeHorizonMs(state), now);
+  const listed = listVersions(versions, service, computeHorizonMs(state), now) ?? [];
+  return listed.length === 0 ? undefined : listed;
 }
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -40,7 +40,8 @@
   return { holdMs: FEED_LONG_POLL_MS, pauseMs, getMaxBackoffMs, takeFraction };
 }
 
-function listPoolServices({ services }: RoutingConfiguration): ServiceName[] {
+/** Lists the services whose engines are assigned by pools. */
+export function listPoolServices({ services }: RoutingConfiguration): ServiceName[] {
   const withEngines = [...services.values()].filter(({ engine }) => engine !== undefined);
   return withEngines.map(({ name }) => name);
 }
--- a/packages/router/src/gateway/stream-resume.ts
+++ b/packages/router/src/gateway/stream-resume.ts
@@ -22,20 +22,6 @@
   return services.filter((name) => configuration?.services.get(name)?.engine !== undefined);
 }
 
-/** Finds the origin without asking: known here, or of the only version that there was. */
-function findLocalOrigin(
-  { streamOrigins }: GatewayState,
-  key: StreamKey,
-  services: readonly ServiceName[],
-): StreamOrigin | undefined {
-  const known = streamOrigins.find(key);
-  if (known !== undefined) return known;
-  const [service, ...others] = services;
-  if (service === undefined || others.length > 0) return undefined;
-  const softwareVersion = streamOrigins.findOnlyVersion(service);
-  return softwareVersion && { service, softwareVersion };
-}
-
 function* awaitOrigin(
   { streamOrigins }: GatewayState,
   { inbox }: GatewayRequest,
@@ -64,7 +50,7 @@
   if (lastEventId === undefined && resumedStream === undefined) return { kind: 'new' };
   const services = listEngineServices(state, request);
   const key = { streamId: resumedStream, contentKey: request.contentKey };
-  const local = findLocalOrigin(state, key, services);
+  const local = state.streamOrigins.find(key);
   const result: OriginResult =
     local === undefined
       ? yield* awaitOrigin(state, request, key, services)
