--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -65,6 +65,7 @@
 function isOriginMessage(message: PeerMessage): message is OriginMessage {
   return (
     message.kind === 'stream-origins' ||
+    message.kind === 'stream-origins-untold' ||
     message.kind === 'stream-origin-request' ||
     message.kind === 'stream-origin-answer'
   );
@@ -217,6 +218,7 @@
     onGone: (vmId) => {
       fleet.recordUnreachable(vmId, getSteadyMs());
       state.access.handleLinkEnded(vmId);
+      state.streamOrigins.handleLinkClosed();
       offer(pools.inbox, { kind: 'link-closed', vmId });
     },
   });
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -21,6 +21,7 @@
   type TableFeed,
 } from '../feeds/table-feed.js';
 import { makeUnusableRowRecorder, type RecordUnusableRow } from '../feeds/unusable-rows.js';
+import { offer } from '../tasks/tasks.js';
 import { startAdaptiveTicker } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { applyCallerLimits } from './caller-listener.js';
@@ -28,6 +29,7 @@
 import { computeMaxBackoffMs } from './membership.js';
 import { notifyPoolsOfEngines } from './pool-engines.js';
 import type { RowChange } from './ports.js';
+import { forgetVersionHistory } from './service-versions.js';
 
 const LAPSE_CHECK_INTERVAL_MS = 100;
 const IDLE_LAPSE_CHECK_MS = 1_000;
@@ -41,7 +43,8 @@
   return { holdMs: FEED_LONG_POLL_MS, pauseMs, getMaxBackoffMs, takeFraction };
 }
 
-function listPoolServices({ services }: RoutingConfiguration): ServiceName[] {
+/** Lists the services whose engines are assigned by pools. */
+export function listPoolServices({ services }: RoutingConfiguration): ServiceName[] {
   const withEngines = [...services.values()].filter(({ engine }) => engine !== undefined);
   return withEngines.map(({ name }) => name);
 }
@@ -140,6 +143,7 @@
       recordVersions(state.versions, state.upstreams.records.values(), now);
       if (isBusy()) lapseCheck.wake();
       state.hasUpstreams = true;
+      offer(state.versionWakeups, true);
       notifyPoolsOfEngines(state);
     },
     onAway: () => state.metrics.storeAway.inc(),
@@ -151,7 +155,7 @@
     // Servers write their entries again, as after an outage.
     onRestored: () => {
       startGracePeriod(state.upstreams, getSteadyMs());
-      forgetObservation(state.versions, getSteadyMs());
+      forgetVersionHistory(state, getSteadyMs());
     },
     onFirstEra: () => undefined,
   };
