--- a/packages/stand-ins/src/engine/engine.test.ts
+++ b/packages/stand-ins/src/engine/engine.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { callJson } from '../harness/deployment.js';
 import { getStandInPath, startProcess, waitUntil } from '../harness/processes.js';
+import type { EngineSettings } from './engine-settings.js';
 import { PrefixCache } from './prefix-cache.js';
 import { makeAnswerText } from './token-text.js';
 
@@ -8,10 +9,12 @@
 const PROMPT = 'user: How much may we land?';
 const TOKENS = 30;
 const TIMEOUT_MS = 20_000;
+/** So slow that an answer is under way for seconds, however late this process reads it. */
+const SLOW_STEP_MS = 300;
 
-async function startEngine(role: string, port: number) {
+async function startEngine(role: string, port: number, settings: Partial<EngineSettings> = {}) {
   const listen = `${HOST}:${port}`;
-  const argument = JSON.stringify({ upstreamId: role, listen, role });
+  const argument = JSON.stringify({ upstreamId: role, listen, role, ...settings });
   const { child } = startProcess(role, getStandInPath('engine'), [argument]);
   const url = `http://${listen}`;
   await waitUntil(role, Date.now() + TIMEOUT_MS, async () => (await fetch(`${url}/load`)).ok);
@@ -45,7 +48,7 @@
 it('engine: a stream resumed on another engine goes on with the answer of its prompt', async () => {
   const engines = await Promise.all([
     startEngine('prefill', 21_501),
-    startEngine('decode', 21_502),
+    startEngine('decode', 21_502, { stepMs: SLOW_STEP_MS }),
     startEngine('decode', 21_503),
   ]);
   const [prefill, first, second] = engines.map(({ url }) => url) as [string, string, string];
