Cut VMs: a VM that is cut off dials a peer again half a second after its link ended

Cause: a VM whose link was given up is dialled again after 4 s. After: while a VM is cut off it dials such a peer after 500 ms.

--- a/packages/router/src/peers/fleet-view.ts
+++ b/packages/router/src/peers/fleet-view.ts
@@ -47,6 +47,8 @@
 const SILENCE_TIMEOUT_MS = 650;
 /** A VM that could not be reached is dialled again after this time; it is down until it is linked. */
 const RETRY_MS = 4_000;
+/** A VM that is cut off dials one that could not be reached again after this time: it may send for it. */
+const RELAY_RETRY_MS = 500;
 /** VMs that reach servers which a VM that is cut off keeps links to. */
 const RELAY_LINKS = 3;
 /** Name of the ranking where no service needs an owner. */
@@ -128,13 +130,19 @@
     return message !== undefined && !message.isCutOff && !isDown(vmId, now);
   }
 
+  /** Whether a VM that is cut off dials one now that is not linked. */
+  function isRelayDialled(vmId: VmId, now: number): boolean {
+    const at = retryAt.get(vmId);
+    return at === undefined || at - RETRY_MS + RELAY_RETRY_MS <= now;
+  }
+
   /** Lists the VMs to link because too few of the linked ones reach servers; empty unless cut off. */
   function listRelayTargets(now: number): VmId[] {
     if (!isSelfCutOff) return [];
     const relays = [...peers.keys()].filter((vmId) => isRelay(vmId, now));
     const missing = Math.max(0, RELAY_LINKS - relays.length);
     const unknown = rankVms(members.values(), self).filter(
-      (vmId) => vmId !== self && !isDown(vmId, now) && peers.get(vmId)?.message === undefined,
+      (vmId) => vmId !== self && !peers.has(vmId) && isRelayDialled(vmId, now),
     );
     return [...relays, ...unknown.slice(0, missing)];
   }
