Silent engines: a run is given up only once another engine has begun its stream

Cause: a run was cut after 1.2 s without an event (1.5 s without a head), and only then it was asked whether anything else could take the stream: the retry budget, a slot, a prefill, the new engine's own word. Each of these can fail, and then the stream was broken off. Ruled out: connection timeouts of the configuration. Conclusion: the silent run stays open while another engine is asked for; whichever is heard first writes on. An engine that says nothing for 0.3 s has the stream (a refusal comes sooner), so that no two engines work on one for long.

--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -38,7 +38,12 @@
   readonly silenceMs?: number;
   /** When the send is cancelled unless the whole answer has arrived; undefined for no such limit. */
   readonly wholeDueAt?: number;
-  /** Called each time the server has made no progress for `SILENCE_NOTICE_MS`. */
+  /**
+   * Asked again and again while the send is overdue; the send goes on until it may be given up.
+   * Without it an overdue send is given up at once.
+   */
+  readonly canGiveUp?: () => boolean;
+  /** Called each time the server has made no progress for `SILENCE_NOTICE_MS`, until it is overdue. */
   readonly onSilence?: () => void;
   /** Called when a usable head arrives. */
   readonly onHead: (head: AnswerHead) => void;
@@ -50,6 +55,8 @@
 
 /** An engine that generates an answer sends many events within this time. */
 const SILENCE_NOTICE_MS = 600;
+/** While a send is overdue, it is asked at this interval whether it may be given up. */
+const GIVE_UP_CHECK_MS = 25;
 /** A timer that fires this late shows that the process stood still, and not its server. */
 const STOOD_STILL_MS = 250;
 /** What arrived meanwhile is read within this time. */
@@ -138,6 +145,7 @@
     case 'place':
     case 'permit':
     case 'origin':
+    case 'handover-ended':
       return undefined;
     case 'upstream': {
       if (message.send !== send.number) return undefined;
@@ -182,17 +190,19 @@
       lastNoticeAt = now;
     }
     const deadlineAt = Math.max(findSilenceDeadline(send, plan), caughtUpAt);
-    if (deadlineAt <= now) {
+    const isOverdue = deadlineAt <= now;
+    if (isOverdue && (plan.canGiveUp?.() ?? true)) {
       offer(request.inbox, { kind: 'alarm', alarm: send.number });
       return;
     }
     const noticeAt = Math.max(lastNoticeAt, send.progressAt) + SILENCE_NOTICE_MS;
-    if (noticeAt <= now) {
+    if (!isOverdue && noticeAt <= now) {
       lastNoticeAt = now;
       plan.onSilence?.();
     }
+    const checkAt = isOverdue ? now + GIVE_UP_CHECK_MS : deadlineAt;
     const wakeAt =
-      plan.onSilence === undefined ? deadlineAt : Math.min(deadlineAt, now + SILENCE_NOTICE_MS);
+      plan.onSilence === undefined ? checkAt : Math.min(checkAt, now + SILENCE_NOTICE_MS);
     if (!Number.isFinite(wakeAt)) return;
     checkDueAt = wakeAt;
     timer = setTimeout(check, Math.max(1, wakeAt - now));
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -30,11 +30,22 @@
 /** A log line names at most this many parts of a prompt. */
 const MAX_LOGGED_PARTS = 16;
 
+/** What a run may do whose place another run of its stream may take. */
+export type RunTurn = {
+  /** Whether the run may write to the answer; asked when its engine is heard, before anything is written. */
+  readonly claim: () => boolean;
+  /** Whether another run has taken its place. */
+  readonly isDisplaced: () => boolean;
+  /** Whether the run may be given up; asked again and again while its engine is silent. */
+  readonly canGiveUp: () => boolean;
+};
+
 /** Forwards an answer as it arrives, in whole events if the route is resumable. */
 function makeEventRelay(
   state: GatewayState,
   request: GatewayRequest,
   progress: StreamProgress,
+  turn: RunTurn,
   onFirstEvent: () => void,
 ) {
   const { reply, route } = request;
@@ -69,7 +80,8 @@
   return {
     onHead: (head: AnswerHead): void => {
       framing = head.framing;
-      isForwarding = head.status === HTTP_OK && head.isSigned && !head.isNotRun;
+      const isUsable = head.status === HTTP_OK && head.isSigned && !head.isNotRun;
+      isForwarding = isUsable && turn.claim();
       if (!isForwarding) return;
       progress.runs += 1;
       progress.kvSource = undefined;
@@ -78,6 +90,7 @@
       }
     },
     onData: (chunk: Buffer, exchange: UpstreamExchange): boolean => {
+      if (turn.isDisplaced()) return false;
       // The body of a refusal is not used; it may be without end.
       if (!isForwarding) {
         unusedBytes += chunk.length;
@@ -85,6 +98,7 @@
         return false;
       }
       const { whole, count, lastEventId } = splitter.split(chunk);
+      if (count > 0) turn.claim();
       if (count > 0) recordEvents(count);
       progress.lastEventId = lastEventId ?? progress.lastEventId;
       write(route.isResumable ? whole : chunk, exchange);
@@ -117,28 +131,42 @@
 /** How the decoding of a stream on one engine ended; `over` if the request itself ended. */
 export type DecodeEnd = 'finished' | 'not-run' | 'broken' | 'over';
 
-function findDecodeEnd(result: SendResult, isForwarded: boolean): DecodeEnd {
+/** How a run ended. */
+export type DecodeRun = {
+  readonly end: DecodeEnd;
+  readonly result: SendResult;
+  /** Whether its engine sent any events. */
+  readonly hasEvents: boolean;
+  /** Whether its engine sent the head of an answer that can be used. */
+  readonly hasHead: boolean;
+};
+
+function findDecodeEnd(result: SendResult, isForwarded: boolean, isDisplaced: boolean): DecodeEnd {
   if (result.kind === 'caller-gone' || result.kind === 'timed-out') return 'over';
-  if (result.kind === 'slow') return 'broken';
+  if (result.kind === 'slow' || isDisplaced) return 'broken';
   const { outcome } = result;
   if (outcome.kind === 'not-run') return 'not-run';
   return outcome.kind === 'answered' && isForwarded ? 'finished' : 'broken';
 }
 
-/** Runs a stream on one decode engine; `hasEvents` says whether that engine sent any. */
+/** Runs a stream on one decode engine. */
 export function* runDecode(
   state: GatewayState,
   request: GatewayRequest,
   progress: StreamProgress,
-  engine: ClearedUpstream,
-  slotRequestId: SlotRequestId,
-): Task<{ end: DecodeEnd; result: SendResult; hasEvents: boolean }> {
+  plan: {
+    readonly engine: ClearedUpstream;
+    readonly slotRequestId: SlotRequestId;
+    readonly turn: RunTurn;
+  },
+): Task<DecodeRun> {
+  const { engine, slotRequestId, turn } = plan;
   // An engine that does a local prefill has finished it when its first event arrives.
   const onFirstEvent = (): void => {
     recordStreamOrigin(state, request, progress, engine);
     sendPoolMessage(state.pools, { kind: 'prefilled', askId: slotRequestId }, state.logger);
   };
-  const relay = makeEventRelay(state, request, progress, onFirstEvent);
+  const relay = makeEventRelay(state, request, progress, turn, onFirstEvent);
   const sentAt = getSteadyMs();
   const { route } = request;
   const { kvSource } = progress;
@@ -152,12 +180,14 @@
     placement,
     headDueAt: canContinue ? sentAt + HEAD_TIMEOUT_MS : request.deadlineAt + 1,
     ...(canContinue ? { silenceMs: SILENCE_MS } : {}),
+    canGiveUp: turn.canGiveUp,
     onSilence: () => notifyEngineFailed(state, request, engine.upstreamId, 'silent'),
     onHead: relay.onHead,
     onData: relay.onData,
     findCut: relay.findCut,
   });
-  const end = findDecodeEnd(result, relay.isForwarding());
+  const isDisplaced = turn.isDisplaced();
+  const end = findDecodeEnd(result, relay.isForwarding(), isDisplaced);
   const { framing, restBytes } = relay.getEnd();
   if (end === 'finished') relay.finish();
   const { requestId, promptParts } = request.fields;
@@ -175,6 +205,7 @@
       restBytes,
       events,
       runs,
+      isDisplaced,
       tookMs,
       firstEventMs,
       longestGapMs,
@@ -184,5 +215,5 @@
     'streams: decode run ended',
   );
   state.metrics.sends.inc({ step: 'decode', outcome: end });
-  return { end, result, hasEvents: relay.hasEvents() };
+  return { end, result, hasEvents: relay.hasEvents(), hasHead: relay.isForwarding() };
 }
--- /dev/null
+++ b/packages/router/src/gateway/stream-handover.ts
@@ -0,0 +1,270 @@
+/**
+ * Runs a stream on a granted slot, and lets it go on at another engine while its own one is silent. The
+ * silent run stays open until the other one has begun, and goes on if it is heard first: a server that is
+ * silent may be sound.
+ */
+
+import type { ClearedUpstream } from '@tarragonspool/core';
+import type { UpstreamId } from '@tarragonspool/protocol';
+import { makeChannel, offer, receive, startTask, type Task } from '../tasks/tasks.js';
+import { getSteadyMs } from '../time/steady-clock.js';
+import { REQUEST_INBOX_CAPACITY, type GatewayRequest } from './gateway-request.js';
+import { takeServiceRetries, type GatewayState } from './gateway-state.js';
+import { runDecode, type DecodeRun, type RunTurn } from './stream-decode.js';
+import {
+  askDecode,
+  endGrant,
+  findRefusedEngine,
+  awaitPrefill,
+  type SlotGrant,
+} from './stream-prepare.js';
+import {
+  countRetries,
+  findEngineFailure,
+  MIN_REMAINING_MS,
+  notifyEngineFailed,
+  type StreamProgress,
+} from './stream-progress.js';
+import { awaitSlotReply, buildSlotRequest } from './stream-slot.js';
+
+/** A run of a stream on the engine of a grant. */
+export type GrantedRun = DecodeRun & { readonly grant: SlotGrant };
+
+/** An engine that refuses a run does so within this time; one that says nothing for longer has it. */
+const REFUSAL_MS = 300;
+/** Another engine is looked for again after this time. */
+const SEARCH_PAUSE_MS = 300;
+
+/** One attempt to go on at another engine, with an inbox and a progress of its own. */
+type Attempt = {
+  readonly request: GatewayRequest;
+  readonly progress: StreamProgress;
+  /** `sent` until the engine has begun or refused; `taken` once it has the place of the silent one. */
+  state: 'searching' | 'sent' | 'taken' | 'cancelled';
+  sentAt: number;
+};
+
+type AttemptEnd = { readonly run: GrantedRun } | { readonly error: unknown };
+
+/** Turn of a run whose place another one may take. */
+type Handover = RunTurn & {
+  /** Ends the search for another engine, unless the place is taken. */
+  readonly cancel: () => void;
+  /** Waits for the end of the run that took the place; `first` is how the silent one ended. */
+  readonly awaitEnd: (first: DecodeRun) => Task<GrantedRun>;
+};
+
+/** Gets a slot, takes the retries and has the prompt prefilled; undefined if that fails. */
+function* awaitGrant(
+  state: GatewayState,
+  { request, progress }: Attempt,
+): Task<SlotGrant | undefined> {
+  const slotRequest = buildSlotRequest(state, request, progress);
+  const grant = yield* awaitSlotReply(state, request, slotRequest, true);
+  if (grant.kind !== 'granted') return undefined;
+  const isAllowed =
+    findRefusedEngine(state, request, progress, grant) === undefined &&
+    takeServiceRetries(state, request.service, countRetries(progress));
+  const prefillEnd = isAllowed ? yield* awaitPrefill(state, request, progress, grant) : undefined;
+  if (prefillEnd?.kind === 'ready') return grant;
+  endGrant(state, grant, false);
+  return undefined;
+}
+
+/** What a run of a stream needs besides the request and its progress. */
+type RunPlan = {
+  readonly grant: SlotGrant;
+  readonly server: ClearedUpstream;
+  /** Whether the run may write to the answer; asked as soon as it has something to write. */
+  readonly claim: () => boolean;
+};
+
+function makeHandover(
+  state: GatewayState,
+  request: GatewayRequest,
+  progress: StreamProgress,
+  plan: RunPlan,
+): Handover {
+  const { requestId } = request.fields;
+  const { decode } = plan.grant;
+  const refusedBy = new Set<UpstreamId>([decode]);
+  let hasBegun = false;
+  let isReported = false;
+  let attempt: Attempt | undefined;
+  let searchAt = 0;
+  let end: AttemptEnd | undefined;
+
+  /** Counts the engines that may have begun the stream, with the silent one. */
+  function countRuns(): number {
+    return progress.runs + (hasBegun ? 0 : 1);
+  }
+
+  function claimFor(own: Attempt): boolean {
+    if (own.state === 'cancelled' || !plan.claim()) return false;
+    if (own.state !== 'taken') {
+      state.logger.info({ requestId, from: decode }, 'streams: another engine takes over');
+    }
+    own.state = 'taken';
+    return true;
+  }
+
+  function* runAttempt(own: Attempt): Task {
+    const grant = yield* awaitGrant(state, own);
+    if (grant === undefined) return;
+    const clearance = askDecode(state, own.request, own.progress, grant);
+    if (own.state === 'cancelled' || clearance.kind === 'refused') {
+      endGrant(state, grant, false);
+      return;
+    }
+    own.state = 'sent';
+    own.sentAt = getSteadyMs();
+    const next = { grant, server: clearance.server, claim: () => claimFor(own) };
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a run may be handed over again
+    const run = yield* runGranted(state, own.request, own.progress, next);
+    if ((own.state as Attempt['state']) === 'taken') {
+      end = { run };
+      return;
+    }
+    endGrant(state, grant, false);
+    if ((own.state as Attempt['state']) === 'cancelled') return;
+    notifyEngineFailed(state, request, grant.decode, findEngineFailure(run.result));
+    refusedBy.add(grant.decode);
+    if (run.end === 'broken') progress.runs += 1;
+  }
+
+  function handleAttemptEnd(own: Attempt, error: unknown): void {
+    if (error !== undefined) {
+      state.logger.error({ requestId, err: error }, 'streams: handover task failed');
+    }
+    if (own.state === 'taken') {
+      end ??= { error };
+      offer(request.inbox, { kind: 'handover-ended' });
+      return;
+    }
+    if (attempt !== own) return;
+    attempt = undefined;
+    searchAt = getSteadyMs() + SEARCH_PAUSE_MS;
+  }
+
+  /** Tells the pool once that the engine is overdue, so that it gets no new work for a while. */
+  function notifyOverdue(): void {
+    if (isReported) return;
+    isReported = true;
+    notifyEngineFailed(state, request, decode, 'broken');
+  }
+
+  function startAttempt(): void {
+    const excluded = new Set([...progress.excluded, ...refusedBy]);
+    const own: Attempt = {
+      request: { ...request, inbox: makeChannel(REQUEST_INBOX_CAPACITY) },
+      progress: { ...progress, runs: countRuns(), kvSource: undefined, excluded },
+      state: 'searching',
+      sentAt: Infinity,
+    };
+    attempt = own;
+    const { events, lastEventId } = progress;
+    state.logger.info(
+      { requestId, upstreamId: decode, events, lastEventId },
+      'streams: engine is silent, another one is looked for',
+    );
+    startTask(
+      'handover',
+      () => runAttempt(own),
+      (_name, error) => handleAttemptEnd(own, error),
+    );
+  }
+
+  function cancel(): void {
+    if (attempt === undefined || attempt.state === 'taken') return;
+    // The other engine may have begun it meanwhile.
+    if (attempt.state === 'sent') progress.runs += 1;
+    attempt.state = 'cancelled';
+    offer(attempt.request.inbox, { kind: 'caller-gone' });
+    attempt = undefined;
+  }
+
+  function isTaken(): boolean {
+    return attempt?.state === 'taken';
+  }
+
+  return {
+    claim: () => {
+      if (isTaken()) return false;
+      cancel();
+      hasBegun = true;
+      return plan.claim();
+    },
+    isDisplaced: isTaken,
+    canGiveUp: () => {
+      const now = getSteadyMs();
+      notifyOverdue();
+      if (attempt === undefined) {
+        const hasTime = request.deadlineAt - now > MIN_REMAINING_MS;
+        const mayRun = countRuns() < request.route.maxAttempts;
+        if (hasTime && mayRun && now >= searchAt) startAttempt();
+        return false;
+      }
+      if (attempt.state === 'sent' && now - attempt.sentAt >= REFUSAL_MS) claimFor(attempt);
+      return isTaken();
+    },
+    cancel,
+    *awaitEnd({ result }) {
+      const own = attempt;
+      if (own === undefined) throw new Error('no run has taken the place');
+      const { kind } = result;
+      if (kind === 'caller-gone' || kind === 'timed-out') offer(own.request.inbox, { kind });
+      while (end === undefined) {
+        const message = (yield* receive(request.inbox)) ?? { kind: 'caller-gone' };
+        const isOver = message.kind === 'caller-gone' || message.kind === 'timed-out';
+        if (isOver) offer(own.request.inbox, message);
+      }
+      if ('error' in end) throw end.error;
+      const { excluded } = progress;
+      for (const upstreamId of own.progress.excluded) excluded.add(upstreamId);
+      Object.assign(progress, { ...own.progress, excluded });
+      return end.run;
+    },
+  };
+}
+
+/** Records how a run ended, and frees its slot. */
+export function settleRun(
+  state: GatewayState,
+  request: GatewayRequest,
+  progress: StreamProgress,
+  { grant, end, result, hasEvents, hasHead }: GrantedRun,
+): void {
+  endGrant(state, grant, end === 'finished');
+  const { fingerprint, sharedParts: promptParts } = request;
+  if (end === 'finished') state.contentGuard.recordAnswered(fingerprint);
+  if (end === 'finished' || end === 'over') return;
+  const { decode } = grant;
+  const content = { fingerprint, hasEvents, promptParts };
+  if (end === 'broken') state.contentGuard.recordBroken(decode, content);
+  notifyEngineFailed(state, request, decode, findEngineFailure(result));
+  progress.excluded.add(decode);
+  // A send that may have reached the engine counts as executed even if no answer arrived.
+  if (end === 'broken' && !hasHead) progress.runs += 1;
+}
+
+/** Runs a stream on a granted slot; returns the last run if others have taken its place. */
+export function* runGranted(
+  state: GatewayState,
+  request: GatewayRequest,
+  progress: StreamProgress,
+  plan: RunPlan,
+): Task<GrantedRun> {
+  const { grant, server } = plan;
+  const handover = makeHandover(state, request, progress, plan);
+  const run = yield* runDecode(state, request, progress, {
+    engine: server,
+    slotRequestId: grant.askId,
+    turn: handover,
+  });
+  if (!handover.isDisplaced()) {
+    handover.cancel();
+    return { ...run, grant };
+  }
+  settleRun(state, request, progress, { ...run, grant });
+  return yield* handover.awaitEnd(run);
+}
--- a/packages/router/src/gateway/stream-progress.ts
+++ b/packages/router/src/gateway/stream-progress.ts
@@ -70,6 +70,14 @@
   return Math.min(deadlineAt, arrivedAt + abandonMs - ABANDON_MARGIN_MS);
 }
 
+/** Least time before the deadline for which one more attempt is worth starting. */
+export const MIN_REMAINING_MS = 500;
+
+/** Counts the retries of one more attempt: the decode, and the prefill if it is repeated. */
+export function countRetries({ kvSource, prefillSends }: StreamProgress): number {
+  return kvSource === undefined && prefillSends > 0 ? 2 : 1;
+}
+
 /** Fields of a send besides the server and the remaining time. */
 export type SendFields = Omit<PlacementFields, 'upstreamId' | 'leftMs'>;
 
