Tests: calls are given up at a silent server although nothing else may take them (failing)

Callers see: a call that may be repeated is answered 502 as soon as its server has been silent for 0.6 of its latency target, where the retry budget is used up; where there is no other server, it is sent to the silent one again and again.

--- a/packages/router/src/gateway/call-flow.test.ts
+++ b/packages/router/src/gateway/call-flow.test.ts
@@ -12,12 +12,13 @@
 
 type CallTrace = {
   readonly sends: string[];
+  readonly answers: number[];
   readonly refusals: string[];
 };
 
 const NAMES = ['a', 'b'] as UpstreamId[];
 
-function buildRequest(refusals: string[]): GatewayRequest {
+function buildRequest({ refusals, answers }: CallTrace): GatewayRequest {
   const now = getSteadyMs();
   const route = { kind: 'idempotent', maxAttempts: 3, isResumable: false, targetLatencyMs: 400 };
   return {
@@ -30,16 +31,48 @@
     arrivedAt: now,
     deadlineAt: now + 10_000,
     aimAt: now + 400,
-    reply: { getState: () => 'open', refuse: (name: string) => refusals.push(name) },
+    reply: {
+      getState: () => 'open',
+      refuse: (name: string) => refusals.push(name),
+      begin: (status: number) => answers.push(status),
+      write: () => true,
+      end: () => undefined,
+    },
     inbox: makeChannel(16),
   } as unknown as GatewayRequest;
 }
 
-/** Plays one call whose servers break off each answer; the first one brings it into quarantine. */
-async function playCall(isQuarantinedLater: boolean): Promise<CallTrace> {
-  const trace: CallTrace = { sends: [], refusals: [] };
+/** What happens to the calls of a test. */
+type Course = {
+  /** Whether a call comes into quarantine by its first broken answer. */
+  readonly isQuarantinedLater?: boolean;
+  /** Time after which servers answer, in milliseconds; undefined if they break off each answer. */
+  readonly answerMs?: number;
+  readonly retrySlack?: number;
+  readonly names?: readonly UpstreamId[];
+};
+
+/** Answers a call after some time, or breaks it off. */
+function answerSend(onEvent: (event: object) => void, { answerMs }: Course): void {
+  if (answerMs === undefined) {
+    setImmediate(() => onEvent({ kind: 'failed', isSent: true, reason: 'socket hang up' }));
+    return;
+  }
+  setTimeout(() => {
+    onEvent({ kind: 'head', status: 200, headers: {}, rawHeaders: [], framing: 'length' });
+    onEvent({ kind: 'ended' });
+  }, answerMs);
+}
+
+const HEAD = { requestId: 'r1', isSigned: true, isNotRun: false, isEncoded: false };
+const NOTICE = { isLeaving: false, pauseMs: undefined, limit: { kind: 'none' }, invalid: [] };
+
+/** Plays one call. */
+async function playCall(course: Course): Promise<CallTrace> {
+  const { isQuarantinedLater = false, retrySlack = 20, names = NAMES } = course;
+  const trace: CallTrace = { sends: [], answers: [], refusals: [] };
   const upstreams = makeUpstreamList();
-  for (const upstreamId of NAMES) {
+  for (const upstreamId of names) {
     const fields = { upstreamId, service: 'ledger', address: upstreamId, incarnation: 1 };
     upstreams.records.set(upstreamId, {
       ...fields,
@@ -54,20 +87,27 @@
     client: {
       send: ({ address }: { address: string }, onEvent: (event: object) => void) => {
         trace.sends.push(address);
-        setImmediate(() => onEvent({ kind: 'failed', isSent: true, reason: 'socket hang up' }));
+        answerSend(onEvent, course);
         return { cancel: () => undefined };
       },
     },
-    ports: { dialect: { makeForwardHeaders: () => [] } },
+    ports: {
+      dialect: {
+        makeForwardHeaders: () => [],
+        makeAnswerHeaders: () => [],
+        decodeUpstreamHead: (status: number) => ({ ...HEAD, status, notice: NOTICE }),
+      },
+    },
     partGuard: { findQuarantined: () => undefined },
     contentGuard: {
       isQuarantined: () => isQuarantined,
+      recordAnswered: () => undefined,
       recordBroken: () => {
         isQuarantined = isQuarantinedLater;
       },
     },
     metrics: makeGatewayMetrics(),
-    settings: { vmId: 'vm-1', retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 20 },
+    settings: { vmId: 'vm-1', retryRatio: 0.2, retryWindowMs: 10_000, retrySlack },
     loads: new Map(),
     retryWindows: new Map(),
     takeFraction: () => 0.5,
@@ -77,7 +117,7 @@
   await new Promise<void>((resolve) => {
     startTask(
       'call',
-      () => runCallRequest(state, buildRequest(trace.refusals)),
+      () => runCallRequest(state, buildRequest(trace)),
       () => resolve(),
     );
   });
@@ -86,11 +126,35 @@
 
 // Guards against a content that crashes servers being sent again by the request that showed it.
 it('calls: a content that comes into quarantine after a send is not sent again', async () => {
-  expect(await playCall(false)).to.deep.equal({
+  expect(await playCall({})).to.deep.equal({
     sends: ['a', 'b', 'a'],
+    answers: [],
     refusals: ['upstream-failed'],
   });
-  expect(await playCall(true)).to.deep.equal({ sends: ['a'], refusals: ['quarantined'] });
+  const quarantined = { sends: ['a'], answers: [], refusals: ['quarantined'] };
+  expect(await playCall({ isQuarantinedLater: true })).to.deep.equal(quarantined);
+});
+
+/** After the time at which a call that may be repeated is sent to another server. */
+const LATE_ANSWER_MS = 600;
+
+// Guards against a call that is failed at a silent server although nothing else may take it.
+it('calls: a call goes on at a silent server when no retry is left', async () => {
+  const trace = await playCall({ answerMs: LATE_ANSWER_MS, retrySlack: 0 });
+  expect(trace).to.deep.equal({ sends: ['a'], answers: [200], refusals: [] });
+});
+
+// Guards against a call that is sent once more to the server that is silent.
+it('calls: a call goes on at a silent server when there is no other', async () => {
+  const names = ['a'] as UpstreamId[];
+  const trace = await playCall({ answerMs: LATE_ANSWER_MS, names });
+  expect(trace).to.deep.equal({ sends: ['a'], answers: [200], refusals: [] });
+});
+
+// Guards against a call that waits for a silent server while another one may take it.
+it('calls: a call is sent to another server while its own is silent', async () => {
+  const { sends } = await playCall({ answerMs: LATE_ANSWER_MS });
+  expect(sends.slice(0, 2)).to.deep.equal(['a', 'b']);
 });
 
 // Guards against a send for which the question was not asked; the compiler is the check.
