Silent servers: a call is given up only where another server may get it

Callers saw: 502 after 0.6 of the latency target from a sound server that was silent for a while, if the retry budget was used up; and the same request sent several times to one silent server where there was no other. Before: two of three new tests of call-flow failed. After: they hold, with whole-path, server-answers and caller-kinds (35 passed). Conclusion: an overdue call is given up when another server is usable and the retry has been taken; else its server is waited for until the deadline. What remains: the other server may turn out to have no permit left, then the call still fails.

--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -87,6 +87,19 @@
   }
 }
 
+/** Whether some other server may get the call now; takes the retry if so. */
+function takeOtherServer(
+  state: GatewayState,
+  { service, deadlineAt }: GatewayRequest,
+  { upstreamId }: ClearedUpstream,
+): boolean {
+  const now = getSteadyMs();
+  const usable = listUsableUpstreams(state.upstreams, service, now);
+  const hasOther = usable.some((other) => other.upstreamId !== upstreamId);
+  const hasTime = deadlineAt - now > MIN_REMAINING_MS;
+  return hasOther && hasTime && takeServiceRetries(state, service);
+}
+
 function* sendCall(
   state: GatewayState,
   request: GatewayRequest,
@@ -102,6 +115,7 @@
     server,
     placement: {},
     headDueAt: findHeadDueAt(request, progress, sentAt),
+    canGiveUp: () => takeOtherServer(state, request, server),
     onHead: () => undefined,
     onData: (chunk, exchange) => {
       bytes += chunk.length;
@@ -219,7 +233,8 @@
     // A service whose servers all pause takes nothing from the budget.
     const canRetry = (): boolean =>
       hasTime && hasUsableServer(state, service) && takeServiceRetries(state, service);
-    if (step.kind === 'retry' && !canRetry()) {
+    // The retry of a call that was given up has been taken.
+    if (step.kind === 'retry' && result.kind !== 'slow' && !canRetry()) {
       step = chooseNextStep(outcome, { ...history, mayRetry: false });
     }
     const { requestId } = fields;
