Streams: the time that a stream may wait for its next slot counts from its last event

Callers saw: a resumable stream that its engine broke off (or that was given up there) more than 3 s after its arrival was broken off at once, unless another engine had a slot in that very moment. Cause: the slot request bore the caller's deadline for the first event, counted from the arrival, though a caller waits that long for each event. For a stream in its middle it lay in the past, and the owner of the pool refused it at its next tick (`waited-too-long`).

--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -48,7 +48,7 @@
   aimAt: number;
   /** Longest pause between two events that meets the latency target, in milliseconds. */
   readonly pauseMs: number;
-  /** The caller's deadline for the first event. */
+  /** The caller's deadline for the next event. */
   readonly patienceEndsAt: number;
   /** Identifies the content: the same for every attempt of a caller at one request. */
   readonly contentKey: string;
--- a/packages/router/src/gateway/stream-progress.ts
+++ b/packages/router/src/gateway/stream-progress.ts
@@ -22,6 +22,7 @@
   events: number;
   /** Time from arrival to the first event, in milliseconds; undefined before it. */
   firstEventMs: number | undefined;
+  /** 0 before the first event. */
   lastEventAt: number;
   /** Longest pause between events, in milliseconds. */
   longestGapMs: number;
@@ -60,14 +61,17 @@
   };
 }
 
-/** Finds the caller's deadline for the first event. */
-export function findFirstEventDeadline({ route, arrivedAt, deadlineAt }: GatewayRequest): number {
+/** Finds the caller's deadline for the next event, which counts from the last one. */
+export function findEventDeadline(
+  { route, arrivedAt, deadlineAt }: GatewayRequest,
+  { lastEventAt }: StreamProgress,
+): number {
   const abandonMs = Math.max(
     MIN_ABANDON_GAP_MS,
     ABANDON_LATENCY_TARGETS * route.targetLatencyMs,
     ABANDON_GAP_TARGETS * (route.gapTargetMs ?? 0),
   );
-  return Math.min(deadlineAt, arrivedAt + abandonMs - ABANDON_MARGIN_MS);
+  return Math.min(deadlineAt, Math.max(arrivedAt, lastEventAt) + abandonMs - ABANDON_MARGIN_MS);
 }
 
 /** Least time before the deadline for which one more attempt is worth starting. */
--- a/packages/router/src/gateway/stream-slot.ts
+++ b/packages/router/src/gateway/stream-slot.ts
@@ -9,7 +9,7 @@
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import type { RequestEnd } from './sender.js';
-import { findFirstEventDeadline, type StreamProgress } from './stream-progress.js';
+import { findEventDeadline, type StreamProgress } from './stream-progress.js';
 
 const DEFAULT_OUTPUT_SHARE = 0.5;
 /** Target for the gap between events if the route has none. */
@@ -45,7 +45,7 @@
     outputTokens: expectedOutputTokens ?? DEFAULT_OUTPUT_SHARE * maxOutputTokens,
     aimAt: request.aimAt,
     pauseMs: request.route.gapTargetMs ?? DEFAULT_GAP_TARGET_MS,
-    patienceEndsAt: findFirstEventDeadline(request),
+    patienceEndsAt: findEventDeadline(request, progress),
     needsPrefill: progress.kvSource === undefined,
     isContinued: progress.prefillSends > 0 || progress.runs > 0 || progress.origin !== undefined,
     endsBy: Infinity,
