Where streams began is saved in the store while a service may have several versions, so that it outlasts all VMs

Cause: only VMs knew where a stream began; with all of them that was lost, and every stream was refused although engines of its version were there.

Times are those of the store's steady clock. Streams of routes that are not resumable are neither told nor saved any more. A stream that its caller does not name is found by its content only where a VM was told of all others, as before: what began in the last moments before the kill may not be saved.

Lost with all VMs: streams that began within about 50 ms before, or while the store took no writes.

--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import { makePartGuard } from './part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
 import { makeQuarantineWakeups } from './quarantine-rows.js';
+import { makeSavedStreams } from './saved-streams.js';
 import { listen, startMetricsListener, startReadyListener } from './side-listeners.js';
 import { listPoolServices, makeConfigurationFeed, makeUpstreamFeed } from './state-feeds.js';
 import { startShutdown } from './stop.js';
@@ -108,6 +109,16 @@
   });
   const fleet = makeFleetView(settings.vmId, computeMaxStoreAgeMs(settings.changeWithinMs));
   const versions = makeVersionHistory();
+  const savedStreams = makeSavedStreams({
+    store: ports.store,
+    keyPrefix: `${self}/`,
+    startId: processStartId,
+    isWriter: (service) => fleet.listHubsOf(service, getSteadyMs())[0] === self,
+    onRead: (records) => stateHolder.state?.streamOrigins.recordSaved(records),
+    getNow: getSteadyMs,
+    takeFraction,
+    logger,
+  });
   const streamOrigins = makeStreamOriginBook({
     self,
     listHomes: (service) => fleet.listHubsOf(service, getSteadyMs()).slice(0, ORIGIN_HOMES),
@@ -120,6 +131,8 @@
       stateHolder.state && listUsedVersions(stateHolder.state, service),
     listEarlierVersions: (service) =>
       stateHolder.state && listEarlierVersions(stateHolder.state, service),
+    save: savedStreams.add,
+    isSavedRead: savedStreams.isRead,
     getHorizonMs: () => computeHorizonMs(stateHolder.state),
     logger,
   });
@@ -158,6 +171,7 @@
       if (error !== undefined) handleFatal(logger, error);
       else logger.info({ name: ended }, 'gateway: task ended');
     });
+  start('saved streams', savedStreams.run);
   start('pools', pools.run);
   poolTicker.ticker = startAdaptiveTicker({
     busyMs: POOL_TICK_MS,
--- a/packages/router/src/gateway/origin-questions.ts
+++ b/packages/router/src/gateway/origin-questions.ts
@@ -24,6 +24,8 @@
   readonly self: VmId;
   readonly listHomes: (service: ServiceName) => readonly VmId[];
   readonly sendTo: (vmId: VmId, message: OriginMessage) => boolean;
+  /** Whether this VM has read what was saved before its start. */
+  readonly isSavedRead: () => boolean;
   /** What this VM says itself. */
   readonly buildVote: (key: StreamKey, services: readonly ServiceName[]) => OriginVote;
   readonly getNow: () => number;
@@ -49,7 +51,7 @@
 
 /** Makes the questions of a VM that has just started. */
 export function makeOriginQuestions(parts: OriginQuestionsParts): OriginQuestions {
-  const { self, listHomes, sendTo, buildVote, getNow, schedule } = parts;
+  const { self, listHomes, sendTo, isSavedRead, buildVote, getNow, schedule } = parts;
   const questions = new Map<string, Question>();
   const linkedBy = getNow() + LINK_TIME_MS;
   let questionCount = 0;
@@ -63,12 +65,12 @@
   /** Whether nothing more is to come: a named stream is known, or every home has answered. */
   function isSettled(question: Question): boolean {
     const { key, services, asked, votes } = question;
-    const isNamed = key.streamId !== undefined;
-    if (isNamed && [...votes.values()].some(({ known }) => known.length > 0)) return true;
-    const isStarting = getNow() < linkedBy;
+    const ownVote = buildVote(key, services);
+    const isKnown = [ownVote, ...votes.values()].some(({ known }) => known.length > 0);
+    if (key.streamId !== undefined && isKnown) return true;
     // A VM that starts knows neither its peers nor the store's rows at first.
-    if (isStarting && (asked.size === 0 || buildVote(key, services).used === undefined))
-      {return false;}
+    const isInformed = isSavedRead() && ownVote.used !== undefined && asked.size > 0;
+    if (getNow() < linkedBy && !isInformed) return false;
     return listOtherHomes(question).every((home) => votes.has(home));
   }
 
--- a/packages/router/src/gateway/stream-origins.fuzz.test.ts
+++ b/packages/router/src/gateway/stream-origins.fuzz.test.ts
@@ -75,6 +75,8 @@
       listUsedVersions: () => VERSIONS,
       listEarlierVersions: () => VERSIONS,
       getHorizonMs: () => LIFETIME_MS,
+      save: () => undefined,
+      isSavedRead: () => true,
       logger,
       getNow: () => now,
       schedule: (run, delayMs) => {
@@ -253,53 +255,56 @@
 // Guards against a caller that names no stream and goes on with another one of the same content.
 it('stream origins: a stream that is found by its content goes on at its version, over restarts of one VM or all', () => {
   fc.assert(
-    fc.property(fc.array(CONTENT_STEP, { maxLength: 30, size: 'max' }), (steps: readonly ContentStep[]) => {
-      const fleet = makeFleet();
-      const begun: (Begun & { content: ContentKey })[] = [];
-      for (const wait of [STEP_MS, LIFETIME_MS]) fleet.pass(wait);
-      let allRestartedAt = 0;
-      for (const { kind, vm, version, content } of steps) {
-        const at = fleet.getNow();
-        switch (kind) {
-          case 'begins': {
-            const streamId = `s${begun.length}` as StreamId;
-            const origin = { service: SERVICE, softwareVersion: version };
-            const record = { streamId, contentKey: content, origin, expiresAt: at + LIFETIME_MS };
-            fleet.books.get(vm)?.recordOwn(record);
-            begun.push({ streamId, version, vm, at, content });
-            break;
+    fc.property(
+      fc.array(CONTENT_STEP, { maxLength: 30, size: 'max' }),
+      (steps: readonly ContentStep[]) => {
+        const fleet = makeFleet();
+        const begun: (Begun & { content: ContentKey })[] = [];
+        for (const wait of [STEP_MS, LIFETIME_MS]) fleet.pass(wait);
+        let allRestartedAt = 0;
+        for (const { kind, vm, version, content } of steps) {
+          const at = fleet.getNow();
+          switch (kind) {
+            case 'begins': {
+              const streamId = `s${begun.length}` as StreamId;
+              const origin = { service: SERVICE, softwareVersion: version };
+              const record = { streamId, contentKey: content, origin, expiresAt: at + LIFETIME_MS };
+              fleet.books.get(vm)?.recordOwn(record);
+              begun.push({ streamId, version, vm, at, content });
+              break;
+            }
+            case 'resumes': {
+              const stream = begun.find(
+                (known) => known.content === content && at + LONG_WAIT_MS < known.at + LIFETIME_MS,
+              );
+              if (stream === undefined) break;
+              const origin = findAt(fleet, vm, { streamId: undefined, contentKey: content });
+              if (origin !== undefined) expect(origin.softwareVersion).to.equal(stream.version);
+              const isOther = (other: Begun & { content: ContentKey }): boolean =>
+                other.content === content &&
+                other.version !== stream.version &&
+                fleet.getNow() < other.at + LIFETIME_MS + LONG_WAIT_MS;
+              const isKnown = fleet.getNow() > allRestartedAt + LIFETIME_MS + LONG_WAIT_MS;
+              if (isKnown && !begun.some(isOther)) expect(origin).not.to.equal(undefined);
+              break;
+            }
+            case 'restarts':
+              fleet.restart(vm);
+              break;
+            case 'all-restart':
+              allRestartedAt = at;
+              fleet.restartAll();
+              break;
+            case 'waits':
+              fleet.pass(LONG_WAIT_MS);
+              break;
+            default:
+              kind satisfies never;
           }
-          case 'resumes': {
-            const stream = begun.find(
-              (known) => known.content === content && at + LONG_WAIT_MS < known.at + LIFETIME_MS,
-            );
-            if (stream === undefined) break;
-            const origin = findAt(fleet, vm, { streamId: undefined, contentKey: content });
-            if (origin !== undefined) expect(origin.softwareVersion).to.equal(stream.version);
-            const isOther = (other: Begun & { content: ContentKey }): boolean =>
-              other.content === content &&
-              other.version !== stream.version &&
-              fleet.getNow() < other.at + LIFETIME_MS + LONG_WAIT_MS;
-            const isKnown = fleet.getNow() > allRestartedAt + LIFETIME_MS + LONG_WAIT_MS;
-            if (isKnown && !begun.some(isOther)) expect(origin).not.to.equal(undefined);
-            break;
-          }
-          case 'restarts':
-            fleet.restart(vm);
-            break;
-          case 'all-restart':
-            allRestartedAt = at;
-            fleet.restartAll();
-            break;
-          case 'waits':
-            fleet.pass(LONG_WAIT_MS);
-            break;
-          default:
-            kind satisfies never;
+          fleet.pass(STEP_MS);
         }
-        fleet.pass(STEP_MS);
-      }
-    }),
+      },
+    ),
   );
 });
 
--- a/packages/router/src/gateway/stream-origins.test.ts
+++ b/packages/router/src/gateway/stream-origins.test.ts
@@ -33,6 +33,8 @@
     listUsedVersions: () => used,
     listEarlierVersions: () => used,
     getHorizonMs: () => LIFETIME_MS,
+    save: () => undefined,
+    isSavedRead: () => true,
     logger,
     getNow: () => 0,
     schedule: () => () => undefined,
@@ -59,6 +61,8 @@
     listUsedVersions: () => VERSIONS.slice(0, 1),
     listEarlierVersions: () => VERSIONS.slice(0, 1),
     getHorizonMs: () => LIFETIME_MS,
+    save: () => undefined,
+    isSavedRead: () => true,
     logger,
     getNow: () => 0,
   });
@@ -85,6 +89,8 @@
     listUsedVersions: () => used,
     listEarlierVersions: () => used,
     getHorizonMs: () => LIFETIME_MS,
+    save: () => undefined,
+    isSavedRead: () => true,
     logger,
     getNow: () => now,
   });
--- a/packages/router/src/gateway/stream-origins.ts
+++ b/packages/router/src/gateway/stream-origins.ts
@@ -28,6 +28,8 @@
   readonly find: (key: StreamKey) => StreamOrigin | undefined;
   /** Asks the homes of these services; answers undefined if it is not certain in time. */
   readonly ask: OriginQuestions['ask'];
+  /** Records streams that were saved before the start of this VM. */
+  readonly recordSaved: (records: readonly OriginRecord[]) => void;
   readonly handleMessage: (from: VmId, message: OriginMessage) => void;
   /** Tells a VM that has just been linked, if it is a home, of all streams known here. */
   readonly handleLinkOpened: (vmId: VmId) => void;
@@ -39,6 +41,9 @@
 export type StreamOriginParts = Omit<OriginHomesParts, 'getNow'> & {
   /** Returns false if the VM is not linked. */
   readonly sendTo: (vmId: VmId, message: OriginMessage) => boolean;
+  /** Saves a stream that may outlast all VMs; called for each that this VM hears of. */
+  readonly save: (record: OriginRecord) => void;
+  readonly isSavedRead: () => boolean;
   readonly logger: Logger;
   readonly getNow?: () => number;
   /** Runs a function after a delay in milliseconds; returns how to cancel it. */
@@ -58,7 +63,7 @@
 
 /** Makes the book of this VM. */
 export function makeStreamOriginBook(parts: StreamOriginParts): StreamOriginBook {
-  const { listHomes, listServices, listUsedVersions, sendTo, self, logger } = parts;
+  const { listHomes, listServices, listUsedVersions, sendTo, self, save, logger } = parts;
   const getNow = parts.getNow ?? getSteadyMs;
   const schedule = parts.schedule ?? scheduleTimer;
   const origins = makeStreamOrigins();
@@ -115,13 +120,21 @@
     toldHomes.set(service, new Set(others));
   }
 
+  function listOwn(service: ServiceName): OriginRecord[] {
+    const records = [...own].map((streamId) => origins.byId.get(streamId));
+    return records.filter((item) => item?.origin.service === service) as OriginRecord[];
+  }
+
   /** Whether the homes of a service are told of its streams; they are told of all at the beginning. */
   function updateTold(service: ServiceName): boolean {
     if (listUsedVersions(service)?.length === 1) {
       toldHomes.delete(service);
       return false;
     }
-    if (!toldHomes.has(service)) logger.info({ service }, 'origins: homes are told of streams');
+    if (!toldHomes.has(service)) {
+      logger.info({ service }, 'origins: homes are told of streams');
+      for (const item of listOwn(service)) save(item);
+    }
     tellNewHomes(service);
     return true;
   }
@@ -137,7 +150,9 @@
     return { known, untold: homes.listUntold(services), used: homes.listUsed(services) };
   }
 
-  const questions = makeOriginQuestions({ self, listHomes, sendTo, buildVote, getNow, schedule });
+  const { isSavedRead } = parts;
+  const asking = { self, listHomes, sendTo, isSavedRead, buildVote, getNow, schedule };
+  const questions = makeOriginQuestions(asking);
 
   return {
     recordOwn: (item) => {
@@ -146,6 +161,7 @@
       const isTold = updateTold(origin.service);
       recordItem(item);
       if (!isTold) return;
+      save(item);
       unsent.push(item);
       if (isSending) return;
       isSending = true;
@@ -154,12 +170,17 @@
     find: (key) =>
       key.streamId === undefined ? undefined : listOrigins(origins, key, getNow())[0],
     ask: questions.ask,
+    recordSaved: (records) => {
+      for (const item of records) recordItem(item);
+    },
     handleMessage: (from, message) => {
       switch (message.kind) {
         case 'stream-origins': {
           const now = getNow();
           for (const { streamId, contentKey, endsInMs, ...origin } of message.items) {
-            recordItem({ streamId, contentKey, origin, expiresAt: now + endsInMs });
+            const item = { streamId, contentKey, origin, expiresAt: now + endsInMs };
+            recordItem(item);
+            save(item);
           }
           return;
         }
--- a/packages/router/src/gateway/stream-progress.ts
+++ b/packages/router/src/gateway/stream-progress.ts
@@ -85,7 +85,7 @@
 /** After its deadline a caller may resume a stream for this long at most. */
 const RESUME_MARGIN_MS = 5_000;
 
-/** Records which engine began a stream, once its first event has arrived. */
+/** Records which engine began a stream that may be resumed, once its first event has arrived. */
 export function recordStreamOrigin(
   state: GatewayState,
   request: GatewayRequest,
@@ -93,6 +93,7 @@
   { service, softwareVersion }: UpstreamRecord,
 ): void {
   progress.origin ??= { service, softwareVersion };
+  if (!request.route.isResumable) return;
   const { requestId, resumedStream, leftMs = 0 } = request.fields;
   const deadlineAt = Math.max(request.deadlineAt, request.arrivedAt + leftMs);
   state.streamOrigins.recordOwn({
