--- a/packages/router/src/gateway/stream-origins.fuzz.test.ts
+++ b/packages/router/src/gateway/stream-origins.fuzz.test.ts
@@ -75,6 +75,8 @@
       listUsedVersions: () => VERSIONS,
       listEarlierVersions: () => VERSIONS,
       getHorizonMs: () => LIFETIME_MS,
+      save: () => undefined,
+      isSavedRead: () => true,
       logger,
       getNow: () => now,
       schedule: (run, delayMs) => {
