Calls: a send that did not arrive takes no retry from the budget

Cause: each send of which no byte reached a server took a retry, so the budget of the next 10 s was empty. The users' rule counts arrivals only. Streams still take a retry: tried, and a stream that is granted an engine again and again would not end; as they are refused before any send where no way is known, they hardly lose any. Also: the states that call-flow and stream-flow tests make have the access to servers, as the gateway has.

--- a/packages/core/src/routing/routing.test.ts
+++ b/packages/core/src/routing/routing.test.ts
@@ -132,14 +132,14 @@
 });
 
 it('outcomes: a request that did not run goes to another server, then is refused', () => {
-  const notRun = { kind: 'not-run', reason: 'status 503' } as const;
+  const notRun = { kind: 'not-run', reason: 'status 503', hasArrived: true } as const;
   expect(chooseNextStep(notRun, { ...HISTORY, runs: 0 }).kind).to.equal('retry');
   const last = { ...HISTORY, runs: 0, mayRetry: false };
   expect(chooseNextStep(notRun, last).kind).to.equal('refuse');
 });
 
 it('outcomes: an idempotent request that ran once is not reported to the caller as not run', () => {
-  const notRun = { kind: 'not-run', reason: 'status 503' } as const;
+  const notRun = { kind: 'not-run', reason: 'status 503', hasArrived: true } as const;
   const history: SendHistory = { ...HISTORY, kind: 'idempotent', mayRetry: false };
   expect(chooseNextStep(notRun, history).kind).to.equal('fail');
 });
--- a/packages/core/src/routing/sender-outcome.ts
+++ b/packages/core/src/routing/sender-outcome.ts
@@ -8,7 +8,12 @@
   /** The whole answer has arrived, or its head if the answer is streamed. */
   | { readonly kind: 'answered'; readonly status: number; readonly isSigned: boolean }
   /** No byte was sent, or the server reported that it did not run the request. */
-  | { readonly kind: 'not-run'; readonly reason: string }
+  | {
+      readonly kind: 'not-run';
+      readonly reason: string;
+      /** Whether the request reached the server, so that the send counts against the retry budget. */
+      readonly hasArrived: boolean;
+    }
   /** Bytes were sent and no usable answer arrived: the request may have run. */
   | { readonly kind: 'unknown'; readonly reason: string };
 
--- a/packages/router/src/gateway/call-flow.test.ts
+++ b/packages/router/src/gateway/call-flow.test.ts
@@ -84,11 +84,13 @@
     upstreams,
     pools: { countLiveVms: () => 1 },
     logger: pino({ level: 'silent' }),
-    client: {
-      send: ({ address }: { address: string }, onEvent: (event: object) => void) => {
-        trace.sends.push(address);
-        answerSend(onEvent, course);
-        return { cancel: () => undefined };
+    access: {
+      client: {
+        send: ({ server }: { server: UpstreamRecord }, onEvent: (event: object) => void) => {
+          trace.sends.push(server.address);
+          answerSend(onEvent, course);
+          return { cancel: () => undefined };
+        },
       },
     },
     ports: {
--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -193,6 +193,21 @@
   return listUsableUpstreams(upstreams, service, getSteadyMs()).length > 0;
 }
 
+/** Takes the retry of a call; a send of which nothing arrived costs none, while another server is left. */
+function takeRetry(
+  state: GatewayState,
+  { service }: GatewayRequest,
+  { tried }: CallProgress,
+  outcome: SendOutcome,
+): boolean {
+  const usable = listUsableUpstreams(state.upstreams, service, getSteadyMs());
+  if (outcome.kind === 'not-run' && !outcome.hasArrived) {
+    return usable.some(({ upstreamId }) => !tried.has(upstreamId));
+  }
+  // A service whose servers all pause takes nothing from the budget.
+  return usable.length > 0 && takeServiceRetries(state, service);
+}
+
 /** Serves one request of a plain service, with retries within the retry budget. */
 export function* runCallRequest(state: GatewayState, request: GatewayRequest): Task {
   const { route, service, fields } = request;
@@ -230,9 +245,7 @@
       mayRetry: true,
     };
     let step = chooseNextStep(outcome, history);
-    // A service whose servers all pause takes nothing from the budget.
-    const canRetry = (): boolean =>
-      hasTime && hasUsableServer(state, service) && takeServiceRetries(state, service);
+    const canRetry = (): boolean => hasTime && takeRetry(state, request, progress, outcome);
     // The retry of a call that was given up has been taken.
     if (step.kind === 'retry' && result.kind !== 'slow' && !canRetry()) {
       step = chooseNextStep(outcome, { ...history, mayRetry: false });
--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -119,7 +119,9 @@
 
 function findCompletedOutcome({ head }: ActiveSend, plan: SendPlan): SendOutcome {
   if (head === undefined) return { kind: 'unknown', reason: 'no usable answer' };
-  if (head.isNotRun) return { kind: 'not-run', reason: `status ${head.status}` };
+  if (head.isNotRun) {
+    return { kind: 'not-run', reason: `status ${head.status}`, hasArrived: true };
+  }
   const cut = plan.findCut?.();
   if (cut !== undefined) return { kind: 'unknown', reason: cut };
   return { kind: 'answered', status: head.status, isSigned: head.isSigned };
@@ -155,7 +157,8 @@
           : { kind: 'outcome', outcome, head: send.head };
       }
       const { isSent, reason } = event;
-      return { kind: 'outcome', outcome: { kind: isSent ? 'unknown' : 'not-run', reason } };
+      if (isSent) return { kind: 'outcome', outcome: { kind: 'unknown', reason } };
+      return { kind: 'outcome', outcome: { kind: 'not-run', reason, hasArrived: false } };
     }
     default:
       return message satisfies never;
--- a/packages/router/src/gateway/stream-flow.test.ts
+++ b/packages/router/src/gateway/stream-flow.test.ts
@@ -75,12 +75,15 @@
     pools: { inbox, countLiveVms: () => 1 },
     logger: pino({ level: 'silent' }),
     upstreams,
-    client: {
-      send: ({ address }: { address: string }, onEvent: (event: object) => void) => {
-        trace.sends.push(address);
-        setImmediate(() => onEvent({ kind: 'failed', isSent: false, reason: 'not connected' }));
-        return { cancel: () => undefined };
+    access: {
+      client: {
+        send: ({ server }: { server: UpstreamRecord }, onEvent: (event: object) => void) => {
+          trace.sends.push(server.address);
+          setImmediate(() => onEvent({ kind: 'failed', isSent: false, reason: 'not connected' }));
+          return { cancel: () => undefined };
+        },
       },
+      hasWay: () => true,
     },
     ports: { dialect: { makeForwardHeaders: () => [] } },
     partGuard: { findQuarantined: () => undefined },
--- a/packages/router/src/gateway/stream-prepare.ts
+++ b/packages/router/src/gateway/stream-prepare.ts
@@ -70,6 +70,10 @@
   | { readonly kind: 'failed' }
   | RequestEnd;
 
+function buildRefusedResult({ reason }: SendRefusal): SendResult {
+  return { kind: 'outcome', outcome: { kind: 'not-run', reason, hasArrived: false } };
+}
+
 /** Prefills the prompt for a granted slot if needed. The caller frees the slot unless it is ready. */
 export function* awaitPrefill(
   state: GatewayState,
@@ -84,7 +88,7 @@
   if (isQuarantined) return clearance;
   const result: SendResult =
     clearance.kind === 'refused'
-      ? { kind: 'outcome', outcome: { kind: 'not-run', reason: clearance.refusal.reason } }
+      ? buildRefusedResult(clearance.refusal)
       : yield* runPrefill(state, request, progress, clearance.server);
   if (result.kind === 'caller-gone' || result.kind === 'timed-out') return result;
   if (progress.kvSource !== undefined) {
