Stop: a request that outlasts the stop is told that its outcome is unknown

Callers saw: a closed connection, with neither an answer nor a refusal, where a call's server was silent until the time of the stop was up. Cause: every open answer was broken off at the end of the stop, also those that had not begun and could still be told. Before: the new test of silent-servers failed with "socket hang up".

--- a/packages/router/src/gateway/stop.ts
+++ b/packages/router/src/gateway/stop.ts
@@ -7,6 +7,7 @@
 import { offer, startTask, type Task } from '../tasks/tasks.js';
 import { waitMs } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
+import type { CallerReply } from './caller-reply.js';
 import type { GatewayState } from './gateway-state.js';
 
 /** The balancer probes readiness every second and removes a VM after two failed probes. */
@@ -17,6 +18,12 @@
 /** Time for answers that are broken off to tell their callers. */
 const BREAK_OFF_MS = 300;
 
+/** The end of the process would close the connections, and some answers would look complete. */
+function endStopped(reply: CallerReply): void {
+  if (reply.getState() === 'open') reply.refuse('outcome-unknown');
+  else reply.breakOff('stopped');
+}
+
 function* runShutdown(state: GatewayState, server: Server): Task {
   const closeAt = getSteadyMs() + state.settings.stopWithinMs - KILL_MARGIN_MS;
   offer(state.pools.inbox, { kind: 'stops', at: closeAt });
@@ -28,8 +35,7 @@
     server.closeIdleConnections();
   }
   const { openRequests } = state;
-  // The end of the process would close the connections, and some answers would look complete.
-  for (const reply of state.openReplies) reply.breakOff('stopped');
+  for (const reply of state.openReplies) endStopped(reply);
   const brokenOffBy = getSteadyMs() + BREAK_OFF_MS;
   while (state.openRequests > 0 && getSteadyMs() < brokenOffBy) yield* waitMs(CHECK_INTERVAL_MS);
   state.logger.info({ openRequests }, 'gateway: stopped');
