Tests: handover of streams between engines

Eleven tests that hold: each event once, slots freed and both runs ended on every way out, where engines refuse, fall silent again, are heard in the same turn, or the caller leaves.

--- /dev/null
+++ b/packages/router/src/gateway/stream-handover.test.ts
@@ -0,0 +1,334 @@
+import { makeUpstreamList, type Route, type UpstreamRecord } from '@tarragonspool/core';
+import type { UpstreamId } from '@tarragonspool/protocol';
+import { expect } from 'chai';
+import { pino } from 'pino';
+import type { PoolTaskMessage } from '../pools/pool-task.js';
+import { makeChannel, offer, receive, startTask, type Task } from '../tasks/tasks.js';
+import { getSteadyMs } from '../time/steady-clock.js';
+import { makeGatewayMetrics } from './gateway-metrics.js';
+import type { GatewayRequest } from './gateway-request.js';
+import type { GatewayState } from './gateway-state.js';
+import type { AnswerHead, SendPlan } from './sender.js';
+import { runStreamRequest } from './stream-flow.js';
+
+/** What an engine sends: a head, the event of this id, the end, or a failure before or after the request was sent. */
+type EngineStep = 'head' | number | 'ended' | 'reset' | 'unreached';
+
+/** Steps of an engine with their times after the send, in milliseconds. */
+type EngineScript = readonly (readonly [number, EngineStep])[];
+
+type Course = {
+  readonly engines: Readonly<Record<string, EngineScript>>;
+  /** Step of an engine that follows in the same turn when another one sends its head. */
+  readonly afterHead?: { readonly of: string; readonly at: string; readonly step: EngineStep };
+  readonly maxAttempts?: number;
+  readonly retrySlack?: number;
+  /** What the engine `p` sends for a prefill; undefined if no prompt is prefilled after the first grant. */
+  readonly prefill?: EngineScript;
+  readonly deadlineMs?: number;
+  readonly callerLeavesMs?: number;
+};
+
+type StreamTrace = {
+  /** Sends, and those that were cancelled, in order. */
+  readonly log: string[];
+  readonly ids: number[];
+  readonly failures: string[];
+  granted: number;
+  freed: number;
+  end: string;
+};
+
+const PREFILL = 'p';
+const NOTICE = { isLeaving: false, pauseMs: undefined, limit: { kind: 'none' }, invalid: [] };
+const USABLE = { requestId: 'r1', isSigned: true, isNotRun: false, isEncoded: false };
+
+function buildRequest(course: Course, trace: StreamTrace): GatewayRequest {
+  const now = getSteadyMs();
+  const { maxAttempts = 2, deadlineMs = 8_000, callerLeavesMs } = course;
+  const route = { maxAttempts, isResumable: true, gapTargetMs: 300, targetLatencyMs: 900 };
+  let replyState = 'open';
+  const inbox = makeChannel(64);
+  setTimeout(() => offer(inbox, { kind: 'timed-out' }), deadlineMs).unref();
+  if (callerLeavesMs !== undefined) {
+    setTimeout(() => offer(inbox, { kind: 'caller-gone' }), callerLeavesMs);
+  }
+  return {
+    fields: { requestId: 'r1', promptTokens: 5_000, maxOutputTokens: 9_000, promptParts: [] },
+    sharedParts: [],
+    route: { ...route, targets: [] } as unknown as Route,
+    service: 'llm',
+    path: '/a/',
+    body: Buffer.alloc(0),
+    rawHeaders: [],
+    arrivedAt: now,
+    deadlineAt: now + deadlineMs,
+    aimAt: now + 900,
+    reply: {
+      getState: () => replyState,
+      begin: () => {
+        replyState = 'begun';
+      },
+      write: (bytes: Buffer) => {
+        for (const [, id] of String(bytes).matchAll(/^id: (\d+)$/gmu)) trace.ids.push(Number(id));
+        return true;
+      },
+      onDrain: () => undefined,
+      end: () => {
+        replyState = 'ended';
+        trace.end = 'whole';
+      },
+      breakOff: (reason: string) => {
+        replyState = 'ended';
+        trace.end = `broken off: ${reason}`;
+      },
+      refuse: (name: string) => {
+        replyState = 'ended';
+        trace.end = `refused: ${name}`;
+      },
+    },
+    inbox,
+  } as unknown as GatewayRequest;
+}
+
+/** Makes a client whose engines send what their scripts say. */
+function makeScriptedClient(course: Course, trace: StreamTrace) {
+  const emitters = new Map<string, (step: EngineStep) => void>();
+
+  function send(
+    { address, headers }: { address: string; headers: readonly string[] },
+    onEvent: (event: object) => void,
+  ) {
+    const isPrefill = headers.includes('prefill');
+    trace.log.push(isPrefill ? `prefill at ${address}` : `send to ${address}`);
+    let isOver = false;
+
+    function emit(step: EngineStep): void {
+      if (isOver) return;
+      if (step === 'head') {
+        onEvent({ kind: 'head', status: 200, headers: {}, rawHeaders: [], framing: 'chunks' });
+        const { afterHead } = course;
+        if (afterHead?.of === address) emitters.get(afterHead.at)?.(afterHead.step);
+      } else if (typeof step === 'number') {
+        onEvent({ kind: 'data', chunk: Buffer.from(`id: ${step}\ndata: x\n\n`) });
+      } else {
+        isOver = true;
+        trace.log.push(`${step} at ${address}`);
+        if (step === 'ended') onEvent({ kind: 'ended' });
+        else onEvent({ kind: 'failed', isSent: step === 'reset', reason: step });
+      }
+    }
+
+    function play(steps: EngineScript): void {
+      for (const [afterMs, step] of steps) setTimeout(() => emit(step), afterMs);
+    }
+
+    emitters.set(address, emit);
+    play((isPrefill ? course.prefill : course.engines[address]) ?? []);
+    return {
+      cancel: () => {
+        if (!isOver) trace.log.push(`cancel at ${address}`);
+        isOver = true;
+      },
+      abort: () => undefined,
+      pause: () => undefined,
+      resume: () => undefined,
+    };
+  }
+  return { send };
+}
+
+/** Plays one stream; the owner of the pool grants the engines in their order, each with a slot free. */
+async function playStream(course: Course): Promise<StreamTrace> {
+  const { retrySlack = 50 } = course;
+  const trace: StreamTrace = { log: [], ids: [], failures: [], granted: 0, freed: 0, end: 'none' };
+  const inbox = makeChannel<PoolTaskMessage>(64);
+  const upstreams = makeUpstreamList();
+  const names = Object.keys(course.engines);
+  const prefill = course.prefill && PREFILL;
+  for (const name of prefill === undefined ? names : [...names, prefill]) {
+    const stage = name === prefill ? 'prefill' : 'decode';
+    const engine = { upstreamId: name, service: 'llm', address: name, stage, incarnation: 1 };
+    upstreams.records.set(
+      name as UpstreamId,
+      {
+        ...engine,
+        softwareVersion: '1',
+        isLeaving: false,
+      } as unknown as UpstreamRecord,
+    );
+  }
+  const guard = { recordAnswered: () => undefined, recordBroken: () => undefined };
+  const state = {
+    pools: { inbox, countLiveVms: () => 1 },
+    logger: pino({ level: 'silent' }),
+    upstreams,
+    client: makeScriptedClient(course, trace),
+    ports: {
+      dialect: {
+        makeForwardHeaders: (
+          _raw: unknown,
+          _length: unknown,
+          { isPrefillOnly = false }: SendPlan['placement'],
+        ) => (isPrefillOnly ? ['prefill'] : []),
+        makeAnswerHeaders: () => [],
+        decodePrefill: () => ({ handle: 'kv-1' }),
+        decodeUpstreamHead: (status: number): Partial<AnswerHead> =>
+          ({ ...USABLE, status, notice: NOTICE }) as unknown as AnswerHead,
+      },
+    },
+    partGuard: { ...guard, findQuarantined: () => undefined },
+    contentGuard: { ...guard, isQuarantined: () => false },
+    streamOrigins: { recordOwn: () => undefined },
+    metrics: makeGatewayMetrics(),
+    settings: { vmId: 'vm-1', retryRatio: 0.2, retryWindowMs: 10_000, retrySlack },
+    retryWindows: new Map(),
+    takeFraction: () => 0.5,
+    listedVmCount: 1,
+    processStartId: 'vm-1-x',
+    slotRequestCount: 0,
+  } as unknown as GatewayState;
+
+  function* runOwner(): Task {
+    for (;;) {
+      const received = yield* receive(inbox);
+      if (received === undefined) return;
+      if (received.kind !== 'request') continue;
+      const { message } = received;
+      if (message.kind === 'end') trace.freed += 1;
+      if (message.kind === 'engine-failed') {
+        trace.failures.push(`${message.upstreamId} ${message.failure}`);
+      }
+      if (message.kind !== 'ask') continue;
+      const { askId, excluded } = message.ask;
+      const decode = names.find((name) => !excluded.includes(name as UpstreamId));
+      if (decode === undefined) continue;
+      trace.granted += 1;
+      const engines = { decode: decode as UpstreamId, prefill: prefill as UpstreamId | undefined };
+      const isFirst = trace.granted === 1;
+      const grant = isFirst ? { ...engines, prefill: undefined } : engines;
+      message.onReply({ kind: 'granted', askId, ...grant, permits: [] } as never);
+    }
+  }
+
+  startTask('owner', runOwner, () => undefined);
+  await new Promise<void>((resolve) => {
+    startTask(
+      'stream',
+      () => runStreamRequest(state, buildRequest(course, trace)),
+      (_name, error) => {
+        if (error !== undefined) trace.end = String(error);
+        resolve();
+      },
+    );
+  });
+  await new Promise((resolve) => {
+    setTimeout(resolve, 50);
+  });
+  inbox.close();
+  return trace;
+}
+
+/** Sends its first event and then nothing until long after another engine is asked. */
+const SILENT: EngineScript = [
+  [0, 'head'],
+  [20, 1],
+];
+/** Goes on after the first event, at once. */
+const GOES_ON: EngineScript = [
+  [10, 'head'],
+  [20, 2],
+  [30, 3],
+  [40, 'ended'],
+];
+
+function delay(steps: EngineScript, ms: number): EngineScript {
+  return steps.map(([at, step]) => [at + ms, step]);
+}
+
+// Guards against a stream that stays at a silent engine, and against an event that is missing or comes twice.
+it('handover: a stream goes on at another engine that begins it', async () => {
+  const trace = await playStream({ engines: { a: SILENT, b: GOES_ON } });
+  expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole', granted: 2, freed: 2 });
+  expect(trace.log).to.deep.equal(['send to a', 'send to b', 'cancel at a', 'ended at b']);
+});
+
+// Guards against two runs that write, where the silent engine is heard just before the other one.
+it('handover: the silent engine that is heard first goes on', async () => {
+  const late = [...SILENT, ...delay(GOES_ON.slice(1), 1_380)];
+  const trace = await playStream({ engines: { a: late, b: delay(GOES_ON, 250) } });
+  expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole', granted: 2, freed: 2 });
+  expect(trace.log).to.deep.equal(['send to a', 'send to b', 'cancel at b', 'ended at a']);
+});
+
+// Guards against an event that is missing or comes twice where a stream is handed over more than once.
+it('handover: a stream goes on at a third engine when the second one is silent too', async () => {
+  const second: EngineScript = [
+    [10, 'head'],
+    [20, 2],
+  ];
+  const third: EngineScript = [
+    [10, 'head'],
+    [20, 3],
+    [30, 'ended'],
+  ];
+  const trace = await playStream({
+    engines: { a: SILENT, b: second, c: third },
+    maxAttempts: 3,
+  });
+  expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole', granted: 3, freed: 3 });
+  const first = ['send to a', 'send to b', 'cancel at a'];
+  expect(trace.log).to.deep.equal([...first, 'send to c', 'cancel at b', 'ended at c']);
+});
+
+// Guards against a run that writes after another one took its place, in the same turn or later.
+for (const [what, step] of [
+  ['an event', 2],
+  ['its end', 'ended'],
+  ['a reset', 'reset'],
+] as const) {
+  it(`handover: ${what} of the silent engine just after the head of the other one is not used`, async () => {
+    const afterHead = { of: 'b', at: 'a', step };
+    const trace = await playStream({ engines: { a: SILENT, b: GOES_ON }, afterHead });
+    expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole', granted: 2, freed: 2 });
+  });
+}
+
+// Guards against a stream that counts an engine which refused it, and against a slot that is not freed.
+it('handover: a stream goes on at a third engine when the second one refuses it', async () => {
+  const trace = await playStream({ engines: { a: SILENT, b: [[50, 'unreached']], c: GOES_ON } });
+  expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole', granted: 3, freed: 3 });
+});
+
+// Guards against a stream that is sent to more engines than its route allows.
+it('handover: a stream whose engine falls silent twice is sent to no third engine', async () => {
+  const twice = [...SILENT, [1_400, 2], ...delay(GOES_ON.slice(2), 3_500)] as const;
+  const trace = await playStream({ engines: { a: twice, b: delay(GOES_ON, 280), c: GOES_ON } });
+  expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole' });
+  expect(trace.log).to.deep.equal(['send to a', 'send to b', 'cancel at b', 'ended at a']);
+});
+
+// Guards against engines that work on for a caller that has left.
+for (const [when, callerLeavesMs] of [
+  ['before the other engine is heard', 1_400],
+  ['after the other engine has begun', 1_700],
+] as const) {
+  it(`handover: both runs are ended when the caller leaves ${when}`, async () => {
+    const second: EngineScript = [[250, 'head']];
+    const trace = await playStream({ engines: { a: SILENT, b: second }, callerLeavesMs });
+    expect(trace).to.deep.include({ ids: [1], granted: 2, freed: 2 });
+    expect([...trace.log].sort()).to.deep.equal([
+      'cancel at a',
+      'cancel at b',
+      'send to a',
+      'send to b',
+    ]);
+  });
+}
+
+// Guards against a slot that is held beyond the deadline of its stream.
+it('handover: both runs are ended at the deadline', async () => {
+  const second: EngineScript = [[10, 'head']];
+  const trace = await playStream({ engines: { a: SILENT, b: second }, deadlineMs: 2_000 });
+  expect(trace).to.deep.include({ end: 'broken off: deadline', granted: 2, freed: 2 });
+});
