Test: a search for another engine is dropped when the silent one breaks off (failing)

Callers would see: a stream broken off where its silent engine resets while another engine has the stream already, or its prompt is being read there.

--- a/packages/router/src/gateway/stream-handover.test.ts
+++ b/packages/router/src/gateway/stream-handover.test.ts
@@ -332,3 +332,25 @@
   const trace = await playStream({ engines: { a: SILENT, b: second }, deadlineMs: 2_000 });
   expect(trace).to.deep.include({ end: 'broken off: deadline', granted: 2, freed: 2 });
 });
+
+// Guards against a stream that is broken off by its silent engine's reset although another engine has it already.
+it('handover: a stream goes on at the engine that has it when the silent one breaks off', async () => {
+  const trace = await playStream({
+    engines: { a: [...SILENT, [1_330, 'reset']], b: delay(GOES_ON, 250) },
+  });
+  expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole' });
+});
+
+// Guards against a second retry for one search, where the silent engine breaks off while its prompt is prefilled elsewhere.
+it('handover: a stream whose silent engine breaks off during the search takes no second retry', async () => {
+  const trace = await playStream({
+    engines: { a: [...SILENT, [1_330, 'reset']], b: GOES_ON },
+    prefill: [
+      [200, 'head'],
+      [210, 'ended'],
+    ],
+    maxAttempts: 3,
+    retrySlack: 2,
+  });
+  expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole' });
+});
