--- a/packages/router/src/gateway/stream-handover.test.ts
+++ b/packages/router/src/gateway/stream-handover.test.ts
@@ -354,3 +354,14 @@
   });
   expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole' });
 });
+
+// Guards against two engines that work on one stream: one that was displaced sends its head just afterwards.
+it('handover: an engine is ended although its head comes just after the other one', async () => {
+  const slow = [...GOES_ON.slice(0, 3), [1_000, 'ended']] as const;
+  const trace = await playStream({
+    engines: { a: [], b: slow },
+    afterHead: { of: 'b', at: 'a', step: 'head' },
+  });
+  expect(trace).to.deep.include({ ids: [2, 3], end: 'whole' });
+  expect(trace.log).to.deep.equal(['send to a', 'send to b', 'cancel at a', 'ended at b']);
+});
