Test: a silent engine is given up for one that takes no connection (failing)

An engine has the turn 0.3 s after the send, also while it is being connected to, which may take 0.5 s (CONNECT_TIMEOUT_MS).

--- a/packages/router/src/gateway/stream-handover.test.ts
+++ b/packages/router/src/gateway/stream-handover.test.ts
@@ -365,3 +365,11 @@
   expect(trace).to.deep.include({ ids: [2, 3], end: 'whole' });
   expect(trace.log).to.deep.equal(['send to a', 'send to b', 'cancel at a', 'ended at b']);
 });
+
+// Guards against a sound engine that is given up for one that could not be reached.
+it('handover: a stream goes on at its silent engine while the other one takes no connection', async () => {
+  const trace = await playStream({
+    engines: { a: [...SILENT, ...delay(GOES_ON.slice(1), 1_900)], b: [[500, 'unreached']] },
+  });
+  expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole' });
+});
