Test: a search for another engine repeats prefills without end (failing)

Each search has a progress of its own, so that failed prefills, and their sends, are forgotten with it.

--- a/packages/router/src/gateway/stream-handover.test.ts
+++ b/packages/router/src/gateway/stream-handover.test.ts
@@ -373,3 +373,13 @@
   });
   expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole' });
 });
+
+// Guards against retries that are used up by prefills that fail again and again.
+it('handover: a prompt whose prefill fails is sent for prefill three times at most', async () => {
+  const trace = await playStream({
+    engines: { a: [...SILENT, ...delay(GOES_ON.slice(1), 4_500)], b: GOES_ON },
+    prefill: [[5, 'reset']],
+  });
+  expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole' });
+  expect(trace.log.filter((line) => line === 'prefill at p').length).to.be.at.most(3);
+});
