--- a/packages/router/src/gateway/stream-handover.test.ts
+++ b/packages/router/src/gateway/stream-handover.test.ts
@@ -383,3 +383,9 @@
   expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole' });
   expect(trace.log.filter((line) => line === 'prefill at p').length).to.be.at.most(3);
 });
+
+// Guards against a sound engine of which the pool hears twice that it failed, for one silence.
+it('handover: an engine that is displaced is reported once', async () => {
+  const { failures } = await playStream({ engines: { a: SILENT, b: GOES_ON } });
+  expect(failures.filter((line) => line === 'a broken')).to.have.length(1);
+});
