--- a/packages/router/src/gateway/call-flow.test.ts
+++ b/packages/router/src/gateway/call-flow.test.ts
@@ -1,4 +1,11 @@
-import { makeUpstreamList, type Route, type UpstreamRecord } from '@tarragonspool/core';
+import {
+  makeUpstreamList,
+  recordLimit,
+  recordPermitWait,
+  type Route,
+  type UpstreamList,
+  type UpstreamRecord,
+} from '@tarragonspool/core';
 import type { UpstreamId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import { pino } from 'pino';
@@ -50,8 +57,18 @@
   readonly answerMs?: number;
   readonly retrySlack?: number;
   readonly names?: readonly UpstreamId[];
+  /** Server whose permits are used up. */
+  readonly usedUp?: UpstreamId;
 };
 
+/** Records that a server names a limit, and that it is used up for long. */
+function useUp({ beliefs }: UpstreamList, upstreamId: UpstreamId): void {
+  const now = getSteadyMs();
+  const limit = { upstreamId, incarnation: 1, requestsPerSecond: 1, sentAt: now, heardAt: now };
+  recordLimit(beliefs, limit);
+  recordPermitWait(beliefs, upstreamId, { incarnation: 1, until: now + 10_000 });
+}
+
 /** Answers a call after some time, or breaks it off. */
 function answerSend(onEvent: (event: object) => void, { answerMs }: Course): void {
   if (answerMs === undefined) {
@@ -79,6 +96,7 @@
       isLeaving: false,
     } as unknown as UpstreamRecord);
   }
+  if (course.usedUp !== undefined) useUp(upstreams, course.usedUp);
   let isQuarantined = false;
   const state = {
     upstreams,
@@ -151,6 +169,13 @@
   expect(trace).to.deep.equal({ sends: ['a'], answers: [200], refusals: [] });
 });
 
+// Guards against the same where the permits of the other one are known to be used up.
+it('calls: a call goes on at a silent server when the other one has no permit left', async () => {
+  const usedUp = 'b' as UpstreamId;
+  const trace = await playCall({ answerMs: LATE_ANSWER_MS, usedUp });
+  expect(trace).to.deep.equal({ sends: ['a'], answers: [200], refusals: [] });
+});
+
 // Guards against a call that waits for a silent server while another one may take it.
 it('calls: a call is sent to another server while its own is silent', async () => {
   const { sends } = await playCall({ answerMs: LATE_ANSWER_MS });
