Silent servers: a call whose other servers have no permit goes on at its own

Callers saw: a call cut at a sound, silent server, and sent again there twice, although the only other server was known to have no permit. Cause: whether another server may take the call was asked of all usable servers, the choice then of those with a permit. After: the question is asked of the same servers.

--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -13,7 +13,7 @@
 import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
 import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
-import { chooseCallServer } from './call-server.js';
+import { chooseCallServer, listCandidates } from './call-server.js';
 import type { GatewayRequest } from './gateway-request.js';
 import { findLoad, takeServiceRetries, type GatewayState } from './gateway-state.js';
 import { endQuarantined } from './quarantine-check.js';
@@ -90,13 +90,13 @@
 /** Whether some other server may get the call now; takes the retry if so. */
 function takeOtherServer(
   state: GatewayState,
-  { service, deadlineAt }: GatewayRequest,
+  request: GatewayRequest,
   { upstreamId }: ClearedUpstream,
 ): boolean {
-  const now = getSteadyMs();
-  const usable = listUsableUpstreams(state.upstreams, service, now);
-  const hasOther = usable.some((other) => other.upstreamId !== upstreamId);
-  const hasTime = deadlineAt - now > MIN_REMAINING_MS;
+  const { service, deadlineAt } = request;
+  const candidates = listCandidates(state, request);
+  const hasOther = candidates.some((other) => other.upstreamId !== upstreamId);
+  const hasTime = deadlineAt - getSteadyMs() > MIN_REMAINING_MS;
   return hasOther && hasTime && takeServiceRetries(state, service);
 }
 
--- a/packages/router/src/gateway/call-server.ts
+++ b/packages/router/src/gateway/call-server.ts
@@ -40,7 +40,7 @@
 }
 
 /** Lists the servers that may get the call, without those whose limit is known to be used up. */
-function listCandidates(state: GatewayState, { service }: GatewayRequest): UpstreamRecord[] {
+export function listCandidates(state: GatewayState, { service }: GatewayRequest): UpstreamRecord[] {
   const now = getSteadyMs();
   const usable = listUsableUpstreams(state.upstreams, service, now);
   return usable.filter((server) => {
