Silent engines: what the review of the handover found

The attempt that is under way now takes its place; no second retry is taken. - An engine that was displaced as its head arrived worked on for 1.2 s beside the other one. It is told at once now. - A silent engine was given up for one whose connection had not opened: the 0.3 s without a refusal count from when the request left. - Prompts were sent for prefill again and again during one silence (11 times): three that fail end the search. - One silence was told to the pool twice, which doubled the time for which the engine is avoided. Ruled out by the review: events that come twice or are missing, slots that are not freed, two runs after the caller left. Before: 6 of the 17 tests of stream-handover failed. After: 17 hold, with call-flow, stream-flow and the relays (36 passed). Also: the states that these tests make have the access to servers, as the gateway has.

--- a/packages/router/src/gateway/gateway-request.ts
+++ b/packages/router/src/gateway/gateway-request.ts
@@ -21,6 +21,8 @@
   | { readonly kind: 'permit'; readonly reply: PermitReply }
   /** Where the stream that the caller resumes began; undefined if no VM knows. */
   | { readonly kind: 'origin'; readonly origin: StreamOrigin | undefined }
+  /** Another run has taken the place of the one that is under way. */
+  | { readonly kind: 'displaced' }
   /** The run that took a silent one's place has ended. */
   | { readonly kind: 'handover-ended' }
   | { readonly kind: 'caller-gone' }
--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -45,6 +45,8 @@
   readonly canGiveUp?: () => boolean;
   /** Called each time the server has made no progress for `SILENCE_NOTICE_MS`, until it is overdue. */
   readonly onSilence?: () => void;
+  /** Called when the request leaves, or a peer is asked to send it. */
+  readonly onSent?: () => void;
   /** Called when a usable head arrives. */
   readonly onHead: (head: AnswerHead) => void;
   /** Called with each part of the body; returns whether it is progress, and not only bytes. */
@@ -91,7 +93,8 @@
   const headers = dialect.makeForwardHeaders(request.rawHeaders, body.length, placement);
   const active: { send: ActiveSend | undefined } = { send: undefined };
   const sentId = requestId === '' ? undefined : requestId;
-  const call = { server, requestId: sentId, method, path, headers, body };
+  const { onSent = (): void => undefined } = plan;
+  const call = { server, requestId: sentId, method, path, headers, body, onSent };
   const exchange = state.access.client.send(call, (event) => {
     const { send } = active;
     if (event.kind === 'data') {
@@ -136,6 +139,8 @@
     case 'caller-gone':
     case 'timed-out':
       return message;
+    case 'displaced':
+      return { kind: 'slow' };
     case 'alarm':
       return message.alarm === send.number ? { kind: 'slow' } : undefined;
     case 'place':
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -158,9 +158,11 @@
     readonly engine: ClearedUpstream;
     readonly slotRequestId: SlotRequestId;
     readonly turn: RunTurn;
+    /** Called when the run has been sent. */
+    readonly onSent: () => void;
   },
 ): Task<DecodeRun> {
-  const { engine, slotRequestId, turn } = plan;
+  const { engine, slotRequestId, turn, onSent } = plan;
   // An engine that does a local prefill has finished it when its first event arrives.
   const onFirstEvent = (): void => {
     recordStreamOrigin(state, request, progress, engine);
@@ -178,6 +180,7 @@
   const result = yield* sendOnce(state, request, {
     server: engine,
     placement,
+    onSent,
     headDueAt: canContinue ? sentAt + HEAD_TIMEOUT_MS : request.deadlineAt + 1,
     ...(canContinue ? { silenceMs: SILENCE_MS } : {}),
     canGiveUp: turn.canGiveUp,
--- a/packages/router/src/gateway/stream-grant.ts
+++ b/packages/router/src/gateway/stream-grant.ts
@@ -17,6 +17,7 @@
 } from './stream-prepare.js';
 import {
   countRetries,
+  MAX_FAILED_PREFILLS,
   MIN_REMAINING_MS,
   notifyEngineFailed,
   type StreamProgress,
@@ -24,7 +25,6 @@
 
 /** Refusals by decode engines after which the KV cache of a prompt counts as lost. */
 const MAX_KV_HANDLE_REFUSALS = 2;
-const MAX_FAILED_PREFILLS = 3;
 const RETRY_AFTER_FAILURE_MS = 1_000;
 
 /** Whether the stream requests a slot again. */
@@ -148,9 +148,9 @@
     return continueAfter(state, request, progress, 'not-run');
   }
   const { server } = clearance;
-  const plan = { grant, server, claim: () => true };
+  const plan = { grant, server, claim: () => true, onSent: () => undefined };
   const run = yield* runGranted(state, request, progress, plan);
-  settleRun(state, request, progress, run);
+  if (!run.isSettled) settleRun(state, request, progress, run);
   const { end, result } = run;
   if (result.kind === 'caller-gone' || result.kind === 'timed-out') {
     endUnfinished(request, result, progress);
--- a/packages/router/src/gateway/stream-handover.test.ts
+++ b/packages/router/src/gateway/stream-handover.test.ts
@@ -91,14 +91,18 @@
   } as unknown as GatewayRequest;
 }
 
+type ScriptedCall = {
+  readonly server: UpstreamRecord;
+  readonly headers: readonly string[];
+  readonly onSent: () => void;
+};
+
 /** Makes a client whose engines send what their scripts say. */
 function makeScriptedClient(course: Course, trace: StreamTrace) {
   const emitters = new Map<string, (step: EngineStep) => void>();
 
-  function send(
-    { address, headers }: { address: string; headers: readonly string[] },
-    onEvent: (event: object) => void,
-  ) {
+  function send({ server, headers, onSent }: ScriptedCall, onEvent: (event: object) => void) {
+    const { address } = server;
     const isPrefill = headers.includes('prefill');
     trace.log.push(isPrefill ? `prefill at ${address}` : `send to ${address}`);
     let isOver = false;
@@ -124,7 +128,9 @@
     }
 
     emitters.set(address, emit);
-    play((isPrefill ? course.prefill : course.engines[address]) ?? []);
+    const script = (isPrefill ? course.prefill : course.engines[address]) ?? [];
+    if (!script.some(([, step]) => step === 'unreached')) onSent();
+    play(script);
     return {
       cancel: () => {
         if (!isOver) trace.log.push(`cancel at ${address}`);
@@ -163,7 +169,11 @@
     pools: { inbox, countLiveVms: () => 1 },
     logger: pino({ level: 'silent' }),
     upstreams,
-    client: makeScriptedClient(course, trace),
+    access: {
+      client: makeScriptedClient(course, trace),
+      hasWay: () => true,
+      paths: { tryPath: () => Promise.resolve('opened') },
+    },
     ports: {
       dialect: {
         makeForwardHeaders: (
--- a/packages/router/src/gateway/stream-handover.ts
+++ b/packages/router/src/gateway/stream-handover.ts
@@ -21,6 +21,7 @@
 import {
   countRetries,
   findEngineFailure,
+  MAX_FAILED_PREFILLS,
   MIN_REMAINING_MS,
   notifyEngineFailed,
   type StreamProgress,
@@ -28,9 +29,13 @@
 import { awaitSlotReply, buildSlotRequest } from './stream-slot.js';
 
 /** A run of a stream on the engine of a grant. */
-export type GrantedRun = DecodeRun & { readonly grant: SlotGrant };
+export type GrantedRun = DecodeRun & {
+  readonly grant: SlotGrant;
+  /** Whether its slot has been freed and its engine's failure been told. */
+  readonly isSettled: boolean;
+};
 
-/** An engine that refuses a run does so within this time; one that says nothing for longer has it. */
+/** An engine that got a run and refuses it does so within this time; one that says nothing for longer has it. */
 const REFUSAL_MS = 300;
 /** Another engine is looked for again after this time. */
 const SEARCH_PAUSE_MS = 300;
@@ -44,14 +49,25 @@
   sentAt: number;
 };
 
-type AttemptEnd = { readonly run: GrantedRun } | { readonly error: unknown };
+type AttemptEnd =
+  | { readonly kind: 'run'; readonly run: GrantedRun }
+  /** No engine could take the stream. */
+  | { readonly kind: 'none' }
+  | { readonly kind: 'failed'; readonly error: unknown };
 
 /** Turn of a run whose place another one may take. */
 type Handover = RunTurn & {
   /** Ends the search for another engine, unless the place is taken. */
   readonly cancel: () => void;
-  /** Waits for the end of the run that took the place; `first` is how the silent one ended. */
-  readonly awaitEnd: (first: DecodeRun) => Task<GrantedRun>;
+  /** Gives the place to the attempt that is under way, if there is one: the silent run broke off. */
+  readonly takeOver: () => void;
+  /** Whether the pool has been told of the silent engine. */
+  readonly isReported: () => boolean;
+  /**
+   * Waits for the end of the run that took the place; undefined if no engine took the stream. `first` is
+   * how the silent one ended.
+   */
+  readonly awaitEnd: (first: DecodeRun) => Task<GrantedRun | undefined>;
 };
 
 /** Gets a slot, takes the retries and has the prompt prefilled; undefined if that fails. */
@@ -77,6 +93,8 @@
   readonly server: ClearedUpstream;
   /** Whether the run may write to the answer; asked as soon as it has something to write. */
   readonly claim: () => boolean;
+  /** Called when the run has been sent. */
+  readonly onSent: () => void;
 };
 
 function makeHandover(
@@ -103,6 +121,8 @@
     if (own.state === 'cancelled' || !plan.claim()) return false;
     if (own.state !== 'taken') {
       state.logger.info({ requestId, from: decode }, 'streams: another engine takes over');
+      // The silent engine is not to work on beside the other one.
+      offer(request.inbox, { kind: 'displaced' });
     }
     own.state = 'taken';
     return true;
@@ -116,16 +136,22 @@
       endGrant(state, grant, false);
       return;
     }
-    own.state = 'sent';
-    own.sentAt = getSteadyMs();
-    const next = { grant, server: clearance.server, claim: () => claimFor(own) };
+    if (own.state === 'searching') own.state = 'sent';
+    const next: RunPlan = {
+      grant,
+      server: clearance.server,
+      claim: () => claimFor(own),
+      onSent: () => {
+        own.sentAt = getSteadyMs();
+      },
+    };
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a run may be handed over again
     const run = yield* runGranted(state, own.request, own.progress, next);
     if ((own.state as Attempt['state']) === 'taken') {
-      end = { run };
+      end = { kind: 'run', run };
       return;
     }
-    endGrant(state, grant, false);
+    if (!run.isSettled) endGrant(state, run.grant, false);
     if ((own.state as Attempt['state']) === 'cancelled') return;
     notifyEngineFailed(state, request, grant.decode, findEngineFailure(run.result));
     refusedBy.add(grant.decode);
@@ -137,10 +163,12 @@
       state.logger.error({ requestId, err: error }, 'streams: handover task failed');
     }
     if (own.state === 'taken') {
-      end ??= { error };
+      end ??= error === undefined ? { kind: 'none' } : { kind: 'failed', error };
       offer(request.inbox, { kind: 'handover-ended' });
       return;
     }
+    progress.failedPrefills = own.progress.failedPrefills;
+    progress.prefillSends = own.progress.prefillSends;
     if (attempt !== own) return;
     attempt = undefined;
     searchAt = getSteadyMs() + SEARCH_PAUSE_MS;
@@ -200,7 +228,8 @@
       notifyOverdue();
       if (attempt === undefined) {
         const hasTime = request.deadlineAt - now > MIN_REMAINING_MS;
-        const mayRun = countRuns() < request.route.maxAttempts;
+        const mayPrefill = progress.failedPrefills < MAX_FAILED_PREFILLS;
+        const mayRun = mayPrefill && countRuns() < request.route.maxAttempts;
         if (hasTime && mayRun && now >= searchAt) startAttempt();
         return false;
       }
@@ -208,6 +237,10 @@
       return isTaken();
     },
     cancel,
+    takeOver: () => {
+      if (attempt !== undefined) claimFor(attempt);
+    },
+    isReported: () => isReported,
     *awaitEnd({ result }) {
       const own = attempt;
       if (own === undefined) throw new Error('no run has taken the place');
@@ -218,21 +251,30 @@
         const isOver = message.kind === 'caller-gone' || message.kind === 'timed-out';
         if (isOver) offer(own.request.inbox, message);
       }
-      if ('error' in end) throw end.error;
       const { excluded } = progress;
       for (const upstreamId of own.progress.excluded) excluded.add(upstreamId);
-      Object.assign(progress, { ...own.progress, excluded });
-      return end.run;
+      switch (end.kind) {
+        case 'failed':
+          throw end.error;
+        case 'none':
+          return undefined;
+        case 'run':
+          Object.assign(progress, { ...own.progress, excluded });
+          return end.run;
+        default:
+          return end satisfies never;
+      }
     },
   };
 }
 
-/** Records how a run ended, and frees its slot. */
+/** Records how a run ended, and frees its slot; `isReported` if the pool knows of its engine's failure. */
 export function settleRun(
   state: GatewayState,
   request: GatewayRequest,
   progress: StreamProgress,
-  { grant, end, result, hasEvents, hasHead }: GrantedRun,
+  { grant, end, result, hasEvents, hasHead }: Omit<GrantedRun, 'isSettled'>,
+  isReported = false,
 ): void {
   endGrant(state, grant, end === 'finished');
   const { fingerprint, sharedParts: promptParts } = request;
@@ -241,7 +283,7 @@
   const { decode } = grant;
   const content = { fingerprint, hasEvents, promptParts };
   if (end === 'broken') state.contentGuard.recordBroken(decode, content);
-  notifyEngineFailed(state, request, decode, findEngineFailure(result));
+  if (!isReported) notifyEngineFailed(state, request, decode, findEngineFailure(result));
   progress.excluded.add(decode);
   // A send that may have reached the engine counts as executed even if no answer arrived.
   if (end === 'broken' && !hasHead) progress.runs += 1;
@@ -260,11 +302,15 @@
     engine: server,
     slotRequestId: grant.askId,
     turn: handover,
+    onSent: plan.onSent,
   });
+  const hasFailed = run.end === 'broken' || run.end === 'not-run';
+  if (hasFailed && !handover.isDisplaced()) handover.takeOver();
   if (!handover.isDisplaced()) {
     handover.cancel();
-    return { ...run, grant };
+    return { ...run, grant, isSettled: false };
   }
-  settleRun(state, request, progress, { ...run, grant });
-  return yield* handover.awaitEnd(run);
+  settleRun(state, request, progress, { ...run, grant }, handover.isReported());
+  const next = yield* handover.awaitEnd(run);
+  return next ?? { ...run, grant, isSettled: true };
 }
--- a/packages/router/src/gateway/stream-progress.ts
+++ b/packages/router/src/gateway/stream-progress.ts
@@ -75,6 +75,8 @@
   return Math.min(deadlineAt, Math.max(arrivedAt, lastEventAt) + abandonMs - ABANDON_MARGIN_MS);
 }
 
+/** Prefills of one stream that may fail. */
+export const MAX_FAILED_PREFILLS = 3;
 /** Least time before the deadline for which one more attempt is worth starting. */
 export const MIN_REMAINING_MS = 500;
 
--- a/packages/router/src/relays/relay-client.ts
+++ b/packages/router/src/relays/relay-client.ts
@@ -138,6 +138,7 @@
       const target = { requestId, upstreamId, incarnation };
       sendTo(vmId, { kind: 'relay-send', number, ...target, method, path, headers, body });
       parts.onSent();
+      call.onSent();
       logger.info({ requestId, upstreamId, peer: vmId }, 'relays: sent by way of a peer');
       return makeExchange(number, vmId);
     },
--- a/packages/router/src/relays/relay-server.ts
+++ b/packages/router/src/relays/relay-server.ts
@@ -177,7 +177,7 @@
       }
       logger.info({ requestId, upstreamId, peer: from }, 'relays: sends for a peer');
       const exchange = parts.sendDirect(
-        { server, requestId, method, path, headers, body },
+        { server, requestId, method, path, headers, body, onSent: () => undefined },
         (event) => handleEvent(from, message, event),
       );
       const sends: PeerSends = peers.get(from) ?? new Map<number, RelayedExchange>();
--- a/packages/router/src/relays/server-client.fuzz.test.ts
+++ b/packages/router/src/relays/server-client.fuzz.test.ts
@@ -17,6 +17,7 @@
 const CALL: ServerCall = {
   server: SERVER,
   requestId: 'r',
+  onSent: () => undefined,
   method: 'GET',
   path: '/',
   headers: [],
--- a/packages/router/src/relays/server-client.ts
+++ b/packages/router/src/relays/server-client.ts
@@ -21,6 +21,8 @@
   readonly server: ClearedUpstream;
   /** The caller's id of the request, which its answer bears; undefined if it has none. */
   readonly requestId: string | undefined;
+  /** Called when the request leaves, or a peer is asked to send it. */
+  readonly onSent: () => void;
 };
 
 /** Sends requests to servers by the way that works. */
@@ -72,7 +74,7 @@
   });
 
   function sendDirect(call: ServerCall, onEvent: (event: UpstreamEvent) => void): UpstreamExchange {
-    const { server, requestId, method, path, headers, body } = call;
+    const { server, requestId, method, path, headers, body, onSent } = call;
     const underWay: DirectSend = { server, startedAt: getSteadyMs() };
     open.add(underWay);
     ticker.wake();
@@ -85,6 +87,7 @@
         headers,
         body,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        onSent,
         onOpened: () => paths.recordOpened(server),
         onNotOpened: () => paths.recordNotOpened(server),
       },
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -28,6 +28,8 @@
   readonly body: Buffer;
   /** Time for a new connection to open, in milliseconds; `CONNECT_TIMEOUT_MS` if absent. */
   readonly connectTimeoutMs?: number;
+  /** Called when the request leaves over an open connection. */
+  readonly onSent?: () => void;
   /** Called when a new connection has opened for the call. */
   readonly onOpened?: () => void;
   /** Called when the new connection for the call did not open. */
@@ -242,6 +244,7 @@
 
   watchConnect(outgoing, call, () => {
     isSent = true;
+    call.onSent?.();
   });
   outgoing.on('socket', (socket) => {
     isOpening = socket.connecting;
