Stop: an answer that waits for its caller to read is not cut

Callers saw: an answer that had ended at the VM, of which bytes still waited to be sent, cut 2.6 s after SIGTERM with 7.4 s left (an answer of 4 MB whose caller reads slowly; 3 of 3). Cause: Node takes a connection for idle once its answer has ended, sent or not, and both `close` of the HTTP server and `closeIdleConnections` end such connections. After: listening ends without them, and connections between requests are closed only while no ended answer waits.

--- a/packages/router/src/gateway/stop.ts
+++ b/packages/router/src/gateway/stop.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Server } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import { offer, startTask, type Task } from '../tasks/tasks.js';
 import { waitMs } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
@@ -24,15 +25,31 @@
   else reply.breakOff('stopped');
 }
 
+/** Takes no new connections. The HTTP server's own `close` would also end connections between requests. */
+function stopListening(server: Server): void {
+  NetServer.prototype.close.call(server);
+}
+
+/**
+ * Closes connections between requests. Node counts one as such whose answer has ended but waits for its
+ * caller to read, so none is closed while there is such an answer.
+ */
+function closeIdle({ openReplies }: GatewayState, server: Server): void {
+  for (const reply of openReplies) {
+    if (reply.getState() === 'ended') return;
+  }
+  server.closeIdleConnections();
+}
+
 function* runShutdown(state: GatewayState, server: Server): Task {
   const closeAt = getSteadyMs() + state.settings.stopWithinMs - KILL_MARGIN_MS;
   offer(state.pools.inbox, { kind: 'stops', at: closeAt });
   yield* waitMs(BALANCER_NOTICE_MS);
-  server.close();
-  server.closeIdleConnections();
+  stopListening(server);
+  closeIdle(state, server);
   while (state.openRequests > 0 && getSteadyMs() < closeAt) {
     yield* waitMs(CHECK_INTERVAL_MS);
-    server.closeIdleConnections();
+    closeIdle(state, server);
   }
   const { openRequests } = state;
   for (const reply of state.openReplies) endStopped(reply);
