review: case 2, only calls on connections that were kept count

Cause: the rule speaks of kept connections; the check counted first requests of a connection too. Change: a call counts only if its connection had carried requests before.

--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -105,18 +105,21 @@
       agent: agents.get(vm),
       ...options,
     });
-    const { status, error } = answer;
+    const { status, error, isReused } = answer;
     const key = `${kind} ${status}${error === undefined ? '' : ' broken'}`;
     statuses[key] = (statuses[key] ?? 0) + 1;
     record.write('answered', { requestId, kind, vm: vm.name, status, error });
-    return { requestId, status, error };
+    return { requestId, status, error, isReused };
   }
 
-  /** Sends a call; counts it if a sound server ran it and its connection was closed without an answer. */
+  /** Sends a call; counts it if it reached a sound server and its kept connection was closed without an answer. */
   async function sendCall(kind, options) {
-    const { requestId, status, error } = await send(kind, { ...options, deadlineMs: 4_000 });
+    const { requestId, status, error, isReused } = await send(kind, {
+      ...options,
+      deadlineMs: 4_000,
+    });
     const isClosed = status === 0 && /hang up|ECONNRESET/u.test(error ?? '');
-    if (isClosed && ran.has(requestId)) lost += 1;
+    if (isClosed && isReused && ran.has(requestId)) lost += 1;
   }
 
   const sendCredit = () =>
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -142,12 +142,13 @@
 }) {
   return new Promise((resolve) => {
     let timer;
+    let outgoing;
     const finish = (result) => {
       clearTimeout(timer);
-      resolve({ requestId, ...result });
+      resolve({ requestId, isReused: outgoing.reusedSocket, ...result });
     };
     const length = body === undefined ? {} : { 'Content-Length': Buffer.byteLength(body) };
-    const outgoing = request({
+    outgoing = request({
       host: HOST,
       port,
       method,
