Tests: each file in a process of its own, four side by side

npm test ran 127 files one after the other in one process, 18 minutes of which most is waiting. Each process takes a loopback address of its own, as runs beside each other did before. No test, bound, seed or timeout is changed; a file that ends without results counts as failed.

--- a/bin/run-tests.js
+++ b/bin/run-tests.js
@@ -1,12 +1,15 @@
 /**
- * Runs every test file and closes with one line `N passed, N failed`. Failures listed in
- * KNOWN-RED.txt are printed and passed over; a listed test that passes is printed too.
- * Words narrow the run to files whose path contains one of them. `--seed N` and `--runs R` set
- * fast-check's seed and number of runs for every property.
+ * Runs every test file, each in a process of its own and `--jobs N` side by side, and closes with one
+ * line `N passed, N failed`. Failures listed in KNOWN-RED.txt are printed and passed over; a listed
+ * test that passes is printed too. Words narrow the run to files whose path contains one of them.
+ * `--seed N` and `--runs R` set fast-check's seed and number of runs for every property. With
+ * `--file F` it runs that file in this process and sends its results to the parent.
  */
 
+import { fork } from 'node:child_process';
 import { readFile, readdir } from 'node:fs/promises';
 import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
 import { parseArgs } from 'node:util';
 import fc from 'fast-check';
 import Mocha from 'mocha';
@@ -14,6 +17,10 @@
 const TEST_TIMEOUT_MS = 600_000;
 const DEFAULT_SEED = '20261204';
 const DEFAULT_RUNS = '100';
+const DEFAULT_JOBS = '4';
+const MS_PER_S = 1_000;
+/** Files of real processes take longest and so begin first. */
+const LONG_FOLDER = 'platform';
 
 async function findTestFiles(folder) {
   const files = [];
@@ -31,7 +38,9 @@
   }
   files.push(...(await findTestFiles(join('platform', 'dist'))));
   const isWanted = (file) => filters.length === 0 || filters.some((part) => file.includes(part));
-  return files.filter(isWanted).sort();
+  const isLong = (file) => file.startsWith(LONG_FOLDER);
+  const wanted = files.filter(isWanted).sort();
+  return [...wanted.filter(isLong), ...wanted.filter((file) => !isLong(file))];
 }
 
 async function readKnownRed() {
@@ -48,24 +57,78 @@
   options: {
     seed: { type: 'string', default: DEFAULT_SEED },
     runs: { type: 'string', default: DEFAULT_RUNS },
+    jobs: { type: 'string', default: DEFAULT_JOBS },
+    file: { type: 'string' },
   },
 });
-fc.configureGlobal({ seed: Number(options.seed), numRuns: Number(options.runs) });
-// Runs side by side must not share addresses.
-process.env.TARRAGONSPOOL_TEST_HOST ??= [
-  127,
-  100 + ((process.pid >> 14) & 63),
-  (process.pid >> 7) & 127,
-  1 + (process.pid & 127),
-].join('.');
-const knownRed = await readKnownRed();
-const mocha = new Mocha({ reporter: 'dot', timeout: TEST_TIMEOUT_MS });
-for (const file of await findAllTestFiles(filters)) mocha.addFile(file);
-await mocha.loadFilesAsync();
 
-const passed = new Set();
-const failed = new Set();
-const runner = mocha.run(() => {
+/** Runs one file here and sends the titles that passed and failed to the parent. */
+async function runFile(file) {
+  fc.configureGlobal({ seed: Number(options.seed), numRuns: Number(options.runs) });
+  // Runs side by side must not share addresses.
+  process.env.TARRAGONSPOOL_TEST_HOST ??= [
+    127,
+    100 + ((process.pid >> 14) & 63),
+    (process.pid >> 7) & 127,
+    1 + (process.pid & 127),
+  ].join('.');
+  const mocha = new Mocha({ reporter: 'dot', timeout: TEST_TIMEOUT_MS });
+  mocha.addFile(file);
+  await mocha.loadFilesAsync();
+  const passed = [];
+  const failed = [];
+  const runner = mocha.run(() => {
+    process.send({ passed, failed }, () => process.exit(0));
+  });
+  runner.on('pass', (test) => passed.push(test.fullTitle()));
+  runner.on('fail', (test) => failed.push(test.fullTitle()));
+}
+
+/** Runs one file in a process of its own. A file that ends without results has failed. */
+function forkFile(file) {
+  const startedAt = performance.now();
+  const { seed, runs } = options;
+  const args = ['--file', file, '--seed', seed, '--runs', runs];
+  const child = fork(fileURLToPath(import.meta.url), args, {
+    execArgv: ['--enable-source-maps'],
+    stdio: ['ignore', 'pipe', 'pipe', 'ipc'],
+  });
+  const output = [];
+  let results = { passed: [], failed: [`${file}: ended without results`] };
+  child.stdout.on('data', (part) => output.push(part));
+  child.stderr.on('data', (part) => output.push(part));
+  child.on('message', (message) => {
+    results = message;
+  });
+  return new Promise((resolve) => {
+    child.on('close', () => {
+      const seconds = ((performance.now() - startedAt) / MS_PER_S).toFixed(1);
+      resolve({ file, seconds, output: Buffer.concat(output).toString(), ...results });
+    });
+  });
+}
+
+async function runAllFiles(files) {
+  const waiting = [...files];
+  const passed = new Set();
+  const failed = new Set();
+  const runWaiting = async () => {
+    for (let file = waiting.shift(); file !== undefined; file = waiting.shift()) {
+      // eslint-disable-next-line no-await-in-loop -- one file after the other in each job
+      const results = await forkFile(file);
+      const { seconds, output } = results;
+      const counts = `${results.passed.length} passed and ${results.failed.length} failed`;
+      process.stdout.write(`${file}: ${counts} in ${seconds} s\n`);
+      if (results.failed.length > 0) process.stdout.write(`${output}\n`);
+      for (const title of results.passed) passed.add(title);
+      for (const title of results.failed) failed.add(title);
+    }
+  };
+  await Promise.all(Array.from({ length: Number(options.jobs) }, runWaiting));
+  return { passed, failed };
+}
+
+function printSummary(passed, failed, knownRed) {
   const unexpected = [...failed].filter((title) => !knownRed.has(title));
   for (const title of failed) {
     if (knownRed.has(title)) process.stdout.write(`known red: ${title}\n`);
@@ -75,7 +138,12 @@
   }
   for (const title of unexpected) process.stdout.write(`failed: ${title}\n`);
   process.stdout.write(`\n${passed.size} passed, ${unexpected.length} failed\n`);
-  process.exit(unexpected.length === 0 && passed.size > 0 ? 0 : 1);
-});
-runner.on('pass', (test) => passed.add(test.fullTitle()));
-runner.on('fail', (test) => failed.add(test.fullTitle()));
+  process.exitCode = unexpected.length === 0 && passed.size > 0 ? 0 : 1;
+}
+
+if (options.file === undefined) {
+  const { passed, failed } = await runAllFiles(await findAllTestFiles(filters));
+  printSummary(passed, failed, await readKnownRed());
+} else {
+  await runFile(options.file);
+}
