Feeds: log each failed call with its wait and its connection, the age of a table at a choice of source, and each dial

The logs could not tell whether a call of the store was given up on a connection that had been kept, how long it had waited, or when a lost link is dialled. Counter store_calls_failed_total by table and outcome.

--- a/packages/router/src/feeds/table-feed.ts
+++ b/packages/router/src/feeds/table-feed.ts
@@ -37,6 +37,11 @@
   /** Longest wait after a failed call; longer on VMs that many others stand in for. */
   readonly getMaxBackoffMs: () => number;
   readonly takeFraction: () => number;
+  readonly metrics: {
+    readonly storeCallsFailed: {
+      readonly inc: (labels: { readonly table: string; readonly outcome: string }) => void;
+    };
+  };
 };
 
 /** A table that is followed. */
@@ -120,8 +125,11 @@
     handler.onRestored(era);
   }
 
-  function* noteFailure(outcome: StoreOutcome<unknown>): Task {
+  function* noteFailure(outcome: StoreOutcome<unknown>, calledAt: number): Task {
     failures += 1;
+    const waitedMs = Math.round(getSteadyMs() - calledAt);
+    options.metrics.storeCallsFailed.inc({ table, outcome: outcome.kind });
+    logger.info({ table, outcome, waitedMs, failures }, 'feeds: call to the store failed');
     if (awaySince === Infinity) {
       awaySince = getSteadyMs();
       logger.warn({ table, outcome }, 'feeds: store is away');
@@ -132,9 +140,10 @@
   }
 
   function* readAll(): Task {
+    const calledAt = getSteadyMs();
     const outcome = yield* readTable(store, table);
     if (outcome.kind !== 'ok') {
-      yield* noteFailure(outcome);
+      yield* noteFailure(outcome, calledAt);
       return;
     }
     noteAnswer();
@@ -151,6 +160,7 @@
 
   function* readOn(after: StorePosition): Task {
     const call = { table, after, waitMs: holdMs, timeoutMs: holdMs + ANSWER_SLACK_MS };
+    const calledAt = getSteadyMs();
     const outcome = yield* awaitPromise(store.readChanges(call));
     if (outcome.kind === 'history-lost') {
       logger.info({ table, after }, 'feeds: history lost, reading again');
@@ -158,7 +168,7 @@
       return;
     }
     if (outcome.kind !== 'ok') {
-      yield* noteFailure(outcome);
+      yield* noteFailure(outcome, calledAt);
       return;
     }
     noteAnswer();
@@ -188,7 +198,8 @@
     setSource: (next) => {
       if (next === source) return;
       source = next;
-      logger.info({ table, source }, 'feeds: source of rows chosen');
+      const answeredAgoMs = answeredAt === 0 ? undefined : Math.round(getSteadyMs() - answeredAt);
+      logger.info({ table, source, answeredAgoMs }, 'feeds: source of rows chosen');
       if (next === 'peers') noteAnswer();
       else offer(wakeups, true);
     },
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -50,6 +50,12 @@
       help: 'Tables that cannot be followed at the moment.',
       registers,
     }),
+    storeCallsFailed: new Counter({
+      name: `${PREFIX}store_calls_failed_total`,
+      help: 'Failed calls that follow a table of the store, by table and outcome.',
+      labelNames: ['table', 'outcome'],
+      registers,
+    }),
     storeEra: new Gauge({
       name: `${PREFIX}store_era`,
       help: 'Restores of the store from a copy, as the store counts them; 0 before the first seen.',
--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -60,13 +60,14 @@
 };
 
 function makeMemberFeed(state: GatewayState, self: MemberRow, handler: MemberHandler): TableFeed {
-  const { fleet, takeFraction, pools } = state;
+  const { fleet, takeFraction, pools, metrics } = state;
   const options = {
     table: MEMBERS_TABLE,
     holdMs: MEMBERS_LONG_POLL_MS,
     pauseMs: MEMBERS_PAUSE_MS,
     getMaxBackoffMs: () => computeMaxBackoffMs(fleet, getSteadyMs()),
     takeFraction,
+    metrics,
   };
   const recordUnusable = makeUnusableRowRecorder({ ...state, table: MEMBERS_TABLE });
   const feedHolder: { feed: TableFeed | undefined } = { feed: undefined };
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -75,7 +75,11 @@
   /** The store refused the call and changed nothing. */
   | { readonly kind: 'refused'; readonly status: number }
   /** No answer: a write may have been applied, or may still be applied later. */
-  | { readonly kind: 'unanswered' };
+  | {
+      readonly kind: 'unanswered';
+      /** Whether the call was sent on a connection that an earlier one had opened. */
+      readonly connection?: 'new' | 'kept';
+    };
 
 /** The platform's store of rows. */
 export type RowStore = {
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -36,11 +36,11 @@
 /** Short enough to detect a silent connection well before a change must take effect. */
 const FEED_LONG_POLL_MS = 1_500;
 function makeFeedOptions(state: GatewayState): Omit<FeedOptions, 'table'> {
-  const { settings, takeFraction, fleet } = state;
+  const { settings, takeFraction, fleet, metrics } = state;
   // The pause batches the heartbeats of servers, which change the list all the time.
   const pauseMs = READER_PAUSE_SHARE * settings.changeWithinMs;
   const getMaxBackoffMs = (): number => computeMaxBackoffMs(fleet, getSteadyMs());
-  return { holdMs: FEED_LONG_POLL_MS, pauseMs, getMaxBackoffMs, takeFraction };
+  return { holdMs: FEED_LONG_POLL_MS, pauseMs, getMaxBackoffMs, takeFraction, metrics };
 }
 
 /** Lists the services whose engines are assigned by pools. */
--- a/packages/router/src/peers/peer-mesh.ts
+++ b/packages/router/src/peers/peer-mesh.ts
@@ -183,6 +183,7 @@
 
   function dial(vmId: VmId, address: string): void {
     dialling.add(vmId);
+    logger.info({ peer: vmId }, 'peers: dialling');
     const fail = (): void => {
       dialling.delete(vmId);
       schedule.addFailure(vmId, getSteadyMs());
