Feeds: a lost call is noticed well within the time in which a change must be in force

Cause: a call was held for up to 1.5 s and given up 0.9 s after that, whatever the bound; then came a wait as after an outage. Now the hold (a quarter) and the time for an answer (a fifth) follow from the bound, a call that is lost on a kept connection is made again at once on a new one, and the time for an answer doubles while a store does not answer on new ones, so that a slow store is still followed. The configuration changes rarely, so its reader pauses for 0.1 s, not 0.7 s. Before: both tests of late configuration fail each time.

--- a/packages/core/src/links/link-plan.ts
+++ b/packages/core/src/links/link-plan.ts
@@ -19,6 +19,15 @@
 export const READER_COUNT = 2;
 /** Pause of a reader between two calls, as a share of the time within which a change must take effect. */
 export const READER_PAUSE_SHARE = 0.35;
+/** The same where rows change rarely, so that there is nothing to collect. */
+export const RARE_CHANGE_PAUSE_SHARE = 0.05;
+/** Longest time for which the store holds a reader's call, as such a share. */
+export const READER_HOLD_SHARE = 0.25;
+/**
+ * Time for an answer after that, as such a share. One lost answer, the call that follows it and the way
+ * to all other VMs fit into the time within which a change must take effect.
+ */
+export const READER_ANSWER_SHARE = 0.2;
 /** Time, beyond the pause, for a change of the list to come and for its way to a peer. */
 const AGE_SLACK_MS = 600;
 
--- a/packages/router/src/feeds/table-feed.ts
+++ b/packages/router/src/feeds/table-feed.ts
@@ -32,6 +32,8 @@
   readonly table: string;
   /** How long the store holds a call that has nothing to tell. */
   readonly holdMs: number;
+  /** Time for its answer after that; more after calls that a slow store did not answer in time. */
+  readonly answerMs: number;
   /** Pause between calls, so that changes come in batches. */
   readonly pauseMs: number;
   /** Longest wait after a failed call; longer on VMs that many others stand in for. */
@@ -61,7 +63,9 @@
 };
 
 const READ_TIMEOUT_MS = 1_500;
-const ANSWER_SLACK_MS = 900;
+const MAX_ANSWER_MS = 1_500;
+const ANSWER_GROWTH = 2;
+const ANSWER_DECAY = 0.8;
 const MIN_BACKOFF_MS = 150;
 /** Single calls fail now and then; peers are told of an outage that lasts. */
 const AWAY_AFTER_MS = 500;
@@ -93,6 +97,7 @@
   logger: Logger,
 ): TableFeed {
   const { table, holdMs, pauseMs, takeFraction } = options;
+  let { answerMs } = options;
   const cache = makeRowCache();
   const wakeups = makeChannel<true>(1);
   let source: FeedSource = 'store';
@@ -108,6 +113,7 @@
 
   function noteAnswer(): void {
     failures = 0;
+    answerMs = Math.max(options.answerMs, answerMs * ANSWER_DECAY);
     if (awaySince === Infinity) return;
     awaySince = Infinity;
     logger.info({ table, source }, 'feeds: store is back');
@@ -130,6 +136,9 @@
     const waitedMs = Math.round(getSteadyMs() - calledAt);
     options.metrics.storeCallsFailed.inc({ table, outcome: outcome.kind });
     logger.info({ table, outcome, waitedMs, failures }, 'feeds: call to the store failed');
+    // Nothing is known of the store itself; the next call opens a connection.
+    if (outcome.kind === 'unanswered' && outcome.connection === 'kept' && failures === 1) return;
+    if (outcome.kind === 'unanswered') answerMs = Math.min(MAX_ANSWER_MS, answerMs * ANSWER_GROWTH);
     if (awaySince === Infinity) {
       awaySince = getSteadyMs();
       logger.warn({ table, outcome }, 'feeds: store is away');
@@ -159,7 +168,7 @@
   }
 
   function* readOn(after: StorePosition): Task {
-    const call = { table, after, waitMs: holdMs, timeoutMs: holdMs + ANSWER_SLACK_MS };
+    const call = { table, after, waitMs: holdMs, timeoutMs: holdMs + answerMs };
     const calledAt = getSteadyMs();
     const outcome = yield* awaitPromise(store.readChanges(call));
     if (outcome.kind === 'history-lost') {
--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -40,6 +40,7 @@
 };
 
 const MEMBERS_LONG_POLL_MS = 5_000;
+const MEMBERS_ANSWER_MS = 900;
 const MEMBERS_PAUSE_MS = 500;
 const MAX_BACKOFF_MS = 600;
 /** VMs that probe a store which is away as often as a hub does; more VMs each probe less. */
@@ -64,6 +65,7 @@
   const options = {
     table: MEMBERS_TABLE,
     holdMs: MEMBERS_LONG_POLL_MS,
+    answerMs: MEMBERS_ANSWER_MS,
     pauseMs: MEMBERS_PAUSE_MS,
     getMaxBackoffMs: () => computeMaxBackoffMs(fleet, getSteadyMs()),
     takeFraction,
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -6,6 +6,9 @@
 import {
   applyUpstreamChanges,
   dropLapsed,
+  RARE_CHANGE_PAUSE_SHARE,
+  READER_ANSWER_SHARE,
+  READER_HOLD_SHARE,
   READER_PAUSE_SHARE,
   recordVersions,
   forgetObservation,
@@ -33,14 +36,20 @@
 
 const LAPSE_CHECK_INTERVAL_MS = 100;
 const IDLE_LAPSE_CHECK_MS = 1_000;
-/** Short enough to detect a silent connection well before a change must take effect. */
-const FEED_LONG_POLL_MS = 1_500;
-function makeFeedOptions(state: GatewayState): Omit<FeedOptions, 'table'> {
+/** A silent connection shows within this time also where changes may take long. */
+const MAX_HOLD_MS = 1_500;
+
+function makeFeedOptions(state: GatewayState, pauseShare: number): Omit<FeedOptions, 'table'> {
   const { settings, takeFraction, fleet, metrics } = state;
-  // The pause batches the heartbeats of servers, which change the list all the time.
-  const pauseMs = READER_PAUSE_SHARE * settings.changeWithinMs;
-  const getMaxBackoffMs = (): number => computeMaxBackoffMs(fleet, getSteadyMs());
-  return { holdMs: FEED_LONG_POLL_MS, pauseMs, getMaxBackoffMs, takeFraction, metrics };
+  const { changeWithinMs } = settings;
+  return {
+    holdMs: Math.min(MAX_HOLD_MS, Math.round(READER_HOLD_SHARE * changeWithinMs)),
+    answerMs: READER_ANSWER_SHARE * changeWithinMs,
+    pauseMs: pauseShare * changeWithinMs,
+    getMaxBackoffMs: () => computeMaxBackoffMs(fleet, getSteadyMs()),
+    takeFraction,
+    metrics,
+  };
 }
 
 /** Lists the services whose engines are assigned by pools. */
@@ -131,7 +140,8 @@
     onTick: () => removeLapsed(state),
   });
   const { table } = upstreams;
-  const options = { ...makeFeedOptions(state), table };
+  // The pause batches the heartbeats of servers, which change the list all the time.
+  const options = { ...makeFeedOptions(state, READER_PAUSE_SHARE), table };
   const recordUnusable = makeUnusableRowRecorder({ ...state, table });
   const handler = {
     onRows: (rows: readonly RowChange[], origin: RowOrigin) => {
@@ -165,7 +175,8 @@
 /** Makes the feed of the operator's configuration. */
 export function makeConfigurationFeed(state: GatewayState, server: Server): TableFeed {
   const { store, configuration } = state.ports;
-  const options = { ...makeFeedOptions(state), table: configuration.table };
+  const { table } = configuration;
+  const options = { ...makeFeedOptions(state, RARE_CHANGE_PAUSE_SHARE), table };
   const handler = {
     onRows: (rows: readonly RowChange[], origin: RowOrigin) => {
       for (const row of rows) applyConfigurationRow(state, server, row, origin);
