Links: a link that was lost is dialled again after 0.25 s, then ever more rarely

Cause: one wait, 4 s, for a VM that cannot be reached and for a link that was lost, which need not mean that the VM is gone. Before: the new test finds no dial within 0.5 s. After: each pair dials.

--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -216,7 +216,7 @@
       }
     },
     onGone: (vmId) => {
-      fleet.recordUnreachable(vmId, getSteadyMs());
+      fleet.recordLinkLost(vmId, getSteadyMs());
       state.access.handleLinkEnded(vmId);
       state.streamOrigins.handleLinkClosed();
       offer(pools.inbox, { kind: 'link-closed', vmId });
--- a/packages/router/src/peers/fleet-view.fuzz.test.ts
+++ b/packages/router/src/peers/fleet-view.fuzz.test.ts
@@ -123,8 +123,8 @@
   for (const peerId of vm.links) {
     const peer = findVm(world, peerId);
     peer.links.delete(vm.vmId);
-    peer.view.recordUnreachable(vm.vmId, world.now);
-    vm.view.recordUnreachable(peerId, world.now);
+    peer.view.recordLinkLost(vm.vmId, world.now);
+    vm.view.recordLinkLost(peerId, world.now);
   }
   vm.links.clear();
 }
--- /dev/null
+++ b/packages/router/src/peers/fleet-view.test.ts
@@ -0,0 +1,56 @@
+import type { VmId } from '@tarragonspool/protocol';
+import { expect } from 'chai';
+import { makeFleetView, type FleetMember, type FleetView } from './fleet-view.js';
+
+const MAX_STORE_AGE_MS = 1_300;
+/** Time after which a VM counts as in touch again. */
+const CONTACT_MS = 3_000;
+const MEMBERS: readonly FleetMember[] = ['a', 'b', 'c', 'd', 'e'].map((name) => ({
+  vmId: name as VmId,
+  peerAddress: '10.0.0.1:1',
+  capacity: 1,
+}));
+
+function makeView(self: string): FleetView {
+  const view = makeFleetView(self as VmId, MAX_STORE_AGE_MS);
+  view.setMembers(MEMBERS);
+  return view;
+}
+
+function listOthers(self: string): VmId[] {
+  return MEMBERS.map(({ vmId }) => vmId).filter((vmId) => vmId !== self);
+}
+
+// Guards against VMs that hear nothing of each other for longer than a disturbance excuses.
+it('fleet: VMs whose links were all lost at once dial each other well within the contact time', () => {
+  const dialled = new Set<string>();
+  for (const { vmId } of MEMBERS) {
+    const view = makeView(vmId);
+    for (const other of listOthers(vmId)) view.recordLinkOpened(other, 0);
+    for (const other of listOthers(vmId)) view.recordLinkLost(other, 0);
+    for (const target of view.listTargets(CONTACT_MS / 6)) {
+      dialled.add([vmId, target.vmId].sort().join());
+    }
+  }
+  expect(dialled.size).to.equal((MEMBERS.length * (MEMBERS.length - 1)) / 2);
+});
+
+it('fleet: a VM that cannot be reached is dialled ever more rarely, and counts again once it is linked', () => {
+  const view = makeView('a');
+  const [lost] = listOthers('a');
+  if (lost === undefined) throw new Error('no other VM');
+  for (const other of listOthers('a')) view.recordLinkOpened(other, 0);
+  view.recordLinkLost(lost, 0);
+  let dials = 0;
+  for (let now = 0; now < 20_000; now += 50) {
+    for (const other of listOthers('a')) {
+      if (other !== lost) view.recordLinkOpened(other, now);
+    }
+    if (!view.listTargets(now).some(({ vmId }) => vmId === lost)) continue;
+    dials += 1;
+    view.recordUnreachable(lost, now);
+  }
+  expect(dials).to.be.within(3, 9);
+  view.recordLinkOpened(lost, 20_000);
+  expect(view.listTargets(20_000).map(({ vmId }) => vmId)).to.include(lost);
+});
--- a/packages/router/src/peers/fleet-view.ts
+++ b/packages/router/src/peers/fleet-view.ts
@@ -21,7 +21,9 @@
   /** Sets the services whose pools need owners; each has a ranking of its own. */
   readonly setServices: (services: readonly ServiceName[]) => void;
   readonly recordLinkOpened: (vmId: VmId, now: number) => void;
-  /** Records that a link was lost or could not be opened. */
+  /** Records that a link was lost; it is dialled again soon. */
+  readonly recordLinkLost: (vmId: VmId, now: number) => void;
+  /** Records that a link could not be opened; it is dialled again ever more rarely. */
   readonly recordUnreachable: (vmId: VmId, now: number) => void;
   readonly recordAlive: (vmId: VmId, message: AliveMessage, now: number) => void;
   /** Lists the VMs to keep links to. */
@@ -45,15 +47,19 @@
 
 /** A peer that says nothing for this long is passed over: three messages are missing. */
 const SILENCE_TIMEOUT_MS = 650;
-/** A VM that could not be reached is dialled again after this time; it is down until it is linked. */
-const RETRY_MS = 4_000;
-/** A VM that is cut off dials one that could not be reached again after this time: it may send for it. */
+/** A VM whose link was lost is down until it is linked, and dialled after this time: links may go silent. */
+const FIRST_RETRY_MS = 250;
+/** Twice the time before after each dial that failed, up to this. */
+const MAX_RETRY_MS = 4_000;
+/** A VM that is cut off dials all others at least this often: they may send for it. */
 const RELAY_RETRY_MS = 500;
 /** VMs that reach servers which a VM that is cut off keeps links to. */
 const RELAY_LINKS = 3;
 /** Name of the ranking where no service needs an owner. */
 const DEFAULT_RANKING = 'hubs';
 
+/** When to dial a VM again, and how long that is after it was lost. */
+type Retry = { readonly at: number; readonly waitMs: number };
 type PeerState = { heardAt: number; message: AliveMessage | undefined };
 
 /**
@@ -65,8 +71,8 @@
   let rankingNames: readonly string[] = [DEFAULT_RANKING];
   let rankings: readonly (readonly VmId[])[] = [[]];
   const peers = new Map<VmId, PeerState>();
-  /** When to dial each VM again that could not be reached. */
-  const retryAt = new Map<VmId, number>();
+  /** VMs that are down because there is no link to them. */
+  const retries = new Map<VmId, Retry>();
   let isSelfCutOff = false;
 
   function isHeard(vmId: VmId, now: number): boolean {
@@ -76,7 +82,7 @@
 
   function isDown(vmId: VmId, now: number): boolean {
     if (vmId === self) return false;
-    if (retryAt.has(vmId)) return true;
+    if (retries.has(vmId)) return true;
     const peer = peers.get(vmId);
     return peer !== undefined && (!isHeard(vmId, now) || peer.message?.isLeaving === true);
   }
@@ -100,8 +106,8 @@
     for (const ranking of rankings) {
       const lastHub = ranking.findLastIndex((vmId) => hubs.has(vmId));
       for (const vmId of ranking.slice(0, lastHub)) {
-        const at = retryAt.get(vmId);
-        if (at !== undefined && at <= now) due.push(vmId);
+        const retry = retries.get(vmId);
+        if (retry !== undefined && retry.at <= now) due.push(vmId);
       }
     }
     return due;
@@ -132,8 +138,10 @@
 
   /** Whether a VM that is cut off dials one now that is not linked. */
   function isRelayDialled(vmId: VmId, now: number): boolean {
-    const at = retryAt.get(vmId);
-    return at === undefined || at - RETRY_MS + RELAY_RETRY_MS <= now;
+    const retry = retries.get(vmId);
+    if (retry === undefined) return true;
+    const waitMs = Math.min(retry.waitMs, RELAY_RETRY_MS);
+    return retry.at - retry.waitMs + waitMs <= now;
   }
 
   /** Lists the VMs to link because too few of the linked ones reach servers; empty unless cut off. */
@@ -159,12 +167,18 @@
       updateRankings();
     },
     recordLinkOpened: (vmId, now) => {
-      retryAt.delete(vmId);
+      retries.delete(vmId);
       peers.set(vmId, { heardAt: now, message: undefined });
     },
+    recordLinkLost: (vmId, now) => {
+      peers.delete(vmId);
+      retries.set(vmId, { at: now + FIRST_RETRY_MS, waitMs: FIRST_RETRY_MS });
+    },
     recordUnreachable: (vmId, now) => {
       peers.delete(vmId);
-      retryAt.set(vmId, now + RETRY_MS);
+      const lastWaitMs = retries.get(vmId)?.waitMs ?? MAX_RETRY_MS;
+      const waitMs = Math.min(MAX_RETRY_MS, 2 * lastWaitMs);
+      retries.set(vmId, { at: now + waitMs, waitMs });
     },
     recordAlive: (vmId, message, now) => {
       peers.set(vmId, { heardAt: now, message });
