Rows: the age of what is known is told and judged for each table

Cause: one age for all tables, the least. The list of servers changes all the time, so a VM whose call for the configuration hung was held to know it, and the others did not read for themselves. Before: the new test (five VMs, readers that know one table no more) chooses peers; after: the store. Older versions tell no ages: the age of the store stands in for them.

--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -87,7 +87,9 @@
     isCutOff: z.boolean().default(false),
     lostServers: z.array(id).default([]),
     storeAgeMs: milliseconds.optional(),
-    positions: z.array(z.object({ table: id, position: count })).default([]),
+    positions: z
+      .array(z.object({ table: id, position: count, ageMs: milliseconds.optional() }))
+      .default([]),
   }),
   z.object({
     kind: z.literal('permit-request'),
@@ -260,7 +262,15 @@
 };
 
 /** Position up to which a VM knows a table. */
-export type TablePosition = { readonly table: string; readonly position: StorePosition };
+export type TablePosition = {
+  readonly table: string;
+  readonly position: StorePosition;
+  /**
+   * Age of that knowledge, over all VMs that passed it on; absent where it is not bounded, and from
+   * versions that do not tell it.
+   */
+  readonly ageMs?: number | undefined;
+};
 
 /** Messages by which VMs copy rows of the platform's table from each other. */
 export type RowsMessage =
--- a/packages/router/src/feeds/row-relay.ts
+++ b/packages/router/src/feeds/row-relay.ts
@@ -3,7 +3,13 @@
  * not read the store itself, or cannot, asks for what it lacks.
  */
 
-import type { PeerMessage, RowsMessage, TablePosition, VmId } from '@tarragonspool/protocol';
+import type {
+  PeerMessage,
+  RowsMessage,
+  StorePosition,
+  TablePosition,
+  VmId,
+} from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { TableFeed } from './table-feed.js';
@@ -20,10 +26,14 @@
 /** What the relay works with. */
 export type RowRelayParts = {
   readonly feeds: readonly TableFeed[];
+  /** Least age of a table as peers know it that know no more of it than this position. */
+  readonly measurePeerAgeMs: (table: string, position: StorePosition) => number;
   readonly sendTo: (vmId: VmId, message: PeerMessage) => void;
   readonly logger: Logger;
 };
 
+/** Age that stands for no knowledge of the store. */
+export const UNKNOWN_AGE_MS = 3_600_000;
 /** A peer that has not answered within this time is not waited for. */
 const ANSWER_TIMEOUT_MS = 400;
 
@@ -33,6 +43,19 @@
   const byTable = new Map(feeds.map((feed) => [feed.table, feed]));
   const askedUntil = new Map<string, number>();
 
+  /** Latest time, for each table, of which this VM is known to know its rows. */
+  const knownAt = new Map<string, number>();
+
+  /** Measures how old this VM's knowledge of a table is, read by itself or told by peers. */
+  function measureAgeMs({ table, cache, getAnsweredAt }: TableFeed): number {
+    const now = getSteadyMs();
+    const toldAt = now - parts.measurePeerAgeMs(table, cache.getPosition());
+    const readAt = getAnsweredAt() === 0 ? -Infinity : getAnsweredAt();
+    const latest = Math.max(knownAt.get(table) ?? -Infinity, toldAt, readAt);
+    knownAt.set(table, latest);
+    return Math.min(UNKNOWN_AGE_MS, now - latest);
+  }
+
   function answer(to: VmId, message: Extract<RowsMessage, { kind: 'rows-wanted' }>): void {
     const { table, afterVersion } = message;
     const feed = byTable.get(table);
@@ -61,7 +84,11 @@
   return {
     listPositions: () => {
       const known = feeds.filter(({ cache }) => cache.isComplete());
-      return known.map(({ table, cache }) => ({ table, position: cache.getPosition() }));
+      return known.map((feed) => {
+        const { table, cache, isAgeBounded } = feed;
+        const age = isAgeBounded ? { ageMs: measureAgeMs(feed) } : {};
+        return { table, position: cache.getPosition(), ...age };
+      });
     },
     askPeer: (from, positions) => {
       const now = getSteadyMs();
--- a/packages/router/src/feeds/table-feed.test.ts
+++ b/packages/router/src/feeds/table-feed.test.ts
@@ -38,6 +38,7 @@
   };
   const options: FeedOptions = {
     table: 'op',
+    isAgeBounded: true,
     holdMs: HOLD_MS,
     answerMs: ANSWER_MS,
     pauseMs: 1,
--- a/packages/router/src/feeds/table-feed.ts
+++ b/packages/router/src/feeds/table-feed.ts
@@ -30,6 +30,8 @@
 /** How a table is followed. */
 export type FeedOptions = {
   readonly table: string;
+  /** Whether changes must be known within a bound, so that old knowledge is not relied on. */
+  readonly isAgeBounded: boolean;
   /** How long the store holds a call that has nothing to tell. */
   readonly holdMs: number;
   /** Time for its answer after that; more after calls that a slow store did not answer in time. */
@@ -49,6 +51,7 @@
 /** A table that is followed. */
 export type TableFeed = {
   readonly table: string;
+  readonly isAgeBounded: boolean;
   readonly run: () => Task;
   readonly isAway: () => boolean;
   /** Whether this VM reads the table itself and the store answers. */
@@ -199,6 +202,7 @@
 
   return {
     table,
+    isAgeBounded: options.isAgeBounded,
     cache,
     isAway: () => !isFed() && getSteadyMs() - awaySince > AWAY_AFTER_MS,
     isReading: () => !isFed() && awaySince === Infinity && cache.isComplete(),
--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -64,6 +64,7 @@
   const { fleet, takeFraction, pools, metrics } = state;
   const options = {
     table: MEMBERS_TABLE,
+    isAgeBounded: false,
     holdMs: MEMBERS_LONG_POLL_MS,
     answerMs: MEMBERS_ANSWER_MS,
     pauseMs: MEMBERS_PAUSE_MS,
@@ -149,6 +150,8 @@
   const allFeeds = [...feeds, memberFeed];
   const relay = makeRowRelay({
     feeds: allFeeds,
+    measurePeerAgeMs: (table, position) =>
+      state.fleet.measureTableAgeMs(table, position, getSteadyMs()),
     sendTo: (to, message) => meshHolder.mesh?.sendTo(to, message),
     logger,
   });
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -10,7 +10,7 @@
   RowsMessage,
   VmId,
 } from '@tarragonspool/protocol';
-import type { RowRelay } from '../feeds/row-relay.js';
+import { UNKNOWN_AGE_MS, type RowRelay } from '../feeds/row-relay.js';
 import type { TableFeed } from '../feeds/table-feed.js';
 import { startPeerMesh, type PeerMesh } from '../peers/peer-mesh.js';
 import { offer } from '../tasks/tasks.js';
@@ -40,8 +40,6 @@
 const IDLE_ALIVE_INTERVAL_MS = 400;
 /** Spread, for each VM, of the time at which VMs that lost their source begin to read the store. */
 const SPREAD_MS_PER_VM = 8;
-/** Age that stands for no knowledge of the store. */
-const UNKNOWN_AGE_MS = 3_600_000;
 const POOL_MESSAGE_KINDS: ReadonlySet<string> = new Set<(PoolMessage | PermitMessage)['kind']>([
   'alive',
   'pool-ask',
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -43,6 +43,7 @@
   const { settings, takeFraction, fleet, metrics } = state;
   const { changeWithinMs } = settings;
   return {
+    isAgeBounded: true,
     holdMs: Math.min(MAX_HOLD_MS, Math.round(READER_HOLD_SHARE * changeWithinMs)),
     answerMs: READER_ANSWER_SHARE * changeWithinMs,
     pauseMs: pauseShare * changeWithinMs,
--- a/packages/router/src/peers/fleet-view.test.ts
+++ b/packages/router/src/peers/fleet-view.test.ts
@@ -1,14 +1,15 @@
-import type { VmId } from '@tarragonspool/protocol';
+import type { AliveMessage, StorePosition, VmId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import { makeFleetView, type FleetMember, type FleetView } from './fleet-view.js';
 
 const MAX_STORE_AGE_MS = 1_300;
 /** Time after which a VM counts as in touch again. */
 const CONTACT_MS = 3_000;
+/** The last one is no hub while the others live. */
 const MEMBERS: readonly FleetMember[] = ['a', 'b', 'c', 'd', 'e'].map((name) => ({
   vmId: name as VmId,
   peerAddress: '10.0.0.1:1',
-  capacity: 1,
+  capacity: name === 'e' ? 0.5 : 1,
 }));
 
 function makeView(self: string): FleetView {
@@ -54,3 +55,55 @@
   view.recordLinkOpened(lost, 20_000);
   expect(view.listTargets(20_000).map(({ vmId }) => vmId)).to.include(lost);
 });
+
+const POSITION = 7 as StorePosition;
+
+/** What a VM says that reads the store, with the ages of what it knows of two tables. */
+function buildAlive(opAgeMs: number, serversAgeMs: number): AliveMessage {
+  return {
+    kind: 'alive',
+    isStoreAway: false,
+    isReading: true,
+    isLeaving: false,
+    isCutOff: false,
+    lostServers: [],
+    storeAgeMs: Math.min(opAgeMs, serversAgeMs),
+    positions: [
+      { table: 'op', position: POSITION, ageMs: opAgeMs },
+      { table: 'servers', position: POSITION, ageMs: serversAgeMs },
+      { table: 'members', position: POSITION },
+    ],
+  };
+}
+
+function hearAlive(view: FleetView, names: readonly string[], message: AliveMessage): void {
+  for (const name of names) {
+    view.recordLinkOpened(name as VmId, 0);
+    view.recordAlive(name as VmId, message, 0);
+  }
+}
+
+// Guards against one table that is known well vouching for another whose calls are not answered.
+it('fleet: a VM reads the store itself where its peers know one table no more, whatever they know of others', () => {
+  const view = makeView('e');
+  hearAlive(view, ['a', 'b', 'c', 'd'], buildAlive(MAX_STORE_AGE_MS + 100, 50));
+  expect(view.chooseSource(false, 0)).to.equal('store');
+  hearAlive(view, ['c'], buildAlive(300, 50));
+  expect(view.chooseSource(true, 0)).to.equal('peers');
+});
+
+it('fleet: a VM that is told no ages of tables goes by the age of the store', () => {
+  const view = makeView('e');
+  const { positions, ...rest } = buildAlive(100, 100);
+  const untold = positions.map(({ table, position }) => ({ table, position }));
+  hearAlive(view, ['a', 'b', 'c', 'd'], { ...rest, positions: untold });
+  expect(view.chooseSource(false, 0)).to.equal('peers');
+  expect(view.measureTableAgeMs('op', POSITION, 200)).to.equal(300);
+});
+
+it('fleet: what a peer knows of a table counts as known only where this VM has all of its rows', () => {
+  const view = makeView('e');
+  hearAlive(view, ['a'], buildAlive(100, 100));
+  expect(view.measureTableAgeMs('op', (POSITION - 1) as StorePosition, 0)).to.equal(Infinity);
+  expect(view.measureTableAgeMs('op', POSITION, 0)).to.equal(100);
+});
--- a/packages/router/src/peers/fleet-view.ts
+++ b/packages/router/src/peers/fleet-view.ts
@@ -10,7 +10,13 @@
   type FeedSource,
   type RankedVm,
 } from '@tarragonspool/core';
-import type { AliveMessage, ServiceName, UpstreamId, VmId } from '@tarragonspool/protocol';
+import type {
+  AliveMessage,
+  ServiceName,
+  StorePosition,
+  UpstreamId,
+  VmId,
+} from '@tarragonspool/protocol';
 
 /** A listed VM and where it listens to its peers. */
 export type FleetMember = RankedVm & { readonly peerAddress: string };
@@ -32,6 +38,8 @@
   readonly chooseSource: (isSelfReading: boolean, now: number) => FeedSource;
   /** Least age of the store's state as live peers know it; Infinity without any. */
   readonly measureStoreAgeMs: (now: number) => number;
+  /** Least age of a table as live peers know it that know no more of it than a position. */
+  readonly measureTableAgeMs: (table: string, position: StorePosition, now: number) => number;
   /** Whether knowledge of the store of this age, in milliseconds, may be relied on. */
   readonly isRecent: (storeAgeMs: number) => boolean;
   readonly countMembers: () => number;
@@ -55,6 +63,8 @@
 const RELAY_RETRY_MS = 500;
 /** VMs that reach servers which a VM that is cut off keeps links to. */
 const RELAY_LINKS = 3;
+/** A position that no table has passed. */
+const ANY_POSITION = Number.MAX_SAFE_INTEGER as StorePosition;
 /** Name of the ranking where no service needs an owner. */
 const DEFAULT_RANKING = 'hubs';
 
@@ -126,9 +136,51 @@
     return least;
   }
 
+  function listLiveMessages(now: number): { message: AliveMessage; heardAgoMs: number }[] {
+    const live: { message: AliveMessage; heardAgoMs: number }[] = [];
+    for (const [vmId, { message, heardAt }] of peers) {
+      if (message !== undefined && isHeard(vmId, now)) {
+        live.push({ message, heardAgoMs: now - heardAt });
+      }
+    }
+    return live;
+  }
+
+  function measureTableAgeMs(table: string, position: StorePosition, now: number): number {
+    let least = Infinity;
+    for (const { message, heardAgoMs } of listLiveMessages(now)) {
+      const known = message.positions.find((item) => item.table === table);
+      if (known === undefined || known.position > position) continue;
+      least = Math.min(least, (known.ageMs ?? message.storeAgeMs ?? Infinity) + heardAgoMs);
+    }
+    return least;
+  }
+
+  /** Lists the tables of which live peers tell the age. */
+  function listAgedTables(now: number): Set<string> {
+    const tables = new Set<string>();
+    for (const { message } of listLiveMessages(now)) {
+      for (const { table, ageMs } of message.positions) {
+        if (ageMs !== undefined) tables.add(table);
+      }
+    }
+    return tables;
+  }
+
+  /** Measures the greatest age of any table, each as the live peer knows it that knows it best. */
+  function measureOldestTableMs(now: number): number {
+    let oldest = measureStoreAgeMs(now);
+    for (const table of listAgedTables(now)) {
+      oldest = Math.max(oldest, measureTableAgeMs(table, ANY_POSITION, now));
+    }
+    return oldest;
+  }
+
   function isReading(vmId: VmId, now: number): boolean {
-    if (peers.get(vmId)?.message?.isReading !== true) return false;
-    return measurePeerAgeMs(vmId, now) <= maxStoreAgeMs;
+    const peer = peers.get(vmId);
+    if (peer?.message?.isReading !== true) return false;
+    const ages = peer.message.positions.map(({ ageMs = 0 }) => ageMs + now - peer.heardAt);
+    return Math.max(measurePeerAgeMs(vmId, now), ...ages) <= maxStoreAgeMs;
   }
 
   function isRelay(vmId: VmId, now: number): boolean {
@@ -212,10 +264,11 @@
         // The hubs of the first service read for all.
         hubs: findHubs(rankings[0] ?? [], now),
         isReading: (vmId) => isReading(vmId, now),
-        peerStoreAgeMs: measureStoreAgeMs(now),
+        peerStoreAgeMs: measureOldestTableMs(now),
         maxStoreAgeMs,
       }),
     measureStoreAgeMs,
+    measureTableAgeMs,
     isRecent: (storeAgeMs) => storeAgeMs <= maxStoreAgeMs,
     countMembers: () => members.size,
     listHubsOf: (service, now) => {
