Feeds: a table that is read in pages is known as of its first page

Cause: the position of the last page stood for all, so a change of an earlier page's row between the two was never told of. Pages of before and after a restore were put together.

--- a/packages/router/src/feeds/table-feed.ts
+++ b/packages/router/src/feeds/table-feed.ts
@@ -75,19 +75,30 @@
 
 type Reading = { readonly rows: readonly RowChange[]; readonly position: StorePosition };
 
+/**
+ * Reads a whole table. Its position is that of the first page: rows of it may have changed before the
+ * last one was read, and are told of by the changes since.
+ */
 function* readTable(store: RowStore, table: string): Task<StoreOutcome<Reading>> {
-  const rows: RowChange[] = [];
+  let rows: RowChange[] = [];
+  let position: StorePosition | undefined;
   let from: string | undefined;
   for (;;) {
     const call = { table, timeoutMs: READ_TIMEOUT_MS, ...(from === undefined ? {} : { from }) };
     const outcome = yield* awaitPromise(store.readRows(call));
     if (outcome.kind !== 'ok') return outcome;
     const { value } = outcome;
+    if (position !== undefined && getEra(value.position) !== getEra(position)) {
+      // The store was restored between two pages.
+      rows = [];
+      position = undefined;
+      from = undefined;
+      continue;
+    }
+    position ??= value.position;
     rows.push(...value.rows);
     const last = value.rows.at(-1);
-    if (!value.hasMore || last === undefined) {
-      return { kind: 'ok', value: { rows, position: value.position } };
-    }
+    if (!value.hasMore || last === undefined) return { kind: 'ok', value: { rows, position } };
     from = `${last.key}\0`;
   }
 }
