--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -70,6 +70,7 @@
     incarnation: count,
     dataCentre: id,
     nonce: id,
+    accepts: z.array(id).optional(),
   }),
   z.object({ kind: z.literal('proof'), proof: id }),
   z.object({
@@ -211,12 +212,48 @@
   return packr.pack(message);
 }
 
-/** Decodes one frame; undefined if it is malformed. */
-export function decodePeerMessage(frame: Buffer): PeerMessage | undefined {
+/** Kinds of messages that this version decodes. */
+export const ACCEPTED_KINDS: readonly string[] = peerMessageSchema.options.map(
+  ({ shape }) => shape.kind.value,
+);
+const acceptedKinds = new Set(ACCEPTED_KINDS);
+
+/**
+ * Kinds that came after versions had begun to tell which ones they accept. A peer that does not tell
+ * does not know them; it knows all others.
+ */
+const LATER_KINDS: ReadonlySet<string> = new Set();
+
+/** Whether a peer that accepts these kinds decodes a message; `accepts` is absent in older versions. */
+export function isAccepted({ kind }: PeerMessage, accepts: readonly string[] | undefined): boolean {
+  return accepts === undefined ? !LATER_KINDS.has(kind) : accepts.includes(kind);
+}
+
+/** What one frame holds. */
+export type DecodedFrame =
+  | { readonly kind: 'message'; readonly message: PeerMessage }
+  /** A message of a kind that only other versions know. */
+  | { readonly kind: 'unknown'; readonly name: string }
+  | { readonly kind: 'malformed' };
+
+const kindSchema = z.object({ kind: id });
+
+/** Decodes one frame. */
+export function decodePeerFrame(frame: Buffer): DecodedFrame {
   try {
-    const parsed = peerMessageSchema.safeParse(packr.unpack(frame));
-    return parsed.success ? (parsed.data as unknown as PeerMessage) : undefined;
+    const value: unknown = packr.unpack(frame);
+    const parsed = peerMessageSchema.safeParse(value);
+    if (parsed.success) return { kind: 'message', message: parsed.data as unknown as PeerMessage };
+    const named = kindSchema.safeParse(value);
+    if (!named.success || acceptedKinds.has(named.data.kind)) return { kind: 'malformed' };
+    return { kind: 'unknown', name: named.data.kind };
   } catch {
-    return undefined;
+    return { kind: 'malformed' };
   }
 }
+
+/** Decodes the message of one frame; undefined if there is none that this version knows. */
+export function decodePeerMessage(frame: Buffer): PeerMessage | undefined {
+  const decoded = decodePeerFrame(frame);
+  return decoded.kind === 'message' ? decoded.message : undefined;
+}
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -30,7 +30,10 @@
 import type { RuleDelta } from './rule-messages.js';
 import type { Refusal } from './result-codes.js';
 
-/** Version of the protocol between entry VMs. */
+/**
+ * Version of the protocol between entry VMs. Raised only where two versions can't share a link: new
+ * kinds are told in `accepts`, new fields are optional.
+ */
 export const PEER_PROTOCOL_VERSION = 1;
 /** Largest frame that a peer may send, in bytes. */
 export const MAX_PEER_FRAME_BYTES = 8_388_608;
@@ -226,6 +229,8 @@
       readonly dataCentre: DataCentre;
       /** Random text chosen by the sender; the other side's proof covers it. */
       readonly nonce: string;
+      /** Kinds of messages that the sender decodes; absent in versions that do not tell. */
+      readonly accepts?: readonly string[] | undefined;
     }
   | { readonly kind: 'proof'; readonly proof: string }
   | {
--- a/packages/router/src/peers/peer-link.ts
+++ b/packages/router/src/peers/peer-link.ts
@@ -3,12 +3,15 @@
 import { randomBytes } from 'node:crypto';
 import type { RawData, WebSocket } from 'ws';
 import {
-  decodePeerMessage,
+  ACCEPTED_KINDS,
+  decodePeerFrame,
   encodePeerMessage,
   getResultCode,
+  isAccepted,
   MAX_PEER_FRAME_BYTES,
   PEER_PROTOCOL_VERSION,
   type DataCentre,
+  type DecodedFrame,
   type Incarnation,
   type PeerMessage,
   type ResultName,
@@ -29,7 +32,8 @@
   readonly peer: PeerIdentity;
   /** When the peer was last heard, on the steady clock, in milliseconds. */
   readonly getHeardAt: () => number;
-  readonly send: (message: PeerMessage) => void;
+  /** Sends a message; false if the peer's version does not know its kind. */
+  readonly send: (message: PeerMessage) => boolean;
   /** Bytes that wait to be sent. */
   readonly countQueuedBytes: () => number;
   readonly close: () => void;
@@ -41,6 +45,8 @@
 export type PeerLinkHandler = {
   readonly onOpen: (link: PeerLink) => void;
   readonly onMessage: (link: PeerLink, message: PeerMessage) => void;
+  /** A message of a kind that only the peer's version knows came for the first time. */
+  readonly onUnknownKind?: (link: PeerLink, kind: string) => void;
   readonly onClose: (link: PeerLink | undefined, detail: string) => void;
 };
 
@@ -55,6 +61,7 @@
 const CLOSE_CODE_BASE = 4_000;
 const CLOSE_CODE_RANGE = 1_000;
 const NONCE_BYTES = 16;
+const MAX_UNKNOWN_KINDS = 100;
 const MAX_BUFFERED_BYTES = 2 * MAX_PEER_FRAME_BYTES;
 const CLOSE_TIMEOUT_MS = 1_000;
 const WS_TOO_LARGE = 'WS_ERR_UNSUPPORTED_MESSAGE_LENGTH';
@@ -74,17 +81,21 @@
   const own: ProofSide = { ...self, nonce: randomBytes(NONCE_BYTES).toString('hex') };
   let peer: PeerIdentity | undefined;
   let peerNonce = '';
+  let peerAccepts: readonly string[] | undefined;
+  const unknownKinds = new Set<string>();
   let link: PeerLink | undefined;
   let heardAt = getSteadyMs();
   let closedFor: ResultName | undefined;
 
-  const send = (message: PeerMessage): void => {
-    if (socket.readyState !== socket.OPEN) return;
+  const send = (message: PeerMessage): boolean => {
+    if (!isAccepted(message, peerAccepts)) return false;
+    if (socket.readyState !== socket.OPEN) return true;
     if (socket.bufferedAmount > MAX_BUFFERED_BYTES) {
       socket.terminate();
-      return;
+      return true;
     }
     socket.send(encodePeerMessage(message));
+    return true;
   };
 
   function closeFor(name: ResultName): void {
@@ -111,6 +122,7 @@
     const { vmId, incarnation, dataCentre, nonce } = message;
     peer = { vmId, incarnation, dataCentre };
     peerNonce = nonce;
+    peerAccepts = message.accepts;
     const subject = { prover: own, verifier: { ...peer, nonce } };
     send({ kind: 'proof', proof: makeProof(secrets[0] ?? '', subject) });
   }
@@ -152,12 +164,37 @@
     else closeFor('proof-failed');
   }
 
+  /** Messages that only a newer version knows are left out; before the proof nothing may come but it. */
+  function handleUnknownKind(name: string): void {
+    if (link === undefined) {
+      closeFor('proof-failed');
+      return;
+    }
+    if (unknownKinds.has(name) || unknownKinds.size >= MAX_UNKNOWN_KINDS) return;
+    unknownKinds.add(name);
+    handler.onUnknownKind?.(link, name);
+  }
+
+  function handleFrame(frame: DecodedFrame): void {
+    switch (frame.kind) {
+      case 'message':
+        handleMessage(frame.message);
+        return;
+      case 'unknown':
+        handleUnknownKind(frame.name);
+        return;
+      case 'malformed':
+        closeFor('frame-malformed');
+        return;
+      default:
+        frame satisfies never;
+    }
+  }
+
   socket.on('message', (data: RawData, isBinary: boolean) => {
     if (closedFor !== undefined) return;
     heardAt = getSteadyMs();
-    const message = isBinary ? decodePeerMessage(data as Buffer) : undefined;
-    if (message === undefined) closeFor('frame-malformed');
-    else handleMessage(message);
+    handleFrame(isBinary ? decodePeerFrame(data as Buffer) : { kind: 'malformed' });
   });
   socket.on('error', (error: NodeJS.ErrnoException) => {
     // The library has already sent close code 1009.
@@ -172,5 +209,5 @@
   });
   const { vmId, incarnation, dataCentre } = self;
   const hello = { vmId, incarnation, dataCentre, nonce: own.nonce };
-  send({ kind: 'hello', version: PEER_PROTOCOL_VERSION, ...hello });
+  send({ kind: 'hello', version: PEER_PROTOCOL_VERSION, accepts: ACCEPTED_KINDS, ...hello });
 }
--- a/packages/router/src/peers/peer-mesh.test.ts
+++ b/packages/router/src/peers/peer-mesh.test.ts
@@ -209,3 +209,55 @@
   }
   expect(waits).to.deep.equal([250, 500, 1_000, 2_000, 4_000, 8_000, 8_000, 8_000]);
 });
+
+const FUTURE = { kind: 'from-a-later-version', detail: 7 } as unknown as PeerMessage;
+
+/** Opens a link and returns it with the socket under it. */
+async function openLinkAndSocket(
+  to: TestMesh,
+  self: PeerIdentity,
+): Promise<{ link: PeerLink; socket: WebSocket; closes: string[] }> {
+  const socket = dialRaw(to);
+  const closes: string[] = [];
+  const link = await new Promise<PeerLink>((resolve) => {
+    socket.on('open', () => {
+      startPeerLink(
+        socket,
+        { self, secrets: [SECRET], handshakeTimeoutMs: 1_000 },
+        {
+          onOpen: resolve,
+          onMessage: () => undefined,
+          onClose: (_link, detail) => closes.push(detail),
+        },
+      );
+    });
+  });
+  return { link, socket, closes };
+}
+
+// Guards against versions whose links close again and again, because one says what the other does not know.
+it('peers: a message of a kind that only a later version knows is left out and the link stays', async () => {
+  const first = await startMesh('vm-1');
+  const { link, socket, closes } = await openLinkAndSocket(first, makeIdentity('vm-9'));
+  socket.send(encodePeerMessage(FUTURE));
+  socket.send(encodePeerMessage(FUTURE));
+  link.send(HEARTBEAT);
+  await waitUntil(() => first.heard.length > 0);
+  expect(first.heard).to.deep.equal(['heartbeat']);
+  expect(closes).to.deep.equal([]);
+});
+
+it('peers: a message of an unknown kind before the proof closes the connection', async () => {
+  const first = await startMesh('vm-1');
+  const code = await sendFrames(first, [makeHello(1), encodePeerMessage(FUTURE)]);
+  expect(code).to.equal(getCloseCode('proof-failed'));
+});
+
+it('peers: a message of a kind that the peer does not accept is not sent, and the sender is told so', async () => {
+  const first = await startMesh('vm-1');
+  const { link } = await openLinkAndSocket(first, makeIdentity('vm-9'));
+  expect(link.send(FUTURE)).to.equal(false);
+  expect(link.send(HEARTBEAT)).to.equal(true);
+  await waitUntil(() => first.heard.length > 0);
+  expect(first.heard).to.deep.equal(['heartbeat']);
+});
--- a/packages/router/src/peers/peer-mesh.ts
+++ b/packages/router/src/peers/peer-mesh.ts
@@ -19,6 +19,7 @@
 export type PeerMesh = {
   readonly links: ReadonlyMap<VmId, PeerLink>;
   readonly broadcast: (message: PeerMessage) => void;
+  /** Sends a message; false if there is no link, or the peer's version does not know its kind. */
   readonly sendTo: (vmId: VmId, message: PeerMessage) => boolean;
   readonly close: () => void;
   /** Port that is listened on; undefined until then. */
@@ -172,6 +173,9 @@
       {
         onOpen: (link) => add(link, isDialled),
         onMessage: (link, message) => parts.onMessage(link.peer, message),
+        onUnknownKind: ({ peer }, kind) => {
+          logger.info({ peer: peer.vmId, kind }, 'peers: messages of an unknown kind are left out');
+        },
         onClose: (link, detail) => {
           onEnd(link);
           if (link !== undefined) remove(link, detail);
@@ -242,11 +246,7 @@
     broadcast: (message) => {
       for (const link of links.values()) link.send(message);
     },
-    sendTo: (vmId, message) => {
-      const link = links.get(vmId);
-      link?.send(message);
-      return link !== undefined;
-    },
+    sendTo: (vmId, message) => links.get(vmId)?.send(message) ?? false,
     close: () => {
       isClosed = true;
       clearInterval(timer);
