Origins: where no VM knows a stream, the store says which versions there are, after its caller came

Cause: the VM judged by a list of servers that was older than the stream. It was held to be recent for 1.3 s, and for as long again while the VM only tried to read the store itself; and a VM alone asked nobody. The class is the incident's: knowledge whose age is not asked at the use. Now a stream that no VM knows goes on only if the store, read after its caller came, names no other version; without the store, if other homes said so; a VM alone refuses.

--- a/packages/router/src/feeds/table-feed.ts
+++ b/packages/router/src/feeds/table-feed.ts
@@ -73,18 +73,23 @@
 /** Single calls fail now and then; peers are told of an outage that lasts. */
 const AWAY_AFTER_MS = 500;
 
-type Reading = { readonly rows: readonly RowChange[]; readonly position: StorePosition };
+/** All rows of a table as of one position. */
+export type Reading = { readonly rows: readonly RowChange[]; readonly position: StorePosition };
 
 /**
  * Reads a whole table. Its position is that of the first page: rows of it may have changed before the
  * last one was read, and are told of by the changes since.
  */
-function* readTable(store: RowStore, table: string): Task<StoreOutcome<Reading>> {
+export function* readTable(
+  store: RowStore,
+  table: string,
+  timeoutMs: number,
+): Task<StoreOutcome<Reading>> {
   let rows: RowChange[] = [];
   let position: StorePosition | undefined;
   let from: string | undefined;
   for (;;) {
-    const call = { table, timeoutMs: READ_TIMEOUT_MS, ...(from === undefined ? {} : { from }) };
+    const call = { table, timeoutMs, ...(from === undefined ? {} : { from }) };
     const outcome = yield* awaitPromise(store.readRows(call));
     if (outcome.kind !== 'ok') return outcome;
     const { value } = outcome;
@@ -164,7 +169,7 @@
 
   function* readAll(): Task {
     const calledAt = getSteadyMs();
-    const outcome = yield* readTable(store, table);
+    const outcome = yield* readTable(store, table, READ_TIMEOUT_MS);
     if (outcome.kind !== 'ok') {
       yield* noteFailure(outcome, calledAt);
       return;
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -30,6 +30,7 @@
   recordListedVersions,
 } from './service-versions.js';
 import { makeStreamOriginBook } from './stream-origins.js';
+import { makeVersionQuestions } from './version-questions.js';
 
 const EXIT_INTERNAL = 70;
 const POOL_TICK_MS = 25;
@@ -131,6 +132,7 @@
     takeFraction,
     logger,
   });
+  const versionQuestions = makeVersionQuestions({ ports, logger });
   const streamOrigins = makeStreamOriginBook({
     self,
     listHomes: (service) => fleet.listHubsOf(service, getSteadyMs()).slice(0, ORIGIN_HOMES),
@@ -145,6 +147,7 @@
       stateHolder.state && listEarlierVersions(stateHolder.state, service),
     save: savedStreams.add,
     isSavedRead: savedStreams.isRead,
+    readUsed: versionQuestions.ask,
     getHorizonMs: () => computeHorizonMs(stateHolder.state),
     logger,
   });
@@ -186,6 +189,7 @@
       else logger.info({ name: ended }, 'gateway: task ended');
     });
   start('saved streams', savedStreams.run);
+  start('version questions', versionQuestions.run);
   start('pools', pools.run);
   poolTicker.ticker = startAdaptiveTicker({
     busyMs: POOL_TICK_MS,
--- a/packages/router/src/gateway/origin-questions.ts
+++ b/packages/router/src/gateway/origin-questions.ts
@@ -7,6 +7,7 @@
   type StreamOrigin,
 } from '@tarragonspool/core';
 import type { OriginMessage, ServiceName, VmId } from '@tarragonspool/protocol';
+import type { VersionQuestions } from './version-questions.js';
 
 /** Questions of this VM that wait for answers. */
 export type OriginQuestions = {
@@ -28,6 +29,8 @@
   readonly isSavedRead: () => boolean;
   /** What this VM says itself. */
   readonly buildVote: (key: StreamKey, services: readonly ServiceName[]) => OriginVote;
+  /** Asks the store where streams of services may have begun, as of now. */
+  readonly readUsed: VersionQuestions['ask'];
   readonly getNow: () => number;
   readonly schedule: (run: () => void, delayMs: number) => () => void;
 };
@@ -74,12 +77,29 @@
     return listOtherHomes(question).every((home) => votes.has(home));
   }
 
+  /** Whether other homes were asked, and all have answered. */
+  function isVotedByOthers(question: Question): boolean {
+    const { votes } = question;
+    return votes.size > 0 && listOtherHomes(question).every((home) => votes.has(home));
+  }
+
   function finishQuestion(number: string, question: Question): void {
     const { key, services, votes, onAnswer, cancelTimer } = question;
     questions.delete(number);
     cancelTimer();
     const all = [buildVote(key, services), ...votes.values()];
-    onAnswer(findVotedOrigin(all, key.streamId !== undefined));
+    const isNamed = key.streamId !== undefined;
+    const origin = findVotedOrigin(all, isNamed);
+    const isKnown = all.some(({ known }) => known.length > 0);
+    if (isKnown || origin === undefined) {
+      onAnswer(origin);
+      return;
+    }
+    // Nobody knows the stream, and what is known of versions may be older than it.
+    parts.readUsed(services, (used) => {
+      if (used !== undefined) onAnswer(findVotedOrigin([...all, { known: [], used }], isNamed));
+      else onAnswer(isVotedByOthers(question) ? origin : undefined);
+    });
   }
 
   function askHomes(number: string): void {
--- a/packages/router/src/gateway/stream-origins.fuzz.test.ts
+++ b/packages/router/src/gateway/stream-origins.fuzz.test.ts
@@ -82,6 +82,9 @@
         if (self === HOMES[0]) saved.push(record);
       },
       isSavedRead: () => true,
+      readUsed: (_services, onRead) => {
+        onRead(VERSIONS.map((softwareVersion) => ({ service: SERVICE, softwareVersion })));
+      },
       logger,
       getNow: () => now,
       schedule: (run, delayMs) => {
--- a/packages/router/src/gateway/stream-origins.test.ts
+++ b/packages/router/src/gateway/stream-origins.test.ts
@@ -35,6 +35,7 @@
     getHorizonMs: () => LIFETIME_MS,
     save: () => undefined,
     isSavedRead: () => true,
+    readUsed: (_services, onRead) => onRead(undefined),
     logger,
     getNow: () => 0,
     schedule: () => () => undefined,
@@ -63,6 +64,7 @@
     getHorizonMs: () => LIFETIME_MS,
     save: () => undefined,
     isSavedRead: () => true,
+    readUsed: (_services, onRead) => onRead(undefined),
     logger,
     getNow: () => 0,
   });
@@ -91,6 +93,7 @@
     getHorizonMs: () => LIFETIME_MS,
     save: () => undefined,
     isSavedRead: () => true,
+    readUsed: (_services, onRead) => onRead(undefined),
     logger,
     getNow: () => now,
   });
--- a/packages/router/src/gateway/stream-origins.ts
+++ b/packages/router/src/gateway/stream-origins.ts
@@ -19,6 +19,7 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeOriginHomes, type OriginHomesParts } from './origin-homes.js';
 import { makeOriginQuestions, type OriginQuestions } from './origin-questions.js';
+import type { VersionQuestions } from './version-questions.js';
 
 /** Knowledge of one VM of where streams began. */
 export type StreamOriginBook = {
@@ -44,6 +45,8 @@
   /** Saves a stream that may outlast all VMs; called for each that this VM hears of. */
   readonly save: (record: OriginRecord) => void;
   readonly isSavedRead: () => boolean;
+  /** Asks the store where streams of services may have begun, as of now. */
+  readonly readUsed: VersionQuestions['ask'];
   readonly logger: Logger;
   readonly getNow?: () => number;
   /** Runs a function after a delay in milliseconds; returns how to cancel it. */
@@ -150,8 +153,8 @@
     return { known, untold: homes.listUntold(services), used: homes.listUsed(services) };
   }
 
-  const { isSavedRead } = parts;
-  const asking = { self, listHomes, sendTo, isSavedRead, buildVote, getNow, schedule };
+  const { isSavedRead, readUsed } = parts;
+  const asking = { self, listHomes, sendTo, isSavedRead, buildVote, readUsed, getNow, schedule };
   const questions = makeOriginQuestions(asking);
 
   return {
