Answer heads are checked once, where they are decoded, before any of them is used

Callers saw: a process ended with code 70 by one byte in the head of a stream's answer, and cut all calls beside it. Cause: Node's parser reads bytes in a header that its writer refuses; the throw came in a handler that nobody was above. A head that cannot be passed on (header's name or value, a status that ends no answer) is a failed send now: 502 for a call that may have run, a stream goes on elsewhere. The same check stands where a peer relays a head. Before: 'a byte that no header may hold' hangs up and the process ends; a status of 101 was passed on. Callers' requests, rows, frames and settings have tests of their own (odd-requests, odd-entries, peer-codec.fuzz); a common fuzz run over all of them, as the issue asks, is not done.

--- a/packages/router/src/relays/relay-client.ts
+++ b/packages/router/src/relays/relay-client.ts
@@ -9,6 +9,7 @@
   VmId,
 } from '@tarragonspool/protocol';
 import { MAX_PEER_FRAME_BYTES } from '@tarragonspool/protocol';
+import { findHeadFault } from '../http/answer-head.js';
 import type { Logger } from '../logging/logger.js';
 import type { UpstreamEvent, UpstreamExchange } from '../upstreams/upstream-client.js';
 import { getSteadyMs } from '../time/steady-clock.js';
@@ -160,6 +161,13 @@
       if (event.kind === 'failed' && !event.isSent) {
         avoidUntil.set(from, getSteadyMs() + AVOID_PEER_MS);
       }
+      const fault =
+        event.kind === 'head' ? findHeadFault(event.status, event.rawHeaders) : undefined;
+      if (fault !== undefined) {
+        sendTo(from, { kind: 'relay-cancel', number });
+        fail(number, true, fault);
+        return;
+      }
       if (event.kind === 'failed' || event.kind === 'ended') sends.delete(number);
       send.emit(event);
     },
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -13,6 +13,7 @@
 } from 'node:http';
 import type { Socket } from 'node:net';
 import type { ClearedAddress } from '@tarragonspool/core';
+import { findHeadFault } from '../http/answer-head.js';
 import { parseAddress } from '../http/parse-address.js';
 import { canCarryMore, chooseAgent, findForeignReason, recordCarried } from './carried-requests.js';
 
@@ -281,8 +282,9 @@
     // It could be written again as the answer to a later request.
     if (answerId === undefined) outgoing.shouldKeepAlive = false;
     const isReused = outgoing.reusedSocket;
-    const foreignReason = findForeignReason({ requestId, answerId, isReused });
-    if (foreignReason !== undefined) fail(foreignReason);
+    const fault =
+      findForeignReason({ requestId, answerId, isReused }) ?? findHeadFault(status, rawHeaders);
+    if (fault !== undefined) fail(fault);
     if (!isOver) emit({ kind: 'head', status, framing, headers, rawHeaders });
   });
   // Of an answer that is whole its own end is still to come; what follows it belongs to no request.
