--- a/packages/core/src/quarantine/part-suspects.ts
+++ b/packages/core/src/quarantine/part-suspects.ts
@@ -6,6 +6,7 @@
  */
 
 import { assertNever, type PromptPartId } from '@tarragonspool/protocol';
+import { dropOldest } from './drop-oldest.js';
 
 /** Prompts that an engine had only begun when it crashed. */
 export type CrashReport = {
@@ -79,19 +80,6 @@
   };
 }
 
-type KeyedCollection<K> = {
-  readonly size: number;
-  readonly keys: () => Iterable<K>;
-  readonly delete: (key: K) => boolean;
-};
-
-/** Drops the oldest entry of a map or set that has grown beyond `max`. */
-function dropOldest<K>(collection: KeyedCollection<K>, max: number): void {
-  if (collection.size <= max) return;
-  const [oldest] = collection.keys();
-  if (oldest !== undefined) collection.delete(oldest);
-}
-
 function hasAll(parts: readonly PromptPartId[], wanted: readonly PromptPartId[]): boolean {
   return wanted.every((part) => parts.includes(part));
 }
--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -1,6 +1,7 @@
 /**
- * Finds request contents that crash engines. Content is identified by its digest, never by request
- * id. Returns actions only. Times are milliseconds since the epoch.
+ * Finds request contents that crash servers: what all its crashes have in common is blamed, and what was
+ * answered is sound. Content is identified by its digest, never by request id. Returns actions only. Times are
+ * milliseconds on the caller's clock.
  */
 
 import {
@@ -10,20 +11,25 @@
   type SuspectRecord,
   type UpstreamId,
 } from '@tarragonspool/protocol';
+import {
+  addBrokenRun,
+  countIncidents,
+  findCrashId,
+  findRecheckTime,
+  makeCrashIncidents,
+  recordCrashReport,
+  recordProbe,
+  sweepCrashReports,
+  takeCrashes,
+  type BrokenRun,
+  type CrashIncidents,
+  type JudgedCrash,
+} from './crash-incidents.js';
+import { dropOldest } from './drop-oldest.js';
 
 /** Events that the quarantine receives. */
 export type QuarantineEvent =
-  /** An order failed in a way that a crash of the engine would explain. */
-  | {
-      readonly kind: 'broken';
-      readonly upstreamId: UpstreamId;
-      readonly fingerprint: Fingerprint;
-      /** Whether the engine had already sent tokens for this content. */
-      readonly hasTokens: boolean;
-      /** Parts that its prompt shares with others. */
-      readonly promptParts?: readonly PromptPartId[];
-      readonly now: number;
-    }
+  | ({ readonly kind: 'broken'; readonly now: number } & BrokenRun)
   | {
       readonly kind: 'probed';
       readonly upstreamId: UpstreamId;
@@ -39,265 +45,329 @@
 /** Actions that the host must perform. */
 export type QuarantineAction =
   | { readonly kind: 'probe'; readonly upstreamId: UpstreamId }
-  /** An engine crashed before it had sent tokens for these prompts. */
+  /** A server crashed before it had sent tokens for these prompts. */
   | {
       readonly kind: 'crashed';
       readonly upstreamId: UpstreamId;
+      readonly crashId: string;
       readonly prompts: readonly (readonly PromptPartId[])[];
     }
   | { readonly kind: 'publish'; readonly items: readonly SuspectRecord[] }
-  | { readonly kind: 'store'; readonly record: SuspectRecord }
+  /** A content is refused from now on; `isOwn` if this VM saw one of its crashes. */
+  | { readonly kind: 'store'; readonly record: SuspectRecord; readonly isOwn: boolean }
   | { readonly kind: 'remove'; readonly fingerprint: Fingerprint };
 
 /** Whether a content may run. */
 export type ContentStatus =
   | { readonly kind: 'clear' }
-  /** An order for it failed; whether the engine crashed is decided at `until` at the earliest. */
+  /** An order for it failed; whether the server crashed is decided at `until` at the earliest. */
   | { readonly kind: 'in-doubt'; readonly until: number }
   /** It may run while no other suspect runs. */
   | { readonly kind: 'suspect' }
   | { readonly kind: 'quarantined'; readonly expiresAt: number };
 
-/** A content that ran on an engine when it broke off. */
-type BrokenContent = {
-  readonly hasTokens: boolean;
-  readonly promptParts: readonly PromptPartId[];
-};
-
-/** Failed orders of one engine that a crash may explain. */
-type EngineIncident = {
-  readonly decideAt: number;
-  readonly contents: Map<Fingerprint, BrokenContent>;
-  isAlive: boolean | undefined;
+/** A content that was at a crash and was not answered since. */
+type Suspect = {
+  readonly fingerprint: Fingerprint;
+  /** Crashes that no refused content explains. */
+  readonly crashIds: readonly string[];
+  readonly lastUpstream: UpstreamId;
+  readonly expiresAt: number;
+  /** When peers have told what else was at its crashes. */
+  readonly judgeAt: number;
+  readonly isRefused: boolean;
+  /** Whether this VM saw one of its crashes. */
+  readonly isOwn: boolean;
 };
 
 /** State of the quarantine on one VM. */
 export type QuarantineState = {
-  readonly suspects: Map<Fingerprint, SuspectRecord>;
-  readonly incidents: Map<UpstreamId, EngineIncident>;
-  /** When a crash record was last received from a peer or the table, by engine. */
-  readonly crashReportedAt: Map<UpstreamId, number>;
-  /** When a suspect record was last received from a peer or the table, by content. */
-  readonly heardAt: Map<Fingerprint, number>;
+  readonly suspects: Map<Fingerprint, Suspect>;
+  /** Suspects that are to be judged. */
+  readonly undecided: Set<Fingerprint>;
+  /** Contents that were answered; the oldest are forgotten. */
+  readonly sound: Set<Fingerprint>;
+  readonly incidents: CrashIncidents;
 };
 
-/** Number of crashes after which a content is refused. */
+/** Crashes from which on older versions refuse a content; a record of fewer is a suspect's. */
 export const QUARANTINE_CRASHES = 2;
-const INCIDENT_DECISION_DELAY_MS = 300;
-/**
- * If the engine had sent tokens for every content of an incident, how long to wait for a peer to
- * report the content that caused the crash.
- */
-const PEER_BLAME_WAIT_MS = 400;
-const PEER_BLAME_TTL_MS = 5_000;
+/** Crashes after which a content is refused though others were at all of them. */
+const SHARED_CRASHES = 3;
+/** A content that was answered before needs more evidence. */
+const SOUND_CRASHES = 5;
+/** VMs tell each other of a crash within this time after they have judged it. */
+const VERDICT_WAIT_MS = 200;
 const SUSPECT_TTL_MS = 600_000;
 const QUARANTINE_TTL_MS = 3_600_000;
 const MAX_SUSPECTS = 10_000;
+const MAX_SOUND = 5_000;
+/** Further crashes of a content prove nothing more. */
+const MAX_CRASH_IDS = 8;
 
 /** Makes the initial state. */
 export function makeQuarantineState(): QuarantineState {
   return {
     suspects: new Map(),
-    incidents: new Map(),
-    crashReportedAt: new Map(),
-    heardAt: new Map(),
+    undecided: new Set(),
+    sound: new Set(),
+    incidents: makeCrashIncidents(),
   };
 }
 
-function hasContentWithoutTokens({ contents }: EngineIncident): boolean {
-  for (const { hasTokens } of contents.values()) {
-    if (!hasTokens) return true;
-  }
-  return false;
+/** Whether a crash or a verdict is open, which needs ticks at short intervals. */
+export function hasOpenQuestions({ incidents, undecided }: QuarantineState): boolean {
+  return incidents.open.size > 0 || undecided.size > 0;
 }
 
-/** Whether a crash is confirmed and a peer may still name the content that caused it. */
-function isAwaitingPeers(incident: EngineIncident, now: number): boolean {
-  return (
-    incident.isAlive === false && !hasContentWithoutTokens(incident) && now >= incident.decideAt
-  );
+function buildRecord({ sound }: QuarantineState, suspect: Suspect): SuspectRecord {
+  const { fingerprint, crashIds, lastUpstream, expiresAt, isRefused } = suspect;
+  const crashes = isRefused ? Math.max(QUARANTINE_CRASHES, crashIds.length) : 1;
+  const known = sound.has(fingerprint) ? { isSound: true } : {};
+  return { fingerprint, crashes, lastUpstream, expiresAt, crashIds, ...known };
 }
 
-/**
- * Finds when to check again whether a content may run; undefined if no incident forbids it now. A
- * content in a single incident that only awaits reports of peers may run; one in two incidents may
- * not.
- */
-function findRecheckTime(
+/** Finds whether a content may run. */
+export function findContentStatus(
   state: QuarantineState,
   fingerprint: Fingerprint,
   now: number,
-): number | undefined {
-  let count = 0;
-  let isOpen = false;
-  let until = now;
-  for (const incident of state.incidents.values()) {
-    if (!incident.contents.has(fingerprint)) continue;
-    count += 1;
-    isOpen ||= !isAwaitingPeers(incident, now);
-    until = Math.max(until, incident.decideAt);
+): ContentStatus {
+  const suspect = state.suspects.get(fingerprint);
+  const isCurrent = suspect !== undefined && suspect.expiresAt > now;
+  if (isCurrent && suspect.isRefused) {
+    return { kind: 'quarantined', expiresAt: suspect.expiresAt };
   }
-  return isOpen || count > 1 ? until : undefined;
+  const until = findRecheckTime(state.incidents, fingerprint, now);
+  if (until !== undefined) return { kind: 'in-doubt', until };
+  if (!isCurrent || state.sound.has(fingerprint)) return { kind: 'clear' };
+  if (state.undecided.has(fingerprint)) return { kind: 'in-doubt', until: suspect.judgeAt };
+  return { kind: 'suspect' };
 }
 
-/** Finds whether a content may run. */
-export function findContentStatus(
+/**
+ * Whether a content that was never answered may have crashed two servers, one of which is not judged yet.
+ */
+export function isAwaitingVerdict(state: QuarantineState, fingerprint: Fingerprint): boolean {
+  if (state.sound.has(fingerprint)) return false;
+  const open = countIncidents(state.incidents, fingerprint);
+  if (open === 0 && !state.undecided.has(fingerprint)) return false;
+  const counted = state.suspects.get(fingerprint)?.crashIds.length ?? 0;
+  return counted + open >= QUARANTINE_CRASHES;
+}
+
+/** Finds the record of a content that is refused. */
+export function findQuarantined(
   state: QuarantineState,
   fingerprint: Fingerprint,
   now: number,
-): ContentStatus {
-  const record = state.suspects.get(fingerprint);
-  const isBlamed = record !== undefined && record.expiresAt > now;
-  if (isBlamed && record.crashes >= QUARANTINE_CRASHES) {
-    return { kind: 'quarantined', expiresAt: record.expiresAt };
-  }
-  const until = findRecheckTime(state, fingerprint, now);
-  if (until !== undefined) return { kind: 'in-doubt', until };
-  if (isBlamed) return { kind: 'suspect' };
-  return { kind: 'clear' };
+): SuspectRecord | undefined {
+  const suspect = state.suspects.get(fingerprint);
+  const isRefused = suspect !== undefined && suspect.isRefused && suspect.expiresAt > now;
+  return isRefused ? buildRecord(state, suspect) : undefined;
 }
 
 /** Lists the records of contents in quarantine. */
 export function listQuarantined(state: QuarantineState, now: number): SuspectRecord[] {
   const records: SuspectRecord[] = [];
-  for (const record of state.suspects.values()) {
-    if (record.crashes >= QUARANTINE_CRASHES && record.expiresAt > now) records.push(record);
+  for (const suspect of state.suspects.values()) {
+    if (suspect.isRefused && suspect.expiresAt > now) records.push(buildRecord(state, suspect));
   }
   return records;
 }
 
-function setSuspect(state: QuarantineState, record: SuspectRecord): void {
-  state.suspects.delete(record.fingerprint);
-  state.suspects.set(record.fingerprint, record);
-  if (state.suspects.size <= MAX_SUSPECTS) return;
-  const [oldest] = state.suspects.keys();
-  if (oldest !== undefined) state.suspects.delete(oldest);
+/** Lists the records of all suspects. */
+export function listSuspects(state: QuarantineState): SuspectRecord[] {
+  return [...state.suspects.values()].map((suspect) => buildRecord(state, suspect));
 }
 
-function recordBrokenOrder(
-  state: QuarantineState,
-  event: Extract<QuarantineEvent, { kind: 'broken' }>,
-): QuarantineAction[] {
-  const { upstreamId, fingerprint, hasTokens, promptParts = [], now } = event;
-  const known = state.incidents.get(upstreamId);
-  if (known !== undefined) {
-    known.contents.set(fingerprint, { hasTokens, promptParts });
-    return [];
-  }
-  const contents = new Map([[fingerprint, { hasTokens, promptParts }]]);
-  state.incidents.set(upstreamId, {
-    decideAt: now + INCIDENT_DECISION_DELAY_MS,
-    contents,
-    isAlive: undefined,
-  });
-  return [{ kind: 'probe', upstreamId }];
+function setSuspect(state: QuarantineState, suspect: Suspect): void {
+  state.suspects.delete(suspect.fingerprint);
+  state.suspects.set(suspect.fingerprint, suspect);
+  const isOpen = !suspect.isRefused && suspect.crashIds.length >= QUARANTINE_CRASHES;
+  if (isOpen) state.undecided.add(suspect.fingerprint);
+  else state.undecided.delete(suspect.fingerprint);
+  const dropped = dropOldest(state.suspects, MAX_SUSPECTS);
+  if (dropped !== undefined) state.undecided.delete(dropped);
 }
 
-function hasPeerBlame(state: QuarantineState, upstreamId: UpstreamId, now: number): boolean {
-  return now < (state.crashReportedAt.get(upstreamId) ?? -Infinity) + PEER_BLAME_TTL_MS;
+function deleteSuspect(state: QuarantineState, fingerprint: Fingerprint): void {
+  state.suspects.delete(fingerprint);
+  state.undecided.delete(fingerprint);
 }
 
-/**
- * Lists the contents to blame for a crash: those that had no tokens yet. If there are none and no peer
- * named one, all that ran on the engine.
- */
-function listBlamedContents(
+/** Counts crashes for a content; returns the suspect if any of them is new. */
+function countCrashes(
   state: QuarantineState,
-  upstreamId: UpstreamId,
-  incident: EngineIncident,
+  crash: {
+    readonly fingerprint: Fingerprint;
+    readonly crashIds: readonly string[];
+    readonly lastUpstream: UpstreamId;
+    readonly isOwn: boolean;
+  },
   now: number,
-) {
-  const tokenless: Fingerprint[] = [];
-  for (const [content, { hasTokens }] of incident.contents) {
-    if (!hasTokens) tokenless.push(content);
+): Suspect | undefined {
+  const { fingerprint, lastUpstream } = crash;
+  const found = state.suspects.get(fingerprint);
+  const known = found !== undefined && found.expiresAt > now ? found : undefined;
+  const added = crash.crashIds.filter((id) => known?.crashIds.includes(id) !== true);
+  const isOwn = crash.isOwn || known?.isOwn === true;
+  if (added.length === 0) {
+    if (known !== undefined && known.isOwn !== isOwn) {
+      state.suspects.set(fingerprint, { ...known, isOwn });
+    }
+    return undefined;
   }
-  if (tokenless.length > 0) return tokenless;
-  if (hasPeerBlame(state, upstreamId, now)) return [];
-  return [...incident.contents.keys()];
+  const suspect: Suspect = {
+    fingerprint,
+    crashIds: [...(known?.crashIds ?? []), ...added].slice(-MAX_CRASH_IDS),
+    lastUpstream,
+    expiresAt: known?.isRefused === true ? known.expiresAt : now + SUSPECT_TTL_MS,
+    judgeAt: now + VERDICT_WAIT_MS,
+    isRefused: known?.isRefused === true,
+    isOwn,
+  };
+  setSuspect(state, suspect);
+  return suspect;
 }
 
-function blameContents(
-  state: QuarantineState,
-  upstreamId: UpstreamId,
-  incident: EngineIncident,
-  now: number,
-): QuarantineAction[] {
-  const items: SuspectRecord[] = [];
+/** Crashes that a refused content explains count for no other. */
+function explainCrashes(state: QuarantineState, refused: Suspect): void {
+  const explained = new Set(refused.crashIds);
+  for (const suspect of [...state.suspects.values()]) {
+    if (suspect.isRefused) continue;
+    const crashIds = suspect.crashIds.filter((id) => !explained.has(id));
+    if (crashIds.length === suspect.crashIds.length) continue;
+    if (crashIds.length === 0) deleteSuspect(state, suspect.fingerprint);
+    else setSuspect(state, { ...suspect, crashIds });
+  }
+}
+
+function refuseContent(state: QuarantineState, suspect: Suspect, expiresAt: number): Suspect {
+  const refused = { ...suspect, isRefused: true, expiresAt };
+  setSuspect(state, refused);
+  explainCrashes(state, refused);
+  return refused;
+}
+
+/** Whether another content was at all crashes of a suspect and may have caused them. */
+function hasRival(state: QuarantineState, { fingerprint, crashIds }: Suspect): boolean {
+  for (const other of state.suspects.values()) {
+    if (other.fingerprint === fingerprint || other.isRefused) continue;
+    if (state.sound.has(other.fingerprint)) continue;
+    if (crashIds.every((id) => other.crashIds.includes(id))) return true;
+  }
+  return false;
+}
+
+function isCulprit(state: QuarantineState, suspect: Suspect): boolean {
+  const crashes = suspect.crashIds.length;
+  if (state.sound.has(suspect.fingerprint)) return crashes >= SOUND_CRASHES;
+  return crashes >= SHARED_CRASHES || !hasRival(state, suspect);
+}
+
+/** Judges the suspects whose time has come; a VM that saw none of the crashes tells nobody. */
+function judgeSuspects(state: QuarantineState, now: number): QuarantineAction[] {
   const actions: QuarantineAction[] = [];
-  for (const fingerprint of listBlamedContents(state, upstreamId, incident, now)) {
-    const known = state.suspects.get(fingerprint);
-    // A peer that ran the same content on this engine has already counted the crash.
-    const heardAt = state.heardAt.get(fingerprint) ?? -Infinity;
-    const isCounted = heardAt > incident.decideAt - INCIDENT_DECISION_DELAY_MS;
-    if (isCounted && known?.lastUpstream === upstreamId) continue;
-    const crashes = known !== undefined && known.expiresAt > now ? known.crashes + 1 : 1;
-    const isQuarantined = crashes >= QUARANTINE_CRASHES;
-    const expiresAt = now + (isQuarantined ? QUARANTINE_TTL_MS : SUSPECT_TTL_MS);
-    const record = { fingerprint, crashes, lastUpstream: upstreamId, expiresAt };
-    setSuspect(state, record);
-    items.push(record);
-    if (isQuarantined) actions.push({ kind: 'store', record });
+  for (const fingerprint of [...state.undecided]) {
+    const suspect = state.suspects.get(fingerprint);
+    // Another one that was refused just now may have explained its crashes.
+    if (suspect === undefined || !state.undecided.has(fingerprint)) continue;
+    if (now < suspect.judgeAt) continue;
+    state.undecided.delete(fingerprint);
+    if (!isCulprit(state, suspect)) continue;
+    const record = buildRecord(state, refuseContent(state, suspect, now + QUARANTINE_TTL_MS));
+    if (suspect.isOwn) actions.push({ kind: 'publish', items: [record] });
+    actions.push({ kind: 'store', record, isOwn: suspect.isOwn });
+  }
+  return actions;
+}
+
+/** An answer of a content that shared crashes with others may leave one culprit. */
+function reopenVerdicts(state: QuarantineState, cleared: Suspect, now: number): void {
+  for (const suspect of state.suspects.values()) {
+    if (suspect.isRefused || suspect.crashIds.length < QUARANTINE_CRASHES) continue;
+    if (!suspect.crashIds.some((id) => cleared.crashIds.includes(id))) continue;
+    state.undecided.add(suspect.fingerprint);
+    state.suspects.set(suspect.fingerprint, { ...suspect, judgeAt: now });
   }
-  return items.length === 0 ? [] : [{ kind: 'publish', items }, ...actions];
 }
 
-/** Names the prompts that the engine had only begun; one of them may have crashed it. */
-function buildCrashActions(
-  upstreamId: UpstreamId,
-  { contents }: EngineIncident,
+/** Counts a crash for the contents that may have caused it; sound ones are told of only once they add up. */
+function blameContents(
+  state: QuarantineState,
+  crash: JudgedCrash,
+  now: number,
 ): QuarantineAction[] {
-  const prompts: (readonly PromptPartId[])[] = [];
-  for (const { hasTokens, promptParts } of contents.values()) {
-    if (!hasTokens && promptParts.length > 0) prompts.push(promptParts);
+  const { upstreamId: lastUpstream, crashId, blamed } = crash;
+  const items: SuspectRecord[] = [];
+  for (const fingerprint of blamed) {
+    const own = { fingerprint, crashIds: [crashId], lastUpstream, isOwn: true };
+    const suspect = countCrashes(state, own, now);
+    if (suspect === undefined) continue;
+    const isTold = !state.sound.has(fingerprint) || suspect.crashIds.length >= QUARANTINE_CRASHES;
+    if (isTold) items.push(buildRecord(state, suspect));
   }
-  return prompts.length === 0 ? [] : [{ kind: 'crashed', upstreamId, prompts }];
+  return items.length === 0 ? [] : [{ kind: 'publish', items }];
 }
 
 function decideIncidents(state: QuarantineState, now: number): QuarantineAction[] {
   const actions: QuarantineAction[] = [];
-  for (const [upstreamId, incident] of [...state.incidents]) {
-    if (now < incident.decideAt || incident.isAlive === undefined) continue;
-    const isWaiting =
-      isAwaitingPeers(incident, now) && now < incident.decideAt + PEER_BLAME_WAIT_MS;
-    if (isWaiting && !hasPeerBlame(state, upstreamId, now)) continue;
-    state.incidents.delete(upstreamId);
-    if (incident.isAlive) continue;
-    actions.push(...buildCrashActions(upstreamId, incident));
-    actions.push(...blameContents(state, upstreamId, incident, now));
+  for (const crash of takeCrashes(state.incidents, now)) {
+    const { upstreamId, crashId, prompts } = crash;
+    if (prompts.length > 0) actions.push({ kind: 'crashed', upstreamId, crashId, prompts });
+    actions.push(...blameContents(state, crash, now));
   }
+  actions.push(...judgeSuspects(state, now));
   return actions;
 }
 
+function addSound({ sound }: QuarantineState, fingerprint: Fingerprint): void {
+  // Added again at the end, as the latest.
+  sound.delete(fingerprint);
+  sound.add(fingerprint);
+  dropOldest(sound, MAX_SOUND);
+}
+
+function clearSuspect(state: QuarantineState, fingerprint: Fingerprint, now: number): boolean {
+  const suspect = state.suspects.get(fingerprint);
+  if (suspect === undefined) return false;
+  deleteSuspect(state, fingerprint);
+  reopenVerdicts(state, suspect, now);
+  return true;
+}
+
 function applyReceivedRecord(state: QuarantineState, received: SuspectRecord, now: number): void {
-  const { fingerprint, lastUpstream } = received;
+  const { fingerprint, lastUpstream, expiresAt } = received;
+  if (received.isSound === true) addSound(state, fingerprint);
   if (received.crashes === 0) {
-    state.suspects.delete(fingerprint);
-    return;
-  }
-  if (received.expiresAt <= now) return;
-  state.crashReportedAt.set(lastUpstream, now);
-  state.heardAt.set(fingerprint, now);
-  const known = state.suspects.get(fingerprint);
-  if (known === undefined || known.expiresAt <= now || received.crashes > known.crashes) {
-    setSuspect(state, received);
+    clearSuspect(state, fingerprint, now);
     return;
   }
-  // Two VMs that each recorded a first crash, on different engines, saw two crashes.
-  const isOtherCrash = received.crashes === known.crashes && lastUpstream !== known.lastUpstream;
-  if (!isOtherCrash || known.crashes >= QUARANTINE_CRASHES) return;
-  const expiresAt = now + QUARANTINE_TTL_MS;
-  setSuspect(state, { ...received, crashes: known.crashes + 1, expiresAt });
+  if (expiresAt <= now) return;
+  // Older versions name the server of the last crash only.
+  const crashIds = received.crashIds ?? [findCrashId(state.incidents, lastUpstream, now)];
+  recordCrashReport(state.incidents, lastUpstream, crashIds.at(-1) ?? lastUpstream, now);
+  countCrashes(state, { fingerprint, crashIds, lastUpstream, isOwn: false }, now);
+  const suspect = state.suspects.get(fingerprint);
+  const isRefusedThere = received.crashes >= QUARANTINE_CRASHES;
+  if (!isRefusedThere || suspect === undefined || suspect.isRefused) return;
+  // What this VM knows to be sound it judges by itself.
+  if (!state.sound.has(fingerprint)) refuseContent(state, suspect, expiresAt);
 }
 
-function clearSuspect(
-  state: QuarantineState,
+function publishCleared(
   fingerprint: Fingerprint,
+  isSound: boolean,
   now: number,
 ): QuarantineAction[] {
-  const record = state.suspects.get(fingerprint);
-  if (record === undefined) return [];
-  state.suspects.delete(fingerprint);
-  const cleared = { ...record, crashes: 0, expiresAt: now };
+  const cleared: SuspectRecord = {
+    fingerprint,
+    crashes: 0,
+    lastUpstream: '' as UpstreamId,
+    expiresAt: now,
+    ...(isSound ? { isSound } : {}),
+  };
   return [
     { kind: 'publish', items: [cleared] },
     { kind: 'remove', fingerprint },
@@ -306,14 +376,9 @@
 
 function removeExpired(state: QuarantineState, now: number): void {
   for (const [fingerprint, { expiresAt }] of state.suspects) {
-    if (expiresAt <= now) state.suspects.delete(fingerprint);
-  }
-  for (const [upstreamId, at] of state.crashReportedAt) {
-    if (now >= at + PEER_BLAME_TTL_MS) state.crashReportedAt.delete(upstreamId);
-  }
-  for (const [fingerprint, at] of state.heardAt) {
-    if (now >= at + PEER_BLAME_TTL_MS) state.heardAt.delete(fingerprint);
+    if (expiresAt <= now) deleteSuspect(state, fingerprint);
   }
+  sweepCrashReports(state.incidents, now);
 }
 
 /** Handles one event and returns the resulting actions. */
@@ -323,23 +388,26 @@
 ): QuarantineAction[] {
   const { now } = event;
   switch (event.kind) {
-    case 'broken':
-      return recordBrokenOrder(state, event);
-    case 'probed': {
-      const incident = state.incidents.get(event.upstreamId);
-      if (incident !== undefined) incident.isAlive = event.isAlive;
-      return decideIncidents(state, now);
+    case 'broken': {
+      const { upstreamId } = event;
+      return addBrokenRun(state.incidents, event, now) ? [{ kind: 'probe', upstreamId }] : [];
     }
+    case 'probed':
+      recordProbe(state.incidents, event.upstreamId, event.isAlive);
+      return decideIncidents(state, now);
     case 'heard':
       for (const item of event.items) applyReceivedRecord(state, item, now);
       return [];
     case 'succeeded': {
-      const record = state.suspects.get(event.fingerprint);
-      const isSuspect = record !== undefined && record.crashes < QUARANTINE_CRASHES;
-      return isSuspect ? clearSuspect(state, event.fingerprint, now) : [];
+      const { fingerprint } = event;
+      addSound(state, fingerprint);
+      return clearSuspect(state, fingerprint, now) ? publishCleared(fingerprint, true, now) : [];
+    }
+    case 'released': {
+      const { fingerprint } = event;
+      state.sound.delete(fingerprint);
+      return clearSuspect(state, fingerprint, now) ? publishCleared(fingerprint, false, now) : [];
     }
-    case 'released':
-      return clearSuspect(state, event.fingerprint, now);
     case 'ticked':
       removeExpired(state, now);
       return decideIncidents(state, now);
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -11,6 +11,9 @@
 const id = z.string().max(256);
 const milliseconds = z.number().finite();
 const count = z.number().int().nonnegative();
+/** A crash is named by its server and the server's start. */
+const MAX_CRASH_ID = 300;
+const MAX_CRASH_IDS = 16;
 const originSchema = z.object({ service: id, softwareVersion: id });
 
 const targetSchema = z.object({
@@ -200,7 +203,14 @@
     kind: z.literal('suspects'),
     isRelayed: z.boolean().optional(),
     items: z.array(
-      z.object({ fingerprint: id, crashes: count, lastUpstream: id, expiresAt: milliseconds }),
+      z.object({
+        fingerprint: id,
+        crashes: count,
+        lastUpstream: id,
+        expiresAt: milliseconds,
+        crashIds: z.array(z.string().max(MAX_CRASH_ID)).max(MAX_CRASH_IDS).optional(),
+        isSound: z.boolean().optional(),
+      }),
     ),
   }),
 ]);
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -109,12 +109,17 @@
   readonly startAt: readonly number[];
 };
 
-/** Request content that has crashed upstreams. */
+/** Request content that was there when upstreams crashed. */
 export type SuspectRecord = {
   readonly fingerprint: Fingerprint;
+  /** 0 if it was cleared, 1 for a suspect, 2 and more if it is refused. */
   readonly crashes: number;
   readonly lastUpstream: UpstreamId;
   readonly expiresAt: number;
+  /** The crashes, by ids that are the same at all VMs; absent in older versions. */
+  readonly crashIds?: readonly string[] | undefined;
+  /** Whether the sender knows of an answer to it; absent in older versions. */
+  readonly isSound?: boolean | undefined;
 };
 
 /** What a VM has learned of parts of prompts. */
--- a/packages/protocol/src/result-codes.ts
+++ b/packages/protocol/src/result-codes.ts
@@ -78,6 +78,11 @@
   'caller-gone': { code: 4004, status: 499, title: 'The caller closed the connection.' },
   quarantined: { code: 5001, status: 422, title: 'This request crashes upstreams.' },
   'suspect-running': { code: 5002, status: 503, title: 'The same suspect request is running.' },
+  'content-in-doubt': {
+    code: 5003,
+    status: 503,
+    title: 'Whether this request crashes upstreams is being judged.',
+  },
   'rule-syntax': { code: 6001, status: 400, title: 'The rule file has a bad line.' },
   'stale-revision': { code: 6002, status: 409, title: 'The rules changed since they were read.' },
   'rules-unavailable': { code: 6003, status: 503, title: 'The rules could not be stored.' },
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -24,6 +24,8 @@
 const MAX_IGNORED_BODY_BYTES = 1_048_576;
 const NOT_READY_RETRY_AFTER_MS = 500;
 const LEAVING_RETRY_AFTER_MS = 200;
+/** A content that may have crashed two servers is judged within this time. */
+const VERDICT_RETRY_AFTER_MS = 500;
 const DEFAULT_DEADLINE_MS = 60_000;
 /** Further parts of a prompt are not told apart when engines crash. */
 const MAX_SHARED_PARTS = 128;
@@ -190,6 +192,12 @@
     reply.refuse('quarantined');
     return;
   }
+  if (state.contentGuard.isAwaitingVerdict(request.fingerprint)) {
+    const { requestId } = request.fields;
+    state.logger.info({ requestId }, 'quarantine: request refused until its content is judged');
+    reply.refuse('content-in-doubt', VERDICT_RETRY_AFTER_MS);
+    return;
+  }
   startRequest(state, request, response);
 }
 
--- a/packages/router/src/gateway/content-guard.test.ts
+++ b/packages/router/src/gateway/content-guard.test.ts
@@ -19,6 +19,7 @@
   const guard = makeContentGuard({
     probe: () => Promise.resolve(isAlive),
     broadcast: (items) => sent.push(...items),
+    getCrashId: (upstreamId) => `${upstreamId}/1`,
     onCrash: () => undefined,
     logger: LOGGER,
     getNow: () => clock.now,
@@ -29,6 +30,9 @@
     await settle();
     clock.now += 1_000;
     guard.tick();
+    // Peers may name other contents that were there.
+    clock.now += 200;
+    guard.tick();
   };
   return { guard, clock, sent, crash };
 }
--- a/packages/router/src/gateway/content-guard.ts
+++ b/packages/router/src/gateway/content-guard.ts
@@ -8,6 +8,8 @@
 import {
   findContentStatus,
   handleQuarantineEvent,
+  hasOpenQuestions,
+  isAwaitingVerdict,
   makeQuarantineState,
   type QuarantineEvent,
 } from '@tarragonspool/core';
@@ -27,13 +29,15 @@
 /** Content guard of one VM. */
 export type ContentGuard = {
   readonly isQuarantined: (fingerprint: Fingerprint) => boolean;
+  /** Whether a content may have crashed two servers, and peers have not told yet what else was there. */
+  readonly isAwaitingVerdict: (fingerprint: Fingerprint) => boolean;
   /** Records that a request broke off at a server. */
   readonly recordBroken: (upstreamId: UpstreamId, content: BrokenRequest) => void;
   readonly recordAnswered: (fingerprint: Fingerprint) => void;
   /** Merges records of a peer; their expiry times are relative to now. */
   readonly mergeRecords: (items: readonly SuspectRecord[]) => void;
   readonly tick: () => void;
-  /** Whether a possible crash is being judged, which needs ticks at short intervals. */
+  /** Whether a possible crash or a content is being judged, which needs ticks at short intervals. */
   readonly isBusy: () => boolean;
 };
 
@@ -43,9 +47,11 @@
   readonly probe: (upstreamId: UpstreamId) => Promise<boolean>;
   /** Sends records to all peers; their expiry times are relative to now, because clocks differ. */
   readonly broadcast: (items: readonly SuspectRecord[]) => void;
+  /** Identifies the run of a server's process that this VM knows, the same at all VMs. */
+  readonly getCrashId: (upstreamId: UpstreamId) => string;
   /** Called when a server crashed before it had sent events for these prompts. */
-  readonly onCrash: (upstreamId: UpstreamId, prompts: readonly (readonly PromptPartId[])[]) => void;
-  /** Called when a possible crash begins to be judged. */
+  readonly onCrash: (crashId: string, prompts: readonly (readonly PromptPartId[])[]) => void;
+  /** Called when a possible crash, or a content, begins to be judged. */
   readonly onBusy?: () => void;
   readonly logger: Logger;
   readonly getNow?: () => number;
@@ -89,7 +95,7 @@
           break;
         }
         case 'crashed':
-          parts.onCrash(action.upstreamId, action.prompts);
+          parts.onCrash(action.crashId, action.prompts);
           break;
         case 'publish':
           publish(action.items);
@@ -106,19 +112,22 @@
   return {
     isQuarantined: (fingerprint) =>
       findContentStatus(state, fingerprint, getNow()).kind === 'quarantined',
+    isAwaitingVerdict: (fingerprint) => isAwaitingVerdict(state, fingerprint),
     recordBroken: (upstreamId, { fingerprint, hasEvents: hasTokens, promptParts }) => {
       const now = getNow();
-      apply({ kind: 'broken', upstreamId, fingerprint, hasTokens, promptParts, now });
+      const crashId = parts.getCrashId(upstreamId);
+      apply({ kind: 'broken', upstreamId, crashId, fingerprint, hasTokens, promptParts, now });
       parts.onBusy?.();
     },
     recordAnswered: (fingerprint) => {
-      if (state.suspects.has(fingerprint)) apply({ kind: 'succeeded', fingerprint, now: getNow() });
+      apply({ kind: 'succeeded', fingerprint, now: getNow() });
     },
     mergeRecords: (items) => {
       const now = getNow();
       apply({ kind: 'heard', items: addToExpiries(items, now), now });
+      if (hasOpenQuestions(state)) parts.onBusy?.();
     },
     tick: () => apply({ kind: 'ticked', now: getNow() }),
-    isBusy: () => state.incidents.size > 0,
+    isBusy: () => hasOpenQuestions(state),
   };
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -108,10 +108,11 @@
   const contentGuard = makeContentGuard({
     probe: access.isAlive,
     broadcast: (items) => broadcast({ kind: 'suspects', items }),
-    onCrash: (upstreamId, prompts) => {
+    getCrashId: (upstreamId) => {
       const incarnation = upstreams.records.get(upstreamId)?.incarnation;
-      partGuard.recordCrash(`${upstreamId}/${incarnation ?? ''}`, prompts);
+      return `${upstreamId}/${incarnation ?? ''}`;
     },
+    onCrash: partGuard.recordCrash,
     onBusy: () => contentTicker.ticker?.wake(),
     logger,
   });
--- a/packages/router/src/quarantine/quarantine-task.ts
+++ b/packages/router/src/quarantine/quarantine-task.ts
@@ -4,6 +4,7 @@
   findContentStatus,
   handleQuarantineEvent,
   listQuarantined,
+  listSuspects,
   makeQuarantineState,
   type DuplicateVerdict,
   type QuarantineAction,
@@ -184,7 +185,7 @@
       }
       return;
     case 'store':
-      parts.store.put(action.record);
+      if (action.isOwn) parts.store.put(action.record);
       return;
     case 'remove':
       parts.store.remove(action.fingerprint);
@@ -290,7 +291,7 @@
       context.gate = { kind: message.verdict === 'first' ? 'open' : 'closed' };
       return;
     case 'link-opened': {
-      const items = [...parts.quarantine.state.suspects.values()];
+      const items = listSuspects(parts.quarantine.state);
       if (items.length > 0) parts.sendTo(message.vmId, { kind: 'suspects', items });
       return;
     }
