--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * from './claims/duplicate-guard.js';
 export * from './hashing/rendezvous.js';
 export * from './membership/membership.js';
+export * from './quarantine/drop-oldest.js';
 export * from './quarantine/part-suspects.js';
 export * from './quarantine/quarantine.js';
 export * from './requests/prefix-hashes.js';
--- a/packages/core/src/quarantine/part-suspects.ts
+++ b/packages/core/src/quarantine/part-suspects.ts
@@ -20,6 +20,8 @@
 export type QuarantinedParts = {
   readonly parts: readonly PromptPartId[];
   readonly expiresAt: number;
+  /** Whether it was read in a form of older versions, which is not written again. */
+  readonly isFromOlder?: boolean;
 };
 
 /** Events that the judgement receives. */
@@ -105,14 +107,15 @@
  * Puts parts into quarantine unless some of them are already; entries that refuse nothing which
  * these don't refuse are dropped.
  */
-function setQuarantined(state: PartState, { parts, expiresAt }: QuarantinedParts): void {
+function setQuarantined(state: PartState, item: QuarantinedParts): void {
+  const { parts, expiresAt } = item;
   for (const [key, other] of state.quarantined) {
     const isLonger = other.expiresAt >= expiresAt && other.parts.length < parts.length;
     if (isLonger && hasAll(parts, other.parts)) return;
     if (hasAll(other.parts, parts)) state.quarantined.delete(key);
   }
   const sorted = [...parts].sort();
-  state.quarantined.set(sorted.join(), { parts: sorted, expiresAt });
+  state.quarantined.set(sorted.join(), { ...item, parts: sorted });
   dropOldest(state.quarantined, MAX_QUARANTINED);
 }
 
@@ -121,7 +124,7 @@
   for (const item of [...state.quarantined.values()]) {
     const left = item.parts.filter((part) => !state.sound.has(part));
     if (left.length === 0 || left.length === item.parts.length) continue;
-    setQuarantined(state, { parts: left, expiresAt: item.expiresAt });
+    setQuarantined(state, { ...item, parts: left });
   }
 }
 
--- a/packages/protocol/src/ids.ts
+++ b/packages/protocol/src/ids.ts
@@ -34,6 +34,8 @@
 export type ShardId = Brand<string, 'ShardId'>;
 /** Cryptographic digest of a request's content, in hexadecimal. */
 export type Fingerprint = Brand<string, 'Fingerprint'>;
+/** Digest of the host and the service within which a quarantine holds. */
+export type QuarantineScope = Brand<string, 'QuarantineScope'>;
 /** Hash of one prompt prefix that ends on a block boundary. */
 export type PrefixHash = Brand<string, 'PrefixHash'>;
 /** Identifies the content of one part of a prompt; prompts share parts. */
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -142,6 +142,7 @@
   z.object({
     kind: z.literal('prompt-parts'),
     isRelayed: z.boolean().optional(),
+    scope: id.optional(),
     crash: z.object({ crashId: id, prompts: z.array(z.array(id)) }).optional(),
     sound: z.array(id),
     quarantined: z.array(z.object({ parts: z.array(id).min(1), endsInMs: milliseconds })),
@@ -205,6 +206,7 @@
     items: z.array(
       z.object({
         fingerprint: id,
+        scope: id.optional(),
         crashes: count,
         lastUpstream: id,
         expiresAt: milliseconds,
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -14,6 +14,7 @@
   Incarnation,
   PrefixHash,
   PromptPartId,
+  QuarantineScope,
   RequestId,
   ReservationId,
   RuleRevision,
@@ -112,6 +113,8 @@
 /** Request content that was there when upstreams crashed. */
 export type SuspectRecord = {
   readonly fingerprint: Fingerprint;
+  /** Where it holds; absent in older versions, and where contents have no host. */
+  readonly scope?: QuarantineScope | undefined;
   /** 0 if it was cleared, 1 for a suspect, 2 and more if it is refused. */
   readonly crashes: number;
   readonly lastUpstream: UpstreamId;
@@ -127,6 +130,8 @@
   readonly kind: 'prompt-parts';
   /** Whether a hub passed the message on; it is not passed on again. */
   readonly isRelayed?: boolean | undefined;
+  /** Where the parts belong; absent in older versions. */
+  readonly scope?: QuarantineScope | undefined;
   /** Shared parts of prompts that an engine had only begun when it crashed. */
   readonly crash?:
     | {
--- a/packages/router/src/gateway/call-flow.test.ts
+++ b/packages/router/src/gateway/call-flow.test.ts
@@ -30,6 +30,7 @@
   const route = { kind: 'idempotent', maxAttempts: 3, isResumable: false, targetLatencyMs: 400 };
   return {
     fields: { requestId: 'r1' },
+    content: { fingerprint: 'f1' },
     sharedParts: [],
     route: route as unknown as Route,
     service: 'ledger',
--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -75,15 +75,15 @@
 
 function recordContentOutcome(
   state: GatewayState,
-  { fingerprint, sharedParts: promptParts }: GatewayRequest,
+  { content, sharedParts: promptParts }: GatewayRequest,
   upstreamId: UpstreamId,
   result: SendResult,
 ): void {
   if (result.kind !== 'outcome') return;
-  if (result.outcome.kind === 'answered') state.contentGuard.recordAnswered(fingerprint);
+  if (result.outcome.kind === 'answered') state.contentGuard.recordAnswered(content.fingerprint);
   if (result.outcome.kind === 'unknown') {
-    const content = { fingerprint, hasEvents: false, promptParts };
-    state.contentGuard.recordBroken(upstreamId, content);
+    const broken = { content, hasEvents: false, promptParts };
+    state.contentGuard.recordBroken(upstreamId, broken);
   }
 }
 
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -7,12 +7,12 @@
 import { makeChannel, offer, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
-import { digestContent } from './content-guard.js';
 import { makeCallerReply, type CallerReply } from './caller-reply.js';
 import { REQUEST_INBOX_CAPACITY, type GatewayRequest } from './gateway-request.js';
 import { findRetryWindow, getRetryLimits, type GatewayState } from './gateway-state.js';
 import type { CallerFields } from './ports.js';
 import { findQuarantineReason } from './quarantine-check.js';
+import { buildContent, digestContent, makeScope, scopePart } from './quarantine-scope.js';
 import { runStreamRequest } from './stream-flow.js';
 
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
@@ -59,6 +59,8 @@
 ): GatewayRequest {
   const fields = state.ports.dialect.decodeCallerFields(incoming.headers);
   const { method = 'GET', url: path = '/' } = incoming;
+  const scope = makeScope(route.host, service);
+  const shared = fields.promptParts.slice(0, -1).slice(0, MAX_SHARED_PARTS);
   const remainingMs = Math.min(fields.leftMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
   return {
     fields,
@@ -69,9 +71,9 @@
     path,
     rawHeaders: incoming.rawHeaders,
     body,
-    fingerprint: digestContent(method, path, body),
+    content: buildContent(scope, digestContent(method, path, body)),
     contentKey: digestPrompt(path, fields),
-    sharedParts: fields.promptParts.slice(0, -1).slice(0, MAX_SHARED_PARTS),
+    sharedParts: shared.map((part) => scopePart(scope, part)),
     arrivedAt,
     deadlineAt: arrivedAt + Math.max(1, remainingMs - TIMEOUT_MARGIN_MS),
     aimAt: arrivedAt + route.targetLatencyMs,
@@ -192,7 +194,7 @@
     reply.refuse('quarantined');
     return;
   }
-  if (state.contentGuard.isAwaitingVerdict(request.fingerprint)) {
+  if (state.contentGuard.isAwaitingVerdict(request.content.fingerprint)) {
     const { requestId } = request.fields;
     state.logger.info({ requestId }, 'quarantine: request refused until its content is judged');
     reply.refuse('content-in-doubt', VERDICT_RETRY_AFTER_MS);
--- a/packages/router/src/gateway/content-guard.ts
+++ b/packages/router/src/gateway/content-guard.ts
@@ -1,11 +1,10 @@
 /**
  * Uses the quarantine machine to detect request contents that crash servers, so that every VM
- * refuses them. VMs broadcast their records to peers; a restarted VM receives them only with the
- * next crash.
+ * refuses them. VMs tell each other the contents that were at a crash, and which ones they refuse.
  */
 
-import { createHash } from 'node:crypto';
 import {
+  dropOldest,
   findContentStatus,
   handleQuarantineEvent,
   hasOpenQuestions,
@@ -13,13 +12,20 @@
   makeQuarantineState,
   type QuarantineEvent,
 } from '@tarragonspool/core';
-import type { Fingerprint, PromptPartId, SuspectRecord, UpstreamId } from '@tarragonspool/protocol';
+import type {
+  Fingerprint,
+  PromptPartId,
+  QuarantineScope,
+  SuspectRecord,
+  UpstreamId,
+} from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import { getSteadyMs } from '../time/steady-clock.js';
+import { buildContent, type RequestContent } from './quarantine-scope.js';
 
 /** What a request that broke off was made of. */
 export type BrokenRequest = {
-  readonly fingerprint: Fingerprint;
+  readonly content: RequestContent;
   /** Whether the server had sent events for it. */
   readonly hasEvents: boolean;
   /** Parts that its prompt shares with others. */
@@ -32,7 +38,7 @@
   /** Whether a content may have crashed two servers, and peers have not told yet what else was there. */
   readonly isAwaitingVerdict: (fingerprint: Fingerprint) => boolean;
   /** Records that a request broke off at a server. */
-  readonly recordBroken: (upstreamId: UpstreamId, content: BrokenRequest) => void;
+  readonly recordBroken: (upstreamId: UpstreamId, broken: BrokenRequest) => void;
   readonly recordAnswered: (fingerprint: Fingerprint) => void;
   /** Merges records of a peer; their expiry times are relative to now. */
   readonly mergeRecords: (items: readonly SuspectRecord[]) => void;
@@ -49,6 +55,8 @@
   readonly broadcast: (items: readonly SuspectRecord[]) => void;
   /** Identifies the run of a server's process that this VM knows, the same at all VMs. */
   readonly getCrashId: (upstreamId: UpstreamId) => string;
+  /** Lists the scopes in which requests reach a server. */
+  readonly listScopes: (upstreamId: UpstreamId) => readonly QuarantineScope[];
   /** Called when a server crashed before it had sent events for these prompts. */
   readonly onCrash: (crashId: string, prompts: readonly (readonly PromptPartId[])[]) => void;
   /** Called when a possible crash, or a content, begins to be judged. */
@@ -57,11 +65,8 @@
   readonly getNow?: () => number;
 };
 
-/** Digests the parts of a request that stay the same when a caller retries it. */
-export function digestContent(method: string, path: string, body: Buffer): Fingerprint {
-  const hash = createHash('sha256').update(`${method} ${path}\n`).update(body);
-  return hash.digest('base64') as Fingerprint;
-}
+/** As many as the machine has suspects at most. */
+const MAX_CONTENTS = 10_000;
 
 function addToExpiries(items: readonly SuspectRecord[], offsetMs: number): SuspectRecord[] {
   return items.map((item) => ({ ...item, expiresAt: item.expiresAt + offsetMs }));
@@ -72,6 +77,8 @@
   const { probe, broadcast, logger } = parts;
   const getNow = parts.getNow ?? getSteadyMs;
   const state = makeQuarantineState();
+  /** Contents that were at crashes, by their fingerprints. */
+  const contents = new Map<Fingerprint, RequestContent>();
 
   function startProbe(upstreamId: UpstreamId, onProbed: (isAlive: boolean) => void): void {
     probe(upstreamId).then(onProbed, (error: unknown) => {
@@ -79,9 +86,37 @@
     });
   }
 
+  function rememberContent(content: RequestContent): Fingerprint {
+    contents.set(content.fingerprint, content);
+    dropOldest(contents, MAX_CONTENTS);
+    return content.fingerprint;
+  }
+
+  /** Peers get the digest that older versions know, and the scope beside it. */
+  function encodeRecord(item: SuspectRecord): SuspectRecord {
+    const content = contents.get(item.fingerprint);
+    if (content === undefined) return item;
+    return { ...item, fingerprint: content.digest, scope: content.scope };
+  }
+
+  /** Finds the contents that a record names; one without a scope names those at the server's service. */
+  function decodeRecord(item: SuspectRecord): SuspectRecord[] {
+    const { scope, fingerprint: digest, lastUpstream } = item;
+    if (scope !== undefined) {
+      return [{ ...item, fingerprint: rememberContent(buildContent(scope, digest)) }];
+    }
+    const known = [...contents.values()].filter((content) => content.digest === digest);
+    if (item.crashes === 0) return known.map(({ fingerprint }) => ({ ...item, fingerprint }));
+    const crashIds = [parts.getCrashId(lastUpstream)];
+    return parts.listScopes(lastUpstream).map((named) => {
+      const fingerprint = rememberContent(buildContent(named, digest));
+      return { ...item, fingerprint, crashIds };
+    });
+  }
+
   function publish(items: readonly SuspectRecord[]): void {
     logger.warn({ items }, 'quarantine: contents blamed for a crash');
-    broadcast(addToExpiries(items, -getNow()));
+    broadcast(addToExpiries(items, -getNow()).map(encodeRecord));
   }
 
   function apply(event: QuarantineEvent): void {
@@ -113,9 +148,10 @@
     isQuarantined: (fingerprint) =>
       findContentStatus(state, fingerprint, getNow()).kind === 'quarantined',
     isAwaitingVerdict: (fingerprint) => isAwaitingVerdict(state, fingerprint),
-    recordBroken: (upstreamId, { fingerprint, hasEvents: hasTokens, promptParts }) => {
+    recordBroken: (upstreamId, { content, hasEvents: hasTokens, promptParts }) => {
       const now = getNow();
       const crashId = parts.getCrashId(upstreamId);
+      const fingerprint = rememberContent(content);
       apply({ kind: 'broken', upstreamId, crashId, fingerprint, hasTokens, promptParts, now });
       parts.onBusy?.();
     },
@@ -124,7 +160,8 @@
     },
     mergeRecords: (items) => {
       const now = getNow();
-      apply({ kind: 'heard', items: addToExpiries(items, now), now });
+      const heard = addToExpiries(items, now).flatMap(decodeRecord);
+      apply({ kind: 'heard', items: heard, now });
       if (hasOpenQuestions(state)) parts.onBusy?.();
     },
     tick: () => apply({ kind: 'ticked', now: getNow() }),
--- a/packages/router/src/gateway/gateway-request.ts
+++ b/packages/router/src/gateway/gateway-request.ts
@@ -1,13 +1,14 @@
 /** One request of a caller while it is being served. */
 
 import type { Route, StreamOrigin } from '@tarragonspool/core';
-import type { ContentKey, Fingerprint, PromptPartId, ServiceName } from '@tarragonspool/protocol';
+import type { ContentKey, PromptPartId, ServiceName } from '@tarragonspool/protocol';
 import type { PermitReply } from '../pools/permit-messages.js';
 import type { SlotReply } from '../pools/place-messages.js';
 import type { Channel } from '../tasks/tasks.js';
 import type { UpstreamEvent } from '../upstreams/upstream-client.js';
 import type { CallerReply } from './caller-reply.js';
 import type { CallerFields } from './ports.js';
+import type { RequestContent } from './quarantine-scope.js';
 
 /** Message in the inbox of a request's task. */
 export type RequestMessage =
@@ -43,11 +44,11 @@
   readonly path: string;
   readonly rawHeaders: readonly string[];
   readonly body: Buffer;
-  /** Digest of the parts that stay the same when the caller retries. */
-  readonly fingerprint: Fingerprint;
+  /** What stays the same when the caller retries, and where it is sent. */
+  readonly content: RequestContent;
   /** Digest of what stays the same when the caller retries or goes on with a stream. */
   readonly contentKey: ContentKey;
-  /** Parts of the prompt that other requests may have too: all but the last. */
+  /** Parts of the prompt, in their scope, that other requests may have too: all but the last. */
   readonly sharedParts: readonly PromptPartId[];
   readonly arrivedAt: number;
   /** When the whole answer is due: the caller's deadline or the route's timeout, if earlier. */
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -1,8 +1,20 @@
 /** Creates the gateway's parts, connects them and starts and stops them. */
 
 import { destination, pino } from 'pino';
-import { computeMaxStoreAgeMs, makeUpstreamList, makeVersionHistory } from '@tarragonspool/core';
-import type { PeerMessage, PermitMessage, PoolMessage, VmId } from '@tarragonspool/protocol';
+import {
+  computeMaxStoreAgeMs,
+  makeUpstreamList,
+  makeVersionHistory,
+  type UpstreamList,
+} from '@tarragonspool/core';
+import type {
+  PeerMessage,
+  PermitMessage,
+  PoolMessage,
+  QuarantineScope,
+  UpstreamId,
+  VmId,
+} from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import { makeFleetView } from '../peers/fleet-view.js';
 import { makePoolTask } from '../pools/pool-task.js';
@@ -18,6 +30,7 @@
 import { makePartGuard } from './part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
 import { makeQuarantineWakeups } from './quarantine-rows.js';
+import { listScopes } from './quarantine-scope.js';
 import { makeSavedStreams } from './saved-streams.js';
 import { startServerAccess } from './server-access.js';
 import { listen, startMetricsListener, startReadyListener } from './side-listeners.js';
@@ -56,6 +69,15 @@
   setTimeout(() => process.exit(EXIT_INTERNAL), EXIT_DELAY_MS);
 }
 
+/** Names a crash: the server and the start of its process, the same at all VMs. */
+function makeCrashId(upstreamId: UpstreamId, { records }: UpstreamList): string {
+  return `${upstreamId}/${records.get(upstreamId)?.incarnation ?? ''}`;
+}
+
+function findCrashedServer(crashId: string): UpstreamId {
+  return crashId.slice(0, crashId.lastIndexOf('/')) as UpstreamId;
+}
+
 /** Holds a ticker that its subject wakes; undefined until it is started. */
 type TickerHolder = { ticker: AdaptiveTicker | undefined };
 
@@ -84,12 +106,20 @@
   const metrics = makeGatewayMetrics();
   const processStartId = `${settings.vmId}-${process.hrtime.bigint().toString(36)}`;
   const quarantineWakeups = makeQuarantineWakeups();
+  const upstreams = makeUpstreamList();
+  const listServerScopes = (upstreamId: UpstreamId | undefined): QuarantineScope[] => {
+    const service = upstreamId && upstreams.records.get(upstreamId)?.service;
+    // A server that is not known says nothing of where its requests came from.
+    if (upstreamId !== undefined && service === undefined) return [];
+    return listScopes(stateHolder.state?.configuration, service);
+  };
   const partGuard = makePartGuard({
     broadcast,
+    listScopes: (crashId) =>
+      listServerScopes(crashId === undefined ? undefined : findCrashedServer(crashId)),
     onChanged: (isOwnReport) => offer(quarantineWakeups, { isOwnReport }),
     logger,
   });
-  const upstreams = makeUpstreamList();
   const fleet = makeFleetView(settings.vmId, computeMaxStoreAgeMs(settings.changeWithinMs));
   const access = startServerAccess({
     settings,
@@ -108,10 +138,8 @@
   const contentGuard = makeContentGuard({
     probe: access.isAlive,
     broadcast: (items) => broadcast({ kind: 'suspects', items }),
-    getCrashId: (upstreamId) => {
-      const incarnation = upstreams.records.get(upstreamId)?.incarnation;
-      return `${upstreamId}/${incarnation ?? ''}`;
-    },
+    getCrashId: (upstreamId) => makeCrashId(upstreamId, upstreams),
+    listScopes: listServerScopes,
     onCrash: partGuard.recordCrash,
     onBusy: () => contentTicker.ticker?.wake(),
     logger,
--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -17,6 +17,7 @@
   listStoredParts,
   runQuarantineRows,
 } from './quarantine-rows.js';
+import { listScopes } from './quarantine-scope.js';
 import {
   decodeMember,
   findSecret,
@@ -52,6 +53,12 @@
   return MAX_BACKOFF_MS * Math.max(1, fleet.countMembers() / PROBING_VMS);
 }
 
+/** Takes what rows say of the quarantine; those of older versions hold in all scopes. */
+function mergeQuarantineRows(state: GatewayState, rows: readonly RowChange[]): void {
+  const scopes = listScopes(state.configuration, undefined);
+  state.partGuard.mergeStored(listStoredParts(rows, scopes));
+}
+
 /** What the list of VMs changes besides the fleet view. */
 type MemberHandler = {
   /** Secrets that prove membership; the first signs. */
@@ -83,7 +90,7 @@
     offer(pools.inbox, { kind: 'members', members });
     const secret = findSecret(rows);
     if (secret !== undefined && secret !== handler.secrets[0]) handler.secrets.unshift(secret);
-    state.partGuard.mergeStored(listStoredParts(rows));
+    mergeQuarantineRows(state, rows);
     applyVersionRows(state.versionRegistry, rows, getSteadyMs());
     offer(state.versionWakeups, true);
     notifyPoolsOfEngines(state);
@@ -167,7 +174,7 @@
       takeFraction: state.takeFraction,
       logger,
       onRows: (rows) => {
-        state.partGuard.mergeStored(listStoredParts(rows));
+        mergeQuarantineRows(state, rows);
         applyVersionRows(state.versionRegistry, rows, getSteadyMs());
       },
     });
--- a/packages/router/src/gateway/part-guard.ts
+++ b/packages/router/src/gateway/part-guard.ts
@@ -12,9 +12,10 @@
   type PartEvent,
   type QuarantinedParts,
 } from '@tarragonspool/core';
-import type { PromptPartId, PromptPartsMessage } from '@tarragonspool/protocol';
+import type { PromptPartId, PromptPartsMessage, QuarantineScope } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import { getSteadyMs } from '../time/steady-clock.js';
+import { scopePart, splitScopes } from './quarantine-scope.js';
 
 /** Part guard of one VM. */
 export type PartGuard = {
@@ -35,6 +36,8 @@
 /** Dependencies of the guard. */
 export type PartGuardParts = {
   readonly broadcast: (message: PromptPartsMessage) => void;
+  /** Lists the scopes in which requests reach the server of a crash, or any server if none is named. */
+  readonly listScopes: (crashId: string | undefined) => readonly QuarantineScope[];
   /** Called when what is in quarantine has changed, by a report of this VM or of a peer. */
   readonly onChanged: (isOwnReport: boolean) => void;
   readonly logger: Logger;
@@ -59,14 +62,19 @@
     switch (action.kind) {
       case 'publish-sound':
         logger.info({ parts: action.parts }, 'quarantine: suspected parts were answered');
-        parts.broadcast({ kind: 'prompt-parts', sound: action.parts, quarantined: [] });
+        for (const [scope, sound] of splitScopes(action.parts)) {
+          parts.broadcast({ kind: 'prompt-parts', scope, sound, quarantined: [] });
+        }
         parts.onChanged(true);
         return;
       case 'quarantine': {
         const { expiresAt, parts: refused } = action.item;
         logger.warn({ parts: refused }, 'quarantine: prompts with these parts are refused');
-        const item = { parts: refused, endsInMs: expiresAt - getNow() };
-        if (isOwnReport) parts.broadcast({ kind: 'prompt-parts', sound: [], quarantined: [item] });
+        const endsInMs = expiresAt - getNow();
+        for (const [scope, named] of isOwnReport ? splitScopes(refused) : []) {
+          const quarantined = [{ parts: named, endsInMs }];
+          parts.broadcast({ kind: 'prompt-parts', scope, sound: [], quarantined });
+        }
         parts.onChanged(isOwnReport);
         return;
       }
@@ -79,6 +87,37 @@
     for (const action of handlePartEvent(state, event)) perform(action, isOwnReport);
   }
 
+  function tellCrash(crashId: string, prompts: readonly (readonly PromptPartId[])[]): void {
+    const byScope = new Map<QuarantineScope, PromptPartId[][]>();
+    for (const prompt of prompts) {
+      for (const [scope, named] of splitScopes(prompt)) {
+        byScope.set(scope, [...(byScope.get(scope) ?? []), named]);
+      }
+    }
+    for (const [scope, named] of byScope) {
+      const crash = { crashId, prompts: named };
+      parts.broadcast({ kind: 'prompt-parts', scope, crash, sound: [], quarantined: [] });
+    }
+  }
+
+  function applyMessage(
+    scope: QuarantineScope,
+    { crash, sound, quarantined }: PromptPartsMessage,
+  ): void {
+    const now = getNow();
+    const nameAll = (named: readonly PromptPartId[]): PromptPartId[] =>
+      named.map((part) => scopePart(scope, part));
+    if (crash !== undefined) {
+      const report = { crashId: crash.crashId, prompts: crash.prompts.map(nameAll) };
+      apply({ kind: 'crashed', report, now });
+    }
+    if (sound.length > 0) apply({ kind: 'heard-sound', parts: nameAll(sound) });
+    for (const { parts: refused, endsInMs } of quarantined) {
+      const item = { parts: nameAll(refused), expiresAt: now + endsInMs };
+      apply({ kind: 'heard-quarantined', item, now });
+    }
+  }
+
   return {
     hasCaughtUp: () => hasReadStore || getNow() > trustedAfter,
     findQuarantined: (shared) => findQuarantinedParts(state, shared, getNow()),
@@ -89,20 +128,15 @@
         { crashId, count: prompts.length, prompts: logged },
         'quarantine: an engine crashed before it had sent events for these prompts',
       );
-      const report = { crashId, prompts };
       // Before the judgement, so that peers hear of the crash first.
-      parts.broadcast({ kind: 'prompt-parts', crash: report, sound: [], quarantined: [] });
-      apply({ kind: 'crashed', report, now: getNow() }, true);
+      tellCrash(crashId, prompts);
+      apply({ kind: 'crashed', report: { crashId, prompts }, now: getNow() }, true);
     },
     recordAnswered: (shared) => apply({ kind: 'answered', parts: shared }),
-    handleMessage: ({ crash, sound, quarantined }) => {
-      const now = getNow();
-      if (crash !== undefined) apply({ kind: 'crashed', report: crash, now });
-      if (sound.length > 0) apply({ kind: 'heard-sound', parts: sound });
-      for (const { parts: refused, endsInMs } of quarantined) {
-        const item = { parts: refused, expiresAt: now + endsInMs };
-        apply({ kind: 'heard-quarantined', item, now });
-      }
+    handleMessage: (message) => {
+      const { scope, crash, quarantined } = message;
+      const scopes = scope === undefined ? parts.listScopes(crash?.crashId) : [scope];
+      for (const named of scopes) applyMessage(named, message);
       if (quarantined.length > 0) parts.onChanged(false);
     },
     mergeStored: (items) => {
--- a/packages/router/src/gateway/quarantine-check.ts
+++ b/packages/router/src/gateway/quarantine-check.ts
@@ -12,8 +12,9 @@
 /** Finds why a request is refused; undefined if it may be sent. Asked before each send. */
 export function findQuarantineReason(
   { contentGuard, partGuard }: GatewayState,
-  { fingerprint, sharedParts }: GatewayRequest,
+  { content, sharedParts }: GatewayRequest,
 ): QuarantineReason | undefined {
+  const { fingerprint } = content;
   if (contentGuard.isQuarantined(fingerprint)) return { kind: 'content', fingerprint };
   const found = partGuard.findQuarantined(sharedParts);
   return found && { kind: 'parts', parts: found.parts };
--- a/packages/router/src/gateway/quarantine-rows.test.ts
+++ b/packages/router/src/gateway/quarantine-rows.test.ts
@@ -1,11 +1,14 @@
-import type { PromptPartId, StorePosition } from '@tarragonspool/protocol';
+import type { PromptPartId, ServiceName, StorePosition } from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { RowChange } from './ports.js';
 import { buildQuarantineWrite, listStoredParts } from './quarantine-rows.js';
+import { makeScope, scopePart } from './quarantine-scope.js';
 
 const HOUR_MS = 3_600_000;
-const DEADLY = 'dead' as PromptPartId;
+const SCOPE = makeScope('a.example', 'llm' as ServiceName);
+const OTHER_SCOPE = makeScope('b.example', 'llm' as ServiceName);
+const DEADLY = scopePart(SCOPE, 'dead' as PromptPartId);
 
 function buildRow(key: string, value: string): RowChange {
   return { key, position: 1 as StorePosition, value: Buffer.from(value) };
@@ -15,7 +18,7 @@
   const expiresAt = getSteadyMs() + HOUR_MS;
   const write = buildQuarantineWrite([{ parts: [DEADLY], expiresAt }], []);
   const rows = (write?.put ?? []).map(({ key, value }) => buildRow(key, value.toString()));
-  const [item] = listStoredParts(rows);
+  const [item] = listStoredParts(rows, [SCOPE, OTHER_SCOPE]);
   expect(item?.parts).to.deep.equal([DEADLY]);
   expect(item?.expiresAt).to.be.closeTo(expiresAt, 1_000);
   expect(buildQuarantineWrite([{ parts: [DEADLY], expiresAt }], rows)).to.equal(undefined);
@@ -29,7 +32,7 @@
     buildRow('quarantined-parts/2', '{"parts":["dead"]}'),
     buildRow('quarantined-parts/3', 'no JSON'),
   ];
-  expect(listStoredParts(rows)).to.deep.equal([]);
+  expect(listStoredParts(rows, [SCOPE, OTHER_SCOPE])).to.deep.equal([]);
 });
 
 // Guards against prompts that are refused for ever, again after each start, by a row that another writer left.
@@ -44,8 +47,10 @@
     { parts: [''], expiresAt: now + 1_000 },
     { parts: Array.from({ length: 2_000 }, String), expiresAt: now + 1_000 },
   ];
-  for (const value of odd) expect(listStoredParts([build(value)])).to.deep.equal([]);
-  expect(listStoredParts([build({ parts: ['a'], expiresAt: now + HOUR_MS })]).length).to.equal(1);
+  for (const value of odd) expect(listStoredParts([build(value)], [SCOPE])).to.deep.equal([]);
+  expect(
+    listStoredParts([build({ parts: ['a'], expiresAt: now + HOUR_MS })], [SCOPE]).length,
+  ).to.equal(1);
 });
 
 it('quarantine rows: rows that have expired are removed with the next write', () => {
@@ -54,3 +59,21 @@
   expect(buildQuarantineWrite(known, [old])?.remove).to.deep.equal(['quarantined-parts/old']);
   expect(buildQuarantineWrite([], [old])).to.equal(undefined);
 });
+
+// Guards against a part that crashes one service's engines being refused at all others.
+it('quarantine rows: a row names its scope, and one of an older version holds in all scopes unless another names the same', () => {
+  const expiresAt = getSteadyMs() + HOUR_MS;
+  const older = buildRow(
+    'quarantined-parts/older',
+    JSON.stringify({ parts: ['dead'], expiresAt: Date.now() + HOUR_MS }),
+  );
+  const listAll = (rows: readonly RowChange[]): string[] =>
+    listStoredParts(rows, [SCOPE, OTHER_SCOPE]).flatMap(({ parts }) => parts);
+  const inOther = scopePart(OTHER_SCOPE, 'dead' as PromptPartId);
+  expect(listAll([older])).to.deep.equal([DEADLY, inOther]);
+  const write = buildQuarantineWrite([{ parts: [DEADLY], expiresAt }], [older]);
+  const own = (write?.put ?? []).map(({ key, value }) => buildRow(key, value.toString()));
+  expect(listAll([older, ...own])).to.deep.equal([DEADLY]);
+  const read = listStoredParts([older], [SCOPE]);
+  expect(buildQuarantineWrite(read, [older])).to.equal(undefined);
+});
--- a/packages/router/src/gateway/quarantine-rows.ts
+++ b/packages/router/src/gateway/quarantine-rows.ts
@@ -5,7 +5,7 @@
 
 import { createHash } from 'node:crypto';
 import { PART_QUARANTINE_MS, type QuarantinedParts } from '@tarragonspool/core';
-import type { PromptPartId } from '@tarragonspool/protocol';
+import type { PromptPartId, QuarantineScope } from '@tarragonspool/protocol';
 import * as z from 'zod';
 import { parseRow } from '../json/parse-row.js';
 import {
@@ -20,6 +20,7 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayState } from './gateway-state.js';
 import type { RowChange, RowWrite } from './ports.js';
+import { scopePart, splitScopes } from './quarantine-scope.js';
 import { MEMBERS_TABLE } from './registry.js';
 
 const KEY_PREFIX = 'quarantined-parts/';
@@ -35,6 +36,8 @@
 const MAX_PARTS = 128;
 
 const rowSchema = z.object({
+  /** Absent in rows of older versions, whose parts are refused in every scope. */
+  scope: z.string().min(1).max(MAX_PART_LENGTH).optional(),
   parts: z.array(z.string().min(1).max(MAX_PART_LENGTH)).min(1).max(MAX_PARTS),
   expiresAt: z
     .number()
@@ -43,13 +46,15 @@
 
 type StoredParts = {
   readonly key: string;
+  readonly scope?: QuarantineScope;
   readonly parts: readonly PromptPartId[];
   /** Milliseconds since the epoch. */
   readonly expiresAt: number;
 };
 
-function makeKey(parts: readonly PromptPartId[]): string {
-  return `${KEY_PREFIX}${createHash('sha256').update(parts.join()).digest('hex')}`;
+function makeKey(scope: QuarantineScope, parts: readonly PromptPartId[]): string {
+  const text = `${scope}\n${parts.join()}`;
+  return `${KEY_PREFIX}${createHash('sha256').update(text).digest('hex')}`;
 }
 
 /** Finds why a row of parts in quarantine can't be used; undefined if it can, or is another row. */
@@ -71,12 +76,37 @@
   return items;
 }
 
-/** Lists the parts in quarantine that rows name; they expire on the steady clock. */
-export function listStoredParts(rows: readonly RowChange[]): QuarantinedParts[] {
+/**
+ * Lists the parts in quarantine that rows name; they expire on the steady clock. A row without a scope counts in
+ * all of them, unless another one names the same parts and a scope.
+ */
+export function listStoredParts(
+  rows: readonly RowChange[],
+  scopes: readonly QuarantineScope[],
+): QuarantinedParts[] {
   const aheadMs = getSteadyMs() - Date.now();
-  return decodeRows(rows).map(({ parts, expiresAt }) => ({
-    parts,
-    expiresAt: expiresAt + aheadMs,
+  const stored = decodeRows(rows);
+  const scoped = new Set(
+    stored.filter(({ scope }) => scope !== undefined).map(({ parts }) => parts.join()),
+  );
+  return stored.flatMap((row) => {
+    const isRepeated = row.scope === undefined && scoped.has(row.parts.join());
+    const named = row.scope === undefined ? scopes : [row.scope];
+    return (isRepeated ? [] : named).map((scope) => ({
+      parts: row.parts.map((part) => scopePart(scope, part)),
+      expiresAt: row.expiresAt + aheadMs,
+      isFromOlder: row.scope === undefined,
+    }));
+  });
+}
+
+/** Names the scope of parts in quarantine, and the key of their row. */
+function nameScope({ parts, expiresAt }: QuarantinedParts): Required<StoredParts>[] {
+  return [...splitScopes(parts)].map(([scope, own]) => ({
+    key: makeKey(scope, own),
+    scope,
+    parts: own,
+    expiresAt,
   }));
 }
 
@@ -90,12 +120,13 @@
 ): RowWrite | undefined {
   const stored = decodeRows(rows);
   const storedKeys = new Set(stored.map(({ key }) => key));
-  const missing = known.filter(({ parts }) => !storedKeys.has(makeKey(parts)));
+  const named = known.filter(({ isFromOlder }) => isFromOlder !== true).flatMap(nameScope);
+  const missing = named.filter(({ key }) => !storedKeys.has(key));
   if (missing.length === 0) return undefined;
   const behindMs = Date.now() - getSteadyMs();
-  const put = missing.map(({ parts, expiresAt }) => ({
-    key: makeKey(parts),
-    value: Buffer.from(JSON.stringify({ parts, expiresAt: expiresAt + behindMs })),
+  const put = missing.map(({ key, scope, parts, expiresAt }) => ({
+    key,
+    value: Buffer.from(JSON.stringify({ scope, parts, expiresAt: expiresAt + behindMs })),
   }));
   const expired = stored.filter(({ expiresAt }) => expiresAt + MAX_CLOCK_SKEW_MS < Date.now());
   return { expected: [], put, remove: expired.map(({ key }) => key) };
--- a/packages/router/src/gateway/stream-flow.test.ts
+++ b/packages/router/src/gateway/stream-flow.test.ts
@@ -32,6 +32,7 @@
   const route = { maxAttempts: 1, isResumable: false, gapTargetMs: 300, targetLatencyMs: 900 };
   return {
     fields: { requestId: 'r1', promptTokens: 5_000, maxOutputTokens: 9_000 },
+    content: { fingerprint: 'f1' },
     sharedParts: [],
     route: route as unknown as Route,
     service: 'llm',
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -6,10 +6,12 @@
   type StreamOrigin,
   type UpstreamRecord,
 } from '@tarragonspool/core';
+import type { ServiceName } from '@tarragonspool/protocol';
 import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
+import { buildContent, makeScope, moveParts } from './quarantine-scope.js';
 import { endUnfinished, failStream, refuseStream } from './stream-ends.js';
 import { runGrantedStream } from './stream-grant.js';
 import { makeStreamProgress, type StreamProgress } from './stream-progress.js';
@@ -105,6 +107,13 @@
   }
 }
 
+/** Sends a request to the service where its stream began. */
+function moveToService(request: GatewayRequest, service: ServiceName): GatewayRequest {
+  const scope = makeScope(request.route.host, service);
+  const content = buildContent(scope, request.content.digest);
+  return { ...request, service, content, sharedParts: moveParts(scope, request.sharedParts) };
+}
+
 /** A home of the stream's service that did not answer may do so after this time. */
 const RETRY_AFTER_UNKNOWN_MS = 500;
 
@@ -119,7 +128,7 @@
       const { origin } = result;
       const { service } = origin;
       const isTarget = request.route.targets.some((target) => target.service === service);
-      if (isTarget) yield* runStream(state, { ...request, service }, origin);
+      if (isTarget) yield* runStream(state, moveToService(request, service), origin);
       else request.reply.refuse('version-gone');
       return;
     }
--- a/packages/router/src/gateway/stream-handover.test.ts
+++ b/packages/router/src/gateway/stream-handover.test.ts
@@ -55,6 +55,7 @@
   }
   return {
     fields: { requestId: 'r1', promptTokens: 5_000, maxOutputTokens: 9_000, promptParts: [] },
+    content: { fingerprint: 'f1' },
     sharedParts: [],
     route: { ...route, targets: [] } as unknown as Route,
     service: 'llm',
--- a/packages/router/src/gateway/stream-handover.ts
+++ b/packages/router/src/gateway/stream-handover.ts
@@ -277,12 +277,12 @@
   isReported = false,
 ): void {
   endGrant(state, grant, end === 'finished');
-  const { fingerprint, sharedParts: promptParts } = request;
-  if (end === 'finished') state.contentGuard.recordAnswered(fingerprint);
+  const { content, sharedParts: promptParts } = request;
+  if (end === 'finished') state.contentGuard.recordAnswered(content.fingerprint);
   if (end === 'finished' || end === 'over') return;
   const { decode } = grant;
-  const content = { fingerprint, hasEvents, promptParts };
-  if (end === 'broken') state.contentGuard.recordBroken(decode, content);
+  const broken = { content, hasEvents, promptParts };
+  if (end === 'broken') state.contentGuard.recordBroken(decode, broken);
   if (!isReported) notifyEngineFailed(state, request, decode, findEngineFailure(result));
   progress.excluded.add(decode);
   // A send that may have reached the engine counts as executed even if no answer arrived.
