--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -99,7 +99,8 @@
 /** VMs tell each other of a crash within this time after they have judged it. */
 const VERDICT_WAIT_MS = 200;
 const SUSPECT_TTL_MS = 600_000;
-const QUARANTINE_TTL_MS = 3_600_000;
+/** How long a content is refused, in milliseconds. */
+export const QUARANTINE_TTL_MS = 3_600_000;
 const MAX_SUSPECTS = 10_000;
 const MAX_SOUND = 5_000;
 /** Further crashes of a content prove nothing more. */
@@ -337,6 +338,18 @@
   return true;
 }
 
+/** Finds the crashes of a received record; older versions name the server of the last one only. */
+function findReceivedCrashes(
+  { suspects, incidents }: QuarantineState,
+  { fingerprint, crashIds, lastUpstream }: SuspectRecord,
+  now: number,
+): readonly string[] {
+  if (crashIds !== undefined) return crashIds;
+  const known = suspects.get(fingerprint);
+  if (known?.lastUpstream === lastUpstream) return known.crashIds;
+  return [findCrashId(incidents, lastUpstream, now)];
+}
+
 function applyReceivedRecord(state: QuarantineState, received: SuspectRecord, now: number): void {
   const { fingerprint, lastUpstream, expiresAt } = received;
   if (received.isSound === true) addSound(state, fingerprint);
@@ -345,10 +358,13 @@
     return;
   }
   if (expiresAt <= now) return;
-  // Older versions name the server of the last crash only.
-  const crashIds = received.crashIds ?? [findCrashId(state.incidents, lastUpstream, now)];
-  recordCrashReport(state.incidents, lastUpstream, crashIds.at(-1) ?? lastUpstream, now);
-  countCrashes(state, { fingerprint, crashIds, lastUpstream, isOwn: false }, now);
+  const crashIds = findReceivedCrashes(state, received, now);
+  const crash = { fingerprint, crashIds, lastUpstream, isOwn: false };
+  const isNews = countCrashes(state, crash, now) !== undefined;
+  const lastId = crashIds.at(-1);
+  if (isNews && lastId !== undefined) {
+    recordCrashReport(state.incidents, lastUpstream, lastId, now);
+  }
   const suspect = state.suspects.get(fingerprint);
   const isRefusedThere = received.crashes >= QUARANTINE_CRASHES;
   if (!isRefusedThere || suspect === undefined || suspect.isRefused) return;
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -177,12 +177,9 @@
     return;
   }
   const request = buildRequest(state, arrival, route, service, body);
-  if (request.sharedParts.length > 0 && !state.partGuard.hasCaughtUp()) {
+  if (!state.partGuard.hasCaughtUp()) {
     const { requestId } = request.fields;
-    state.logger.info(
-      { requestId },
-      'quarantine: stream refused, the stored parts are not read yet',
-    );
+    state.logger.info({ requestId }, 'quarantine: request refused, the rows are not read yet');
     reply.refuse('not-ready', NOT_READY_RETRY_AFTER_MS);
     return;
   }
--- a/packages/router/src/gateway/content-guard.test.ts
+++ b/packages/router/src/gateway/content-guard.test.ts
@@ -26,6 +26,7 @@
     getCrashId: (upstreamId) => `${upstreamId}/1`,
     listScopes: () => [SCOPE],
     onCrash: () => undefined,
+    onChanged: () => undefined,
     logger: LOGGER,
     getNow: () => clock.now,
   });
--- a/packages/router/src/gateway/content-guard.ts
+++ b/packages/router/src/gateway/content-guard.ts
@@ -9,6 +9,7 @@
   handleQuarantineEvent,
   hasOpenQuestions,
   isAwaitingVerdict,
+  listQuarantined,
   makeQuarantineState,
   type QuarantineEvent,
 } from '@tarragonspool/core';
@@ -21,6 +22,7 @@
 } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import { getSteadyMs } from '../time/steady-clock.js';
+import { makeContentKey, type NamedContent } from './content-rows.js';
 import { buildContent, type RequestContent } from './quarantine-scope.js';
 
 /** What a request that broke off was made of. */
@@ -42,6 +44,14 @@
   readonly recordAnswered: (fingerprint: Fingerprint) => void;
   /** Merges records of a peer; their expiry times are relative to now. */
   readonly mergeRecords: (items: readonly SuspectRecord[]) => void;
+  /** Takes the contents that the store lists; they expire on the steady clock. */
+  readonly mergeStored: (items: readonly NamedContent[]) => void;
+  /** Lists the contents in quarantine, as rows name them. */
+  readonly listQuarantined: () => readonly NamedContent[];
+  /** Lists the contents in quarantine as peers are told; their expiry times are relative to now. */
+  readonly listTold: () => readonly SuspectRecord[];
+  /** Keys of the rows of contents whose refusal has ended. */
+  readonly listLifted: () => ReadonlySet<string>;
   readonly tick: () => void;
   /** Whether a possible crash or a content is being judged, which needs ticks at short intervals. */
   readonly isBusy: () => boolean;
@@ -59,6 +69,8 @@
   readonly listScopes: (upstreamId: UpstreamId) => readonly QuarantineScope[];
   /** Called when a server crashed before it had sent events for these prompts. */
   readonly onCrash: (crashId: string, prompts: readonly (readonly PromptPartId[])[]) => void;
+  /** Called when the contents in quarantine have changed; `isOwn` if this VM saw a crash of theirs. */
+  readonly onChanged: (isOwn: boolean) => void;
   /** Called when a possible crash, or a content, begins to be judged. */
   readonly onBusy?: () => void;
   readonly logger: Logger;
@@ -67,6 +79,10 @@
 
 /** As many as the machine has suspects at most. */
 const MAX_CONTENTS = 10_000;
+/** Refusals that ended are kept out of the store, the latest of them. */
+const MAX_LIFTED = 1_000;
+/** The latest refusals are stored, and told to VMs as their links open. */
+const MAX_TOLD = 200;
 
 function addToExpiries(items: readonly SuspectRecord[], offsetMs: number): SuspectRecord[] {
   return items.map((item) => ({ ...item, expiresAt: item.expiresAt + offsetMs }));
@@ -79,6 +95,7 @@
   const state = makeQuarantineState();
   /** Contents that were at crashes, by their fingerprints. */
   const contents = new Map<Fingerprint, RequestContent>();
+  const lifted = new Set<string>();
 
   function startProbe(upstreamId: UpstreamId, onProbed: (isAlive: boolean) => void): void {
     probe(upstreamId).then(onProbed, (error: unknown) => {
@@ -114,11 +131,51 @@
     });
   }
 
+  /** What a peer refuses or has cleared is to be in the rows, or out of them, too. */
+  function recordChanges(heard: readonly SuspectRecord[]): void {
+    const now = getNow();
+    let hasChanged = false;
+    for (const { fingerprint, crashes } of heard) {
+      const { kind } = findContentStatus(state, fingerprint, now);
+      if (crashes === 0) liftRow(fingerprint);
+      else if (kind === 'quarantined') keepRow(fingerprint);
+      hasChanged ||= crashes === 0 || kind === 'quarantined';
+    }
+    if (hasChanged) parts.onChanged(false);
+  }
+
   function publish(items: readonly SuspectRecord[]): void {
     logger.warn({ items }, 'quarantine: contents blamed for a crash');
     broadcast(addToExpiries(items, -getNow()).map(encodeRecord));
   }
 
+  function findKey(fingerprint: Fingerprint): string | undefined {
+    const content = contents.get(fingerprint);
+    return content && makeContentKey({ scope: content.scope, fingerprint: content.digest });
+  }
+
+  function keepRow(fingerprint: Fingerprint): void {
+    const key = findKey(fingerprint);
+    if (key !== undefined) lifted.delete(key);
+  }
+
+  function liftRow(fingerprint: Fingerprint): void {
+    const key = findKey(fingerprint);
+    if (key === undefined) return;
+    lifted.add(key);
+    dropOldest(lifted, MAX_LIFTED);
+  }
+
+  function listNamed(): NamedContent[] {
+    const named: NamedContent[] = [];
+    for (const record of listQuarantined(state, getNow()).slice(-MAX_TOLD)) {
+      const content = contents.get(record.fingerprint);
+      if (content === undefined) continue;
+      named.push({ ...record, fingerprint: content.digest, scope: content.scope });
+    }
+    return named;
+  }
+
   function apply(event: QuarantineEvent): void {
     for (const action of handleQuarantineEvent(state, event)) {
       switch (action.kind) {
@@ -136,7 +193,12 @@
           publish(action.items);
           break;
         case 'store':
+          keepRow(action.record.fingerprint);
+          parts.onChanged(action.isOwn);
+          break;
         case 'remove':
+          liftRow(action.fingerprint);
+          parts.onChanged(true);
           break;
         default:
           action satisfies never;
@@ -162,8 +224,16 @@
       const now = getNow();
       const heard = addToExpiries(items, now).flatMap(decodeRecord);
       apply({ kind: 'heard', items: heard, now });
+      recordChanges(heard);
       if (hasOpenQuestions(state)) parts.onBusy?.();
     },
+    mergeStored: (items) => {
+      const current = items.filter((item) => !lifted.has(makeContentKey(item)));
+      apply({ kind: 'heard', items: current.flatMap(decodeRecord), now: getNow() });
+    },
+    listQuarantined: listNamed,
+    listTold: () => addToExpiries(listNamed(), -getNow()),
+    listLifted: () => lifted,
     tick: () => apply({ kind: 'ticked', now: getNow() }),
     isBusy: () => hasOpenQuestions(state),
   };
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -141,6 +141,7 @@
     getCrashId: (upstreamId) => makeCrashId(upstreamId, upstreams),
     listScopes: listServerScopes,
     onCrash: partGuard.recordCrash,
+    onChanged: (isOwnReport) => offer(quarantineWakeups, { isOwnReport }),
     onBusy: () => contentTicker.ticker?.wake(),
     logger,
   });
--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -14,9 +14,11 @@
 import {
   buildQuarantineWrite,
   findRowFault,
-  listStoredParts,
+  listKnownQuarantine,
   runQuarantineRows,
 } from './quarantine-rows.js';
+import { listStoredContents } from './content-rows.js';
+import { listStoredParts } from './part-rows.js';
 import { listScopes } from './quarantine-scope.js';
 import {
   decodeMember,
@@ -57,6 +59,7 @@
 function mergeQuarantineRows(state: GatewayState, rows: readonly RowChange[]): void {
   const scopes = listScopes(state.configuration, undefined);
   state.partGuard.mergeStored(listStoredParts(rows, scopes));
+  state.contentGuard.mergeStored(listStoredContents(rows));
 }
 
 /** What the list of VMs changes besides the fleet view. */
@@ -95,7 +98,7 @@
     offer(state.versionWakeups, true);
     notifyPoolsOfEngines(state);
     // A restored store may have lost rows.
-    const isLost = buildQuarantineWrite(state.partGuard.listQuarantined(), rows) !== undefined;
+    const isLost = buildQuarantineWrite(listKnownQuarantine(state), rows) !== undefined;
     if (isLost) offer(state.quarantineWakeups, { isOwnReport: false });
     const isListed = members.some(({ vmId }) => vmId === self.vmId);
     if (!isListed || secret === undefined) handler.onRowLost();
--- a/packages/router/src/gateway/part-guard.ts
+++ b/packages/router/src/gateway/part-guard.ts
@@ -31,6 +31,8 @@
   readonly handleMessage: (message: PromptPartsMessage) => void;
   /** Takes parts that the store lists. */
   readonly mergeStored: (items: readonly QuarantinedParts[]) => void;
+  /** Lists what a VM is told as its link opens. */
+  readonly listTold: () => readonly PromptPartsMessage[];
 };
 
 /** Dependencies of the guard. */
@@ -139,6 +141,17 @@
       for (const named of scopes) applyMessage(named, message);
       if (quarantined.length > 0) parts.onChanged(false);
     },
+    listTold: () => {
+      const now = getNow();
+      const told: PromptPartsMessage[] = [];
+      for (const { parts: refused, expiresAt } of listQuarantinedParts(state, now)) {
+        for (const [scope, named] of splitScopes(refused)) {
+          const quarantined = [{ parts: named, endsInMs: expiresAt - now }];
+          told.push({ kind: 'prompt-parts', isRelayed: true, scope, sound: [], quarantined });
+        }
+      }
+      return told;
+    },
     mergeStored: (items) => {
       hasReadStore = true;
       const now = getNow();
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -180,6 +180,9 @@
       }
       const limits = listToldLimits(state);
       if (limits.length > 0) send({ kind: 'upstream-limits', isRelayed: true, items: limits });
+      const contents = contentGuard.listTold();
+      if (contents.length > 0) send({ kind: 'suspects', isRelayed: true, items: contents });
+      for (const message of partGuard.listTold()) send(message);
       const known = incarnations.get(vmId);
       incarnations.set(vmId, peer.incarnation);
       fleet.recordLinkOpened(vmId, getSteadyMs());
--- a/packages/router/src/gateway/quarantine-rows.test.ts
+++ b/packages/router/src/gateway/quarantine-rows.test.ts
@@ -1,27 +1,34 @@
-import type { PromptPartId, ServiceName, StorePosition } from '@tarragonspool/protocol';
+import type { QuarantinedParts } from '@tarragonspool/core';
+import type { PromptPartId, ServiceName, StorePosition, UpstreamId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { RowChange } from './ports.js';
-import { buildQuarantineWrite, listStoredParts } from './quarantine-rows.js';
-import { makeScope, scopePart } from './quarantine-scope.js';
+import { listStoredContents, makeContentKey, type NamedContent } from './content-rows.js';
+import { listStoredParts } from './part-rows.js';
+import { buildQuarantineWrite } from './quarantine-rows.js';
+import { digestContent, makeScope, scopePart } from './quarantine-scope.js';
 
 const HOUR_MS = 3_600_000;
 const SCOPE = makeScope('a.example', 'llm' as ServiceName);
 const OTHER_SCOPE = makeScope('b.example', 'llm' as ServiceName);
 const DEADLY = scopePart(SCOPE, 'dead' as PromptPartId);
 
+function buildPartWrite(parts: readonly QuarantinedParts[], rows: readonly RowChange[]) {
+  return buildQuarantineWrite({ parts, contents: [], lifted: new Set() }, rows);
+}
+
 function buildRow(key: string, value: string): RowChange {
   return { key, position: 1 as StorePosition, value: Buffer.from(value) };
 }
 
 it('quarantine rows: parts that are written come back with the time that is left', () => {
   const expiresAt = getSteadyMs() + HOUR_MS;
-  const write = buildQuarantineWrite([{ parts: [DEADLY], expiresAt }], []);
+  const write = buildPartWrite([{ parts: [DEADLY], expiresAt }], []);
   const rows = (write?.put ?? []).map(({ key, value }) => buildRow(key, value.toString()));
   const [item] = listStoredParts(rows, [SCOPE, OTHER_SCOPE]);
   expect(item?.parts).to.deep.equal([DEADLY]);
   expect(item?.expiresAt).to.be.closeTo(expiresAt, 1_000);
-  expect(buildQuarantineWrite([{ parts: [DEADLY], expiresAt }], rows)).to.equal(undefined);
+  expect(buildPartWrite([{ parts: [DEADLY], expiresAt }], rows)).to.equal(undefined);
 });
 
 // Guards against a row without parts, which every prompt would match.
@@ -56,8 +63,8 @@
 it('quarantine rows: rows that have expired are removed with the next write', () => {
   const old = buildRow('quarantined-parts/old', '{"parts":["old"],"expiresAt":1}');
   const known = [{ parts: [DEADLY], expiresAt: getSteadyMs() + HOUR_MS }];
-  expect(buildQuarantineWrite(known, [old])?.remove).to.deep.equal(['quarantined-parts/old']);
-  expect(buildQuarantineWrite([], [old])).to.equal(undefined);
+  expect(buildPartWrite(known, [old])?.remove).to.deep.equal(['quarantined-parts/old']);
+  expect(buildPartWrite([], [old])).to.equal(undefined);
 });
 
 // Guards against a part that crashes one service's engines being refused at all others.
@@ -71,9 +78,63 @@
     listStoredParts(rows, [SCOPE, OTHER_SCOPE]).flatMap(({ parts }) => parts);
   const inOther = scopePart(OTHER_SCOPE, 'dead' as PromptPartId);
   expect(listAll([older])).to.deep.equal([DEADLY, inOther]);
-  const write = buildQuarantineWrite([{ parts: [DEADLY], expiresAt }], [older]);
+  const write = buildPartWrite([{ parts: [DEADLY], expiresAt }], [older]);
   const own = (write?.put ?? []).map(({ key, value }) => buildRow(key, value.toString()));
   expect(listAll([older, ...own])).to.deep.equal([DEADLY]);
   const read = listStoredParts([older], [SCOPE]);
-  expect(buildQuarantineWrite(read, [older])).to.equal(undefined);
+  expect(buildPartWrite(read, [older])).to.equal(undefined);
+});
+
+const DIGEST = digestContent('GET', '/a/1', Buffer.from(''));
+const REFUSED: NamedContent = {
+  scope: SCOPE,
+  fingerprint: DIGEST,
+  crashes: 2,
+  crashIds: ['e/1', 'e/2'],
+  lastUpstream: 'e' as UpstreamId,
+  expiresAt: getSteadyMs() + HOUR_MS,
+};
+
+function buildContentWrite(
+  contents: readonly NamedContent[],
+  rows: readonly RowChange[],
+  lifted: ReadonlySet<string> = new Set(),
+) {
+  return buildQuarantineWrite({ parts: [], contents, lifted }, rows);
+}
+
+// Guards against a VM that starts and has forgotten which contents crash servers.
+it('quarantine rows: contents that are written come back with scope, crashes and the time that is left', () => {
+  const write = buildContentWrite([REFUSED], []);
+  const rows = (write?.put ?? []).map(({ key, value }) => buildRow(key, value.toString()));
+  const [content] = listStoredContents(rows);
+  const { expiresAt, ...rest } = REFUSED;
+  expect(content).to.deep.include(rest);
+  expect(content?.expiresAt).to.be.closeTo(expiresAt, 1_000);
+  expect(buildContentWrite([REFUSED], rows)).to.equal(undefined);
+  expect(listStoredParts(rows, [SCOPE])).to.deep.equal([]);
+});
+
+it('quarantine rows: the row of a content whose refusal has ended is removed', () => {
+  const write = buildContentWrite([REFUSED], []);
+  const rows = (write?.put ?? []).map(({ key, value }) => buildRow(key, value.toString()));
+  const ended = buildContentWrite([], rows, new Set([makeContentKey(REFUSED)]));
+  expect(ended).to.deep.equal({ expected: [], put: [], remove: [makeContentKey(REFUSED)] });
+});
+
+it('quarantine rows: rows of contents that cannot be read, or outlast every quarantine, are skipped', () => {
+  const now = Date.now();
+  const sound = { ...REFUSED, expiresAt: now + HOUR_MS };
+  const odd = [
+    { ...sound, expiresAt: now + 2 * HOUR_MS },
+    { ...sound, crashes: 1 },
+    { ...sound, crashIds: [] },
+    { ...sound, scope: '' },
+    { ...sound, fingerprint: 'f'.repeat(400) },
+    {},
+  ];
+  const build = (value: object): RowChange =>
+    buildRow('quarantined-contents/odd', JSON.stringify(value));
+  for (const value of odd) expect(listStoredContents([build(value)])).to.deep.equal([]);
+  expect(listStoredContents([build(sound)])).to.have.length(1);
 });
--- a/packages/router/src/gateway/quarantine-rows.ts
+++ b/packages/router/src/gateway/quarantine-rows.ts
@@ -1,13 +1,8 @@
 /**
- * Keeps the parts of prompts in quarantine in the store, beside the rows of the VMs, so that VMs that
- * start know them. Rows hold the time of day at which they expire.
+ * Keeps what is in quarantine in the store, beside the rows of the VMs, so that VMs that start know it.
  */
 
-import { createHash } from 'node:crypto';
-import { PART_QUARANTINE_MS, type QuarantinedParts } from '@tarragonspool/core';
-import type { PromptPartId, QuarantineScope } from '@tarragonspool/protocol';
-import * as z from 'zod';
-import { parseRow } from '../json/parse-row.js';
+import type { QuarantinedParts } from '@tarragonspool/core';
 import {
   awaitPromise,
   makeChannel,
@@ -17,119 +12,58 @@
   type Task,
 } from '../tasks/tasks.js';
 import { waitMs } from '../tasks/timers.js';
-import { getSteadyMs } from '../time/steady-clock.js';
+import { compareContentRows, findContentRowFault, type NamedContent } from './content-rows.js';
 import type { GatewayState } from './gateway-state.js';
+import { comparePartRows, findPartRowFault } from './part-rows.js';
 import type { RowChange, RowWrite } from './ports.js';
-import { scopePart, splitScopes } from './quarantine-scope.js';
 import { MEMBERS_TABLE } from './registry.js';
 
-const KEY_PREFIX = 'quarantined-parts/';
 const CALL_TIMEOUT_MS = 1_500;
 const RETRY_WAIT_MS = 500;
 /** A VM that judged from a peer's report leaves the row to that peer for this long. */
 const PEER_WRITES_WITHIN_MS = 1_500;
-/** Clocks of VMs differ by less than this. */
-const MAX_CLOCK_SKEW_MS = 60_000;
+/** Rows that one write puts or removes; further ones come with the next. */
+const MAX_WRITTEN_ROWS = 40;
 
-/** Longest id of a part, in characters, and the most parts of a row. */
-const MAX_PART_LENGTH = 256;
-const MAX_PARTS = 128;
-
-const rowSchema = z.object({
-  /** Absent in rows of older versions, whose parts are refused in every scope. */
-  scope: z.string().min(1).max(MAX_PART_LENGTH).optional(),
-  parts: z.array(z.string().min(1).max(MAX_PART_LENGTH)).min(1).max(MAX_PARTS),
-  expiresAt: z
-    .number()
-    .refine((at) => at <= Date.now() + PART_QUARANTINE_MS + MAX_CLOCK_SKEW_MS, 'too late'),
-});
-
-type StoredParts = {
-  readonly key: string;
-  readonly scope?: QuarantineScope;
-  readonly parts: readonly PromptPartId[];
-  /** Milliseconds since the epoch. */
-  readonly expiresAt: number;
+/** What a VM knows to be in quarantine. */
+export type KnownQuarantine = {
+  readonly parts: readonly QuarantinedParts[];
+  readonly contents: readonly NamedContent[];
+  /** Keys of rows whose refusals have ended. */
+  readonly lifted: ReadonlySet<string>;
 };
 
-function makeKey(scope: QuarantineScope, parts: readonly PromptPartId[]): string {
-  const text = `${scope}\n${parts.join()}`;
-  return `${KEY_PREFIX}${createHash('sha256').update(text).digest('hex')}`;
-}
-
-/** Finds why a row of parts in quarantine can't be used; undefined if it can, or is another row. */
-export function findRowFault({ key, value }: RowChange): string | undefined {
-  if (!key.startsWith(KEY_PREFIX) || value === undefined) return undefined;
-  const parsed = parseRow(rowSchema, value);
-  return parsed.kind === 'unusable' ? parsed.reason : undefined;
-}
-
-/** Decodes the rows of parts in quarantine; skips other and invalid rows. */
-function decodeRows(rows: readonly RowChange[]): StoredParts[] {
-  const items: StoredParts[] = [];
-  for (const { key, value } of rows) {
-    if (!key.startsWith(KEY_PREFIX) || value === undefined) continue;
-    const parsed = parseRow(rowSchema, value);
-    if (parsed.kind === 'unusable') continue;
-    items.push({ key, ...parsed.value } as unknown as StoredParts);
-  }
-  return items;
-}
-
-/**
- * Lists the parts in quarantine that rows name; they expire on the steady clock. A row without a scope counts in
- * all of them, unless another one names the same parts and a scope.
- */
-export function listStoredParts(
-  rows: readonly RowChange[],
-  scopes: readonly QuarantineScope[],
-): QuarantinedParts[] {
-  const aheadMs = getSteadyMs() - Date.now();
-  const stored = decodeRows(rows);
-  const scoped = new Set(
-    stored.filter(({ scope }) => scope !== undefined).map(({ parts }) => parts.join()),
-  );
-  return stored.flatMap((row) => {
-    const isRepeated = row.scope === undefined && scoped.has(row.parts.join());
-    const named = row.scope === undefined ? scopes : [row.scope];
-    return (isRepeated ? [] : named).map((scope) => ({
-      parts: row.parts.map((part) => scopePart(scope, part)),
-      expiresAt: row.expiresAt + aheadMs,
-      isFromOlder: row.scope === undefined,
-    }));
-  });
-}
-
-/** Names the scope of parts in quarantine, and the key of their row. */
-function nameScope({ parts, expiresAt }: QuarantinedParts): Required<StoredParts>[] {
-  return [...splitScopes(parts)].map(([scope, own]) => ({
-    key: makeKey(scope, own),
-    scope,
-    parts: own,
-    expiresAt,
-  }));
+/** Finds why a row can't be used; undefined if it can, or is no row of the quarantine. */
+export function findRowFault(row: RowChange): string | undefined {
+  return findPartRowFault(row) ?? findContentRowFault(row);
 }
 
 /**
  * Builds the write of what rows lack, which also removes rows that have expired; undefined if they
- * lack nothing.
+ * lack nothing and name nothing that has ended.
  */
 export function buildQuarantineWrite(
-  known: readonly QuarantinedParts[],
+  { parts, contents, lifted }: KnownQuarantine,
   rows: readonly RowChange[],
 ): RowWrite | undefined {
-  const stored = decodeRows(rows);
-  const storedKeys = new Set(stored.map(({ key }) => key));
-  const named = known.filter(({ isFromOlder }) => isFromOlder !== true).flatMap(nameScope);
-  const missing = named.filter(({ key }) => !storedKeys.has(key));
-  if (missing.length === 0) return undefined;
-  const behindMs = Date.now() - getSteadyMs();
-  const put = missing.map(({ key, scope, parts, expiresAt }) => ({
-    key,
-    value: Buffer.from(JSON.stringify({ scope, parts, expiresAt: expiresAt + behindMs })),
-  }));
-  const expired = stored.filter(({ expiresAt }) => expiresAt + MAX_CLOCK_SKEW_MS < Date.now());
-  return { expected: [], put, remove: expired.map(({ key }) => key) };
+  const ofParts = comparePartRows(parts, rows);
+  const ofContents = compareContentRows(contents, lifted, rows);
+  const put = [...ofParts.put, ...ofContents.put].slice(0, MAX_WRITTEN_ROWS);
+  const remove = [...ofParts.remove, ...ofContents.remove].slice(0, MAX_WRITTEN_ROWS);
+  const hasEnded = remove.some((key) => lifted.has(key));
+  return put.length === 0 && !hasEnded ? undefined : { expected: [], put, remove };
+}
+
+/** Lists what this VM knows to be in quarantine. */
+export function listKnownQuarantine({
+  partGuard,
+  contentGuard,
+}: Pick<GatewayState, 'partGuard' | 'contentGuard'>): KnownQuarantine {
+  return {
+    parts: partGuard.listQuarantined(),
+    contents: contentGuard.listQuarantined(),
+    lifted: contentGuard.listLifted(),
+  };
 }
 
 /** Why the rows are compared with what this VM knows. */
@@ -146,16 +80,19 @@
   wakeups: Channel<QuarantineWakeup>,
   listRows: () => readonly RowChange[],
 ): Task {
-  const { ports, partGuard, logger, takeFraction } = state;
+  const { ports, logger, takeFraction } = state;
   for (;;) {
     const wakeup = yield* receive(wakeups);
     if (wakeup === undefined) return;
     if (!wakeup.isOwnReport) yield* waitMs(PEER_WRITES_WITHIN_MS * (1 + takeFraction()));
-    const write = buildQuarantineWrite(partGuard.listQuarantined(), listRows());
+    const write = buildQuarantineWrite(listKnownQuarantine(state), listRows());
     if (write === undefined) continue;
     const call = { table: MEMBERS_TABLE, write, timeoutMs: CALL_TIMEOUT_MS };
     const outcome = yield* awaitPromise(ports.store.write(call));
-    logger.info({ rows: write.put.length, outcome }, 'quarantine: parts written to the store');
+    logger.info(
+      { rows: write.put.length, removed: write.remove.length, outcome },
+      'quarantine: rows written to the store',
+    );
     if (outcome.kind === 'ok') continue;
     yield* waitMs(RETRY_WAIT_MS * (0.5 + takeFraction()));
     offer(wakeups, { isOwnReport: true });
--- a/packages/router/src/gateway/side-listeners.ts
+++ b/packages/router/src/gateway/side-listeners.ts
@@ -10,11 +10,16 @@
   server.listen(port, host);
 }
 
+/** Whether this VM knows what it serves, and what it must refuse. */
+function hasKnowledge({ configuration, hasUpstreams, partGuard }: GatewayState): boolean {
+  return configuration !== undefined && hasUpstreams && partGuard.hasCaughtUp();
+}
+
 /** Starts the readiness listener: answers 200 while this VM accepts new connections, else 503. */
 export function startReadyListener(state: GatewayState): Server {
   const { readyListen } = state.settings;
   const server = createServer((_incoming, response) => {
-    const isReady = state.configuration !== undefined && state.hasUpstreams && !state.isLeaving;
+    const isReady = hasKnowledge(state) && !state.isLeaving;
     response.writeHead(isReady ? 200 : 503, { 'Content-Length': 0 });
     response.end();
   });
