--- a/packages/core/src/quarantine/part-suspects.test.ts
+++ b/packages/core/src/quarantine/part-suspects.test.ts
@@ -1,9 +1,10 @@
-import type { PromptPartId } from '@tarragonspool/protocol';
+import type { PromptPartId, ServiceName } from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import {
   findQuarantinedParts,
   handlePartEvent,
+  listOftenAnswered,
   listQuarantinedParts,
   makePartState,
   type PartAction,
@@ -152,3 +153,77 @@
     }),
   );
 });
+
+const SERVICE = 'llm' as ServiceName;
+
+function arrive(state: PartState, count: number, ...parts: PromptPartId[]): void {
+  for (let number = 0; number < count; number += 1) {
+    handlePartEvent(state, { kind: 'arrived', service: SERVICE, parts });
+  }
+}
+
+// Guards against a greeting that all prompts have being refused by a VM that has forgotten that it is sound.
+it('part suspects: a part that nearly all prompts have is not refused, whatever crashes', () => {
+  const state = makePartState();
+  arrive(state, 19, FIRST);
+  arrive(state, 1, OTHER);
+  for (let number = 1; number <= 20; number += 1) crash(state, number, [FIRST]);
+  expect(listParts(state)).to.deep.equal([]);
+});
+
+it('part suspects: a part that three of four prompts have is refused, those that all have are not', () => {
+  const state = makePartState();
+  arrive(state, 30, FIRST, DEADLY);
+  arrive(state, 10, FIRST);
+  for (let number = 1; number <= 3; number += 1) crash(state, number, [FIRST, DEADLY]);
+  expect(listParts(state)).to.deep.equal([[DEADLY]]);
+});
+
+// Guards against a VM that knows a part to be sound and refuses it on the word of one that has forgotten it.
+it('part suspects: what a peer or the store names is refused only as far as it is not known to be sound', () => {
+  const state = makePartState();
+  handlePartEvent(state, { kind: 'answered', parts: [FIRST] });
+  const hear = (...parts: PromptPartId[]): void => {
+    const item = { parts, expiresAt: 500 };
+    handlePartEvent(state, { kind: 'heard-quarantined', item, now: 0 });
+  };
+  hear(FIRST);
+  expect(listParts(state)).to.deep.equal([]);
+  hear(DEADLY, FIRST);
+  expect(listParts(state)).to.deep.equal([[DEADLY]]);
+});
+
+it('part suspects: an answer ends an entry of which nothing is left', () => {
+  const state = makePartState();
+  const item = { parts: [DEADLY], expiresAt: 500 };
+  handlePartEvent(state, { kind: 'heard-quarantined', item, now: 0 });
+  const actions = handlePartEvent(state, { kind: 'answered', parts: [FIRST, DEADLY] });
+  expect(actions).to.deep.equal([
+    { kind: 'publish-sound', parts: [DEADLY] },
+    { kind: 'lift', item },
+  ]);
+  expect(listParts(state)).to.deep.equal([]);
+});
+
+it('part suspects: what was answered before clears no crashes that were counted since, nor a refusal', () => {
+  const state = makePartState();
+  for (let number = 1; number <= 2; number += 1) crash(state, number, [DEADLY]);
+  handlePartEvent(state, { kind: 'known-sound', parts: [DEADLY] });
+  for (let number = 3; number <= 5; number += 1) crash(state, number, [DEADLY]);
+  expect(listParts(state)).to.deep.equal([[DEADLY]]);
+  handlePartEvent(state, { kind: 'known-sound', parts: [DEADLY] });
+  expect(listParts(state)).to.deep.equal([[DEADLY]]);
+});
+
+it('part suspects: parts that were answered often are listed, unless crashes count against them', () => {
+  const state = makePartState();
+  for (let count = 0; count < 9; count += 1) {
+    handlePartEvent(state, { kind: 'answered', parts: [FIRST] });
+  }
+  expect(listOftenAnswered(state)).to.deep.equal([]);
+  const actions = handlePartEvent(state, { kind: 'answered', parts: [FIRST] });
+  expect(actions).to.deep.equal([{ kind: 'keep-sound' }]);
+  expect(listOftenAnswered(state)).to.deep.equal([FIRST]);
+  crash(state, 1, [FIRST]);
+  expect(listOftenAnswered(state)).to.deep.equal([]);
+});
--- a/packages/core/src/quarantine/part-suspects.ts
+++ b/packages/core/src/quarantine/part-suspects.ts
@@ -5,8 +5,9 @@
  * caller's steady clock.
  */
 
-import { assertNever, type PromptPartId } from '@tarragonspool/protocol';
+import { assertNever, type PromptPartId, type ServiceName } from '@tarragonspool/protocol';
 import { dropOldest } from './drop-oldest.js';
+import { addPrompt, isCommonPart, makeCommonParts, type CommonParts } from './common-parts.js';
 
 /** Prompts that an engine had only begun when it crashed. */
 export type CrashReport = {
@@ -31,6 +32,14 @@
   | { readonly kind: 'answered'; readonly parts: readonly PromptPartId[] }
   /** A peer saw such an answer. */
   | { readonly kind: 'heard-sound'; readonly parts: readonly PromptPartId[] }
+  /** A peer or the store names parts that were answered often, at some time before. */
+  | { readonly kind: 'known-sound'; readonly parts: readonly PromptPartId[] }
+  /** A prompt with these parts came for a service. */
+  | {
+      readonly kind: 'arrived';
+      readonly service: ServiceName;
+      readonly parts: readonly PromptPartId[];
+    }
   /** A peer or the store names parts in quarantine. */
   | { readonly kind: 'heard-quarantined'; readonly item: QuarantinedParts; readonly now: number };
 
@@ -38,7 +47,11 @@
 export type PartAction =
   /** Tell peers that parts which were suspected are sound. */
   | { readonly kind: 'publish-sound'; readonly parts: readonly PromptPartId[] }
-  | { readonly kind: 'quarantine'; readonly item: QuarantinedParts };
+  | { readonly kind: 'quarantine'; readonly item: QuarantinedParts }
+  /** Nothing is left of what was in quarantine. */
+  | { readonly kind: 'lift'; readonly item: QuarantinedParts }
+  /** A part has now been answered often. */
+  | { readonly kind: 'keep-sound' };
 
 type PartSuspicion = {
   /** Crashes since the last answer. */
@@ -49,8 +62,9 @@
 /** What one VM knows of parts. */
 export type PartState = {
   readonly suspicions: Map<PromptPartId, PartSuspicion>;
-  /** Parts that were answered; the oldest are forgotten. */
-  readonly sound: Set<PromptPartId>;
+  /** Parts that were answered, and how often; the oldest are forgotten. */
+  readonly sound: Map<PromptPartId, number>;
+  readonly common: CommonParts;
   /** Parts in quarantine, by their ids. */
   readonly quarantined: Map<string, QuarantinedParts>;
   /** Parts that each of the latest crashes was counted for. */
@@ -69,6 +83,9 @@
 export const PART_QUARANTINE_MS = 3_600_000;
 const MAX_SUSPICIONS = 10_000;
 const MAX_SOUND = 10_000;
+/** Answers after which a part is told and stored as sound. */
+const OFTEN_ANSWERED = 10;
+const MAX_TOLD_SOUND = 50;
 const MAX_QUARANTINED = 200;
 const MAX_CRASHES = 100;
 
@@ -76,7 +93,8 @@
 export function makePartState(): PartState {
   return {
     suspicions: new Map(),
-    sound: new Set(),
+    sound: new Map(),
+    common: makeCommonParts(),
     quarantined: new Map(),
     countedCrashes: new Map(),
   };
@@ -119,40 +137,70 @@
   dropOldest(state.quarantined, MAX_QUARANTINED);
 }
 
-/** Takes sound parts out of what is in quarantine, unless nothing would be left of it. */
-function narrowQuarantined(state: PartState): void {
-  for (const item of [...state.quarantined.values()]) {
+/** Takes sound parts out of what is in quarantine; returns the entries of which nothing is left. */
+function narrowQuarantined(state: PartState): PartAction[] {
+  const actions: PartAction[] = [];
+  for (const [key, item] of [...state.quarantined]) {
     const left = item.parts.filter((part) => !state.sound.has(part));
-    if (left.length === 0 || left.length === item.parts.length) continue;
-    setQuarantined(state, { ...item, parts: left });
+    if (left.length === item.parts.length) continue;
+    state.quarantined.delete(key);
+    if (left.length > 0) setQuarantined(state, { ...item, parts: left });
+    else actions.push({ kind: 'lift', item });
   }
+  return actions;
 }
 
-function addSound(state: PartState, part: PromptPartId): void {
+function addSound({ sound }: PartState, part: PromptPartId, answers: number): void {
   // Added again at the end, as the latest.
-  state.sound.delete(part);
-  state.sound.add(part);
-  dropOldest(state.sound, MAX_SOUND);
+  sound.delete(part);
+  sound.set(part, answers);
+  dropOldest(sound, MAX_SOUND);
 }
 
-/** Whether a part is refused only together with others. */
-function isHeldWithOthers({ quarantined }: PartState, part: PromptPartId): boolean {
-  for (const { parts } of quarantined.values()) {
-    if (parts.length > 1 && parts.includes(part)) return true;
+/** Lists parts that were answered often and are not suspected, the latest of them. */
+export function listOftenAnswered({ sound, suspicions }: PartState): PromptPartId[] {
+  const parts: PromptPartId[] = [];
+  for (const [part, answers] of sound) {
+    if (answers >= OFTEN_ANSWERED && !suspicions.has(part)) parts.push(part);
   }
+  return parts.slice(-MAX_TOLD_SOUND);
+}
+
+function isHeld({ quarantined }: PartState, part: PromptPartId): boolean {
+  for (const { parts } of quarantined.values()) if (parts.includes(part)) return true;
   return false;
 }
 
-/** Records that parts are sound; returns those that were suspected. */
-function recordSound(state: PartState, parts: readonly PromptPartId[]): PromptPartId[] {
+/** Records that parts are sound; returns those that were suspected, and what follows. */
+function recordSound(
+  state: PartState,
+  parts: readonly PromptPartId[],
+): { readonly cleared: readonly PromptPartId[]; readonly actions: readonly PartAction[] } {
   const cleared: PromptPartId[] = [];
+  let isOftenNow = false;
   for (const part of parts) {
-    const isHeld = isHeldWithOthers(state, part);
-    addSound(state, part);
-    if (state.suspicions.delete(part) || isHeld) cleared.push(part);
+    const isRefused = isHeld(state, part);
+    const answers = (state.sound.get(part) ?? 0) + 1;
+    addSound(state, part, answers);
+    isOftenNow ||= answers === OFTEN_ANSWERED;
+    if (state.suspicions.delete(part) || isRefused) cleared.push(part);
   }
-  if (cleared.length > 0) narrowQuarantined(state);
-  return cleared;
+  const actions: PartAction[] = cleared.length > 0 ? narrowQuarantined(state) : [];
+  if (isOftenNow) actions.push({ kind: 'keep-sound' });
+  return { cleared, actions };
+}
+
+/** Records what was answered at some time before, which clears nothing that was counted since. */
+function recordKnownSound(state: PartState, parts: readonly PromptPartId[]): void {
+  for (const part of parts) {
+    if (!state.sound.has(part) && !isHeld(state, part)) addSound(state, part, OFTEN_ANSWERED);
+  }
+}
+
+/** Takes what a peer or the store refuses, less what this VM knows to be sound. */
+function applyHeard(state: PartState, item: QuarantinedParts): void {
+  const parts = item.parts.filter((part) => !state.sound.has(part));
+  if (parts.length > 0) setQuarantined(state, { ...item, parts });
 }
 
 /** Finds the parts that a crash was counted for; adds an empty set for a crash that is new. */
@@ -195,10 +243,12 @@
   state: PartState,
   prompt: readonly PromptPartId[],
 ): readonly PromptPartId[] {
-  const isCertain = listCrashing(state, prompt, false, QUARANTINE_CRASHES).length > 0;
-  const suspected = listCrashing(state, prompt, false, QUARANTINE_CRASHES - MISSED_CRASHES);
+  // Crashes tell nothing against what is in nearly every prompt.
+  const told = prompt.filter((part) => !isCommonPart(state.common, part));
+  const isCertain = listCrashing(state, told, false, QUARANTINE_CRASHES).length > 0;
+  const suspected = listCrashing(state, told, false, QUARANTINE_CRASHES - MISSED_CRASHES);
   if (suspected.length > 0) return isCertain ? suspected : [];
-  return listCrashing(state, prompt, true, SOUND_QUARANTINE_CRASHES);
+  return listCrashing(state, told, true, SOUND_QUARANTINE_CRASHES);
 }
 
 /** Judges a prompt after its crash was counted. */
@@ -208,6 +258,7 @@
   if (parts.length === 0) return [];
   const item = { parts: [...parts].sort(), expiresAt: now + PART_QUARANTINE_MS };
   setQuarantined(state, item);
+  for (const part of parts) state.sound.delete(part);
   // What is blamed explains the crashes that were counted for the others.
   for (const part of prompt) if (!parts.includes(part)) state.suspicions.delete(part);
   return [{ kind: 'quarantine', item }];
@@ -232,16 +283,20 @@
     case 'crashed':
       return applyCrash(state, event.report, event.now);
     case 'answered': {
-      const parts = recordSound(state, event.parts);
-      return parts.length === 0 ? [] : [{ kind: 'publish-sound', parts }];
+      const { cleared: parts, actions } = recordSound(state, event.parts);
+      return parts.length === 0 ? [...actions] : [{ kind: 'publish-sound', parts }, ...actions];
     }
     case 'heard-sound':
-      recordSound(state, event.parts);
+      return [...recordSound(state, event.parts).actions];
+    case 'known-sound':
+      recordKnownSound(state, event.parts);
+      return [];
+    case 'arrived':
+      addPrompt(state.common, event.service, event.parts);
       return [];
     case 'heard-quarantined':
       if (event.item.parts.length === 0 || event.item.expiresAt <= event.now) return [];
-      setQuarantined(state, event.item);
-      narrowQuarantined(state);
+      applyHeard(state, event.item);
       return [];
     default:
       return assertNever(event);
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -141,6 +141,8 @@
     | undefined;
   /** Parts that were suspected and have been answered since. */
   readonly sound: readonly PromptPartId[];
+  /** Whether the sound parts were answered at some time before, which clears nothing. */
+  readonly isEarlier?: boolean | undefined;
   /** Prompts that have all parts of an entry are refused for this time. */
   readonly quarantined: readonly {
     readonly parts: readonly PromptPartId[];
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -183,6 +183,7 @@
     reply.refuse('not-ready', NOT_READY_RETRY_AFTER_MS);
     return;
   }
+  state.partGuard.recordArrival(request.service, request.sharedParts);
   const reason = findQuarantineReason(state, request);
   if (reason !== undefined) {
     const { requestId } = request.fields;
--- a/packages/router/src/gateway/content-guard.ts
+++ b/packages/router/src/gateway/content-guard.ts
@@ -131,19 +131,6 @@
     });
   }
 
-  /** What a peer refuses or has cleared is to be in the rows, or out of them, too. */
-  function recordChanges(heard: readonly SuspectRecord[]): void {
-    const now = getNow();
-    let hasChanged = false;
-    for (const { fingerprint, crashes } of heard) {
-      const { kind } = findContentStatus(state, fingerprint, now);
-      if (crashes === 0) liftRow(fingerprint);
-      else if (kind === 'quarantined') keepRow(fingerprint);
-      hasChanged ||= crashes === 0 || kind === 'quarantined';
-    }
-    if (hasChanged) parts.onChanged(false);
-  }
-
   function publish(items: readonly SuspectRecord[]): void {
     logger.warn({ items }, 'quarantine: contents blamed for a crash');
     broadcast(addToExpiries(items, -getNow()).map(encodeRecord));
@@ -166,6 +153,19 @@
     dropOldest(lifted, MAX_LIFTED);
   }
 
+  /** What a peer refuses or has cleared is to be in the rows, or out of them, too. */
+  function recordChanges(heard: readonly SuspectRecord[]): void {
+    const now = getNow();
+    let hasChanged = false;
+    for (const { fingerprint, crashes } of heard) {
+      const { kind } = findContentStatus(state, fingerprint, now);
+      if (crashes === 0) liftRow(fingerprint);
+      else if (kind === 'quarantined') keepRow(fingerprint);
+      hasChanged ||= crashes === 0 || kind === 'quarantined';
+    }
+    if (hasChanged) parts.onChanged(false);
+  }
+
   function listNamed(): NamedContent[] {
     const named: NamedContent[] = [];
     for (const record of listQuarantined(state, getNow()).slice(-MAX_TOLD)) {
--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -19,6 +19,7 @@
 } from './quarantine-rows.js';
 import { listStoredContents } from './content-rows.js';
 import { listStoredParts } from './part-rows.js';
+import { listStoredSound } from './sound-rows.js';
 import { listScopes } from './quarantine-scope.js';
 import {
   decodeMember,
@@ -58,7 +59,7 @@
 /** Takes what rows say of the quarantine; those of older versions hold in all scopes. */
 function mergeQuarantineRows(state: GatewayState, rows: readonly RowChange[]): void {
   const scopes = listScopes(state.configuration, undefined);
-  state.partGuard.mergeStored(listStoredParts(rows, scopes));
+  state.partGuard.mergeStored(listStoredParts(rows, scopes), listStoredSound(rows));
   state.contentGuard.mergeStored(listStoredContents(rows));
 }
 
--- a/packages/router/src/gateway/part-guard.ts
+++ b/packages/router/src/gateway/part-guard.ts
@@ -4,17 +4,25 @@
  */
 
 import {
+  dropOldest,
   findQuarantinedParts,
   handlePartEvent,
+  listOftenAnswered,
   listQuarantinedParts,
   makePartState,
   type PartAction,
   type PartEvent,
   type QuarantinedParts,
 } from '@tarragonspool/core';
-import type { PromptPartId, PromptPartsMessage, QuarantineScope } from '@tarragonspool/protocol';
+import type {
+  PromptPartId,
+  PromptPartsMessage,
+  QuarantineScope,
+  ServiceName,
+} from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import { getSteadyMs } from '../time/steady-clock.js';
+import { makePartKey } from './part-rows.js';
 import { scopePart, splitScopes } from './quarantine-scope.js';
 
 /** Part guard of one VM. */
@@ -29,8 +37,17 @@
   /** Records that an engine has gone on with an answer to a prompt with these parts. */
   readonly recordAnswered: (parts: readonly PromptPartId[]) => void;
   readonly handleMessage: (message: PromptPartsMessage) => void;
-  /** Takes parts that the store lists. */
-  readonly mergeStored: (items: readonly QuarantinedParts[]) => void;
+  /** Records that a prompt with these parts came for a service. */
+  readonly recordArrival: (service: ServiceName, parts: readonly PromptPartId[]) => void;
+  /** Takes parts that the store lists, those in quarantine and those that were answered often. */
+  readonly mergeStored: (
+    items: readonly QuarantinedParts[],
+    sound: readonly PromptPartId[],
+  ) => void;
+  /** Lists parts that were answered often. */
+  readonly listOftenAnswered: () => readonly PromptPartId[];
+  /** Keys of the rows of parts whose refusal has ended. */
+  readonly listLifted: () => ReadonlySet<string>;
   /** Lists what a VM is told as its link opens. */
   readonly listTold: () => readonly PromptPartsMessage[];
 };
@@ -40,7 +57,7 @@
   readonly broadcast: (message: PromptPartsMessage) => void;
   /** Lists the scopes in which requests reach the server of a crash, or any server if none is named. */
   readonly listScopes: (crashId: string | undefined) => readonly QuarantineScope[];
-  /** Called when what is in quarantine has changed, by a report of this VM or of a peer. */
+  /** Called when rows may lack something, by a report of this VM or of a peer. */
   readonly onChanged: (isOwnReport: boolean) => void;
   readonly logger: Logger;
   readonly getNow?: () => number;
@@ -50,6 +67,13 @@
 const MAX_UNREAD_MS = 3_000;
 /** A log line names at most this many prompts. */
 const MAX_LOGGED_PROMPTS = 4;
+/** Refusals that ended are kept out of the store, the latest of them. */
+const MAX_LIFTED = 1_000;
+
+/** Names the rows of parts, one for each scope. */
+function listKeys(parts: readonly PromptPartId[]): string[] {
+  return [...splitScopes(parts)].map(([scope, own]) => makePartKey(scope, own));
+}
 
 /** Makes the part guard of this VM. */
 export function makePartGuard(parts: PartGuardParts): PartGuard {
@@ -58,6 +82,7 @@
   const state = makePartState();
   const trustedAfter = getNow() + MAX_UNREAD_MS;
   let hasReadStore = false;
+  const lifted = new Set<string>();
 
   /** Performs an action; VMs that judge from the report of another leave it to that one to tell. */
   function perform(action: PartAction, isOwnReport: boolean): void {
@@ -77,9 +102,19 @@
           const quarantined = [{ parts: named, endsInMs }];
           parts.broadcast({ kind: 'prompt-parts', scope, sound: [], quarantined });
         }
+        for (const key of listKeys(refused)) lifted.delete(key);
         parts.onChanged(isOwnReport);
         return;
       }
+      case 'lift':
+        logger.info({ parts: action.item.parts }, 'quarantine: refused parts were answered');
+        for (const key of listKeys(action.item.parts)) lifted.add(key);
+        dropOldest(lifted, MAX_LIFTED);
+        parts.onChanged(isOwnReport);
+        return;
+      case 'keep-sound':
+        parts.onChanged(false);
+        return;
       default:
         action satisfies never;
     }
@@ -104,7 +139,7 @@
 
   function applyMessage(
     scope: QuarantineScope,
-    { crash, sound, quarantined }: PromptPartsMessage,
+    { crash, sound, isEarlier, quarantined }: PromptPartsMessage,
   ): void {
     const now = getNow();
     const nameAll = (named: readonly PromptPartId[]): PromptPartId[] =>
@@ -113,7 +148,8 @@
       const report = { crashId: crash.crashId, prompts: crash.prompts.map(nameAll) };
       apply({ kind: 'crashed', report, now });
     }
-    if (sound.length > 0) apply({ kind: 'heard-sound', parts: nameAll(sound) });
+    const soundKind = isEarlier === true ? 'known-sound' : 'heard-sound';
+    if (sound.length > 0) apply({ kind: soundKind, parts: nameAll(sound) });
     for (const { parts: refused, endsInMs } of quarantined) {
       const item = { parts: nameAll(refused), expiresAt: now + endsInMs };
       apply({ kind: 'heard-quarantined', item, now });
@@ -141,9 +177,18 @@
       for (const named of scopes) applyMessage(named, message);
       if (quarantined.length > 0) parts.onChanged(false);
     },
+    recordArrival: (service, shared) => {
+      if (shared.length > 0) apply({ kind: 'arrived', service, parts: shared });
+    },
+    listOftenAnswered: () => listOftenAnswered(state),
+    listLifted: () => lifted,
     listTold: () => {
       const now = getNow();
       const told: PromptPartsMessage[] = [];
+      for (const [scope, sound] of splitScopes(listOftenAnswered(state))) {
+        const earlier = { isEarlier: true, isRelayed: true, scope, sound };
+        told.push({ kind: 'prompt-parts', ...earlier, quarantined: [] });
+      }
       for (const { parts: refused, expiresAt } of listQuarantinedParts(state, now)) {
         for (const [scope, named] of splitScopes(refused)) {
           const quarantined = [{ parts: named, endsInMs: expiresAt - now }];
@@ -152,9 +197,15 @@
       }
       return told;
     },
-    mergeStored: (items) => {
+    mergeStored: (items, sound) => {
       hasReadStore = true;
       const now = getNow();
+      // What was sound before it came into quarantine is not sound any more; older versions may have forgotten it.
+      const refused = new Set(
+        items.filter(({ isFromOlder }) => isFromOlder !== true).flatMap((item) => item.parts),
+      );
+      const stillSound = sound.filter((part) => !refused.has(part));
+      apply({ kind: 'known-sound', parts: stillSound });
       for (const item of items) apply({ kind: 'heard-quarantined', item, now });
     },
   };
--- a/packages/router/src/gateway/part-rows.ts
+++ b/packages/router/src/gateway/part-rows.ts
@@ -37,7 +37,8 @@
   readonly expiresAt: number;
 };
 
-function makeKey(scope: QuarantineScope, parts: readonly PromptPartId[]): string {
+/** Names the row of parts in one scope. */
+export function makePartKey(scope: QuarantineScope, parts: readonly PromptPartId[]): string {
   const text = `${scope}\n${parts.join()}`;
   return `${KEY_PREFIX}${createHash('sha256').update(text).digest('hex')}`;
 }
@@ -88,7 +89,7 @@
 /** Names the scope of parts in quarantine, and the key of their row. */
 function nameScope({ parts, expiresAt }: QuarantinedParts): Required<StoredParts>[] {
   return [...splitScopes(parts)].map(([scope, own]) => ({
-    key: makeKey(scope, own),
+    key: makePartKey(scope, own),
     scope,
     parts: own,
     expiresAt,
@@ -98,6 +99,7 @@
 /** Lists what rows lack of the parts in quarantine, and the rows that are to go. */
 export function comparePartRows(
   known: readonly QuarantinedParts[],
+  lifted: ReadonlySet<string>,
   rows: readonly RowChange[],
 ): Pick<RowWrite, 'put' | 'remove'> {
   const stored = decodeRows(rows);
@@ -109,6 +111,7 @@
     key,
     value: Buffer.from(JSON.stringify({ scope, parts, expiresAt: expiresAt + behindMs })),
   }));
-  const expired = stored.filter(({ expiresAt }) => expiresAt + MAX_CLOCK_SKEW_MS < Date.now());
-  return { put, remove: expired.map(({ key }) => key) };
+  const isOver = ({ key, expiresAt }: StoredParts): boolean =>
+    lifted.has(key) || expiresAt + MAX_CLOCK_SKEW_MS < Date.now();
+  return { put, remove: stored.filter(isOver).map(({ key }) => key) };
 }
--- a/packages/router/src/gateway/quarantine-rows.test.ts
+++ b/packages/router/src/gateway/quarantine-rows.test.ts
@@ -6,6 +6,7 @@
 import { listStoredContents, makeContentKey, type NamedContent } from './content-rows.js';
 import { listStoredParts } from './part-rows.js';
 import { buildQuarantineWrite } from './quarantine-rows.js';
+import { listStoredSound } from './sound-rows.js';
 import { digestContent, makeScope, scopePart } from './quarantine-scope.js';
 
 const HOUR_MS = 3_600_000;
@@ -14,7 +15,7 @@
 const DEADLY = scopePart(SCOPE, 'dead' as PromptPartId);
 
 function buildPartWrite(parts: readonly QuarantinedParts[], rows: readonly RowChange[]) {
-  return buildQuarantineWrite({ parts, contents: [], lifted: new Set() }, rows);
+  return buildQuarantineWrite({ parts, contents: [], sound: [], lifted: new Set() }, rows);
 }
 
 function buildRow(key: string, value: string): RowChange {
@@ -100,7 +101,7 @@
   rows: readonly RowChange[],
   lifted: ReadonlySet<string> = new Set(),
 ) {
-  return buildQuarantineWrite({ parts: [], contents, lifted }, rows);
+  return buildQuarantineWrite({ parts: [], contents, sound: [], lifted }, rows);
 }
 
 // Guards against a VM that starts and has forgotten which contents crash servers.
@@ -138,3 +139,19 @@
   for (const value of odd) expect(listStoredContents([build(value)])).to.deep.equal([]);
   expect(listStoredContents([build(sound)])).to.have.length(1);
 });
+
+// Guards against a fleet that has lost its power and takes for deadly what all prompts have.
+it('quarantine rows: parts that were answered often come back, each in its scope, and are written once', () => {
+  const known = { parts: [], contents: [], sound: [DEADLY], lifted: new Set<string>() };
+  const write = buildQuarantineWrite(known, []);
+  const rows = (write?.put ?? []).map(({ key, value }) => buildRow(key, value.toString()));
+  expect(listStoredSound(rows)).to.deep.equal([DEADLY]);
+  expect(buildQuarantineWrite(known, rows)).to.equal(undefined);
+  const more = { ...known, sound: [scopePart(SCOPE, 'more' as PromptPartId)] };
+  const next = buildQuarantineWrite(more, rows)?.put ?? [];
+  const nextRows = next.map(({ key, value }) => buildRow(key, value.toString()));
+  expect(listStoredSound(nextRows)).to.deep.equal([DEADLY, ...more.sound]);
+  for (const value of ['{}', 'no JSON', '{"scope":"","parts":[]}', '{"scope":"s","parts":[1]}']) {
+    expect(listStoredSound([buildRow('sound-parts/odd', value)])).to.deep.equal([]);
+  }
+});
--- a/packages/router/src/gateway/quarantine-rows.ts
+++ b/packages/router/src/gateway/quarantine-rows.ts
@@ -3,6 +3,7 @@
  */
 
 import type { QuarantinedParts } from '@tarragonspool/core';
+import type { PromptPartId } from '@tarragonspool/protocol';
 import {
   awaitPromise,
   makeChannel,
@@ -17,6 +18,7 @@
 import { comparePartRows, findPartRowFault } from './part-rows.js';
 import type { RowChange, RowWrite } from './ports.js';
 import { MEMBERS_TABLE } from './registry.js';
+import { compareSoundRows, findSoundRowFault } from './sound-rows.js';
 
 const CALL_TIMEOUT_MS = 1_500;
 const RETRY_WAIT_MS = 500;
@@ -29,13 +31,15 @@
 export type KnownQuarantine = {
   readonly parts: readonly QuarantinedParts[];
   readonly contents: readonly NamedContent[];
+  /** Parts that were answered often. */
+  readonly sound: readonly PromptPartId[];
   /** Keys of rows whose refusals have ended. */
   readonly lifted: ReadonlySet<string>;
 };
 
 /** Finds why a row can't be used; undefined if it can, or is no row of the quarantine. */
 export function findRowFault(row: RowChange): string | undefined {
-  return findPartRowFault(row) ?? findContentRowFault(row);
+  return findPartRowFault(row) ?? findContentRowFault(row) ?? findSoundRowFault(row);
 }
 
 /**
@@ -43,12 +47,13 @@
  * lack nothing and name nothing that has ended.
  */
 export function buildQuarantineWrite(
-  { parts, contents, lifted }: KnownQuarantine,
+  { parts, contents, sound, lifted }: KnownQuarantine,
   rows: readonly RowChange[],
 ): RowWrite | undefined {
-  const ofParts = comparePartRows(parts, rows);
+  const ofParts = comparePartRows(parts, lifted, rows);
   const ofContents = compareContentRows(contents, lifted, rows);
-  const put = [...ofParts.put, ...ofContents.put].slice(0, MAX_WRITTEN_ROWS);
+  const ofSound = compareSoundRows(sound, rows);
+  const put = [...ofParts.put, ...ofContents.put, ...ofSound].slice(0, MAX_WRITTEN_ROWS);
   const remove = [...ofParts.remove, ...ofContents.remove].slice(0, MAX_WRITTEN_ROWS);
   const hasEnded = remove.some((key) => lifted.has(key));
   return put.length === 0 && !hasEnded ? undefined : { expected: [], put, remove };
@@ -62,7 +67,8 @@
   return {
     parts: partGuard.listQuarantined(),
     contents: contentGuard.listQuarantined(),
-    lifted: contentGuard.listLifted(),
+    sound: partGuard.listOftenAnswered(),
+    lifted: new Set([...contentGuard.listLifted(), ...partGuard.listLifted()]),
   };
 }
 
