Streams: what the first server says of the whole answer is not passed on where another one may go on with it

Cause: the first head's Content-Length, digests and ranges were passed on, and a later server completed the body. An answer of another media type was joined in as well. Why this works: on resumable routes no header of the whole body goes out, so the end is told by chunks; another media type counts as broken.

--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -2,6 +2,7 @@
 
 import { makeEventSplitter, type SlotRequestId, type ClearedUpstream } from '@tarragonspool/core';
 import { sendPoolMessage } from '../pools/pool-task.js';
+import { dropWholeAnswerHeaders, findMediaType } from '../http/whole-answer-headers.js';
 import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { AnswerFraming, UpstreamExchange } from '../upstreams/upstream-client.js';
@@ -77,17 +78,27 @@
     state.partGuard.recordAnswered(request.sharedParts);
   }
 
+  /** Whether an answer may go on with what has begun: one of another media type is no part of it. */
+  function canFollow({ rawHeaders }: AnswerHead): boolean {
+    return reply.getState() === 'open' || findMediaType(rawHeaders) === progress.mediaType;
+  }
+
+  function begin({ status, rawHeaders }: AnswerHead): void {
+    progress.mediaType = findMediaType(rawHeaders);
+    const headers = state.ports.dialect.makeAnswerHeaders(rawHeaders);
+    // Another engine may go on with the answer of a route that can be resumed.
+    reply.begin(status, route.isResumable ? dropWholeAnswerHeaders(headers) : headers);
+  }
+
   return {
     onHead: (head: AnswerHead): void => {
       framing = head.framing;
       const isUsable = head.status === HTTP_OK && head.isSigned && !head.isNotRun;
-      isForwarding = isUsable && turn.claim();
+      isForwarding = isUsable && canFollow(head) && turn.claim();
       if (!isForwarding) return;
       progress.runs += 1;
       progress.kvSource = undefined;
-      if (reply.getState() === 'open') {
-        reply.begin(head.status, state.ports.dialect.makeAnswerHeaders(head.rawHeaders));
-      }
+      if (reply.getState() === 'open') begin(head);
     },
     onData: (chunk: Buffer, exchange: UpstreamExchange): boolean => {
       if (turn.isDisplaced()) return false;
--- a/packages/router/src/gateway/stream-progress.ts
+++ b/packages/router/src/gateway/stream-progress.ts
@@ -20,6 +20,8 @@
   lastEventId: number | undefined;
   /** Where the stream began, at this VM or another; undefined before its first event. */
   origin: StreamOrigin | undefined;
+  /** Media type of the answer that has begun; undefined before, or if its head names none. */
+  mediaType: string | undefined;
   events: number;
   /** Time from arrival to the first event, in milliseconds; undefined before it. */
   firstEventMs: number | undefined;
@@ -52,6 +54,7 @@
     prefillSends: 0,
     lastEventId: request.fields.lastEventId,
     origin,
+    mediaType: undefined,
     events: 0,
     firstEventMs: undefined,
     lastEventAt: 0,
