--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
   UpstreamId,
   VmId,
 } from '@tarragonspool/protocol';
+import { listenPatiently } from '../http/patient-listener.js';
 import type { Logger } from '../logging/logger.js';
 import { makeFleetView } from '../peers/fleet-view.js';
 import { makePoolTask } from '../pools/pool-task.js';
@@ -33,7 +34,7 @@
 import { listScopes } from './quarantine-scope.js';
 import { makeSavedStreams } from './saved-streams.js';
 import { startServerAccess } from './server-access.js';
-import { listen, startMetricsListener, startReadyListener } from './side-listeners.js';
+import { startMetricsListener, startReadyListener } from './side-listeners.js';
 import { listPoolServices, makeConfigurationFeed, makeUpstreamFeed } from './state-feeds.js';
 import { startShutdown } from './stop.js';
 import {
@@ -232,7 +233,7 @@
   for (const feed of feeds) start(`feed of ${feed.table}`, feed.run);
   startMembership(state, feeds, meshHolder, start);
   start('stages', () => runStages(state));
-  listen(server, settings.callerListen);
+  listenPatiently(server, settings.callerListen, logger);
   startReadyListener(state);
   startMetricsListener(state);
   logger.info({ settings }, 'gateway: started');
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -166,6 +166,7 @@
   const mesh = startPeerMesh({
     self: { vmId: self, incarnation, dataCentre },
     listen: settings.peerListen,
+    isPatient: true,
     secrets,
     directory: { entryVms: [] },
     listTargets: (now) => fleet.listTargets(now),
--- a/packages/router/src/gateway/side-listeners.ts
+++ b/packages/router/src/gateway/side-listeners.ts
@@ -1,15 +1,10 @@
 /** HTTP listeners for readiness probes and metrics. */
 
 import { createServer, type Server } from 'node:http';
+import { listenPatiently } from '../http/patient-listener.js';
 import type { GatewayState } from './gateway-state.js';
-import type { ListenAddress } from './ports.js';
 import { updateUpstreamGauge } from './upstream-notices.js';
 
-/** Makes a server listen on an address. */
-export function listen(server: Server, { port, host }: ListenAddress): void {
-  server.listen(port, host);
-}
-
 /** Whether this VM knows what it serves, and what it must refuse. */
 function hasKnowledge({ configuration, hasUpstreams, partGuard }: GatewayState): boolean {
   return configuration !== undefined && hasUpstreams && partGuard.hasCaughtUp();
@@ -23,7 +18,7 @@
     response.writeHead(isReady ? 200 : 503, { 'Content-Length': 0 });
     response.end();
   });
-  listen(server, readyListen);
+  listenPatiently(server, readyListen, state.logger);
   return server;
 }
 
@@ -44,5 +39,5 @@
       },
     );
   });
-  listen(server, state.settings.metricsListen);
+  listenPatiently(server, state.settings.metricsListen, state.logger);
 }
--- a/packages/router/src/peers/peer-mesh.ts
+++ b/packages/router/src/peers/peer-mesh.ts
@@ -10,6 +10,7 @@
   type VmId,
 } from '@tarragonspool/protocol';
 import { parseAddress } from '../http/parse-address.js';
+import { listenPatiently } from '../http/patient-listener.js';
 import type { Logger } from '../logging/logger.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeDialSchedule } from './dial-schedule.js';
@@ -41,6 +42,8 @@
 export type PeerMeshParts = {
   readonly self: PeerIdentity;
   readonly listen: { readonly host: string; readonly port: number };
+  /** Whether an address that is not free is tried again; else the error is thrown at once. */
+  readonly isPatient?: boolean;
   readonly secrets: readonly string[];
   readonly directory: { readonly entryVms: readonly DialledVm[] };
   /** VMs to keep links to; without it, links are kept to all, and the lesser id dials. */
@@ -146,7 +149,13 @@
   });
   const server = new WebSocketServer({ server: httpServer, maxPayload: MAX_PEER_FRAME_BYTES });
   server.on('connection', onSocket);
-  httpServer.listen(parts.listen.port, parts.listen.host);
+  if (parts.isPatient === true) {
+    // The listener handles the errors of its server, which come here as well.
+    server.on('error', () => undefined);
+    listenPatiently(httpServer, parts.listen, parts.logger);
+  } else {
+    httpServer.listen(parts.listen.port, parts.listen.host);
+  }
   return httpServer;
 }
 
