Callers: the requests of a connection are served one after the other

Cause: Node hands out the next request before the one before has been answered, and the answer with Connection: close ends the connection for all; the same holds in calm for every answer that ends a connection. Why this works: the next request is read once the answer before it has ended; one whose connection has ended never runs (RFC 9112, 9.3.2, 9.6).

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -8,6 +8,7 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
 import { makeCallerReply, type CallerReply } from './caller-reply.js';
+import { makeCallerTurns } from './caller-turns.js';
 import { REQUEST_INBOX_CAPACITY, type GatewayRequest } from './gateway-request.js';
 import { findRetryWindow, getRetryLimits, type GatewayState } from './gateway-state.js';
 import type { CallerFields } from './ports.js';
@@ -227,13 +228,16 @@
 
 /** Makes the HTTP server for callers; it does not listen yet. */
 export function makeCallerListener(state: GatewayState): Server {
+  const awaitTurn = makeCallerTurns();
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, (incoming, response) => {
     const reply = makeCallerReply(response, () => state.isLeaving);
     const arrival = { incoming, reply, arrivedAt: getSteadyMs() };
     response.on('error', (error) =>
       state.logger.debug({ err: error }, 'requests: answer could not be sent'),
     );
-    readBody(state, arrival, (body) => routeRequest(state, arrival, body, response));
+    awaitTurn(incoming, response, () => {
+      readBody(state, arrival, (body) => routeRequest(state, arrival, body, response));
+    });
   });
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + IDLE_TIMEOUT_SLACK_MS;
   server.requestTimeout = 0;
