Stop: requests are waited for from their head on

Cause: a stop counted requests that had been read whole. They count from their head on; at the end of the grace one that is not read is refused with 503.

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -124,12 +124,8 @@
     () => offer(inbox, { kind: 'timed-out' }),
     Math.max(0, request.deadlineAt - getSteadyMs()),
   );
-  state.openRequests += 1;
-  state.openReplies.add(reply);
   response.on('close', () => {
     clearTimeout(timer);
-    state.openRequests -= 1;
-    state.openReplies.delete(reply);
     recordAnswer(state, request, response);
     if (!response.writableFinished) offer(inbox, { kind: 'caller-gone' });
   });
@@ -226,6 +222,18 @@
   );
 }
 
+/** Counts a request from its head to the end of its answer: a stop waits for it. */
+function countOpen(state: GatewayState, reply: CallerReply, response: ServerResponse): void {
+  state.openRequests += 1;
+  state.openReplies.add(reply);
+  state.unreadReplies.add(reply);
+  response.on('close', () => {
+    state.openRequests -= 1;
+    state.openReplies.delete(reply);
+    state.unreadReplies.delete(reply);
+  });
+}
+
 /** Makes the HTTP server for callers; it does not listen yet. */
 export function makeCallerListener(state: GatewayState): Server {
   const awaitTurn = makeCallerTurns();
@@ -236,7 +244,11 @@
       state.logger.debug({ err: error }, 'requests: answer could not be sent'),
     );
     awaitTurn(incoming, response, () => {
-      readBody(state, arrival, (body) => routeRequest(state, arrival, body, response));
+      countOpen(state, reply, response);
+      readBody(state, arrival, (body) => {
+        state.unreadReplies.delete(reply);
+        routeRequest(state, arrival, body, response);
+      });
     });
   });
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + IDLE_TIMEOUT_SLACK_MS;
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -82,6 +82,8 @@
   openRequests: number;
   /** Answers that have not ended. */
   readonly openReplies: Set<CallerReply>;
+  /** Those of requests whose body is still on its way. */
+  readonly unreadReplies: Set<CallerReply>;
   /** Bytes of answers that are held until they are whole. */
   heldAnswerBytes: number;
   slotRequestCount: number;
@@ -130,6 +132,7 @@
     storeKnown: { isRecent: false, judgedAt: 0 },
     openRequests: 0,
     openReplies: new Set(),
+    unreadReplies: new Set(),
     heldAnswerBytes: 0,
     slotRequestCount: 0,
     permitRequestCount: 0,
--- a/packages/router/src/gateway/stop.test.ts
+++ b/packages/router/src/gateway/stop.test.ts
@@ -41,6 +41,7 @@
     isLeaving: false,
     openRequests: 0,
     openReplies: new Set(),
+    unreadReplies: new Set(),
   } as unknown as GatewayState;
   const { server, port } = await startServer(state);
   const bytes = new Promise<number | string>((resolve) => {
--- a/packages/router/src/gateway/stop.ts
+++ b/packages/router/src/gateway/stop.ts
@@ -18,10 +18,13 @@
 const KILL_MARGIN_MS = 400;
 /** Time for answers that are broken off to tell their callers. */
 const BREAK_OFF_MS = 300;
+/** Other VMs serve what this one has not read. */
+const LEAVING_RETRY_AFTER_MS = 200;
 
 /** The end of the process would close the connections, and some answers would look complete. */
-function endStopped(reply: CallerReply): void {
-  if (reply.getState() === 'open') reply.refuse('outcome-unknown');
+function endStopped({ unreadReplies }: GatewayState, reply: CallerReply): void {
+  if (unreadReplies.has(reply)) reply.refuse('not-ready', LEAVING_RETRY_AFTER_MS);
+  else if (reply.getState() === 'open') reply.refuse('outcome-unknown');
   else reply.breakOff('stopped');
 }
 
@@ -52,7 +55,7 @@
     closeIdle(state, server);
   }
   const { openRequests } = state;
-  for (const reply of state.openReplies) endStopped(reply);
+  for (const reply of state.openReplies) endStopped(state, reply);
   const brokenOffBy = getSteadyMs() + BREAK_OFF_MS;
   while (state.openRequests > 0 && getSteadyMs() < brokenOffBy) yield* waitMs(CHECK_INTERVAL_MS);
   state.logger.info({ openRequests }, 'gateway: stopped');
