Quarantine: contents are judged together, sound ones are vouched for, and suspects are told as links open

Why this works: all due suspects are judged before any is refused; explanations do not erase a content's own crashes, of which four refuse it, and end with a refusal that was wrong; a VM that knows a suspect to be sound says so; links tell suspects, too.

--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -55,7 +55,9 @@
   | { readonly kind: 'publish'; readonly items: readonly SuspectRecord[] }
   /** A content is refused from now on; `isOwn` if this VM saw one of its crashes. */
   | { readonly kind: 'store'; readonly record: SuspectRecord; readonly isOwn: boolean }
-  | { readonly kind: 'remove'; readonly fingerprint: Fingerprint };
+  | { readonly kind: 'remove'; readonly fingerprint: Fingerprint }
+  /** A peer suspects a content of which this VM knows an answer; one VM is to tell so. */
+  | { readonly kind: 'vouch'; readonly record: SuspectRecord };
 
 /** Whether a content may run. */
 export type ContentStatus =
@@ -69,7 +71,7 @@
 /** A content that was at a crash and was not answered since. */
 type Suspect = {
   readonly fingerprint: Fingerprint;
-  /** Crashes that no refused content explains. */
+  /** Crashes since its last answer. */
   readonly crashIds: readonly string[];
   readonly lastUpstream: UpstreamId;
   readonly expiresAt: number;
@@ -87,6 +89,8 @@
   readonly undecided: Set<Fingerprint>;
   /** Contents that were answered; the oldest are forgotten. */
   readonly sound: Set<Fingerprint>;
+  /** Crashes of contents that are refused; they count for no other content. */
+  readonly explained: Set<string>;
   readonly incidents: CrashIncidents;
 };
 
@@ -94,6 +98,8 @@
 export const QUARANTINE_CRASHES = 2;
 /** Crashes after which a content is refused though others were at all of them. */
 const SHARED_CRASHES = 3;
+/** Crashes after which it is refused though a refused content explains some: that one may be refused wrongly. */
+const MAX_CRASHES = 4;
 /** A content that was answered before needs more evidence. */
 const SOUND_CRASHES = 5;
 /** VMs tell each other of a crash within this time after they have judged it. */
@@ -105,6 +111,7 @@
 const MAX_SOUND = 5_000;
 /** Further crashes of a content prove nothing more. */
 const MAX_CRASH_IDS = 8;
+const MAX_EXPLAINED = 1_000;
 
 /** Makes the initial state. */
 export function makeQuarantineState(): QuarantineState {
@@ -112,6 +119,7 @@
     suspects: new Map(),
     undecided: new Set(),
     sound: new Set(),
+    explained: new Set(),
     incidents: makeCrashIncidents(),
   };
 }
@@ -128,6 +136,11 @@
   return { fingerprint, crashes, lastUpstream, expiresAt, crashIds, ...known };
 }
 
+/** Lists the crashes of a suspect that no refused content explains. */
+function listOpenCrashes({ explained }: QuarantineState, { crashIds }: Suspect): string[] {
+  return crashIds.filter((id) => !explained.has(id));
+}
+
 /** Finds whether a content may run. */
 export function findContentStatus(
   state: QuarantineState,
@@ -142,6 +155,7 @@
   const until = findRecheckTime(state.incidents, fingerprint, now);
   if (until !== undefined) return { kind: 'in-doubt', until };
   if (!isCurrent || state.sound.has(fingerprint)) return { kind: 'clear' };
+  if (listOpenCrashes(state, suspect).length === 0) return { kind: 'clear' };
   if (state.undecided.has(fingerprint)) return { kind: 'in-doubt', until: suspect.judgeAt };
   return { kind: 'suspect' };
 }
@@ -185,8 +199,9 @@
 function setSuspect(state: QuarantineState, suspect: Suspect): void {
   state.suspects.delete(suspect.fingerprint);
   state.suspects.set(suspect.fingerprint, suspect);
-  const isOpen = !suspect.isRefused && suspect.crashIds.length >= QUARANTINE_CRASHES;
-  if (isOpen) state.undecided.add(suspect.fingerprint);
+  const isOpen = listOpenCrashes(state, suspect).length >= QUARANTINE_CRASHES;
+  const isDue = isOpen || suspect.crashIds.length >= MAX_CRASHES;
+  if (isDue && !suspect.isRefused) state.undecided.add(suspect.fingerprint);
   else state.undecided.delete(suspect.fingerprint);
   const dropped = dropOldest(state.suspects, MAX_SUSPECTS);
   if (dropped !== undefined) state.undecided.delete(dropped);
@@ -232,27 +247,22 @@
   return suspect;
 }
 
-/** Crashes that a refused content explains count for no other. */
-function explainCrashes(state: QuarantineState, refused: Suspect): void {
-  const explained = new Set(refused.crashIds);
-  for (const suspect of [...state.suspects.values()]) {
-    if (suspect.isRefused) continue;
-    const crashIds = suspect.crashIds.filter((id) => !explained.has(id));
-    if (crashIds.length === suspect.crashIds.length) continue;
-    if (crashIds.length === 0) deleteSuspect(state, suspect.fingerprint);
-    else setSuspect(state, { ...suspect, crashIds });
-  }
-}
-
 function refuseContent(state: QuarantineState, suspect: Suspect, expiresAt: number): Suspect {
   const refused = { ...suspect, isRefused: true, expiresAt };
   setSuspect(state, refused);
-  explainCrashes(state, refused);
+  for (const id of suspect.crashIds) {
+    state.explained.add(id);
+    dropOldest(state.explained, MAX_EXPLAINED);
+  }
   return refused;
 }
 
-/** Whether another content was at all crashes of a suspect and may have caused them. */
-function hasRival(state: QuarantineState, { fingerprint, crashIds }: Suspect): boolean {
+/** Whether another content was at all these crashes and may have caused them. */
+function hasRival(
+  state: QuarantineState,
+  fingerprint: Fingerprint,
+  crashIds: readonly string[],
+): boolean {
   for (const other of state.suspects.values()) {
     if (other.fingerprint === fingerprint || other.isRefused) continue;
     if (state.sound.has(other.fingerprint)) continue;
@@ -262,22 +272,32 @@
 }
 
 function isCulprit(state: QuarantineState, suspect: Suspect): boolean {
-  const crashes = suspect.crashIds.length;
-  if (state.sound.has(suspect.fingerprint)) return crashes >= SOUND_CRASHES;
-  return crashes >= SHARED_CRASHES || !hasRival(state, suspect);
+  const { fingerprint, crashIds } = suspect;
+  const open = listOpenCrashes(state, suspect);
+  if (state.sound.has(fingerprint)) return open.length >= SOUND_CRASHES;
+  if (crashIds.length >= MAX_CRASHES || open.length >= SHARED_CRASHES) return true;
+  return open.length >= QUARANTINE_CRASHES && !hasRival(state, fingerprint, open);
 }
 
-/** Judges the suspects whose time has come; a VM that saw none of the crashes tells nobody. */
-function judgeSuspects(state: QuarantineState, now: number): QuarantineAction[] {
-  const actions: QuarantineAction[] = [];
+/** Takes the suspects whose time has come; all are judged before what is refused explains their crashes. */
+function takeCulprits(state: QuarantineState, now: number): Suspect[] {
+  const culprits: Suspect[] = [];
   for (const fingerprint of [...state.undecided]) {
     const suspect = state.suspects.get(fingerprint);
-    // Another one that was refused just now may have explained its crashes.
-    if (suspect === undefined || !state.undecided.has(fingerprint)) continue;
-    if (now < suspect.judgeAt) continue;
+    if (suspect === undefined || now < suspect.judgeAt) continue;
     state.undecided.delete(fingerprint);
-    if (!isCulprit(state, suspect)) continue;
-    const record = buildRecord(state, refuseContent(state, suspect, now + QUARANTINE_TTL_MS));
+    if (isCulprit(state, suspect)) culprits.push(suspect);
+  }
+  return culprits;
+}
+
+/** Judges the suspects whose time has come; a VM that saw none of the crashes tells nobody. */
+function judgeSuspects(state: QuarantineState, now: number): QuarantineAction[] {
+  const actions: QuarantineAction[] = [];
+  const culprits = takeCulprits(state, now);
+  for (const suspect of culprits) {
+    const refused = refuseContent(state, suspect, now + QUARANTINE_TTL_MS);
+    const record = buildRecord(state, refused);
     if (suspect.isOwn) actions.push({ kind: 'publish', items: [record] });
     actions.push({ kind: 'store', record, isOwn: suspect.isOwn });
   }
@@ -287,7 +307,8 @@
 /** An answer of a content that shared crashes with others may leave one culprit. */
 function reopenVerdicts(state: QuarantineState, cleared: Suspect, now: number): void {
   for (const suspect of state.suspects.values()) {
-    if (suspect.isRefused || suspect.crashIds.length < QUARANTINE_CRASHES) continue;
+    const open = listOpenCrashes(state, suspect);
+    if (suspect.isRefused || open.length < QUARANTINE_CRASHES) continue;
     if (!suspect.crashIds.some((id) => cleared.crashIds.includes(id))) continue;
     state.undecided.add(suspect.fingerprint);
     state.suspects.set(suspect.fingerprint, { ...suspect, judgeAt: now });
@@ -334,6 +355,8 @@
   const suspect = state.suspects.get(fingerprint);
   if (suspect === undefined) return false;
   deleteSuspect(state, fingerprint);
+  // What it was refused for has another cause.
+  if (suspect.isRefused) for (const id of suspect.crashIds) state.explained.delete(id);
   reopenVerdicts(state, suspect, now);
   return true;
 }
@@ -350,6 +373,13 @@
   return [findCrashId(incidents, lastUpstream, now)];
 }
 
+/** Builds what this VM tells of a content that a peer suspects and does not know to be sound. */
+function vouchFor(state: QuarantineState, received: SuspectRecord): QuarantineAction[] {
+  const isNeeded = received.crashes > 0 && received.isSound !== true;
+  if (!isNeeded || !state.sound.has(received.fingerprint)) return [];
+  return [{ kind: 'vouch', record: { ...received, crashes: 1, isSound: true } }];
+}
+
 function applyReceivedRecord(state: QuarantineState, received: SuspectRecord, now: number): void {
   const { fingerprint, lastUpstream, expiresAt } = received;
   if (received.isSound === true) addSound(state, fingerprint);
@@ -411,9 +441,14 @@
     case 'probed':
       recordProbe(state.incidents, event.upstreamId, event.isAlive);
       return decideIncidents(state, now);
-    case 'heard':
-      for (const item of event.items) applyReceivedRecord(state, item, now);
-      return [];
+    case 'heard': {
+      const actions: QuarantineAction[] = [];
+      for (const item of event.items) {
+        actions.push(...vouchFor(state, item));
+        applyReceivedRecord(state, item, now);
+      }
+      return actions;
+    }
     case 'succeeded': {
       const { fingerprint } = event;
       addSound(state, fingerprint);
--- a/packages/router/src/gateway/content-guard.test.ts
+++ b/packages/router/src/gateway/content-guard.test.ts
@@ -23,6 +23,7 @@
   const guard = makeContentGuard({
     probe: () => Promise.resolve(isAlive),
     broadcast: (items) => sent.push(...items),
+    takeFraction: () => 0,
     getCrashId: (upstreamId) => `${upstreamId}/1`,
     listScopes: () => [SCOPE],
     onCrash: () => undefined,
--- a/packages/router/src/gateway/content-guard.ts
+++ b/packages/router/src/gateway/content-guard.ts
@@ -10,6 +10,7 @@
   hasOpenQuestions,
   isAwaitingVerdict,
   listQuarantined,
+  listSuspects,
   makeQuarantineState,
   type QuarantineEvent,
 } from '@tarragonspool/core';
@@ -48,7 +49,7 @@
   readonly mergeStored: (items: readonly NamedContent[]) => void;
   /** Lists the contents in quarantine, as rows name them. */
   readonly listQuarantined: () => readonly NamedContent[];
-  /** Lists the contents in quarantine as peers are told; their expiry times are relative to now. */
+  /** Lists the contents in quarantine, and suspects, as peers are told; their expiry times are relative to now. */
   readonly listTold: () => readonly SuspectRecord[];
   /** Keys of the rows of contents whose refusal has ended. */
   readonly listLifted: () => ReadonlySet<string>;
@@ -73,6 +74,7 @@
   readonly onChanged: (isOwn: boolean) => void;
   /** Called when a possible crash, or a content, begins to be judged. */
   readonly onBusy?: () => void;
+  readonly takeFraction: () => number;
   readonly logger: Logger;
   readonly getNow?: () => number;
 };
@@ -83,6 +85,7 @@
 const MAX_LIFTED = 1_000;
 /** The latest refusals are stored, and told to VMs as their links open. */
 const MAX_TOLD = 200;
+const MAX_VOUCH_DELAY_MS = 100;
 
 function addToExpiries(items: readonly SuspectRecord[], offsetMs: number): SuspectRecord[] {
   return items.map((item) => ({ ...item, expiresAt: item.expiresAt + offsetMs }));
@@ -96,6 +99,7 @@
   /** Contents that were at crashes, by their fingerprints. */
   const contents = new Map<Fingerprint, RequestContent>();
   const lifted = new Set<string>();
+  const vouching = new Map<Fingerprint, NodeJS.Timeout>();
 
   function startProbe(upstreamId: UpstreamId, onProbed: (isAlive: boolean) => void): void {
     probe(upstreamId).then(onProbed, (error: unknown) => {
@@ -136,6 +140,26 @@
     broadcast(addToExpiries(items, -getNow()).map(encodeRecord));
   }
 
+  /** Of all VMs that know an answer the quickest one tells so, well before contents are judged. */
+  function vouchSoon(record: SuspectRecord): void {
+    const { fingerprint } = record;
+    if (vouching.has(fingerprint)) return;
+    const tell = (): void => {
+      vouching.delete(fingerprint);
+      publish([record]);
+    };
+    vouching.set(fingerprint, setTimeout(tell, parts.takeFraction() * MAX_VOUCH_DELAY_MS));
+  }
+
+  /** Another VM has told that a content is sound. */
+  function stopVouching(heard: readonly SuspectRecord[]): void {
+    for (const { fingerprint, isSound } of heard) {
+      if (isSound !== true) continue;
+      clearTimeout(vouching.get(fingerprint));
+      vouching.delete(fingerprint);
+    }
+  }
+
   function findKey(fingerprint: Fingerprint): string | undefined {
     const content = contents.get(fingerprint);
     return content && makeContentKey({ scope: content.scope, fingerprint: content.digest });
@@ -166,9 +190,9 @@
     if (hasChanged) parts.onChanged(false);
   }
 
-  function listNamed(): NamedContent[] {
+  function nameContents(records: readonly SuspectRecord[]): NamedContent[] {
     const named: NamedContent[] = [];
-    for (const record of listQuarantined(state, getNow()).slice(-MAX_TOLD)) {
+    for (const record of records.slice(-MAX_TOLD)) {
       const content = contents.get(record.fingerprint);
       if (content === undefined) continue;
       named.push({ ...record, fingerprint: content.digest, scope: content.scope });
@@ -186,6 +210,9 @@
           );
           break;
         }
+        case 'vouch':
+          vouchSoon(action.record);
+          break;
         case 'crashed':
           parts.onCrash(action.crashId, action.prompts);
           break;
@@ -224,6 +251,7 @@
       const now = getNow();
       const heard = addToExpiries(items, now).flatMap(decodeRecord);
       apply({ kind: 'heard', items: heard, now });
+      stopVouching(heard);
       recordChanges(heard);
       if (hasOpenQuestions(state)) parts.onBusy?.();
     },
@@ -231,8 +259,8 @@
       const current = items.filter((item) => !lifted.has(makeContentKey(item)));
       apply({ kind: 'heard', items: current.flatMap(decodeRecord), now: getNow() });
     },
-    listQuarantined: listNamed,
-    listTold: () => addToExpiries(listNamed(), -getNow()),
+    listQuarantined: () => nameContents(listQuarantined(state, getNow())),
+    listTold: () => addToExpiries(nameContents(listSuspects(state)), -getNow()),
     listLifted: () => lifted,
     tick: () => apply({ kind: 'ticked', now: getNow() }),
     isBusy: () => hasOpenQuestions(state),
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -139,6 +139,7 @@
   const contentGuard = makeContentGuard({
     probe: access.isAlive,
     broadcast: (items) => broadcast({ kind: 'suspects', items }),
+    takeFraction,
     getCrashId: (upstreamId) => makeCrashId(upstreamId, upstreams),
     listScopes: listServerScopes,
     onCrash: partGuard.recordCrash,
--- a/packages/router/src/quarantine/quarantine-task.ts
+++ b/packages/router/src/quarantine/quarantine-task.ts
@@ -193,6 +193,9 @@
     case 'crashed':
       // Orders of this interface name no parts of prompts.
       return;
+    case 'vouch':
+      parts.broadcast({ kind: 'suspects', items: [action.record] });
+      return;
     default:
       assertNever(action);
   }
