Quarantine: a server is found alive by a probe well after the last broken run

Cause: one probe, at the first run that broke off, judged the whole incident. A server that resets connections now and then was found alive; a killer that crashed it within the next 300 ms joined that incident and counted for nothing. The same for a process that takes one more connection while it ends. The former program's host probed twice, 150 ms apart, for the same reason; that delay moves into the machine, and both hosts have it.

Each probe's result is logged (quarantine: server probed).

--- a/packages/core/src/quarantine/crash-incidents.ts
+++ b/packages/core/src/quarantine/crash-incidents.ts
@@ -28,6 +28,9 @@
   readonly crashId: string | undefined;
   readonly beganAt: number;
   readonly contents: Map<Fingerprint, BrokenContent>;
+  lastBrokenAt: number;
+  probeBeganAt: number;
+  isProbing: boolean;
   isAlive: boolean | undefined;
 };
 
@@ -52,6 +55,10 @@
 };
 
 const DECISION_DELAY_MS = 300;
+/** A process that ends takes connections for a while; a probe within this time of a broken run proves no life. */
+const ENDING_MS = 150;
+/** Where runs break off all the time, an incident is judged by a probe at this time. */
+const MAX_PROBING_MS = 1_000;
 /**
  * If the server had sent tokens for every content of an incident, how long to wait for a peer to
  * report the content that caused the crash.
@@ -73,21 +80,54 @@
   const known = open.get(upstreamId);
   if (known !== undefined) {
     known.contents.set(fingerprint, { hasTokens, promptParts });
+    known.lastBrokenAt = now;
+    if (known.isAlive === true) known.isAlive = undefined;
     return false;
   }
-  const contents = new Map([[fingerprint, { hasTokens, promptParts }]]);
-  open.set(upstreamId, { crashId, beganAt: now, contents, isAlive: undefined });
+  open.set(upstreamId, {
+    crashId,
+    beganAt: now,
+    contents: new Map([[fingerprint, { hasTokens, promptParts }]]),
+    lastBrokenAt: now,
+    probeBeganAt: now,
+    isProbing: true,
+    isAlive: undefined,
+  });
   return true;
 }
 
-/** Records whether a server takes connections. */
+/** Finds from when on a probe that is answered shows that the server did not crash. */
+function getLifeProvenAt({ beganAt, lastBrokenAt }: ServerIncident): number {
+  return Math.min(lastBrokenAt + ENDING_MS, beganAt + MAX_PROBING_MS);
+}
+
+/** Records whether a server took a connection. */
 export function recordProbe(
   { open }: CrashIncidents,
   upstreamId: UpstreamId,
   isAlive: boolean,
 ): void {
   const incident = open.get(upstreamId);
-  if (incident !== undefined) incident.isAlive = isAlive;
+  if (incident === undefined) return;
+  incident.isProbing = false;
+  if (!isAlive) incident.isAlive = false;
+  else if (incident.isAlive === undefined) {
+    const isProven = incident.probeBeganAt >= getLifeProvenAt(incident);
+    if (isProven) incident.isAlive = true;
+  }
+}
+
+/** Begins the probes that are due, and lists their servers. */
+export function beginDueProbes({ open }: CrashIncidents, now: number): UpstreamId[] {
+  const probed: UpstreamId[] = [];
+  for (const [upstreamId, incident] of open) {
+    if (incident.isProbing || incident.isAlive !== undefined) continue;
+    if (now < getLifeProvenAt(incident)) continue;
+    incident.isProbing = true;
+    incident.probeBeganAt = now;
+    probed.push(upstreamId);
+  }
+  return probed;
 }
 
 /** Records that a peer or the table told of the crash of a server. */
--- a/packages/core/src/quarantine/quarantine.test.ts
+++ b/packages/core/src/quarantine/quarantine.test.ts
@@ -3,15 +3,19 @@
 import {
   findContentStatus,
   handleQuarantineEvent,
+  hasOpenQuestions,
   isAwaitingVerdict,
   listQuarantined,
   makeQuarantineState,
+  type QuarantineAction,
   type QuarantineState,
 } from './quarantine.js';
 
 const ENGINE = 'e1' as UpstreamId;
 const STREAM = 'stream' as Fingerprint;
 const CRASHING = 'crashing' as Fingerprint;
+const LOOKUP = 'lookup' as Fingerprint;
+const OTHER_LOOKUP = 'other-lookup' as Fingerprint;
 
 /** Records the crash of an engine that ran a stream with tokens. */
 function recordCrash(state: QuarantineState, upstreamId = ENGINE, now = 0): QuarantineState {
@@ -55,8 +59,55 @@
   expect(findContentStatus(state, STREAM, 660).kind).to.equal('in-doubt');
 });
 
-const LOOKUP = 'lookup' as Fingerprint;
-const OTHER_LOOKUP = 'other-lookup' as Fingerprint;
+/** Answers each probe that the machine asks for at `now`; returns what else it does. */
+function answerProbes(state: QuarantineState, isAlive: boolean, now: number): QuarantineAction[] {
+  const actions = handleQuarantineEvent(state, { kind: 'ticked', now });
+  for (const action of [...actions]) {
+    if (action.kind !== 'probe') continue;
+    const { upstreamId } = action;
+    actions.push(...handleQuarantineEvent(state, { kind: 'probed', upstreamId, isAlive, now }));
+  }
+  return actions;
+}
+
+function breakRun(state: QuarantineState, fingerprint: Fingerprint, now: number): void {
+  const upstreamId = ENGINE;
+  const broken = { kind: 'broken', upstreamId, fingerprint, hasTokens: false, now } as const;
+  const actions = handleQuarantineEvent(state, broken);
+  if (actions.length === 0) return;
+  handleQuarantineEvent(state, { kind: 'probed', upstreamId, isAlive: true, now });
+}
+
+// Guards against a crash that counts for nothing, as the process took one more connection while it ended.
+it('quarantine: a server that takes a connection while it ends has crashed', () => {
+  const state = makeQuarantineState();
+  breakRun(state, CRASHING, 0);
+  answerProbes(state, false, 200);
+  answerProbes(state, false, 300);
+  expect(state.suspects.get(CRASHING)?.crashIds.length).to.equal(1);
+});
+
+// Guards against crashes that count for nothing at a server that had reset another connection just before.
+it('quarantine: a run that breaks off at a server found alive has the server probed again', () => {
+  const state = makeQuarantineState();
+  breakRun(state, OTHER_LOOKUP, 0);
+  answerProbes(state, true, 160);
+  breakRun(state, CRASHING, 250);
+  expect(answerProbes(state, true, 300)).to.deep.equal([]);
+  answerProbes(state, false, 400);
+  expect(state.suspects.get(CRASHING)?.crashIds.length).to.equal(1);
+});
+
+it('quarantine: at a live server where runs break off all the time each incident ends', () => {
+  const state = makeQuarantineState();
+  for (let now = 0; now < 1_200; now += 100) {
+    if (now < 1_000) breakRun(state, CRASHING, now);
+    answerProbes(state, true, now);
+  }
+  expect(hasOpenQuestions(state)).to.equal(false);
+  expect(state.suspects.size).to.equal(0);
+});
+
 const CRASH_INTERVAL_MS = 2_000;
 
 /** VMs that tell each other everything at once. */
--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -12,6 +12,7 @@
 } from '@tarragonspool/protocol';
 import {
   addBrokenRun,
+  beginDueProbes,
   findCrashId,
   recordCrashReport,
   recordProbe,
@@ -97,6 +98,9 @@
 
 function decideIncidents(state: QuarantineState, now: number): QuarantineAction[] {
   const actions: QuarantineAction[] = [];
+  for (const upstreamId of beginDueProbes(state.incidents, now)) {
+    actions.push({ kind: 'probe', upstreamId });
+  }
   for (const crash of takeCrashes(state.incidents, now)) {
     const { upstreamId, crashId, prompts } = crash;
     if (prompts.length > 0) actions.push({ kind: 'crashed', upstreamId, crashId, prompts });
--- a/packages/router/src/gateway/content-guard.ts
+++ b/packages/router/src/gateway/content-guard.ts
@@ -205,9 +205,10 @@
       switch (action.kind) {
         case 'probe': {
           const { upstreamId } = action;
-          startProbe(upstreamId, (isAlive) =>
-            apply({ kind: 'probed', upstreamId, isAlive, now: getNow() }),
-          );
+          startProbe(upstreamId, (isAlive) => {
+            logger.info({ upstreamId, isAlive }, 'quarantine: server probed');
+            apply({ kind: 'probed', upstreamId, isAlive, now: getNow() });
+          });
           break;
         }
         case 'vouch':
--- a/packages/router/src/quarantine/quarantine-task.ts
+++ b/packages/router/src/quarantine/quarantine-task.ts
@@ -45,7 +45,6 @@
 
 const INBOX_CAPACITY = 4_096;
 const RETRY_AFTER_MS = 1_000;
-const PROBE_DELAY_MS = 150;
 const GATE_KEY = 'suspects';
 
 /** Makes the quarantine of one VM. */
@@ -149,19 +148,10 @@
 
 type QuarantineContext = { readonly parts: QuarantineParts; gate: Gate; waiting: ContentRequest[] };
 
-function waitProbeDelay(): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, PROBE_DELAY_MS);
-  });
-}
-
 function startProbe({ parts }: QuarantineContext, upstreamId: UpstreamId): void {
   const { quarantine, probe, logger } = parts;
-  // Probes twice: a cancelled order may crash the engine shortly afterwards, and an engine that
-  // a broken order crashed may be back up by the second probe.
-  Promise.all([probe(upstreamId), waitProbeDelay().then(() => probe(upstreamId))])
-    .then((probes) => {
-      const isAlive = probes.every(Boolean);
+  probe(upstreamId)
+    .then((isAlive) => {
       const event = { kind: 'probed', upstreamId, isAlive, now: Date.now() } as const;
       offer(quarantine.inbox, { kind: 'event', event });
     })
