Quarantine: crashes of all servers of a service at once are counted

Cause: with every server of the service down no connection opens to any, so the VM couldn't tell a crash from being cut off itself, took the server for alive at once and dropped the crash.

Ruled out, by the new log line: a probe that a dying process still answers (probes 200 ms later said alive, too).

--- a/packages/core/src/quarantine/crash-incidents.ts
+++ b/packages/core/src/quarantine/crash-incidents.ts
@@ -17,6 +17,9 @@
   readonly promptParts?: readonly PromptPartId[];
 };
 
+/** A server that is to be probed, and the run of its process that is asked about. */
+export type ProbedServer = Pick<BrokenRun, 'upstreamId'> & { readonly crashId: string | undefined };
+
 /** A content that ran on a server when it broke off. */
 type BrokenContent = {
   readonly hasTokens: boolean;
@@ -118,14 +121,14 @@
 }
 
 /** Begins the probes that are due, and lists their servers. */
-export function beginDueProbes({ open }: CrashIncidents, now: number): UpstreamId[] {
-  const probed: UpstreamId[] = [];
+export function beginDueProbes({ open }: CrashIncidents, now: number): ProbedServer[] {
+  const probed: ProbedServer[] = [];
   for (const [upstreamId, incident] of open) {
     if (incident.isProbing || incident.isAlive !== undefined) continue;
     if (now < getLifeProvenAt(incident)) continue;
     incident.isProbing = true;
     incident.probeBeganAt = now;
-    probed.push(upstreamId);
+    probed.push({ upstreamId, crashId: incident.crashId });
   }
   return probed;
 }
--- a/packages/core/src/quarantine/quarantine-types.ts
+++ b/packages/core/src/quarantine/quarantine-types.ts
@@ -1,7 +1,7 @@
 /** Events, actions and state of the quarantine of contents. */
 
 import type { Fingerprint, PromptPartId, SuspectRecord, UpstreamId } from '@tarragonspool/protocol';
-import type { BrokenRun, CrashIncidents } from './crash-incidents.js';
+import type { BrokenRun, CrashIncidents, ProbedServer } from './crash-incidents.js';
 
 /** Events that the quarantine receives. */
 export type QuarantineEvent =
@@ -20,7 +20,7 @@
 
 /** Actions that the host must perform. */
 export type QuarantineAction =
-  | { readonly kind: 'probe'; readonly upstreamId: UpstreamId }
+  | ({ readonly kind: 'probe' } & ProbedServer)
   /** A server crashed before it had sent tokens for these prompts. */
   | {
       readonly kind: 'crashed';
--- a/packages/core/src/quarantine/quarantine.fuzz.test.ts
+++ b/packages/core/src/quarantine/quarantine.fuzz.test.ts
@@ -149,7 +149,7 @@
   handleQuarantineEvent(state, { kind: 'probed', upstreamId, isAlive: true, now: 5 });
   expect(handleQuarantineEvent(state, { kind: 'ticked', now: 149 })).to.deep.equal([]);
   const asked = handleQuarantineEvent(state, { kind: 'ticked', now: 150 });
-  expect(asked).to.deep.equal([{ kind: 'probe', upstreamId }]);
+  expect(asked).to.deep.equal([{ kind: 'probe', upstreamId, crashId: undefined }]);
   handleQuarantineEvent(state, { kind: 'probed', upstreamId, isAlive: true, now: 155 });
   handleQuarantineEvent(state, { kind: 'ticked', now: 400 });
   expect(findContentStatus(state, CRASHING, 400).kind).to.equal('clear');
--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -38,6 +38,7 @@
   refuseContent,
 } from './suspects.js';
 
+export type { ProbedServer } from './crash-incidents.js';
 export type * from './quarantine-types.js';
 export * from './quarantine-status.js';
 export { makeQuarantineState, QUARANTINE_CRASHES, QUARANTINE_TTL_MS } from './suspects.js';
@@ -98,8 +99,8 @@
 
 function decideIncidents(state: QuarantineState, now: number): QuarantineAction[] {
   const actions: QuarantineAction[] = [];
-  for (const upstreamId of beginDueProbes(state.incidents, now)) {
-    actions.push({ kind: 'probe', upstreamId });
+  for (const server of beginDueProbes(state.incidents, now)) {
+    actions.push({ kind: 'probe', ...server });
   }
   for (const crash of takeCrashes(state.incidents, now)) {
     const { upstreamId, crashId, prompts } = crash;
@@ -194,8 +195,9 @@
   const { now } = event;
   switch (event.kind) {
     case 'broken': {
-      const { upstreamId } = event;
-      return addBrokenRun(state.incidents, event, now) ? [{ kind: 'probe', upstreamId }] : [];
+      const { upstreamId, crashId } = event;
+      const isProbed = addBrokenRun(state.incidents, event, now);
+      return isProbed ? [{ kind: 'probe', upstreamId, crashId }] : [];
     }
     case 'probed':
       recordProbe(state.incidents, event.upstreamId, event.isAlive);
--- a/packages/router/src/gateway/content-guard.ts
+++ b/packages/router/src/gateway/content-guard.ts
@@ -12,6 +12,7 @@
   listQuarantined,
   listSuspects,
   makeQuarantineState,
+  type ProbedServer,
   type QuarantineEvent,
 } from '@tarragonspool/core';
 import type {
@@ -60,8 +61,8 @@
 
 /** Dependencies of the guard. */
 export type ContentGuardParts = {
-  /** Returns whether a server accepts connections. */
-  readonly probe: (upstreamId: UpstreamId) => Promise<boolean>;
+  /** Returns whether the run of a server's process that `crashId` names lives. */
+  readonly probe: (upstreamId: UpstreamId, crashId: string | undefined) => Promise<boolean>;
   /** Sends records to all peers; their expiry times are relative to now, because clocks differ. */
   readonly broadcast: (items: readonly SuspectRecord[]) => void;
   /** Identifies the run of a server's process that this VM knows, the same at all VMs. */
@@ -101,8 +102,15 @@
   const lifted = new Set<string>();
   const vouching = new Map<Fingerprint, NodeJS.Timeout>();
 
-  function startProbe(upstreamId: UpstreamId, onProbed: (isAlive: boolean) => void): void {
-    probe(upstreamId).then(onProbed, (error: unknown) => {
+  function startProbe(
+    { upstreamId, crashId }: ProbedServer,
+    onProbed: (isAlive: boolean) => void,
+  ): void {
+    const report = (isAlive: boolean): void => {
+      logger.info({ upstreamId, crashId, isAlive }, 'quarantine: server probed');
+      onProbed(isAlive);
+    };
+    probe(upstreamId, crashId).then(report, (error: unknown) => {
       logger.error({ upstreamId, err: error }, 'quarantine: probe failed');
     });
   }
@@ -205,10 +213,9 @@
       switch (action.kind) {
         case 'probe': {
           const { upstreamId } = action;
-          startProbe(upstreamId, (isAlive) => {
-            logger.info({ upstreamId, isAlive }, 'quarantine: server probed');
-            apply({ kind: 'probed', upstreamId, isAlive, now: getNow() });
-          });
+          startProbe(action, (isAlive) =>
+            apply({ kind: 'probed', upstreamId, isAlive, now: getNow() }),
+          );
           break;
         }
         case 'vouch':
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -1,5 +1,6 @@
 /** Creates the gateway's parts, connects them and starts and stops them. */
 
+import { setTimeout as pause } from 'node:timers/promises';
 import { destination, pino } from 'pino';
 import {
   computeMaxStoreAgeMs,
@@ -30,6 +31,7 @@
 import { startMembership, type PeerMeshHolder, type StartTask } from './membership.js';
 import { makePartGuard } from './part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
+import { probeServer } from './probe-server.js';
 import { makeQuarantineWakeups } from './quarantine-rows.js';
 import { listScopes } from './quarantine-scope.js';
 import { makeSavedStreams } from './saved-streams.js';
@@ -137,7 +139,13 @@
   });
   const contentTicker: TickerHolder = { ticker: undefined };
   const contentGuard = makeContentGuard({
-    probe: access.isAlive,
+    probe: (upstreamId, crashId) =>
+      probeServer({
+        tryServer: () => access.tryServer(upstreamId),
+        hasLeftList: () => makeCrashId(upstreamId, upstreams) !== crashId,
+        pause,
+        getNow: getSteadyMs,
+      }),
     broadcast: (items) => broadcast({ kind: 'suspects', items }),
     takeFraction,
     getCrashId: (upstreamId) => makeCrashId(upstreamId, upstreams),
--- a/packages/router/src/gateway/server-access.ts
+++ b/packages/router/src/gateway/server-access.ts
@@ -4,7 +4,13 @@
  */
 
 import { askSend, type UpstreamList, type UpstreamRecord } from '@tarragonspool/core';
-import type { PeerMessage, RelayMessage, UpstreamId, VmId } from '@tarragonspool/protocol';
+import type {
+  PathAnswer,
+  PeerMessage,
+  RelayMessage,
+  UpstreamId,
+  VmId,
+} from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import type { FleetView } from '../peers/fleet-view.js';
 import { startPathWatch, type PathWatch } from '../relays/path-watch.js';
@@ -40,10 +46,10 @@
   /** Whether a request may reach a server, over a connection of this VM or by way of a peer. */
   readonly hasWay: (server: UpstreamRecord) => boolean;
   /**
-   * Whether a server takes connections, of this VM or of a peer; a server is taken for alive where nobody who
-   * reaches another one could try.
+   * Whether a server takes a connection, of this VM or of a peer; `unknown` where nobody who reaches another
+   * one could try.
    */
-  readonly isAlive: (upstreamId: UpstreamId) => Promise<boolean>;
+  readonly tryServer: (upstreamId: UpstreamId) => Promise<PathAnswer>;
   readonly handleMessage: (from: VmId, message: RelayMessage) => void;
   /** Ends what was sent over an earlier link to a peer, in both directions. */
   readonly handleLinkEnded: (vmId: VmId) => void;
@@ -125,12 +131,11 @@
     client,
     paths,
     hasWay: (server) => !paths.isLost(server) || relayClient.hasPeer(server.upstreamId),
-    isAlive: async (upstreamId) => {
-      if (!upstreams.records.has(upstreamId)) return false;
+    tryServer: async (upstreamId) => {
       const own = await paths.tryPath(upstreamId);
-      if (own === 'opened') return true;
+      if (own === 'opened') return own;
       const told = await relayClient.askPath(upstreamId);
-      return told === 'opened' || (own === 'unknown' && told === 'unknown');
+      return told === 'unknown' ? own : told;
     },
     handleMessage: (from, message) => {
       switch (message.kind) {
