--- /dev/null
+++ b/packages/core/src/bytes/index.ts
@@ -0,0 +1,1 @@
+export * from './byte-collector.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from './burn/bucket-ring.js';
 export * from './burn/burn.js';
 export * from './allocation/recovery.js';
+export * from './bytes/index.js';
 export * from './claims/claim-machine.js';
 export * from './claims/claim-sweep.js';
 export * from './claims/claim-types.js';
--- a/packages/core/src/routing/event-splitter.ts
+++ b/packages/core/src/routing/event-splitter.ts
@@ -1,10 +1,18 @@
 /** Splits a stream of server-sent events into whole events and parses their ids. */
 
+/** Id of an event: a whole number that is held exactly, another text, or none. */
+export type EventId =
+  | { readonly kind: 'number'; readonly value: number }
+  | { readonly kind: 'unusable' }
+  | { readonly kind: 'none' };
+
 /** Events that one chunk completed. */
 export type SplitEvents = {
   /** Bytes of whole events, in order. */
   readonly whole: Buffer;
   readonly count: number;
+  /** Ids of the events, in order. */
+  readonly ids: readonly EventId[];
   /** Id of the last whole event that has one; undefined if none has. */
   readonly lastEventId: number | undefined;
 };
@@ -23,6 +31,7 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const EVENT_ID = /^id: ?(\d+)\r?$/mu;
+const ANY_ID = /^id(?::|\r?$)/mu;
 
 /** Finds the end of the first event at or after `from`; -1 if the event is incomplete. */
 function findEventEnd(bytes: Buffer, from: number): number {
@@ -38,9 +47,11 @@
   return line !== '' && line !== '\r' && !line.startsWith(':');
 }
 
-function parseEventId(event: Buffer): number | undefined {
-  const id = Number(EVENT_ID.exec(event.toString('latin1'))?.[1]);
-  return Number.isSafeInteger(id) ? id : undefined;
+function parseEventId(event: Buffer): EventId {
+  const text = event.toString('latin1');
+  const value = Number(EVENT_ID.exec(text)?.[1]);
+  if (Number.isSafeInteger(value)) return { kind: 'number', value };
+  return { kind: ANY_ID.test(text) ? 'unusable' : 'none' };
 }
 
 /** Makes a splitter for one stream. */
@@ -51,14 +62,17 @@
       const bytes = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
       let start = 0;
       let count = 0;
+      const ids: EventId[] = [];
       let lastEventId: number | undefined;
       for (let end = findEventEnd(bytes, 0); end >= 0; end = findEventEnd(bytes, start)) {
-        lastEventId = parseEventId(bytes.subarray(start, end)) ?? lastEventId;
+        const id = parseEventId(bytes.subarray(start, end));
+        ids.push(id);
+        if (id.kind === 'number') lastEventId = id.value;
         count += 1;
         start = end;
       }
       rest = bytes.subarray(start);
-      return { whole: bytes.subarray(0, start), count, lastEventId };
+      return { whole: bytes.subarray(0, start), count, ids, lastEventId };
     },
     isInsideEvent: () => rest.toString('latin1').split('\n').some(isEventLine),
     countRest: () => rest.length,
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -1,3 +1,4 @@
+export * from './event-ids.js';
 export * from './event-splitter.js';
 export * from './origin-votes.js';
 export * from './request-permits.js';
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -1,6 +1,12 @@
 /** Runs a stream on a decode engine and forwards its events as they arrive. */
 
-import { makeEventSplitter, type SlotRequestId, type ClearedUpstream } from '@tarragonspool/core';
+import {
+  makeEventIds,
+  makeEventSplitter,
+  recordEventId,
+  type ClearedUpstream,
+  type SlotRequestId,
+} from '@tarragonspool/core';
 import { sendPoolMessage } from '../pools/pool-task.js';
 import { dropWholeAnswerHeaders, findMediaType } from '../http/whole-answer-headers.js';
 import type { Task } from '../tasks/tasks.js';
@@ -53,6 +59,7 @@
   let firstEventAt: number | undefined;
   let isKnownSound = false;
   const splitter = makeEventSplitter();
+  const eventIds = makeEventIds(progress.lastEventId);
   let isForwarding = false;
   let unusedBytes = 0;
   let framing: AnswerFraming | undefined;
@@ -108,7 +115,8 @@
         if (unusedBytes > MAX_UNUSED_BYTES) exchange.abort('answer too large');
         return false;
       }
-      const { whole, count, lastEventId } = splitter.split(chunk);
+      const { whole, count, ids, lastEventId } = splitter.split(chunk);
+      for (const id of ids) recordEventId(eventIds, id);
       if (count > 0) turn.claim();
       if (count > 0) recordEvents(count);
       progress.lastEventId = lastEventId ?? progress.lastEventId;
@@ -135,7 +143,7 @@
       return lacksEvents && framing === 'connection' ? 'answer ended before an event' : undefined;
     },
     /** How the answer's end is told, and the bytes after its last whole event. */
-    getEnd: () => ({ framing, restBytes: splitter.countRest() }),
+    getEnd: () => ({ framing, restBytes: splitter.countRest(), eventIds }),
   };
 }
 
@@ -202,7 +210,7 @@
   });
   const isDisplaced = turn.isDisplaced();
   const end = findDecodeEnd(result, relay.isForwarding(), isDisplaced);
-  const { framing, restBytes } = relay.getEnd();
+  const { framing, restBytes, eventIds } = relay.getEnd();
   if (end === 'finished') relay.finish();
   const { requestId, promptParts } = request.fields;
   const { upstreamId, softwareVersion } = engine;
@@ -217,6 +225,7 @@
       outcome: getSendOutcome(result),
       framing,
       restBytes,
+      eventIds,
       events,
       runs,
       isDisplaced,
