Event splitter: lines may end in a carriage return alone, the last id counts, time follows the bytes

What callers saw: events whose lines end in a carriage return alone were not recognised: on a route that can be resumed they came when the answer ended, or the answer was broken off at 1 MiB. Of two id lines of an event the first one counted, where the HTML standard takes the last; a byte order mark hid the first event's id.

Two old assertions read the parts where they read one buffer and a count; they ask for the same bytes and ids.

--- a/packages/core/src/bytes/byte-collector.ts
+++ b/packages/core/src/bytes/byte-collector.ts
@@ -54,6 +54,7 @@
     countCost: () => length + pieces * PIECE_COST_BYTES,
     getBytes: () => held.subarray(0, length),
     dropFirst: (bytes) => {
+      if (bytes === 0) return;
       if (bytes >= length) {
         clear();
         return;
--- a/packages/core/src/routing/event-splitter.ts
+++ b/packages/core/src/routing/event-splitter.ts
@@ -1,4 +1,9 @@
-/** Splits a stream of server-sent events into whole events and parses their ids. */
+/**
+ * Splits a stream of server-sent events into whole events and parses their ids. Lines may end in a line feed, a
+ * carriage return or both (HTML Living Standard, 9.2.6).
+ */
+
+import { makeByteCollector } from '../bytes/byte-collector.js';
 
 /** Id of an event: a whole number that is held exactly, another text, or none. */
 export type EventId =
@@ -6,80 +11,147 @@
   | { readonly kind: 'unusable' }
   | { readonly kind: 'none' };
 
-/** Events that one chunk completed. */
-export type SplitEvents = {
-  /** Bytes of whole events, in order. */
-  readonly whole: Buffer;
-  readonly count: number;
-  /** Ids of the events, in order. */
-  readonly ids: readonly EventId[];
-  /** Id of the last whole event that has one; undefined if none has. */
-  readonly lastEventId: number | undefined;
-};
+/** A part of a stream, whose bytes are a copy. */
+export type StreamPart =
+  | { readonly kind: 'event'; readonly bytes: Buffer; readonly id: EventId }
+  /** Comments and blank lines between events. */
+  | { readonly kind: 'filler'; readonly bytes: Buffer };
 
 /** Splits one stream. */
 export type EventSplitter = {
-  readonly split: (chunk: Buffer) => SplitEvents;
+  /** Returns the parts that a chunk completes, in order. */
+  readonly split: (chunk: Buffer) => StreamPart[];
   /** Whether bytes of an event have come whose end has not. */
   readonly isInsideEvent: () => boolean;
-  /** Bytes after the last whole event. */
+  /** Bytes after the last part. */
   readonly countRest: () => number;
-  /** Returns and clears the bytes after the last whole event. */
-  readonly takeRest: () => Buffer;
+  /** What the bytes after the last part have cost. */
+  readonly countRestCost: () => number;
+  /** Returns and clears what is left at the end of the stream, where it is not inside an event. */
+  readonly takeRest: () => StreamPart[];
 };
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const EVENT_ID = /^id: ?(\d+)\r?$/mu;
-const ANY_ID = /^id(?::|\r?$)/mu;
+const COLON = 0x3a;
+const BYTE_ORDER_MARK = Buffer.from([0xef, 0xbb, 0xbf]);
+const ID_FIELD = /^id(?:: ?(.*))?$/su;
+const WHOLE_NUMBER = /^\d+$/u;
+const NO_ID: EventId = { kind: 'none' };
 
-/** Finds the end of the first event at or after `from`; -1 if the event is incomplete. */
-function findEventEnd(bytes: Buffer, from: number): number {
-  for (let at = bytes.indexOf(LINE_FEED, from); at >= 0; at = bytes.indexOf(LINE_FEED, at + 1)) {
-    const next = bytes[at + 1] === CARRIAGE_RETURN ? at + 2 : at + 1;
-    if (bytes[next] === LINE_FEED) return next + 1;
-  }
-  return -1;
+function parseId(line: string): EventId | undefined {
+  const match = ID_FIELD.exec(line);
+  if (match === null) return undefined;
+  const text = match[1] ?? '';
+  const value = WHOLE_NUMBER.test(text) ? Number(text) : NaN;
+  return Number.isSafeInteger(value) ? { kind: 'number', value } : { kind: 'unusable' };
 }
 
 /** Whether a line belongs to an event: blank lines and comments do not. */
-function isEventLine(line: string): boolean {
-  return line !== '' && line !== '\r' && !line.startsWith(':');
+function isField(line: Buffer): boolean {
+  return line.length > 0 && line[0] !== COLON;
 }
 
-function parseEventId(event: Buffer): EventId {
-  const text = event.toString('latin1');
-  const value = Number(EVENT_ID.exec(text)?.[1]);
-  if (Number.isSafeInteger(value)) return { kind: 'number', value };
-  return { kind: ANY_ID.test(text) ? 'unusable' : 'none' };
+/** Returns the bytes of a stream's beginning without its byte order mark. */
+export function dropByteOrderMark(bytes: Buffer): Buffer {
+  const hasMark = bytes.subarray(0, BYTE_ORDER_MARK.length).equals(BYTE_ORDER_MARK);
+  return hasMark ? bytes.subarray(BYTE_ORDER_MARK.length) : bytes;
+}
+
+/** Reads the fields of an event, line by line. */
+function makeEventReader() {
+  let isFirstLine = true;
+  let hasField = false;
+  let id = NO_ID;
+  return {
+    readLine: (bytes: Buffer): void => {
+      const line = isFirstLine ? dropByteOrderMark(bytes) : bytes;
+      isFirstLine = false;
+      if (!isField(line)) return;
+      hasField = true;
+      // The last one of several ids counts.
+      id = parseId(line.toString('latin1')) ?? id;
+    },
+    hasField: () => hasField,
+    /** Returns a copy of the bytes as the part that ends with the blank line, and begins the next one. */
+    takePart: (bytes: Buffer): StreamPart => {
+      const copy = Buffer.from(bytes);
+      const part: StreamPart = hasField
+        ? { kind: 'event', bytes: copy, id }
+        : { kind: 'filler', bytes: copy };
+      hasField = false;
+      id = NO_ID;
+      return part;
+    },
+  };
 }
 
 /** Makes a splitter for one stream. */
 export function makeEventSplitter(): EventSplitter {
-  let rest: Buffer = Buffer.alloc(0);
+  const held = makeByteCollector();
+  const reader = makeEventReader();
+  /** Bytes that are held and have been read. */
+  let readBytes = 0;
+  let lineStart = 0;
+  /** Whether the byte before was a carriage return, to which a line feed may still belong. */
+  let isAfterReturn = false;
+  /** Whether the line before the present one ended in both. */
+  let hasPairs = false;
+  /** Whether a blank line has come whose line feed is still to come. */
+  let isEndPending = false;
+
+  function readAll(): StreamPart[] {
+    const bytes = held.getBytes();
+    const parts: StreamPart[] = [];
+    let partStart = 0;
+    const endPart = (end: number): void => {
+      parts.push(reader.takePart(bytes.subarray(partStart, end)));
+      partStart = end;
+      isEndPending = false;
+    };
+    for (; readBytes < bytes.length; readBytes += 1) {
+      const byte = bytes[readBytes];
+      const next = readBytes + 1;
+      const isSecondOfPair = isAfterReturn && byte === LINE_FEED;
+      if (isAfterReturn) hasPairs = isSecondOfPair;
+      isAfterReturn = byte === CARRIAGE_RETURN;
+      if (isSecondOfPair) {
+        lineStart = next;
+        if (isEndPending) endPart(next);
+        continue;
+      }
+      if (isEndPending) endPart(readBytes);
+      if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) continue;
+      const isBlank = lineStart === readBytes;
+      if (!isBlank) reader.readLine(bytes.subarray(lineStart, readBytes));
+      lineStart = next;
+      if (!isBlank) continue;
+      if (isAfterReturn && hasPairs) isEndPending = true;
+      else endPart(next);
+    }
+    held.dropFirst(partStart);
+    readBytes -= partStart;
+    lineStart -= partStart;
+    return parts;
+  }
+
   return {
     split: (chunk) => {
-      const bytes = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
-      let start = 0;
-      let count = 0;
-      const ids: EventId[] = [];
-      let lastEventId: number | undefined;
-      for (let end = findEventEnd(bytes, 0); end >= 0; end = findEventEnd(bytes, start)) {
-        const id = parseEventId(bytes.subarray(start, end));
-        ids.push(id);
-        if (id.kind === 'number') lastEventId = id.value;
-        count += 1;
-        start = end;
-      }
-      rest = bytes.subarray(start);
-      return { whole: bytes.subarray(0, start), count, ids, lastEventId };
+      held.append(chunk);
+      return readAll();
+    },
+    isInsideEvent: () => {
+      if (isEndPending) return false;
+      return reader.hasField() || isField(dropByteOrderMark(held.getBytes().subarray(lineStart)));
     },
-    isInsideEvent: () => rest.toString('latin1').split('\n').some(isEventLine),
-    countRest: () => rest.length,
+    countRest: held.countBytes,
+    countRestCost: held.countCost,
     takeRest: () => {
-      const taken = rest;
-      rest = Buffer.alloc(0);
-      return taken;
+      if (held.countBytes() === 0) return [];
+      isEndPending = false;
+      readBytes = 0;
+      lineStart = 0;
+      return [reader.takePart(held.take())];
     },
   };
 }
--- a/packages/core/src/routing/routing.test.ts
+++ b/packages/core/src/routing/routing.test.ts
@@ -193,11 +193,16 @@
     const splitter = makeEventSplitter();
     const first = splitter.split(Buffer.from(text.slice(0, cut)));
     const second = splitter.split(Buffer.from(text.slice(cut)));
-    const whole = Buffer.concat([first.whole, second.whole]).toString();
+    const parts = [...first, ...second];
+    const whole = Buffer.concat(parts.map(({ bytes }) => bytes)).toString();
     expect(whole).to.equal('id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n');
-    expect(first.count + second.count).to.equal(2);
-    expect(second.lastEventId ?? first.lastEventId).to.equal(2);
-    expect(splitter.takeRest().toString()).to.equal('id: 3\ndata: c');
+    const ids = parts.map((part) => (part.kind === 'event' ? part.id : undefined));
+    expect(ids).to.deep.equal([
+      { kind: 'number', value: 1 },
+      { kind: 'number', value: 2 },
+    ]);
+    const rest = splitter.takeRest().map(({ bytes }) => bytes.toString());
+    expect(rest).to.deep.equal(['id: 3\ndata: c']);
   }
 });
 
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -30,7 +30,7 @@
 const HTTP_OK = 200;
 const MAX_UNUSED_BYTES = 65_536;
 /** A longer event is no event: the engine is in trouble. */
-const MAX_EVENT_BYTES = 1_048_576;
+const MAX_EVENT_COST_BYTES = 1_048_576;
 const MS_PER_S = 1_000;
 /** An engine that has sent events for this long was not crashed by the prompt. */
 const SOUND_AFTER_MS = 500;
@@ -115,13 +115,19 @@
         if (unusedBytes > MAX_UNUSED_BYTES) exchange.abort('answer too large');
         return false;
       }
-      const { whole, count, ids, lastEventId } = splitter.split(chunk);
-      for (const id of ids) recordEventId(eventIds, id);
+      const parts = splitter.split(chunk);
+      const whole = Buffer.concat(parts.map(({ bytes }) => bytes));
+      let count = 0;
+      for (const part of parts) {
+        if (part.kind === 'filler') continue;
+        count += 1;
+        recordEventId(eventIds, part.id);
+        if (part.id.kind === 'number') progress.lastEventId = part.id.value;
+      }
       if (count > 0) turn.claim();
       if (count > 0) recordEvents(count);
-      progress.lastEventId = lastEventId ?? progress.lastEventId;
       write(route.isResumable ? whole : chunk, exchange);
-      if (splitter.countRest() > MAX_EVENT_BYTES) exchange.abort('event too large');
+      if (splitter.countRestCost() > MAX_EVENT_COST_BYTES) exchange.abort('event too large');
       return count > 0;
     },
     finish: (): void => {
@@ -129,7 +135,7 @@
         state.partGuard.recordAnswered(request.sharedParts);
       }
       const rest = splitter.takeRest();
-      if (route.isResumable && rest.length > 0) reply.write(rest);
+      if (route.isResumable) for (const { bytes } of rest) reply.write(bytes);
       reply.end();
     },
     isForwarding: () => isForwarding,
