Streams: an event that does not follow on what the caller has is not passed on

Cause: the id of an event was taken over as it came; nothing compared it with the one before, neither within an answer nor where another engine went on; and the place to go on was that of the last event that had a usable id, not of the last one that was passed on. Class: the place in a sequence is taken from what the other side says next, and not from what has been passed on.

Now core/routing/event-order.ts keeps the place (last id, whether ids count by one, whether events without a number came since) and judges each event. One that does not follow breaks its run before a byte of it is passed on: another engine is asked to go on after the last event, and where none may be asked the answer is broken off. After events without a number no other run can go on exactly, so the answer is broken off there. Weighed: leaving out what was sent and going on with a run that began again would join pieces of two runs; it is broken. Steps above one within a run are passed on, as ids need only increase; where a run begins they are events left out if ids have counted by one so far.

--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -1,4 +1,5 @@
 export * from './event-ids.js';
+export * from './event-order.js';
 export * from './event-splitter.js';
 export * from './origin-votes.js';
 export * from './request-permits.js';
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -86,7 +86,7 @@
         place: slotReply,
         waitedMs,
         version: request.configurationVersion,
-        lastEventId: progress.lastEventId,
+        lastEventId: progress.place.lastId,
         resumedStream: request.fields.resumedStream,
       },
       'streams: slot request answered',
--- a/packages/router/src/gateway/stream-grant.ts
+++ b/packages/router/src/gateway/stream-grant.ts
@@ -1,6 +1,6 @@
 /** Runs a stream on the engines of a granted slot: prefill where needed, then decode. */
 
-import type { SendRefusal } from '@tarragonspool/core';
+import { canGoOnElsewhere, type SendRefusal } from '@tarragonspool/core';
 import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayRequest } from './gateway-request.js';
@@ -115,7 +115,8 @@
     return 'done';
   }
   progress.kvSource = undefined;
-  const canContinue = route.isResumable && progress.runs < route.maxAttempts && hasTime;
+  const canContinue =
+    canGoOnElsewhere(progress.place) && progress.runs < route.maxAttempts && hasTime;
   if (canContinue && takeServiceRetries(state, service, countRetries(progress))) return 'again';
   failStream(request, 'engine-failed');
   return 'done';
--- a/packages/router/src/gateway/stream-handover.ts
+++ b/packages/router/src/gateway/stream-handover.ts
@@ -4,13 +4,13 @@
  * silent may be sound.
  */
 
-import type { ClearedUpstream } from '@tarragonspool/core';
+import { canGoOnElsewhere, type ClearedUpstream } from '@tarragonspool/core';
 import type { UpstreamId } from '@tarragonspool/protocol';
 import { makeChannel, offer, receive, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { REQUEST_INBOX_CAPACITY, type GatewayRequest } from './gateway-request.js';
 import { takeServiceRetries, type GatewayState } from './gateway-state.js';
-import { runDecode, type DecodeRun, type RunTurn } from './stream-decode.js';
+import { runDecode, type DecodeRun } from './stream-decode.js';
 import {
   askDecode,
   endGrant,
@@ -26,6 +26,7 @@
   notifyEngineFailed,
   type StreamProgress,
 } from './stream-progress.js';
+import type { RunTurn } from './stream-relay.js';
 import { awaitSlotReply, buildSlotRequest } from './stream-slot.js';
 
 /** A run of a stream on the engine of a grant. */
@@ -190,9 +191,9 @@
       sentAt: Infinity,
     };
     attempt = own;
-    const { events, lastEventId } = progress;
+    const { events, place } = progress;
     state.logger.info(
-      { requestId, upstreamId: decode, events, lastEventId },
+      { requestId, upstreamId: decode, events, lastEventId: place.lastId },
       'streams: engine is silent, another one is looked for',
     );
     startTask(
@@ -229,7 +230,8 @@
       if (attempt === undefined) {
         const hasTime = request.deadlineAt - now > MIN_REMAINING_MS;
         const mayPrefill = progress.failedPrefills < MAX_FAILED_PREFILLS;
-        const mayRun = mayPrefill && countRuns() < request.route.maxAttempts;
+        const hasAttempts = countRuns() < request.route.maxAttempts;
+        const mayRun = mayPrefill && hasAttempts && canGoOnElsewhere(progress.place);
         if (hasTime && mayRun && now >= searchAt) startAttempt();
         return false;
       }
--- a/packages/router/src/gateway/stream-progress.ts
+++ b/packages/router/src/gateway/stream-progress.ts
@@ -1,6 +1,12 @@
 /** Progress of a stream, and functions that its prefill and decode steps share. */
 
-import type { SendOutcome, StreamOrigin, UpstreamRecord } from '@tarragonspool/core';
+import {
+  makeStreamPlace,
+  type SendOutcome,
+  type StreamOrigin,
+  type StreamPlace,
+  type UpstreamRecord,
+} from '@tarragonspool/core';
 import type { EngineFailure, StreamId, UpstreamId } from '@tarragonspool/protocol';
 import { sendPoolMessage } from '../pools/pool-task.js';
 import { getSteadyMs } from '../time/steady-clock.js';
@@ -17,7 +23,8 @@
   runs: number;
   failedPrefills: number;
   prefillSends: number;
-  lastEventId: number | undefined;
+  /** What the caller has of the stream. */
+  place: StreamPlace;
   /** Where the stream began, at this VM or another; undefined before its first event. */
   origin: StreamOrigin | undefined;
   /** Media type of the answer that has begun; undefined before, or if its head names none. */
@@ -44,7 +51,7 @@
 
 /** Makes the progress of a stream that has just arrived. */
 export function makeStreamProgress(
-  request: GatewayRequest,
+  { route, fields }: GatewayRequest,
   origin: StreamOrigin | undefined,
 ): StreamProgress {
   return {
@@ -52,7 +59,7 @@
     runs: 0,
     failedPrefills: 0,
     prefillSends: 0,
-    lastEventId: request.fields.lastEventId,
+    place: makeStreamPlace(route.isResumable, route.isResumable ? fields.lastEventId : undefined),
     origin,
     mediaType: undefined,
     events: 0,
@@ -123,8 +130,8 @@
 }
 
 /** Builds the fields with which another engine continues after the last whole event. */
-export function buildResumeFields({ lastEventId, runs }: StreamProgress): SendFields {
-  return runs > 0 && lastEventId !== undefined ? { resumeAfterEvent: lastEventId } : {};
+export function buildResumeFields({ place: { lastId }, runs }: StreamProgress): SendFields {
+  return runs > 0 && lastId !== undefined ? { resumeAfterEvent: lastId } : {};
 }
 
 /**
--- /dev/null
+++ b/packages/router/src/gateway/stream-relay.ts
@@ -0,0 +1,193 @@
+/**
+ * Forwards the answer of one run of a stream to its caller, in whole events and in order. What does not follow on the
+ * events that the caller has ends the run before it is passed on.
+ */
+
+import {
+  dropByteOrderMark,
+  judgeEvent,
+  makeEventIds,
+  makeEventSplitter,
+  recordEventId,
+  type StreamPart,
+} from '@tarragonspool/core';
+import { dropWholeAnswerHeaders, findMediaType } from '../http/whole-answer-headers.js';
+import { getSteadyMs } from '../time/steady-clock.js';
+import type { AnswerFraming, UpstreamExchange } from '../upstreams/upstream-client.js';
+import type { GatewayRequest } from './gateway-request.js';
+import type { GatewayState } from './gateway-state.js';
+import type { AnswerHead } from './sender.js';
+import { countEvents, type StreamProgress } from './stream-progress.js';
+
+const HTTP_OK = 200;
+const MAX_UNUSED_BYTES = 65_536;
+/** A longer event is no event: the engine is in trouble. */
+const MAX_EVENT_COST_BYTES = 1_048_576;
+const MS_PER_S = 1_000;
+/** An engine that has sent events for this long was not crashed by the prompt. */
+const SOUND_AFTER_MS = 500;
+
+/** What a run may do whose place another run of its stream may take. */
+export type RunTurn = {
+  /** Whether the run may write to the answer; asked when its engine is heard, before anything is written. */
+  readonly claim: () => boolean;
+  /** Whether another run has taken its place. */
+  readonly isDisplaced: () => boolean;
+  /** Whether the run may be given up; asked again and again while its engine is silent. */
+  readonly canGiveUp: () => boolean;
+};
+
+/** Records what the events of a run tell of the prompt and of the engine. */
+function makeEventRecorder(
+  state: GatewayState,
+  request: GatewayRequest,
+  progress: StreamProgress,
+  onFirstEvent: () => void,
+) {
+  let firstEventAt: number | undefined;
+  let isKnownSound = false;
+
+  function recordSound(): void {
+    isKnownSound = true;
+    state.partGuard.recordAnswered(request.sharedParts);
+  }
+
+  return {
+    hasEvents: () => firstEventAt !== undefined,
+    recordEvents: (count: number): void => {
+      const now = getSteadyMs();
+      if (firstEventAt === undefined) {
+        firstEventAt = now;
+        onFirstEvent();
+      }
+      const waitedMs = now - request.arrivedAt;
+      if (progress.events === 0) state.metrics.firstEventSeconds.observe(waitedMs / MS_PER_S);
+      countEvents(progress, count, waitedMs);
+      if (!isKnownSound && now >= firstEventAt + SOUND_AFTER_MS) recordSound();
+    },
+    recordEnd: (): void => {
+      if (firstEventAt !== undefined && !isKnownSound) recordSound();
+    },
+  };
+}
+
+/** Forwards the answer of one run as it arrives. */
+export function makeEventRelay(
+  state: GatewayState,
+  request: GatewayRequest,
+  progress: StreamProgress,
+  turn: RunTurn,
+  onFirstEvent: () => void,
+) {
+  const { reply, route } = request;
+  const splitter = makeEventSplitter();
+  const recorder = makeEventRecorder(state, request, progress, onFirstEvent);
+  const eventIds = makeEventIds(progress.place.lastId);
+  const isContinued = reply.getState() === 'begun';
+  let isForwarding = false;
+  let isFirstPart = true;
+  let unusedBytes = 0;
+  let framing: AnswerFraming | undefined;
+
+  function write(bytes: Buffer, exchange: UpstreamExchange | undefined): void {
+    if (bytes.length === 0 || reply.write(bytes) || exchange === undefined) return;
+    exchange.pause();
+    reply.onDrain(() => exchange.resume());
+  }
+
+  /** Whether an answer may go on with what has begun: one of another media type is no part of it. */
+  function canFollow({ rawHeaders }: AnswerHead): boolean {
+    return reply.getState() === 'open' || findMediaType(rawHeaders) === progress.mediaType;
+  }
+
+  function begin({ status, rawHeaders }: AnswerHead): void {
+    progress.mediaType = findMediaType(rawHeaders);
+    const headers = state.ports.dialect.makeAnswerHeaders(rawHeaders);
+    // Another engine may go on with the answer of a route that can be resumed.
+    reply.begin(status, route.isResumable ? dropWholeAnswerHeaders(headers) : headers);
+  }
+
+  /** Judges parts one after the other; returns those that may be passed on, and why the next one may not. */
+  function takeParts(parts: readonly StreamPart[]): {
+    bytes: Buffer;
+    count: number;
+    fault?: string;
+  } {
+    const taken: Buffer[] = [];
+    let count = 0;
+    for (const part of parts) {
+      if (part.kind === 'event') {
+        recordEventId(eventIds, part.id);
+        const verdict = judgeEvent(progress.place, part.id, !recorder.hasEvents() && count === 0);
+        if (verdict.kind === 'out-of-order') {
+          return { bytes: Buffer.concat(taken), count, fault: verdict.fault };
+        }
+        progress.place = verdict.place;
+        count += 1;
+      }
+      // In the middle of an answer a byte order mark would be a part of the next line.
+      taken.push(isFirstPart && isContinued ? dropByteOrderMark(part.bytes) : part.bytes);
+      isFirstPart = false;
+    }
+    return { bytes: Buffer.concat(taken), count };
+  }
+
+  /** Passes on the parts that follow; returns whether there was an event, and why the next part does not follow. */
+  function writeParts(
+    parts: readonly StreamPart[],
+    exchange?: UpstreamExchange,
+  ): { hasEvents: boolean; fault: string | undefined } {
+    const { bytes, count, fault } = takeParts(parts);
+    if (count > 0) {
+      turn.claim();
+      recorder.recordEvents(count);
+    }
+    write(bytes, exchange);
+    return { hasEvents: count > 0, fault };
+  }
+
+  return {
+    onHead: (head: AnswerHead): void => {
+      framing = head.framing;
+      const isUsable = head.status === HTTP_OK && head.isSigned && !head.isNotRun;
+      isForwarding = isUsable && canFollow(head) && turn.claim();
+      if (!isForwarding) return;
+      progress.runs += 1;
+      progress.kvSource = undefined;
+      if (reply.getState() === 'open') begin(head);
+    },
+    onData: (chunk: Buffer, exchange: UpstreamExchange): boolean => {
+      if (turn.isDisplaced()) return false;
+      // The body of a refusal is not used; it may be without end.
+      if (!isForwarding) {
+        unusedBytes += chunk.length;
+        if (unusedBytes > MAX_UNUSED_BYTES) exchange.abort('answer too large');
+        return false;
+      }
+      const { hasEvents, fault } = writeParts(splitter.split(chunk), exchange);
+      if (fault !== undefined) exchange.abort(fault);
+      else if (splitter.countRestCost() > MAX_EVENT_COST_BYTES) exchange.abort('event too large');
+      return hasEvents;
+    },
+    /** Takes the end of an answer that its framing says is whole; returns why it is not. */
+    findCut: (): string | undefined => {
+      if (!isForwarding) return undefined;
+      if (splitter.isInsideEvent()) return 'answer ended inside an event';
+      const { fault } = writeParts(splitter.takeRest());
+      if (fault !== undefined) return fault;
+      // The head of a resumed answer may be all that the caller still lacks.
+      const lacksEvents = !recorder.hasEvents() && progress.place.lastId === undefined;
+      return lacksEvents && framing === 'connection' ? 'answer ended before an event' : undefined;
+    },
+    /** Ends the caller's answer. */
+    finish: (): void => {
+      recorder.recordEnd();
+      reply.end();
+    },
+    isForwarding: () => isForwarding,
+    /** Whether this engine has sent events. */
+    hasEvents: recorder.hasEvents,
+    /** How the answer's end is told, and the bytes after its last whole event. */
+    getEnd: () => ({ framing, restBytes: splitter.countRest(), eventIds }),
+  };
+}
