Streams: an answer that ends with its connection is confirmed before it is told as complete

Cause: a close was taken for the end of the stream, though the kernel closes the connections of a process that died as well. Somebody can be asked: another run that goes on after the last event has more, or none. Where none may be asked the answer is broken off.

Evidence: the 7 tests of this cause in stream-order and stream-order-resumes failed before, all 58 hold. With the question to the engine taken out, the new test of an engine that dies between events fails, 44 hold.

--- a/packages/router/src/gateway/caller-reply.ts
+++ b/packages/router/src/gateway/caller-reply.ts
@@ -11,6 +11,8 @@
 export type BreakReason =
   | 'deadline'
   | 'engine-failed'
+  /** Only its connection told the answer's end, and no other run could be asked whether there is more. */
+  | 'end-unconfirmed'
   | 'no-engine'
   | 'slot-refused'
   | 'not-run'
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -2,7 +2,7 @@
 
 import { canGoOnElsewhere, type ClearedUpstream, type SlotRequestId } from '@tarragonspool/core';
 import { sendPoolMessage } from '../pools/pool-task.js';
-import type { Task } from '../tasks/tasks.js';
+import { awaitPromise, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
@@ -22,8 +22,11 @@
 /** A log line names at most this many parts of a prompt. */
 const MAX_LOGGED_PARTS = 16;
 
-/** How the decoding of a stream on one engine ended; `over` if the request itself ended. */
-export type DecodeEnd = 'finished' | 'not-run' | 'broken' | 'over';
+/**
+ * How the decoding of a stream on one engine ended; `over` if the request itself ended. After `unconfirmed` the
+ * stream may have ended, or its engine may have died.
+ */
+export type DecodeEnd = 'finished' | 'unconfirmed' | 'not-run' | 'broken' | 'over';
 
 /** How a run ended. */
 export type DecodeRun = {
@@ -45,7 +48,19 @@
   const { outcome } = result;
   if (outcome.kind === 'not-run') return 'not-run';
   if (outcome.kind !== 'answered' || !relay.isForwarding()) return 'broken';
-  return 'finished';
+  return relay.isEndKnown() ? 'finished' : 'unconfirmed';
+}
+
+/**
+ * Finds how a stream ended about which no other run can be asked. A server that closed the connection of a whole answer
+ * still takes others, one that died does not (RFC 9112, 8, holds an answer complete that ends with its connection).
+ */
+function* awaitEndByPath(
+  { access }: GatewayState,
+  { upstreamId }: ClearedUpstream,
+): Task<'finished' | 'broken'> {
+  const answer = yield* awaitPromise(access.paths.tryPath(upstreamId));
+  return answer === 'opened' ? 'finished' : 'broken';
 }
 
 /** Runs a stream on one decode engine. */
@@ -89,7 +104,10 @@
     findCut: relay.findCut,
   });
   const isDisplaced = turn.isDisplaced();
-  const end = findDecodeEnd(result, relay, isDisplaced);
+  const seenEnd = findDecodeEnd(result, relay, isDisplaced);
+  const hasOtherRuns = route.isResumable && route.maxAttempts > 1;
+  const isJudgedByPath = seenEnd === 'unconfirmed' && !hasOtherRuns;
+  const end = isJudgedByPath ? yield* awaitEndByPath(state, engine) : seenEnd;
   const { framing, restBytes, eventIds } = relay.getEnd();
   if (end === 'finished') relay.finish();
   const { requestId, promptParts } = request.fields;
--- a/packages/router/src/gateway/stream-grant.ts
+++ b/packages/router/src/gateway/stream-grant.ts
@@ -1,6 +1,7 @@
 /** Runs a stream on the engines of a granted slot: prefill where needed, then decode. */
 
-import { canGoOnElsewhere, type SendRefusal } from '@tarragonspool/core';
+import { canGoOnElsewhere, listUsableUpstreams, type SendRefusal } from '@tarragonspool/core';
+import type { UpstreamId } from '@tarragonspool/protocol';
 import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayRequest } from './gateway-request.js';
@@ -99,12 +100,29 @@
   if (isStored) notifyEngineFailed(state, request, kvSource.upstreamId, 'handle-lost');
 }
 
+/** Lets another engine tell whether a stream has ended, if there is one that may get it. */
+function excludeUnconfirmed(
+  state: GatewayState,
+  { service }: GatewayRequest,
+  { excluded, origin }: StreamProgress,
+  decode: UpstreamId,
+): void {
+  const others = listUsableUpstreams(state.upstreams, service, getSteadyMs()).filter(
+    ({ upstreamId, stage, softwareVersion }) =>
+      stage === 'decode' &&
+      upstreamId !== decode &&
+      !excluded.has(upstreamId) &&
+      softwareVersion === (origin?.softwareVersion ?? softwareVersion),
+  );
+  if (others.length > 0) excluded.add(decode);
+}
+
 /** Decides whether a stream is tried again after a decode that did not finish. */
 function continueAfter(
   state: GatewayState,
   request: GatewayRequest,
   progress: StreamProgress,
-  end: 'not-run' | 'broken',
+  end: 'not-run' | 'broken' | 'unconfirmed',
 ): NextAction {
   const { route, service } = request;
   const hasTime = request.deadlineAt - getSteadyMs() > MIN_REMAINING_MS;
@@ -118,7 +136,7 @@
   const canContinue =
     canGoOnElsewhere(progress.place) && progress.runs < route.maxAttempts && hasTime;
   if (canContinue && takeServiceRetries(state, service, countRetries(progress))) return 'again';
-  failStream(request, 'engine-failed');
+  failStream(request, end === 'broken' ? 'engine-failed' : 'end-unconfirmed');
   return 'done';
 }
 
@@ -158,5 +176,6 @@
     return 'done';
   }
   if (end === 'finished' || end === 'over') return 'done';
+  if (end === 'unconfirmed') excludeUnconfirmed(state, request, progress, run.grant.decode);
   return continueAfter(state, request, progress, end);
 }
--- a/packages/router/src/gateway/stream-handover.ts
+++ b/packages/router/src/gateway/stream-handover.ts
@@ -278,10 +278,10 @@
   { grant, end, result, hasEvents, hasHead }: Omit<GrantedRun, 'isSettled'>,
   isReported = false,
 ): void {
-  endGrant(state, grant, end === 'finished');
+  endGrant(state, grant, end === 'finished' || end === 'unconfirmed');
   const { content, sharedParts: promptParts } = request;
   if (end === 'finished') state.contentGuard.recordAnswered(content.fingerprint);
-  if (end === 'finished' || end === 'over') return;
+  if (end === 'finished' || end === 'unconfirmed' || end === 'over') return;
   const { decode } = grant;
   const broken = { content, hasEvents, promptParts };
   if (end === 'broken') state.contentGuard.recordBroken(decode, broken);
--- a/packages/router/src/gateway/stream-relay.ts
+++ b/packages/router/src/gateway/stream-relay.ts
@@ -187,6 +187,11 @@
     isForwarding: () => isForwarding,
     /** Whether this engine has sent events. */
     hasEvents: recorder.hasEvents,
+    /**
+     * Whether the end of a whole answer is the end of its stream. A connection that is closed after events may as
+     * well be that of an engine that died.
+     */
+    isEndKnown: (): boolean => framing !== 'connection' || !recorder.hasEvents(),
     /** How the answer's end is told, and the bytes after its last whole event. */
     getEnd: () => ({ framing, restBytes: splitter.countRest(), eventIds }),
   };
