Streams: an answer without a length goes on without one where nobody can be asked for its end; postmortems

The answer goes to the caller as it came; at its end the engine is tried, and if it takes no connection the caller's is reset.

--- a/packages/router/src/gateway/caller-reply.ts
+++ b/packages/router/src/gateway/caller-reply.ts
@@ -30,7 +30,12 @@
   /** Answers with one of the gateway's own result codes. */
   readonly refuse: (name: ResultName, retryAfterMs?: number) => void;
   /** Sends the head of a server's answer. */
-  readonly begin: (status: number, rawHeaders: readonly string[]) => void;
+  readonly begin: (
+    status: number,
+    rawHeaders: readonly string[],
+    /** Whether the end of the connection is to tell the end of the answer; false if absent. */
+    endsWithConnection?: boolean,
+  ) => void;
   /** Returns false if the caller reads more slowly than the server writes; wait for `onDrain`. */
   readonly write: (chunk: Buffer) => boolean;
   readonly end: () => void;
@@ -68,11 +73,13 @@
   return {
     getState: () => state,
     refuse,
-    begin: (status, rawHeaders) => {
+    begin: (status, rawHeaders, endsWithConnection = false) => {
       if (state !== 'open') return;
       state = 'begun';
       hasLength = rawHeaders.some((name, index) => index % 2 === 0 && LENGTH.test(name));
-      const headers = isLeaving() ? [...rawHeaders, 'Connection', 'close'] : [...rawHeaders];
+      const isLast = isLeaving() || endsWithConnection;
+      const headers = isLast ? [...rawHeaders, 'Connection', 'close'] : [...rawHeaders];
+      if (endsWithConnection) response.useChunkedEncodingByDefault = false;
       response.writeHead(status, headers);
       response.flushHeaders();
     },
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -15,7 +15,7 @@
   type SendFields,
   type StreamProgress,
 } from './stream-progress.js';
-import { makeEventRelay, type RunTurn } from './stream-relay.js';
+import { canAskOtherRuns, makeEventRelay, type RunTurn } from './stream-relay.js';
 
 const HEAD_TIMEOUT_MS = 1_500;
 const SILENCE_MS = 1_200;
@@ -105,8 +105,7 @@
   });
   const isDisplaced = turn.isDisplaced();
   const seenEnd = findDecodeEnd(result, relay, isDisplaced);
-  const hasOtherRuns = route.isResumable && route.maxAttempts > 1;
-  const isJudgedByPath = seenEnd === 'unconfirmed' && !hasOtherRuns;
+  const isJudgedByPath = seenEnd === 'unconfirmed' && !canAskOtherRuns(route);
   const end = isJudgedByPath ? yield* awaitEndByPath(state, engine) : seenEnd;
   const { framing, restBytes, eventIds } = relay.getEnd();
   if (end === 'finished') relay.finish();
--- a/packages/router/src/gateway/stream-relay.ts
+++ b/packages/router/src/gateway/stream-relay.ts
@@ -9,6 +9,7 @@
   makeEventIds,
   makeEventSplitter,
   recordEventId,
+  type Route,
   type StreamPart,
 } from '@tarragonspool/core';
 import { dropWholeAnswerHeaders, findMediaType } from '../http/whole-answer-headers.js';
@@ -37,6 +38,11 @@
   readonly canGiveUp: () => boolean;
 };
 
+/** Whether another run can be asked if a stream has ended. */
+export function canAskOtherRuns({ isResumable, maxAttempts }: Route): boolean {
+  return isResumable && maxAttempts > 1;
+}
+
 /** Records what the events of a run tell of the prompt and of the engine. */
 function makeEventRecorder(
   state: GatewayState,
@@ -104,7 +110,9 @@
     progress.mediaType = findMediaType(rawHeaders);
     const headers = state.ports.dialect.makeAnswerHeaders(rawHeaders);
     // Another engine may go on with the answer of a route that can be resumed.
-    reply.begin(status, route.isResumable ? dropWholeAnswerHeaders(headers) : headers);
+    const kept = route.isResumable ? dropWholeAnswerHeaders(headers) : headers;
+    // Chunks would tell an end that the engine has not told.
+    reply.begin(status, kept, framing === 'connection' && !canAskOtherRuns(route));
   }
 
   /** Judges parts one after the other; returns those that may be passed on, and why the next one may not. */
