Links: what an earlier process of a VM still sends is left out once its next one is linked

What callers could see: an answer of another request, or events of one in another stream, at a VM that was started again. VMs number what peers send for them from 1 at each start. The link of the newer process closed the older one's, but what came on that one until its end was still taken as the peer's: a send of the older process would have run and its events been told to the newer one under a number of its own.

Cause: messages were told by the VM's name alone. Class: a number of one process read by another.

Why it works: incarnations only rise, and the table keeps the newest; messages of one that is older than the table's are dropped.

--- a/packages/router/src/peers/peer-mesh.test.ts
+++ b/packages/router/src/peers/peer-mesh.test.ts
@@ -35,6 +35,8 @@
   readonly opened: VmId[];
   readonly gone: VmId[];
   readonly heard: string[];
+  /** Called as a link opens. */
+  onOpened: () => void;
 };
 
 const meshes: PeerMesh[] = [];
@@ -61,6 +63,7 @@
 async function startMesh(vmId: string, incarnation = 1, port = 0): Promise<TestMesh> {
   const directory = { entryVms: [] as EntryVmRecord[] };
   const [opened, gone, heard]: [VmId[], VmId[], string[]] = [[], [], []];
+  const hooks = { onOpened: (): void => undefined };
   const mesh = startPeerMesh({
     self: makeIdentity(vmId, incarnation),
     listen: { host: HOST, port },
@@ -69,13 +72,16 @@
     metrics: makeMetrics(),
     logger: pino({ level: 'silent' }),
     times: { dialIntervalMs: 20, silenceMs: SILENCE_MS, handshakeTimeoutMs: 200 },
-    onOpen: ({ peer }) => opened.push(peer.vmId),
+    onOpen: ({ peer }) => {
+      opened.push(peer.vmId);
+      hooks.onOpened();
+    },
     onMessage: (_peer, message) => heard.push(message.kind),
     onGone: (gonePeer) => gone.push(gonePeer),
   });
   meshes.push(mesh);
   await waitUntil(() => mesh.getPort() !== undefined);
-  return { mesh, directory, opened, gone, heard };
+  return Object.assign(hooks, { mesh, directory, opened, gone, heard });
 }
 
 function makeRecord(vmId: string, mesh: PeerMesh): EntryVmRecord {
@@ -176,6 +182,22 @@
   expect(mesh.mesh.links.get('vm-2' as VmId)?.peer.incarnation).to.equal(5);
 });
 
+// Guards against an answer for an earlier process of a VM that is told to its next one, which counts its sends anew.
+it('peers: what an older incarnation still sends is left out once a newer one is linked', async () => {
+  const mesh = await startMesh('vm-1');
+  const older = (await openLink(mesh, makeIdentity('vm-2', 4))) as PeerLink;
+  older.send(HEARTBEAT);
+  await waitUntil(() => mesh.heard.length === 1);
+  // On its way as the newer one is linked: its own end does not know yet that it is closed.
+  mesh.onOpened = () => older.send(HEARTBEAT);
+  const newer = (await openLink(mesh, makeIdentity('vm-2', 5))) as PeerLink;
+  newer.send(HEARTBEAT);
+  await waitUntil(() => mesh.heard.length > 1);
+  await wait(100);
+  expect(mesh.opened).to.have.length(2);
+  expect(mesh.heard).to.have.length(2);
+});
+
 it('peers: a link whose peer is silent is cut', async () => {
   const mesh = await startMesh('vm-1');
   await openLink(mesh, makeIdentity('vm-2'));
--- a/packages/router/src/peers/peer-mesh.ts
+++ b/packages/router/src/peers/peer-mesh.ts
@@ -76,6 +76,11 @@
   return {
     links,
     isDialled: (link: PeerLink): boolean => dialled.has(link),
+    /** Whether a newer incarnation of the peer is linked. */
+    isSuperseded: ({ peer }: PeerLink): boolean => {
+      const known = links.get(peer.vmId);
+      return known !== undefined && known.peer.incarnation > peer.incarnation;
+    },
     add: (link: PeerLink, isDialled: boolean): void => {
       const { vmId, incarnation } = link.peer;
       const known = links.get(vmId);
@@ -181,7 +186,10 @@
       { self, secrets: parts.secrets, handshakeTimeoutMs: times.handshakeTimeoutMs },
       {
         onOpen: (link) => add(link, isDialled),
-        onMessage: (link, message) => parts.onMessage(link.peer, message),
+        onMessage: (link, message) => {
+          // Its numbers mean other things to the newer incarnation, which would be answered.
+          if (!table.isSuperseded(link)) parts.onMessage(link.peer, message);
+        },
         onUnknownKind: ({ peer }, kind) => {
           logger.info({ peer: peer.vmId, kind }, 'peers: messages of an unknown kind are left out');
         },
