Streams: an engine is not silent while its caller reads nothing

What callers saw: a stream whose caller stops reading for over 1.2 s, with events so large that no more fits on the way, was begun again at another engine (prefill and events anew), and its sound engine was told to the pool as silent and broken, so that other callers' streams avoided it. The events came once and in order.

Cause: a full answer pauses the engine's connection, and the silence watch counted the time since the last event that was read. Class: a wait of one's own that is counted as another's silence.

Evidence: a daemon, 200 KB an event, a caller that reads nothing for 4 s: sent to d1, then to d2 after event 33; now to d1 alone. The new test failed before: sent to e0 and e1, failures silent and broken; now e0 and none. A second new test holds with and without: an engine that is silent after the pause is given up.

Why it works: while the exchange is paused the answer counts as having made progress; its deadline stands.

--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -78,8 +78,34 @@
   head: AnswerHead | undefined;
   /** When the answer last made progress. */
   progressAt: number;
+  /** Whether nothing is read from the server, as the caller takes nothing. */
+  isPaused: boolean;
 };
 
+/** Makes an exchange whose pauses are no silence of its server: what it sends meanwhile is not read. */
+function makeWatchedExchange(
+  exchange: UpstreamExchange,
+  active: { readonly send: ActiveSend | undefined },
+): UpstreamExchange {
+  const setPaused = (isPaused: boolean): void => {
+    const { send } = active;
+    if (send === undefined) return;
+    send.isPaused = isPaused;
+    send.progressAt = getSteadyMs();
+  };
+  return {
+    ...exchange,
+    pause: () => {
+      setPaused(true);
+      exchange.pause();
+    },
+    resume: () => {
+      setPaused(false);
+      exchange.resume();
+    },
+  };
+}
+
 function startSend(state: GatewayState, request: GatewayRequest, plan: SendPlan): ActiveSend {
   const { dialect } = state.ports;
   const number = countSend();
@@ -116,8 +142,10 @@
     }
     offer(request.inbox, { kind: 'upstream', send: number, event });
   });
-  active.send = { number, exchange, head: undefined, progressAt: now };
-  return active.send;
+  const watched = makeWatchedExchange(exchange, active);
+  const send = { number, exchange: watched, head: undefined, progressAt: now, isPaused: false };
+  active.send = send;
+  return send;
 }
 
 function findCompletedOutcome({ head }: ActiveSend, plan: SendPlan): SendOutcome {
@@ -187,6 +215,7 @@
   let caughtUpAt = 0;
   const check = (): void => {
     const now = getSteadyMs();
+    if (send.isPaused) send.progressAt = now;
     if (now - checkDueAt > STOOD_STILL_MS) {
       caughtUpAt = now + CATCH_UP_MS;
       lastNoticeAt = now;
--- a/packages/router/src/gateway/stream-joins.fuzz.test.ts
+++ b/packages/router/src/gateway/stream-joins.fuzz.test.ts
@@ -85,7 +85,14 @@
 const NOTICE = { isLeaving: false, pauseMs: undefined, limit: { kind: 'none' }, invalid: [] };
 
 /** What one caller got. */
-type Outcome = { text: string; end: string };
+type Outcome = {
+  text: string;
+  end: string;
+  /** Engines that got the stream. */
+  readonly sentTo: string[];
+  /** Failures that the pool was told. */
+  readonly failures: string[];
+};
 
 function buildEvent(id: number): string {
   return `id: ${id}\ndata: part ${id}\n\n`;
@@ -239,7 +246,7 @@
 
 /** Plays one stream: the pool grants its engines in their order, each run as the next script says. */
 async function playStream(course: Course): Promise<Outcome> {
-  const outcome: Outcome = { text: '', end: 'none' };
+  const outcome: Outcome = { text: '', end: 'none', sentTo: [], failures: [] };
   const inbox = makeChannel<PoolTaskMessage>(64);
   const upstreams = makeUpstreamList();
   const names = course.runs.map((_, index) => `e${index}`);
@@ -252,6 +259,7 @@
   type Call = { server: UpstreamRecord; headers: readonly string[]; onSent: () => void };
   const send = ({ server, headers, onSent }: Call, onEvent: (event: UpstreamEvent) => void) => {
     const run = course.runs[names.indexOf(server.upstreamId)] as RunScript;
+    outcome.sentTo.push(server.upstreamId);
     if (run.end !== 'unreached') onSent();
     return startRun(run, Number(headers[0]), course.events, onEvent);
   };
@@ -298,8 +306,10 @@
     for (;;) {
       const received = yield* receive(inbox);
       if (received === undefined) return;
-      if (received.kind !== 'request' || received.message.kind !== 'ask') continue;
+      if (received.kind !== 'request') continue;
       const { message } = received;
+      if (message.kind === 'engine-failed') outcome.failures.push(message.failure);
+      if (message.kind !== 'ask') continue;
       const { askId, excluded } = message.ask;
       const decode = names.find((name) => !excluded.includes(name as UpstreamId));
       if (decode === undefined) continue;
@@ -356,3 +366,34 @@
   const whole = outcomes.filter(({ end }) => end === 'whole');
   expect(whole.length).to.be.greaterThan(courses.length / 4);
 });
+
+const STEADY_RUN: RunScript = {
+  headMs: 0,
+  gapMs: 60,
+  silentAfter: 0,
+  silentMs: 0,
+  eventsPerPiece: 1,
+  lateBytes: 0,
+  end: 'whole',
+  endAfter: 0,
+};
+
+// Guards against a sound engine that is given up, and told as silent, since the caller reads nothing for a while.
+it('stream joins: a stream whose caller stops reading stays at its engine, which is not blamed', async () => {
+  const runs = [STEADY_RUN, STEADY_RUN];
+  const stall = { stallAfter: 3, stallMs: 2_400 };
+  const outcome = await playStream({ runs, events: 8, maxAttempts: 2, hasUpTo: 0, ...stall });
+  const { end, sentTo, failures } = outcome;
+  expect({ end, sentTo, failures }).to.deep.equal({ end: 'whole', sentTo: ['e0'], failures: [] });
+});
+
+// Guards against an engine that falls silent behind such a pause and is never given up.
+it('stream joins: an engine that is silent after its caller has read again is given up', async () => {
+  const silent = { ...STEADY_RUN, silentAfter: 4, silentMs: 20_000 };
+  const stall = { stallAfter: 3, stallMs: 1_500 };
+  const runs = [silent, STEADY_RUN];
+  const outcome = await playStream({ runs, events: 8, maxAttempts: 2, hasUpTo: 0, ...stall });
+  expect(findFault({ events: 8, hasUpTo: 0 } as Course, outcome)).to.equal(undefined);
+  expect(outcome.end).to.equal('whole');
+  expect(outcome.sentTo).to.deep.equal(['e0', 'e1']);
+});
