Observability: what is cut off as too large is logged and counted, what is held is a gauge

A caller's body that was refused as too large left no line, an answer that was cut off only an unknown outcome, and nothing told how many bytes were held. limits: cut off names the part, the reason, the bytes and the server or the caller. tarragonspool_gateway_size_cuts_total counts them, tarragonspool_gateway_held_bytes is what is held. No limit changes.

--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -18,6 +18,7 @@
 import { findLoad, takeServiceRetries, type GatewayState } from './gateway-state.js';
 import { endQuarantined } from './quarantine-check.js';
 import { sendOnce, type AnswerHead, type SendResult } from './sender.js';
+import { recordSizeCut } from './size-cuts.js';
 import { findRetryAfterMs } from './upstream-notices.js';
 
 /** A server that reported that it is full gets no requests for this long. */
@@ -121,8 +122,13 @@
       bytes += chunk.length;
       state.heldAnswerBytes += chunk.length;
       parts.push(chunk);
-      const isTooLarge = bytes > MAX_ANSWER_BYTES || state.heldAnswerBytes > MAX_HELD_BYTES;
-      if (isTooLarge) exchange.abort('answer too large');
+      const isTooLarge = bytes > MAX_ANSWER_BYTES;
+      if (!isTooLarge && state.heldAnswerBytes <= MAX_HELD_BYTES) return true;
+      const reason = isTooLarge ? 'content' : 'memory';
+      const { requestId } = request.fields;
+      const { upstreamId } = server;
+      recordSizeCut(state, { part: 'answer', reason, bytes, requestId, upstreamId });
+      exchange.abort('answer too large');
       return true;
     },
   });
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -14,6 +14,7 @@
 import type { CallerFields } from './ports.js';
 import { findQuarantineReason } from './quarantine-check.js';
 import { buildContent, digestContent, makeScope, scopePart } from './quarantine-scope.js';
+import { recordSizeCut } from './size-cuts.js';
 import { runStreamRequest } from './stream-flow.js';
 
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
@@ -209,7 +210,12 @@
       parts.push(part);
       return;
     }
-    if (reply.getState() === 'open') reply.refuse('body-too-large');
+    if (reply.getState() === 'open') {
+      const requestId = state.ports.dialect.decodeRequestId(incoming.headers);
+      const { remoteAddress: caller } = incoming.socket;
+      recordSizeCut(state, { part: 'body', reason: 'content', bytes, requestId, caller });
+      reply.refuse('body-too-large');
+    }
     parts.length = 0;
     // The rest of the body may be without end.
     if (bytes > limit + MAX_IGNORED_BODY_BYTES) incoming.destroy();
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -119,6 +119,18 @@
       labelNames: ['side', 'outcome'],
       registers,
     }),
+    sizeCuts: new Counter({
+      name: `${PREFIX}size_cuts_total`,
+      help: 'Bodies and answers cut off as too large, by part and reason.',
+      labelNames: ['part', 'reason'],
+      registers,
+    }),
+    heldBytes: new Gauge({
+      name: `${PREFIX}held_bytes`,
+      help: 'Bytes held for requests: bodies, answers not yet whole or read, unfinished events.',
+      labelNames: ['kind'],
+      registers,
+    }),
     cutOff: new Gauge({
       name: `${PREFIX}cut_off`,
       help: 'Whether this VM seems to be cut off from all servers.',
--- a/packages/router/src/gateway/side-listeners.ts
+++ b/packages/router/src/gateway/side-listeners.ts
@@ -27,6 +27,7 @@
   const { registry } = state.metrics;
   const server = createServer((_incoming, response) => {
     updateUpstreamGauge(state);
+    state.metrics.heldBytes.set({ kind: 'answer' }, state.heldAnswerBytes);
     registry.metrics().then(
       (text) => {
         response.writeHead(200, { 'Content-Type': registry.contentType });
--- a/packages/router/src/gateway/stream-prefill.ts
+++ b/packages/router/src/gateway/stream-prefill.ts
@@ -6,6 +6,7 @@
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import { sendOnce, type SendResult } from './sender.js';
+import { recordSizeCut } from './size-cuts.js';
 import {
   buildResumeFields,
   getSendOutcome,
@@ -45,8 +46,14 @@
     wholeDueAt: sentAt + PREFILL_TIMEOUT_MS,
     onData: (chunk, exchange) => {
       bytes += chunk.length;
-      if (bytes > MAX_ANSWER_BYTES) exchange.abort('answer too large');
-      else parts.push(chunk);
+      if (bytes <= MAX_ANSWER_BYTES) {
+        parts.push(chunk);
+        return true;
+      }
+      const { requestId } = request.fields;
+      const { upstreamId } = engine;
+      recordSizeCut(state, { part: 'prefill', reason: 'content', bytes, requestId, upstreamId });
+      exchange.abort('answer too large');
       return true;
     },
   });
