Byte collector: blocks in place of one buffer that doubles

Large pieces that fill their own memory are kept and not copied. getBytes joins into one block with room for as much again, so that a reader that asks after each piece still costs each byte a few copies at most.

--- a/packages/core/src/bytes/byte-collector.test.ts
+++ b/packages/core/src/bytes/byte-collector.test.ts
@@ -40,3 +40,27 @@
   for (let index = 0; index < 100; index += 1) many.append(Buffer.alloc(1));
   expect(many.countCost()).to.be.above(10 * one.countCost());
 });
+
+it('byte collector: large pieces among small ones come back in order, read in between or not', () => {
+  const step = fc.record({
+    bytes: fc.oneof(fc.nat(300), fc.integer({ min: 16_000, max: 70_000 })),
+    isRead: fc.boolean(),
+    dropped: fc.oneof(fc.constant(0), fc.nat(90_000)),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 12 }), (steps) => {
+      const collector = makeByteCollector();
+      let expected = Buffer.alloc(0);
+      for (const [index, { bytes, isRead, dropped }] of steps.entries()) {
+        const piece = Buffer.alloc(bytes, index + 1);
+        collector.append(piece);
+        expected = Buffer.concat([expected, piece]);
+        if (isRead) expect(collector.getBytes().equals(expected)).to.equal(true);
+        collector.dropFirst(dropped);
+        expected = expected.subarray(dropped);
+      }
+      expect(collector.countBytes()).to.equal(expected.length);
+      expect(collector.take().equals(expected)).to.equal(true);
+    }),
+  );
+});
--- a/packages/core/src/bytes/byte-collector.ts
+++ b/packages/core/src/bytes/byte-collector.ts
@@ -1,6 +1,6 @@
 /**
- * Collects bytes that arrive in pieces. They are kept in one buffer that grows, so that memory follows the
- * number of bytes, however small the pieces are.
+ * Collects bytes that arrive in pieces. They are kept in blocks, so that memory follows the number of bytes,
+ * however small the pieces are, and nothing is copied again while they grow.
  */
 
 /** Bytes that have come so far. */
@@ -12,7 +12,7 @@
    * are compared with this.
    */
   readonly countCost: () => number;
-  /** Returns the bytes without copying them; valid until the next change. */
+  /** Returns the bytes, valid until the next change; over all pieces it copies each byte a few times at most. */
   readonly getBytes: () => Buffer;
   /** Drops bytes from the beginning, and the cost of all but the bytes that are left. */
   readonly dropFirst: (bytes: number) => void;
@@ -22,48 +22,94 @@
 
 /** Bytes whose reading takes as long as that of one more piece. */
 const PIECE_COST_BYTES = 64;
-const MIN_CAPACITY_BYTES = 256;
+const MIN_BLOCK_BYTES = 256;
+const MAX_BLOCK_BYTES = 65_536;
+/** A piece of this size is kept as it is, if its memory holds little else. */
+const MIN_KEPT_BYTES = 16_384;
+
+function isWorthKeeping(piece: Buffer): boolean {
+  return piece.length >= MIN_KEPT_BYTES && 2 * piece.length >= piece.buffer.byteLength;
+}
 
 /** Makes an empty collector. */
 export function makeByteCollector(): ByteCollector {
-  let held: Buffer = Buffer.alloc(0);
+  /** Full blocks, in order; `last` comes after them. */
+  let full: Buffer[] = [];
+  let last: Buffer = Buffer.alloc(0);
+  /** Bytes of `last` that are in use. */
+  let used = 0;
   let length = 0;
   let pieces = 0;
 
-  function grow(needed: number): void {
-    if (needed <= held.length) return;
-    const larger = Buffer.allocUnsafeSlow(Math.max(MIN_CAPACITY_BYTES, needed, 2 * held.length));
-    held.copy(larger, 0, 0, length);
-    held = larger;
+  function closeLast(): void {
+    if (used > 0) full.push(last.subarray(0, used));
+    last = Buffer.alloc(0);
+    used = 0;
   }
 
   function clear(): void {
-    held = Buffer.alloc(0);
+    full = [];
+    last = Buffer.alloc(0);
+    used = 0;
     length = 0;
     pieces = 0;
   }
 
-  return {
-    append: (piece) => {
-      grow(length + piece.length);
-      piece.copy(held, length);
+  /** Puts everything into one block with room for as much again, so that joining often costs little. */
+  function join(): void {
+    if (full.length === 0) return;
+    const joined = Buffer.allocUnsafeSlow(2 * length);
+    closeLast();
+    let at = 0;
+    for (const block of full) at += block.copy(joined, at);
+    full = [];
+    last = joined;
+    used = length;
+  }
+
+  function append(piece: Buffer): void {
+    pieces += 1;
+    if (isWorthKeeping(piece)) {
+      closeLast();
+      full.push(piece);
       length += piece.length;
-      pieces += 1;
-    },
+      return;
+    }
+    const copied = piece.copy(last, used);
+    used += copied;
+    length += copied;
+    if (copied === piece.length) return;
+    closeLast();
+    const rest = piece.subarray(copied);
+    const bytes = Math.min(MAX_BLOCK_BYTES, Math.max(MIN_BLOCK_BYTES, length));
+    last = Buffer.allocUnsafeSlow(Math.max(bytes, rest.length));
+    used = rest.copy(last);
+    length += used;
+  }
+
+  return {
+    append,
     countBytes: () => length,
     countCost: () => length + pieces * PIECE_COST_BYTES,
-    getBytes: () => held.subarray(0, length),
+    getBytes: () => {
+      join();
+      return last.subarray(0, used);
+    },
     dropFirst: (bytes) => {
       if (bytes >= length) {
         clear();
         return;
       }
-      held.copyWithin(0, bytes, length);
+      join();
+      last.copyWithin(0, bytes, length);
       length -= bytes;
+      used = length;
       pieces = 0;
     },
     take: () => {
-      const taken = held.subarray(0, length);
+      closeLast();
+      const [only] = full;
+      const taken = only !== undefined && full.length === 1 ? only : Buffer.concat(full, length);
       clear();
       return taken;
     },
