Answers without end in small pieces end early, and all that is held has one limit

Callers saw: one answer in chunks of a byte ended the VM's process, and every request on it (59 to 268 MB, the users' report). Cause: limits counted bytes of content, but a list of pieces was kept, each an object with memory of its own, and each chunk was handled by itself. What frames an answer (earlier heads, empty lines, sizes of chunks) had no limit but the deadline. The limit of all answers together cut the newest and not the largest: 15 of 140 sound calls got 502 beside 40 answers without end. Why this works: the pieces of one read are joined before anything handles them, and kept in a byte collector whose memory follows their bytes; a body ends when its bytes or its pieces are too many, an answer when its framing is longer than a quarter of its content and 128 KB. Held bytes are counted together, a tenth of the machine's memory at most, and beyond that the largest holder is given up.

--- a/packages/router/src/gateway/call-flow.test.ts
+++ b/packages/router/src/gateway/call-flow.test.ts
@@ -12,6 +12,7 @@
 import { makeChannel, startTask } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
+import { makeHeldBytes } from './held-bytes.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
@@ -133,7 +134,7 @@
     retryWindows: new Map(),
     takeFraction: () => 0.5,
     listedVmCount: 1,
-    heldAnswerBytes: 0,
+    heldBytes: makeHeldBytes(() => 1_000_000),
   } as unknown as GatewayState;
   await new Promise<void>((resolve) => {
     startTask(
--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -4,6 +4,7 @@
   chooseNextStep,
   listRefusedUpstreams,
   listUsableUpstreams,
+  makeByteCollector,
   recordAnswerTime,
   recordOutcome,
   type ClearedUpstream,
@@ -11,6 +12,7 @@
   type SendOutcome,
 } from '@tarragonspool/core';
 import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
+import { findExcess } from '../http/size-limit.js';
 import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { chooseCallServer, listCandidates } from './call-server.js';
@@ -18,7 +20,7 @@
 import { findLoad, takeServiceRetries, type GatewayState } from './gateway-state.js';
 import { endQuarantined } from './quarantine-check.js';
 import { sendOnce, type AnswerHead, type SendResult } from './sender.js';
-import { recordSizeCut } from './size-cuts.js';
+import { recordSizeCut, type CutReason } from './size-cuts.js';
 import { findRetryAfterMs } from './upstream-notices.js';
 
 /** A server that reported that it is full gets no requests for this long. */
@@ -30,8 +32,6 @@
 const MIN_REMAINING_MS = 25;
 const RETRY_AFTER_MS = 400;
 const MAX_ANSWER_BYTES = 4_194_304;
-/** Bytes of answers that this VM holds at a time, for all calls together. */
-const MAX_HELD_BYTES = 33_554_432;
 const FIRST_SERVER_ERROR = 500;
 
 type CallProgress = {
@@ -109,8 +109,17 @@
 ): Task<{ result: SendResult; answer?: WholeAnswer }> {
   const load = findLoad(state, server.upstreamId);
   const sentAt = getSteadyMs();
-  const parts: Buffer[] = [];
-  let bytes = 0;
+  const body = makeByteCollector();
+  let abort = (): void => undefined;
+  const cut = (reason: CutReason): void => {
+    const { requestId } = request.fields;
+    const { upstreamId } = server;
+    const bytes = body.countBytes();
+    recordSizeCut(state, { part: 'answer', reason, bytes, requestId, upstreamId });
+    body.take();
+    abort();
+  };
+  const held = state.heldBytes.begin('answer', () => cut('memory'));
   load.inFlight += 1;
   const result = yield* sendOnce(state, request, {
     server,
@@ -119,20 +128,15 @@
     canGiveUp: () => takeOtherServer(state, request, server),
     onHead: () => undefined,
     onData: (chunk, exchange) => {
-      bytes += chunk.length;
-      state.heldAnswerBytes += chunk.length;
-      parts.push(chunk);
-      const isTooLarge = bytes > MAX_ANSWER_BYTES;
-      if (!isTooLarge && state.heldAnswerBytes <= MAX_HELD_BYTES) return true;
-      const reason = isTooLarge ? 'content' : 'memory';
-      const { requestId } = request.fields;
-      const { upstreamId } = server;
-      recordSizeCut(state, { part: 'answer', reason, bytes, requestId, upstreamId });
-      exchange.abort('answer too large');
+      abort = (): void => exchange.abort('answer too large');
+      body.append(chunk);
+      const excess = findExcess(body, MAX_ANSWER_BYTES);
+      if (excess !== undefined) cut(excess);
+      else held.update(body.countBytes());
       return true;
     },
   });
-  state.heldAnswerBytes -= bytes;
+  held.end();
   load.inFlight -= 1;
   const outcome: SendOutcome =
     result.kind === 'outcome' ? result.outcome : { kind: 'unknown', reason: result.kind };
@@ -146,7 +150,7 @@
   state.logger.debug({ requestId, upstreamId, outcome, tookMs }, 'calls: send ended');
   state.metrics.sends.inc({ step: 'call', outcome: outcome.kind });
   if (result.kind !== 'outcome' || result.head === undefined) return { result };
-  return { result, answer: { head: result.head, body: Buffer.concat(parts) } };
+  return { result, answer: { head: result.head, body: body.take() } };
 }
 
 function refuseAfterTimeout(request: GatewayRequest, result: SendResult, runs: number): void {
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -23,11 +23,13 @@
 import type { CallerReply } from './caller-reply.js';
 import type { ContentGuard } from './content-guard.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
+import type { HeldBytes } from './held-bytes.js';
 import type { PartGuard } from './part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
 import type { StreamOriginBook } from './stream-origins.js';
 import type { QuarantineWakeup } from './quarantine-rows.js';
 import type { ServerAccess } from './server-access.js';
+import { makeFramingRecord } from './size-cuts.js';
 import { makeSuspensionCheck } from './service-versions.js';
 import { makeVersionRegistry, type VersionRegistry } from './version-registry.js';
 
@@ -84,8 +86,8 @@
   readonly openReplies: Set<CallerReply>;
   /** Those of requests whose body is still on its way. */
   readonly unreadReplies: Set<CallerReply>;
-  /** Bytes of answers that are held until they are whole. */
-  heldAnswerBytes: number;
+  /** Bytes that are held for requests, with one limit for all. */
+  readonly heldBytes: HeldBytes;
   slotRequestCount: number;
   permitRequestCount: number;
 };
@@ -101,6 +103,7 @@
   | 'metrics'
   | 'pools'
   | 'contentGuard'
+  | 'heldBytes'
   | 'partGuard'
   | 'streamOrigins'
   | 'versions'
@@ -114,9 +117,10 @@
 /** Makes the state of a gateway that has no configuration and no upstreams yet. */
 export function makeGatewayState(parts: GatewayStateParts): GatewayState {
   const { decodeRequestId } = parts.ports.dialect;
+  const onOverFramed = makeFramingRecord(parts);
   return {
     ...parts,
-    engineClient: makeUpstreamClient({ keepsConnections: false, decodeRequestId }),
+    engineClient: makeUpstreamClient({ keepsConnections: false, decodeRequestId, onOverFramed }),
     configuration: undefined,
     routes: new Map(),
     versionRegistry: makeVersionRegistry(),
@@ -133,7 +137,6 @@
     openRequests: 0,
     openReplies: new Set(),
     unreadReplies: new Set(),
-    heldAnswerBytes: 0,
     slotRequestCount: 0,
     permitRequestCount: 0,
   };
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -28,6 +28,7 @@
 import { makeContentGuard } from './content-guard.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
 import { makeGatewayState, type GatewayState } from './gateway-state.js';
+import { computeHeldLimit, makeHeldBytes } from './held-bytes.js';
 import { startMembership, type PeerMeshHolder, type StartTask } from './membership.js';
 import { makePartGuard } from './part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
@@ -212,6 +213,9 @@
     metrics,
     pools,
     contentGuard,
+    heldBytes: makeHeldBytes(() =>
+      computeHeldLimit((stateHolder.state?.settings ?? settings).memoryMb),
+    ),
     partGuard,
     quarantineWakeups,
     broadcast,
--- /dev/null
+++ b/packages/router/src/gateway/held-bytes.test.ts
@@ -0,0 +1,70 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { makeHeldBytes, type HeldShare } from './held-bytes.js';
+
+const LIMIT = 1_000;
+
+function makeHeld() {
+  return makeHeldBytes(() => LIMIT);
+}
+
+it('held bytes: all shares are counted together, and an ended one no more', () => {
+  const held = makeHeld();
+  const body = held.begin('body');
+  const answer = held.begin('answer');
+  body.update(300);
+  answer.update(200);
+  body.update(350);
+  expect(held.countAll()).to.equal(550);
+  expect(held.countKind('body')).to.equal(350);
+  body.end();
+  body.end();
+  expect(held.countAll()).to.equal(200);
+});
+
+// Guards against a sound answer that is refused because a faulty server's answers fill the memory.
+it('held bytes: beyond the limit the largest share is given up, and not the newest', () => {
+  const held = makeHeld();
+  const cut: string[] = [];
+  held.begin('answer', (bytes) => cut.push(`endless ${bytes}`)).update(900);
+  held.begin('body', () => cut.push('sound')).update(90);
+  held.begin('answer', () => cut.push('newest')).update(50);
+  expect(cut).to.deep.equal(['endless 900']);
+  expect(held.countAll()).to.equal(140);
+});
+
+it('held bytes: what is under way and cannot be given up makes room for nothing', () => {
+  const held = makeHeld();
+  held.begin('body').update(990);
+  let isCut = false;
+  held
+    .begin('answer', () => {
+      isCut = true;
+    })
+    .update(20);
+  expect(isCut).to.equal(true);
+  expect(held.countAll()).to.equal(990);
+});
+
+it('held bytes: over any updates the sum is that of the shares, and within the limit', () => {
+  const step = fc.record({ share: fc.nat(7), bytes: fc.nat(LIMIT), isEnd: fc.boolean() });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+      const held = makeHeld();
+      const model: number[] = Array.from({ length: 8 }, () => 0);
+      const shares: HeldShare[] = model.map((_bytes, index) =>
+        held.begin('answer', () => {
+          model[index] = 0;
+        }),
+      );
+      for (const { share, bytes, isEnd } of steps) {
+        model[share] = isEnd ? 0 : bytes;
+        if (isEnd) shares[share]?.end();
+        else shares[share]?.update(bytes);
+        const sum = model.reduce((all, own) => all + own, 0);
+        expect(held.countAll()).to.equal(sum);
+        expect(sum).to.be.at.most(LIMIT);
+      }
+    }),
+  );
+});
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -31,6 +31,8 @@
   readonly storeAddress: ListenAddress;
   /** Processor capacity of this VM, in cores. */
   readonly capacity: number;
+  /** Memory of this VM, in megabytes. */
+  readonly memoryMb: number;
   /** Time from the stop signal until the platform kills the process, in milliseconds. */
   readonly stopWithinMs: number;
   /** Time within which a change in the store must take effect, in milliseconds. */
--- a/packages/router/src/gateway/server-access.ts
+++ b/packages/router/src/gateway/server-access.ts
@@ -24,6 +24,7 @@
 import type { GatewaySettings, HttpDialect } from './ports.js';
 import { probeAddress } from './probe-address.js';
 import { makeSuspensionCheck } from './service-versions.js';
+import { makeFramingRecord } from './size-cuts.js';
 
 /** Dependencies of the access to servers. */
 export type ServerAccessParts = {
@@ -86,7 +87,8 @@
 export function startServerAccess(parts: ServerAccessParts): ServerAccess {
   const { settings, upstreams, fleet, meshHolder, takeFraction, metrics, logger } = parts;
   const { decodeRequestId } = parts;
-  const direct = makeUpstreamClient({ keepsConnections: true, decodeRequestId });
+  const onOverFramed = makeFramingRecord({ metrics, logger });
+  const direct = makeUpstreamClient({ keepsConnections: true, decodeRequestId, onOverFramed });
   const sendTo = (vmId: VmId, message: RelayMessage): boolean =>
     meshHolder.mesh?.sendTo(vmId, message) ?? false;
   const paths = startPathWatch({
--- a/packages/router/src/gateway/side-listeners.ts
+++ b/packages/router/src/gateway/side-listeners.ts
@@ -3,6 +3,7 @@
 import { createServer, type Server } from 'node:http';
 import { listenPatiently } from '../http/patient-listener.js';
 import type { GatewayState } from './gateway-state.js';
+import { HELD_KINDS } from './held-bytes.js';
 import { updateUpstreamGauge } from './upstream-notices.js';
 
 /** Whether this VM knows what it serves, and what it must refuse. */
@@ -27,7 +28,9 @@
   const { registry } = state.metrics;
   const server = createServer((_incoming, response) => {
     updateUpstreamGauge(state);
-    state.metrics.heldBytes.set({ kind: 'answer' }, state.heldAnswerBytes);
+    for (const kind of HELD_KINDS) {
+      state.metrics.heldBytes.set({ kind }, state.heldBytes.countKind(kind));
+    }
     registry.metrics().then(
       (text) => {
         response.writeHead(200, { 'Content-Type': registry.contentType });
--- a/packages/router/src/gateway/size-cuts.ts
+++ b/packages/router/src/gateway/size-cuts.ts
@@ -1,14 +1,16 @@
 /** Logs and counts the bodies and answers that this VM cuts off because they are too large. */
 
 import type { UpstreamId } from '@tarragonspool/protocol';
+import type { Excess } from '../http/size-limit.js';
+import type { UpstreamCall } from '../upstreams/upstream-client.js';
 import type { GatewayState } from './gateway-state.js';
+import type { HeldKind } from './held-bytes.js';
 
 /** What was cut off. */
-export type CutPart =
-  'body' | 'requests' | 'answer' | 'event' | 'refusal' | 'prefill' | 'engine-call';
+export type CutPart = HeldKind | 'requests' | 'refusal' | 'prefill' | 'engine-call';
 
 /** Why: its content, its number of pieces, what frames it, or all that is held together. */
-export type CutReason = 'content' | 'pieces' | 'framing' | 'memory';
+export type CutReason = Excess | 'framing' | 'memory';
 
 /** What is known of the part that was cut off. */
 export type SizeCut = {
@@ -19,6 +21,8 @@
   readonly requestId?: string | undefined;
   /** The server that sent it; undefined if a caller did. */
   readonly upstreamId?: UpstreamId;
+  /** Its address, where only that is known. */
+  readonly address?: string;
   /** The caller's address; undefined if a server sent it. */
   readonly caller?: string | undefined;
 };
@@ -32,3 +36,11 @@
   logger.warn(cut, 'limits: cut off');
   metrics.sizeCuts.inc({ part, reason });
 }
+
+/** Makes what a client of servers calls for an answer whose framing has no end. */
+export function makeFramingRecord(
+  parts: Pick<GatewayState, 'metrics' | 'logger'>,
+): (call: UpstreamCall, bytes: number) => void {
+  return ({ address, requestId }, bytes) =>
+    recordSizeCut(parts, { part: 'answer', reason: 'framing', bytes, requestId, address });
+}
--- a/packages/router/src/gateway/stream-prefill.ts
+++ b/packages/router/src/gateway/stream-prefill.ts
@@ -1,6 +1,7 @@
 /** Has an engine prefill the prompt of a stream. */
 
-import type { ClearedUpstream } from '@tarragonspool/core';
+import { makeByteCollector, type ClearedUpstream } from '@tarragonspool/core';
+import { findExcess } from '../http/size-limit.js';
 import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayRequest } from './gateway-request.js';
@@ -33,8 +34,7 @@
 ): Task<SendResult> {
   const sentAt = getSteadyMs();
   progress.prefillSends += 1;
-  const parts: Buffer[] = [];
-  let bytes = 0;
+  const body = makeByteCollector();
   const placement: SendFields = { isPrefillOnly: true, ...buildResumeFields(progress) };
   const result = yield* sendOnce(state, request, {
     server: engine,
@@ -45,21 +45,20 @@
     onHead: () => undefined,
     wholeDueAt: sentAt + PREFILL_TIMEOUT_MS,
     onData: (chunk, exchange) => {
-      bytes += chunk.length;
-      if (bytes <= MAX_ANSWER_BYTES) {
-        parts.push(chunk);
-        return true;
-      }
+      body.append(chunk);
+      const reason = findExcess(body, MAX_ANSWER_BYTES);
+      if (reason === undefined) return true;
+      const bytes = body.countBytes();
       const { requestId } = request.fields;
       const { upstreamId } = engine;
-      recordSizeCut(state, { part: 'prefill', reason: 'content', bytes, requestId, upstreamId });
+      recordSizeCut(state, { part: 'prefill', reason, bytes, requestId, upstreamId });
       exchange.abort('answer too large');
       return true;
     },
   });
   const outcome = getSendOutcome(result);
   const isPrefilled = outcome.kind === 'answered' && outcome.status === HTTP_OK;
-  const prefill = isPrefilled ? state.ports.dialect.decodePrefill(Buffer.concat(parts)) : undefined;
+  const prefill = isPrefilled ? state.ports.dialect.decodePrefill(body.take()) : undefined;
   if (prefill !== undefined) {
     const now = getSteadyMs();
     const engineLimits = state.configuration?.services.get(request.service)?.engine;
--- a/packages/router/src/stages/engine-calls.ts
+++ b/packages/router/src/stages/engine-calls.ts
@@ -1,10 +1,12 @@
 /** Calls to an engine outside of requests: reading its report, and ordering it to change its stage. */
 
-import { askSend, type ClearedUpstream } from '@tarragonspool/core';
+import { askSend, makeByteCollector, type ClearedUpstream } from '@tarragonspool/core';
 import type { UpstreamId } from '@tarragonspool/protocol';
 import type { GatewayState } from '../gateway/gateway-state.js';
 import type { EngineReport, OrderAnswer, StageOrder } from '../gateway/ports.js';
+import { recordSizeCut } from '../gateway/size-cuts.js';
 import { recordNotice } from '../gateway/upstream-notices.js';
+import { findExcess, type Excess } from '../http/size-limit.js';
 import { makeChannel, offer, receive, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { UpstreamCall } from '../upstreams/upstream-client.js';
@@ -21,20 +23,27 @@
   call: Omit<UpstreamCall, 'address' | 'requestId'>,
 ): Task<CallAnswer | undefined> {
   const outcome = makeChannel<CallAnswer | 'failed'>(1);
-  const chunks: Buffer[] = [];
+  const body = makeByteCollector();
   let status = 0;
-  let bytes = 0;
   const { address } = engine;
   const origin = { requestId: undefined, sentAt: getSteadyMs(), isIdentified: false };
+  const cutOff = (reason: Excess): void => {
+    const { upstreamId } = engine;
+    const bytes = body.countBytes();
+    recordSizeCut(state, { part: 'engine-call', reason, bytes, upstreamId });
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- no event comes before it is set
+    exchange.abort('answer too large');
+  };
   const exchange = state.engineClient.send({ ...call, address, requestId: undefined }, (event) => {
     if (event.kind === 'data') {
-      bytes += event.chunk.length;
-      if (bytes <= MAX_ANSWER_BYTES) chunks.push(event.chunk);
+      body.append(event.chunk);
+      const excess = findExcess(body, MAX_ANSWER_BYTES);
+      if (excess !== undefined) cutOff(excess);
     } else if (event.kind === 'head') {
       status = event.status;
       const { notice } = state.ports.dialect.decodeUpstreamHead(status, event.headers);
       recordNotice(state, origin, engine, notice);
-    } else if (event.kind === 'ended') offer(outcome, { status, body: Buffer.concat(chunks) });
+    } else if (event.kind === 'ended') offer(outcome, { status, body: body.take() });
     else {
       const { isSent, reason } = event;
       const { upstreamId } = engine;
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -14,8 +14,10 @@
 import type { Socket } from 'node:net';
 import type { ClearedAddress } from '@tarragonspool/core';
 import { findHeadFault } from '../http/answer-head.js';
+import { followFraming } from '../http/framing-limit.js';
 import { parseAddress } from '../http/parse-address.js';
 import { canCarryMore, chooseAgent, findForeignReason, recordCarried } from './carried-requests.js';
+import { makePieceJoiner } from './piece-joiner.js';
 
 /** One request to a server. */
 export type UpstreamCall = {
@@ -165,6 +167,8 @@
   readonly keepsConnections: boolean;
   /** Finds the id of the request that an answer names. */
   readonly decodeRequestId: (headers: IncomingHttpHeaders) => string | undefined;
+  /** Called when an answer is cut off whose framing has no end, with the bytes that have come. */
+  readonly onOverFramed?: (call: UpstreamCall, bytes: number) => void;
 };
 
 /** Begins a request; what cannot be put into one makes Node throw, and nothing is sent. */
@@ -198,7 +202,7 @@
 
 function startExchange(
   agent: Agent,
-  decodeRequestId: UpstreamClientOptions['decodeRequestId'],
+  { decodeRequestId, onOverFramed }: UpstreamClientOptions,
   call: UpstreamCall,
   emit: (event: UpstreamEvent) => void,
 ): UpstreamExchange {
@@ -213,8 +217,13 @@
   let answer: IncomingMessage | undefined;
   let isProbing = false;
   let hasEnded = false;
+  let contentBytes = 0;
+  const joiner = makePieceJoiner((chunk) => {
+    if (!isOver) emit({ kind: 'data', chunk });
+  });
 
   function finish(event: UpstreamEvent): void {
+    joiner.flush();
     if (isOver) return;
     isOver = true;
     emit(event);
@@ -261,13 +270,23 @@
       socket.off('end', noteEnd);
     });
   });
+  followFraming(
+    outgoing,
+    () => contentBytes,
+    (readBytes) => {
+      if (isOver) return;
+      onOverFramed?.(call, readBytes);
+      fail('more framing than content');
+    },
+  );
   outgoing.on('information', () => undefined);
   outgoing.on('response', (message) => {
     answer = message;
     const { statusCode: status = 0, headers, rawHeaders } = message;
     const framing = findFraming(message);
-    message.on('data', (chunk: Buffer) => {
-      if (!isOver) emit({ kind: 'data', chunk });
+    message.on('data', (piece: Buffer) => {
+      contentBytes += piece.length;
+      if (!isOver) joiner.add(piece);
     });
     message.on('error', (error) => fail(error.message));
     message.on('end', () => {
@@ -301,7 +320,11 @@
       isOver = true;
       outgoing.destroy();
     },
-    abort: fail,
+    abort: (reason) => {
+      // Whoever aborts a call has no use for the rest, and may have no room.
+      joiner.drop();
+      fail(reason);
+    },
     pause: () => answer?.pause(),
     resume: () => answer?.resume(),
   };
@@ -314,7 +337,7 @@
 export function makeUpstreamClient(options: UpstreamClientOptions): UpstreamClient {
   const agent = options.keepsConnections ? makeGuardedAgent() : new Agent({ keepAlive: false });
   return {
-    send: (call, onEvent) => startExchange(agent, options.decodeRequestId, call, onEvent),
+    send: (call, onEvent) => startExchange(agent, options, call, onEvent),
     dropIdle: (address) => {
       const target = parseAddress(address);
       if (target === undefined) return;
