Callers' bodies and requests without end are refused early, and unread answers are counted

Callers saw: two callers with bodies in chunks of a byte ended the VM's process, as any caller can (59 to 265 MB, the users' report). Found besides: one connection with short requests without end, whose answers are not read, ended it within 1.4 s (86 to 181 MB), as each request waited for the one before; and whole answers that nobody read were not counted. Cause: the limit of the body counted bytes of content only, and went on to count, and handle, a million pieces after the refusal. Why this works: bodies are kept in a byte collector; one within the operator's limit is refused as not run (503, 2010 body-not-held) if it comes in very many pieces, or is the largest when this VM holds too much; only more bytes than the limit are a 413. What comes after a refusal is cut off by its pieces too. At most 100 requests wait on a connection. What a caller has yet to read belongs to the sum until its answer ends.

--- a/packages/protocol/src/result-codes.ts
+++ b/packages/protocol/src/result-codes.ts
@@ -58,6 +58,7 @@
     status: 503,
     title: 'No engine of the software version that began the stream is left.',
   },
+  'body-not-held': { code: 2010, status: 503, title: 'The body cannot be held now.' },
   'claim-unavailable': {
     code: 3001,
     status: 503,
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -2,19 +2,26 @@
 
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { chooseService, countRequest, findRoute, type Route } from '@tarragonspool/core';
+import {
+  chooseService,
+  countRequest,
+  findRoute,
+  makeByteCollector,
+  type Route,
+} from '@tarragonspool/core';
 import type { ContentKey, ServiceName } from '@tarragonspool/protocol';
+import { findExcess, type Excess } from '../http/size-limit.js';
 import { makeChannel, offer, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
-import { makeCallerReply, type CallerReply } from './caller-reply.js';
+import { makeCallerReply, type BeginUnread, type CallerReply } from './caller-reply.js';
 import { makeCallerTurns } from './caller-turns.js';
 import { REQUEST_INBOX_CAPACITY, type GatewayRequest } from './gateway-request.js';
 import { findRetryWindow, getRetryLimits, type GatewayState } from './gateway-state.js';
 import type { CallerFields } from './ports.js';
 import { findQuarantineReason } from './quarantine-check.js';
 import { buildContent, digestContent, makeScope, scopePart } from './quarantine-scope.js';
-import { recordSizeCut } from './size-cuts.js';
+import { recordSizeCut, type SizeCut } from './size-cuts.js';
 import { runStreamRequest } from './stream-flow.js';
 
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
@@ -24,6 +31,9 @@
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 /** A caller that sends on after its refusal by more than this is cut off. */
 const MAX_IGNORED_BODY_BYTES = 1_048_576;
+/** A piece that is ignored takes the time of this many bytes. */
+const IGNORED_PIECE_BYTES = 64;
+const NOT_HELD_RETRY_AFTER_MS = 500;
 const NOT_READY_RETRY_AFTER_MS = 500;
 const LEAVING_RETRY_AFTER_MS = 200;
 /** A content that may have crashed two servers is judged within this time. */
@@ -199,30 +209,58 @@
   startRequest(state, request, response);
 }
 
+function recordCallerCut(
+  state: GatewayState,
+  { headers, socket }: IncomingMessage,
+  cut: Pick<SizeCut, 'part' | 'reason' | 'bytes'>,
+): void {
+  const requestId = state.ports.dialect.decodeRequestId(headers);
+  recordSizeCut(state, { ...cut, requestId, caller: socket.remoteAddress });
+}
+
+/** Counts the body of a request that is under way; others take its memory when it has ended. */
+function holdBody({ heldBytes }: GatewayState, body: Buffer, response: ServerResponse): void {
+  const held = heldBytes.begin('body');
+  held.update(body.length);
+  response.once('close', held.end);
+}
+
 function readBody(state: GatewayState, arrival: Arrival, onBody: (body: Buffer) => void): void {
   const { incoming, reply } = arrival;
   const limit = state.configuration?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-  const parts: Buffer[] = [];
-  let bytes = 0;
+  const body = makeByteCollector();
+  let ignoredBytes = 0;
+
+  /** Refuses a body that goes on; what is left of it is not kept. */
+  function cut(reason: Excess | 'memory'): void {
+    recordCallerCut(state, incoming, { part: 'body', reason, bytes: body.countBytes() });
+    body.take();
+    if (reason === 'content') reply.refuse('body-too-large');
+    else reply.refuse('body-not-held', NOT_HELD_RETRY_AFTER_MS);
+  }
+
+  const held = state.heldBytes.begin('body', () => cut('memory'));
   incoming.on('data', (part: Buffer) => {
-    bytes += part.length;
-    if (bytes <= limit) {
-      parts.push(part);
+    if (reply.getState() !== 'open') {
+      ignoredBytes += part.length + IGNORED_PIECE_BYTES;
+      // The rest of the body may be without end.
+      if (ignoredBytes > MAX_IGNORED_BODY_BYTES) incoming.destroy();
       return;
     }
-    if (reply.getState() === 'open') {
-      const requestId = state.ports.dialect.decodeRequestId(incoming.headers);
-      const { remoteAddress: caller } = incoming.socket;
-      recordSizeCut(state, { part: 'body', reason: 'content', bytes, requestId, caller });
-      reply.refuse('body-too-large');
+    body.append(part);
+    const excess = findExcess(body, limit);
+    if (excess === undefined) {
+      held.update(body.countBytes());
+      return;
     }
-    parts.length = 0;
-    // The rest of the body may be without end.
-    if (bytes > limit + MAX_IGNORED_BODY_BYTES) incoming.destroy();
+    held.end();
+    cut(excess);
   });
   incoming.on('end', () => {
-    if (reply.getState() === 'open') onBody(Buffer.concat(parts));
+    held.end();
+    if (reply.getState() === 'open') onBody(body.take());
   });
+  incoming.on('close', held.end);
   incoming.on('error', (error) =>
     state.logger.debug({ err: error }, 'requests: body could not be read'),
   );
@@ -242,9 +280,16 @@
 
 /** Makes the HTTP server for callers; it does not listen yet. */
 export function makeCallerListener(state: GatewayState): Server {
-  const awaitTurn = makeCallerTurns();
+  const awaitTurn = makeCallerTurns((incoming) =>
+    recordCallerCut(state, incoming, { part: 'requests', reason: 'pieces', bytes: 0 }),
+  );
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, (incoming, response) => {
-    const reply = makeCallerReply(response, () => state.isLeaving);
+    const beginUnread: BeginUnread = (giveUp) =>
+      state.heldBytes.begin('unread-answer', (bytes) => {
+        recordCallerCut(state, incoming, { part: 'unread-answer', reason: 'memory', bytes });
+        giveUp();
+      });
+    const reply = makeCallerReply(response, () => state.isLeaving, beginUnread);
     const arrival = { incoming, reply, arrivedAt: getSteadyMs() };
     response.on('error', (error) =>
       state.logger.debug({ err: error }, 'requests: answer could not be sent'),
@@ -253,6 +298,7 @@
       countOpen(state, reply, response);
       readBody(state, arrival, (body) => {
         state.unreadReplies.delete(reply);
+        holdBody(state, body, response);
         routeRequest(state, arrival, body, response);
       });
     });
--- a/packages/router/src/gateway/caller-reply.ts
+++ b/packages/router/src/gateway/caller-reply.ts
@@ -6,6 +6,7 @@
 import type { ServerResponse } from 'node:http';
 import { getResultCode, type ResultName } from '@tarragonspool/protocol';
 import { endBrokenAnswer } from '../http/broken-answers.js';
+import type { HeldShare } from './held-bytes.js';
 
 /** Why a VM ends an answer in the middle. */
 export type BreakReason =
@@ -17,7 +18,9 @@
   | 'prefill-failed'
   | 'quarantined'
   | 'stopped'
-  | 'task-failed';
+  | 'task-failed'
+  /** Its caller does not read it, and too much was held. */
+  | 'memory';
 
 /** How far an answer has been written. */
 export type ReplyState = 'open' | 'begun' | 'ended';
@@ -42,11 +45,43 @@
 const MS_PER_S = 1_000;
 const LENGTH = /^content-length$/iu;
 
+/** Begins to count what the caller has not read; `giveUp` ends the answer. */
+export type BeginUnread = (giveUp: () => void) => HeldShare;
+
 /** Makes the answer writer; `isLeaving` closes the connection after the answer. */
-export function makeCallerReply(response: ServerResponse, isLeaving: () => boolean): CallerReply {
+export function makeCallerReply(
+  response: ServerResponse,
+  isLeaving: () => boolean,
+  beginUnread?: BeginUnread,
+): CallerReply {
   let state: ReplyState = 'open';
   let hasLength = false;
   let breakReason: BreakReason | undefined;
+  let unread: HeldShare | undefined;
+
+  function cut(reason: BreakReason): void {
+    state = 'ended';
+    breakReason = reason;
+    endBrokenAnswer(response, hasLength);
+  }
+
+  /** Counts what the caller has yet to read, once there is any; it is counted until the answer ends. */
+  function countUnread(): void {
+    if (beginUnread === undefined) return;
+    if (unread === undefined) {
+      unread = beginUnread(() => cut('memory'));
+      response.once('close', unread.end);
+      response.on('drain', countUnread);
+    }
+    unread.update(response.writableLength);
+  }
+
+  function write(chunk: Buffer): boolean {
+    if (state !== 'begun') return true;
+    const isRead = response.write(chunk);
+    if (!isRead) countUnread();
+    return isRead;
+  }
 
   function refuse(name: ResultName, retryAfterMs?: number): void {
     if (state !== 'open') return;
@@ -74,17 +109,14 @@
       response.writeHead(status, headers);
       response.flushHeaders();
     },
-    write: (chunk) => (state === 'begun' ? response.write(chunk) : true),
+    write,
     end: () => {
       if (state !== 'begun') return;
       state = 'ended';
       response.end();
     },
     breakOff: (reason) => {
-      if (state === 'ended') return;
-      state = 'ended';
-      breakReason = reason;
-      endBrokenAnswer(response, hasLength);
+      if (state !== 'ended') cut(reason);
     },
     getBreakReason: () => breakReason,
     onDrain: (resume) => response.once('drain', resume),
--- a/packages/router/src/gateway/caller-turns.ts
+++ b/packages/router/src/gateway/caller-turns.ts
@@ -13,12 +13,28 @@
   run: () => void,
 ) => void;
 
-/** Makes the turns of one server's connections; a request whose connection ends before never runs. */
-export function makeCallerTurns(): AwaitTurn {
+/** Each request that waits takes memory, and a caller may send them without end. */
+const MAX_WAITING = 100;
+
+/**
+ * Makes the turns of one server's connections; a request whose connection ends before never runs. `onTooMany` is
+ * called before a connection is closed on which more requests wait than may.
+ */
+export function makeCallerTurns(onTooMany: (incoming: IncomingMessage) => void): AwaitTurn {
   /** The latest answer of each connection that has not ended. */
   const latest = new WeakMap<Socket, ServerResponse>();
+  /** Requests that wait on each connection. */
+  const waiting = new WeakMap<Socket, number>();
 
-  return ({ socket }, response, run) => {
+  function countWaiting(socket: Socket, change: 1 | -1): number {
+    const count = (waiting.get(socket) ?? 0) + change;
+    waiting.set(socket, count);
+    return count;
+  }
+
+  return (incoming, response, run) => {
+    const { socket } = incoming;
+    if (socket.destroyed) return;
     const before = latest.get(socket);
     latest.set(socket, response);
     response.once('close', () => {
@@ -28,7 +44,13 @@
       run();
       return;
     }
+    if (countWaiting(socket, 1) > MAX_WAITING) {
+      onTooMany(incoming);
+      socket.destroy();
+      return;
+    }
     before.once('close', () => {
+      countWaiting(socket, -1);
       if (socket.writable) run();
     });
   };
