Answers of the store, engines and services without end end at a limit

Callers saw: a store that answers reads with chunks without end (1,000 bytes each) ended the VM's process by itself, as all of it was kept until the call timed out (4 s, up to 30 s for a feed). Cause: calls to the store, and the JSON client of the other program, had no limit; engines' JSON answers neither. Evidence: the test failed on (the process ended), it holds now. The other program's bodies, copies and service answers use the collector as well; a line of an engine is no longer joined and split again for each piece.

--- a/packages/platform/src/http-json.ts
+++ b/packages/platform/src/http-json.ts
@@ -18,6 +18,10 @@
 };
 
 const MAX_SOCKETS = 32;
+/** Longer answers, or the same in very many pieces, are none. */
+const MAX_ANSWER_COST_BYTES = 33_554_432;
+/** Memory that a piece takes besides its bytes. */
+const PIECE_COST_BYTES = 640;
 const UNSENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
 
 /** Makes a connection pool for calls to the platform. */
@@ -31,7 +35,12 @@
     const headers = call.body === undefined ? {} : { 'content-type': 'application/json' };
     const outgoing = request(call.url, { method: call.method, agent, headers }, (incoming) => {
       const chunks: Buffer[] = [];
-      incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
+      let costBytes = 0;
+      incoming.on('data', (chunk: Buffer) => {
+        costBytes += chunk.length + PIECE_COST_BYTES;
+        if (costBytes <= MAX_ANSWER_COST_BYTES) chunks.push(chunk);
+        else outgoing.destroy(new Error('answer too large'));
+      });
       incoming.on('error', (error) => resolve({ kind: 'lost', detail: error.message }));
       incoming.on('end', () => {
         const body = Buffer.concat(chunks).toString('utf8');
--- a/packages/router/src/engines/engine-client.ts
+++ b/packages/router/src/engines/engine-client.ts
@@ -7,7 +7,7 @@
   type IncomingMessage,
   type RequestOptions,
 } from 'node:http';
-import type { OrderFailure } from '@tarragonspool/core';
+import { makeByteCollector, type OrderFailure } from '@tarragonspool/core';
 import {
   parseCacheEvents,
   parseDecodeFrame,
@@ -23,6 +23,7 @@
   type PrefillOrder,
   type PrefillResult,
 } from '@tarragonspool/protocol';
+import { findExcess } from '../http/size-limit.js';
 import { parseJson } from '../json/parse-json.js';
 import { probeEngine } from './engine-probe.js';
 
@@ -58,6 +59,8 @@
 };
 
 const MAX_LINE_CHARACTERS = 65_536;
+/** A list of cache events is the longest answer. */
+const MAX_ANSWER_BYTES = 16_777_216;
 const DECLINED_STATUSES = new Set([409, 429, 503]);
 const UNSENT_ERROR_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
 const JSON_HEADERS = { 'content-type': 'application/json' };
@@ -65,12 +68,14 @@
 type TextHandler = (status: number | undefined, text: string) => void;
 
 function readText(incoming: IncomingMessage, onText: TextHandler): void {
-  let text = '';
-  incoming.setEncoding('utf8');
-  incoming.on('data', (chunk: string) => {
-    text += chunk;
+  const body = makeByteCollector();
+  incoming.on('data', (chunk: Buffer) => {
+    body.append(chunk);
+    if (findExcess(body, MAX_ANSWER_BYTES) !== undefined) {
+      incoming.destroy(new Error('answer too large'));
+    }
   });
-  incoming.on('end', () => onText(incoming.statusCode, text));
+  incoming.on('end', () => onText(incoming.statusCode, body.take().toString()));
   incoming.on('error', (error) => onText(undefined, error.message));
 }
 
@@ -82,7 +87,8 @@
   let partialLine = '';
   incoming.setEncoding('utf8');
   incoming.on('data', (chunk: string) => {
-    const lines = (partialLine + chunk).split('\n');
+    const [rest = '', ...more] = chunk.split('\n');
+    const lines = [partialLine + rest, ...more];
     partialLine = lines.pop() ?? '';
     if (partialLine.length > MAX_LINE_CHARACTERS) incoming.destroy(new Error('line too long'));
     for (const line of lines) onLine(line);
--- a/packages/router/src/http/read-body.ts
+++ b/packages/router/src/http/read-body.ts
@@ -1,6 +1,8 @@
 /** Reads a request body up to a limit. */
 
 import type { IncomingMessage } from 'node:http';
+import { makeByteCollector } from '@tarragonspool/core';
+import { findExcess } from './size-limit.js';
 
 /** Result of reading a body. */
 export type BodyResult =
@@ -16,23 +18,20 @@
   deadline: number,
 ): Promise<BodyResult> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const body = makeByteCollector();
     const timer = setTimeout(() => resolve({ kind: 'timeout' }), deadline - Date.now());
     const finish = (result: BodyResult): void => {
       clearTimeout(timer);
       resolve(result);
     };
     incoming.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > limitBytes) {
-        incoming.pause();
-        finish({ kind: 'too-large' });
-        return;
-      }
-      chunks.push(chunk);
+      body.append(chunk);
+      if (findExcess(body, limitBytes) === undefined) return;
+      incoming.pause();
+      body.take();
+      finish({ kind: 'too-large' });
     });
-    incoming.on('end', () => finish({ kind: 'body', body: Buffer.concat(chunks) }));
+    incoming.on('end', () => finish({ kind: 'body', body: body.take() }));
     incoming.on('error', () => finish({ kind: 'broken' }));
     incoming.on('close', () => finish({ kind: 'broken' }));
   });
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,7 +1,8 @@
 /** Public API of the router for platform adapters. */
 
-export { UNKNOWN_INCARNATION } from '@tarragonspool/core';
+export { makeByteCollector, UNKNOWN_INCARNATION } from '@tarragonspool/core';
 export type {
+  ByteCollector,
   EngineLimits,
   EngineStage,
   Route,
@@ -11,7 +12,9 @@
 export { startGateway, type Gateway } from './gateway/gateway.js';
 export type * from './gateway/ports.js';
 export { digestLongId } from './gateway/short-id.js';
+export { followFraming } from './http/framing-limit.js';
 export { closeByReset } from './http/broken-answers.js';
 export { isHeaderToken, parseAddress, type HostAndPort } from './http/parse-address.js';
+export { findExcess } from './http/size-limit.js';
 export { parseJson } from './json/parse-json.js';
 export { parseRow, refuseRow, type ParsedRow } from './json/parse-row.js';
--- a/packages/router/src/requests/answer-copy.ts
+++ b/packages/router/src/requests/answer-copy.ts
@@ -1,19 +1,17 @@
 /** Copies the body that a response sends. */
 
 import type { ServerResponse } from 'node:http';
+import { makeByteCollector } from '@tarragonspool/core';
 
 const MAX_COPY_BYTES = 65_536;
 
 /** Starts copying; the returned function reads the copy, which stops growing above a size limit. */
 export function copyAnswer(response: ServerResponse): () => Buffer {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = makeByteCollector();
   function addChunk(chunk: unknown): void {
-    if (size > MAX_COPY_BYTES) return;
+    if (body.countBytes() > MAX_COPY_BYTES) return;
     if (typeof chunk !== 'string' && !(chunk instanceof Uint8Array)) return;
-    const copy = Buffer.from(chunk as string);
-    size += copy.length;
-    chunks.push(copy);
+    body.append(Buffer.from(chunk as string));
   }
   const write = response.write.bind(response) as (...args: unknown[]) => boolean;
   const end = response.end.bind(response) as (...args: unknown[]) => ServerResponse;
@@ -25,5 +23,5 @@
     addChunk(args[0]);
     return end(...args);
   };
-  return () => Buffer.concat(chunks);
+  return () => Buffer.from(body.getBytes());
 }
--- a/packages/router/src/services/service-call.ts
+++ b/packages/router/src/services/service-call.ts
@@ -1,8 +1,10 @@
 /** Forwards a call to a server of a plain service. */
 
 import { request, type Agent, type ClientRequest, type IncomingMessage } from 'node:http';
+import { makeByteCollector } from '@tarragonspool/core';
 import type { Exchange } from '../callers/exchange.js';
 import { endBrokenAnswer } from '../http/broken-answers.js';
+import { findExcess } from '../http/size-limit.js';
 import type { ServerEntry } from '../upstreams/directory.js';
 
 /** Destination and deadline of a call. */
@@ -123,14 +125,11 @@
 }
 
 function readAnswer(answer: IncomingMessage, onAnswer: (answer: ServiceAnswer) => void): void {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = makeByteCollector();
   answer.on('data', (chunk: Buffer) => {
-    size += chunk.length;
-    if (size <= MAX_ANSWER_BYTES) {
-      chunks.push(chunk);
-      return;
-    }
+    body.append(chunk);
+    if (findExcess(body, MAX_ANSWER_BYTES) === undefined) return;
+    body.take();
     onAnswer({ kind: 'too-large' });
     answer.destroy();
   });
@@ -140,7 +139,7 @@
       kind: 'answer',
       status: answer.statusCode ?? 502,
       contentType: answer.headers['content-type'] ?? 'application/octet-stream',
-      body: Buffer.concat(chunks),
+      body: body.take(),
     });
   });
 }
