Answers and bodies in one-byte pieces end within some thousand pieces

Callers of sound services waited 0.6 to 0.9 s beside 40 answers or 20 bodies in chunks of a byte (median 734 and 581 ms): each was read for 20,000 pieces and more. The free framing of an answer is 48 KB now, as what has been read and not handed on counts as content; a short body may have 4,000 pieces, and as many are ignored after a refusal. New tests of the client: a long answer that is read late is whole, heads and chunk sizes without end fail.

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -31,8 +31,8 @@
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 /** A caller that sends on after its refusal by more than this is cut off. */
 const MAX_IGNORED_BODY_BYTES = 1_048_576;
-/** A piece that is ignored takes the time of this many bytes. */
-const IGNORED_PIECE_BYTES = 64;
+/** The same for one that sends on in small pieces. */
+const MAX_IGNORED_PIECES = 4_096;
 const NOT_HELD_RETRY_AFTER_MS = 500;
 const NOT_READY_RETRY_AFTER_MS = 500;
 const LEAVING_RETRY_AFTER_MS = 200;
@@ -230,6 +230,7 @@
   const limit = state.configuration?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
   const body = makeByteCollector();
   let ignoredBytes = 0;
+  let ignoredPieces = 0;
 
   /** Refuses a body that goes on; what is left of it is not kept. */
   function cut(reason: Excess | 'memory'): void {
@@ -242,9 +243,11 @@
   const held = state.heldBytes.begin('body', () => cut('memory'));
   incoming.on('data', (part: Buffer) => {
     if (reply.getState() !== 'open') {
-      ignoredBytes += part.length + IGNORED_PIECE_BYTES;
+      ignoredBytes += part.length;
+      ignoredPieces += 1;
+      const isOver = ignoredBytes > MAX_IGNORED_BODY_BYTES || ignoredPieces > MAX_IGNORED_PIECES;
       // The rest of the body may be without end.
-      if (ignoredBytes > MAX_IGNORED_BODY_BYTES) incoming.destroy();
+      if (isOver) incoming.destroy();
       return;
     }
     body.append(part);
--- a/packages/router/src/http/framing-limit.ts
+++ b/packages/router/src/http/framing-limit.ts
@@ -6,8 +6,8 @@
 import type { ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
 
-/** No proper answer has more beside its content, unless that is long. */
-const FREE_FRAMING_BYTES = 131_072;
+/** The longest head that Node takes, and as much again and more; chunks of a byte reach it with their 10,000th. */
+const FREE_FRAMING_BYTES = 49_152;
 /** Beyond that, framing may take this share of the content: chunks of 24 bytes or more do. */
 const FRAMING_SHARE = 0.25;
 
@@ -17,17 +17,24 @@
   return framingBytes > FREE_FRAMING_BYTES + FRAMING_SHARE * contentBytes;
 }
 
-/** Calls `onOver` after each read of a request's connection that finds its answer framed by too much. */
+/**
+ * Calls `onOver` after each read of a request's connection that finds its answer framed by too much; `countContent`
+ * counts the content that has been handed on.
+ */
 export function followFraming(
   outgoing: ClientRequest,
   countContent: () => number,
   onOver: (readBytes: number) => void,
 ): void {
+  let countUnread = (): number => 0;
+  outgoing.on('response', (answer) => {
+    countUnread = () => answer.readableLength;
+  });
   outgoing.on('socket', (socket: Socket) => {
     const earlierBytes = socket.bytesRead;
     const check = (): void => {
       const readBytes = socket.bytesRead - earlierBytes;
-      if (isOverFramed(readBytes, countContent())) onOver(readBytes);
+      if (isOverFramed(readBytes, countContent() + countUnread())) onOver(readBytes);
     };
     socket.on('data', check);
     outgoing.once('close', () => socket.off('data', check));
--- a/packages/router/src/http/size-limit.ts
+++ b/packages/router/src/http/size-limit.ts
@@ -2,8 +2,8 @@
 
 import type { ByteCollector } from '@tarragonspool/core';
 
-/** Pieces of any size that a body may have cost this much at least. */
-const FREE_COST_BYTES = 1_048_576;
+/** A short body may have this cost too: some 4,000 pieces. */
+const FREE_COST_BYTES = 262_144;
 
 /** Why a body is too large: its bytes are, or there are too many pieces of less than 64 bytes. */
 export type Excess = 'content' | 'pieces';
--- a/packages/router/src/upstreams/upstream-client.test.ts
+++ b/packages/router/src/upstreams/upstream-client.test.ts
@@ -175,3 +175,69 @@
   }, 3);
   expect(connections.size).to.equal(1);
 });
+
+/** Sends one call; pauses its answer for some time after the first bytes. */
+async function readAnswer(
+  answer: Answer,
+  pauseMs: number,
+): Promise<{ end: UpstreamEvent; bytes: number; parts: number }> {
+  const server = await startServer(answer);
+  const client = makeUpstreamClient(CLIENT_OPTIONS);
+  let bytes = 0;
+  let parts = 0;
+  const end = await new Promise<UpstreamEvent>((resolve) => {
+    const exchange = client.send(buildCall(server, 'r0'), (event) => {
+      if (event.kind === 'ended' || event.kind === 'failed') resolve(event);
+      if (event.kind !== 'data') return;
+      bytes += event.chunk.length;
+      parts += 1;
+      if (parts !== 1 || pauseMs === 0) return;
+      exchange.pause();
+      setTimeout(exchange.resume, pauseMs);
+    });
+  });
+  client.close();
+  server.close();
+  return { end, bytes, parts };
+}
+
+const buildHead = (id: string): string => `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\n`;
+const CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n';
+
+it('upstream client: a long answer whose caller reads late is whole, in large chunks and small ones', async () => {
+  for (const chunk of ['x'.repeat(40), 'x'.repeat(65_536)]) {
+    const count = Math.floor(3_000_000 / chunk.length);
+    const body = `${chunk.length.toString(16)}\r\n${chunk}\r\n`.repeat(count);
+    // eslint-disable-next-line no-await-in-loop -- one after the other
+    const { end, bytes, parts } = await readAnswer((socket, _count, id) => {
+      socket.write(`${buildHead(id)}${CHUNKED}${body}0\r\n\r\n`);
+    }, 100);
+    expect(end.kind).to.equal('ended');
+    expect(bytes).to.equal(count * chunk.length);
+    // Each read is handed on once, and not each chunk.
+    expect(parts).to.be.below(2_000);
+  }
+});
+
+// Guards against a server that takes all of the time of a VM until its call's deadline.
+it('upstream client: an answer whose heads or chunk sizes have no end fails', async () => {
+  const openings = [
+    'HTTP/1.1 102 \r\n\r\n',
+    '\r\n',
+    `${buildHead('r0')}${CHUNKED}${'0'.repeat(500)}`,
+  ];
+  for (const opening of openings) {
+    // eslint-disable-next-line no-await-in-loop -- one after the other
+    const { end } = await readAnswer((socket) => {
+      socket.write(opening);
+      const more = opening.startsWith('HTTP/1.1 200') ? '0' : opening;
+      const timer = setInterval(() => socket.write(more.repeat(1_000)), 1);
+      socket.once('close', () => clearInterval(timer));
+    }, 0);
+    expect(end).to.deep.equal({
+      kind: 'failed',
+      isSent: true,
+      reason: 'more framing than content',
+    });
+  }
+});
