Streams: the bytes of an event whose end has not come are counted with all that this VM holds

Part of bytes without end: an engine's event without end belongs to the same sum as bodies and answers, is cut off and logged like them ('limits: cut off', part event), and nothing of it is kept once its run has ended. Tests that build a gateway's state have the sum too; their assertions are as they were.

--- a/packages/core/src/routing/event-splitter.test.ts
+++ b/packages/core/src/routing/event-splitter.test.ts
@@ -46,7 +46,7 @@
   const splitter = makeEventSplitter();
   const kinds = splitter.split(Buffer.from(': ping\n\nid: 1\n\n')).map(({ kind }) => kind);
   expect(kinds).to.deep.equal(['filler', 'event']);
-  expect(splitter.countRest()).to.equal(0);
+  expect(splitter.rest.countBytes()).to.equal(0);
 });
 
 // Guards against events that end their lines with a carriage return alone, and were held until the answer ended.
@@ -97,8 +97,8 @@
   const splitter = makeEventSplitter();
   const piece = Buffer.from('x');
   for (let index = 0; index < PIECE_COUNT; index += 1) splitter.split(piece);
-  expect(splitter.countRest()).to.equal(PIECE_COUNT);
-  expect(splitter.countRestCost()).to.be.above(10 * PIECE_COUNT);
+  expect(splitter.rest.countBytes()).to.equal(PIECE_COUNT);
+  expect(splitter.rest.countCost()).to.be.above(10 * PIECE_COUNT);
 });
 
 it('event splitter: a byte order mark is dropped from the beginning alone', () => {
--- a/packages/core/src/routing/event-splitter.ts
+++ b/packages/core/src/routing/event-splitter.ts
@@ -3,7 +3,7 @@
  * carriage return or both (HTML Living Standard, 9.2.6).
  */
 
-import { makeByteCollector } from '../bytes/byte-collector.js';
+import { makeByteCollector, type ByteCollector } from '../bytes/byte-collector.js';
 
 /** Id of an event: a whole number that is held exactly, another text, or none. */
 export type EventId =
@@ -23,10 +23,8 @@
   readonly split: (chunk: Buffer) => StreamPart[];
   /** Whether bytes of an event have come whose end has not. */
   readonly isInsideEvent: () => boolean;
-  /** Bytes after the last part. */
-  readonly countRest: () => number;
-  /** What the bytes after the last part have cost. */
-  readonly countRestCost: () => number;
+  /** The bytes after the last part, and what they have cost. */
+  readonly rest: Pick<ByteCollector, 'countBytes' | 'countCost'>;
   /** Returns and clears what is left at the end of the stream, where it is not inside an event. */
   readonly takeRest: () => StreamPart[];
 };
@@ -144,8 +142,7 @@
       if (isEndPending) return false;
       return reader.hasField() || isField(dropByteOrderMark(held.getBytes().subarray(lineStart)));
     },
-    countRest: held.countBytes,
-    countRestCost: held.countCost,
+    rest: held,
     takeRest: () => {
       if (held.countBytes() === 0) return [];
       isEndPending = false;
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -82,7 +82,8 @@
     recordStreamOrigin(state, request, progress, engine);
     sendPoolMessage(state.pools, { kind: 'prefilled', askId: slotRequestId }, state.logger);
   };
-  const relay = makeEventRelay(state, request, progress, turn, onFirstEvent);
+  const { upstreamId, softwareVersion } = engine;
+  const relay = makeEventRelay(state, request, progress, { upstreamId, turn, onFirstEvent });
   const sentAt = getSteadyMs();
   const { route } = request;
   const { kvSource } = progress;
@@ -108,9 +109,9 @@
   const isJudgedByPath = seenEnd === 'unconfirmed' && !canAskOtherRuns(route);
   const end = isJudgedByPath ? yield* awaitEndByPath(state, engine) : seenEnd;
   const { framing, restBytes, eventIds } = relay.getEnd();
+  relay.close();
   if (end === 'finished') relay.finish();
   const { requestId, promptParts } = request.fields;
-  const { upstreamId, softwareVersion } = engine;
   const { events, runs, firstEventMs, longestGapMs } = progress;
   const tookMs = getSteadyMs() - sentAt;
   state.logger.info(
--- a/packages/router/src/gateway/stream-flow.test.ts
+++ b/packages/router/src/gateway/stream-flow.test.ts
@@ -15,6 +15,7 @@
 import { makeChannel, offer, receive, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
+import { makeHeldBytes } from './held-bytes.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import { runStreamRequest } from './stream-flow.js';
@@ -88,6 +89,7 @@
     },
     ports: { dialect: { makeForwardHeaders: () => [] } },
     partGuard: { findQuarantined: () => undefined },
+    heldBytes: makeHeldBytes(() => 1_000_000),
     contentGuard: {
       isQuarantined: () => change === 'quarantine' && trace.slotRequests.length > 0,
     },
--- a/packages/router/src/gateway/stream-handover.test.ts
+++ b/packages/router/src/gateway/stream-handover.test.ts
@@ -6,6 +6,7 @@
 import { makeChannel, offer, receive, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
+import { makeHeldBytes } from './held-bytes.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import type { AnswerHead, SendPlan } from './sender.js';
@@ -189,6 +190,7 @@
       },
     },
     partGuard: { ...guard, findQuarantined: () => undefined },
+    heldBytes: makeHeldBytes(() => 1_000_000),
     contentGuard: { ...guard, isQuarantined: () => false },
     streamOrigins: { recordOwn: () => undefined },
     metrics: makeGatewayMetrics(),
--- a/packages/router/src/gateway/stream-joins.fuzz.test.ts
+++ b/packages/router/src/gateway/stream-joins.fuzz.test.ts
@@ -8,6 +8,7 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { UpstreamEvent } from '../upstreams/upstream-client.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
+import { makeHeldBytes } from './held-bytes.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import type { SendPlan } from './sender.js';
@@ -291,6 +292,7 @@
       },
     },
     partGuard: { ...guard, findQuarantined: () => undefined },
+    heldBytes: makeHeldBytes(() => 1_000_000),
     contentGuard: { ...guard, isQuarantined: () => false },
     streamOrigins: { recordOwn: () => undefined, find: () => origin },
     metrics: makeGatewayMetrics(),
--- a/packages/router/src/gateway/stream-relay.ts
+++ b/packages/router/src/gateway/stream-relay.ts
@@ -12,18 +12,21 @@
   type Route,
   type StreamPart,
 } from '@tarragonspool/core';
+import type { UpstreamId } from '@tarragonspool/protocol';
+import { findExcess } from '../http/size-limit.js';
 import { dropWholeAnswerHeaders, findMediaType } from '../http/whole-answer-headers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { AnswerFraming, UpstreamExchange } from '../upstreams/upstream-client.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import type { AnswerHead } from './sender.js';
+import { recordSizeCut, type CutReason } from './size-cuts.js';
 import { countEvents, type StreamProgress } from './stream-progress.js';
 
 const HTTP_OK = 200;
 const MAX_UNUSED_BYTES = 65_536;
 /** A longer event is no event: the engine is in trouble. */
-const MAX_EVENT_COST_BYTES = 1_048_576;
+const MAX_EVENT_BYTES = 1_048_576;
 const MS_PER_S = 1_000;
 /** An engine that has sent events for this long was not crashed by the prompt. */
 const SOUND_AFTER_MS = 500;
@@ -82,9 +85,13 @@
   state: GatewayState,
   request: GatewayRequest,
   progress: StreamProgress,
-  turn: RunTurn,
-  onFirstEvent: () => void,
+  run: {
+    readonly upstreamId: UpstreamId;
+    readonly turn: RunTurn;
+    readonly onFirstEvent: () => void;
+  },
 ) {
+  const { upstreamId, turn, onFirstEvent } = run;
   const { reply, route } = request;
   const splitter = makeEventSplitter();
   const recorder = makeEventRecorder(state, request, progress, onFirstEvent);
@@ -93,8 +100,20 @@
   let isForwarding = false;
   let isFirstPart = true;
   let unusedBytes = 0;
+  let abort = (): void => undefined;
   let framing: AnswerFraming | undefined;
 
+  /** Ends the run: of its present event, or of all that this VM holds, there is too much. */
+  function cut(reason: CutReason): void {
+    const { requestId } = request.fields;
+    const bytes = splitter.rest.countBytes();
+    recordSizeCut(state, { part: 'event', reason, bytes, requestId, upstreamId });
+    splitter.takeRest();
+    abort();
+  }
+
+  const held = state.heldBytes.begin('event', () => cut('memory'));
+
   function write(bytes: Buffer, exchange: UpstreamExchange | undefined): void {
     if (bytes.length === 0 || reply.write(bytes) || exchange === undefined) return;
     exchange.pause();
@@ -172,9 +191,12 @@
         if (unusedBytes > MAX_UNUSED_BYTES) exchange.abort('answer too large');
         return false;
       }
+      abort = (): void => exchange.abort('event too large');
       const { hasEvents, fault } = writeParts(splitter.split(chunk), exchange);
+      const excess = findExcess(splitter.rest, MAX_EVENT_BYTES);
       if (fault !== undefined) exchange.abort(fault);
-      else if (splitter.countRestCost() > MAX_EVENT_COST_BYTES) exchange.abort('event too large');
+      else if (excess !== undefined) cut(excess);
+      else held.update(splitter.rest.countBytes());
       return hasEvents;
     },
     /** Takes the end of an answer that its framing says is whole; returns why it is not. */
@@ -201,6 +223,11 @@
      */
     isEndKnown: (): boolean => framing !== 'connection' || !recorder.hasEvents(),
     /** How the answer's end is told, and the bytes after its last whole event. */
-    getEnd: () => ({ framing, restBytes: splitter.countRest(), eventIds }),
+    getEnd: () => ({ framing, restBytes: splitter.rest.countBytes(), eventIds }),
+    /** Holds nothing any more. */
+    close: (): void => {
+      held.end();
+      splitter.takeRest();
+    },
   };
 }
--- a/packages/router/src/http/size-limit.ts
+++ b/packages/router/src/http/size-limit.ts
@@ -9,7 +9,10 @@
 export type Excess = 'content' | 'pieces';
 
 /** Finds why a body may not go on; undefined if it may. */
-export function findExcess(collected: ByteCollector, maxBytes: number): Excess | undefined {
+export function findExcess(
+  collected: Pick<ByteCollector, 'countBytes' | 'countCost'>,
+  maxBytes: number,
+): Excess | undefined {
   if (collected.countBytes() > maxBytes) return 'content';
   return collected.countCost() > 2 * maxBytes + FREE_COST_BYTES ? 'pieces' : undefined;
 }
