--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -274,7 +274,8 @@
     outgoing,
     () => contentBytes,
     (readBytes) => {
-      if (isOver) return;
+      // What follows a whole answer belongs to no request.
+      if (isOver || answer?.complete === true) return;
       onOverFramed?.(call, readBytes);
       fail('more framing than content');
     },
