Callers' empty lines and chunk sizes without end are cut off

Six callers that send empty lines, or noughts as the size of a chunk, were read for as long as they liked (4 of 4 s of processor time, once each): Node passes nothing on, so no limit saw it. Each connection of a caller is looked at every 250 ms: beyond 256 KB and a quarter of the body it is closed, and logged.

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -14,6 +14,7 @@
 import { makeChannel, offer, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
+import { followCallerFraming, type CallerFraming } from './caller-framing.js';
 import { makeCallerReply, type BeginUnread, type CallerReply } from './caller-reply.js';
 import { makeCallerTurns } from './caller-turns.js';
 import { REQUEST_INBOX_CAPACITY, type GatewayRequest } from './gateway-request.js';
@@ -225,7 +226,12 @@
   response.once('close', held.end);
 }
 
-function readBody(state: GatewayState, arrival: Arrival, onBody: (body: Buffer) => void): void {
+function readBody(
+  state: GatewayState,
+  arrival: Arrival,
+  framing: CallerFraming,
+  onBody: (body: Buffer) => void,
+): void {
   const { incoming, reply } = arrival;
   const limit = state.configuration?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
   const body = makeByteCollector();
@@ -242,6 +248,7 @@
 
   const held = state.heldBytes.begin('body', () => cut('memory'));
   incoming.on('data', (part: Buffer) => {
+    framing.recordContent(incoming, part.length);
     if (reply.getState() !== 'open') {
       ignoredBytes += part.length;
       ignoredPieces += 1;
@@ -286,7 +293,11 @@
   const awaitTurn = makeCallerTurns((incoming) =>
     recordCallerCut(state, incoming, { part: 'requests', reason: 'pieces', bytes: 0 }),
   );
-  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, (incoming, response) => {
+  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES });
+  const framing = followCallerFraming(server, ({ remoteAddress: caller }, bytes) =>
+    recordSizeCut(state, { part: 'requests', reason: 'framing', bytes, caller }),
+  );
+  server.on('request', (incoming, response) => {
     const beginUnread: BeginUnread = (giveUp) =>
       state.heldBytes.begin('unread-answer', (bytes) => {
         recordCallerCut(state, incoming, { part: 'unread-answer', reason: 'memory', bytes });
@@ -294,12 +305,13 @@
       });
     const reply = makeCallerReply(response, () => state.isLeaving, beginUnread);
     const arrival = { incoming, reply, arrivedAt: getSteadyMs() };
+    framing.recordRequest(incoming);
     response.on('error', (error) =>
       state.logger.debug({ err: error }, 'requests: answer could not be sent'),
     );
     awaitTurn(incoming, response, () => {
       countOpen(state, reply, response);
-      readBody(state, arrival, (body) => {
+      readBody(state, arrival, framing, (body) => {
         state.unreadReplies.delete(reply);
         holdBody(state, body, response);
         routeRequest(state, arrival, body, response);
