Calls: an answer without a length or chunks is given without them

Same class as the unconfirmed end of a stream: a plain service that ends its answer with its connection may have ended it early, and chunks would tell the caller that it is whole. It gets the answer as it came. The new test fails without the change (8 of 9 of the file hold), 9 of 9 hold with it; call-flow 6 of 6.

--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -169,7 +169,9 @@
     case 'forward': {
       if (answer === undefined) return;
       const { head, body } = answer;
-      reply.begin(head.status, state.ports.dialect.makeAnswerHeaders(head.rawHeaders));
+      const headers = state.ports.dialect.makeAnswerHeaders(head.rawHeaders);
+      // Chunks would tell an end that the server has not told.
+      reply.begin(head.status, headers, head.framing === 'connection');
       reply.write(body);
       reply.end();
       return;
