--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -52,7 +52,7 @@
 }
 
 /**
- * Finds how a stream ended about which no other run can be asked. A server that closed the connection of a whole answer
+ * Finds how a stream ended about which no other run is asked, or the one that was has no more of it. A server that closed the connection of a whole answer
  * still takes others, one that died does not (RFC 9112, 8, holds an answer complete that ends with its connection).
  */
 function* awaitEndByPath(
@@ -106,7 +106,8 @@
   });
   const isDisplaced = turn.isDisplaced();
   const seenEnd = findDecodeEnd(result, relay, isDisplaced);
-  const isJudgedByPath = seenEnd === 'unconfirmed' && !canAskOtherRuns(route);
+  const isAsked = relay.hasEvents() && canAskOtherRuns(route);
+  const isJudgedByPath = seenEnd === 'unconfirmed' && !isAsked;
   const end = isJudgedByPath ? yield* awaitEndByPath(state, engine) : seenEnd;
   const { framing, restBytes, eventIds } = relay.getEnd();
   relay.close();
