--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -52,8 +52,9 @@
 }
 
 /**
- * Finds how a stream ended about which no other run is asked, or the one that was has no more of it. A server that closed the connection of a whole answer
- * still takes others, one that died does not (RFC 9112, 8, holds an answer complete that ends with its connection).
+ * Finds how a stream ended about which no other run is asked, or of which the one that was asked has no more. A server
+ * that closed the connection of a whole answer still takes others, one that died does not (RFC 9112, 8, holds an answer
+ * complete that ends with its connection).
  */
 function* awaitEndByPath(
   { access }: GatewayState,
