--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -59,9 +59,11 @@
 function* awaitEndByPath(
   { access }: GatewayState,
   { upstreamId }: ClearedUpstream,
+  turn: RunTurn,
 ): Task<'finished' | 'broken'> {
   const answer = yield* awaitPromise(access.paths.tryPath(upstreamId));
-  return answer === 'opened' ? 'finished' : 'broken';
+  // Meanwhile another run may have taken the place.
+  return answer === 'opened' && !turn.isDisplaced() ? 'finished' : 'broken';
 }
 
 /** Runs a stream on one decode engine. */
@@ -109,7 +111,7 @@
   const seenEnd = findDecodeEnd(result, relay, isDisplaced);
   const isAsked = relay.hasEvents() && canAskOtherRuns(route);
   const isJudgedByPath = seenEnd === 'unconfirmed' && !isAsked;
-  const end = isJudgedByPath ? yield* awaitEndByPath(state, engine) : seenEnd;
+  const end = isJudgedByPath ? yield* awaitEndByPath(state, engine, turn) : seenEnd;
   const { framing, restBytes, eventIds } = relay.getEnd();
   relay.close();
   if (end === 'finished') relay.finish();
