--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -15,7 +15,7 @@
   type SendFields,
   type StreamProgress,
 } from './stream-progress.js';
-import { makeEventRelay, type RunTurn } from './stream-relay.js';
+import { canAskOtherRuns, makeEventRelay, type RunTurn } from './stream-relay.js';
 
 const HEAD_TIMEOUT_MS = 1_500;
 const SILENCE_MS = 1_200;
@@ -82,7 +82,8 @@
     recordStreamOrigin(state, request, progress, engine);
     sendPoolMessage(state.pools, { kind: 'prefilled', askId: slotRequestId }, state.logger);
   };
-  const relay = makeEventRelay(state, request, progress, turn, onFirstEvent);
+  const { upstreamId, softwareVersion } = engine;
+  const relay = makeEventRelay(state, request, progress, { upstreamId, turn, onFirstEvent });
   const sentAt = getSteadyMs();
   const { route } = request;
   const { kvSource } = progress;
@@ -105,13 +106,12 @@
   });
   const isDisplaced = turn.isDisplaced();
   const seenEnd = findDecodeEnd(result, relay, isDisplaced);
-  const hasOtherRuns = route.isResumable && route.maxAttempts > 1;
-  const isJudgedByPath = seenEnd === 'unconfirmed' && !hasOtherRuns;
+  const isJudgedByPath = seenEnd === 'unconfirmed' && !canAskOtherRuns(route);
   const end = isJudgedByPath ? yield* awaitEndByPath(state, engine) : seenEnd;
   const { framing, restBytes, eventIds } = relay.getEnd();
+  relay.close();
   if (end === 'finished') relay.finish();
   const { requestId, promptParts } = request.fields;
-  const { upstreamId, softwareVersion } = engine;
   const { events, runs, firstEventMs, longestGapMs } = progress;
   const tookMs = getSteadyMs() - sentAt;
   state.logger.info(
