--- a/packages/core/src/bytes/byte-collector.ts
+++ b/packages/core/src/bytes/byte-collector.ts
@@ -18,6 +18,8 @@
   readonly dropFirst: (bytes: number) => void;
   /** Returns the bytes and begins anew. */
   readonly take: () => Buffer;
+  /** The same without joining them. */
+  readonly takeBlocks: () => readonly Buffer[];
 };
 
 /** Bytes whose reading takes as long as that of one more piece. */
@@ -87,6 +89,13 @@
     length += used;
   }
 
+  function takeBlocks(): readonly Buffer[] {
+    closeLast();
+    const blocks = full;
+    clear();
+    return blocks;
+  }
+
   return {
     append,
     countBytes: () => length,
@@ -107,11 +116,11 @@
       pieces = 0;
     },
     take: () => {
-      closeLast();
-      const [only] = full;
-      const taken = only !== undefined && full.length === 1 ? only : Buffer.concat(full, length);
-      clear();
-      return taken;
+      const bytes = length;
+      const blocks = takeBlocks();
+      const [only] = blocks;
+      return only !== undefined && blocks.length === 1 ? only : Buffer.concat(blocks, bytes);
     },
+    takeBlocks,
   };
 }
--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -40,7 +40,8 @@
   runs: number;
 };
 
-type WholeAnswer = { readonly head: AnswerHead; readonly body: Buffer };
+/** The body in blocks: a copy of a large one would double its memory. */
+type WholeAnswer = { readonly head: AnswerHead; readonly body: readonly Buffer[] };
 
 function findHeadDueAt(request: GatewayRequest, progress: CallProgress, now: number): number {
   const { route } = request;
@@ -150,7 +151,7 @@
   state.logger.debug({ requestId, upstreamId, outcome, tookMs }, 'calls: send ended');
   state.metrics.sends.inc({ step: 'call', outcome: outcome.kind });
   if (result.kind !== 'outcome' || result.head === undefined) return { result };
-  return { result, answer: { head: result.head, body: body.take() } };
+  return { result, answer: { head: result.head, body: body.takeBlocks() } };
 }
 
 function refuseAfterTimeout(request: GatewayRequest, result: SendResult, runs: number): void {
@@ -170,7 +171,7 @@
       if (answer === undefined) return;
       const { head, body } = answer;
       reply.begin(head.status, state.ports.dialect.makeAnswerHeaders(head.rawHeaders));
-      reply.write(body);
+      for (const block of body) reply.write(block);
       reply.end();
       return;
     }
--- a/packages/router/src/gateway/held-bytes.ts
+++ b/packages/router/src/gateway/held-bytes.ts
@@ -37,10 +37,10 @@
 
 const BYTES_PER_MB = 1_048_576;
 /**
- * Each byte is copied about twice on its way, and what is freed stays for a while; the program itself needs
- * half of the memory of a small machine.
+ * Each byte is copied about twice on its way, and tens of megabytes that are freed stay for a while; the program
+ * itself needs half of the memory of a small machine.
  */
-const HELD_MEMORY_SHARE = 0.1;
+const HELD_MEMORY_SHARE = 0.0625;
 
 /** Computes the limit for a machine. */
 export function computeHeldLimit(memoryMb: number): number {
