A connection that opened while the process stood still is used

Shown by the new test of the client: 'connect timeout' beside a listening server when the process stands still for 700 ms. Why this works: a time-out of a connection looks again after the next round of the loop has heard what came. The same for probes of addresses.

--- a/packages/router/src/gateway/probe-address.ts
+++ b/packages/router/src/gateway/probe-address.ts
@@ -15,7 +15,8 @@
       socket.destroy();
       resolve(isAlive);
     };
-    socket.setTimeout(PROBE_TIMEOUT_MS, () => finish(false));
+    // A process that stood still hears of the connection only after its timers.
+    socket.setTimeout(PROBE_TIMEOUT_MS, () => setImmediate(finish, false));
     socket.once('connect', () => finish(true));
     socket.once('error', () => finish(false));
   });
--- a/packages/router/src/upstreams/upstream-client.test.ts
+++ b/packages/router/src/upstreams/upstream-client.test.ts
@@ -241,3 +241,24 @@
     });
   }
 });
+
+// Guards against a call that is refused beside a sound server because this process had too much to do.
+it('upstream client: a connection that opened while the process stood still is used', async () => {
+  const server = await startServer((socket, _count, id) => socket.end(buildFramed(id)));
+  const client = makeUpstreamClient(CLIENT_OPTIONS);
+  const end = await new Promise<UpstreamEvent>((resolve) => {
+    client.send(buildCall(server, 'r0'), (event) => {
+      if (event.kind === 'ended' || event.kind === 'failed') resolve(event);
+    });
+    // The connection opens meanwhile, as the system takes it for the server.
+    const standStill = (ticks: number): void => {
+      if (ticks > 0) process.nextTick(standStill, ticks - 1);
+      const until = performance.now() + (ticks === 0 ? 700 : 0);
+      while (performance.now() < until);
+    };
+    standStill(20);
+  });
+  client.close();
+  server.close();
+  expect(end).to.deep.equal({ kind: 'ended' });
+});
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -140,10 +140,11 @@
       onConnected();
       return;
     }
-    const timer = setTimeout(
-      () => outgoing.destroy(new Error('connect timeout')),
-      connectTimeoutMs,
-    );
+    const giveUp = (): void => {
+      if (socket.connecting) outgoing.destroy(new Error('connect timeout'));
+    };
+    // A process that stood still hears of the connection only after its timers.
+    const timer = setTimeout(() => setImmediate(giveUp), connectTimeoutMs);
     socket.once('connect', () => {
       clearTimeout(timer);
       onOpened?.();
