--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -2,18 +2,27 @@
 
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { chooseService, countRequest, findRoute, type Route } from '@tarragonspool/core';
+import {
+  chooseService,
+  countRequest,
+  findRoute,
+  makeByteCollector,
+  type Route,
+} from '@tarragonspool/core';
 import type { ContentKey, ServiceName } from '@tarragonspool/protocol';
+import { findExcess, type Excess } from '../http/size-limit.js';
 import { makeChannel, offer, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
-import { makeCallerReply, type CallerReply } from './caller-reply.js';
+import { followCallerFraming, type CallerFraming } from './caller-framing.js';
+import { makeCallerReply, type BeginUnread, type CallerReply } from './caller-reply.js';
 import { makeCallerTurns } from './caller-turns.js';
 import { REQUEST_INBOX_CAPACITY, type GatewayRequest } from './gateway-request.js';
 import { findRetryWindow, getRetryLimits, type GatewayState } from './gateway-state.js';
 import type { CallerFields } from './ports.js';
 import { findQuarantineReason } from './quarantine-check.js';
 import { buildContent, digestContent, makeScope, scopePart } from './quarantine-scope.js';
+import { recordSizeCut, type SizeCut } from './size-cuts.js';
 import { runStreamRequest } from './stream-flow.js';
 
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
@@ -23,6 +32,9 @@
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 /** A caller that sends on after its refusal by more than this is cut off. */
 const MAX_IGNORED_BODY_BYTES = 1_048_576;
+/** The same for one that sends on in small pieces. */
+const MAX_IGNORED_PIECES = 4_096;
+const NOT_HELD_RETRY_AFTER_MS = 500;
 const NOT_READY_RETRY_AFTER_MS = 500;
 const LEAVING_RETRY_AFTER_MS = 200;
 /** A content that may have crashed two servers is judged within this time. */
@@ -198,25 +210,67 @@
   startRequest(state, request, response);
 }
 
-function readBody(state: GatewayState, arrival: Arrival, onBody: (body: Buffer) => void): void {
+function recordCallerCut(
+  state: GatewayState,
+  { headers, socket }: IncomingMessage,
+  cut: Pick<SizeCut, 'part' | 'reason' | 'bytes'>,
+): void {
+  const requestId = state.ports.dialect.decodeRequestId(headers);
+  recordSizeCut(state, { ...cut, requestId, caller: socket.remoteAddress });
+}
+
+/** Counts the body of a request that is under way; others take its memory when it has ended. */
+function holdBody({ heldBytes }: GatewayState, body: Buffer, response: ServerResponse): void {
+  const held = heldBytes.begin('body');
+  held.update(body.length);
+  response.once('close', held.end);
+}
+
+function readBody(
+  state: GatewayState,
+  arrival: Arrival,
+  framing: CallerFraming,
+  onBody: (body: Buffer) => void,
+): void {
   const { incoming, reply } = arrival;
   const limit = state.configuration?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-  const parts: Buffer[] = [];
-  let bytes = 0;
+  const body = makeByteCollector();
+  let ignoredBytes = 0;
+  let ignoredPieces = 0;
+
+  /** Refuses a body that goes on; what is left of it is not kept. */
+  function cut(reason: Excess | 'memory'): void {
+    recordCallerCut(state, incoming, { part: 'body', reason, bytes: body.countBytes() });
+    body.take();
+    if (reason === 'content') reply.refuse('body-too-large');
+    else reply.refuse('body-not-held', NOT_HELD_RETRY_AFTER_MS);
+  }
+
+  const held = state.heldBytes.begin('body', () => cut('memory'));
   incoming.on('data', (part: Buffer) => {
-    bytes += part.length;
-    if (bytes <= limit) {
-      parts.push(part);
+    framing.recordContent(incoming, part.length);
+    if (reply.getState() !== 'open') {
+      ignoredBytes += part.length;
+      ignoredPieces += 1;
+      const isOver = ignoredBytes > MAX_IGNORED_BODY_BYTES || ignoredPieces > MAX_IGNORED_PIECES;
+      // The rest of the body may be without end.
+      if (isOver) incoming.destroy();
+      return;
+    }
+    body.append(part);
+    const excess = findExcess(body, limit);
+    if (excess === undefined) {
+      held.update(body.countBytes());
       return;
     }
-    if (reply.getState() === 'open') reply.refuse('body-too-large');
-    parts.length = 0;
-    // The rest of the body may be without end.
-    if (bytes > limit + MAX_IGNORED_BODY_BYTES) incoming.destroy();
+    held.end();
+    cut(excess);
   });
   incoming.on('end', () => {
-    if (reply.getState() === 'open') onBody(Buffer.concat(parts));
+    held.end();
+    if (reply.getState() === 'open') onBody(body.take());
   });
+  incoming.on('close', held.end);
   incoming.on('error', (error) =>
     state.logger.debug({ err: error }, 'requests: body could not be read'),
   );
@@ -236,17 +290,30 @@
 
 /** Makes the HTTP server for callers; it does not listen yet. */
 export function makeCallerListener(state: GatewayState): Server {
-  const awaitTurn = makeCallerTurns();
-  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, (incoming, response) => {
-    const reply = makeCallerReply(response, () => state.isLeaving);
+  const awaitTurn = makeCallerTurns((incoming) =>
+    recordCallerCut(state, incoming, { part: 'requests', reason: 'pieces', bytes: 0 }),
+  );
+  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES });
+  const framing = followCallerFraming(server, ({ remoteAddress: caller }, bytes) =>
+    recordSizeCut(state, { part: 'requests', reason: 'framing', bytes, caller }),
+  );
+  server.on('request', (incoming, response) => {
+    const beginUnread: BeginUnread = (giveUp) =>
+      state.heldBytes.begin('unread-answer', (bytes) => {
+        recordCallerCut(state, incoming, { part: 'unread-answer', reason: 'memory', bytes });
+        giveUp();
+      });
+    const reply = makeCallerReply(response, () => state.isLeaving, beginUnread);
     const arrival = { incoming, reply, arrivedAt: getSteadyMs() };
+    framing.recordRequest(incoming);
     response.on('error', (error) =>
       state.logger.debug({ err: error }, 'requests: answer could not be sent'),
     );
     awaitTurn(incoming, response, () => {
       countOpen(state, reply, response);
-      readBody(state, arrival, (body) => {
+      readBody(state, arrival, framing, (body) => {
         state.unreadReplies.delete(reply);
+        holdBody(state, body, response);
         routeRequest(state, arrival, body, response);
       });
     });
--- a/packages/router/src/gateway/caller-reply.ts
+++ b/packages/router/src/gateway/caller-reply.ts
@@ -6,18 +6,23 @@
 import type { ServerResponse } from 'node:http';
 import { getResultCode, type ResultName } from '@tarragonspool/protocol';
 import { endBrokenAnswer } from '../http/broken-answers.js';
+import type { HeldShare } from './held-bytes.js';
 
 /** Why a VM ends an answer in the middle. */
 export type BreakReason =
   | 'deadline'
   | 'engine-failed'
+  /** Only its connection told the answer's end, and no other run could be asked whether there is more. */
+  | 'end-unconfirmed'
   | 'no-engine'
   | 'slot-refused'
   | 'not-run'
   | 'prefill-failed'
   | 'quarantined'
   | 'stopped'
-  | 'task-failed';
+  | 'task-failed'
+  /** Its caller does not read it, and too much was held. */
+  | 'memory';
 
 /** How far an answer has been written. */
 export type ReplyState = 'open' | 'begun' | 'ended';
@@ -28,7 +33,12 @@
   /** Answers with one of the gateway's own result codes. */
   readonly refuse: (name: ResultName, retryAfterMs?: number) => void;
   /** Sends the head of a server's answer. */
-  readonly begin: (status: number, rawHeaders: readonly string[]) => void;
+  readonly begin: (
+    status: number,
+    rawHeaders: readonly string[],
+    /** Whether the end of the connection is to tell the end of the answer; false if absent. */
+    endsWithConnection?: boolean,
+  ) => void;
   /** Returns false if the caller reads more slowly than the server writes; wait for `onDrain`. */
   readonly write: (chunk: Buffer) => boolean;
   readonly end: () => void;
@@ -42,11 +52,43 @@
 const MS_PER_S = 1_000;
 const LENGTH = /^content-length$/iu;
 
+/** Begins to count what the caller has not read; `giveUp` ends the answer. */
+export type BeginUnread = (giveUp: () => void) => HeldShare;
+
 /** Makes the answer writer; `isLeaving` closes the connection after the answer. */
-export function makeCallerReply(response: ServerResponse, isLeaving: () => boolean): CallerReply {
+export function makeCallerReply(
+  response: ServerResponse,
+  isLeaving: () => boolean,
+  beginUnread?: BeginUnread,
+): CallerReply {
   let state: ReplyState = 'open';
   let hasLength = false;
   let breakReason: BreakReason | undefined;
+  let unread: HeldShare | undefined;
+
+  function cut(reason: BreakReason): void {
+    state = 'ended';
+    breakReason = reason;
+    endBrokenAnswer(response, hasLength);
+  }
+
+  /** Counts what the caller has yet to read, once there is any; it is counted until the answer ends. */
+  function countUnread(): void {
+    if (beginUnread === undefined) return;
+    if (unread === undefined) {
+      unread = beginUnread(() => cut('memory'));
+      response.once('close', unread.end);
+      response.on('drain', countUnread);
+    }
+    unread.update(response.writableLength);
+  }
+
+  function write(chunk: Buffer): boolean {
+    if (state !== 'begun') return true;
+    const isRead = response.write(chunk);
+    if (!isRead) countUnread();
+    return isRead;
+  }
 
   function refuse(name: ResultName, retryAfterMs?: number): void {
     if (state !== 'open') return;
@@ -66,25 +108,24 @@
   return {
     getState: () => state,
     refuse,
-    begin: (status, rawHeaders) => {
+    begin: (status, rawHeaders, endsWithConnection = false) => {
       if (state !== 'open') return;
       state = 'begun';
       hasLength = rawHeaders.some((name, index) => index % 2 === 0 && LENGTH.test(name));
-      const headers = isLeaving() ? [...rawHeaders, 'Connection', 'close'] : [...rawHeaders];
+      const isLast = isLeaving() || endsWithConnection;
+      const headers = isLast ? [...rawHeaders, 'Connection', 'close'] : [...rawHeaders];
+      if (endsWithConnection) response.useChunkedEncodingByDefault = false;
       response.writeHead(status, headers);
       response.flushHeaders();
     },
-    write: (chunk) => (state === 'begun' ? response.write(chunk) : true),
+    write,
     end: () => {
       if (state !== 'begun') return;
       state = 'ended';
       response.end();
     },
     breakOff: (reason) => {
-      if (state === 'ended') return;
-      state = 'ended';
-      breakReason = reason;
-      endBrokenAnswer(response, hasLength);
+      if (state !== 'ended') cut(reason);
     },
     getBreakReason: () => breakReason,
     onDrain: (resume) => response.once('drain', resume),
