Streams: an engine that dies before its first event confirms no end

Callers got streams told as complete with 3 of 6 events: the run that was asked for the rest had a head without a length or chunks, and its engine died before its first event. An answer without events was taken for the word that there is no more, though only its connection's close told its end: the class of unconfirmed-end-told-as-complete, one run later. It happened as well after a reset run (no unframed answer before), and could where a caller goes on itself.

Such an answer is now unconfirmed too; as its caller asked for the rest already, its engine is tried, as on routes that can't be resumed: one that takes a connection has closed the answer itself, otherwise the run is broken and another one is asked.

Both new cases of stream-order failed before (events 1, 2, 3, told as complete) and hold. Streams over engines that all end their answers by closing stay whole with two runs.

--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -52,8 +52,9 @@
 }
 
 /**
- * Finds how a stream ended about which no other run can be asked. A server that closed the connection of a whole answer
- * still takes others, one that died does not (RFC 9112, 8, holds an answer complete that ends with its connection).
+ * Finds how a stream ended about which no other run can be asked, or one that was asked sent no event. A server that
+ * closed the connection of a whole answer still takes others, one that died does not (RFC 9112, 8, holds an answer
+ * complete that ends with its connection).
  */
 function* awaitEndByPath(
   { access }: GatewayState,
@@ -106,7 +107,8 @@
   });
   const isDisplaced = turn.isDisplaced();
   const seenEnd = findDecodeEnd(result, relay, isDisplaced);
-  const isJudgedByPath = seenEnd === 'unconfirmed' && !canAskOtherRuns(route);
+  const hasNobodyToAsk = !canAskOtherRuns(route) || !relay.hasEvents();
+  const isJudgedByPath = seenEnd === 'unconfirmed' && hasNobodyToAsk;
   const end = isJudgedByPath ? yield* awaitEndByPath(state, engine) : seenEnd;
   const { framing, restBytes, eventIds } = relay.getEnd();
   relay.close();
--- a/packages/router/src/gateway/stream-relay.ts
+++ b/packages/router/src/gateway/stream-relay.ts
@@ -218,10 +218,10 @@
     /** Whether this engine has sent events. */
     hasEvents: recorder.hasEvents,
     /**
-     * Whether the end of a whole answer is the end of its stream. A connection that is closed after events may as
-     * well be that of an engine that died.
+     * Whether the end of a whole answer is the end of its stream. A connection that is closed may as well be that of
+     * an engine that died.
      */
-    isEndKnown: (): boolean => framing !== 'connection' || !recorder.hasEvents(),
+    isEndKnown: (): boolean => framing !== 'connection',
     /** How the answer's end is told, and the bytes after its last whole event. */
     getEnd: () => ({ framing, restBytes: splitter.rest.countBytes(), eventIds }),
     /** Holds nothing any more. */
