Streams: the end of an answer by way of a peer is tried by way of a peer

It is tried by peers too now, as leaving servers are.

The new test of stream-order-resumes holds; before, the caller had all six events and a reset.

--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -60,7 +60,7 @@
   { access }: GatewayState,
   { upstreamId }: ClearedUpstream,
 ): Task<'finished' | 'broken'> {
-  const answer = yield* awaitPromise(access.paths.tryPath(upstreamId));
+  const answer = yield* awaitPromise(access.tryServer(upstreamId));
   return answer === 'opened' ? 'finished' : 'broken';
 }
 
