Event order: a time to wait is no event, and hides no gap

A run that began with lines that are no event ('retry: 500') and went on two events late was joined to the one before: callers got 1 2 3 6, told as complete. The lines counted as the run's first event, and only that one was compared with the place asked for. Besides, they counted as an event without an id, after which no other run may go on, so that proper streams which begin with them were broken off where another engine had the rest.

Such lines are passed on as comments are, and the first event with a number shows where a run goes on, also if events without one come before.

--- a/packages/core/src/routing/event-splitter.test.ts
+++ b/packages/core/src/routing/event-splitter.test.ts
@@ -106,3 +106,11 @@
   expect(dropByteOrderMark(Buffer.from(`${mark}id: 1`)).toString()).to.equal('id: 1');
   expect(dropByteOrderMark(Buffer.from('id: 1')).toString()).to.equal('id: 1');
 });
+
+// Guards against a time to wait that counts as an event without an id, after which no other run can go on.
+it('event splitter: a time to wait by itself is no event, but must end like one', () => {
+  const splitter = makeEventSplitter();
+  const parts = splitter.split(Buffer.from('retry: 500\n\nretry: 500\nid: 1\ndata: a\n\nretry: 5'));
+  expect(parts.map(({ kind }) => kind)).to.deep.equal(['filler', 'event']);
+  expect(splitter.isInsideEvent()).to.equal(true);
+});
--- a/packages/core/src/routing/event-splitter.ts
+++ b/packages/core/src/routing/event-splitter.ts
@@ -14,7 +14,7 @@
 /** A part of a stream, whose bytes are a copy. */
 export type StreamPart =
   | { readonly kind: 'event'; readonly bytes: Buffer; readonly id: EventId }
-  /** Comments and blank lines between events. */
+  /** Comments, blank lines between events, and times to wait before the next attempt, which are no events. */
   | { readonly kind: 'filler'; readonly bytes: Buffer };
 
 /** Splits one stream. */
@@ -33,6 +33,7 @@
 const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
 const BYTE_ORDER_MARK = Buffer.from([0xef, 0xbb, 0xbf]);
+const RETRY_FIELD = /^retry(?::|$)/u;
 const ID_FIELD = /^id(?:: ?(.*))?$/su;
 const WHOLE_NUMBER = /^\d+$/u;
 const NO_ID: EventId = { kind: 'none' };
@@ -60,6 +61,7 @@
 function makeEventReader() {
   let isFirstLine = true;
   let hasField = false;
+  let isEvent = false;
   let id = NO_ID;
   return {
     readLine: (bytes: Buffer): void => {
@@ -67,17 +69,20 @@
       isFirstLine = false;
       if (!isField(line)) return;
       hasField = true;
+      const text = line.toString('latin1');
+      if (!RETRY_FIELD.test(text)) isEvent = true;
       // The last one of several ids counts.
-      id = parseId(line.toString('latin1')) ?? id;
+      id = parseId(text) ?? id;
     },
     hasField: () => hasField,
     /** Returns a copy of the bytes as the part that ends with the blank line, and begins the next one. */
     takePart: (bytes: Buffer): StreamPart => {
       const copy = Buffer.from(bytes);
-      const part: StreamPart = hasField
+      const part: StreamPart = isEvent
         ? { kind: 'event', bytes: copy, id }
         : { kind: 'filler', bytes: copy };
       hasField = false;
+      isEvent = false;
       id = NO_ID;
       return part;
     },
--- a/packages/router/src/gateway/stream-relay.ts
+++ b/packages/router/src/gateway/stream-relay.ts
@@ -99,6 +99,8 @@
   const isContinued = reply.getState() === 'begun';
   let isForwarding = false;
   let isFirstPart = true;
+  /** Whether an event with a number has come: only such a one shows where the run goes on. */
+  let hasNumber = false;
   let unusedBytes = 0;
   let abort = (): void => undefined;
   let framing: AnswerFraming | undefined;
@@ -145,11 +147,12 @@
     for (const part of parts) {
       if (part.kind === 'event') {
         recordEventId(eventIds, part.id);
-        const verdict = judgeEvent(progress.place, part.id, !recorder.hasEvents() && count === 0);
+        const verdict = judgeEvent(progress.place, part.id, !hasNumber);
         if (verdict.kind === 'out-of-order') {
           return { bytes: Buffer.concat(taken), count, fault: verdict.fault };
         }
         progress.place = verdict.place;
+        hasNumber ||= part.id.kind === 'number';
         count += 1;
       }
       // In the middle of an answer a byte order mark would be a part of the next line.
