--- a/packages/router/src/gateway/held-bytes.test.ts
+++ b/packages/router/src/gateway/held-bytes.test.ts
@@ -46,6 +46,19 @@
   expect(held.countAll()).to.equal(990);
 });
 
+// Guards against sound calls whose answers are given up as the bodies of others fill the memory.
+it('held bytes: bodies take half of the limit at most, whether they are read or under way', () => {
+  const held = makeHeld();
+  const cut: string[] = [];
+  held.begin('body').update(300);
+  held.begin('body', () => cut.push('first')).update(150);
+  held.begin('body', () => cut.push('second')).update(60);
+  expect(cut).to.deep.equal(['first']);
+  held.begin('answer', () => cut.push('answer')).update(600);
+  expect(cut).to.deep.equal(['first']);
+  expect(held.countKind('body')).to.equal(360);
+});
+
 it('held bytes: over any updates the sum is that of the shares, and within the limit', () => {
   const step = fc.record({ share: fc.nat(7), bytes: fc.nat(LIMIT), isEnd: fc.boolean() });
   fc.assert(
--- a/packages/router/src/gateway/held-bytes.ts
+++ b/packages/router/src/gateway/held-bytes.ts
@@ -41,6 +41,8 @@
  * itself needs half of the memory of a small machine.
  */
 const HELD_MEMORY_SHARE = 0.0625;
+/** Bodies of requests that are under way stay until their answers, which must have room too. */
+const BODY_SHARE = 0.5;
 
 /** Computes the limit for a machine. */
 export function computeHeldLimit(memoryMb: number): number {
@@ -51,26 +53,35 @@
 export function makeHeldBytes(getLimit: () => number): HeldBytes {
   /** Those that hold any bytes. */
   const shares = new Set<OpenShare>();
+  const sums = new Map<HeldKind, number>();
   let total = 0;
 
+  function countKind(kind: HeldKind): number {
+    return sums.get(kind) ?? 0;
+  }
+
   function setBytes(share: OpenShare, bytes: number): void {
-    total += bytes - share.bytes;
+    const change = bytes - share.bytes;
+    total += change;
+    sums.set(share.kind, countKind(share.kind) + change);
     share.bytes = bytes;
     if (bytes > 0) shares.add(share);
     else shares.delete(share);
   }
 
-  function findLargest(): OpenShare | undefined {
+  function findLargest(kind: HeldKind | undefined): OpenShare | undefined {
     let largest: OpenShare | undefined;
     for (const share of shares) {
+      if (kind !== undefined && share.kind !== kind) continue;
       if (share.giveUp !== undefined && share.bytes > (largest?.bytes ?? 0)) largest = share;
     }
     return largest;
   }
 
-  function giveUpLargest(): void {
-    while (total > getLimit()) {
-      const largest = findLargest();
+  /** Gives up the largest shares, of one kind or of all, as long as there is too much. */
+  function giveUpLargest(isTooMuch: () => boolean, kind?: HeldKind): void {
+    while (isTooMuch()) {
+      const largest = findLargest(kind);
       if (largest === undefined) return;
       const { bytes, giveUp } = largest;
       setBytes(largest, 0);
@@ -84,16 +95,13 @@
       return {
         update: (bytes) => {
           setBytes(share, bytes);
-          giveUpLargest();
+          giveUpLargest(() => countKind('body') > BODY_SHARE * getLimit(), 'body');
+          giveUpLargest(() => total > getLimit());
         },
         end: () => setBytes(share, 0),
       };
     },
     countAll: () => total,
-    countKind: (kind) => {
-      let bytes = 0;
-      for (const share of shares) if (share.kind === kind) bytes += share.bytes;
-      return bytes;
-    },
+    countKind,
   };
 }
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -61,7 +61,7 @@
   { upstreamId }: ClearedUpstream,
   turn: RunTurn,
 ): Task<'finished' | 'broken'> {
-  const answer = yield* awaitPromise(access.paths.tryPath(upstreamId));
+  const answer = yield* awaitPromise(access.tryServer(upstreamId));
   // Meanwhile another run may have taken the place.
   return answer === 'opened' && !turn.isDisplaced() ? 'finished' : 'broken';
 }
--- a/packages/router/src/gateway/stream-relay.ts
+++ b/packages/router/src/gateway/stream-relay.ts
@@ -99,12 +99,16 @@
   const isContinued = reply.getState() === 'begun';
   let isForwarding = false;
   let isFirstPart = true;
+  /** Whether an event with a number has come: only such a one shows where the run goes on. */
+  let hasNumber = false;
   let unusedBytes = 0;
   let abort = (): void => undefined;
+  let isCut = false;
   let framing: AnswerFraming | undefined;
 
   /** Ends the run: of its present event, or of all that this VM holds, there is too much. */
   function cut(reason: CutReason): void {
+    isCut = true;
     const { requestId } = request.fields;
     const bytes = splitter.rest.countBytes();
     recordSizeCut(state, { part: 'event', reason, bytes, requestId, upstreamId });
@@ -145,11 +149,12 @@
     for (const part of parts) {
       if (part.kind === 'event') {
         recordEventId(eventIds, part.id);
-        const verdict = judgeEvent(progress.place, part.id, !recorder.hasEvents() && count === 0);
+        const verdict = judgeEvent(progress.place, part.id, !hasNumber);
         if (verdict.kind === 'out-of-order') {
           return { bytes: Buffer.concat(taken), count, fault: verdict.fault };
         }
         progress.place = verdict.place;
+        hasNumber ||= part.id.kind === 'number';
         count += 1;
       }
       // In the middle of an answer a byte order mark would be a part of the next line.
@@ -202,6 +207,8 @@
     /** Takes the end of an answer that its framing says is whole; returns why it is not. */
     findCut: (): string | undefined => {
       if (!isForwarding) return undefined;
+      // Its end may have come before it was given up.
+      if (isCut) return 'event too large';
       if (splitter.isInsideEvent()) return 'answer ended inside an event';
       const { fault } = writeParts(splitter.takeRest());
       if (fault !== undefined) return fault;
