--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -52,15 +52,18 @@
 }
 
 /**
- * Finds how a stream ended about which no other run can be asked. A server that closed the connection of a whole answer
- * still takes others, one that died does not (RFC 9112, 8, holds an answer complete that ends with its connection).
+ * Finds how a stream ended about which no other run is asked, or of which the one that was asked has no more. A server
+ * that closed the connection of a whole answer still takes others, one that died does not (RFC 9112, 8, holds an answer
+ * complete that ends with its connection).
  */
 function* awaitEndByPath(
   { access }: GatewayState,
   { upstreamId }: ClearedUpstream,
+  turn: RunTurn,
 ): Task<'finished' | 'broken'> {
   const answer = yield* awaitPromise(access.paths.tryPath(upstreamId));
-  return answer === 'opened' ? 'finished' : 'broken';
+  // Meanwhile another run may have taken the place.
+  return answer === 'opened' && !turn.isDisplaced() ? 'finished' : 'broken';
 }
 
 /** Runs a stream on one decode engine. */
@@ -106,8 +109,9 @@
   });
   const isDisplaced = turn.isDisplaced();
   const seenEnd = findDecodeEnd(result, relay, isDisplaced);
-  const isJudgedByPath = seenEnd === 'unconfirmed' && !canAskOtherRuns(route);
-  const end = isJudgedByPath ? yield* awaitEndByPath(state, engine) : seenEnd;
+  const isAsked = relay.hasEvents() && canAskOtherRuns(route);
+  const isJudgedByPath = seenEnd === 'unconfirmed' && !isAsked;
+  const end = isJudgedByPath ? yield* awaitEndByPath(state, engine, turn) : seenEnd;
   const { framing, restBytes, eventIds } = relay.getEnd();
   relay.close();
   if (end === 'finished') relay.finish();
