--- a/packages/router/src/gateway/stream-joins.fuzz.test.ts
+++ b/packages/router/src/gateway/stream-joins.fuzz.test.ts
@@ -301,6 +301,7 @@
       client: { send },
       hasWay: () => true,
       paths: { tryPath },
+      tryServer: tryPath,
     },
     ports: {
       dialect: {
