--- a/packages/router/src/gateway/stream-relay.ts
+++ b/packages/router/src/gateway/stream-relay.ts
@@ -206,7 +206,7 @@
     },
     /** Takes the end of an answer that its framing says is whole; returns why it is not. */
     findCut: (): string | undefined => {
-      if (!isForwarding) return undefined;
+      if (!isForwarding || turn.isDisplaced()) return undefined;
       // Its end may have come before it was given up.
       if (isCut) return 'event too large';
       if (splitter.isInsideEvent()) return 'answer ended inside an event';
