--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -30,7 +30,7 @@
 const IDLE_TIMEOUT_SLACK_MS = 1_000;
 const MAX_HEADER_BYTES = 65_536;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
-/** A caller that sends on after its refusal by more than this is cut off. */
+/** A caller that sends on after its refusal is cut off if its body is longer than it may be by more than this. */
 const MAX_IGNORED_BODY_BYTES = 1_048_576;
 /** The same for one that sends on in small pieces. */
 const MAX_IGNORED_PIECES = 4_096;
@@ -235,7 +235,7 @@
   const { incoming, reply } = arrival;
   const limit = state.configuration?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
   const body = makeByteCollector();
-  let ignoredBytes = 0;
+  let readBytes = 0;
   let ignoredPieces = 0;
 
   /** Refuses a body that goes on; what is left of it is not kept. */
@@ -249,10 +249,11 @@
   const held = state.heldBytes.begin('body', () => cut('memory'));
   incoming.on('data', (part: Buffer) => {
     framing.recordContent(incoming, part.length);
+    readBytes += part.length;
     if (reply.getState() !== 'open') {
-      ignoredBytes += part.length;
       ignoredPieces += 1;
-      const isOver = ignoredBytes > MAX_IGNORED_BODY_BYTES || ignoredPieces > MAX_IGNORED_PIECES;
+      const isTooLong = readBytes > limit + MAX_IGNORED_BODY_BYTES;
+      const isOver = isTooLong || ignoredPieces > MAX_IGNORED_PIECES;
       // The rest of the body may be without end.
       if (isOver) incoming.destroy();
       return;
