Links: a link that was no longer needed when it opened is closed after ten seconds, too

Callers saw nothing of it: VMs that are no hubs kept links to each other, each with its messages, for as long as both lived.

Cause: the time at which a link was last needed is noted at each check for the VMs that are wanted then, and forgotten at the same check if they have no link yet. A VM that reads a part of the list first dials one that is a hub among these few; where the list is whole before the link opens, nothing is noted for the link, and a link without a time counted as needed now, for ever.

Ruled out: that the test counts links wrongly by its log lines; both ends of such a link have it in their tables.

--- a/packages/router/src/peers/peer-mesh.test.ts
+++ b/packages/router/src/peers/peer-mesh.test.ts
@@ -14,12 +14,13 @@
 import type { EntryVmRecord } from '../upstreams/directory.js';
 import { makeDialSchedule } from './dial-schedule.js';
 import { getCloseCode, startPeerLink, type PeerIdentity, type PeerLink } from './peer-link.js';
-import { startPeerMesh, type PeerMesh } from './peer-mesh.js';
+import { startPeerMesh, type PeerMesh, type PeerMeshParts } from './peer-mesh.js';
 
 const HOST = process.env.TARRAGONSPOOL_TEST_HOST ?? '127.0.0.1';
 const SECRET = 'a-secret-of-the-peers';
 const WS_TOO_LARGE_CODE = 1_009;
 const SILENCE_MS = 300;
+const UNUSED_MS = 100;
 const HEARTBEAT: PeerMessage = {
   kind: 'heartbeat',
   sentAt: 1,
@@ -60,7 +61,12 @@
   while (!check()) await wait(10);
 }
 
-async function startMesh(vmId: string, incarnation = 1, port = 0): Promise<TestMesh> {
+async function startMesh(
+  vmId: string,
+  incarnation = 1,
+  port = 0,
+  more: Partial<PeerMeshParts> = {},
+): Promise<TestMesh> {
   const directory = { entryVms: [] as EntryVmRecord[] };
   const [opened, gone, heard]: [VmId[], VmId[], string[]] = [[], [], []];
   const hooks = { onOpened: (): void => undefined };
@@ -71,13 +77,19 @@
     directory,
     metrics: makeMetrics(),
     logger: pino({ level: 'silent' }),
-    times: { dialIntervalMs: 20, silenceMs: SILENCE_MS, handshakeTimeoutMs: 200 },
+    times: {
+      dialIntervalMs: 20,
+      silenceMs: SILENCE_MS,
+      handshakeTimeoutMs: 200,
+      unusedMs: UNUSED_MS,
+    },
     onOpen: ({ peer }) => {
       opened.push(peer.vmId);
       hooks.onOpened();
     },
     onMessage: (_peer, message) => heard.push(message.kind),
     onGone: (gonePeer) => gone.push(gonePeer),
+    ...more,
   });
   meshes.push(mesh);
   await waitUntil(() => mesh.getPort() !== undefined);
@@ -205,6 +217,43 @@
   expect(mesh.mesh.links.size).to.equal(0);
 });
 
+/** Lets two VMs talk for long enough that an unused link is closed, so that no link is cut as silent. */
+async function keepTalking(first: TestMesh, second: TestMesh): Promise<void> {
+  for (let round = 0; round < 10; round += 1) {
+    first.mesh.broadcast(HEARTBEAT);
+    second.mesh.broadcast(HEARTBEAT);
+    // eslint-disable-next-line no-await-in-loop -- one round after the other
+    await wait(UNUSED_MS / 2);
+  }
+}
+
+// Guards against links that stay for ever because they were dialled before all VMs were known.
+it('peers: a link to a VM that was no target any more when it opened is closed', async () => {
+  const second = await startMesh('vm-2');
+  const target = makeRecord('vm-2', second.mesh);
+  let isTarget = true;
+  const listTargets = (): EntryVmRecord[] => {
+    const targets = isTarget ? [target] : [];
+    isTarget = false;
+    return targets;
+  };
+  const first = await startMesh('vm-1', 1, 0, { listTargets });
+  await waitUntil(() => first.opened.length === 1);
+  await keepTalking(first, second);
+  expect(first.gone).to.have.length(1);
+  expect(first.mesh.links.size).to.equal(0);
+});
+
+// Guards against links of which both ends would close and dial the same one in turn.
+it('peers: a link that is needed stays', async () => {
+  const second = await startMesh('vm-2');
+  const target = makeRecord('vm-2', second.mesh);
+  const first = await startMesh('vm-1', 1, 0, { listTargets: () => [target] });
+  await waitUntil(() => first.opened.length === 1);
+  await keepTalking(first, second);
+  expect(first.gone).to.deep.equal([]);
+});
+
 it('peers: a link is dialled again after its peer restarts', async () => {
   const first = await startMesh('vm-1');
   const second = await startMesh('vm-2');
--- a/packages/router/src/peers/peer-mesh.ts
+++ b/packages/router/src/peers/peer-mesh.ts
@@ -33,6 +33,8 @@
   readonly handshakeTimeoutMs: number;
   /** A link whose peer says nothing for this long is cut. */
   readonly silenceMs: number;
+  /** A link that this VM dialled and no longer needs is closed after this time. */
+  readonly unusedMs: number;
 };
 
 /** A peer and where it listens. */
@@ -61,6 +63,7 @@
   dialIntervalMs: 250,
   handshakeTimeoutMs: 3_000,
   silenceMs: 1_500,
+  unusedMs: 10_000,
 };
 
 /** Keeps one link of each peer: of its newest incarnation, and of two such the one that the lesser id dialled. */
@@ -128,18 +131,25 @@
   };
 }
 
-/** Links that this VM dialled and no longer needs are closed after this time. */
-const UNUSED_LINK_MS = 10_000;
-
 /** Closes dialled links to VMs that are no targets for some time. */
-function makeUnusedLinkCheck(parts: PeerMeshParts, table: ReturnType<typeof makeLinkTable>) {
-  const { listTargets, logger } = parts;
+function makeUnusedLinkCheck(
+  { listTargets, logger }: PeerMeshParts,
+  table: ReturnType<typeof makeLinkTable>,
+  unusedMs: number,
+) {
   const neededAt = new Map<VmId, number>();
   return (now: number): void => {
     if (listTargets === undefined) return;
     for (const { vmId } of listTargets(now)) neededAt.set(vmId, now);
     for (const [vmId, link] of table.links) {
-      if (!table.isDialled(link) || now - (neededAt.get(vmId) ?? now) < UNUSED_LINK_MS) continue;
+      if (!table.isDialled(link)) continue;
+      const lastNeededAt = neededAt.get(vmId);
+      if (lastNeededAt === undefined) {
+        // Its peer was no target any more when the link opened.
+        neededAt.set(vmId, now);
+        continue;
+      }
+      if (now - lastNeededAt < unusedMs) continue;
       logger.info({ peer: vmId }, 'peers: link is not needed any more');
       link.close();
     }
@@ -173,7 +183,7 @@
   const dialling = new Set<VmId>();
   const schedule = makeDialSchedule();
   const checkSilence = makeSilenceCheck(links, times);
-  const closeUnused = makeUnusedLinkCheck(parts, table);
+  const closeUnused = makeUnusedLinkCheck(parts, table, times.unusedMs);
   let isClosed = false;
 
   function runLink(
