Streams: an engine whose answer ends with its connection is asked for its report, not for a connection

Cause: where no other run could be asked for the end, a connection that opened was taken for a sign that the engine lived. A proxy before it took that connection though the engine had died after its head. Class: the answer of a layer below is taken for that of the process that was asked, as with the close of the answer itself.

Ruled out: the run before (its end was asked for at another engine, as it should be); a stale kept connection.

Now the engine is asked for its report by the way that requests take, by a peer too, as the instance that is listed; the report must be of the start that is listed, if it names one. A call that fails is made once more, so that a kept connection that was just closed tells nothing. The log tells what was found.

--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -177,6 +177,8 @@
   readonly isBusy: boolean;
   /** Orders accepted since its start. */
   readonly orderCount: number;
+  /** Which start of the engine this is; undefined if it does not say. */
+  readonly incarnation: number | undefined;
 };
 
 /** An engine's answer to an order. */
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -2,7 +2,8 @@
 
 import { canGoOnElsewhere, type ClearedUpstream, type SlotRequestId } from '@tarragonspool/core';
 import { sendPoolMessage } from '../pools/pool-task.js';
-import { awaitPromise, type Task } from '../tasks/tasks.js';
+import { isEngineAlive } from '../stages/engine-calls.js';
+import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
@@ -53,17 +54,20 @@
 
 /**
  * Finds how a stream ended about which no other run is asked, or of which the one that was asked has no more. A server
- * that closed the connection of a whole answer still takes others, one that died does not (RFC 9112, 8, holds an answer
+ * that closed the connection of a whole answer still answers, one that died does not (RFC 9112, 8, holds an answer
  * complete that ends with its connection).
  */
-function* awaitEndByPath(
-  { access }: GatewayState,
-  { upstreamId }: ClearedUpstream,
+function* awaitEndByEngine(
+  state: GatewayState,
+  { fields: { requestId } }: GatewayRequest,
+  engine: ClearedUpstream,
   turn: RunTurn,
 ): Task<'finished' | 'broken'> {
-  const answer = yield* awaitPromise(access.tryServer(upstreamId));
+  const isAlive = yield* isEngineAlive(state, engine);
+  const { upstreamId } = engine;
+  state.logger.info({ requestId, upstreamId, isAlive }, 'streams: engine asked whether it lives');
   // Meanwhile another run may have taken the place.
-  return answer === 'opened' && !turn.isDisplaced() ? 'finished' : 'broken';
+  return isAlive && !turn.isDisplaced() ? 'finished' : 'broken';
 }
 
 /** Runs a stream on one decode engine. */
@@ -110,8 +114,8 @@
   const isDisplaced = turn.isDisplaced();
   const seenEnd = findDecodeEnd(result, relay, isDisplaced);
   const isAsked = relay.hasEvents() && canAskOtherRuns(route);
-  const isJudgedByPath = seenEnd === 'unconfirmed' && !isAsked;
-  const end = isJudgedByPath ? yield* awaitEndByPath(state, engine, turn) : seenEnd;
+  const isJudgedByEngine = seenEnd === 'unconfirmed' && !isAsked;
+  const end = isJudgedByEngine ? yield* awaitEndByEngine(state, request, engine, turn) : seenEnd;
   const { framing, restBytes, eventIds } = relay.getEnd();
   relay.close();
   if (end === 'finished') relay.finish();
--- a/packages/router/src/gateway/stream-joins.fuzz.test.ts
+++ b/packages/router/src/gateway/stream-joins.fuzz.test.ts
@@ -100,6 +100,7 @@
 /** They are played side by side; rare ones take this many to meet. */
 const MIN_COURSES = 1_500;
 const DEADLINE_MS = 9_000;
+const REPORT_PATH = '/report';
 const NOTICE = { isLeaving: false, pauseMs: undefined, limit: { kind: 'none' }, invalid: [] };
 
 /** What one caller got. */
@@ -206,6 +207,20 @@
   };
 }
 
+/** Answers the question for an engine's report, unless the engine has died. */
+function startReport(run: RunScript, onEvent: (event: UpstreamEvent) => void) {
+  const emit = (event: UpstreamEvent): void => {
+    setImmediate(() => onEvent(event));
+  };
+  if (run.end === 'dies') emit({ kind: 'failed', isSent: true, reason: 'closed' });
+  else {
+    emit({ kind: 'head', status: 200, headers: {}, rawHeaders: [], framing: 'length' });
+    emit({ kind: 'ended' });
+  }
+  const ignore = (): void => undefined;
+  return { cancel: ignore, pause: ignore, resume: ignore, abort: ignore };
+}
+
 function buildRequest({ maxAttempts, stallAfter, stallMs, hasUpTo }: Course, outcome: Outcome) {
   const now = getSteadyMs();
   let replyState = 'open';
@@ -275,9 +290,16 @@
     upstreams.records.set(name as UpstreamId, record as unknown as UpstreamRecord);
   }
   const guard = { recordAnswered: () => undefined, recordBroken: () => undefined };
-  type Call = { server: UpstreamRecord; headers: readonly string[]; onSent: () => void };
-  const send = ({ server, headers, onSent }: Call, onEvent: (event: UpstreamEvent) => void) => {
+  type Call = {
+    server: UpstreamRecord;
+    path: string;
+    headers: readonly string[];
+    onSent: () => void;
+  };
+  const send = (call: Call, onEvent: (event: UpstreamEvent) => void) => {
+    const { server, path, headers, onSent } = call;
     const run = course.runs[names.indexOf(server.upstreamId)] as RunScript;
+    if (path === REPORT_PATH) return startReport(run, onEvent);
     outcome.sentTo.push(server.upstreamId);
     if (run.end !== 'unreached') onSent();
     const after = Number(headers[0]);
@@ -287,10 +309,8 @@
     const begin = isShown ? shifted : after;
     return startRun(run, begin, course.events, onEvent);
   };
-  const tryPath = (upstreamId: string) => {
-    const hasDied = course.runs[names.indexOf(upstreamId)]?.end === 'dies';
-    return Promise.resolve(hasDied ? 'not-opened' : 'opened');
-  };
+  // A proxy takes connections, also for an engine that has died.
+  const tryPath = () => Promise.resolve('opened');
   const origin = { service: 'llm', softwareVersion: '1' };
   const state = {
     pools: { inbox, countLiveVms: () => 1 },
@@ -305,6 +325,9 @@
     },
     ports: {
       dialect: {
+        reportPath: REPORT_PATH,
+        makeInstanceHeaders: () => ({}),
+        decodeReport: () => ({ stage: 'decode', isBusy: false, orderCount: 0 }),
         makeForwardHeaders: (_raw: unknown, _length: unknown, placement: SendPlan['placement']) => [
           String(placement.resumeAfterEvent ?? course.hasUpTo),
         ],
--- a/packages/router/src/stages/engine-calls.ts
+++ b/packages/router/src/stages/engine-calls.ts
@@ -1,6 +1,14 @@
-/** Calls to an engine outside of requests: reading its report, and ordering it to change its stage. */
+/**
+ * Calls to an engine outside of requests: reading its report, asking whether its process lives, and ordering it to
+ * change its stage.
+ */
 
-import { askSend, makeByteCollector, type ClearedUpstream } from '@tarragonspool/core';
+import {
+  askSend,
+  makeByteCollector,
+  UNKNOWN_INCARNATION,
+  type ClearedUpstream,
+} from '@tarragonspool/core';
 import type { UpstreamId } from '@tarragonspool/protocol';
 import type { GatewayState } from '../gateway/gateway-state.js';
 import type { EngineReport, OrderAnswer, StageOrder } from '../gateway/ports.js';
@@ -9,23 +17,45 @@
 import { findExcess, type Excess } from '../http/size-limit.js';
 import { makeChannel, offer, receive, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
-import type { UpstreamCall } from '../upstreams/upstream-client.js';
+import type {
+  UpstreamCall,
+  UpstreamEvent,
+  UpstreamExchange,
+} from '../upstreams/upstream-client.js';
 
 const CALL_TIMEOUT_MS = 500;
 const MAX_ANSWER_BYTES = 1_048_576;
+const HTTP_OK = 200;
+/** A connection that was kept may have been closed at the other end just before the first call. */
+const MAX_LIFE_CALLS = 2;
 
+type EngineCall = Omit<UpstreamCall, 'address' | 'requestId'>;
 type CallAnswer = { readonly status: number; readonly body: Buffer };
+/** Sends a call and reports what happens to it. */
+type SendCall = (call: EngineCall, onEvent: (event: UpstreamEvent) => void) => UpstreamExchange;
+
+/** Makes a sender of calls over connections of this VM alone. */
+function makeDirectSender({ engineClient }: GatewayState, { address }: ClearedUpstream): SendCall {
+  return (call, onEvent) => engineClient.send({ ...call, address, requestId: undefined }, onEvent);
+}
+
+/** Makes a sender of calls that may go by way of a peer, as requests do. */
+function makeRoutedSender({ access }: GatewayState, server: ClearedUpstream): SendCall {
+  const onSent = (): void => undefined;
+  return (call, onEvent) =>
+    access.client.send({ ...call, server, requestId: undefined, onSent }, onEvent);
+}
 
 /** Calls an engine once; returns undefined if no complete answer arrives before the timeout. */
 function* callEngine(
   state: GatewayState,
   engine: ClearedUpstream,
-  call: Omit<UpstreamCall, 'address' | 'requestId'>,
+  call: EngineCall,
+  send: SendCall,
 ): Task<CallAnswer | undefined> {
   const outcome = makeChannel<CallAnswer | 'failed'>(1);
   const body = makeByteCollector();
   let status = 0;
-  const { address } = engine;
   const origin = { requestId: undefined, sentAt: getSteadyMs(), isIdentified: false };
   const cutOff = (reason: Excess): void => {
     const { upstreamId } = engine;
@@ -34,7 +64,7 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- no event comes before it is set
     exchange.abort('answer too large');
   };
-  const exchange = state.engineClient.send({ ...call, address, requestId: undefined }, (event) => {
+  const exchange = send(call, (event) => {
     if (event.kind === 'data') {
       body.append(event.chunk);
       const excess = findExcess(body, MAX_ANSWER_BYTES);
@@ -70,6 +100,12 @@
   return headers;
 }
 
+function buildReportCall(state: GatewayState, engine: ClearedUpstream): EngineCall {
+  const body = Buffer.alloc(0);
+  const headers = buildHeaders(state, engine, body);
+  return { method: 'GET', path: state.ports.dialect.reportPath, headers, body };
+}
+
 /** Reads the report of an engine; returns undefined if it is not listed or the call fails. */
 export function* readReport(
   state: GatewayState,
@@ -78,11 +114,36 @@
   const clearance = askSend(state.upstreams, upstreamId, { kind: 'report' }, getSteadyMs());
   if (clearance.kind === 'refused') return undefined;
   const engine = clearance.server;
-  const { reportPath: path, decodeReport } = state.ports.dialect;
-  const body = Buffer.alloc(0);
-  const headers = buildHeaders(state, engine, body);
-  const answer = yield* callEngine(state, engine, { method: 'GET', path, headers, body });
-  return answer && decodeReport(answer.body);
+  const call = buildReportCall(state, engine);
+  const answer = yield* callEngine(state, engine, call, makeDirectSender(state, engine));
+  return answer && state.ports.dialect.decodeReport(answer.body);
+}
+
+/** Whether an answer to the question for a report is the engine's own, of the start that is listed. */
+function isOwnReport(
+  { ports }: GatewayState,
+  { incarnation: listed }: ClearedUpstream,
+  { status, body }: CallAnswer,
+): boolean {
+  const report = status === HTTP_OK ? ports.dialect.decodeReport(body) : undefined;
+  if (report === undefined) return false;
+  const { incarnation = UNKNOWN_INCARNATION } = report;
+  const isTold = incarnation !== UNKNOWN_INCARNATION && listed !== UNKNOWN_INCARNATION;
+  return !isTold || incarnation === listed;
+}
+
+/**
+ * Returns whether the process of an engine lives that has sent an answer. Its report tells; a connection that opens
+ * may have been taken by a proxy for an engine that has died.
+ */
+export function* isEngineAlive(state: GatewayState, engine: ClearedUpstream): Task<boolean> {
+  const call = buildReportCall(state, engine);
+  const send = makeRoutedSender(state, engine);
+  for (let calls = 0; calls < MAX_LIFE_CALLS; calls += 1) {
+    const answer = yield* callEngine(state, engine, call, send);
+    if (answer !== undefined) return isOwnReport(state, engine, answer);
+  }
+  return false;
 }
 
 /** Sends an order to change the stage; returns undefined if the engine may or may not have taken it. */
@@ -94,6 +155,7 @@
   const { orderPath: path, encodeStageOrder, decodeOrderAnswer } = state.ports.dialect;
   const body = Buffer.from(encodeStageOrder(order));
   const headers = buildHeaders(state, engine, body);
-  const answer = yield* callEngine(state, engine, { method: 'POST', path, headers, body });
+  const call = { method: 'POST', path, headers, body };
+  const answer = yield* callEngine(state, engine, call, makeDirectSender(state, engine));
   return answer && decodeOrderAnswer(answer.status);
 }
