Streams: the question whether an engine lives ends with the deadline of its stream

A machine that holds a request a quarter of a second past its route's timeout pays for it.

Cause: the two calls for the report have 500 ms each, whatever time the stream has left.

--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -59,11 +59,11 @@
  */
 function* awaitEndByEngine(
   state: GatewayState,
-  { fields: { requestId } }: GatewayRequest,
+  { fields: { requestId }, deadlineAt }: GatewayRequest,
   engine: ClearedUpstream,
   turn: RunTurn,
 ): Task<'finished' | 'broken'> {
-  const isAlive = yield* isEngineAlive(state, engine);
+  const isAlive = yield* isEngineAlive(state, engine, deadlineAt);
   const { upstreamId } = engine;
   state.logger.info({ requestId, upstreamId, isAlive }, 'streams: engine asked whether it lives');
   // Meanwhile another run may have taken the place.
