Streams: an engine that stands still after its last answer is not taken for dead within a second

Engines and VMs stand still for 1 to 3 s on real machines.

Cause: the question for the report ends after 500 ms, twice; the second call has a connection of its own and waits as long. The question for a connection, which it replaced, was answered by the kernel of a process that stood still.

Ruled out: that the report is another start's or not read; it comes after the question has ended.

Now the only engine that can tell the end has 2.5 s, until the deadline at most; where another run may follow, 1 s as before. A dead engine behind a proxy that neither closes nor answers costs its caller 1.5 s more.

--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -20,6 +20,10 @@
 
 const HEAD_TIMEOUT_MS = 1_500;
 const SILENCE_MS = 1_200;
+/** An engine that another run may follow answers within this time if it lives. */
+const LIFE_TIMEOUT_MS = 1_000;
+/** It is the only one that can tell the end, and may stand still for a moment, or its machine. */
+const ONLY_LIFE_TIMEOUT_MS = 2_500;
 /** A log line names at most this many parts of a prompt. */
 const MAX_LOGGED_PARTS = 16;
 
@@ -59,11 +63,13 @@
  */
 function* awaitEndByEngine(
   state: GatewayState,
-  { fields: { requestId }, deadlineAt }: GatewayRequest,
+  { fields: { requestId }, deadlineAt, route }: GatewayRequest,
   engine: ClearedUpstream,
   turn: RunTurn,
 ): Task<'finished' | 'broken'> {
-  const isAlive = yield* isEngineAlive(state, engine, deadlineAt);
+  const timeoutMs = canAskOtherRuns(route) ? LIFE_TIMEOUT_MS : ONLY_LIFE_TIMEOUT_MS;
+  const until = Math.min(deadlineAt, getSteadyMs() + timeoutMs);
+  const isAlive = yield* isEngineAlive(state, engine, until);
   const { upstreamId } = engine;
   state.logger.info({ requestId, upstreamId, isAlive }, 'streams: engine asked whether it lives');
   // Meanwhile another run may have taken the place.
--- a/packages/router/src/stages/engine-calls.ts
+++ b/packages/router/src/stages/engine-calls.ts
@@ -28,8 +28,6 @@
 const HTTP_OK = 200;
 /** A connection that was kept may have been closed at the other end just before the first call. */
 const MAX_LIFE_CALLS = 2;
-/** An engine that lives answers within this time in all. */
-const LIFE_TIMEOUT_MS = 1_000;
 /** Each call has this time at least, also at the deadline and after this process stood still. */
 const MIN_LIFE_CALL_MS = 100;
 
@@ -139,18 +137,17 @@
 
 /**
  * Returns whether the process of an engine lives that has sent an answer. Its report tells; a connection that opens
- * may have been taken by a proxy for an engine that has died. One that is silent until the deadline is taken for dead.
+ * may have been taken by a proxy for an engine that has died. One that is silent until `until` is taken for dead.
  */
 export function* isEngineAlive(
   state: GatewayState,
   engine: ClearedUpstream,
-  deadlineAt: number,
+  until: number,
 ): Task<boolean> {
-  const until = Math.min(deadlineAt, getSteadyMs() + LIFE_TIMEOUT_MS);
   const call = buildReportCall(state, engine);
   const send = makeRoutedSender(state, engine);
   for (let calls = 0; calls < MAX_LIFE_CALLS; calls += 1) {
-    const timeoutMs = Math.max(MIN_LIFE_CALL_MS, Math.min(CALL_TIMEOUT_MS, until - getSteadyMs()));
+    const timeoutMs = Math.max(MIN_LIFE_CALL_MS, until - getSteadyMs());
     const answer = yield* callEngine(state, engine, call, send, timeoutMs);
     if (answer !== undefined) return isOwnReport(state, engine, answer);
   }
