Relays: a peer asks an engine for its report also while the engine leaves or pauses

The question for a connection, before it, was asked all the same.

Cause: a peer refuses every send to a server that leaves or pauses, the question for a report as well. A VM that sends over its own connections asks in either case (`askSend` of a report).

Ruled out: the way by a peer itself; the same stream of an engine that stays is whole (stream-order-resumes).

Now a peer makes a call that is no request of a caller (no id, GET, the path of reports, no body) if the server is listed with the same start. A peer of an older build still refuses: the stream is broken off, as before.

--- a/packages/core/src/routing/send-clearance.ts
+++ b/packages/core/src/routing/send-clearance.ts
@@ -31,7 +31,7 @@
   /** An order to a known incarnation; orders are few and need no permit. */
   | { readonly kind: 'order'; readonly incarnation: number }
   /** A send of a peer, which has asked for everything that this VM does not know. */
-  | { readonly kind: 'relayed'; readonly incarnation: number }
+  | { readonly kind: 'relayed'; readonly incarnation: number; readonly isReport: boolean }
   /** A reading of the server's report, which it gives while it pauses or leaves too. */
   | { readonly kind: 'report' };
 
@@ -92,7 +92,8 @@
     case 'order':
     case 'relayed': {
       if (record.incarnation !== question.incarnation) return { reason: 'not-listed' };
-      return findServerRefusal(list, record, now);
+      const isReport = question.kind === 'relayed' && question.isReport;
+      return isReport ? undefined : findServerRefusal(list, record, now);
     }
     case 'report':
       return undefined;
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -132,6 +132,7 @@
     meshHolder,
     takeFraction,
     decodeRequestId: ports.dialect.decodeRequestId,
+    reportPath: ports.dialect.reportPath,
     onRelayedCount: (change) => {
       if (stateHolder.state !== undefined) stateHolder.state.openRequests += change;
     },
--- a/packages/router/src/gateway/server-access.ts
+++ b/packages/router/src/gateway/server-access.ts
@@ -15,7 +15,11 @@
 import type { FleetView } from '../peers/fleet-view.js';
 import { startPathWatch, type PathWatch } from '../relays/path-watch.js';
 import { makeRelayClient, type RelayPeer } from '../relays/relay-client.js';
-import { makeRelayServer, startStandstillCheck } from '../relays/relay-server.js';
+import {
+  makeRelayServer,
+  startStandstillCheck,
+  type RelayedRequest,
+} from '../relays/relay-server.js';
 import { makeServerClient, type ServerClient } from '../relays/server-client.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeUpstreamClient } from '../upstreams/upstream-client.js';
@@ -34,6 +38,8 @@
   readonly meshHolder: PeerMeshHolder;
   readonly takeFraction: () => number;
   readonly decodeRequestId: HttpDialect['decodeRequestId'];
+  /** Path of servers' reports. */
+  readonly reportPath: string;
   /** Called as sends for peers begin and end. */
   readonly onRelayedCount: (change: 1 | -1) => void;
   readonly metrics: GatewayMetrics;
@@ -83,6 +89,15 @@
   return peers;
 }
 
+/** Whether a peer asks for a server's report, which is no request of a caller: those have ids. */
+function isReportCall(
+  { reportPath }: ServerAccessParts,
+  { requestId, method, path, body }: RelayedRequest,
+): boolean {
+  const isRead = method === 'GET' && path === reportPath && body.length === 0;
+  return isRead && requestId === undefined;
+}
+
 /** Starts the watch of this VM's ways to servers, and makes what sends over them. */
 export function startServerAccess(parts: ServerAccessParts): ServerAccess {
   const { settings, upstreams, fleet, meshHolder, takeFraction, metrics, logger } = parts;
@@ -116,8 +131,12 @@
   });
   const client = makeServerClient({ direct, paths, relays: relayClient });
   const relayServer = makeRelayServer({
-    ask: (upstreamId, incarnation) =>
-      askSend(upstreams, upstreamId, { kind: 'relayed', incarnation }, getSteadyMs()),
+    ask: (message) => {
+      const { upstreamId, incarnation } = message;
+      const isReport = isReportCall(parts, message);
+      const question = { kind: 'relayed', incarnation, isReport } as const;
+      return askSend(upstreams, upstreamId, question, getSteadyMs());
+    },
     isLost: paths.isLost,
     sendDirect: client.sendDirect,
     tryPath: paths.tryPath,
--- a/packages/router/src/relays/relay-server.ts
+++ b/packages/router/src/relays/relay-server.ts
@@ -16,11 +16,12 @@
 import type { UpstreamEvent, UpstreamExchange } from '../upstreams/upstream-client.js';
 import type { ServerClient } from './server-client.js';
 
-type RelayedRequest = Extract<RelayMessage, { kind: 'relay-send' }>;
+/** What a peer asks to be sent. */
+export type RelayedRequest = Extract<RelayMessage, { kind: 'relay-send' }>;
 
 /** Dependencies of the relay. */
 export type RelayServerParts = {
-  readonly ask: (upstreamId: UpstreamId, incarnation: number) => SendClearance;
+  readonly ask: (message: RelayedRequest) => SendClearance;
   /** Whether no connection of this VM to a server opens. */
   readonly isLost: (server: PathServer) => boolean;
   readonly sendDirect: ServerClient['sendDirect'];
@@ -159,13 +160,13 @@
 
   return {
     handleSend: (from, message) => {
-      const { number, requestId, upstreamId, incarnation, method, path, headers, body } = message;
+      const { number, requestId, upstreamId, method, path, headers, body } = message;
       const ownReason = findOwnReason();
       if (ownReason !== undefined) {
         refuse(from, message, ownReason);
         return;
       }
-      const clearance = parts.ask(upstreamId, incarnation);
+      const clearance = parts.ask(message);
       if (clearance.kind === 'refused') {
         refuse(from, message, clearance.refusal.reason);
         return;
