Links: a link that is no longer needed is closed only once no request goes over it

Cause: the check asks only which VMs this one needs. A peer that is cut off needs the link as much, but did not dial it.

Ruled out: sends of a VM that is cut off over links that it dialled itself: its relays are targets then.

Now a link that carries a send in either direction counts as needed at that check.

Not played with whole VMs: that takes a peer that loses its servers within ten seconds of its start.

--- a/packages/router/src/gateway/server-access.ts
+++ b/packages/router/src/gateway/server-access.ts
@@ -58,6 +58,8 @@
    */
   readonly tryServer: (upstreamId: UpstreamId) => Promise<PathAnswer>;
   readonly handleMessage: (from: VmId, message: RelayMessage) => void;
+  /** Whether the link to a peer carries a send, in either direction. */
+  readonly isLinkUsed: (vmId: VmId) => boolean;
   /** Ends what was sent over an earlier link to a peer, in both directions. */
   readonly handleLinkEnded: (vmId: VmId) => void;
 };
@@ -182,6 +184,7 @@
           message satisfies never;
       }
     },
+    isLinkUsed: (vmId) => relayClient.isUsing(vmId) || relayServer.isUsedBy(vmId),
     handleLinkEnded: (vmId) => {
       relayClient.handleLinkEnded(vmId);
       relayServer.handleLinkEnded(vmId);
--- a/packages/router/src/peers/peer-mesh.test.ts
+++ b/packages/router/src/peers/peer-mesh.test.ts
@@ -244,6 +244,26 @@
   expect(first.mesh.links.size).to.equal(0);
 });
 
+// Guards against requests that end because the link that carries them is no longer needed for anything else.
+it('peers: a link to a VM that is no target is closed only once it carries no requests', async () => {
+  const second = await startMesh('vm-2');
+  const target = makeRecord('vm-2', second.mesh);
+  let isTarget = true;
+  let isUsed = true;
+  const listTargets = (): EntryVmRecord[] => {
+    const targets = isTarget ? [target] : [];
+    isTarget = false;
+    return targets;
+  };
+  const first = await startMesh('vm-1', 1, 0, { listTargets, isLinkUsed: () => isUsed });
+  await waitUntil(() => first.opened.length === 1);
+  await keepTalking(first, second);
+  expect(first.gone).to.deep.equal([]);
+  isUsed = false;
+  await keepTalking(first, second);
+  expect(first.gone).to.have.length(1);
+});
+
 // Guards against links of which both ends would close and dial the same one in turn.
 it('peers: a link that is needed stays', async () => {
   const second = await startMesh('vm-2');
--- a/packages/router/src/peers/peer-mesh.ts
+++ b/packages/router/src/peers/peer-mesh.ts
@@ -50,6 +50,8 @@
   readonly directory: { readonly entryVms: readonly DialledVm[] };
   /** VMs to keep links to; without it, links are kept to all, and the lesser id dials. */
   readonly listTargets?: (now: number) => readonly DialledVm[];
+  /** Whether a link carries requests now, which would end with it. */
+  readonly isLinkUsed?: (vmId: VmId) => boolean;
   readonly onDialFailed?: (vmId: VmId) => void;
   readonly metrics: { readonly peers: { readonly set: (count: number) => void } };
   readonly logger: Logger;
@@ -133,7 +135,7 @@
 
 /** Closes dialled links to VMs that are no targets for some time. */
 function makeUnusedLinkCheck(
-  { listTargets, logger }: PeerMeshParts,
+  { listTargets, isLinkUsed, logger }: PeerMeshParts,
   table: ReturnType<typeof makeLinkTable>,
   unusedMs: number,
 ) {
@@ -144,8 +146,8 @@
     for (const [vmId, link] of table.links) {
       if (!table.isDialled(link)) continue;
       const lastNeededAt = neededAt.get(vmId);
-      if (lastNeededAt === undefined) {
-        // Its peer was no target any more when the link opened.
+      // Without a time, its peer was no target any more when the link opened.
+      if (lastNeededAt === undefined || isLinkUsed?.(vmId) === true) {
         neededAt.set(vmId, now);
         continue;
       }
--- a/packages/router/src/relays/relay-client.ts
+++ b/packages/router/src/relays/relay-client.ts
@@ -47,6 +47,8 @@
   readonly askPath: (upstreamId: UpstreamId) => Promise<PathAnswer>;
   readonly handleEvent: (from: VmId, number: number, event: RelayedEvent) => void;
   readonly handleAnswer: (from: VmId, number: number, answer: PathAnswer) => void;
+  /** Whether a peer sends for this VM now. */
+  readonly isUsing: (vmId: VmId) => boolean;
   /** Fails what was sent over an earlier link to a peer. */
   readonly handleLinkEnded: (vmId: VmId) => void;
 };
@@ -177,6 +179,7 @@
       if (answer !== 'unknown') question.answer = answer;
       if (answer === 'opened' || question.waiting.size === 0) finishQuestion(number);
     },
+    isUsing: (vmId) => [...sends.values()].some(({ peer }) => peer === vmId),
     handleLinkEnded: (vmId) => {
       for (const [number, { peer }] of sends) {
         if (peer === vmId) fail(number, true, 'link to the peer ended');
--- a/packages/router/src/relays/relay-server.test.ts
+++ b/packages/router/src/relays/relay-server.test.ts
@@ -1,8 +1,9 @@
 import type { ClearedUpstream, SendClearance } from '@tarragonspool/core';
-import type { RelayMessage, UpstreamId, VmId } from '@tarragonspool/protocol';
+import type { DataCentre, RelayMessage, UpstreamId, VmId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import { pino } from 'pino';
 import type { UpstreamEvent } from '../upstreams/upstream-client.js';
+import { makeRelayClient } from './relay-client.js';
 import { makeRelayServer } from './relay-server.js';
 
 const PEER = 'vm-1' as VmId;
@@ -111,6 +112,34 @@
   expect(held.open).to.equal(0);
 });
 
+// Guards against a link that is closed as unused while requests of its peer are sent.
+it('relay: a peer uses this VM while a send for it is under way', () => {
+  const { relay, send, held } = buildRelay();
+  expect(relay.isUsedBy(PEER)).to.equal(false);
+  send();
+  expect(relay.isUsedBy(PEER)).to.equal(true);
+  held.emit?.({ kind: 'ended' });
+  expect(relay.isUsedBy(PEER)).to.equal(false);
+});
+
+// Guards against the same while a peer sends requests of this VM.
+it('relay: this VM uses a peer while a send by way of it is under way', () => {
+  const relay = makeRelayClient({
+    dataCentre: 'dc' as DataCentre,
+    listPeers: () => [{ vmId: PEER, dataCentre: 'dc' as DataCentre }],
+    sendTo: () => true,
+    takeFraction: () => 0,
+    onSent: () => undefined,
+    logger: pino({ level: 'silent' }),
+  });
+  const call = { method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), requestId: 'r' };
+  const onSent = (): void => undefined;
+  relay.send({ ...call, server: SERVER, onSent }, new Set(), () => undefined);
+  expect(relay.isUsing(PEER)).to.equal(true);
+  relay.handleEvent(PEER, 1, { kind: 'ended' });
+  expect(relay.isUsing(PEER)).to.equal(false);
+});
+
 // Guards against an answer filling the memory of this VM while its peer does not read.
 it('relay: an answer is read on only while its peer takes it', () => {
   const { relay, send, calls, held } = buildRelay();
--- a/packages/router/src/relays/relay-server.ts
+++ b/packages/router/src/relays/relay-server.ts
@@ -43,6 +43,8 @@
   readonly handleCancel: (from: VmId, number: number) => void;
   readonly handleFlow: (from: VmId, number: number, isPaused: boolean) => void;
   readonly handleQuestion: (from: VmId, number: number, upstreamId: UpstreamId) => void;
+  /** Whether this VM sends for a peer now. */
+  readonly isUsedBy: (vmId: VmId) => boolean;
   /** Drops the sends of a peer whose link ended. */
   readonly handleLinkEnded: (vmId: VmId) => void;
 };
@@ -205,6 +207,7 @@
         (error: unknown) => logger.error({ upstreamId, err: error }, 'relays: path not tried'),
       );
     },
+    isUsedBy: (vmId) => (peers.get(vmId)?.size ?? 0) > 0,
     handleLinkEnded: (vmId) => {
       for (const number of [...(peers.get(vmId)?.keys() ?? [])]) {
         const relayed = forget(vmId, number);
