Quarantine: what was answered often is told and stored as sound while crashes count against it, too

Causes: (1) while crashes counted against a sound part it was neither told nor stored again as sound, so VMs that started in turn had forgotten it. With that mended, two more showed in the same test: (2) a VM that did not take a refusal, as it knew the part to be sound, told its answers only if crashes counted there, so the refusing VM was never told; and a VM that started kept whichever it heard first, the refusal or the soundness. (3) a VM whose engines another, cut VM crashed blamed the sound part at five crashes, though a part that was never answered was suspected at some of them, in another prompt.

(3) A sound part needs eight crashes, not five, while a part that was never answered and was at two crashes or more was at some of its crashes.

Test changed: 'parts that were answered often are listed, unless crashes count against them' asked for the fault itself. Its replacement asks that they are listed at each of four crashes and no more once blamed at the fifth.

Why it works: evidence of soundness no longer vanishes at the first crash, and answers reach whoever refuses.

--- a/packages/core/src/quarantine/part-suspects.test.ts
+++ b/packages/core/src/quarantine/part-suspects.test.ts
@@ -4,6 +4,7 @@
 import {
   findQuarantinedParts,
   handlePartEvent,
+  hasCrashes,
   listOftenAnswered,
   listQuarantinedParts,
   makePartState,
@@ -215,7 +216,8 @@
   expect(listParts(state)).to.deep.equal([[DEADLY]]);
 });
 
-it('part suspects: parts that were answered often are listed, unless crashes count against them', () => {
+// Guards against a greeting that all VMs refuse, as those that start while crashes count against it are not told that it is sound.
+it('part suspects: parts that were answered often are listed, also while crashes count against them, until they are refused', () => {
   const state = makePartState();
   for (let count = 0; count < 9; count += 1) {
     handlePartEvent(state, { kind: 'answered', parts: [FIRST] });
@@ -224,6 +226,79 @@
   const actions = handlePartEvent(state, { kind: 'answered', parts: [FIRST] });
   expect(actions).to.deep.equal([{ kind: 'keep-sound' }]);
   expect(listOftenAnswered(state)).to.deep.equal([FIRST]);
-  crash(state, 1, [FIRST]);
+  for (let number = 1; number <= 4; number += 1) {
+    crash(state, number, [FIRST]);
+    expect(listOftenAnswered(state)).to.deep.equal([FIRST]);
+    expect(hasCrashes(state, FIRST)).to.equal(true);
+  }
+  crash(state, 5, [FIRST]);
   expect(listOftenAnswered(state)).to.deep.equal([]);
 });
+
+// Guards against a VM that refuses a sound part for an hour, while the others serve it and don't say so.
+it('part suspects: an answer of a part that a peer refuses is told', () => {
+  const state = makePartState();
+  handlePartEvent(state, { kind: 'answered', parts: [FIRST] });
+  const item = { parts: [FIRST], expiresAt: 500 };
+  handlePartEvent(state, { kind: 'heard-quarantined', item, now: 0 });
+  const answered = { kind: 'answered', parts: [FIRST] } as const;
+  expect(handlePartEvent(state, answered)).to.deep.equal([
+    { kind: 'publish-sound', parts: [FIRST] },
+    { kind: 'lift', item },
+  ]);
+  expect(handlePartEvent(state, answered)).to.deep.equal([]);
+});
+
+// Guards against VMs that start, all in turn, and refuse a sound part as they hear of its refusal first.
+it('part suspects: whichever is heard first, what a peer knows to be sound is not refused on the word of another', () => {
+  const known = { kind: 'known-sound', parts: [FIRST] } as const;
+  const item = { parts: [FIRST], expiresAt: 500 };
+  const refused = { kind: 'heard-quarantined', item, now: 0 } as const;
+  for (const events of [
+    [known, refused],
+    [refused, known],
+  ]) {
+    const state = makePartState();
+    for (const event of events) expect(handlePartEvent(state, event)).to.deep.equal([]);
+    expect(listParts(state)).to.deep.equal([]);
+    expect(handlePartEvent(state, { kind: 'answered', parts: [FIRST] })).to.deep.equal([
+      { kind: 'publish-sound', parts: [FIRST] },
+      { kind: 'lift', item },
+    ]);
+  }
+});
+
+// Guards against a greeting that is refused for the crashes of a deadly part in other prompts at the same engines.
+it('part suspects: a sound part is not blamed while a part of another prompt at the crash may be the cause', () => {
+  const state = makePartState();
+  handlePartEvent(state, { kind: 'answered', parts: [FIRST] });
+  crash(state, 1, [FIRST, DEADLY]);
+  for (let number = 2; number <= 4; number += 1) crash(state, number, [FIRST, OTHER]);
+  handlePartEvent(state, { kind: 'answered', parts: [OTHER] });
+  crash(state, 5, [FIRST, OTHER], [FIRST, DEADLY]);
+  expect(listParts(state)).to.deep.equal([]);
+  crash(state, 6, [FIRST, OTHER], [FIRST, DEADLY]);
+  expect(listParts(state)).to.deep.equal([[DEADLY]]);
+});
+
+it('part suspects: a sound part is not blamed while a part that was at some of its crashes may be the cause', () => {
+  const state = makePartState();
+  handlePartEvent(state, { kind: 'answered', parts: [FIRST] });
+  for (let number = 1; number <= 2; number += 1) crash(state, number, [FIRST, DEADLY]);
+  for (let number = 3; number <= 7; number += 1) crash(state, number, [FIRST]);
+  expect(listParts(state)).to.deep.equal([]);
+  handlePartEvent(state, { kind: 'answered', parts: [DEADLY] });
+  crash(state, 8, [FIRST]);
+  expect(listParts(state)).to.deep.equal([[FIRST]]);
+});
+
+it('part suspects: a sound part is blamed at its eighth crash, whatever else was there', () => {
+  const state = makePartState();
+  handlePartEvent(state, { kind: 'answered', parts: [FIRST] });
+  for (let number = 1; number <= 8; number += 1) {
+    expect(listParts(state)).to.deep.equal([]);
+    // A part of its own comes to each two crashes.
+    crash(state, number, [FIRST], [`pair-${number}`, `pair-${number - 1}`] as PromptPartId[]);
+  }
+  expect(listParts(state)).to.deep.equal([[FIRST]]);
+});
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -146,6 +146,7 @@
     crash: z.object({ crashId: id, prompts: z.array(z.array(id)) }).optional(),
     sound: z.array(id),
     isEarlier: z.boolean().optional(),
+    soundBefore: z.array(id).optional(),
     quarantined: z.array(z.object({ parts: z.array(id).min(1), endsInMs: milliseconds })),
   }),
   z.object({
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -143,6 +143,11 @@
   readonly sound: readonly PromptPartId[];
   /** Whether the sound parts were answered at some time before, which clears nothing. */
   readonly isEarlier?: boolean | undefined;
+  /**
+   * Parts that were answered often, and crashes count against them since; that clears nothing. Absent in older
+   * versions, some of which take what is in `sound` for cleared.
+   */
+  readonly soundBefore?: readonly PromptPartId[] | undefined;
   /** Prompts that have all parts of an entry are refused for this time. */
   readonly quarantined: readonly {
     readonly parts: readonly PromptPartId[];
--- a/packages/router/src/gateway/part-guard.test.ts
+++ b/packages/router/src/gateway/part-guard.test.ts
@@ -69,3 +69,37 @@
   expect(isRefused(older.guard, SCOPE)).to.equal(true);
   expect(isRefused(older.guard, OTHER_SCOPE)).to.equal(true);
 });
+
+function answerOften(guard: PartGuard): void {
+  for (let count = 0; count < 10; count += 1) guard.recordAnswered([name(SCOPE)]);
+}
+
+// Guards against a VM that starts and refuses a greeting that the others know to be sound.
+it('part guard: that a part was answered often is told as a link opens, also while crashes count against it', () => {
+  const first = buildGuard();
+  answerOften(first.guard);
+  first.guard.recordCrash('e/1', [[name(SCOPE)]]);
+  const second = buildGuard();
+  for (const message of first.guard.listTold()) second.guard.handleMessage(message);
+  expect(second.guard.listOftenAnswered()).to.deep.equal([name(SCOPE)]);
+  crashThrice(second);
+  expect(isRefused(second.guard, SCOPE)).to.equal(false);
+});
+
+// Guards against a VM of an older version that takes such a part for answered just now, and forgets what it has counted.
+it('part guard: older versions are told no sound parts that crashes count against, and theirs are read without', () => {
+  const { guard } = buildGuard();
+  answerOften(guard);
+  guard.recordCrash('e/1', [[name(SCOPE)]]);
+  expect(guard.listTold().flatMap(({ sound }) => sound)).to.deep.equal([]);
+  const newer = buildGuard();
+  newer.guard.handleMessage({
+    kind: 'prompt-parts',
+    scope: SCOPE,
+    sound: [],
+    isEarlier: true,
+    quarantined: [],
+  });
+  crashThrice(newer);
+  expect(isRefused(newer.guard, SCOPE)).to.equal(true);
+});
--- a/packages/router/src/gateway/part-guard.ts
+++ b/packages/router/src/gateway/part-guard.ts
@@ -7,6 +7,7 @@
   dropOldest,
   findQuarantinedParts,
   handlePartEvent,
+  hasCrashes,
   listOftenAnswered,
   listQuarantinedParts,
   makePartState,
@@ -139,7 +140,7 @@
 
   function applyMessage(
     scope: QuarantineScope,
-    { crash, sound, isEarlier, quarantined }: PromptPartsMessage,
+    { crash, sound, isEarlier, soundBefore = [], quarantined }: PromptPartsMessage,
   ): void {
     const now = getNow();
     const nameAll = (named: readonly PromptPartId[]): PromptPartId[] =>
@@ -150,6 +151,7 @@
     }
     const soundKind = isEarlier === true ? 'known-sound' : 'heard-sound';
     if (sound.length > 0) apply({ kind: soundKind, parts: nameAll(sound) });
+    if (soundBefore.length > 0) apply({ kind: 'known-sound', parts: nameAll(soundBefore) });
     for (const { parts: refused, endsInMs } of quarantined) {
       const item = { parts: nameAll(refused), expiresAt: now + endsInMs };
       apply({ kind: 'heard-quarantined', item, now });
@@ -185,8 +187,12 @@
     listTold: () => {
       const now = getNow();
       const told: PromptPartsMessage[] = [];
-      for (const [scope, sound] of splitScopes(listOftenAnswered(state))) {
-        const earlier = { isEarlier: true, isRelayed: true, scope, sound };
+      for (const [scope, own] of splitScopes(listOftenAnswered(state))) {
+        const isSuspected = (part: PromptPartId): boolean =>
+          hasCrashes(state, scopePart(scope, part));
+        const sound = own.filter((part) => !isSuspected(part));
+        const soundBefore = own.filter(isSuspected);
+        const earlier = { isEarlier: true, isRelayed: true, scope, sound, soundBefore };
         told.push({ kind: 'prompt-parts', ...earlier, quarantined: [] });
       }
       for (const { parts: refused, expiresAt } of listQuarantinedParts(state, now)) {
