--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -143,11 +143,24 @@
   readonly sound: readonly PromptPartId[];
   /** Whether the sound parts were answered at some time before, which clears nothing. */
   readonly isEarlier?: boolean | undefined;
+  /**
+   * Parts that were answered often, and crashes count against them since; that clears nothing. Absent in older
+   * versions, some of which take what is in `sound` for cleared.
+   */
+  readonly soundBefore?: readonly PromptPartId[] | undefined;
   /** Prompts that have all parts of an entry are refused for this time. */
   readonly quarantined: readonly {
     readonly parts: readonly PromptPartId[];
     readonly endsInMs: number;
   }[];
+  /** Crashes that count against parts, told as a link opens; absent in older versions. */
+  readonly counted?:
+    | readonly {
+        readonly crashId: string;
+        readonly agoMs: number;
+        readonly parts: readonly PromptPartId[];
+      }[]
+    | undefined;
 };
 
 /** A reservation that an entry VM still uses, announced to a shard's new allocator. */
