Links: a link that only the peer needs stays: a cut VM keeps its way to the servers

Callers at a VM that is cut off from all servers got 503 for 0.3 s, in the middle of a cut.

Cause: the side that dialled a link closes it after ten seconds without a need of its own. The VM that reaches servers needs no link to one that is cut off, and a hub none to a VM that is no hub; the other side does. It dials again 0.25 s later, has no way to the servers until then, and takes other VMs for the owners of pools.

Ruled out: a link that broke or was silent (it closes with 1005 on both sides); the owner of the pool.

Why it works: a hub counts all linked VMs, another VM that reaches servers those that say that they do not, among the links that are needed. Links between two VMs that are no hubs are closed as before.

--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -170,6 +170,7 @@
     secrets,
     directory: { entryVms: [] },
     listTargets: (now) => fleet.listTargets(now),
+    listDependents: (now) => fleet.listDependents(now),
     onDialFailed: (vmId) => fleet.recordUnreachable(vmId, getSteadyMs()),
     metrics,
     logger,
--- a/packages/router/src/peers/fleet-view.test.ts
+++ b/packages/router/src/peers/fleet-view.test.ts
@@ -107,3 +107,21 @@
   expect(view.measureTableAgeMs('op', (POSITION - 1) as StorePosition, 0)).to.equal(Infinity);
   expect(view.measureTableAgeMs('op', POSITION, 0)).to.equal(100);
 });
+
+// Guards against the side that dialled a link closing it while the other one has no other way to the servers.
+it('fleet: VMs that are cut off need their link to one that reaches servers, and all VMs theirs to a hub', () => {
+  const outer = makeView('e');
+  hearAlive(outer, ['a', 'b'], buildAlive(100, 100));
+  expect(outer.listDependents(0)).to.deep.equal([]);
+  hearAlive(outer, ['b'], { ...buildAlive(100, 100), isCutOff: true });
+  expect(outer.listDependents(0)).to.deep.equal(['b']);
+  outer.setCutOff(true);
+  expect(outer.listDependents(0)).to.deep.equal([]);
+  const views = MEMBERS.map(({ vmId }) => makeView(vmId));
+  const hubs = views.filter((view) => view.isHub(0));
+  for (const hub of hubs) {
+    hearAlive(hub, ['e'], buildAlive(100, 100));
+    expect(hub.listDependents(0)).to.deep.equal(['e']);
+  }
+  expect(hubs).to.have.length.within(1, MEMBERS.length - 1);
+});
--- a/packages/router/src/peers/fleet-view.ts
+++ b/packages/router/src/peers/fleet-view.ts
@@ -34,6 +34,11 @@
   readonly recordAlive: (vmId: VmId, message: AliveMessage, now: number) => void;
   /** Lists the VMs to keep links to. */
   readonly listTargets: (now: number) => FleetMember[];
+  /**
+   * Lists the linked VMs that need their link to this one: all if it is a hub; else, if it reaches
+   * servers, those that do not.
+   */
+  readonly listDependents: (now: number) => VmId[];
   readonly isHub: (now: number) => boolean;
   readonly chooseSource: (isSelfReading: boolean, now: number) => FeedSource;
   /** Least age of the store's state as live peers know it; Infinity without any. */
@@ -244,6 +249,12 @@
       }
       return targets;
     },
+    listDependents: (now) => {
+      const linked = [...peers.keys()];
+      if (findAllHubs(now).has(self)) return linked;
+      if (isSelfCutOff) return [];
+      return linked.filter((vmId) => peers.get(vmId)?.message?.isCutOff === true);
+    },
     setCutOff: (isCutOffNow) => {
       isSelfCutOff = isCutOffNow;
     },
--- a/packages/router/src/peers/peer-mesh.test.ts
+++ b/packages/router/src/peers/peer-mesh.test.ts
@@ -254,6 +254,23 @@
   expect(first.gone).to.deep.equal([]);
 });
 
+// Guards against a VM that is cut off losing its only way to the servers because the other side needs no link to it.
+it('peers: a link that only the peer needs stays', async () => {
+  const second = await startMesh('vm-2');
+  const target = makeRecord('vm-2', second.mesh);
+  let isTarget = true;
+  const listTargets = (): EntryVmRecord[] => {
+    const targets = isTarget ? [target] : [];
+    isTarget = false;
+    return targets;
+  };
+  const listDependents = (): VmId[] => ['vm-2' as VmId];
+  const first = await startMesh('vm-1', 1, 0, { listTargets, listDependents });
+  await waitUntil(() => first.opened.length === 1);
+  await keepTalking(first, second);
+  expect(first.gone).to.deep.equal([]);
+});
+
 it('peers: a link is dialled again after its peer restarts', async () => {
   const first = await startMesh('vm-1');
   const second = await startMesh('vm-2');
--- a/packages/router/src/peers/peer-mesh.ts
+++ b/packages/router/src/peers/peer-mesh.ts
@@ -33,7 +33,7 @@
   readonly handshakeTimeoutMs: number;
   /** A link whose peer says nothing for this long is cut. */
   readonly silenceMs: number;
-  /** A link that this VM dialled and no longer needs is closed after this time. */
+  /** A link that this VM dialled and that neither side needs any more is closed after this time. */
   readonly unusedMs: number;
 };
 
@@ -50,6 +50,8 @@
   readonly directory: { readonly entryVms: readonly DialledVm[] };
   /** VMs to keep links to; without it, links are kept to all, and the lesser id dials. */
   readonly listTargets?: (now: number) => readonly DialledVm[];
+  /** VMs that need their links to this one, whichever side dialled them. */
+  readonly listDependents?: (now: number) => readonly VmId[];
   readonly onDialFailed?: (vmId: VmId) => void;
   readonly metrics: { readonly peers: { readonly set: (count: number) => void } };
   readonly logger: Logger;
@@ -131,9 +133,9 @@
   };
 }
 
-/** Closes dialled links to VMs that are no targets for some time. */
+/** Closes dialled links to VMs that are no targets, and do not need them, for some time. */
 function makeUnusedLinkCheck(
-  { listTargets, logger }: PeerMeshParts,
+  { listTargets, listDependents, logger }: PeerMeshParts,
   table: ReturnType<typeof makeLinkTable>,
   unusedMs: number,
 ) {
@@ -141,6 +143,7 @@
   return (now: number): void => {
     if (listTargets === undefined) return;
     for (const { vmId } of listTargets(now)) neededAt.set(vmId, now);
+    for (const vmId of listDependents?.(now) ?? []) neededAt.set(vmId, now);
     for (const [vmId, link] of table.links) {
       if (!table.isDialled(link)) continue;
       const lastNeededAt = neededAt.get(vmId);
