Pools: a slot request that waits is sent again to its owner, which may have forgotten it

Callers' streams got 504 at their deadline: their slot requests were neither granted nor refused for 5,984 ms.

Cause: an owner whose process stood still for over 0.5 s forgets the slots of all other VMs, and with them the requests that wait. VMs that heard it within 650 ms stay with it and never send an acknowledged request again. The same happens if a grant or refusal is lost with a link that closes, and an acknowledgement of the owner before counted for the next one.

Ruled out: a request on its way between two owners; one that is not acknowledged is sent on after 120 ms, and each change of the owner sends all that wait.

Why it works: a request that waits is sent again each 0.3 s, as a kind of its own, which older versions are not sent. An owner that has it waiting changes nothing, one that granted it grants the same slot again (the client leaves a second grant of the same slot out), one that does not know it takes it as new.

--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -235,7 +235,7 @@
  * Kinds that came after versions had begun to tell which ones they accept. A peer that does not tell
  * does not know them; it knows all others.
  */
-const LATER_KINDS: ReadonlySet<string> = new Set();
+const LATER_KINDS: ReadonlySet<string> = new Set(['pool-ask-again']);
 
 /** Whether a peer that accepts these kinds decodes a message; `accepts` is absent in older versions. */
 export function isAccepted({ kind }: PeerMessage, accepts: readonly string[] | undefined): boolean {
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -32,6 +32,9 @@
   softwareVersion: id.optional(),
 });
 
+/** Schema of a request for a slot that is sent again to the same owner. */
+const repeatedRequestSchema = slotRequestSchema.extend({ kind: z.literal('pool-ask-again') });
+
 const slotAssignmentSchema = z.object({
   askId: id,
   promptTokens: z.number().nonnegative(),
@@ -46,6 +49,7 @@
 /** Schemas of all messages of a pool, and of the rows that VMs exchange. */
 export const poolMessageSchemas = [
   slotRequestSchema,
+  repeatedRequestSchema,
   z.object({ kind: z.literal('pool-queued'), askId: id }),
   z.object({
     kind: z.literal('pool-grant'),
@@ -141,35 +145,39 @@
   readonly endsInMs: number;
 };
 
+/** What a request for a slot says. */
+export type SlotRequestFields = {
+  readonly service: ServiceName;
+  readonly askId: string;
+  /** Same for all attempts of a caller at one request. */
+  readonly contentKey: string;
+  /** Data centre of the requesting VM. */
+  readonly dataCentre: DataCentre;
+  /** Rank of the request's route; 0 goes first. */
+  readonly rank: number;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  /** Time left to meet the latency target of the first event of the answer stream. */
+  readonly aimInMs: number;
+  /** Longest pause between two events that meets the target. */
+  readonly pauseMs: number;
+  /** Time left until the caller's timeout for the first event. */
+  readonly patienceInMs: number;
+  readonly needsPrefill: boolean;
+  /** Whether work was already done for the request; it then goes before others. */
+  readonly isContinued: boolean;
+  /** Time until the requesting VM stops; absent unless it is stopping. */
+  readonly endsInMs?: number | undefined;
+  readonly excluded: readonly UpstreamId[];
+  /** Version that began the stream and must decode it; absent for a new one. */
+  readonly softwareVersion?: SoftwareVersion | undefined;
+};
+
 /** Any message about the slots of a pool or about the liveness of its sender. */
 export type PoolMessage =
-  | {
-      readonly kind: 'pool-ask';
-      readonly service: ServiceName;
-      readonly askId: string;
-      /** Same for all attempts of a caller at one request. */
-      readonly contentKey: string;
-      /** Data centre of the requesting VM. */
-      readonly dataCentre: DataCentre;
-      /** Rank of the request's route; 0 goes first. */
-      readonly rank: number;
-      readonly promptTokens: number;
-      readonly outputTokens: number;
-      /** Time left to meet the latency target of the first event of the answer stream. */
-      readonly aimInMs: number;
-      /** Longest pause between two events that meets the target. */
-      readonly pauseMs: number;
-      /** Time left until the caller's timeout for the first event. */
-      readonly patienceInMs: number;
-      readonly needsPrefill: boolean;
-      /** Whether work was already done for the request; it then goes before others. */
-      readonly isContinued: boolean;
-      /** Time until the requesting VM stops; absent unless it is stopping. */
-      readonly endsInMs?: number | undefined;
-      readonly excluded: readonly UpstreamId[];
-      /** Version that began the stream and must decode it; absent for a new one. */
-      readonly softwareVersion?: SoftwareVersion | undefined;
-    }
+  | ({ readonly kind: 'pool-ask' } & SlotRequestFields)
+  /** The same once more: neither a grant nor a refusal came, and what was sent may be lost. */
+  | ({ readonly kind: 'pool-ask-again' } & SlotRequestFields)
   /** Confirms that the owner received the request and queued it. */
   | { readonly kind: 'pool-queued'; readonly askId: string }
   | {
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -43,6 +43,7 @@
 const POOL_MESSAGE_KINDS: ReadonlySet<string> = new Set<(PoolMessage | PermitMessage)['kind']>([
   'alive',
   'pool-ask',
+  'pool-ask-again',
   'pool-queued',
   'pool-grant',
   'pool-refuse',
--- a/packages/router/src/pools/place-asker.test.ts
+++ b/packages/router/src/pools/place-asker.test.ts
@@ -151,3 +151,51 @@
   client.checkOwners(430);
   expect(listAskedOwners()).to.have.length(1);
 });
+
+// Guards against a request that waits until its deadline for an owner that has forgotten it.
+it('pool client: a request that is acknowledged and neither granted nor refused is sent again to its owner', () => {
+  const { ownerSelector, client, ask, sent, replies, service } = buildClient();
+  ask('a');
+  const [owner = SELF] = sent.map(({ to }) => to);
+  client.handleAnswer(owner, { kind: 'pool-queued', askId: 'a' }, 5);
+  const listRepeated = () => sent.filter(({ message }) => message.kind === 'pool-ask-again');
+  for (let now = 25; now <= 1_000; now += 25) {
+    for (const peer of PEERS) ownerSelector.recordMessage(peer, now);
+    client.checkOwners(now);
+  }
+  expect(listRepeated().map(({ to }) => to)).to.deep.equal([owner, owner, owner]);
+  client.handleAnswer(owner, buildGrant(service, 'a'), 1_010);
+  for (const peer of PEERS) ownerSelector.recordMessage(peer, 1_500);
+  client.checkOwners(1_500);
+  expect(listRepeated()).to.have.length(3);
+  expect(replies).to.have.length(1);
+});
+
+// Guards against a slot that is given up because the grant of a repeated request comes twice.
+it('pool client: a grant that an owner repeats leaves the first one in place', () => {
+  const { client, ask, sent, replies, service, listAskedOwners } = buildClient();
+  ask('a');
+  const [owner = SELF] = listAskedOwners();
+  client.handleAnswer(owner, buildGrant(service, 'a'), 5);
+  client.handleAnswer(owner, buildGrant(service, 'a'), 6);
+  expect(replies).to.have.length(1);
+  expect(sent.filter(({ message }) => message.kind === 'pool-end')).to.deep.equal([]);
+});
+
+// Guards against a request that was lost on its way to the next owner and counts as received there.
+it('pool client: a late acknowledgement of an owner before says nothing of the next one', () => {
+  const { ownerSelector, client, ask, listAskedOwners } = buildClient();
+  ask('a');
+  const step = (now: number): void => {
+    for (const peer of PEERS) ownerSelector.recordMessage(peer, now);
+    client.checkOwners(now);
+  };
+  const [first = SELF] = listAskedOwners();
+  for (const vmId of [SELF, first]) ownerSelector.recordUnfit(vmId, true);
+  step(20);
+  client.handleAnswer(first, { kind: 'pool-queued', askId: 'a' }, 30);
+  step(100);
+  expect(listAskedOwners()).to.have.length(2);
+  step(150);
+  expect(listAskedOwners()).to.have.length(3);
+});
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -4,7 +4,13 @@
  */
 
 import type { SlotRequestId, SlotRequest, SlotAssignment } from '@tarragonspool/core';
-import type { PoolMessage, SlotAssignmentItem, ServiceName, VmId } from '@tarragonspool/protocol';
+import type {
+  PoolMessage,
+  SlotAssignmentItem,
+  SlotRequestFields,
+  ServiceName,
+  VmId,
+} from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import type { OwnerSelector } from './owners.js';
 import type { SlotReplyHandler, PoolRequestMessage } from './place-messages.js';
@@ -19,6 +25,8 @@
   owner: VmId | undefined;
   sentAt: number;
   isAcknowledged: boolean;
+  /** When it is sent again to the same owner, unless it is granted or refused before. */
+  sendAgainAt: number;
 };
 
 /** A granted slot that a request of this VM occupies. */
@@ -62,6 +70,11 @@
 
 /** A live owner acknowledges a slot request within this time. */
 const ACK_TIMEOUT_MS = 120;
+/**
+ * A request that waits is sent again at this interval: its owner may have forgotten it in a pause,
+ * or the reply was sent on a link that closed.
+ */
+const SEND_AGAIN_MS = 300;
 
 function buildAssignmentItem({ run: assignment }: ActiveSlot, now: number): SlotAssignmentItem {
   return {
@@ -111,17 +124,12 @@
     return owner;
   }
 
-  function sendSlotRequest(request: PendingRequest, now: number): void {
+  function buildFields(request: PendingRequest, now: number): SlotRequestFields {
     const { service, ask: slotRequest } = request;
-    const owner = chooseOwner(service, now);
-    request.owner = owner;
-    request.sentAt = now;
-    request.isAcknowledged = owner === parts.self;
     const { askId, contentKey, dataCentre, rank, promptTokens, outputTokens } = slotRequest;
     const { needsPrefill, isContinued, excluded, softwareVersion } = slotRequest;
     const interruptAt = request.hasRun ? Infinity : stopAt;
-    send(owner, {
-      kind: 'pool-ask',
+    return {
       service,
       askId,
       contentKey,
@@ -137,7 +145,24 @@
       aimInMs: slotRequest.aimAt - now,
       pauseMs: slotRequest.pauseMs,
       patienceInMs: slotRequest.patienceEndsAt - now,
-    });
+    };
+  }
+
+  function sendSlotRequest(request: PendingRequest, now: number): void {
+    const owner = chooseOwner(request.service, now);
+    request.owner = owner;
+    request.sentAt = now;
+    request.sendAgainAt = now + SEND_AGAIN_MS;
+    request.isAcknowledged = owner === parts.self;
+    send(owner, { kind: 'pool-ask', ...buildFields(request, now) });
+  }
+
+  /** Sends a request to its owner once more; one that knows it answers with what it decided, if it did. */
+  function sendRequestAgain(request: PendingRequest, owner: VmId, now: number): void {
+    request.sendAgainAt = now + SEND_AGAIN_MS;
+    // Nothing is lost between the two sides of one VM.
+    if (owner === parts.self) return;
+    send(owner, { kind: 'pool-ask-again', ...buildFields(request, now) });
   }
 
   function resendRequest(request: PendingRequest, now: number): void {
@@ -168,6 +193,9 @@
     const askId = message.askId as SlotRequestId;
     const request = pending.get(askId);
     if (request === undefined) {
+      const slot = activeSlots.get(askId);
+      // The first grant was on its way when the request was sent again.
+      if (slot?.owner === from && slot.run.decode === message.decode) return;
       // The request has ended, or another owner granted it first.
       send(from, { kind: 'pool-end', service: message.service, askId, didFinish: false });
       return;
@@ -193,7 +221,8 @@
       switch (message.kind) {
         case 'ask': {
           const { service, ask: slotRequest, hasRun, onReply } = message;
-          const delivery = { owner: undefined, sentAt: now, isAcknowledged: false };
+          const sendAgainAt = now + SEND_AGAIN_MS;
+          const delivery = { owner: undefined, sentAt: now, isAcknowledged: false, sendAgainAt };
           const request = { service, ask: slotRequest, hasRun, onReply, ...delivery };
           pending.set(slotRequest.askId, request);
           if (now >= parts.linkedBy) sendSlotRequest(request, now);
@@ -233,7 +262,8 @@
       const request = pending.get(message.askId as SlotRequestId);
       switch (message.kind) {
         case 'pool-queued':
-          if (request !== undefined) request.isAcknowledged = true;
+          // A late one of an owner before says nothing of the owner that it was sent to since.
+          if (request?.owner === from) request.isAcknowledged = true;
           return;
         case 'pool-grant':
           handleGrant(from, message, now);
@@ -270,7 +300,10 @@
           sendSlotRequest(request, now);
           continue;
         }
-        if (before === ownerOf.get(service)) continue;
+        if (before === ownerOf.get(service)) {
+          if (now >= request.sendAgainAt) sendRequestAgain(request, before, now);
+          continue;
+        }
         logger.warn(
           { askId: ask.askId, before },
           'pools: slot request is sent to the owner that took the place of the previous one',
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -20,6 +20,7 @@
   DataCentre,
   PoolMessage,
   SlotAssignmentItem,
+  SlotRequestFields,
   ServiceName,
   VmId,
 } from '@tarragonspool/protocol';
@@ -66,11 +67,7 @@
   readonly logger: Logger;
 };
 
-function decodeSlotRequest(
-  from: VmId,
-  message: Extract<PoolMessage, { kind: 'pool-ask' }>,
-  now: number,
-): SlotRequest {
+function decodeSlotRequest(from: VmId, message: SlotRequestFields, now: number): SlotRequest {
   return {
     askId: message.askId as SlotRequestId,
     vmId: from,
@@ -176,17 +173,35 @@
     }
   }
 
-  function handleSlotRequest(
-    from: VmId,
-    message: Extract<OwnerMessage, { kind: 'pool-ask' }>,
-    now: number,
-  ): void {
+  function handleSlotRequest(from: VmId, message: SlotRequestFields, now: number): void {
     const slotRequest = decodeSlotRequest(from, message, now);
     apply(message.service, { kind: 'asked', ask: slotRequest }, now);
     const isWaiting = findPool(message.service).waiting.has(slotRequest.askId);
     if (isWaiting && from !== self) reply(from, { kind: 'pool-queued', askId: slotRequest.askId });
   }
 
+  /**
+   * Handles a request that was sent again. One that waits goes on waiting, one that is granted is
+   * granted again, and one that is not known is handled as a new one.
+   */
+  function handleRepeatedRequest(from: VmId, message: SlotRequestFields, now: number): void {
+    const { service } = message;
+    const askId = message.askId as SlotRequestId;
+    const pool = findPool(service);
+    if (pool.waiting.has(askId)) return;
+    const assignment = pool.runs.get(askId);
+    if (assignment === undefined) {
+      logger.info({ service, askId, vmId: from }, 'pools: slot request sent again was not known');
+      handleSlotRequest(from, message, now);
+      return;
+    }
+    const { prefill, decode, expectedEndAt } = assignment;
+    logger.info({ service, askId, vmId: from, prefill, decode }, 'pools: slot granted again');
+    const endsInMs = expectedEndAt - now;
+    // Permits of the first grant count as used: who grants again does not know whether they are.
+    reply(from, { kind: 'pool-grant', service, askId, prefill, decode, endsInMs, permits: [] });
+  }
+
   return {
     handleMessage: (from, message, now) => {
       const { service } = message;
@@ -194,6 +209,9 @@
         case 'pool-ask':
           handleSlotRequest(from, message, now);
           return;
+        case 'pool-ask-again':
+          handleRepeatedRequest(from, message, now);
+          return;
         case 'pool-withdraw':
           apply(service, { kind: 'withdrawn', askId: message.askId as SlotRequestId }, now);
           return;
