--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -43,6 +43,7 @@
 const POOL_MESSAGE_KINDS: ReadonlySet<string> = new Set<(PoolMessage | PermitMessage)['kind']>([
   'alive',
   'pool-ask',
+  'pool-ask-again',
   'pool-queued',
   'pool-grant',
   'pool-refuse',
@@ -171,6 +172,7 @@
     directory: { entryVms: [] },
     listTargets: (now) => fleet.listTargets(now),
     isLinkUsed: (vmId) => state.access.isLinkUsed(vmId),
+    listDependents: (now) => fleet.listDependents(now),
     onDialFailed: (vmId) => fleet.recordUnreachable(vmId, getSteadyMs()),
     metrics,
     logger,
