Streams: an answer goes on only at engines with the weights that it names

Callers saw answers whose head names one version of the weights, complete, with events of another one: where the engine that began a resumable stream broke off, the next one went on whatever its weights were.

Cause: nothing read `Weight-Versions`, of a head or of an event's first line, and no run said which weights it expects.

Now the version in force is kept for each answer: of the head that began it, then of each event that was passed on and names one. Further runs name it, so an engine with other weights refuses without running. A run whose head names another version all the same is not joined, ended at its engine, and counts as a run. Neither is told to the pool as a failure or counted against the content, and such a refusal leaves the KV cache and its count of refusals as they were. A refusal whose head names the version that was asked for has another reason and is told as before. Where no other engine may get the stream it is broken off at once. Heads that name no whole number are joined as before. What a caller sends as `Expect-Version` reaches no engine, as before. The first line of an event is read once, where it was decoded for its id already.

Why it works: the engine itself compares, before anything runs; its head is compared again before a byte is passed on.

--- a/packages/core/src/routing/event-splitter.test.ts
+++ b/packages/core/src/routing/event-splitter.test.ts
@@ -1,3 +1,4 @@
+import type { WeightVersion } from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { dropByteOrderMark, makeEventSplitter, type StreamPart } from './event-splitter.js';
@@ -114,3 +115,47 @@
   expect(parts.map(({ kind }) => kind)).to.deep.equal(['filler', 'event']);
   expect(splitter.isInsideEvent()).to.equal(true);
 });
+
+/** Reads `v` and a number from a line. */
+function decodeVersion(line: string): WeightVersion | undefined {
+  const [, digits] = /^v(\d)$/u.exec(line) ?? [];
+  return digits === undefined ? undefined : (Number(digits) as WeightVersion);
+}
+
+function listVersions(text: string, chunkLength = text.length): (number | undefined)[] {
+  const splitter = makeEventSplitter(decodeVersion);
+  const bytes = Buffer.from(text);
+  const versions: (number | undefined)[] = [];
+  for (let start = 0; start < bytes.length; start += chunkLength) {
+    for (const part of splitter.split(bytes.subarray(start, start + chunkLength))) {
+      versions.push(part.kind === 'event' ? part.weightVersion : undefined);
+    }
+  }
+  return versions;
+}
+
+// Guards against weights that are taken from another line than an event's first, or that stay for the next event.
+it('event splitter: the first line of an event names its weights, whatever its line ends and chunks are', () => {
+  const text = 'v1,id: 1,data: a,,id: 2,v2,,: note,,: note,v3,id: 3,,v4,,data: v5,,';
+  const wanted = [1, undefined, undefined, 3, 4, undefined];
+  for (const lineEnd of ['\n', '\r', '\r\n']) {
+    const sent = text.replaceAll(',', lineEnd);
+    for (let length = 1; length <= sent.length; length += 1) {
+      expect(listVersions(sent, length)).to.deep.equal(wanted);
+    }
+  }
+  expect(listVersions('\u{feff}v1\nid: 1\n\n')).to.deep.equal([1]);
+});
+
+// Guards against lines that are read again with each chunk of an event.
+it('event splitter: only the first line of an event is asked for weights, and once', () => {
+  const lines: string[] = [];
+  const splitter = makeEventSplitter((line) => {
+    lines.push(line);
+    return undefined;
+  });
+  for (const piece of 'v1\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n') {
+    splitter.split(Buffer.from(piece));
+  }
+  expect(lines).to.deep.equal(['v1', 'id: 2']);
+});
--- a/packages/core/src/routing/event-splitter.ts
+++ b/packages/core/src/routing/event-splitter.ts
@@ -3,6 +3,7 @@
  * carriage return or both (HTML Living Standard, 9.2.6).
  */
 
+import type { WeightVersion } from '@tarragonspool/protocol';
 import { makeByteCollector, type ByteCollector } from '../bytes/byte-collector.js';
 
 /** Id of an event: a whole number that is held exactly, another text, or none. */
@@ -13,10 +14,19 @@
 
 /** A part of a stream, whose bytes are a copy. */
 export type StreamPart =
-  | { readonly kind: 'event'; readonly bytes: Buffer; readonly id: EventId }
+  | {
+      readonly kind: 'event';
+      readonly bytes: Buffer;
+      readonly id: EventId;
+      /** Version of the weights that its first line names; undefined if that line names none. */
+      readonly weightVersion: WeightVersion | undefined;
+    }
   /** Comments, blank lines between events, and times to wait before the next attempt, which are no events. */
   | { readonly kind: 'filler'; readonly bytes: Buffer };
 
+/** Finds the version of the weights that the first line of an event names. */
+export type DecodeWeightVersion = (line: string) => WeightVersion | undefined;
+
 /** Splits one stream. */
 export type EventSplitter = {
   /** Returns the parts that a chunk completes, in order. */
@@ -58,18 +68,20 @@
 }
 
 /** Reads the fields of an event, line by line. */
-function makeEventReader() {
+function makeEventReader(decodeWeightVersion: DecodeWeightVersion) {
   let isFirstLine = true;
   let hasField = false;
   let isEvent = false;
   let id = NO_ID;
+  let weightVersion: WeightVersion | undefined;
   return {
     readLine: (bytes: Buffer): void => {
       const line = isFirstLine ? dropByteOrderMark(bytes) : bytes;
       isFirstLine = false;
       if (!isField(line)) return;
-      hasField = true;
       const text = line.toString('latin1');
+      if (!hasField) weightVersion = decodeWeightVersion(text);
+      hasField = true;
       if (!RETRY_FIELD.test(text)) isEvent = true;
       // The last one of several ids counts.
       id = parseId(text) ?? id;
@@ -79,20 +91,23 @@
     takePart: (bytes: Buffer): StreamPart => {
       const copy = Buffer.from(bytes);
       const part: StreamPart = isEvent
-        ? { kind: 'event', bytes: copy, id }
+        ? { kind: 'event', bytes: copy, id, weightVersion }
         : { kind: 'filler', bytes: copy };
       hasField = false;
       isEvent = false;
       id = NO_ID;
+      weightVersion = undefined;
       return part;
     },
   };
 }
 
-/** Makes a splitter for one stream. */
-export function makeEventSplitter(): EventSplitter {
+/** Makes a splitter for one stream; without `decodeWeightVersion` no line names weights. */
+export function makeEventSplitter(
+  decodeWeightVersion: DecodeWeightVersion = () => undefined,
+): EventSplitter {
   const held = makeByteCollector();
-  const reader = makeEventReader();
+  const reader = makeEventReader(decodeWeightVersion);
   /** Bytes that are held and have been read. */
   let readBytes = 0;
   let lineStart = 0;
--- a/packages/protocol/src/ids.ts
+++ b/packages/protocol/src/ids.ts
@@ -42,6 +42,8 @@
 export type PromptPartId = Brand<string, 'PromptPartId'>;
 /** Version of a server's software, as the server names it. */
 export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
+/** Version of an engine's weights, as the engine names it. */
+export type WeightVersion = Brand<number, 'WeightVersion'>;
 /** Identifies a stream over all attempts of its caller: the request that brought its first event. */
 export type StreamId = Brand<string, 'StreamId'>;
 /** Digest of what stays the same when a caller retries a stream. */
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -12,6 +12,7 @@
   StreamId,
   UpstreamId,
   VmId,
+  WeightVersion,
 } from '@tarragonspool/protocol';
 import type { ParsedRow } from '../json/parse-row.js';
 
@@ -138,6 +139,8 @@
   readonly kvSource?: KvSource;
   /** Last event that the caller has received; the server continues after it. */
   readonly resumeAfterEvent?: number;
+  /** Engines with weights of another version refuse the request. */
+  readonly weightVersion?: WeightVersion;
 };
 
 /** What an answer says of the requests that its server takes from all VMs together. */
@@ -166,6 +169,10 @@
   readonly isSigned: boolean;
   /** Whether the server reports that it did not execute the request. */
   readonly isNotRun: boolean;
+  /** Whether the server refuses the request as it is not the one, or not at the version, that was expected. */
+  readonly isUnexpected: boolean;
+  /** Version of the weights that it names; undefined if it names none that can be read. */
+  readonly weightVersion: WeightVersion | undefined;
   readonly isEncoded: boolean;
   readonly notice: UpstreamNotice;
 };
@@ -202,6 +209,8 @@
   /** Finds the id of the request that an answer names. */
   readonly decodeRequestId: (headers: IncomingHttpHeaders) => string | undefined;
   readonly decodeUpstreamHead: (status: number, headers: IncomingHttpHeaders) => UpstreamHead;
+  /** Finds the version of the weights that the first line of an event names. */
+  readonly decodeWeightVersion: (line: string) => WeightVersion | undefined;
   readonly makeAnswerHeaders: (rawHeaders: readonly string[]) => string[];
   readonly decodePrefill: (body: Buffer) => { handle: string; tokens: number } | undefined;
   readonly makeHandlePath: (handle: string) => string;
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -9,6 +9,7 @@
 import { sendOnce, type SendResult } from './sender.js';
 import {
   buildResumeFields,
+  buildWeightFields,
   getSendOutcome,
   notifyEngineFailed,
   recordStreamOrigin,
@@ -36,6 +37,8 @@
   readonly hasEvents: boolean;
   /** Whether its engine sent the head of an answer that can be used. */
   readonly hasHead: boolean;
+  /** Whether its engine could not go on as it has other weights than those of the answer. */
+  readonly hasOtherWeights: boolean;
 };
 
 function findDecodeEnd(
@@ -93,6 +96,7 @@
   const canContinue = canGoOnElsewhere(progress.place) && progress.runs + 1 < route.maxAttempts;
   const placement: SendFields = {
     ...buildResumeFields(progress),
+    ...buildWeightFields(progress),
     ...(kvSource === undefined ? {} : { kvSource }),
   };
   const result = yield* sendOnce(state, request, {
@@ -115,8 +119,9 @@
   const { framing, restBytes, eventIds } = relay.getEnd();
   relay.close();
   if (end === 'finished') relay.finish();
+  const hasOtherWeights = relay.hasOtherWeights();
   const { requestId, promptParts } = request.fields;
-  const { events, runs, firstEventMs, longestGapMs } = progress;
+  const { events, runs, firstEventMs, longestGapMs, weightVersion } = progress;
   const tookMs = getSteadyMs() - sentAt;
   state.logger.info(
     {
@@ -128,6 +133,8 @@
       framing,
       restBytes,
       eventIds,
+      weightVersion,
+      hasOtherWeights,
       events,
       runs,
       isDisplaced,
@@ -140,5 +147,6 @@
     'streams: decode run ended',
   );
   state.metrics.sends.inc({ step: 'decode', outcome: end });
-  return { end, result, hasEvents: relay.hasEvents(), hasHead: relay.isForwarding() };
+  const hasHead = relay.isForwarding();
+  return { end, result, hasEvents: relay.hasEvents(), hasHead, hasOtherWeights };
 }
--- a/packages/router/src/gateway/stream-grant.ts
+++ b/packages/router/src/gateway/stream-grant.ts
@@ -8,7 +8,7 @@
 import { takeServiceRetries, type GatewayState } from './gateway-state.js';
 import { endQuarantined } from './quarantine-check.js';
 import { endUnfinished, failStream, refuseStream } from './stream-ends.js';
-import { runGranted, settleRun } from './stream-handover.js';
+import { runGranted, settleRun, type GrantedRun } from './stream-handover.js';
 import {
   askDecode,
   endGrant,
@@ -83,16 +83,18 @@
 
 /**
  * Handles a refusal by a decode engine, which may be full or unable to fetch the KV cache. After a
- * second refusal the cache counts as lost, and the engine that holds it is reported.
+ * second refusal the cache counts as lost, and the engine that holds it is reported. An engine with
+ * other weights has not tried to fetch it.
  */
 function checkKvHandle(
   state: GatewayState,
   request: GatewayRequest,
   progress: StreamProgress,
+  hasOtherWeights: boolean,
 ): void {
   const { kvSource } = progress;
   if (kvSource === undefined) return;
-  progress.handleRefusals += 1;
+  if (!hasOtherWeights) progress.handleRefusals += 1;
   const isStored = progress.kvExpiresAt > getSteadyMs();
   if (isStored && progress.handleRefusals < MAX_KV_HANDLE_REFUSALS) return;
   progress.kvSource = undefined;
@@ -100,34 +102,43 @@
   if (isStored) notifyEngineFailed(state, request, kvSource.upstreamId, 'handle-lost');
 }
 
-/** Lets another engine tell whether a stream has ended, if there is one that may get it. */
-function excludeUnconfirmed(
+/** Whether a decode engine other than this one may get a stream. */
+function hasOtherEngine(
   state: GatewayState,
   { service }: GatewayRequest,
   { excluded, origin }: StreamProgress,
   decode: UpstreamId,
-): void {
-  const others = listUsableUpstreams(state.upstreams, service, getSteadyMs()).filter(
+): boolean {
+  return listUsableUpstreams(state.upstreams, service, getSteadyMs()).some(
     ({ upstreamId, stage, softwareVersion }) =>
       stage === 'decode' &&
       upstreamId !== decode &&
       !excluded.has(upstreamId) &&
       softwareVersion === (origin?.softwareVersion ?? softwareVersion),
   );
-  if (others.length > 0) excluded.add(decode);
 }
 
+/** How a run ended that did not finish its stream. */
+type UnfinishedRun = Pick<GrantedRun, 'hasOtherWeights'> & {
+  readonly end: 'not-run' | 'broken' | 'unconfirmed';
+  readonly decode: UpstreamId;
+};
+
 /** Decides whether a stream is tried again after a decode that did not finish. */
 function continueAfter(
   state: GatewayState,
   request: GatewayRequest,
   progress: StreamProgress,
-  end: 'not-run' | 'broken' | 'unconfirmed',
+  { end, decode, hasOtherWeights }: UnfinishedRun,
 ): NextAction {
   const { route, service } = request;
+  if (hasOtherWeights && !hasOtherEngine(state, request, progress, decode)) {
+    failStream(request, 'no-engine');
+    return 'done';
+  }
   const hasTime = request.deadlineAt - getSteadyMs() > MIN_REMAINING_MS;
   if (end === 'not-run') {
-    checkKvHandle(state, request, progress);
+    checkKvHandle(state, request, progress, hasOtherWeights);
     if (hasTime && takeServiceRetries(state, service, countRetries(progress))) return 'again';
     refuseStream(request, progress, { reason: 'not-run', retryAfterMs: RETRY_AFTER_FAILURE_MS });
     return 'done';
@@ -164,18 +175,22 @@
   if (clearance.kind === 'refused') {
     if (endIfQuarantined(state, request, grant, clearance.refusal)) return 'done';
     endGrant(state, grant, false);
-    return continueAfter(state, request, progress, 'not-run');
+    const unsent = { end: 'not-run', decode: grant.decode, hasOtherWeights: false } as const;
+    return continueAfter(state, request, progress, unsent);
   }
   const { server } = clearance;
   const plan = { grant, server, claim: () => true, onSent: () => undefined };
   const run = yield* runGranted(state, request, progress, plan);
   if (!run.isSettled) settleRun(state, request, progress, run);
-  const { end, result } = run;
+  const { end, result, hasOtherWeights } = run;
+  const { decode } = run.grant;
   if (result.kind === 'caller-gone' || result.kind === 'timed-out') {
     endUnfinished(request, result, progress);
     return 'done';
   }
   if (end === 'finished' || end === 'over') return 'done';
-  if (end === 'unconfirmed') excludeUnconfirmed(state, request, progress, run.grant.decode);
-  return continueAfter(state, request, progress, end);
+  // Another engine tells whether the stream has ended, if there is one that may get it.
+  const asksOther = end === 'unconfirmed' && hasOtherEngine(state, request, progress, decode);
+  if (asksOther) progress.excluded.add(decode);
+  return continueAfter(state, request, progress, { end, decode, hasOtherWeights });
 }
--- a/packages/router/src/gateway/stream-handover.test.ts
+++ b/packages/router/src/gateway/stream-handover.test.ts
@@ -12,8 +12,11 @@
 import type { AnswerHead, SendPlan } from './sender.js';
 import { runStreamRequest } from './stream-flow.js';
 
-/** What an engine sends: a head, the event of this id, the end, or a failure before or after the request was sent. */
-type EngineStep = 'head' | number | 'ended' | 'reset' | 'unreached';
+/**
+ * What an engine sends: a head, the event of this id, the end, a refusal as it is not what was expected, or a failure
+ * before or after the request was sent.
+ */
+type EngineStep = 'head' | number | 'ended' | 'unexpected' | 'reset' | 'unreached';
 
 /** Steps of an engine with their times after the send, in milliseconds. */
 type EngineScript = readonly (readonly [number, EngineStep])[];
@@ -22,6 +25,8 @@
   readonly engines: Readonly<Record<string, EngineScript>>;
   /** Step of an engine that follows in the same turn when another one sends its head. */
   readonly afterHead?: { readonly of: string; readonly at: string; readonly step: EngineStep };
+  /** Versions of the weights that the heads of engines name. */
+  readonly weights?: Readonly<Record<string, number>>;
   readonly maxAttempts?: number;
   readonly retrySlack?: number;
   /** What the engine `p` sends for a prefill; undefined if no prompt is prefilled after the first grant. */
@@ -35,6 +40,10 @@
   readonly log: string[];
   readonly ids: number[];
   readonly failures: string[];
+  /** Version of the weights that each run was asked for, and the KV cache that it was given. */
+  readonly placements: string[];
+  /** Engines that broke the stream off, as its content may have crashed them. */
+  readonly suspects: string[];
   granted: number;
   freed: number;
   end: string;
@@ -42,7 +51,9 @@
 
 const PREFILL = 'p';
 const NOTICE = { isLeaving: false, pauseMs: undefined, limit: { kind: 'none' }, invalid: [] };
-const USABLE = { requestId: 'r1', isSigned: true, isNotRun: false, isEncoded: false };
+const USABLE = { requestId: 'r1', isSigned: true, isEncoded: false };
+const OK = 200;
+const MISDIRECTED = 421;
 
 function buildRequest(course: Course, trace: StreamTrace): GatewayRequest {
   const now = getSteadyMs();
@@ -107,12 +118,19 @@
     const { address } = server;
     const isPrefill = headers.includes('prefill');
     trace.log.push(isPrefill ? `prefill at ${address}` : `send to ${address}`);
+    if (!isPrefill) trace.placements.push([address, ...headers].join(' '));
     let isOver = false;
 
+    function emitHead(status: number): void {
+      const framing = 'chunks';
+      const named = { weights: course.weights?.[address] };
+      onEvent({ kind: 'head', status, headers: named, rawHeaders: [], framing });
+    }
+
     function emit(step: EngineStep): void {
       if (isOver) return;
       if (step === 'head') {
-        onEvent({ kind: 'head', status: 200, headers: {}, rawHeaders: [], framing: 'chunks' });
+        emitHead(OK);
         const { afterHead } = course;
         if (afterHead?.of === address) emitters.get(afterHead.at)?.(afterHead.step);
       } else if (typeof step === 'number') {
@@ -120,7 +138,8 @@
       } else {
         isOver = true;
         trace.log.push(`${step} at ${address}`);
-        if (step === 'ended') onEvent({ kind: 'ended' });
+        if (step === 'unexpected') emitHead(MISDIRECTED);
+        if (step === 'ended' || step === 'unexpected') onEvent({ kind: 'ended' });
         else onEvent({ kind: 'failed', isSent: step === 'reset', reason: step });
       }
     }
@@ -138,7 +157,11 @@
         if (!isOver) trace.log.push(`cancel at ${address}`);
         isOver = true;
       },
-      abort: () => undefined,
+      abort: (reason: string) => {
+        isOver = true;
+        trace.log.push(`abort at ${address}`);
+        onEvent({ kind: 'failed', isSent: true, reason });
+      },
       pause: () => undefined,
       resume: () => undefined,
     };
@@ -149,7 +172,8 @@
 /** Plays one stream; the owner of the pool grants the engines in their order, each with a slot free. */
 async function playStream(course: Course): Promise<StreamTrace> {
   const { retrySlack = 50 } = course;
-  const trace: StreamTrace = { log: [], ids: [], failures: [], granted: 0, freed: 0, end: 'none' };
+  const lists = { log: [], ids: [], failures: [], placements: [], suspects: [] };
+  const trace: StreamTrace = { ...lists, granted: 0, freed: 0, end: 'none' };
   const inbox = makeChannel<PoolTaskMessage>(64);
   const upstreams = makeUpstreamList();
   const names = Object.keys(course.engines);
@@ -166,10 +190,14 @@
       } as unknown as UpstreamRecord,
     );
   }
-  const guard = { recordAnswered: () => undefined, recordBroken: () => undefined };
+  const guard = {
+    recordAnswered: () => undefined,
+    recordBroken: (upstreamId: UpstreamId) => trace.suspects.push(upstreamId),
+  };
   const state = {
     pools: { inbox, countLiveVms: () => 1 },
     logger: pino({ level: 'silent' }),
+    configuration: { services: new Map([['llm', { engine: { handleTtlMs: 10_000 } }]]) },
     upstreams,
     access: {
       client: makeScriptedClient(course, trace),
@@ -181,12 +209,22 @@
         makeForwardHeaders: (
           _raw: unknown,
           _length: unknown,
-          { isPrefillOnly = false }: SendPlan['placement'],
-        ) => (isPrefillOnly ? ['prefill'] : []),
+          { isPrefillOnly = false, weightVersion, kvSource }: SendPlan['placement'],
+        ) => {
+          const expected = weightVersion === undefined ? [] : [`weights ${weightVersion}`];
+          const cache = kvSource === undefined ? [] : [kvSource.handle];
+          return isPrefillOnly ? ['prefill'] : [...expected, ...cache];
+        },
         makeAnswerHeaders: () => [],
         decodePrefill: () => ({ handle: 'kv-1' }),
-        decodeUpstreamHead: (status: number): Partial<AnswerHead> =>
-          ({ ...USABLE, status, notice: NOTICE }) as unknown as AnswerHead,
+        decodeUpstreamHead: (
+          status: number,
+          { weights }: { readonly weights?: number },
+        ): Partial<AnswerHead> => {
+          const isUnexpected = status === MISDIRECTED;
+          const told = { status, isUnexpected, isNotRun: isUnexpected, weightVersion: weights };
+          return { ...USABLE, ...told, notice: NOTICE } as unknown as AnswerHead;
+        },
       },
     },
     partGuard: { ...guard, findQuarantined: () => undefined },
@@ -402,3 +440,76 @@
   const { failures } = await playStream({ engines: { a: SILENT, b: GOES_ON } });
   expect(failures.filter((line) => line === 'a broken')).to.have.length(1);
 });
+
+/** Sends its first event and breaks off. */
+const BREAKS: EngineScript = [...SILENT, [30, 'reset']];
+const REFUSES: EngineScript = [[10, 'unexpected']];
+/** Goes on after the first event and is not near its end. */
+const STAYS: EngineScript = [...GOES_ON.slice(0, 2), [5_000, 'ended']];
+/** Allows three retries and no fourth one, as 0.7 of the slack are used. */
+const SLACK_OF_THREE = 5;
+const PREFILLS: EngineScript = [
+  [5, 'head'],
+  [10, 'ended'],
+];
+
+// Guards against sound engines, and a sound KV cache, that are told as full or lost since a stream needs other weights.
+it('weights: engines that refuse a stream for its weights are not blamed, nor is its KV cache', async () => {
+  const trace = await playStream({
+    engines: { a: BREAKS, b: REFUSES, c: REFUSES, d: GOES_ON },
+    weights: { a: 1, b: 2, d: 1 },
+    prefill: PREFILLS,
+    retrySlack: SLACK_OF_THREE,
+  });
+  expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole', granted: 4, freed: 4 });
+  expect(trace.failures).to.deep.equal(['a broken']);
+  expect(trace.suspects).to.deep.equal(['a']);
+  const further = ['b', 'c', 'd'].map((name) => `${name} weights 1 kv-1`);
+  expect(trace.placements).to.deep.equal(['a', ...further]);
+  expect(trace.log.filter((line) => line === 'prefill at p').length).to.equal(1);
+});
+
+// Guards against a refusal that has another reason, and an engine that is asked by all others in vain.
+for (const [what, weights] of [
+  ['that names the weights of the answer', { a: 1, b: 1 }],
+  ['of an answer whose weights are not known', { b: 2 }],
+] as const) {
+  it(`weights: an engine is told as full after a refusal ${what}`, async () => {
+    const trace = await playStream({ engines: { a: BREAKS, b: REFUSES, c: GOES_ON }, weights });
+    expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole' });
+    expect(trace.failures).to.deep.equal(['a broken', 'b full']);
+  });
+}
+
+// Guards against a run of other weights that is joined, that works on for nobody, or whose engine is told as broken.
+it('weights: an engine that runs a stream with other weights is stopped, not joined and not blamed', async () => {
+  const trace = await playStream({
+    engines: { a: BREAKS, b: STAYS, c: GOES_ON },
+    weights: { a: 1, b: 2, c: 1 },
+    maxAttempts: 3,
+  });
+  expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole', granted: 3, freed: 3 });
+  expect(trace.log).to.include('abort at b');
+  expect(trace.failures).to.deep.equal(['a broken']);
+  expect(trace.suspects).to.deep.equal(['a']);
+});
+
+// Guards against a stream that runs more often than its route allows, as a run that was not joined is not counted.
+it('weights: a run that is not joined counts as one of the runs that a route allows', async () => {
+  const trace = await playStream({
+    engines: { a: BREAKS, b: STAYS, c: GOES_ON },
+    weights: { a: 1, b: 2, c: 1 },
+    maxAttempts: 2,
+  });
+  expect(trace).to.deep.include({ ids: [1], end: 'broken off: engine-failed', granted: 2 });
+  expect(trace.placements).to.deep.equal(['a', 'b weights 1']);
+});
+
+// Guards against an answer that is held although no engine could go on with it.
+it('weights: a stream is broken off at once when the last engine refuses it for its weights', async () => {
+  const trace = await playStream({
+    engines: { a: BREAKS, b: REFUSES, c: REFUSES },
+    weights: { a: 1, b: 2, c: 2 },
+  });
+  expect(trace).to.deep.include({ ids: [1], end: 'broken off: no-engine', granted: 3, freed: 3 });
+});
--- a/packages/router/src/gateway/stream-handover.ts
+++ b/packages/router/src/gateway/stream-handover.ts
@@ -154,7 +154,9 @@
     }
     if (!run.isSettled) endGrant(state, run.grant, false);
     if ((own.state as Attempt['state']) === 'cancelled') return;
-    notifyEngineFailed(state, request, grant.decode, findEngineFailure(run.result));
+    if (!run.hasOtherWeights) {
+      notifyEngineFailed(state, request, grant.decode, findEngineFailure(run.result));
+    }
     refusedBy.add(grant.decode);
     if (run.end === 'broken') progress.runs += 1;
   }
@@ -275,7 +277,7 @@
   state: GatewayState,
   request: GatewayRequest,
   progress: StreamProgress,
-  { grant, end, result, hasEvents, hasHead }: Omit<GrantedRun, 'isSettled'>,
+  { grant, end, result, hasEvents, hasHead, hasOtherWeights }: Omit<GrantedRun, 'isSettled'>,
   isReported = false,
 ): void {
   endGrant(state, grant, end === 'finished' || end === 'unconfirmed');
@@ -284,8 +286,11 @@
   if (end === 'finished' || end === 'unconfirmed' || end === 'over') return;
   const { decode } = grant;
   const broken = { content, hasEvents, promptParts };
-  if (end === 'broken') state.contentGuard.recordBroken(decode, broken);
-  if (!isReported) notifyEngineFailed(state, request, decode, findEngineFailure(result));
+  const isFailure = !hasOtherWeights;
+  if (end === 'broken' && isFailure) state.contentGuard.recordBroken(decode, broken);
+  if (!isReported && isFailure) {
+    notifyEngineFailed(state, request, decode, findEngineFailure(result));
+  }
   progress.excluded.add(decode);
   // A send that may have reached the engine counts as executed even if no answer arrived.
   if (end === 'broken' && !hasHead) progress.runs += 1;
--- a/packages/router/src/gateway/stream-progress.ts
+++ b/packages/router/src/gateway/stream-progress.ts
@@ -7,7 +7,7 @@
   type StreamPlace,
   type UpstreamRecord,
 } from '@tarragonspool/core';
-import type { EngineFailure, StreamId, UpstreamId } from '@tarragonspool/protocol';
+import type { EngineFailure, StreamId, UpstreamId, WeightVersion } from '@tarragonspool/protocol';
 import { sendPoolMessage } from '../pools/pool-task.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayRequest } from './gateway-request.js';
@@ -29,6 +29,11 @@
   origin: StreamOrigin | undefined;
   /** Media type of the answer that has begun; undefined before, or if its head names none. */
   mediaType: string | undefined;
+  /**
+   * Version of the weights that made the last event: of the head that began the answer, then of each event that names
+   * one. Undefined before, or if neither names one.
+   */
+  weightVersion: WeightVersion | undefined;
   events: number;
   /** Time from arrival to the first event, in milliseconds; undefined before it. */
   firstEventMs: number | undefined;
@@ -62,6 +67,7 @@
     place: makeStreamPlace(route.isResumable, route.isResumable ? fields.lastEventId : undefined),
     origin,
     mediaType: undefined,
+    weightVersion: undefined,
     events: 0,
     firstEventMs: undefined,
     lastEventAt: 0,
@@ -129,6 +135,11 @@
   });
 }
 
+/** Builds the fields that keep a further run to the weights of the answer that has begun. */
+export function buildWeightFields({ weightVersion }: StreamProgress): SendFields {
+  return weightVersion === undefined ? {} : { weightVersion };
+}
+
 /** Builds the fields with which another engine continues after the last whole event. */
 export function buildResumeFields({ place: { lastId }, runs }: StreamProgress): SendFields {
   return runs > 0 && lastId !== undefined ? { resumeAfterEvent: lastId } : {};
--- a/packages/router/src/gateway/stream-relay.ts
+++ b/packages/router/src/gateway/stream-relay.ts
@@ -93,11 +93,13 @@
 ) {
   const { upstreamId, turn, onFirstEvent } = run;
   const { reply, route } = request;
-  const splitter = makeEventSplitter();
+  const splitter = makeEventSplitter(state.ports.dialect.decodeWeightVersion);
   const recorder = makeEventRecorder(state, request, progress, onFirstEvent);
   const eventIds = makeEventIds(progress.place.lastId);
   const isContinued = reply.getState() === 'begun';
   let isForwarding = false;
+  let isUsable = false;
+  let hasOtherWeights = false;
   let isFirstPart = true;
   /** Whether an event with a number has come: only such a one shows where the run goes on. */
   let hasNumber = false;
@@ -129,8 +131,18 @@
     return reply.getState() === 'open' || findMediaType(rawHeaders) === progress.mediaType;
   }
 
-  function begin({ status, rawHeaders }: AnswerHead): void {
+  /**
+   * Whether an engine has other weights than those of the answer that has begun: by the version that its head names, or
+   * by its refusal, if that names none.
+   */
+  function isOfOtherWeights({ weightVersion, isUnexpected }: AnswerHead): boolean {
+    if (progress.weightVersion === undefined) return false;
+    return weightVersion === undefined ? isUnexpected : weightVersion !== progress.weightVersion;
+  }
+
+  function begin({ status, rawHeaders, weightVersion }: AnswerHead): void {
     progress.mediaType = findMediaType(rawHeaders);
+    progress.weightVersion = weightVersion;
     const headers = state.ports.dialect.makeAnswerHeaders(rawHeaders);
     // Another engine may go on with the answer of a route that can be resumed.
     const kept = route.isResumable ? dropWholeAnswerHeaders(headers) : headers;
@@ -154,6 +166,7 @@
           return { bytes: Buffer.concat(taken), count, fault: verdict.fault };
         }
         progress.place = verdict.place;
+        progress.weightVersion = part.weightVersion ?? progress.weightVersion;
         hasNumber ||= part.id.kind === 'number';
         count += 1;
       }
@@ -181,8 +194,9 @@
   return {
     onHead: (head: AnswerHead): void => {
       framing = head.framing;
-      const isUsable = head.status === HTTP_OK && head.isSigned && !head.isNotRun;
-      isForwarding = isUsable && canFollow(head) && turn.claim();
+      isUsable = head.status === HTTP_OK && head.isSigned && !head.isNotRun;
+      hasOtherWeights = (isUsable || head.isUnexpected) && isOfOtherWeights(head);
+      isForwarding = isUsable && !hasOtherWeights && canFollow(head) && turn.claim();
       if (!isForwarding) return;
       progress.runs += 1;
       progress.kvSource = undefined;
@@ -192,6 +206,8 @@
       if (turn.isDisplaced()) return false;
       // The body of a refusal is not used; it may be without end.
       if (!isForwarding) {
+        // Its engine would work on for nobody.
+        if (isUsable && hasOtherWeights) exchange.abort('weights of another version');
         unusedBytes += chunk.length;
         if (unusedBytes > MAX_UNUSED_BYTES) exchange.abort('answer too large');
         return false;
@@ -222,6 +238,8 @@
       reply.end();
     },
     isForwarding: () => isForwarding,
+    /** Whether the run was not joined, or refused, as its engine has other weights, which is no fault of that engine. */
+    hasOtherWeights: () => hasOtherWeights,
     /** Whether this engine has sent events. */
     hasEvents: recorder.hasEvents,
     /**
