Streams: a KV cache that a refusal for the weights left is used by the next engine of a handover

Callers saw nothing of it.

Cause: each attempt of a handover begins without a KV cache, since a refusal was always one that may have used it up.

Ruled out: keeping it after refusals as full, where the handle itself may be the reason.

Before: the new test, with two refusals, prefills three times where one is wanted.

Why it works: the cache is kept from the refusal until the next run is sent, and used only while the engine that made it still stores it.

--- a/packages/router/src/gateway/stream-handover.test.ts
+++ b/packages/router/src/gateway/stream-handover.test.ts
@@ -513,3 +513,15 @@
   });
   expect(trace).to.deep.include({ ids: [1], end: 'broken off: no-engine', granted: 3, freed: 3 });
 });
+
+// Guards against a prompt that is prefilled again for each engine that a silent one's stream is offered to in vain.
+it('weights: a KV cache that a refusal left goes to the next engine that takes over', async () => {
+  const trace = await playStream({
+    engines: { a: SILENT, b: REFUSES, c: REFUSES, d: GOES_ON },
+    weights: { a: 1, b: 2, c: 2, d: 1 },
+    prefill: PREFILLS,
+  });
+  expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole', granted: 4, freed: 4 });
+  expect(trace.failures.filter((line) => !line.startsWith('a '))).to.deep.equal([]);
+  expect(trace.log.filter((line) => line === 'prefill at p').length).to.equal(1);
+});
--- a/packages/router/src/gateway/stream-handover.ts
+++ b/packages/router/src/gateway/stream-handover.ts
@@ -112,6 +112,8 @@
   let attempt: Attempt | undefined;
   let searchAt = 0;
   let end: AttemptEnd | undefined;
+  /** A KV cache that an attempt has had made and no engine has taken. */
+  let kvCache: Pick<StreamProgress, 'kvSource' | 'kvExpiresAt'> | undefined;
 
   /** Counts the engines that may have begun the stream, with the silent one. */
   function countRuns(): number {
@@ -129,6 +131,18 @@
     return true;
   }
 
+  /** Keeps the KV cache for the next attempt if the engine of this one did not run it. */
+  function keepKvCache({ progress: { kvSource, kvExpiresAt } }: Attempt, run: DecodeRun): void {
+    if (run.end === 'not-run') kvCache = { kvSource, kvExpiresAt };
+  }
+
+  /** Returns the KV cache that has been kept, if it is still stored. */
+  function getKvCache(): Pick<StreamProgress, 'kvSource' | 'kvExpiresAt'> {
+    const kept = kvCache;
+    const isStored = kept !== undefined && kept.kvExpiresAt > getSteadyMs();
+    return isStored ? kept : { kvSource: undefined, kvExpiresAt: 0 };
+  }
+
   function* runAttempt(own: Attempt): Task {
     const grant = yield* awaitGrant(state, own);
     if (grant === undefined) return;
@@ -138,6 +152,7 @@
       return;
     }
     if (own.state === 'searching') own.state = 'sent';
+    kvCache = undefined;
     const next: RunPlan = {
       grant,
       server: clearance.server,
@@ -154,9 +169,8 @@
     }
     if (!run.isSettled) endGrant(state, run.grant, false);
     if ((own.state as Attempt['state']) === 'cancelled') return;
-    if (!run.hasOtherWeights) {
-      notifyEngineFailed(state, request, grant.decode, findEngineFailure(run.result));
-    }
+    if (run.hasOtherWeights) keepKvCache(own, run);
+    else notifyEngineFailed(state, request, grant.decode, findEngineFailure(run.result));
     refusedBy.add(grant.decode);
     if (run.end === 'broken') progress.runs += 1;
   }
@@ -188,7 +202,7 @@
     const excluded = new Set([...progress.excluded, ...refusedBy]);
     const own: Attempt = {
       request: { ...request, inbox: makeChannel(REQUEST_INBOX_CAPACITY) },
-      progress: { ...progress, runs: countRuns(), kvSource: undefined, excluded },
+      progress: { ...progress, runs: countRuns(), ...getKvCache(), excluded },
       state: 'searching',
       sentAt: Infinity,
     };
