Event order: the event that a caller goes on after counts, so that one more shows that ids count by one

A caller that goes on after event 3 at another VM, whose first run there sends 4 and breaks, could get 6 next from a second run that leaves 5 out: 3 4 6 (found in review; not seen of engines).

Cause: two events whose ids count by one show that ids do so. The place of a stream that is gone on with began without one, though the caller names its last event; so the same step between two events showed it in a new stream and not in a resumed one.

Ruled out: the first run of a caller that goes on. Nothing tells this VM whether ids count by one then; 3, then 6 is still passed on.

After: its file holds.

--- a/packages/core/src/routing/event-order.test.ts
+++ b/packages/core/src/routing/event-order.test.ts
@@ -90,6 +90,15 @@
   expect(canGoOnElsewhere(place as StreamPlace)).to.equal(false);
 });
 
+// Guards against events left out behind a caller's own place, where the run after it has shown that ids count by one.
+it('event order: a run after one event of a resumed stream goes on where it was asked to', () => {
+  const place = judgeRun(makeStreamPlace(true, 3), [4]);
+  expect(judgeRun(place as StreamPlace, [6])).to.equal('events left out');
+  expect(judgeRun(place as StreamPlace, [5])).to.include({ lastId: 5 });
+  const leapt = judgeRun(makeStreamPlace(true, 3), [6]);
+  expect(judgeRun(leapt as StreamPlace, [9])).to.include({ lastId: 9 });
+});
+
 it('event order: what follows is always above all that came before', () => {
   const runs = fc.array(fc.array(fc.nat(12), { maxLength: 6 }), { maxLength: 6 });
   fc.assert(
--- a/packages/core/src/routing/event-order.ts
+++ b/packages/core/src/routing/event-order.ts
@@ -36,7 +36,9 @@
 
 /** Makes the place of a stream that a caller begins, or goes on with after an event. */
 export function makeStreamPlace(isResumable: boolean, lastId: number | undefined): StreamPlace {
-  return { isResumable, lastId, counted: 0, hasUnnumbered: false };
+  // The event that a caller names shows with the one after it whether ids count by one.
+  const counted = lastId === undefined ? 0 : 1;
+  return { isResumable, lastId, counted, hasUnnumbered: false };
 }
 
 /** Whether another run can go on exactly after what the caller has. */
