Tests: the silent engine that is heard first is played in turns, not by timers

"handover: the silent engine that is heard first goes on" failed once beside a load of 28. The product is right and the test was wrong: it asked that its process run on time. Both engines' steps were timers of the test itself, counted from two sends.

Ruled out: an event that comes twice or is missing, which the same assertion asks for.

Now the steps follow the send to the other engine, one turn after the other: the silent engine's event and the other one's head in one turn, then what each would send. With the cancel taken out of the product it fails (events 1, 2, 2, 3), with the notice to the other run taken out, too (no "cancel at b").

--- a/packages/router/src/gateway/stream-handover.test.ts
+++ b/packages/router/src/gateway/stream-handover.test.ts
@@ -18,10 +18,15 @@
 /** Steps of an engine with their times after the send, in milliseconds. */
 type EngineScript = readonly (readonly [number, EngineStep])[];
 
+/** Steps that engines take in one turn, each with the engine's name. */
+type Turn = readonly (readonly [string, EngineStep])[];
+
 type Course = {
   readonly engines: Readonly<Record<string, EngineScript>>;
   /** Step of an engine that follows in the same turn when another one sends its head. */
   readonly afterHead?: { readonly of: string; readonly at: string; readonly step: EngineStep };
+  /** Turns that follow a send to an engine, one after the other, however late each of them comes. */
+  readonly afterSend?: { readonly of: string; readonly turns: readonly Turn[] };
   readonly maxAttempts?: number;
   readonly retrySlack?: number;
   /** What the engine `p` sends for a prefill; undefined if no prompt is prefilled after the first grant. */
@@ -41,6 +46,8 @@
 };
 
 const PREFILL = 'p';
+/** What was sent in one turn is handled before the next one. */
+const TURN_MS = 10;
 const NOTICE = { isLeaving: false, pauseMs: undefined, limit: { kind: 'none' }, invalid: [] };
 const USABLE = { requestId: 'r1', isSigned: true, isNotRun: false, isEncoded: false };
 
@@ -103,6 +110,13 @@
 function makeScriptedClient(course: Course, trace: StreamTrace) {
   const emitters = new Map<string, (step: EngineStep) => void>();
 
+  function playTurns(turns: readonly Turn[]): void {
+    setTimeout(() => {
+      for (const [name, step] of turns[0] ?? []) emitters.get(name)?.(step);
+      if (turns.length > 1) playTurns(turns.slice(1));
+    }, TURN_MS);
+  }
+
   function send({ server, headers, onSent }: ScriptedCall, onEvent: (event: object) => void) {
     const { address } = server;
     const isPrefill = headers.includes('prefill');
@@ -133,6 +147,7 @@
     const script = (isPrefill ? course.prefill : course.engines[address]) ?? [];
     if (!script.some(([, step]) => step === 'unreached')) onSent();
     play(script);
+    if (course.afterSend?.of === address) playTurns(course.afterSend.turns);
     return {
       cancel: () => {
         if (!isOver) trace.log.push(`cancel at ${address}`);
@@ -268,8 +283,22 @@
 
 // Guards against two runs that write, where the silent engine is heard just before the other one.
 it('handover: the silent engine that is heard first goes on', async () => {
-  const late = [...SILENT, ...delay(GOES_ON.slice(1), 1_380)];
-  const trace = await playStream({ engines: { a: late, b: delay(GOES_ON, 250) } });
+  // What both would send then comes in turn, so that a run that still writes is seen.
+  const turns: Turn[] = [
+    [
+      ['a', 2],
+      ['b', 'head'],
+    ],
+    [['b', 2]],
+    [['a', 3]],
+    [['b', 3]],
+    [['b', 'ended']],
+    [['a', 'ended']],
+  ];
+  const trace = await playStream({
+    engines: { a: SILENT, b: [] },
+    afterSend: { of: 'b', turns },
+  });
   expect(trace).to.deep.include({ ids: [1, 2, 3], end: 'whole', granted: 2, freed: 2 });
   expect(trace.log).to.deep.equal(['send to a', 'send to b', 'cancel at b', 'ended at a']);
 });
