--- a/packages/router/src/stages/engine-calls.ts
+++ b/packages/router/src/stages/engine-calls.ts
@@ -26,7 +26,7 @@
 const CALL_TIMEOUT_MS = 500;
 const MAX_ANSWER_BYTES = 1_048_576;
 const HTTP_OK = 200;
-/** A connection that was kept may have been closed at the other end just before the first call. */
+/** The first one may be reset at once, by an engine that has as many connections as it takes. */
 const MAX_LIFE_CALLS = 2;
 /** Each call has this time at least, also at the deadline and after this process stood still. */
 const MIN_LIFE_CALL_MS = 100;
