--- a/packages/core/src/quarantine/part-suspects.ts
+++ b/packages/core/src/quarantine/part-suspects.ts
@@ -5,48 +5,142 @@
  * caller's steady clock.
  */
 
-import { assertNever, type PromptPartId } from '@tarragonspool/protocol';
-import { addPrompt, isCommonPart } from './common-parts.js';
+import { assertNever, type PromptPartId, type ServiceName } from '@tarragonspool/protocol';
 import { dropOldest } from './drop-oldest.js';
-import { applyHeardCounted, countCrash, findCountedParts } from './part-crashes.js';
-import {
-  findQuarantinedParts,
-  hasAll,
-  type CrashReport,
-  type PartAction,
-  type PartEvent,
-  type PartState,
-  type QuarantinedParts,
-} from './part-state.js';
-
-export type {
-  CountedCrash,
-  CountedParts,
-  CrashReport,
-  PartAction,
-  PartEvent,
-  PartState,
-  QuarantinedParts,
-} from './part-state.js';
-export { hasCrashes, listCounted } from './part-crashes.js';
-export { findQuarantinedParts, listQuarantinedParts, makePartState } from './part-state.js';
+import { addPrompt, isCommonPart, makeCommonParts, type CommonParts } from './common-parts.js';
+
+/** Prompts that an engine had only begun when it crashed. */
+export type CrashReport = {
+  /** Identifies one run of an engine's process, however many VMs report its end. */
+  readonly crashId: string;
+  /** The shared parts of each prompt, in order. */
+  readonly prompts: readonly (readonly PromptPartId[])[];
+};
+
+/** Prompts that have all of these parts are refused; in order of their ids. */
+export type QuarantinedParts = {
+  readonly parts: readonly PromptPartId[];
+  readonly expiresAt: number;
+  /** Whether it was read in a form of older versions, which is not written again. */
+  readonly isFromOlder?: boolean;
+};
+
+/** Events that the judgement receives. */
+export type PartEvent =
+  | { readonly kind: 'crashed'; readonly report: CrashReport; readonly now: number }
+  /** An engine has gone on with the answer to a prompt with these parts. */
+  | { readonly kind: 'answered'; readonly parts: readonly PromptPartId[] }
+  /** A peer saw such an answer. */
+  | { readonly kind: 'heard-sound'; readonly parts: readonly PromptPartId[] }
+  /** A peer or the store names parts that were answered often, at some time before. */
+  | { readonly kind: 'known-sound'; readonly parts: readonly PromptPartId[] }
+  /** A peer tells of crashes that count against parts, at some time before. */
+  | {
+      readonly kind: 'heard-counted';
+      readonly crashes: readonly CountedParts[];
+      readonly now: number;
+    }
+  /** A prompt with these parts came for a service. */
+  | {
+      readonly kind: 'arrived';
+      readonly service: ServiceName;
+      readonly parts: readonly PromptPartId[];
+    }
+  /** A peer or the store names parts in quarantine. */
+  | { readonly kind: 'heard-quarantined'; readonly item: QuarantinedParts; readonly now: number };
+
+/** Actions that the host must perform. */
+export type PartAction =
+  /** Tell peers that parts which were suspected, or are refused at a peer, are sound. */
+  | { readonly kind: 'publish-sound'; readonly parts: readonly PromptPartId[] }
+  | { readonly kind: 'quarantine'; readonly item: QuarantinedParts }
+  /** Nothing is left of what was in quarantine. */
+  | { readonly kind: 'lift'; readonly item: QuarantinedParts }
+  /** A part has now been answered often. */
+  | { readonly kind: 'keep-sound' };
+
+/** A crash that was counted for a part. */
+export type CountedCrash = { readonly crashId: string; readonly at: number };
+
+/** A crash, and the parts that it counts against. */
+export type CountedParts = CountedCrash & { readonly parts: readonly PromptPartId[] };
+
+/** What one VM knows of parts. */
+export type PartState = {
+  /** Crashes of parts since their last answer, the latest of them, in the order of time. */
+  readonly suspicions: Map<PromptPartId, readonly CountedCrash[]>;
+  /** Parts that were answered, and how often; the oldest are forgotten. */
+  readonly sound: Map<PromptPartId, number>;
+  /** What a peer or the store refuses and this VM doesn't, as it knows all these parts to be sound. */
+  readonly disputed: Map<string, QuarantinedParts>;
+  /** Parts that this VM has itself judged to be deadly. */
+  readonly blamed: Set<PromptPartId>;
+  readonly common: CommonParts;
+  /** Parts in quarantine, by their ids. */
+  readonly quarantined: Map<string, QuarantinedParts>;
+  /** Parts that each of the latest crashes was counted for. */
+  readonly countedCrashes: Map<string, Set<PromptPartId>>;
+};
 
 const QUARANTINE_CRASHES = 3;
 /** A part that was answered before needs more evidence. */
 const SOUND_QUARANTINE_CRASHES = 5;
 /** And more still while a part that was at some of its crashes, and never answered, may be their cause. */
 const SOUND_RIVAL_CRASHES = 8;
+/** Further crashes of a part prove nothing more. */
+const MAX_COUNTED = 8;
 /** Parts with one crash less may be the cause as well: not every VM sees each crash. */
 const MISSED_CRASHES = 1;
+/** Engines that end at about the same time have one cause, such as the loss of power. */
+const SAME_CAUSE_MS = 300;
+const SUSPICION_TTL_MS = 600_000;
 /** How long prompts with a part in quarantine are refused, in milliseconds. */
 export const PART_QUARANTINE_MS = 3_600_000;
+const MAX_SUSPICIONS = 10_000;
 const MAX_SOUND = 10_000;
 const MAX_DISPUTED = 200;
 const MAX_BLAMED = 1_000;
 /** Answers after which a part is told and stored as sound. */
 const OFTEN_ANSWERED = 10;
 const MAX_TOLD_SOUND = 50;
+/** Parts whose crashes are told, those with the most. */
+const MAX_TOLD_SUSPECTED = 100;
 const MAX_QUARANTINED = 200;
+const MAX_CRASHES = 100;
+
+/** Makes the state of a VM that knows nothing. */
+export function makePartState(): PartState {
+  return {
+    suspicions: new Map(),
+    sound: new Map(),
+    disputed: new Map(),
+    blamed: new Set(),
+    common: makeCommonParts(),
+    quarantined: new Map(),
+    countedCrashes: new Map(),
+  };
+}
+
+function hasAll(parts: readonly PromptPartId[], wanted: readonly PromptPartId[]): boolean {
+  return wanted.every((part) => parts.includes(part));
+}
+
+/** Finds the quarantine that a prompt with these parts falls under. */
+export function findQuarantinedParts(
+  { quarantined }: PartState,
+  prompt: readonly PromptPartId[],
+  now: number,
+): QuarantinedParts | undefined {
+  for (const item of quarantined.values()) {
+    if (item.expiresAt > now && hasAll(prompt, item.parts)) return item;
+  }
+  return undefined;
+}
+
+/** Lists what is in quarantine. */
+export function listQuarantinedParts({ quarantined }: PartState, now: number): QuarantinedParts[] {
+  return [...quarantined.values()].filter(({ expiresAt }) => expiresAt > now);
+}
 
 /**
  * Puts parts into quarantine unless some of them are already; entries that refuse nothing which
@@ -93,6 +187,11 @@
   return parts.slice(-MAX_TOLD_SOUND);
 }
 
+/** Whether crashes have been counted for a part since its last answer. */
+export function hasCrashes({ suspicions }: PartState, part: PromptPartId): boolean {
+  return suspicions.has(part);
+}
+
 function isHeld({ quarantined }: PartState, part: PromptPartId): boolean {
   for (const { parts } of quarantined.values()) if (parts.includes(part)) return true;
   return false;
@@ -164,6 +263,59 @@
   else if (item.isFromOlder !== true) addDisputed(state, item);
 }
 
+/** Finds the parts that a crash was counted for; adds an empty set for a crash that is new. */
+function findCountedParts(state: PartState, crashId: string): Set<PromptPartId> {
+  const known = state.countedCrashes.get(crashId);
+  if (known !== undefined) return known;
+  const counted = new Set<PromptPartId>();
+  state.countedCrashes.set(crashId, counted);
+  dropOldest(state.countedCrashes, MAX_CRASHES);
+  return counted;
+}
+
+/** Counts a crash for a part; crashes at about the same time count once, and all are forgotten together. */
+function countCrash(state: PartState, part: PromptPartId, crash: CountedCrash): void {
+  const known = state.suspicions.get(part) ?? [];
+  const lastAt = known.at(-1)?.at ?? -Infinity;
+  const current = lastAt + SUSPICION_TTL_MS > crash.at ? known : [];
+  if (current.some(({ at }) => Math.abs(crash.at - at) < SAME_CAUSE_MS)) return;
+  const counted = [...current, crash].sort((first, second) => first.at - second.at);
+  state.suspicions.delete(part);
+  state.suspicions.set(part, counted.slice(-MAX_COUNTED));
+  dropOldest(state.suspicions, MAX_SUSPICIONS);
+}
+
+/** Lists the crashes that count against parts, as peers are told. */
+export function listCounted({ suspicions }: PartState, now: number): CountedParts[] {
+  const current = [...suspicions].filter(
+    ([, crashes]) => (crashes.at(-1)?.at ?? -Infinity) + SUSPICION_TTL_MS > now,
+  );
+  current.sort(([, first], [, second]) => second.length - first.length);
+  const byCrash = new Map<string, CountedCrash & { readonly parts: PromptPartId[] }>();
+  for (const [part, crashes] of current.slice(0, MAX_TOLD_SUSPECTED)) {
+    for (const { crashId, at } of crashes) {
+      const told = byCrash.get(crashId) ?? { crashId, at, parts: [] };
+      told.parts.push(part);
+      byCrash.set(crashId, told);
+    }
+  }
+  return [...byCrash.values()];
+}
+
+/** Counts what a peer has counted, unless it was counted here, and perhaps cleared since, or is explained here. */
+function applyHeardCounted(state: PartState, crashes: readonly CountedParts[], now: number): void {
+  for (const { crashId, at, parts } of crashes) {
+    const isOver = at + SUSPICION_TTL_MS <= now;
+    if (isOver || findQuarantinedParts(state, parts, now) !== undefined) continue;
+    const counted = findCountedParts(state, crashId);
+    for (const part of parts) {
+      if (counted.has(part)) continue;
+      counted.add(part);
+      countCrash(state, part, { crashId, at });
+    }
+  }
+}
+
 /** Lists the parts of a prompt that have crashed engines at least as often as said. */
 function listCrashing(
   state: PartState,
