--- a/packages/core/src/quarantine/part-suspects.ts
+++ b/packages/core/src/quarantine/part-suspects.ts
@@ -34,12 +34,6 @@
   | { readonly kind: 'heard-sound'; readonly parts: readonly PromptPartId[] }
   /** A peer or the store names parts that were answered often, at some time before. */
   | { readonly kind: 'known-sound'; readonly parts: readonly PromptPartId[] }
-  /** A peer tells of crashes that count against parts, at some time before. */
-  | {
-      readonly kind: 'heard-counted';
-      readonly crashes: readonly CountedParts[];
-      readonly now: number;
-    }
   /** A prompt with these parts came for a service. */
   | {
       readonly kind: 'arrived';
@@ -62,9 +56,6 @@
 /** A crash that was counted for a part. */
 export type CountedCrash = { readonly crashId: string; readonly at: number };
 
-/** A crash, and the parts that it counts against. */
-export type CountedParts = CountedCrash & { readonly parts: readonly PromptPartId[] };
-
 /** What one VM knows of parts. */
 export type PartState = {
   /** Crashes of parts since their last answer, the latest of them, in the order of time. */
@@ -103,8 +94,6 @@
 /** Answers after which a part is told and stored as sound. */
 const OFTEN_ANSWERED = 10;
 const MAX_TOLD_SOUND = 50;
-/** Parts whose crashes are told, those with the most. */
-const MAX_TOLD_SUSPECTED = 100;
 const MAX_QUARANTINED = 200;
 const MAX_CRASHES = 100;
 
@@ -259,8 +248,7 @@
 function applyHeard(state: PartState, item: QuarantinedParts): void {
   const parts = item.parts.filter((part) => !state.sound.has(part));
   if (parts.length > 0) setQuarantined(state, { ...item, parts });
-  // Rows of older versions can't be ended, and would be heard again with each change of the rows.
-  else if (item.isFromOlder !== true) addDisputed(state, item);
+  else addDisputed(state, item);
 }
 
 /** Finds the parts that a crash was counted for; adds an empty set for a crash that is new. */
@@ -285,37 +273,6 @@
   dropOldest(state.suspicions, MAX_SUSPICIONS);
 }
 
-/** Lists the crashes that count against parts, as peers are told. */
-export function listCounted({ suspicions }: PartState, now: number): CountedParts[] {
-  const current = [...suspicions].filter(
-    ([, crashes]) => (crashes.at(-1)?.at ?? -Infinity) + SUSPICION_TTL_MS > now,
-  );
-  current.sort(([, first], [, second]) => second.length - first.length);
-  const byCrash = new Map<string, CountedCrash & { readonly parts: PromptPartId[] }>();
-  for (const [part, crashes] of current.slice(0, MAX_TOLD_SUSPECTED)) {
-    for (const { crashId, at } of crashes) {
-      const told = byCrash.get(crashId) ?? { crashId, at, parts: [] };
-      told.parts.push(part);
-      byCrash.set(crashId, told);
-    }
-  }
-  return [...byCrash.values()];
-}
-
-/** Counts what a peer has counted, unless it was counted here, and perhaps cleared since, or is explained here. */
-function applyHeardCounted(state: PartState, crashes: readonly CountedParts[], now: number): void {
-  for (const { crashId, at, parts } of crashes) {
-    const isOver = at + SUSPICION_TTL_MS <= now;
-    if (isOver || findQuarantinedParts(state, parts, now) !== undefined) continue;
-    const counted = findCountedParts(state, crashId);
-    for (const part of parts) {
-      if (counted.has(part)) continue;
-      counted.add(part);
-      countCrash(state, part, { crashId, at });
-    }
-  }
-}
-
 /** Lists the parts of a prompt that have crashed engines at least as often as said. */
 function listCrashing(
   state: PartState,
@@ -415,9 +372,6 @@
     case 'known-sound':
       recordKnownSound(state, event.parts);
       return [];
-    case 'heard-counted':
-      applyHeardCounted(state, event.crashes, event.now);
-      return [];
     case 'arrived':
       addPrompt(state.common, event.service, event.parts);
       return [];
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -148,9 +148,6 @@
     isEarlier: z.boolean().optional(),
     soundBefore: z.array(id).optional(),
     quarantined: z.array(z.object({ parts: z.array(id).min(1), endsInMs: milliseconds })),
-    counted: z
-      .array(z.object({ crashId: id, agoMs: milliseconds, parts: z.array(id).min(1) }))
-      .optional(),
   }),
   z.object({
     kind: z.literal('upstreams-leaving'),
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -153,14 +153,6 @@
     readonly parts: readonly PromptPartId[];
     readonly endsInMs: number;
   }[];
-  /** Crashes that count against parts, told as a link opens; absent in older versions. */
-  readonly counted?:
-    | readonly {
-        readonly crashId: string;
-        readonly agoMs: number;
-        readonly parts: readonly PromptPartId[];
-      }[]
-    | undefined;
 };
 
 /** A reservation that an entry VM still uses, announced to a shard's new allocator. */
--- a/packages/router/src/gateway/part-guard.ts
+++ b/packages/router/src/gateway/part-guard.ts
@@ -8,7 +8,6 @@
   findQuarantinedParts,
   handlePartEvent,
   hasCrashes,
-  listCounted,
   listOftenAnswered,
   listQuarantinedParts,
   makePartState,
@@ -126,29 +125,6 @@
     for (const action of handlePartEvent(state, event)) perform(action, isOwnReport);
   }
 
-  /** Lists the crashes that count against parts, one message for each scope. */
-  function listToldCounted(now: number): PromptPartsMessage[] {
-    const byScope = new Map<QuarantineScope, NonNullable<PromptPartsMessage['counted']>>();
-    for (const { crashId, at, parts: suspected } of listCounted(state, now)) {
-      for (const [scope, named] of splitScopes(suspected)) {
-        const before = byScope.get(scope) ?? [];
-        byScope.set(scope, [...before, { crashId, agoMs: now - at, parts: named }]);
-      }
-    }
-    const told: PromptPartsMessage[] = [];
-    for (const [scope, counted] of byScope) {
-      told.push({
-        kind: 'prompt-parts',
-        isRelayed: true,
-        scope,
-        sound: [],
-        quarantined: [],
-        counted,
-      });
-    }
-    return told;
-  }
-
   function tellCrash(crashId: string, prompts: readonly (readonly PromptPartId[])[]): void {
     const byScope = new Map<QuarantineScope, PromptPartId[][]>();
     for (const prompt of prompts) {
@@ -162,8 +138,10 @@
     }
   }
 
-  function applyMessage(scope: QuarantineScope, message: PromptPartsMessage): void {
-    const { crash, sound, isEarlier, soundBefore = [], quarantined, counted = [] } = message;
+  function applyMessage(
+    scope: QuarantineScope,
+    { crash, sound, isEarlier, soundBefore = [], quarantined }: PromptPartsMessage,
+  ): void {
     const now = getNow();
     const nameAll = (named: readonly PromptPartId[]): PromptPartId[] =>
       named.map((part) => scopePart(scope, part));
@@ -178,13 +156,6 @@
       const item = { parts: nameAll(refused), expiresAt: now + endsInMs };
       apply({ kind: 'heard-quarantined', item, now });
     }
-    const crashes = counted.map(({ crashId, agoMs, parts: suspected }) => ({
-      crashId,
-      // Nothing that is told has happened later.
-      at: now - Math.max(0, agoMs),
-      parts: nameAll(suspected),
-    }));
-    if (crashes.length > 0) apply({ kind: 'heard-counted', crashes, now });
   }
 
   return {
@@ -230,8 +201,7 @@
           told.push({ kind: 'prompt-parts', isRelayed: true, scope, sound: [], quarantined });
         }
       }
-      // After what is refused, which explains some of the crashes.
-      return [...told, ...listToldCounted(now)];
+      return told;
     },
     mergeStored: (items, sound) => {
       hasReadStore = true;
