--- a/packages/core/src/routing/routing-types.ts
+++ b/packages/core/src/routing/routing-types.ts
@@ -3,6 +3,7 @@
  */
 
 import type { DataCentre, ServiceName, SoftwareVersion, UpstreamId } from '@tarragonspool/protocol';
+import type { TenantDirectory } from '../tenants/index.js';
 
 /** Whether requests may be repeated; a stream counts as non-idempotent unless it can be resumed. */
 export type RouteKind = 'idempotent' | 'non-idempotent' | 'stream';
@@ -29,6 +30,8 @@
   /** Whether requests have prompts and need a slot on an engine. */
   readonly usesEngines: boolean;
   readonly isResumable: boolean;
+  /** Whether requests without a tenant's key are served, where the configuration has tenants. */
+  readonly isPublic: boolean;
   /**
    * Longest pause between two events that meets the target, in milliseconds; undefined if not set.
    */
@@ -63,6 +66,8 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<ServiceName, ServiceDefinition>;
   readonly limits: CallerLimits;
+  /** Undefined if the configuration has no tenants; then requests carry no key. */
+  readonly tenants: TenantDirectory | undefined;
 };
 
 /** Stage of inference that an engine currently serves. */
--- a/packages/core/src/routing/routing.test.ts
+++ b/packages/core/src/routing/routing.test.ts
@@ -32,6 +32,7 @@
     maxAttempts: 2,
     usesEngines: false,
     isResumable: false,
+    isPublic: false,
     gapTargetMs: undefined,
     ...changes,
   };
@@ -44,7 +45,7 @@
     headerTimeoutMs: 1,
     idleTimeoutMs: 1,
   };
-  return { version: 1, routes, services: new Map(), limits };
+  return { version: 1, routes, services: new Map(), limits, tenants: undefined };
 }
 
 function buildServer(name: string, changes: Partial<UpstreamRecord> = {}): UpstreamRecord {
--- /dev/null
+++ b/packages/core/src/tenants/index.ts
@@ -0,0 +1,1 @@
+export * from './tenant-types.js';
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -79,6 +79,8 @@
     fields,
     route,
     service,
+    tenant: undefined,
+    rank: route.priority,
     configurationVersion: state.configuration?.version ?? 0,
     method,
     path,
--- a/packages/router/src/gateway/gateway-request.ts
+++ b/packages/router/src/gateway/gateway-request.ts
@@ -1,6 +1,6 @@
 /** One request of a caller while it is being served. */
 
-import type { Route, StreamOrigin } from '@tarragonspool/core';
+import type { Route, StreamOrigin, Tenant } from '@tarragonspool/core';
 import type { ContentKey, PromptPartId, ServiceName } from '@tarragonspool/protocol';
 import type { PermitReply } from '../pools/permit-messages.js';
 import type { SlotReply } from '../pools/place-messages.js';
@@ -39,6 +39,10 @@
   readonly fields: CallerFields;
   readonly route: Route;
   readonly service: ServiceName;
+  /** Tenant of the caller's key; undefined without a key, or if the configuration has no tenants. */
+  readonly tenant: Tenant | undefined;
+  /** Rank among waiting requests: the tenant's priority, else the route's; 0 goes first. */
+  readonly rank: number;
   readonly configurationVersion: number;
   readonly method: string;
   readonly path: string;
--- a/packages/router/src/gateway/stream-slot.ts
+++ b/packages/router/src/gateway/stream-slot.ts
@@ -43,7 +43,7 @@
     askId: `${state.processStartId}/${state.slotRequestCount}` as SlotRequestId,
     vmId: state.settings.vmId,
     dataCentre: state.settings.dataCentre,
-    rank: request.route.priority,
+    rank: request.rank,
     contentKey: request.contentKey,
     promptTokens: Math.min(promptTokens, maxTokens),
     outputTokens: Math.min(outputTokens, maxTokens),
