Keys: one parser of bearer tokens and one digest for both programs

Cause: the key check of the chat interface and that of the gateway's tenants would have been two subsystems. Ruled out: a limit on sent keys of 512 bytes, which is shorter than 512 characters of other scripts. Checked: core tenants, hostile-callers, rules, run-once tests.

--- a/packages/core/src/rules/rule-line.ts
+++ b/packages/core/src/rules/rule-line.ts
@@ -1,12 +1,13 @@
 /** Parses one line of the operators' rule file. */
 
 import type { CallerId, ServiceName, UpstreamId } from '@tarragonspool/protocol';
+import { parseKeyDigest, type KeyDigest } from '../tenants/index.js';
 
 /** Approves an API key, given as its SHA-256 digest in hexadecimal. */
 export type CallerRule = {
   readonly kind: 'caller';
   readonly callerId: CallerId;
-  readonly keyDigest: string;
+  readonly keyDigest: KeyDigest;
   readonly askedBy: string;
 };
 
@@ -45,7 +46,6 @@
   | { readonly kind: 'blank' };
 
 const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/;
-const DIGEST_PATTERN = /^[0-9a-f]{64}$/;
 const DEFAULT_PRIORITY = 5;
 const MAX_PRIORITY = 9;
 const MAX_TARGET_MS = 3_600_000;
@@ -66,8 +66,9 @@
   if (callerId === undefined || !NAME_PATTERN.test(callerId)) {
     return makeError(callerId ?? '', 'a caller name after "caller"');
   }
-  const digest = key?.startsWith('key-sha256=') ? key.slice('key-sha256='.length) : undefined;
-  if (digest === undefined || !DIGEST_PATTERN.test(digest)) {
+  const text = key?.startsWith('key-sha256=') ? key.slice('key-sha256='.length) : undefined;
+  const digest = text === undefined ? undefined : parseKeyDigest(text);
+  if (digest === undefined) {
     return makeError(key ?? '', 'key-sha256= with 64 lower-case hexadecimal digits');
   }
   if (rest.length > 0) return makeError(rest[0] ?? '', 'only a comment "# who asked"');
--- a/packages/core/src/rules/rule-set.ts
+++ b/packages/core/src/rules/rule-set.ts
@@ -7,11 +7,12 @@
   type ServiceName,
   type UpstreamId,
 } from '@tarragonspool/protocol';
+import type { KeyDigest } from '../tenants/index.js';
 import type { AllowRule, Rule } from './rule-line.js';
 
 /** Rules of one revision, indexed by caller and service. */
 export type RuleSet = {
-  readonly callersByDigest: ReadonlyMap<string, CallerId>;
+  readonly callersByDigest: ReadonlyMap<KeyDigest, CallerId>;
   readonly allowRules: ReadonlyMap<CallerId, ReadonlyMap<ServiceName, readonly AllowRule[]>>;
   /** Upstreams that get no new work. */
   readonly drainedUpstreams: ReadonlySet<UpstreamId>;
@@ -29,7 +30,7 @@
 
 /** Builds the index of the rules of a parsed file. */
 export function buildRuleSet(rules: readonly Rule[]): RuleSet {
-  const callersByDigest = new Map<string, CallerId>();
+  const callersByDigest = new Map<KeyDigest, CallerId>();
   const allowRules: AllowedIndex = new Map();
   const drained = new Set<UpstreamId>();
   for (const rule of rules) {
