Tenants: keys are checked, servers get the tenant's name and never the key

Before: GatewayRequest.tenant was always undefined. Now the configuration's tenants are decoded into a directory; the caller listener checks the key after the route is found, and each send (calls, prefill, decode, further runs, sends by way of a peer) has the header Tenant in place of the caller's Authorization and Tenant. The rank is the tenant's priority, else the route's. An entry that is not valid is left out with a warning that names no key. Without tenants in the configuration headers and answers are as before, but for WWW-Authenticate, which only an answer 401 has. Ruled out: cutting headers at the caller listener, since their names belong to the platform's dialect.

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -5,15 +5,18 @@
 import {
   chooseService,
   countRequest,
+  findRank,
   findRoute,
   makeByteCollector,
   type Route,
+  type Tenant,
 } from '@tarragonspool/core';
 import type { ContentKey, ServiceName } from '@tarragonspool/protocol';
 import { findExcess, type Excess } from '../http/size-limit.js';
 import { makeChannel, offer, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
+import { checkCallerKey, findSender } from './caller-keys.js';
 import { followCallerFraming, type CallerFraming } from './caller-framing.js';
 import { makeCallerReply, type BeginUnread, type CallerReply } from './caller-reply.js';
 import { makeCallerTurns } from './caller-turns.js';
@@ -68,6 +71,7 @@
   { incoming, reply, arrivedAt }: Arrival,
   route: Route,
   service: ServiceName,
+  tenant: Tenant | undefined,
   body: Buffer,
 ): GatewayRequest {
   const fields = state.ports.dialect.decodeCallerFields(incoming.headers);
@@ -79,8 +83,9 @@
     fields,
     route,
     service,
-    tenant: undefined,
-    rank: route.priority,
+    tenant,
+    sender: findSender(state, tenant),
+    rank: findRank(tenant, route.priority),
     configurationVersion: state.configuration?.version ?? 0,
     method,
     path,
@@ -121,7 +126,7 @@
   const outcome = isComplete ? String(response.statusCode) : cutBy;
   const { requestId } = request.fields;
   state.logger.info(
-    { requestId, route: name, outcome, breakReason, tookMs },
+    { requestId, route: name, tenant: request.tenant?.name, outcome, breakReason, tookMs },
     'requests: answer ended',
   );
   state.metrics.answers.inc({ kind, outcome });
@@ -183,11 +188,16 @@
     reply.refuse('unknown-path');
     return;
   }
+  const check = checkCallerKey(state, route, incoming);
+  if (check.kind === 'refused') {
+    reply.refuse(check.reason);
+    return;
+  }
   if (route.kind === 'stream' && getSteadyMs() > state.refuseStreamsAfter) {
     reply.refuse('not-ready', LEAVING_RETRY_AFTER_MS);
     return;
   }
-  const request = buildRequest(state, arrival, route, service, body);
+  const request = buildRequest(state, arrival, route, service, check.tenant, body);
   if (!state.partGuard.hasCaughtUp()) {
     const { requestId } = request.fields;
     state.logger.info({ requestId }, 'quarantine: request refused, the rows are not read yet');
--- a/packages/router/src/gateway/caller-reply.ts
+++ b/packages/router/src/gateway/caller-reply.ts
@@ -50,6 +50,8 @@
 };
 
 const MS_PER_S = 1_000;
+/** Such an answer names the scheme by which a key is sent (RFC 9110, section 15.5.2). */
+const UNAUTHORIZED = 401;
 const LENGTH = /^content-length$/iu;
 
 /** Begins to count what the caller has not read; `giveUp` ends the answer. */
@@ -100,6 +102,7 @@
     if (retryAfterMs !== undefined) {
       response.setHeader('Retry-After', (retryAfterMs / MS_PER_S).toFixed(2));
     }
+    if (status === UNAUTHORIZED) response.setHeader('WWW-Authenticate', 'Bearer');
     if (isLeaving()) response.setHeader('Connection', 'close');
     response.writeHead(status);
     response.end(body);
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -20,6 +20,12 @@
       labelNames: ['kind', 'outcome'],
       registers,
     }),
+    refusedKeys: new Counter({
+      name: `${PREFIX}refused_keys_total`,
+      help: 'Requests refused by their key: missing-key, or wrong-key where no tenant holds it.',
+      labelNames: ['reason'],
+      registers,
+    }),
     sends: new Counter({
       name: `${PREFIX}sends_total`,
       help: 'Requests sent to servers by step and outcome.',
--- a/packages/router/src/gateway/gateway-request.ts
+++ b/packages/router/src/gateway/gateway-request.ts
@@ -7,7 +7,7 @@
 import type { Channel } from '../tasks/tasks.js';
 import type { UpstreamEvent } from '../upstreams/upstream-client.js';
 import type { CallerReply } from './caller-reply.js';
-import type { CallerFields } from './ports.js';
+import type { CallerFields, RequestSender } from './ports.js';
 import type { RequestContent } from './quarantine-scope.js';
 
 /** Message in the inbox of a request's task. */
@@ -41,6 +41,8 @@
   readonly service: ServiceName;
   /** Tenant of the caller's key; undefined without a key, or if the configuration has no tenants. */
   readonly tenant: Tenant | undefined;
+  /** What servers are told of the caller; undefined if the configuration has no tenants. */
+  readonly sender: RequestSender | undefined;
   /** Rank among waiting requests: the tenant's priority, else the route's; 0 goes first. */
   readonly rank: number;
   readonly configurationVersion: number;
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -4,7 +4,12 @@
  */
 
 import type { IncomingHttpHeaders } from 'node:http';
-import type { EngineStage, RoutingConfiguration, UpstreamRecord } from '@tarragonspool/core';
+import type {
+  EngineStage,
+  RoutingConfiguration,
+  TenantName,
+  UpstreamRecord,
+} from '@tarragonspool/core';
 import type {
   DataCentre,
   PromptPartId,
@@ -141,6 +146,14 @@
   readonly resumeAfterEvent?: number;
   /** Engines with weights of another version refuse the request. */
   readonly weightVersion?: WeightVersion;
+  /** Present where the configuration has tenants: the server gets their name instead of the key. */
+  readonly sender?: RequestSender;
+};
+
+/** What a server is told of who sent a request. */
+export type RequestSender = {
+  /** Undefined for a request without a known key. */
+  readonly tenant: TenantName | undefined;
 };
 
 /** What an answer says of the requests that its server takes from all VMs together. */
--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -28,7 +28,7 @@
 /** Server, deadlines and callbacks of one send. */
 export type SendPlan = {
   readonly server: ClearedUpstream;
-  readonly placement: Omit<PlacementFields, 'upstreamId' | 'leftMs'>;
+  readonly placement: Omit<PlacementFields, 'upstreamId' | 'leftMs' | 'sender'>;
   /** When the send is cancelled unless a head has arrived. */
   readonly headDueAt: number;
   /**
@@ -114,8 +114,9 @@
   const { server } = plan;
   const { upstreamId } = server;
   const { requestId } = request.fields;
-  const placement = { ...plan.placement, upstreamId, leftMs };
-  const { body, method, path } = request;
+  const { body, method, path, sender } = request;
+  const shown = sender === undefined ? {} : { sender };
+  const placement = { ...plan.placement, ...shown, upstreamId, leftMs };
   const headers = dialect.makeForwardHeaders(request.rawHeaders, body.length, placement);
   const active: { send: ActiveSend | undefined } = { send: undefined };
   const sentId = requestId === '' ? undefined : requestId;
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -36,6 +36,8 @@
 
 const LAPSE_CHECK_INTERVAL_MS = 100;
 const IDLE_LAPSE_CHECK_MS = 1_000;
+/** Faults of one version that are logged, so that the line stays short. */
+const MAX_LOGGED_FAULTS = 20;
 /** A silent connection shows within this time also where changes may take long. */
 const MAX_HOLD_MS = 1_500;
 
@@ -84,6 +86,12 @@
     { version: next.version, routes: next.routes.length, position: row.position, origin },
     'configuration: new version in force',
   );
+  const { faults = [] } = decoded;
+  if (faults.length === 0) return;
+  state.logger.warn(
+    { version: next.version, faults: faults.slice(0, MAX_LOGGED_FAULTS), count: faults.length },
+    'configuration: parts of the new version cannot be used and are left out',
+  );
 }
 
 /** Decodes one row of the list; one that names no usable server takes nothing from the others. */
--- a/packages/router/src/gateway/stream-progress.ts
+++ b/packages/router/src/gateway/stream-progress.ts
@@ -102,7 +102,7 @@
 }
 
 /** Fields of a send besides the server and the remaining time. */
-export type SendFields = Omit<PlacementFields, 'upstreamId' | 'leftMs'>;
+export type SendFields = Omit<PlacementFields, 'upstreamId' | 'leftMs' | 'sender'>;
 
 /** Counts forwarded events; `waitedMs` is the time since the request arrived. */
 export function countEvents(progress: StreamProgress, count: number, waitedMs: number): void {
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,12 +1,17 @@
 /** Public API of the router for platform adapters. */
 
-export { makeByteCollector, UNKNOWN_INCARNATION } from '@tarragonspool/core';
+export { buildTenantDirectory, makeByteCollector, UNKNOWN_INCARNATION } from '@tarragonspool/core';
 export type {
   ByteCollector,
   EngineLimits,
   EngineStage,
   Route,
   RoutingConfiguration,
+  Tenant,
+  TenantDirectory,
+  TenantEntry,
+  TenantName,
+  TenantQuota,
   UpstreamRecord,
 } from '@tarragonspool/core';
 export { startGateway, type Gateway } from './gateway/gateway.js';
@@ -16,5 +21,6 @@
 export { closeByReset } from './http/broken-answers.js';
 export { isHeaderToken, parseAddress, type HostAndPort } from './http/parse-address.js';
 export { findExcess } from './http/size-limit.js';
+export { digestKey } from './tenants/key-digest.js';
 export { parseJson } from './json/parse-json.js';
-export { parseRow, refuseRow, type ParsedRow } from './json/parse-row.js';
+export { parseRow, refuseRow, renderIssue, type ParsedRow } from './json/parse-row.js';
--- a/packages/router/src/json/parse-row.ts
+++ b/packages/router/src/json/parse-row.ts
@@ -5,7 +5,12 @@
 
 /** What a row says, or why it can't be used. */
 export type ParsedRow<T> =
-  | { readonly kind: 'usable'; readonly value: T }
+  | {
+      readonly kind: 'usable';
+      readonly value: T;
+      /** Why parts of the row are left out. */
+      readonly faults?: readonly string[];
+    }
   | { readonly kind: 'unusable'; readonly reason: string };
 
 /** Longest row that is parsed, in bytes; the store takes no longer ones. */
@@ -18,7 +23,8 @@
   return { kind: 'unusable', reason: reason.slice(0, MAX_REASON_LENGTH) };
 }
 
-function findReason({ issues: [issue] }: z.ZodError): string {
+/** Renders why a value does not match its schema, without the value. */
+export function renderIssue({ issues: [issue] }: z.ZodError): string {
   return issue === undefined ? 'not valid' : `${issue.path.join('.')}: ${issue.message}`;
 }
 
@@ -33,7 +39,7 @@
   try {
     const parsed = schema.safeParse(JSON.parse(bytes.toString('utf8')));
     if (parsed.success) return { kind: 'usable', value: parsed.data };
-    return refuseRow(findReason(parsed.error));
+    return refuseRow(renderIssue(parsed.error));
   } catch (error) {
     return refuseRow(String(error));
   }
