Stages: large pools plan their split as a whole

Ruled out: a lower gain for single changes in all pools (small pools would change back and forth). After: pools of 16 engines or more plan several changes together, order them one by one and keep 15 % more prefill capacity than slots need. Tests: stages (22 passed).

--- a/packages/core/src/stages/index.ts
+++ b/packages/core/src/stages/index.ts
@@ -1,2 +1,3 @@
 export * from './order-lease.js';
+export * from './split-plan.js';
 export * from './stage-plan.js';
--- a/packages/core/src/stages/stage-plan.ts
+++ b/packages/core/src/stages/stage-plan.ts
@@ -84,7 +84,8 @@
   return Math.min(prefillRate, slotRate);
 }
 
-function applyChange(
+/** Returns the engines with one of them in another stage. */
+export function applyChange(
   engines: readonly PlannedEngine[],
   { upstreamId, stage }: StageChange,
 ): PlannedEngine[] {
--- a/packages/core/src/stages/stages.test.ts
+++ b/packages/core/src/stages/stages.test.ts
@@ -8,7 +8,9 @@
 import {
   applyAcquired,
   applyLeaseRow,
+  canChangeAnother,
   chooseLeaseStep,
+  findSplitChange,
   findStageChange,
   makeOrderLease,
   type PlannedEngine,
@@ -127,6 +129,52 @@
   expect(findStageChange(engines, DEMAND)).to.include({ upstreamId: 'd2', stage: 'prefill' });
 });
 
+function buildPool(prefillCount: number, decodeCount: number): PlannedEngine[] {
+  const prefill = Array.from({ length: prefillCount }, (_unused, index) =>
+    buildEngine(`p${index}`, PREFILL),
+  );
+  const decode = Array.from({ length: decodeCount }, (_unused, index) => buildEngine(`d${index}`));
+  return [...prefill, ...decode];
+}
+
+/** Streams that hold their slot for seconds in a pool with a third of its engines for prefill. */
+const LONG_ANSWERS = { prefillMs: 90, occupancyMs: 3_800, slotsPerEngine: 9 };
+
+it('stages: a large pool whose prefill engines are mostly idle changes them one by one until it is balanced', () => {
+  let engines = buildPool(8, 16);
+  for (;;) {
+    const change = findSplitChange(engines, LONG_ANSWERS);
+    if (change === undefined) break;
+    expect(change.stage).to.equal('decode');
+    const { upstreamId } = change;
+    engines = engines.map((engine) =>
+      engine.upstreamId === upstreamId ? { ...engine, stage: 'decode' } : engine,
+    );
+  }
+  const prefill = engines.filter(({ stage }) => stage === 'prefill');
+  expect(prefill).to.have.length.within(5, 6);
+});
+
+it('stages: a large pool with few unmeasured engines is planned, one with many is not', () => {
+  const engines = buildPool(8, 16);
+  const withUnmeasured = (count: number): PlannedEngine[] =>
+    engines.map((engine, index) => (index < count ? { ...engine, slowness: undefined } : engine));
+  expect(findSplitChange(withUnmeasured(3), LONG_ANSWERS)).to.include({ stage: 'decode' });
+  expect(findSplitChange(withUnmeasured(8), LONG_ANSWERS)).to.equal(undefined);
+});
+
+it('stages: a large pool whose prompts keep its prefill engines busy stays as it is', () => {
+  const demand = { prefillMs: 400, occupancyMs: 1_500, slotsPerEngine: 9 };
+  expect(findSplitChange(buildPool(8, 16), demand)).to.equal(undefined);
+});
+
+it('stages: no more than an eighth of a large pool changes at a time', () => {
+  const engines = buildPool(8, 16);
+  const changing = engines.map((engine, index) => ({ ...engine, isChanging: index < 3 }));
+  expect(canChangeAnother(engines)).to.equal(true);
+  expect(canChangeAnother(changing)).to.equal(false);
+});
+
 /** A position before any restore. */
 function at(version: number): StorePosition {
   return makeStorePosition(0, version);
--- a/packages/router/src/stages/stage-task.ts
+++ b/packages/router/src/stages/stage-task.ts
@@ -2,10 +2,14 @@
 
 import {
   askSend,
+  canChangeAnother,
+  findSplitChange,
   findStageChange,
+  isLargePool,
   makeOrderLease,
   type OrderLease,
   type EngineStage,
+  type PlannedEngine,
   type StageChange,
 } from '@tarragonspool/core';
 import type { ServiceName } from '@tarragonspool/protocol';
@@ -32,6 +36,8 @@
 const STARTUP_MS = 6_000;
 /** Minimum time between changes that are not urgent, so that each one takes effect before the next. */
 const MIN_CHANGE_INTERVAL_MS = 9_000;
+/** The same in a large pool, where one change shifts little and a few may run at a time. */
+const MIN_LARGE_POOL_INTERVAL_MS = 500;
 /** Time within which an engine may still execute an order that it has not answered. */
 const UNSETTLED_ORDER_MS = 13_000;
 /** Time after the engine's own change until the list of engines shows it. */
@@ -72,6 +78,16 @@
   return false;
 }
 
+/** Whether the time since the last order allows one that is not urgent. */
+function isIntervalOver(
+  engines: readonly PlannedEngine[],
+  { orderedAt }: ServiceStages,
+  now: number,
+): boolean {
+  const intervalMs = isLargePool(engines) ? MIN_LARGE_POOL_INTERVAL_MS : MIN_CHANGE_INTERVAL_MS;
+  return now - orderedAt >= intervalMs && (!isLargePool(engines) || canChangeAnother(engines));
+}
+
 /** Finds the change to order now: an unsettled order, else a change wanted for long enough. */
 function findDueChange(
   state: GatewayState,
@@ -83,7 +99,9 @@
   if (unsettled !== undefined && now < unsettled.until) return unsettled.change;
   stages.unsettled = undefined;
   const plan = state.pools.readPlan(service, now);
-  const wanted = plan && findStageChange(plan.engines, plan.demand);
+  const wanted =
+    plan &&
+    (findStageChange(plan.engines, plan.demand) ?? findSplitChange(plan.engines, plan.demand));
   if (!isSameChange(wanted, stages.wanted)) stages.wantedSince = now;
   stages.wanted = wanted;
   const hasPrefill = plan?.engines.some(({ stage }) => stage === 'prefill') ?? false;
@@ -93,7 +111,7 @@
   if (isPlanned && wanted.isUrgent) return wantedMs >= PLANNED_SETTLE_MS ? wanted : undefined;
   if (!hasPrefill) return wantedMs >= NO_PREFILL_SETTLE_MS ? wanted : undefined;
   if (wantedMs < SETTLE_TIME_MS) return undefined;
-  const isDue = wanted.isUrgent || now - stages.orderedAt >= MIN_CHANGE_INTERVAL_MS;
+  const isDue = wanted.isUrgent || isIntervalOver(plan?.engines ?? [], stages, now);
   return isDue ? wanted : undefined;
 }
 
