Callers' connections are parsed in turns, so that small chunks hold up nobody

Cause: Node's parser reads up to 64 KB of a connection at once, calls back for each chunk (about 1.2 us, 10,922 chunks of a byte a read), and does so for all readable connections before a timer or another socket runs: 400 callers take seconds in each turn of the loop. Now connections are read on request in slices of about 0.5 ms, at most 4 ms in a turn, the one that has had least parsing time first (start-time fair queueing). Small chunks cost time only, so the limit on the pieces of a body is gone; framing may have 16 bytes for each chunk. Ruled out: cutting the costliest bodies, which bounds one caller but not many; replacing the parser.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * from './claims/claim-types.js';
 export * from './claims/duplicate-guard.js';
 export * from './hashing/rendezvous.js';
+export * from './intake/index.js';
 export * from './membership/membership.js';
 export * from './quarantine/drop-oldest.js';
 export * from './quarantine/part-suspects.js';
--- /dev/null
+++ b/packages/core/src/intake/fair-queue.ts
@@ -0,0 +1,57 @@
+/**
+ * Shares work over many items by what it has cost so far (start-time fair queueing): of those that wait, the one
+ * that has had least comes next. An item that waited for nothing meanwhile begins at the share of the one that was
+ * taken last, so that it neither saves up nor owes anything.
+ */
+
+/** Items that wait for a piece of work. */
+export type FairQueue<T extends object> = {
+  /** Adds an item that does not wait yet. */
+  readonly add: (item: T) => void;
+  /** Takes the item that has had least; the first one of several. */
+  readonly take: () => T | undefined;
+  /** Charges an item that does not wait with the cost of its piece of work. */
+  readonly charge: (item: T, cost: number) => void;
+  readonly remove: (item: T) => void;
+  readonly count: () => number;
+};
+
+/** Makes a queue without items. */
+export function makeFairQueue<T extends object>(): FairQueue<T> {
+  /** What each item has had. */
+  const shares = new WeakMap<T, number>();
+  const waiting = new Map<T, number>();
+  let latest = 0;
+
+  function findLeast(): T | undefined {
+    let least: T | undefined;
+    let leastShare = Infinity;
+    for (const [item, share] of waiting) {
+      if (share >= leastShare) continue;
+      least = item;
+      leastShare = share;
+    }
+    return least;
+  }
+
+  return {
+    add: (item) => {
+      if (!waiting.has(item)) waiting.set(item, Math.max(shares.get(item) ?? 0, latest));
+    },
+    take: () => {
+      const item = findLeast();
+      if (item === undefined) return undefined;
+      latest = waiting.get(item) ?? latest;
+      shares.set(item, latest);
+      waiting.delete(item);
+      return item;
+    },
+    charge: (item, cost) => {
+      shares.set(item, (shares.get(item) ?? latest) + cost);
+    },
+    remove: (item) => {
+      waiting.delete(item);
+    },
+    count: () => waiting.size,
+  };
+}
--- /dev/null
+++ b/packages/core/src/intake/index.ts
@@ -0,0 +1,2 @@
+export * from './connection-limit.js';
+export * from './fair-queue.js';
--- a/packages/router/src/gateway/caller-framing.ts
+++ b/packages/router/src/gateway/caller-framing.ts
@@ -11,9 +11,16 @@
 const FREE_BYTES = 262_144;
 /** Beyond that, chunks of 24 bytes or more are framed by less than this share of the body. */
 const FRAMING_SHARE = 0.25;
+/** Size and line ends of a chunk, however small it is. */
+const CHUNK_FRAMING_BYTES = 16;
 
 /** What has come on a connection since its latest request began. */
-type Progress = { fromBytes: number; contentBytes: number };
+type Progress = { fromBytes: number; contentBytes: number; pieces: number };
+
+/** Bytes that have been handed to the parser. */
+function countParsed({ bytesRead, readableLength }: Socket): number {
+  return bytesRead - readableLength;
+}
 
 /** Follows the connections of one server. */
 export type CallerFraming = {
@@ -29,14 +36,15 @@
 ): CallerFraming {
   const connections = new Map<Socket, Progress>();
   server.on('connection', (socket: Socket) => {
-    connections.set(socket, { fromBytes: 0, contentBytes: 0 });
+    connections.set(socket, { fromBytes: 0, contentBytes: 0, pieces: 0 });
     socket.once('close', () => connections.delete(socket));
   });
 
   function check(): void {
-    for (const [socket, { fromBytes, contentBytes }] of connections) {
-      const framingBytes = socket.bytesRead - fromBytes - contentBytes;
-      if (framingBytes <= FREE_BYTES + FRAMING_SHARE * contentBytes) continue;
+    for (const [socket, { fromBytes, contentBytes, pieces }] of connections) {
+      const framingBytes = countParsed(socket) - fromBytes - contentBytes;
+      const dueBytes = FRAMING_SHARE * contentBytes + CHUNK_FRAMING_BYTES * pieces;
+      if (framingBytes <= FREE_BYTES + dueBytes) continue;
       onOver(socket, framingBytes);
       socket.destroy();
     }
@@ -48,12 +56,14 @@
   return {
     recordRequest: ({ socket }) => {
       if (connections.has(socket)) {
-        connections.set(socket, { fromBytes: socket.bytesRead, contentBytes: 0 });
+        connections.set(socket, { fromBytes: countParsed(socket), contentBytes: 0, pieces: 0 });
       }
     },
     recordContent: ({ socket }, bytes) => {
       const progress = connections.get(socket);
-      if (progress !== undefined) progress.contentBytes += bytes;
+      if (progress === undefined) return;
+      progress.contentBytes += bytes;
+      progress.pieces += 1;
     },
   };
 }
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -10,7 +10,7 @@
   type Route,
 } from '@tarragonspool/core';
 import type { ContentKey, ServiceName } from '@tarragonspool/protocol';
-import { findExcess, type Excess } from '../http/size-limit.js';
+import { readInTurns } from '../http/read-turns.js';
 import { makeChannel, offer, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
@@ -241,7 +241,7 @@
   let ignoredPieces = 0;
 
   /** Refuses a body that goes on; what is left of it is not kept. */
-  function cut(reason: Excess | 'memory'): void {
+  function cut(reason: 'content' | 'memory'): void {
     recordCallerCut(state, incoming, { part: 'body', reason, bytes: body.countBytes() });
     body.take();
     if (reason === 'content') reply.refuse('body-too-large');
@@ -261,13 +261,12 @@
       return;
     }
     body.append(part);
-    const excess = findExcess(body, limit);
-    if (excess === undefined) {
+    if (body.countBytes() <= limit) {
       held.update(body.countBytes());
       return;
     }
     held.end();
-    cut(excess);
+    cut('content');
   });
   incoming.on('end', () => {
     held.end();
@@ -297,6 +296,7 @@
     recordCallerCut(state, incoming, { part: 'requests', reason: 'pieces', bytes: 0 }),
   );
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES });
+  readInTurns(server);
   const framing = followCallerFraming(server, ({ remoteAddress: caller }, bytes) =>
     recordSizeCut(state, { part: 'requests', reason: 'framing', bytes, caller }),
   );
--- /dev/null
+++ b/packages/router/src/http/read-turns.ts
@@ -0,0 +1,107 @@
+/**
+ * Reads the connections of a server in turns. Node's parser reads up to 64 KB of a connection at once and calls back
+ * for each chunk, and does so for all connections before a timer or another socket gets its turn: chunks of a byte take
+ * some 10 ms a connection. Here a connection is parsed in slices, the one that has taken least time first, and no
+ * longer than a few milliseconds in each turn of the event loop.
+ */
+
+import type { Server } from 'node:http';
+import type { Socket } from 'node:net';
+import { makeFairQueue } from '@tarragonspool/core';
+import { getSteadyMs } from '../time/steady-clock.js';
+
+/** Parsing takes no longer than this in a turn of the event loop, and one slice. */
+const TURN_MS = 4;
+/** Slices are made so large that each takes about this long. */
+const SLICE_MS = 0.5;
+const FIRST_SLICE_BYTES = 4_096;
+const MIN_SLICE_BYTES = 1_024;
+/** As much as Node reads at once. */
+const MAX_SLICE_BYTES = 65_536;
+
+type Reading = {
+  readonly socket: Socket;
+  /** Node's HTTP server asks for a pause while answers or a body are not taken. */
+  isPaused: boolean;
+  sliceBytes: number;
+};
+
+/** Sizes the next slice of a connection by what the last one took; `bytes` may be fewer than the slice had room for. */
+export function computeSliceBytes(sliceBytes: number, bytes: number, tookMs: number): number {
+  if (tookMs > SLICE_MS) {
+    const fitting = Math.floor((bytes * SLICE_MS) / tookMs);
+    return Math.min(sliceBytes, Math.max(MIN_SLICE_BYTES, fitting));
+  }
+  // A cheap slice may be followed by a costly one, so that sizes grow in steps.
+  const isCheap = bytes === sliceBytes && 2 * tookMs <= SLICE_MS;
+  return isCheap ? Math.min(2 * sliceBytes, MAX_SLICE_BYTES) : sliceBytes;
+}
+
+/** Reads all connections of a server in turns from now on. */
+export function readInTurns(server: Server): void {
+  const queue = makeFairQueue<Reading>();
+  let spentMs = 0;
+  let isTurnScheduled = false;
+  let isStepScheduled = false;
+
+  function readSlice(reading: Reading): void {
+    const { socket } = reading;
+    if (socket.destroyed || reading.isPaused) return;
+    const bytes = Math.min(reading.sliceBytes, socket.readableLength);
+    if (bytes > 0) {
+      const beganAt = getSteadyMs();
+      // Hands the slice to Node's parser, which listens for data.
+      socket.read(bytes);
+      const tookMs = getSteadyMs() - beganAt;
+      spentMs += tookMs;
+      queue.charge(reading, tookMs);
+      reading.sliceBytes = computeSliceBytes(reading.sliceBytes, bytes, tookMs);
+    }
+    if (socket.readableLength > 0) queue.add(reading);
+    // Asks for more, and for the end of the connection if there is no more.
+    else socket.read();
+  }
+
+  function step(): void {
+    isStepScheduled = false;
+    if (spentMs < TURN_MS) {
+      const reading = queue.take();
+      if (reading !== undefined) readSlice(reading);
+    }
+    if (!isTurnScheduled && (spentMs > 0 || queue.count() > 0)) {
+      isTurnScheduled = true;
+      setImmediate(() => {
+        isTurnScheduled = false;
+        spentMs = 0;
+        if (queue.count() > 0 && !isStepScheduled) step();
+      });
+    }
+    if (isStepScheduled || queue.count() === 0 || spentMs >= TURN_MS) return;
+    // Slices follow each other in ticks, so that what one slice has deferred runs before the next one.
+    isStepScheduled = true;
+    process.nextTick(step);
+  }
+
+  function enqueue(reading: Reading): void {
+    if (reading.isPaused || reading.socket.destroyed) return;
+    queue.add(reading);
+    if (!isStepScheduled) step();
+  }
+
+  server.on('connection', (socket: Socket) => {
+    const reading: Reading = { socket, isPaused: false, sliceBytes: FIRST_SLICE_BYTES };
+    // While a socket is read on request, Node's own pauses have no effect.
+    socket.pause = () => {
+      reading.isPaused = true;
+      return socket;
+    };
+    socket.resume = () => {
+      const wasPaused = reading.isPaused;
+      reading.isPaused = false;
+      if (wasPaused) process.nextTick(enqueue, reading);
+      return socket;
+    };
+    socket.on('readable', () => enqueue(reading));
+    socket.once('close', () => queue.remove(reading));
+  });
+}
