Connections of callers that make no progress are closed, and leave descriptors for others

Cause: nothing bounded the number of callers' connections; unfinished heads were looked for every 30 s by Node, unfinished bodies never. With limits.maxFds, callers may have half of what files, peers and the process itself leave; beyond it the connection without progress for longest is closed, never one on which a request runs. Heads end by headerTimeoutMs, silent connections by idleTimeoutMs before their first request, bodies by the deadline of their request (408, not run). Without limits.maxFds no number is enforced. Ruled out: server.maxConnections, which refuses new callers in favour of silent ones; a limit by address, as balancers share one.

--- /dev/null
+++ b/packages/router/src/gateway/caller-connections.ts
@@ -0,0 +1,194 @@
+/**
+ * Closes connections of callers that take a descriptor without progress: those that send nothing, heads and bodies
+ * that do not end in time, and, where the machine has no descriptors left for callers, the one that has gone longest
+ * without progress. A connection on which a request runs is not closed.
+ */
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { chooseClosable, computeConnectionLimit } from '@tarragonspool/core';
+import { getSteadyMs } from '../time/steady-clock.js';
+import { countSharingVms, type GatewayState } from './gateway-state.js';
+import { countSizeCut, recordSizeCut, type SizeCut } from './size-cuts.js';
+
+const CHECK_INTERVAL_MS = 500;
+/** A body makes progress with each of these; a byte now and then is none. */
+const PROGRESS_BYTES = 4_096;
+/** Above the limits of the configuration, for what is under way. */
+const SLACK_MS = 1_000;
+/** Lines of the log in each interval; what is beyond them is counted only. */
+const MAX_LINES = 10;
+const HEAD_TIMEOUT_ANSWER = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n';
+
+/** A body that is being read. */
+type OpenBody = { readonly computeDueAt: () => number; readonly onLate: () => void };
+
+type Connection = {
+  readonly socket: Socket;
+  /** Requests whose head was read, until their body and answer have ended. */
+  requests: number;
+  running: number;
+  progressAt: number;
+  /** Content since the latest progress. */
+  contentBytes: number;
+  /** Bytes that had been read when the latest request ended. */
+  earlierBytes: number;
+  /** When more was first seen than that, and no head was complete. */
+  headSeenAt: number | undefined;
+  body: OpenBody | undefined;
+};
+
+/** Follows what callers do on their connections. */
+export type CallerConnections = {
+  readonly recordRequest: (incoming: IncomingMessage, response: ServerResponse) => void;
+  readonly recordContent: (incoming: IncomingMessage, bytes: number) => void;
+  /** Begins to watch a body until it ends; `onLate` is called at its due time if it has not. */
+  readonly recordBody: (incoming: IncomingMessage, body: OpenBody) => void;
+  readonly recordRunning: (incoming: IncomingMessage, response: ServerResponse) => void;
+};
+
+/** Starts to follow the connections of the callers' server. */
+export function followCallerConnections(server: Server, state: GatewayState): CallerConnections {
+  const connections = new Map<Socket, Connection>();
+  let lines = 0;
+  let checkedAt = getSteadyMs();
+
+  function close(connection: Connection, reason: SizeCut['reason']): void {
+    const { socket } = connection;
+    const cut = {
+      part: 'connection',
+      reason,
+      bytes: socket.bytesRead,
+      caller: socket.remoteAddress,
+    } as const;
+    lines += 1;
+    if (lines <= MAX_LINES) recordSizeCut(state, cut);
+    else countSizeCut(state, cut);
+    if (reason === 'head-timeout' && socket.writable) {
+      // Nothing of the request has been read, so that it has not run.
+      socket.end(HEAD_TIMEOUT_ANSWER, () => socket.destroy());
+    } else if (connection.requests > 0) {
+      // An answer whose end is the end of its connection must not look complete.
+      socket.resetAndDestroy();
+    } else socket.destroy();
+    connections.delete(socket);
+  }
+
+  function closeBeyondLimit(): void {
+    const { maxFds } = state.settings;
+    if (maxFds === undefined) return;
+    const limit = computeConnectionLimit(maxFds, countSharingVms(state));
+    if (connections.size <= limit) return;
+    const closable = chooseClosable(connections.values());
+    if (closable !== undefined) close(closable, 'descriptors');
+  }
+
+  /** Finds why a connection without a complete head is closed; undefined if it is not. */
+  function findTimeout(connection: Connection, now: number): SizeCut['reason'] | undefined {
+    const limits = state.configuration?.limits;
+    const { socket, earlierBytes } = connection;
+    // What waits here to be parsed is no fault of the caller.
+    if (limits === undefined || socket.readableLength > 0) return undefined;
+    if (socket.bytesRead > earlierBytes) {
+      connection.headSeenAt ??= now;
+      const isLate = now - connection.headSeenAt > limits.headerTimeoutMs;
+      return isLate ? 'head-timeout' : undefined;
+    }
+    // Node closes connections that are idle after a request.
+    const silentMs = now - connection.progressAt;
+    const isSilent = earlierBytes === 0 && silentMs > limits.idleTimeoutMs + SLACK_MS;
+    return isSilent ? 'silent' : undefined;
+  }
+
+  function check(): void {
+    if (lines > MAX_LINES) {
+      const unlogged = lines - MAX_LINES;
+      state.logger.warn({ unlogged }, 'limits: further connections of callers closed');
+    }
+    lines = 0;
+    const now = getSteadyMs();
+    const hasStalled = now - checkedAt > 2 * CHECK_INTERVAL_MS;
+    checkedAt = now;
+    // What came while this process stood still is read before it is missed.
+    if (hasStalled) return;
+    for (const connection of connections.values()) {
+      const { requests, body, socket } = connection;
+      if (body !== undefined && socket.readableLength === 0 && body.computeDueAt() < now) {
+        connection.body = undefined;
+        body.onLate();
+      }
+      if (requests > 0) continue;
+      const reason = findTimeout(connection, now);
+      if (reason !== undefined) close(connection, reason);
+    }
+  }
+
+  server.on('connection', (socket: Socket) => {
+    connections.set(socket, {
+      socket,
+      requests: 0,
+      running: 0,
+      progressAt: getSteadyMs(),
+      contentBytes: 0,
+      earlierBytes: 0,
+      headSeenAt: undefined,
+      body: undefined,
+    });
+    socket.once('close', () => connections.delete(socket));
+    closeBeyondLimit();
+  });
+  const timer = setInterval(check, CHECK_INTERVAL_MS);
+  timer.unref();
+  server.once('close', () => clearInterval(timer));
+
+  return {
+    recordRequest: (incoming, response) => {
+      const connection = connections.get(incoming.socket);
+      if (connection === undefined) return;
+      connection.requests += 1;
+      connection.progressAt = getSteadyMs();
+      connection.headSeenAt = undefined;
+      let open = 2;
+      const endPart = (): void => {
+        open -= 1;
+        if (open > 0) return;
+        connection.requests -= 1;
+        connection.progressAt = getSteadyMs();
+        connection.earlierBytes = connection.socket.bytesRead;
+      };
+      incoming.once('close', endPart);
+      response.once('close', endPart);
+    },
+    recordContent: ({ socket }, bytes) => {
+      const connection = connections.get(socket);
+      if (connection === undefined) return;
+      connection.contentBytes += bytes;
+      if (connection.contentBytes < PROGRESS_BYTES) return;
+      connection.contentBytes = 0;
+      connection.progressAt = getSteadyMs();
+    },
+    recordBody: (incoming, body) => {
+      const connection = connections.get(incoming.socket);
+      if (connection === undefined) return;
+      connection.body = body;
+      incoming.once('close', () => {
+        if (connection.body === body) connection.body = undefined;
+      });
+    },
+    recordRunning: ({ socket }, response) => {
+      const connection = connections.get(socket);
+      if (connection === undefined) return;
+      connection.running += 1;
+      let isRunning = true;
+      const endRun = (): void => {
+        if (!isRunning) return;
+        isRunning = false;
+        connection.running -= 1;
+        connection.progressAt = getSteadyMs();
+      };
+      // From its last byte on it waits for its caller to read it.
+      response.once('prefinish', endRun);
+      response.once('close', endRun);
+    },
+  };
+}
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -14,6 +14,7 @@
 import { makeChannel, offer, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
+import { followCallerConnections, type CallerConnections } from './caller-connections.js';
 import { followCallerFraming, type CallerFraming } from './caller-framing.js';
 import { makeCallerReply, type BeginUnread, type CallerReply } from './caller-reply.js';
 import { makeCallerTurns } from './caller-turns.js';
@@ -45,6 +46,9 @@
 /** The answer to a request that times out is sent this long before its deadline. */
 const TIMEOUT_MARGIN_MS = 15;
 
+/** What follows the connections of callers. */
+type Followers = { readonly framing: CallerFraming; readonly connections: CallerConnections };
+
 type Arrival = {
   readonly incoming: IncomingMessage;
   readonly reply: CallerReply;
@@ -231,10 +235,10 @@
 function readBody(
   state: GatewayState,
   arrival: Arrival,
-  framing: CallerFraming,
+  { framing, connections }: Followers,
   onBody: (body: Buffer) => void,
 ): void {
-  const { incoming, reply } = arrival;
+  const { incoming, reply, arrivedAt } = arrival;
   const limit = state.configuration?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
   const body = makeByteCollector();
   let readBytes = 0;
@@ -249,8 +253,27 @@
   }
 
   const held = state.heldBytes.begin('body', () => cut('memory'));
+  let dueAt: number | undefined;
+  const computeDueAt = (): number => {
+    if (dueAt === undefined) {
+      const { leftMs } = state.ports.dialect.decodeCallerFields(incoming.headers);
+      dueAt = arrivedAt + (leftMs ?? DEFAULT_DEADLINE_MS);
+    }
+    return dueAt;
+  };
+  /** Nobody waits any more for a request whose body has not ended by its deadline. */
+  function endLate(): void {
+    recordCallerCut(state, incoming, { part: 'body', reason: 'body-timeout', bytes: readBytes });
+    body.take();
+    held.end();
+    if (reply.getState() === 'open') reply.refuse('body-timeout', undefined, true);
+    else incoming.socket.destroy();
+  }
+
+  connections.recordBody(incoming, { computeDueAt, onLate: endLate });
   incoming.on('data', (part: Buffer) => {
     framing.recordContent(incoming, part.length);
+    connections.recordContent(incoming, part.length);
     readBytes += part.length;
     if (reply.getState() !== 'open') {
       ignoredPieces += 1;
@@ -300,6 +323,8 @@
   const framing = followCallerFraming(server, ({ remoteAddress: caller }, bytes) =>
     recordSizeCut(state, { part: 'requests', reason: 'framing', bytes, caller }),
   );
+  const connections = followCallerConnections(server, state);
+  const followers = { framing, connections };
   server.on('request', (incoming, response) => {
     const beginUnread: BeginUnread = (giveUp) =>
       state.heldBytes.begin('unread-answer', (bytes) => {
@@ -309,12 +334,14 @@
     const reply = makeCallerReply(response, () => state.isLeaving, beginUnread);
     const arrival = { incoming, reply, arrivedAt: getSteadyMs() };
     framing.recordRequest(incoming);
+    connections.recordRequest(incoming, response);
     response.on('error', (error) =>
       state.logger.debug({ err: error }, 'requests: answer could not be sent'),
     );
     awaitTurn(incoming, response, () => {
       countOpen(state, reply, response);
-      readBody(state, arrival, framing, (body) => {
+      readBody(state, arrival, followers, (body) => {
+        connections.recordRunning(incoming, response);
         state.unreadReplies.delete(reply);
         holdBody(state, body, response);
         routeRequest(state, arrival, body, response);
--- a/packages/router/src/gateway/caller-reply.ts
+++ b/packages/router/src/gateway/caller-reply.ts
@@ -30,8 +30,8 @@
 /** Writer of one answer. */
 export type CallerReply = {
   readonly getState: () => ReplyState;
-  /** Answers with one of the gateway's own result codes. */
-  readonly refuse: (name: ResultName, retryAfterMs?: number) => void;
+  /** Answers with one of the gateway's own result codes; `isLast` closes the connection after it. */
+  readonly refuse: (name: ResultName, retryAfterMs?: number, isLast?: boolean) => void;
   /** Sends the head of a server's answer. */
   readonly begin: (
     status: number,
@@ -90,7 +90,7 @@
     return isRead;
   }
 
-  function refuse(name: ResultName, retryAfterMs?: number): void {
+  function refuse(name: ResultName, retryAfterMs?: number, isLast = false): void {
     if (state !== 'open') return;
     state = 'ended';
     const { code, status, title } = getResultCode(name);
@@ -100,7 +100,7 @@
     if (retryAfterMs !== undefined) {
       response.setHeader('Retry-After', (retryAfterMs / MS_PER_S).toFixed(2));
     }
-    if (isLeaving()) response.setHeader('Connection', 'close');
+    if (isLast || isLeaving()) response.setHeader('Connection', 'close');
     response.writeHead(status);
     response.end(body);
   }
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -121,7 +121,7 @@
     }),
     sizeCuts: new Counter({
       name: `${PREFIX}size_cuts_total`,
-      help: 'Bodies and answers cut off as too large, by part and reason.',
+      help: 'Bodies, answers and connections cut off at a limit, by part and reason.',
       labelNames: ['part', 'reason'],
       registers,
     }),
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -34,6 +34,8 @@
   readonly capacity: number;
   /** Memory of this VM, in megabytes. */
   readonly memoryMb: number;
+  /** Descriptors that this VM may have open; undefined if no number is named. */
+  readonly maxFds?: number | undefined;
   /** Time from the stop signal until the platform kills the process, in milliseconds. */
   readonly stopWithinMs: number;
   /** Time within which a change in the store must take effect, in milliseconds. */
--- a/packages/router/src/gateway/size-cuts.ts
+++ b/packages/router/src/gateway/size-cuts.ts
@@ -1,4 +1,4 @@
-/** Logs and counts the bodies and answers that this VM cuts off because they are too large. */
+/** Logs and counts the bodies, answers and connections that this VM cuts off at a limit. */
 
 import type { UpstreamId } from '@tarragonspool/protocol';
 import type { Excess } from '../http/size-limit.js';
@@ -7,10 +7,14 @@
 import type { HeldKind } from './held-bytes.js';
 
 /** What was cut off. */
-export type CutPart = HeldKind | 'requests' | 'refusal' | 'prefill' | 'engine-call';
+export type CutPart = HeldKind | 'requests' | 'connection' | 'refusal' | 'prefill' | 'engine-call';
 
-/** Why: its content, its number of pieces, what frames it, or all that is held together. */
-export type CutReason = Excess | 'framing' | 'memory';
+/**
+ * Why: its content, its number of pieces, what frames it, or all that is held together. Connections and bodies of callers
+ * also for their time, or as the machine's descriptors are needed.
+ */
+export type CutReason =
+  Excess | 'framing' | 'memory' | 'descriptors' | 'silent' | 'head-timeout' | 'body-timeout';
 
 /** What is known of the part that was cut off. */
 export type SizeCut = {
@@ -27,16 +31,20 @@
   readonly caller?: string | undefined;
 };
 
-/** Records a body or an answer that is cut off. */
-export function recordSizeCut(
-  { metrics, logger }: Pick<GatewayState, 'metrics' | 'logger'>,
-  cut: SizeCut,
+/** Counts what is cut off, without a line in the log. */
+export function countSizeCut(
+  { metrics }: Pick<GatewayState, 'metrics'>,
+  { part, reason }: SizeCut,
 ): void {
-  const { part, reason } = cut;
-  logger.warn(cut, 'limits: cut off');
   metrics.sizeCuts.inc({ part, reason });
 }
 
+/** Records a body or an answer that is cut off. */
+export function recordSizeCut(parts: Pick<GatewayState, 'metrics' | 'logger'>, cut: SizeCut): void {
+  parts.logger.warn(cut, 'limits: cut off');
+  countSizeCut(parts, cut);
+}
+
 /** Makes what a client of servers calls for an answer whose framing has no end. */
 export function makeFramingRecord(
   parts: Pick<GatewayState, 'metrics' | 'logger'>,
