--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -12,12 +12,13 @@
   type Tenant,
 } from '@tarragonspool/core';
 import type { ContentKey, ServiceName } from '@tarragonspool/protocol';
-import { findExcess, type Excess } from '../http/size-limit.js';
+import { readInTurns } from '../http/read-turns.js';
 import { makeChannel, offer, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
-import { checkCallerKey, findSender } from './caller-keys.js';
+import { followCallerConnections, type CallerConnections } from './caller-connections.js';
 import { followCallerFraming, type CallerFraming } from './caller-framing.js';
+import { checkCallerKey, findSender } from './caller-keys.js';
 import { makeCallerReply, type BeginUnread, type CallerReply } from './caller-reply.js';
 import { makeCallerTurns } from './caller-turns.js';
 import { REQUEST_INBOX_CAPACITY, type GatewayRequest } from './gateway-request.js';
@@ -48,6 +49,9 @@
 /** The answer to a request that times out is sent this long before its deadline. */
 const TIMEOUT_MARGIN_MS = 15;
 
+/** What follows the connections of callers. */
+type Followers = { readonly framing: CallerFraming; readonly connections: CallerConnections };
+
 type Arrival = {
   readonly incoming: IncomingMessage;
   readonly reply: CallerReply;
@@ -241,17 +245,17 @@
 function readBody(
   state: GatewayState,
   arrival: Arrival,
-  framing: CallerFraming,
+  { framing, connections }: Followers,
   onBody: (body: Buffer) => void,
 ): void {
-  const { incoming, reply } = arrival;
+  const { incoming, reply, arrivedAt } = arrival;
   const limit = state.configuration?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
   const body = makeByteCollector();
   let readBytes = 0;
   let ignoredPieces = 0;
 
   /** Refuses a body that goes on; what is left of it is not kept. */
-  function cut(reason: Excess | 'memory'): void {
+  function cut(reason: 'content' | 'memory'): void {
     recordCallerCut(state, incoming, { part: 'body', reason, bytes: body.countBytes() });
     body.take();
     if (reason === 'content') reply.refuse('body-too-large');
@@ -259,8 +263,27 @@
   }
 
   const held = state.heldBytes.begin('body', () => cut('memory'));
+  let dueAt: number | undefined;
+  const computeDueAt = (): number => {
+    if (dueAt === undefined) {
+      const { leftMs } = state.ports.dialect.decodeCallerFields(incoming.headers);
+      dueAt = arrivedAt + (leftMs ?? DEFAULT_DEADLINE_MS);
+    }
+    return dueAt;
+  };
+  /** Nobody waits any more for a request whose body has not ended by its deadline. */
+  function endLate(): void {
+    recordCallerCut(state, incoming, { part: 'body', reason: 'body-timeout', bytes: readBytes });
+    body.take();
+    held.end();
+    if (reply.getState() === 'open') reply.refuse('body-timeout', undefined, true);
+    else incoming.socket.destroy();
+  }
+
+  connections.recordBody(incoming, { computeDueAt, onLate: endLate });
   incoming.on('data', (part: Buffer) => {
     framing.recordContent(incoming, part.length);
+    connections.recordContent(incoming, part.length);
     readBytes += part.length;
     if (reply.getState() !== 'open') {
       ignoredPieces += 1;
@@ -271,13 +294,12 @@
       return;
     }
     body.append(part);
-    const excess = findExcess(body, limit);
-    if (excess === undefined) {
+    if (body.countBytes() <= limit) {
       held.update(body.countBytes());
       return;
     }
     held.end();
-    cut(excess);
+    cut('content');
   });
   incoming.on('end', () => {
     held.end();
@@ -307,9 +329,12 @@
     recordCallerCut(state, incoming, { part: 'requests', reason: 'pieces', bytes: 0 }),
   );
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES });
+  readInTurns(server);
   const framing = followCallerFraming(server, ({ remoteAddress: caller }, bytes) =>
     recordSizeCut(state, { part: 'requests', reason: 'framing', bytes, caller }),
   );
+  const connections = followCallerConnections(server, state);
+  const followers = { framing, connections };
   server.on('request', (incoming, response) => {
     const beginUnread: BeginUnread = (giveUp) =>
       state.heldBytes.begin('unread-answer', (bytes) => {
@@ -319,12 +344,14 @@
     const reply = makeCallerReply(response, () => state.isLeaving, beginUnread);
     const arrival = { incoming, reply, arrivedAt: getSteadyMs() };
     framing.recordRequest(incoming);
+    connections.recordRequest(incoming, response);
     response.on('error', (error) =>
       state.logger.debug({ err: error }, 'requests: answer could not be sent'),
     );
     awaitTurn(incoming, response, () => {
       countOpen(state, reply, response);
-      readBody(state, arrival, framing, (body) => {
+      readBody(state, arrival, followers, (body) => {
+        connections.recordRunning(incoming, response);
         state.unreadReplies.delete(reply);
         holdBody(state, body, response);
         routeRequest(state, arrival, body, response);
