--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -33,6 +33,7 @@
 export * from './shards/shards.js';
 export * from './sweep/sweep.js';
 export * from './tenants/index.js';
+export * from './quotas/index.js';
 export * from './pools/index.js';
 export * from './routing/index.js';
 export * from './stages/index.js';
--- /dev/null
+++ b/packages/core/src/quotas/index.ts
@@ -0,0 +1,9 @@
+export * from './quota-gate.js';
+export * from './quota-keeper.js';
+export {
+  computeCost,
+  computeQuotaShape,
+  isLimited,
+  type QuotaBounds,
+  type QuotaShape,
+} from './quota-shape.js';
--- /dev/null
+++ b/packages/core/src/quotas/quota-keeper.ts
@@ -0,0 +1,361 @@
+/** The keeper of quotas: one bucket for each tenant in use, from which the use of all VMs is taken. */
+
+import type {
+  QuotaLevelItem,
+  QuotaLevelsMessage,
+  QuotaUseItem,
+  QuotaUseMessage,
+  VmId,
+} from '@tarragonspool/protocol';
+import type { TenantName, TenantQuota } from '../tenants/index.js';
+import { computeQuotaShape, type QuotaBounds, type QuotaShape } from './quota-shape.js';
+
+/** Dependencies of the keeper. */
+export type QuotaKeeperParts = {
+  /** Identifies the start of this process. */
+  readonly start: string;
+  readonly findQuota: (tenant: TenantName) => TenantQuota | undefined;
+  readonly getBounds: () => QuotaBounds;
+  readonly countListedVms: () => number;
+  /** Share of the listed VMs that is heard, whichever keeper they use. */
+  readonly measureHeardShare: (now: number) => number;
+  /** Whether this VM itself considers itself the keeper. */
+  readonly isChosen: (now: number) => boolean;
+};
+
+/** The keeper of this VM; idle while no VM uses it. */
+export type QuotaKeeper = {
+  /** Records whether a VM uses this keeper. */
+  readonly recordUser: (vmId: VmId, isUser: boolean, now: number) => void;
+  /** Charges a report; returns the reply, or undefined if a later report was charged before. */
+  readonly handleUse: (
+    from: VmId,
+    message: QuotaUseMessage,
+    now: number,
+  ) => QuotaLevelsMessage | undefined;
+  /** Returns the levels to tell all VMs; undefined if no tenant is near empty. */
+  readonly tick: (now: number) => QuotaLevelsMessage | undefined;
+  readonly countBelowZero: () => number;
+  readonly isActive: () => boolean;
+};
+
+type Bucket = {
+  level: number;
+  /** Refill of the session that the level has. */
+  refilled: number;
+  usedAt: number;
+  /** Cost asked per millisecond, averaged. */
+  askRate: number;
+  askedAt: number;
+  /** Messages to all VMs that still name the tenant. */
+  tellCount: number;
+};
+
+type Charged = { used: number; sequence: number; asked: number };
+type User = {
+  start: string;
+  sequence: number;
+  /** When it last said that it uses this keeper. */
+  heardAt: number;
+  /** When it last reported, using this keeper or about to. */
+  reportedAt: number;
+  charged: Map<string, Charged>;
+};
+
+type Session = {
+  since: number;
+  /** Whether users told the levels of the keeper before this one. */
+  isInherited: boolean;
+  isChosen: boolean;
+  /** Greatest share of VMs that used this keeper. */
+  peakShare: number;
+  /** Milliseconds since the begin, each weighted by the share of VMs that used this keeper. */
+  refilled: number;
+  /** Part of `refilled` at which new buckets begin. */
+  refilledBefore: number;
+  advancedAt: number;
+};
+
+/** A VM that was not heard for this long uses its own share instead. */
+const USER_TIMEOUT_MS = 600;
+/** A new keeper counts all VMs that it hears as its users for this long: their reports are on the way. */
+const TAKE_OVER_MS = 600;
+/** Without users for this long the levels are discarded. */
+const SESSION_END_MS = 1_000;
+/** A longer gap between ticks means that this process was paused. */
+const STALL_MS = 300;
+/** After a longer pause others have kept the levels. */
+const LONG_STALL_MS = 2_000;
+/** Messages that go on to name a tenant that is no longer near empty; some may be lost. */
+const TELL_COUNT = 5;
+/** Part of its depth at which a bucket counts as full. */
+const FULL_PART = 0.99;
+const IDLE_TENANT_MS = 10_000;
+const FORGET_USER_MS = 30_000;
+/** A keeper that served a smaller share takes the levels of the one before it for its own. */
+const SMALL_SHARE = 0.25;
+const ASK_AVERAGE_MS = 1_000;
+
+/** Makes the keeper. */
+export function makeQuotaKeeper(parts: QuotaKeeperParts): QuotaKeeper {
+  const { start, findQuota, getBounds } = parts;
+  const buckets = new Map<string, Bucket>();
+  const users = new Map<VmId, User>();
+  let session: Session | undefined;
+  let number = 0;
+
+  /** Measures the share of the listed VMs whose time of hearing is recent. */
+  function measureRecent(now: number, getTime: (user: User) => number): number {
+    let count = 0;
+    for (const user of users.values()) if (now - getTime(user) <= USER_TIMEOUT_MS) count += 1;
+    return Math.min(1, count / Math.max(1, parts.countListedVms()));
+  }
+
+  function measureShare(now: number): number {
+    const share = measureRecent(now, ({ heardAt }) => heardAt);
+    const isTakingOver = session?.isChosen === true && now - session.since <= TAKE_OVER_MS;
+    return isTakingOver ? Math.max(share, parts.measureHeardShare(now)) : share;
+  }
+
+  /** Share of the burst that is here: VMs that use another keeper have theirs there. */
+  function measureDepthShare(now: number): number {
+    if (session?.isChosen === true) return parts.measureHeardShare(now);
+    return measureRecent(now, ({ heardAt, reportedAt }) => Math.max(heardAt, reportedAt));
+  }
+
+  function findShape(tenant: string): QuotaShape | undefined {
+    const quota = findQuota(tenant as TenantName);
+    if (quota === undefined || quota.ratePerSecond <= 0) return undefined;
+    return computeQuotaShape(quota, getBounds());
+  }
+
+  function end(): void {
+    session = undefined;
+    buckets.clear();
+    users.clear();
+  }
+
+  function refill(bucket: Bucket, { ratePerMs, depth }: QuotaShape, share: number): void {
+    const refilled = session?.refilled ?? 0;
+    const level = bucket.level + ratePerMs * (refilled - bucket.refilled);
+    bucket.level = Math.min(depth * share, level);
+    bucket.refilled = refilled;
+  }
+
+  /** After a pause: what was used meanwhile may have been charged by another keeper. */
+  function handleStall(gapMs: number): void {
+    if (gapMs > LONG_STALL_MS) {
+      end();
+      return;
+    }
+    for (const [tenant, bucket] of buckets) {
+      bucket.level = Math.min(bucket.level, findShape(tenant)?.start ?? 0);
+    }
+    // What users sent meanwhile has not been read yet.
+    for (const user of users.values()) {
+      user.heardAt += gapMs;
+      user.reportedAt += gapMs;
+    }
+  }
+
+  function advance(now: number): void {
+    if (session === undefined) return;
+    session.isChosen = parts.isChosen(now);
+    const gapMs = now - session.advancedAt;
+    session.advancedAt = now;
+    if (gapMs > STALL_MS) {
+      handleStall(gapMs);
+      return;
+    }
+    const share = measureShare(now);
+    session.refilled += gapMs * share;
+    session.peakShare = Math.max(session.peakShare, share);
+  }
+
+  function findSession(now: number): Session {
+    advance(now);
+    session ??= {
+      since: now,
+      isInherited: false,
+      isChosen: parts.isChosen(now),
+      peakShare: 0,
+      refilled: 0,
+      refilledBefore: 0,
+      advancedAt: now,
+    };
+    return session;
+  }
+
+  function findUser(vmId: VmId, now: number): User {
+    findSession(now);
+    const known = users.get(vmId);
+    if (known !== undefined) return known;
+    const user: User = {
+      start: '',
+      sequence: -1,
+      heardAt: -Infinity,
+      reportedAt: -Infinity,
+      charged: new Map<string, Charged>(),
+    };
+    users.set(vmId, user);
+    return user;
+  }
+
+  function addBucket(tenant: string, level: number, refilled: number, now: number): Bucket {
+    const bucket = { level, refilled, usedAt: now, askRate: 0, askedAt: now, tellCount: 0 };
+    buckets.set(tenant, bucket);
+    return bucket;
+  }
+
+  function findBucket(tenant: string, { near, start: first }: QuotaShape, now: number): Bucket {
+    const known = buckets.get(tenant);
+    if (known !== undefined) return known;
+    const { isInherited, isChosen, refilledBefore } = findSession(now);
+    const level = isChosen ? first : 0;
+    // The users of the keeper before this one know which tenants were near empty.
+    return addBucket(tenant, isInherited ? near : level, refilledBefore, now);
+  }
+
+  /** Takes in the levels of tenants that were near empty at the keeper that a user had before. */
+  function inherit(carried: readonly QuotaLevelItem[], now: number): void {
+    const current = findSession(now);
+    if (current.isChosen && !current.isInherited && current.peakShare < SMALL_SHARE) {
+      buckets.clear();
+      current.isInherited = true;
+      current.since = now;
+      current.refilledBefore = current.refilled;
+    }
+    for (const { tenant, level } of carried) {
+      const bucket = buckets.get(tenant);
+      if (bucket !== undefined) bucket.level = Math.min(bucket.level, level);
+      else if (findShape(tenant) !== undefined) addBucket(tenant, level, current.refilled, now);
+    }
+  }
+
+  function recordAsked(bucket: Bucket, asked: number, now: number): void {
+    const kept = Math.exp((bucket.askedAt - now) / ASK_AVERAGE_MS);
+    bucket.askRate = bucket.askRate * kept + Math.max(0, asked) / ASK_AVERAGE_MS;
+    bucket.askedAt = now;
+  }
+
+  function buildItem(tenant: string, bucket: Bucket, { ratePerMs }: QuotaShape): QuotaLevelItem {
+    return { tenant, level: bucket.level, demand: bucket.askRate / ratePerMs };
+  }
+
+  function charge(
+    user: User,
+    item: QuotaUseItem,
+    sequence: number,
+    now: number,
+  ): QuotaLevelItem | undefined {
+    const { tenant, used, settled, settledSequence, asked = used } = item;
+    const shape = findShape(tenant);
+    if (shape === undefined) return undefined;
+    const bucket = findBucket(tenant, shape, now);
+    refill(bucket, shape, measureDepthShare(now));
+    const known = user.charged.get(tenant);
+    const isKnown = known !== undefined && known.sequence > settledSequence;
+    // What no keeper has confirmed is charged here, also what was used before this one took over.
+    bucket.level -= used - (isKnown ? known.used : settled);
+    bucket.usedAt = now;
+    recordAsked(bucket, asked - (known?.asked ?? asked), now);
+    user.charged.set(tenant, { used, sequence, asked });
+    return { ...buildItem(tenant, bucket, shape), used };
+  }
+
+  function listNear(now: number, isTold: (bucket: Bucket) => boolean): QuotaLevelItem[] {
+    const share = measureDepthShare(now);
+    const items: QuotaLevelItem[] = [];
+    for (const [tenant, bucket] of buckets) {
+      const shape = findShape(tenant);
+      if (shape === undefined) {
+        buckets.delete(tenant);
+        continue;
+      }
+      refill(bucket, shape, share);
+      recordAsked(bucket, 0, now);
+      if (bucket.level < shape.near) bucket.tellCount = TELL_COUNT;
+      if (isTold(bucket)) items.push(buildItem(tenant, bucket, shape));
+    }
+    return items;
+  }
+
+  function dropIdle(now: number): void {
+    for (const [tenant, bucket] of buckets) {
+      const isIdle = now - bucket.usedAt > IDLE_TENANT_MS && bucket.tellCount === 0;
+      const full = FULL_PART * (findShape(tenant)?.depth ?? 0) * measureDepthShare(now);
+      // A tenant that comes back begins with a full bucket.
+      if (!isIdle || bucket.level < full) continue;
+      buckets.delete(tenant);
+      for (const { charged } of users.values()) charged.delete(tenant);
+    }
+    for (const [vmId, { heardAt, reportedAt }] of users) {
+      if (now - Math.max(heardAt, reportedAt) > FORGET_USER_MS) users.delete(vmId);
+    }
+  }
+
+  return {
+    recordUser: (vmId, isUser, now) => {
+      const known = users.get(vmId);
+      if (!isUser && known !== undefined) {
+        advance(now);
+        known.heardAt = -Infinity;
+      }
+      if (isUser) findUser(vmId, now).heardAt = now;
+    },
+    handleUse: (from, message, now) => {
+      const user = findUser(from, now);
+      if (user.start !== message.start) {
+        user.start = message.start;
+        user.sequence = -1;
+        user.charged.clear();
+      }
+      if (message.sequence <= user.sequence) return undefined;
+      user.sequence = message.sequence;
+      user.reportedAt = now;
+      // A VM that asks for all levels does not use them yet.
+      if (message.wantsAll !== true) user.heardAt = now;
+      if (message.carried !== undefined) inherit(message.carried, now);
+      const items = new Map<string, QuotaLevelItem>();
+      for (const item of message.items) {
+        const answer = charge(user, item, message.sequence, now);
+        if (answer !== undefined) items.set(item.tenant, answer);
+      }
+      if (message.wantsAll === true) {
+        for (const item of listNear(now, ({ tellCount }) => tellCount > 0)) {
+          if (!items.has(item.tenant)) items.set(item.tenant, item);
+        }
+      }
+      number += 1;
+      return {
+        kind: 'quota-levels',
+        start,
+        number,
+        share: measureDepthShare(now),
+        answers: { start: message.start, sequence: message.sequence },
+        items: [...items.values()],
+      };
+    },
+    tick: (now) => {
+      advance(now);
+      if (session === undefined) return undefined;
+      const isUsed = [...users.values()].some(
+        ({ heardAt, reportedAt }) => now - Math.max(heardAt, reportedAt) <= SESSION_END_MS,
+      );
+      if (!isUsed && now - session.since > SESSION_END_MS) {
+        end();
+        return undefined;
+      }
+      const items = listNear(now, (bucket) => {
+        bucket.tellCount -= bucket.tellCount > 0 ? 1 : 0;
+        return bucket.tellCount > 0;
+      });
+      dropIdle(now);
+      if (items.length === 0) return undefined;
+      number += 1;
+      return { kind: 'quota-levels', start, number, share: measureDepthShare(now), items };
+    },
+    countBelowZero: () => [...buckets.values()].filter(({ level }) => level < 0).length,
+    isActive: () => session !== undefined,
+  };
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -7,6 +7,7 @@
 export * from './peer-messages.js';
 export * from './pool-messages.js';
 export * from './platform-messages.js';
+export * from './quota-messages.js';
 export * from './relay-messages.js';
 export * from './result-codes.js';
 export * from './rule-messages.js';
--- a/packages/protocol/src/peer-messages.ts
+++ b/packages/protocol/src/peer-messages.ts
@@ -27,6 +27,7 @@
 } from './ids.js';
 import type { ModelTarget } from './engine-messages.js';
 import type { PermitMessage, PoolMessage, RowsMessage } from './pool-messages.js';
+import type { QuotaMessage } from './quota-messages.js';
 import type { RelayMessage } from './relay-messages.js';
 import type { RuleDelta } from './rule-messages.js';
 import type { Refusal } from './result-codes.js';
@@ -236,6 +237,7 @@
   | PoolMessage
   | PermitMessage
   | OriginMessage
+  | QuotaMessage
   | RelayMessage
   | RowsMessage
   | {
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -5,7 +5,7 @@
  */
 
 import * as z from 'zod';
-import type { DataCentre, ServiceName, SoftwareVersion, UpstreamId } from './ids.js';
+import type { DataCentre, ServiceName, SoftwareVersion, UpstreamId, VmId } from './ids.js';
 import type { StorePosition } from './store-position.js';
 
 const id = z.string().max(256);
@@ -94,6 +94,7 @@
     positions: z
       .array(z.object({ table: id, position: count, ageMs: milliseconds.optional() }))
       .default([]),
+    quotaKeeper: id.optional(),
   }),
   z.object({
     kind: z.literal('permit-request'),
@@ -267,6 +268,8 @@
   readonly storeAgeMs?: number | undefined;
   /** How far the sender knows each table. */
   readonly positions: readonly TablePosition[];
+  /** Keeper of quotas whose levels the sender uses; absent if it uses none. */
+  readonly quotaKeeper?: VmId | undefined;
 };
 
 /** Position up to which a VM knows a table. */
