--- a/packages/core/src/quotas/quota-gate.ts
+++ b/packages/core/src/quotas/quota-gate.ts
@@ -267,7 +267,9 @@
       reportedAt = now;
       if (loss === undefined) pending ??= { sequence, at: now };
       const common = { kind: 'quota-use', start: parts.start, sequence, items } as const;
-      return wantsAll ? { ...common, wantsAll, carried: listCarried(now) } : common;
+      if (!wantsAll) return common;
+      const carried = listCarried(now);
+      return carried === undefined ? { ...common, wantsAll } : { ...common, wantsAll, carried };
     },
     isInContact: (now) => {
       checkContact(now);
--- a/packages/core/src/quotas/quota-keeper.ts
+++ b/packages/core/src/quotas/quota-keeper.ts
@@ -70,7 +70,7 @@
   /** Whether users told the levels of the keeper before this one. */
   isInherited: boolean;
   isChosen: boolean;
-  /** Greatest share of VMs that used this keeper. */
+  /** Greatest share of the other VMs that used this keeper. */
   peakShare: number;
   /** Milliseconds since the begin, each weighted by the share of VMs that used this keeper. */
   refilled: number;
@@ -183,7 +183,8 @@
     }
     const share = isDeaf(now) ? 0 : measureShare(now);
     session.refilled += gapMs * share;
-    session.peakShare = Math.max(session.peakShare, share);
+    const others = measureRecent(now, (user) => (user.start === start ? -Infinity : user.heardAt));
+    session.peakShare = Math.max(session.peakShare, others);
   }
 
   function findSession(now: number): Session {
--- a/packages/core/src/quotas/quota-shape.ts
+++ b/packages/core/src/quotas/quota-shape.ts
@@ -28,7 +28,7 @@
 
 const MS_PER_S = 1_000;
 /** Depth of a bucket whose burst is smaller; without it a tenant without burst could use nothing. */
-const LEAST_DEPTH_S = 0.5;
+const LEAST_DEPTH_S = 1;
 /** The depth above the burst takes at most this part of what the bound allows on top of the limit. */
 const DEPTH_PART = 0.25;
 const SMALLEST_DEPTH_S = 0.1;
@@ -73,13 +73,13 @@
   };
 }
 
-/** Returns what a request of a tenant costs. */
+/** Computes what a request of a tenant costs; one that does not tell both numbers of tokens costs `plainTokens`. */
 export function computeCost(
   { unit, plainTokens }: TenantQuota,
   promptTokens: number | undefined,
   outputTokens: number | undefined,
 ): number {
   if (unit === 'request') return 1;
-  if (promptTokens === undefined) return plainTokens;
-  return promptTokens + (outputTokens ?? 0);
+  if (promptTokens === undefined || outputTokens === undefined) return plainTokens;
+  return promptTokens + outputTokens;
 }
--- a/packages/protocol/src/result-codes.ts
+++ b/packages/protocol/src/result-codes.ts
@@ -59,6 +59,7 @@
     title: 'No engine of the software version that began the stream is left.',
   },
   'body-not-held': { code: 2010, status: 503, title: 'The body cannot be held now.' },
+  'quota-exceeded': { code: 2011, status: 429, title: 'The tenant has used up its quota.' },
   'claim-unavailable': {
     code: 3001,
     status: 503,
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -84,6 +84,21 @@
       labelNames: ['reason'],
       registers,
     }),
+    quotaRefused: new Counter({
+      name: `${PREFIX}quota_refused_total`,
+      help: 'Requests refused because their tenant has used up its quota.',
+      registers,
+    }),
+    quotasBelowZero: new Gauge({
+      name: `${PREFIX}quotas_below_zero`,
+      help: 'Tenants whose level is below zero at this VM as the keeper of quotas.',
+      registers,
+    }),
+    quotaOutOfContact: new Gauge({
+      name: `${PREFIX}quota_out_of_contact`,
+      help: 'Whether this VM admits by its own share, as it does not hear the keeper of quotas.',
+      registers,
+    }),
     notices: new Counter({
       name: `${PREFIX}upstream_notices_total`,
       help: 'What servers said of themselves: leaving, pause, limit, limit-ended, or invalid.',
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -17,6 +17,7 @@
 import type { Logger } from '../logging/logger.js';
 import type { FleetView } from '../peers/fleet-view.js';
 import type { PoolTask } from '../pools/pool-task.js';
+import type { QuotaTask } from '../quotas/quota-task.js';
 import { makeChannel, type Channel } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeUpstreamClient, type UpstreamClient } from '../upstreams/upstream-client.js';
@@ -44,6 +45,7 @@
   /** Client of engine orders and reports, whose answers carry no id. */
   readonly engineClient: UpstreamClient;
   readonly pools: PoolTask;
+  readonly quotas: QuotaTask;
   readonly contentGuard: ContentGuard;
   readonly partGuard: PartGuard;
   readonly streamOrigins: StreamOriginBook;
@@ -102,6 +104,7 @@
   | 'logger'
   | 'metrics'
   | 'pools'
+  | 'quotas'
   | 'contentGuard'
   | 'heldBytes'
   | 'partGuard'
@@ -184,7 +187,7 @@
  * VMs that are assumed to share the budget before the list is read; high, so that a VM that has just
  * started takes a small share.
  */
-const ASSUMED_VM_COUNT = 50;
+export const ASSUMED_VM_COUNT = 50;
 
 /**
  * Counts the VMs that share a budget. The count of live VMs alone is not enough, because a VM that
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -13,6 +13,7 @@
   PermitMessage,
   PoolMessage,
   QuarantineScope,
+  ServiceName,
   UpstreamId,
   VmId,
 } from '@tarragonspool/protocol';
@@ -20,6 +21,7 @@
 import type { Logger } from '../logging/logger.js';
 import { makeFleetView } from '../peers/fleet-view.js';
 import { makePoolTask } from '../pools/pool-task.js';
+import { makeQuotaTask, QUOTA_TICK_MS } from '../quotas/quota-task.js';
 import { runStages } from '../stages/stage-task.js';
 import { offer, startTask } from '../tasks/tasks.js';
 import { startAdaptiveTicker, type AdaptiveTicker } from '../tasks/timers.js';
@@ -27,7 +29,7 @@
 import { makeCallerListener } from './caller-listener.js';
 import { makeContentGuard } from './content-guard.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
-import { makeGatewayState, type GatewayState } from './gateway-state.js';
+import { ASSUMED_VM_COUNT, makeGatewayState, type GatewayState } from './gateway-state.js';
 import { computeHeldLimit, makeHeldBytes } from './held-bytes.js';
 import { startMembership, type PeerMeshHolder, type StartTask } from './membership.js';
 import { makePartGuard } from './part-guard.js';
@@ -51,6 +53,7 @@
 
 const EXIT_INTERNAL = 70;
 const POOL_TICK_MS = 25;
+const IDLE_QUOTA_TICK_MS = 200;
 const IDLE_POOL_TICK_MS = 250;
 const CONTENT_TICK_MS = 100;
 const IDLE_CONTENT_TICK_MS = 5_000;
@@ -205,6 +208,26 @@
       streamOrigins.tick();
     },
   });
+  const quotas = makeQuotaTask(
+    {
+      self,
+      start: processStartId,
+      getDirectory: () => stateHolder.state?.configuration?.tenants,
+      getBounds: () => (stateHolder.state?.settings ?? settings).quotaBounds,
+      countListedVms: () => stateHolder.state?.listedVmCount ?? ASSUMED_VM_COUNT,
+      getRanking: () => fleet.findRankingName('' as ServiceName),
+      sendTo: (to, message) => meshHolder.mesh?.sendTo(to, message),
+      broadcast,
+      takeFraction,
+      metrics: {
+        countRefused: () => metrics.quotaRefused.inc(),
+        setBelowZero: (count) => metrics.quotasBelowZero.set(count),
+        setOutOfContact: (isOut) => metrics.quotaOutOfContact.set(isOut ? 1 : 0),
+      },
+      logger,
+    },
+    getSteadyMs(),
+  );
   const parts = {
     settings,
     ports,
@@ -213,6 +236,7 @@
     logger,
     metrics,
     pools,
+    quotas,
     contentGuard,
     heldBytes: makeHeldBytes(() =>
       computeHeldLimit((stateHolder.state?.settings ?? settings).memoryMb),
@@ -242,6 +266,12 @@
     isBusy: pools.isBusy,
     onTick: () => offer(pools.inbox, { kind: 'ticked' }),
   });
+  startAdaptiveTicker({
+    busyMs: QUOTA_TICK_MS,
+    idleMs: IDLE_QUOTA_TICK_MS,
+    isBusy: quotas.isInUse,
+    onTick: () => quotas.tick(getSteadyMs()),
+  });
   const server = makeCallerListener(state);
   const feeds = [makeConfigurationFeed(state, server), makeUpstreamFeed(state)];
   for (const feed of feeds) start(`feed of ${feed.table}`, feed.run);
--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -91,6 +91,7 @@
     const members = listMembers(rows);
     state.listedVmCount = members.length;
     fleet.setMembers(members);
+    state.quotas.setMembers(members);
     offer(pools.inbox, { kind: 'members', members });
     const secret = findSecret(rows);
     if (secret !== undefined && secret !== handler.secrets[0]) handler.secrets.unshift(secret);
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -7,6 +7,7 @@
   PeerMessage,
   PermitMessage,
   PoolMessage,
+  QuotaMessage,
   RowsMessage,
   VmId,
 } from '@tarragonspool/protocol';
@@ -61,6 +62,10 @@
   return POOL_MESSAGE_KINDS.has(message.kind);
 }
 
+function isQuotaMessage(message: PeerMessage): message is QuotaMessage {
+  return message.kind === 'quota-use' || message.kind === 'quota-levels';
+}
+
 function isOriginMessage(message: PeerMessage): message is OriginMessage {
   return (
     message.kind === 'stream-origins' ||
@@ -86,6 +91,7 @@
   const { state, feeds, relay } = parts;
   const storeAgeMs = Math.min(UNKNOWN_AGE_MS, measureOwnStoreAgeMs(parts, now));
   const isReading = feeds.every((feed) => feed.isReading());
+  const quotaKeeper = state.quotas.findUsedKeeper(now);
   return {
     kind: 'alive',
     // A table in which nothing changes is answered rarely; that alone moves no ownership.
@@ -96,6 +102,7 @@
     lostServers: state.access.paths.listLost(),
     storeAgeMs,
     positions: relay.listPositions(),
+    ...(quotaKeeper === undefined ? {} : { quotaKeeper }),
   };
 }
 
@@ -133,6 +140,7 @@
     state.storeKnown = { isRecent: !message.isStoreAway, judgedAt: now };
     const isUnfit = message.isStoreAway || message.isCutOff;
     offer(state.pools.inbox, { kind: 'unfit', isUnfit });
+    state.quotas.setUnfit(isUnfit || message.isLeaving);
     mesh.broadcast(message);
   };
 }
@@ -161,7 +169,7 @@
 /** Starts the links to peers and the regular messages on them. */
 export function startPeerLinks(parts: PeerLinksParts): PeerLinks {
   const { state, relay, incarnation, secrets } = parts;
-  const { settings, pools, fleet, logger, metrics, contentGuard, partGuard } = state;
+  const { settings, pools, quotas, fleet, logger, metrics, contentGuard, partGuard } = state;
   const { vmId: self, dataCentre } = settings;
   const incarnations = new Map<VmId, Incarnation>();
   const mesh = startPeerMesh({
@@ -196,13 +204,16 @@
         offer(pools.inbox, { kind: 'vm-restarted', vmId });
       }
       offer(pools.inbox, { kind: 'link-opened', vmId });
+      quotas.addLink(vmId, getSteadyMs());
     },
     onMessage: ({ vmId }, message) => {
       if (message.kind === 'alive') {
         fleet.recordAlive(vmId, message, getSteadyMs());
         relay.askPeer(vmId, message.positions);
+        quotas.handleAlive(vmId, message, getSteadyMs());
       }
-      if (isPoolMessage(message)) offer(pools.inbox, { kind: 'peer', from: vmId, message });
+      if (isQuotaMessage(message)) quotas.handleMessage(vmId, message, getSteadyMs());
+      else if (isPoolMessage(message)) offer(pools.inbox, { kind: 'peer', from: vmId, message });
       else if (isRowsMessage(message)) relay.handleMessage(vmId, message);
       else if (isRelayMessage(message)) state.access.handleMessage(vmId, message);
       else if (isOriginMessage(message)) state.streamOrigins.handleMessage(vmId, message);
@@ -225,6 +236,7 @@
       state.access.handleLinkEnded(vmId);
       state.streamOrigins.handleLinkClosed();
       offer(pools.inbox, { kind: 'link-closed', vmId });
+      quotas.removeLink(vmId);
     },
   });
   const tellAlive = makeAliveStep(parts, mesh);
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -4,7 +4,12 @@
  */
 
 import type { IncomingHttpHeaders } from 'node:http';
-import type { EngineStage, RoutingConfiguration, UpstreamRecord } from '@tarragonspool/core';
+import type {
+  EngineStage,
+  QuotaBounds,
+  RoutingConfiguration,
+  UpstreamRecord,
+} from '@tarragonspool/core';
 import type {
   DataCentre,
   PromptPartId,
@@ -44,6 +49,8 @@
   readonly retryWindowMs: number;
   /** Retries per window that all VMs together may make on top of the ratio. */
   readonly retrySlack: number;
+  /** How much more than its limit a tenant may use in a window. */
+  readonly quotaBounds: QuotaBounds;
 };
 
 /** One row that changed; its value is undefined if it was removed. */
