--- a/packages/core/src/quotas/quota-keeper.test.ts
+++ b/packages/core/src/quotas/quota-keeper.test.ts
@@ -97,7 +97,9 @@
 it('quotas: a keeper that takes over begins with the levels that its users had', () => {
   const empty = makeKeeper();
   const carried = [{ tenant: TENANT, level: -700 }];
-  expect(readLevel(empty, VM_1, buildUse(1, { used: 50 }, { carried, wantsAll: true }), 0)).to.equal(-750);
+  expect(
+    readLevel(empty, VM_1, buildUse(1, { used: 50 }, { carried, wantsAll: true }), 0),
+  ).to.equal(-750);
   const full = makeKeeper();
   const use = buildUse(1, { used: 50 }, { carried: [], wantsAll: true });
   expect(readLevel(full, VM_1, use, 0)).to.equal(NEAR - 50);
