--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -19,6 +19,7 @@
 import { followCallerConnections, type CallerConnections } from './caller-connections.js';
 import { followCallerFraming, type CallerFraming } from './caller-framing.js';
 import { checkCallerKey, findSender } from './caller-keys.js';
+import { admitByQuota } from './caller-quota.js';
 import { makeCallerReply, type BeginUnread, type CallerReply } from './caller-reply.js';
 import { makeCallerTurns } from './caller-turns.js';
 import { REQUEST_INBOX_CAPACITY, type GatewayRequest } from './gateway-request.js';
@@ -173,9 +174,9 @@
   body: Buffer,
   response: ServerResponse,
 ): void {
-  const { incoming, reply } = arrival;
+  const { incoming } = arrival;
   if (state.configuration === undefined || !state.hasUpstreams) {
-    reply.refuse('not-ready', NOT_READY_RETRY_AFTER_MS);
+    arrival.reply.refuse('not-ready', NOT_READY_RETRY_AFTER_MS);
     return;
   }
   const { host = '' } = incoming.headers;
@@ -189,19 +190,21 @@
       { requestId, host, path, version },
       'requests: no route matches the host and path',
     );
-    reply.refuse('unknown-path');
+    arrival.reply.refuse('unknown-path');
     return;
   }
   const check = checkCallerKey(state, route, incoming);
   if (check.kind === 'refused') {
-    reply.refuse(check.reason);
+    arrival.reply.refuse(check.reason);
     return;
   }
+  const reply = admitByQuota(state, check.tenant, incoming.headers, arrival.reply);
+  if (reply === undefined) return;
   if (route.kind === 'stream' && getSteadyMs() > state.refuseStreamsAfter) {
     reply.refuse('not-ready', LEAVING_RETRY_AFTER_MS);
     return;
   }
-  const request = buildRequest(state, arrival, route, service, check.tenant, body);
+  const request = buildRequest(state, { ...arrival, reply }, route, service, check.tenant, body);
   if (!state.partGuard.hasCaughtUp()) {
     const { requestId } = request.fields;
     state.logger.info({ requestId }, 'quarantine: request refused, the rows are not read yet');
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -6,6 +6,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type {
   EngineStage,
+  QuotaBounds,
   RoutingConfiguration,
   TenantName,
   UpstreamRecord,
@@ -51,6 +52,8 @@
   readonly retryWindowMs: number;
   /** Retries per window that all VMs together may make on top of the ratio. */
   readonly retrySlack: number;
+  /** How much more than its limit a tenant may use in a window. */
+  readonly quotaBounds: QuotaBounds;
 };
 
 /** One row that changed; its value is undefined if it was removed. */
