Pools: memory forecasts use the spread of answer lengths

An engine was filled up to the memory that its answers use if each ends at its hint, with a growth factor of 1.5 for those past it. Half of the hints are too low, so memory ran out and answers were preempted, and their prompts read again.

Answers are now taken as log-logistic around their hint, conditional on their age and bounded by their longest length, with the spread learned from finished answers. One more answer is admitted if mean and spread of the memory, at twelve times ahead, leave room with a margin in standard deviations. The margin grows with each answer that paused for far longer than between its other events and than a prompt is read, and shrinks while these are rare. VMs report events, their span and the longest pause with `pool-end`, and the longest length with `pool-ask`; both fields are optional, and without them the spread comes from the times that slots were occupied and the margin stays.

Ruled out: a larger fixed growth factor, which leaves memory unused where hints are good; a margin per engine, which sees too few answers to learn from. An answer whose end is never reported would fill its engine until it is forgotten, so its length is bounded and its end becomes more likely with its age.

--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -1,7 +1,8 @@
-/** Load of one engine: occupied slots, KV cache memory over time, prompts being prefilled. */
+/** Load of one engine: occupied slots and prompts being prefilled. */
 
 import type { UpstreamId } from '@tarragonspool/protocol';
 import type { EngineStage } from '../routing/routing-types.js';
+import type { MemoryForecast } from './engine-memory.js';
 import type { SlotRequestId, SlotRequest, SlotAssignment, PoolEngine } from './pool-types.js';
 
 /** A prompt that was sent to an engine and whose prefill has not been reported as complete. */
@@ -47,26 +48,17 @@
    * shows that its answers use more than predicted, so the share shrinks and recovers slowly.
    */
   usableMemoryShare: number;
+  /** Counts the changes of `runs`, so that a forecast made from them is known to be current. */
+  runsVersion: number;
+  /** The last memory forecast of the running answers. */
+  memoryForecast: MemoryForecast | undefined;
 };
 
 /** Engine loads by upstream id. */
 export type EngineLoads = Map<UpstreamId, EngineLoad>;
 
-/** Answers are rarely longer than expected by more than this factor. */
-const MAX_ANSWER_GROWTH = 1.5;
-/** Limits of the share of the KV cache that is assigned. */
-const MAX_MEMORY_SHARE = 0.98;
-const MIN_MEMORY_SHARE = 0.6;
-/** Factor on the assigned share at each refusal for lack of memory. */
-const MEMORY_REFUSAL_FACTOR = 0.95;
-/** Increase of the share with each completed answer. */
-const MEMORY_RECOVERY_STEP = 0.002;
-/** Predicted share of the KV cache from which a refusal is taken as lack of memory. */
-const MEMORY_PRESSURE_SHARE = 0.55;
-/**
- * An assignment past its expected end is expected to last for this share of its forecast longer.
- */
-const OVERDUE_EXTENSION_SHARE = 0.2;
+/** Highest share of the KV cache that is assigned. */
+export const MAX_MEMORY_SHARE = 0.98;
 /** Prompts at one prefill engine at a time: one is processed while the next arrives. */
 const MAX_PREFILLS = 2;
 /**
@@ -110,49 +102,21 @@
     ordered: undefined,
     slowness: 1,
     usableMemoryShare: MAX_MEMORY_SHARE,
+    runsVersion: 0,
+    memoryForecast: undefined,
   };
 }
 
-function predictEndAt(assignment: SlotAssignment, now: number): number {
-  if (assignment.expectedEndAt > now) return assignment.expectedEndAt;
-  return now + OVERDUE_EXTENSION_SHARE * (assignment.expectedEndAt - assignment.grantedAt);
-}
-
-/**
- * Predicts the KV cache tokens that an assignment uses at a time before its end. An answer past its
- * expected end goes on growing at the same rate.
- */
-function predictTokensAt(assignment: SlotAssignment, at: number): number {
-  const span = Math.max(1, assignment.expectedEndAt - assignment.grantedAt);
-  const progress = Math.max(0, (at - assignment.grantedAt) / span);
-  const growth = Math.min(MAX_ANSWER_GROWTH, progress);
-  return assignment.ask.promptTokens + growth * assignment.ask.outputTokens;
-}
-
-/** Predicts the KV cache tokens that the assignments of an engine use now. */
-function predictUsedTokens(load: EngineLoad, now: number): number {
-  let total = 0;
-  for (const assignment of load.runs.values()) total += predictTokensAt(assignment, now);
-  return total;
-}
-
-/**
- * Records that a decode engine refused a request as full. Returns whether its memory explains it;
- * then its other answers proceed and it takes requests again as soon as one of them ends.
- */
-export function recordMemoryRefusal(load: EngineLoad, now: number): boolean {
-  if (load.engine.stage !== 'decode') return false;
-  const usedShare = predictUsedTokens(load, now) / Math.max(1, load.engine.kvCapacityTokens);
-  if (usedShare < MEMORY_PRESSURE_SHARE) return false;
-  const reduced = MEMORY_REFUSAL_FACTOR * load.usableMemoryShare;
-  load.usableMemoryShare = Math.max(MIN_MEMORY_SHARE, reduced);
-  return true;
+/** Adds an answer to its decode engine. */
+export function addRun(load: EngineLoad, assignment: SlotAssignment): void {
+  load.runs.set(assignment.ask.askId, assignment);
+  load.runsVersion += 1;
 }
 
-/** Records a completed answer, after which an engine's memory is used a little more again. */
-export function recordMemoryReleased(load: EngineLoad): void {
-  const increased = load.usableMemoryShare + MEMORY_RECOVERY_STEP;
-  load.usableMemoryShare = Math.min(MAX_MEMORY_SHARE, increased);
+/** Removes an answer from its decode engine. */
+export function removeRun(load: EngineLoad, slotRequestId: SlotRequestId): void {
+  load.runs.delete(slotRequestId);
+  load.runsVersion += 1;
 }
 
 /** Returns how many answers of the given mean size a decode engine can serve at a time. */
@@ -164,26 +128,6 @@
   return Math.max(1, Math.min(engine.slots, Math.floor(byMemory)));
 }
 
-/**
- * Predicts the peak number of KV cache tokens on an engine from now on, with one more assignment.
- * Memory use peaks just before an answer ends, so only these times are checked.
- */
-export function predictPeakTokens(load: EngineLoad, extra: SlotAssignment, now: number): number {
-  const assignments = [...load.runs.values(), extra].map((assignment) => ({
-    run: assignment,
-    endAt: predictEndAt(assignment, now),
-  }));
-  let peak = 0;
-  for (const { endAt: at } of assignments) {
-    let total = 0;
-    for (const { run: assignment, endAt } of assignments) {
-      if (endAt >= at) total += predictTokensAt(assignment, at);
-    }
-    peak = Math.max(peak, total);
-  }
-  return peak;
-}
-
 /** Whether an engine is changing to another stage. */
 export function isChanging({ ordered, engine }: EngineLoad, now: number): boolean {
   return ordered !== undefined && ordered.stage !== engine.stage && now < ordered.doneBy;
@@ -195,15 +139,6 @@
   return !slotRequest.excluded.includes(load.engine.upstreamId);
 }
 
-/** Whether a decode engine has a free slot and the memory for one more assignment. */
-export function hasFreeSlot(load: EngineLoad, extra: SlotAssignment, now: number): boolean {
-  if (load.runs.size >= load.engine.slots) return false;
-  if (load.runs.size === 0) return true;
-  return (
-    predictPeakTokens(load, extra, now) <= load.usableMemoryShare * load.engine.kvCapacityTokens
-  );
-}
-
 /**
  * Estimates the milliseconds that an engine needs per prompt token;
  * `poolPrefillMsPerToken` is the mean of its pool.
--- a/packages/core/src/pools/index.ts
+++ b/packages/core/src/pools/index.ts
@@ -6,3 +6,4 @@
   type PoolState,
 } from './pool-state.js';
 export type * from './pool-types.js';
+export type { AnswerProgress } from '../speeds/memory-margin.js';
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -6,23 +6,25 @@
 import type { UpstreamId } from '@tarragonspool/protocol';
 import { findPermitTime, takePermit } from '../routing/request-permits.js';
 import {
+  addRun,
   countUsableSlots,
   isReadyForLocalPrefill,
   countTargetMisses,
   hasPrefillRoom,
-  hasFreeSlot,
   isUsable,
   recordTargetMisses,
   predictPrefillEnd,
   startPrefill,
   type EngineLoad,
 } from './engine-load.js';
+import { hasFreeSlot } from './engine-memory.js';
 import { countOnTimeGrant, isNeglected, measureArrivalRate } from './rank-rates.js';
 import {
   countSlots,
   estimateAnswerTokens,
   MIN_PREFILL_SAMPLES,
   measurePrefillMsPerToken,
+  measurePoolMemory,
   measureServiceRate,
   predictFirstEventMs,
   predictOccupancyMs,
@@ -185,12 +187,13 @@
   now: number,
 ): SlotAssignment | undefined {
   const meanTokens = estimateAnswerTokens(state);
+  const memory = measurePoolMemory(state, now);
   let best: SlotAssignment | undefined;
   let bestCost = Infinity;
   for (const load of state.engines.values()) {
     if (!canDecode(state, load, slotRequest, now)) continue;
     const assignment = makeAssignment(state, slotRequest, load, now);
-    if (!hasFreeSlot(load, assignment, now)) continue;
+    if (!hasFreeSlot(load, assignment, memory)) continue;
     const usage = load.runs.size / countUsableSlots(load, meanTokens);
     const cost = usage * load.slowness + computeDistanceCost(load, slotRequest, prefill);
     if (cost >= bestCost) continue;
@@ -245,6 +248,7 @@
   prefillMs: number,
   now: number,
 ): SlotAssignment | undefined {
+  const memory = measurePoolMemory(state, now);
   let best: SlotAssignment | undefined;
   const maxDelayed = isPrefillOutageLong(state, now)
     ? MAX_DELAYED_ANSWERS_IN_LONG_OUTAGE
@@ -253,7 +257,7 @@
   for (const load of state.engines.values()) {
     if (!canDecode(state, load, slotRequest, now)) continue;
     const assignment = makeAssignment(state, slotRequest, load, now);
-    if (!isReadyForLocalPrefill(load, now) || !hasFreeSlot(load, assignment, now)) continue;
+    if (!isReadyForLocalPrefill(load, now) || !hasFreeSlot(load, assignment, memory)) continue;
     const cost = countTargetMisses(load, prefillMs) + load.runs.size / (2 * load.engine.slots);
     if (cost >= leastCost) continue;
     best = assignment;
@@ -306,7 +310,8 @@
   const assignment = chooseEngines(state, slotRequest, now);
   if (assignment === undefined) return undefined;
   state.runs.set(slotRequest.askId, assignment);
-  state.engines.get(assignment.decode)?.runs.set(slotRequest.askId, assignment);
+  const decodeLoad = state.engines.get(assignment.decode);
+  if (decodeLoad !== undefined) addRun(decodeLoad, assignment);
   if (!assignment.isLate) countOnTimeGrant(state.ranks, slotRequest.rank, now);
   const { decode } = assignment;
   const prefill = assignment.prefill === decode ? undefined : assignment.prefill;
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -16,20 +16,22 @@
 } from './admission.js';
 import {
   addPrefill,
+  addRun,
   dropOverduePrefills,
   dropPrefill,
   endPrefill,
   forgetPrefillSpeed,
   makeEngineLoad,
-  recordMemoryRefusal,
-  recordMemoryReleased,
+  removeRun,
   startLocalPrefillCooldown,
 } from './engine-load.js';
+import { recordMemoryRefusal, recordMemoryReleased } from './engine-memory.js';
 import { canMeetTarget, grantWaiting } from './placing.js';
 import { countOnTimeArrival } from './rank-rates.js';
 import {
   applyEarlierAttempt,
   forgetRefused,
+  measurePoolMemory,
   measurePrefillMsPerToken,
   recordOccupancy,
   recordPrefill,
@@ -77,7 +79,8 @@
   const assignment = state.runs.get(slotRequestId);
   if (assignment === undefined) return undefined;
   state.runs.delete(slotRequestId);
-  state.engines.get(assignment.decode)?.runs.delete(slotRequestId);
+  const load = state.engines.get(assignment.decode);
+  if (load !== undefined) removeRun(load, slotRequestId);
   const prefillLoad = assignment.prefill && state.engines.get(assignment.prefill);
   if (prefillLoad) dropPrefill(prefillLoad, slotRequestId, now);
   return assignment;
@@ -148,8 +151,7 @@
 
 function handleEnded(
   state: PoolState,
-  slotRequestId: SlotRequestId,
-  didFinish: boolean,
+  { askId: slotRequestId, didFinish, progress }: Extract<PoolEvent, { kind: 'ended' }>,
   now: number,
 ): void {
   const assignment = removeAssignment(state, slotRequestId, now);
@@ -157,7 +159,8 @@
   const load = state.engines.get(assignment.decode);
   if (load === undefined) return;
   load.failures = 0;
-  recordMemoryReleased(load);
+  const view = measurePoolMemory(state, now);
+  recordMemoryReleased(state.memory, load, assignment, progress, view);
   recordOccupancy(state, assignment, load, now);
 }
 
@@ -185,7 +188,7 @@
 ): void {
   const load = state.engines.get(upstreamId);
   if (load === undefined) return;
-  if (failure === 'full' && recordMemoryRefusal(load, now)) {
+  if (failure === 'full' && recordMemoryRefusal(load, measurePoolMemory(state, now))) {
     load.avoidUntil = Math.max(load.avoidUntil, now + MEMORY_AVOID_MS);
     return;
   }
@@ -210,7 +213,7 @@
     if (load === undefined || state.runs.has(slotRequestId)) continue;
     state.waiting.delete(slotRequestId);
     state.runs.set(slotRequestId, assignment);
-    load.runs.set(slotRequestId, assignment);
+    addRun(load, assignment);
     const prefillLoad = assignment.prefill && state.engines.get(assignment.prefill);
     if (prefillLoad) addPrefill(prefillLoad, assignment, measurePrefillMsPerToken(state), now);
   }
@@ -249,7 +252,7 @@
       handlePrefilled(state, event.askId, now);
       return grantWaiting(state, now);
     case 'ended':
-      handleEnded(state, event.askId, event.didFinish, now);
+      handleEnded(state, event, now);
       return grantWaiting(state, now);
     case 'engine-failed':
       handleEngineFailed(state, event.upstreamId, event.failure, now);
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -8,6 +8,12 @@
   type EngineLoad,
   type EngineLoads,
 } from './engine-load.js';
+import {
+  makeMemoryEstimates,
+  measureMemoryView,
+  type MemoryEstimates,
+  type MemoryView,
+} from './engine-memory.js';
 import { makeRankRates, type RankRates } from './rank-rates.js';
 import type { PlannedEngine, RequestNeeds } from '../stages/stage-plan.js';
 import { makePermitSchedules, type PermitSchedules } from '../routing/request-permits.js';
@@ -41,6 +47,8 @@
   /** Mean tokens of a prompt, and of a complete answer. */
   promptTokens: number;
   outputTokens: number;
+  /** Lengths of answers, and the margin that memory forecasts keep. */
+  readonly memory: MemoryEstimates;
   /** When a prefill engine was last usable, even if busy. */
   prefillUsableAt: number;
   /** Arrivals that could still meet their latency target, by rank. */
@@ -88,6 +96,7 @@
     occupancyCount: 0,
     promptTokens: INITIAL_PROMPT_TOKENS,
     outputTokens: 0,
+    memory: makeMemoryEstimates(),
     prefillUsableAt: 0,
     ranks: makeRankRates(),
     takeFraction,
@@ -190,6 +199,12 @@
   return Math.max(1, state.promptTokens + state.outputTokens / 2);
 }
 
+/** Returns what the memory forecasts of the pool are based on now. */
+export function measurePoolMemory(state: PoolState, now: number): MemoryView {
+  const { memory, occupancyMs: usualMs, localPrefillMsPerToken: readMsPerToken } = state;
+  return measureMemoryView(memory, { usualMs, readMsPerToken, now });
+}
+
 /** Estimates what one request needs of the pool's engines. */
 export function estimateRequestNeeds(state: PoolState): RequestNeeds {
   let slots = 1;
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -12,6 +12,7 @@
   VmId,
 } from '@tarragonspool/protocol';
 import type { EngineStage } from '../routing/routing-types.js';
+import type { AnswerProgress } from '../speeds/memory-margin.js';
 
 /** Identifies a slot request; unique across all VMs. Messages and logs call it `askId`. */
 export type SlotRequestId = string & { readonly brand: 'SlotRequestId' };
@@ -44,6 +45,8 @@
   readonly promptTokens: number;
   /** Expected length of the answer; 0 or less if unknown. */
   readonly outputTokens: number;
+  /** Longest length of the answer; absent if unknown. */
+  readonly maxOutputTokens?: number | undefined;
   /** Latency target: when the first event is due. */
   aimAt: number;
   /** Longest pause between two events that meets the latency target, in milliseconds. */
@@ -92,7 +95,13 @@
   | { readonly kind: 'withdrawn'; readonly askId: SlotRequestId }
   | { readonly kind: 'prefilled'; readonly askId: SlotRequestId }
   /** The slot is free; `didFinish` if the answer was completed. */
-  | { readonly kind: 'ended'; readonly askId: SlotRequestId; readonly didFinish: boolean }
+  | {
+      readonly kind: 'ended';
+      readonly askId: SlotRequestId;
+      readonly didFinish: boolean;
+      /** How the answer's events came; absent from versions that do not report it. */
+      readonly progress?: AnswerProgress | undefined;
+    }
   /** An engine refused or failed a request that this pool had assigned to it. */
   | {
       readonly kind: 'engine-failed';
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -22,6 +22,7 @@
   rank: count.default(0),
   promptTokens: z.number().nonnegative(),
   outputTokens: z.number().nonnegative(),
+  maxOutputTokens: z.number().nonnegative().optional(),
   aimInMs: milliseconds,
   pauseMs: milliseconds,
   patienceInMs: milliseconds,
@@ -46,6 +47,12 @@
   endsInMs: milliseconds,
 });
 
+const answerProgressSchema = z.object({
+  events: count,
+  streamedMs: milliseconds,
+  longestPauseMs: milliseconds,
+});
+
 /** Schemas of all messages of a pool, and of the rows that VMs exchange. */
 export const poolMessageSchemas = [
   slotRequestSchema,
@@ -68,7 +75,13 @@
   }),
   z.object({ kind: z.literal('pool-withdraw'), service: id, askId: id }),
   z.object({ kind: z.literal('pool-prefilled'), service: id, askId: id }),
-  z.object({ kind: z.literal('pool-end'), service: id, askId: id, didFinish: z.boolean() }),
+  z.object({
+    kind: z.literal('pool-end'),
+    service: id,
+    askId: id,
+    didFinish: z.boolean(),
+    progress: answerProgressSchema.optional(),
+  }),
   z.object({
     kind: z.literal('pool-engine-failed'),
     service: id,
@@ -145,6 +158,15 @@
   readonly endsInMs: number;
 };
 
+/** How the events of a finished answer came from its engine. */
+export type AnswerProgressItem = {
+  readonly events: number;
+  /** Time from the first event to the last. */
+  readonly streamedMs: number;
+  /** Longest pause between two events. */
+  readonly longestPauseMs: number;
+};
+
 /** What a request for a slot says. */
 export type SlotRequestFields = {
   readonly service: ServiceName;
@@ -157,6 +179,8 @@
   readonly rank: number;
   readonly promptTokens: number;
   readonly outputTokens: number;
+  /** Longest length of the answer; absent if unknown. */
+  readonly maxOutputTokens?: number | undefined;
   /** Time left to meet the latency target of the first event of the answer stream. */
   readonly aimInMs: number;
   /** Longest pause between two events that meets the target. */
@@ -205,6 +229,8 @@
       readonly askId: string;
       /** Whether the answer came to its end. */
       readonly didFinish: boolean;
+      /** How the answer's events came; absent if it did not finish. */
+      readonly progress?: AnswerProgressItem | undefined;
     }
   | {
       readonly kind: 'pool-engine-failed';
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -1,6 +1,11 @@
 /** Runs a stream on a decode engine. */
 
-import { canGoOnElsewhere, type ClearedUpstream, type SlotRequestId } from '@tarragonspool/core';
+import {
+  canGoOnElsewhere,
+  type AnswerProgress,
+  type ClearedUpstream,
+  type SlotRequestId,
+} from '@tarragonspool/core';
 import { sendPoolMessage } from '../pools/pool-task.js';
 import { isEngineAlive } from '../stages/engine-calls.js';
 import type { Task } from '../tasks/tasks.js';
@@ -44,6 +49,8 @@
   readonly hasHead: boolean;
   /** Whether its engine could not go on as it has other weights than those of the answer. */
   readonly hasOtherWeights: boolean;
+  /** How its events came; undefined if there were none. */
+  readonly pace: AnswerProgress | undefined;
 };
 
 function findDecodeEnd(
@@ -158,5 +165,6 @@
   );
   state.metrics.sends.inc({ step: 'decode', outcome: end });
   const hasHead = relay.isForwarding();
-  return { end, result, hasEvents: relay.hasEvents(), hasHead, hasOtherWeights };
+  const pace = relay.getPace();
+  return { end, result, hasEvents: relay.hasEvents(), hasHead, hasOtherWeights, pace };
 }
--- a/packages/router/src/gateway/stream-handover.ts
+++ b/packages/router/src/gateway/stream-handover.ts
@@ -291,10 +291,11 @@
   state: GatewayState,
   request: GatewayRequest,
   progress: StreamProgress,
-  { grant, end, result, hasEvents, hasHead, hasOtherWeights }: Omit<GrantedRun, 'isSettled'>,
+  { grant, end, result, hasEvents, hasHead, hasOtherWeights, pace }: Omit<GrantedRun, 'isSettled'>,
   isReported = false,
 ): void {
-  endGrant(state, grant, end === 'finished' || end === 'unconfirmed');
+  const didFinish = end === 'finished' || end === 'unconfirmed';
+  endGrant(state, grant, didFinish, didFinish ? pace : undefined);
   const { content, sharedParts: promptParts } = request;
   if (end === 'finished') state.contentGuard.recordAnswered(content.fingerprint);
   if (end === 'finished' || end === 'unconfirmed' || end === 'over') return;
--- a/packages/router/src/gateway/stream-prepare.ts
+++ b/packages/router/src/gateway/stream-prepare.ts
@@ -1,6 +1,6 @@
 /** Prepares a granted slot: asks whether its engines may get the stream, and has the prompt prefilled. */
 
-import type { SendClearance, SendRefusal } from '@tarragonspool/core';
+import type { AnswerProgress, SendClearance, SendRefusal } from '@tarragonspool/core';
 import type { UpstreamId } from '@tarragonspool/protocol';
 import type { SlotReply } from '../pools/place-messages.js';
 import { sendPoolMessage } from '../pools/pool-task.js';
@@ -15,9 +15,14 @@
 /** A slot that the owner of the pool has granted. */
 export type SlotGrant = Extract<SlotReply, { kind: 'granted' }>;
 
-/** Frees the slot of a grant; `didFinish` if the answer was completed. */
-export function endGrant(state: GatewayState, { askId }: SlotGrant, didFinish: boolean): void {
-  sendPoolMessage(state.pools, { kind: 'end', askId, didFinish }, state.logger);
+/** Frees the slot of a grant; `didFinish` if the answer was completed, then with its progress. */
+export function endGrant(
+  state: GatewayState,
+  { askId }: SlotGrant,
+  didFinish: boolean,
+  progress?: AnswerProgress,
+): void {
+  sendPoolMessage(state.pools, { kind: 'end', askId, didFinish, progress }, state.logger);
 }
 
 /** Asks whether an engine of a grant may get the prefill of a stream. */
--- a/packages/router/src/gateway/stream-relay.ts
+++ b/packages/router/src/gateway/stream-relay.ts
@@ -9,6 +9,7 @@
   makeEventIds,
   makeEventSplitter,
   recordEventId,
+  type AnswerProgress,
   type Route,
   type StreamPart,
 } from '@tarragonspool/core';
@@ -55,6 +56,9 @@
 ) {
   let firstEventAt: number | undefined;
   let isKnownSound = false;
+  let events = 0;
+  let lastEventAt = 0;
+  let longestPauseMs = 0;
 
   function recordSound(): void {
     isKnownSound = true;
@@ -68,12 +72,20 @@
       if (firstEventAt === undefined) {
         firstEventAt = now;
         onFirstEvent();
+      } else {
+        longestPauseMs = Math.max(longestPauseMs, now - lastEventAt);
       }
+      events += count;
+      lastEventAt = now;
       const waitedMs = now - request.arrivedAt;
       if (progress.events === 0) state.metrics.firstEventSeconds.observe(waitedMs / MS_PER_S);
       countEvents(progress, count, waitedMs);
       if (!isKnownSound && now >= firstEventAt + SOUND_AFTER_MS) recordSound();
     },
+    getPace: (): AnswerProgress | undefined => {
+      if (firstEventAt === undefined) return undefined;
+      return { events, streamedMs: lastEventAt - firstEventAt, longestPauseMs };
+    },
     recordEnd: (): void => {
       if (firstEventAt !== undefined && !isKnownSound) recordSound();
     },
@@ -242,6 +254,8 @@
     hasOtherWeights: () => hasOtherWeights,
     /** Whether this engine has sent events. */
     hasEvents: recorder.hasEvents,
+    /** How the events of this engine came; undefined before the first. */
+    getPace: recorder.getPace,
     /**
      * Whether the end of a whole answer is the end of its stream. A connection that is closed may as well be that of
      * an engine that died.
--- a/packages/router/src/gateway/stream-slot.ts
+++ b/packages/router/src/gateway/stream-slot.ts
@@ -47,6 +47,8 @@
     contentKey: request.contentKey,
     promptTokens: Math.min(promptTokens, maxTokens),
     outputTokens: Math.min(outputTokens, maxTokens),
+    maxOutputTokens:
+      fields.maxOutputTokens === undefined ? undefined : Math.min(maxOutputTokens, maxTokens),
     aimAt: request.aimAt,
     pauseMs: request.route.gapTargetMs ?? DEFAULT_GAP_TARGET_MS,
     patienceEndsAt: findEventDeadline(request, progress),
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -127,6 +127,7 @@
   function buildFields(request: PendingRequest, now: number): SlotRequestFields {
     const { service, ask: slotRequest } = request;
     const { askId, contentKey, dataCentre, rank, promptTokens, outputTokens } = slotRequest;
+    const { maxOutputTokens } = slotRequest;
     const { needsPrefill, isContinued, excluded, softwareVersion } = slotRequest;
     const interruptAt = request.hasRun ? Infinity : stopAt;
     return {
@@ -137,6 +138,7 @@
       rank,
       promptTokens,
       outputTokens,
+      maxOutputTokens,
       needsPrefill,
       isContinued,
       ...(interruptAt === Infinity ? {} : { endsInMs: interruptAt - now }),
@@ -244,8 +246,9 @@
           const slot = activeSlots.get(message.askId);
           if (slot === undefined) return;
           activeSlots.delete(message.askId);
-          const { askId, didFinish } = message;
-          send(slot.owner, { kind: 'pool-end', service: slot.service, askId, didFinish });
+          const { askId, didFinish, progress } = message;
+          const { owner, service } = slot;
+          send(owner, { kind: 'pool-end', service, askId, didFinish, progress });
           return;
         }
         case 'engine-failed': {
--- a/packages/router/src/pools/place-messages.ts
+++ b/packages/router/src/pools/place-messages.ts
@@ -1,6 +1,11 @@
 /** Messages between the task of a request and the pool task, which gets a slot for it. */
 
-import type { SlotRequestId, SlotRequest, RefusalReason } from '@tarragonspool/core';
+import type {
+  AnswerProgress,
+  SlotRequestId,
+  SlotRequest,
+  RefusalReason,
+} from '@tarragonspool/core';
 import type { EngineFailure, ServiceName, UpstreamId } from '@tarragonspool/protocol';
 
 /** Reply to a slot request. */
@@ -35,7 +40,12 @@
     }
   | { readonly kind: 'withdraw'; readonly askId: SlotRequestId }
   | { readonly kind: 'prefilled'; readonly askId: SlotRequestId }
-  | { readonly kind: 'end'; readonly askId: SlotRequestId; readonly didFinish: boolean }
+  | {
+      readonly kind: 'end';
+      readonly askId: SlotRequestId;
+      readonly didFinish: boolean;
+      readonly progress?: AnswerProgress | undefined;
+    }
   | {
       readonly kind: 'engine-failed';
       readonly service: ServiceName;
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -76,6 +76,7 @@
     rank: message.rank,
     promptTokens: message.promptTokens,
     outputTokens: message.outputTokens,
+    maxOutputTokens: message.maxOutputTokens,
     aimAt: now + message.aimInMs,
     pauseMs: message.pauseMs,
     patienceEndsAt: now + message.patienceInMs,
@@ -219,8 +220,9 @@
           apply(service, { kind: 'prefilled', askId: message.askId as SlotRequestId }, now);
           return;
         case 'pool-end': {
-          const { didFinish } = message;
-          apply(service, { kind: 'ended', askId: message.askId as SlotRequestId, didFinish }, now);
+          const { didFinish, progress } = message;
+          const askId = message.askId as SlotRequestId;
+          apply(service, { kind: 'ended', askId, didFinish, progress }, now);
           return;
         }
         case 'pool-engine-failed': {
