--- a/packages/core/src/speeds/service-room.ts
+++ b/packages/core/src/speeds/service-room.ts
@@ -32,10 +32,10 @@
 const MAX_COUNTED_FILL = 2;
 /** Below this part of what the servers handle well there is room for all. */
 const FREE_FILL = 0.8;
-/** Part that is aimed at when there is not: with a few requests in their queues no server is idle. */
-const AIMED_FILL = 1.2;
+/** Part that is aimed at when there is not. */
+const AIMED_FILL = 1;
 /** Time within which a difference from that is made up: as long as it takes to see what was sent. */
-const CORRECTION_MS = 200;
+const CORRECTION_MS = 150;
 /** However full servers are, this part of what they answer goes on being sent, to see changes. */
 const LEAST_SUPPLY_SHARE = 0.2;
 /** A wait for what is left over is foreseeable only if that is at least this part of all. */
