Plain services: VMs share the load of servers where the pool contract is on

Cause: each of many VMs chose servers by its own few calls, so calls went to full servers while others were free. VMs now report to the VM that leads the ranking and choose, wait or refuse by its summaries. On only if the settings' contracts contain pool and more VMs are listed than the service has slots; else the path is as before, and so it is without a fresh summary.

Reports go out at free-running ticks of 100 ms. Reports at the beginning of a call were ruled out: a call shorter than a tick would count as in flight for all of it.

--- a/packages/router/src/gateway/call-flow.test.ts
+++ b/packages/router/src/gateway/call-flow.test.ts
@@ -9,6 +9,7 @@
 import type { UpstreamId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import { pino } from 'pino';
+import { makeSharedLoads, type SharedLoadParts } from '../speeds/shared-loads.js';
 import { makeChannel, startTask } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
@@ -129,6 +130,7 @@
       },
     },
     metrics: makeGatewayMetrics(),
+    sharedLoads: makeSharedLoads({ isShared: () => false } as unknown as SharedLoadParts, 0),
     settings: { vmId: 'vm-1', retryRatio: 0.2, retryWindowMs: 10_000, retrySlack },
     loads: new Map(),
     retryWindows: new Map(),
--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -9,12 +9,15 @@
   recordOutcome,
   type ClearedUpstream,
   type NextStep,
+  type OwnOutcome,
   type SendOutcome,
 } from '@tarragonspool/core';
 import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
 import { findExcess } from '../http/size-limit.js';
 import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
+import type { CallProgress } from './call-progress.js';
+import { awaitRoom, hasRoomElsewhere } from './call-room.js';
 import { chooseCallServer, listCandidates } from './call-server.js';
 import type { GatewayRequest } from './gateway-request.js';
 import { findLoad, takeServiceRetries, type GatewayState } from './gateway-state.js';
@@ -34,12 +37,6 @@
 const MAX_ANSWER_BYTES = 4_194_304;
 const FIRST_SERVER_ERROR = 500;
 
-type CallProgress = {
-  readonly tried: Set<UpstreamId>;
-  /** Sends that a server may have executed. */
-  runs: number;
-};
-
 /** The body in blocks: a copy of a large one would double its memory. */
 type WholeAnswer = { readonly head: AnswerHead; readonly body: readonly Buffer[] };
 
@@ -89,12 +86,27 @@
   }
 }
 
+/** Finds how a send counts in the load of its server; one that leaves or pauses is not full. */
+function findOwnOutcome(
+  { upstreams }: GatewayState,
+  { service }: GatewayRequest,
+  server: ClearedUpstream,
+  outcome: SendOutcome,
+): OwnOutcome {
+  if (outcome.kind === 'answered') return 'answered';
+  if (outcome.kind !== 'not-run' || !outcome.hasArrived) return 'other';
+  const usable = listUsableUpstreams(upstreams, service, getSteadyMs());
+  return usable.some(({ upstreamId }) => upstreamId === server.upstreamId) ? 'refused' : 'other';
+}
+
 /** Whether some other server may get the call now; takes the retry if so. */
 function takeOtherServer(
   state: GatewayState,
   request: GatewayRequest,
   { upstreamId }: ClearedUpstream,
+  progress: CallProgress,
 ): boolean {
+  if (!hasRoomElsewhere(state, request, progress)) return false;
   const { service, deadlineAt } = request;
   const candidates = listCandidates(state, request);
   const hasOther = candidates.some((other) => other.upstreamId !== upstreamId);
@@ -124,11 +136,12 @@
   };
   const held = state.heldBytes.begin('answer', () => cut('memory'));
   load.inFlight += 1;
+  const endSend = state.sharedLoads.beginSend(request.service, server.upstreamId, sentAt);
   const result = yield* sendOnce(state, request, {
     server,
     placement: {},
     headDueAt: findHeadDueAt(request, progress, sentAt),
-    canGiveUp: () => takeOtherServer(state, request, server),
+    canGiveUp: () => takeOtherServer(state, request, server, progress),
     onHead: () => undefined,
     onData: (chunk, exchange) => {
       abort = (): void => exchange.abort('answer too large');
@@ -145,6 +158,9 @@
   load.inFlight -= 1;
   const outcome: SendOutcome =
     result.kind === 'outcome' ? result.outcome : { kind: 'unknown', reason: result.kind };
+  const ownOutcome = findOwnOutcome(state, request, server, outcome);
+  if (ownOutcome === 'refused') progress.fulls += 1;
+  endSend(ownOutcome, getSteadyMs());
   if (result.kind === 'outcome' || result.kind === 'slow') {
     recordSendOutcome(state, server, outcome, sentAt);
   }
@@ -228,8 +244,18 @@
 /** Serves one request of a plain service, with retries within the retry budget. */
 export function* runCallRequest(state: GatewayState, request: GatewayRequest): Task {
   const { route, service, fields } = request;
-  const progress: CallProgress = { tried: new Set(), runs: 0 };
+  const progress: CallProgress = { tried: new Set(), runs: 0, fulls: 0 };
+  state.sharedLoads.recordArrival(service, request.tenant?.name ?? '');
   for (;;) {
+    const room = yield* awaitRoom(state, request, progress);
+    if (room.kind === 'caller-gone' || room.kind === 'timed-out') {
+      refuseAfterTimeout(request, room, progress.runs);
+      return;
+    }
+    if (room.kind === 'no-room') {
+      request.reply.refuse('queue-full', room.retryAfterMs);
+      return;
+    }
     const choice = yield* chooseCallServer(state, request, progress.tried);
     if (choice.kind === 'caller-gone' || choice.kind === 'timed-out') {
       refuseAfterTimeout(request, choice, progress.runs);
--- a/packages/router/src/gateway/call-server.ts
+++ b/packages/router/src/gateway/call-server.ts
@@ -2,6 +2,7 @@
 
 import {
   chooseServer,
+  chooseSharedServer,
   findLimit,
   findPermitWaitEnd,
   listUsableUpstreams,
@@ -10,7 +11,7 @@
   type LimitedUpstream,
   type UpstreamRecord,
 } from '@tarragonspool/core';
-import type { UpstreamId } from '@tarragonspool/protocol';
+import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
 import type { PermitReply, PermitRequestId } from '../pools/permit-messages.js';
 import { requestPermit } from '../pools/pool-task.js';
 import { offer, receive, type Task } from '../tasks/tasks.js';
@@ -68,17 +69,33 @@
 
 function chooseCandidate(
   state: GatewayState,
+  service: ServiceName,
   servers: readonly UpstreamRecord[],
   tried: ReadonlySet<UpstreamId>,
 ): UpstreamRecord | undefined {
   const unheard = findUnheardServer(state, servers, tried);
   if (unheard !== undefined) return unheard;
-  const { loads, settings, takeFraction } = state;
+  const { loads, settings, takeFraction, sharedLoads } = state;
   const { dataCentre } = settings;
-  const choice = { servers, loads, dataCentre, takeFraction, now: getSteadyMs() };
-  return (
-    chooseServer({ ...choice, excluded: tried }) ?? chooseServer({ ...choice, excluded: new Set() })
-  );
+  const now = getSteadyMs();
+  const choice = { servers, loads, dataCentre, takeFraction, now };
+  const summary = sharedLoads.findSummary(service, now)?.servers;
+  const countSentSince = (upstreamId: UpstreamId): number =>
+    sharedLoads.countSentSince(service, upstreamId);
+  const chooseFrom = (excluded: ReadonlySet<UpstreamId>): UpstreamRecord | undefined =>
+    summary === undefined
+      ? chooseServer({ ...choice, excluded })
+      : chooseSharedServer({ ...choice, excluded, summary, countSentSince });
+  return chooseFrom(tried) ?? chooseFrom(new Set());
+}
+
+/** Finds a server that the call would be sent to now. */
+export function findNextCandidate(
+  state: GatewayState,
+  request: GatewayRequest,
+  tried: ReadonlySet<UpstreamId>,
+): UpstreamRecord | undefined {
+  return chooseCandidate(state, request.service, listCandidates(state, request), tried);
 }
 
 /**
@@ -157,7 +174,7 @@
 ): Task<CallServer> {
   for (;;) {
     const candidates = listCandidates(state, request);
-    const server = chooseCandidate(state, candidates, tried);
+    const server = chooseCandidate(state, request.service, candidates, tried);
     if (server === undefined) return { kind: 'none' };
     if (findServerLimit(state, server) === undefined) {
       const asked = askCallSend(state, request, server.upstreamId, false);
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -113,6 +113,22 @@
       labelNames: ['outcome'],
       registers,
     }),
+    loadSummaries: new Gauge({
+      name: `${PREFIX}load_summaries`,
+      help: 'Plain services whose load over all VMs is known now.',
+      registers,
+    }),
+    callsWaited: new Counter({
+      name: `${PREFIX}calls_waited_total`,
+      help: 'Calls that waited for room, by what came of it: room, no-room, caller-gone or timed-out.',
+      labelNames: ['outcome'],
+      registers,
+    }),
+    callsWithoutRoom: new Counter({
+      name: `${PREFIX}calls_without_room_total`,
+      help: 'Calls refused because no server of the service had room.',
+      registers,
+    }),
     relayedSends: new Counter({
       name: `${PREFIX}relayed_sends_total`,
       help: 'Sends by way of peers: asked by this VM, or made for peers by outcome.',
--- a/packages/router/src/gateway/gateway-request.ts
+++ b/packages/router/src/gateway/gateway-request.ts
@@ -20,6 +20,8 @@
     }
   | { readonly kind: 'place'; readonly reply: SlotReply }
   | { readonly kind: 'permit'; readonly reply: PermitReply }
+  /** There may be room for a call that waits. */
+  | { readonly kind: 'room' }
   /** Where the stream that the caller resumes began; undefined if no VM knows. */
   | { readonly kind: 'origin'; readonly origin: StreamOrigin | undefined }
   /** Another run has taken the place of the one that is under way. */
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -17,6 +17,7 @@
 import type { Logger } from '../logging/logger.js';
 import type { FleetView } from '../peers/fleet-view.js';
 import type { PoolTask } from '../pools/pool-task.js';
+import type { SharedLoads } from '../speeds/shared-loads.js';
 import { makeChannel, type Channel } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeUpstreamClient, type UpstreamClient } from '../upstreams/upstream-client.js';
@@ -49,6 +50,8 @@
   readonly streamOrigins: StreamOriginBook;
   /** Wakes the task that keeps the store's rows of parts in quarantine. */
   readonly quarantineWakeups: Channel<QuarantineWakeup>;
+  /** Load of the servers of plain services over all VMs. */
+  readonly sharedLoads: SharedLoads;
   /** Sends a message to all linked peers. */
   readonly broadcast: (message: PeerMessage) => void;
   /** What this VM knows of the others. */
@@ -105,6 +108,7 @@
   | 'contentGuard'
   | 'heldBytes'
   | 'partGuard'
+  | 'sharedLoads'
   | 'streamOrigins'
   | 'versions'
   | 'quarantineWakeups'
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -8,14 +8,7 @@
   makeVersionHistory,
   type UpstreamList,
 } from '@tarragonspool/core';
-import type {
-  PeerMessage,
-  PermitMessage,
-  PoolMessage,
-  QuarantineScope,
-  UpstreamId,
-  VmId,
-} from '@tarragonspool/protocol';
+import type { PeerMessage, QuarantineScope, UpstreamId, VmId } from '@tarragonspool/protocol';
 import { listenPatiently } from '../http/patient-listener.js';
 import type { Logger } from '../logging/logger.js';
 import { makeFleetView } from '../peers/fleet-view.js';
@@ -29,6 +22,7 @@
 import { makeGatewayMetrics } from './gateway-metrics.js';
 import { makeGatewayState, type GatewayState } from './gateway-state.js';
 import { computeHeldLimit, makeHeldBytes } from './held-bytes.js';
+import { startLoadSharing } from './load-sharing.js';
 import { startMembership, type PeerMeshHolder, type StartTask } from './membership.js';
 import { makePartGuard } from './part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
@@ -99,7 +93,7 @@
   const meshHolder: PeerMeshHolder = { mesh: undefined };
   const stateHolder: { state: GatewayState | undefined } = { state: undefined };
   const takeFraction = Math.random;
-  const sendTo = (vmId: VmId, message: PoolMessage | PermitMessage): void => {
+  const sendTo = (vmId: VmId, message: PeerMessage): void => {
     meshHolder.mesh?.sendTo(vmId, message);
   };
   const broadcast = (message: PeerMessage): void => meshHolder.mesh?.broadcast(message);
@@ -205,6 +199,15 @@
       streamOrigins.tick();
     },
   });
+  const sharedLoads = startLoadSharing({
+    self,
+    sendTo,
+    broadcast,
+    getState: () => stateHolder.state,
+    findOwner: pools.findOwner,
+    metrics,
+    logger,
+  });
   const parts = {
     settings,
     ports,
@@ -218,6 +221,7 @@
       computeHeldLimit((stateHolder.state?.settings ?? settings).memoryMb),
     ),
     partGuard,
+    sharedLoads,
     quarantineWakeups,
     broadcast,
     fleet,
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -3,6 +3,7 @@
 import type {
   AliveMessage,
   Incarnation,
+  LoadMessage,
   OriginMessage,
   PeerMessage,
   PermitMessage,
@@ -61,6 +62,10 @@
   return POOL_MESSAGE_KINDS.has(message.kind);
 }
 
+function isLoadMessage(message: PeerMessage): message is LoadMessage {
+  return message.kind === 'load-report' || message.kind === 'load-summary';
+}
+
 function isOriginMessage(message: PeerMessage): message is OriginMessage {
   return (
     message.kind === 'stream-origins' ||
@@ -206,7 +211,9 @@
       else if (isRowsMessage(message)) relay.handleMessage(vmId, message);
       else if (isRelayMessage(message)) state.access.handleMessage(vmId, message);
       else if (isOriginMessage(message)) state.streamOrigins.handleMessage(vmId, message);
-      else if (message.kind === 'suspects') {
+      else if (isLoadMessage(message)) {
+        state.sharedLoads.handleMessage(vmId, message, getSteadyMs());
+      } else if (message.kind === 'suspects') {
         contentGuard.mergeRecords(message.items);
         if (message.isRelayed !== true) broadcastAgain(mesh, vmId, message);
       } else if (message.kind === 'prompt-parts') {
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -44,6 +44,8 @@
   readonly retryWindowMs: number;
   /** Retries per window that all VMs together may make on top of the ratio. */
   readonly retrySlack: number;
+  /** Names of contracts that the deployment asks for; unknown ones are ignored. */
+  readonly contracts: readonly string[];
 };
 
 /** One row that changed; its value is undefined if it was removed. */
--- a/packages/router/src/gateway/sender.ts
+++ b/packages/router/src/gateway/sender.ts
@@ -173,6 +173,7 @@
       return message.alarm === send.number ? { kind: 'slow' } : undefined;
     case 'place':
     case 'permit':
+    case 'room':
     case 'origin':
     case 'handover-ended':
       return undefined;
--- a/packages/router/src/pools/pool-task.ts
+++ b/packages/router/src/pools/pool-task.ts
@@ -79,6 +79,8 @@
   /** Counts the VMs that this one considers alive, itself included. */
   readonly countLiveVms: () => number;
   readonly isOwnerOf: (service: ServiceName) => boolean;
+  /** Finds the VM that leads a ranking. */
+  readonly findOwner: (ranking: ServiceName) => VmId;
   readonly readPlan: (service: ServiceName, now: number) => StagePlanInput | undefined;
 };
 
@@ -242,6 +244,7 @@
     isBusy,
     countLiveVms: () => ownerSelector.countAlive(getSteadyMs()),
     readPlan: owner.readPlan,
+    findOwner: (ranking) => ownerSelector.chooseOwner(ranking, getSteadyMs()),
     isOwnerOf: (service) => isOwner(service, getSteadyMs()),
   };
 }
