Shared loads: half as many summaries while servers have little to do

A summary of 12 servers has 1.1 KB and goes to all VMs, ten times a second from the VM that sums. While no server has more than a quarter of what it handles, every second one is left out.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -36,6 +36,7 @@
 export * from './speeds/call-room.js';
 export * from './speeds/load-sums.js';
 export * from './speeds/own-load.js';
+export { isCalm } from './speeds/service-room.js';
 export * from './speeds/shared-choice.js';
 export * from './pools/index.js';
 export * from './routing/index.js';
--- a/packages/core/src/speeds/load-sums.ts
+++ b/packages/core/src/speeds/load-sums.ts
@@ -257,8 +257,8 @@
     const { curve } = known;
     const { handles } = curve;
     const inFlight = levels.get(server.upstreamId) ?? 0;
-    const answerMs = predictAnswerMs(curve, inFlight + 1);
-    const handledMs = predictAnswerMs(curve, handles);
+    const answerMs = Math.ceil(predictAnswerMs(curve, inFlight + 1));
+    const handledMs = Math.ceil(predictAnswerMs(curve, handles));
     servers.push({ upstreamId: server.upstreamId, inFlight, handles, handledMs, answerMs });
   }
   const tenants = listDemands(counted);
--- a/packages/core/src/speeds/server-test-kit.ts
+++ b/packages/core/src/speeds/server-test-kit.ts
@@ -29,11 +29,13 @@
   takeReport,
   type OwnLoad,
 } from './own-load.js';
+import { isCalm } from './service-room.js';
 import { chooseSharedServer } from './shared-choice.js';
 
 const SERVICE = 'ledger' as ServiceName;
 const LINK_MS = 3;
 const INTERVAL_MS = 100;
+const CALM_INTERVAL_MS = 150;
 const FULL_AVOID_MS = 150;
 const MAX_SENDS = 4;
 
@@ -294,10 +296,7 @@
     const { vm, tenant, arrivedAt } = call;
     const summary = findFresh(vm);
     const server = choose(call, summary);
-    if (server === undefined) {
-      endCall(call, 'refused');
-      return;
-    }
+    if (server === undefined) throw new Error('the simulation has no servers');
     if (summary !== undefined) {
       const known = summary.servers.find(({ upstreamId }) => upstreamId === server.upstreamId);
       const wish = { tenant, aimAt: arrivedAt + targetMs, deadlineAt: arrivedAt + deadlineMs };
@@ -321,6 +320,7 @@
   }
 
   steps.decide = decide;
+  let toldAt = -Infinity;
 
   function forgetSums(): void {
     sums = makeLoadSums(now);
@@ -341,7 +341,9 @@
     if (isSummed && stepSums(sums, now)) {
       const listed = records.map(({ upstreamId, slots }) => ({ upstreamId, slots }));
       const summary = buildSummary(sums, SERVICE, listed);
-      if (summary !== undefined) {
+      const isTold = summary !== undefined && !(isCalm(summary) && now - toldAt < CALM_INTERVAL_MS);
+      if (isTold) {
+        toldAt = now;
         summaries.push({ at: now, summary });
         for (const vm of vms) schedule(LINK_MS, () => readSummary(vm, summary));
       }
--- a/packages/core/src/speeds/service-room.ts
+++ b/packages/core/src/speeds/service-room.ts
@@ -45,6 +45,9 @@
 const MAX_RETRY_AFTER_MS = 3_000;
 const MS_PER_S = 1_000;
 
+/** A service whose servers are all filled to no more than this part is calm. */
+const CALM_FILL = 0.25;
+
 /** Room for everything. */
 const FREE: ServiceRoom = {
   share: 1,
@@ -106,3 +109,8 @@
     retryAfterMs: limitRetryAfter(drainMs ?? MS_PER_S + surplusMs),
   };
 }
+
+/** Whether the load of a service is so low that summaries may come half as often. */
+export function isCalm({ share, servers }: ServiceSummary): boolean {
+  return share === 1 && servers.every(({ inFlight, handles }) => inFlight <= CALM_FILL * handles);
+}
--- a/packages/router/src/speeds/shared-loads.ts
+++ b/packages/router/src/speeds/shared-loads.ts
@@ -6,6 +6,7 @@
 import {
   buildSummary,
   countInFlight,
+  isCalm,
   makeLoadSums,
   recordArrival,
   recordEarlier,
@@ -80,6 +81,8 @@
 };
 
 const NO_ACTION = (): void => undefined;
+/** Time between summaries at the least while no server has much to do; ticks are a little early or late. */
+const CALM_INTERVAL_MS = 150;
 /** Ticks go on for this long after the last traffic, so that reports stay spread over time. */
 const BUSY_MS = 5_000;
 
@@ -93,6 +96,7 @@
   let leader: VmId | undefined;
   let tickedAt = startedAt;
   let trafficAt = -Infinity;
+  let toldAt = -Infinity;
 
   function readSummaries(summaries: readonly ServiceSummary[], now: number): void {
     for (const summary of summaries) {
@@ -136,6 +140,9 @@
       const summary = buildSummary(sums, service, parts.listServers(service));
       if (summary !== undefined) groups.set(ranking, [...(groups.get(ranking) ?? []), summary]);
     }
+    const isAllCalm = [...groups.values()].every((summaries) => summaries.every(isCalm));
+    if (isAllCalm && now - toldAt < CALM_INTERVAL_MS) return;
+    if (groups.size > 0) toldAt = now;
     for (const [ranking, services] of groups) {
       parts.broadcast({ kind: 'load-summary', ranking, services });
       readSummaries(services, now);
