--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -10,8 +10,6 @@
 } from '@tarragonspool/core';
 import type {
   PeerMessage,
-  PermitMessage,
-  PoolMessage,
   QuarantineScope,
   ServiceName,
   UpstreamId,
@@ -31,6 +29,7 @@
 import { makeGatewayMetrics } from './gateway-metrics.js';
 import { ASSUMED_VM_COUNT, makeGatewayState, type GatewayState } from './gateway-state.js';
 import { computeHeldLimit, makeHeldBytes } from './held-bytes.js';
+import { startLoadSharing } from './load-sharing.js';
 import { startMembership, type PeerMeshHolder, type StartTask } from './membership.js';
 import { makePartGuard } from './part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
@@ -102,7 +101,7 @@
   const meshHolder: PeerMeshHolder = { mesh: undefined };
   const stateHolder: { state: GatewayState | undefined } = { state: undefined };
   const takeFraction = Math.random;
-  const sendTo = (vmId: VmId, message: PoolMessage | PermitMessage): void => {
+  const sendTo = (vmId: VmId, message: PeerMessage): void => {
     meshHolder.mesh?.sendTo(vmId, message);
   };
   const broadcast = (message: PeerMessage): void => meshHolder.mesh?.broadcast(message);
@@ -228,6 +227,15 @@
     },
     getSteadyMs(),
   );
+  const sharedLoads = startLoadSharing({
+    self,
+    sendTo,
+    broadcast,
+    getState: () => stateHolder.state,
+    findOwner: pools.findOwner,
+    metrics,
+    logger,
+  });
   const parts = {
     settings,
     ports,
@@ -242,6 +250,7 @@
       computeHeldLimit((stateHolder.state?.settings ?? settings).memoryMb),
     ),
     partGuard,
+    sharedLoads,
     quarantineWakeups,
     broadcast,
     fleet,
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -54,6 +54,8 @@
   readonly retrySlack: number;
   /** How much more than its limit a tenant may use in a window. */
   readonly quotaBounds: QuotaBounds;
+  /** Names of contracts that the deployment asks for; unknown ones are ignored. */
+  readonly contracts: readonly string[];
 };
 
 /** One row that changed; its value is undefined if it was removed. */
