Pools: predict free slots and prefill room from expected ends instead of a mean rate

Now slot-forecast.ts lists when each slot and each prefill engine becomes free and takes them in the order of service. Answers past their expected end count as ends that are spread over a mean overrun which is measured; late prompts as expected to take as long again as they are late. Requests that cannot meet their target are admitted and served only if arrivals on time leave slots over for as long as they would be occupied.

--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -1,6 +1,12 @@
 /** Decides which slot requests to refuse early, on arrival and while they wait. */
 
-import { countFreeSlots, isServedBefore, isServedFirst, canMeetTarget } from './placing.js';
+import {
+  canMeetTarget,
+  countFreeSlots,
+  isServedBefore,
+  isServedFirst,
+  predictSpareStart,
+} from './placing.js';
 import { measureArrivalRate } from './rank-rates.js';
 import {
   measureServiceRate,
@@ -10,6 +16,7 @@
   type PoolState,
   type WaitingSlotRequest,
 } from './pool-state.js';
+import { buildSlotForecast, takeStart } from './slot-forecast.js';
 import type { SlotRequest, PoolAction, RefusalReason } from './pool-types.js';
 
 const MS_PER_S = 1_000;
@@ -22,8 +29,8 @@
 const RETRY_SPREAD = 0.5;
 /** Spare rates below this count as none, in answers started per second. */
 const MIN_SPARE_RATE = 0.25;
-/** Factor on the predicted rates when estimating a wait. */
-const RATE_SAFETY_FACTOR = 0.9;
+/** Factor on a predicted wait: answers that last longer than expected delay every later start. */
+const WAIT_SAFETY_FACTOR = 1.1;
 
 function countWaiting(state: PoolState, isCounted: (slotRequest: SlotRequest) => boolean): number {
   let count = 0;
@@ -79,21 +86,51 @@
   };
 }
 
-/** Predicts how many milliseconds a request waits behind those that are served before it. */
-function predictWaitMs(state: PoolState, slotRequest: SlotRequest, now: number): number {
-  if (canMeetTarget(state, slotRequest, now)) {
-    const ahead = countWaiting(
-      state,
-      (other) => isServedFirst(state, other, now) && isServedBefore(state, other, slotRequest, now),
-    );
-    if (ahead === 0) return 0;
-    // Arrivals of higher ranks during the wait are served before this request as well.
-    const rate = RATE_SAFETY_FACTOR * measureSpareRate(state, now, slotRequest.rank);
-    return rate <= 0 ? Infinity : (MS_PER_S * ahead) / rate;
+/**
+ * Predicts when a request that can still meet its target starts, after those that are served before
+ * it; the search ends at `limitAt`.
+ */
+function predictStart(
+  state: PoolState,
+  slotRequest: SlotRequest,
+  now: number,
+  limitAt: number,
+): number {
+  const forecast = buildSlotForecast(state, slotRequest, now);
+  for (const { ask: other } of state.waiting.values()) {
+    if (other === slotRequest || !isServedFirst(state, other, now)) continue;
+    if (isServedBefore(state, other, slotRequest, now)) takeStart(forecast, other);
   }
-  const spareRate = RATE_SAFETY_FACTOR * measureSpareRate(state, now);
-  if (spareRate < MIN_SPARE_RATE) return Infinity;
-  return (MS_PER_S * state.waiting.size) / spareRate;
+  // Arrivals of higher ranks during the wait are served before this request as well.
+  const ratePerMs = measureArrivalRate(state.ranks, now, slotRequest.rank) / MS_PER_S;
+  const typical = { promptTokens: state.promptTokens, needsPrefill: true };
+  let startAt = takeStart(forecast, slotRequest);
+  for (let passed = 1; passed <= ratePerMs * (startAt - now); passed += 1) {
+    if (startAt > limitAt) break;
+    startAt = takeStart(forecast, typical);
+  }
+  return startAt;
+}
+
+/** Whether a request that waits is expected to meet its target. */
+function isOnTimeStartLikely(state: PoolState, slotRequest: SlotRequest, now: number): boolean {
+  if (!canMeetTarget(state, slotRequest, now)) return false;
+  const latestAt = slotRequest.aimAt - predictFirstEventMs(state, slotRequest);
+  const waitMs = predictStart(state, slotRequest, now, latestAt) - now;
+  return now + WAIT_SAFETY_FACTOR * waitMs <= latestAt;
+}
+
+/** Whether spare slots are expected to reach a request before its caller's deadline. */
+function isSpareStartLikely(state: PoolState, slotRequest: SlotRequest, now: number): boolean {
+  const latestAt = slotRequest.patienceEndsAt - predictFirstEventMs(state, slotRequest);
+  const ahead = countWaiting(
+    state,
+    (other) =>
+      other !== slotRequest &&
+      (isServedFirst(state, other, now) || other.patienceEndsAt <= slotRequest.patienceEndsAt),
+  );
+  const waitMs = predictSpareStart(state, slotRequest, ahead, now, latestAt) - now;
+  return now + WAIT_SAFETY_FACTOR * waitMs <= latestAt;
 }
 
 /** Finds the reason to refuse a request that has just been queued; undefined if it may wait. */
@@ -104,11 +141,8 @@
 ): RefusalReason | undefined {
   // Engines have already prefilled the prompt or begun the answer: a refusal would waste that work.
   if (slotRequest.isContinued) return undefined;
-  const firstEventMs = predictFirstEventMs(state, slotRequest);
-  const waitMs = predictWaitMs(state, slotRequest, now);
-  const isTargetReachable = canMeetTarget(state, slotRequest, now);
-  const limitAt = isTargetReachable ? slotRequest.aimAt : slotRequest.patienceEndsAt;
-  return now + waitMs + firstEventMs > limitAt ? 'overloaded' : undefined;
+  if (isOnTimeStartLikely(state, slotRequest, now)) return undefined;
+  return isSpareStartLikely(state, slotRequest, now) ? undefined : 'overloaded';
 }
 
 /** Whether an engine of the pool may decode a request, as far as its version goes. */
--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -68,11 +68,11 @@
  */
 const OVERDUE_EXTENSION_SHARE = 0.2;
 /** Prompts at one prefill engine at a time: one is processed while the next arrives. */
-const MAX_PREFILLS = 2;
+export const MAX_PREFILLS = 2;
 /**
  * Concurrent prompts slow each other, so the next is sent when the previous one has this time left.
  */
-const PREFILL_LEAD_MS = 60;
+export const PREFILL_LEAD_MS = 60;
 /** Factor on the earlier prefill totals of an engine at each new sample. */
 const PREFILL_DECAY = 0.93;
 /** Usual time between two events of an answer; a local prefill adds to it. */
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -23,20 +23,22 @@
   estimateAnswerTokens,
   MIN_PREFILL_SAMPLES,
   measurePrefillMsPerToken,
-  measureServiceRate,
+  measurePromptRate,
   predictFirstEventMs,
   predictOccupancyMs,
   predictLocalPrefillMs,
   type PoolState,
   type WaitingSlotRequest,
 } from './pool-state.js';
+import { buildSlotForecast, predictSpareSlot } from './slot-forecast.js';
 import type { SlotRequest, SlotAssignment, PoolAction } from './pool-types.js';
 
+const MS_PER_S = 1_000;
 /** Share of all slots that is reserved for arrivals that can meet their latency target. */
 const RESERVED_SLOT_SHARE = 0.08;
 /**
- * Share of the service rate that arrivals with reachable targets may take before other requests
- * have to wait: above it, more arrivals are expected than slots become free.
+ * Share of the prompt rate that arrivals with reachable targets may take before other requests have
+ * to wait: above it, more arrivals are expected than prompts can be prefilled.
  */
 const MAX_ON_TIME_LOAD = 0.95;
 
@@ -330,11 +332,25 @@
   return free;
 }
 
-/** Whether requests that can no longer meet their target may take slots now. */
-function hasSpareSlots(state: PoolState, now: number): boolean {
-  const reserved = Math.ceil(RESERVED_SLOT_SHARE * countSlots(state));
-  if (countFreeSlots(state, now) <= reserved) return false;
-  return measureArrivalRate(state.ranks, now) <= MAX_ON_TIME_LOAD * measureServiceRate(state, now);
+/**
+ * Predicts when a request that cannot meet its target gets a slot that none of the others needs:
+ * neither the `ahead` requests before it, nor the arrivals that can meet their target. Infinity if
+ * that is after `limitAt`.
+ */
+export function predictSpareStart(
+  state: PoolState,
+  slotRequest: SlotRequest,
+  ahead: number,
+  now: number,
+  limitAt: number,
+): number {
+  const arrivalRate = measureArrivalRate(state.ranks, now);
+  const spareRate = MAX_ON_TIME_LOAD * measurePromptRate(state, now) - arrivalRate;
+  if (slotRequest.needsPrefill && spareRate <= 0) return Infinity;
+  const promptAt = slotRequest.needsPrefill ? now + (MS_PER_S * ahead) / spareRate : now;
+  const taken = ahead + Math.ceil(RESERVED_SLOT_SHARE * countSlots(state));
+  const forecast = buildSlotForecast(state, slotRequest, now);
+  return Math.max(promptAt, predictSpareSlot(forecast, { arrivalRate, taken }, now, limitAt));
 }
 
 function listWaiting(
@@ -370,9 +386,11 @@
   if (isBlocked) return actions;
   const others = listWaiting(state, (slotRequest) => !isFirst(slotRequest));
   others.sort((a, b) => a.ask.patienceEndsAt - b.ask.patienceEndsAt);
+  let isSpareKnown = false;
   for (const waiting of others) {
-    if (!hasSpareSlots(state, now)) break;
-    grant(waiting);
+    if (!isSpareKnown && predictSpareStart(state, waiting.ask, 0, now, now) > now) break;
+    // A failed grant leaves the forecast as it is.
+    isSpareKnown = !grant(waiting);
   }
   return actions;
 }
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -38,6 +38,8 @@
   occupancyMs: number;
   /** Completed answers that the occupancy estimates were updated with. */
   occupancyCount: number;
+  /** Time that overdue answers outlast their expected end, relative to their expected duration. */
+  overrunShare: number;
   /** Mean tokens of a prompt, and of a complete answer. */
   promptTokens: number;
   outputTokens: number;
@@ -62,6 +64,9 @@
 const PREFILL_DECAY = 0.95;
 const INITIAL_OCCUPANCY_MS = 3_500;
 const INITIAL_PROMPT_TOKENS = 5_000;
+const INITIAL_OVERRUN_SHARE = 0.2;
+/** A single answer counts with no longer an overrun than this; VMs may report its end late. */
+const MAX_OVERRUN_SHARE = 2;
 /** Weight of one sample in a moving average. */
 const ESTIMATE_WEIGHT = 0.05;
 const MS_PER_S = 1_000;
@@ -86,6 +91,7 @@
     localPrefillMsPerToken: INITIAL_LOCAL_PREFILL_MS_PER_TOKEN,
     occupancyMs: INITIAL_OCCUPANCY_MS,
     occupancyCount: 0,
+    overrunShare: INITIAL_OVERRUN_SHARE,
     promptTokens: INITIAL_PROMPT_TOKENS,
     outputTokens: 0,
     prefillUsableAt: 0,
@@ -128,6 +134,15 @@
   }
 }
 
+/** Updates the mean overrun with a completed answer, if it has outlasted its expected end. */
+function recordOverrun(state: PoolState, assignment: SlotAssignment, now: number): void {
+  const overrunMs = now - assignment.expectedEndAt;
+  if (overrunMs <= 0) return;
+  const expectedMs = Math.max(1, assignment.expectedEndAt - assignment.grantedAt);
+  const share = Math.min(MAX_OVERRUN_SHARE, overrunMs / expectedMs);
+  state.overrunShare += ESTIMATE_WEIGHT * (share - state.overrunShare);
+}
+
 /** Updates the occupancy estimates with a completed answer. */
 export function recordOccupancy(
   state: PoolState,
@@ -136,6 +151,7 @@
   now: number,
 ): void {
   const occupiedMs = now - assignment.grantedAt;
+  recordOverrun(state, assignment, now);
   state.occupancyCount += 1;
   state.occupancyMs = updateEstimate(state.occupancyMs, occupiedMs);
   if (assignment.ask.outputTokens <= 0) return;
@@ -327,7 +343,8 @@
   return rate;
 }
 
-function hasLimitedPrefill(state: PoolState): boolean {
+/** Whether a prefill engine limits the requests that it takes. */
+export function hasLimitedPrefill(state: PoolState): boolean {
   for (const { engine } of state.engines.values()) {
     const { stage, isLeaving, requestsPerSecond } = engine;
     if (stage === 'prefill' && !isLeaving && requestsPerSecond !== undefined) return true;
@@ -335,15 +352,18 @@
   return false;
 }
 
+/** Returns the prompts per second that the pool can prefill, at prefill engines or locally. */
+export function measurePromptRate(state: PoolState, now: number): number {
+  const prefillRate = measurePrefillRate(state, now);
+  // Decode engines also prefill what the limits of prefill engines leave over.
+  const usesLocal = prefillRate === 0 || hasLimitedPrefill(state);
+  return prefillRate + (usesLocal ? measureLocalPrefillRate(state, now) : 0);
+}
+
 /**
  * Returns how many answers per second the pool can start, limited by its slots and its prefill
  * speed.
  */
 export function measureServiceRate(state: PoolState, now: number): number {
-  const slotRate = measureSlotRate(state);
-  const prefillRate = measurePrefillRate(state, now);
-  // Decode engines also prefill what the limits of prefill engines leave over.
-  const usesLocal = prefillRate === 0 || hasLimitedPrefill(state);
-  const localRate = usesLocal ? measureLocalPrefillRate(state, now) : 0;
-  return Math.min(slotRate, prefillRate + localRate);
+  return Math.min(measureSlotRate(state), measurePromptRate(state, now));
 }
