--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -60,11 +60,11 @@
 /** Highest share of the KV cache that is assigned. */
 export const MAX_MEMORY_SHARE = 0.98;
 /** Prompts at one prefill engine at a time: one is processed while the next arrives. */
-const MAX_PREFILLS = 2;
+export const MAX_PREFILLS = 2;
 /**
  * Concurrent prompts slow each other, so the next is sent when the previous one has this time left.
  */
-const PREFILL_LEAD_MS = 60;
+export const PREFILL_LEAD_MS = 60;
 /** Factor on the earlier prefill totals of an engine at each new sample. */
 const PREFILL_DECAY = 0.93;
 /** Usual time between two events of an answer; a local prefill adds to it. */
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -1,5 +1,6 @@
 /** State of one pool, and the estimates that its decisions are based on. */
 
+import { makeEndRatios, recordEndRatio, type EndRatios } from './answer-ends.js';
 import {
   countUsableSlots,
   isChanging,
@@ -15,12 +16,19 @@
   type MemoryView,
 } from './engine-memory.js';
 import { makeRankRates, type RankRates } from './rank-rates.js';
+import { makeRetryReturns, type RetryReturns } from './retry-returns.js';
 import type { PlannedEngine, RequestNeeds } from '../stages/stage-plan.js';
 import { makePermitSchedules, type PermitSchedules } from '../routing/request-permits.js';
 import type { SlotRequestId, SlotRequest, SlotAssignment } from './pool-types.js';
 
 /** A request that waits for a slot. */
-export type WaitingSlotRequest = { readonly ask: SlotRequest; readonly askedAt: number };
+export type WaitingSlotRequest = {
+  readonly ask: SlotRequest;
+  readonly askedAt: number;
+  /** Whether it could meet its target when it was last decided that it may wait, and when that was. */
+  wasOnTime: boolean;
+  decidedAt: number;
+};
 
 /** State of one pool. Estimates decay: recent samples count more than old ones. */
 export type PoolState = {
@@ -44,6 +52,8 @@
   occupancyMs: number;
   /** Completed answers that the occupancy estimates were updated with. */
   occupancyCount: number;
+  /** How recent answers were spread around their expected ends. */
+  readonly endRatios: EndRatios;
   /** Mean tokens of a prompt, and of a complete answer. */
   promptTokens: number;
   outputTokens: number;
@@ -53,6 +63,8 @@
   prefillUsableAt: number;
   /** Arrivals that could still meet their latency target, by rank. */
   readonly ranks: RankRates;
+  /** When refused callers were told to come back. */
+  readonly returns: RetryReturns;
   /** Returns a random number in [0, 1), so that refused callers do not retry all at once. */
   readonly takeFraction: () => number;
   /** Permits of engines that limit their requests. */
@@ -76,7 +88,7 @@
 /** An engine that is avoided for no longer than this still counts as capacity. */
 const SHORT_AVOID_MS = 400;
 /** Time for the transfer of the KV cache and the first decode step. */
-const FIRST_EVENT_MS = 80;
+export const FIRST_EVENT_MS = 80;
 
 /** Makes the state of a pool without engines. */
 export function makePoolState(
@@ -94,11 +106,13 @@
     localPrefillMsPerToken: INITIAL_LOCAL_PREFILL_MS_PER_TOKEN,
     occupancyMs: INITIAL_OCCUPANCY_MS,
     occupancyCount: 0,
+    endRatios: makeEndRatios(),
     promptTokens: INITIAL_PROMPT_TOKENS,
     outputTokens: 0,
     memory: makeMemoryEstimates(),
     prefillUsableAt: 0,
     ranks: makeRankRates(),
+    returns: makeRetryReturns(),
     takeFraction,
     permits,
     keepsPermits: true,
@@ -145,6 +159,8 @@
   now: number,
 ): void {
   const occupiedMs = now - assignment.grantedAt;
+  const expectedMs = assignment.expectedEndAt - assignment.grantedAt;
+  recordEndRatio(state.endRatios, occupiedMs, expectedMs);
   state.occupancyCount += 1;
   state.occupancyMs = updateEstimate(state.occupancyMs, occupiedMs);
   if (assignment.ask.outputTokens <= 0) return;
@@ -342,7 +358,8 @@
   return rate;
 }
 
-function hasLimitedPrefill(state: PoolState): boolean {
+/** Whether a prefill engine limits the requests that it takes. */
+export function hasLimitedPrefill(state: PoolState): boolean {
   for (const { engine } of state.engines.values()) {
     const { stage, isLeaving, requestsPerSecond } = engine;
     if (stage === 'prefill' && !isLeaving && requestsPerSecond !== undefined) return true;
@@ -350,15 +367,18 @@
   return false;
 }
 
+/** Returns the prompts per second that the pool can prefill, at prefill engines or locally. */
+export function measurePromptRate(state: PoolState, now: number): number {
+  const prefillRate = measurePrefillRate(state, now);
+  // Decode engines also prefill what the limits of prefill engines leave over.
+  const usesLocal = prefillRate === 0 || hasLimitedPrefill(state);
+  return prefillRate + (usesLocal ? measureLocalPrefillRate(state, now) : 0);
+}
+
 /**
  * Returns how many answers per second the pool can start, limited by its slots and its prefill
  * speed.
  */
 export function measureServiceRate(state: PoolState, now: number): number {
-  const slotRate = measureSlotRate(state);
-  const prefillRate = measurePrefillRate(state, now);
-  // Decode engines also prefill what the limits of prefill engines leave over.
-  const usesLocal = prefillRate === 0 || hasLimitedPrefill(state);
-  const localRate = usesLocal ? measureLocalPrefillRate(state, now) : 0;
-  return Math.min(slotRate, prefillRate + localRate);
+  return Math.min(measureSlotRate(state), measurePromptRate(state, now));
 }
