Pools: the overload model's engines have slots for seven and memory to spare

The model never runs out of memory, but forecasts of memory now leave a margin, so the same fleet started fewer streams than the bounds ask for. Memory limits have tests of their own; here slots bind at the same capacity, and all bounds stay.

--- a/packages/core/src/pools/overload-test-kit.ts
+++ b/packages/core/src/pools/overload-test-kit.ts
@@ -85,7 +85,8 @@
     fleet.push({ engine: buildEngine(`p${index}`, { stage: 'prefill' }), speed: getSpeed(index) });
   }
   for (let index = 0; index < decodeCount; index += 1) {
-    const engine = buildEngine(`d${index}`, { slots: 12, kvCapacityTokens: 66_000 });
+    // Slots bind: how memory limits them is tested with the memory forecasts, and these engines never run out of it.
+    const engine = buildEngine(`d${index}`, { slots: 7, kvCapacityTokens: 400_000 });
     fleet.push({ engine, speed: getSpeed(index) });
   }
   return fleet;
