Answers: only status 200 to 599 counts, and an end in the middle of an upload is no end

Cause 1: statuses 600 to 999 passed the check of heads, and their connections were kept. A server that reads nothing more from such a connection lets the next call wait for its deadline (504) without having been asked; the call after that has a new connection. Before: 600, 504, 600 in the whole-path test; now 502 three times, the server asked each time. Cause 2: an answer that ends with its connection was probed for a reset alone, while the rest of the request still waited here or in the system's buffer (up to 4 MB). Before: with a server that half-closes after its first read, 20 of 20 uploads of 300 kB to 3.5 MB ended as whole; now 0 of 20. With a valid status, a kept connection that its server does not read still costs the next call its deadline; nothing tells it from a slow answer.

--- a/packages/router/src/http/answer-head.ts
+++ b/packages/router/src/http/answer-head.ts
@@ -2,9 +2,10 @@
 
 import { validateHeaderName, validateHeaderValue } from 'node:http';
 
-/** Answers before the last one have these statuses; they are no answers. */
+/** Lower ones are of answers before the last one. */
 const FIRST_FINAL_STATUS = 200;
-const LAST_STATUS = 999;
+/** HTTP has no higher ones (RFC 9110, section 15), and callers may not know what to do with them. */
+const LAST_STATUS = 599;
 
 /**
  * Finds why a head cannot be passed on; undefined if it can. `rawHeaders` holds names and values in
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -18,6 +18,7 @@
 import { parseAddress } from '../http/parse-address.js';
 import { canCarryMore, chooseAgent, findForeignReason, recordCarried } from './carried-requests.js';
 import { makePieceJoiner } from './piece-joiner.js';
+import { writeBody } from './request-body.js';
 
 /** One request to a server. */
 export type UpstreamCall = {
@@ -245,6 +246,10 @@
   /** An answer that ends with its connection is whole only if the connection was not reset. */
   function probeEnd(socket: Socket): void {
     if (isOver || answer === undefined || findFraming(answer) !== 'connection') return;
+    if (!outgoing.writableFinished) {
+      fail('ended before its request was written');
+      return;
+    }
     isProbing = true;
     socket.write(END_PROBE, (error) => {
       isProbing = false;
@@ -315,7 +320,7 @@
   outgoing.on('close', () => {
     if (!hasEnded && answer?.complete !== true) fail('closed without an answer');
   });
-  outgoing.end(call.body.length > 0 ? call.body : undefined);
+  writeBody(outgoing, call.body);
 
   return {
     cancel: () => {
