--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export * from './allocation/allocator.js';
 export * from './burn/bucket-ring.js';
 export * from './burn/burn.js';
+export { makeRandom, takeFraction } from './allocation/random.js';
 export * from './allocation/recovery.js';
 export * from './bytes/index.js';
 export * from './claims/claim-machine.js';
--- a/packages/router/src/quotas/quota-test-kit.ts
+++ b/packages/router/src/quotas/quota-test-kit.ts
@@ -1,7 +1,9 @@
 /** Plays the quotas of a fleet without a network: VMs, their links, faults and the requests of one tenant. */
 
 import {
+  makeRandom,
   rankVms,
+  takeFraction as takeRandomFraction,
   type QuotaAdmission,
   type QuotaBounds,
   type Tenant,
@@ -87,17 +89,6 @@
 
 type Envelope = { from: number; to: number; message: QuotaMessage | AliveMessage; life: number };
 
-/** Makes random numbers from 0 to 1 that a seed determines. */
-function makeFractions(seed: number): () => number {
-  let state = seed + 0x6d2b79f5;
-  return () => {
-    state = (state + 0x6d2b79f5) % 0x100000000;
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 0x100000000;
-  };
-}
-
 function buildTenant({ ratePerSecond, burst }: QuotaPlay): Tenant {
   const quota = { ratePerSecond, burst, unit: 'token', plainTokens: MAX_COST } as const;
   return { name: 'tenant' as TenantName, priority: undefined, quota };
@@ -115,10 +106,10 @@
 };
 
 /** Plays the quotas of a fleet. */
-// eslint-disable-next-line max-lines-per-function -- one closed simulation
 export function playQuotas(play: QuotaPlay): QuotaOutcome {
   const { vmCount, faults, forMs } = play;
-  const takeFraction = makeFractions(play.seed);
+  const random = makeRandom(play.seed);
+  const takeFraction = (): number => takeRandomFraction(random);
   const tenant = buildTenant(play);
   const directory: TenantDirectory = {
     tenants: new Map([[tenant.name, tenant]]),
@@ -278,7 +269,7 @@
   }
 
   for (let index = 0; index < vmCount; index += 1) {
-    const vmId = members[index]!.vmId;
+    const { vmId } = members[index]!;
     const tickAt = takeFraction() * QUOTA_TICK_MS;
     const aliveAt = takeFraction() * ALIVE_MS;
     const task = undefined as unknown as QuotaTask;
