Shared loads: a VM that hears less than half of the listed VMs does not sum

Cause: a VM without links takes itself for the first of the ranking, and its sums hold its own load only, so every server looks free. Without sums it chooses as before.

--- a/packages/core/src/speeds/service-room.ts
+++ b/packages/core/src/speeds/service-room.ts
@@ -58,7 +58,7 @@
 };
 
 /** Computes the calls per second that servers can be sent; undefined if there is room for all. */
-export function computeSupply(servers: readonly RoomServer[]): number | undefined {
+function computeSupply(servers: readonly RoomServer[]): number | undefined {
   let handles = 0;
   let knownHandles = 0;
   let inFlight = 0;
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -205,6 +205,7 @@
     broadcast,
     getState: () => stateHolder.state,
     findOwner: pools.findOwner,
+    countLiveVms: pools.countLiveVms,
     metrics,
     logger,
   });
--- a/packages/router/src/gateway/load-sharing.ts
+++ b/packages/router/src/gateway/load-sharing.ts
@@ -16,8 +16,12 @@
   readonly metrics: SharedLoadParts['metrics'];
   readonly getState: () => GatewayState | undefined;
   readonly findOwner: (ranking: ServiceName) => VmId;
+  readonly countLiveVms: () => number;
 };
 
+/** A VM that hears fewer of the listed VMs does not sum: what it knows of the servers' load is too little. */
+const LEAST_HEARD_SHARE = 0.5;
+
 /** Whether VMs share the load of a service: only then each of them sees too little to choose by. */
 export function isLoadShared(state: GatewayState, service: ServiceName): boolean {
   const { settings, configuration, listedVmCount = 0, upstreams } = state;
@@ -32,7 +36,7 @@
 
 /** Starts to share the load of plain services where that is on. */
 export function startLoadSharing(parts: LoadSharingParts): SharedLoads {
-  const { getState, findOwner } = parts;
+  const { self, getState, findOwner, countLiveVms } = parts;
   const sharedLoads = makeSharedLoads(
     {
       ...parts,
@@ -41,7 +45,12 @@
         return state !== undefined && isLoadShared(state, service);
       },
       findRanking: (service) => getState()?.fleet.findRankingName(service) ?? service,
-      findLeader: findOwner,
+      findLeader: (ranking) => {
+        const leader = findOwner(ranking);
+        const listed = getState()?.listedVmCount ?? Infinity;
+        const canSum = leader !== self || countLiveVms() >= LEAST_HEARD_SHARE * listed;
+        return canSum ? leader : undefined;
+      },
       listServers: (service) => {
         const state = getState();
         return state === undefined
--- a/packages/router/src/speeds/shared-loads.test.ts
+++ b/packages/router/src/speeds/shared-loads.test.ts
@@ -12,7 +12,7 @@
 type Fleet = {
   readonly vms: ReadonlyMap<VmId, SharedLoads>;
   /** The VM that each VM reports to. */
-  readonly leaders: Map<VmId, VmId>;
+  readonly leaders: Map<VmId, VmId | undefined>;
   /** VMs whose messages are lost. */
   readonly lost: Set<VmId>;
   readonly sent: { readonly from: VmId; readonly kind: LoadMessage['kind'] }[];
@@ -24,7 +24,7 @@
 function makeFleet(isShared = true): Fleet {
   let now = 0;
   const vms = new Map<VmId, SharedLoads>();
-  const leaders = new Map(NAMES.map((name) => [name, FIRST]));
+  const leaders = new Map<VmId, VmId | undefined>(NAMES.map((name) => [name, FIRST]));
   const lost = new Set<VmId>();
   const sent: { from: VmId; kind: LoadMessage['kind'] }[] = [];
   const deliver = (from: VmId, to: VmId, message: LoadMessage): void => {
@@ -40,7 +40,7 @@
       },
       isShared: () => isShared,
       findRanking: () => 'hubs' as ServiceName,
-      findLeader: () => leaders.get(self) ?? self,
+      findLeader: () => leaders.get(self),
       listServers: () => [{ upstreamId: SERVER, slots: 2 }],
       metrics: { loadSummaries: { set: () => undefined } },
       logger: pino({ level: 'silent' }),
@@ -154,3 +154,12 @@
   const reports = fleet.sent.filter(({ kind }) => kind === 'load-report');
   expect(reports).to.have.length(10 * (NAMES.length - 1));
 });
+
+it('shared loads: a VM that hears too few others to sum goes on without sums', () => {
+  const fleet = makeFleet();
+  for (const vm of fleet.vms.values()) vm.beginSend(SERVICE, SERVER, 0);
+  fleet.run(500);
+  fleet.leaders.set(SECOND, undefined);
+  fleet.run(800);
+  expect(findInFlight(fleet, SECOND)).to.equal(undefined);
+});
--- a/packages/router/src/speeds/shared-loads.ts
+++ b/packages/router/src/speeds/shared-loads.ts
@@ -43,9 +43,10 @@
   readonly broadcast: (message: LoadMessage) => void;
   /** Whether the load of a service is shared. */
   readonly isShared: (service: ServiceName) => boolean;
-  /** Name of the ranking whose first VM sums the reports of a service, and that VM. */
+  /** Name of the ranking whose first VM sums the reports of a service. */
   readonly findRanking: (service: ServiceName) => ServiceName;
-  readonly findLeader: (ranking: ServiceName) => VmId;
+  /** Finds that VM; undefined if it would be this one, and too few others reach it. */
+  readonly findLeader: (ranking: ServiceName) => VmId | undefined;
   readonly listServers: (service: ServiceName) => readonly SummedServer[];
   readonly metrics: SharedLoadMetrics;
   readonly logger: Logger;
@@ -126,6 +127,7 @@
       const to = parts.findLeader(ranking);
       if (to !== leader) logger.info({ ranking, leader: to }, 'loads: load is reported to this VM');
       leader = to;
+      if (to === undefined) continue;
       if (to === self) recordReport(sums, self, services, now);
       else parts.sendTo(to, { kind: 'load-report', ranking, services });
     }
