--- a/packages/core/src/speeds/load-sums.ts
+++ b/packages/core/src/speeds/load-sums.ts
@@ -71,7 +71,7 @@
 /** A longer step shows that this process stood still: reports of unknown age were read at once. */
 const MAX_STEP_MS = 300;
 /** Times over which the arrivals now and usually are averaged. */
-const NOW_MS = 300;
+const NOW_MS = 200;
 const USUAL_MS = 300_000;
 /** A tenant that sends less than this is forgotten. */
 const LEAST_PER_S = 0.01;
