--- a/packages/core/src/speeds/server-loads.test.ts
+++ b/packages/core/src/speeds/server-loads.test.ts
@@ -133,7 +133,7 @@
   const { calls } = runSimulation({ ...COMMON, servers, tenants: { '': perS } });
   const burst = listBetween(calls, 10_000, 14_000);
   const capacity = (6 * 1_000 * SPEEDS.reduce((sum, speed) => sum + speed, 0)) / 39;
-  expect(measureShare(burst, isOnTime)).to.be.greaterThan((0.7 * capacity) / 700);
+  expect(measureShare(burst, isOnTime)).to.be.greaterThan((0.75 * capacity) / 700);
   const refused = burst.filter(({ kind }) => kind === 'refused');
   const isQuick = ({ arrivedAt, endedAt }: CallEnd): boolean => endedAt - arrivedAt < TARGET_MS;
   expect(measureShare(refused, isQuick)).to.be.greaterThan(0.9);
@@ -151,7 +151,7 @@
   const burst = listBetween(calls, 15_000, 21_000);
   const others = burst.filter(({ tenant }) => tenant !== 'greedy');
   expect(measureShare(others, ({ kind }) => kind === 'answered')).to.be.greaterThan(0.97);
-  expect(measureShare(others, isOnTime)).to.be.greaterThan(0.8);
+  expect(measureShare(others, isOnTime)).to.be.greaterThan(0.85);
   const own = burst.filter(({ tenant }) => tenant === 'greedy');
   expect(measureShare(own, ({ kind }) => kind === 'answered')).to.be.greaterThan(0.4);
 });
