Pools: share scarce slots between tenants of one rank

Cause: a tenant with many times its usual load took the slots of the others, whose streams were refused or late as often as its own.

- tenant-shares.ts orders waiting streams of one rank by what their tenants have used lately (expected slot time, corrected at the end of the answer, half gone after 5 s), then by target.
It orders streams that are late already, too, and a refusal counts those that go before.
- A tenant that gets less than 0.35 of the share of its rank goes first; a quarter is promised.
- Slot requests carry an optional tenant; without it, as from earlier builds, the order is as before.
- allocation/caller-shares.ts becomes shares/usage-shares.ts, which now serves both programs.
- A forecast is built once per event and shared by its decisions: in an overload they were built for every waiting stream.

--- a/packages/core/src/allocation/admission.ts
+++ b/packages/core/src/allocation/admission.ts
@@ -7,7 +7,7 @@
 
 import type { ReservationRequest } from '@tarragonspool/protocol';
 import type { AllocatorAction } from './allocator-events.js';
-import { addUsage } from './caller-shares.js';
+import { addUsage } from '../shares/usage-shares.js';
 import { addDemand } from './demand.js';
 import { dropOthersToAdmit, makeQueueRoom } from './displacement.js';
 import { MIN_SAMPLES_TO_REFUSE } from './engine-estimates.js';
--- a/packages/core/src/allocation/displacement.ts
+++ b/packages/core/src/allocation/displacement.ts
@@ -5,7 +5,7 @@
 
 import type { ReservationRequest } from '@tarragonspool/protocol';
 import type { AllocatorAction } from './allocator-events.js';
-import { measureOveruse } from './caller-shares.js';
+import { measureOveruse } from '../shares/usage-shares.js';
 import { predictDeadlineMissMs } from './deadline-misses.js';
 import { getPoolSummary } from './pool-summary.js';
 import { dropWaitingRequest } from './refusals.js';
--- a/packages/core/src/allocation/refusals.ts
+++ b/packages/core/src/allocation/refusals.ts
@@ -2,7 +2,7 @@
 
 import type { Refusal, ReservationRequest, ResultName } from '@tarragonspool/protocol';
 import type { AllocatorAction } from './allocator-events.js';
-import { addUsage } from './caller-shares.js';
+import { addUsage } from '../shares/usage-shares.js';
 import { takeFraction } from './random.js';
 import type { ShardState } from './shard-state.js';
 import { removeWaiting, type WaitingRequest } from './waiting-queue.js';
--- a/packages/core/src/allocation/shard-allocator.ts
+++ b/packages/core/src/allocation/shard-allocator.ts
@@ -16,7 +16,7 @@
 } from '@tarragonspool/protocol';
 import { admitRequest, shedUnreachable } from './admission.js';
 import type { AllocatorAction, AllocatorEvent } from './allocator-events.js';
-import { removeIdleCallers } from './caller-shares.js';
+import { removeIdleUsers } from '../shares/usage-shares.js';
 import { countTakenSlots, type Engine, updateEngines } from './engine-state.js';
 import { checkGrant, checkState } from './invariants.js';
 import { isMoveWorthwhile, recordMove } from './moves.js';
@@ -201,7 +201,7 @@
   if (isSweepDue) {
     state.sweptAt = now;
     sweepReservations(state, now);
-    removeIdleCallers(state.shares, now);
+    removeIdleUsers(state.shares, now);
   }
   updateSuspects(state, now);
   const actions = [...shedUnreachable(state, now), ...grantWaiting(state, now)];
--- a/packages/core/src/allocation/shard-state.ts
+++ b/packages/core/src/allocation/shard-state.ts
@@ -2,7 +2,7 @@
 
 import type { AttemptId, CallerId, ReservationId, VmId } from '@tarragonspool/protocol';
 import type { AllocatorOptions } from './allocator-events.js';
-import { type CallerShares, makeCallerShares } from './caller-shares.js';
+import { makeUsageShares, type UsageShares } from '../shares/usage-shares.js';
 import { type Demand, makeDemand } from './demand.js';
 import { makePoolEstimates, type PoolEstimates } from './engine-estimates.js';
 import { type EnginePool, makeEnginePool, type Reservation } from './engine-state.js';
@@ -13,6 +13,9 @@
 import { makeRandom, type Random } from './random.js';
 import { makeWaitingQueue, type WaitingQueue } from './waiting-queue.js';
 
+/** Usage of a caller halves in this time. */
+const SHARE_HALF_LIFE_MS = 2_000;
+
 /** State of the allocator of one shard. Times are milliseconds since the epoch. */
 export type ShardState = {
   readonly kind: 'shard';
@@ -22,7 +25,7 @@
   readonly estimates: PoolEstimates;
   readonly prefixes: PrefixIndex;
   readonly queue: WaitingQueue;
-  readonly shares: CallerShares;
+  readonly shares: UsageShares<CallerId>;
   readonly reservations: Map<ReservationId, Reservation>;
   readonly reservationsByAttempt: Map<AttemptId, Reservation>;
   readonly moves: MoveBudget;
@@ -49,7 +52,7 @@
     estimates: makePoolEstimates(),
     prefixes: makePrefixIndex(),
     queue: makeWaitingQueue(),
-    shares: makeCallerShares(),
+    shares: makeUsageShares(SHARE_HALF_LIFE_MS),
     reservations: new Map(),
     reservationsByAttempt: new Map(),
     moves: makeMoveBudget(),
--- a/packages/core/src/allocation/waiting-request.ts
+++ b/packages/core/src/allocation/waiting-request.ts
@@ -1,7 +1,7 @@
 /** Predicts what a request needs and when it must start. Times are milliseconds since the epoch. */
 
 import type { ReservationRequest } from '@tarragonspool/protocol';
-import { measureOveruse } from './caller-shares.js';
+import { measureOveruse } from '../shares/usage-shares.js';
 import {
   DISPATCH_MS,
   FIXED_OVERHEAD_MS,
--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -10,9 +10,15 @@
   isLikelyInterrupted,
   type PoolState,
 } from './pool-state.js';
-import { canMeetTarget, isServedBefore, isServedFirst } from './service-order.js';
+import {
+  canMeetTarget,
+  compareSpareOrder,
+  isServedBefore,
+  isServedFirst,
+} from './service-order.js';
 import { predictSpareStart } from './spare-slots.js';
 import { buildSlotForecast, takeStart } from './slot-forecast.js';
+import { measureArrivalsBefore } from './tenant-shares.js';
 import type { SlotRequest, PoolAction, RefusalReason } from './pool-types.js';
 
 const MS_PER_S = 1_000;
@@ -111,8 +117,11 @@
     if (other === slotRequest || !isServedFirst(state, other, now)) continue;
     if (isServedBefore(state, other, slotRequest, now)) takeStart(forecast, other);
   }
-  // Arrivals of higher ranks during the wait are served before this request as well.
-  const ratePerMs = measureArrivalRate(state.ranks, now, slotRequest.rank) / MS_PER_S;
+  // Arrivals of higher ranks, and of tenants that use less, are served before it during the wait.
+  const ratePerMs =
+    (measureArrivalRate(state.ranks, now, slotRequest.rank) +
+      measureArrivalsBefore(state.tenants, slotRequest, now)) /
+    MS_PER_S;
   const typical = { promptTokens: state.promptTokens, needsPrefill: true };
   let startAt = takeStart(forecast, slotRequest);
   for (let passed = 1; passed <= ratePerMs * (startAt - now); passed += 1) {
@@ -143,7 +152,7 @@
     state,
     (other) =>
       other !== slotRequest &&
-      (isServedFirst(state, other, now) || other.patienceEndsAt <= slotRequest.patienceEndsAt),
+      (isServedFirst(state, other, now) || compareSpareOrder(state, other, slotRequest, now) <= 0),
   );
   // A short rise of arrivals does not refuse a request that has been let wait.
   const search = { ahead, expectsBurstEnd: isWaiting, limitAt: latestAt };
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -29,8 +29,14 @@
   type PoolState,
   type WaitingSlotRequest,
 } from './pool-state.js';
-import { canMeetTarget, compareServiceOrder, isServedFirst } from './service-order.js';
+import {
+  canMeetTarget,
+  compareServiceOrder,
+  compareSpareOrder,
+  isServedFirst,
+} from './service-order.js';
 import { isSpareNow } from './spare-slots.js';
+import { hasSeveralTenants, recordTenantGrant } from './tenant-shares.js';
 import type { SlotRequest, SlotAssignment, PoolAction } from './pool-types.js';
 
 /** Load shares by which a nearer decode engine may be fuller and is still chosen. */
@@ -283,9 +289,11 @@
 ): PoolAction | undefined {
   const assignment = chooseEngines(state, slotRequest, now);
   if (assignment === undefined) return undefined;
+  state.forecast = undefined;
   state.runs.set(slotRequest.askId, assignment);
   state.engines.get(assignment.decode)?.runs.set(slotRequest.askId, assignment);
   if (!assignment.isLate) countOnTimeGrant(state.ranks, slotRequest.rank, now);
+  recordTenantGrant(state.tenants, assignment, now);
   const { decode } = assignment;
   const prefill = assignment.prefill === decode ? undefined : assignment.prefill;
   const permits = [
@@ -331,16 +339,19 @@
   };
   const isFirst = (slotRequest: SlotRequest): boolean => isServedFirst(state, slotRequest, now);
   const servedFirst = listWaiting(state, isFirst);
-  servedFirst.sort((a, b) => compareServiceOrder(state, a.ask, b.ask, now));
+  const sort = (): unknown =>
+    servedFirst.sort((a, b) => compareServiceOrder(state, b.ask, a.ask, now));
+  sort();
   let isBlocked = false;
-  for (const waiting of servedFirst) {
+  for (let waiting = servedFirst.pop(); waiting !== undefined; waiting = servedFirst.pop()) {
     // Continues after a failed grant: a later request may be smaller, or not exclude the free
     // engine.
     if (!grant(waiting)) isBlocked = true;
+    else if (hasSeveralTenants(state.tenants)) sort();
   }
   if (isBlocked) return actions;
   const others = listWaiting(state, (slotRequest) => !isFirst(slotRequest));
-  others.sort((a, b) => a.ask.patienceEndsAt - b.ask.patienceEndsAt);
+  others.sort((a, b) => compareSpareOrder(state, a.ask, b.ask, now));
   let isSpareKnown = false;
   for (const waiting of others) {
     if (!isSpareKnown && !isSpareNow(state, waiting.ask, now)) {
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -40,6 +40,7 @@
 } from './pool-state.js';
 import { canMeetTarget } from './service-order.js';
 import { predictPendingEnd } from './slot-forecast.js';
+import { countTenantArrival, recordTenantEnd, removeIdleTenants } from './tenant-shares.js';
 import type {
   SlotRequestId,
   SlotRequest,
@@ -80,6 +81,7 @@
   const assignment = state.runs.get(slotRequestId);
   if (assignment === undefined) return undefined;
   state.runs.delete(slotRequestId);
+  recordTenantEnd(state.tenants, assignment, now);
   state.engines.get(assignment.decode)?.runs.delete(slotRequestId);
   const prefillLoad = assignment.prefill && state.engines.get(assignment.prefill);
   if (prefillLoad) dropPrefill(prefillLoad, slotRequestId, now);
@@ -121,6 +123,7 @@
   // A retry of a refused caller is no further arrival.
   if (isOnTime && !isRetry) {
     countOnTimeArrival(state.ranks, slotRequest.rank, now);
+    countTenantArrival(state.tenants, slotRequest, now);
   }
   recordRequestSize(state, slotRequest);
   const waiting = { ask: slotRequest, askedAt: now, wasOnTime: isOnTime, decidedAt: now };
@@ -243,6 +246,7 @@
 
 /** Handles one event and returns the actions that the host must perform. */
 export function handlePoolEvent(state: PoolState, event: PoolEvent, now: number): PoolAction[] {
+  state.forecast = undefined;
   switch (event.kind) {
     case 'engines-listed':
       updateEngines(state, event.engines, now);
@@ -278,6 +282,7 @@
       for (const load of state.engines.values()) dropOverduePrefills(load, now);
       forgetOldAssignments(state, now);
       forgetRefused(state, now);
+      removeIdleTenants(state.tenants, now);
       return [
         ...refuseInterrupted(state, now),
         ...grantWaiting(state, now),
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -9,7 +9,9 @@
   type EngineLoad,
   type EngineLoads,
 } from './engine-load.js';
-import { makeRankRates, type RankRates } from './rank-rates.js';
+import { makeArrivalRates, type RankRates } from './rank-rates.js';
+import type { SlotForecast } from './slot-forecast.js';
+import { makeTenantShares, type TenantShares } from './tenant-shares.js';
 import { makeRetryReturns, type RetryReturns } from './retry-returns.js';
 import type { PlannedEngine, RequestNeeds } from '../stages/stage-plan.js';
 import { makePermitSchedules, type PermitSchedules } from '../routing/request-permits.js';
@@ -55,8 +57,12 @@
   prefillUsableAt: number;
   /** Arrivals that could still meet their latency target, by rank. */
   readonly ranks: RankRates;
+  /** Recent use and arrivals by tenant. */
+  readonly tenants: TenantShares;
   /** When refused callers were told to come back. */
   readonly returns: RetryReturns;
+  /** Forecast for the current event; undefined once anything has changed. */
+  forecast: { readonly at: number; readonly forecast: SlotForecast } | undefined;
   /** Returns a random number in [0, 1), so that refused callers do not retry all at once. */
   readonly takeFraction: () => number;
   /** Permits of engines that limit their requests. */
@@ -102,8 +108,10 @@
     promptTokens: INITIAL_PROMPT_TOKENS,
     outputTokens: 0,
     prefillUsableAt: 0,
-    ranks: makeRankRates(),
+    ranks: makeArrivalRates(),
+    tenants: makeTenantShares(),
     returns: makeRetryReturns(),
+    forecast: undefined,
     takeFraction,
     permits,
     keepsPermits: true,
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -41,6 +41,8 @@
   readonly dataCentre: DataCentre;
   /** Rank of the request's route; 0 goes first. */
   readonly rank: number;
+  /** Tenant that the stream is for; undefined without tenants, or if its VM does not tell. */
+  readonly tenant?: string | undefined;
   readonly promptTokens: number;
   /** Expected length of the answer; 0 or less if unknown. */
   readonly outputTokens: number;
--- a/packages/core/src/pools/rank-rates.ts
+++ b/packages/core/src/pools/rank-rates.ts
@@ -1,10 +1,10 @@
 /**
- * Recent arrivals and on-time grants of a pool by rank. A lower rank waits behind the higher ones
- * while slots are scarce, but not without end: once its share of grants is far below that of all
- * ranks, it is served first.
+ * Recent arrivals and on-time grants of a pool by rank, or by tenant. A lower rank waits behind the
+ * higher ones while slots are scarce, and a tenant that uses more behind those that use less, but
+ * not without end: once its share of grants is far below that of all, it is served first.
  */
 
-type RankRate = {
+type ArrivalRate = {
   /** Arrivals per second that could meet their latency target, as of `at`; decays. */
   arrivalRate: number;
   /** The same over a longer time, and when the first arrival was. */
@@ -17,8 +17,10 @@
   countedAt: number;
 };
 
+/** Rates by rank or tenant. */
+export type ArrivalRates<Key> = Map<Key, ArrivalRate>;
 /** Rates by rank. */
-export type RankRates = Map<number, RankRate>;
+export type RankRates = ArrivalRates<number>;
 
 const ARRIVAL_WINDOW_MS = 1_000;
 /** Window of the rate that arrivals return to after a burst. */
@@ -28,17 +30,19 @@
 const SHARE_WINDOW_MS = 8_000;
 const MS_PER_S = 1_000;
 /** A rank is neglected if its share of grants is below this multiple of the share of all ranks. */
-const NEGLECTED_SHARE = 0.5;
+export const NEGLECTED_RANK_SHARE = 0.5;
+/** Rates without an arrival for this long are removed. */
+const IDLE_MS = 120_000;
 /** Arrivals from which a share is meaningful. */
 const MIN_ARRIVALS = 3;
 
 /** Makes rates without any arrival. */
-export function makeRankRates(): RankRates {
+export function makeArrivalRates<Key>(): ArrivalRates<Key> {
   return new Map();
 }
 
-function findRate(rates: RankRates, rank: number, now: number): RankRate {
-  const known = rates.get(rank);
+function findRate<Key>(rates: ArrivalRates<Key>, key: Key, now: number): ArrivalRate {
+  const known = rates.get(key);
   if (known !== undefined) return known;
   const rate = {
     arrivalRate: 0,
@@ -49,19 +53,19 @@
     grants: 0,
     countedAt: 0,
   };
-  rates.set(rank, rate);
+  rates.set(key, rate);
   return rate;
 }
 
-function computeArrivalRate(rate: RankRate, now: number): number {
+function computeArrivalRate(rate: ArrivalRate, now: number): number {
   return rate.arrivalRate * Math.exp(-(now - rate.at) / ARRIVAL_WINDOW_MS);
 }
 
-function computeUsualRate(rate: RankRate, now: number): number {
+function computeUsualRate(rate: ArrivalRate, now: number): number {
   return rate.usualRate * Math.exp(-(now - rate.at) / USUAL_WINDOW_MS);
 }
 
-function decayCounts(rate: RankRate, now: number): void {
+function decayCounts(rate: ArrivalRate, now: number): void {
   const factor = Math.exp(-(now - rate.countedAt) / SHARE_WINDOW_MS);
   rate.arrivals *= factor;
   rate.grants *= factor;
@@ -69,8 +73,8 @@
 }
 
 /** Counts an arrival that can still meet its latency target. */
-export function countOnTimeArrival(rates: RankRates, rank: number, now: number): void {
-  const rate = findRate(rates, rank, now);
+export function countOnTimeArrival<Key>(rates: ArrivalRates<Key>, key: Key, now: number): void {
+  const rate = findRate(rates, key, now);
   rate.arrivalRate = computeArrivalRate(rate, now) + MS_PER_S / ARRIVAL_WINDOW_MS;
   rate.usualRate = computeUsualRate(rate, now) + MS_PER_S / USUAL_WINDOW_MS;
   rate.at = now;
@@ -79,8 +83,8 @@
 }
 
 /** Counts a grant that meets its latency target. */
-export function countOnTimeGrant(rates: RankRates, rank: number, now: number): void {
-  const rate = findRate(rates, rank, now);
+export function countOnTimeGrant<Key>(rates: ArrivalRates<Key>, key: Key, now: number): void {
+  const rate = findRate(rates, key, now);
   decayCounts(rate, now);
   rate.grants += 1;
 }
@@ -108,8 +112,18 @@
   return total;
 }
 
-/** Whether a rank has got far fewer of its arrivals served than all ranks together. */
-export function isNeglected(rates: RankRates, rank: number, now: number): boolean {
+/**
+ * Whether a rank or tenant has got far fewer of its arrivals served than all together: its share of
+ * grants is below this multiple of the share of all.
+ */
+export function isNeglected<Key>(
+  rates: ArrivalRates<Key>,
+  key: Key,
+  neglectedShare: number,
+  now: number,
+): boolean {
+  const own = rates.get(key);
+  if (own === undefined) return false;
   let arrivals = 0;
   let grants = 0;
   for (const rate of rates.values()) {
@@ -117,7 +131,20 @@
     arrivals += rate.arrivals;
     grants += rate.grants;
   }
-  const own = findRate(rates, rank, now);
   if (own.arrivals < MIN_ARRIVALS) return false;
-  return own.grants / own.arrivals < NEGLECTED_SHARE * (grants / Math.max(1, arrivals));
+  return own.grants / own.arrivals < neglectedShare * (grants / Math.max(1, arrivals));
+}
+
+/** Returns the on-time arrivals per second of one rank or tenant over the last while. */
+export function measureOwnRate<Key>(rates: ArrivalRates<Key>, key: Key, now: number): number {
+  const rate = rates.get(key);
+  if (rate === undefined) return 0;
+  decayCounts(rate, now);
+  const ageMs = Math.max(MIN_USUAL_MS, now - rate.firstAt);
+  return (MS_PER_S * rate.arrivals) / (SHARE_WINDOW_MS * (1 - Math.exp(-ageMs / SHARE_WINDOW_MS)));
+}
+
+/** Removes the rates of those that have had no arrival for a long time. */
+export function removeIdleRates<Key>(rates: ArrivalRates<Key>, now: number): void {
+  for (const [key, rate] of rates) if (now - rate.at > IDLE_MS) rates.delete(key);
 }
--- a/packages/core/src/pools/service-order.ts
+++ b/packages/core/src/pools/service-order.ts
@@ -1,6 +1,7 @@
 /** The order in which waiting requests get slots. */
 
-import { isNeglected } from './rank-rates.js';
+import { isNeglected, NEGLECTED_RANK_SHARE } from './rank-rates.js';
+import { compareTenants } from './tenant-shares.js';
 import { predictFirstEventMs, type PoolState } from './pool-state.js';
 import type { SlotRequest } from './pool-types.js';
 
@@ -16,7 +17,7 @@
 
 /**
  * Orders two requests that are served first: continued ones, then neglected ranks, then by rank,
- * then by the latency target.
+ * then by the use of their tenants, then by the latency target.
  */
 export function compareServiceOrder(
   state: PoolState,
@@ -25,9 +26,13 @@
   now: number,
 ): number {
   if (one.isContinued !== other.isContinued) return one.isContinued ? -1 : 1;
-  if (one.rank === other.rank) return one.aimAt - other.aimAt;
-  const isOneNeglected = isNeglected(state.ranks, one.rank, now);
-  if (isOneNeglected !== isNeglected(state.ranks, other.rank, now)) return isOneNeglected ? -1 : 1;
+  if (one.rank === other.rank) {
+    return compareTenants(state.tenants, one, other, now) || one.aimAt - other.aimAt;
+  }
+  const isOneNeglected = isNeglected(state.ranks, one.rank, NEGLECTED_RANK_SHARE, now);
+  if (isOneNeglected !== isNeglected(state.ranks, other.rank, NEGLECTED_RANK_SHARE, now)) {
+    return isOneNeglected ? -1 : 1;
+  }
   return one.rank - other.rank;
 }
 
@@ -40,3 +45,18 @@
 ): boolean {
   return compareServiceOrder(state, one, other, now) <= 0;
 }
+
+/**
+ * Orders two requests that can no longer meet their target: by the use of their tenants, then by the
+ * caller's deadline.
+ */
+export function compareSpareOrder(
+  state: PoolState,
+  one: SlotRequest,
+  other: SlotRequest,
+  now: number,
+): number {
+  return (
+    compareTenants(state.tenants, one, other, now) || one.patienceEndsAt - other.patienceEndsAt
+  );
+}
--- a/packages/core/src/pools/slot-forecast.ts
+++ b/packages/core/src/pools/slot-forecast.ts
@@ -203,8 +203,7 @@
   return { freeAt, msPerToken: state.localPrefillMsPerToken, isLocal: true, paceMs };
 }
 
-/** Builds the forecast of the slots and prefill engines that may serve a request. */
-export function buildSlotForecast(
+function computeSlotForecast(
   state: PoolState,
   slotRequest: SlotRequest,
   now: number,
@@ -233,6 +232,29 @@
   return { slotTimes, laterSlotTimes: [], prefills, occupancyMs: state.occupancyMs };
 }
 
+/** Whether a request may be served by any engine, as nearly all are. */
+function isOrdinary({ excluded, softwareVersion }: SlotRequest): boolean {
+  return excluded.length === 0 && softwareVersion === undefined;
+}
+
+/**
+ * Builds the forecast of the slots and prefill engines that may serve a request. Ordinary requests
+ * share one until the next event or grant.
+ */
+export function buildSlotForecast(
+  state: PoolState,
+  slotRequest: SlotRequest,
+  now: number,
+): SlotForecast {
+  if (!isOrdinary(slotRequest)) return computeSlotForecast(state, slotRequest, now);
+  if (state.forecast?.at !== now) {
+    state.forecast = { at: now, forecast: computeSlotForecast(state, slotRequest, now) };
+  }
+  const { slotTimes, prefills, occupancyMs } = state.forecast.forecast;
+  const copies = prefills.map((prefill) => ({ ...prefill }));
+  return { slotTimes: [...slotTimes], laterSlotTimes: [], prefills: copies, occupancyMs };
+}
+
 function addInOrder(times: number[], at: number): void {
   let index = times.length;
   while (index > 0 && (times[index - 1] ?? 0) > at) index -= 1;
@@ -321,8 +343,12 @@
   limitAt: number,
 ): number {
   const cycleMs = Math.max(MIN_CYCLE_MS, occupancyMs);
-  const times = listRepeatedTimes(slotTimes, cycleMs, limitAt + cycleMs);
   const needed = demand.ahead + 1;
+  // Most searches are for a slot that is free now, and find none.
+  if (limitAt === now && (slotTimes[needed + demand.reserved - 1] ?? Infinity) > now) {
+    return Infinity;
+  }
+  const times = listRepeatedTimes(slotTimes, cycleMs, limitAt + cycleMs);
   const isEnough = (free: number, at: number): boolean =>
     free - predictArrivals(demand, at - now - WAITING_MS) >= needed;
   for (let index = needed + demand.reserved - 1; index < times.length;) {
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -20,6 +20,7 @@
   contentKey: id,
   dataCentre: id.default(''),
   rank: count.default(0),
+  tenant: id.optional(),
   promptTokens: z.number().nonnegative(),
   outputTokens: z.number().nonnegative(),
   aimInMs: milliseconds,
@@ -155,6 +156,8 @@
   readonly dataCentre: DataCentre;
   /** Rank of the request's route; 0 goes first. */
   readonly rank: number;
+  /** Tenant of the request; undefined if it has none, or if an earlier build sends it. */
+  readonly tenant?: string | undefined;
   readonly promptTokens: number;
   readonly outputTokens: number;
   /** Time left to meet the latency target of the first event of the answer stream. */
--- a/packages/router/src/gateway/stream-slot.ts
+++ b/packages/router/src/gateway/stream-slot.ts
@@ -12,6 +12,8 @@
 import { findEventDeadline, type StreamProgress } from './stream-progress.js';
 
 const DEFAULT_OUTPUT_SHARE = 0.5;
+/** Longest tenant that a slot request may name; longer ones are told apart by their beginning. */
+const MAX_TENANT_LENGTH = 256;
 /** Target for the gap between events if the route has none. */
 const DEFAULT_GAP_TARGET_MS = 1_000;
 
@@ -44,6 +46,7 @@
     vmId: state.settings.vmId,
     dataCentre: state.settings.dataCentre,
     rank: request.rank,
+    tenant: request.tenant?.name.slice(0, MAX_TENANT_LENGTH),
     contentKey: request.contentKey,
     promptTokens: Math.min(promptTokens, maxTokens),
     outputTokens: Math.min(outputTokens, maxTokens),
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -127,7 +127,7 @@
   function buildFields(request: PendingRequest, now: number): SlotRequestFields {
     const { service, ask: slotRequest } = request;
     const { askId, contentKey, dataCentre, rank, promptTokens, outputTokens } = slotRequest;
-    const { needsPrefill, isContinued, excluded, softwareVersion } = slotRequest;
+    const { needsPrefill, isContinued, excluded, softwareVersion, tenant } = slotRequest;
     const interruptAt = request.hasRun ? Infinity : stopAt;
     return {
       service,
@@ -135,6 +135,7 @@
       contentKey,
       dataCentre,
       rank,
+      ...(tenant === undefined ? {} : { tenant }),
       promptTokens,
       outputTokens,
       needsPrefill,
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -74,6 +74,7 @@
     contentKey: message.contentKey,
     dataCentre: message.dataCentre,
     rank: message.rank,
+    tenant: message.tenant,
     promptTokens: message.promptTokens,
     outputTokens: message.outputTokens,
     aimAt: now + message.aimInMs,
@@ -133,7 +134,7 @@
     const { askId, vmId } = slotRequest;
     if (action.kind === 'refuse') {
       const { reason, retryAfterMs, freePlaces, waiting, freshRate, serviceRate } = action;
-      const { rank } = slotRequest;
+      const { rank, tenant } = slotRequest;
       const slackMs = slotRequest.aimAt - now;
       logger.info(
         {
@@ -141,6 +142,7 @@
           askId,
           vmId,
           rank,
+          tenant,
           reason,
           retryAfterMs,
           slackMs,
