--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -42,6 +42,7 @@
 } from './pool-state.js';
 import { canMeetTarget } from './service-order.js';
 import { predictPendingEnd } from './slot-forecast.js';
+import { countTenantArrival, recordTenantEnd, removeIdleTenants } from './tenant-shares.js';
 import type {
   SlotRequestId,
   SlotRequest,
@@ -82,6 +83,7 @@
   const assignment = state.runs.get(slotRequestId);
   if (assignment === undefined) return undefined;
   state.runs.delete(slotRequestId);
+  recordTenantEnd(state.tenants, assignment, now);
   const load = state.engines.get(assignment.decode);
   if (load !== undefined) removeRun(load, slotRequestId);
   const prefillLoad = assignment.prefill && state.engines.get(assignment.prefill);
@@ -124,6 +126,7 @@
   // A retry of a refused caller is no further arrival.
   if (isOnTime && !isRetry) {
     countOnTimeArrival(state.ranks, slotRequest.rank, now);
+    countTenantArrival(state.tenants, slotRequest, now);
   }
   recordRequestSize(state, slotRequest);
   const waiting = { ask: slotRequest, askedAt: now, wasOnTime: isOnTime, decidedAt: now };
@@ -246,6 +249,7 @@
 
 /** Handles one event and returns the actions that the host must perform. */
 export function handlePoolEvent(state: PoolState, event: PoolEvent, now: number): PoolAction[] {
+  state.forecast = undefined;
   switch (event.kind) {
     case 'engines-listed':
       updateEngines(state, event.engines, now);
@@ -281,6 +285,7 @@
       for (const load of state.engines.values()) dropOverduePrefills(load, now);
       forgetOldAssignments(state, now);
       forgetRefused(state, now);
+      removeIdleTenants(state.tenants, now);
       return [
         ...refuseInterrupted(state, now),
         ...grantWaiting(state, now),
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -20,6 +20,7 @@
   contentKey: id,
   dataCentre: id.default(''),
   rank: count.default(0),
+  tenant: id.optional(),
   promptTokens: z.number().nonnegative(),
   outputTokens: z.number().nonnegative(),
   maxOutputTokens: z.number().nonnegative().optional(),
@@ -178,6 +179,8 @@
   readonly dataCentre: DataCentre;
   /** Rank of the request's route; 0 goes first. */
   readonly rank: number;
+  /** Tenant of the request; undefined if it has none, or if an earlier build sends it. */
+  readonly tenant?: string | undefined;
   readonly promptTokens: number;
   readonly outputTokens: number;
   /** Longest length of the answer; absent if unknown. */
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -127,7 +127,7 @@
   function buildFields(request: PendingRequest, now: number): SlotRequestFields {
     const { service, ask: slotRequest } = request;
     const { askId, contentKey, dataCentre, rank, promptTokens, outputTokens } = slotRequest;
-    const { maxOutputTokens } = slotRequest;
+    const { maxOutputTokens, tenant } = slotRequest;
     const { needsPrefill, isContinued, excluded, softwareVersion } = slotRequest;
     const interruptAt = request.hasRun ? Infinity : stopAt;
     return {
@@ -136,6 +136,7 @@
       contentKey,
       dataCentre,
       rank,
+      ...(tenant === undefined ? {} : { tenant }),
       promptTokens,
       outputTokens,
       maxOutputTokens,
