--- a/packages/core/src/quotas/quota-account.ts
+++ b/packages/core/src/quotas/quota-account.ts
@@ -111,7 +111,7 @@
 }
 
 /** Computes when a refused caller may come back: each after those that were refused before. */
-export function promiseRetry(
+export function scheduleRetry(
   account: QuotaAccount,
   missing: number,
   cost: number,
@@ -142,7 +142,7 @@
     return undefined;
   }
   const missing = RETRY_LEVEL * shape.spread - level;
-  return promiseRetry(account, missing, cost, shape, now);
+  return scheduleRetry(account, missing, cost, shape, now);
 }
 
 function refillOwnShare(
@@ -194,7 +194,7 @@
     own.level -= cost;
     return undefined;
   }
-  return promiseRetry(account, needed - own.level, cost, part, now);
+  return scheduleRetry(account, needed - own.level, cost, part, now);
 }
 
 /** Whether the own share has earned all that was used of it. */
--- a/packages/router/src/quotas/quota-test-kit.ts
+++ b/packages/router/src/quotas/quota-test-kit.ts
@@ -106,7 +106,7 @@
 };
 
 /** Plays the quotas of a fleet. */
-export function playQuotas(play: QuotaPlay): QuotaOutcome {
+export function runPlay(play: QuotaPlay): QuotaOutcome {
   const { vmCount, faults, forMs } = play;
   const random = makeRandom(play.seed);
   const takeFraction = (): number => takeRandomFraction(random);
@@ -341,6 +341,6 @@
 }
 
 /** Sums the cost of the runs from a time on. */
-export function sumCost(runs: readonly Run[], from = 0): number {
+export function measureCost(runs: readonly Run[], from = 0): number {
   return runs.reduce((sum, { at, cost }) => (at >= from ? sum + cost : sum), 0);
 }
--- a/packages/router/src/quotas/quotas.fuzz.test.ts
+++ b/packages/router/src/quotas/quotas.fuzz.test.ts
@@ -3,8 +3,8 @@
 import {
   computeBound,
   measureWorstWindow,
-  playQuotas,
-  sumCost,
+  runPlay,
+  measureCost,
   type Fault,
   type QuotaPlay,
 } from './quota-test-kit.js';
@@ -84,7 +84,7 @@
 it('quotas fuzz: no window exceeds the bound under kills, freezes, cuts and lost messages', () => {
   fc.assert(
     fc.property(PLAY, (play) => {
-      const worst = measureWorstWindow(playQuotas(play).runs);
+      const worst = measureWorstWindow(runPlay(play).runs);
       expect(worst).to.be.at.most(computeBound(play));
     }),
   );
@@ -93,9 +93,9 @@
 it('quotas fuzz: in calm a tenant that asks for three times its limit gets it', () => {
   fc.assert(
     fc.property(CALM_PLAY, (play) => {
-      const { runs } = playQuotas(play);
+      const { runs } = runPlay(play);
       const limit = (play.ratePerSecond * (CALM_PLAY_MS - SETTLED_MS)) / 1_000;
-      expect(sumCost(runs, SETTLED_MS)).to.be.at.least(LEAST_PART * limit);
+      expect(measureCost(runs, SETTLED_MS)).to.be.at.least(LEAST_PART * limit);
     }),
   );
 }).timeout(600_000);
