Plain services: aim at a short queue at each server

Cause: at exactly the number that servers handle well they idle between two summaries, and calls were refused that would have been on time.

--- a/packages/core/src/speeds/service-room.ts
+++ b/packages/core/src/speeds/service-room.ts
@@ -29,11 +29,11 @@
 /** Time between two summaries. */
 export const SUMMARY_INTERVAL_MS = 100;
 /** A server counts as filled up to this many times what it handles well. */
-const MAX_COUNTED_FILL = 2;
-/** Below this part of what the servers handle well there is room for all. */
-const FREE_FILL = 0.8;
-/** Part that is aimed at when there is not. */
-const AIMED_FILL = 1;
+const MAX_COUNTED_FILL = 3;
+/** Below this many times what the servers handle well there is room for all. */
+const FREE_FILL = 1.2;
+/** Fill that is aimed at when there is not: a short queue keeps servers busy between two summaries. */
+const AIMED_FILL = 1.5;
 /** Time within which a difference from that is made up: as long as it takes to see what was sent. */
 const CORRECTION_MS = 150;
 /** However full servers are, this part of what they answer goes on being sent, to see changes. */
