Pools: decode engines are chosen by their learned pace

An engine's slowness was a moving average of the time per expected token, which the error of the hints dominates, and took dozens of answers to follow a change; an engine was filled up to its slots however much it slowed down.

A Kalman filter per engine now estimates its milliseconds per token: an offset from the pool, which may change within a few answers, and a loss for each fifth of its slots in use, which changes slowly. One odd answer moves it little, a second in the same direction is a change. Samples come from the events that VMs report, else from the time per expected token. An answer goes where it ends soonest, counting that it slows the others; an engine gets no more answers at a time than it handles well (tokens per second still grow, pauses stay within 0.85 of the target; at least a quarter of its slots), and that number grows again one at a time. Ends that were expected and did not come count as slowness too. Expected ends of running answers are corrected every 100 ms, the memory forecast uses the tokens that follow from the pace, and an assignment is forgotten by its tokens rather than by its first forecast.

Ruled out: one offset without losses, which never learns that an engine that is always full would be fast half full; losses of the pool, which bad engines spoil for good ones; a limit that falls with missing ends, because an engine whose ends are not reported would lose its slots. Known weakness: while arrivals exceed the slots, an engine that is four times slower beyond half of its slots still gets too many for some seconds, because it ends few answers to learn from.

--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -2,6 +2,8 @@
 
 import type { UpstreamId } from '@tarragonspool/protocol';
 import type { EngineStage } from '../routing/routing-types.js';
+import { makeEnginePace, type EnginePace } from '../speeds/engine-pace.js';
+import { makeRunningAnswers, type RunningAnswers } from '../speeds/running-answers.js';
 import type { MemoryForecast } from './engine-memory.js';
 import type { SlotRequestId, SlotRequest, SlotAssignment, PoolEngine } from './pool-types.js';
 
@@ -41,8 +43,15 @@
   failures: number;
   /** Stage that it was ordered to change to, and when the change is certainly complete. */
   ordered: { readonly stage: EngineStage; readonly doneBy: number } | undefined;
-  /** Measured slot occupancy per expected token, relative to the pool's mean. */
-  slowness: number;
+  /** Pace of its answers, and what the running ones have generated so far. */
+  readonly pace: EnginePace;
+  readonly running: RunningAnswers;
+  /** How many answers it handles well at a time, at most its slots. */
+  handled: number;
+  /** When that number may grow again. */
+  handledGrowsAt: number;
+  /** When the expected ends of its answers are corrected again. */
+  correctAt: number;
   /**
    * Share of the KV cache that is assigned. An engine that refuses a request for lack of memory
    * shows that its answers use more than predicted, so the share shrinks and recovers slowly.
@@ -100,7 +109,11 @@
     avoidUntil: 0,
     failures: 0,
     ordered: undefined,
-    slowness: 1,
+    pace: makeEnginePace(),
+    running: makeRunningAnswers(),
+    handled: engine.slots,
+    handledGrowsAt: 0,
+    correctAt: 0,
     usableMemoryShare: MAX_MEMORY_SHARE,
     runsVersion: 0,
     memoryForecast: undefined,
@@ -121,11 +134,11 @@
 
 /** Returns how many answers of the given mean size a decode engine can serve at a time. */
 export function countUsableSlots(
-  { engine, usableMemoryShare }: EngineLoad,
+  { engine, usableMemoryShare, handled }: EngineLoad,
   meanTokens: number,
 ): number {
   const byMemory = (usableMemoryShare * engine.kvCapacityTokens) / Math.max(1, meanTokens);
-  return Math.max(1, Math.min(engine.slots, Math.floor(byMemory)));
+  return Math.max(1, Math.min(engine.slots, handled, Math.floor(byMemory)));
 }
 
 /** Whether an engine is changing to another stage. */
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -6,7 +6,6 @@
 import type { UpstreamId } from '@tarragonspool/protocol';
 import { findPermitTime, takePermit } from '../routing/request-permits.js';
 import {
-  addRun,
   countUsableSlots,
   isReadyForLocalPrefill,
   countTargetMisses,
@@ -18,6 +17,7 @@
   type EngineLoad,
 } from './engine-load.js';
 import { hasFreeSlot } from './engine-memory.js';
+import { computeDecodeCost, predictEndAt, startAnswer } from './engine-progress.js';
 import { countOnTimeGrant, isNeglected, measureArrivalRate } from './rank-rates.js';
 import {
   countSlots,
@@ -27,7 +27,6 @@
   measurePoolMemory,
   measureServiceRate,
   predictFirstEventMs,
-  predictOccupancyMs,
   predictLocalPrefillMs,
   type PoolState,
   type WaitingSlotRequest,
@@ -151,8 +150,7 @@
   load: EngineLoad,
   now: number,
 ): SlotAssignment {
-  const expectedEndAt =
-    now + predictFirstEventMs(state, slotRequest) + predictOccupancyMs(state, slotRequest, load);
+  const expectedEndAt = predictEndAt(state, load, slotRequest, now);
   const decode = load.engine.upstreamId;
   const willMissTarget = !canMeetTarget(state, slotRequest, now);
   return {
@@ -179,7 +177,10 @@
   return (isTransferLong ? TRANSFER_DISTANCE_COST : 0) + (isCallerFar ? CALLER_DISTANCE_COST : 0);
 }
 
-/** Finds a slot on the decode engine with the lowest load; undefined if none is free. */
+/**
+ * Finds a slot where the answer ends soonest, counting that it slows the others there; undefined if none
+ * is free.
+ */
 function findDecodeSlot(
   state: PoolState,
   slotRequest: SlotRequest,
@@ -188,19 +189,21 @@
 ): SlotAssignment | undefined {
   const meanTokens = estimateAnswerTokens(state);
   const memory = measurePoolMemory(state, now);
-  let best: SlotAssignment | undefined;
+  const firstEventMs = predictFirstEventMs(state, slotRequest);
+  let best: EngineLoad | undefined;
   let bestCost = Infinity;
   for (const load of state.engines.values()) {
     if (!canDecode(state, load, slotRequest, now)) continue;
-    const assignment = makeAssignment(state, slotRequest, load, now);
-    if (!hasFreeSlot(load, assignment, memory)) continue;
-    const usage = load.runs.size / countUsableSlots(load, meanTokens);
-    const cost = usage * load.slowness + computeDistanceCost(load, slotRequest, prefill);
+    if (!hasFreeSlot(load, slotRequest, firstEventMs, memory)) continue;
+    const usable = countUsableSlots(load, meanTokens);
+    const cost =
+      computeDecodeCost(state, load, slotRequest, usable, now) +
+      computeDistanceCost(load, slotRequest, prefill);
     if (cost >= bestCost) continue;
-    best = assignment;
+    best = load;
     bestCost = cost;
   }
-  return best;
+  return best && makeAssignment(state, slotRequest, best, now);
 }
 
 /**
@@ -249,21 +252,26 @@
   now: number,
 ): SlotAssignment | undefined {
   const memory = measurePoolMemory(state, now);
-  let best: SlotAssignment | undefined;
+  const firstEventMs = predictFirstEventMs(state, slotRequest);
+  let best: EngineLoad | undefined;
   const maxDelayed = isPrefillOutageLong(state, now)
     ? MAX_DELAYED_ANSWERS_IN_LONG_OUTAGE
     : MAX_DELAYED_ANSWERS;
   let leastCost = maxDelayed + 1;
   for (const load of state.engines.values()) {
     if (!canDecode(state, load, slotRequest, now)) continue;
-    const assignment = makeAssignment(state, slotRequest, load, now);
-    if (!isReadyForLocalPrefill(load, now) || !hasFreeSlot(load, assignment, memory)) continue;
+    if (
+      !isReadyForLocalPrefill(load, now) ||
+      !hasFreeSlot(load, slotRequest, firstEventMs, memory)
+    ) {
+      continue;
+    }
     const cost = countTargetMisses(load, prefillMs) + load.runs.size / (2 * load.engine.slots);
     if (cost >= leastCost) continue;
-    best = assignment;
+    best = load;
     leastCost = cost;
   }
-  return best;
+  return best && makeAssignment(state, slotRequest, best, now);
 }
 
 function startLocalPrefill(state: PoolState, assignment: SlotAssignment, now: number): void {
@@ -311,7 +319,7 @@
   if (assignment === undefined) return undefined;
   state.runs.set(slotRequest.askId, assignment);
   const decodeLoad = state.engines.get(assignment.decode);
-  if (decodeLoad !== undefined) addRun(decodeLoad, assignment);
+  if (decodeLoad !== undefined) startAnswer(state, decodeLoad, assignment, now);
   if (!assignment.isLate) countOnTimeGrant(state.ranks, slotRequest.rank, now);
   const { decode } = assignment;
   const prefill = assignment.prefill === decode ? undefined : assignment.prefill;
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -16,15 +16,14 @@
 } from './admission.js';
 import {
   addPrefill,
-  addRun,
   dropOverduePrefills,
   dropPrefill,
   endPrefill,
   forgetPrefillSpeed,
   makeEngineLoad,
-  removeRun,
   startLocalPrefillCooldown,
 } from './engine-load.js';
+import { endAnswer, recordFinished, startAnswer, updateExpectations } from './engine-progress.js';
 import { recordMemoryRefusal, recordMemoryReleased } from './engine-memory.js';
 import { canMeetTarget, grantWaiting } from './placing.js';
 import { countOnTimeArrival } from './rank-rates.js';
@@ -80,7 +79,7 @@
   if (assignment === undefined) return undefined;
   state.runs.delete(slotRequestId);
   const load = state.engines.get(assignment.decode);
-  if (load !== undefined) removeRun(load, slotRequestId);
+  if (load !== undefined) endAnswer(state, load, slotRequestId, now);
   const prefillLoad = assignment.prefill && state.engines.get(assignment.prefill);
   if (prefillLoad) dropPrefill(prefillLoad, slotRequestId, now);
   return assignment;
@@ -154,14 +153,16 @@
   { askId: slotRequestId, didFinish, progress }: Extract<PoolEvent, { kind: 'ended' }>,
   now: number,
 ): void {
+  const running = state.runs.get(slotRequestId);
+  const load = running && state.engines.get(running.decode);
+  const answer = load?.running.answers.get(slotRequestId);
   const assignment = removeAssignment(state, slotRequestId, now);
-  if (assignment === undefined || !didFinish) return;
-  const load = state.engines.get(assignment.decode);
-  if (load === undefined) return;
+  if (assignment === undefined || !didFinish || load === undefined) return;
   load.failures = 0;
   const view = measurePoolMemory(state, now);
   recordMemoryReleased(state.memory, load, assignment, progress, view);
-  recordOccupancy(state, assignment, load, now);
+  recordOccupancy(state, assignment, now);
+  if (answer !== undefined) recordFinished(state, load, assignment, answer, progress, now);
 }
 
 /** Computes how many milliseconds an engine gets no new work after a failure. */
@@ -213,7 +214,7 @@
     if (load === undefined || state.runs.has(slotRequestId)) continue;
     state.waiting.delete(slotRequestId);
     state.runs.set(slotRequestId, assignment);
-    addRun(load, assignment);
+    startAnswer(state, load, assignment, now);
     const prefillLoad = assignment.prefill && state.engines.get(assignment.prefill);
     if (prefillLoad) addPrefill(prefillLoad, assignment, measurePrefillMsPerToken(state), now);
   }
@@ -228,11 +229,21 @@
   }
 }
 
+/** Whether an answer has taken far longer than expected at the pace of its engine. */
+function isOverdue(
+  state: PoolState,
+  { ask, decode, grantedAt }: SlotAssignment,
+  now: number,
+): boolean {
+  const load = state.engines.get(decode);
+  if (now - grantedAt <= MIN_FORGET_MS || load === undefined) return false;
+  const answer = load.running.answers.get(ask.askId);
+  return answer === undefined || answer.made > FORGET_FACTOR * answer.tokens;
+}
+
 function forgetOldAssignments(state: PoolState, now: number): void {
   for (const [slotRequestId, assignment] of state.runs) {
-    const forecastMs = assignment.expectedEndAt - assignment.grantedAt;
-    const limitMs = Math.max(MIN_FORGET_MS, FORGET_FACTOR * forecastMs);
-    if (now - assignment.grantedAt > limitMs) removeAssignment(state, slotRequestId, now);
+    if (isOverdue(state, assignment, now)) removeAssignment(state, slotRequestId, now);
   }
 }
 
@@ -270,7 +281,10 @@
       dropAssignmentsOf(state, event.vmId, now);
       return grantWaiting(state, now);
     case 'ticked':
-      for (const load of state.engines.values()) dropOverduePrefills(load, now);
+      for (const load of state.engines.values()) {
+        dropOverduePrefills(load, now);
+        updateExpectations(state, load, now);
+      }
       forgetOldAssignments(state, now);
       forgetRefused(state, now);
       return [
--- a/packages/core/src/speeds/answer-lengths.ts
+++ b/packages/core/src/speeds/answer-lengths.ts
@@ -9,7 +9,7 @@
 
 /** What finished answers have shown of lengths. */
 export type AnswerLengths = {
-  /** Time that the slot was occupied, relative to the forecast at the grant. */
+  /** Length by the time that the answer took at the pace of its engine, relative to what was expected. */
   readonly times: LogSamples;
   /**
    * Events of the answer per expected token. Unlike times they do not depend on the speed of
@@ -55,7 +55,7 @@
   samples.variance += weight * (difference ** 2 - samples.variance);
 }
 
-/** Records the time that a finished answer occupied its slot, relative to its forecast. */
+/** Records the length of a finished answer by its time, relative to what was expected. */
 export function recordTimeRatio({ times }: AnswerLengths, ratio: number): void {
   recordSample(times, ratio);
 }
@@ -67,10 +67,20 @@
   recordSample(events, ratio);
 }
 
+/** Returns the events of an answer per expected token. */
+export function getEventsPerToken({ events }: AnswerLengths): number {
+  return Math.exp(events.mean);
+}
+
 /** Shape of the distribution, as the forecasts use it. */
 export type LengthShape = {
-  /** Median of the time that a slot is occupied, relative to its forecast. */
+  /**
+   * Median length by time, relative to what was expected: about 1, as far as the pace of engines is
+   * estimated without bias.
+   */
   readonly medianTime: number;
+  /** Standard deviation of the logarithm of lengths. */
+  readonly deviation: number;
   /** Exponent of the distribution: the larger, the narrower. */
   readonly exponent: number;
   /**
@@ -86,6 +96,7 @@
   const deviation = Math.min(MAX_DEVIATION, Math.max(MIN_DEVIATION, Math.sqrt(variance)));
   return {
     medianTime: Math.exp(times.mean),
+    deviation,
     exponent: LOGISTIC_DEVIATION / deviation,
     longest: Math.exp(LONGEST_DEVIATIONS * deviation),
   };
@@ -103,3 +114,17 @@
   if (length <= reached) return 1;
   return (1 + reached ** exponent) / (1 + length ** exponent);
 }
+
+/** Steps of the numerical mean, relative to the length reached. */
+const REST_STEPS = 8;
+
+/** Returns how much longer an answer gets on average, relative to its median, that has reached a length. */
+export function measureMeanRest(shape: LengthShape, reached: number): number {
+  const end = Math.max(shape.longest, 1.5 * reached);
+  const step = (end - reached) / REST_STEPS;
+  let rest = 0;
+  for (let index = 0; index < REST_STEPS; index += 1) {
+    rest += step * computeSurvival(shape, reached, reached + (index + 0.5) * step);
+  }
+  return rest;
+}
