Pools: an answer is forgotten at four times its expected length

At three times, one in seventy answers was forgotten while it ran (hints off by sigma 0.5); it went on using memory that was given to others.

--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -66,8 +66,11 @@
 const HANDLE_LOST_AVOID_MS = 2_000;
 /** The time doubles with each consecutive failure, up to this limit. */
 const MAX_AVOID_MS = 3_000;
-/** An assignment whose end was never reported is removed after this multiple of its forecast. */
-const FORGET_FACTOR = 3;
+/**
+ * An assignment whose end was never reported is removed after this multiple of its expected length. One in
+ * several hundred answers is longer; it still uses memory that the pool no longer counts.
+ */
+const FORGET_FACTOR = 4;
 const MIN_FORGET_MS = 5_000;
 
 function removeAssignment(
