Pools: prefill speeds follow a change within about five prompts

An engine's prefill speed was a mean over about fourteen prompts, an overdue prompt counted as due now, and an engine that got no prompts kept its measured speed for good. About five prompts count now, overdue prompts are expected to take as much longer again, and a part of the speed is forgotten each second without prompts.

prefill-speeds.test.ts (two engines, 17 prompts a second, one three times slower for 6 s): prompts sent to it in its last five slow seconds 28 before, 20 after; in the two seconds after it 10 before, 20 after; slowest prefill 2,270 ms before, 1,325 ms after.

--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -33,6 +33,8 @@
    */
   prefillBusyMs: number;
   prefillTokens: number;
+  /** When its speed was last measured, or a part of that forgotten. */
+  prefillSampledAt: number;
   /** Prompts prefilled so far. */
   prefillCount: number;
   /** Earliest start of the next local prefill on a decode engine with running answers. */
@@ -74,8 +76,8 @@
  * Concurrent prompts slow each other, so the next is sent when the previous one has this time left.
  */
 const PREFILL_LEAD_MS = 60;
-/** Factor on the earlier prefill totals of an engine at each new sample. */
-const PREFILL_DECAY = 0.93;
+/** Factor on the earlier prefill totals of an engine at each new sample; about five prompts count. */
+const PREFILL_DECAY = 0.8;
 /** Usual time between two events of an answer; a local prefill adds to it. */
 const EVENT_INTERVAL_MS = 70;
 /**
@@ -104,6 +106,7 @@
     prefillDoneAt: 0,
     prefillBusyMs: 0,
     prefillTokens: 0,
+    prefillSampledAt: 0,
     prefillCount: 0,
     localPrefillAllowedAt: 0,
     avoidUntil: 0,
@@ -164,6 +167,14 @@
   return busyMs / (load.prefillTokens + PRIOR_TOKENS);
 }
 
+/**
+ * Predicts when the prompts of an engine are prefilled. If they are overdue, they are expected to take as
+ * much longer again: the engine has become slow.
+ */
+function predictPendingEnd(load: EngineLoad, now: number): number {
+  return load.prefills.size === 0 ? now : now + Math.abs(load.prefillDoneAt - now);
+}
+
 /** Predicts when an engine would complete the prefill of one more prompt. */
 export function predictPrefillEnd(
   load: EngineLoad,
@@ -171,8 +182,10 @@
   poolPrefillMsPerToken: number,
   now: number,
 ): number {
-  const startAt = load.prefills.size === 0 ? now : Math.max(now, load.prefillDoneAt);
-  return startAt + promptTokens * estimateEnginePrefillMsPerToken(load, poolPrefillMsPerToken);
+  return (
+    predictPendingEnd(load, now) +
+    promptTokens * estimateEnginePrefillMsPerToken(load, poolPrefillMsPerToken)
+  );
 }
 
 /**
@@ -217,6 +230,17 @@
   if (load.prefills.delete(slotRequestId)) load.prefillBusySince = now;
 }
 
+/** A measured speed is forgotten in steps of this time without prompts, so that a slow engine is tried again. */
+const FORGET_PREFILL_MS = 1_000;
+
+/** Forgets a part of the measured prefill speed of an engine that gets no prompts. */
+export function forgetIdlePrefill(load: EngineLoad, now: number): void {
+  if (load.prefills.size > 0 || now - load.prefillSampledAt < FORGET_PREFILL_MS) return;
+  load.prefillSampledAt = now;
+  load.prefillBusyMs *= PREFILL_DECAY;
+  load.prefillTokens *= PREFILL_DECAY;
+}
+
 /** Removes the prompts whose completion has not been reported by their overdue time. */
 export function dropOverduePrefills(load: EngineLoad, now: number): void {
   for (const [slotRequestId, { overdueAt }] of load.prefills) {
@@ -283,6 +307,7 @@
     estimateEnginePrefillMsPerToken(load, poolPrefillMsPerToken);
   const busyMs = Math.min(maxBusyMs, now - load.prefillBusySince);
   load.prefillBusySince = now;
+  load.prefillSampledAt = now;
   load.prefillBusyMs = PREFILL_DECAY * load.prefillBusyMs + busyMs;
   load.prefillTokens = PREFILL_DECAY * load.prefillTokens + assignment.ask.promptTokens;
   load.prefillCount += 1;
@@ -300,5 +325,5 @@
 /** Whether a prefill engine can accept one more prompt without building up a queue. */
 export function hasPrefillRoom(load: EngineLoad, now: number): boolean {
   if (load.prefills.size === 0) return true;
-  return load.prefills.size < MAX_PREFILLS && load.prefillDoneAt - now <= PREFILL_LEAD_MS;
+  return load.prefills.size < MAX_PREFILLS && predictPendingEnd(load, now) - now <= PREFILL_LEAD_MS;
 }
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -19,6 +19,7 @@
   dropOverduePrefills,
   dropPrefill,
   endPrefill,
+  forgetIdlePrefill,
   forgetPrefillSpeed,
   makeEngineLoad,
   startLocalPrefillCooldown,
@@ -286,6 +287,7 @@
     case 'ticked':
       for (const load of state.engines.values()) {
         dropOverduePrefills(load, now);
+        forgetIdlePrefill(load, now);
         updateExpectations(state, load, now);
       }
       forgetOldAssignments(state, now);
