--- a/packages/core/src/pools/answer-ends.ts
+++ b/packages/core/src/pools/answer-ends.ts
@@ -5,6 +5,8 @@
  * is likely to end as others did that had outlasted theirs.
  */
 
+import type { SlotAssignment } from './pool-types.js';
+
 /** Weights of recent answers by the ratio of their actual to their expected duration. */
 export type EndRatios = {
   readonly weights: Float64Array;
@@ -54,7 +56,7 @@
 }
 
 /** A running answer. */
-type RunningAnswer = { readonly grantedAt: number; readonly expectedEndAt: number };
+type RunningAnswer = Pick<SlotAssignment, 'grantedAt' | 'expectedEndAt' | 'firstExpectedEndAt'>;
 
 /** Calls `onShare` with each time at which an answer may end and the probability of it. */
 export function listEndTimes(
