Pools: expected ends follow the pace only, so that the slot forecast learns their spread

Cause: engine-progress.ts replaced expectedEndAt every 100 ms by the mean remaining length given how long the answer had run, times a factor for missing ends, while answer-ends.ts learns the ratio of actual to expected durations from the same field and applies it by age as well. Age and missing ends were counted twice, the learned ratios were those of ends that had been moved already, and requests waited for slots that came too late.

Now an answer is expected to end after its median length at the pace of its engine. What is left of it is corrected as the pace changes; the spread is added by answer-ends.ts alone. Missing ends still make an engine more costly. The bins of ratios are 0.025 wide instead of 0.05: at 3.6 s a bin of 0.05 is 180 ms, a fifth of the target. firstExpectedEndAt, measureMeanRest and predictRestTokens have no use any more.

Ruled out: the learned limit of answers (all 12 slots of both engines are in use in the test).

--- a/packages/core/src/pools/answer-ends.ts
+++ b/packages/core/src/pools/answer-ends.ts
@@ -1,5 +1,5 @@
 /**
- * How long answers occupy their slots, relative to what was expected when the slot was granted. The
+ * How long answers occupy their slots, relative to what was expected at the pace of their engines. The
  * expected ends are often wrong in both directions, so the forecast of free slots uses how recent
  * answers were spread around theirs: an answer may end early, and one that outlasts its expected end
  * is likely to end as others did that had outlasted theirs.
@@ -14,8 +14,9 @@
   readonly sums: Float64Array;
 };
 
-const BIN_WIDTH = 0.05;
-const BIN_COUNT = 60;
+/** Wider bins blur the ends of answers of some seconds by more than a first event may be late. */
+const BIN_WIDTH = 0.025;
+const BIN_COUNT = 120;
 /** Weight of the first assumption, in answers: all last as long as expected. */
 const PRIOR_ANSWERS = 4;
 /** Factor on the earlier weights at each new answer; about 150 answers count. */
@@ -56,7 +57,7 @@
 }
 
 /** A running answer. */
-type RunningAnswer = Pick<SlotAssignment, 'grantedAt' | 'expectedEndAt' | 'firstExpectedEndAt'>;
+type RunningAnswer = Pick<SlotAssignment, 'grantedAt' | 'expectedEndAt'>;
 
 /** Calls `onShare` with each time at which an answer may end and the probability of it. */
 export function listEndTimes(
--- a/packages/core/src/pools/engine-progress.ts
+++ b/packages/core/src/pools/engine-progress.ts
@@ -3,7 +3,6 @@
 import {
   getEventsPerToken,
   measureLengthShape,
-  measureMeanRest,
   recordEventRatio,
   recordTimeRatio,
 } from '../speeds/answer-lengths.js';
@@ -17,7 +16,6 @@
 import {
   measureMeanUsage,
   measureStall,
-  predictRestTokens,
   recordEnd,
   updateExpectedEnds,
   updateRunning,
@@ -89,6 +87,7 @@
   const made = tokens * Math.min(1, share);
   const answer: RunningAnswer = {
     tokens,
+    expectedPace: predictPaceAt(state, load, load.runs.size + 1, now),
     startsAt: share > 0 ? now : now + predictFirstEventMs(state, ask),
     made,
     usageMs: usage * (now - grantedAt),
@@ -180,8 +179,10 @@
 }
 
 /**
- * Updates how many answers an engine handles well, and when its answers are expected to end by its pace
- * and by how long they have run.
+ * Updates how many answers an engine handles well, and corrects when its answers are expected to end as
+ * its pace changes. Neither how long an answer has run nor a lack of ends changes its expected end: the
+ * forecast of free slots counts both by the ratios of actual to expected durations, and these would be
+ * learned from ends that had been moved already.
  */
 export function updateExpectations(state: PoolState, load: EngineLoad, now: number): void {
   if (now < load.correctAt || load.engine.stage !== 'decode') return;
@@ -189,28 +190,30 @@
   updateHandled(state, load, now);
   if (load.runs.size === 0) return;
   updateProgress(state, load, now);
-  const shape = measureLengthShape(state.memory.lengths);
-  const msPerToken = predictCurrentPace(state, load, now) * measureStall(load.running);
+  const msPerToken = predictPaceAt(state, load, load.runs.size, now);
   for (const [id, assignment] of load.runs) {
     const answer = load.running.answers.get(id);
     if (answer === undefined) continue;
     const startAt = Math.max(now, answer.startsAt);
-    assignment.expectedEndAt = startAt + predictRestTokens(shape, answer) * msPerToken;
+    const restMs = Math.max(0, assignment.expectedEndAt - startAt);
+    assignment.expectedEndAt += restMs * (msPerToken / answer.expectedPace - 1);
+    answer.expectedPace = msPerToken;
   }
 }
 
-/** Predicts when an answer would end whose slot on an engine is granted now. */
+/**
+ * Predicts when an answer of median length would end whose slot on an engine is granted now. The forecast
+ * of free slots adds how answers are spread around that.
+ */
 export function predictEndAt(
   state: PoolState,
   load: EngineLoad,
   slotRequest: SlotRequest,
   now: number,
 ): number {
-  const shape = measureLengthShape(state.memory.lengths);
-  const median = shape.medianTime * getExpectedTokens(state, slotRequest);
-  const tokens = median * measureMeanRest(shape, 0);
-  const msPerToken =
-    predictPaceAt(state, load, load.runs.size + 1, now) * measureStall(load.running);
+  const { medianTime } = measureLengthShape(state.memory.lengths);
+  const tokens = medianTime * getExpectedTokens(state, slotRequest);
+  const msPerToken = predictPaceAt(state, load, load.runs.size + 1, now);
   return now + predictFirstEventMs(state, slotRequest) + tokens * msPerToken;
 }
 
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -116,7 +116,6 @@
     grantedAt: now,
     isLate: willMissTarget,
     expectedEndAt,
-    firstExpectedEndAt: expectedEndAt,
   };
 }
 
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -83,8 +83,6 @@
   isLate: boolean;
   /** When the slot is expected to become free. */
   expectedEndAt: number;
-  /** The same as it was when the slot was granted; absent for answers that another VM announced. */
-  readonly firstExpectedEndAt?: number;
 };
 
 /** Why a slot request is refused. */
--- a/packages/core/src/speeds/answer-lengths.ts
+++ b/packages/core/src/speeds/answer-lengths.ts
@@ -114,17 +114,3 @@
   if (length <= reached) return 1;
   return (1 + reached ** exponent) / (1 + length ** exponent);
 }
-
-/** Steps of the numerical mean, relative to the length reached. */
-const REST_STEPS = 8;
-
-/** Returns how much longer an answer gets on average, relative to its median, that has reached a length. */
-export function measureMeanRest(shape: LengthShape, reached: number): number {
-  const end = Math.max(shape.longest, 1.5 * reached);
-  const step = (end - reached) / REST_STEPS;
-  let rest = 0;
-  for (let index = 0; index < REST_STEPS; index += 1) {
-    rest += step * computeSurvival(shape, reached, reached + (index + 0.5) * step);
-  }
-  return rest;
-}
--- a/packages/core/src/speeds/running-answers.ts
+++ b/packages/core/src/speeds/running-answers.ts
@@ -3,12 +3,14 @@
  * pace, and what it shows of the engine that none of them has ended.
  */
 
-import { computeSurvival, measureMeanRest, type LengthShape } from './answer-lengths.js';
+import { computeSurvival, type LengthShape } from './answer-lengths.js';
 
 /** One running answer. */
 export type RunningAnswer = {
   /** Median of its length, in tokens at the estimated pace. */
   readonly tokens: number;
+  /** Milliseconds per token by which its end was last expected. */
+  expectedPace: number;
   /** When its first token is expected. */
   startsAt: number;
   /** Tokens generated so far. */
@@ -87,8 +89,3 @@
   const ratio = (PRIOR_ENDS + expectedEnds) / (PRIOR_ENDS + seenEnds);
   return Math.min(MAX_STALL, Math.max(1, ratio));
 }
-
-/** Predicts how many more tokens an answer generates on average. */
-export function predictRestTokens(shape: LengthShape, answer: RunningAnswer): number {
-  return answer.tokens * measureMeanRest(shape, answer.made / answer.tokens);
-}
