Quotas: name the per-VM admission a limiter

Cause: 'gate' is no usual term for what admits requests within a rate; 'limiter' is. Ruled out: 'QuotaAdmission', which already names the admitted request. Before and after: names and file names only, behaviour unchanged.

--- a/packages/core/src/quotas/index.ts
+++ b/packages/core/src/quotas/index.ts
@@ -1,4 +1,4 @@
-export * from './quota-gate.js';
+export * from './quota-limiter.js';
 export * from './quota-keeper.js';
 export {
   computeCost,
--- a/packages/core/src/quotas/quota-gate.ts
+++ b/packages/core/src/quotas/quota-limiter.ts
@@ -36,8 +36,8 @@
 export type QuotaVerdict =
   QuotaAdmission | { readonly kind: 'refused'; readonly retryAt: number; readonly level: number };
 
-/** Dependencies of the gate. */
-export type QuotaGateParts = {
+/** Dependencies of the limiter. */
+export type QuotaLimiterParts = {
   /** Identifies the start of this process. */
   readonly start: string;
   readonly findQuota: (tenant: TenantName) => TenantQuota | undefined;
@@ -48,8 +48,8 @@
   readonly takeFraction: () => number;
 };
 
-/** The gate of one VM. */
-export type QuotaGate = {
+/** The limiter of one VM. */
+export type QuotaLimiter = {
   readonly admit: (tenant: Tenant | undefined, cost: number, now: number) => QuotaVerdict;
   readonly giveBack: (admission: QuotaAdmission, now: number) => void;
   /** Names the VM that keeps the quotas now. */
@@ -83,8 +83,8 @@
 /** Of requests without a limit. */
 const FREE: QuotaAdmission = { kind: 'admitted', tenant: undefined, cost: 0, lossCount: 0 };
 
-/** Makes the gate of a VM that is out of contact. */
-export function makeQuotaGate(parts: QuotaGateParts, startedAt: number): QuotaGate {
+/** Makes the limiter of a VM that is out of contact. */
+export function makeQuotaLimiter(parts: QuotaLimiterParts, startedAt: number): QuotaLimiter {
   const { findQuota, getBounds, countListedVms, getPhase, takeFraction } = parts;
   const accounts = new Map<TenantName, QuotaAccount>();
   let keeper: VmId | undefined;
--- a/packages/router/src/quotas/quota-task.ts
+++ b/packages/router/src/quotas/quota-task.ts
@@ -6,7 +6,7 @@
 import {
   computeCost,
   isLimited,
-  makeQuotaGate,
+  makeQuotaLimiter,
   makeQuotaKeeper,
   rankVms,
   type QuotaAdmission,
@@ -140,7 +140,7 @@
   const findQuota = (tenant: TenantName): TenantQuota | undefined =>
     getDirectory()?.tenants.get(tenant)?.quota;
   const chooseKeeper = (now: number): VmId => selector.chooseOwner(parts.getRanking(), now);
-  const gate = makeQuotaGate(
+  const limiter = makeQuotaLimiter(
     {
       start,
       findQuota,
@@ -177,12 +177,12 @@
 
   function handleMessage(from: VmId, message: QuotaMessage, now: number): void {
     if (message.kind === 'quota-levels') {
-      gate.handleLevels(from, message, now);
+      limiter.handleLevels(from, message, now);
       return;
     }
     const answer = keeper.handleUse(from, message, now);
     if (answer === undefined) return;
-    if (from === self) gate.handleLevels(self, answer, now);
+    if (from === self) limiter.handleLevels(self, answer, now);
     else parts.sendTo(from, answer);
   }
 
@@ -192,20 +192,20 @@
       logger.info({ keeper: next, before: keeperId }, 'quotas: keeper changed');
       keeperId = next;
     }
-    gate.setKeeper(next, now);
+    limiter.setKeeper(next, now);
     return next;
   }
 
   function report(now: number): void {
     const to = updateKeeper(now);
-    const message = gate.takeReport(now);
+    const message = limiter.takeReport(now);
     if (message === undefined) return;
     if (to === self) handleMessage(self, message, now);
     else parts.sendTo(to, message);
   }
 
   function showContact(now: number): void {
-    const isIn = gate.isInContact(now);
+    const isIn = limiter.isInContact(now);
     metrics.setOutOfContact(!isIn);
     metrics.setBelowZero(keeper.countBelowZero());
     if (isIn === wasInContact) return;
@@ -218,13 +218,13 @@
     admit: (tenant, { requestId, promptTokens, maxOutputTokens }, now) => {
       const quota = tenant?.quota;
       const cost = quota === undefined ? 0 : computeCost(quota, promptTokens, maxOutputTokens);
-      const verdict = gate.admit(tenant, cost, now);
+      const verdict = limiter.admit(tenant, cost, now);
       if (quota === undefined) return verdict;
       if (verdict.kind === 'refused') {
         metrics.countRefused();
         const { retryAt, level } = verdict;
         const retryAfterMs = Math.round(retryAt - now);
-        const isInContact = gate.isInContact(now);
+        const isInContact = limiter.isInContact(now);
         logRefusal(
           {
             requestId,
@@ -240,7 +240,7 @@
       report(now);
       return verdict;
     },
-    giveBack: gate.giveBack,
+    giveBack: limiter.giveBack,
     handleMessage: (from, message, now) => {
       recordHeard(from, now);
       handleMessage(from, message, now);
@@ -251,7 +251,7 @@
       selector.recordUnfit(from, isStoreAway || isLeaving || isCutOff);
       if (!isInUse()) return;
       // A keeper that hears nobody says that it uses none, itself included.
-      if (quotaKeeper === from) gate.recordHeard(from, now);
+      if (quotaKeeper === from) limiter.recordHeard(from, now);
       keeper.recordUser(from, quotaKeeper === self, now);
     },
     addLink: (vmId, now) => {
@@ -277,17 +277,17 @@
         heardAt = now;
       }
       report(now);
-      gate.recordHeard(self, now);
-      keeper.recordUser(self, gate.findUsedKeeper(now) === self, now);
+      limiter.recordHeard(self, now);
+      keeper.recordUser(self, limiter.findUsedKeeper(now) === self, now);
       const news = keeper.tick(now);
       if (news !== undefined) {
-        gate.handleLevels(self, news, now);
+        limiter.handleLevels(self, news, now);
         parts.broadcast(news);
       }
       showContact(now);
     },
     findUsedKeeper: (now) => {
-      const used = isInUse() ? gate.findUsedKeeper(now) : undefined;
+      const used = isInUse() ? limiter.findUsedKeeper(now) : undefined;
       return used === self && keeper.isDeaf(now) ? undefined : used;
     },
   };
