Quotas: usual terms for the keeper's state and missing reasons

Cause: 'isDeaf', 'Session', 'measureRecent', 'carried' and 'told' did not say what they stand for, and several constants had no unit or reason. Ruled out: renaming 'keeper', which metrics, logs and 'alive' name. Before and after: the field 'carried' of 'quota-use', which no released build sends, is 'previousLevels'; otherwise names and comments only.

--- a/packages/core/src/quotas/quota-account.ts
+++ b/packages/core/src/quotas/quota-account.ts
@@ -7,23 +7,28 @@
 export type QuotaAccount = {
   /** Cost admitted from the keeper's level, less what was given back. */
   used: number;
+  /** Part of `used` that a keeper has confirmed, and the report whose reply confirmed it. */
   settled: number;
   settledSequence: number;
   /** Cost of all requests, admitted or not. */
   asked: number;
+  /** Value of `asked` in the latest report. */
   reportedAsk: number;
   /** Cost asked per millisecond, averaged. */
   askRate: number;
   askedAt: number;
-  told: ToldLevel | undefined;
+  /** Undefined until the keeper has sent a level. */
+  keeperLevel: KeeperLevel | undefined;
   /** Time promised to the last refused caller. */
   promisedAt: number;
   /** Own share; undefined unless it was used in a loss of contact. What was overdrawn then stays. */
   own: OwnShare | undefined;
 };
 
-type ToldLevel = { readonly level: number; readonly at: number; readonly demand: number };
+/** Level that the keeper sent last, and when it was received. */
+type KeeperLevel = { readonly level: number; readonly at: number; readonly demand: number };
 
+/** What this VM may admit without contact, and has admitted. */
 type OwnShare = {
   level: number;
   at: number;
@@ -39,16 +44,22 @@
   readonly wasInContact: boolean;
 };
 
-/** Time for which a told level grows at the rate; the next is due before while the tenant is near empty. */
+/**
+ * Time for which a level of the keeper is increased at the rate; while the tenant is near empty the
+ * next level is due earlier.
+ */
 const GROWTH_MS = 250;
+/** Time constant of the average of the cost asked. */
 const ASK_AVERAGE_MS = 1_000;
+/** Shortest time after which a refused caller is asked to come back. */
 const LEAST_RETRY_MS = 50;
-/** Callers are asked to come back within this time: what they are told beyond is a guess. */
+/** Longest Retry-After: a forecast further ahead would be a guess. */
 const MAX_RETRY_MS = 5_000;
+/** Longest time between the returns of two refused callers. */
 const MAX_SPACING_MS = 2_000;
 /** Level, as a part of the spread, at which a caller that comes back is likely to be admitted. */
 const RETRY_LEVEL = 0.5;
-/** Own shares don't grow beyond what the dearest request and this time of the rate need. */
+/** Own shares don't grow beyond what the most expensive request and this time of the rate need. */
 const OWN_DEPTH_MS = 1_000;
 
 /** Makes the account of a tenant that this VM has not met; `sequence` is that of the last report. */
@@ -62,7 +73,7 @@
     reportedAsk: 0,
     askRate: 0,
     askedAt: now,
-    told: undefined,
+    keeperLevel: undefined,
     promisedAt: 0,
     own: undefined,
   };
@@ -76,7 +87,7 @@
   account.askedAt = now;
 }
 
-/** Takes in what the keeper told at a report of this VM, or all VMs. */
+/** Applies a level that the keeper sent, in reply to a report or to all VMs. */
 export function applyLevel(
   account: QuotaAccount,
   { level, used, demand }: QuotaLevelItem,
@@ -87,27 +98,27 @@
     account.settled = used;
     account.settledSequence = sequence;
   }
-  account.told = { level, at: now, demand: demand ?? account.told?.demand ?? 1 };
+  account.keeperLevel = { level, at: now, demand: demand ?? account.keeperLevel?.demand ?? 1 };
 }
 
 /** Whether the keeper said last that the tenant is near empty. */
-export function isNearEmpty({ told }: QuotaAccount, { near }: QuotaShape): boolean {
-  return told !== undefined && told.level < near;
+export function isNearEmpty({ keeperLevel }: QuotaAccount, { near }: QuotaShape): boolean {
+  return keeperLevel !== undefined && keeperLevel.level < near;
 }
 
 /**
- * Estimates the level now. Without recent news a tenant is not near empty, since all VMs are told
- * of those that are.
+ * Estimates the level now. Without a recent level a tenant is not near empty, since all VMs are sent
+ * the levels of those that are.
  */
 export function estimateLevel(account: QuotaAccount, shape: QuotaShape, now: number): number {
-  const { told, used, settled } = account;
+  const { keeperLevel, used, settled } = account;
   const { ratePerMs, depth, near, spread } = shape;
   const unsettled = used - settled;
-  if (told === undefined) return near - unsettled;
-  const ageMs = now - told.at;
-  if (ageMs <= GROWTH_MS) return Math.min(depth, told.level + ratePerMs * ageMs) - unsettled;
-  // The news that is missing may be that others have used it up.
-  return (isNearEmpty(account, shape) ? told.level - spread : near) - unsettled;
+  if (keeperLevel === undefined) return near - unsettled;
+  const ageMs = now - keeperLevel.at;
+  if (ageMs <= GROWTH_MS) return Math.min(depth, keeperLevel.level + ratePerMs * ageMs) - unsettled;
+  // The level is overdue: others may have used up what was left.
+  return (isNearEmpty(account, shape) ? keeperLevel.level - spread : near) - unsettled;
 }
 
 /** Computes when a refused caller may come back: each after those that were refused before. */
@@ -118,7 +129,7 @@
   { ratePerMs }: QuotaShape,
   now: number,
 ): number {
-  const demand = Math.max(1, account.told?.demand ?? 1);
+  const demand = Math.max(1, account.keeperLevel?.demand ?? 1);
   // This VM's part of what all are asked for is its part of the rate.
   const part = Math.min(1, account.askRate / (ratePerMs * demand));
   const spacingMs = Math.min(MAX_SPACING_MS, cost / (ratePerMs * part));
--- a/packages/core/src/quotas/quota-keeper.test.ts
+++ b/packages/core/src/quotas/quota-keeper.test.ts
@@ -96,12 +96,12 @@
 
 it('quotas: a keeper that takes over begins with the levels that its users had', () => {
   const empty = makeKeeper();
-  const carried = [{ tenant: TENANT, level: -700 }];
+  const previousLevels = [{ tenant: TENANT, level: -700 }];
   expect(
-    readLevel(empty, VM_1, buildUse(1, { used: 50 }, { carried, wantsAll: true }), 0),
+    readLevel(empty, VM_1, buildUse(1, { used: 50 }, { previousLevels, wantsAll: true }), 0),
   ).to.equal(-750);
   const full = makeKeeper();
-  const use = buildUse(1, { used: 50 }, { carried: [], wantsAll: true });
+  const use = buildUse(1, { used: 50 }, { previousLevels: [], wantsAll: true });
   expect(readLevel(full, VM_1, use, 0)).to.equal(NEAR - 50);
 });
 
@@ -109,8 +109,8 @@
   const keeper = makeKeeper();
   keeper.handleUse(VM_1, buildUse(1, { used: 100 }), 0);
   passTime(keeper, 0, 1_000);
-  const carried = [{ tenant: TENANT, level: -700 }];
-  const use = buildUse(1, { used: 0 }, { carried, start: 'vm-2/1' });
+  const previousLevels = [{ tenant: TENANT, level: -700 }];
+  const use = buildUse(1, { used: 0 }, { previousLevels, start: 'vm-2/1' });
   expect(readLevel(keeper, VM_2, use, 1_000)).to.equal(-700);
 });
 
--- a/packages/core/src/quotas/quota-keeper.ts
+++ b/packages/core/src/quotas/quota-keeper.ts
@@ -35,26 +35,29 @@
     message: QuotaUseMessage,
     now: number,
   ) => QuotaLevelsMessage | undefined;
-  /** Returns the levels to tell all VMs; undefined if no tenant is near empty. */
+  /** Returns the levels to broadcast; undefined if no tenant is near empty. */
   readonly tick: (now: number) => QuotaLevelsMessage | undefined;
   readonly countBelowZero: () => number;
-  /** Whether this VM hears no other one, so that it can't know what is used. */
-  readonly isDeaf: (now: number) => boolean;
+  /** Whether this VM receives nothing from other VMs, so that it cannot know what is used. */
+  readonly isIsolated: (now: number) => boolean;
 };
 
+/** Bucket of one tenant. */
 type Bucket = {
   level: number;
-  /** Refill of the session that the level has. */
+  /** Value of `refilled` of the term up to which the level has been refilled. */
   refilled: number;
   usedAt: number;
   /** Cost asked per millisecond, averaged. */
   askRate: number;
   askedAt: number;
-  /** Messages to all VMs that still name the tenant. */
-  tellCount: number;
+  /** Number of further messages to all VMs that name the tenant. */
+  noticesLeft: number;
 };
 
+/** What was charged for one user and tenant, by its latest report. */
 type Charged = { used: number; sequence: number; asked: number };
+/** A VM that uses this keeper or is about to. */
 type User = {
   start: string;
   sequence: number;
@@ -65,10 +68,11 @@
   charged: Map<string, Charged>;
 };
 
-type Session = {
+/** Time during which this VM acts as keeper, from the first report or user to the last. */
+type KeeperTerm = {
   since: number;
-  /** Whether users told the levels of the keeper before this one. */
-  isInherited: boolean;
+  /** Whether users reported the levels of the previous keeper. */
+  hasPreviousLevels: boolean;
   isChosen: boolean;
   /** Greatest share of the other VMs that used this keeper. */
   peakShare: number;
@@ -84,24 +88,30 @@
 /** A new keeper counts all VMs that it hears as its users for this long: their reports are on the way. */
 const TAKE_OVER_MS = 600;
 /** Without users for this long the levels are discarded. */
-const SESSION_END_MS = 1_000;
+const TERM_TIMEOUT_MS = 1_000;
 /**
  * After a longer gap between ticks users may have gone to another keeper, since they may have heard
  * this one up to 200 ms before the gap.
  */
 const STALL_MS = 400;
-/** Hubs are heard every 200 ms: a keeper that hears nobody for longer does not know what is used. */
-const DEAF_MS = 300;
+/**
+ * Hubs send to each other every 200 ms: a keeper that has received nothing for longer does not know
+ * what is used.
+ */
+const ISOLATION_TIMEOUT_MS = 300;
 /** After a longer pause others have kept the levels. */
 const LONG_STALL_MS = 2_000;
-/** Messages that go on to name a tenant that is no longer near empty; some may be lost. */
-const TELL_COUNT = 5;
+/** Messages that still name a tenant once it is no longer near empty, since some may be lost. */
+const NOTICE_COUNT = 5;
 /** Part of its depth at which a bucket counts as full. */
 const FULL_PART = 0.99;
+/** Buckets of tenants without use for this long are dropped once they are full. */
 const IDLE_TENANT_MS = 10_000;
+/** A VM that has sent nothing for this long is forgotten, with what was charged for it. */
 const FORGET_USER_MS = 30_000;
-/** A keeper that served a smaller share takes the levels of the one before it for its own. */
+/** A keeper that served a smaller share replaces its levels by those of the previous keeper. */
 const SMALL_SHARE = 0.25;
+/** Time constant of the average of the cost asked. */
 const ASK_AVERAGE_MS = 1_000;
 
 /** Makes the keeper. */
@@ -109,32 +119,33 @@
   const { start, findQuota, getBounds } = parts;
   const buckets = new Map<string, Bucket>();
   const users = new Map<VmId, User>();
-  let session: Session | undefined;
+  let term: KeeperTerm | undefined;
   let number = 0;
 
-  /** Measures the share of the listed VMs whose time of hearing is recent. */
-  function measureRecent(now: number, getTime: (user: User) => number): number {
+  /** Measures the share of the listed VMs for which `getTime` returns a time within the user timeout. */
+  function measureRecentUserShare(now: number, getTime: (user: User) => number): number {
     let count = 0;
     for (const user of users.values()) if (now - getTime(user) <= USER_TIMEOUT_MS) count += 1;
     return Math.min(1, count / Math.max(1, parts.countListedVms()));
   }
 
-  function measureShare(now: number): number {
-    const share = measureRecent(now, ({ heardAt }) => heardAt);
-    const isTakingOver = session?.isChosen === true && now - session.since <= TAKE_OVER_MS;
+  /** Measures the share of the VMs for which levels are refilled. */
+  function measureRefillShare(now: number): number {
+    const share = measureRecentUserShare(now, ({ heardAt }) => heardAt);
+    const isTakingOver = term?.isChosen === true && now - term.since <= TAKE_OVER_MS;
     return isTakingOver ? Math.max(share, parts.measureHeardShare(now)) : share;
   }
 
   /** Whether other VMs may use this keeper and it would not know. */
-  function isDeaf(now: number): boolean {
+  function isIsolated(now: number): boolean {
     const heardAt = parts.getHeardAt();
-    return heardAt !== undefined && now - heardAt > DEAF_MS;
+    return heardAt !== undefined && now - heardAt > ISOLATION_TIMEOUT_MS;
   }
 
-  /** Share of the burst that is here: VMs that use another keeper have theirs there. */
+  /** Measures the share of the burst that this keeper may grant: VMs that use another keeper have theirs there. */
   function measureDepthShare(now: number): number {
-    if (session?.isChosen === true) return parts.measureHeardShare(now);
-    return measureRecent(now, ({ heardAt, reportedAt }) => Math.max(heardAt, reportedAt));
+    if (term?.isChosen === true) return parts.measureHeardShare(now);
+    return measureRecentUserShare(now, ({ heardAt, reportedAt }) => Math.max(heardAt, reportedAt));
   }
 
   function findShape(tenant: string): QuotaShape | undefined {
@@ -143,14 +154,14 @@
     return computeQuotaShape(quota, getBounds());
   }
 
-  function end(): void {
-    session = undefined;
+  function endTerm(): void {
+    term = undefined;
     buckets.clear();
     users.clear();
   }
 
   function refill(bucket: Bucket, { ratePerMs, depth }: QuotaShape, share: number): void {
-    const refilled = session?.refilled ?? 0;
+    const refilled = term?.refilled ?? 0;
     const level = bucket.level + ratePerMs * (refilled - bucket.refilled);
     bucket.level = Math.min(depth * share, level);
     bucket.refilled = refilled;
@@ -159,7 +170,7 @@
   /** After a pause: what was used meanwhile may have been charged by another keeper. */
   function handleStall(gapMs: number): void {
     if (gapMs > LONG_STALL_MS) {
-      end();
+      endTerm();
       return;
     }
     for (const [tenant, bucket] of buckets) {
@@ -173,36 +184,38 @@
   }
 
   function advance(now: number): void {
-    if (session === undefined) return;
-    session.isChosen = parts.isChosen(now);
-    const gapMs = now - session.advancedAt;
-    session.advancedAt = now;
+    if (term === undefined) return;
+    term.isChosen = parts.isChosen(now);
+    const gapMs = now - term.advancedAt;
+    term.advancedAt = now;
     if (gapMs > STALL_MS) {
       handleStall(gapMs);
       return;
     }
-    const share = isDeaf(now) ? 0 : measureShare(now);
-    session.refilled += gapMs * share;
-    const others = measureRecent(now, (user) => (user.start === start ? -Infinity : user.heardAt));
-    session.peakShare = Math.max(session.peakShare, others);
+    const share = isIsolated(now) ? 0 : measureRefillShare(now);
+    term.refilled += gapMs * share;
+    const others = measureRecentUserShare(now, (user) =>
+      user.start === start ? -Infinity : user.heardAt,
+    );
+    term.peakShare = Math.max(term.peakShare, others);
   }
 
-  function findSession(now: number): Session {
+  function getOrAddTerm(now: number): KeeperTerm {
     advance(now);
-    session ??= {
+    term ??= {
       since: now,
-      isInherited: false,
+      hasPreviousLevels: false,
       isChosen: parts.isChosen(now),
       peakShare: 0,
       refilled: 0,
       refilledBefore: 0,
       advancedAt: now,
     };
-    return session;
+    return term;
   }
 
   function findUser(vmId: VmId, now: number): User {
-    findSession(now);
+    getOrAddTerm(now);
     const known = users.get(vmId);
     if (known !== undefined) return known;
     const user: User = {
@@ -217,7 +230,7 @@
   }
 
   function addBucket(tenant: string, level: number, refilled: number, now: number): Bucket {
-    const bucket = { level, refilled, usedAt: now, askRate: 0, askedAt: now, tellCount: 0 };
+    const bucket = { level, refilled, usedAt: now, askRate: 0, askedAt: now, noticesLeft: 0 };
     buckets.set(tenant, bucket);
     return bucket;
   }
@@ -225,22 +238,22 @@
   function findBucket(tenant: string, { near, start: first }: QuotaShape, now: number): Bucket {
     const known = buckets.get(tenant);
     if (known !== undefined) return known;
-    const { isInherited, isChosen, refilledBefore } = findSession(now);
+    const { hasPreviousLevels, isChosen, refilledBefore } = getOrAddTerm(now);
     const level = isChosen ? first : 0;
     // The users of the keeper before this one know which tenants were near empty.
-    return addBucket(tenant, isInherited ? near : level, refilledBefore, now);
+    return addBucket(tenant, hasPreviousLevels ? near : level, refilledBefore, now);
   }
 
-  /** Takes in the levels of tenants that were near empty at the keeper that a user had before. */
-  function inherit(carried: readonly QuotaLevelItem[], now: number): void {
-    const current = findSession(now);
-    if (current.isChosen && !current.isInherited && current.peakShare < SMALL_SHARE) {
+  /** Adopts the levels of tenants that were near empty at the previous keeper of a user. */
+  function adoptPreviousLevels(previousLevels: readonly QuotaLevelItem[], now: number): void {
+    const current = getOrAddTerm(now);
+    if (current.isChosen && !current.hasPreviousLevels && current.peakShare < SMALL_SHARE) {
       buckets.clear();
-      current.isInherited = true;
+      current.hasPreviousLevels = true;
       current.since = now;
       current.refilledBefore = current.refilled;
     }
-    for (const { tenant, level } of carried) {
+    for (const { tenant, level } of previousLevels) {
       const bucket = buckets.get(tenant);
       if (bucket !== undefined) bucket.level = Math.min(bucket.level, level);
       else if (findShape(tenant) !== undefined) addBucket(tenant, level, current.refilled, now);
@@ -278,7 +291,7 @@
     return { ...buildItem(tenant, bucket, shape), used };
   }
 
-  function listNear(now: number, isTold: (bucket: Bucket) => boolean): QuotaLevelItem[] {
+  function listNear(now: number, isIncluded: (bucket: Bucket) => boolean): QuotaLevelItem[] {
     const share = measureDepthShare(now);
     const items: QuotaLevelItem[] = [];
     for (const [tenant, bucket] of buckets) {
@@ -289,15 +302,15 @@
       }
       refill(bucket, shape, share);
       recordAsked(bucket, 0, now);
-      if (bucket.level < shape.near) bucket.tellCount = TELL_COUNT;
-      if (isTold(bucket)) items.push(buildItem(tenant, bucket, shape));
+      if (bucket.level < shape.near) bucket.noticesLeft = NOTICE_COUNT;
+      if (isIncluded(bucket)) items.push(buildItem(tenant, bucket, shape));
     }
     return items;
   }
 
   function dropIdle(now: number): void {
     for (const [tenant, bucket] of buckets) {
-      const isIdle = now - bucket.usedAt > IDLE_TENANT_MS && bucket.tellCount === 0;
+      const isIdle = now - bucket.usedAt > IDLE_TENANT_MS && bucket.noticesLeft === 0;
       const full = FULL_PART * (findShape(tenant)?.depth ?? 0) * measureDepthShare(now);
       // A tenant that comes back begins with a full bucket.
       if (!isIdle || bucket.level < full) continue;
@@ -330,14 +343,14 @@
       user.reportedAt = now;
       // A VM that asks for all levels does not use them yet.
       if (message.wantsAll !== true) user.heardAt = now;
-      if (message.carried !== undefined) inherit(message.carried, now);
+      if (message.previousLevels !== undefined) adoptPreviousLevels(message.previousLevels, now);
       const items = new Map<string, QuotaLevelItem>();
       for (const item of message.items) {
         const answer = charge(user, item, message.sequence, now);
         if (answer !== undefined) items.set(item.tenant, answer);
       }
       if (message.wantsAll === true) {
-        for (const item of listNear(now, ({ tellCount }) => tellCount > 0)) {
+        for (const item of listNear(now, ({ noticesLeft }) => noticesLeft > 0)) {
           if (!items.has(item.tenant)) items.set(item.tenant, item);
         }
       }
@@ -353,24 +366,24 @@
     },
     tick: (now) => {
       advance(now);
-      if (session === undefined) return undefined;
+      if (term === undefined) return undefined;
       const isUsed = [...users.values()].some(
-        ({ heardAt, reportedAt }) => now - Math.max(heardAt, reportedAt) <= SESSION_END_MS,
+        ({ heardAt, reportedAt }) => now - Math.max(heardAt, reportedAt) <= TERM_TIMEOUT_MS,
       );
-      if (!isUsed && now - session.since > SESSION_END_MS) {
-        end();
+      if (!isUsed && now - term.since > TERM_TIMEOUT_MS) {
+        endTerm();
         return undefined;
       }
       const items = listNear(now, (bucket) => {
-        bucket.tellCount -= bucket.tellCount > 0 ? 1 : 0;
-        return bucket.tellCount > 0;
+        bucket.noticesLeft -= bucket.noticesLeft > 0 ? 1 : 0;
+        return bucket.noticesLeft > 0;
       });
       dropIdle(now);
-      if (items.length === 0 || isDeaf(now)) return undefined;
+      if (items.length === 0 || isIsolated(now)) return undefined;
       number += 1;
       return { kind: 'quota-levels', start, number, share: measureDepthShare(now), items };
     },
     countBelowZero: () => [...buckets.values()].filter(({ level }) => level < 0).length,
-    isDeaf,
+    isIsolated,
   };
 }
--- a/packages/core/src/quotas/quota-limiter.test.ts
+++ b/packages/core/src/quotas/quota-limiter.test.ts
@@ -183,7 +183,7 @@
   limiter.setKeeper('next' as VmId, 100);
   const report = limiter.takeReport(100);
   expect(report?.wantsAll).to.equal(true);
-  expect(report?.carried).to.deep.equal([{ tenant: NAME, level: -400 }]);
+  expect(report?.previousLevels).to.deep.equal([{ tenant: NAME, level: -400 }]);
 });
 
 it('quotas: accounts of tenants without use are dropped', () => {
--- a/packages/core/src/quotas/quota-limiter.ts
+++ b/packages/core/src/quotas/quota-limiter.ts
@@ -69,19 +69,22 @@
 const CONTACT_TIMEOUT_MS = 600;
 /** A longer gap between ticks means that this process was paused. */
 const STALL_MS = 300;
+/** Shortest time between two reports while in contact. */
 const REPORT_INTERVAL_MS = 100;
+/** Shortest time between two reports that ask for all levels, to regain contact. */
 const PROBE_INTERVAL_MS = 200;
-/** Levels of a keeper that was in contact so long ago are not carried on. */
-const CARRY_MS = 1_200;
+/** Levels of the previous keeper are not reported to the next one if contact was longer ago. */
+const PREVIOUS_LEVELS_LIFE_MS = 1_200;
 /** After a shorter pause what was known of a tenant still counts. */
 const SHORT_STALL_MS = 1_000;
-/** A keeper of a smaller share of the VMs is one that sees few others: own shares are as much. */
+/** Levels of a keeper with a smaller share of the VMs are ignored: the own shares allow as much. */
 const LEAST_SHARE = 0.25;
-/** Levels of a keeper of fewer VMs say little of the others. */
-const LEAST_CARRIED_SHARE = 0.5;
+/** Levels of a keeper with a smaller share say little about the other VMs and are not passed on. */
+const LEAST_PREVIOUS_SHARE = 0.5;
+/** Accounts of tenants without requests for this long are dropped once they are settled. */
 const IDLE_ACCOUNT_MS = 10_000;
-/** Of requests without a limit. */
-const FREE: QuotaAdmission = { kind: 'admitted', tenant: undefined, cost: 0, lossCount: 0 };
+/** Admission of requests of tenants without a limit. */
+const UNLIMITED: QuotaAdmission = { kind: 'admitted', tenant: undefined, cost: 0, lossCount: 0 };
 
 /** Makes the limiter of a VM that is out of contact. */
 export function makeQuotaLimiter(parts: QuotaLimiterParts, startedAt: number): QuotaLimiter {
@@ -103,7 +106,7 @@
   let lastNumber = { start: '', number: 0 };
   let share = 1;
 
-  function lose(at: number, wasInContact: boolean): void {
+  function recordContactLoss(at: number, wasInContact: boolean): void {
     lossCount += 1;
     loss = { count: lossCount, at, wasInContact };
     probeSequence = sequence + 1;
@@ -116,13 +119,13 @@
     if (gapMs > STALL_MS) {
       // Messages that wait to be read are of the time before the pause.
       tickedAt = now;
-      lose(now, loss === undefined && gapMs <= SHORT_STALL_MS);
+      recordContactLoss(now, loss === undefined && gapMs <= SHORT_STALL_MS);
       return;
     }
     if (loss !== undefined) return;
     const isSilent = now - heardAt > CONTACT_TIMEOUT_MS;
     const isUnanswered = pending !== undefined && now - pending.at > CONTACT_TIMEOUT_MS;
-    if (isSilent || isUnanswered) lose(now, true);
+    if (isSilent || isUnanswered) recordContactLoss(now, true);
   }
 
   function findPartShape(quota: TenantQuota): ReturnType<typeof computeQuotaShape> {
@@ -137,9 +140,9 @@
     return account;
   }
 
-  /** Forgets levels of before: the answer names all tenants that are near empty. */
+  /** Forgets earlier levels: the answer to a probe names all tenants that are near empty. */
   function forgetLevels(): void {
-    for (const account of accounts.values()) account.told = undefined;
+    for (const account of accounts.values()) account.keeperLevel = undefined;
   }
 
   function isOutdated({ start, number }: QuotaLevelsMessage): boolean {
@@ -183,24 +186,26 @@
   }
 
   /** Lists the tenants that were near empty in recent contact, for a keeper that does not know. */
-  function listCarried(now: number): QuotaLevelItem[] | undefined {
+  function listPreviousLevels(now: number): QuotaLevelItem[] | undefined {
     const wasInContact = loss === undefined || loss.wasInContact;
-    if (!wasInContact || now - heardAt > CARRY_MS || share < LEAST_CARRIED_SHARE) return undefined;
-    const carried: QuotaLevelItem[] = [];
+    if (!wasInContact || now - heardAt > PREVIOUS_LEVELS_LIFE_MS || share < LEAST_PREVIOUS_SHARE) {
+      return undefined;
+    }
+    const previousLevels: QuotaLevelItem[] = [];
     for (const [tenant, account] of accounts) {
       const quota = findQuota(tenant);
-      if (quota === undefined || account.told === undefined) continue;
+      if (quota === undefined || account.keeperLevel === undefined) continue;
       const shape = computeQuotaShape(quota, getBounds(), share);
       if (!isNearEmpty(account, shape)) continue;
-      const { level, at } = account.told;
-      carried.push({ tenant, level: level + shape.ratePerMs * (now - at) });
+      const { level, at } = account.keeperLevel;
+      previousLevels.push({ tenant, level: level + shape.ratePerMs * (now - at) });
     }
-    return carried;
+    return previousLevels;
   }
 
   return {
     admit: (tenant, cost, now) => {
-      if (tenant?.quota === undefined || !isLimited(tenant)) return FREE;
+      if (tenant?.quota === undefined || !isLimited(tenant)) return UNLIMITED;
       checkContact(now);
       const { name, quota } = tenant;
       const account = findAccount(name, now);
@@ -268,8 +273,10 @@
       if (loss === undefined) pending ??= { sequence, at: now };
       const common = { kind: 'quota-use', start: parts.start, sequence, items } as const;
       if (!wantsAll) return common;
-      const carried = listCarried(now);
-      return carried === undefined ? { ...common, wantsAll } : { ...common, wantsAll, carried };
+      const previousLevels = listPreviousLevels(now);
+      return previousLevels === undefined
+        ? { ...common, wantsAll }
+        : { ...common, wantsAll, previousLevels };
     },
     isInContact: (now) => {
       checkContact(now);
--- a/packages/protocol/src/quota-messages.ts
+++ b/packages/protocol/src/quota-messages.ts
@@ -13,7 +13,7 @@
     start: id,
     sequence: count,
     wantsAll: z.boolean().optional(),
-    carried: z.array(z.object({ tenant: id, level: amount })).optional(),
+    previousLevels: z.array(z.object({ tenant: id, level: amount })).optional(),
     items: z.array(
       z.object({
         tenant: id,
@@ -46,9 +46,9 @@
   readonly tenant: string;
   /** Cost of admitted requests less what was given back, since the start of the process. */
   readonly used: number;
-  /** Part of `used` that a keeper has told to have charged. */
+  /** Part of `used` that a keeper has confirmed to have charged. */
   readonly settled: number;
-  /** Report that told the settled part. */
+  /** Sequence of the report whose reply confirmed the settled part. */
   readonly settledSequence: number;
   /** Cost of admitted and refused requests since the start of the process. */
   readonly asked?: number | undefined;
@@ -67,7 +67,7 @@
    * Tenants that were near empty at the keeper that the sender used just before, with the highest
    * level that they may have now; absent if it used none.
    */
-  readonly carried?: readonly QuotaLevelItem[] | undefined;
+  readonly previousLevels?: readonly QuotaLevelItem[] | undefined;
   readonly items: readonly QuotaUseItem[];
 };
 
@@ -82,7 +82,7 @@
   readonly demand?: number | undefined;
 };
 
-/** Levels that a keeper tells: the reply to a report, or the news for all VMs. */
+/** Levels that a keeper sends: the reply to a report, or an update for all VMs. */
 export type QuotaLevelsMessage = {
   readonly kind: 'quota-levels';
   /** Identifies the start of the keeper's process. */
--- a/packages/router/src/quotas/quota-task.ts
+++ b/packages/router/src/quotas/quota-task.ts
@@ -22,7 +22,7 @@
 import type { Logger } from '../logging/logger.js';
 import { makeOwnerSelector } from '../pools/owners.js';
 
-/** What the quotas measure. */
+/** Metrics of the quotas. */
 export type QuotaMetrics = {
   readonly countRefused: () => void;
   readonly setBelowZero: (count: number) => void;
@@ -47,7 +47,7 @@
   readonly logger: Logger;
 };
 
-/** Sizes of a request, as its caller tells them. */
+/** Sizes of a request, as its caller states them. */
 export type RequestSize = {
   readonly requestId: string;
   readonly promptTokens: number | undefined;
@@ -204,7 +204,7 @@
     else parts.sendTo(to, message);
   }
 
-  function showContact(now: number): void {
+  function recordContact(now: number): void {
     const isIn = limiter.isInContact(now);
     metrics.setOutOfContact(!isIn);
     metrics.setBelowZero(keeper.countBelowZero());
@@ -250,7 +250,7 @@
       recordHeard(from, now);
       selector.recordUnfit(from, isStoreAway || isLeaving || isCutOff);
       if (!isInUse()) return;
-      // A keeper that hears nobody says that it uses none, itself included.
+      // An isolated keeper announces that it uses no keeper, itself included.
       if (quotaKeeper === from) limiter.recordHeard(from, now);
       keeper.recordUser(from, quotaKeeper === self, now);
     },
@@ -279,16 +279,16 @@
       report(now);
       limiter.recordHeard(self, now);
       keeper.recordUser(self, limiter.findUsedKeeper(now) === self, now);
-      const news = keeper.tick(now);
-      if (news !== undefined) {
-        limiter.handleLevels(self, news, now);
-        parts.broadcast(news);
+      const update = keeper.tick(now);
+      if (update !== undefined) {
+        limiter.handleLevels(self, update, now);
+        parts.broadcast(update);
       }
-      showContact(now);
+      recordContact(now);
     },
     findUsedKeeper: (now) => {
       const used = isInUse() ? limiter.findUsedKeeper(now) : undefined;
-      return used === self && keeper.isDeaf(now) ? undefined : used;
+      return used === self && keeper.isIsolated(now) ? undefined : used;
     },
   };
 }
