Loads: usual terms for pending calls and lightly loaded services

Cause: 'wish', 'calm', 'told' and 'fulls' are figurative or unclear names; some constants did not say their unit or reason. Ruled out: renaming 'room', which log lines, metrics and their labels use. Before and after: names and comments only.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -39,7 +39,7 @@
 export * from './speeds/call-room.js';
 export * from './speeds/load-sums.js';
 export * from './speeds/own-load.js';
-export { isCalm } from './speeds/service-room.js';
+export { isLightlyLoaded } from './speeds/service-room.js';
 export * from './speeds/shared-choice.js';
 export * from './pools/index.js';
 export * from './routing/index.js';
--- a/packages/core/src/speeds/call-room.test.ts
+++ b/packages/core/src/speeds/call-room.test.ts
@@ -1,6 +1,6 @@
 import type { ServiceName, ServiceSummary, UpstreamId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
-import { judgeCall, type CallWish } from './call-room.js';
+import { judgeCall, type PendingCall } from './call-room.js';
 import {
   makeServerCurve,
   predictAnswerMs,
@@ -26,43 +26,43 @@
   };
 }
 
-function buildWish(changes: Partial<CallWish>): CallWish {
+function buildCall(changes: Partial<PendingCall>): PendingCall {
   const due = { aimAt: NOW + 200, deadlineAt: NOW + 1_500 };
   return { tenant: '', ...due, answerMs: 50, fraction: 0.5, now: NOW, ...changes };
 }
 
 it('call room: a call is sent where there is room for its share', () => {
-  expect(judgeCall(buildSummary({}), buildWish({})).kind).to.equal('send');
+  expect(judgeCall(buildSummary({}), buildCall({})).kind).to.equal('send');
   const scarce = buildSummary({ share: 0.4 });
-  expect(judgeCall(scarce, buildWish({ fraction: 0.3 })).kind).to.equal('send');
+  expect(judgeCall(scarce, buildCall({ fraction: 0.3 })).kind).to.equal('send');
 });
 
 it('call room: a call that can still be on time waits, and no longer than that', () => {
-  const verdict = judgeCall(buildSummary({ share: 0.4 }), buildWish({}));
+  const verdict = judgeCall(buildSummary({ share: 0.4 }), buildCall({}));
   expect(verdict).to.deep.equal({ kind: 'wait', isLate: false, until: NOW + 150 });
 });
 
 it('call room: a call that hardly gets its turn in time is refused at once', () => {
   const summary = buildSummary({ share: 0.05 });
-  const verdict = judgeCall(summary, buildWish({}));
+  const verdict = judgeCall(summary, buildCall({}));
   expect(verdict).to.deep.equal({ kind: 'refuse', retryAfterMs: 625 });
 });
 
 it('call room: a late call waits while the queue drains well before its deadline, and no longer', () => {
-  const wish = buildWish({ aimAt: NOW + 10 });
+  const call = buildCall({ aimAt: NOW + 10 });
   const draining = buildSummary({ share: 0.4, lateShare: 0, drainMs: 300 });
-  expect(judgeCall(draining, wish)).to.deep.equal({
+  expect(judgeCall(draining, call)).to.deep.equal({
     kind: 'wait',
     isLate: true,
     until: NOW + 1_400,
   });
   const slow = buildSummary({ share: 0.4, lateShare: 0, drainMs: 1_200 });
-  expect(judgeCall(slow, wish).kind).to.equal('refuse');
+  expect(judgeCall(slow, call).kind).to.equal('refuse');
 });
 
 it('call room: a tenant with a share of its own is judged by that', () => {
   const summary = buildSummary({ share: 0.1, tenants: [{ tenant: 'usual', share: 1 }] });
-  expect(judgeCall(summary, buildWish({ tenant: 'usual', fraction: 0.9 })).kind).to.equal('send');
+  expect(judgeCall(summary, buildCall({ tenant: 'usual', fraction: 0.9 })).kind).to.equal('send');
 });
 
 it('service room: full servers give late calls only what calls on time leave', () => {
--- a/packages/core/src/speeds/call-room.ts
+++ b/packages/core/src/speeds/call-room.ts
@@ -3,11 +3,11 @@
 import type { ServiceSummary } from '@tarragonspool/protocol';
 import { SUMMARY_INTERVAL_MS } from './service-room.js';
 
-/** A call that wants to be sent. */
-export type CallWish = {
+/** A call that has not been sent yet. */
+export type PendingCall = {
   /** Name of its tenant; empty if it has none. */
   readonly tenant: string;
-  /** When its answer is due to be on time, and at all. */
+  /** When its answer must be complete to be on time, and when the caller gives up. */
   readonly aimAt: number;
   readonly deadlineAt: number;
   /** Expected time of its answer, in milliseconds; 0 if not known. */
@@ -24,19 +24,23 @@
   | { readonly kind: 'wait'; readonly isLate: boolean; readonly until: number }
   | { readonly kind: 'refuse'; readonly retryAfterMs: number };
 
-/** A summary is used for this long. */
+/** A summary is used for this long: several may be lost before the VM that sums counts as silent. */
 export const SUMMARY_LIFE_MS = 600;
 /** A call that so many servers did not run, as they were full, is refused: the others are hardly freer. */
 export const MAX_FULL_SERVERS = 2;
 /** A call waits only if it is sent in time with at least this probability. */
 const LEAST_CHANCE = 0.2;
-/** A late call leaves this many times the expected answer time before its deadline. */
+/**
+ * A late call is sent only if this many times the expected answer time is left until its deadline,
+ * since answer times vary.
+ */
 const LATE_ANSWER_FACTOR = 2;
-/** And waits only if the wait is expected to end within this part of the time that it has. */
+/** A late call waits only if the queue is expected to drain within this part of the time left to it. */
 const LATE_WAIT_SHARE = 0.6;
-/** Random part of the time after which refused callers come back, so that they don't all at once. */
+/** Random part of the time after which refused callers come back, so that they do not all come at once. */
 const RETRY_AFTER_SPREAD = 0.5;
 
+/** Finds the share of calls that may be sent: that of the tenant, else that of the service. */
 function findShare({ share, tenants }: ServiceSummary, tenant: string): number {
   return tenants.find((known) => known.tenant === tenant)?.share ?? share;
 }
@@ -47,9 +51,9 @@
 }
 
 /** Decides about a call that has arrived, or waits and has read a new summary. */
-export function judgeCall(summary: ServiceSummary, wish: CallWish): RoomVerdict {
-  const { aimAt, deadlineAt, answerMs, fraction, now } = wish;
-  const share = findShare(summary, wish.tenant);
+export function judgeCall(summary: ServiceSummary, call: PendingCall): RoomVerdict {
+  const { aimAt, deadlineAt, answerMs, fraction, now } = call;
+  const share = findShare(summary, call.tenant);
   const onTimeUntil = aimAt - answerMs;
   const lateUntil = deadlineAt - LATE_ANSWER_FACTOR * answerMs;
   const isOnTime = now <= onTimeUntil;
--- a/packages/core/src/speeds/load-sums.ts
+++ b/packages/core/src/speeds/load-sums.ts
@@ -108,7 +108,7 @@
   server.refusals += item.refusals;
 }
 
-/** Takes the report of one VM. */
+/** Adds the report of one VM. */
 export function recordReport(
   sums: LoadSums,
   vmId: VmId,
@@ -128,7 +128,7 @@
   }
 }
 
-/** Takes the summary of another VM, from which this one goes on if it becomes the one that sums. */
+/** Records the summary of another VM, from which this VM continues if it becomes the one that sums. */
 export function recordEarlier(sums: LoadSums, summaries: readonly ServiceSummary[]): void {
   for (const summary of summaries) sums.earlier.set(summary.service, summary);
 }
@@ -185,7 +185,7 @@
   }
 }
 
-/** Ends a step; called at regular times. Returns whether the sums are complete enough to be told. */
+/** Ends a step of the averages; called at regular times. Returns whether the sums are complete enough to be sent. */
 export function stepSums(sums: LoadSums, now: number): boolean {
   const elapsedMs = Math.max(1, now - sums.steppedAt);
   sums.steppedAt = now;
--- a/packages/core/src/speeds/own-load.ts
+++ b/packages/core/src/speeds/own-load.ts
@@ -22,8 +22,8 @@
   waitingLate: number;
   readonly arrivals: Map<string, number>;
   readonly servers: Map<UpstreamId, ServerCount>;
-  /** Whether the last report said something that has changed since. */
-  hasNews: boolean;
+  /** Whether anything has changed since the last report. */
+  hasChanged: boolean;
 };
 
 /** Counts of one VM by service. */
@@ -46,7 +46,7 @@
     waitingLate: 0,
     arrivals: new Map(),
     servers: new Map(),
-    hasNews: false,
+    hasChanged: false,
   };
   load.set(service, added);
   return added;
@@ -70,7 +70,7 @@
 export function recordArrival(load: OwnLoad, service: ServiceName, tenant: string): void {
   const counts = getOrAddService(load, service);
   counts.arrivals.set(tenant, (counts.arrivals.get(tenant) ?? 0) + 1);
-  counts.hasNews = true;
+  counts.hasChanged = true;
 }
 
 /** Records that a call begins, or with -1 ends, to wait for room. */
@@ -82,7 +82,7 @@
 ): void {
   const counts = getOrAddService(load, service);
   counts[kind] += change;
-  counts.hasNews = true;
+  counts.hasChanged = true;
 }
 
 /** Records that a request was sent to a server. */
@@ -96,7 +96,7 @@
   const server = getOrAddServer(counts, upstreamId, now);
   countBusy(server, now);
   server.inFlight += 1;
-  counts.hasNews = true;
+  counts.hasChanged = true;
 }
 
 /** Records that a request that was sent at `sentAt` has ended. */
@@ -115,7 +115,7 @@
     server.answerMs += now - sentAt;
   }
   if (outcome === 'refused') server.refusals += 1;
-  counts.hasNews = true;
+  counts.hasChanged = true;
 }
 
 /** Counts the requests of this VM that a server has now. */
@@ -141,14 +141,14 @@
   for (const [service, counts] of load) {
     const { waiting, waitingLate } = counts;
     const isIdle = waiting + waitingLate === 0 && counts.servers.size === 0;
-    if (isIdle && !counts.hasNews) {
+    if (isIdle && !counts.hasChanged) {
       load.delete(service);
       continue;
     }
     const arrivals = [...counts.arrivals].map(([tenant, count]) => ({ tenant, count }));
     items.push({ service, waiting, waitingLate, arrivals, servers: takeServers(counts, now) });
     counts.arrivals.clear();
-    counts.hasNews = false;
+    counts.hasChanged = false;
   }
   return items;
 }
--- a/packages/core/src/speeds/server-test-kit.ts
+++ b/packages/core/src/speeds/server-test-kit.ts
@@ -29,13 +29,13 @@
   takeReport,
   type OwnLoad,
 } from './own-load.js';
-import { isCalm } from './service-room.js';
+import { isLightlyLoaded } from './service-room.js';
 import { chooseSharedServer } from './shared-choice.js';
 
 const SERVICE = 'ledger' as ServiceName;
 const LINK_MS = 3;
 const INTERVAL_MS = 100;
-const CALM_INTERVAL_MS = 150;
+const LIGHT_MS = 150;
 const FULL_AVOID_MS = 150;
 const MAX_SENDS = 4;
 
@@ -299,9 +299,9 @@
     if (server === undefined) throw new Error('the simulation has no servers');
     if (summary !== undefined) {
       const known = summary.servers.find(({ upstreamId }) => upstreamId === server.upstreamId);
-      const wish = { tenant, aimAt: arrivedAt + targetMs, deadlineAt: arrivedAt + deadlineMs };
+      const times = { tenant, aimAt: arrivedAt + targetMs, deadlineAt: arrivedAt + deadlineMs };
       const answerMs = known?.answerMs ?? 0;
-      const verdict = judgeCall(summary, { ...wish, answerMs, fraction: takeFraction(), now });
+      const verdict = judgeCall(summary, { ...times, answerMs, fraction: takeFraction(), now });
       if (verdict.kind === 'refuse') {
         endCall(call, 'refused');
         return;
@@ -320,7 +320,7 @@
   }
 
   steps.decide = decide;
-  let toldAt = -Infinity;
+  let sentAt = -Infinity;
 
   function forgetSums(): void {
     sums = makeLoadSums(now);
@@ -341,9 +341,9 @@
     if (isSummed && stepSums(sums, now)) {
       const listed = records.map(({ upstreamId, slots }) => ({ upstreamId, slots }));
       const summary = buildSummary(sums, SERVICE, listed);
-      const isTold = summary !== undefined && !(isCalm(summary) && now - toldAt < CALM_INTERVAL_MS);
-      if (isTold) {
-        toldAt = now;
+      const isDue = summary !== undefined && !(isLightlyLoaded(summary) && now - sentAt < LIGHT_MS);
+      if (isDue) {
+        sentAt = now;
         summaries.push({ at: now, summary });
         for (const vm of vms) schedule(LINK_MS, () => readSummary(vm, summary));
       }
--- a/packages/core/src/speeds/service-room.ts
+++ b/packages/core/src/speeds/service-room.ts
@@ -14,11 +14,11 @@
   readonly handledMs: number;
 };
 
-/** What wants to be sent where. */
+/** Servers of a service, and the calls that arrive and wait. */
 export type RoomDemand = {
   readonly servers: readonly RoomServer[];
   readonly tenants: readonly TenantDemand[];
-  /** Calls that wait on time, and late. */
+  /** Waiting calls that can still be on time, and those that are late. */
   readonly waiting: number;
   readonly waitingLate: number;
 };
@@ -26,15 +26,15 @@
 /** Part of a service's summary that is about room. */
 export type ServiceRoom = Omit<ServiceSummary, 'service' | 'servers'>;
 
-/** Time between two summaries. */
+/** Time between two summaries, in milliseconds. */
 export const SUMMARY_INTERVAL_MS = 100;
 /** A server counts as filled up to this many times what it handles well. */
 const MAX_COUNTED_FILL = 3;
 /** Below this many times what the servers handle well there is room for all. */
 const FREE_FILL = 1.2;
-/** Fill that is aimed at when there is not: a short queue keeps servers busy between two summaries. */
+/** Fill that is aimed at beyond that: a short queue keeps servers busy between two summaries. */
 const AIMED_FILL = 1.5;
-/** Time within which a difference from that is made up: as long as it takes to see what was sent. */
+/** Time within which a difference from the aimed fill is corrected: the delay of the reports. */
 const CORRECTION_MS = 150;
 /** However full servers are, this part of what they answer goes on being sent, to see changes. */
 const LEAST_SUPPLY_SHARE = 0.2;
@@ -44,9 +44,8 @@
 const MIN_RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 3_000;
 const MS_PER_S = 1_000;
-
-/** A service whose servers are all filled to no more than this part is calm. */
-const CALM_FILL = 0.25;
+/** A service is lightly loaded if each server has at most this part of what it handles well. */
+const LIGHT_LOAD_FILL = 0.25;
 
 /** Room for everything. */
 const FREE: ServiceRoom = {
@@ -111,6 +110,8 @@
 }
 
 /** Whether the load of a service is so low that summaries may come half as often. */
-export function isCalm({ share, servers }: ServiceSummary): boolean {
-  return share === 1 && servers.every(({ inFlight, handles }) => inFlight <= CALM_FILL * handles);
+export function isLightlyLoaded({ share, servers }: ServiceSummary): boolean {
+  return (
+    share === 1 && servers.every(({ inFlight, handles }) => inFlight <= LIGHT_LOAD_FILL * handles)
+  );
 }
--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -159,7 +159,7 @@
   const outcome: SendOutcome =
     result.kind === 'outcome' ? result.outcome : { kind: 'unknown', reason: result.kind };
   const ownOutcome = findOwnOutcome(state, request, server, outcome);
-  if (ownOutcome === 'refused') progress.fulls += 1;
+  if (ownOutcome === 'refused') progress.fullServers += 1;
   endSend(ownOutcome, getSteadyMs());
   if (result.kind === 'outcome' || result.kind === 'slow') {
     recordSendOutcome(state, server, outcome, sentAt);
@@ -244,7 +244,7 @@
 /** Serves one request of a plain service, with retries within the retry budget. */
 export function* runCallRequest(state: GatewayState, request: GatewayRequest): Task {
   const { route, service, fields } = request;
-  const progress: CallProgress = { tried: new Set(), runs: 0, fulls: 0 };
+  const progress: CallProgress = { tried: new Set(), runs: 0, fullServers: 0 };
   state.sharedLoads.recordArrival(service, request.tenant?.name ?? '');
   for (;;) {
     const room = yield* awaitRoom(state, request, progress);
--- a/packages/router/src/gateway/call-progress.ts
+++ b/packages/router/src/gateway/call-progress.ts
@@ -8,5 +8,5 @@
   /** Sends that a server may have executed. */
   runs: number;
   /** Servers that did not run it because they were full. */
-  fulls: number;
+  fullServers: number;
 };
--- a/packages/router/src/gateway/call-room.ts
+++ b/packages/router/src/gateway/call-room.ts
@@ -1,4 +1,4 @@
-/** Holds or refuses a call while the servers of its service have no room. */
+/** Makes a call wait, or refuses it, while the servers of its service have no room. */
 
 import { judgeCall, MAX_FULL_SERVERS, type RoomVerdict } from '@tarragonspool/core';
 import type { ServiceSummary } from '@tarragonspool/protocol';
@@ -16,9 +16,10 @@
   | { readonly kind: 'no-room'; readonly retryAfterMs: number }
   | RequestEnd;
 
-/** A wait is checked at least this often: the summary that it waits for may not come. */
+/** Longest wait for one summary before the call is judged again, since summaries may stop. */
 const CHECK_MS = 250;
 
+/** Judges a call by the summary and by the servers that refused it as full. */
 function judge(
   state: GatewayState,
   request: GatewayRequest,
@@ -26,14 +27,14 @@
   progress: CallProgress,
 ): RoomVerdict {
   const server = findNextCandidate(state, request, progress.tried);
-  // Whoever chooses the server finds the reason why there is none.
+  // The choice of the server, which follows, finds the reason why there is none.
   if (server === undefined) return { kind: 'send' };
   const known = summary.servers.find(({ upstreamId }) => upstreamId === server.upstreamId);
   const { aimAt, deadlineAt, tenant } = request;
   const fraction = state.takeFraction();
-  const wish = { tenant: tenant?.name ?? '', aimAt, deadlineAt, fraction, now: getSteadyMs() };
-  const verdict = judgeCall(summary, { ...wish, answerMs: known?.answerMs ?? 0 });
-  if (progress.fulls < MAX_FULL_SERVERS || verdict.kind === 'refuse') return verdict;
+  const call = { tenant: tenant?.name ?? '', aimAt, deadlineAt, fraction, now: getSteadyMs() };
+  const verdict = judgeCall(summary, { ...call, answerMs: known?.answerMs ?? 0 });
+  if (progress.fullServers < MAX_FULL_SERVERS || verdict.kind === 'refuse') return verdict;
   return { kind: 'refuse', retryAfterMs: summary.retryAfterMs };
 }
 
--- a/packages/router/src/speeds/shared-loads.ts
+++ b/packages/router/src/speeds/shared-loads.ts
@@ -6,7 +6,7 @@
 import {
   buildSummary,
   countInFlight,
-  isCalm,
+  isLightlyLoaded,
   makeLoadSums,
   recordArrival,
   recordEarlier,
@@ -31,7 +31,7 @@
 } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 
-/** What is used of the metrics. */
+/** Metrics of the shared loads. */
 export type SharedLoadMetrics = {
   readonly loadSummaries: { readonly set: (value: number) => void };
 };
@@ -69,7 +69,7 @@
   /** Counts the requests at a server beyond those that this VM had there at the latest summary. */
   readonly countSentSince: (service: ServiceName, upstreamId: UpstreamId) => number;
   readonly handleMessage: (from: VmId, message: LoadMessage, now: number) => void;
-  /** Reports, and sums up; called at regular times. */
+  /** Sends the reports that are due, and summaries if this VM leads; called at regular times. */
   readonly tick: (now: number) => void;
   /** Whether any load is shared, or another VM reports. */
   readonly isBusy: () => boolean;
@@ -82,8 +82,8 @@
 };
 
 const NO_ACTION = (): void => undefined;
-/** Time between summaries at the least while no server has much to do; ticks are a little early or late. */
-const CALM_INTERVAL_MS = 150;
+/** Shortest time between summaries while all servers are lightly loaded: two ticks, less their jitter. */
+const LIGHT_LOAD_INTERVAL_MS = 150;
 /** Ticks go on for this long after the last traffic, so that reports stay spread over time. */
 const BUSY_MS = 5_000;
 
@@ -97,7 +97,7 @@
   let leader: VmId | undefined;
   let tickedAt = startedAt;
   let trafficAt = -Infinity;
-  let toldAt = -Infinity;
+  let broadcastAt = -Infinity;
 
   function readSummaries(summaries: readonly ServiceSummary[], now: number): void {
     for (const summary of summaries) {
@@ -133,7 +133,7 @@
     }
   }
 
-  function sumUp(now: number): void {
+  function broadcastSums(now: number): void {
     if (!stepSums(sums, now)) return;
     const groups = new Map<ServiceName, ServiceSummary[]>();
     for (const service of sums.services.keys()) {
@@ -142,9 +142,9 @@
       const summary = buildSummary(sums, service, parts.listServers(service));
       if (summary !== undefined) groups.set(ranking, [...(groups.get(ranking) ?? []), summary]);
     }
-    const isAllCalm = [...groups.values()].every((summaries) => summaries.every(isCalm));
-    if (isAllCalm && now - toldAt < CALM_INTERVAL_MS) return;
-    if (groups.size > 0) toldAt = now;
+    const isAllLight = [...groups.values()].every((summaries) => summaries.every(isLightlyLoaded));
+    if (isAllLight && now - broadcastAt < LIGHT_LOAD_INTERVAL_MS) return;
+    if (groups.size > 0) broadcastAt = now;
     for (const [ranking, services] of groups) {
       parts.broadcast({ kind: 'load-summary', ranking, services });
       readSummaries(services, now);
@@ -197,7 +197,7 @@
     tick: (now) => {
       tickedAt = now;
       report(now);
-      sumUp(now);
+      broadcastSums(now);
       dropOld(now);
     },
     isBusy: () => own.size > 0 || tickedAt - trafficAt < BUSY_MS,
