Pools: verbs and terms of refusals; the check of verbs passes

Cause: 'playOverload' begins with no listed verb, so that the docs test failed; 'refuseHopeless' and 'told to come back' are figurative, and some constants had no unit or reason. After: names and comments only.

--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -22,6 +22,7 @@
 import type { SlotRequest, PoolAction, RefusalReason } from './pool-types.js';
 
 const MS_PER_S = 1_000;
+/** Bounds of Retry-After for callers that are refused for lack of slots. */
 const MIN_RETRY_AFTER_MS = 700;
 const MAX_RETRY_AFTER_MS = 4_500;
 /** Callers wait no longer after a refusal than this share of the time until their deadline. */
@@ -42,7 +43,7 @@
 const WAIT_SAFETY_FACTOR = 1.05;
 /** Time before the caller's deadline by which a request that waits for a spare slot must start. */
 const SPARE_MARGIN_MS = 300;
-/** A request that waits for a spare slot is decided again at this interval. */
+/** Interval at which it is decided again whether a request that waits for a spare slot may go on waiting. */
 const REVIEW_INTERVAL_MS = 500;
 
 function countWaiting(state: PoolState, isCounted: (slotRequest: SlotRequest) => boolean): number {
@@ -55,8 +56,8 @@
 
 /**
  * Computes when a refused caller should retry, in milliseconds: once a spare slot is expected after
- * the requests of its own and higher ranks that wait, and after the refused ones that were told to
- * come before. Callers do not wait longer than for a share of the time that they have left.
+ * the requests of its own and higher ranks that wait, and after the refused callers whose
+ * Retry-After ends earlier. Callers do not wait longer than for a share of the time that they have left.
  */
 function computeRetryAfterMs(state: PoolState, slotRequest: SlotRequest, now: number): number {
   const { rank, patienceEndsAt } = slotRequest;
@@ -210,7 +211,7 @@
  * Refuses the waiting requests that have lost their chance to be on time, or still have none, and
  * are not expected to get a spare slot before the caller's deadline.
  */
-export function refuseHopeless(state: PoolState, now: number): PoolAction[] {
+export function refuseUnreachable(state: PoolState, now: number): PoolAction[] {
   const actions: PoolAction[] = [];
   for (const waiting of state.waiting.values()) {
     const { ask: slotRequest } = waiting;
--- a/packages/core/src/pools/answer-ends.ts
+++ b/packages/core/src/pools/answer-ends.ts
@@ -12,6 +12,7 @@
   readonly sums: Float64Array;
 };
 
+/** Width of a bin, as a ratio, and number of bins: longer answers count in the last one. */
 const BIN_WIDTH = 0.05;
 const BIN_COUNT = 60;
 /** Weight of the first assumption, in answers: all last as long as expected. */
--- a/packages/core/src/pools/engine-memory.ts
+++ b/packages/core/src/pools/engine-memory.ts
@@ -1,4 +1,4 @@
-/** KV cache memory of decode engines: who fits, and what refusals and preemptions show of it. */
+/** KV cache memory of decode engines: which answers fit, and what refusals and preemptions show of it. */
 
 import {
   makeAnswerLengths,
--- a/packages/core/src/pools/overload-test-kit.ts
+++ b/packages/core/src/pools/overload-test-kit.ts
@@ -96,7 +96,7 @@
 type Due = { readonly at: number; readonly perform: (now: number) => void };
 
 /** Plays callers at a pool until all of them have been served or have given up. */
-export function playOverload(
+export function runOverload(
   fleet: readonly SimulatedEngine[],
   callers: readonly Caller[],
   seed = 1,
--- a/packages/core/src/pools/overload.test.ts
+++ b/packages/core/src/pools/overload.test.ts
@@ -5,7 +5,7 @@
   buildFleet,
   countOutcomes,
   makeRandom,
-  playOverload,
+  runOverload,
   type Caller,
   type SimulatedEngine,
 } from './overload-test-kit.js';
@@ -23,7 +23,7 @@
     ...buildCallers(random, { fromMs: 0, toMs: USUAL_MS, perSecond: usual }),
     ...buildCallers(random, { fromMs: BURST_FROM_MS, toMs, perSecond: (factor - 1) * usual }),
   ];
-  const result = playOverload(fleet, callers);
+  const result = runOverload(fleet, callers);
   return { result, callers, counts: countOutcomes(result) };
 }
 
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -67,7 +67,7 @@
   readonly ranks: RankRates;
   /** Recent use and arrivals by tenant. */
   readonly tenants: TenantShares;
-  /** When refused callers were told to come back. */
+  /** When refused callers are expected to retry. */
   readonly returns: RetryReturns;
   /** Forecast for the current event; undefined once anything has changed. */
   forecast: { readonly at: number; readonly forecast: SlotForecast } | undefined;
--- a/packages/core/src/pools/rank-rates.ts
+++ b/packages/core/src/pools/rank-rates.ts
@@ -11,7 +11,7 @@
   usualRate: number;
   firstAt: number;
   at: number;
-  /** Arrivals and grants of the last while, as of `countedAt`; both decay together. */
+  /** Arrivals and grants of the share window, as of `countedAt`; both decay together. */
   arrivals: number;
   grants: number;
   countedAt: number;
@@ -27,6 +27,7 @@
 const USUAL_WINDOW_MS = 60_000;
 /** Before this time, arrivals are too few to tell the usual rate from a burst. */
 const MIN_USUAL_MS = 3_000;
+/** Window of the arrivals and grants by which shares of grants are compared. */
 const SHARE_WINDOW_MS = 8_000;
 const MS_PER_S = 1_000;
 /** A rank is neglected if its share of grants is below this multiple of the share of all ranks. */
@@ -135,7 +136,7 @@
   return own.grants / own.arrivals < neglectedShare * (grants / Math.max(1, arrivals));
 }
 
-/** Returns the on-time arrivals per second of one rank or tenant over the last while. */
+/** Returns the on-time arrivals per second of one rank or tenant over the share window. */
 export function measureOwnRate<Key>(rates: ArrivalRates<Key>, key: Key, now: number): number {
   const rate = rates.get(key);
   if (rate === undefined) return 0;
--- a/packages/core/src/pools/retry-returns.ts
+++ b/packages/core/src/pools/retry-returns.ts
@@ -1,4 +1,7 @@
-/** When refused callers were told to come back, so that later ones are told to come after them. */
+/**
+ * When refused callers are expected to retry, by the Retry-After that they were given, so that callers
+ * that are refused later get a later time.
+ */
 
 type Return = { readonly at: number; readonly rank: number };
 
--- a/packages/core/src/pools/slot-forecast.ts
+++ b/packages/core/src/pools/slot-forecast.ts
@@ -63,7 +63,7 @@
 const SURPLUS_TOLERANCE = 1;
 /** Time constant at which arrivals are expected to return to their usual rate after a burst. */
 const BURST_MS = 3_000;
-/** A forecast repeats no faster than this. */
+/** Shortest time after which a slot is expected to be free again; bounds the length of the list. */
 const MIN_CYCLE_MS = 50;
 /** Arrivals on time can wait this long for a slot, so that a short lack of slots does no harm. */
 const WAITING_MS = 400;
--- a/packages/core/src/pools/tenant-shares.test.ts
+++ b/packages/core/src/pools/tenant-shares.test.ts
@@ -5,7 +5,7 @@
   buildFleet,
   countOutcomes,
   makeRandom,
-  playOverload,
+  runOverload,
   type Caller,
   type SimulatedEngine,
 } from './overload-test-kit.js';
@@ -32,7 +32,7 @@
   const callers = names.flatMap((tenant) => buildCallers(random, usual, { tenant }));
   const heavy = { fromMs: FROM_MS, toMs: TO_MS, perSecond: load.heavy };
   callers.push(...buildCallers(random, heavy, { tenant: HEAVY }));
-  const result = playOverload(fleet, callers);
+  const result = runOverload(fleet, callers);
   const measureShare = (isCounted: (caller: Caller) => boolean): number => {
     const isInBurst = (caller: Caller): boolean => caller.arrivesAt >= FROM_MS && isCounted(caller);
     const counts = countOutcomes(result, isInBurst);
