Gateway: plain help texts, comments and names

Cause: 'pace', 'what came of it', 'does not hear' and 'without a word' made a reader stumble; the empty service name in the quotas' ranking had no reason. Before and after: names, comments and help texts only; labels are unchanged.

--- a/packages/core/src/intake/fair-queue.ts
+++ b/packages/core/src/intake/fair-queue.ts
@@ -1,7 +1,7 @@
 /**
  * Shares work over many items by what it has cost so far (start-time fair queueing): of those that wait, the one
- * that has had least comes next. An item that waited for nothing meanwhile begins at the share of the one that was
- * taken last, so that it neither saves up nor owes anything.
+ * that has cost least so far comes next. An item that waited for nothing meanwhile begins at the share of the one that was
+ * taken last, so that idle time gives it neither an advantage nor a debt.
  */
 
 /** Items that wait for a piece of work. */
--- a/packages/protocol/src/load-messages.ts
+++ b/packages/protocol/src/load-messages.ts
@@ -106,7 +106,7 @@
 export type ServiceSummary = {
   readonly service: ServiceName;
   readonly servers: readonly ServerSummary[];
-  /** Share of the calls that want to be sent until the next summary for which there is room. */
+  /** Share of the pending calls for which there is room until the next summary. */
   readonly share: number;
   /** The same for tenants whose share is another one. */
   readonly tenants: readonly { readonly tenant: string; readonly share: number }[];
--- a/packages/router/src/gateway/call-server.ts
+++ b/packages/router/src/gateway/call-server.ts
@@ -89,7 +89,10 @@
   return chooseFrom(tried) ?? chooseFrom(new Set());
 }
 
-/** Finds a server that the call would be sent to now. */
+/**
+ * Finds a server that the call would be sent to now. The choice is random: the call may be sent to
+ * another one.
+ */
 export function findNextCandidate(
   state: GatewayState,
   request: GatewayRequest,
--- a/packages/router/src/gateway/caller-connections.ts
+++ b/packages/router/src/gateway/caller-connections.ts
@@ -12,11 +12,11 @@
 import { countSizeCut, recordSizeCut, type SizeCut } from './size-cuts.js';
 
 const CHECK_INTERVAL_MS = 500;
-/** A body makes progress with each of these; a byte now and then is none. */
+/** Bytes of a body that count as progress, so that a caller which sends single bytes makes none. */
 const PROGRESS_BYTES = 4_096;
-/** Above the limits of the configuration, for what is under way. */
+/** Added to the limits of the configuration, for bytes that are on their way. */
 const SLACK_MS = 1_000;
-/** Lines of the log in each interval; what is beyond them is counted only. */
+/** Log lines in each interval; further closed connections are only counted. */
 const MAX_LINES = 10;
 const HEAD_TIMEOUT_ANSWER = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n';
 
@@ -109,7 +109,7 @@
     const now = getSteadyMs();
     const hasStalled = now - checkedAt > 2 * CHECK_INTERVAL_MS;
     checkedAt = now;
-    // What came while this process stood still is read before it is missed.
+    // What arrived while this process was paused must be read before connections are judged.
     if (hasStalled) return;
     for (const connection of connections.values()) {
       const { requests, body, socket } = connection;
@@ -186,7 +186,7 @@
         connection.running -= 1;
         connection.progressAt = getSteadyMs();
       };
-      // From its last byte on it waits for its caller to read it.
+      // Once its last byte is written, an answer only waits for its caller to read it.
       response.once('prefinish', endRun);
       response.once('close', endRun);
     },
--- a/packages/router/src/gateway/caller-framing.ts
+++ b/packages/router/src/gateway/caller-framing.ts
@@ -1,6 +1,6 @@
 /**
  * Ends connections of callers on which bytes come without end that are no body: empty lines before a head, sizes
- * and extensions of chunks. Node reads them without a word, and a caller that sends them never gets a deadline.
+ * and extensions of chunks. Node reads them without an event, so that no deadline of a request applies.
  */
 
 import type { IncomingMessage, Server } from 'node:http';
--- a/packages/router/src/gateway/caller-keys.ts
+++ b/packages/router/src/gateway/caller-keys.ts
@@ -30,7 +30,7 @@
   return check;
 }
 
-/** Finds what servers are told of a request's caller; undefined to pass its headers on as they are. */
+/** Returns what is sent to servers about a request's caller; undefined to pass its headers on as they are. */
 export function findSender(
   { configuration }: GatewayState,
   tenant: Tenant | undefined,
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -50,7 +50,7 @@
 /** The answer to a request that times out is sent this long before its deadline. */
 const TIMEOUT_MARGIN_MS = 15;
 
-/** What follows the connections of callers. */
+/** What tracks the framing and the progress of callers' connections. */
 type Followers = { readonly framing: CallerFraming; readonly connections: CallerConnections };
 
 type Arrival = {
@@ -274,7 +274,7 @@
     }
     return dueAt;
   };
-  /** Nobody waits any more for a request whose body has not ended by its deadline. */
+  /** Refuses a request whose body has not ended by its deadline: its caller no longer waits. */
   function endLate(): void {
     recordCallerCut(state, incoming, { part: 'body', reason: 'body-timeout', bytes: readBytes });
     body.take();
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -97,12 +97,12 @@
     }),
     quotasBelowZero: new Gauge({
       name: `${PREFIX}quotas_below_zero`,
-      help: 'Tenants whose level is below zero at this VM as the keeper of quotas.',
+      help: 'At the keeper of quotas: tenants whose level is below zero.',
       registers,
     }),
     quotaOutOfContact: new Gauge({
       name: `${PREFIX}quota_out_of_contact`,
-      help: 'Whether this VM admits by its own share, as it does not hear the keeper of quotas.',
+      help: '1 while this VM admits by its own share because it is out of contact with the keeper of quotas.',
       registers,
     }),
     notices: new Counter({
@@ -136,12 +136,12 @@
     }),
     loadSummaries: new Gauge({
       name: `${PREFIX}load_summaries`,
-      help: 'Plain services whose load over all VMs is known now.',
+      help: 'Plain services for which this VM has a current summary of the load over all VMs.',
       registers,
     }),
     callsWaited: new Counter({
       name: `${PREFIX}calls_waited_total`,
-      help: 'Calls that waited for room, by what came of it: room, no-room, caller-gone or timed-out.',
+      help: 'Calls that waited for room, by outcome: room, no-room, caller-gone or timed-out.',
       labelNames: ['outcome'],
       registers,
     }),
--- a/packages/router/src/gateway/gateway-request.ts
+++ b/packages/router/src/gateway/gateway-request.ts
@@ -43,7 +43,7 @@
   readonly service: ServiceName;
   /** Tenant of the caller's key; undefined without a key, or if the configuration has no tenants. */
   readonly tenant: Tenant | undefined;
-  /** What servers are told of the caller; undefined if the configuration has no tenants. */
+  /** What is sent to servers about the caller; undefined if the configuration has no tenants. */
   readonly sender: RequestSender | undefined;
   /** Rank among waiting requests: the tenant's priority, else the route's; 0 goes first. */
   readonly rank: number;
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -52,6 +52,7 @@
 
 const EXIT_INTERNAL = 70;
 const POOL_TICK_MS = 25;
+/** Interval at which it is checked whether any tenant has a limit. */
 const IDLE_QUOTA_TICK_MS = 200;
 const IDLE_POOL_TICK_MS = 250;
 const CONTENT_TICK_MS = 100;
@@ -214,6 +215,7 @@
       getDirectory: () => stateHolder.state?.configuration?.tenants,
       getBounds: () => (stateHolder.state?.settings ?? settings).quotaBounds,
       countListedVms: () => stateHolder.state?.listedVmCount ?? ASSUMED_VM_COUNT,
+      // No service has this name, so that the first ranking is found, which keeps the quotas of all tenants.
       getRanking: () => fleet.findRankingName('' as ServiceName),
       sendTo: (to, message) => meshHolder.mesh?.sendTo(to, message),
       broadcast,
--- a/packages/router/src/gateway/ports.ts
+++ b/packages/router/src/gateway/ports.ts
@@ -157,7 +157,7 @@
   readonly sender?: RequestSender;
 };
 
-/** What a server is told of who sent a request. */
+/** What is sent to servers about the caller of a request. */
 export type RequestSender = {
   /** Undefined for a request without a known key. */
   readonly tenant: TenantName | undefined;
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -50,7 +50,7 @@
   /** Whether its engine could not go on as it has other weights than those of the answer. */
   readonly hasOtherWeights: boolean;
   /** How its events came; undefined if there were none. */
-  readonly pace: AnswerProgress | undefined;
+  readonly answerProgress: AnswerProgress | undefined;
 };
 
 function findDecodeEnd(
@@ -165,6 +165,6 @@
   );
   state.metrics.sends.inc({ step: 'decode', outcome: end });
   const hasHead = relay.isForwarding();
-  const pace = relay.getPace();
-  return { end, result, hasEvents: relay.hasEvents(), hasHead, hasOtherWeights, pace };
+  const answerProgress = relay.getAnswerProgress();
+  return { end, result, hasEvents: relay.hasEvents(), hasHead, hasOtherWeights, answerProgress };
 }
--- a/packages/router/src/gateway/stream-handover.ts
+++ b/packages/router/src/gateway/stream-handover.ts
@@ -291,11 +291,19 @@
   state: GatewayState,
   request: GatewayRequest,
   progress: StreamProgress,
-  { grant, end, result, hasEvents, hasHead, hasOtherWeights, pace }: Omit<GrantedRun, 'isSettled'>,
+  {
+    grant,
+    end,
+    result,
+    hasEvents,
+    hasHead,
+    hasOtherWeights,
+    answerProgress,
+  }: Omit<GrantedRun, 'isSettled'>,
   isReported = false,
 ): void {
   const didFinish = end === 'finished' || end === 'unconfirmed';
-  endGrant(state, grant, didFinish, didFinish ? pace : undefined);
+  endGrant(state, grant, didFinish, didFinish ? answerProgress : undefined);
   const { content, sharedParts: promptParts } = request;
   if (end === 'finished') state.contentGuard.recordAnswered(content.fingerprint);
   if (end === 'finished' || end === 'unconfirmed' || end === 'over') return;
--- a/packages/router/src/gateway/stream-relay.ts
+++ b/packages/router/src/gateway/stream-relay.ts
@@ -82,7 +82,7 @@
       countEvents(progress, count, waitedMs);
       if (!isKnownSound && now >= firstEventAt + SOUND_AFTER_MS) recordSound();
     },
-    getPace: (): AnswerProgress | undefined => {
+    getAnswerProgress: (): AnswerProgress | undefined => {
       if (firstEventAt === undefined) return undefined;
       return { events, streamedMs: lastEventAt - firstEventAt, longestPauseMs };
     },
@@ -254,8 +254,8 @@
     hasOtherWeights: () => hasOtherWeights,
     /** Whether this engine has sent events. */
     hasEvents: recorder.hasEvents,
-    /** How the events of this engine came; undefined before the first. */
-    getPace: recorder.getPace,
+    /** Number and times of the events of this engine; undefined before the first. */
+    getAnswerProgress: recorder.getAnswerProgress,
     /**
      * Whether the end of a whole answer is the end of its stream. A connection that is closed may as well be that of
      * an engine that died.
--- a/packages/router/src/gateway/stream-slot.ts
+++ b/packages/router/src/gateway/stream-slot.ts
@@ -12,7 +12,7 @@
 import { findEventDeadline, type StreamProgress } from './stream-progress.js';
 
 const DEFAULT_OUTPUT_SHARE = 0.5;
-/** Longest tenant that a slot request may name; longer ones are told apart by their beginning. */
+/** Longest tenant that a slot request may name; longer ones are cut to their beginning. */
 const MAX_TENANT_LENGTH = 256;
 /** Target for the gap between events if the route has none. */
 const DEFAULT_GAP_TARGET_MS = 1_000;
--- a/packages/router/src/quotas/quota-test-kit.ts
+++ b/packages/router/src/quotas/quota-test-kit.ts
@@ -30,7 +30,7 @@
     | 'repeating'
     /** Knows less of the store than it should. */
     | 'unfit';
-  /** First VM, by its place in the ranking: the VM at 0 is the keeper in calm. */
+  /** First VM, by its place in the ranking: the VM at 0 is the keeper while there are no faults. */
   readonly vm: number;
   /** Number of VMs from there on. */
   readonly count: number;
@@ -52,7 +52,7 @@
   /** Part of the admitted requests that are refused later without having run. */
   readonly refusedLater: number;
   readonly seed: number;
-  /** Whether refused callers come back when they were told to. */
+  /** Whether refused callers come back after their Retry-After. */
   readonly comesBack: boolean;
 };
 
@@ -67,7 +67,7 @@
   /** Refused requests with the time. */
   readonly refusals: readonly number[];
   readonly messages: number;
-  /** Callers that came back when they were told to, and those of them that were admitted. */
+  /** Callers that came back after their Retry-After, and those of them that were admitted. */
   readonly returned: number;
   readonly returnedAdmitted: number;
 };
