--- a/packages/core/src/pools/answer-ends.ts
+++ b/packages/core/src/pools/answer-ends.ts
@@ -14,7 +14,10 @@
   readonly sums: Float64Array;
 };
 
-/** Wider bins blur the ends of answers of some seconds by more than a first event may be late. */
+/**
+ * Width of a bin, as a ratio: wider ones blur the ends of answers of some seconds by more than a first
+ * event may be late. Longer answers than the bins reach count in the last one.
+ */
 const BIN_WIDTH = 0.025;
 const BIN_COUNT = 120;
 /** Weight of the first assumption, in answers: all last as long as expected. */
