Callers: a stop answers bodies that are on their way with 503

Cause: with a deadline for unfinished bodies, one whose deadline passed during a planned stop got 408, which callers do not retry as soon.

--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -276,6 +276,8 @@
   };
   /** Refuses a request whose body has not ended by its deadline: its caller no longer waits. */
   function endLate(): void {
+    // A stop refuses the requests that are left with 503, so that callers come back at another VM.
+    if (state.isLeaving && reply.getState() === 'open') return;
     recordCallerCut(state, incoming, { part: 'body', reason: 'body-timeout', bytes: readBytes });
     body.take();
     held.end();
