Loads: log lines that say what happened

Cause: 'load is reported to this VM' reads as if it meant the VM that logs, and 'room for a call was decided' does not say what became of the call. Ruled out: new field names; 'leader', 'waitedMs' and 'retryAfterMs' stay.

--- a/packages/router/src/gateway/call-room.ts
+++ b/packages/router/src/gateway/call-room.ts
@@ -79,7 +79,7 @@
     if (waitedFrom !== undefined) metrics.callsWaited.inc({ outcome: result.kind });
     if (waitedFrom === undefined && result.kind === 'room') return result;
     const waitedMs = waitedFrom === undefined ? 0 : getSteadyMs() - waitedFrom;
-    logger.info({ requestId, service, waitedMs, ...result }, 'loads: room for a call was decided');
+    logger.info({ requestId, service, waitedMs, ...result }, 'loads: call waited or was refused');
     return result;
   };
   // A call that may have run is repeated at once, within the retry budget, or not at all.
--- a/packages/router/src/speeds/shared-loads.ts
+++ b/packages/router/src/speeds/shared-loads.ts
@@ -125,7 +125,7 @@
     for (const [ranking, services] of groupReports(now)) {
       trafficAt = now;
       const to = parts.findLeader(ranking);
-      if (to !== leader) logger.info({ ranking, leader: to }, 'loads: load is reported to this VM');
+      if (to !== leader) logger.info({ ranking, leader: to }, 'loads: leader changed');
       leader = to;
       if (to === undefined) continue;
       if (to === self) recordReport(sums, self, services, now);
