--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -238,26 +238,42 @@
   recordSizeCut(state, { ...cut, requestId, caller: socket.remoteAddress });
 }
 
-/** Counts the body of a request that is under way; others take its memory when it has ended. */
+/** Counts the body of a running request as held until its answer ends. */
 function holdBody({ heldBytes }: GatewayState, body: Buffer, response: ServerResponse): void {
   const held = heldBytes.begin('body');
   held.update(body.length);
   response.once('close', held.end);
 }
 
+/**
+ * Makes a function that computes when a body must have ended: by the deadline of its request. The
+ * headers are decoded at the first call, which most bodies end before.
+ */
+function makeDueTime(state: GatewayState, { incoming, arrivedAt }: Arrival): () => number {
+  let dueAt: number | undefined;
+  return () => {
+    if (dueAt === undefined) {
+      const { leftMs } = state.ports.dialect.decodeCallerFields(incoming.headers);
+      dueAt = arrivedAt + (leftMs ?? DEFAULT_DEADLINE_MS);
+    }
+    return dueAt;
+  };
+}
+
+/** Reads the body of a request within its limits of size, time and memory, and hands it on. */
 function readBody(
   state: GatewayState,
   arrival: Arrival,
   { framing, connections }: Followers,
   onBody: (body: Buffer) => void,
 ): void {
-  const { incoming, reply, arrivedAt } = arrival;
+  const { incoming, reply } = arrival;
   const limit = state.configuration?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
   const body = makeByteCollector();
   let readBytes = 0;
   let ignoredPieces = 0;
 
-  /** Refuses a body that goes on; what is left of it is not kept. */
+  /** Refuses the request of a body that is beyond a limit; the rest of the body is not kept. */
   function cut(reason: 'content' | 'memory'): void {
     recordCallerCut(state, incoming, { part: 'body', reason, bytes: body.countBytes() });
     body.take();
@@ -266,14 +282,6 @@
   }
 
   const held = state.heldBytes.begin('body', () => cut('memory'));
-  let dueAt: number | undefined;
-  const computeDueAt = (): number => {
-    if (dueAt === undefined) {
-      const { leftMs } = state.ports.dialect.decodeCallerFields(incoming.headers);
-      dueAt = arrivedAt + (leftMs ?? DEFAULT_DEADLINE_MS);
-    }
-    return dueAt;
-  };
   /** Refuses a request whose body has not ended by its deadline: its caller no longer waits. */
   function endLate(): void {
     recordCallerCut(state, incoming, { part: 'body', reason: 'body-timeout', bytes: readBytes });
@@ -283,7 +291,7 @@
     else incoming.socket.destroy();
   }
 
-  connections.recordBody(incoming, { computeDueAt, onLate: endLate });
+  connections.recordBody(incoming, { computeDueAt: makeDueTime(state, arrival), onLate: endLate });
   incoming.on('data', (part: Buffer) => {
     framing.recordContent(incoming, part.length);
     connections.recordContent(incoming, part.length);
