--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -211,7 +211,7 @@
  * Refuses the waiting requests that have lost their chance to be on time, or still have none, and
  * are not expected to get a spare slot before the caller's deadline.
  */
-export function refuseUnreachable(state: PoolState, now: number): PoolAction[] {
+export function refuseUnservable(state: PoolState, now: number): PoolAction[] {
   const actions: PoolAction[] = [];
   for (const waiting of state.waiting.values()) {
     const { ask: slotRequest } = waiting;
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -11,7 +11,7 @@
   findRefusal,
   hasDecodeEngine,
   refuseExpired,
-  refuseUnreachable,
+  refuseUnservable,
   refuseInterrupted,
   refuseWithoutEngine,
 } from './admission.js';
@@ -289,7 +289,7 @@
       return [
         ...refuseInterrupted(state, now),
         ...grantWaiting(state, now),
-        ...refuseUnreachable(state, now),
+        ...refuseUnservable(state, now),
         ...refuseExpired(state, now),
       ];
     default:
