--- a/packages/core/src/pools/answer-ends.ts
+++ b/packages/core/src/pools/answer-ends.ts
@@ -1,12 +1,10 @@
 /**
- * How long answers occupy their slots, relative to what was expected at the pace of their engines. The
+ * How long answers occupy their slots, relative to what was expected when the slot was granted. The
  * expected ends are often wrong in both directions, so the forecast of free slots uses how recent
  * answers were spread around theirs: an answer may end early, and one that outlasts its expected end
  * is likely to end as others did that had outlasted theirs.
  */
 
-import type { SlotAssignment } from './pool-types.js';
-
 /** Weights of recent answers by the ratio of their actual to their expected duration. */
 export type EndRatios = {
   readonly weights: Float64Array;
@@ -14,12 +12,9 @@
   readonly sums: Float64Array;
 };
 
-/**
- * Width of a bin, as a ratio: wider ones blur the ends of answers of some seconds by more than a first
- * event may be late. Longer answers than the bins reach count in the last one.
- */
-const BIN_WIDTH = 0.025;
-const BIN_COUNT = 120;
+/** Width of a bin, as a ratio, and number of bins: longer answers count in the last one. */
+const BIN_WIDTH = 0.05;
+const BIN_COUNT = 60;
 /** Weight of the first assumption, in answers: all last as long as expected. */
 const PRIOR_ANSWERS = 4;
 /** Factor on the earlier weights at each new answer; about 150 answers count. */
@@ -60,7 +55,7 @@
 }
 
 /** A running answer. */
-type RunningAnswer = Pick<SlotAssignment, 'grantedAt' | 'expectedEndAt'>;
+type RunningAnswer = { readonly grantedAt: number; readonly expectedEndAt: number };
 
 /** Calls `onShare` with each time at which an answer may end and the probability of it. */
 export function listEndTimes(
--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -2,8 +2,6 @@
 
 import type { UpstreamId } from '@tarragonspool/protocol';
 import type { EngineStage } from '../routing/routing-types.js';
-import { makeEnginePace, type EnginePace } from '../speeds/engine-pace.js';
-import { makeRunningAnswers, type RunningAnswers } from '../speeds/running-answers.js';
 import type { MemoryForecast } from './engine-memory.js';
 import type { SlotRequestId, SlotRequest, SlotAssignment, PoolEngine } from './pool-types.js';
 
@@ -33,8 +31,6 @@
    */
   prefillBusyMs: number;
   prefillTokens: number;
-  /** When its speed was last measured, or a part of that forgotten. */
-  prefillSampledAt: number;
   /** Prompts prefilled so far. */
   prefillCount: number;
   /** Earliest start of the next local prefill on a decode engine with running answers. */
@@ -45,15 +41,8 @@
   failures: number;
   /** Stage that it was ordered to change to, and when the change is certainly complete. */
   ordered: { readonly stage: EngineStage; readonly doneBy: number } | undefined;
-  /** Pace of its answers, and what the running ones have generated so far. */
-  readonly pace: EnginePace;
-  readonly running: RunningAnswers;
-  /** How many answers it handles well at a time, at most its slots. */
-  handled: number;
-  /** When that number may grow again. */
-  handledGrowsAt: number;
-  /** When the expected ends of its answers are corrected again. */
-  correctAt: number;
+  /** Measured slot occupancy per expected token, relative to the pool's mean. */
+  slowness: number;
   /**
    * Share of the KV cache that is assigned. An engine that refuses a request for lack of memory
    * shows that its answers use more than predicted, so the share shrinks and recovers slowly.
@@ -76,8 +65,8 @@
  * Concurrent prompts slow each other, so the next is sent when the previous one has this time left.
  */
 export const PREFILL_LEAD_MS = 60;
-/** Factor on the earlier prefill totals of an engine at each new sample; about five prompts count. */
-const PREFILL_DECAY = 0.8;
+/** Factor on the earlier prefill totals of an engine at each new sample. */
+const PREFILL_DECAY = 0.93;
 /** Usual time between two events of an answer; a local prefill adds to it. */
 const EVENT_INTERVAL_MS = 70;
 /**
@@ -106,17 +95,12 @@
     prefillDoneAt: 0,
     prefillBusyMs: 0,
     prefillTokens: 0,
-    prefillSampledAt: 0,
     prefillCount: 0,
     localPrefillAllowedAt: 0,
     avoidUntil: 0,
     failures: 0,
     ordered: undefined,
-    pace: makeEnginePace(),
-    running: makeRunningAnswers(),
-    handled: engine.slots,
-    handledGrowsAt: 0,
-    correctAt: 0,
+    slowness: 1,
     usableMemoryShare: MAX_MEMORY_SHARE,
     runsVersion: 0,
     memoryForecast: undefined,
@@ -137,11 +121,11 @@
 
 /** Returns how many answers of the given mean size a decode engine can serve at a time. */
 export function countUsableSlots(
-  { engine, usableMemoryShare, handled }: EngineLoad,
+  { engine, usableMemoryShare }: EngineLoad,
   meanTokens: number,
 ): number {
   const byMemory = (usableMemoryShare * engine.kvCapacityTokens) / Math.max(1, meanTokens);
-  return Math.max(1, Math.min(engine.slots, handled, Math.floor(byMemory)));
+  return Math.max(1, Math.min(engine.slots, Math.floor(byMemory)));
 }
 
 /** Whether an engine is changing to another stage. */
@@ -167,14 +151,6 @@
   return busyMs / (load.prefillTokens + PRIOR_TOKENS);
 }
 
-/**
- * Predicts when the prompts of an engine are prefilled. If they are overdue, they are expected to take as
- * much longer again: the engine has become slow.
- */
-function predictPendingEnd(load: EngineLoad, now: number): number {
-  return load.prefills.size === 0 ? now : now + Math.abs(load.prefillDoneAt - now);
-}
-
 /** Predicts when an engine would complete the prefill of one more prompt. */
 export function predictPrefillEnd(
   load: EngineLoad,
@@ -182,10 +158,8 @@
   poolPrefillMsPerToken: number,
   now: number,
 ): number {
-  return (
-    predictPendingEnd(load, now) +
-    promptTokens * estimateEnginePrefillMsPerToken(load, poolPrefillMsPerToken)
-  );
+  const startAt = load.prefills.size === 0 ? now : Math.max(now, load.prefillDoneAt);
+  return startAt + promptTokens * estimateEnginePrefillMsPerToken(load, poolPrefillMsPerToken);
 }
 
 /**
@@ -230,17 +204,6 @@
   if (load.prefills.delete(slotRequestId)) load.prefillBusySince = now;
 }
 
-/** A measured speed is forgotten in steps of this time without prompts, so that a slow engine is tried again. */
-const FORGET_PREFILL_MS = 1_000;
-
-/** Forgets a part of the measured prefill speed of an engine that gets no prompts. */
-export function forgetIdlePrefill(load: EngineLoad, now: number): void {
-  if (load.prefills.size > 0 || now - load.prefillSampledAt < FORGET_PREFILL_MS) return;
-  load.prefillSampledAt = now;
-  load.prefillBusyMs *= PREFILL_DECAY;
-  load.prefillTokens *= PREFILL_DECAY;
-}
-
 /** Removes the prompts whose completion has not been reported by their overdue time. */
 export function dropOverduePrefills(load: EngineLoad, now: number): void {
   for (const [slotRequestId, { overdueAt }] of load.prefills) {
@@ -307,7 +270,6 @@
     estimateEnginePrefillMsPerToken(load, poolPrefillMsPerToken);
   const busyMs = Math.min(maxBusyMs, now - load.prefillBusySince);
   load.prefillBusySince = now;
-  load.prefillSampledAt = now;
   load.prefillBusyMs = PREFILL_DECAY * load.prefillBusyMs + busyMs;
   load.prefillTokens = PREFILL_DECAY * load.prefillTokens + assignment.ask.promptTokens;
   load.prefillCount += 1;
@@ -325,5 +287,5 @@
 /** Whether a prefill engine can accept one more prompt without building up a queue. */
 export function hasPrefillRoom(load: EngineLoad, now: number): boolean {
   if (load.prefills.size === 0) return true;
-  return load.prefills.size < MAX_PREFILLS && predictPendingEnd(load, now) - now <= PREFILL_LEAD_MS;
+  return load.prefills.size < MAX_PREFILLS && load.prefillDoneAt - now <= PREFILL_LEAD_MS;
 }
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -6,6 +6,7 @@
 import type { UpstreamId } from '@tarragonspool/protocol';
 import { findPermitTime, takePermit } from '../routing/request-permits.js';
 import {
+  addRun,
   countUsableSlots,
   isReadyForLocalPrefill,
   countTargetMisses,
@@ -17,7 +18,6 @@
   type EngineLoad,
 } from './engine-load.js';
 import { hasFreeSlot } from './engine-memory.js';
-import { computeDecodeCost, predictEndAt, startAnswer } from './engine-progress.js';
 import { countOnTimeGrant } from './rank-rates.js';
 import {
   FIRST_EVENT_MS,
@@ -26,6 +26,7 @@
   measurePrefillMsPerToken,
   measurePoolMemory,
   predictFirstEventMs,
+  predictOccupancyMs,
   predictLocalPrefillMs,
   type PoolState,
   type WaitingSlotRequest,
@@ -112,7 +113,8 @@
   load: EngineLoad,
   now: number,
 ): SlotAssignment {
-  const expectedEndAt = predictEndAt(state, load, slotRequest, now);
+  const expectedEndAt =
+    now + predictFirstEventMs(state, slotRequest) + predictOccupancyMs(state, slotRequest, load);
   const decode = load.engine.upstreamId;
   const willMissTarget = !canMeetTarget(state, slotRequest, now);
   return {
@@ -139,10 +141,7 @@
   return (isTransferLong ? TRANSFER_DISTANCE_COST : 0) + (isCallerFar ? CALLER_DISTANCE_COST : 0);
 }
 
-/**
- * Finds a slot where the answer ends soonest, counting that it slows the others there; undefined if none
- * is free.
- */
+/** Finds a slot on the decode engine with the lowest load; undefined if none is free. */
 function findDecodeSlot(
   state: PoolState,
   slotRequest: SlotRequest,
@@ -151,21 +150,19 @@
 ): SlotAssignment | undefined {
   const meanTokens = estimateAnswerTokens(state);
   const memory = measurePoolMemory(state, now);
-  const firstEventMs = predictFirstEventMs(state, slotRequest);
-  let best: EngineLoad | undefined;
+  let best: SlotAssignment | undefined;
   let bestCost = Infinity;
   for (const load of state.engines.values()) {
     if (!canDecode(state, load, slotRequest, now)) continue;
-    if (!hasFreeSlot(load, slotRequest, firstEventMs, memory)) continue;
-    const usable = countUsableSlots(load, meanTokens);
-    const cost =
-      computeDecodeCost(state, load, slotRequest, usable, now) +
-      computeDistanceCost(load, slotRequest, prefill);
+    const assignment = makeAssignment(state, slotRequest, load, now);
+    if (!hasFreeSlot(load, assignment, memory)) continue;
+    const usage = load.runs.size / countUsableSlots(load, meanTokens);
+    const cost = usage * load.slowness + computeDistanceCost(load, slotRequest, prefill);
     if (cost >= bestCost) continue;
-    best = load;
+    best = assignment;
     bestCost = cost;
   }
-  return best && makeAssignment(state, slotRequest, best, now);
+  return best;
 }
 
 /**
@@ -235,26 +232,21 @@
   now: number,
 ): SlotAssignment | undefined {
   const memory = measurePoolMemory(state, now);
-  const firstEventMs = predictFirstEventMs(state, slotRequest);
-  let best: EngineLoad | undefined;
+  let best: SlotAssignment | undefined;
   const maxDelayed = isPrefillOutageLong(state, now)
     ? MAX_DELAYED_ANSWERS_IN_LONG_OUTAGE
     : MAX_DELAYED_ANSWERS;
   let leastCost = maxDelayed + 1;
   for (const load of state.engines.values()) {
     if (!canDecode(state, load, slotRequest, now)) continue;
-    if (
-      !isReadyForLocalPrefill(load, now) ||
-      !hasFreeSlot(load, slotRequest, firstEventMs, memory)
-    ) {
-      continue;
-    }
+    const assignment = makeAssignment(state, slotRequest, load, now);
+    if (!isReadyForLocalPrefill(load, now) || !hasFreeSlot(load, assignment, memory)) continue;
     const cost = countTargetMisses(load, prefillMs) + load.runs.size / (2 * load.engine.slots);
     if (cost >= leastCost) continue;
-    best = load;
+    best = assignment;
     leastCost = cost;
   }
-  return best && makeAssignment(state, slotRequest, best, now);
+  return best;
 }
 
 function startLocalPrefill(state: PoolState, assignment: SlotAssignment, now: number): void {
@@ -304,7 +296,7 @@
   state.forecast = undefined;
   state.runs.set(slotRequest.askId, assignment);
   const decodeLoad = state.engines.get(assignment.decode);
-  if (decodeLoad !== undefined) startAnswer(state, decodeLoad, assignment, now);
+  if (decodeLoad !== undefined) addRun(decodeLoad, assignment);
   if (!assignment.isLate) countOnTimeGrant(state.ranks, slotRequest.rank, now);
   recordTenantGrant(state.tenants, assignment, now);
   const { decode } = assignment;
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -17,15 +17,15 @@
 } from './admission.js';
 import {
   addPrefill,
+  addRun,
   dropOverduePrefills,
   dropPrefill,
   endPrefill,
-  forgetIdlePrefill,
   forgetPrefillSpeed,
   makeEngineLoad,
+  removeRun,
   startLocalPrefillCooldown,
 } from './engine-load.js';
-import { endAnswer, recordFinished, startAnswer, updateExpectations } from './engine-progress.js';
 import { recordMemoryRefusal, recordMemoryReleased } from './engine-memory.js';
 import { grantWaiting } from './placing.js';
 import { countOnTimeArrival } from './rank-rates.js';
@@ -71,11 +71,8 @@
 const HANDLE_LOST_AVOID_MS = 2_000;
 /** The time doubles with each consecutive failure, up to this limit. */
 const MAX_AVOID_MS = 3_000;
-/**
- * An assignment whose end was never reported is removed after this multiple of its expected length. One in
- * several hundred answers is longer; it still uses memory that the pool no longer counts.
- */
-const FORGET_FACTOR = 4;
+/** An assignment whose end was never reported is removed after this multiple of its forecast. */
+const FORGET_FACTOR = 3;
 const MIN_FORGET_MS = 5_000;
 
 function removeAssignment(
@@ -88,7 +85,7 @@
   state.runs.delete(slotRequestId);
   recordTenantEnd(state.tenants, assignment, now);
   const load = state.engines.get(assignment.decode);
-  if (load !== undefined) endAnswer(state, load, slotRequestId, now);
+  if (load !== undefined) removeRun(load, slotRequestId);
   const prefillLoad = assignment.prefill && state.engines.get(assignment.prefill);
   if (prefillLoad) dropPrefill(prefillLoad, slotRequestId, now);
   return assignment;
@@ -168,16 +165,14 @@
   { askId: slotRequestId, didFinish, progress }: Extract<PoolEvent, { kind: 'ended' }>,
   now: number,
 ): void {
-  const running = state.runs.get(slotRequestId);
-  const load = running && state.engines.get(running.decode);
-  const answer = load?.running.answers.get(slotRequestId);
   const assignment = removeAssignment(state, slotRequestId, now);
-  if (assignment === undefined || !didFinish || load === undefined) return;
+  if (assignment === undefined || !didFinish) return;
+  const load = state.engines.get(assignment.decode);
+  if (load === undefined) return;
   load.failures = 0;
   const view = measurePoolMemory(state, now);
   recordMemoryReleased(state.memory, load, assignment, progress, view);
-  recordOccupancy(state, assignment, now);
-  if (answer !== undefined) recordFinished(state, load, assignment, answer, progress, now);
+  recordOccupancy(state, assignment, load, now);
 }
 
 /** Computes how many milliseconds an engine gets no new work after a failure. */
@@ -229,7 +224,7 @@
     if (load === undefined || state.runs.has(slotRequestId)) continue;
     state.waiting.delete(slotRequestId);
     state.runs.set(slotRequestId, assignment);
-    startAnswer(state, load, assignment, now);
+    addRun(load, assignment);
     const prefillLoad = assignment.prefill && state.engines.get(assignment.prefill);
     if (prefillLoad) addPrefill(prefillLoad, assignment, measurePrefillMsPerToken(state), now);
   }
@@ -244,21 +239,11 @@
   }
 }
 
-/** Whether an answer has taken far longer than expected at the pace of its engine. */
-function isOverdue(
-  state: PoolState,
-  { ask, decode, grantedAt }: SlotAssignment,
-  now: number,
-): boolean {
-  const load = state.engines.get(decode);
-  if (now - grantedAt <= MIN_FORGET_MS || load === undefined) return false;
-  const answer = load.running.answers.get(ask.askId);
-  return answer === undefined || answer.made > FORGET_FACTOR * answer.tokens;
-}
-
 function forgetOldAssignments(state: PoolState, now: number): void {
   for (const [slotRequestId, assignment] of state.runs) {
-    if (isOverdue(state, assignment, now)) removeAssignment(state, slotRequestId, now);
+    const forecastMs = assignment.expectedEndAt - assignment.grantedAt;
+    const limitMs = Math.max(MIN_FORGET_MS, FORGET_FACTOR * forecastMs);
+    if (now - assignment.grantedAt > limitMs) removeAssignment(state, slotRequestId, now);
   }
 }
 
@@ -297,11 +282,7 @@
       dropAssignmentsOf(state, event.vmId, now);
       return grantWaiting(state, now);
     case 'ticked':
-      for (const load of state.engines.values()) {
-        dropOverduePrefills(load, now);
-        forgetIdlePrefill(load, now);
-        updateExpectations(state, load, now);
-      }
+      for (const load of state.engines.values()) dropOverduePrefills(load, now);
       forgetOldAssignments(state, now);
       forgetRefused(state, now);
       removeIdleTenants(state.tenants, now);
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -19,7 +19,6 @@
 import type { SlotForecast } from './slot-forecast.js';
 import { makeTenantShares, type TenantShares } from './tenant-shares.js';
 import { makeRetryReturns, type RetryReturns } from './retry-returns.js';
-import { makePoolPace, measureEngineSlowness, type PoolPace } from '../speeds/engine-pace.js';
 import type { PlannedEngine, RequestNeeds } from '../stages/stage-plan.js';
 import { makePermitSchedules, type PermitSchedules } from '../routing/request-permits.js';
 import type { SlotRequestId, SlotRequest, SlotAssignment } from './pool-types.js';
@@ -60,11 +59,6 @@
   /** Mean tokens of a prompt, and of a complete answer. */
   promptTokens: number;
   outputTokens: number;
-  /** Pace of the decode engines of the pool. */
-  readonly pace: PoolPace;
-  /** Mean pause target, in milliseconds, and the longest pause of an answer, in tokens of its engine. */
-  pauseMs: number;
-  pauseTokens: number;
   /** Lengths of answers, and the margin that memory forecasts keep. */
   readonly memory: MemoryEstimates;
   /** When a prefill engine was last usable, even if busy. */
@@ -93,8 +87,6 @@
 /** Factor on the earlier prefill totals at each new sample. */
 const PREFILL_DECAY = 0.95;
 const INITIAL_OCCUPANCY_MS = 3_500;
-const INITIAL_PAUSE_MS = 300;
-const INITIAL_PAUSE_TOKENS = 150;
 const INITIAL_PROMPT_TOKENS = 5_000;
 /** Weight of one sample in a moving average. */
 const ESTIMATE_WEIGHT = 0.05;
@@ -123,9 +115,6 @@
     endRatios: makeEndRatios(),
     promptTokens: INITIAL_PROMPT_TOKENS,
     outputTokens: 0,
-    pace: makePoolPace(),
-    pauseMs: INITIAL_PAUSE_MS,
-    pauseTokens: INITIAL_PAUSE_TOKENS,
     memory: makeMemoryEstimates(),
     prefillUsableAt: 0,
     ranks: makeArrivalRates(),
@@ -171,15 +160,20 @@
 }
 
 /** Updates the occupancy estimates with a completed answer. */
-export function recordOccupancy(state: PoolState, assignment: SlotAssignment, now: number): void {
+export function recordOccupancy(
+  state: PoolState,
+  assignment: SlotAssignment,
+  load: EngineLoad,
+  now: number,
+): void {
   const occupiedMs = now - assignment.grantedAt;
-  const { expectedEndAt, grantedAt } = assignment;
-  const expectedMs = expectedEndAt - grantedAt;
+  const expectedMs = assignment.expectedEndAt - assignment.grantedAt;
   recordEndRatio(state.endRatios, occupiedMs, expectedMs);
   state.occupancyCount += 1;
   state.occupancyMs = updateEstimate(state.occupancyMs, occupiedMs);
   if (assignment.ask.outputTokens <= 0) return;
   const perToken = occupiedMs / assignment.ask.outputTokens;
+  load.slowness = updateEstimate(load.slowness, perToken / state.occupancyMsPerToken);
   state.occupancyMsPerToken = updateEstimate(state.occupancyMsPerToken, perToken);
 }
 
@@ -219,7 +213,6 @@
 export function recordRequestSize(state: PoolState, slotRequest: SlotRequest): void {
   state.promptTokens += ESTIMATE_WEIGHT * (slotRequest.promptTokens - state.promptTokens);
   state.outputTokens += ESTIMATE_WEIGHT * (slotRequest.outputTokens - state.outputTokens);
-  state.pauseMs += ESTIMATE_WEIGHT * (slotRequest.pauseMs - state.pauseMs);
 }
 
 /**
@@ -232,9 +225,8 @@
 
 /** Returns what the memory forecasts of the pool are based on now. */
 export function measurePoolMemory(state: PoolState, now: number): MemoryView {
-  const { memory, pace, occupancyMs: usualMs, localPrefillMsPerToken: readMsPerToken } = state;
-  const usualTokens = Math.max(1, usualMs / Math.exp(pace.level));
-  return measureMemoryView(memory, { pace, usualMs, usualTokens, readMsPerToken, now });
+  const { memory, occupancyMs: usualMs, localPrefillMsPerToken: readMsPerToken } = state;
+  return measureMemoryView(memory, { usualMs, readMsPerToken, now });
 }
 
 /** Estimates what one request needs of the pool's engines. */
@@ -255,11 +247,9 @@
 /** Answers that must have completed before the measured slot occupancy is used. */
 const MIN_OCCUPANCY_SAMPLES = 8;
 
-function measureSlowness(state: PoolState, load: EngineLoad, now: number): number | undefined {
+function measureSlowness(state: PoolState, load: EngineLoad): number | undefined {
   if (load.engine.stage === 'decode') {
-    return state.occupancyCount < MIN_OCCUPANCY_SAMPLES
-      ? undefined
-      : measureEngineSlowness(load.pace, now);
+    return state.occupancyCount < MIN_OCCUPANCY_SAMPLES ? undefined : load.slowness;
   }
   if (load.prefillCount < MIN_PREFILL_SAMPLES) return undefined;
   const poolPrefillMsPerToken = measurePrefillMsPerToken(state);
@@ -275,7 +265,7 @@
     const isChangingStage = isChanging(load, now);
     const stage = isChangingStage && load.ordered ? load.ordered.stage : load.engine.stage;
     const work = load.runs.size + load.prefills.size;
-    const slowness = measureSlowness(state, load, now);
+    const slowness = measureSlowness(state, load);
     planned.push({ upstreamId, stage, requestCount: work, slowness, isChanging: isChangingStage });
   }
   return planned;
@@ -289,6 +279,16 @@
   return prefillMs + FIRST_EVENT_MS;
 }
 
+/** Predicts how many milliseconds a request will occupy a slot of an engine. */
+export function predictOccupancyMs(
+  state: PoolState,
+  slotRequest: SlotRequest,
+  load: EngineLoad,
+): number {
+  if (slotRequest.outputTokens <= 0) return state.occupancyMs;
+  return Math.max(50, slotRequest.outputTokens * state.occupancyMsPerToken * load.slowness);
+}
+
 /** Answers are often longer than expected by up to this factor. */
 const LONG_ANSWER_FACTOR = 2;
 
--- a/packages/core/src/pools/slot-forecast.ts
+++ b/packages/core/src/pools/slot-forecast.ts
@@ -22,10 +22,11 @@
   measurePoolMemory,
   measurePrefillMsPerToken,
   predictFirstEventMs,
+  predictOccupancyMs,
   type PoolState,
 } from './pool-state.js';
 import { findPermitTime } from '../routing/request-permits.js';
-import type { SlotRequest } from './pool-types.js';
+import type { SlotRequest, SlotAssignment } from './pool-types.js';
 
 /** An engine that prefills prompts, one after the other. */
 type PrefillForecast = {
@@ -91,8 +92,17 @@
   slotRequest: SlotRequest,
   now: number,
 ): number {
-  const startsInMs = predictFirstEventMs(state, slotRequest);
-  if (!hasFreeSlot(load, slotRequest, startsInMs, measurePoolMemory(state, now))) return 0;
+  const endsAt =
+    now + predictFirstEventMs(state, slotRequest) + predictOccupancyMs(state, slotRequest, load);
+  const extra: SlotAssignment = {
+    ask: slotRequest,
+    decode: load.engine.upstreamId,
+    prefill: undefined,
+    grantedAt: now,
+    isLate: false,
+    expectedEndAt: endsAt,
+  };
+  if (!hasFreeSlot(load, extra, measurePoolMemory(state, now))) return 0;
   return Math.max(1, countUsableSlots(load, estimateAnswerTokens(state)) - load.runs.size);
 }
 
--- a/packages/core/src/speeds/answer-lengths.ts
+++ b/packages/core/src/speeds/answer-lengths.ts
@@ -9,7 +9,7 @@
 
 /** What finished answers have shown of lengths. */
 export type AnswerLengths = {
-  /** Length by the time that the answer took at the pace of its engine, relative to what was expected. */
+  /** Time that the slot was occupied, relative to the forecast at the grant. */
   readonly times: LogSamples;
   /**
    * Events of the answer per expected token. Unlike times they do not depend on the speed of
@@ -55,7 +55,7 @@
   samples.variance += weight * (difference ** 2 - samples.variance);
 }
 
-/** Records the length of a finished answer by its time, relative to what was expected. */
+/** Records the time that a finished answer occupied its slot, relative to its forecast. */
 export function recordTimeRatio({ times }: AnswerLengths, ratio: number): void {
   recordSample(times, ratio);
 }
@@ -67,20 +67,10 @@
   recordSample(events, ratio);
 }
 
-/** Returns the events of an answer per expected token. */
-export function getEventsPerToken({ events }: AnswerLengths): number {
-  return Math.exp(events.mean);
-}
-
 /** Shape of the distribution, as the forecasts use it. */
 export type LengthShape = {
-  /**
-   * Median length by time, relative to what was expected: about 1, as far as the pace of engines is
-   * estimated without bias.
-   */
+  /** Median of the time that a slot is occupied, relative to its forecast. */
   readonly medianTime: number;
-  /** Standard deviation of the logarithm of lengths. */
-  readonly deviation: number;
   /** Exponent of the distribution: the larger, the narrower. */
   readonly exponent: number;
   /**
@@ -96,7 +86,6 @@
   const deviation = Math.min(MAX_DEVIATION, Math.max(MIN_DEVIATION, Math.sqrt(variance)));
   return {
     medianTime: Math.exp(times.mean),
-    deviation,
     exponent: LOGISTIC_DEVIATION / deviation,
     longest: Math.exp(LONGEST_DEVIATIONS * deviation),
   };
--- a/packages/core/src/speeds/long-answers.test.ts
+++ b/packages/core/src/speeds/long-answers.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { buildEngine, buildPool } from '../pools/pool-test-kit.js';
 import { makeAnswerLengths, measureLengthShape } from './answer-lengths.js';
-import { addToProfile, makeMemoryProfile } from './memory-forecast.js';
+import { addToProfile, makeMemoryProfile, predictPeak } from './memory-forecast.js';
 import { hasPreemptionPause, makeMemoryMargin, recordMemoryOutcome } from './memory-margin.js';
 import { makeFractions, runModel, type Pace } from './engine-model-kit.js';
 
@@ -49,11 +49,11 @@
 
 it('speeds: an answer that has outlived its hint is taken as long, and as over at its longest length', () => {
   const shape = measureLengthShape(makeAnswerLengths());
-  const sizes = { promptTokens: 1_000, outputTokens: 1_000, startsInMs: 0, msPerToken: 1 };
-  const predict = (made: number, maxOutputTokens?: number): number => {
+  const sizes = { promptTokens: 1_000, outputTokens: 1_000, spanMs: 1_000 };
+  const predict = (ageMs: number, maxOutputTokens?: number): number => {
     const profile = makeMemoryProfile();
-    addToProfile(profile, shape, { ...sizes, made, maxOutputTokens }, 1_000);
-    return Math.max(...profile.means);
+    addToProfile(profile, shape, { ...sizes, ageMs, maxOutputTokens }, 1_000);
+    return predictPeak(profile, makeMemoryProfile(), 0);
   };
   expect(predict(1_800)).to.be.greaterThan(predict(0) + 1_000);
   expect(predict(1_800, 1_200)).to.be.lessThan(2_300);
--- a/packages/core/src/speeds/memory-margin.ts
+++ b/packages/core/src/speeds/memory-margin.ts
@@ -16,16 +16,16 @@
 export type MemoryMargin = { deviations: number };
 
 /** Two standard deviations: memory runs out for one forecast in about 40. */
-const INITIAL_DEVIATIONS = 2.1;
+const INITIAL_DEVIATIONS = 2;
 const MIN_DEVIATIONS = 1.2;
-const MAX_DEVIATIONS = 2.8;
+const MAX_DEVIATIONS = 3.5;
 /** Increase with each sign of a preemption. */
 const PREEMPTION_STEP = 0.1;
 /**
  * Share of preempted answers at which the margin stays as it is. Less than that would keep more
  * answers from starting than it keeps whole.
  */
-const TOLERATED_SHARE = 0.03;
+const TOLERATED_SHARE = 0.025;
 /**
  * A pause is a sign from this multiple of the usual time between two events of the same answer: an
  * engine that has become slow pauses longer each time, not once.
