Pools: Retry-After is bounded by the caller's last deadline

Cause: a refused stream's Retry-After was bounded by a third of the time until the first event must come (3.2 s), not of the time until the caller's deadline (14 s). Callers were sent back after 0.6 to 1 s, into the same burst, and have one retry only. The bound hid that the spread of later turns put lower ranks before higher ones: it now grows with the returns that are expected already.

Ruled out (trials): letting late streams wait as if each burst ended, for all or for returning callers only; it changes few decisions. The slot request names the deadline (optional field); without it, from earlier builds, only the upper bound of 4.5 s holds, as before.

--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -4,6 +4,7 @@
 import { measureArrivalRate } from './rank-rates.js';
 import { addReturn, countReturns } from './retry-returns.js';
 import {
+  countSlots,
   measureServiceRate,
   predictFirstEventMs,
   rememberRefused,
@@ -25,13 +26,14 @@
 /** Bounds of Retry-After for callers that are refused for lack of slots. */
 const MIN_RETRY_AFTER_MS = 700;
 const MAX_RETRY_AFTER_MS = 4_500;
-/** Callers wait no longer after a refusal than this share of the time until their deadline. */
+/** Callers wait no longer after a refusal than this share of the time until their last deadline. */
 const MAX_RETRY_SHARE = 1 / 3;
 /**
  * Share of that time over which callers are spread whose turn would come later, so that they do not
- * retry all at once.
+ * retry all at once; reached once returns are expected for this share of the slots.
  */
-const RETRY_SPREAD = 0.5;
+const MAX_RETRY_SPREAD = 0.5;
+const FULL_SPREAD_SHARE = 0.1;
 /** Random part of a retry time, for the same reason. */
 const RETRY_JITTER = 0.2;
 /** Spare slots are searched for no further ahead than this. */
@@ -60,21 +62,22 @@
  * Retry-After ends earlier. Callers do not wait longer than for a share of the time that they have left.
  */
 function computeRetryAfterMs(state: PoolState, slotRequest: SlotRequest, now: number): number {
-  const { rank, patienceEndsAt } = slotRequest;
-  const ahead =
-    countWaiting(state, (other) => other.rank <= rank) + countReturns(state.returns, rank, now);
+  const { rank, deadlineAt = Infinity } = slotRequest;
+  const returns = countReturns(state.returns, rank, now);
+  const ahead = countWaiting(state, (other) => other.rank <= rank) + returns;
   const limitAt = now + RETRY_SEARCH_MS;
   const search = { ahead, belowRank: rank + 1, expectsBurstEnd: true, limitAt };
   const spareMs = predictSpareStart(state, slotRequest, search, now) - now;
   const limitMs = Math.max(
     MIN_RETRY_AFTER_MS,
-    Math.min(MAX_RETRY_AFTER_MS, MAX_RETRY_SHARE * (patienceEndsAt - now)),
+    Math.min(MAX_RETRY_AFTER_MS, MAX_RETRY_SHARE * (deadlineAt - now)),
   );
   const fraction = state.takeFraction();
   const turnMs = Math.max(MIN_RETRY_AFTER_MS, spareMs) * (1 + RETRY_JITTER * fraction);
   if (turnMs <= limitMs) return turnMs;
   const latestMs = limitMs * (1 - (RETRY_JITTER * limitMs) / Math.min(RETRY_SEARCH_MS, turnMs));
-  return latestMs * (1 - RETRY_SPREAD * fraction);
+  const spread = MAX_RETRY_SPREAD * Math.min(1, returns / (FULL_SPREAD_SHARE * countSlots(state)));
+  return latestMs * (1 - spread * fraction);
 }
 
 /** Another VM can take the caller's retry at once. */
--- a/packages/core/src/pools/overload.test.ts
+++ b/packages/core/src/pools/overload.test.ts
@@ -104,6 +104,21 @@
   }
 });
 
+// Guards against callers that come back while the burst still lasts and have no further retry: they would not wait as long for a first event.
+it('overload: a refused caller is told to come back when slots are expected to be free, up to a third of the time until its last deadline', () => {
+  const state = buildPool([PREFILL, buildEngine('d1', { slots: 2 })]);
+  for (let run = 0; run < 2; run += 1) {
+    const running = buildSlotRequest(0, { needsPrefill: false });
+    requestSlot(state, running, 0);
+  }
+  const patient = { patienceEndsAt: 3_200, deadlineAt: 14_000 };
+  const [far] = requestSlot(state, buildSlotRequest(0, patient), 0);
+  expect(far).to.include({ kind: 'refuse', reason: 'overloaded' });
+  expect(far?.kind === 'refuse' && far.retryAfterMs).to.be.within(2_500, 14_000 / 3);
+  const [near] = requestSlot(state, buildSlotRequest(0, { ...patient, deadlineAt: 6_000 }), 0);
+  expect(near?.kind === 'refuse' && near.retryAfterMs).to.be.at.most(6_000 / 3);
+});
+
 it('overload: a stream that can be on time gets the next slot before one that waits longer and cannot', () => {
   const state = buildPool([PREFILL, buildEngine('d1', { slots: 2 })]);
   const first = buildSlotRequest(0, { outputTokens: 4_500 });
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -53,8 +53,10 @@
   aimAt: number;
   /** Longest pause between two events that meets the latency target, in milliseconds. */
   readonly pauseMs: number;
-  /** The caller's deadline for the next event. */
+  /** The caller's deadline for the next event; it retries after that. */
   readonly patienceEndsAt: number;
+  /** The caller's deadline for the whole answer, over all its attempts; absent if its VM does not tell. */
+  readonly deadlineAt?: number | undefined;
   /** Identifies the content: the same for every attempt of a caller at one request. */
   readonly contentKey: string;
   /** Whether the prompt must be prefilled; false while its KV cache is still stored. */
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -27,6 +27,7 @@
   aimInMs: milliseconds,
   pauseMs: milliseconds,
   patienceInMs: milliseconds,
+  deadlineInMs: milliseconds.optional(),
   needsPrefill: z.boolean(),
   isContinued: z.boolean(),
   endsInMs: milliseconds.optional(),
@@ -191,6 +192,7 @@
   readonly pauseMs: number;
   /** Time left until the caller's timeout for the first event. */
   readonly patienceInMs: number;
+  readonly deadlineInMs?: number | undefined;
   readonly needsPrefill: boolean;
   /** Whether work was already done for the request; it then goes before others. */
   readonly isContinued: boolean;
--- a/packages/router/src/gateway/stream-slot.ts
+++ b/packages/router/src/gateway/stream-slot.ts
@@ -55,6 +55,7 @@
     aimAt: request.aimAt,
     pauseMs: request.route.gapTargetMs ?? DEFAULT_GAP_TARGET_MS,
     patienceEndsAt: findEventDeadline(request, progress),
+    deadlineAt: request.deadlineAt,
     needsPrefill: progress.kvSource === undefined,
     isContinued: progress.prefillSends > 0 || progress.runs > 0 || progress.origin !== undefined,
     endsBy: Infinity,
--- a/packages/router/src/pools/place-asker.ts
+++ b/packages/router/src/pools/place-asker.ts
@@ -127,7 +127,7 @@
   function buildFields(request: PendingRequest, now: number): SlotRequestFields {
     const { service, ask: slotRequest } = request;
     const { askId, contentKey, dataCentre, rank, promptTokens, outputTokens } = slotRequest;
-    const { maxOutputTokens, tenant } = slotRequest;
+    const { maxOutputTokens, tenant, deadlineAt } = slotRequest;
     const { needsPrefill, isContinued, excluded, softwareVersion } = slotRequest;
     const interruptAt = request.hasRun ? Infinity : stopAt;
     return {
@@ -148,6 +148,7 @@
       aimInMs: slotRequest.aimAt - now,
       pauseMs: slotRequest.pauseMs,
       patienceInMs: slotRequest.patienceEndsAt - now,
+      ...(deadlineAt === undefined ? {} : { deadlineInMs: deadlineAt - now }),
     };
   }
 
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -81,6 +81,7 @@
     aimAt: now + message.aimInMs,
     pauseMs: message.pauseMs,
     patienceEndsAt: now + message.patienceInMs,
+    deadlineAt: message.deadlineInMs === undefined ? undefined : now + message.deadlineInMs,
     needsPrefill: message.needsPrefill,
     isContinued: message.isContinued,
     endsBy: message.endsInMs === undefined ? Infinity : now + message.endsInMs,
