--- a/packages/router/src/relays/relay-client.ts
+++ b/packages/router/src/relays/relay-client.ts
@@ -13,7 +13,7 @@
 import type { Logger } from '../logging/logger.js';
 import type { UpstreamEvent, UpstreamExchange } from '../upstreams/upstream-client.js';
 import { getSteadyMs } from '../time/steady-clock.js';
-import type { ServerCall } from './server-client.js';
+import type { ServerCall } from './server-call.js';
 
 /** A linked peer that says that it reaches servers. */
 export type RelayPeer = { readonly vmId: VmId; readonly dataCentre: DataCentre };
--- a/packages/router/src/relays/server-client.fuzz.test.ts
+++ b/packages/router/src/relays/server-client.fuzz.test.ts
@@ -5,7 +5,8 @@
 import type { UpstreamEvent, UpstreamExchange } from '../upstreams/upstream-client.js';
 import type { PathWatch } from './path-watch.js';
 import type { RelayClient } from './relay-client.js';
-import { makeServerClient, type ServerCall } from './server-client.js';
+import type { ServerCall } from './server-call.js';
+import { makeServerClient } from './server-client.js';
 
 const RUNS = 500;
 const SERVER = {
--- a/packages/router/src/relays/server-client.ts
+++ b/packages/router/src/relays/server-client.ts
@@ -8,22 +8,13 @@
 import { startAdaptiveTicker } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type {
-  UpstreamCall,
   UpstreamClient,
   UpstreamEvent,
   UpstreamExchange,
 } from '../upstreams/upstream-client.js';
 import type { PathWatch } from './path-watch.js';
 import type { RelayClient } from './relay-client.js';
-
-/** One request to a server. */
-export type ServerCall = Pick<UpstreamCall, 'method' | 'path' | 'headers' | 'body'> & {
-  readonly server: ClearedUpstream;
-  /** The caller's id of the request, which its answer bears; undefined if it has none. */
-  readonly requestId: string | undefined;
-  /** Called when the request leaves, or a peer is asked to send it. */
-  readonly onSent: () => void;
-};
+import type { ServerCall } from './server-call.js';
 
 /** Sends requests to servers by the way that works. */
 export type ServerClient = {
