Gateway: what gateway-state imports declares its needs itself

Breaks the import cycle: size-cuts, quarantine-rows, service-versions and server-access no longer import GatewayState or files that do. No behaviour changes.

--- a/packages/router/src/gateway/quarantine-rows.ts
+++ b/packages/router/src/gateway/quarantine-rows.ts
@@ -4,6 +4,7 @@
 
 import type { QuarantinedParts } from '@tarragonspool/core';
 import type { PromptPartId } from '@tarragonspool/protocol';
+import type { Logger } from '../logging/logger.js';
 import {
   awaitPromise,
   makeChannel,
@@ -13,10 +14,11 @@
   type Task,
 } from '../tasks/tasks.js';
 import { waitMs } from '../tasks/timers.js';
+import type { ContentGuard } from './content-guard.js';
 import { compareContentRows, findContentRowFault, type NamedContent } from './content-rows.js';
-import type { GatewayState } from './gateway-state.js';
+import type { PartGuard } from './part-guard.js';
 import { comparePartRows, findPartRowFault } from './part-rows.js';
-import type { RowChange, RowWrite } from './ports.js';
+import type { RowChange, RowStore, RowWrite } from './ports.js';
 import { MEMBERS_TABLE } from './registry.js';
 import { compareSoundRows, findSoundRowFault } from './sound-rows.js';
 
@@ -37,6 +39,19 @@
   readonly lifted: ReadonlySet<string>;
 };
 
+/** What knows it. */
+export type QuarantineGuards = {
+  readonly partGuard: Pick<PartGuard, 'listQuarantined' | 'listOftenAnswered' | 'listLifted'>;
+  readonly contentGuard: Pick<ContentGuard, 'listQuarantined' | 'listLifted'>;
+};
+
+/** Dependencies of the task that writes the rows. */
+export type QuarantineRowsParts = QuarantineGuards & {
+  readonly ports: { readonly store: Pick<RowStore, 'write'> };
+  readonly takeFraction: () => number;
+  readonly logger: Logger;
+};
+
 /** Finds why a row can't be used; undefined if it can, or is no row of the quarantine. */
 export function findRowFault(row: RowChange): string | undefined {
   return findPartRowFault(row) ?? findContentRowFault(row) ?? findSoundRowFault(row);
@@ -63,7 +78,7 @@
 export function listKnownQuarantine({
   partGuard,
   contentGuard,
-}: Pick<GatewayState, 'partGuard' | 'contentGuard'>): KnownQuarantine {
+}: QuarantineGuards): KnownQuarantine {
   return {
     parts: partGuard.listQuarantined(),
     contents: contentGuard.listQuarantined(),
@@ -82,16 +97,16 @@
 
 /** Writes what this VM knows and the store's rows lack, whenever it is woken. */
 export function* runQuarantineRows(
-  state: GatewayState,
+  parts: QuarantineRowsParts,
   wakeups: Channel<QuarantineWakeup>,
   listRows: () => readonly RowChange[],
 ): Task {
-  const { ports, logger, takeFraction } = state;
+  const { ports, logger, takeFraction } = parts;
   for (;;) {
     const wakeup = yield* receive(wakeups);
     if (wakeup === undefined) return;
     if (!wakeup.isOwnReport) yield* waitMs(PEER_WRITES_WITHIN_MS * (1 + takeFraction()));
-    const write = buildQuarantineWrite(listKnownQuarantine(state), listRows());
+    const write = buildQuarantineWrite(listKnownQuarantine(parts), listRows());
     if (write === undefined) continue;
     const call = { table: MEMBERS_TABLE, write, timeoutMs: CALL_TIMEOUT_MS };
     const outcome = yield* awaitPromise(ports.store.write(call));
--- a/packages/router/src/gateway/server-access.ts
+++ b/packages/router/src/gateway/server-access.ts
@@ -13,6 +13,7 @@
 } from '@tarragonspool/protocol';
 import type { Logger } from '../logging/logger.js';
 import type { FleetView } from '../peers/fleet-view.js';
+import type { PeerMesh } from '../peers/peer-mesh.js';
 import { startPathWatch, type PathWatch } from '../relays/path-watch.js';
 import { makeRelayClient, type RelayPeer } from '../relays/relay-client.js';
 import {
@@ -24,25 +25,31 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeUpstreamClient } from '../upstreams/upstream-client.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
-import type { PeerMeshHolder } from './membership.js';
 import type { GatewaySettings, HttpDialect } from './ports.js';
 import { probeAddress } from './probe-address.js';
 import { makeSuspensionCheck } from './service-versions.js';
 import { makeFramingRecord } from './size-cuts.js';
 
+/** Links to the peers that send for this VM; undefined before they are started. */
+export type RelayLinks = {
+  readonly mesh: Pick<PeerMesh, 'links' | 'sendTo'> | undefined;
+  /** Tells peers at once which servers this VM fails to reach. */
+  readonly tellAlive?: () => void;
+};
+
 /** Dependencies of the access to servers. */
 export type ServerAccessParts = {
-  readonly settings: GatewaySettings;
+  readonly settings: Pick<GatewaySettings, 'dataCentre'>;
   readonly upstreams: UpstreamList;
-  readonly fleet: FleetView;
-  readonly meshHolder: PeerMeshHolder;
+  readonly fleet: Pick<FleetView, 'listRelays' | 'setCutOff'>;
+  readonly meshHolder: RelayLinks;
   readonly takeFraction: () => number;
   readonly decodeRequestId: HttpDialect['decodeRequestId'];
   /** Path of servers' reports. */
   readonly reportPath: string;
   /** Called as sends for peers begin and end. */
   readonly onRelayedCount: (change: 1 | -1) => void;
-  readonly metrics: GatewayMetrics;
+  readonly metrics: Pick<GatewayMetrics, 'cutOff' | 'relayedSends' | 'sizeCuts'>;
   readonly logger: Logger;
 };
 
--- a/packages/router/src/gateway/service-versions.ts
+++ b/packages/router/src/gateway/service-versions.ts
@@ -5,11 +5,39 @@
   listSeenVersions,
   listVersions,
   recordVersions,
+  type RoutingConfiguration,
+  type UpstreamList,
+  type VersionHistory,
 } from '@tarragonspool/core';
 import type { ServiceName, SoftwareVersion } from '@tarragonspool/protocol';
 import { getSteadyMs, measureClockOffsetMs } from '../time/steady-clock.js';
-import type { GatewayState } from './gateway-state.js';
-import { listRegisteredVersions, listVersionsAtStart } from './version-registry.js';
+import {
+  listRegisteredVersions,
+  listVersionsAtStart,
+  type VersionRegistry,
+} from './version-registry.js';
+
+/** What bounds the time for which streams last. */
+export type HorizonState = { readonly configuration: RoutingConfiguration | undefined };
+
+/** What this VM has seen of versions, in lists and in rows. */
+export type VersionHistoryState = {
+  readonly versions: VersionHistory;
+  readonly versionRegistry: VersionRegistry;
+};
+
+/** What the versions of streams are concluded from. */
+export type UsedVersionsState = HorizonState &
+  VersionHistoryState & {
+    readonly storeKnown: { readonly isRecent: boolean; readonly judgedAt: number };
+    readonly hasBeenSuspended: () => boolean;
+  };
+
+/** Where listed versions are read from, and recorded. */
+export type ListedVersionsState = Pick<VersionHistoryState, 'versions'> & {
+  readonly upstreams: Pick<UpstreamList, 'records'>;
+  readonly hasUpstreams: boolean;
+};
 
 /** No stream is resumed later than this after its beginning, or than two timeouts of its route. */
 const MIN_HORIZON_MS = 30_000;
@@ -18,7 +46,7 @@
 const MAX_JUDGEMENT_AGE_MS = 1_000;
 
 /** Computes the longest time from a stream's beginning to its last resumption, in milliseconds. */
-export function computeHorizonMs(state: GatewayState | undefined): number {
+export function computeHorizonMs(state: HorizonState | undefined): number {
   const routes = state?.configuration?.routes ?? [];
   const streams = routes.filter(({ kind }) => kind === 'stream');
   const timeouts = streams.map(({ timeoutMs }) => HORIZON_TIMEOUTS * timeoutMs);
@@ -55,13 +83,17 @@
 }
 
 /** Forgets what was seen of versions: lists and rows may have changed unseen. */
-export function forgetVersionHistory(state: GatewayState, now: number): void {
+export function forgetVersionHistory(state: VersionHistoryState, now: number): void {
   forgetObservation(state.versions, now);
   state.versionRegistry.unsureUntil = now + READ_WITHIN_MS;
 }
 
 /** Records which versions are listed now; called at intervals that are short against the horizon. */
-export function recordListedVersions({ versions, upstreams, hasUpstreams }: GatewayState): void {
+export function recordListedVersions({
+  versions,
+  upstreams,
+  hasUpstreams,
+}: ListedVersionsState): void {
   if (hasUpstreams) recordVersions(versions, upstreams.records.values(), getSteadyMs());
 }
 
@@ -70,7 +102,7 @@
  * if this VM may not have seen all.
  */
 export function listUsedVersions(
-  state: GatewayState,
+  state: UsedVersionsState,
   service: ServiceName,
 ): readonly SoftwareVersion[] | undefined {
   const now = getSteadyMs();
@@ -92,7 +124,7 @@
  * be any. What has a row at its start is all that there was before.
  */
 export function listEarlierVersions(
-  state: GatewayState,
+  state: UsedVersionsState,
   service: ServiceName,
 ): readonly SoftwareVersion[] | undefined {
   const { versionRegistry } = state;
--- a/packages/router/src/gateway/size-cuts.ts
+++ b/packages/router/src/gateway/size-cuts.ts
@@ -2,8 +2,9 @@
 
 import type { UpstreamId } from '@tarragonspool/protocol';
 import type { Excess } from '../http/size-limit.js';
+import type { Logger } from '../logging/logger.js';
 import type { UpstreamCall } from '../upstreams/upstream-client.js';
-import type { GatewayState } from './gateway-state.js';
+import type { GatewayMetrics } from './gateway-metrics.js';
 import type { HeldKind } from './held-bytes.js';
 
 /** What was cut off. */
@@ -31,23 +32,29 @@
   readonly caller?: string | undefined;
 };
 
+/** Where it is recorded. */
+export type SizeCutParts = {
+  readonly metrics: Pick<GatewayMetrics, 'sizeCuts'>;
+  readonly logger: Logger;
+};
+
 /** Counts what is cut off, without a line in the log. */
 export function countSizeCut(
-  { metrics }: Pick<GatewayState, 'metrics'>,
+  { metrics }: Pick<SizeCutParts, 'metrics'>,
   { part, reason }: SizeCut,
 ): void {
   metrics.sizeCuts.inc({ part, reason });
 }
 
 /** Records a body or an answer that is cut off. */
-export function recordSizeCut(parts: Pick<GatewayState, 'metrics' | 'logger'>, cut: SizeCut): void {
+export function recordSizeCut(parts: SizeCutParts, cut: SizeCut): void {
   parts.logger.warn(cut, 'limits: cut off');
   countSizeCut(parts, cut);
 }
 
 /** Makes what a client of servers calls for an answer whose framing has no end. */
 export function makeFramingRecord(
-  parts: Pick<GatewayState, 'metrics' | 'logger'>,
+  parts: SizeCutParts,
 ): (call: UpstreamCall, bytes: number) => void {
   return ({ address, requestId }, bytes) =>
     recordSizeCut(parts, { part: 'answer', reason: 'framing', bytes, requestId, address });
