--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -5,17 +5,21 @@
 import { makeUnusableRowRecorder } from '../feeds/unusable-rows.js';
 import type { FleetView } from '../peers/fleet-view.js';
 import type { PeerMesh } from '../peers/peer-mesh.js';
-import { offer, type Task } from '../tasks/tasks.js';
+import { offer, type Channel, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
-import type { GatewayState } from './gateway-state.js';
-import { startPeerLinks } from './peer-links.js';
-import type { RowChange } from './ports.js';
+import type { ContentGuard } from './content-guard.js';
+import type { GatewayMetrics } from './gateway-metrics.js';
+import type { PartGuard } from './part-guard.js';
+import { startPeerLinks, type PeerLinksState } from './peer-links.js';
+import type { GatewaySettings, RowChange, RowStore } from './ports.js';
 import { notifyPoolsOfEngines } from './pool-engines.js';
 import {
   buildQuarantineWrite,
   findRowFault,
   listKnownQuarantine,
   runQuarantineRows,
+  type QuarantineRowsParts,
+  type QuarantineWakeup,
 } from './quarantine-rows.js';
 import { listStoredContents } from './content-rows.js';
 import { listStoredParts } from './part-rows.js';
@@ -31,7 +35,31 @@
   type Registration,
 } from './registry.js';
 import { applyVersionRows } from './version-registry.js';
-import { runVersionWrites } from './version-writes.js';
+import { runVersionWrites, type VersionWritesState } from './version-writes.js';
+
+/** Guards that take what rows say of the quarantine. */
+type StoredQuarantineState = {
+  readonly configuration: PeerLinksState['configuration'];
+  readonly contentGuard: Pick<ContentGuard, 'mergeStored'>;
+  readonly partGuard: Pick<PartGuard, 'mergeStored'>;
+};
+
+/** What the rows of the VMs change, and the state of the tasks that are started beside. */
+export type MembershipState = PeerLinksState &
+  QuarantineRowsParts &
+  StoredQuarantineState &
+  VersionWritesState & {
+    readonly settings: Pick<GatewaySettings, 'capacity'>;
+    readonly ports: { readonly store: RowStore };
+    readonly metrics: Pick<
+      GatewayMetrics,
+      'rowsWrittenAgain' | 'storeCallsFailed' | 'unusableRows'
+    >;
+    readonly quarantineWakeups: Channel<QuarantineWakeup>;
+    readonly versionWakeups: Channel<true>;
+    /** Number of VMs that the store lists; undefined before the list is read. */
+    listedVmCount: number | undefined;
+  };
 
 /** Starts a task that runs as long as the process. */
 export type StartTask = (name: string, body: () => Task) => void;
@@ -57,7 +85,7 @@
 }
 
 /** Takes what rows say of the quarantine; those of older versions hold in all scopes. */
-function mergeQuarantineRows(state: GatewayState, rows: readonly RowChange[]): void {
+function mergeQuarantineRows(state: StoredQuarantineState, rows: readonly RowChange[]): void {
   const scopes = listScopes(state.configuration, undefined);
   state.partGuard.mergeStored(listStoredParts(rows, scopes), listStoredSound(rows));
   state.contentGuard.mergeStored(listStoredContents(rows));
@@ -71,7 +99,11 @@
   readonly onRowLost: () => void;
 };
 
-function makeMemberFeed(state: GatewayState, self: MemberRow, handler: MemberHandler): TableFeed {
+function makeMemberFeed(
+  state: MembershipState,
+  self: MemberRow,
+  handler: MemberHandler,
+): TableFeed {
   const { fleet, takeFraction, pools, metrics } = state;
   const options = {
     table: MEMBERS_TABLE,
@@ -126,7 +158,7 @@
 
 /** Registers this VM again after the store has lost its row; one attempt at a time. */
 function makeReregistration(
-  state: GatewayState,
+  state: MembershipState,
   self: MemberRow,
   getSecret: () => string | undefined,
   start: StartTask,
@@ -147,7 +179,7 @@
 
 /** Starts the task that registers this VM, links it to its peers and follows the list of VMs. */
 export function startMembership(
-  state: GatewayState,
+  state: MembershipState,
   feeds: readonly TableFeed[],
   meshHolder: PeerMeshHolder,
   start: StartTask,
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -14,22 +14,46 @@
 } from '@tarragonspool/protocol';
 import { UNKNOWN_AGE_MS, type RowRelay } from '../feeds/row-relay.js';
 import type { TableFeed } from '../feeds/table-feed.js';
+import type { FleetView } from '../peers/fleet-view.js';
 import { startPeerMesh, type PeerMesh } from '../peers/peer-mesh.js';
+import type { QuotaTask } from '../quotas/quota-task.js';
+import type { SharedLoads } from '../speeds/shared-loads.js';
 import { offer } from '../tasks/tasks.js';
 import { startAdaptiveTicker } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
-import type { GatewayState } from './gateway-state.js';
-import { isRelayMessage } from './server-access.js';
+import type { ContentGuard } from './content-guard.js';
+import type { GatewayMetrics } from './gateway-metrics.js';
+import type { PartGuard } from './part-guard.js';
+import type { GatewaySettings } from './ports.js';
+import { isRelayMessage, type ServerAccess } from './server-access.js';
+import type { StreamOriginBook } from './stream-origins.js';
 import {
   applyLeavingMessage,
   applyLimitsMessage,
   listToldLeaving,
   listToldLimits,
+  type UpstreamNoticesState,
 } from './upstream-notices.js';
 
+/** What the messages of peers are handed to, and what peers are told from. */
+export type PeerLinksState = UpstreamNoticesState & {
+  readonly settings: Pick<GatewaySettings, 'vmId' | 'dataCentre' | 'peerListen'>;
+  readonly fleet: FleetView;
+  readonly quotas: QuotaTask;
+  readonly access: Pick<ServerAccess, 'paths' | 'handleMessage' | 'isLinkUsed' | 'handleLinkEnded'>;
+  readonly streamOrigins: StreamOriginBook;
+  readonly sharedLoads: Pick<SharedLoads, 'handleMessage'>;
+  readonly contentGuard: Pick<ContentGuard, 'listTold' | 'mergeRecords'>;
+  readonly partGuard: Pick<PartGuard, 'listTold' | 'handleMessage'>;
+  readonly metrics: Pick<GatewayMetrics, 'peers'>;
+  readonly isLeaving: boolean;
+  /** Judged before each regular message. */
+  storeKnown: { readonly isRecent: boolean; readonly judgedAt: number };
+};
+
 /** Dependencies of the links. */
 export type PeerLinksParts = {
-  readonly state: GatewayState;
+  readonly state: PeerLinksState;
   readonly incarnation: Incarnation;
   /** Secrets that prove membership; the first signs. The list may grow. */
   readonly secrets: readonly string[];
--- a/packages/router/src/gateway/pool-engines.ts
+++ b/packages/router/src/gateway/pool-engines.ts
@@ -1,16 +1,32 @@
 /** Tells the pools of the engines that this VM lists. */
 
-import { findLimit, type PoolEngine } from '@tarragonspool/core';
+import {
+  findLimit,
+  type PoolEngine,
+  type RoutingConfiguration,
+  type UpstreamList,
+} from '@tarragonspool/core';
 import type { ServiceName } from '@tarragonspool/protocol';
+import type { PoolTask } from '../pools/pool-task.js';
 import { offer } from '../tasks/tasks.js';
-import type { GatewayState } from './gateway-state.js';
-import { isRegistered } from './version-registry.js';
+import { isRegistered, type VersionRegistry } from './version-registry.js';
+
+/** Where engines are listed, and the pools that are told of them. */
+export type PoolEnginesState = {
+  readonly configuration: RoutingConfiguration | undefined;
+  readonly upstreams: Pick<UpstreamList, 'records' | 'beliefs'>;
+  readonly versionRegistry: VersionRegistry;
+  readonly pools: Pick<PoolTask, 'inbox'>;
+};
 
 /**
  * Lists the services that have an engine at which streams may begin even if all VMs are lost. Engines of
  * versions without a row in the store wait there until they have one; elsewhere they serve at once.
  */
-function listRegisteredServices({ upstreams, versionRegistry }: GatewayState): Set<ServiceName> {
+function listRegisteredServices({
+  upstreams,
+  versionRegistry,
+}: PoolEnginesState): Set<ServiceName> {
   const services = new Set<ServiceName>();
   for (const engine of upstreams.records.values()) {
     if (engine.stage !== 'decode' || engine.isLeaving) continue;
@@ -19,7 +35,7 @@
   return services;
 }
 
-function listPoolEngines(state: GatewayState): ReadonlyMap<ServiceName, PoolEngine[]> {
+function listPoolEngines(state: PoolEnginesState): ReadonlyMap<ServiceName, PoolEngine[]> {
   const pools = new Map<ServiceName, PoolEngine[]>();
   for (const service of state.configuration?.services.values() ?? []) {
     if (service.engine !== undefined) pools.set(service.name, []);
@@ -42,7 +58,7 @@
 }
 
 /** Tells the pools which engines are listed, and which of them leave. */
-export function notifyPoolsOfEngines(state: GatewayState): void {
+export function notifyPoolsOfEngines(state: PoolEnginesState): void {
   for (const [service, engines] of listPoolEngines(state)) {
     offer(state.pools.inbox, { kind: 'engines', service, engines });
   }
--- a/packages/router/src/gateway/upstream-notices.ts
+++ b/packages/router/src/gateway/upstream-notices.ts
@@ -11,14 +11,28 @@
   type UpstreamIncarnation,
   type LimitStatement,
   type RefusedUpstream,
+  type UpstreamList,
   type UpstreamRecord,
 } from '@tarragonspool/core';
 import type { PeerMessage, ServiceName, UpstreamLimitItem } from '@tarragonspool/protocol';
+import type { Logger } from '../logging/logger.js';
 import { getSteadyMs } from '../time/steady-clock.js';
-import type { GatewayState } from './gateway-state.js';
-import { notifyPoolsOfEngines } from './pool-engines.js';
+import type { GatewayMetrics } from './gateway-metrics.js';
+import { notifyPoolsOfEngines, type PoolEnginesState } from './pool-engines.js';
 import type { LimitNotice, UpstreamNotice } from './ports.js';
 
+/** Servers, and who is told of what they say of themselves. */
+export type UpstreamNoticesState = PoolEnginesState & {
+  readonly upstreams: UpstreamList;
+  readonly broadcast: (message: PeerMessage) => void;
+  readonly takeFraction: () => number;
+  readonly metrics: Pick<GatewayMetrics, 'notices' | 'upstreams' | 'limitedUpstreams'>;
+  readonly logger: Logger;
+};
+
+/** Servers, and what is known of them. */
+export type KnownUpstreams = Pick<UpstreamNoticesState, 'upstreams'>;
+
 type LeavingMessage = Extract<PeerMessage, { kind: 'upstreams-leaving' }>;
 type LimitsMessage = Extract<PeerMessage, { kind: 'upstream-limits' }>;
 
@@ -37,7 +51,7 @@
 }
 
 /** Takes what a peer knows of the limits of servers. */
-export function applyLimitsMessage(state: GatewayState, { items }: LimitsMessage): void {
+export function applyLimitsMessage(state: UpstreamNoticesState, { items }: LimitsMessage): void {
   const now = getSteadyMs();
   const news = items.filter(({ sentAgoMs, heardAgoMs, ...statement }) =>
     recordLimit(state.upstreams.beliefs, {
@@ -53,7 +67,7 @@
 }
 
 /** Lists what servers said of their limits, for a peer that has just been linked. */
-export function listToldLimits({ upstreams }: GatewayState): UpstreamLimitItem[] {
+export function listToldLimits({ upstreams }: KnownUpstreams): UpstreamLimitItem[] {
   const now = getSteadyMs();
   const items = listLimitStatements(upstreams.beliefs).map((statement) =>
     encodeStatement(statement, now),
@@ -72,7 +86,7 @@
 
 /** Records what an answer says of the limit of its server. */
 function recordLimitNotice(
-  state: GatewayState,
+  state: UpstreamNoticesState,
   { requestId, sentAt, isIdentified }: AnswerOrigin,
   { upstreamId, incarnation }: UpstreamRecord,
   limit: LimitNotice,
@@ -94,7 +108,7 @@
 
 /** Records a notice of a server to this VM. */
 export function recordNotice(
-  state: GatewayState,
+  state: UpstreamNoticesState,
   origin: AnswerOrigin,
   server: UpstreamRecord,
   { isLeaving, pauseMs, limit, invalid }: UpstreamNotice,
@@ -121,7 +135,7 @@
 }
 
 /** Takes what a peer knows of servers that leave. */
-export function applyLeavingMessage(state: GatewayState, { items }: LeavingMessage): void {
+export function applyLeavingMessage(state: UpstreamNoticesState, { items }: LeavingMessage): void {
   const news = items.filter((item) => recordLeaving(state.upstreams, item));
   if (news.length === 0) return;
   state.logger.info({ servers: news }, 'upstreams: a peer says that servers leave');
@@ -129,7 +143,7 @@
 }
 
 /** Lists the servers that leave, for a peer that has just been linked. */
-export function listToldLeaving({ upstreams }: GatewayState): UpstreamIncarnation[] {
+export function listToldLeaving({ upstreams }: KnownUpstreams): UpstreamIncarnation[] {
   return listLeaving(upstreams).slice(-MAX_TOLD);
 }
 
@@ -146,7 +160,10 @@
  * Returns when callers of a service should come back whose servers leave, pause or have used up
  * their limits, in milliseconds.
  */
-export function findRetryAfterMs(state: GatewayState, service: ServiceName): number {
+export function findRetryAfterMs(
+  state: Pick<UpstreamNoticesState, 'upstreams' | 'takeFraction'>,
+  service: ServiceName,
+): number {
   const now = getSteadyMs();
   const firstUsableAt = findFirstUsableAt(listRefusedUpstreams(state.upstreams, service, now));
   const leastMs = Number.isFinite(firstUsableAt) ? firstUsableAt - now : RETRY_AFTER_LEAVING_MS;
@@ -155,7 +172,10 @@
 }
 
 /** Sets the gauges of servers by whether this VM may use them. */
-export function updateUpstreamGauge({ upstreams, metrics }: GatewayState): void {
+export function updateUpstreamGauge({
+  upstreams,
+  metrics,
+}: Pick<UpstreamNoticesState, 'upstreams' | 'metrics'>): void {
   const now = getSteadyMs();
   const records = [...upstreams.records.values()];
   const counts = { usable: records.length, leaving: 0, paused: 0, 'no-permit': 0 };
--- a/packages/router/src/gateway/version-writes.ts
+++ b/packages/router/src/gateway/version-writes.ts
@@ -1,12 +1,13 @@
 /** Writes the store's rows of software versions as servers come and go. */
 
-import { listVersions } from '@tarragonspool/core';
+import { listVersions, type VersionHistory } from '@tarragonspool/core';
 import type { ServiceName } from '@tarragonspool/protocol';
+import type { Logger } from '../logging/logger.js';
+import type { FleetView } from '../peers/fleet-view.js';
 import { awaitPromise, receive, type Channel, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
-import type { GatewayState } from './gateway-state.js';
-import { notifyPoolsOfEngines } from './pool-engines.js';
-import type { RowWrite } from './ports.js';
+import { notifyPoolsOfEngines, type PoolEnginesState } from './pool-engines.js';
+import type { GatewaySettings, RowStore, RowWrite } from './ports.js';
 import { MEMBERS_TABLE } from './registry.js';
 import { computeHorizonMs } from './service-versions.js';
 import { recordRegistered } from './version-registry.js';
@@ -17,6 +18,16 @@
   type EngineVersion,
 } from './version-rows.js';
 
+/** What the rows are compared with, and where they are written. */
+export type VersionWritesState = PoolEnginesState & {
+  readonly settings: Pick<GatewaySettings, 'vmId'>;
+  readonly ports: { readonly store: Pick<RowStore, 'write'> };
+  readonly fleet: Pick<FleetView, 'listHubsOf'>;
+  readonly versions: VersionHistory;
+  readonly storeKnown: { readonly isRecent: boolean };
+  readonly logger: Logger;
+};
+
 const CALL_TIMEOUT_MS = 1_500;
 /** Each VM of a service's ranking waits so much longer than the one before it. */
 const RANK_DELAY_MS = 300;
@@ -31,7 +42,7 @@
 };
 
 /** Lists the versions of the engines that are listed now. */
-function listListedVersions({ configuration, upstreams }: GatewayState): EngineVersion[] {
+function listListedVersions({ configuration, upstreams }: PoolEnginesState): EngineVersion[] {
   const versions = new Map<string, EngineVersion>();
   for (const { service, softwareVersion } of upstreams.records.values()) {
     if (configuration?.services.get(service)?.engine === undefined) continue;
@@ -40,13 +51,17 @@
   return [...versions.values()];
 }
 
-function findRank({ fleet, settings }: GatewayState, service: ServiceName, now: number): number {
+function findRank(
+  { fleet, settings }: VersionWritesState,
+  service: ServiceName,
+  now: number,
+): number {
   return fleet.listHubsOf(service, now).indexOf(settings.vmId);
 }
 
 /** Lists the versions whose rows this VM is to write: the first of the ranking at once, others later. */
 function listDueVersions(
-  state: GatewayState,
+  state: VersionWritesState,
   listed: readonly EngineVersion[],
   { missedAt, writtenAt }: WriteTimes,
   now: number,
@@ -68,7 +83,7 @@
 
 /** Builds the write that ends the row of a version without servers, on the first VM of the ranking. */
 function buildOwnEndingWrite(
-  state: GatewayState,
+  state: VersionWritesState,
   listed: readonly EngineVersion[],
   now: number,
 ): RowWrite | undefined {
@@ -85,7 +100,7 @@
 }
 
 /** Keeps the rows; looks again whenever it is woken. */
-export function* runVersionWrites(state: GatewayState, wakeups: Channel<true>): Task {
+export function* runVersionWrites(state: VersionWritesState, wakeups: Channel<true>): Task {
   const { ports, logger, versionRegistry } = state;
   const times: WriteTimes = { missedAt: new Map(), writtenAt: new Map() };
   for (;;) {
