--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -32,8 +32,8 @@
 import type { QuarantineWakeup } from './quarantine-rows.js';
 import type { ServerAccess } from './server-access.js';
 import { makeFramingRecord } from './size-cuts.js';
-import { makeSuspensionCheck } from './service-versions.js';
-import { makeVersionRegistry, type VersionRegistry } from './version-registry.js';
+import { makeSuspensionCheck } from './versions/service-versions.js';
+import { makeVersionRegistry, type VersionRegistry } from './versions/version-registry.js';
 
 /** State of one gateway; each part is changed by one task only. */
 export type GatewayState = {
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -46,9 +46,9 @@
   listEarlierVersions,
   listUsedVersions,
   recordListedVersions,
-} from './service-versions.js';
+} from './versions/service-versions.js';
 import { makeStreamOriginBook } from './stream-origins.js';
-import { makeVersionQuestions } from './version-questions.js';
+import { makeVersionQuestions } from './versions/version-questions.js';
 
 const EXIT_INTERNAL = 70;
 const POOL_TICK_MS = 25;
--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -34,8 +34,8 @@
   type MemberRow,
   type Registration,
 } from './registry.js';
-import { applyVersionRows } from './version-registry.js';
-import { runVersionWrites, type VersionWritesState } from './version-writes.js';
+import { applyVersionRows } from './versions/version-registry.js';
+import { runVersionWrites, type VersionWritesState } from './versions/version-writes.js';
 
 /** Guards that take what rows say of the quarantine. */
 type StoredQuarantineState = {
--- a/packages/router/src/gateway/origin-questions.ts
+++ b/packages/router/src/gateway/origin-questions.ts
@@ -7,7 +7,7 @@
   type StreamOrigin,
 } from '@tarragonspool/core';
 import type { OriginMessage, ServiceName, VmId } from '@tarragonspool/protocol';
-import type { VersionQuestions } from './version-questions.js';
+import type { VersionQuestions } from './versions/version-questions.js';
 
 /** Questions of this VM that wait for answers. */
 export type OriginQuestions = {
--- a/packages/router/src/gateway/pool-engines.ts
+++ b/packages/router/src/gateway/pool-engines.ts
@@ -9,7 +9,7 @@
 import type { ServiceName } from '@tarragonspool/protocol';
 import type { PoolTask } from '../pools/pool-task.js';
 import { offer } from '../tasks/tasks.js';
-import { isRegistered, type VersionRegistry } from './version-registry.js';
+import { isRegistered, type VersionRegistry } from './versions/version-registry.js';
 
 /** Where engines are listed, and the pools that are told of them. */
 export type PoolEnginesState = {
--- a/packages/router/src/gateway/server-access.ts
+++ b/packages/router/src/gateway/server-access.ts
@@ -27,7 +27,7 @@
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings, HttpDialect } from './ports.js';
 import { probeAddress } from './probe-address.js';
-import { makeSuspensionCheck } from './service-versions.js';
+import { makeSuspensionCheck } from './versions/service-versions.js';
 import { makeFramingRecord } from './size-cuts.js';
 
 /** Links to the peers that send for this VM; undefined before they are started. */
--- a/packages/router/src/gateway/state-feeds.ts
+++ b/packages/router/src/gateway/state-feeds.ts
@@ -32,7 +32,7 @@
 import { computeMaxBackoffMs } from './membership.js';
 import { notifyPoolsOfEngines } from './pool-engines.js';
 import type { RowChange } from './ports.js';
-import { forgetVersionHistory } from './service-versions.js';
+import { forgetVersionHistory } from './versions/service-versions.js';
 
 const LAPSE_CHECK_INTERVAL_MS = 100;
 const IDLE_LAPSE_CHECK_MS = 1_000;
--- a/packages/router/src/gateway/stream-origins.ts
+++ b/packages/router/src/gateway/stream-origins.ts
@@ -19,7 +19,7 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeOriginHomes, type OriginHomesParts } from './origin-homes.js';
 import { makeOriginQuestions, type OriginQuestions } from './origin-questions.js';
-import type { VersionQuestions } from './version-questions.js';
+import type { VersionQuestions } from './versions/version-questions.js';
 
 /** Knowledge of one VM of where streams began. */
 export type StreamOriginBook = {
--- a/packages/router/src/gateway/service-versions.ts
+++ b/packages/router/src/gateway/versions/service-versions.ts
@@ -10,7 +10,7 @@
   type VersionHistory,
 } from '@tarragonspool/core';
 import type { ServiceName, SoftwareVersion } from '@tarragonspool/protocol';
-import { getSteadyMs, measureClockOffsetMs } from '../time/steady-clock.js';
+import { getSteadyMs, measureClockOffsetMs } from '../../time/steady-clock.js';
 import {
   listRegisteredVersions,
   listVersionsAtStart,
--- a/packages/router/src/gateway/version-questions.ts
+++ b/packages/router/src/gateway/versions/version-questions.ts
@@ -6,11 +6,11 @@
 
 import type { StreamOrigin } from '@tarragonspool/core';
 import type { ServiceName } from '@tarragonspool/protocol';
-import { readTable } from '../feeds/table-feed.js';
-import type { Logger } from '../logging/logger.js';
-import { makeChannel, offer, receive, type Task } from '../tasks/tasks.js';
-import type { GatewayPorts } from './ports.js';
-import { MEMBERS_TABLE } from './registry.js';
+import { readTable } from '../../feeds/table-feed.js';
+import type { Logger } from '../../logging/logger.js';
+import { makeChannel, offer, receive, type Task } from '../../tasks/tasks.js';
+import type { GatewayPorts } from '../ports.js';
+import { MEMBERS_TABLE } from '../registry.js';
 import { decodeVersionRows } from './version-rows.js';
 
 /** Where streams of some services may have begun; undefined if the store did not tell. */
--- a/packages/router/src/gateway/version-registry.ts
+++ b/packages/router/src/gateway/versions/version-registry.ts
@@ -4,7 +4,7 @@
  */
 
 import type { ServiceName, SoftwareVersion } from '@tarragonspool/protocol';
-import type { RowChange } from './ports.js';
+import type { RowChange } from '../ports.js';
 import {
   decodeVersionRows,
   makeVersionKey,
--- a/packages/router/src/gateway/version-rows.fuzz.test.ts
+++ b/packages/router/src/gateway/versions/version-rows.fuzz.test.ts
@@ -8,7 +8,7 @@
 import type { ServiceName, SoftwareVersion, StorePosition } from '@tarragonspool/protocol';
 import { expect } from 'chai';
 import fc from 'fast-check';
-import type { RowChange, RowWrite } from './ports.js';
+import type { RowChange, RowWrite } from '../ports.js';
 import {
   applyVersionRows,
   isRegistered,
--- a/packages/router/src/gateway/version-rows.test.ts
+++ b/packages/router/src/gateway/versions/version-rows.test.ts
@@ -1,6 +1,6 @@
 import type { ServiceName, SoftwareVersion, StorePosition } from '@tarragonspool/protocol';
 import { expect } from 'chai';
-import type { RowChange, RowWrite } from './ports.js';
+import type { RowChange, RowWrite } from '../ports.js';
 import {
   applyVersionRows,
   isRegistered,
--- a/packages/router/src/gateway/version-rows.ts
+++ b/packages/router/src/gateway/versions/version-rows.ts
@@ -8,8 +8,8 @@
 import { createHash } from 'node:crypto';
 import type { ServiceName, SoftwareVersion, StorePosition } from '@tarragonspool/protocol';
 import * as z from 'zod';
-import { parseJson } from '../json/parse-json.js';
-import type { RowChange, RowWrite } from './ports.js';
+import { parseJson } from '../../json/parse-json.js';
+import type { RowChange, RowWrite } from '../ports.js';
 
 const KEY_PREFIX = 'engine-version/';
 
--- a/packages/router/src/gateway/version-writes.ts
+++ b/packages/router/src/gateway/versions/version-writes.ts
@@ -2,13 +2,13 @@
 
 import { listVersions, type VersionHistory } from '@tarragonspool/core';
 import type { ServiceName } from '@tarragonspool/protocol';
-import type { Logger } from '../logging/logger.js';
-import type { FleetView } from '../peers/fleet-view.js';
-import { awaitPromise, receive, type Channel, type Task } from '../tasks/tasks.js';
-import { getSteadyMs } from '../time/steady-clock.js';
-import { notifyPoolsOfEngines, type PoolEnginesState } from './pool-engines.js';
-import type { GatewaySettings, RowStore, RowWrite } from './ports.js';
-import { MEMBERS_TABLE } from './registry.js';
+import type { Logger } from '../../logging/logger.js';
+import type { FleetView } from '../../peers/fleet-view.js';
+import { awaitPromise, receive, type Channel, type Task } from '../../tasks/tasks.js';
+import { getSteadyMs } from '../../time/steady-clock.js';
+import { notifyPoolsOfEngines, type PoolEnginesState } from '../pool-engines.js';
+import type { GatewaySettings, RowStore, RowWrite } from '../ports.js';
+import { MEMBERS_TABLE } from '../registry.js';
 import { computeHorizonMs } from './service-versions.js';
 import { recordRegistered } from './version-registry.js';
 import {
