--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -21,7 +21,7 @@
 import { chooseCallServer, listCandidates } from './call-server.js';
 import type { GatewayRequest } from './gateway-request.js';
 import { findLoad, takeServiceRetries, type GatewayState } from './gateway-state.js';
-import { endQuarantined } from './quarantine-check.js';
+import { endQuarantined } from './quarantine/quarantine-check.js';
 import { sendOnce, type AnswerHead, type SendResult } from './sender.js';
 import { recordSizeCut, type CutReason } from './size-cuts.js';
 import { findRetryAfterMs } from './upstream-notices.js';
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -25,8 +25,13 @@
 import { REQUEST_INBOX_CAPACITY, type GatewayRequest } from './gateway-request.js';
 import { findRetryWindow, getRetryLimits, type GatewayState } from './gateway-state.js';
 import type { CallerFields } from './ports.js';
-import { findQuarantineReason } from './quarantine-check.js';
-import { buildContent, digestContent, makeScope, scopePart } from './quarantine-scope.js';
+import { findQuarantineReason } from './quarantine/quarantine-check.js';
+import {
+  buildContent,
+  digestContent,
+  makeScope,
+  scopePart,
+} from './quarantine/quarantine-scope.js';
 import { recordSizeCut, type SizeCut } from './size-cuts.js';
 import { runStreamRequest } from './stream-flow.js';
 
--- a/packages/router/src/gateway/gateway-request.ts
+++ b/packages/router/src/gateway/gateway-request.ts
@@ -8,7 +8,7 @@
 import type { UpstreamEvent } from '../upstreams/upstream-client.js';
 import type { CallerReply } from './caller-reply.js';
 import type { CallerFields, RequestSender } from './ports.js';
-import type { RequestContent } from './quarantine-scope.js';
+import type { RequestContent } from './quarantine/quarantine-scope.js';
 
 /** Message in the inbox of a request's task. */
 export type RequestMessage =
--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -7,9 +7,9 @@
 import type { PeerMesh } from '../peers/peer-mesh.js';
 import { offer, type Channel, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
-import type { ContentGuard } from './content-guard.js';
+import type { ContentGuard } from './quarantine/content-guard.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
-import type { PartGuard } from './part-guard.js';
+import type { PartGuard } from './quarantine/part-guard.js';
 import { startPeerLinks, type PeerLinksState } from './peer-links.js';
 import type { GatewaySettings, RowChange, RowStore } from './ports.js';
 import { notifyPoolsOfEngines } from './pool-engines.js';
@@ -20,11 +20,11 @@
   runQuarantineRows,
   type QuarantineRowsParts,
   type QuarantineWakeup,
-} from './quarantine-rows.js';
-import { listStoredContents } from './content-rows.js';
-import { listStoredParts } from './part-rows.js';
-import { listStoredSound } from './sound-rows.js';
-import { listScopes } from './quarantine-scope.js';
+} from './quarantine/quarantine-rows.js';
+import { listStoredContents } from './quarantine/content-rows.js';
+import { listStoredParts } from './quarantine/part-rows.js';
+import { listStoredSound } from './quarantine/sound-rows.js';
+import { listScopes } from './quarantine/quarantine-scope.js';
 import {
   decodeMember,
   findSecret,
--- a/packages/router/src/gateway/content-guard.ts
+++ b/packages/router/src/gateway/quarantine/content-guard.ts
@@ -22,8 +22,8 @@
   SuspectRecord,
   UpstreamId,
 } from '@tarragonspool/protocol';
-import type { Logger } from '../logging/logger.js';
-import { getSteadyMs } from '../time/steady-clock.js';
+import type { Logger } from '../../logging/logger.js';
+import { getSteadyMs } from '../../time/steady-clock.js';
 import { makeContentKey, type NamedContent } from './content-rows.js';
 import { buildContent, type RequestContent } from './quarantine-scope.js';
 
--- a/packages/router/src/gateway/content-rows.ts
+++ b/packages/router/src/gateway/quarantine/content-rows.ts
@@ -12,9 +12,9 @@
   UpstreamId,
 } from '@tarragonspool/protocol';
 import * as z from 'zod';
-import { parseRow } from '../json/parse-row.js';
-import { getSteadyMs } from '../time/steady-clock.js';
-import type { RowChange, RowWrite } from './ports.js';
+import { parseRow } from '../../json/parse-row.js';
+import { getSteadyMs } from '../../time/steady-clock.js';
+import type { RowChange, RowWrite } from '../ports.js';
 
 const KEY_PREFIX = 'quarantined-contents/';
 /** Clocks of VMs differ by less than this. */
--- a/packages/router/src/gateway/part-guard.ts
+++ b/packages/router/src/gateway/quarantine/part-guard.ts
@@ -21,8 +21,8 @@
   QuarantineScope,
   ServiceName,
 } from '@tarragonspool/protocol';
-import type { Logger } from '../logging/logger.js';
-import { getSteadyMs } from '../time/steady-clock.js';
+import type { Logger } from '../../logging/logger.js';
+import { getSteadyMs } from '../../time/steady-clock.js';
 import { makePartKey } from './part-rows.js';
 import { scopePart, splitScopes } from './quarantine-scope.js';
 
--- a/packages/router/src/gateway/part-rows.ts
+++ b/packages/router/src/gateway/quarantine/part-rows.ts
@@ -7,9 +7,9 @@
 import { PART_QUARANTINE_MS, type QuarantinedParts } from '@tarragonspool/core';
 import type { PromptPartId, QuarantineScope } from '@tarragonspool/protocol';
 import * as z from 'zod';
-import { parseRow } from '../json/parse-row.js';
-import { getSteadyMs } from '../time/steady-clock.js';
-import type { RowChange, RowWrite } from './ports.js';
+import { parseRow } from '../../json/parse-row.js';
+import { getSteadyMs } from '../../time/steady-clock.js';
+import type { RowChange, RowWrite } from '../ports.js';
 import { scopePart, splitScopes } from './quarantine-scope.js';
 
 const KEY_PREFIX = 'quarantined-parts/';
--- a/packages/router/src/gateway/quarantine-check.ts
+++ b/packages/router/src/gateway/quarantine/quarantine-check.ts
@@ -1,10 +1,10 @@
 /** Finds why a request may not be sent to any server. */
 
 import type { Fingerprint, PromptPartId } from '@tarragonspool/protocol';
-import type { Logger } from '../logging/logger.js';
+import type { Logger } from '../../logging/logger.js';
 import type { ContentGuard } from './content-guard.js';
-import type { GatewayMetrics } from './gateway-metrics.js';
-import type { GatewayRequest } from './gateway-request.js';
+import type { GatewayMetrics } from '../gateway-metrics.js';
+import type { GatewayRequest } from '../gateway-request.js';
 import type { PartGuard } from './part-guard.js';
 
 /** What crashes servers: the whole content of a request, or one of these parts of its prompt. */
--- a/packages/router/src/gateway/quarantine-rows.test.ts
+++ b/packages/router/src/gateway/quarantine/quarantine-rows.test.ts
@@ -1,8 +1,8 @@
 import type { QuarantinedParts } from '@tarragonspool/core';
 import type { PromptPartId, ServiceName, StorePosition, UpstreamId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
-import { getSteadyMs } from '../time/steady-clock.js';
-import type { RowChange } from './ports.js';
+import { getSteadyMs } from '../../time/steady-clock.js';
+import type { RowChange } from '../ports.js';
 import { listStoredContents, makeContentKey, type NamedContent } from './content-rows.js';
 import { listStoredParts } from './part-rows.js';
 import { buildQuarantineWrite } from './quarantine-rows.js';
--- a/packages/router/src/gateway/quarantine-rows.ts
+++ b/packages/router/src/gateway/quarantine/quarantine-rows.ts
@@ -4,7 +4,7 @@
 
 import type { QuarantinedParts } from '@tarragonspool/core';
 import type { PromptPartId } from '@tarragonspool/protocol';
-import type { Logger } from '../logging/logger.js';
+import type { Logger } from '../../logging/logger.js';
 import {
   awaitPromise,
   makeChannel,
@@ -12,14 +12,14 @@
   receive,
   type Channel,
   type Task,
-} from '../tasks/tasks.js';
-import { waitMs } from '../tasks/timers.js';
+} from '../../tasks/tasks.js';
+import { waitMs } from '../../tasks/timers.js';
 import type { ContentGuard } from './content-guard.js';
 import { compareContentRows, findContentRowFault, type NamedContent } from './content-rows.js';
 import type { PartGuard } from './part-guard.js';
 import { comparePartRows, findPartRowFault } from './part-rows.js';
-import type { RowChange, RowStore, RowWrite } from './ports.js';
-import { MEMBERS_TABLE } from './registry.js';
+import type { RowChange, RowStore, RowWrite } from '../ports.js';
+import { MEMBERS_TABLE } from '../registry.js';
 import { compareSoundRows, findSoundRowFault } from './sound-rows.js';
 
 const CALL_TIMEOUT_MS = 1_500;
--- a/packages/router/src/gateway/sound-rows.ts
+++ b/packages/router/src/gateway/quarantine/sound-rows.ts
@@ -5,8 +5,8 @@
 
 import type { PromptPartId, QuarantineScope } from '@tarragonspool/protocol';
 import * as z from 'zod';
-import { parseRow } from '../json/parse-row.js';
-import type { RowChange, RowWrite } from './ports.js';
+import { parseRow } from '../../json/parse-row.js';
+import type { RowChange, RowWrite } from '../ports.js';
 import { scopePart, splitScopes } from './quarantine-scope.js';
 
 const KEY_PREFIX = 'sound-parts/';
--- a/packages/router/src/gateway/send-question.ts
+++ b/packages/router/src/gateway/send-question.ts
@@ -5,7 +5,7 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
-import { findQuarantineReason } from './quarantine-check.js';
+import { findQuarantineReason } from './quarantine/quarantine-check.js';
 
 /** What is to be sent where. */
 export type RequestSend = {
--- a/packages/router/src/gateway/stream-flow.ts
+++ b/packages/router/src/gateway/stream-flow.ts
@@ -11,7 +11,7 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
-import { buildContent, makeScope, moveParts } from './quarantine-scope.js';
+import { buildContent, makeScope, moveParts } from './quarantine/quarantine-scope.js';
 import { endUnfinished, failStream, refuseStream } from './stream-ends.js';
 import { runGrantedStream } from './stream-grant.js';
 import { makeStreamProgress, type StreamProgress } from './stream-progress.js';
--- a/packages/router/src/gateway/stream-grant.ts
+++ b/packages/router/src/gateway/stream-grant.ts
@@ -6,7 +6,7 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayRequest } from './gateway-request.js';
 import { takeServiceRetries, type GatewayState } from './gateway-state.js';
-import { endQuarantined } from './quarantine-check.js';
+import { endQuarantined } from './quarantine/quarantine-check.js';
 import { endUnfinished, failStream, refuseStream } from './stream-ends.js';
 import { runGranted, settleRun, type GrantedRun } from './stream-handover.js';
 import {
