Service room: the division between tenants is named apart from the order of pools

speeds/tenant-shares.ts divides room by usual use and keeps nothing; pools/tenant-shares.ts orders waiting streams by recent use, with shares/usage-shares.ts. They have no step in common that could be one module, so the first becomes speeds/tenant-room.ts and its function computeAdmittedShares.

--- a/packages/core/src/speeds/call-room.test.ts
+++ b/packages/core/src/speeds/call-room.test.ts
@@ -9,7 +9,7 @@
   updateHandles,
 } from './server-curve.js';
 import { computeRoom } from './service-room.js';
-import { computeTenantShares } from './tenant-shares.js';
+import { computeAdmittedShares } from './tenant-room.js';
 
 const NOW = 10_000;
 
@@ -84,8 +84,8 @@
   expect(computeRoom({ servers, tenants, waiting: 0, waitingLate: 0 }).share).to.equal(1);
 });
 
-it('tenant shares: what one tenant does not need goes to the others, by their usual use', () => {
-  const shares = computeTenantShares(
+it('tenant room: what one tenant does not need goes to the others, by their usual use', () => {
+  const shares = computeAdmittedShares(
     [
       { tenant: 'large', perS: 50, usualPerS: 50 },
       { tenant: 'small', perS: 5, usualPerS: 10 },
@@ -98,8 +98,8 @@
   expect(shares.get('greedy')).to.be.closeTo(0.45, 0.001);
 });
 
-it('tenant shares: a tenant without usual use gets some room', () => {
-  const shares = computeTenantShares(
+it('tenant room: a tenant without usual use gets some room', () => {
+  const shares = computeAdmittedShares(
     [
       { tenant: 'usual', perS: 100, usualPerS: 100 },
       { tenant: 'new', perS: 1, usualPerS: 0 },
--- a/packages/core/src/speeds/load-sums.ts
+++ b/packages/core/src/speeds/load-sums.ts
@@ -18,7 +18,7 @@
   type ServerCurve,
 } from './server-curve.js';
 import { computeRoom } from './service-room.js';
-import type { TenantDemand } from './tenant-shares.js';
+import type { TenantDemand } from './tenant-room.js';
 
 /** A usable server as it is listed. */
 export type SummedServer = { readonly upstreamId: UpstreamId; readonly slots: number };
--- a/packages/core/src/speeds/service-room.ts
+++ b/packages/core/src/speeds/service-room.ts
@@ -4,7 +4,7 @@
  */
 
 import type { ServiceSummary } from '@tarragonspool/protocol';
-import { computeTenantShares, type TenantDemand } from './tenant-shares.js';
+import { computeAdmittedShares, type TenantDemand } from './tenant-room.js';
 
 /** One usable server. */
 export type RoomServer = {
@@ -90,7 +90,7 @@
   const wantedPerS = arrivingPerS + waitingPerS;
   const waitFactor = arrivingPerS > 0 ? wantedPerS / arrivingPerS : 1;
   const demands = tenants.map((demand) => ({ ...demand, perS: demand.perS * waitFactor }));
-  const shares = computeTenantShares(demands, supplyPerS);
+  const shares = computeAdmittedShares(demands, supplyPerS);
   const share = wantedPerS > 0 ? Math.min(1, supplyPerS / wantedPerS) : 1;
   const leftPerS = Math.max(0, supplyPerS - wantedPerS);
   const lateSent = (leftPerS * SUMMARY_INTERVAL_MS) / MS_PER_S;
--- a/packages/core/src/speeds/tenant-room.ts
+++ b/packages/core/src/speeds/tenant-room.ts
@@ -1,6 +1,8 @@
 /**
  * Divides room that is scarce between tenants: each gets room in proportion to its usual use, and what
  * one does not need goes to the others. A tenant with many times its usual load has the least share.
+ * Nothing is kept between calls, unlike in `pools/tenant-shares.ts`, which orders waiting streams by
+ * what their tenants have used.
  */
 
 /** How much of the room a tenant wants, in calls per second, and what it usually uses. */
@@ -14,7 +16,7 @@
 const ADDED_MEAN_SHARE = 0.1;
 
 /** Computes which share of its calls each tenant may send, where `perS` calls can be sent. */
-export function computeTenantShares(
+export function computeAdmittedShares(
   demands: readonly TenantDemand[],
   perS: number,
 ): Map<string, number> {
