--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -23,17 +23,17 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeUpstreamClient, type UpstreamClient } from '../upstreams/upstream-client.js';
 import type { CallerReply } from './caller-reply.js';
-import type { ContentGuard } from './content-guard.js';
+import type { ContentGuard } from './quarantine/content-guard.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { HeldBytes } from './held-bytes.js';
-import type { PartGuard } from './part-guard.js';
+import type { PartGuard } from './quarantine/part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
 import type { StreamOriginBook } from './stream-origins.js';
-import type { QuarantineWakeup } from './quarantine-rows.js';
+import type { QuarantineWakeup } from './quarantine/quarantine-rows.js';
 import type { ServerAccess } from './server-access.js';
 import { makeFramingRecord } from './size-cuts.js';
-import { makeSuspensionCheck } from './service-versions.js';
-import { makeVersionRegistry, type VersionRegistry } from './version-registry.js';
+import { makeSuspensionCheck } from './versions/service-versions.js';
+import { makeVersionRegistry, type VersionRegistry } from './versions/version-registry.js';
 
 /** State of one gateway; each part is changed by one task only. */
 export type GatewayState = {
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -25,17 +25,17 @@
 import { startAdaptiveTicker, type AdaptiveTicker } from '../tasks/timers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeCallerListener } from './caller-listener.js';
-import { makeContentGuard } from './content-guard.js';
+import { makeContentGuard } from './quarantine/content-guard.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
 import { ASSUMED_VM_COUNT, makeGatewayState, type GatewayState } from './gateway-state.js';
 import { computeHeldLimit, makeHeldBytes } from './held-bytes.js';
 import { startLoadSharing } from './load-sharing.js';
 import { startMembership, type PeerMeshHolder, type StartTask } from './membership.js';
-import { makePartGuard } from './part-guard.js';
+import { makePartGuard } from './quarantine/part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
 import { probeServer } from './probe-server.js';
-import { makeQuarantineWakeups } from './quarantine-rows.js';
-import { listScopes } from './quarantine-scope.js';
+import { makeQuarantineWakeups } from './quarantine/quarantine-rows.js';
+import { listScopes } from './quarantine/quarantine-scope.js';
 import { makeSavedStreams } from './saved-streams.js';
 import { startServerAccess } from './server-access.js';
 import { startMetricsListener, startReadyListener } from './side-listeners.js';
@@ -46,9 +46,9 @@
   listEarlierVersions,
   listUsedVersions,
   recordListedVersions,
-} from './service-versions.js';
+} from './versions/service-versions.js';
 import { makeStreamOriginBook } from './stream-origins.js';
-import { makeVersionQuestions } from './version-questions.js';
+import { makeVersionQuestions } from './versions/version-questions.js';
 
 const EXIT_INTERNAL = 70;
 const POOL_TICK_MS = 25;
