Reasons for rows that are no JSON no longer quote the row

Node's message quotes some characters around the place of the error. A configuration with a syntax error next to an API key put the key into the daemon's log. The reason now names the position only, where the runtime tells it. An issue of the whole value has no empty path.

--- a/packages/router/src/json/parse-row.ts
+++ b/packages/router/src/json/parse-row.ts
@@ -25,7 +25,18 @@
 
 /** Renders why a value does not match its schema, without the value. */
 export function renderIssue({ issues: [issue] }: z.ZodError): string {
-  return issue === undefined ? 'not valid' : `${issue.path.join('.')}: ${issue.message}`;
+  if (issue === undefined) return 'not valid';
+  const { path, message } = issue;
+  return path.length === 0 ? message : `${path.join('.')}: ${message}`;
+}
+
+/** Where a syntax error of JSON was found; messages that quote the text end in another way. */
+const SYNTAX_ERROR_POSITION = /in JSON at position (\d+)(?: \(line \d+ column \d+\))?$/u;
+
+/** Renders why a text is no JSON. Messages of the runtime may quote the text, which may hold keys. */
+function renderSyntaxError({ message }: SyntaxError): string {
+  const position = SYNTAX_ERROR_POSITION.exec(message)?.[1];
+  return position === undefined ? 'not valid JSON' : `not valid JSON at position ${position}`;
 }
 
 /** Parses a row as JSON of a schema; whatever the bytes are, it does not throw. */
@@ -41,6 +52,6 @@
     if (parsed.success) return { kind: 'usable', value: parsed.data };
     return refuseRow(renderIssue(parsed.error));
   } catch (error) {
-    return refuseRow(String(error));
+    return refuseRow(error instanceof SyntaxError ? renderSyntaxError(error) : String(error));
   }
 }
