Command line: check of a configuration before it is sent

tarragonspool configuration check FILE [--in-force FILE] [--json] prints errors, warnings and differences. The check and the comparison are pure functions of core/configuration-check. The decoder is the daemon's: it also returns what the decoded form does not hold (written), and an entry of platform/ passes it to the command line, because cli may not import platform/. bin/bundle-cli.js bundles that entry as target/tarragonspool.mjs.

--- a/packages/cli/src/exit-codes.ts
+++ b/packages/cli/src/exit-codes.ts
@@ -10,7 +10,10 @@
   'not-found': { code: 5, meaning: 'No daemon that answered knows the item.' },
   unsettled: { code: 6, meaning: 'The change may or may not have been accepted.' },
   usage: { code: 64, meaning: 'An unknown command, a bad flag or a missing value.' },
-  'bad-rules': { code: 65, meaning: 'The rule file has a bad line.' },
+  'bad-rules': {
+    code: 65,
+    meaning: 'The rule file has a bad line, or the configuration has errors.',
+  },
   'no-input': { code: 66, meaning: 'A file cannot be read or written.' },
   'platform-unavailable': { code: 69, meaning: 'The daemon cannot reach the platform.' },
   internal: { code: 70, meaning: 'A fault in the program.' },
--- a/packages/cli/src/run-cli.ts
+++ b/packages/cli/src/run-cli.ts
@@ -1,6 +1,8 @@
 /** Registers every command, and turns errors into one line and an exit code. */
 
 import { Builtins, Cli, UsageError, type BaseContext } from 'clipanion';
+import { makeConfigurationCheckCommand } from './configuration/check-command.js';
+import type { DecodeConfiguration } from './configuration/configuration-file.js';
 import { getExitCode } from './exit-codes.js';
 import { QuarantineListCommand } from './quarantine/list-command.js';
 import { QuarantineReleaseCommand } from './quarantine/release-command.js';
@@ -32,12 +34,18 @@
   ReportBurnCommand,
 ];
 
+/** What an adapter knows of its platform; commands that need it are registered only with it. */
+export type CliAdapter = { readonly decodeConfiguration: DecodeConfiguration };
+
 /** Makes the command line. */
-export function makeCli(): Cli {
+export function makeCli(adapter?: CliAdapter): Cli {
   const enableColors = Boolean(process.stdout.isTTY);
   const binaryName = 'tarragonspool';
   const cli = new Cli({ binaryName, binaryLabel: binaryName, enableColors });
   for (const command of COMMANDS) cli.register(command);
+  if (adapter !== undefined) {
+    cli.register(makeConfigurationCheckCommand(adapter.decodeConfiguration));
+  }
   cli.register(Builtins.HelpCommand);
   return cli;
 }
@@ -60,8 +68,9 @@
 export async function runCli(
   args: readonly string[],
   context: BaseContext = Cli.defaultContext,
+  adapter?: CliAdapter,
 ): Promise<number> {
-  const cli = makeCli();
+  const cli = makeCli(adapter);
   const input = args.length === 0 ? ['--help'] : [...args];
   let failure: number | undefined;
   try {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * from './claims/claim-sweep.js';
 export * from './claims/claim-types.js';
 export * from './claims/duplicate-guard.js';
+export * from './configuration-check/index.js';
 export * from './hashing/rendezvous.js';
 export * from './intake/index.js';
 export * from './membership/membership.js';
--- a/packages/core/src/tenants/tenant-directory.ts
+++ b/packages/core/src/tenants/tenant-directory.ts
@@ -6,10 +6,19 @@
 /** A tenant with its keys, as the configuration names them. */
 export type TenantEntry = { readonly tenant: Tenant; readonly keys: readonly string[] };
 
+/** Why an entry or one of its keys is not in the directory; the reason contains no keys. */
+export type TenantFault = {
+  /** Position among the entries. */
+  readonly entry: number;
+  readonly reason: string;
+};
+
 /** A directory, and why parts of the entries are not in it; the reasons contain no keys. */
 export type BuiltDirectory = {
   readonly directory: TenantDirectory;
   readonly faults: readonly string[];
+  /** The same faults with their entries. */
+  readonly entryFaults: readonly TenantFault[];
 };
 
 /**
@@ -22,26 +31,30 @@
 ): BuiltDirectory {
   const tenants = new Map<TenantName, Tenant>();
   const byKey = new Map<KeyDigest, Tenant>();
-  const faults: string[] = [];
-  for (const { tenant, keys } of entries) {
+  const entryFaults: TenantFault[] = [];
+  for (const [entry, { tenant, keys }] of entries.entries()) {
     const { name } = tenant;
+    const refuse = (detail: string): void => {
+      entryFaults.push({ entry, reason: `tenant ${name}: ${detail}` });
+    };
     if (tenants.has(name)) {
-      faults.push(`tenant ${name}: an earlier entry has the same name; this one is not used`);
+      refuse('an earlier entry has the same name; this one is not used');
       continue;
     }
     tenants.set(name, tenant);
     for (const [index, key] of keys.entries()) {
       if (!isSendableKey(key)) {
-        faults.push(`tenant ${name}: key ${index + 1} cannot be sent as a bearer token`);
+        refuse(`key ${index + 1} cannot be sent as a bearer token`);
         continue;
       }
       const keyDigest = digest(key);
       const holder = byKey.get(keyDigest);
       if (holder === undefined) byKey.set(keyDigest, tenant);
       else if (holder !== tenant) {
-        faults.push(`tenant ${name}: key ${index + 1} is a key of tenant ${holder.name}`);
+        refuse(`key ${index + 1} is a key of tenant ${holder.name}`);
       }
     }
   }
-  return { directory: { tenants, byKey }, faults };
+  const faults = entryFaults.map(({ reason }) => reason);
+  return { directory: { tenants, byKey }, faults, entryFaults };
 }
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -13,6 +13,9 @@
   TenantName,
   TenantQuota,
   UpstreamRecord,
+  WrittenConfiguration,
+  WrittenFault,
+  WrittenTenant,
 } from '@tarragonspool/core';
 export { startGateway, type Gateway } from './gateway/gateway.js';
 export type * from './gateway/ports.js';
