Pools: engines that change their stage are no capacity

Free slots, slot rate and prompt rate counted engines that were ordered to change their stage, which get no request. In soak refusals named 5 free slots of which 4 belonged to such an engine, and the prompt rate was that of a prefill engine that could not be used.

--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -133,6 +133,11 @@
   return ordered !== undefined && ordered.stage !== engine.stage && now < ordered.doneBy;
 }
 
+/** Whether an engine serves a stage, so that its capacity counts there. */
+export function isServing(load: EngineLoad, stage: EngineStage, now: number): boolean {
+  return load.engine.stage === stage && !load.engine.isLeaving && !isChanging(load, now);
+}
+
 /** Whether an engine may get a request at all, whatever its free capacity. */
 export function isUsable(load: EngineLoad, slotRequest: SlotRequest, now: number): boolean {
   if (load.engine.isLeaving || load.avoidUntil > now || isChanging(load, now)) return false;
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -11,6 +11,7 @@
   isReadyForLocalPrefill,
   countTargetMisses,
   hasPrefillRoom,
+  isServing,
   isUsable,
   recordTargetMisses,
   predictPrefillEnd,
@@ -313,8 +314,7 @@
   const meanTokens = estimateAnswerTokens(state);
   let free = 0;
   for (const load of state.engines.values()) {
-    const { stage, isLeaving } = load.engine;
-    if (stage !== 'decode' || isLeaving || load.avoidUntil > now) continue;
+    if (!isServing(load, 'decode', now) || load.avoidUntil > now) continue;
     if (!hasPermit(state, load, now)) continue;
     free += Math.max(0, countUsableSlots(load, meanTokens) - load.runs.size);
   }
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -4,6 +4,7 @@
 import {
   countUsableSlots,
   isChanging,
+  isServing,
   estimateEnginePrefillMsPerToken,
   measureLocalPrefillCycleMs,
   type EngineLoad,
@@ -309,12 +310,11 @@
 }
 
 /** Counts the slots of the pool's decode engines that their memory allows for, free or not. */
-export function countSlots(state: PoolState): number {
+export function countSlots(state: PoolState, now: number): number {
   const meanTokens = estimateAnswerTokens(state);
   let slots = 0;
   for (const load of state.engines.values()) {
-    const { stage, isLeaving } = load.engine;
-    if (stage === 'decode' && !isLeaving) slots += countUsableSlots(load, meanTokens);
+    if (isServing(load, 'decode', now)) slots += countUsableSlots(load, meanTokens);
   }
   return slots;
 }
@@ -325,12 +325,11 @@
 }
 
 /** Returns the answers per second that the pool's decode engines can start. */
-function measureSlotRate(state: PoolState): number {
+function measureSlotRate(state: PoolState, now: number): number {
   const meanTokens = estimateAnswerTokens(state);
   let rate = 0;
   for (const load of state.engines.values()) {
-    const { stage, isLeaving } = load.engine;
-    if (stage !== 'decode' || isLeaving) continue;
+    if (!isServing(load, 'decode', now)) continue;
     const slots = countUsableSlots(load, meanTokens);
     rate += boundByLimit(load, (MS_PER_S * slots) / state.occupancyMs);
   }
@@ -339,14 +338,13 @@
 
 /**
  * Returns the prompts per second that prefill engines can process, without engines that are failing
- * now.
+ * or changing their stage now.
  */
 function measurePrefillRate(state: PoolState, now: number): number {
   const poolPrefillMsPerToken = measurePrefillMsPerToken(state);
   let rate = 0;
   for (const load of state.engines.values()) {
-    const { stage, isLeaving } = load.engine;
-    if (stage !== 'prefill' || isLeaving || load.avoidUntil > now + SHORT_AVOID_MS) continue;
+    if (!isServing(load, 'prefill', now) || load.avoidUntil > now + SHORT_AVOID_MS) continue;
     const prefillMs =
       state.promptTokens * estimateEnginePrefillMsPerToken(load, poolPrefillMsPerToken);
     rate += boundByLimit(load, MS_PER_S / prefillMs);
@@ -359,8 +357,7 @@
   const cycleMs = measureLocalPrefillCycleMs(state.promptTokens * state.localPrefillMsPerToken);
   let rate = 0;
   for (const load of state.engines.values()) {
-    const { stage, isLeaving } = load.engine;
-    if (stage !== 'decode' || isLeaving || load.avoidUntil > now + SHORT_AVOID_MS) continue;
+    if (!isServing(load, 'decode', now) || load.avoidUntil > now + SHORT_AVOID_MS) continue;
     rate += boundByLimit(load, MS_PER_S / cycleMs);
   }
   return rate;
@@ -388,5 +385,5 @@
  * speed.
  */
 export function measureServiceRate(state: PoolState, now: number): number {
-  return Math.min(measureSlotRate(state), measurePromptRate(state, now));
+  return Math.min(measureSlotRate(state, now), measurePromptRate(state, now));
 }
--- a/packages/core/src/pools/spare-slots.ts
+++ b/packages/core/src/pools/spare-slots.ts
@@ -44,7 +44,7 @@
   const spareRate = promptRate - usualRate;
   if (slotRequest.needsPrefill && spareRate <= 0) return Infinity;
   const promptAt = slotRequest.needsPrefill ? now + (MS_PER_S * ahead) / spareRate : now;
-  const reserved = Math.ceil(RESERVED_SLOT_SHARE * countSlots(state));
+  const reserved = Math.ceil(RESERVED_SLOT_SHARE * countSlots(state, now));
   const forecast = buildSlotForecast(state, slotRequest, now);
   const demand = { arrivalRate, usualRate, ahead, reserved };
   return Math.max(promptAt, predictSpareSlot(forecast, demand, now, limitAt));
