Pools: the forecast counts local prefills while prefill engines are avoided

Grants use local prefills as soon as no prefill engine takes requests, but the forecast still expected the next prompt when the avoided engine is tried again, up to 3 s later, and refused all streams that could not start at once.

--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -93,7 +93,7 @@
 const ESTIMATE_WEIGHT = 0.05;
 const MS_PER_S = 1_000;
 /** An engine that is avoided for no longer than this still counts as capacity. */
-const SHORT_AVOID_MS = 400;
+export const SHORT_AVOID_MS = 400;
 /** Time for the transfer of the KV cache and the first decode step. */
 export const FIRST_EVENT_MS = 80;
 
--- a/packages/core/src/pools/slot-forecast.ts
+++ b/packages/core/src/pools/slot-forecast.ts
@@ -17,6 +17,7 @@
 } from './engine-load.js';
 import { hasFreeSlot } from './engine-memory.js';
 import {
+  SHORT_AVOID_MS,
   estimateAnswerTokens,
   hasLimitedPrefill,
   measurePoolMemory,
@@ -217,18 +218,21 @@
   };
   const prefills: PrefillForecast[] = [];
   const local: PrefillForecast[] = [];
+  let prefillOpenAt = Infinity;
   for (const load of state.engines.values()) {
     if (!canServe(load, slotRequest, now)) continue;
     const { stage, softwareVersion } = load.engine;
     if (stage === 'prefill') {
       prefills.push(buildPrefillForecast(state, load, now));
+      prefillOpenAt = Math.min(prefillOpenAt, findOpenTime(state, load, now));
     } else if ((slotRequest.softwareVersion ?? softwareVersion) === softwareVersion) {
       addFreeSlots(state, load, slotRequest, now, free);
       local.push(buildPrefillForecast(state, load, now));
     }
   }
-  // Decode engines also prefill what the limits of prefill engines leave over.
-  if (prefills.length === 0 || hasLimitedPrefill(state)) prefills.push(...local);
+  // Decode engines prefill while all prefill engines are avoided, and what limits leave over.
+  const isOutage = prefillOpenAt > now + SHORT_AVOID_MS;
+  if (isOutage || hasLimitedPrefill(state)) prefills.push(...local);
   const slotTimes = listSlotTimes(free, now);
   return { slotTimes, laterSlotTimes: [], prefills, occupancyMs: state.occupancyMs };
 }
