Pools: an order to change that is not executed takes effect for a bounded time

An engine that accepted an order to change its stage and stayed as it was got no request for the time of the change plus 11.5 s, and then the same order again. It now counts as changing until the configured time of a change and 2.5 s for the list of engines have passed since it had no work from before the order (idleChangeMs, optional in the message to other VMs). After that it counts as being in its listed stage and gets no other order for 30 s.

--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -14,6 +14,18 @@
   readonly overdueAt: number;
 };
 
+/** An order to change the stage. */
+type StageOrder = {
+  readonly stage: EngineStage;
+  readonly at: number;
+  /** When the change is certainly complete. */
+  readonly doneBy: number;
+  /** How long it takes at most once the engine has no work; undefined if not reported. */
+  readonly idleChangeMs: number | undefined;
+  /** Since when the engine has no work from before the order. */
+  idleSince: number | undefined;
+};
+
 /** One engine with the work that is assigned to it. */
 export type EngineLoad = {
   engine: PoolEngine;
@@ -39,8 +51,8 @@
   avoidUntil: number;
   /** Refusals and failures since the last success. */
   failures: number;
-  /** Stage that it was ordered to change to, and when the change is certainly complete. */
-  ordered: { readonly stage: EngineStage; readonly doneBy: number } | undefined;
+  /** The last order to change its stage. */
+  ordered: StageOrder | undefined;
   /** Measured slot occupancy per expected token, relative to the pool's mean. */
   slowness: number;
   /**
@@ -82,6 +94,8 @@
  */
 const OVERDUE_PREFILL_FACTOR = 2;
 const MIN_OVERDUE_PREFILL_MS = 250;
+/** An engine that has not executed an order gets no other for this long, because it may ignore that too. */
+const REPEAT_ORDER_MS = 30_000;
 /** Weight, in tokens, of the pool's mean speed in the estimate of one engine. */
 const PRIOR_TOKENS = 8_000;
 
@@ -128,9 +142,39 @@
   return Math.max(1, Math.min(engine.slots, Math.floor(byMemory)));
 }
 
+function hasWorkFrom({ runs, prefills }: EngineLoad, before: number): boolean {
+  for (const { grantedAt } of runs.values()) if (grantedAt <= before) return true;
+  for (const { run } of prefills.values()) if (run.grantedAt <= before) return true;
+  return false;
+}
+
+/** Updates since when an engine that was ordered to change its stage has no work from before. */
+export function updateIdleTime(load: EngineLoad, now: number): void {
+  const { ordered } = load;
+  if (ordered === undefined) return;
+  ordered.idleSince = hasWorkFrom(load, ordered.at) ? undefined : (ordered.idleSince ?? now);
+}
+
+/**
+ * Computes when a change of stage is complete at the latest: an engine changes as soon as it has no
+ * work, so one that still has its stage some time later does not execute the order.
+ */
+function computeChangeEnd({ doneBy, idleChangeMs, idleSince }: StageOrder): number {
+  if (idleChangeMs === undefined || idleSince === undefined) return doneBy;
+  return Math.min(doneBy, idleSince + idleChangeMs);
+}
+
 /** Whether an engine is changing to another stage. */
 export function isChanging({ ordered, engine }: EngineLoad, now: number): boolean {
-  return ordered !== undefined && ordered.stage !== engine.stage && now < ordered.doneBy;
+  if (ordered === undefined || ordered.stage === engine.stage) return false;
+  return now < computeChangeEnd(ordered);
+}
+
+/** Whether an engine has not executed its last order, and gets no other for some time. */
+export function isIgnoringOrders({ ordered, engine }: EngineLoad, now: number): boolean {
+  if (ordered === undefined || ordered.stage === engine.stage) return false;
+  const endAt = computeChangeEnd(ordered);
+  return now >= endAt && now < endAt + REPEAT_ORDER_MS;
 }
 
 /** Whether an engine serves a stage, so that its capacity counts there. */
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -25,6 +25,7 @@
   makeEngineLoad,
   removeRun,
   startLocalPrefillCooldown,
+  updateIdleTime,
 } from './engine-load.js';
 import { recordMemoryRefusal, recordMemoryReleased } from './engine-memory.js';
 import { grantWaiting } from './placing.js';
@@ -270,9 +271,11 @@
       handleEngineFailed(state, event.upstreamId, event.failure, now);
       return [];
     case 'engine-ordered': {
-      const { stage, doneBy } = event;
+      const { stage, doneBy, idleChangeMs } = event;
       const load = state.engines.get(event.upstreamId);
-      if (load !== undefined) load.ordered = { stage, doneBy };
+      if (load === undefined) return [];
+      load.ordered = { stage, at: now, doneBy, idleChangeMs, idleSince: undefined };
+      updateIdleTime(load, now);
       return [];
     }
     case 'runs-announced':
@@ -282,7 +285,10 @@
       dropAssignmentsOf(state, event.vmId, now);
       return grantWaiting(state, now);
     case 'ticked':
-      for (const load of state.engines.values()) dropOverduePrefills(load, now);
+      for (const load of state.engines.values()) {
+        dropOverduePrefills(load, now);
+        updateIdleTime(load, now);
+      }
       forgetOldAssignments(state, now);
       forgetRefused(state, now);
       removeIdleTenants(state.tenants, now);
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -4,6 +4,7 @@
 import {
   countUsableSlots,
   isChanging,
+  isIgnoringOrders,
   isServing,
   estimateEnginePrefillMsPerToken,
   measureLocalPrefillCycleMs,
@@ -267,7 +268,14 @@
     const stage = isChangingStage && load.ordered ? load.ordered.stage : load.engine.stage;
     const work = load.runs.size + load.prefills.size;
     const slowness = measureSlowness(state, load);
-    planned.push({ upstreamId, stage, requestCount: work, slowness, isChanging: isChangingStage });
+    planned.push({
+      upstreamId,
+      stage,
+      requestCount: work,
+      slowness,
+      isChanging: isChangingStage,
+      isIgnoringOrders: isIgnoringOrders(load, now),
+    });
   }
   return planned;
 }
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -117,6 +117,8 @@
       readonly stage: EngineStage;
       /** When the change is certainly complete. */
       readonly doneBy: number;
+      /** How long it takes at most once the engine has no work; absent from earlier versions. */
+      readonly idleChangeMs?: number | undefined;
     }
   /**
    * All slot assignments of a VM. When the owner of the pool changes, each VM sends its complete
--- a/packages/core/src/stages/split-plan.ts
+++ b/packages/core/src/stages/split-plan.ts
@@ -45,8 +45,8 @@
   demand: RequestNeeds,
 ): { change: StageChange; rate: number } | undefined {
   let best: { change: StageChange; rate: number } | undefined;
-  for (const { upstreamId, stage, isChanging } of engines) {
-    if (stage !== 'prefill' || isChanging) continue;
+  for (const { upstreamId, stage, isChanging, isIgnoringOrders } of engines) {
+    if (stage !== 'prefill' || isChanging || isIgnoringOrders === true) continue;
     const change = { upstreamId, stage: 'decode' } as const;
     const rate = predictStartRate(applyChange(engines, change), demand);
     if (rate > (best?.rate ?? 0)) best = { change, rate };
--- a/packages/core/src/stages/stage-plan.ts
+++ b/packages/core/src/stages/stage-plan.ts
@@ -17,6 +17,8 @@
   readonly slowness: number | undefined;
   /** Whether the engine is still changing to this stage and cannot get another order. */
   readonly isChanging: boolean;
+  /** Whether it has not executed its last order and gets no other for some time. */
+  readonly isIgnoringOrders?: boolean;
 };
 
 /** Demand of an average request. */
@@ -110,7 +112,7 @@
   let best: WantedChange | undefined;
   let bestScore = 0;
   for (const engine of engines) {
-    if (engine.isChanging) continue;
+    if (engine.isChanging || engine.isIgnoringOrders === true) continue;
     const stage = engine.stage === 'prefill' ? 'decode' : 'prefill';
     const change = { upstreamId: engine.upstreamId, stage } as const;
     const rate = predictStartRate(applyChange(engines, change), demand);
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -96,6 +96,7 @@
     upstreamId: id,
     stage: z.enum(['prefill', 'decode']),
     doneInMs: milliseconds,
+    idleChangeMs: milliseconds.optional(),
   }),
   z.object({
     kind: z.literal('alive'),
@@ -254,6 +255,8 @@
       readonly upstreamId: UpstreamId;
       readonly stage: 'prefill' | 'decode';
       readonly doneInMs: number;
+      /** How long the change takes at most once the engine has no work; absent from earlier versions. */
+      readonly idleChangeMs?: number | undefined;
     }
   | AliveMessage;
 
--- a/packages/router/src/pools/pool-owner.ts
+++ b/packages/router/src/pools/pool-owner.ts
@@ -233,9 +233,9 @@
           return;
         }
         case 'pool-engine-ordered': {
-          const { upstreamId, stage } = message;
-          const doneBy = now + message.doneInMs;
-          apply(service, { kind: 'engine-ordered', upstreamId, stage, doneBy }, now);
+          const { upstreamId, stage, doneInMs, idleChangeMs } = message;
+          const order = { upstreamId, stage, doneBy: now + doneInMs, idleChangeMs };
+          apply(service, { kind: 'engine-ordered', ...order }, now);
           return;
         }
         case 'pool-runs': {
--- a/packages/router/src/pools/pool-task.ts
+++ b/packages/router/src/pools/pool-task.ts
@@ -45,6 +45,7 @@
       readonly upstreamId: UpstreamId;
       readonly stage: EngineStage;
       readonly doneBy: number;
+      readonly idleChangeMs: number | undefined;
     }
   /** This VM stops at a planned time, which interrupts the answers that are open then. */
   | { readonly kind: 'stops'; readonly at: number }
@@ -167,11 +168,11 @@
 
   /** Reports an ordered stage change to all VMs, because each may be the next owner. */
   function reportOrdered(
-    { service, upstreamId, stage, doneBy }: Extract<PoolTaskMessage, { kind: 'engine-ordered' }>,
+    { doneBy, ...ordered }: Extract<PoolTaskMessage, { kind: 'engine-ordered' }>,
     now: number,
   ): void {
     const doneInMs = doneBy - now;
-    const order = { kind: 'pool-engine-ordered', service, upstreamId, stage, doneInMs } as const;
+    const order = { ...ordered, kind: 'pool-engine-ordered', doneInMs } as const;
     owner.handleMessage(self, order, now);
     parts.broadcast(order);
   }
--- a/packages/router/src/stages/stage-task.ts
+++ b/packages/router/src/stages/stage-task.ts
@@ -120,10 +120,12 @@
   service: ServiceName,
   change: StageChange,
   durationMs: number,
+  idleChangeMs?: number,
 ): void {
   const { upstreamId, stage } = change;
   const doneBy = getSteadyMs() + durationMs;
-  offer(state.pools.inbox, { kind: 'engine-ordered', service, upstreamId, stage, doneBy });
+  const order = { service, upstreamId, stage, doneBy, idleChangeMs };
+  offer(state.pools.inbox, { kind: 'engine-ordered', ...order });
 }
 
 function* orderChange(
@@ -140,7 +142,8 @@
   }
   const { incarnation } = engine;
   const switchMs = state.configuration?.services.get(service)?.engine?.stageSwitchMs ?? 0;
-  const changeMs = switchMs + FINISH_REQUESTS_MS + LIST_LAG_MS;
+  const idleChangeMs = switchMs + LIST_LAG_MS;
+  const changeMs = FINISH_REQUESTS_MS + idleChangeMs;
   const report = yield* readReport(state, upstreamId);
   if (report === undefined) return;
   if (report.isBusy || report.stage === change.stage) {
@@ -176,7 +179,7 @@
     case 'holds-already':
       stages.unsettled = undefined;
       stages.orderedAt = getSteadyMs();
-      reportOrdered(state, service, change, changeMs);
+      reportOrdered(state, service, change, changeMs, idleChangeMs);
       return;
     case undefined: {
       // The engine may have taken the order, or take it later: only the same order is sent again.
