--- a/packages/core/src/stages/stage-plan.ts
+++ b/packages/core/src/stages/stage-plan.ts
@@ -100,6 +100,12 @@
   return engines.every(({ slowness }) => slowness !== undefined);
 }
 
+/** Whether an engine is the only one that serves its stage, while others are changing to it. */
+function isOnlyServing(engines: readonly PlannedEngine[], engine: PlannedEngine): boolean {
+  const others = engines.filter((other) => other !== engine && other.stage === engine.stage);
+  return others.length > 0 && others.every(({ isChanging }) => isChanging);
+}
+
 /**
  * Finds the next change; undefined if no change gains enough, or the engines are not measured yet.
  */
@@ -113,6 +119,7 @@
   let bestScore = 0;
   for (const engine of engines) {
     if (engine.isChanging || engine.isIgnoringOrders === true) continue;
+    if (isOnlyServing(engines, engine)) continue;
     const stage = engine.stage === 'prefill' ? 'decode' : 'prefill';
     const change = { upstreamId: engine.upstreamId, stage } as const;
     const rate = predictStartRate(applyChange(engines, change), demand);
--- a/packages/core/src/stages/stages.test.ts
+++ b/packages/core/src/stages/stages.test.ts
@@ -218,3 +218,16 @@
   applyLeaseRow(lease, { position: at(7), holder: OTHER, ageMs: 20_000 }, 0);
   expect(chooseLeaseStep(lease, SELF, LEASE_MS, true, 0).kind).to.equal('acquire');
 });
+
+// Soak seed 300130: the owner ordered the successor of a prefill engine that had left to decode, while
+// the decode engine that had been ordered to prefill did not serve yet.
+it('stages: the only prefill engine that serves is not changed while another engine is still changing to prefill', () => {
+  const engines = [
+    buildEngine('p', PREFILL),
+    buildEngine('d1', { ...PREFILL, isChanging: true }),
+    buildEngine('d2'),
+  ];
+  expect(findStageChange(engines, DEMAND)).to.equal(undefined);
+  const changed = engines.map((engine) => ({ ...engine, isChanging: false }));
+  expect(findStageChange(changed, DEMAND)).to.include({ stage: 'decode' });
+});
