Pools: the speed of local prefills recovers after an overload

It was corrected by 3 % with each prompt that was prefilled, and never without one. Samples far below the estimate now weigh five times as much, and an estimate without samples for 5 s is at most twice that of prefill engines.

--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -19,6 +19,7 @@
   type EngineLoad,
 } from './engine-load.js';
 import { hasFreeSlot } from './engine-memory.js';
+import { predictLocalPrefillMs } from './local-prefill-speed.js';
 import { countOnTimeGrant } from './rank-rates.js';
 import {
   FIRST_EVENT_MS,
@@ -28,7 +29,6 @@
   measurePoolMemory,
   predictFirstEventMs,
   predictOccupancyMs,
-  predictLocalPrefillMs,
   type PoolState,
   type WaitingSlotRequest,
 } from './pool-state.js';
--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -28,6 +28,7 @@
   updateIdleTime,
 } from './engine-load.js';
 import { recordMemoryRefusal, recordMemoryReleased } from './engine-memory.js';
+import { forgetLocalPrefillSpeed, recordLocalPrefill } from './local-prefill-speed.js';
 import { grantWaiting } from './placing.js';
 import { countOnTimeArrival } from './rank-rates.js';
 import {
@@ -37,7 +38,6 @@
   measurePrefillMsPerToken,
   recordOccupancy,
   recordPrefill,
-  recordLocalPrefill,
   recordRequestSize,
   type PoolState,
 } from './pool-state.js';
@@ -157,7 +157,7 @@
   }
   // A decode engine prefills between its own tokens, so its time is no sample for prefill engines.
   const prefillMs = now - assignment.grantedAt;
-  recordLocalPrefill(state, promptTokens, prefillMs);
+  recordLocalPrefill(state, promptTokens, prefillMs, now);
   startLocalPrefillCooldown(load, prefillMs, now);
 }
 
@@ -289,6 +289,7 @@
         dropOverduePrefills(load, now);
         updateIdleTime(load, now);
       }
+      forgetLocalPrefillSpeed(state, now);
       forgetOldAssignments(state, now);
       forgetRefused(state, now);
       removeIdleTenants(state.tenants, now);
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -52,6 +52,8 @@
   prefillTokens: number;
   /** Milliseconds that a decode engine needs per prompt token of a local prefill. */
   localPrefillMsPerToken: number;
+  /** When that was last measured; undefined until then. */
+  localPrefillMeasuredAt: number | undefined;
   /** Mean time that a slot is occupied, in milliseconds. */
   occupancyMs: number;
   /** Completed answers that the occupancy estimates were updated with. */
@@ -85,7 +87,8 @@
 const INITIAL_PREFILL_MS_PER_TOKEN = 0.018;
 const INITIAL_PREFILL_TOKENS = 50_000;
 /** Decode engines prefill at half the speed of prefill engines. */
-const INITIAL_LOCAL_PREFILL_MS_PER_TOKEN = 2 * INITIAL_PREFILL_MS_PER_TOKEN;
+export const LOCAL_PREFILL_FACTOR = 2;
+const INITIAL_LOCAL_PREFILL_MS_PER_TOKEN = LOCAL_PREFILL_FACTOR * INITIAL_PREFILL_MS_PER_TOKEN;
 /** Factor on the earlier prefill totals at each new sample. */
 const PREFILL_DECAY = 0.95;
 const INITIAL_OCCUPANCY_MS = 3_500;
@@ -112,6 +115,7 @@
     prefillBusyMs: INITIAL_PREFILL_MS_PER_TOKEN * INITIAL_PREFILL_TOKENS,
     prefillTokens: INITIAL_PREFILL_TOKENS,
     localPrefillMsPerToken: INITIAL_LOCAL_PREFILL_MS_PER_TOKEN,
+    localPrefillMeasuredAt: undefined,
     occupancyMs: INITIAL_OCCUPANCY_MS,
     occupancyCount: 0,
     endRatios: makeEndRatios(),
@@ -188,24 +192,6 @@
   state.prefillTokens = PREFILL_DECAY * state.prefillTokens + promptTokens;
 }
 
-/** Updates the local prefill speed with a prompt that a decode engine has prefilled. */
-export function recordLocalPrefill(
-  state: PoolState,
-  promptTokens: number,
-  prefillMs: number,
-): void {
-  if (promptTokens <= 0) return;
-  state.localPrefillMsPerToken = updateEstimate(
-    state.localPrefillMsPerToken,
-    prefillMs / promptTokens,
-  );
-}
-
-/** Predicts how many milliseconds a decode engine needs to prefill a prompt locally. */
-export function predictLocalPrefillMs(state: PoolState, slotRequest: SlotRequest): number {
-  return slotRequest.promptTokens * state.localPrefillMsPerToken;
-}
-
 /** Returns the mean milliseconds of the pool's prefill engines per prompt token. */
 export function measurePrefillMsPerToken(state: PoolState): number {
   return state.prefillBusyMs / Math.max(1, state.prefillTokens);
--- a/packages/core/src/pools/prefill-outage.test.ts
+++ b/packages/core/src/pools/prefill-outage.test.ts
@@ -1,8 +1,9 @@
 import type { UpstreamId } from '@tarragonspool/protocol';
 import { expect } from 'chai';
-import { handlePoolEvent } from './index.js';
-import { buildSlotRequest, buildPool, TWO_DECODE } from './pool-test-kit.js';
+import { handlePoolEvent, type PoolState } from './index.js';
+import { buildEngine, buildSlotRequest, buildPool, TWO_DECODE } from './pool-test-kit.js';
 
+const ANSWER_MS = 700;
 const SHORT_PROMPT = { promptTokens: 100, outputTokens: 1_000 } as const;
 
 // The forecast had the first prompt at the end of the time for which the prefill engine was avoided, so
@@ -26,3 +27,66 @@
   }
   expect(state.runs.size).to.equal(8);
 });
+
+/** Has decode engines prefill prompts for some time; each is reported this long after its grant. */
+function prefillLocally(
+  state: PoolState,
+  { fromMs, untilMs, prefillMs }: { fromMs: number; untilMs: number; prefillMs: number },
+): { granted: number; refused: number } {
+  const counts = { granted: 0, refused: 0 };
+  for (let now = fromMs; now < untilMs; now += 10) {
+    const events: Parameters<typeof handlePoolEvent>[1][] = [{ kind: 'ticked' }];
+    if (now % 100 === 0) {
+      const ask = buildSlotRequest(now, { ...SHORT_PROMPT, aimAt: now + 500 });
+      events.push({ kind: 'asked', ask });
+    }
+    for (const [askId, { grantedAt, prefill }] of state.runs) {
+      if (prefill !== undefined && now - grantedAt >= prefillMs) {
+        events.push({ kind: 'prefilled', askId });
+      }
+      if (now - grantedAt >= prefillMs + ANSWER_MS) {
+        events.push({ kind: 'ended', askId, didFinish: true });
+      }
+    }
+    for (const event of events) {
+      for (const { kind } of handlePoolEvent(state, event, now)) {
+        counts[kind === 'grant' ? 'granted' : 'refused'] += 1;
+      }
+    }
+  }
+  return counts;
+}
+
+const WITHOUT_PREFILL = [buildEngine('d1'), buildEngine('d2')];
+
+/** Prefills that take longer and longer, so that each is reported before it is overdue. */
+function prefillUnderOverload(state: PoolState): void {
+  prefillLocally(state, { fromMs: 0, untilMs: 30_000, prefillMs: 200 });
+  prefillLocally(state, { fromMs: 30_000, untilMs: 60_000, prefillMs: 400 });
+  expect(state.localPrefillMsPerToken).to.be.greaterThan(3);
+}
+
+// Soak seed 5045: the pool reckoned with 2.3 local prefills per second long after an overload, refused
+// the others with 3 to 5 free slots, and so hardly measured the speed again.
+it('pools: prefill outage: the speed of local prefills recovers soon after an overload', () => {
+  const state = buildPool(WITHOUT_PREFILL);
+  prefillUnderOverload(state);
+  prefillLocally(state, { fromMs: 60_000, untilMs: 61_500, prefillMs: 10 });
+  const burst = Array.from({ length: 6 }, () =>
+    buildSlotRequest(61_500, { ...SHORT_PROMPT, aimAt: 62_000 }),
+  );
+  for (const ask of burst) {
+    const [action] = handlePoolEvent(state, { kind: 'asked', ask }, 61_500);
+    expect(action?.kind).to.not.equal('refuse');
+  }
+  const after = prefillLocally(state, { fromMs: 61_500, untilMs: 63_500, prefillMs: 10 });
+  expect(after.refused).to.equal(0);
+});
+
+// A speed from an overload of an earlier outage held back the streams of the next one.
+it('pools: prefill outage: the speed of local prefills that has not been measured for seconds is at least half that of prefill engines', () => {
+  const state = buildPool(WITHOUT_PREFILL);
+  prefillUnderOverload(state);
+  for (let now = 60_000; now <= 70_000; now += 100) handlePoolEvent(state, { kind: 'ticked' }, now);
+  expect(state.localPrefillMsPerToken).to.be.at.most(0.036);
+});
