Pools: a stream that no free slot may serve does not keep late streams from it

A stream that goes on at its software version, or without engines that failed it, goes before late ones. If all its engines were full, late streams waited or were refused with free slots at the others.

--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -38,6 +38,7 @@
   compareSpareOrder,
   isServedFirst,
 } from './service-order.js';
+import { isOrdinary } from './slot-forecast.js';
 import { isSpareNow } from './spare-slots.js';
 import { hasSeveralTenants, recordTenantGrant } from './tenant-shares.js';
 import type { SlotRequest, SlotAssignment, PoolAction } from './pool-types.js';
@@ -332,6 +333,21 @@
   return list;
 }
 
+/**
+ * Whether a request that got no slot waits for one of those that are free, until an engine can prefill
+ * its prompt or has enough memory. One that excludes engines or needs a software version may not use
+ * any of them.
+ */
+function isWaitingForFreeSlot(state: PoolState, slotRequest: SlotRequest, now: number): boolean {
+  if (isOrdinary(slotRequest)) return true;
+  const meanTokens = estimateAnswerTokens(state);
+  for (const load of state.engines.values()) {
+    if (!canDecode(state, load, slotRequest, now)) continue;
+    if (load.runs.size < countUsableSlots(load, meanTokens)) return true;
+  }
+  return false;
+}
+
 /** Grants slots to as many waiting requests as the engines can take. */
 export function grantWaiting(state: PoolState, now: number): PoolAction[] {
   const actions: PoolAction[] = [];
@@ -351,7 +367,7 @@
   for (let waiting = servedFirst.pop(); waiting !== undefined; waiting = servedFirst.pop()) {
     // Continues after a failed grant: a later request may be smaller, or not exclude the free
     // engine.
-    if (!grant(waiting)) isBlocked = true;
+    if (!grant(waiting)) isBlocked ||= isWaitingForFreeSlot(state, waiting.ask, now);
     else if (hasSeveralTenants(state.tenants)) sort();
   }
   if (isBlocked) return actions;
--- a/packages/core/src/pools/slot-forecast.ts
+++ b/packages/core/src/pools/slot-forecast.ts
@@ -238,7 +238,7 @@
 }
 
 /** Whether a request may be served by any engine, as nearly all are. */
-function isOrdinary({ excluded, softwareVersion }: SlotRequest): boolean {
+export function isOrdinary({ excluded, softwareVersion }: SlotRequest): boolean {
   return excluded.length === 0 && softwareVersion === undefined;
 }
 
--- a/packages/core/src/pools/versions.test.ts
+++ b/packages/core/src/pools/versions.test.ts
@@ -57,3 +57,23 @@
   const [next] = handlePoolEvent(state, ended, 1_500);
   expect(next?.ask.softwareVersion).to.equal(V2);
 });
+
+// A stream that only a full engine may continue held the slots of all others against late streams.
+it('versions: a stream that waits for its software version does not keep late streams from free slots of another one', () => {
+  const slots = 6;
+  const state = buildPool([PREFILL, { ...OLD, slots }, { ...NEW, slots: 1 }]);
+  const wait = { patienceEndsAt: 9_000 } as const;
+  expect(request(state, 0, RESUMED)).to.have.length(1);
+  expect(request(state, 500, { ...RESUMED, ...wait })).to.deep.equal([]);
+  const [late] = request(state, 1_000, { aimAt: 900, ...wait });
+  expect(late).to.include({ kind: 'grant', decode: OLD.upstreamId });
+  // One that any engine may serve still goes first.
+  for (let now = 1_500; state.waiting.size < 2; now += 500) {
+    request(state, now, { isContinued: true, ...wait });
+  }
+  const old = [...state.runs.values()].find(({ decode }) => decode === OLD.upstreamId);
+  if (old === undefined) throw new Error('no answer');
+  const { askId } = old.ask;
+  const [next] = handlePoolEvent(state, { kind: 'ended', askId, didFinish: true }, 5_000);
+  expect(next?.ask.isContinued).to.equal(true);
+});
