--- a/packages/core/src/pools/pool-machine.ts
+++ b/packages/core/src/pools/pool-machine.ts
@@ -25,8 +25,10 @@
   makeEngineLoad,
   removeRun,
   startLocalPrefillCooldown,
+  updateIdleTime,
 } from './engine-load.js';
 import { recordMemoryRefusal, recordMemoryReleased } from './engine-memory.js';
+import { forgetLocalPrefillSpeed, recordLocalPrefill } from './local-prefill-speed.js';
 import { grantWaiting } from './placing.js';
 import { countOnTimeArrival } from './rank-rates.js';
 import {
@@ -36,7 +38,6 @@
   measurePrefillMsPerToken,
   recordOccupancy,
   recordPrefill,
-  recordLocalPrefill,
   recordRequestSize,
   type PoolState,
 } from './pool-state.js';
@@ -156,7 +157,7 @@
   }
   // A decode engine prefills between its own tokens, so its time is no sample for prefill engines.
   const prefillMs = now - assignment.grantedAt;
-  recordLocalPrefill(state, promptTokens, prefillMs);
+  recordLocalPrefill(state, promptTokens, prefillMs, now);
   startLocalPrefillCooldown(load, prefillMs, now);
 }
 
@@ -270,9 +271,11 @@
       handleEngineFailed(state, event.upstreamId, event.failure, now);
       return [];
     case 'engine-ordered': {
-      const { stage, doneBy } = event;
+      const { stage, doneBy, idleChangeMs } = event;
       const load = state.engines.get(event.upstreamId);
-      if (load !== undefined) load.ordered = { stage, doneBy };
+      if (load === undefined) return [];
+      load.ordered = { stage, at: now, doneBy, idleChangeMs, idleSince: undefined };
+      updateIdleTime(load, now);
       return [];
     }
     case 'runs-announced':
@@ -282,7 +285,11 @@
       dropAssignmentsOf(state, event.vmId, now);
       return grantWaiting(state, now);
     case 'ticked':
-      for (const load of state.engines.values()) dropOverduePrefills(load, now);
+      for (const load of state.engines.values()) {
+        dropOverduePrefills(load, now);
+        updateIdleTime(load, now);
+      }
+      forgetLocalPrefillSpeed(state, now);
       forgetOldAssignments(state, now);
       forgetRefused(state, now);
       removeIdleTenants(state.tenants, now);
--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -4,6 +4,8 @@
 import {
   countUsableSlots,
   isChanging,
+  isIgnoringOrders,
+  isServing,
   estimateEnginePrefillMsPerToken,
   measureLocalPrefillCycleMs,
   type EngineLoad,
@@ -50,6 +52,8 @@
   prefillTokens: number;
   /** Milliseconds that a decode engine needs per prompt token of a local prefill. */
   localPrefillMsPerToken: number;
+  /** When that was last measured; undefined until then. */
+  localPrefillMeasuredAt: number | undefined;
   /** Mean time that a slot is occupied, in milliseconds. */
   occupancyMs: number;
   /** Completed answers that the occupancy estimates were updated with. */
@@ -83,7 +87,8 @@
 const INITIAL_PREFILL_MS_PER_TOKEN = 0.018;
 const INITIAL_PREFILL_TOKENS = 50_000;
 /** Decode engines prefill at half the speed of prefill engines. */
-const INITIAL_LOCAL_PREFILL_MS_PER_TOKEN = 2 * INITIAL_PREFILL_MS_PER_TOKEN;
+export const LOCAL_PREFILL_FACTOR = 2;
+const INITIAL_LOCAL_PREFILL_MS_PER_TOKEN = LOCAL_PREFILL_FACTOR * INITIAL_PREFILL_MS_PER_TOKEN;
 /** Factor on the earlier prefill totals at each new sample. */
 const PREFILL_DECAY = 0.95;
 const INITIAL_OCCUPANCY_MS = 3_500;
@@ -92,7 +97,7 @@
 const ESTIMATE_WEIGHT = 0.05;
 const MS_PER_S = 1_000;
 /** An engine that is avoided for no longer than this still counts as capacity. */
-const SHORT_AVOID_MS = 400;
+export const SHORT_AVOID_MS = 400;
 /** Time for the transfer of the KV cache and the first decode step. */
 export const FIRST_EVENT_MS = 80;
 
@@ -110,6 +115,7 @@
     prefillBusyMs: INITIAL_PREFILL_MS_PER_TOKEN * INITIAL_PREFILL_TOKENS,
     prefillTokens: INITIAL_PREFILL_TOKENS,
     localPrefillMsPerToken: INITIAL_LOCAL_PREFILL_MS_PER_TOKEN,
+    localPrefillMeasuredAt: undefined,
     occupancyMs: INITIAL_OCCUPANCY_MS,
     occupancyCount: 0,
     endRatios: makeEndRatios(),
@@ -186,24 +192,6 @@
   state.prefillTokens = PREFILL_DECAY * state.prefillTokens + promptTokens;
 }
 
-/** Updates the local prefill speed with a prompt that a decode engine has prefilled. */
-export function recordLocalPrefill(
-  state: PoolState,
-  promptTokens: number,
-  prefillMs: number,
-): void {
-  if (promptTokens <= 0) return;
-  state.localPrefillMsPerToken = updateEstimate(
-    state.localPrefillMsPerToken,
-    prefillMs / promptTokens,
-  );
-}
-
-/** Predicts how many milliseconds a decode engine needs to prefill a prompt locally. */
-export function predictLocalPrefillMs(state: PoolState, slotRequest: SlotRequest): number {
-  return slotRequest.promptTokens * state.localPrefillMsPerToken;
-}
-
 /** Returns the mean milliseconds of the pool's prefill engines per prompt token. */
 export function measurePrefillMsPerToken(state: PoolState): number {
   return state.prefillBusyMs / Math.max(1, state.prefillTokens);
@@ -266,7 +254,14 @@
     const stage = isChangingStage && load.ordered ? load.ordered.stage : load.engine.stage;
     const work = load.runs.size + load.prefills.size;
     const slowness = measureSlowness(state, load);
-    planned.push({ upstreamId, stage, requestCount: work, slowness, isChanging: isChangingStage });
+    planned.push({
+      upstreamId,
+      stage,
+      requestCount: work,
+      slowness,
+      isChanging: isChangingStage,
+      isIgnoringOrders: isIgnoringOrders(load, now),
+    });
   }
   return planned;
 }
@@ -309,12 +304,11 @@
 }
 
 /** Counts the slots of the pool's decode engines that their memory allows for, free or not. */
-export function countSlots(state: PoolState): number {
+export function countSlots(state: PoolState, now: number): number {
   const meanTokens = estimateAnswerTokens(state);
   let slots = 0;
   for (const load of state.engines.values()) {
-    const { stage, isLeaving } = load.engine;
-    if (stage === 'decode' && !isLeaving) slots += countUsableSlots(load, meanTokens);
+    if (isServing(load, 'decode', now)) slots += countUsableSlots(load, meanTokens);
   }
   return slots;
 }
@@ -325,12 +319,11 @@
 }
 
 /** Returns the answers per second that the pool's decode engines can start. */
-function measureSlotRate(state: PoolState): number {
+function measureSlotRate(state: PoolState, now: number): number {
   const meanTokens = estimateAnswerTokens(state);
   let rate = 0;
   for (const load of state.engines.values()) {
-    const { stage, isLeaving } = load.engine;
-    if (stage !== 'decode' || isLeaving) continue;
+    if (!isServing(load, 'decode', now)) continue;
     const slots = countUsableSlots(load, meanTokens);
     rate += boundByLimit(load, (MS_PER_S * slots) / state.occupancyMs);
   }
@@ -339,14 +332,13 @@
 
 /**
  * Returns the prompts per second that prefill engines can process, without engines that are failing
- * now.
+ * or changing their stage now.
  */
 function measurePrefillRate(state: PoolState, now: number): number {
   const poolPrefillMsPerToken = measurePrefillMsPerToken(state);
   let rate = 0;
   for (const load of state.engines.values()) {
-    const { stage, isLeaving } = load.engine;
-    if (stage !== 'prefill' || isLeaving || load.avoidUntil > now + SHORT_AVOID_MS) continue;
+    if (!isServing(load, 'prefill', now) || load.avoidUntil > now + SHORT_AVOID_MS) continue;
     const prefillMs =
       state.promptTokens * estimateEnginePrefillMsPerToken(load, poolPrefillMsPerToken);
     rate += boundByLimit(load, MS_PER_S / prefillMs);
@@ -359,8 +351,7 @@
   const cycleMs = measureLocalPrefillCycleMs(state.promptTokens * state.localPrefillMsPerToken);
   let rate = 0;
   for (const load of state.engines.values()) {
-    const { stage, isLeaving } = load.engine;
-    if (stage !== 'decode' || isLeaving || load.avoidUntil > now + SHORT_AVOID_MS) continue;
+    if (!isServing(load, 'decode', now) || load.avoidUntil > now + SHORT_AVOID_MS) continue;
     rate += boundByLimit(load, MS_PER_S / cycleMs);
   }
   return rate;
@@ -388,5 +379,5 @@
  * speed.
  */
 export function measureServiceRate(state: PoolState, now: number): number {
-  return Math.min(measureSlotRate(state), measurePromptRate(state, now));
+  return Math.min(measureSlotRate(state, now), measurePromptRate(state, now));
 }
