--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -76,7 +76,8 @@
   const turnMs = Math.max(MIN_RETRY_AFTER_MS, spareMs) * (1 + RETRY_JITTER * fraction);
   if (turnMs <= limitMs) return turnMs;
   const latestMs = limitMs * (1 - (RETRY_JITTER * limitMs) / Math.min(RETRY_SEARCH_MS, turnMs));
-  const spread = MAX_RETRY_SPREAD * Math.min(1, returns / (FULL_SPREAD_SHARE * countSlots(state)));
+  const spread =
+    MAX_RETRY_SPREAD * Math.min(1, returns / (FULL_SPREAD_SHARE * countSlots(state, now)));
   return latestMs * (1 - spread * fraction);
 }
 
