Connections to servers: a call is not sent on an idle connection that has ended

Cause: Node keeps an idle connection whose server has ended it, or that was destroyed for unasked bytes, among the idle ones until it is closed, and takes the one that became idle last without looking. A call that is read together with the end got "socket hang up" as sent, and the caller a 502, although the server was never asked. Only such a call gets a connection of its own; others are sent as before.

--- a/packages/router/src/upstreams/carried-requests.ts
+++ b/packages/router/src/upstreams/carried-requests.ts
@@ -2,6 +2,7 @@
  * Which requests a connection has carried. A faulty server may write an earlier answer again where
  * the next one is due: only its id tells whose it is, and a request that is sent again has the same
  * id. So a connection carries a request once at most, and a kept one only answers that have an id.
+ * Chooses the connections of requests accordingly.
  */
 
 import { Agent } from 'node:http';
@@ -29,9 +30,17 @@
   return (carriedIds.get(socket)?.size ?? 0) < MAX_CARRIED;
 }
 
+/**
+ * Whether an idle connection takes no more requests. Node reads that its server has ended it, and removes it from
+ * the idle ones only when it has closed; a request that comes in between would fail without having been sent.
+ */
+function hasEnded({ readable, writable }: Socket): boolean {
+  return !readable || !writable;
+}
+
 /**
  * Chooses what connects a request to a server: `agent`, or a connection of its own if the request
- * has no id that tells its answer from others, or if an idle connection has carried it before.
+ * has no id that tells its answer from others, or if an idle connection has carried it before or has ended.
  */
 export function chooseAgent(
   agent: Agent,
@@ -40,8 +49,10 @@
 ): Agent {
   if (requestId === undefined || requestId.length > MAX_ID_LENGTH) return singleAgent;
   const idle = agent.freeSockets[agent.getName(server)] ?? [];
-  const hasCarried = idle.some((socket) => carriedIds.get(socket)?.has(requestId) === true);
-  return hasCarried ? singleAgent : agent;
+  const isUnfit = idle.some(
+    (socket) => hasEnded(socket) || carriedIds.get(socket)?.has(requestId) === true,
+  );
+  return isUnfit ? singleAgent : agent;
 }
 
 /** A request, and the id that an answer on its connection bears. */
