Answers without a length: their end counts only if the server's system has acknowledged the request

Cause: a request counted as written when this VM's system had taken it (up to 4 MB at once), so that a server could end its sending side with most of the upload unread, or close before the reset that the rest causes had come. Now: the last bytes of the answer must come after the request was handed over; the end is held back for 50 ms, so that a reset shows; for more than 64 KB the system's table of connections tells what the server's system has not acknowledged.

--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -16,6 +16,7 @@
 import { findHeadFault } from '../http/answer-head.js';
 import { followFraming } from '../http/framing-limit.js';
 import { parseAddress } from '../http/parse-address.js';
+import { checkEnd, isEndChecked } from './answer-end.js';
 import { canCarryMore, chooseAgent, findForeignReason, recordCarried } from './carried-requests.js';
 import { makePieceJoiner } from './piece-joiner.js';
 import { writeBody } from './request-body.js';
@@ -155,6 +156,7 @@
   });
 }
 
+const UNWRITTEN = 'ended before its request was written';
 /** Writes an empty line to a connection that the server ended: it fails if the server reset it. */
 const END_PROBE = '\r\n';
 
@@ -220,6 +222,9 @@
   let isProbing = false;
   let hasEnded = false;
   let contentBytes = 0;
+  let earlierBytes = 0;
+  /** Whether the request had been written when the latest bytes of the answer came. */
+  let isWritten = false;
   const joiner = makePieceJoiner((chunk) => {
     if (!isOver) emit({ kind: 'data', chunk });
   });
@@ -246,8 +251,8 @@
   /** An answer that ends with its connection is whole only if the connection was not reset. */
   function probeEnd(socket: Socket): void {
     if (isOver || answer === undefined || findFraming(answer) !== 'connection') return;
-    if (!outgoing.writableFinished) {
-      fail('ended before its request was written');
+    if (!isWritten) {
+      fail(UNWRITTEN);
       return;
     }
     isProbing = true;
@@ -258,12 +263,20 @@
     });
   }
 
+  function checkLongEnd(socket: Socket): void {
+    const requestBytes = socket.bytesWritten - earlierBytes;
+    if (!isEndChecked(requestBytes)) return;
+    const onUnacknowledged = (): void => fail(UNWRITTEN);
+    checkEnd(socket, { requestBytes, isWritten: () => isWritten, onUnacknowledged });
+  }
+
   watchConnect(outgoing, call, () => {
     isSent = true;
     call.onSent?.();
   });
   outgoing.on('socket', (socket) => {
     isOpening = socket.connecting;
+    earlierBytes = socket.bytesWritten;
     if (requestId !== undefined) recordCarried(socket, requestId);
     const noteError = (error: Error): void => {
       socketError = error.message;
@@ -289,10 +302,12 @@
   outgoing.on('information', () => undefined);
   outgoing.on('response', (message) => {
     answer = message;
+    isWritten = outgoing.writableFinished;
     const { statusCode: status = 0, headers, rawHeaders } = message;
     const framing = findFraming(message);
     message.on('data', (piece: Buffer) => {
       contentBytes += piece.length;
+      isWritten = outgoing.writableFinished;
       if (!isOver) joiner.add(piece);
     });
     message.on('error', (error) => fail(error.message));
@@ -311,7 +326,9 @@
     const fault =
       findForeignReason({ requestId, answerId, isReused }) ?? findHeadFault(status, rawHeaders);
     if (fault !== undefined) fail(fault);
-    if (!isOver) emit({ kind: 'head', status, framing, headers, rawHeaders });
+    if (isOver) return;
+    if (framing === 'connection' && outgoing.socket !== null) checkLongEnd(outgoing.socket);
+    emit({ kind: 'head', status, framing, headers, rawHeaders });
   });
   // Of an answer that is whole its own end is still to come; what follows it belongs to no request.
   outgoing.on('error', (error) => {
