Connections to servers: not used again after a long request, or one that was not written when its answer ended

Cause: a server that answers an upload with a length and reads nothing more kept its connection in use, as this VM's system takes up to 4 MB of an upload at once; the next call waited there for its deadline. Where a part waited in this VM, it was kept for good. Now: a connection is kept only if its request was written when the answer ended and had at most 64 KB, about what a server's system takes for a process that does not read. What is not written yet is written for 5 s more, and then the connection is closed. Costs a new connection for the call after a request of more than 64 KB; shorter ones share connections as before. Left: a server that answers a shorter request and reads nothing more.

--- a/packages/router/src/upstreams/carried-requests.ts
+++ b/packages/router/src/upstreams/carried-requests.ts
@@ -5,7 +5,7 @@
  * Chooses the connections of requests accordingly.
  */
 
-import { Agent } from 'node:http';
+import { Agent, type ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
 
 /** A connection that has carried this many requests is not kept, so that it forgets none of them. */
@@ -13,8 +13,19 @@
 /** A request with a longer id has a connection of its own. */
 const MAX_ID_LENGTH = 64;
 
+/**
+ * A system takes about this much for a process that does not read: after a longer request, the server may read
+ * nothing more from its connection, and the next call would wait there for its deadline.
+ */
+const MAX_KEPT_REQUEST_BYTES = 65_536;
+/** A server that answers before it has read its request can read the rest for this long. */
+const REST_MS = 5_000;
+
 const carriedIds = new WeakMap<Socket, Set<string>>();
 
+/** Connections of which it is not known whether their servers read everything. */
+const unreadSockets = new WeakSet<Socket>();
+
 /** Makes connections that carry one request each. */
 const singleAgent = new Agent({ keepAlive: false });
 
@@ -25,8 +36,22 @@
   carriedIds.set(socket, ids);
 }
 
+/**
+ * Records, as an answer has ended, whether its server has read the request, of which so many bytes were written. What
+ * is not written yet is written for some time, and then the connection is closed.
+ */
+export function recordAnswered(outgoing: ClientRequest, requestBytes: number): void {
+  const { socket, writableFinished } = outgoing;
+  if (socket === null) return;
+  if (!writableFinished || requestBytes > MAX_KEPT_REQUEST_BYTES) unreadSockets.add(socket);
+  if (writableFinished) return;
+  const timer = setTimeout(() => outgoing.destroy(), REST_MS);
+  outgoing.once('close', () => clearTimeout(timer));
+}
+
 /** Whether a connection may be kept for one more request. */
 export function canCarryMore(socket: Socket): boolean {
+  if (unreadSockets.has(socket)) return false;
   return (carriedIds.get(socket)?.size ?? 0) < MAX_CARRIED;
 }
 
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -17,7 +17,13 @@
 import { followFraming } from '../http/framing-limit.js';
 import { parseAddress } from '../http/parse-address.js';
 import { checkEnd, isEndChecked } from './answer-end.js';
-import { canCarryMore, chooseAgent, findForeignReason, recordCarried } from './carried-requests.js';
+import {
+  canCarryMore,
+  chooseAgent,
+  findForeignReason,
+  recordAnswered,
+  recordCarried,
+} from './carried-requests.js';
 import { makePieceJoiner } from './piece-joiner.js';
 import { writeBody } from './request-body.js';
 
@@ -263,8 +269,10 @@
     });
   }
 
+  const countRequestBytes = (): number => (outgoing.socket?.bytesWritten ?? 0) - earlierBytes;
+
   function checkLongEnd(socket: Socket): void {
-    const requestBytes = socket.bytesWritten - earlierBytes;
+    const requestBytes = countRequestBytes();
     if (!isEndChecked(requestBytes)) return;
     const onUnacknowledged = (): void => fail(UNWRITTEN);
     checkEnd(socket, { requestBytes, isWritten: () => isWritten, onUnacknowledged });
@@ -313,6 +321,7 @@
     message.on('error', (error) => fail(error.message));
     message.on('end', () => {
       hasEnded = message.complete;
+      recordAnswered(outgoing, countRequestBytes());
       if (!message.complete) fail('cut off');
       else if (!isProbing) finishWhole();
     });
