--- a/packages/router/src/gateway/held-bytes.test.ts
+++ b/packages/router/src/gateway/held-bytes.test.ts
@@ -81,3 +81,19 @@
     }),
   );
 });
+
+// Guards against slow callers of streams for whom so much is read that answers have to be given up.
+it('held bytes: answers are read ahead of slow callers up to a quarter of the limit, and less beside others', () => {
+  const held = makeHeld();
+  const unread = held.begin('unread-answer');
+  unread.update(249);
+  expect(held.hasUnreadRoom()).to.equal(true);
+  unread.update(250);
+  expect(held.hasUnreadRoom()).to.equal(false);
+  unread.update(200);
+  const answer = held.begin('answer');
+  answer.update(550);
+  expect(held.hasUnreadRoom()).to.equal(false);
+  answer.end();
+  expect(held.hasUnreadRoom()).to.equal(true);
+});
