Pools: a new owner grants free slots to late streams before answers are measured

It begins with 3.5 s for each answer, by which a few arrivals per second seem to need all slots. In soak it refused a late stream as overloaded with 5 of 8 slots free and none waiting.

--- a/packages/core/src/pools/pool-state.ts
+++ b/packages/core/src/pools/pool-state.ts
@@ -233,7 +233,7 @@
 /** Prompts that an engine must have prefilled before its measured speed is used. */
 export const MIN_PREFILL_SAMPLES = 6;
 /** Answers that must have completed before the measured slot occupancy is used. */
-const MIN_OCCUPANCY_SAMPLES = 8;
+export const MIN_OCCUPANCY_SAMPLES = 8;
 
 function measureSlowness(state: PoolState, load: EngineLoad): number | undefined {
   if (load.engine.stage === 'decode') {
--- a/packages/core/src/pools/spare-slots.ts
+++ b/packages/core/src/pools/spare-slots.ts
@@ -1,7 +1,12 @@
 /** Slots that no request needs which can still meet its target. */
 
 import { measureArrivalRate, measureUsualRate } from './rank-rates.js';
-import { countSlots, measurePromptRate, type PoolState } from './pool-state.js';
+import {
+  MIN_OCCUPANCY_SAMPLES,
+  countSlots,
+  measurePromptRate,
+  type PoolState,
+} from './pool-state.js';
 import { buildSlotForecast, predictSpareSlot } from './slot-forecast.js';
 import type { SlotRequest } from './pool-types.js';
 
@@ -25,6 +30,11 @@
   readonly limitAt: number;
 };
 
+/** Counts the slots that are left free for arrivals that can meet their target. */
+function countReservedSlots(state: PoolState, now: number): number {
+  return Math.ceil(RESERVED_SLOT_SHARE * countSlots(state, now));
+}
+
 /**
  * Predicts when a request that cannot meet its target gets a slot that none of the others needs:
  * neither the requests before it, nor the arrivals that can meet their target. Infinity if that is
@@ -44,7 +54,7 @@
   const spareRate = promptRate - usualRate;
   if (slotRequest.needsPrefill && spareRate <= 0) return Infinity;
   const promptAt = slotRequest.needsPrefill ? now + (MS_PER_S * ahead) / spareRate : now;
-  const reserved = Math.ceil(RESERVED_SLOT_SHARE * countSlots(state, now));
+  const reserved = countReservedSlots(state, now);
   const forecast = buildSlotForecast(state, slotRequest, now);
   const demand = { arrivalRate, usualRate, ahead, reserved };
   return Math.max(promptAt, predictSpareSlot(forecast, demand, now, limitAt));
@@ -52,6 +62,11 @@
 
 /** Whether a request that cannot meet its target may take a slot now. */
 export function isSpareNow(state: PoolState, slotRequest: SlotRequest, now: number): boolean {
+  // The rates of a pool that has just begun are guesses, by which arrivals may seem to need all slots.
+  if (state.occupancyCount < MIN_OCCUPANCY_SAMPLES) {
+    const { slotTimes } = buildSlotForecast(state, slotRequest, now);
+    return (slotTimes[countReservedSlots(state, now)] ?? Infinity) <= now;
+  }
   const search = { ahead: 0, expectsBurstEnd: false, limitAt: now };
   return predictSpareStart(state, slotRequest, search, now) <= now;
 }
