Callers' connections: one whose request waits to be parsed is not closed for descriptors

Cause: beyond the limit of connections the one without progress for the longest time is closed, and a kept connection counted from its last answer although its next request had arrived and waited here for its turn (up to some seconds beside 400 callers with chunks of a byte). Its caller got a reset. The new unit test fails before.

--- /dev/null
+++ b/packages/router/src/gateway/caller-connections.test.ts
@@ -0,0 +1,64 @@
+import { EventEmitter } from 'node:events';
+import type { Server } from 'node:http';
+import { expect } from 'chai';
+import { followCallerConnections } from './caller-connections.js';
+import type { GatewayState } from './gateway-state.js';
+
+/** The least limit of callers' connections, whatever the machine's descriptors. */
+const LIMIT = 16;
+/** So long that the connections before have gone longer without progress. */
+const LATER_MS = 5;
+
+function makeState(): GatewayState {
+  const state = {
+    settings: { maxFds: 1 },
+    pools: { countLiveVms: () => 1 },
+    listedVmCount: 1,
+    configuration: undefined,
+    logger: { warn: () => undefined },
+    metrics: { sizeCuts: { inc: () => undefined } },
+  };
+  return state as unknown as GatewayState;
+}
+
+/** Connection of a caller; `readableLength` bytes wait to be parsed. */
+class TestSocket extends EventEmitter {
+  bytesRead = 0;
+
+  readableLength = 0;
+
+  isClosed = false;
+
+  destroy(): void {
+    this.isClosed = true;
+    this.emit('close');
+  }
+}
+
+/** Opens one connection more than the limit; finds which one is closed, by its place from 0. */
+async function findClosed(firstWaitingBytes: number): Promise<number> {
+  const server = new EventEmitter();
+  followCallerConnections(server as Server, makeState());
+  const sockets: TestSocket[] = [];
+  while (sockets.length <= LIMIT) {
+    const socket = new TestSocket();
+    sockets.push(socket);
+    if (sockets.length === 1) socket.readableLength = firstWaitingBytes;
+    server.emit('connection', socket);
+    // eslint-disable-next-line no-await-in-loop -- each opens later than the one before
+    await new Promise((resolve) => {
+      setTimeout(resolve, LATER_MS);
+    });
+  }
+  server.emit('close');
+  return sockets.findIndex(({ isClosed }) => isClosed);
+}
+
+it('caller connections: beyond the limit the one that has gone longest without progress is closed', async () => {
+  expect(await findClosed(0)).to.equal(0);
+});
+
+// Guards against an ordinary request that is cut off beside many callers, as it waits to be parsed on a kept connection.
+it('caller connections: one whose request waits to be parsed is not the one that is closed', async () => {
+  expect(await findClosed(120)).to.equal(1);
+});
--- a/packages/router/src/gateway/caller-connections.ts
+++ b/packages/router/src/gateway/caller-connections.ts
@@ -79,8 +79,15 @@
     if (maxFds === undefined) return;
     const limit = computeConnectionLimit(maxFds, countSharingVms(state));
     if (connections.size <= limit) return;
-    const closable = chooseClosable(connections.values());
-    if (closable !== undefined) close(closable, 'descriptors');
+    const now = getSteadyMs();
+    const rated = [...connections.values()].map((connection) => {
+      const { socket, requests, running, progressAt } = connection;
+      // A request that waits here to be parsed is progress of its caller, also after a long idle time.
+      const isWaiting = requests === 0 && socket.readableLength > 0;
+      return { connection, running, progressAt: isWaiting ? now : progressAt };
+    });
+    const closable = chooseClosable(rated);
+    if (closable !== undefined) close(closable.connection, 'descriptors');
   }
 
   /** Finds why a connection without a complete head is closed; undefined if it is not. */
