--- a/packages/core/src/configuration-check/configuration-differences.ts
+++ b/packages/core/src/configuration-check/configuration-differences.ts
@@ -161,8 +161,8 @@
   return [{ path: 'limits', kind: 'changed', message: `limits: ${changes.join(', ')}` }];
 }
 
-/** Compares whether requests need keys at all, which an empty list of tenants decides too. */
-function compareKeyDuty(before: ConfigurationFile, after: ConfigurationFile): Difference[] {
+/** Compares whether there is a list of tenants; requests need keys with one, also if it is empty. */
+function compareTenantLists(before: ConfigurationFile, after: ConfigurationFile): Difference[] {
   const [hadTenants, hasTenants] = [before, after].map(({ value }) => value.tenants !== undefined);
   if (hadTenants === hasTenants) return [];
   if (hasTenants) {
@@ -182,7 +182,7 @@
     ...compareEntries(listRoutes(inForce), listRoutes(next)),
     ...compareEntries(listServices(inForce), listServices(next)),
     ...compareLimits(inForce.value.limits, next.value.limits),
-    ...compareKeyDuty(inForce, next),
+    ...compareTenantLists(inForce, next),
     ...compareEntries(listTenants(inForce), listTenants(next)),
   ];
 }
--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -29,10 +29,11 @@
 /** Callers wait no longer after a refusal than this share of the time until their last deadline. */
 const MAX_RETRY_SHARE = 1 / 3;
 /**
- * Share of that time over which callers are spread whose turn would come later, so that they do not
- * retry all at once; reached once returns are expected for this share of the slots.
+ * Callers whose turn would come later are spread over up to this share of that time, so that they do
+ * not retry all at once.
  */
 const MAX_RETRY_SPREAD = 0.5;
+/** They are spread over all of it once the callers told to come back number this share of the slots. */
 const FULL_SPREAD_SHARE = 0.1;
 /** Random part of a retry time, for the same reason. */
 const RETRY_JITTER = 0.2;
--- a/packages/core/src/pools/engine-load.ts
+++ b/packages/core/src/pools/engine-load.ts
@@ -22,7 +22,7 @@
   readonly doneBy: number;
   /** How long it takes at most once the engine has no work; undefined if not reported. */
   readonly idleChangeMs: number | undefined;
-  /** Since when the engine has no work from before the order. */
+  /** Since when the engine has no work from before the order; undefined while it has some. */
   idleSince: number | undefined;
 };
 
@@ -142,17 +142,17 @@
   return Math.max(1, Math.min(engine.slots, Math.floor(byMemory)));
 }
 
-function hasWorkFrom({ runs, prefills }: EngineLoad, before: number): boolean {
-  for (const { grantedAt } of runs.values()) if (grantedAt <= before) return true;
-  for (const { run } of prefills.values()) if (run.grantedAt <= before) return true;
+function hasWorkFromBefore({ runs, prefills }: EngineLoad, at: number): boolean {
+  for (const { grantedAt } of runs.values()) if (grantedAt <= at) return true;
+  for (const { run } of prefills.values()) if (run.grantedAt <= at) return true;
   return false;
 }
 
-/** Updates since when an engine that was ordered to change its stage has no work from before. */
+/** Updates the time since which an engine has no work from before its order to change the stage. */
 export function updateIdleTime(load: EngineLoad, now: number): void {
   const { ordered } = load;
   if (ordered === undefined) return;
-  ordered.idleSince = hasWorkFrom(load, ordered.at) ? undefined : (ordered.idleSince ?? now);
+  ordered.idleSince = hasWorkFromBefore(load, ordered.at) ? undefined : (ordered.idleSince ?? now);
 }
 
 /**
--- a/packages/core/src/pools/local-prefill-speed.ts
+++ b/packages/core/src/pools/local-prefill-speed.ts
@@ -3,15 +3,16 @@
 import { LOCAL_PREFILL_FACTOR, measurePrefillMsPerToken, type PoolState } from './pool-state.js';
 import type { SlotRequest } from './pool-types.js';
 
-/** Weight of one sample, which is first limited to a third up to three times the estimate. */
+/** Weight of one sample. */
 const SAMPLE_WEIGHT = 0.05;
+/** A sample counts as at most this many times the estimate, and as at least the same part of it. */
 const MAX_SAMPLE_FACTOR = 3;
 /**
- * Weight of a sample that is below this share of the estimate: the estimate was then learned under an
- * overload that has passed, and as long as it is too high, few prompts are granted that would correct it.
+ * A sample below this share of the estimate shows that the estimate was learned under an overload that
+ * has passed. It has a larger weight, because few prompts are granted while the estimate is too high.
  */
-const RECOVERY_WEIGHT = 0.25;
 const RECOVERY_SHARE = 0.5;
+const RECOVERY_WEIGHT = 0.25;
 /** Without a sample for this long, the estimate says nothing about the present load any more. */
 const STALE_MS = 5_000;
 
@@ -34,7 +35,7 @@
   state.localPrefillMeasuredAt = now;
 }
 
-/** Forgets a low local prefill speed that was measured too long ago. */
+/** Limits the time per token to the usual one if the local prefill speed was measured too long ago. */
 export function forgetLocalPrefillSpeed(state: PoolState, now: number): void {
   const { localPrefillMeasuredAt: measuredAt } = state;
   if (measuredAt === undefined || now - measuredAt < STALE_MS) return;
--- a/packages/core/src/pools/new-owners.test.ts
+++ b/packages/core/src/pools/new-owners.test.ts
@@ -5,8 +5,8 @@
 
 const DECODE = [buildEngine('d1', { slots: 4 }), buildEngine('d2', { slots: 4 })];
 
-// Soak seed 300130: a new owner refused a late stream with 5 of 8 slots free and none waiting. It reckoned
-// with 3.5 s for each answer, so that a few arrivals per second were expected to take all slots.
+// Soak seed 300130: a new owner refused a late stream with 5 of 8 slots free and none waiting. It assumed
+// 3.5 s for each answer, so that a few arrivals per second were expected to take all slots.
 it('pools: new owner: before answers are measured, a late stream gets a free slot although arrivals seem to need all', () => {
   const state = buildPool([PREFILL, ...DECODE]);
   const runs = ['d1', 'd1', 'd2'].map((decode) => {
--- a/packages/core/src/pools/overload.test.ts
+++ b/packages/core/src/pools/overload.test.ts
@@ -104,7 +104,7 @@
   }
 });
 
-// Guards against callers that come back while the burst still lasts and have no further retry: they would not wait as long for a first event.
+// Guards against a Retry-After that is bounded by the deadline for the first event: callers came back in the same burst, and had no further retry.
 it('overload: a refused caller is told to come back when slots are expected to be free, up to a third of the time until its last deadline', () => {
   const state = buildPool([PREFILL, buildEngine('d1', { slots: 2 })]);
   for (let run = 0; run < 2; run += 1) {
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -312,9 +312,9 @@
 }
 
 /**
- * Whether a request that got no slot waits for one of those that are free, until an engine can prefill
- * its prompt or has enough memory. One that excludes engines or needs a software version may not use
- * any of them.
+ * Whether a request that got no slot may use one of those that are free, and waits until an engine can
+ * prefill its prompt or has enough memory. One that excludes engines or needs a software version may
+ * not be allowed on any engine with a free slot.
  */
 function isWaitingForFreeSlot(state: PoolState, slotRequest: SlotRequest, now: number): boolean {
   if (isOrdinary(slotRequest)) return true;
--- a/packages/core/src/pools/pool-types.ts
+++ b/packages/core/src/pools/pool-types.ts
@@ -55,7 +55,7 @@
   readonly pauseMs: number;
   /** The caller's deadline for the next event; it retries after that. */
   readonly patienceEndsAt: number;
-  /** The caller's deadline for the whole answer, over all its attempts; absent if its VM does not tell. */
+  /** The caller's deadline for the whole answer, over all its attempts; absent from VMs of earlier versions. */
   readonly deadlineAt?: number | undefined;
   /** Identifies the content: the same for every attempt of a caller at one request. */
   readonly contentKey: string;
--- a/packages/core/src/pools/prefill-outage.test.ts
+++ b/packages/core/src/pools/prefill-outage.test.ts
@@ -6,8 +6,8 @@
 const ANSWER_MS = 700;
 const SHORT_PROMPT = { promptTokens: 100, outputTokens: 1_000 } as const;
 
-// The forecast had the first prompt at the end of the time for which the prefill engine was avoided, so
-// that of a burst all streams were refused which could not start at once.
+// The forecast expected the first prompt only once the prefill engine was no longer avoided, so that all
+// streams of a burst that could not start at once were refused.
 it('pools: prefill outage: while the only prefill engine is avoided, streams of a burst wait for local prefills that are on time', () => {
   const state = buildPool(TWO_DECODE);
   const upstreamId = 'p' as UpstreamId;
@@ -28,7 +28,7 @@
   expect(state.runs.size).to.equal(8);
 });
 
-/** Has decode engines prefill prompts for some time; each is reported this long after its grant. */
+/** Sends requests whose prompts decode engines prefill; each prefill is reported `prefillMs` after its grant. */
 function prefillLocally(
   state: PoolState,
   { fromMs, untilMs, prefillMs }: { fromMs: number; untilMs: number; prefillMs: number },
@@ -59,14 +59,14 @@
 
 const WITHOUT_PREFILL = [buildEngine('d1'), buildEngine('d2')];
 
-/** Prefills that take longer and longer, so that each is reported before it is overdue. */
+/** Has prefills take longer in two steps, so that each is reported before it is overdue. */
 function prefillUnderOverload(state: PoolState): void {
   prefillLocally(state, { fromMs: 0, untilMs: 30_000, prefillMs: 200 });
   prefillLocally(state, { fromMs: 30_000, untilMs: 60_000, prefillMs: 400 });
   expect(state.localPrefillMsPerToken).to.be.greaterThan(3);
 }
 
-// Soak seed 5045: the pool reckoned with 2.3 local prefills per second long after an overload, refused
+// Soak seed 5045: the pool expected 2.3 local prefills per second long after an overload, refused
 // the others with 3 to 5 free slots, and so hardly measured the speed again.
 it('pools: prefill outage: the speed of local prefills recovers soon after an overload', () => {
   const state = buildPool(WITHOUT_PREFILL);
--- a/packages/core/src/pools/retry-storms.test.ts
+++ b/packages/core/src/pools/retry-storms.test.ts
@@ -57,7 +57,7 @@
 
 const UNTIL_MS = 20_000;
 /** Answers that the slots could serve if none were ever free. */
-const MOST = (2 * SLOTS * UNTIL_MS) / (PREFILL_MS + ANSWER_MS);
+const MAX_ANSWERS = (2 * SLOTS * UNTIL_MS) / (PREFILL_MS + ANSWER_MS);
 
 // Guards against a pool that expects more arrivals the more callers it refuses, and refuses all of them.
 it('pools: retry storm: callers that come back at once after each refusal find all slots in use', () => {
@@ -66,12 +66,12 @@
     20,
     UNTIL_MS,
   );
-  expect(granted).to.be.at.least(0.9 * MOST);
+  expect(granted).to.be.at.least(0.9 * MAX_ANSWERS);
   expect(refusedWithFreeSlots).to.equal(0);
 });
 
 it('pools: retry storm: without a prefill engine, callers that come back at once find the slots in use too', () => {
   const { granted, refusedWithFreeSlots } = runCallers(buildPool(DECODE), 20, UNTIL_MS);
-  expect(granted).to.be.at.least(0.9 * MOST);
+  expect(granted).to.be.at.least(0.9 * MAX_ANSWERS);
   expect(refusedWithFreeSlots).to.equal(0);
 });
--- a/packages/core/src/pools/slot-forecast.ts
+++ b/packages/core/src/pools/slot-forecast.ts
@@ -230,7 +230,7 @@
       local.push(buildPrefillForecast(state, load, now));
     }
   }
-  // Decode engines prefill while all prefill engines are avoided, and what limits leave over.
+  // Decode engines prefill while no prefill engine takes requests, and prompts beyond the limits of those that do.
   const isOutage = prefillOpenAt > now + SHORT_AVOID_MS;
   if (isOutage || hasLimitedPrefill(state)) prefills.push(...local);
   const slotTimes = listSlotTimes(free, now);
--- a/packages/core/src/pools/spare-slots.ts
+++ b/packages/core/src/pools/spare-slots.ts
@@ -76,7 +76,7 @@
   return engines.size < LARGE_POOL_ENGINES;
 }
 
-/** Predicts by mean rates when a request starts that cannot meet its target; Infinity if never. */
+/** Predicts by mean rates when a request that cannot meet its target starts; Infinity if never. */
 function predictSpareStartByRates(state: PoolState, slotRequest: SlotRequest, now: number): number {
   const spareRate = measureServiceRate(state, now) - measureArrivalRate(state.ranks, now);
   const rate = RATE_SAFETY_FACTOR * spareRate;
@@ -86,7 +86,7 @@
   return Math.max(slotAt, now + (MS_PER_S * state.waiting.size) / rate);
 }
 
-/** Predicts when a request that waits and cannot meet its target gets a spare slot. */
+/** Predicts when a request that cannot meet its target gets a spare slot, if it is let wait. */
 export function predictLateStart(
   state: PoolState,
   slotRequest: SlotRequest,
@@ -99,7 +99,7 @@
 
 /** Whether a request that cannot meet its target may take a slot now. */
 export function isSpareNow(state: PoolState, slotRequest: SlotRequest, now: number): boolean {
-  // The rates of a pool that has just begun are guesses, by which arrivals may seem to need all slots.
+  // Until enough answers are measured, rates follow from initial estimates, by which arrivals may seem to need all slots.
   if (state.occupancyCount < MIN_OCCUPANCY_SAMPLES) {
     const { slotTimes } = buildSlotForecast(state, slotRequest, now);
     return (slotTimes[countReservedSlots(state, now)] ?? Infinity) <= now;
--- a/packages/core/src/pools/versions.test.ts
+++ b/packages/core/src/pools/versions.test.ts
@@ -58,7 +58,7 @@
   expect(next?.ask.softwareVersion).to.equal(V2);
 });
 
-// A stream that only a full engine may continue held the slots of all others against late streams.
+// A stream that only a full engine may continue kept late streams from the free slots of all others.
 it('versions: a stream that waits for its software version does not keep late streams from free slots of another one', () => {
   const slots = 6;
   const state = buildPool([PREFILL, { ...OLD, slots }, { ...NEW, slots: 1 }]);
--- a/packages/core/src/stages/split-plan.ts
+++ b/packages/core/src/stages/split-plan.ts
@@ -12,7 +12,7 @@
   type WantedChange,
 } from './stage-plan.js';
 
-/** Engines from which on one of them is too small a share of the pool to judge it alone. */
+/** Pools of this many engines or more are planned as a whole: one engine is too small a share of them to be judged alone. */
 export const LARGE_POOL_ENGINES = 16;
 /** Share of the engines that may change at a time; each serves nothing for seconds. */
 const MAX_CHANGING_SHARE = 0.125;
--- a/packages/core/src/tenants/tenant-directory.ts
+++ b/packages/core/src/tenants/tenant-directory.ts
@@ -34,24 +34,24 @@
   const entryFaults: TenantFault[] = [];
   for (const [entry, { tenant, keys }] of entries.entries()) {
     const { name } = tenant;
-    const refuse = (detail: string): void => {
+    const addFault = (detail: string): void => {
       entryFaults.push({ entry, reason: `tenant ${name}: ${detail}` });
     };
     if (tenants.has(name)) {
-      refuse('an earlier entry has the same name; this one is not used');
+      addFault('an earlier entry has the same name; this one is not used');
       continue;
     }
     tenants.set(name, tenant);
     for (const [index, key] of keys.entries()) {
       if (!isSendableKey(key)) {
-        refuse(`key ${index + 1} cannot be sent as a bearer token`);
+        addFault(`key ${index + 1} cannot be sent as a bearer token`);
         continue;
       }
       const keyDigest = digest(key);
       const holder = byKey.get(keyDigest);
       if (holder === undefined) byKey.set(keyDigest, tenant);
       else if (holder !== tenant) {
-        refuse(`key ${index + 1} is a key of tenant ${holder.name}`);
+        addFault(`key ${index + 1} is a key of tenant ${holder.name}`);
       }
     }
   }
--- a/packages/protocol/src/pool-messages.ts
+++ b/packages/protocol/src/pool-messages.ts
@@ -193,6 +193,7 @@
   readonly pauseMs: number;
   /** Time left until the caller's timeout for the first event. */
   readonly patienceInMs: number;
+  /** Time left until the caller's deadline for the whole answer; absent from earlier versions. */
   readonly deadlineInMs?: number | undefined;
   readonly needsPrefill: boolean;
   /** Whether work was already done for the request; it then goes before others. */
