Router: comments and names of answer ends, read-ahead room and state types

No behaviour change. The operating system is called the kernel, the types that gateway files declare say what they hold, and hasUnreadRoom becomes hasRoomToReadAhead.

--- a/packages/router/src/gateway/caller-connections.test.ts
+++ b/packages/router/src/gateway/caller-connections.test.ts
@@ -6,7 +6,7 @@
 
 /** The least limit of callers' connections, whatever the machine's descriptors. */
 const LIMIT = 16;
-/** So long that the connections before have gone longer without progress. */
+/** Time between openings, so that each connection has gone longer without progress than the next one. */
 const LATER_MS = 5;
 
 function makeState(): GatewayState {
@@ -35,7 +35,7 @@
   }
 }
 
-/** Opens one connection more than the limit; finds which one is closed, by its place from 0. */
+/** Opens one connection more than the limit; returns the index of the one that is closed. */
 async function findClosed(firstWaitingBytes: number): Promise<number> {
   const server = new EventEmitter();
   followCallerConnections(server as Server, makeState());
@@ -58,7 +58,7 @@
   expect(await findClosed(0)).to.equal(0);
 });
 
-// Guards against an ordinary request that is cut off beside many callers, as it waits to be parsed on a kept connection.
+// Guards against closing a kept connection, beside many callers, whose next request waits to be parsed.
 it('caller connections: one whose request waits to be parsed is not the one that is closed', async () => {
   expect(await findClosed(120)).to.equal(1);
 });
--- a/packages/router/src/gateway/caller-connections.ts
+++ b/packages/router/src/gateway/caller-connections.ts
@@ -80,13 +80,13 @@
     const limit = computeConnectionLimit(maxFds, countSharingVms(state));
     if (connections.size <= limit) return;
     const now = getSteadyMs();
-    const rated = [...connections.values()].map((connection) => {
+    const candidates = [...connections.values()].map((connection) => {
       const { socket, requests, running, progressAt } = connection;
-      // A request that waits here to be parsed is progress of its caller, also after a long idle time.
+      // Bytes of a request that wait to be parsed count as progress of the caller, also after a long idle time.
       const isWaiting = requests === 0 && socket.readableLength > 0;
       return { connection, running, progressAt: isWaiting ? now : progressAt };
     });
-    const closable = chooseClosable(rated);
+    const closable = chooseClosable(candidates);
     if (closable !== undefined) close(closable.connection, 'descriptors');
   }
 
--- a/packages/router/src/gateway/held-bytes.test.ts
+++ b/packages/router/src/gateway/held-bytes.test.ts
@@ -87,13 +87,13 @@
   const held = makeHeld();
   const unread = held.begin('unread-answer');
   unread.update(249);
-  expect(held.hasUnreadRoom()).to.equal(true);
+  expect(held.hasRoomToReadAhead()).to.equal(true);
   unread.update(250);
-  expect(held.hasUnreadRoom()).to.equal(false);
+  expect(held.hasRoomToReadAhead()).to.equal(false);
   unread.update(200);
   const answer = held.begin('answer');
   answer.update(550);
-  expect(held.hasUnreadRoom()).to.equal(false);
+  expect(held.hasRoomToReadAhead()).to.equal(false);
   answer.end();
-  expect(held.hasUnreadRoom()).to.equal(true);
+  expect(held.hasRoomToReadAhead()).to.equal(true);
 });
--- a/packages/router/src/gateway/held-bytes.ts
+++ b/packages/router/src/gateway/held-bytes.ts
@@ -25,8 +25,8 @@
    * share is counted, but never given up.
    */
   readonly begin: (kind: HeldKind, giveUp?: (bytes: number) => void) => HeldShare;
-  /** Whether more may be read of answers whose callers read slowly. */
-  readonly hasUnreadRoom: () => boolean;
+  /** Whether answers may be read further ahead of callers that read slowly. */
+  readonly hasRoomToReadAhead: () => boolean;
   readonly countAll: () => number;
   readonly countKind: (kind: HeldKind) => number;
 };
@@ -45,7 +45,7 @@
 const HELD_MEMORY_SHARE = 0.0625;
 /** Bodies of requests that are under way stay until their answers, which must have room too. */
 const BODY_SHARE = 0.5;
-/** What callers have yet to read leaves room for bodies and as much again for answers that are still coming. */
+/** Share for answers that are read ahead of their callers; beside bodies, as much is left for answers that are still arriving. */
 const UNREAD_SHARE = 0.25;
 
 /** Computes the limit for a machine. */
@@ -105,7 +105,7 @@
         end: () => setBytes(share, 0),
       };
     },
-    hasUnreadRoom: () =>
+    hasRoomToReadAhead: () =>
       countKind('unread-answer') < UNREAD_SHARE * getLimit() &&
       total < (BODY_SHARE + UNREAD_SHARE) * getLimit(),
     countAll: () => total,
--- a/packages/router/src/gateway/membership.ts
+++ b/packages/router/src/gateway/membership.ts
@@ -37,14 +37,14 @@
 import { applyVersionRows } from './versions/version-registry.js';
 import { runVersionWrites, type VersionWritesState } from './versions/version-writes.js';
 
-/** Guards that take what rows say of the quarantine. */
+/** Guards that rows of the quarantine are merged into. */
 type StoredQuarantineState = {
   readonly configuration: PeerLinksState['configuration'];
   readonly contentGuard: Pick<ContentGuard, 'mergeStored'>;
   readonly partGuard: Pick<PartGuard, 'mergeStored'>;
 };
 
-/** What the rows of the VMs change, and the state of the tasks that are started beside. */
+/** State that the rows of the VMs change, and that the tasks started along with them need. */
 export type MembershipState = PeerLinksState &
   QuarantineRowsParts &
   StoredQuarantineState &
--- a/packages/router/src/gateway/peer-links.ts
+++ b/packages/router/src/gateway/peer-links.ts
@@ -35,7 +35,7 @@
   type UpstreamNoticesState,
 } from './upstream-notices.js';
 
-/** What the messages of peers are handed to, and what peers are told from. */
+/** What handles the messages of peers, and what messages to peers are built from. */
 export type PeerLinksState = UpstreamNoticesState & {
   readonly settings: Pick<GatewaySettings, 'vmId' | 'dataCentre' | 'peerListen'>;
   readonly fleet: FleetView;
--- a/packages/router/src/gateway/pool-engines.ts
+++ b/packages/router/src/gateway/pool-engines.ts
@@ -11,7 +11,7 @@
 import { offer } from '../tasks/tasks.js';
 import { isRegistered, type VersionRegistry } from './versions/version-registry.js';
 
-/** Where engines are listed, and the pools that are told of them. */
+/** Lists of engines, and the pools that are notified of them. */
 export type PoolEnginesState = {
   readonly configuration: RoutingConfiguration | undefined;
   readonly upstreams: Pick<UpstreamList, 'records' | 'beliefs'>;
--- a/packages/router/src/gateway/quarantine/quarantine-rows.ts
+++ b/packages/router/src/gateway/quarantine/quarantine-rows.ts
@@ -39,7 +39,7 @@
   readonly lifted: ReadonlySet<string>;
 };
 
-/** What knows it. */
+/** Guards whose knowledge is compared with the rows. */
 export type QuarantineGuards = {
   readonly partGuard: Pick<PartGuard, 'listQuarantined' | 'listOftenAnswered' | 'listLifted'>;
   readonly contentGuard: Pick<ContentGuard, 'listQuarantined' | 'listLifted'>;
--- a/packages/router/src/gateway/size-cuts.ts
+++ b/packages/router/src/gateway/size-cuts.ts
@@ -32,7 +32,7 @@
   readonly caller?: string | undefined;
 };
 
-/** Where it is recorded. */
+/** Metrics and log that record what is cut off. */
 export type SizeCutParts = {
   readonly metrics: Pick<GatewayMetrics, 'sizeCuts'>;
   readonly logger: Logger;
--- a/packages/router/src/gateway/stream-relay.ts
+++ b/packages/router/src/gateway/stream-relay.ts
@@ -134,8 +134,8 @@
 
   function write(bytes: Buffer, exchange: UpstreamExchange | undefined): void {
     if (bytes.length === 0 || reply.write(bytes) || exchange === undefined) return;
-    // Servers cut off answers that stay unread for some seconds, so that slow callers' answers are held here.
-    if (state.heldBytes.hasUnreadRoom()) return;
+    // Servers cut off answers that stay unread for some seconds, so answers are read ahead of slow callers.
+    if (state.heldBytes.hasRoomToReadAhead()) return;
     exchange.pause();
     reply.onDrain(() => exchange.resume());
   }
--- a/packages/router/src/gateway/upstream-notices.ts
+++ b/packages/router/src/gateway/upstream-notices.ts
@@ -21,7 +21,7 @@
 import { notifyPoolsOfEngines, type PoolEnginesState } from './pool-engines.js';
 import type { LimitNotice, UpstreamNotice } from './ports.js';
 
-/** Servers, and who is told of what they say of themselves. */
+/** The list of servers that notices change, and what passes the changes on. */
 export type UpstreamNoticesState = PoolEnginesState & {
   readonly upstreams: UpstreamList;
   readonly broadcast: (message: PeerMessage) => void;
--- a/packages/router/src/gateway/versions/service-versions.ts
+++ b/packages/router/src/gateway/versions/service-versions.ts
@@ -17,7 +17,7 @@
   type VersionRegistry,
 } from './version-registry.js';
 
-/** What bounds the time for which streams last. */
+/** State from which the longest time of streams is computed. */
 export type HorizonState = { readonly configuration: RoutingConfiguration | undefined };
 
 /** What this VM has seen of versions, in lists and in rows. */
@@ -26,14 +26,14 @@
   readonly versionRegistry: VersionRegistry;
 };
 
-/** What the versions of streams are concluded from. */
+/** State from which the versions that streams may have are derived. */
 export type UsedVersionsState = HorizonState &
   VersionHistoryState & {
     readonly storeKnown: { readonly isRecent: boolean; readonly judgedAt: number };
     readonly hasBeenSuspended: () => boolean;
   };
 
-/** Where listed versions are read from, and recorded. */
+/** The list of servers, and the history that their versions are recorded in. */
 export type ListedVersionsState = Pick<VersionHistoryState, 'versions'> & {
   readonly upstreams: Pick<UpstreamList, 'records'>;
   readonly hasUpstreams: boolean;
--- a/packages/router/src/gateway/versions/version-writes.ts
+++ b/packages/router/src/gateway/versions/version-writes.ts
@@ -18,7 +18,7 @@
   type EngineVersion,
 } from './version-rows.js';
 
-/** What the rows are compared with, and where they are written. */
+/** State that the rows are compared with, and the store that they are written to. */
 export type VersionWritesState = PoolEnginesState & {
   readonly settings: Pick<GatewaySettings, 'vmId'>;
   readonly ports: { readonly store: Pick<RowStore, 'write'> };
--- a/packages/router/src/upstreams/answer-end.test.ts
+++ b/packages/router/src/upstreams/answer-end.test.ts
@@ -5,11 +5,11 @@
 
 const HOST = process.env.TARRAGONSPOOL_TEST_HOST ?? '127.0.0.1';
 const ROUNDS = 5;
-/** The end of an answer to a long request is held back for this long. */
+/** The end of an answer to a long request is delayed by this time. */
 const RESET_MS = 50;
 /**
- * This VM's system takes each of them at once, and a server's system takes less for a process that does not read: of
- * 400,000 bytes it acknowledged all in some runs, and then nothing tells that they were not read.
+ * This VM's kernel takes each of them at once, and a server's kernel takes less for a process that does not read. Of
+ * 400,000 bytes it acknowledged all in some runs, and then nothing shows that they were not read.
  */
 const LONG_UPLOADS = [1_048_576, 3_500_000];
 
--- a/packages/router/src/upstreams/answer-end.ts
+++ b/packages/router/src/upstreams/answer-end.ts
@@ -1,6 +1,6 @@
 /**
- * Checks the end of an answer that only the end of its connection tells, where its request was long. The server may
- * have ended it without having read the rest of the request, which is then in the system or on its way.
+ * Checks the end of an answer to a long request where only the end of the connection marks it. The server may have
+ * ended the connection without having read the rest of the request, which is then in a kernel or in flight.
  */
 
 import type { Socket } from 'node:net';
@@ -12,11 +12,11 @@
  */
 const ONE_SEGMENT_BYTES = 1_220;
 /**
- * A system takes at least this much for a process that does not read, so that nothing waits at the other end. Prompts
- * are seldom longer, and the system's table is read for longer requests only.
+ * A server's kernel acknowledges at least this much for a process that does not read, so that the table of connections
+ * shows nothing for shorter requests. Prompts are seldom longer, and the table is read for longer requests only.
  */
-const TAKEN_UNREAD_BYTES = 65_536;
-/** A reset that bytes on their way cause comes within a round trip; data centres of a region are nearer than this. */
+const ACKNOWLEDGED_UNREAD_BYTES = 65_536;
+/** A reset caused by bytes in flight arrives within a round trip; round trips within a region take less than this. */
 const RESET_MS = 50;
 
 /** Whether the end of an answer to a request of so many bytes is checked. */
@@ -27,15 +27,15 @@
 /** What the check of an end needs of its request. */
 export type EndCheck = {
   readonly requestBytes: number;
-  /** Whether the whole request has been handed to the system. */
+  /** Whether the whole request has been handed to the kernel. */
   readonly isWritten: () => boolean;
   /** Called if the server ended the connection before it had acknowledged the request. */
   readonly onUnacknowledged: () => void;
 };
 
 /**
- * Holds back the end of a connection until a reset would have arrived; a write then shows it. The listeners of the
- * end that are there now hear of it afterwards.
+ * Delays the `end` event of a connection until a reset would have arrived, which a write then shows. The listeners
+ * that the event has now are called after the delay.
  */
 export function checkEnd(
   socket: Socket,
@@ -43,7 +43,7 @@
 ): void {
   const listeners = socket.rawListeners('end');
   socket.removeAllListeners('end');
-  // Otherwise Node would end its side at once, and could write nothing more.
+  // Otherwise Node would end its own side at once, and nothing more could be written.
   socket.allowHalfOpen = true;
   const finish = (): void => {
     for (const listener of listeners) listener.call(socket);
@@ -52,13 +52,13 @@
     const heldUntil = new Promise<void>((resolve) => {
       setTimeout(resolve, RESET_MS);
     });
-    const canWait = requestBytes > TAKEN_UNREAD_BYTES;
-    if (canWait && (await countUnacknowledgedBytes(socket)) > 0) onUnacknowledged();
+    const mayBeUnacknowledged = requestBytes > ACKNOWLEDGED_UNREAD_BYTES;
+    if (mayBeUnacknowledged && (await countUnacknowledgedBytes(socket)) > 0) onUnacknowledged();
     await heldUntil;
     if (!socket.destroyed) finish();
   };
   socket.once('end', () => {
-    // What was not even written needs no check.
+    // A request that was not written completely needs no check: the answer counts as not whole anyway.
     if (isWritten()) check().catch((error: Error) => socket.destroy(error));
     else finish();
   });
--- a/packages/router/src/upstreams/carried-requests.ts
+++ b/packages/router/src/upstreams/carried-requests.ts
@@ -14,11 +14,11 @@
 const MAX_ID_LENGTH = 64;
 
 /**
- * A system takes about this much for a process that does not read: after a longer request, the server may read
- * nothing more from its connection, and the next call would wait there for its deadline.
+ * A kernel takes about this much for a process that does not read. After a longer request, the server may not read
+ * its connection any more, and the next call would wait there until its deadline.
  */
 const MAX_KEPT_REQUEST_BYTES = 65_536;
-/** A server that answers before it has read its request can read the rest for this long. */
+/** A server that answers before it has read the whole request has this long to read the rest. */
 const REST_MS = 5_000;
 
 const carriedIds = new WeakMap<Socket, Set<string>>();
@@ -37,8 +37,8 @@
 }
 
 /**
- * Records, as an answer has ended, whether its server has read the request, of which so many bytes were written. What
- * is not written yet is written for some time, and then the connection is closed.
+ * Records, as an answer has ended, whether its server is known to have read the request, of which `requestBytes` were
+ * written. The rest of the request is still written for `REST_MS`; then the connection is closed.
  */
 export function recordAnswered(outgoing: ClientRequest, requestBytes: number): void {
   const { socket, writableFinished } = outgoing;
@@ -56,8 +56,8 @@
 }
 
 /**
- * Whether an idle connection takes no more requests. Node reads that its server has ended it, and removes it from
- * the idle ones only when it has closed; a request that comes in between would fail without having been sent.
+ * Whether an idle connection takes no more requests. After its server has ended it, Node keeps it among the idle ones
+ * until it has closed; a request in between would fail without having been sent.
  */
 function hasEnded({ readable, writable }: Socket): boolean {
   return !readable || !writable;
--- a/packages/router/src/upstreams/unacknowledged-bytes.ts
+++ b/packages/router/src/upstreams/unacknowledged-bytes.ts
@@ -1,6 +1,6 @@
 /**
- * Counts what the system still holds of what was written to a connection, as its other end has not acknowledged it.
- * Node does not tell that; the system's table of connections does.
+ * Counts the bytes written to a connection that the kernel still holds because the other end has not acknowledged them.
+ * Node does not expose this; the kernel's table of connections does.
  */
 
 import { readFile } from 'node:fs/promises';
@@ -8,51 +8,53 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { getSteadyMs } from '../time/steady-clock.js';
 
+/** Lists the IPv4 connections. */
 const TABLE = '/proc/self/net/tcp';
-/** With tens of thousands of connections the table is read in some tens of milliseconds. */
+/** The table is read no more often than this: with tens of thousands of connections a read takes some tens of milliseconds. */
 const READ_INTERVAL_MS = 50;
-/** Behind both addresses: the state, then the bytes that wait, in hexadecimal digits. */
-const QUEUE = /^ [0-9A-F]{2} ([0-9A-F]{8}):/u;
+/** What follows both addresses in a row: the state, then the bytes of the send queue, in hexadecimal digits. */
+const SEND_QUEUE = /^ [0-9A-F]{2} ([0-9A-F]{8}):/u;
 
 let nextReadAt = 0;
-let waitingRead: Promise<string> | undefined;
+let scheduledRead: Promise<string> | undefined;
 
-/** Reads the table; all that ask while a read waits for its turn share it. */
+/** Reads the table; callers that ask before a scheduled read begins share it. */
 function readTable(): Promise<string> {
   const read = async (): Promise<string> => {
     await pause(Math.max(0, nextReadAt - getSteadyMs()));
     nextReadAt = getSteadyMs() + READ_INTERVAL_MS;
-    waitingRead = undefined;
+    scheduledRead = undefined;
     return readFile(TABLE, 'latin1').catch(() => '');
   };
-  waitingRead ??= read();
-  return waitingRead;
+  scheduledRead ??= read();
+  return scheduledRead;
 }
 
 /** Writes an address as the table does on x86-64 and arm64: its octets in reverse order. */
-function formatEnd(address: string, port: number): string {
+function formatAddress(address: string, port: number): string {
   const octets = address.split('.').reverse();
   const host = octets.map((octet) => Number(octet).toString(16).padStart(2, '0')).join('');
   return `${host}:${port.toString(16).padStart(4, '0')}`.toUpperCase();
 }
 
-function findQueue(table: string, ends: string): number | undefined {
-  const at = table.indexOf(ends);
+function findQueuedBytes(table: string, addresses: string): number | undefined {
+  const at = table.indexOf(addresses);
   if (at < 0) return undefined;
   const rowEnd = table.indexOf('\n', at);
-  return parseInt(QUEUE.exec(table.slice(at + ends.length, rowEnd))?.[1] ?? '0', 16);
+  return parseInt(SEND_QUEUE.exec(table.slice(at + addresses.length, rowEnd))?.[1] ?? '0', 16);
 }
 
 /**
- * Counts the bytes of an open IPv4 connection that its other end has not acknowledged; 0 if the system does not
+ * Counts the bytes of an open IPv4 connection that its other end has not acknowledged; 0 if the kernel does not
  * tell, or the connection has closed.
  */
 export async function countUnacknowledgedBytes(socket: Socket): Promise<number> {
   const { localAddress, localPort, remoteAddress, remotePort } = socket;
   if (localAddress === undefined || localPort === undefined) return 0;
   if (remoteAddress === undefined || remotePort === undefined) return 0;
-  const ends = `${formatEnd(localAddress, localPort)} ${formatEnd(remoteAddress, remotePort)}`;
-  // A row may be passed over in a table that changes while it is read.
-  const bytes = findQueue(await readTable(), ends) ?? findQueue(await readTable(), ends);
+  const addresses = `${formatAddress(localAddress, localPort)} ${formatAddress(remoteAddress, remotePort)}`;
+  // A read of a table that changes meanwhile may miss a row, so it is read once more.
+  const bytes =
+    findQueuedBytes(await readTable(), addresses) ?? findQueuedBytes(await readTable(), addresses);
   return bytes ?? 0;
 }
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -162,6 +162,7 @@
   });
 }
 
+/** Why an answer failed whose server ended the connection before it had received the whole request. */
 const UNWRITTEN = 'ended before its request was written';
 /** Writes an empty line to a connection that the server ended: it fails if the server reset it. */
 const END_PROBE = '\r\n';
@@ -228,6 +229,7 @@
   let isProbing = false;
   let hasEnded = false;
   let contentBytes = 0;
+  /** Bytes that earlier requests wrote to the connection. */
   let earlierBytes = 0;
   /** Whether the request had been written when the latest bytes of the answer came. */
   let isWritten = false;
