--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -60,7 +60,7 @@
 /**
  * Computes when a refused caller should retry, in milliseconds: once a spare slot is expected after
  * the requests of its own and higher ranks that wait, and after the refused callers whose
- * Retry-After ends earlier. Callers do not wait longer than for a share of the time that they have left.
+ * Retry-After ends earlier. Callers wait no longer than a share of the time until their last deadline.
  */
 function computeRetryAfterMs(state: PoolState, slotRequest: SlotRequest, now: number): number {
   const { rank, deadlineAt = Infinity } = slotRequest;
--- a/packages/core/src/pools/spare-slots.ts
+++ b/packages/core/src/pools/spare-slots.ts
@@ -17,12 +17,12 @@
 /** Share of all slots that is reserved for arrivals that can meet their latency target. */
 const RESERVED_SLOT_SHARE = 0.08;
 /**
- * Share of the prompt rate that arrivals with reachable targets may take before other requests have
- * to wait: above it, more arrivals are expected than prompts can be prefilled.
+ * Share of the prompt rate (in small pools, of the service rate) that arrivals with reachable targets
+ * may take before other requests have to wait: above it, more arrivals are expected than can be served.
  */
 const MAX_ON_TIME_LOAD = 0.95;
 
-/** Spare rates below this count as none, in answers started per second. */
+/** In answers started per second: a lower spare rate counts as none. */
 const MIN_SPARE_RATE = 0.25;
 /** Factor on the spare rate when a wait is estimated from it. */
 const RATE_SAFETY_FACTOR = 0.9;
--- a/packages/router/src/upstreams/answer-end.test.ts
+++ b/packages/router/src/upstreams/answer-end.test.ts
@@ -82,14 +82,14 @@
     },
   ],
   [
-    'ends its sending side when the system has taken the rest',
+    'ends its sending side when the kernel has taken the rest',
     (socket, answer) => {
       socket.pause();
       setTimeout(() => socket.end(answer), 20);
     },
   ],
   [
-    'sends more of its answer when the system has taken the rest, and ends its sending side',
+    'sends more of its answer when the kernel has taken the rest, and ends its sending side',
     (socket, answer) => {
       socket.pause();
       socket.write(answer);
--- a/packages/router/src/upstreams/unread-uploads.test.ts
+++ b/packages/router/src/upstreams/unread-uploads.test.ts
@@ -6,7 +6,7 @@
 const HOST = process.env.TARRAGONSPOOL_TEST_HOST ?? '127.0.0.1';
 /** A call that has not ended by then hangs. */
 const HANG_MS = 3_000;
-/** The systems of both ends take the first one as a whole; of the last one a part waits here. */
+/** The kernels of both ends take the first one as a whole; of the last one, a part stays in this process. */
 const UPLOADS = [100_000, 1_048_576, 64 * 1_048_576];
 const [, , LONG_UPLOAD = 0] = UPLOADS;
 /** The rest of an upload is written for 5 s after its answer. */
@@ -106,7 +106,7 @@
   });
 });
 
-// Guards against uploads that wait in the memory of the VM for good.
+// Guards against uploads that stay in the memory of the VM for good.
 it('unread uploads: the connection of an upload that its server never reads is closed', async () => {
   const onPart: OnPart = (socket, requestId) => {
     if (socket.bytesWritten > 0) return;
