--- a/packages/core/src/configuration-check/configuration-check.test.ts
+++ b/packages/core/src/configuration-check/configuration-check.test.ts
@@ -155,6 +155,7 @@
   expect(others).to.deep.equal([]);
 });
 
+// Guards against a route whose requests are all refused.
 it('configuration check: a route without a service is an error', () => {
   const [first] = checkRoute({ targets: [] });
   expect(first).to.match(/^error routes\.0: names no service/u);
@@ -175,6 +176,7 @@
   ]);
 });
 
+// Guards against tenants that are refused because their entries or keys were dropped unnoticed.
 it('configuration check: what the decoder left out of the tenants is an error each', () => {
   const faults = [{ path: 'tenants.3', reason: 'tenant b: key 1 is a key of tenant a' }];
   expect(check({ faults })).to.deep.equal([
@@ -193,12 +195,14 @@
   ]);
 });
 
+// Guards against a route whose settings never apply because an earlier one takes its requests.
 it('configuration check: a route behind one of the same host and prefix never matches', () => {
   expect(check({ routes: [CALL, { ...CALL, name: 'call-2' }, STREAM] })).to.deep.equal([
     'warning routes.1: never matches, because routes.0 has the same host and prefix',
   ]);
 });
 
+// Guards against services that get no request, and entries that have no effect.
 it('configuration check: services that no route leads to, or that a later one replaces, are warned of', () => {
   expect(check({ routes: [CALL] })).to.deep.equal([
     'warning services.1: no route leads to service "llm"',
@@ -208,6 +212,7 @@
   ]);
 });
 
+// Guards against a tenant that can never be recognized.
 it('configuration check: a tenant without keys is warned of', () => {
   expect(check({ tenants: [DESK, { name: 'lab', keys: 0 }] })).to.deep.equal([
     'warning tenants.1: tenant "lab" has no key that can be used',
@@ -220,6 +225,7 @@
   expect(check({ tenants: [] })).to.deep.equal([`warning tenants: ${message}`]);
 });
 
+// Guards against tenants whose limits are thought to apply to public routes.
 it('configuration check: tenants whose keys no route asks for are warned of', () => {
   const routes = [CALL, STREAM].map((route) => ({ ...route, isPublic: true }));
   expect(check({ routes })).to.deep.equal([
@@ -228,6 +234,7 @@
   expect(check({ routes, tenants: undefined })).to.deep.equal([]);
 });
 
+// Guards against targets that no answer can miss before its timeout.
 it('configuration check: targets above the timeout are warned of', () => {
   expect(checkRoute({ targetLatencyMs: 4_001 })).to.deep.equal([
     'warning routes.0: has targetLatencyMs 4001 above timeoutMs 4000',
@@ -248,6 +255,7 @@
   expect(check({ routes: [CALL, once] })).to.deep.equal([`warning routes.1: ${message}`]);
 });
 
+// Guards against connections that are closed before their callers have used the time for headers.
 it('configuration check: an idle timeout below the header timeout is warned of', () => {
   expect(check({ limits: { idleTimeoutMs: 2_999 } })).to.deep.equal([
     'warning limits: has idleTimeoutMs 2999 below headerTimeoutMs 3000',
@@ -255,6 +263,7 @@
   expect(check({ limits: { idleTimeoutMs: 3_000 } })).to.deep.equal([]);
 });
 
+// Guards against a tenant whose burst does not allow a single request.
 it('configuration check: a burst below the cost of one request is warned of', () => {
   const small = { ...DESK, quota: { ...QUOTA, burst: 699 } };
   expect(check({ tenants: [small] })).to.deep.equal([
@@ -272,6 +281,7 @@
   ]);
 });
 
+// Guards against streams on a service without engines, and engines that are served as plain servers.
 it('configuration check: routes and services that disagree about engines are warned of', () => {
   expect(checkRoute({ usesEngines: true })).to.deep.equal([
     'warning routes.0: is marked as using engines, but service "ledger" has none',
@@ -281,6 +291,7 @@
   ]);
 });
 
+// Guards against a route that is thought to resume answers that are no streams.
 it('configuration check: a resumable route that is no stream is warned of', () => {
   expect(checkRoute({ isResumable: true })).to.deep.equal([
     'warning routes.0: is resumable, but no stream',
--- a/packages/core/src/configuration-check/configuration-differences.test.ts
+++ b/packages/core/src/configuration-check/configuration-differences.test.ts
@@ -77,12 +77,14 @@
   return differences.map(({ kind, path, message }) => `${kind} ${path}: ${message}`);
 }
 
+// Guards against differences that change nothing about what the daemon does.
 it('configuration differences: neither the version nor the order of entries is one', () => {
   const [read, write] = [buildRoute('read'), buildRoute('write')];
   const moved = { routes: [write, read], version: 8 };
   expect(compare({ routes: [read, write] }, moved)).to.deep.equal([]);
 });
 
+// Guards against changes of routes that are missing in the output or shown without their values.
 it('configuration differences: routes that are added, removed and changed, and how', () => {
   const before = [buildRoute('read'), buildRoute('write', { gapTargetMs: 300 })];
   const targets = [
@@ -106,6 +108,7 @@
   expect(compare({ routes: [first, second] }, { routes: [first] })).to.have.length(1);
 });
 
+// Guards against changes of engines that are missing in the output.
 it('configuration differences: services and what changes about their engines', () => {
   const [llm, lab] = ['llm' as ServiceName, 'lab' as ServiceName];
   const services = new Map([
@@ -118,6 +121,7 @@
   ]);
 });
 
+// Guards against changed limits that are missing in the output.
 it('configuration differences: limits of callers', () => {
   expect(compare({}, { limits: { ...LIMITS, idleTimeoutMs: 9_000 } })).to.deep.equal([
     'changed limits: limits: idleTimeoutMs 15000 -> 9000',
--- a/packages/core/src/pools/retry-storms.test.ts
+++ b/packages/core/src/pools/retry-storms.test.ts
@@ -70,6 +70,7 @@
   expect(refusedWithFreeSlots).to.equal(0);
 });
 
+// Guards against the same where decode engines prefill prompts themselves.
 it('pools: retry storm: without a prefill engine, callers that come back at once find the slots in use too', () => {
   const { granted, refusedWithFreeSlots } = runCallers(buildPool(DECODE), 20, UNTIL_MS);
   expect(granted).to.be.at.least(0.9 * MAX_ANSWERS);
--- a/packages/router/src/gateway/caller-connections.test.ts
+++ b/packages/router/src/gateway/caller-connections.test.ts
@@ -54,6 +54,7 @@
   return sockets.findIndex(({ isClosed }) => isClosed);
 }
 
+// Guards against closing a connection that makes progress before one that makes none.
 it('caller connections: beyond the limit the one that has gone longest without progress is closed', async () => {
   expect(await findClosed(0)).to.equal(0);
 });
--- a/packages/router/src/json/parse-row.test.ts
+++ b/packages/router/src/json/parse-row.test.ts
@@ -10,6 +10,7 @@
   return parsed.kind === 'unusable' ? parsed.reason : 'usable';
 }
 
+// Guards against reasons that do not tell an operator where the fault is.
 it('parse row: the reason names the field, or the position in what is no JSON', () => {
   expect(findReason('{"count":1}')).to.equal('usable');
   expect(findReason('{"count":"1"}')).to.match(/^count: Invalid input/u);
