--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -1,6 +1,6 @@
 /** Decides which slot requests to refuse early, on arrival and while they wait. */
 
-import { countFreeSlots } from './free-slots.js';
+import { countFreeSlots } from './placing.js';
 import { measureArrivalRate } from './rank-rates.js';
 import { addReturn, countReturns } from './retry-returns.js';
 import {
@@ -17,7 +17,7 @@
   isServedBefore,
   isServedFirst,
 } from './service-order.js';
-import { predictLateStart, predictSpareStart } from './spare-slots.js';
+import { predictSpareStart } from './spare-slots.js';
 import { buildSlotForecast, takeStart } from './slot-forecast.js';
 import { measureArrivalsBefore } from './tenant-shares.js';
 import type { SlotRequest, PoolAction, RefusalReason } from './pool-types.js';
@@ -161,7 +161,7 @@
   );
   // A short rise of arrivals does not refuse a request that has been let wait.
   const search = { ahead, expectsBurstEnd: isWaiting, limitAt: latestAt };
-  return predictLateStart(state, slotRequest, search, now) <= latestAt;
+  return predictSpareStart(state, slotRequest, search, now) <= latestAt;
 }
 
 /** Finds the reason to refuse a request that waits; undefined if it may wait on. */
--- a/packages/core/src/pools/placing.ts
+++ b/packages/core/src/pools/placing.ts
@@ -4,13 +4,14 @@
  */
 
 import type { UpstreamId } from '@tarragonspool/protocol';
-import { takePermit } from '../routing/request-permits.js';
+import { findPermitTime, takePermit } from '../routing/request-permits.js';
 import {
   addRun,
   countUsableSlots,
   isReadyForLocalPrefill,
   countTargetMisses,
   hasPrefillRoom,
+  isServing,
   isUsable,
   recordTargetMisses,
   predictPrefillEnd,
@@ -18,7 +19,6 @@
   type EngineLoad,
 } from './engine-load.js';
 import { hasFreeSlot } from './engine-memory.js';
-import { hasPermit } from './free-slots.js';
 import { predictLocalPrefillMs } from './local-prefill-speed.js';
 import { countOnTimeGrant } from './rank-rates.js';
 import {
@@ -64,6 +64,16 @@
  */
 const LONG_PREFILL_OUTAGE_MS = 15_000;
 
+/** Whether the limit that an engine may have named allows one more request now. */
+function hasPermit(
+  { permits, keepsPermits }: PoolState,
+  { engine }: EngineLoad,
+  now: number,
+): boolean {
+  if (engine.requestsPerSecond === undefined) return true;
+  return keepsPermits && findPermitTime(permits, engine, now) <= now;
+}
+
 /** Whether an engine may get a request now, whatever its free capacity. */
 function isOpen(
   state: PoolState,
@@ -300,6 +310,18 @@
   return { kind: 'grant', ask: slotRequest, prefill, decode, permits };
 }
 
+/** Counts the free slots of decode engines that accept new work, as far as their memory allows. */
+export function countFreeSlots(state: PoolState, now: number): number {
+  const meanTokens = estimateAnswerTokens(state);
+  let free = 0;
+  for (const load of state.engines.values()) {
+    if (!isServing(load, 'decode', now) || load.avoidUntil > now) continue;
+    if (!hasPermit(state, load, now)) continue;
+    free += Math.max(0, countUsableSlots(load, meanTokens) - load.runs.size);
+  }
+  return free;
+}
+
 function listWaiting(
   state: PoolState,
   isWanted: (slotRequest: SlotRequest) => boolean,
--- a/packages/core/src/pools/spare-slots.ts
+++ b/packages/core/src/pools/spare-slots.ts
@@ -1,16 +1,13 @@
 /** Slots that no request needs which can still meet its target. */
 
 import { measureArrivalRate, measureUsualRate } from './rank-rates.js';
-import { countFreeSlots } from './free-slots.js';
 import {
   MIN_OCCUPANCY_SAMPLES,
   countSlots,
   measurePromptRate,
-  measureServiceRate,
   type PoolState,
 } from './pool-state.js';
 import { buildSlotForecast, predictSpareSlot } from './slot-forecast.js';
-import { LARGE_POOL_ENGINES } from '../stages/split-plan.js';
 import type { SlotRequest } from './pool-types.js';
 
 const MS_PER_S = 1_000;
@@ -22,11 +19,6 @@
  */
 const MAX_ON_TIME_LOAD = 0.95;
 
-/** Spare rates below this count as none, in answers started per second. */
-const MIN_SPARE_RATE = 0.25;
-/** Factor on the spare rate when a wait is estimated from it. */
-const RATE_SAFETY_FACTOR = 0.9;
-
 /** What a search for a spare slot takes into account. */
 export type SpareSearch = {
   /** Requests that get spare slots before. */
@@ -68,35 +60,6 @@
   return Math.max(promptAt, predictSpareSlot(forecast, demand, now, limitAt));
 }
 
-/**
- * Whether a pool has so few engines that its free slots at a time say little: a burst takes all of
- * them, and a short time later many are free. Spare slots are then judged by mean rates.
- */
-function isSmallPool({ engines }: PoolState): boolean {
-  return engines.size < LARGE_POOL_ENGINES;
-}
-
-/** Predicts by mean rates when a request starts that cannot meet its target; Infinity if never. */
-function predictSpareStartByRates(state: PoolState, slotRequest: SlotRequest, now: number): number {
-  const spareRate = measureServiceRate(state, now) - measureArrivalRate(state.ranks, now);
-  const rate = RATE_SAFETY_FACTOR * spareRate;
-  if (rate < MIN_SPARE_RATE) return Infinity;
-  const { slotTimes } = buildSlotForecast(state, slotRequest, now);
-  const [slotAt = Infinity] = slotTimes;
-  return Math.max(slotAt, now + (MS_PER_S * state.waiting.size) / rate);
-}
-
-/** Predicts when a request that waits and cannot meet its target gets a spare slot. */
-export function predictLateStart(
-  state: PoolState,
-  slotRequest: SlotRequest,
-  search: SpareSearch,
-  now: number,
-): number {
-  if (isSmallPool(state)) return predictSpareStartByRates(state, slotRequest, now);
-  return predictSpareStart(state, slotRequest, search, now);
-}
-
 /** Whether a request that cannot meet its target may take a slot now. */
 export function isSpareNow(state: PoolState, slotRequest: SlotRequest, now: number): boolean {
   // The rates of a pool that has just begun are guesses, by which arrivals may seem to need all slots.
@@ -104,11 +67,6 @@
     const { slotTimes } = buildSlotForecast(state, slotRequest, now);
     return (slotTimes[countReservedSlots(state, now)] ?? Infinity) <= now;
   }
-  if (isSmallPool(state)) {
-    if (countFreeSlots(state, now) <= countReservedSlots(state, now)) return false;
-    const serviceRate = measureServiceRate(state, now);
-    return measureArrivalRate(state.ranks, now) <= MAX_ON_TIME_LOAD * serviceRate;
-  }
   const search = { ahead: 0, expectsBurstEnd: false, limitAt: now };
   return predictSpareStart(state, slotRequest, search, now) <= now;
 }
--- a/packages/core/src/stages/split-plan.ts
+++ b/packages/core/src/stages/split-plan.ts
@@ -12,8 +12,8 @@
   type WantedChange,
 } from './stage-plan.js';
 
-/** Engines from which on one of them is too small a share of the pool to judge it alone. */
-export const LARGE_POOL_ENGINES = 16;
+/** Engines from which on one of them is too small a share of the pool to judge its change alone. */
+const LARGE_POOL_ENGINES = 16;
 /** Share of the engines that may change at a time; each serves nothing for seconds. */
 const MAX_CHANGING_SHARE = 0.125;
 /** Share of the engines whose speed must be measured: some have always just started. */
