--- a/packages/core/src/pools/local-prefill-speed.ts
+++ b/packages/core/src/pools/local-prefill-speed.ts
@@ -34,7 +34,7 @@
   state.localPrefillMeasuredAt = now;
 }
 
-/** Forgets a low local prefill speed that was measured too long ago. */
+/** Forgets a low local prefill speed that has had no sample for too long. */
 export function forgetLocalPrefillSpeed(state: PoolState, now: number): void {
   const { localPrefillMeasuredAt: measuredAt } = state;
   if (measuredAt === undefined || now - measuredAt < STALE_MS) return;
