--- a/packages/core/src/pools/spare-slots.ts
+++ b/packages/core/src/pools/spare-slots.ts
@@ -1,32 +1,24 @@
 /** Slots that no request needs which can still meet its target. */
 
 import { measureArrivalRate, measureUsualRate } from './rank-rates.js';
-import { countFreeSlots } from './free-slots.js';
 import {
   MIN_OCCUPANCY_SAMPLES,
   countSlots,
   measurePromptRate,
-  measureServiceRate,
   type PoolState,
 } from './pool-state.js';
 import { buildSlotForecast, predictSpareSlot } from './slot-forecast.js';
-import { LARGE_POOL_ENGINES } from '../stages/split-plan.js';
 import type { SlotRequest } from './pool-types.js';
 
 const MS_PER_S = 1_000;
 /** Share of all slots that is reserved for arrivals that can meet their latency target. */
 const RESERVED_SLOT_SHARE = 0.08;
 /**
- * Share of the prompt rate (in small pools, of the service rate) that arrivals with reachable targets
- * may take before other requests have to wait: above it, more arrivals are expected than can be served.
+ * Share of the prompt rate that arrivals with reachable targets may take before other requests have
+ * to wait: above it, more arrivals are expected than prompts can be prefilled.
  */
 const MAX_ON_TIME_LOAD = 0.95;
 
-/** In answers started per second: a lower spare rate counts as none. */
-const MIN_SPARE_RATE = 0.25;
-/** Factor on the spare rate when a wait is estimated from it. */
-const RATE_SAFETY_FACTOR = 0.9;
-
 /** What a search for a spare slot takes into account. */
 export type SpareSearch = {
   /** Requests that get spare slots before. */
@@ -68,35 +60,6 @@
   return Math.max(promptAt, predictSpareSlot(forecast, demand, now, limitAt));
 }
 
-/**
- * Whether a pool has so few engines that its free slots at a time say little: a burst takes all of
- * them, and a short time later many are free. Spare slots are then judged by mean rates.
- */
-function isSmallPool({ engines }: PoolState): boolean {
-  return engines.size < LARGE_POOL_ENGINES;
-}
-
-/** Predicts by mean rates when a request that cannot meet its target starts; Infinity if never. */
-function predictSpareStartByRates(state: PoolState, slotRequest: SlotRequest, now: number): number {
-  const spareRate = measureServiceRate(state, now) - measureArrivalRate(state.ranks, now);
-  const rate = RATE_SAFETY_FACTOR * spareRate;
-  if (rate < MIN_SPARE_RATE) return Infinity;
-  const { slotTimes } = buildSlotForecast(state, slotRequest, now);
-  const [slotAt = Infinity] = slotTimes;
-  return Math.max(slotAt, now + (MS_PER_S * state.waiting.size) / rate);
-}
-
-/** Predicts when a request that cannot meet its target gets a spare slot, if it is let wait. */
-export function predictLateStart(
-  state: PoolState,
-  slotRequest: SlotRequest,
-  search: SpareSearch,
-  now: number,
-): number {
-  if (isSmallPool(state)) return predictSpareStartByRates(state, slotRequest, now);
-  return predictSpareStart(state, slotRequest, search, now);
-}
-
 /** Whether a request that cannot meet its target may take a slot now. */
 export function isSpareNow(state: PoolState, slotRequest: SlotRequest, now: number): boolean {
   // Until enough answers are measured, rates follow from initial estimates, by which arrivals may seem to need all slots.
@@ -104,11 +67,6 @@
     const { slotTimes } = buildSlotForecast(state, slotRequest, now);
     return (slotTimes[countReservedSlots(state, now)] ?? Infinity) <= now;
   }
-  if (isSmallPool(state)) {
-    if (countFreeSlots(state, now) <= countReservedSlots(state, now)) return false;
-    const serviceRate = measureServiceRate(state, now);
-    return measureArrivalRate(state.ranks, now) <= MAX_ON_TIME_LOAD * serviceRate;
-  }
   const search = { ahead: 0, expectsBurstEnd: false, limitAt: now };
   return predictSpareStart(state, slotRequest, search, now) <= now;
 }
