--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -29,10 +29,11 @@
 /** Callers wait no longer after a refusal than this share of the time until their last deadline. */
 const MAX_RETRY_SHARE = 1 / 3;
 /**
- * Share of that time over which callers are spread whose turn would come later, so that they do not
- * retry all at once; reached once returns are expected for this share of the slots.
+ * Callers whose turn would come later are spread over up to this share of that time, so that they do
+ * not retry all at once.
  */
 const MAX_RETRY_SPREAD = 0.5;
+/** They are spread over all of it once the callers told to come back number this share of the slots. */
 const FULL_SPREAD_SHARE = 0.1;
 /** Random part of a retry time, for the same reason. */
 const RETRY_JITTER = 0.2;
@@ -59,7 +60,7 @@
 /**
  * Computes when a refused caller should retry, in milliseconds: once a spare slot is expected after
  * the requests of its own and higher ranks that wait, and after the refused callers whose
- * Retry-After ends earlier. Callers do not wait longer than for a share of the time that they have left.
+ * Retry-After ends earlier. Callers wait no longer than a share of the time until their last deadline.
  */
 function computeRetryAfterMs(state: PoolState, slotRequest: SlotRequest, now: number): number {
   const { rank, deadlineAt = Infinity } = slotRequest;
--- a/packages/core/src/pools/spare-slots.ts
+++ b/packages/core/src/pools/spare-slots.ts
@@ -62,7 +62,7 @@
 
 /** Whether a request that cannot meet its target may take a slot now. */
 export function isSpareNow(state: PoolState, slotRequest: SlotRequest, now: number): boolean {
-  // The rates of a pool that has just begun are guesses, by which arrivals may seem to need all slots.
+  // Until enough answers are measured, rates follow from initial estimates, by which arrivals may seem to need all slots.
   if (state.occupancyCount < MIN_OCCUPANCY_SAMPLES) {
     const { slotTimes } = buildSlotForecast(state, slotRequest, now);
     return (slotTimes[countReservedSlots(state, now)] ?? Infinity) <= now;
