Pools: Retry-After while no engine has a slot

The spread of retry times divided by the number of slots, which is 0 then: 0 / 0 gave no number, and a refusal without one is not read by other VMs, whose callers waited for their deadline.

--- a/packages/core/src/pools/admission.ts
+++ b/packages/core/src/pools/admission.ts
@@ -78,7 +78,8 @@
   if (turnMs <= limitMs) return turnMs;
   const latestMs = limitMs * (1 - (RETRY_JITTER * limitMs) / Math.min(RETRY_SEARCH_MS, turnMs));
   const spread =
-    MAX_RETRY_SPREAD * Math.min(1, returns / (FULL_SPREAD_SHARE * countSlots(state, now)));
+    MAX_RETRY_SPREAD *
+    Math.min(1, returns / (FULL_SPREAD_SHARE * Math.max(1, countSlots(state, now))));
   return latestMs * (1 - spread * fraction);
 }
 
--- a/packages/core/src/pools/overload.test.ts
+++ b/packages/core/src/pools/overload.test.ts
@@ -104,6 +104,16 @@
   }
 });
 
+// Guards against a time that is no number, which other VMs cannot read.
+it('overload: a stream is told a time to come back while no engine of the pool has a slot', () => {
+  const leaving = buildEngine('d1', { isLeaving: true });
+  for (const engines of [[], [PREFILL], [PREFILL, leaving]]) {
+    const [refusal] = requestSlot(buildPool(engines), buildSlotRequest(0), 0);
+    expect(refusal).to.include({ kind: 'refuse', reason: 'no-engine' });
+    expect(refusal?.kind === 'refuse' && refusal.retryAfterMs).to.be.within(700, 4_500);
+  }
+});
+
 // Guards against a Retry-After that is bounded by the deadline for the first event: callers came back in the same burst, and had no further retry.
 it('overload: a refused caller is told to come back when slots are expected to be free, up to a third of the time until its last deadline', () => {
   const state = buildPool([PREFILL, buildEngine('d1', { slots: 2 })]);
