--- a/packages/core/src/pools/local-prefill-speed.ts
+++ b/packages/core/src/pools/local-prefill-speed.ts
@@ -35,7 +35,7 @@
   state.localPrefillMeasuredAt = now;
 }
 
-/** Limits the time per token to the usual one if the local prefill speed was measured too long ago. */
+/** Limits the time per token to the usual one once the samples of the local prefill speed are too old. */
 export function forgetLocalPrefillSpeed(state: PoolState, now: number): void {
   const { localPrefillMeasuredAt: measuredAt } = state;
   if (measuredAt === undefined || now - measuredAt < STALE_MS) return;
