--- a/packages/router/src/gateway/caller-reply.ts
+++ b/packages/router/src/gateway/caller-reply.ts
@@ -49,6 +49,8 @@
   readonly onDrain: (resume: () => void) => void;
 };
 
+/** The header has two decimals; a shorter time would be told as none. */
+const MIN_RETRY_AFTER_MS = 10;
 const MS_PER_S = 1_000;
 /** Such an answer names the scheme by which a key is sent (RFC 9110, section 15.5.2). */
 const UNAUTHORIZED = 401;
@@ -100,7 +102,8 @@
     response.setHeader('Content-Type', 'application/json');
     response.setHeader('Content-Length', Buffer.byteLength(body));
     if (retryAfterMs !== undefined) {
-      response.setHeader('Retry-After', (retryAfterMs / MS_PER_S).toFixed(2));
+      const pauseMs = Math.max(MIN_RETRY_AFTER_MS, retryAfterMs);
+      response.setHeader('Retry-After', (pauseMs / MS_PER_S).toFixed(2));
     }
     if (status === UNAUTHORIZED) response.setHeader('WWW-Authenticate', 'Bearer');
     if (isLast || isLeaving()) response.setHeader('Connection', 'close');
