--- a/bin/run-tests.js
+++ b/bin/run-tests.js
@@ -1,14 +1,15 @@
 /**
  * Runs every test file, each in a process of its own and `--jobs N` side by side, and closes with one
  * line `N passed, N failed`. Failures listed in KNOWN-RED.txt are printed and passed over; a listed
- * test that passes is printed too. Words narrow the run to files whose path contains one of them.
+ * test that passes is printed too. Files with crowds of callers run last and one at a time, as what they measure
+ * depends on other load. Words narrow the run to files whose path contains one of them.
  * `--seed N` and `--runs R` set fast-check's seed and number of runs for every property. With
  * `--file F` it runs that file in this process and sends its results to the parent.
  */
 
 import { fork } from 'node:child_process';
 import { readFile, readdir } from 'node:fs/promises';
-import { join } from 'node:path';
+import { basename, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { parseArgs } from 'node:util';
 import fc from 'fast-check';
@@ -21,6 +22,8 @@
 const MS_PER_S = 1_000;
 /** Files of real processes take longest and so begin first. */
 const LONG_FOLDER = 'platform';
+/** Files with crowds of callers, by how their names begin. */
+const CROWD_NAMES = ['uncontrolled-', 'endless-pieces.'];
 
 async function findTestFiles(folder) {
   const files = [];
@@ -108,10 +111,13 @@
   });
 }
 
-async function runAllFiles(files) {
+function hasCrowds(file) {
+  return CROWD_NAMES.some((name) => basename(file).startsWith(name));
+}
+
+/** Runs files, so many side by side, and adds the titles of their tests. */
+async function runFiles(files, jobs, { passed, failed }) {
   const waiting = [...files];
-  const passed = new Set();
-  const failed = new Set();
   const runWaiting = async () => {
     for (let file = waiting.shift(); file !== undefined; file = waiting.shift()) {
       // eslint-disable-next-line no-await-in-loop -- one file after the other in each job
@@ -124,8 +130,15 @@
       for (const title of results.failed) failed.add(title);
     }
   };
-  await Promise.all(Array.from({ length: Number(options.jobs) }, runWaiting));
-  return { passed, failed };
+  await Promise.all(Array.from({ length: jobs }, runWaiting));
+}
+
+async function runAllFiles(files) {
+  const results = { passed: new Set(), failed: new Set() };
+  const others = files.filter((file) => !hasCrowds(file));
+  await runFiles(others, Number(options.jobs), results);
+  await runFiles(files.filter(hasCrowds), 1, results);
+  return results;
 }
 
 function printSummary(passed, failed, knownRed) {
