Held bytes: a machine holds what the operator's largest request needs

Callers saw 503 2010 (body-not-held) for a single body of 4,190,000 bytes in calm on a machine of 88 MB, five of five, and for one of two such bodies at once on 178 MB, each time, although maxBodyBytes is 4,194,304 and nothing else ran.

Cause: what is held was a sixteenth of the memory and bodies half of that, whatever the operator allows: 2.75 MB at 88 MB, 5.6 MB at 178 MB. Ruled out: the size limit itself (413 is 1002) and quotas.

Now bodies get a thirty-second of the memory as before, or two of maxBodyBytes if these need more, up to a sixteenth; answers the same by the largest answer. The decision is core/intake/memory-budget.ts.

--- a/packages/core/src/intake/index.ts
+++ b/packages/core/src/intake/index.ts
@@ -1,2 +1,3 @@
 export * from './connection-limit.js';
 export * from './fair-queue.js';
+export * from './memory-budget.js';
--- /dev/null
+++ b/packages/core/src/intake/memory-budget.ts
@@ -0,0 +1,42 @@
+/** Decides how many bytes a machine may hold for requests, by its memory and by what the operator allows of one request. */
+
+const BYTES_PER_MB = 1_048_576;
+/**
+ * Each kind may take this share: bodies, answers. Each byte is copied about twice on its way, and tens of
+ * megabytes that are freed stay for a while; the program itself needs half of the memory of a small machine.
+ */
+const KIND_MEMORY_SHARE = 1 / 32;
+/** A small machine may hold so much of each kind if a single request needs it. */
+const MAX_KIND_MEMORY_SHARE = 1 / 16;
+/** Bodies of the largest size that are held at once, as far as the larger share allows. */
+const LARGEST_BODIES = 2;
+
+/** What a machine may hold. */
+export type HeldLimits = {
+  /** Bodies that are being read, or whose requests are under way. */
+  readonly bodyBytes: number;
+  /** Bodies, answers and events together. */
+  readonly allBytes: number;
+};
+
+/** What the largest requests need. */
+export type LargestRequest = {
+  /** The operator's limit. */
+  readonly maxBodyBytes: number;
+  readonly maxAnswerBytes: number;
+};
+
+function computeKindLimit(memoryBytes: number, neededBytes: number): number {
+  const extendedBytes = Math.min(neededBytes, memoryBytes * MAX_KIND_MEMORY_SHARE);
+  return Math.max(memoryBytes * KIND_MEMORY_SHARE, extendedBytes);
+}
+
+/** Computes the limits of a machine with so much memory. */
+export function computeHeldLimits(
+  memoryMb: number,
+  { maxBodyBytes, maxAnswerBytes }: LargestRequest,
+): HeldLimits {
+  const memoryBytes = memoryMb * BYTES_PER_MB;
+  const bodyBytes = computeKindLimit(memoryBytes, LARGEST_BODIES * maxBodyBytes);
+  return { bodyBytes, allBytes: bodyBytes + computeKindLimit(memoryBytes, maxAnswerBytes) };
+}
--- a/packages/router/src/gateway/call-flow.test.ts
+++ b/packages/router/src/gateway/call-flow.test.ts
@@ -14,6 +14,7 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
 import { makeHeldBytes } from './held-bytes.js';
+import { HELD_LIMITS } from './held-limits-test-kit.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
@@ -136,7 +137,7 @@
     retryWindows: new Map(),
     takeFraction: () => 0.5,
     listedVmCount: 1,
-    heldBytes: makeHeldBytes(() => 1_000_000),
+    heldBytes: makeHeldBytes(() => HELD_LIMITS),
   } as unknown as GatewayState;
   await new Promise<void>((resolve) => {
     startTask(
--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -14,6 +14,7 @@
 } from '@tarragonspool/core';
 import type { ServiceName, UpstreamId } from '@tarragonspool/protocol';
 import { findExcess } from '../http/size-limit.js';
+import { MAX_ANSWER_BYTES } from '../intake/request-sizes.js';
 import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { CallProgress } from './call-progress.js';
@@ -34,7 +35,6 @@
 /** Least time before the deadline for which one more send is worth starting. */
 const MIN_REMAINING_MS = 25;
 const RETRY_AFTER_MS = 400;
-const MAX_ANSWER_BYTES = 4_194_304;
 const FIRST_SERVER_ERROR = 500;
 
 /** The body in blocks: a copy of a large one would double its memory. */
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -13,6 +13,7 @@
 } from '@tarragonspool/core';
 import type { ContentKey, ServiceName } from '@tarragonspool/protocol';
 import { readInTurns } from '../http/read-turns.js';
+import { findMaxBodyBytes } from '../intake/request-sizes.js';
 import { makeChannel, offer, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
@@ -39,7 +40,6 @@
 /** Idle connections stay open a little longer than callers reuse them. */
 const IDLE_TIMEOUT_SLACK_MS = 1_000;
 const MAX_HEADER_BYTES = 65_536;
-const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 /** A caller that sends on after its refusal is cut off if its body is longer than it may be by more than this. */
 const MAX_IGNORED_BODY_BYTES = 1_048_576;
 /** The same for one that sends on in small pieces. */
@@ -273,7 +273,7 @@
   onBody: (body: Buffer) => void,
 ): void {
   const { incoming, reply } = arrival;
-  const limit = state.configuration?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+  const limit = findMaxBodyBytes(state.configuration);
   const body = makeByteCollector();
   let readBytes = 0;
   let ignoredPieces = 0;
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
   computeMaxStoreAgeMs,
   makeUpstreamList,
   makeVersionHistory,
+  type HeldLimits,
   type UpstreamList,
 } from '@tarragonspool/core';
 import type {
@@ -16,6 +17,7 @@
   VmId,
 } from '@tarragonspool/protocol';
 import { listenPatiently } from '../http/patient-listener.js';
+import { findHeldLimits } from '../intake/request-sizes.js';
 import type { Logger } from '../logging/logger.js';
 import { makeFleetView } from '../peers/fleet-view.js';
 import { makePoolTask } from '../pools/pool-task.js';
@@ -28,7 +30,7 @@
 import { makeContentGuard } from './quarantine/content-guard.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
 import { ASSUMED_VM_COUNT, makeGatewayState, type GatewayState } from './gateway-state.js';
-import { computeHeldLimit, makeHeldBytes } from './held-bytes.js';
+import { makeHeldBytes } from './held-bytes.js';
 import { startLoadSharing } from './load-sharing.js';
 import { startMembership, type PeerMeshHolder, type StartTask } from './membership.js';
 import { makePartGuard } from './quarantine/part-guard.js';
@@ -128,6 +130,11 @@
     logger,
   });
   const fleet = makeFleetView(settings.vmId, computeMaxStoreAgeMs(settings.changeWithinMs));
+  const getHeldLimits = (): HeldLimits => {
+    const { memoryMb } = stateHolder.state?.settings ?? settings;
+    return findHeldLimits(memoryMb, stateHolder.state?.configuration);
+  };
+  const heldBytes = makeHeldBytes(getHeldLimits);
   const access = startServerAccess({
     settings,
     upstreams,
@@ -249,9 +256,7 @@
     pools,
     quotas,
     contentGuard,
-    heldBytes: makeHeldBytes(() =>
-      computeHeldLimit((stateHolder.state?.settings ?? settings).memoryMb),
-    ),
+    heldBytes,
     partGuard,
     sharedLoads,
     quarantineWakeups,
--- a/packages/router/src/gateway/held-bytes.test.ts
+++ b/packages/router/src/gateway/held-bytes.test.ts
@@ -5,7 +5,10 @@
 const LIMIT = 1_000;
 
 function makeHeld() {
-  return makeHeldBytes(() => LIMIT);
+  return makeHeldBytes(() => ({
+    bodyBytes: LIMIT / 2,
+    allBytes: LIMIT,
+  }));
 }
 
 it('held bytes: all shares are counted together, and an ended one no more', () => {
--- a/packages/router/src/gateway/held-bytes.ts
+++ b/packages/router/src/gateway/held-bytes.ts
@@ -4,6 +4,8 @@
  * comes next: bytes without end cost their own request, and no other.
  */
 
+import type { HeldLimits } from '@tarragonspool/core';
+
 /** What bytes are held for. */
 export const HELD_KINDS = ['body', 'answer', 'event', 'unread-answer'] as const;
 
@@ -37,24 +39,13 @@
   bytes: number;
 };
 
-const BYTES_PER_MB = 1_048_576;
-/**
- * Each byte is copied about twice on its way, and tens of megabytes that are freed stay for a while; the program
- * itself needs half of the memory of a small machine.
- */
-const HELD_MEMORY_SHARE = 0.0625;
-/** Bodies of requests that are under way stay until their answers, which must have room too. */
-const BODY_SHARE = 0.5;
 /** Share for answers that are read ahead of their callers; beside bodies, as much is left for answers that are still arriving. */
 const UNREAD_SHARE = 0.25;
+/** Answers are read further ahead only while all kinds together take less than this share. */
+const READ_AHEAD_SHARE = 0.75;
 
-/** Computes the limit for a machine. */
-export function computeHeldLimit(memoryMb: number): number {
-  return memoryMb * BYTES_PER_MB * HELD_MEMORY_SHARE;
-}
-
-/** Makes the count of one VM; the limit may change. */
-export function makeHeldBytes(getLimit: () => number): HeldBytes {
+/** Makes the count of one VM; the limits may change. */
+export function makeHeldBytes(getLimits: () => HeldLimits): HeldBytes {
   /** Those that hold any bytes. */
   const shares = new Set<OpenShare>();
   const sums = new Map<HeldKind, number>();
@@ -93,21 +84,26 @@
     }
   }
 
+  function begin(kind: HeldKind, giveUp?: (bytes: number) => void): HeldShare {
+    const share: OpenShare = { kind, giveUp, bytes: 0 };
+    return {
+      update: (bytes) => {
+        setBytes(share, bytes);
+        const { bodyBytes, allBytes } = getLimits();
+        giveUpLargest(() => countKind('body') > bodyBytes, 'body');
+        giveUpLargest(() => total > allBytes);
+      },
+      end: () => setBytes(share, 0),
+    };
+  }
+
   return {
-    begin: (kind, giveUp) => {
-      const share: OpenShare = { kind, giveUp, bytes: 0 };
-      return {
-        update: (bytes) => {
-          setBytes(share, bytes);
-          giveUpLargest(() => countKind('body') > BODY_SHARE * getLimit(), 'body');
-          giveUpLargest(() => total > getLimit());
-        },
-        end: () => setBytes(share, 0),
-      };
+    begin,
+    hasRoomToReadAhead: () => {
+      const { allBytes } = getLimits();
+      const unreadBytes = countKind('unread-answer');
+      return unreadBytes < UNREAD_SHARE * allBytes && total < READ_AHEAD_SHARE * allBytes;
     },
-    hasRoomToReadAhead: () =>
-      countKind('unread-answer') < UNREAD_SHARE * getLimit() &&
-      total < (BODY_SHARE + UNREAD_SHARE) * getLimit(),
     countAll: () => total,
     countKind,
   };
--- /dev/null
+++ b/packages/router/src/gateway/held-limits-test-kit.ts
@@ -0,0 +1,8 @@
+/** Limits of what is held, for tests that do not reach them. */
+
+import type { HeldLimits } from '@tarragonspool/core';
+
+export const HELD_LIMITS: HeldLimits = {
+  bodyBytes: 500_000,
+  allBytes: 1_000_000,
+};
--- a/packages/router/src/gateway/stream-flow.test.ts
+++ b/packages/router/src/gateway/stream-flow.test.ts
@@ -16,6 +16,7 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
 import { makeHeldBytes } from './held-bytes.js';
+import { HELD_LIMITS } from './held-limits-test-kit.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import { runStreamRequest } from './stream-flow.js';
@@ -89,7 +90,7 @@
     },
     ports: { dialect: { makeForwardHeaders: () => [] } },
     partGuard: { findQuarantined: () => undefined },
-    heldBytes: makeHeldBytes(() => 1_000_000),
+    heldBytes: makeHeldBytes(() => HELD_LIMITS),
     contentGuard: {
       isQuarantined: () => change === 'quarantine' && trace.slotRequests.length > 0,
     },
--- a/packages/router/src/gateway/stream-handover.test.ts
+++ b/packages/router/src/gateway/stream-handover.test.ts
@@ -7,6 +7,7 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
 import { makeHeldBytes } from './held-bytes.js';
+import { HELD_LIMITS } from './held-limits-test-kit.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import type { AnswerHead, SendPlan } from './sender.js';
@@ -243,7 +244,7 @@
       },
     },
     partGuard: { ...guard, findQuarantined: () => undefined },
-    heldBytes: makeHeldBytes(() => 1_000_000),
+    heldBytes: makeHeldBytes(() => HELD_LIMITS),
     contentGuard: { ...guard, isQuarantined: () => false },
     streamOrigins: { recordOwn: () => undefined },
     metrics: makeGatewayMetrics(),
--- a/packages/router/src/gateway/stream-joins.fuzz.test.ts
+++ b/packages/router/src/gateway/stream-joins.fuzz.test.ts
@@ -9,6 +9,7 @@
 import type { UpstreamEvent } from '../upstreams/upstream-client.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
 import { makeHeldBytes } from './held-bytes.js';
+import { HELD_LIMITS } from './held-limits-test-kit.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import type { SendPlan } from './sender.js';
@@ -343,7 +344,7 @@
       },
     },
     partGuard: { ...guard, findQuarantined: () => undefined },
-    heldBytes: makeHeldBytes(() => 1_000_000),
+    heldBytes: makeHeldBytes(() => HELD_LIMITS),
     contentGuard: { ...guard, isQuarantined: () => false },
     streamOrigins: { recordOwn: () => undefined, find: () => origin },
     metrics: makeGatewayMetrics(),
