Callers' requests ahead: heads that wait are counted and bounded together

Seen: 500 callers that send 90 requests of 8 KB ahead end the process (heap out of memory) within seconds; every caller of the VM lost its connection.

Cause: up to 100 requests of each connection wait for their turn, parsed, and nothing counted them over all connections: 500 times 90 times 8 KB is three times the heap. Ruled out: bodies and answers, of which there are none.

While more than 8 requests wait on a connection, nothing more of it is parsed; the rest stays in the kernel, and its sender waits. Clients that wait for answers, or send a few requests ahead, meet neither.

The reading of bodies moves from caller-listener.ts to caller-body.ts, unchanged.

--- a/packages/core/src/intake/memory-budget.ts
+++ b/packages/core/src/intake/memory-budget.ts
@@ -2,7 +2,7 @@
 
 const BYTES_PER_MB = 1_048_576;
 /**
- * Each kind may take this share: bodies, answers. Each byte is copied about twice on its way, and tens of
+ * Each kind may take this share: bodies, answers, heads. Each byte is copied about twice on its way, and tens of
  * megabytes that are freed stay for a while; the program itself needs half of the memory of a small machine.
  */
 const KIND_MEMORY_SHARE = 1 / 32;
@@ -17,6 +17,8 @@
   readonly bodyBytes: number;
   /** Bodies, answers and events together. */
   readonly allBytes: number;
+  /** Heads of requests, from their first byte until their answers end. */
+  readonly headBytes: number;
 };
 
 /** What the largest requests need. */
@@ -38,5 +40,10 @@
 ): HeldLimits {
   const memoryBytes = memoryMb * BYTES_PER_MB;
   const bodyBytes = computeKindLimit(memoryBytes, LARGEST_BODIES * maxBodyBytes);
-  return { bodyBytes, allBytes: bodyBytes + computeKindLimit(memoryBytes, maxAnswerBytes) };
+  const shareBytes = memoryBytes * KIND_MEMORY_SHARE;
+  return {
+    bodyBytes,
+    allBytes: bodyBytes + computeKindLimit(memoryBytes, maxAnswerBytes),
+    headBytes: shareBytes,
+  };
 }
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -1,24 +1,31 @@
 /** Accepts requests of callers: reads the body, finds the route and starts the request's task. */
 
 import { createHash } from 'node:crypto';
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { createServer, type Server, type ServerResponse } from 'node:http';
 import {
   chooseService,
   countRequest,
   findRank,
   findRoute,
-  makeByteCollector,
   type Route,
   type Tenant,
 } from '@tarragonspool/core';
 import type { ContentKey, ServiceName } from '@tarragonspool/protocol';
 import { readInTurns } from '../http/read-turns.js';
-import { findMaxBodyBytes } from '../intake/request-sizes.js';
+import { countHeadBytes } from '../intake/head-bytes.js';
 import { makeChannel, offer, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
-import { followCallerConnections, type CallerConnections } from './caller-connections.js';
-import { followCallerFraming, type CallerFraming } from './caller-framing.js';
+import {
+  DEFAULT_DEADLINE_MS,
+  recordHeldBody,
+  NOT_HELD_RETRY_AFTER_MS,
+  readBody,
+  recordCallerCut,
+  type Arrival,
+} from './caller-body.js';
+import { followCallerConnections } from './caller-connections.js';
+import { followCallerFraming } from './caller-framing.js';
 import { checkCallerKey, findSender } from './caller-keys.js';
 import { admitByQuota } from './caller-quota.js';
 import { makeCallerReply, type BeginUnread, type CallerReply } from './caller-reply.js';
@@ -33,37 +40,22 @@
   makeScope,
   scopePart,
 } from './quarantine/quarantine-scope.js';
-import { recordSizeCut, type SizeCut } from './size-cuts.js';
+import { recordSizeCut } from './size-cuts.js';
 import { runStreamRequest } from './stream-flow.js';
 
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 /** Idle connections stay open a little longer than callers reuse them. */
 const IDLE_TIMEOUT_SLACK_MS = 1_000;
 const MAX_HEADER_BYTES = 65_536;
-/** A caller that sends on after its refusal is cut off if its body is longer than it may be by more than this. */
-const MAX_IGNORED_BODY_BYTES = 1_048_576;
-/** The same for one that sends on in small pieces. */
-const MAX_IGNORED_PIECES = 4_096;
-const NOT_HELD_RETRY_AFTER_MS = 500;
 const NOT_READY_RETRY_AFTER_MS = 500;
 const LEAVING_RETRY_AFTER_MS = 200;
 /** A content that may have crashed two servers is judged within this time. */
 const VERDICT_RETRY_AFTER_MS = 500;
-const DEFAULT_DEADLINE_MS = 60_000;
 /** Further parts of a prompt are not told apart when engines crash. */
 const MAX_SHARED_PARTS = 128;
 /** The answer to a request that times out is sent this long before its deadline. */
 const TIMEOUT_MARGIN_MS = 15;
 
-/** What tracks the framing and the progress of callers' connections. */
-type Followers = { readonly framing: CallerFraming; readonly connections: CallerConnections };
-
-type Arrival = {
-  readonly incoming: IncomingMessage;
-  readonly reply: CallerReply;
-  readonly arrivedAt: number;
-};
-
 function chooseRouteService(state: GatewayState, route: Route): ServiceName | undefined {
   return chooseService(route, state.takeFraction());
 }
@@ -234,101 +226,6 @@
   startRequest(state, request, response);
 }
 
-function recordCallerCut(
-  state: GatewayState,
-  { headers, socket }: IncomingMessage,
-  cut: Pick<SizeCut, 'part' | 'reason' | 'bytes'>,
-): void {
-  const requestId = state.ports.dialect.decodeRequestId(headers);
-  recordSizeCut(state, { ...cut, requestId, caller: socket.remoteAddress });
-}
-
-/** Counts the body of a running request as held until its answer ends. */
-function holdBody({ heldBytes }: GatewayState, body: Buffer, response: ServerResponse): void {
-  const held = heldBytes.begin('body');
-  held.update(body.length);
-  response.once('close', held.end);
-}
-
-/**
- * Makes a function that computes when a body must have ended: by the deadline of its request. The
- * headers are decoded at the first call, which most bodies end before.
- */
-function makeDueTime(state: GatewayState, { incoming, arrivedAt }: Arrival): () => number {
-  let dueAt: number | undefined;
-  return () => {
-    if (dueAt === undefined) {
-      const { leftMs } = state.ports.dialect.decodeCallerFields(incoming.headers);
-      dueAt = arrivedAt + (leftMs ?? DEFAULT_DEADLINE_MS);
-    }
-    return dueAt;
-  };
-}
-
-/** Reads the body of a request within its limits of size, time and memory, and hands it on. */
-function readBody(
-  state: GatewayState,
-  arrival: Arrival,
-  { framing, connections }: Followers,
-  onBody: (body: Buffer) => void,
-): void {
-  const { incoming, reply } = arrival;
-  const limit = findMaxBodyBytes(state.configuration);
-  const body = makeByteCollector();
-  let readBytes = 0;
-  let ignoredPieces = 0;
-
-  /** Refuses the request of a body that is beyond a limit; the rest of the body is not kept. */
-  function cut(reason: 'content' | 'memory'): void {
-    recordCallerCut(state, incoming, { part: 'body', reason, bytes: body.countBytes() });
-    body.take();
-    if (reason === 'content') reply.refuse('body-too-large');
-    else reply.refuse('body-not-held', NOT_HELD_RETRY_AFTER_MS);
-  }
-
-  const held = state.heldBytes.begin('body', () => cut('memory'));
-  /** Refuses a request whose body has not ended by its deadline: its caller no longer waits. */
-  function endLate(): void {
-    // A stop refuses the requests that are left with 503, so that callers come back at another VM.
-    if (state.isLeaving && reply.getState() === 'open') return;
-    recordCallerCut(state, incoming, { part: 'body', reason: 'body-timeout', bytes: readBytes });
-    body.take();
-    held.end();
-    if (reply.getState() === 'open') reply.refuse('body-timeout', undefined, true);
-    else incoming.socket.destroy();
-  }
-
-  connections.recordBody(incoming, { computeDueAt: makeDueTime(state, arrival), onLate: endLate });
-  incoming.on('data', (part: Buffer) => {
-    framing.recordContent(incoming, part.length);
-    connections.recordContent(incoming, part.length);
-    readBytes += part.length;
-    if (reply.getState() !== 'open') {
-      ignoredPieces += 1;
-      const isTooLong = readBytes > limit + MAX_IGNORED_BODY_BYTES;
-      const isOver = isTooLong || ignoredPieces > MAX_IGNORED_PIECES;
-      // The rest of the body may be without end.
-      if (isOver) incoming.destroy();
-      return;
-    }
-    body.append(part);
-    if (body.countBytes() <= limit) {
-      held.update(body.countBytes());
-      return;
-    }
-    held.end();
-    cut('content');
-  });
-  incoming.on('end', () => {
-    held.end();
-    if (reply.getState() === 'open') onBody(body.take());
-  });
-  incoming.on('close', held.end);
-  incoming.on('error', (error) =>
-    state.logger.debug({ err: error }, 'requests: body could not be read'),
-  );
-}
-
 /** Counts a request from its head to the end of its answer: a stop waits for it. */
 function countOpen(state: GatewayState, reply: CallerReply, response: ServerResponse): void {
   state.openRequests += 1;
@@ -341,26 +238,47 @@
   });
 }
 
+/** Counts the head of a request until its answer ends; false if there is no room for it. */
+function admitHead(
+  { heldBytes }: GatewayState,
+  headBytes: number,
+  response: ServerResponse,
+): boolean {
+  const held = heldBytes.begin('head');
+  held.update(headBytes);
+  response.once('close', held.end);
+  return heldBytes.hasRoomForHeads();
+}
+
 /** Makes the HTTP server for callers; it does not listen yet. */
 export function makeCallerListener(state: GatewayState): Server {
-  const awaitTurn = makeCallerTurns((incoming) =>
-    recordCallerCut(state, incoming, { part: 'requests', reason: 'pieces', bytes: 0 }),
-  );
+  const { heldBytes } = state;
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES });
-  readInTurns(server);
+  const connections = followCallerConnections(server, state);
+  const turns = readInTurns(server);
+  const awaitTurn = makeCallerTurns({
+    onTooMany: (incoming) =>
+      recordCallerCut(state, incoming, { part: 'requests', reason: 'pieces', bytes: 0 }),
+    beginHeads: (incoming, giveUp) =>
+      heldBytes.begin('head', (bytes) => {
+        recordCallerCut(state, incoming, { part: 'requests', reason: 'memory', bytes });
+        giveUp();
+      }),
+    setHeld: turns.setHeld,
+  });
   const framing = followCallerFraming(server, ({ remoteAddress: caller }, bytes) =>
     recordSizeCut(state, { part: 'requests', reason: 'framing', bytes, caller }),
   );
-  const connections = followCallerConnections(server, state);
   const followers = { framing, connections };
   server.on('request', (incoming, response) => {
     const beginUnread: BeginUnread = (giveUp) =>
-      state.heldBytes.begin('unread-answer', (bytes) => {
+      heldBytes.begin('unread-answer', (bytes) => {
         recordCallerCut(state, incoming, { part: 'unread-answer', reason: 'memory', bytes });
         giveUp();
       });
     const reply = makeCallerReply(response, () => state.isLeaving, beginUnread);
     const arrival = { incoming, reply, arrivedAt: getSteadyMs() };
+    const headBytes = countHeadBytes(incoming);
     framing.recordRequest(incoming);
     connections.recordRequest(incoming, response);
     response.on('error', (error) =>
@@ -368,10 +286,14 @@
     );
     awaitTurn(incoming, response, () => {
       countOpen(state, reply, response);
+      if (!admitHead(state, headBytes, response)) {
+        recordCallerCut(state, incoming, { part: 'head', reason: 'memory', bytes: headBytes });
+        reply.refuse('body-not-held', NOT_HELD_RETRY_AFTER_MS);
+      }
       readBody(state, arrival, followers, (body) => {
         connections.recordRunning(incoming, response);
         state.unreadReplies.delete(reply);
-        holdBody(state, body, response);
+        recordHeldBody(state, body, response);
         routeRequest(state, arrival, body, response);
       });
     });
--- a/packages/router/src/gateway/caller-turns.test.ts
+++ b/packages/router/src/gateway/caller-turns.test.ts
@@ -10,20 +10,42 @@
     writable: true,
     destroy: () => {
       socket.destroyed = true;
+      socket.writable = false;
     },
   });
   const run: number[] = [];
   let tooMany = 0;
-  const awaitTurn = makeCallerTurns(() => {
-    tooMany += 1;
+  let isHeld = false;
+  let giveUp = (): void => undefined;
+  const held: number[] = [];
+  const awaitTurn = makeCallerTurns({
+    onTooMany: () => {
+      tooMany += 1;
+    },
+    beginHeads: (_incoming, onGivenUp) => {
+      giveUp = onGivenUp;
+      return { update: (bytes) => held.push(bytes), end: () => held.push(0) };
+    },
+    setHeld: (_socket, isHeldNow) => {
+      isHeld = isHeldNow;
+    },
   });
   const responses = Array.from({ length: count }, () => new EventEmitter());
   for (const [index, response] of responses.entries()) {
-    awaitTurn({ socket } as unknown as IncomingMessage, response as ServerResponse, () =>
+    const incoming = { socket, rawHeaders: ['host', 'x'.repeat(96)], url: '' };
+    awaitTurn(incoming as unknown as IncomingMessage, response as ServerResponse, () =>
       run.push(index),
     );
   }
-  return { run, responses, socket, countTooMany: () => tooMany };
+  return {
+    run,
+    responses,
+    socket,
+    countTooMany: () => tooMany,
+    isHeld: () => isHeld,
+    giveUp: () => giveUp(),
+    getHeldBytes: () => held.at(-1) ?? 0,
+  };
 }
 
 it('caller turns: requests that came together run one after the other', () => {
@@ -46,3 +68,26 @@
   const { socket } = playRequests(101);
   expect(socket.destroyed).to.equal(false);
 });
+
+// Guards against callers on many connections whose heads fill the memory while each waits for one answer.
+it('caller turns: heads that wait are counted until their turn comes, and beyond some no more are parsed', () => {
+  const { responses, isHeld, getHeldBytes } = playRequests(10);
+  expect(isHeld()).to.equal(true);
+  expect(getHeldBytes()).to.be.within(9 * 100, 9 * 10_000);
+  const all = getHeldBytes();
+  responses[0]?.emit('close');
+  expect(isHeld()).to.equal(false);
+  expect(getHeldBytes()).to.equal((all * 8) / 9);
+  for (const response of responses) response.emit('close');
+  expect(getHeldBytes()).to.equal(0);
+});
+
+it('caller turns: a connection whose heads are given up is closed, and none of them runs', () => {
+  const { run, responses, socket, giveUp, getHeldBytes } = playRequests(5);
+  giveUp();
+  expect(socket.destroyed).to.equal(true);
+  socket.emit('close');
+  expect(getHeldBytes()).to.equal(0);
+  responses[0]?.emit('close');
+  expect(run).to.deep.equal([0]);
+});
--- a/packages/router/src/gateway/caller-turns.ts
+++ b/packages/router/src/gateway/caller-turns.ts
@@ -5,6 +5,8 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { countHeadBytes } from '../intake/head-bytes.js';
+import type { HeldShare } from './held-bytes.js';
 
 /** Runs a request once the one before it on its connection has been answered. */
 export type AwaitTurn = (
@@ -15,21 +17,51 @@
 
 /** Each request that waits takes memory, and a caller may send them without end. */
 const MAX_WAITING = 100;
+/** While more than this wait on a connection, nothing more of it is parsed. */
+const MAX_PARSED_AHEAD = 8;
 
-/**
- * Makes the turns of one server's connections; a request whose connection ends before never runs. `onTooMany` is
- * called before a connection is closed on which more requests wait than may.
- */
-export function makeCallerTurns(onTooMany: (incoming: IncomingMessage) => void): AwaitTurn {
+/** What the turns need. */
+export type CallerTurnParts = {
+  /** Called before a connection is closed on which more requests wait than may. */
+  readonly onTooMany: (incoming: IncomingMessage) => void;
+  /** Begins to count the heads that wait on a connection; `giveUp` closes it. */
+  readonly beginHeads: (incoming: IncomingMessage, giveUp: () => void) => HeldShare;
+  /** Has no more of a connection parsed, or goes on. */
+  readonly setHeld: (socket: Socket, isHeld: boolean) => void;
+};
+
+/** The requests that wait on one connection. */
+type WaitingRequests = { count: number; headBytes: number; readonly heads: HeldShare };
+
+/** Makes the turns of one server's connections; a request whose connection ends before never runs. */
+export function makeCallerTurns(parts: CallerTurnParts): AwaitTurn {
   /** The latest answer of each connection that has not ended. */
   const latest = new WeakMap<Socket, ServerResponse>();
-  /** Requests that wait on each connection. */
-  const waiting = new WeakMap<Socket, number>();
+  const waiting = new WeakMap<Socket, WaitingRequests>();
 
-  function countWaiting(socket: Socket, change: 1 | -1): number {
-    const count = (waiting.get(socket) ?? 0) + change;
-    waiting.set(socket, count);
-    return count;
+  function findWaiting(incoming: IncomingMessage): WaitingRequests {
+    const { socket } = incoming;
+    const known = waiting.get(socket);
+    if (known !== undefined) return known;
+    const heads = parts.beginHeads(incoming, () => socket.destroy());
+    const begun = { count: 0, headBytes: 0, heads };
+    waiting.set(socket, begun);
+    // Answers that have not begun do not hear of the end of their connection.
+    socket.once('close', heads.end);
+    return begun;
+  }
+
+  function updateWaiting(
+    socket: Socket,
+    requests: WaitingRequests,
+    change: 1 | -1,
+    headBytes: number,
+  ): void {
+    if (socket.destroyed) return;
+    requests.count += change;
+    requests.headBytes += change * headBytes;
+    parts.setHeld(socket, requests.count > MAX_PARSED_AHEAD);
+    requests.heads.update(requests.headBytes);
   }
 
   return (incoming, response, run) => {
@@ -44,13 +76,16 @@
       run();
       return;
     }
-    if (countWaiting(socket, 1) > MAX_WAITING) {
-      onTooMany(incoming);
+    const requests = findWaiting(incoming);
+    if (requests.count === MAX_WAITING) {
+      parts.onTooMany(incoming);
       socket.destroy();
       return;
     }
+    const headBytes = countHeadBytes(incoming);
+    updateWaiting(socket, requests, 1, headBytes);
     before.once('close', () => {
-      countWaiting(socket, -1);
+      updateWaiting(socket, requests, -1, headBytes);
       if (socket.writable) run();
     });
   };
--- a/packages/router/src/gateway/held-bytes.test.ts
+++ b/packages/router/src/gateway/held-bytes.test.ts
@@ -3,11 +3,13 @@
 import { makeHeldBytes, type HeldShare } from './held-bytes.js';
 
 const LIMIT = 1_000;
+const HEAD_LIMIT = 200;
 
 function makeHeld() {
   return makeHeldBytes(() => ({
     bodyBytes: LIMIT / 2,
     allBytes: LIMIT,
+    headBytes: HEAD_LIMIT,
   }));
 }
 
@@ -100,3 +102,19 @@
   answer.end();
   expect(held.hasRoomToReadAhead()).to.equal(true);
 });
+
+// Guards against heads of requests sent ahead that cost the answers of others.
+it('held bytes: heads have a limit of their own, beyond which the largest of them is given up', () => {
+  const held = makeHeld();
+  const cut: string[] = [];
+  held.begin('answer', () => cut.push('answer')).update(900);
+  held.begin('head', () => cut.push('many')).update(150);
+  held.begin('head').update(40);
+  expect(held.hasRoomForHeads()).to.equal(true);
+  held.begin('head', () => cut.push('newest')).update(20);
+  expect(cut).to.deep.equal(['many']);
+  expect(held.countAll()).to.equal(900);
+  held.begin('head').update(HEAD_LIMIT);
+  expect(cut).to.deep.equal(['many', 'newest']);
+  expect(held.hasRoomForHeads()).to.equal(false);
+});
--- a/packages/router/src/gateway/held-bytes.ts
+++ b/packages/router/src/gateway/held-bytes.ts
@@ -1,13 +1,13 @@
 /**
  * Counts the bytes that this VM holds for requests: bodies of callers, answers until they are whole or read,
- * events whose end has not come. All of them share one limit. Beyond it the largest is given up, and not what
- * comes next: bytes without end cost their own request, and no other.
+ * events whose end has not come, and heads of requests. Heads have a limit of their own, all others share one. Beyond
+ * it the largest is given up, and not what comes next: bytes without end cost their own request, and no other.
  */
 
 import type { HeldLimits } from '@tarragonspool/core';
 
 /** What bytes are held for. */
-export const HELD_KINDS = ['body', 'answer', 'event', 'unread-answer'] as const;
+export const HELD_KINDS = ['body', 'answer', 'event', 'unread-answer', 'head'] as const;
 
 /** One of these. */
 export type HeldKind = (typeof HELD_KINDS)[number];
@@ -29,6 +29,9 @@
   readonly begin: (kind: HeldKind, giveUp?: (bytes: number) => void) => HeldShare;
   /** Whether answers may be read further ahead of callers that read slowly. */
   readonly hasRoomToReadAhead: () => boolean;
+  /** Whether the heads of requests take no more than they may. */
+  readonly hasRoomForHeads: () => boolean;
+  /** Counts all that share one limit. */
   readonly countAll: () => number;
   readonly countKind: (kind: HeldKind) => number;
 };
@@ -57,17 +60,18 @@
 
   function setBytes(share: OpenShare, bytes: number): void {
     const change = bytes - share.bytes;
-    total += change;
+    if (share.kind !== 'head') total += change;
     sums.set(share.kind, countKind(share.kind) + change);
     share.bytes = bytes;
     if (bytes > 0) shares.add(share);
     else shares.delete(share);
   }
 
+  /** Finds the largest share of a kind, or of all that share one limit. */
   function findLargest(kind: HeldKind | undefined): OpenShare | undefined {
     let largest: OpenShare | undefined;
     for (const share of shares) {
-      if (kind !== undefined && share.kind !== kind) continue;
+      if (kind === undefined ? share.kind === 'head' : share.kind !== kind) continue;
       if (share.giveUp !== undefined && share.bytes > (largest?.bytes ?? 0)) largest = share;
     }
     return largest;
@@ -89,7 +93,8 @@
     return {
       update: (bytes) => {
         setBytes(share, bytes);
-        const { bodyBytes, allBytes } = getLimits();
+        const { bodyBytes, headBytes, allBytes } = getLimits();
+        giveUpLargest(() => countKind('head') > headBytes, 'head');
         giveUpLargest(() => countKind('body') > bodyBytes, 'body');
         giveUpLargest(() => total > allBytes);
       },
@@ -104,6 +109,7 @@
       const unreadBytes = countKind('unread-answer');
       return unreadBytes < UNREAD_SHARE * allBytes && total < READ_AHEAD_SHARE * allBytes;
     },
+    hasRoomForHeads: () => countKind('head') <= getLimits().headBytes,
     countAll: () => total,
     countKind,
   };
--- a/packages/router/src/gateway/held-limits-test-kit.ts
+++ b/packages/router/src/gateway/held-limits-test-kit.ts
@@ -5,4 +5,5 @@
 export const HELD_LIMITS: HeldLimits = {
   bodyBytes: 500_000,
   allBytes: 1_000_000,
+  headBytes: 500_000,
 };
--- a/packages/router/src/http/read-turns.ts
+++ b/packages/router/src/http/read-turns.ts
@@ -23,9 +23,17 @@
   readonly socket: Socket;
   /** Node's HTTP server asks for a pause while answers or a body are not taken. */
   isPaused: boolean;
+  /** Requests that were sent ahead wait for their turn. */
+  isHeld: boolean;
   sliceBytes: number;
 };
 
+/** The turns of one server. */
+export type ReadTurns = {
+  /** Parses nothing more of a connection, or goes on. */
+  readonly setHeld: (socket: Socket, isHeld: boolean) => void;
+};
+
 /** Sizes the next slice of a connection by what the last one took; `bytes` may be fewer than the slice had room for. */
 export function computeSliceBytes(sliceBytes: number, bytes: number, tookMs: number): number {
   if (tookMs > SLICE_MS) {
@@ -38,15 +46,20 @@
 }
 
 /** Reads all connections of a server in turns from now on. */
-export function readInTurns(server: Server): void {
+export function readInTurns(server: Server): ReadTurns {
   const queue = makeFairQueue<Reading>();
+  const readings = new WeakMap<Socket, Reading>();
   let spentMs = 0;
   let isTurnScheduled = false;
   let isStepScheduled = false;
 
+  function isStopped({ socket, isPaused, isHeld }: Reading): boolean {
+    return socket.destroyed || isPaused || isHeld;
+  }
+
   function readSlice(reading: Reading): void {
     const { socket } = reading;
-    if (socket.destroyed || reading.isPaused) return;
+    if (isStopped(reading)) return;
     const bytes = Math.min(reading.sliceBytes, socket.readableLength);
     if (bytes > 0) {
       const beganAt = getSteadyMs();
@@ -83,13 +96,19 @@
   }
 
   function enqueue(reading: Reading): void {
-    if (reading.isPaused || reading.socket.destroyed) return;
+    if (isStopped(reading)) return;
     queue.add(reading);
     if (!isStepScheduled) step();
   }
 
   server.on('connection', (socket: Socket) => {
-    const reading: Reading = { socket, isPaused: false, sliceBytes: FIRST_SLICE_BYTES };
+    const reading: Reading = {
+      socket,
+      isPaused: false,
+      isHeld: false,
+      sliceBytes: FIRST_SLICE_BYTES,
+    };
+    readings.set(socket, reading);
     // While a socket is read on request, Node's own pauses have no effect.
     socket.pause = () => {
       reading.isPaused = true;
@@ -104,4 +123,13 @@
     socket.on('readable', () => enqueue(reading));
     socket.once('close', () => queue.remove(reading));
   });
+
+  return {
+    setHeld: (socket, isHeld) => {
+      const reading = readings.get(socket);
+      if (reading === undefined || reading.isHeld === isHeld) return;
+      reading.isHeld = isHeld;
+      if (!isHeld) process.nextTick(enqueue, reading);
+    },
+  };
 }
