Read turns: bytes that wait to be parsed are bounded over all connections

Seen: 1,000 callers with unfinished bodies in chunks of a byte take a VM of 178 MB to 238 MB.

Cause: Node reads up to 80 KB of each connection ahead, and chunks of a byte are parsed slowly: the buffers of 1,000 connections are 80 MB. The bound was one of each connection. Ruled out: what is parsed is counted as bodies (8 MB at most).

Now the bytes that wait on all connections together may take a thirty-second of the memory. Beyond it, connections are closed: first those that wait for their own caller (answers unread, requests ahead), then those whose parsing has cost most. It works as the count is taken after each read, before the next connection is read. An ordinary caller costs little and is not chosen; the unit test plays one beside 40 such callers.

--- a/packages/core/src/intake/fair-queue.ts
+++ b/packages/core/src/intake/fair-queue.ts
@@ -13,6 +13,8 @@
   /** Charges an item that does not wait with the cost of its piece of work. */
   readonly charge: (item: T, cost: number) => void;
   readonly remove: (item: T) => void;
+  /** What an item has cost, counted from the share at which it began. */
+  readonly getShare: (item: T) => number;
   readonly count: () => number;
 };
 
@@ -52,6 +54,7 @@
     remove: (item) => {
       waiting.delete(item);
     },
+    getShare: (item) => shares.get(item) ?? latest,
     count: () => waiting.size,
   };
 }
--- a/packages/core/src/intake/memory-budget.ts
+++ b/packages/core/src/intake/memory-budget.ts
@@ -2,7 +2,7 @@
 
 const BYTES_PER_MB = 1_048_576;
 /**
- * Each kind may take this share: bodies, answers, heads. Each byte is copied about twice on its way, and tens of
+ * Each kind may take this share: bodies, answers, heads, bytes that wait to be parsed. Each byte is copied about twice on its way, and tens of
  * megabytes that are freed stay for a while; the program itself needs half of the memory of a small machine.
  */
 const KIND_MEMORY_SHARE = 1 / 32;
@@ -19,6 +19,8 @@
   readonly allBytes: number;
   /** Heads of requests, from their first byte until their answers end. */
   readonly headBytes: number;
+  /** What was read of connections and waits to be parsed. */
+  readonly unparsedBytes: number;
 };
 
 /** What the largest requests need. */
@@ -45,5 +47,6 @@
     bodyBytes,
     allBytes: bodyBytes + computeKindLimit(memoryBytes, maxAnswerBytes),
     headBytes: shareBytes,
+    unparsedBytes: shareBytes,
   };
 }
--- a/packages/router/src/gateway/caller-connections.ts
+++ b/packages/router/src/gateway/caller-connections.ts
@@ -45,6 +45,8 @@
   /** Begins to watch a body until it ends; `onLate` is called at its due time if it has not. */
   readonly recordBody: (incoming: IncomingMessage, body: OpenBody) => void;
   readonly recordRunning: (incoming: IncomingMessage, response: ServerResponse) => void;
+  /** Closes a connection for the bytes of it that wait to be parsed. */
+  readonly closeForMemory: (socket: Socket, bytes: number) => void;
 };
 
 /** Starts to follow the connections of the callers' server. */
@@ -53,12 +55,16 @@
   let lines = 0;
   let checkedAt = getSteadyMs();
 
-  function close(connection: Connection, reason: SizeCut['reason']): void {
+  function close(
+    connection: Connection,
+    reason: SizeCut['reason'],
+    bytes = connection.socket.bytesRead,
+  ): void {
     const { socket } = connection;
     const cut = {
       part: 'connection',
       reason,
-      bytes: socket.bytesRead,
+      bytes,
       caller: socket.remoteAddress,
     } as const;
     lines += 1;
@@ -131,7 +137,7 @@
   }
 
   server.on('connection', (socket: Socket) => {
-    connections.set(socket, {
+    const connection: Connection = {
       socket,
       requests: 0,
       running: 0,
@@ -140,7 +146,8 @@
       earlierBytes: 0,
       headSeenAt: undefined,
       body: undefined,
-    });
+    };
+    connections.set(socket, connection);
     socket.once('close', () => connections.delete(socket));
     closeBeyondLimit();
   });
@@ -197,5 +204,9 @@
       response.once('prefinish', endRun);
       response.once('close', endRun);
     },
+    closeForMemory: (socket, bytes) => {
+      const connection = connections.get(socket);
+      if (connection !== undefined) close(connection, 'memory', bytes);
+    },
   };
 }
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -255,7 +255,10 @@
   const { heldBytes } = state;
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES });
   const connections = followCallerConnections(server, state);
-  const turns = readInTurns(server);
+  const turns = readInTurns(server, {
+    getMaxWaitingBytes: state.getUnparsedLimit,
+    onTooManyBytes: connections.closeForMemory,
+  });
   const awaitTurn = makeCallerTurns({
     onTooMany: (incoming) =>
       recordCallerCut(state, incoming, { part: 'requests', reason: 'pieces', bytes: 0 }),
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -93,6 +93,8 @@
   readonly unreadReplies: Set<CallerReply>;
   /** Bytes that are held for requests, with one limit for all. */
   readonly heldBytes: HeldBytes;
+  /** Finds how many bytes of callers' connections may wait to be parsed. */
+  readonly getUnparsedLimit: () => number;
   slotRequestCount: number;
   permitRequestCount: number;
 };
@@ -110,6 +112,7 @@
   | 'quotas'
   | 'contentGuard'
   | 'heldBytes'
+  | 'getUnparsedLimit'
   | 'partGuard'
   | 'sharedLoads'
   | 'streamOrigins'
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -257,6 +257,7 @@
     quotas,
     contentGuard,
     heldBytes,
+    getUnparsedLimit: () => getHeldLimits().unparsedBytes,
     partGuard,
     sharedLoads,
     quarantineWakeups,
--- a/packages/router/src/gateway/held-bytes.test.ts
+++ b/packages/router/src/gateway/held-bytes.test.ts
@@ -10,6 +10,7 @@
     bodyBytes: LIMIT / 2,
     allBytes: LIMIT,
     headBytes: HEAD_LIMIT,
+    unparsedBytes: LIMIT,
   }));
 }
 
--- a/packages/router/src/gateway/held-limits-test-kit.ts
+++ b/packages/router/src/gateway/held-limits-test-kit.ts
@@ -6,4 +6,5 @@
   bodyBytes: 500_000,
   allBytes: 1_000_000,
   headBytes: 500_000,
+  unparsedBytes: 500_000,
 };
--- a/packages/router/src/http/read-turns.test.ts
+++ b/packages/router/src/http/read-turns.test.ts
@@ -1,16 +1,20 @@
 import { createServer, type Server } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { expect } from 'chai';
-import { computeSliceBytes, readInTurns } from './read-turns.js';
+import { computeSliceBytes, readInTurns, type ReadTurnParts } from './read-turns.js';
 
 const HOST = process.env.TARRAGONSPOOL_TEST_HOST ?? '127.0.0.1';
 
+/** Most that Node reads of a connection at once. */
+const READ_BYTES = 65_536;
+
 async function withServer(
   onRequest: Parameters<typeof createServer>[1],
-  check: (dial: () => Socket) => Promise<void>,
+  check: (dial: () => Socket, server: Server) => Promise<void>,
+  parts?: ReadTurnParts,
 ): Promise<void> {
   const server: Server = createServer(onRequest);
-  readInTurns(server);
+  readInTurns(server, parts);
   await new Promise<void>((resolve) => {
     server.listen(0, HOST, resolve);
   });
@@ -20,7 +24,7 @@
       const socket = connect(port, HOST);
       socket.on('error', () => undefined);
       return socket;
-    });
+    }, server);
   } finally {
     server.closeAllConnections();
     server.close();
@@ -174,3 +178,55 @@
   // One read of each connection is a million.
   expect(mostBetween).to.be.below(200_000);
 });
+
+// Guards against bytes of many connections that were read and wait to be parsed.
+it('read turns: beyond their limit the connections whose parsing costs most are closed, and others are served', async () => {
+  const limitBytes = 500_000;
+  const callers = 40;
+  const head = 'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n';
+  let closed = 0;
+  const parts: ReadTurnParts = {
+    getMaxWaitingBytes: () => limitBytes,
+    onTooManyBytes: (socket, bytes) => {
+      expect(bytes).to.be.greaterThan(0);
+      closed += 1;
+      socket.destroy();
+    },
+  };
+  await withServer(
+    (incoming, response) => {
+      incoming.resume();
+      incoming.on('end', () => response.end('whole'));
+    },
+    async (dial, server) => {
+      const accepted: Socket[] = [];
+      server.on('connection', (socket: Socket) => accepted.push(socket));
+      let mostWaiting = 0;
+      const watch = setInterval(() => {
+        const open = accepted.filter(({ destroyed }) => !destroyed);
+        const waiting = open.reduce((sum, { readableLength }) => sum + readableLength, 0);
+        mostWaiting = Math.max(mostWaiting, waiting);
+      }, 2);
+      const sockets = Array.from({ length: callers }, () => {
+        const socket = dial();
+        socket.write(head);
+        socket.write('1\r\nx\r\n'.repeat(60_000));
+        return socket;
+      });
+      await new Promise((resolve) => {
+        setTimeout(resolve, 300);
+      });
+      const ordinary = dial();
+      ordinary.write(
+        `POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 100000\r\n\r\n`,
+      );
+      ordinary.write('y'.repeat(100_000));
+      expect(await readAll(ordinary)).to.match(/^HTTP\/1.1 200 /u);
+      clearInterval(watch);
+      expect(closed).to.be.greaterThan(0);
+      expect(mostWaiting).to.be.within(limitBytes / 2, limitBytes + READ_BYTES);
+      for (const socket of sockets) socket.destroy();
+    },
+    parts,
+  );
+});
--- a/packages/router/src/http/read-turns.ts
+++ b/packages/router/src/http/read-turns.ts
@@ -26,6 +26,16 @@
   /** Requests that were sent ahead wait for their turn. */
   isHeld: boolean;
   sliceBytes: number;
+  /** Bytes that were read and wait to be parsed. */
+  waitingBytes: number;
+};
+
+/** What the turns report, and the bound of what they read ahead. */
+export type ReadTurnParts = {
+  /** Bytes of all connections that may wait to be parsed; no bound if absent. */
+  readonly getMaxWaitingBytes?: () => number;
+  /** Closes a connection, with so many bytes that wait, as all together are too many. */
+  readonly onTooManyBytes?: (socket: Socket, waitingBytes: number) => void;
 };
 
 /** The turns of one server. */
@@ -45,10 +55,61 @@
   return isCheap ? Math.min(2 * sliceBytes, MAX_SLICE_BYTES) : sliceBytes;
 }
 
+/** Counts the bytes of all connections that wait to be parsed, and keeps them within a bound. */
+function makeWaitingBytes(
+  { getMaxWaitingBytes, onTooManyBytes }: ReadTurnParts,
+  getCost: (reading: Reading) => number,
+) {
+  /** Connections with any such bytes. */
+  const waiting = new Set<Reading>();
+  let total = 0;
+
+  function setBytes(reading: Reading, bytes: number): void {
+    total += bytes - reading.waitingBytes;
+    reading.waitingBytes = bytes;
+    if (bytes > 0) waiting.add(reading);
+    else waiting.delete(reading);
+  }
+
+  /** Finds the connection whose parsing has cost most; one that waits for its own caller goes before all others. */
+  function findCostliest(): Reading | undefined {
+    let costliest: Reading | undefined;
+    let highest = -Infinity;
+    for (const reading of waiting) {
+      const cost = reading.isPaused || reading.isHeld ? Infinity : getCost(reading);
+      if (costliest !== undefined && cost <= highest) continue;
+      costliest = reading;
+      highest = cost;
+    }
+    return costliest;
+  }
+
+  return {
+    update: (reading: Reading): void => {
+      const { socket } = reading;
+      setBytes(reading, socket.destroyed ? 0 : socket.readableLength);
+    },
+    forget: (reading: Reading): void => setBytes(reading, 0),
+    /** Closes connections as long as there are too many bytes. */
+    closeBeyondLimit: (): void => {
+      if (getMaxWaitingBytes === undefined) return;
+      const maxBytes = getMaxWaitingBytes();
+      while (total > maxBytes) {
+        const reading = findCostliest();
+        if (reading === undefined) return;
+        const bytes = reading.waitingBytes;
+        setBytes(reading, 0);
+        onTooManyBytes?.(reading.socket, bytes);
+      }
+    },
+  };
+}
+
 /** Reads all connections of a server in turns from now on. */
-export function readInTurns(server: Server): ReadTurns {
+export function readInTurns(server: Server, parts: ReadTurnParts = {}): ReadTurns {
   const queue = makeFairQueue<Reading>();
   const readings = new WeakMap<Socket, Reading>();
+  const waitingBytes = makeWaitingBytes(parts, queue.getShare);
   let spentMs = 0;
   let isTurnScheduled = false;
   let isStepScheduled = false;
@@ -69,6 +130,7 @@
       spentMs += tookMs;
       queue.charge(reading, tookMs);
       reading.sliceBytes = computeSliceBytes(reading.sliceBytes, bytes, tookMs);
+      waitingBytes.update(reading);
     }
     if (socket.readableLength > 0) queue.add(reading);
     // Asks for more, and for the end of the connection if there is no more.
@@ -107,6 +169,7 @@
       isPaused: false,
       isHeld: false,
       sliceBytes: FIRST_SLICE_BYTES,
+      waitingBytes: 0,
     };
     readings.set(socket, reading);
     // While a socket is read on request, Node's own pauses have no effect.
@@ -120,8 +183,15 @@
       if (wasPaused) process.nextTick(enqueue, reading);
       return socket;
     };
-    socket.on('readable', () => enqueue(reading));
-    socket.once('close', () => queue.remove(reading));
+    socket.on('readable', () => {
+      waitingBytes.update(reading);
+      waitingBytes.closeBeyondLimit();
+      enqueue(reading);
+    });
+    socket.once('close', () => {
+      queue.remove(reading);
+      waitingBytes.forget(reading);
+    });
   });
 
   return {
