Callers' heads: the operator's limit holds, and heads that do not end are counted

Seen: 1,500 callers with heads of 60 KB that do not end take a VM of 178 MB to 218 MB, for as long as headerTimeoutMs.

Cause: the parser took heads of 64 KB, whatever the operator's maxHeaderBytes (16 KB in the deployments), and keeps them where nothing counted them.

Now the server takes maxHeaderBytes of the configuration for each new connection (431 beyond it), and the parsed bytes of a head that has not ended count as heads: beyond a thirty-second of the memory the connection with the longest one is closed. Heads that are whole within one slice are never counted here.

--- a/packages/router/src/gateway/caller-connections.test.ts
+++ b/packages/router/src/gateway/caller-connections.test.ts
@@ -1,8 +1,11 @@
 import { EventEmitter } from 'node:events';
 import type { Server } from 'node:http';
+import type { Socket } from 'node:net';
 import { expect } from 'chai';
 import { followCallerConnections } from './caller-connections.js';
 import type { GatewayState } from './gateway-state.js';
+import { makeHeldBytes } from './held-bytes.js';
+import { HELD_LIMITS } from './held-limits-test-kit.js';
 
 /** The least limit of callers' connections, whatever the machine's descriptors. */
 const LIMIT = 16;
@@ -17,6 +20,7 @@
     configuration: undefined,
     logger: { warn: () => undefined },
     metrics: { sizeCuts: { inc: () => undefined } },
+    heldBytes: makeHeldBytes(() => HELD_LIMITS),
   };
   return state as unknown as GatewayState;
 }
@@ -63,3 +67,21 @@
 it('caller connections: one whose request waits to be parsed is not the one that is closed', async () => {
   expect(await findClosed(120)).to.equal(1);
 });
+
+// Guards against heads that do not end and take the memory together, each within the limit of a head.
+it('caller connections: unfinished heads are counted, and beyond their limit the longest is closed', () => {
+  const server = new EventEmitter();
+  const state = makeState();
+  const connections = followCallerConnections(server as Server, state);
+  const sockets = [0.6, 0.3, 0.2].map((share) => {
+    const socket = new TestSocket();
+    server.emit('connection', socket);
+    connections.recordParsed(socket as unknown as Socket, share * HELD_LIMITS.headBytes);
+    return socket;
+  });
+  expect(sockets.map(({ isClosed }) => isClosed)).to.deep.equal([true, false, false]);
+  expect(state.heldBytes.countKind('head')).to.equal(0.5 * HELD_LIMITS.headBytes);
+  for (const socket of sockets.slice(1)) socket.destroy();
+  expect(state.heldBytes.countKind('head')).to.equal(0);
+  server.emit('close');
+});
--- a/packages/router/src/gateway/caller-connections.ts
+++ b/packages/router/src/gateway/caller-connections.ts
@@ -9,6 +9,7 @@
 import { chooseClosable, computeConnectionLimit } from '@tarragonspool/core';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { countSharingVms, type GatewayState } from './gateway-state.js';
+import type { HeldShare } from './held-bytes.js';
 import { countSizeCut, recordSizeCut, type SizeCut } from './size-cuts.js';
 
 const CHECK_INTERVAL_MS = 500;
@@ -36,6 +37,9 @@
   /** When more was first seen than that, and no head was complete. */
   headSeenAt: number | undefined;
   body: OpenBody | undefined;
+  /** Parsed bytes of a head that has not ended. */
+  openHeadBytes: number;
+  readonly openHead: HeldShare;
 };
 
 /** Follows what callers do on their connections. */
@@ -45,6 +49,8 @@
   /** Begins to watch a body until it ends; `onLate` is called at its due time if it has not. */
   readonly recordBody: (incoming: IncomingMessage, body: OpenBody) => void;
   readonly recordRunning: (incoming: IncomingMessage, response: ServerResponse) => void;
+  /** Records bytes that were handed to the parser; between two requests they belong to a head. */
+  readonly recordParsed: (socket: Socket, bytes: number) => void;
   /** Closes a connection for the bytes of it that wait to be parsed. */
   readonly closeForMemory: (socket: Socket, bytes: number) => void;
 };
@@ -146,9 +152,14 @@
       earlierBytes: 0,
       headSeenAt: undefined,
       body: undefined,
+      openHeadBytes: 0,
+      openHead: state.heldBytes.begin('head', (bytes) => close(connection, 'memory', bytes)),
     };
     connections.set(socket, connection);
-    socket.once('close', () => connections.delete(socket));
+    socket.once('close', () => {
+      connections.delete(socket);
+      connection.openHead.end();
+    });
     closeBeyondLimit();
   });
   const timer = setInterval(check, CHECK_INTERVAL_MS);
@@ -162,6 +173,10 @@
       connection.requests += 1;
       connection.progressAt = getSteadyMs();
       connection.headSeenAt = undefined;
+      if (connection.openHeadBytes > 0) {
+        connection.openHeadBytes = 0;
+        connection.openHead.end();
+      }
       let open = 2;
       const endPart = (): void => {
         open -= 1;
@@ -204,6 +219,12 @@
       response.once('prefinish', endRun);
       response.once('close', endRun);
     },
+    recordParsed: (socket, bytes) => {
+      const connection = connections.get(socket);
+      if (connection === undefined || connection.requests > 0) return;
+      connection.openHeadBytes += bytes;
+      connection.openHead.update(connection.openHeadBytes);
+    },
     closeForMemory: (socket, bytes) => {
       const connection = connections.get(socket);
       if (connection !== undefined) close(connection, 'memory', bytes);
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -258,6 +258,7 @@
   const turns = readInTurns(server, {
     getMaxWaitingBytes: state.getUnparsedLimit,
     onTooManyBytes: connections.closeForMemory,
+    onParsed: connections.recordParsed,
   });
   const awaitTurn = makeCallerTurns({
     onTooMany: (incoming) =>
@@ -306,10 +307,14 @@
   return server;
 }
 
+/** Node reads this property as each connection opens. */
+type HeadLimitedServer = Server & { maxHeaderSize: number };
+
 /** Applies the configuration's limits to connections of callers. */
 export function applyCallerLimits(server: Server, state: GatewayState): void {
   const limits = state.configuration?.limits;
   if (limits === undefined) return;
   server.headersTimeout = limits.headerTimeoutMs;
   server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_TIMEOUT_SLACK_MS;
+  (server as HeadLimitedServer).maxHeaderSize = limits.maxHeaderBytes;
 }
--- a/packages/router/src/http/read-turns.ts
+++ b/packages/router/src/http/read-turns.ts
@@ -36,6 +36,8 @@
   readonly getMaxWaitingBytes?: () => number;
   /** Closes a connection, with so many bytes that wait, as all together are too many. */
   readonly onTooManyBytes?: (socket: Socket, waitingBytes: number) => void;
+  /** Called after each slice. */
+  readonly onParsed?: (socket: Socket, bytes: number) => void;
 };
 
 /** The turns of one server. */
@@ -131,6 +133,7 @@
       queue.charge(reading, tookMs);
       reading.sliceBytes = computeSliceBytes(reading.sliceBytes, bytes, tookMs);
       waitingBytes.update(reading);
+      parts.onParsed?.(socket, bytes);
     }
     if (socket.readableLength > 0) queue.add(reading);
     // Asks for more, and for the end of the connection if there is no more.
