--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -258,7 +258,10 @@
   const turns = readInTurns(server, {
     getMaxWaitingBytes: state.getUnparsedLimit,
     onTooManyBytes: connections.closeForMemory,
-    onParsed: connections.recordParsed,
+    onParsed: (socket, bytes) => {
+      connections.recordParsed(socket, bytes);
+      state.memoryWatch.recordTaken(bytes);
+    },
   });
   const awaitTurn = makeCallerTurns({
     onTooMany: (incoming) =>
@@ -283,6 +286,7 @@
     const reply = makeCallerReply(response, () => state.isLeaving, beginUnread);
     const arrival = { incoming, reply, arrivedAt: getSteadyMs() };
     const headBytes = countHeadBytes(incoming);
+    state.memoryWatch.recordTaken(headBytes);
     framing.recordRequest(incoming);
     connections.recordRequest(incoming, response);
     response.on('error', (error) =>
--- a/packages/router/src/gateway/gateway-metrics.ts
+++ b/packages/router/src/gateway/gateway-metrics.ts
@@ -168,6 +168,12 @@
       labelNames: ['kind'],
       registers,
     }),
+    collections: new Counter({
+      name: `${PREFIX}memory_collections_total`,
+      help: 'Collections of garbage that this process began as its memory was short, by kind.',
+      labelNames: ['kind'],
+      registers,
+    }),
     cutOff: new Gauge({
       name: `${PREFIX}cut_off`,
       help: 'Whether this VM seems to be cut off from all servers.',
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -25,6 +25,7 @@
 import type { CallerReply } from './caller-reply.js';
 import type { ContentGuard } from './quarantine/content-guard.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
+import type { MemoryWatch } from '../intake/memory-watch.js';
 import type { HeldBytes } from './held-bytes.js';
 import type { PartGuard } from './quarantine/part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
@@ -93,6 +94,8 @@
   readonly unreadReplies: Set<CallerReply>;
   /** Bytes that are held for requests, with one limit for all. */
   readonly heldBytes: HeldBytes;
+  /** Collects garbage while the machine's memory is short. */
+  readonly memoryWatch: MemoryWatch;
   /** Finds how many bytes of callers' connections may wait to be parsed. */
   readonly getUnparsedLimit: () => number;
   slotRequestCount: number;
@@ -112,6 +115,7 @@
   | 'quotas'
   | 'contentGuard'
   | 'heldBytes'
+  | 'memoryWatch'
   | 'getUnparsedLimit'
   | 'partGuard'
   | 'sharedLoads'
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
   VmId,
 } from '@tarragonspool/protocol';
 import { listenPatiently } from '../http/patient-listener.js';
+import { makeGarbageCollector, makeMemoryWatch, measureMemoryUse } from '../intake/memory-watch.js';
 import { findHeldLimits } from '../intake/request-sizes.js';
 import type { Logger } from '../logging/logger.js';
 import { makeFleetView } from '../peers/fleet-view.js';
@@ -53,6 +54,7 @@
 import { makeVersionQuestions } from './versions/version-questions.js';
 
 const EXIT_INTERNAL = 70;
+const BYTES_PER_MB = 1_048_576;
 const POOL_TICK_MS = 25;
 /** Interval at which it is checked whether any tenant has a limit. */
 const IDLE_QUOTA_TICK_MS = 200;
@@ -130,12 +132,19 @@
     logger,
   });
   const fleet = makeFleetView(settings.vmId, computeMaxStoreAgeMs(settings.changeWithinMs));
+  const memoryWatch = makeMemoryWatch({
+    getMemoryBytes: () => (stateHolder.state?.settings ?? settings).memoryMb * BYTES_PER_MB,
+    measureUse: measureMemoryUse,
+    collect: makeGarbageCollector(),
+    onCollected: (kind) => metrics.collections.inc({ kind }),
+  });
   const getHeldLimits = (): HeldLimits => {
     const { memoryMb } = stateHolder.state?.settings ?? settings;
     return findHeldLimits(memoryMb, stateHolder.state?.configuration);
   };
   const heldBytes = makeHeldBytes(getHeldLimits);
   const access = startServerAccess({
+    onRead: memoryWatch.recordTaken,
     settings,
     upstreams,
     fleet,
@@ -250,6 +259,7 @@
     settings,
     ports,
     access,
+    memoryWatch,
     upstreams,
     logger,
     metrics,
--- a/packages/router/src/gateway/server-access.ts
+++ b/packages/router/src/gateway/server-access.ts
@@ -47,6 +47,8 @@
   readonly decodeRequestId: HttpDialect['decodeRequestId'];
   /** Path of servers' reports. */
   readonly reportPath: string;
+  /** Called with the number of bytes of each part of an answer. */
+  readonly onRead: (bytes: number) => void;
   /** Called as sends for peers begin and end. */
   readonly onRelayedCount: (change: 1 | -1) => void;
   readonly metrics: Pick<GatewayMetrics, 'cutOff' | 'relayedSends' | 'sizeCuts'>;
@@ -110,9 +112,14 @@
 /** Starts the watch of this VM's ways to servers, and makes what sends over them. */
 export function startServerAccess(parts: ServerAccessParts): ServerAccess {
   const { settings, upstreams, fleet, meshHolder, takeFraction, metrics, logger } = parts;
-  const { decodeRequestId } = parts;
+  const { decodeRequestId, onRead } = parts;
   const onOverFramed = makeFramingRecord({ metrics, logger });
-  const direct = makeUpstreamClient({ keepsConnections: true, decodeRequestId, onOverFramed });
+  const direct = makeUpstreamClient({
+    keepsConnections: true,
+    decodeRequestId,
+    onOverFramed,
+    onRead,
+  });
   const sendTo = (vmId: VmId, message: RelayMessage): boolean =>
     meshHolder.mesh?.sendTo(vmId, message) ?? false;
   const paths = startPathWatch({
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -180,6 +180,8 @@
   readonly decodeRequestId: (headers: IncomingHttpHeaders) => string | undefined;
   /** Called when an answer is cut off whose framing has no end, with the bytes that have come. */
   readonly onOverFramed?: (call: UpstreamCall, bytes: number) => void;
+  /** Called with the number of bytes of each part of an answer. */
+  readonly onRead?: (bytes: number) => void;
 };
 
 /** Begins a request; what cannot be put into one makes Node throw, and nothing is sent. */
@@ -213,7 +215,7 @@
 
 function startExchange(
   agent: Agent,
-  { decodeRequestId, onOverFramed }: UpstreamClientOptions,
+  { decodeRequestId, onOverFramed, onRead }: UpstreamClientOptions,
   call: UpstreamCall,
   emit: (event: UpstreamEvent) => void,
 ): UpstreamExchange {
@@ -318,6 +320,7 @@
     message.on('data', (piece: Buffer) => {
       contentBytes += piece.length;
       isWritten = outgoing.writableFinished;
+      onRead?.(piece.length);
       if (!isOver) joiner.add(piece);
     });
     message.on('error', (error) => fail(error.message));
