Relays: bodies that are sent for peers count as held

Suspected from the code, not seen in a crowd: a VM that sends for cut VMs holds their requests' bodies, 8 MB for each such VM, uncounted. Now they count as bodies until the send ends; one for which there is no room is refused as not sent, and the cut VM asks another peer. The unit test fails without it.

--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -144,6 +144,7 @@
   };
   const heldBytes = makeHeldBytes(getHeldLimits);
   const access = startServerAccess({
+    beginBody: heldBytes.beginWholeBody,
     onRead: memoryWatch.recordTaken,
     settings,
     upstreams,
--- a/packages/router/src/gateway/held-bytes.ts
+++ b/packages/router/src/gateway/held-bytes.ts
@@ -29,6 +29,8 @@
   readonly begin: (kind: HeldKind, giveUp?: (bytes: number) => void) => HeldShare;
   /** Whether answers may be read further ahead of callers that read slowly. */
   readonly hasRoomToReadAhead: () => boolean;
+  /** Begins a share of a body that came whole, and is never given up; undefined if there is no room for it. */
+  readonly beginWholeBody: (bytes: number) => HeldShare | undefined;
   /** Whether the heads of requests take no more than they may. */
   readonly hasRoomForHeads: () => boolean;
   /** Counts all that share one limit. */
@@ -104,6 +106,12 @@
 
   return {
     begin,
+    beginWholeBody: (bytes) => {
+      if (countKind('body') + bytes > getLimits().bodyBytes) return undefined;
+      const share = begin('body');
+      share.update(bytes);
+      return share;
+    },
     hasRoomToReadAhead: () => {
       const { allBytes } = getLimits();
       const unreadBytes = countKind('unread-answer');
--- a/packages/router/src/gateway/server-access.ts
+++ b/packages/router/src/gateway/server-access.ts
@@ -26,6 +26,7 @@
 import { makeUpstreamClient } from '../upstreams/upstream-client.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings, HttpDialect } from './ports.js';
+import type { HeldBytes } from './held-bytes.js';
 import { probeAddress } from './probe-address.js';
 import { makeSuspensionCheck } from './versions/service-versions.js';
 import { makeFramingRecord } from './size-cuts.js';
@@ -47,6 +48,8 @@
   readonly decodeRequestId: HttpDialect['decodeRequestId'];
   /** Path of servers' reports. */
   readonly reportPath: string;
+  /** Begins to count the body of a peer's request; undefined if there is no room for it. */
+  readonly beginBody: HeldBytes['beginWholeBody'];
   /** Called with the number of bytes of each part of an answer. */
   readonly onRead: (bytes: number) => void;
   /** Called as sends for peers begin and end. */
@@ -158,6 +161,7 @@
     tryPath: paths.tryPath,
     sendTo,
     countQueuedBytes: (vmId) => meshHolder.mesh?.links.get(vmId)?.countQueuedBytes() ?? 0,
+    beginBody: parts.beginBody,
     hasStoodStill: startStandstillCheck(makeSuspensionCheck()),
     onCount: parts.onRelayedCount,
     recordRelayed: (outcome) => metrics.relayedSends.inc({ side: 'made', outcome }),
--- a/packages/router/src/relays/relay-server.test.ts
+++ b/packages/router/src/relays/relay-server.test.ts
@@ -15,16 +15,19 @@
   readonly clearance: SendClearance;
   readonly hasStoodStill: boolean;
   readonly isLost: boolean;
+  readonly hasRoom: boolean;
 };
 
 function buildRelay(options: Partial<Options> = {}) {
-  const { clearance = CLEARED, hasStoodStill = false, isLost = false } = options;
+  const { clearance = CLEARED, hasStoodStill = false, isLost = false, hasRoom = true } = options;
   const told: RelayMessage[] = [];
   const calls: string[] = [];
-  const held: { emit?: (event: UpstreamEvent) => void; queuedBytes: number; open: number } = {
-    queuedBytes: 0,
-    open: 0,
-  };
+  const held: {
+    emit?: (event: UpstreamEvent) => void;
+    queuedBytes: number;
+    open: number;
+    bodies: number;
+  } = { queuedBytes: 0, open: 0, bodies: 0 };
   const relay = makeRelayServer({
     ask: () => clearance,
     isLost: () => isLost,
@@ -44,6 +47,15 @@
       return true;
     },
     countQueuedBytes: () => held.queuedBytes,
+    beginBody: () => {
+      if (!hasRoom) return undefined;
+      held.bodies += 1;
+      return {
+        end: () => {
+          held.bodies -= 1;
+        },
+      };
+    },
     hasStoodStill: () => hasStoodStill,
     onCount: (change) => {
       held.open += change;
@@ -153,3 +165,19 @@
   relay.handleCancel(PEER, 1);
   expect(calls).to.deep.equal(['send', 'pause', 'pause', 'pause', 'cancel']);
 });
+
+// Guards against bodies of many cut VMs that fill the memory of the one that sends them.
+it('relay: a body for which there is no room is not sent, others are counted until their send ends', () => {
+  const refused = buildRelay({ hasRoom: false });
+  refused.send();
+  expect(refused.calls).to.deep.equal([]);
+  expect(listUnsentReasons(refused.told)).to.deep.equal(['relay has no room for the body']);
+  const { relay, send, held } = buildRelay();
+  send();
+  expect(held.bodies).to.equal(1);
+  held.emit?.({ kind: 'ended' });
+  expect(held.bodies).to.equal(0);
+  send();
+  relay.handleLinkEnded(PEER);
+  expect(held.bodies).to.equal(0);
+});
--- a/packages/router/src/relays/relay-server.ts
+++ b/packages/router/src/relays/relay-server.ts
@@ -19,6 +19,9 @@
 /** What a peer asks to be sent. */
 export type RelayedRequest = Extract<RelayMessage, { kind: 'relay-send' }>;
 
+/** The body of a send, counted as held until it ends. */
+export type BodyShare = { readonly end: () => void };
+
 /** Dependencies of the relay. */
 export type RelayServerParts = {
   readonly ask: (message: RelayedRequest) => SendClearance;
@@ -31,6 +34,8 @@
   readonly countQueuedBytes: (vmId: VmId) => number;
   /** Whether this process stood still just now, so that what it reads may be old. */
   readonly hasStoodStill: () => boolean;
+  /** Begins to count the body of a send; undefined if there is no room for it. */
+  readonly beginBody: (bytes: number) => BodyShare | undefined;
   /** Called as sends begin and end; a VM that stops waits for them. */
   readonly onCount: (change: 1 | -1) => void;
   readonly recordRelayed: (outcome: 'answered' | 'not-sent' | 'broken' | 'cancelled') => void;
@@ -57,6 +62,7 @@
 
 type RelayedExchange = {
   readonly exchange: UpstreamExchange;
+  readonly body: BodyShare;
   isPausedByPeer: boolean;
   isPausedByLink: boolean;
 };
@@ -68,6 +74,7 @@
   | SendRefusal['reason']
   | 'relay stood still'
   | 'relay has too many sends'
+  | 'relay has no room for the body'
   | 'relay has no way to the server';
 
 /** Makes the relay of a VM. */
@@ -92,6 +99,7 @@
     const relayed = sends?.get(number);
     if (relayed === undefined) return undefined;
     sends?.delete(number);
+    relayed.body.end();
     openCount -= 1;
     parts.onCount(-1);
     return relayed;
@@ -178,6 +186,11 @@
         refuse(from, message, 'relay has no way to the server');
         return;
       }
+      const bodyShare = parts.beginBody(body.length);
+      if (bodyShare === undefined) {
+        refuse(from, message, 'relay has no room for the body');
+        return;
+      }
       logger.info({ requestId, upstreamId, peer: from }, 'relays: sends for a peer');
       const exchange = parts.sendDirect(
         { server, requestId, method, path, headers, body, onSent: () => undefined },
@@ -185,7 +198,12 @@
       );
       const sends: PeerSends = peers.get(from) ?? new Map<number, RelayedExchange>();
       peers.set(from, sends);
-      sends.set(number, { exchange, isPausedByPeer: false, isPausedByLink: false });
+      sends.set(number, {
+        exchange,
+        body: bodyShare,
+        isPausedByPeer: false,
+        isPausedByLink: false,
+      });
       openCount += 1;
       parts.onCount(1);
     },
