Intake: one room for what callers' connections, bodies and answers take

What is held, turns of connections, framing, requests ahead and cuts stood in gateway/ and http/. They are one subject and need no state of the gateway, so they move to intake/, beside the memory budget. No line but imports is changed. caller-connections, caller-body, caller-listener and caller-reply stay: they work with the gateway's state.

--- a/packages/router/src/gateway/call-flow.test.ts
+++ b/packages/router/src/gateway/call-flow.test.ts
@@ -13,8 +13,8 @@
 import { makeChannel, startTask } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { runCallRequest } from './call-flow.js';
-import { makeHeldBytes } from './held-bytes.js';
-import { HELD_LIMITS } from './held-limits-test-kit.js';
+import { makeHeldBytes } from '../intake/held-bytes.js';
+import { HELD_LIMITS } from '../intake/held-limits-test-kit.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -24,7 +24,7 @@
 import { findLoad, takeServiceRetries, type GatewayState } from './gateway-state.js';
 import { endQuarantined } from './quarantine/quarantine-check.js';
 import { sendOnce, type AnswerHead, type SendResult } from './sender.js';
-import { recordSizeCut, type CutReason } from './size-cuts.js';
+import { recordSizeCut, type CutReason } from '../intake/size-cuts.js';
 import { findRetryAfterMs } from './upstream-notices.js';
 
 /** A server that reported that it is full gets no requests for this long. */
--- a/packages/router/src/gateway/caller-body.ts
+++ b/packages/router/src/gateway/caller-body.ts
@@ -4,10 +4,10 @@
 import { makeByteCollector } from '@tarragonspool/core';
 import { findMaxBodyBytes } from '../intake/request-sizes.js';
 import type { CallerConnections } from './caller-connections.js';
-import type { CallerFraming } from './caller-framing.js';
+import type { CallerFraming } from '../intake/caller-framing.js';
 import type { CallerReply } from './caller-reply.js';
 import type { GatewayState } from './gateway-state.js';
-import { recordSizeCut, type SizeCut } from './size-cuts.js';
+import { recordSizeCut, type SizeCut } from '../intake/size-cuts.js';
 
 /** Time that a request has whose caller names no deadline. */
 export const DEFAULT_DEADLINE_MS = 60_000;
--- a/packages/router/src/gateway/caller-connections.test.ts
+++ b/packages/router/src/gateway/caller-connections.test.ts
@@ -4,8 +4,8 @@
 import { expect } from 'chai';
 import { followCallerConnections } from './caller-connections.js';
 import type { GatewayState } from './gateway-state.js';
-import { makeHeldBytes } from './held-bytes.js';
-import { HELD_LIMITS } from './held-limits-test-kit.js';
+import { makeHeldBytes } from '../intake/held-bytes.js';
+import { HELD_LIMITS } from '../intake/held-limits-test-kit.js';
 
 /** The least limit of callers' connections, whatever the machine's descriptors. */
 const LIMIT = 16;
--- a/packages/router/src/gateway/caller-connections.ts
+++ b/packages/router/src/gateway/caller-connections.ts
@@ -9,8 +9,8 @@
 import { chooseClosable, computeConnectionLimit } from '@tarragonspool/core';
 import { getSteadyMs } from '../time/steady-clock.js';
 import { countSharingVms, type GatewayState } from './gateway-state.js';
-import type { HeldShare } from './held-bytes.js';
-import { countSizeCut, recordSizeCut, type SizeCut } from './size-cuts.js';
+import type { HeldShare } from '../intake/held-bytes.js';
+import { countSizeCut, recordSizeCut, type SizeCut } from '../intake/size-cuts.js';
 
 const CHECK_INTERVAL_MS = 500;
 /** Bytes of a body that count as progress, so that a caller which sends single bytes makes none. */
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -11,7 +11,7 @@
   type Tenant,
 } from '@tarragonspool/core';
 import type { ContentKey, ServiceName } from '@tarragonspool/protocol';
-import { readInTurns } from '../http/read-turns.js';
+import { readInTurns } from '../intake/read-turns.js';
 import { countHeadBytes } from '../intake/head-bytes.js';
 import { makeChannel, offer, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
@@ -25,11 +25,11 @@
   type Arrival,
 } from './caller-body.js';
 import { followCallerConnections } from './caller-connections.js';
-import { followCallerFraming } from './caller-framing.js';
+import { followCallerFraming } from '../intake/caller-framing.js';
 import { checkCallerKey, findSender } from './caller-keys.js';
 import { admitByQuota } from './caller-quota.js';
 import { makeCallerReply, type BeginUnread, type CallerReply } from './caller-reply.js';
-import { makeCallerTurns } from './caller-turns.js';
+import { makeCallerTurns } from '../intake/caller-turns.js';
 import { REQUEST_INBOX_CAPACITY, type GatewayRequest } from './gateway-request.js';
 import { findRetryWindow, getRetryLimits, type GatewayState } from './gateway-state.js';
 import type { CallerFields } from './ports.js';
@@ -40,7 +40,7 @@
   makeScope,
   scopePart,
 } from './quarantine/quarantine-scope.js';
-import { recordSizeCut } from './size-cuts.js';
+import { recordSizeCut } from '../intake/size-cuts.js';
 import { runStreamRequest } from './stream-flow.js';
 
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
--- a/packages/router/src/gateway/caller-reply.ts
+++ b/packages/router/src/gateway/caller-reply.ts
@@ -6,7 +6,7 @@
 import type { ServerResponse } from 'node:http';
 import { getResultCode, type ResultName } from '@tarragonspool/protocol';
 import { endBrokenAnswer } from '../http/broken-answers.js';
-import type { HeldShare } from './held-bytes.js';
+import type { HeldShare } from '../intake/held-bytes.js';
 
 /** Why a VM ends an answer in the middle. */
 export type BreakReason =
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -26,13 +26,13 @@
 import type { ContentGuard } from './quarantine/content-guard.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { MemoryWatch } from '../intake/memory-watch.js';
-import type { HeldBytes } from './held-bytes.js';
+import type { HeldBytes } from '../intake/held-bytes.js';
 import type { PartGuard } from './quarantine/part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
 import type { StreamOriginBook } from './stream-origins.js';
 import type { QuarantineWakeup } from './quarantine/quarantine-rows.js';
 import type { ServerAccess } from './server-access.js';
-import { makeFramingRecord } from './size-cuts.js';
+import { makeFramingRecord } from '../intake/size-cuts.js';
 import { makeSuspensionCheck } from './versions/service-versions.js';
 import { makeVersionRegistry, type VersionRegistry } from './versions/version-registry.js';
 
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -31,7 +31,7 @@
 import { makeContentGuard } from './quarantine/content-guard.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
 import { ASSUMED_VM_COUNT, makeGatewayState, type GatewayState } from './gateway-state.js';
-import { makeHeldBytes } from './held-bytes.js';
+import { makeHeldBytes } from '../intake/held-bytes.js';
 import { startLoadSharing } from './load-sharing.js';
 import { startMembership, type PeerMeshHolder, type StartTask } from './membership.js';
 import { makePartGuard } from './quarantine/part-guard.js';
--- a/packages/router/src/gateway/server-access.ts
+++ b/packages/router/src/gateway/server-access.ts
@@ -26,10 +26,10 @@
 import { makeUpstreamClient } from '../upstreams/upstream-client.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings, HttpDialect } from './ports.js';
-import type { HeldBytes } from './held-bytes.js';
+import type { HeldBytes } from '../intake/held-bytes.js';
 import { probeAddress } from './probe-address.js';
 import { makeSuspensionCheck } from './versions/service-versions.js';
-import { makeFramingRecord } from './size-cuts.js';
+import { makeFramingRecord } from '../intake/size-cuts.js';
 
 /** Links to the peers that send for this VM; undefined before they are started. */
 export type RelayLinks = {
--- a/packages/router/src/gateway/side-listeners.ts
+++ b/packages/router/src/gateway/side-listeners.ts
@@ -3,7 +3,7 @@
 import { createServer, type Server } from 'node:http';
 import { listenPatiently } from '../http/patient-listener.js';
 import type { GatewayState } from './gateway-state.js';
-import { HELD_KINDS } from './held-bytes.js';
+import { HELD_KINDS } from '../intake/held-bytes.js';
 import { updateUpstreamGauge } from './upstream-notices.js';
 
 /** Whether this VM knows what it serves, and what it must refuse. */
--- a/packages/router/src/gateway/stream-joins.fuzz.test.ts
+++ b/packages/router/src/gateway/stream-joins.fuzz.test.ts
@@ -8,8 +8,8 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { UpstreamEvent } from '../upstreams/upstream-client.js';
 import { makeGatewayMetrics } from './gateway-metrics.js';
-import { makeHeldBytes } from './held-bytes.js';
-import { HELD_LIMITS } from './held-limits-test-kit.js';
+import { makeHeldBytes } from '../intake/held-bytes.js';
+import { HELD_LIMITS } from '../intake/held-limits-test-kit.js';
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import type { SendPlan } from './sender.js';
--- a/packages/router/src/gateway/stream-prefill.ts
+++ b/packages/router/src/gateway/stream-prefill.ts
@@ -7,7 +7,7 @@
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import { sendOnce, type SendResult } from './sender.js';
-import { recordSizeCut } from './size-cuts.js';
+import { recordSizeCut } from '../intake/size-cuts.js';
 import {
   buildResumeFields,
   getSendOutcome,
--- a/packages/router/src/gateway/stream-relay.ts
+++ b/packages/router/src/gateway/stream-relay.ts
@@ -21,7 +21,7 @@
 import type { GatewayRequest } from './gateway-request.js';
 import type { GatewayState } from './gateway-state.js';
 import type { AnswerHead } from './sender.js';
-import { recordSizeCut, type CutReason } from './size-cuts.js';
+import { recordSizeCut, type CutReason } from '../intake/size-cuts.js';
 import { countEvents, type StreamProgress } from './stream-progress.js';
 
 const HTTP_OK = 200;
--- a/packages/router/src/gateway/caller-turns.ts
+++ b/packages/router/src/intake/caller-turns.ts
@@ -5,7 +5,7 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { countHeadBytes } from '../intake/head-bytes.js';
+import { countHeadBytes } from './head-bytes.js';
 import type { HeldShare } from './held-bytes.js';
 
 /** Runs a request once the one before it on its connection has been answered. */
--- a/packages/router/src/gateway/size-cuts.ts
+++ b/packages/router/src/intake/size-cuts.ts
@@ -4,7 +4,7 @@
 import type { Excess } from '../http/size-limit.js';
 import type { Logger } from '../logging/logger.js';
 import type { UpstreamCall } from '../upstreams/upstream-client.js';
-import type { GatewayMetrics } from './gateway-metrics.js';
+import type { GatewayMetrics } from '../gateway/gateway-metrics.js';
 import type { HeldKind } from './held-bytes.js';
 
 /** What was cut off. */
--- a/packages/router/src/stages/engine-calls.ts
+++ b/packages/router/src/stages/engine-calls.ts
@@ -12,7 +12,7 @@
 import type { UpstreamId } from '@tarragonspool/protocol';
 import type { GatewayState } from '../gateway/gateway-state.js';
 import type { EngineReport, OrderAnswer, StageOrder } from '../gateway/ports.js';
-import { recordSizeCut } from '../gateway/size-cuts.js';
+import { recordSizeCut } from '../intake/size-cuts.js';
 import { recordNotice } from '../gateway/upstream-notices.js';
 import { findExcess, type Excess } from '../http/size-limit.js';
 import { makeChannel, offer, receive, type Task } from '../tasks/tasks.js';
