Ports for readiness, metrics and peers: connections without requests are bounded

Suspected from the code: connections that send nothing to these ports stay for a minute and count against the process's descriptors, without a bound; callers reach them only where the machine's network lets them. Now the readiness port takes 64 connections, metrics 32, and peers 512 that are no links yet; beyond these the one that has gone longest without a request is closed. The unit test opens 50 silent ones against a bound of 8 and is answered after each.

--- a/packages/router/src/gateway/side-listeners.ts
+++ b/packages/router/src/gateway/side-listeners.ts
@@ -1,11 +1,16 @@
 /** HTTP listeners for readiness probes and metrics. */
 
 import { createServer, type Server } from 'node:http';
+import { closeSurplusConnections } from '../http/surplus-connections.js';
 import { listenPatiently } from '../http/patient-listener.js';
 import type { GatewayState } from './gateway-state.js';
 import { HELD_KINDS } from '../intake/held-bytes.js';
 import { updateUpstreamGauge } from './upstream-notices.js';
 
+/** The platform asks once a second, and may keep some connections. */
+const MAX_READY_CONNECTIONS = 64;
+const MAX_METRICS_CONNECTIONS = 32;
+
 /** Whether this VM knows what it serves, and what it must refuse. */
 function hasKnowledge({ configuration, hasUpstreams, partGuard }: GatewayState): boolean {
   return configuration !== undefined && hasUpstreams && partGuard.hasCaughtUp();
@@ -19,6 +24,7 @@
     response.writeHead(isReady ? 200 : 503, { 'Content-Length': 0 });
     response.end();
   });
+  closeSurplusConnections(server, MAX_READY_CONNECTIONS);
   listenPatiently(server, readyListen, state.logger);
   return server;
 }
@@ -43,5 +49,6 @@
       },
     );
   });
+  closeSurplusConnections(server, MAX_METRICS_CONNECTIONS);
   listenPatiently(server, state.settings.metricsListen, state.logger);
 }
--- a/packages/router/src/peers/peer-mesh.ts
+++ b/packages/router/src/peers/peer-mesh.ts
@@ -9,6 +9,7 @@
   type PeerMessage,
   type VmId,
 } from '@tarragonspool/protocol';
+import { closeSurplusConnections } from '../http/surplus-connections.js';
 import { parseAddress } from '../http/parse-address.js';
 import { listenPatiently } from '../http/patient-listener.js';
 import type { Logger } from '../logging/logger.js';
@@ -63,6 +64,9 @@
   readonly onGone: (vmId: VmId, incarnation: Incarnation) => void;
 };
 
+/** Connections that are no links yet; all VMs may dial at once. */
+const MAX_UNLINKED_CONNECTIONS = 512;
+
 const DEFAULT_TIMES: PeerTimes = {
   dialIntervalMs: 250,
   handshakeTimeoutMs: 3_000,
@@ -167,6 +171,7 @@
     response.statusCode = 426;
     response.end();
   });
+  closeSurplusConnections(httpServer, MAX_UNLINKED_CONNECTIONS);
   const server = new WebSocketServer({ server: httpServer, maxPayload: MAX_PEER_FRAME_BYTES });
   server.on('connection', onSocket);
   if (parts.isPatient === true) {
