Callers' port of tarragonspoold: bodies that are held together have a bound

Suspected from the code, not played as a crowd: bodies of up to 4 MB were read for any number of callers with a key. Now they count as held until their answers end, by the machine's memory (--memory-mb, 1,024): a thirty-second of it, or two of the largest body. The unit test fails without it: all unfinished bodies wait for their timeout.

--- a/packages/router/src/callers/hostile-callers.test.ts
+++ b/packages/router/src/callers/hostile-callers.test.ts
@@ -25,6 +25,8 @@
 } from '../claims/duplicate-task.js';
 import { makeLedgerInbox } from '../claims/claim-ledger.js';
 import { makeQuarantine } from '../quarantine/quarantine-task.js';
+import { makeHeldBytes } from '../intake/held-bytes.js';
+import { HELD_LIMITS } from '../intake/held-limits-test-kit.js';
 import { makeMetrics } from '../metrics/metrics.js';
 import { makeChatFilters } from '../requests/chat-filters.js';
 import { makeRulesView } from '../rules/rules-view.js';
@@ -172,7 +174,10 @@
     invariants: makeInvariants(metrics, logger, true),
     metrics,
   };
-  const readBody = makeReadBodyFilter(MAX_BODY_BYTES, BODY_TIMEOUT_MS);
+  const readBody = makeReadBodyFilter(MAX_BODY_BYTES, {
+    timeoutMs: BODY_TIMEOUT_MS,
+    heldBytes: makeHeldBytes(() => HELD_LIMITS),
+  });
   const duplicates = makeDuplicateInbox();
   const sendTo = (): boolean => false;
   startTask(
@@ -289,6 +294,18 @@
   });
 }
 
+// Guards against bodies that fill the memory together, each within the limit of a body.
+it('callers: beyond what bodies may take together the largest is refused, and others are read', async () => {
+  await setUp();
+  const bodyBytes = 9_000;
+  const callersAtOnce = Math.ceil(HELD_LIMITS.bodyBytes / bodyBytes) + 5;
+  const unfinished = makePost('x'.repeat(bodyBytes), HEADERS, bodyBytes + 1);
+  const results = Array.from({ length: callersAtOnce }, () => sendBytes(unfinished));
+  const names = new Set(await Promise.all(results));
+  expect([...names].sort()).to.deep.equal(['408 body-timeout', '503 body-not-held']);
+  expect(await sendBytes(makePost(makeChat('other')))).to.equal('404 unknown-model');
+});
+
 it('callers: a client that never reads is cut off and its place freed', async () => {
   await setUp();
   cancelled.length = 0;
--- a/packages/router/src/daemon/servers.ts
+++ b/packages/router/src/daemon/servers.ts
@@ -1,13 +1,15 @@
 /** Makes the HTTP interfaces for callers and operators. */
 
 import type { Server } from 'node:http';
-import { makeRetryBudget } from '@tarragonspool/core';
+import { computeHeldLimits, makeRetryBudget } from '@tarragonspool/core';
 import type { Allocation } from '../allocation/allocation-task.js';
 import { buildBurnReport, recordTrace } from '../burn/burn-recorder.js';
 import { makeAuthenticateFilter } from '../callers/authenticate.js';
 import { makeCallerServer, type CallerRoutes } from '../callers/caller-server.js';
 import { makeReadBodyFilter } from '../callers/read-body-filter.js';
 import { makeDuplicateFilter } from '../claims/duplicate-task.js';
+import { makeHeldBytes } from '../intake/held-bytes.js';
+import { MAX_ANSWER_BYTES } from '../intake/request-sizes.js';
 import { makeOperatorServer } from '../operators/operator-server.js';
 import { buildStatus } from '../operators/status.js';
 import { makeChatFilters } from '../requests/chat-filters.js';
@@ -27,7 +29,11 @@
   const budget = makeRetryBudget();
   const shared = { claims, directory, invariants, metrics };
   const chatParts = { ...self, ...shared, quarantine, allocation, cancels, objective, budget };
-  const readBody = makeReadBodyFilter(settings.maxBodyBytes);
+  const { memoryMb, maxBodyBytes } = settings;
+  const heldBytes = makeHeldBytes(() =>
+    computeHeldLimits(memoryMb, { maxBodyBytes, maxAnswerBytes: MAX_ANSWER_BYTES }),
+  );
+  const readBody = makeReadBodyFilter(maxBodyBytes, { heldBytes });
   const chat = makeChatFilters(chatParts, view, readBody);
   const service = makeServiceFilters({ ...shared, view }, readBody);
   const first = [makeAdmissionFilter(view), makeAuthenticateFilter(view)];
--- a/packages/router/src/settings/settings.test.ts
+++ b/packages/router/src/settings/settings.test.ts
@@ -66,6 +66,8 @@
   ['maxBodyBytes', '4e6'],
   ['maxBodyBytes', '-4096'],
   ['maxBodyBytes', '9'.repeat(30)],
+  ['memoryMb', '63'],
+  ['memoryMb', '1.5e3'],
 ];
 
 it('settings: good values are taken and defaults filled in', () => {
@@ -74,6 +76,7 @@
   expect(checked.settings.callerListen).to.deep.equal({ host: '127.0.0.1', port: 8080 });
   expect(checked.settings.peerSecrets).to.have.length(2);
   expect(checked.settings.maxBodyBytes).to.equal(4_194_304);
+  expect(checked.settings.memoryMb).to.equal(1_024);
 });
 
 for (const [name, value] of BAD_VALUES) {
--- a/packages/router/src/settings/settings.ts
+++ b/packages/router/src/settings/settings.ts
@@ -21,6 +21,8 @@
 const LOG_LEVELS = ['debug', 'info', 'warn', 'error', 'silent'] as const;
 const MIN_BODY_BYTES = 1_024;
 const MAX_BODY_BYTES = 67_108_864;
+const MIN_MEMORY_MB = 64;
+const MAX_MEMORY_MB = 1_048_576;
 const MIN_TARGET_PERCENT = 50;
 const MAX_TARGET_PERCENT = 99;
 const MIN_BURN_SERIES = 16;
@@ -112,6 +114,12 @@
     fallback: '4194304',
     isSecret: false,
   },
+  memoryMb: {
+    description: 'Memory of this VM, in megabytes; bodies take a thirty-second of it at once.',
+    schema: makeWholeNumberSchema(MIN_MEMORY_MB, MAX_MEMORY_MB),
+    fallback: '1024',
+    isSecret: false,
+  },
   burnTargetPercent: {
     description: 'Share of requests that must meet each latency target, in percent.',
     schema: makeWholeNumberSchema(MIN_TARGET_PERCENT, MAX_TARGET_PERCENT),
