Read turns: every read counts before the next connection is read

Seen: the bound's own unit test, 593,595 bytes where 565,536 are allowed, once beside other tests. Cause: Node does not tell a read as readable while some earlier bytes of the connection wait, so that up to 64 KB of each such connection were counted only with its next slice. Now the count follows each push of bytes onto a connection.

--- a/packages/router/src/intake/read-turns.ts
+++ b/packages/router/src/intake/read-turns.ts
@@ -186,11 +186,15 @@
       if (wasPaused) process.nextTick(enqueue, reading);
       return socket;
     };
-    socket.on('readable', () => {
+    // A read is not always told as readable, and what it brought must count before the next connection is read.
+    const push = socket.push.bind(socket);
+    socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
+      const isMoreWanted = push(chunk, encoding);
       waitingBytes.update(reading);
       waitingBytes.closeBeyondLimit();
-      enqueue(reading);
-    });
+      return isMoreWanted;
+    };
+    socket.on('readable', () => enqueue(reading));
     socket.once('close', () => {
       queue.remove(reading);
       waitingBytes.forget(reading);
