Callers' requests ahead: a connection that is closed for them is reset

Suspected from the code: a connection with too many requests ahead was closed while an answer to its first one was being written. An answer without length or chunks ends with its connection, and would look complete to its caller. Now it is reset, as connections closed for memory and descriptors are; what is given up as memory is closed by the same function.

--- a/packages/core/src/intake/memory-budget.ts
+++ b/packages/core/src/intake/memory-budget.ts
@@ -2,8 +2,8 @@
 
 const BYTES_PER_MB = 1_048_576;
 /**
- * Each kind may take this share: bodies, answers, heads, bytes that wait to be parsed. Each byte is copied about twice on its way, and tens of
- * megabytes that are freed stay for a while; the program itself needs half of the memory of a small machine.
+ * Each kind may take this share: bodies, answers, heads, bytes that wait to be parsed. Each byte is copied about twice
+ * on its way, and the program itself needs a third of the memory of a small machine.
  */
 const KIND_MEMORY_SHARE = 1 / 32;
 /** A small machine may hold so much of each kind if a single request needs it. */
--- a/packages/router/src/gateway/caller-connections.ts
+++ b/packages/router/src/gateway/caller-connections.ts
@@ -51,7 +51,7 @@
   readonly recordRunning: (incoming: IncomingMessage, response: ServerResponse) => void;
   /** Records bytes that were handed to the parser; between two requests they belong to a head. */
   readonly recordParsed: (socket: Socket, bytes: number) => void;
-  /** Closes a connection for the bytes of it that wait to be parsed. */
+  /** Closes a connection for the bytes of it that are held. */
   readonly closeForMemory: (socket: Socket, bytes: number) => void;
 };
 
--- a/packages/router/src/gateway/caller-listener.ts
+++ b/packages/router/src/gateway/caller-listener.ts
@@ -266,12 +266,9 @@
   const awaitTurn = makeCallerTurns({
     onTooMany: (incoming) =>
       recordCallerCut(state, incoming, { part: 'requests', reason: 'pieces', bytes: 0 }),
-    beginHeads: (incoming, giveUp) =>
-      heldBytes.begin('head', (bytes) => {
-        recordCallerCut(state, incoming, { part: 'requests', reason: 'memory', bytes });
-        giveUp();
-      }),
-    setHeld: turns.setHeld,
+    beginHeads: (socket) =>
+      heldBytes.begin('head', (bytes) => connections.closeForMemory(socket, bytes)),
+    setSuspended: turns.setSuspended,
   });
   const framing = followCallerFraming(server, ({ remoteAddress: caller }, bytes) =>
     recordSizeCut(state, { part: 'requests', reason: 'framing', bytes, caller }),
--- a/packages/router/src/intake/caller-turns.ts
+++ b/packages/router/src/intake/caller-turns.ts
@@ -24,10 +24,10 @@
 export type CallerTurnParts = {
   /** Called before a connection is closed on which more requests wait than may. */
   readonly onTooMany: (incoming: IncomingMessage) => void;
-  /** Begins to count the heads that wait on a connection; `giveUp` closes it. */
-  readonly beginHeads: (incoming: IncomingMessage, giveUp: () => void) => HeldShare;
+  /** Begins to count the heads that wait on a connection; if they are given up, it is closed. */
+  readonly beginHeads: (socket: Socket) => HeldShare;
   /** Has no more of a connection parsed, or goes on. */
-  readonly setHeld: (socket: Socket, isHeld: boolean) => void;
+  readonly setSuspended: (socket: Socket, isSuspended: boolean) => void;
 };
 
 /** The requests that wait on one connection. */
@@ -39,11 +39,10 @@
   const latest = new WeakMap<Socket, ServerResponse>();
   const waiting = new WeakMap<Socket, WaitingRequests>();
 
-  function findWaiting(incoming: IncomingMessage): WaitingRequests {
-    const { socket } = incoming;
+  function findWaiting(socket: Socket): WaitingRequests {
     const known = waiting.get(socket);
     if (known !== undefined) return known;
-    const heads = parts.beginHeads(incoming, () => socket.destroy());
+    const heads = parts.beginHeads(socket);
     const begun = { count: 0, headBytes: 0, heads };
     waiting.set(socket, begun);
     // Answers that have not begun do not hear of the end of their connection.
@@ -60,7 +59,7 @@
     if (socket.destroyed) return;
     requests.count += change;
     requests.headBytes += change * headBytes;
-    parts.setHeld(socket, requests.count > MAX_PARSED_AHEAD);
+    parts.setSuspended(socket, requests.count > MAX_PARSED_AHEAD);
     requests.heads.update(requests.headBytes);
   }
 
@@ -76,10 +75,11 @@
       run();
       return;
     }
-    const requests = findWaiting(incoming);
+    const requests = findWaiting(socket);
     if (requests.count === MAX_WAITING) {
       parts.onTooMany(incoming);
-      socket.destroy();
+      // An answer whose end is the end of its connection must not look complete.
+      socket.resetAndDestroy();
       return;
     }
     const headBytes = countHeadBytes(incoming);
--- a/packages/router/src/intake/read-turns.ts
+++ b/packages/router/src/intake/read-turns.ts
@@ -23,8 +23,8 @@
   readonly socket: Socket;
   /** Node's HTTP server asks for a pause while answers or a body are not taken. */
   isPaused: boolean;
-  /** Requests that were sent ahead wait for their turn. */
-  isHeld: boolean;
+  /** So many requests that were sent ahead wait for their turn that no more are parsed. */
+  isSuspended: boolean;
   sliceBytes: number;
   /** Bytes that were read and wait to be parsed. */
   waitingBytes: number;
@@ -43,7 +43,7 @@
 /** The turns of one server. */
 export type ReadTurns = {
   /** Parses nothing more of a connection, or goes on. */
-  readonly setHeld: (socket: Socket, isHeld: boolean) => void;
+  readonly setSuspended: (socket: Socket, isSuspended: boolean) => void;
 };
 
 /** Sizes the next slice of a connection by what the last one took; `bytes` may be fewer than the slice had room for. */
@@ -78,7 +78,7 @@
     let costliest: Reading | undefined;
     let highest = -Infinity;
     for (const reading of waiting) {
-      const cost = reading.isPaused || reading.isHeld ? Infinity : getCost(reading);
+      const cost = reading.isPaused || reading.isSuspended ? Infinity : getCost(reading);
       if (costliest !== undefined && cost <= highest) continue;
       costliest = reading;
       highest = cost;
@@ -116,8 +116,8 @@
   let isTurnScheduled = false;
   let isStepScheduled = false;
 
-  function isStopped({ socket, isPaused, isHeld }: Reading): boolean {
-    return socket.destroyed || isPaused || isHeld;
+  function isStopped({ socket, isPaused, isSuspended }: Reading): boolean {
+    return socket.destroyed || isPaused || isSuspended;
   }
 
   function readSlice(reading: Reading): void {
@@ -170,7 +170,7 @@
     const reading: Reading = {
       socket,
       isPaused: false,
-      isHeld: false,
+      isSuspended: false,
       sliceBytes: FIRST_SLICE_BYTES,
       waitingBytes: 0,
     };
@@ -202,11 +202,11 @@
   });
 
   return {
-    setHeld: (socket, isHeld) => {
+    setSuspended: (socket, isSuspended) => {
       const reading = readings.get(socket);
-      if (reading === undefined || reading.isHeld === isHeld) return;
-      reading.isHeld = isHeld;
-      if (!isHeld) process.nextTick(enqueue, reading);
+      if (reading === undefined || reading.isSuspended === isSuspended) return;
+      reading.isSuspended = isSuspended;
+      if (!isSuspended) process.nextTick(enqueue, reading);
     },
   };
 }
