Held bytes: large bodies under way leave room for small ones

A fault of: two of maxBodyBytes are exactly what bodies may take there, so that two such bodies under way left no byte for any other; before, one fitted and 2 MB stayed free by chance.

Now bodies up to 64 KB may take a 256th of the memory beyond that, and are not given up for larger ones. The test holds, with a unit test of the rule.

--- a/packages/core/src/intake/memory-budget.ts
+++ b/packages/core/src/intake/memory-budget.ts
@@ -8,6 +8,8 @@
 const KIND_MEMORY_SHARE = 1 / 32;
 /** A small machine may hold so much of each kind if a single request needs it. */
 const MAX_KIND_MEMORY_SHARE = 1 / 16;
+/** Kept free of larger bodies, so that these do not keep ordinary requests out. */
+const SMALL_BODIES_MEMORY_SHARE = 1 / 256;
 /** Bodies of the largest size that are held at once, as far as the larger share allows. */
 const LARGEST_BODIES = 2;
 
@@ -15,6 +17,8 @@
 export type HeldLimits = {
   /** Bodies that are being read, or whose requests are under way. */
   readonly bodyBytes: number;
+  /** What small bodies may take beyond that. */
+  readonly smallBodyBytes: number;
   /** Bodies, answers and events together. */
   readonly allBytes: number;
   /** Heads of requests, from their first byte until their answers end. */
@@ -45,6 +49,7 @@
   const shareBytes = memoryBytes * KIND_MEMORY_SHARE;
   return {
     bodyBytes,
+    smallBodyBytes: memoryBytes * SMALL_BODIES_MEMORY_SHARE,
     allBytes: bodyBytes + computeKindLimit(memoryBytes, maxAnswerBytes),
     headBytes: shareBytes,
     unparsedBytes: shareBytes,
--- a/packages/router/src/intake/held-bytes.test.ts
+++ b/packages/router/src/intake/held-bytes.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
+import { HELD_LIMITS } from './held-limits-test-kit.js';
 import { makeHeldBytes, type HeldShare } from './held-bytes.js';
 
 const LIMIT = 1_000;
@@ -8,6 +9,7 @@
 function makeHeld() {
   return makeHeldBytes(() => ({
     bodyBytes: LIMIT / 2,
+    smallBodyBytes: 0,
     allBytes: LIMIT,
     headBytes: HEAD_LIMIT,
     unparsedBytes: LIMIT,
@@ -119,3 +121,17 @@
   expect(cut).to.deep.equal(['many', 'newest']);
   expect(held.hasRoomForHeads()).to.equal(false);
 });
+
+// Guards against large bodies under way that keep ordinary requests out.
+it('held bytes: small bodies have room beside larger ones that take all that bodies may', () => {
+  const limits = { ...HELD_LIMITS, bodyBytes: 200_000, smallBodyBytes: 10_000 };
+  const held = makeHeldBytes(() => limits);
+  const cut: string[] = [];
+  held.begin('body').update(200_000);
+  held.begin('body', () => cut.push('small')).update(9_000);
+  held.begin('body', () => cut.push('large')).update(70_000);
+  expect(cut).to.deep.equal(['large']);
+  expect(held.beginWholeBody(2_000)).to.equal(undefined);
+  held.begin('body', () => cut.push('last')).update(2_000);
+  expect(cut).to.deep.equal(['large', 'small']);
+});
--- a/packages/router/src/intake/held-bytes.ts
+++ b/packages/router/src/intake/held-bytes.ts
@@ -44,6 +44,8 @@
   bytes: number;
 };
 
+/** A body up to this size may use what is kept free of larger ones, and is not given up for them. */
+const MAX_SMALL_BODY_BYTES = 65_536;
 /** Share for answers that are read ahead of their callers; beside bodies, as much is left for answers that are still arriving. */
 const UNREAD_SHARE = 0.25;
 /** Answers are read further ahead only while all kinds together take less than this share. */
@@ -79,11 +81,11 @@
     return largest;
   }
 
-  /** Gives up the largest shares, of one kind or of all, as long as there is too much. */
-  function giveUpLargest(isTooMuch: () => boolean, kind?: HeldKind): void {
+  /** Gives up the largest shares, of one kind or of all, as long as there is too much and they have more than `keptBytes`. */
+  function giveUpLargest(isTooMuch: () => boolean, kind?: HeldKind, keptBytes = 0): void {
     while (isTooMuch()) {
       const largest = findLargest(kind);
-      if (largest === undefined) return;
+      if (largest === undefined || largest.bytes <= keptBytes) return;
       const { bytes, giveUp } = largest;
       setBytes(largest, 0);
       giveUp?.(bytes);
@@ -95,9 +97,10 @@
     return {
       update: (bytes) => {
         setBytes(share, bytes);
-        const { bodyBytes, headBytes, allBytes } = getLimits();
+        const { bodyBytes, smallBodyBytes, headBytes, allBytes } = getLimits();
         giveUpLargest(() => countKind('head') > headBytes, 'head');
-        giveUpLargest(() => countKind('body') > bodyBytes, 'body');
+        giveUpLargest(() => countKind('body') > bodyBytes, 'body', MAX_SMALL_BODY_BYTES);
+        giveUpLargest(() => countKind('body') > bodyBytes + smallBodyBytes, 'body');
         giveUpLargest(() => total > allBytes);
       },
       end: () => setBytes(share, 0),
@@ -107,7 +110,9 @@
   return {
     begin,
     beginWholeBody: (bytes) => {
-      if (countKind('body') + bytes > getLimits().bodyBytes) return undefined;
+      const { bodyBytes, smallBodyBytes } = getLimits();
+      const isSmall = bytes <= MAX_SMALL_BODY_BYTES;
+      if (countKind('body') + bytes > bodyBytes + (isSmall ? smallBodyBytes : 0)) return undefined;
       const share = begin('body');
       share.update(bytes);
       return share;
