--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -92,7 +92,7 @@
       engines.push(server);
       site.addServer(id, { service: 'llm', zone: 'negombo', born: 1, stage, address });
     }
-    daemons = await startDaemons(3, site.address, record);
+    daemons = await startDaemons(9, site.address, record);
     const [victim] = daemons.daemons;
     const streams = Array.from({ length: STREAMS }, async (_value, index) => {
       const id = `s${index}`;
