Answer ends: one part judges whether a server ended an answer itself

Cause: at the end of such an answer the engine was asked for its report, and only an answer of the start that is listed counted. An engine that leaves takes no connection to be asked on.

The new part (core and router, answer-ends) weighs, in this order: the report of the start that made the answer, which is asked for as the answer begins; more of another answer of that process some time after the end, here or at peers; as many events as tokens are allowed; and, for an engine that was known to leave before the end, how the connection ended and those that ended at that moment, here and at peers. One that dies ends them all between two parts; one that finishes closes each with its last part.

Ruled out: believing every end of a leaving engine (test: one that dies while it leaves); an idle connection that stays open, which a proxy may hold.

--- a/packages/core/src/answer-ends/index.ts
+++ b/packages/core/src/answer-ends/index.ts
@@ -1,1 +1,2 @@
 export * from './answer-framing.js';
+export * from './server-end.js';
--- a/packages/core/src/routing/upstream-list.ts
+++ b/packages/core/src/routing/upstream-list.ts
@@ -129,6 +129,19 @@
   return true;
 }
 
+/**
+ * Whether a server to which something was sent is known to leave, to have left or to have been replaced. One that
+ * crashes is listed for some time after it.
+ */
+export function isKnownToLeave(
+  { records, beliefs }: UpstreamList,
+  { upstreamId, incarnation }: UpstreamIncarnation,
+): boolean {
+  const listed = records.get(upstreamId);
+  if (listed === undefined || listed.isLeaving || listed.incarnation > incarnation) return true;
+  return incarnation <= findLeavingIncarnation(beliefs, upstreamId);
+}
+
 /** Lists the incarnations that are known to leave, listed or not. */
 export function listLeaving({ beliefs }: UpstreamList): UpstreamIncarnation[] {
   const leaving: UpstreamIncarnation[] = [];
--- a/packages/protocol/src/peer-codec.ts
+++ b/packages/protocol/src/peer-codec.ts
@@ -246,6 +246,8 @@
   'quota-levels',
   'load-report',
   'load-summary',
+  'end-question',
+  'end-answer',
 ]);
 
 /** Whether a peer that accepts these kinds decodes a message; `accepts` is absent in older versions. */
--- a/packages/protocol/src/relay-messages.ts
+++ b/packages/protocol/src/relay-messages.ts
@@ -24,7 +24,16 @@
   z.object({ kind: z.literal('failed'), isSent: z.boolean(), reason: z.string() }),
 ]);
 
-/** Schemas of the messages of relayed sends. */
+/** Ends of answers that one message tells of. */
+export const MAX_TOLD_ENDS = 64;
+
+const answerCutSchema = z.object({
+  isBroken: z.boolean(),
+  idleMs: z.number(),
+  pauseMs: z.number().optional(),
+});
+
+/** Schemas of the messages of relayed sends, and of questions about servers. */
 export const relayMessageSchemas = [
   z.object({
     kind: z.literal('relay-send'),
@@ -46,6 +55,13 @@
     number: count,
     answer: z.enum(['opened', 'not-opened', 'unknown']),
   }),
+  z.object({ kind: z.literal('end-question'), number: count, address: id, agoMs: z.number() }),
+  z.object({
+    kind: z.literal('end-answer'),
+    number: count,
+    isHeard: z.boolean(),
+    endedBeside: z.array(answerCutSchema).max(MAX_TOLD_ENDS),
+  }),
 ] as const;
 
 /** What happens to a relayed send; the last event is `ended` or `failed`. */
@@ -65,7 +81,17 @@
 /** Whether a connection to a server opened; `unknown` from a VM that may be cut off itself. */
 export type PathAnswer = 'opened' | 'not-opened' | 'unknown';
 
-/** Messages of relayed sends, and questions whether a peer reaches a server. */
+/** How a connection ended on which an answer was still coming. */
+export type AnswerCut = {
+  /** Whether the answer is known to be incomplete: its connection was reset, or its framing lacks its end. */
+  readonly isBroken: boolean;
+  /** Time from the last bytes to the end, in milliseconds. */
+  readonly idleMs: number;
+  /** Mean time between the parts of the answer, in milliseconds; undefined if it had fewer than two. */
+  readonly pauseMs?: number | undefined;
+};
+
+/** Messages of relayed sends, and questions what a peer knows of a server. */
 export type RelayMessage =
   /** Asks a peer to send a request to this start of a server; the peer has its own address for it. */
   | {
@@ -87,4 +113,19 @@
   /** Pauses or resumes the reading of an answer. */
   | { readonly kind: 'relay-flow'; readonly number: number; readonly isPaused: boolean }
   | { readonly kind: 'path-question'; readonly number: number; readonly upstreamId: UpstreamId }
-  | { readonly kind: 'path-answer'; readonly number: number; readonly answer: PathAnswer };
+  | { readonly kind: 'path-answer'; readonly number: number; readonly answer: PathAnswer }
+  /** Asks what the peer's connections to the server at an address tell about a moment in the past. */
+  | {
+      readonly kind: 'end-question';
+      readonly number: number;
+      readonly address: string;
+      readonly agoMs: number;
+    }
+  | {
+      readonly kind: 'end-answer';
+      readonly number: number;
+      /** Whether more of an answer came on one of them some time after that moment. */
+      readonly isHeard: boolean;
+      /** How those ended at that moment that carried an answer. */
+      readonly endedBeside: readonly AnswerCut[];
+    };
--- a/packages/router/src/gateway/gateway-state.ts
+++ b/packages/router/src/gateway/gateway-state.ts
@@ -27,6 +27,7 @@
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { MemoryWatch } from '../intake/memory-watch.js';
 import type { HeldBytes } from '../intake/held-bytes.js';
+import type { AnswerEnds } from '../answer-ends/answer-ends.js';
 import type { PartGuard } from './quarantine/part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
 import type { StreamOriginBook } from './stream-origins.js';
@@ -44,6 +45,8 @@
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
   readonly access: ServerAccess;
+  /** Judges whether servers ended answers themselves. */
+  readonly answerEnds: AnswerEnds;
   /** Client of engine orders and reports, whose answers carry no id. */
   readonly engineClient: UpstreamClient;
   readonly pools: PoolTask;
@@ -106,6 +109,7 @@
 export type GatewayStateParts = Pick<
   GatewayState,
   | 'access'
+  | 'answerEnds'
   | 'upstreams'
   | 'settings'
   | 'ports'
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import { destination, pino } from 'pino';
 import {
   computeMaxStoreAgeMs,
+  isKnownToLeave,
   makeUpstreamList,
   makeVersionHistory,
   type HeldLimits,
@@ -36,6 +37,7 @@
 import { startMembership, type PeerMeshHolder, type StartTask } from './membership.js';
 import { makePartGuard } from './quarantine/part-guard.js';
 import type { GatewayPorts, GatewaySettings } from './ports.js';
+import { makeAnswerEnds } from '../answer-ends/answer-ends.js';
 import { probeServer } from './probe-server.js';
 import { makeQuarantineWakeups } from './quarantine/quarantine-rows.js';
 import { listScopes } from './quarantine/quarantine-scope.js';
@@ -159,6 +161,13 @@
     metrics,
     logger,
   });
+  const answerEnds = makeAnswerEnds({
+    connections: access.connections,
+    questions: access.endQuestions,
+    isLeaving: (server) => isKnownToLeave(upstreams, server),
+    hasStoodStill: access.hasStoodStill,
+    logger,
+  });
   const contentTicker: TickerHolder = { ticker: undefined };
   const contentGuard = makeContentGuard({
     probe: (upstreamId, crashId) =>
@@ -260,6 +269,7 @@
     settings,
     ports,
     access,
+    answerEnds,
     memoryWatch,
     upstreams,
     logger,
--- a/packages/router/src/gateway/server-access.ts
+++ b/packages/router/src/gateway/server-access.ts
@@ -14,6 +14,11 @@
 import type { Logger } from '../logging/logger.js';
 import type { FleetView } from '../peers/fleet-view.js';
 import type { PeerMesh } from '../peers/peer-mesh.js';
+import { makeEndQuestions, type EndQuestions } from '../answer-ends/end-questions.js';
+import {
+  makeServerConnections,
+  type ServerConnections,
+} from '../answer-ends/server-connections.js';
 import { startPathWatch, type PathWatch } from '../relays/path-watch.js';
 import { makeRelayClient, type RelayPeer } from '../relays/relay-client.js';
 import {
@@ -62,6 +67,11 @@
 export type ServerAccess = {
   readonly client: ServerClient;
   readonly paths: PathWatch;
+  readonly connections: ServerConnections;
+  /** Asks peers what they know of the end of an answer. */
+  readonly endQuestions: Pick<EndQuestions, 'ask'>;
+  /** Whether this process stood still just now, so that what it reads may be old. */
+  readonly hasStoodStill: () => boolean;
   /** Whether a request may reach a server, over a connection of this VM or by way of a peer. */
   readonly hasWay: (server: UpstreamRecord) => boolean;
   /**
@@ -83,6 +93,8 @@
   'relay-flow',
   'path-question',
   'path-answer',
+  'end-question',
+  'end-answer',
 ]);
 
 /** Whether a message belongs to the access to servers. */
@@ -116,12 +128,15 @@
 export function startServerAccess(parts: ServerAccessParts): ServerAccess {
   const { settings, upstreams, fleet, meshHolder, takeFraction, metrics, logger } = parts;
   const { decodeRequestId, onRead } = parts;
+  const connections = makeServerConnections();
+  const hasStoodStill = startStandstillCheck(makeSuspensionCheck());
   const onOverFramed = makeFramingRecord({ metrics, logger });
   const direct = makeUpstreamClient({
     keepsConnections: true,
     decodeRequestId,
     onOverFramed,
     onRead,
+    connections,
   });
   const sendTo = (vmId: VmId, message: RelayMessage): boolean =>
     meshHolder.mesh?.sendTo(vmId, message) ?? false;
@@ -162,15 +177,26 @@
     sendTo,
     countQueuedBytes: (vmId) => meshHolder.mesh?.links.get(vmId)?.countQueuedBytes() ?? 0,
     beginBody: parts.beginBody,
-    hasStoodStill: startStandstillCheck(makeSuspensionCheck()),
+    hasStoodStill,
     onCount: parts.onRelayedCount,
     recordRelayed: (outcome) => metrics.relayedSends.inc({ side: 'made', outcome }),
     logger,
   });
 
+  const endQuestions = makeEndQuestions({
+    connections,
+    listPeers: () => [...(meshHolder.mesh?.links.keys() ?? [])],
+    sendTo,
+    hasStoodStill,
+    logger,
+  });
+
   return {
     client,
     paths,
+    connections,
+    endQuestions,
+    hasStoodStill,
     hasWay: (server) => !paths.isLost(server) || relayClient.hasPeer(server.upstreamId),
     tryServer: async (upstreamId) => {
       const own = await paths.tryPath(upstreamId);
@@ -198,6 +224,14 @@
         case 'path-answer':
           relayClient.handleAnswer(from, message.number, message.answer);
           return;
+        case 'end-question': {
+          const { number, address, agoMs } = message;
+          endQuestions.handleQuestion(from, number, address, agoMs);
+          return;
+        }
+        case 'end-answer':
+          endQuestions.handleAnswer(from, message.number, message);
+          return;
         default:
           message satisfies never;
       }
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -7,7 +7,8 @@
   type SlotRequestId,
 } from '@tarragonspool/core';
 import { sendPoolMessage } from '../pools/pool-task.js';
-import { isEngineAlive } from '../stages/engine-calls.js';
+import { findLife, type AnswerMaker } from '../answer-ends/answer-ends.js';
+import { readReportAnyWay } from '../stages/engine-calls.js';
 import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
 import type { GatewayRequest } from './gateway-request.js';
@@ -67,23 +68,39 @@
 }
 
 /**
- * Finds how a stream ended about which no other run is asked, or of which the one that was asked has no more. A server
- * that closed the connection of a whole answer still answers, one that died does not (RFC 9112, 8, holds an answer
- * complete that ends with its connection).
+ * Finds how a stream ended about which no other run is asked, or of which the one that was asked has no more (RFC 9112,
+ * 8, holds an answer complete that ends with its connection).
  */
 function* awaitEndByEngine(
   state: GatewayState,
   { fields: { requestId }, deadlineAt, route }: GatewayRequest,
-  engine: ClearedUpstream,
-  turn: RunTurn,
+  {
+    engine,
+    turn,
+    relay,
+    maker,
+  }: {
+    readonly engine: ClearedUpstream;
+    readonly turn: RunTurn;
+    readonly relay: ReturnType<typeof makeEventRelay>;
+    readonly maker: AnswerMaker | undefined;
+  },
 ): Task<'finished' | 'broken'> {
   const timeoutMs = canAskOtherRuns(route) ? LIFE_TIMEOUT_MS : ONLY_LIFE_TIMEOUT_MS;
   const until = Math.min(deadlineAt, getSteadyMs() + timeoutMs);
-  const isAlive = yield* isEngineAlive(state, engine, until);
-  const { upstreamId } = engine;
-  state.logger.info({ requestId, upstreamId, isAlive }, 'streams: engine asked whether it lives');
+  const { isEnded } = yield* state.answerEnds.awaitVerdict({
+    server: engine,
+    requestId,
+    askLife: function* askLife() {
+      const report = yield* readReportAnyWay(state, engine, until);
+      return findLife(engine, maker ?? { start: undefined }, report);
+    },
+    until,
+    hasAllTokens: relay.hasAllTokens(),
+    seenEnd: relay.describeEnd(),
+  });
   // Meanwhile another run may have taken the place.
-  return isAlive && !turn.isDisplaced() ? 'finished' : 'broken';
+  return isEnded && !turn.isDisplaced() ? 'finished' : 'broken';
 }
 
 /** Runs a stream on one decode engine. */
@@ -106,7 +123,12 @@
     sendPoolMessage(state.pools, { kind: 'prefilled', askId: slotRequestId }, state.logger);
   };
   const { upstreamId, softwareVersion } = engine;
-  const relay = makeEventRelay(state, request, progress, { upstreamId, turn, onFirstEvent });
+  let maker: AnswerMaker | undefined;
+  const onClosing = (): void => {
+    maker = state.answerEnds.beginAnswer((until) => readReportAnyWay(state, engine, until));
+  };
+  const run = { upstreamId, turn, onFirstEvent, onClosing };
+  const relay = makeEventRelay(state, request, progress, run);
   const sentAt = getSteadyMs();
   const { route } = request;
   const { kvSource } = progress;
@@ -132,7 +154,9 @@
   const seenEnd = findDecodeEnd(result, relay, isDisplaced);
   const isAsked = relay.hasEvents() && canAskOtherRuns(route);
   const isJudgedByEngine = seenEnd === 'unconfirmed' && !isAsked;
-  const end = isJudgedByEngine ? yield* awaitEndByEngine(state, request, engine, turn) : seenEnd;
+  const end = isJudgedByEngine
+    ? yield* awaitEndByEngine(state, request, { engine, turn, relay, maker })
+    : seenEnd;
   const { framing, restBytes, eventIds } = relay.getEnd();
   relay.close();
   if (end === 'finished') relay.finish();
--- a/packages/router/src/gateway/stream-joins.fuzz.test.ts
+++ b/packages/router/src/gateway/stream-joins.fuzz.test.ts
@@ -3,6 +3,8 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { pino } from 'pino';
+import { makeAnswerEnds } from '../answer-ends/answer-ends.js';
+import { makeServerConnections } from '../answer-ends/server-connections.js';
 import type { PoolTaskMessage } from '../pools/pool-task.js';
 import { makeChannel, offer, receive, startTask, type Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
@@ -313,9 +315,18 @@
   // A proxy takes connections, also for an engine that has died.
   const tryPath = () => Promise.resolve('opened');
   const origin = { service: 'llm', softwareVersion: '1' };
+  const logger = pino({ level: 'silent' });
+  const answerEnds = makeAnswerEnds({
+    connections: makeServerConnections(),
+    questions: { ask: () => Promise.resolve({ isHeard: false, endedBeside: [] }) },
+    isLeaving: () => false,
+    hasStoodStill: () => false,
+    logger,
+  });
   const state = {
+    answerEnds,
     pools: { inbox, countLiveVms: () => 1 },
-    logger: pino({ level: 'silent' }),
+    logger,
     configuration: { services: new Map([['llm', { engine: {} }]]) },
     upstreams,
     access: {
--- a/packages/router/src/gateway/stream-relay.ts
+++ b/packages/router/src/gateway/stream-relay.ts
@@ -13,7 +13,7 @@
   type Route,
   type StreamPart,
 } from '@tarragonspool/core';
-import type { UpstreamId } from '@tarragonspool/protocol';
+import type { AnswerCut, UpstreamId } from '@tarragonspool/protocol';
 import { findExcess } from '../http/size-limit.js';
 import { dropWholeAnswerHeaders, findMediaType } from '../http/whole-answer-headers.js';
 import { getSteadyMs } from '../time/steady-clock.js';
@@ -86,6 +86,7 @@
       if (firstEventAt === undefined) return undefined;
       return { events, streamedMs: lastEventAt - firstEventAt, longestPauseMs };
     },
+    getIdleMs: () => getSteadyMs() - lastEventAt,
     recordEnd: (): void => {
       if (firstEventAt !== undefined && !isKnownSound) recordSound();
     },
@@ -101,9 +102,11 @@
     readonly upstreamId: UpstreamId;
     readonly turn: RunTurn;
     readonly onFirstEvent: () => void;
+    /** Called when an answer begins that only its connection will end, and that no other run can go on with. */
+    readonly onClosing: () => void;
   },
 ) {
-  const { upstreamId, turn, onFirstEvent } = run;
+  const { upstreamId, turn, onFirstEvent, onClosing } = run;
   const { reply, route } = request;
   const splitter = makeEventSplitter(state.ports.dialect.decodeWeightVersion);
   const recorder = makeEventRecorder(state, request, progress, onFirstEvent);
@@ -113,8 +116,8 @@
   let isUsable = false;
   let hasOtherWeights = false;
   let isFirstPart = true;
-  /** Whether an event with a number has come: only such a one shows where the run goes on. */
-  let hasNumber = false;
+  /** Only an event with a number shows where the run goes on. */
+  let numberedEvents = 0;
   let unusedBytes = 0;
   let abort = (): void => undefined;
   let isCut = false;
@@ -174,13 +177,13 @@
     for (const part of parts) {
       if (part.kind === 'event') {
         recordEventId(eventIds, part.id);
-        const verdict = judgeEvent(progress.place, part.id, !hasNumber);
+        const verdict = judgeEvent(progress.place, part.id, numberedEvents === 0);
         if (verdict.kind === 'out-of-order') {
           return { bytes: Buffer.concat(taken), count, fault: verdict.fault };
         }
         progress.place = verdict.place;
         progress.weightVersion = part.weightVersion ?? progress.weightVersion;
-        hasNumber ||= part.id.kind === 'number';
+        if (part.id.kind === 'number') numberedEvents += 1;
         count += 1;
       }
       // In the middle of an answer a byte order mark would be a part of the next line.
@@ -204,6 +207,13 @@
     return { hasEvents: count > 0, fault };
   }
 
+  /** How the answer ended, as far as its events tell. */
+  function describeEnd(): AnswerCut {
+    const { events = 0, streamedMs = 0 } = recorder.getAnswerProgress() ?? {};
+    const pauseMs = events > 1 ? streamedMs / (events - 1) : undefined;
+    return { isBroken: false, idleMs: recorder.getIdleMs(), pauseMs };
+  }
+
   return {
     onHead: (head: AnswerHead): void => {
       framing = head.framing;
@@ -213,6 +223,7 @@
       if (!isForwarding) return;
       progress.runs += 1;
       progress.kvSource = undefined;
+      if (framing === 'connection' && !canAskOtherRuns(route)) onClosing();
       if (reply.getState() === 'open') begin(head);
     },
     onData: (chunk: Buffer, exchange: UpstreamExchange): boolean => {
@@ -262,6 +273,12 @@
      * an engine that died.
      */
     isEndKnown: (): boolean => framing !== 'connection',
+    describeEnd,
+    /** Whether as many events have come as the request allows tokens. */
+    hasAllTokens: (): boolean => {
+      const { maxOutputTokens = Infinity } = request.fields;
+      return numberedEvents > 0 && numberedEvents >= maxOutputTokens;
+    },
     /** How the answer's end is told, and the bytes after its last whole event. */
     getEnd: () => ({ framing, restBytes: splitter.rest.countBytes(), eventIds }),
     /** Holds nothing any more. */
--- a/packages/router/src/stages/engine-calls.ts
+++ b/packages/router/src/stages/engine-calls.ts
@@ -1,14 +1,6 @@
-/**
- * Calls to an engine outside of requests: reading its report, asking whether its process lives, and ordering it to
- * change its stage.
- */
+/** Calls to an engine outside of requests: reading its report, and ordering it to change its stage. */
 
-import {
-  askSend,
-  makeByteCollector,
-  UNKNOWN_INCARNATION,
-  type ClearedUpstream,
-} from '@tarragonspool/core';
+import { askSend, makeByteCollector, type ClearedUpstream } from '@tarragonspool/core';
 import type { UpstreamId } from '@tarragonspool/protocol';
 import type { GatewayState } from '../gateway/gateway-state.js';
 import type { EngineReport, OrderAnswer, StageOrder } from '../gateway/ports.js';
@@ -122,36 +114,25 @@
   return answer && state.ports.dialect.decodeReport(answer.body);
 }
 
-/** Whether an answer to the question for a report is the engine's own, of the start that is listed. */
-function isOwnReport(
-  { ports }: GatewayState,
-  { incarnation: listed }: ClearedUpstream,
-  { status, body }: CallAnswer,
-): boolean {
-  const report = status === HTTP_OK ? ports.dialect.decodeReport(body) : undefined;
-  if (report === undefined) return false;
-  const { incarnation = UNKNOWN_INCARNATION } = report;
-  const isTold = incarnation !== UNKNOWN_INCARNATION && listed !== UNKNOWN_INCARNATION;
-  return !isTold || incarnation === listed;
-}
-
 /**
- * Returns whether the process of an engine lives that has sent an answer. Its report tells; a connection that opens
- * may have been taken by a proxy for an engine that has died. One that is silent until `until` is taken for dead.
+ * Reads the report of an engine that has sent an answer, by way of a peer if need be; undefined if it does not answer
+ * until `until`. A connection that opens tells nothing: a proxy may take it for an engine that has died.
  */
-export function* isEngineAlive(
+export function* readReportAnyWay(
   state: GatewayState,
   engine: ClearedUpstream,
   until: number,
-): Task<boolean> {
+): Task<EngineReport | undefined> {
   const call = buildReportCall(state, engine);
   const send = makeRoutedSender(state, engine);
   for (let calls = 0; calls < MAX_LIFE_CALLS; calls += 1) {
     const timeoutMs = Math.max(MIN_LIFE_CALL_MS, until - getSteadyMs());
     const answer = yield* callEngine(state, engine, call, send, timeoutMs);
-    if (answer !== undefined) return isOwnReport(state, engine, answer);
+    if (answer === undefined) continue;
+    const { status, body } = answer;
+    return status === HTTP_OK ? state.ports.dialect.decodeReport(body) : undefined;
   }
-  return false;
+  return undefined;
 }
 
 /** Sends an order to change the stage; returns undefined if the engine may or may not have taken it. */
--- a/packages/router/src/upstreams/upstream-client.ts
+++ b/packages/router/src/upstreams/upstream-client.ts
@@ -13,17 +13,18 @@
 } from 'node:http';
 import type { Socket } from 'node:net';
 import type { ClearedAddress } from '@tarragonspool/core';
+import type { CallRecord, ServerConnections } from '../answer-ends/server-connections.js';
 import { findHeadFault } from '../http/answer-head.js';
 import { followFraming } from '../http/framing-limit.js';
 import { parseAddress } from '../http/parse-address.js';
 import { checkEnd, isEndChecked } from './answer-end.js';
 import {
-  canCarryMore,
   chooseAgent,
   findForeignReason,
   recordAnswered,
   recordCarried,
 } from './carried-requests.js';
+import { makeGuardedAgent } from './kept-connections.js';
 import { makePieceJoiner } from './piece-joiner.js';
 import { writeBody } from './request-body.js';
 
@@ -84,59 +85,6 @@
 
 /** A server that is reachable takes a connection within this time. */
 const CONNECT_TIMEOUT_MS = 500;
-const MAX_IDLE_MS = 8_000;
-/** A server's own idle timeout is met with this margin. */
-const IDLE_MARGIN_MS = 1_000;
-const MIN_IDLE_MS = 300;
-const MAX_IDLE_CONNECTIONS = 12;
-const MS_PER_S = 1_000;
-const KEEP_ALIVE_HINT = /timeout=(\d+)/u;
-
-/** Response of the request that used a socket last; Node keeps it there until the socket is reused. */
-type UsedSocket = Socket & { _httpMessage?: { res?: IncomingMessage } };
-
-function readIdleMs(socket: UsedSocket): number {
-  // eslint-disable-next-line no-underscore-dangle -- the only place where Node keeps it
-  const hint = socket._httpMessage?.res?.headers['keep-alive'];
-  const seconds = typeof hint === 'string' ? KEEP_ALIVE_HINT.exec(hint)?.[1] : undefined;
-  if (seconds === undefined) return MAX_IDLE_MS;
-  return Math.min(MAX_IDLE_MS, Math.max(MIN_IDLE_MS, Number(seconds) * MS_PER_S - IDLE_MARGIN_MS));
-}
-
-type KeepAliveHooks = {
-  keepSocketAlive: (socket: Socket) => boolean;
-  reuseSocket: (socket: Socket, outgoing: ClientRequest) => void;
-};
-
-/** Ends an idle connection on which anything arrives: such bytes belong to no request. */
-function destroyOnData(this: Socket): void {
-  this.destroy();
-}
-
-function makeGuardedAgent(): Agent {
-  const agent = new Agent({
-    keepAlive: true,
-    maxFreeSockets: MAX_IDLE_CONNECTIONS,
-    timeout: MAX_IDLE_MS,
-    scheduling: 'lifo',
-  });
-  const hooks = agent as unknown as KeepAliveHooks;
-  const keepSocketAlive = hooks.keepSocketAlive.bind(agent);
-  const reuseSocket = hooks.reuseSocket.bind(agent);
-  hooks.keepSocketAlive = (socket) => {
-    if (!keepSocketAlive(socket) || !canCarryMore(socket)) return false;
-    socket.setTimeout(readIdleMs(socket));
-    socket.on('data', destroyOnData);
-    return true;
-  };
-  hooks.reuseSocket = (socket, outgoing) => {
-    socket.off('data', destroyOnData);
-    socket.setTimeout(0);
-    reuseSocket(socket, outgoing);
-  };
-  return agent;
-}
-
 function watchConnect(
   outgoing: ClientRequest,
   { connectTimeoutMs = CONNECT_TIMEOUT_MS, onOpened }: UpstreamCall,
@@ -182,6 +130,8 @@
   readonly onOverFramed?: (call: UpstreamCall, bytes: number) => void;
   /** Called with the number of bytes of each part of an answer. */
   readonly onRead?: (bytes: number) => void;
+  /** Remembers the connections. */
+  readonly connections?: ServerConnections;
 };
 
 /** Begins a request; what cannot be put into one makes Node throw, and nothing is sent. */
@@ -215,7 +165,7 @@
 
 function startExchange(
   agent: Agent,
-  { decodeRequestId, onOverFramed, onRead }: UpstreamClientOptions,
+  { decodeRequestId, onOverFramed, onRead, connections }: UpstreamClientOptions,
   call: UpstreamCall,
   emit: (event: UpstreamEvent) => void,
 ): UpstreamExchange {
@@ -233,6 +183,7 @@
   let contentBytes = 0;
   /** Bytes that earlier requests wrote to the connection. */
   let earlierBytes = 0;
+  let record: CallRecord | undefined;
   /** Whether the request had been written when the latest bytes of the answer came. */
   let isWritten = false;
   const joiner = makePieceJoiner((chunk) => {
@@ -280,6 +231,8 @@
     if (!isEndChecked(requestBytes)) return;
     const onUnacknowledged = (): void => fail(UNWRITTEN);
     checkEnd(socket, { requestBytes, isWritten: () => isWritten, onUnacknowledged });
+    // The check delays the listeners that the connection has had.
+    socket.prependOnceListener('end', () => record?.recordClosed());
   }
 
   watchConnect(outgoing, call, () => {
@@ -289,6 +242,7 @@
   outgoing.on('socket', (socket) => {
     isOpening = socket.connecting;
     earlierBytes = socket.bytesWritten;
+    record = connections?.beginCall(socket, call.address, requestId);
     if (requestId !== undefined) recordCarried(socket, requestId);
     const noteError = (error: Error): void => {
       socketError = error.message;
@@ -319,6 +273,7 @@
     const framing = findFraming(message);
     message.on('data', (piece: Buffer) => {
       contentBytes += piece.length;
+      record?.recordPart();
       isWritten = outgoing.writableFinished;
       onRead?.(piece.length);
       if (!isOver) joiner.add(piece);
@@ -326,6 +281,7 @@
     message.on('error', (error) => fail(error.message));
     message.on('end', () => {
       hasEnded = message.complete;
+      if (message.complete) record?.recordWhole();
       recordAnswered(outgoing, countRequestBytes());
       if (!message.complete) fail('cut off');
       else if (!isProbing) finishWhole();
@@ -340,6 +296,7 @@
     const fault =
       findForeignReason({ requestId, answerId, isReused }) ?? findHeadFault(status, rawHeaders);
     if (fault !== undefined) fail(fault);
+    record?.recordHead(framing === 'connection');
     if (isOver) return;
     if (framing === 'connection' && outgoing.socket !== null) checkLongEnd(outgoing.socket);
     emit({ kind: 'head', status, framing, headers, rawHeaders });
@@ -363,8 +320,14 @@
       joiner.drop();
       fail(reason);
     },
-    pause: () => answer?.pause(),
-    resume: () => answer?.resume(),
+    pause: () => {
+      record?.recordPaused(true);
+      answer?.pause();
+    },
+    resume: () => {
+      record?.recordPaused(false);
+      answer?.resume();
+    },
   };
 }
 
