Quarantine: a request that breaks off at a leaving server blames no content

Cause: a server that leaves cuts what it has not finished as it exits, takes no connection then and is gone from the list, and each of these counted as a crash. What a leaving server's break tells is decided by the same question as its ends, isKnownToLeave.

--- a/packages/router/src/gateway/call-flow.ts
+++ b/packages/router/src/gateway/call-flow.ts
@@ -22,6 +22,7 @@
 import { chooseCallServer, listCandidates } from './call-server.js';
 import type { GatewayRequest } from './gateway-request.js';
 import { findLoad, takeServiceRetries, type GatewayState } from './gateway-state.js';
+import { recordBrokenContent } from './quarantine/broken-content.js';
 import { endQuarantined } from './quarantine/quarantine-check.js';
 import { sendOnce, type AnswerHead, type SendResult } from './sender.js';
 import { recordSizeCut, type CutReason } from '../intake/size-cuts.js';
@@ -82,7 +83,7 @@
   if (result.outcome.kind === 'answered') state.contentGuard.recordAnswered(content.fingerprint);
   if (result.outcome.kind === 'unknown') {
     const broken = { content, hasEvents: false, promptParts };
-    state.contentGuard.recordBroken(upstreamId, broken);
+    recordBrokenContent(state, upstreamId, broken);
   }
 }
 
--- a/packages/router/src/gateway/stream-handover.ts
+++ b/packages/router/src/gateway/stream-handover.ts
@@ -10,6 +10,7 @@
 import { getSteadyMs } from '../time/steady-clock.js';
 import { REQUEST_INBOX_CAPACITY, type GatewayRequest } from './gateway-request.js';
 import { takeServiceRetries, type GatewayState } from './gateway-state.js';
+import { recordBrokenContent } from './quarantine/broken-content.js';
 import { runDecode, type DecodeRun } from './stream-decode.js';
 import {
   askDecode,
@@ -310,7 +311,7 @@
   const { decode } = grant;
   const broken = { content, hasEvents, promptParts };
   const isFailure = !hasOtherWeights;
-  if (end === 'broken' && isFailure) state.contentGuard.recordBroken(decode, broken);
+  if (end === 'broken' && isFailure) recordBrokenContent(state, decode, broken);
   if (!isReported && isFailure) {
     notifyEngineFailed(state, request, decode, findEngineFailure(result));
   }
