Read turns: what a connection has cost is counted from its own work

Cause: the share of an item is its place in the order, which begins at that of the others; read as a cost, it held what they had paid before against it. The cost is counted by itself now, since nothing waited last.

Test: an item that comes late has cost less than those that have had more work; with the share in place of the cost it would be 32 in place of 2 (read from the code, not run).

--- a/packages/core/src/intake/fair-queue.test.ts
+++ b/packages/core/src/intake/fair-queue.test.ts
@@ -61,3 +61,33 @@
   expect(queue.take()).to.equal(undefined);
   expect(queue.count()).to.equal(0);
 });
+
+// Guards against a sound connection that comes late and is closed for what others have cost before it came.
+it('fair queue: an item that comes late has cost less than those that have had more work', () => {
+  const queue = makeFairQueue<Item>();
+  const costly = Array.from({ length: 10 }, (_, index) => ({ name: `costly-${index}` }));
+  for (const item of costly) queue.add(item);
+  for (let turn = 0; turn < 300; turn += 1) {
+    const item = queue.take();
+    if (item === undefined) throw new Error('nothing waits');
+    queue.charge(item, 1);
+    queue.add(item);
+  }
+  const late = { name: 'late' };
+  queue.add(late);
+  while (queue.take() !== late);
+  queue.charge(late, 2);
+  queue.add(late);
+  expect(queue.getCost(late)).to.equal(2);
+  for (const item of costly) expect(queue.getCost(item)).to.be.at.least(30);
+});
+
+it('fair queue: what an item cost before nothing waited is forgotten', () => {
+  const queue = makeFairQueue<Item>();
+  const item = { name: 'kept' };
+  queue.add(item);
+  queue.charge(queue.take() ?? item, 5);
+  expect(queue.getCost(item)).to.equal(5);
+  queue.add(item);
+  expect(queue.getCost(item)).to.equal(0);
+});
--- a/packages/core/src/intake/fair-queue.ts
+++ b/packages/core/src/intake/fair-queue.ts
@@ -13,15 +13,17 @@
   /** Charges an item that does not wait with the cost of its piece of work. */
   readonly charge: (item: T, cost: number) => void;
   readonly remove: (item: T) => void;
-  /** What an item has cost, counted from the share at which it began. */
-  readonly getShare: (item: T) => number;
+  /** What an item itself has cost since nothing waited last; where it began counts neither for nor against it. */
+  readonly getCost: (item: T) => number;
   readonly count: () => number;
 };
 
 /** Makes a queue without items. */
 export function makeFairQueue<T extends object>(): FairQueue<T> {
-  /** What each item has had. */
+  /** The place of each item in the order: where it began, and what it has cost since. */
   const shares = new WeakMap<T, number>();
+  /** What each item has cost since nothing waited last. */
+  let costs = new WeakMap<T, number>();
   const waiting = new Map<T, number>();
   let latest = 0;
 
@@ -38,6 +40,7 @@
 
   return {
     add: (item) => {
+      if (waiting.size === 0) costs = new WeakMap();
       if (!waiting.has(item)) waiting.set(item, Math.max(shares.get(item) ?? 0, latest));
     },
     take: () => {
@@ -50,11 +53,12 @@
     },
     charge: (item, cost) => {
       shares.set(item, (shares.get(item) ?? latest) + cost);
+      costs.set(item, (costs.get(item) ?? 0) + cost);
     },
     remove: (item) => {
       waiting.delete(item);
     },
-    getShare: (item) => shares.get(item) ?? latest,
+    getCost: (item) => costs.get(item) ?? 0,
     count: () => waiting.size,
   };
 }
--- a/packages/router/src/intake/read-turns.ts
+++ b/packages/router/src/intake/read-turns.ts
@@ -111,7 +111,7 @@
 export function readInTurns(server: Server, parts: ReadTurnParts = {}): ReadTurns {
   const queue = makeFairQueue<Reading>();
   const readings = new WeakMap<Socket, Reading>();
-  const waitingBytes = makeWaitingBytes(parts, queue.getShare);
+  const waitingBytes = makeWaitingBytes(parts, queue.getCost);
   let spentMs = 0;
   let isTurnScheduled = false;
   let isStepScheduled = false;
