--- a/packages/core/src/answer-ends/server-end.ts
+++ b/packages/core/src/answer-ends/server-end.ts
@@ -45,7 +45,7 @@
 export type EndVerdict = { readonly isEnded: boolean; readonly reason: EndReason };
 
 /** A server that ends an answer closes it with its last part, and within this time of it however slow its parts are. */
-const MAX_CLOSE_MS = 10;
+const MAX_CLOSE_MS = 20;
 /** Reading the last part and the close takes up to this long. */
 const MIN_CLOSE_MS = 2;
 /** Of the time between two parts; a process dies at any moment between them. */
--- a/packages/router/src/answer-ends/answer-ends.ts
+++ b/packages/router/src/answer-ends/answer-ends.ts
@@ -1,11 +1,12 @@
 /**
- * Finds out whether a server ended an answer itself that only the close of its connection ended. All that asks, for
- * streams and calls, of this VM's connections or by way of a peer, asks here.
+ * Finds out whether a server ended an answer itself that only the close of its connection ended, on a connection of this
+ * VM or of a peer.
  */
 
 import {
   judgeLife,
   judgeServerEnd,
+  UNKNOWN_INCARNATION,
   type EndVerdict,
   type LifeAnswer,
   type UpstreamRecord,
@@ -57,8 +58,6 @@
   readonly beginAnswer: (readStart: ReadStart) => AnswerMaker;
   /** Judges whether the server ended an answer itself. */
   readonly awaitVerdict: (answer: ClosedAnswer) => Task<EndVerdict>;
-  /** Whether the break of an answer tells nothing of what was asked, as its server was leaving. */
-  readonly isLeaving: (server: UpstreamRecord) => boolean;
 };
 
 /** Engines that run send more of an answer within this time; the ends of streams wait so long at most. */
@@ -73,7 +72,7 @@
 ): LifeAnswer {
   if (after === undefined) return 'none';
   // A server whose start is not known has none that could be compared.
-  const listed = server.incarnation === 0 ? undefined : server.incarnation;
+  const listed = server.incarnation === UNKNOWN_INCARNATION ? undefined : server.incarnation;
   return judgeLife({
     during: during === undefined ? 'none' : during.incarnation,
     after: after.incarnation,
@@ -100,14 +99,13 @@
   }
 
   return {
-    isLeaving,
     beginAnswer: (readStart) => {
       const maker: AnswerMaker = { start: undefined };
       const ask = function* ask(): Task {
         maker.start = yield* readStart(getSteadyMs() + START_TIMEOUT_MS);
       };
       startTask('start of an answer', ask, (_name, error) => {
-        if (error !== undefined) logger.error({ err: error }, 'answer ends: start not read');
+        if (error !== undefined) logger.error({ err: error }, 'ends: start not read');
       });
       return maker;
     },
@@ -150,7 +148,7 @@
           endedBeside,
           tookMs: getSteadyMs() - endedAt,
         },
-        'answer ends: end judged',
+        'ends: end judged',
       );
       return verdict;
     },
--- a/packages/router/src/answer-ends/end-questions.ts
+++ b/packages/router/src/answer-ends/end-questions.ts
@@ -83,7 +83,7 @@
     },
     handleQuestion: (from, number, address, agoMs) => {
       answer(from, number, address, getSteadyMs() - agoMs).catch((error: unknown) => {
-        parts.logger.error({ err: error, address }, 'answer ends: peer not answered');
+        parts.logger.error({ err: error, address }, 'ends: peer not answered');
       });
     },
     handleAnswer: (from, number, evidence) => {
--- a/packages/router/src/gateway/caller-reply.ts
+++ b/packages/router/src/gateway/caller-reply.ts
@@ -65,7 +65,7 @@
 }
 
 /** Whether the caller of an answer reads chunks. */
-function takesChunks({ req }: ServerResponse): boolean {
+function canTakeChunks({ req }: ServerResponse): boolean {
   const { httpVersionMajor: major, httpVersionMinor: minor } = req;
   return major > 1 || (major === 1 && minor >= 1);
 }
@@ -132,7 +132,7 @@
     const { method = 'GET' } = response.req;
     const hasLength = hasLengthHeader(rawHeaders);
     const isWhole = wholeBytes !== undefined;
-    const shape = { method, status, hasLength, isWhole, takesChunks: takesChunks(response) };
+    const shape = { method, status, hasLength, isWhole, takesChunks: canTakeChunks(response) };
     framing = chooseAnswerFraming(shape);
     const headers = [...rawHeaders];
     if (framing === 'length' && !hasLength) headers.push('Content-Length', String(wholeBytes));
--- a/packages/router/src/gateway/stream-decode.ts
+++ b/packages/router/src/gateway/stream-decode.ts
@@ -6,8 +6,8 @@
   type ClearedUpstream,
   type SlotRequestId,
 } from '@tarragonspool/core';
-import { sendPoolMessage } from '../pools/pool-task.js';
 import { findLife, type AnswerMaker } from '../answer-ends/answer-ends.js';
+import { sendPoolMessage } from '../pools/pool-task.js';
 import { readReportAnyWay } from '../stages/engine-calls.js';
 import type { Task } from '../tasks/tasks.js';
 import { getSteadyMs } from '../time/steady-clock.js';
